--- /dev/null
+++ b/Makefile
@@ -0,0 +1,63 @@
+# Commands of the workspace. "make help" lists them.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core policy wire daemon cli standins bench
+STAMP := $(VENV)/.stamp
+SOURCES := packages
+
+.PHONY: help setup test unit format lint types doctest models bench demo lock
+.NOTPARALLEL:
+
+help:
+	@echo "make demo    run four daemons and the stand-ins, check the counts"
+	@echo "make test    run all tests"
+	@echo "make check   run formatter, linter, type check and doctests"
+	@echo "make models  check the models of the core protocols"
+	@echo "make bench   run the benchmarks, write out/bench.json"
+	@echo "make lock    pin the dependencies again"
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt Makefile $(wildcard packages/*/pyproject.toml)
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    --require-hashes -r constraints.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+	    --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/python -m pytest
+
+check: setup format lint types doctest
+
+format: setup
+	$(BIN)/ruff format --check $(SOURCES)
+
+lint: setup
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+types: setup
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/src)
+
+doctest: setup
+	$(BIN)/python -m pytest --doctest-modules \
+	    $(foreach p,$(PACKAGES),packages/$(p)/src)
+
+models: setup
+	$(BIN)/python -m oriolestand_bench.models
+
+bench: setup
+	$(BIN)/python -m oriolestand_bench
+
+demo: setup
+	$(BIN)/python -m oriolestand_standins.demo
+
+# Hashes come from the registry that pip is set up with; no address is kept.
+lock: setup
+	$(BIN)/pip install --quiet uv
+	$(BIN)/uv pip compile --quiet --generate-hashes --no-header \
+	    --no-emit-index-url --no-annotate --universal \
+	    --python-version 3.11 requirements.in -o constraints.txt
