Serve a request from caller to upstream in one daemon

Set up the micro-kernel, tasks with bounded inboxes, the clock, errors and verdicts; the decision code for routes, grants and dispatch; the peer protocol; the services of a daemon; stand-ins for platform and upstreams. Checked by hand: GET, POST and a 3 MB body through one daemon to one upstream, SIGTERM exits 0.

--- /dev/null
+++ b/packages/core/src/oriolestand_core/_ids.py
@@ -0,0 +1,31 @@
+"""Make the identities that answers and repeats are matched by."""
+
+import random
+import secrets
+from typing import NewType
+
+Incarnation = NewType('Incarnation', str)
+
+INCARNATION_BITS = 64
+REQUEST_ID_BITS = 128
+
+
+class IdSource:
+    """Draw ids from a secure source, or from a seed in tests.
+
+    >>> IdSource(seed=1).incarnation() == IdSource(seed=1).incarnation()
+    True
+    """
+
+    def __init__(self, seed: int | None = None) -> None:
+        self._rng: random.Random = (
+            secrets.SystemRandom() if seed is None else random.Random(seed)
+        )
+
+    def incarnation(self) -> Incarnation:
+        """Return the id of one start of a daemon, 16 hex digits."""
+        return Incarnation(f'{self._rng.getrandbits(INCARNATION_BITS):016x}')
+
+    def request_id(self) -> str:
+        """Return the id of one request, 32 hex digits."""
+        return f'{self._rng.getrandbits(REQUEST_ID_BITS):032x}'
--- /dev/null
+++ b/packages/core/src/oriolestand_core/_inbox.py
@@ -0,0 +1,49 @@
+"""Provide the bounded inbox of a task."""
+
+import collections
+from typing import Generic
+from typing import TypeVar
+
+from oriolestand_core import _errors
+
+T = TypeVar('T')
+
+
+class Inbox(Generic[T]):
+    """Hold messages in order of arrival, up to a limit.
+
+    >>> inbox = Inbox('demo', limit=1)
+    >>> inbox.put('first')
+    >>> inbox.put('second')
+    Traceback (most recent call last):
+    ...
+    oriolestand_core._errors.InboxFullError: inbox_full: the inbox is full \
+(task=demo, limit=1)
+    """
+
+    __slots__ = ('_items', '_limit', '_owner')
+
+    def __init__(self, owner: str, limit: int) -> None:
+        self._owner = owner
+        self._limit = limit
+        self._items: collections.deque[T] = collections.deque()
+
+    def __len__(self) -> int:
+        """Return the number of waiting messages."""
+        return len(self._items)
+
+    def put(self, item: T) -> None:
+        """Append a message, or raise InboxFullError."""
+        if len(self._items) >= self._limit:
+            raise _errors.InboxFullError(
+                'the inbox is full', task=self._owner, limit=self._limit
+            )
+        self._items.append(item)
+
+    def take(self) -> T:
+        """Remove and return the oldest message."""
+        return self._items.popleft()
+
+    def clear(self) -> None:
+        """Drop all waiting messages."""
+        self._items.clear()
--- /dev/null
+++ b/packages/core/src/oriolestand_core/_kernel.py
@@ -0,0 +1,191 @@
+"""Provide the kernel, which finds services by name and runs their life."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import importlib
+import importlib.resources
+import json
+from typing import Any
+
+import pydantic
+from twisted.internet import defer
+
+from oriolestand_core import _clock
+from oriolestand_core import _errors
+from oriolestand_core import _ids
+from oriolestand_core import _logs
+from oriolestand_core import _task
+
+SETUP_RETRY_MIN_MS = 100
+SETUP_RETRY_MAX_MS = 5_000
+
+
+class ServiceManifest(pydantic.BaseModel):
+    """Declare a service: its name and the services it depends on."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    name: str
+    depends_on: tuple[str, ...] = ()
+    requires: tuple[str, ...] = ()
+
+
+def sort_manifests(
+    manifests: Iterable[ServiceManifest],
+) -> list[ServiceManifest]:
+    """Return the manifests in an order that respects dependencies.
+
+    >>> grants = ServiceManifest(name='grants', depends_on=('platform',))
+    >>> platform = ServiceManifest(name='platform')
+    >>> [m.name for m in sort_manifests([grants, platform])]
+    ['platform', 'grants']
+    """
+    waiting = {manifest.name: manifest for manifest in manifests}
+    done: dict[str, ServiceManifest] = {}
+    while waiting:
+        ready = sorted(
+            name
+            for name, manifest in waiting.items()
+            if all(dep in done for dep in manifest.depends_on)
+        )
+        if not ready:
+            raise _errors.UnknownServiceError(
+                'dependencies are missing or form a cycle',
+                services=sorted(waiting),
+            )
+        for name in ready:
+            done[name] = waiting.pop(name)
+    return list(done.values())
+
+
+class Kernel:
+    """Hold the registry of services, the clock and the run queue.
+
+    The kernel imports no service: ``load`` takes the name of a package
+    that contains one folder a service and imports it by name.
+    """
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        ids: _ids.IdSource | None = None,
+        reactor: Any = None,
+    ) -> None:
+        self.clock = clock
+        self.reactor = reactor
+        self.ids = ids or _ids.IdSource()
+        self.incarnation = self.ids.incarnation()
+        self.run_queue = _task.RunQueue()
+        self.log = _logs.get_logger('kernel')
+        self._tasks: dict[str, _task.Task] = {}
+        self._subscribers: dict[type, list[_task.Task]] = {}
+        self._states: dict[type, object] = {}
+
+    @property
+    def services(self) -> Mapping[str, _task.Task]:
+        """Return the registered tasks in order of set-up."""
+        return self._tasks
+
+    def register(self, name: str, task: _task.Task) -> None:
+        """Make a task known by name; a name is taken once."""
+        if name in self._tasks:
+            raise _errors.UnknownServiceError('the name is taken', name=name)
+        self._tasks[name] = task
+
+    def find(self, name: str) -> _task.Task:
+        """Return the task with a name, or raise UnknownServiceError."""
+        try:
+            return self._tasks[name]
+        except KeyError:
+            raise _errors.UnknownServiceError(
+                'no service has this name', name=name
+            ) from None
+
+    def post(self, name: str, message: object) -> None:
+        """Send a message to a service."""
+        self.find(name).post(message)
+
+    def ask(self, name: str, message: object) -> 'defer.Deferred[Any]':
+        """Send a question to a service; the Deferred has the reply."""
+        try:
+            return self.find(name).ask(message)
+        except _errors.UnknownServiceError:
+            return defer.fail()
+
+    def subscribe(self, event_type: type, task: _task.Task) -> None:
+        """Deliver events of a type to a task's inbox, the last state first."""
+        self._subscribers.setdefault(event_type, []).append(task)
+        if event_type in self._states:
+            task.post(self._states[event_type])
+
+    def publish(self, event: object, *, is_state: bool = False) -> None:
+        """Post an event to all subscribers.
+
+        A state event replaces the former one of its type: a later
+        subscriber gets the last one, and a subscriber with a full inbox may
+        miss one, for which the next one makes up.
+        """
+        if is_state:
+            self._states[type(event)] = event
+        for task in self._subscribers.get(type(event), ()):
+            try:
+                task.post(event)
+            except _errors.InboxFullError as exc:
+                self.log.warning('Event dropped', reason=str(exc))
+
+    async def load(
+        self,
+        package: str,
+        names: Iterable[str],
+        cfg: object,
+    ) -> None:
+        """Set up and start the named services of a package, in order."""
+        manifests = [read_manifest(package, name) for name in names]
+        for manifest in sort_manifests(manifests):
+            module = importlib.import_module(f'{package}.{manifest.name}')
+            task = await self._set_up(manifest.name, module.setup, cfg)
+            if manifest.name not in self._tasks:
+                self.register(manifest.name, task)
+            await defer.maybeDeferred(task.start)
+            self.log.debug('Service started', service=manifest.name)
+
+    async def _set_up(
+        self,
+        name: str,
+        setup: Callable[['Kernel', Any], Any],
+        cfg: object,
+    ) -> Any:
+        """Call a set-up function until it is ready, with back-off."""
+        delay = SETUP_RETRY_MIN_MS
+        while True:
+            try:
+                task = await defer.maybeDeferred(setup, self, cfg)
+            except _errors.NotReadyError as exc:
+                self.log.info(
+                    'Service not ready', service=name, reason=str(exc)
+                )
+                await self.sleep(delay)
+                delay = min(2 * delay, SETUP_RETRY_MAX_MS)
+                continue
+            return task
+
+    def sleep(self, delay: int) -> 'defer.Deferred[None]':
+        """Return a Deferred that fires after ``delay`` milliseconds."""
+        fut: defer.Deferred[None] = defer.Deferred()
+        self.clock.call_later(delay, lambda: fut.callback(None))
+        return fut
+
+    async def stop(self) -> None:
+        """Stop all services in the reverse order of set-up."""
+        for name in reversed(list(self._tasks)):
+            await defer.maybeDeferred(self._tasks[name].stop)
+            self.log.debug('Service stopped', service=name)
+        self._tasks.clear()
+
+
+def read_manifest(package: str, name: str) -> ServiceManifest:
+    """Read the manifest of a service without importing its code."""
+    folder = importlib.resources.files(package).joinpath(name)
+    text = folder.joinpath('manifest.json').read_text(encoding='utf-8')
+    return ServiceManifest.model_validate(json.loads(text))
--- /dev/null
+++ b/packages/core/src/oriolestand_core/_logs.py
@@ -0,0 +1,91 @@
+"""Set up structured logs with a fixed prefix for each part."""
+
+import logging
+import sys
+from typing import Any
+from typing import Literal
+from typing import TextIO
+
+import structlog
+
+LogFormat = Literal['console', 'json']
+
+REPEAT_LIMIT = 5
+REPEAT_WINDOW_MS = 10_000
+
+
+class RepeatFilter:
+    """Drop an event that repeats more often than the limit in a window.
+
+    >>> limit = RepeatFilter(limit=1, now_ms=lambda: 0)
+    >>> limit(None, 'info', {'event': 'Link lost'})
+    {'event': 'Link lost'}
+    >>> limit(None, 'info', {'event': 'Link lost'})
+    Traceback (most recent call last):
+    ...
+    structlog.exceptions.DropEvent
+    """
+
+    def __init__(self, limit: int, now_ms: Any) -> None:
+        self._limit = limit
+        self._now_ms = now_ms
+        self._window_start = 0
+        self._counts: dict[str, int] = {}
+
+    def __call__(self, logger: Any, method: str, event: Any) -> dict[str, Any]:
+        """Return the event, or raise DropEvent above the limit."""
+        now = self._now_ms()
+        if now - self._window_start >= REPEAT_WINDOW_MS:
+            self._window_start = now
+            self._counts.clear()
+        key = f'{event.get("part")}{event["event"]}'
+        count = self._counts.get(key, 0) + 1
+        self._counts[key] = count
+        if count > self._limit:
+            raise structlog.DropEvent
+        return dict(event)
+
+
+def _add_prefix(logger: Any, method: str, event: Any) -> dict[str, Any]:
+    """Put the part's fixed prefix in front of the event."""
+    part = event.get('part', 'daemon')
+    return {**event, 'event': f'[{part}] {event["event"]}'}
+
+
+def configure_logs(
+    log_format: LogFormat,
+    level: str,
+    now_ms: Any,
+    stream: TextIO | None = None,
+) -> None:
+    """Send structured logs to a stream.
+
+    :param log_format: ``console`` for people, ``json`` for programs.
+    :param level: name of the lowest level shown, such as ``INFO``.
+    :param now_ms: callable that returns milliseconds, for repeat limits.
+    :param stream: defaults to standard error.
+    """
+    renderer: Any = structlog.processors.JSONRenderer()
+    if log_format == 'console':
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            RepeatFilter(REPEAT_LIMIT, now_ms),
+            _add_prefix,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelName(level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+def get_logger(part: str) -> Any:
+    """Return the logger of a part; its name becomes the prefix."""
+    return structlog.get_logger(part=part)
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run one entry instance of oriolestand."""
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/__main__.py
@@ -0,0 +1,70 @@
+"""Run the daemon from the command line."""
+
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import click
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_daemon import _daemon
+from oriolestand_daemon import settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAILED = 1
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help='JSON file with the settings of this instance.',
+)
+@click.option('--check', is_flag=True, help='Only check the settings.')
+def main(path: pathlib.Path, check: bool) -> None:
+    """Run one entry instance of oriolestand."""
+    try:
+        cfg = settings.read_settings(path)
+    except settings.SettingsError as exc:
+        for problem in exc.problems:
+            click.echo(f'{path}: {problem}', err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo('The settings are valid.')
+        return
+    sys.exit(run(cfg))
+
+
+def run(cfg: settings.Settings) -> int:
+    """Run the reactor until the daemon has stopped; return a status."""
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    daemon = _daemon.Daemon(cfg, reactor)
+    core.configure_logs(cfg.log.format, cfg.log.level, daemon.kernel.clock.now)
+    log = core.get_logger('daemon')
+    status = [0]
+
+    def stop(*_: object) -> None:
+        fut = defer.ensureDeferred(daemon.shut_down())
+        fut.addErrback(lambda f: log.error('Shutdown failed', reason=str(f)))
+        fut.addBoth(lambda _: reactor.stop())
+
+    def fail(reason: Any) -> None:
+        log.error('Start failed', reason=reason.getErrorMessage())
+        status[0] = EXIT_FAILED
+        reactor.stop()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(stop))
+    reactor.callWhenRunning(lambda: daemon.start().addErrback(fail))
+    reactor.run(installSignalHandlers=False)
+    return status[0]
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the services of a daemon, one folder each, found by name."""
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/admin/const.py
@@ -0,0 +1,3 @@
+"""Define constants of the admin service."""
+
+DOMAIN = 'admin'
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/__init__.py
@@ -0,0 +1,19 @@
+"""Decide where each request goes."""
+
+import random
+
+import oriolestand_core as core
+from oriolestand_daemon import settings
+from oriolestand_daemon.services.dispatch._task import DispatchTask
+from oriolestand_policy import admission
+from oriolestand_policy import dispatching
+from oriolestand_policy import placement
+
+
+def setup(kernel: core.Kernel, cfg: settings.Settings) -> DispatchTask:
+    """Set up the dispatch service."""
+    dispatcher = dispatching.Dispatcher(
+        placement.TwoChoicesPlacement(random.Random(kernel.incarnation)),
+        admission.FifoQueue,
+    )
+    return DispatchTask(kernel, dispatcher)
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -0,0 +1,235 @@
+"""Turn the dispatcher's effects into messages."""
+
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import grants
+from oriolestand_daemon.messages import membership
+from oriolestand_daemon.messages import peers
+from oriolestand_daemon.services.dispatch import const
+from oriolestand_policy import dispatching
+import oriolestand_wire as wire
+
+
+class DispatchTask(core.Task):
+    """Own the dispatcher and the requests that it decides on."""
+
+    inbox_limit = 16_384
+
+    def __init__(
+        self, kernel: core.Kernel, dispatcher: dispatching.Dispatcher
+    ) -> None:
+        super().__init__(kernel, const.DOMAIN)
+        self._dispatcher = dispatcher
+        self._open: dict[str, exchange.OpenExchange] = {}
+        self._pool_of: dict[str, str] = {}
+        self._slots: grants.GrantsChanged | None = None
+        self._horizon_ms: dict[str, int] = {}
+        self._drained: defer.Deferred[None] | None = None
+        self._advertised: tuple[wire.PoolLoad, ...] = ()
+        self._timers: list[Any] = []
+
+    def start(self) -> object:
+        """Follow tables, grants and peers; keep time."""
+        for event in (
+            config.TablesChanged,
+            grants.GrantsChanged,
+            peers.PeerLoadChanged,
+            membership.PeerDisconnected,
+            membership.UpstreamLeaving,
+        ):
+            self.kernel.subscribe(event, self)
+        self._repeat(const.TICK_INTERVAL_MS, self._tick)
+        self._repeat(const.LOAD_INTERVAL_MS, self._advertise)
+        return None
+
+    def _repeat(self, interval: int, func: Any) -> None:
+        """Call a method at an interval until the task stops."""
+        if self.is_stopped:
+            return
+        func()
+        self.kernel.clock.call_later(
+            interval, lambda: self._repeat(interval, func)
+        )
+
+    def _tick(self) -> None:
+        """Let the dispatcher act on the passage of time."""
+        self._run(self._dispatcher.tick(self.kernel.clock.now()))
+
+    @core.handles(config.TablesChanged)
+    def _on_tables(self, msg: config.TablesChanged) -> None:
+        """Know the pools and which pool an upstream belongs to."""
+        self._pool_of = {}
+        for pool in msg.tables.pools.values():
+            self._dispatcher.set_pool(pool.name, pool.queue_limit)
+            for upstream in pool.upstreams:
+                self._pool_of[upstream.address] = pool.name
+        self._apply_slots()
+
+    @core.handles(grants.GrantsChanged)
+    def _on_grants(self, msg: grants.GrantsChanged) -> None:
+        """Use the slots that are granted from now on."""
+        self._slots = msg
+        self._apply_slots()
+
+    def _apply_slots(self) -> None:
+        """Give the dispatcher the granted slots of each pool."""
+        if self._slots is None:
+            return
+        self._horizon_ms = dict(self._slots.horizon_ms)
+        limits: dict[str, dict[str, int]] = {
+            name: {} for name in self._dispatcher.pools
+        }
+        for address, slots in self._slots.slots.items():
+            pool = self._pool_of.get(address)
+            if pool is not None:
+                limits[pool][address] = slots
+        now = self.kernel.clock.now()
+        for pool, slots_by_address in limits.items():
+            self._run(self._dispatcher.set_limits(pool, slots_by_address, now))
+
+    @core.handles(peers.PeerLoadChanged)
+    def _on_peer_load(self, msg: peers.PeerLoadChanged) -> None:
+        """Know what a peer can take."""
+        for pool in msg.pools:
+            self._dispatcher.set_peer(
+                pool.pool, msg.peer, pool.free, msg.distance
+            )
+
+    @core.handles(membership.PeerDisconnected)
+    def _on_peer_lost(self, msg: membership.PeerDisconnected) -> None:
+        """Forward nothing to a peer without a link."""
+        for pool in self._dispatcher.pools:
+            self._dispatcher.set_peer(pool, msg.instance_id, 0, 0)
+
+    @core.handles(membership.UpstreamLeaving)
+    def _on_leaving(self, msg: membership.UpstreamLeaving) -> None:
+        """Give a leaving upstream no new work."""
+        self._dispatcher.set_leaving(msg.address, True)
+
+    @core.handles(exchange.OpenExchange)
+    def _on_open(self, msg: exchange.OpenExchange) -> None:
+        """Decide on a new request."""
+        self._open[msg.ticket.id] = msg
+        now = self.kernel.clock.now()
+        self._run(self._dispatcher.submit(msg.ticket, now))
+
+    @core.handles(exchange.CancelRequest)
+    def _on_cancel(self, msg: exchange.CancelRequest) -> None:
+        """Forget a request that still waits for a slot."""
+        now = self.kernel.clock.now()
+        if self._dispatcher.is_waiting(msg.ticket_id):
+            self._open.pop(msg.ticket_id, None)
+            self._run(self._dispatcher.cancel(msg.ticket_id, now))
+
+    @core.handles(dispatch.AttemptFinished)
+    def _on_finished(self, msg: dispatch.AttemptFinished) -> None:
+        """Let the dispatcher free the slot, retry or end the request."""
+        now = self.kernel.clock.now()
+        self._run(self._dispatcher.finished(msg.ticket_id, msg.outcome, now))
+        if self._drained is not None and not self._dispatcher.in_flight:
+            drained, self._drained = self._drained, None
+            drained.callback(None)
+
+    @core.handles(dispatch.GetSlotsInUse)
+    def _on_slots(self, msg: dispatch.GetSlotsInUse) -> dict[str, int]:
+        """Return the slots in use by upstream."""
+        return {
+            address: state.in_use
+            for pool in self._dispatcher.pools.values()
+            for address, state in pool.upstreams.items()
+            if state.in_use
+        }
+
+    @core.handles(dispatch.DrainRequests)
+    def _on_drain(self, msg: dispatch.DrainRequests) -> Any:
+        """Take no forwarded work; reply when nothing is in flight."""
+        self._dispatcher.is_draining = True
+        self._advertise()
+        if not self._open:
+            return None
+        self._drained = defer.Deferred()
+        return self._drained
+
+    @core.handles(dispatch.GetDispatchStatus)
+    def _on_status(self, msg: dispatch.GetDispatchStatus) -> dict[str, Any]:
+        """Return pools, queues and slots."""
+        return {
+            name: {
+                'queued': len(pool.queue),
+                'free': pool.free,
+                'upstreams': {
+                    address: dataclasses.asdict(state)
+                    for address, state in pool.upstreams.items()
+                },
+                'peers': {p.peer: p.free for p in pool.peers.values()},
+            }
+            for name, pool in self._dispatcher.pools.items()
+        }
+
+    def _advertise(self) -> None:
+        """Tell peers what this daemon can take, when it changed."""
+        draining = self._dispatcher.is_draining
+        loads = tuple(
+            wire.PoolLoad(
+                pool=name,
+                free=0 if draining or len(pool.queue) else pool.free,
+                queued=len(pool.queue),
+                latency_ms=0,
+            )
+            for name, pool in self._dispatcher.pools.items()
+        )
+        if loads == self._advertised:
+            return
+        self._advertised = loads
+        self.kernel.post(
+            'peers', peers.Broadcast(message=wire.Load(pools=loads))
+        )
+
+    def _run(self, effects: list[dispatching.Effect]) -> None:
+        """Send the messages that the effects ask for."""
+        for effect in effects:
+            request = self._open.get(effect.ticket.id)
+            if request is None:
+                continue
+            if isinstance(effect, dispatching.SendLocal):
+                self._attempt('upstreams', effect.upstream, request)
+            elif isinstance(effect, dispatching.SendPeer):
+                self._attempt('peers', effect.peer, request)
+            elif isinstance(effect, dispatching.Fail):
+                del self._open[effect.ticket.id]
+                request.caller.post(
+                    exchange.ExchangeFailed(
+                        xid=request.caller.xid, error=effect.error
+                    )
+                )
+            else:
+                del self._open[effect.ticket.id]
+
+    def _attempt(
+        self, service: str, target: str, request: exchange.OpenExchange
+    ) -> None:
+        """Ask a service to make one attempt."""
+        head = request.head
+        horizon = self._horizon_ms.get(target)
+        if service == 'upstreams' and horizon is not None:
+            # The published horizon bounds how long a request may run.
+            latest = core.Millis(self.kernel.clock.now() + horizon)
+            head = dataclasses.replace(
+                head, deadline=min(head.deadline, latest)
+            )
+        self.kernel.post(
+            service,
+            exchange.StartExchange(
+                head=head,
+                ticket_id=request.ticket.id,
+                target=target,
+                caller=request.caller,
+            ),
+        )
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/const.py
@@ -0,0 +1,7 @@
+"""Define constants of the dispatch service."""
+
+DOMAIN = 'dispatch'
+
+TICK_INTERVAL_MS = 50
+LOAD_INTERVAL_MS = 200
+"""How often free slots are advertised to peers."""
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/membership/const.py
@@ -0,0 +1,5 @@
+"""Define constants of the membership service."""
+
+DOMAIN = 'membership'
+
+POLL_INTERVAL_MS = 1_000
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/platform/const.py
@@ -0,0 +1,3 @@
+"""Define constants of the platform service."""
+
+DOMAIN = 'platform'
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/__init__.py
@@ -0,0 +1,10 @@
+"""Keep the routes and pools that are in force."""
+
+import oriolestand_core as core
+from oriolestand_daemon import settings
+from oriolestand_daemon.services.tables._task import TablesTask
+
+
+def setup(kernel: core.Kernel, cfg: settings.Settings) -> TablesTask:
+    """Set up the tables service."""
+    return TablesTask(kernel, cfg)
--- /dev/null
+++ b/packages/platform/src/oriolestand_platform/_client.py
@@ -0,0 +1,46 @@
+"""Define the interface to the platform."""
+
+import abc
+from collections.abc import Sequence
+
+from oriolestand_platform import _models
+
+
+class PlatformClient(abc.ABC):
+    """Reach the platform's table service, object store and instance list.
+
+    All methods raise StoreUnavailableError when the platform certainly did
+    nothing, and StoreTimeoutError when it may have applied a write.
+    """
+
+    @abc.abstractmethod
+    async def read(self, table: str, key: str) -> _models.Row | None:
+        """Return a row, or None when the key does not exist."""
+
+    @abc.abstractmethod
+    async def scan(
+        self, table: str, prefix: str = ''
+    ) -> Sequence[_models.Row]:
+        """Return the rows whose keys begin with ``prefix``, by key."""
+
+    @abc.abstractmethod
+    async def commit(
+        self, transaction: _models.Transaction
+    ) -> _models.TransactionResult:
+        """Apply a transaction, or return the rows that were in conflict."""
+
+    @abc.abstractmethod
+    async def read_object(self, key: str) -> bytes | None:
+        """Return the bytes of an object, or None."""
+
+    @abc.abstractmethod
+    async def write_object(self, key: str, data: bytes) -> None:
+        """Store the bytes of an object under a key."""
+
+    @abc.abstractmethod
+    async def list_instances(self) -> _models.InstanceList:
+        """Return the list of live, leaving and gone instances."""
+
+    def close(self) -> object:
+        """Release connections; may return a Deferred."""
+        return None
--- /dev/null
+++ b/packages/platform/src/oriolestand_platform/_errors.py
@@ -0,0 +1,31 @@
+"""Define the errors of the platform's services."""
+
+import oriolestand_core as core
+
+
+class StoreUnavailableError(core.OriolestandError):
+    """Raise when the platform's store refused or could not be reached."""
+
+    code = 'store_unavailable'
+    http_status = 503
+
+
+class StoreTimeoutError(StoreUnavailableError):
+    """Raise when no answer came in time; a write may have taken effect."""
+
+    code = 'store_timeout'
+    verdict = core.Verdict.MAY_HAVE_RUN
+
+
+class ConflictError(core.OriolestandError):
+    """Raise when a row was not at the version that a write expected."""
+
+    code = 'conflict'
+    http_status = 409
+
+
+class MalformedAnswerError(StoreUnavailableError):
+    """Raise when an answer of the platform does not match its protocol."""
+
+    code = 'malformed_answer'
+    verdict = core.Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/dispatching/__init__.py
@@ -0,0 +1,25 @@
+"""Decide for each request: send, forward, queue or refuse."""
+
+from oriolestand_policy.dispatching._dispatcher import Dispatcher
+from oriolestand_policy.dispatching._effects import Effect
+from oriolestand_policy.dispatching._effects import Fail
+from oriolestand_policy.dispatching._effects import Finish
+from oriolestand_policy.dispatching._effects import SendLocal
+from oriolestand_policy.dispatching._effects import SendPeer
+from oriolestand_policy.dispatching._outcome import Outcome
+from oriolestand_policy.dispatching._state import PeerLoad
+from oriolestand_policy.dispatching._state import PoolState
+from oriolestand_policy.dispatching._state import UpstreamState
+
+__all__ = [
+    'Dispatcher',
+    'Effect',
+    'Fail',
+    'Finish',
+    'Outcome',
+    'PeerLoad',
+    'PoolState',
+    'SendLocal',
+    'SendPeer',
+    'UpstreamState',
+]
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/grants/_planner.py
@@ -0,0 +1,119 @@
+"""Compute the next row of a shard from what one holder knows."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import hashlib
+
+from oriolestand_policy.grants import _row
+
+MAX_HOLDERS_PER_UPSTREAM = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """Hold what the holder wants and what it still uses.
+
+    ``capacity`` and ``horizon_ms`` are by upstream address, from the pools
+    and routes; ``in_use`` is the number of slots that cannot be released
+    yet; ``entry_ids`` are the instances that share the shard.
+    """
+
+    capacity: Mapping[str, int]
+    horizon_ms: Mapping[str, int]
+    in_use: Mapping[str, int]
+    entry_ids: Sequence[str]
+
+
+def _weight(address: str, instance_id: str) -> bytes:
+    """Return the rendezvous weight of an instance for an upstream."""
+    return hashlib.blake2b(
+        f'{address}|{instance_id}'.encode(), digest_size=8
+    ).digest()
+
+
+def target_slots(
+    address: str, capacity: int, entry_ids: Sequence[str], instance_id: str
+) -> int:
+    """Return the slots of an upstream that an instance should hold.
+
+    >>> ids = ['a', 'b', 'c']
+    >>> sum(target_slots('10.0.0.1:80', 8, ids, i) for i in ids)
+    8
+    """
+    ranked = sorted(entry_ids, key=lambda i: _weight(address, i))
+    holders = ranked[:MAX_HOLDERS_PER_UPSTREAM]
+    if instance_id not in holders:
+        return 0
+    base, extra = divmod(capacity, len(holders))
+    return base + (1 if holders.index(instance_id) < extra else 0)
+
+
+def plan(
+    row: _row.ShardRow,
+    me: _row.Holder,
+    demand: Demand,
+    gone: Collection[_row.Holder],
+) -> _row.ShardRow:
+    """Return the row with this holder's shares moved to their targets.
+
+    Shares of ``gone`` holders are dropped: pass only holders that are
+    proven gone and whose horizon is over. Shares of all others stay as
+    they are. A share is lowered to what is in use at the least, and raised
+    by free slots at the most.
+    """
+    addresses = sorted({*row.upstreams, *demand.capacity})
+    planned = {}
+    for address in addresses:
+        grants = _plan_upstream(address, row, me, demand, gone)
+        if grants.shares or address in demand.capacity:
+            planned[address] = grants
+    return _row.ShardRow(upstreams=planned)
+
+
+def _plan_upstream(
+    address: str,
+    row: _row.ShardRow,
+    me: _row.Holder,
+    demand: Demand,
+    gone: Collection[_row.Holder],
+) -> _row.UpstreamGrants:
+    """Return the grants of one upstream."""
+    current = row.upstreams.get(address, _row.UpstreamGrants(capacity=0))
+    wanted = demand.capacity.get(address, 0)
+    others = {
+        holder: share
+        for holder, share in current.shares.items()
+        if holder != me and holder not in gone
+    }
+    held_by_others = sum(share.slots for share in others.values())
+    target = target_slots(address, wanted, demand.entry_ids, me.instance_id)
+    target = min(target, max(0, wanted - held_by_others))
+    mine = max(target, demand.in_use.get(address, 0))
+    old = current.shares.get(me)
+    if old is not None and mine > old.slots:
+        mine = max(old.slots, target)
+    shares = dict(others)
+    if mine > 0:
+        horizon = demand.horizon_ms.get(address, 0)
+        if old is not None and old.slots > 0:
+            # Requests sent under the former horizon may still run.
+            horizon = max(horizon, old.horizon_ms)
+        shares[me] = _row.Share(slots=mine, horizon_ms=horizon)
+    # A shrunk capacity takes effect as the holders release their shares.
+    capacity = max(wanted, held_by_others + mine)
+    return _row.UpstreamGrants(capacity=capacity, shares=shares)
+
+
+def release_all(row: _row.ShardRow, me: _row.Holder) -> _row.ShardRow:
+    """Return the row without the shares of a holder."""
+    return _row.ShardRow(
+        upstreams={
+            address: _row.UpstreamGrants(
+                capacity=grants.capacity,
+                shares={h: s for h, s in grants.shares.items() if h != me},
+            )
+            for address, grants in row.upstreams.items()
+        }
+    )
--- /dev/null
+++ b/packages/standins/src/oriolestand_standins/_upstream.py
@@ -0,0 +1,153 @@
+"""Stand in for an upstream that counts what it is given."""
+
+import collections
+import dataclasses
+import json
+from typing import Any
+
+import pydantic
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+MILLIS_PER_SECOND = 1000
+DEFAULT_SLOTS = 8
+DEFAULT_CONNECTIONS = 64
+
+
+class FaultModel(pydantic.BaseModel):
+    """Validate a change of the faults."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    service_ms: int = pydantic.Field(default=5, ge=0)
+    fails: bool = False
+    hangs: bool = False
+    cuts_answers: bool = False
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class UpstreamFaults:
+    """Switch the behaviour of an upstream."""
+
+    service_ms: int = 5
+    fails: bool = False
+    hangs: bool = False
+    cuts_answers: bool = False
+    is_leaving: bool = False
+
+
+class UpstreamSite(server.Site):
+    """Run requests on slots and count them by request id."""
+
+    def __init__(
+        self, reactor: Any, name: str, slots: int = DEFAULT_SLOTS
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.faults = UpstreamFaults()
+        self.running = 0
+        self.max_running = 0
+        self.connections = 0
+        self.max_connections = 0
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.reactor: Any = reactor
+        root: Any = _Upstream(self)
+        super().__init__(root, reactor=reactor)
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Count a connection."""
+        protocol: Any = super().buildProtocol(addr)
+        self.connections += 1
+        self.max_connections = max(self.max_connections, self.connections)
+        lost = protocol.connectionLost
+
+        def connection_lost(*args: Any, **kwargs: Any) -> Any:
+            self.connections -= 1
+            return lost(*args, **kwargs)
+
+        protocol.connectionLost = connection_lost
+        return protocol
+
+    def counts(self) -> dict[str, Any]:
+        """Return what was counted."""
+        return {
+            'name': self.name,
+            'slots': self.slots,
+            'running': self.running,
+            'max_running': self.max_running,
+            'max_connections': self.max_connections,
+            'requests': sum(self.runs.values()),
+            'run_more_than_once': sum(n > 1 for n in self.runs.values()),
+        }
+
+
+class _Upstream(resource.Resource):
+    """Answer requests on every path but the control ones."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, site: UpstreamSite) -> None:
+        super().__init__()
+        self._site = site
+
+    def render(self, request: Any) -> Any:
+        """Run a request, or answer a control path."""
+        site = self._site
+        if request.path == b'/_counts':
+            return json.dumps(site.counts()).encode()
+        if request.path == b'/_faults':
+            return self._set_faults(request)
+        site.running += 1
+        site.max_running = max(site.max_running, site.running)
+        key = request.getHeader('x-request-key') or ''
+        if key:
+            site.runs[key] += 1
+        request.notifyFinish().addBoth(self._on_end)
+        faults = site.faults
+        if faults.hangs:
+            return server.NOT_DONE_YET
+        site.reactor.callLater(
+            faults.service_ms / MILLIS_PER_SECOND, self._answer, request
+        )
+        return server.NOT_DONE_YET
+
+    def _on_end(self, _: Any) -> None:
+        """Free the slot."""
+        self._site.running -= 1
+
+    def _set_faults(self, request: Any) -> bytes:
+        """Replace the faults by those in the body."""
+        try:
+            model = FaultModel.model_validate_json(request.content.read())
+        except pydantic.ValidationError as exc:
+            request.setResponseCode(http.BAD_REQUEST)
+            return str(exc).encode()
+        self._site.faults = UpstreamFaults(**model.model_dump())
+        return b'{}'
+
+    def _answer(self, request: Any) -> None:
+        """Answer with the request's own body and key."""
+        if request._disconnected:
+            return
+        faults = self._site.faults
+        if faults.fails:
+            request.setResponseCode(http.INTERNAL_SERVER_ERROR)
+        if faults.is_leaving:
+            request.setHeader('Oriolestand-Leaving', '1')
+        body = json.dumps(
+            {
+                'upstream': self._site.name,
+                'path': request.uri.decode(),
+                'key': request.getHeader('x-request-key') or '',
+                'size': len(request.content.read()),
+            }
+        ).encode()
+        request.setHeader('Content-Length', str(len(body)))
+        if faults.cuts_answers:
+            request.write(body[: len(body) // 2])
+            request.channel.transport.loseConnection()
+            return
+        request.write(body)
+        request.finish()
