--- /dev/null
+++ b/packages/core/tests/test_task.py
@@ -0,0 +1,62 @@
+"""Test delivery of messages between tasks."""
+
+import dataclasses
+
+import oriolestand_core as core
+import pytest
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ping:
+    """Ask for a number."""
+
+    value: int
+
+
+class Echo(core.Task):
+    """Answer pings and post another one while handling the first."""
+
+    inbox_limit = 2
+
+    def __init__(self, kernel: core.Kernel) -> None:
+        super().__init__(kernel, 'echo')
+        self.seen: list[int] = []
+
+    @core.handles(Ping)
+    def _on_ping(self, msg: Ping) -> int:
+        if msg.value == 1:
+            self.post(Ping(value=2))
+            self.seen.append(0)
+        self.seen.append(msg.value)
+        return msg.value
+
+
+@pytest.fixture
+def kernel() -> core.Kernel:
+    return core.Kernel(core.ManualClock(), core.IdSource(seed=1))
+
+
+def test_handlers_are_never_nested(kernel: core.Kernel) -> None:
+    """A message posted by a handler must wait until the handler is done."""
+    echo = Echo(kernel)
+    echo.post(Ping(value=1))
+    assert echo.seen == [0, 1, 2]
+
+
+def test_full_inbox_is_an_error_at_the_sender(kernel: core.Kernel) -> None:
+    """A sender must learn that its message was not taken."""
+    echo = Echo(kernel)
+    kernel.run_queue._is_draining = True
+    echo.post(Ping(value=3))
+    echo.post(Ping(value=3))
+    with pytest.raises(core.InboxFullError) as caught:
+        echo.post(Ping(value=3))
+    assert caught.value.verdict is core.Verdict.DID_NOT_RUN
+
+
+def test_state_events_reach_late_subscribers(kernel: core.Kernel) -> None:
+    """A service that starts late must not miss the present state."""
+    kernel.publish(Ping(value=4), is_state=True)
+    echo = Echo(kernel)
+    kernel.subscribe(Ping, echo)
+    assert echo.seen == [4]
