--- a/packages/core/tests/test_task.py
+++ b/packages/core/tests/test_task.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-import oriolestand_core as core
 import pytest
 
+import oriolestand_core as core
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ping:
