--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the daemon and its decisions; check the protocol models."""
--- /dev/null
+++ b/packages/cli/src/oriolestand_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Drive daemons from the command line."""
