--- a/packages/daemon/src/oriolestand_daemon/messages/dispatch.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/dispatch.py
@@ -26,3 +26,32 @@
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GetDispatchStatus:
     """Ask for the state of all pools, as ``dict``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveSlots:
+    """Ask for slots for a batch task, as ``Reservation | None``.
+
+    With ``address`` set, only slots of that upstream will do.
+    """
+
+    key: str
+    pool: str
+    slots: int
+    team: str
+    priority: int
+    address: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnreserveSlots:
+    """Give the slots of a batch task back; it has stopped for certain."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EvictionRequested:
+    """Announce that a task should be evicted to free its slots."""
+
+    key: str
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -147,6 +147,25 @@
             if state.in_use
         }
 
+    @core.handles(dispatch.ReserveSlots)
+    def _on_reserve(
+        self, msg: dispatch.ReserveSlots
+    ) -> dispatching.Reservation | None:
+        """Take slots for a batch task."""
+        if msg.address:
+            return self._dispatcher.adopt_reservation(
+                msg.key, msg.address, msg.slots, msg.team, msg.priority
+            )
+        return self._dispatcher.reserve(
+            msg.key, msg.pool, msg.slots, msg.team, msg.priority
+        )
+
+    @core.handles(dispatch.UnreserveSlots)
+    def _on_unreserve(self, msg: dispatch.UnreserveSlots) -> None:
+        """Give the slots of a batch task back."""
+        now = self.kernel.clock.now()
+        self._run(self._dispatcher.unreserve(msg.key, now))
+
     @core.handles(dispatch.DrainRequests)
     def _on_drain(self, msg: dispatch.DrainRequests) -> Any:
         """Take no forwarded work; reply when nothing is in flight."""
@@ -195,6 +214,10 @@
     def _run(self, effects: list[dispatching.Effect]) -> None:
         """Send the messages that the effects ask for."""
         for effect in effects:
+            if isinstance(effect, dispatching.Evict):
+                self.kernel.publish(dispatch.EvictionRequested(key=effect.key))
+                continue
+            assert isinstance(effect, dispatching.RequestEffect)
             request = self._open.get(effect.ticket.id)
             if request is None:
                 continue
--- a/packages/policy/src/oriolestand_policy/dispatching/__init__.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/__init__.py
@@ -2,23 +2,29 @@
 
 from oriolestand_policy.dispatching._dispatcher import Dispatcher
 from oriolestand_policy.dispatching._effects import Effect
+from oriolestand_policy.dispatching._effects import Evict
 from oriolestand_policy.dispatching._effects import Fail
 from oriolestand_policy.dispatching._effects import Finish
+from oriolestand_policy.dispatching._effects import RequestEffect
 from oriolestand_policy.dispatching._effects import SendLocal
 from oriolestand_policy.dispatching._effects import SendPeer
 from oriolestand_policy.dispatching._outcome import Outcome
 from oriolestand_policy.dispatching._state import PeerLoad
 from oriolestand_policy.dispatching._state import PoolState
+from oriolestand_policy.dispatching._state import Reservation
 from oriolestand_policy.dispatching._state import UpstreamState
 
 __all__ = [
     'Dispatcher',
     'Effect',
+    'Evict',
     'Fail',
     'Finish',
     'Outcome',
     'PeerLoad',
     'PoolState',
+    'RequestEffect',
+    'Reservation',
     'SendLocal',
     'SendPeer',
     'UpstreamState',
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -40,6 +40,7 @@
         self._make_queue = make_queue
         self._pools: dict[str, _state.PoolState] = {}
         self._flights: dict[str, _Flight] = {}
+        self._reservations: dict[str, _state.Reservation] = {}
         self._held: list[tuple[core.Millis, str, str]] = []
         self.is_draining = False
 
@@ -140,6 +141,67 @@
                 break
         return []
 
+    def reserve(
+        self, key: str, pool: str, slots: int, team: str, priority: int
+    ) -> _state.Reservation | None:
+        """Take slots of one upstream for a batch task, or return None."""
+        state = self._pools.get(pool)
+        if state is None or self.is_draining or key in self._reservations:
+            return None
+        fitting = [u for u in state.upstreams.values() if u.free >= slots]
+        if not fitting:
+            return None
+        chosen = max(fitting, key=lambda u: (u.free, u.address))
+        return self._reserve_on(chosen, key, slots, team, priority)
+
+    def _reserve_on(
+        self,
+        upstream: _state.UpstreamState,
+        key: str,
+        slots: int,
+        team: str,
+        priority: int,
+    ) -> _state.Reservation:
+        """Count slots of an upstream as used by a task."""
+        upstream.in_use += slots
+        reservation = _state.Reservation(
+            key=key,
+            pool=upstream.pool,
+            address=upstream.address,
+            slots=slots,
+            team=team,
+            priority=priority,
+        )
+        self._reservations[key] = reservation
+        return reservation
+
+    def adopt_reservation(
+        self,
+        key: str,
+        address: str,
+        slots: int,
+        team: str,
+        priority: int,
+    ) -> _state.Reservation | None:
+        """Take slots of a given upstream for a task that runs there.
+
+        Return None when this daemon does not have that many free slots.
+        """
+        for state in self._pools.values():
+            upstream = state.upstreams.get(address)
+            if upstream is not None and upstream.free >= slots:
+                return self._reserve_on(upstream, key, slots, team, priority)
+        return None
+
+    def unreserve(self, key: str, now: core.Millis) -> list[_effects.Effect]:
+        """Give the slots of a task back once it has stopped for certain."""
+        reservation = self._reservations.pop(key, None)
+        if reservation is None:
+            return []
+        for _ in range(reservation.slots):
+            self._release(reservation.pool, reservation.address)
+        return self._drain(self._pools[reservation.pool], now)
+
     def is_waiting(self, ticket_id: str) -> bool:
         """Return whether a request was not sent yet."""
         return ticket_id not in self._flights
--- a/packages/policy/src/oriolestand_policy/dispatching/_state.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_state.py
@@ -34,6 +34,18 @@
         self.latency_ms += LATENCY_GAIN * (latency_ms - self.latency_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reservation:
+    """Hold slots of one upstream for a batch task; ``key`` names it."""
+
+    key: str
+    pool: str
+    address: str
+    slots: int
+    team: str
+    priority: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PeerLoad:
     """Hold what a peer advertised for one pool.
