--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/__init__.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/__init__.py
@@ -14,6 +14,6 @@
     """Set up the dispatch service."""
     dispatcher = dispatching.Dispatcher(
         placement.TwoChoicesPlacement(random.Random(kernel.incarnation)),
-        admission.FifoQueue,
+        admission.FairQueue,
     )
     return DispatchTask(kernel, dispatcher)
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -33,6 +33,7 @@
         self._horizon_ms: dict[str, int] = {}
         self._drained: defer.Deferred[None] | None = None
         self._advertised: tuple[wire.PoolLoad, ...] = ()
+        self._quiet_rounds = 0
         self._timers: list[Any] = []
 
     def start(self) -> object:
@@ -67,9 +68,14 @@
         """Know the pools and which pool an upstream belongs to."""
         self._pool_of = {}
         for pool in msg.tables.pools.values():
-            self._dispatcher.set_pool(pool.name, pool.queue_limit)
+            self._dispatcher.set_pool(
+                pool.name, pool.queue_limit, pool.team_weights
+            )
             for upstream in pool.upstreams:
                 self._pool_of[upstream.address] = pool.name
+        now = self.kernel.clock.now()
+        for name in set(self._dispatcher.pools) - set(msg.tables.pools):
+            self._run(self._dispatcher.remove_pool(name, now))
         self._apply_slots()
 
     @core.handles(grants.GrantsChanged)
@@ -97,9 +103,12 @@
     @core.handles(peers.PeerLoadChanged)
     def _on_peer_load(self, msg: peers.PeerLoadChanged) -> None:
         """Know what a peer can take."""
+        now = self.kernel.clock.now()
         for pool in msg.pools:
-            self._dispatcher.set_peer(
-                pool.pool, msg.peer, pool.free, msg.distance
+            self._run(
+                self._dispatcher.set_peer(
+                    pool.pool, msg.peer, pool.free, msg.distance, now
+                )
             )
 
     @core.handles(membership.PeerDisconnected)
@@ -204,8 +213,14 @@
             )
             for name, pool in self._dispatcher.pools.items()
         )
-        if loads == self._advertised:
+        # A peer counts down what it forwards, so it has to hear an
+        # unchanged number again.
+        self._quiet_rounds += 1
+        if loads == self._advertised and (
+            self._quiet_rounds < const.REPEAT_LOAD_ROUNDS
+        ):
             return
+        self._quiet_rounds = 0
         self._advertised = loads
         self.kernel.post(
             'peers', peers.Broadcast(message=wire.Load(pools=loads))
@@ -217,6 +232,16 @@
             if isinstance(effect, dispatching.Evict):
                 self.kernel.publish(dispatch.EvictionRequested(key=effect.key))
                 continue
+            if isinstance(effect, dispatching.Throttle):
+                self.kernel.publish(
+                    dispatch.ThrottleRequested(
+                        key=effect.key, is_on=effect.is_on
+                    )
+                )
+                continue
+            if isinstance(effect, dispatching.RoomForTasks):
+                self.kernel.publish(dispatch.RoomForTasks(pool=effect.pool))
+                continue
             assert isinstance(effect, dispatching.RequestEffect)
             request = self._open.get(effect.ticket.id)
             if request is None:
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/const.py
@@ -5,3 +5,6 @@
 TICK_INTERVAL_MS = 50
 LOAD_INTERVAL_MS = 200
 """How often free slots are advertised to peers."""
+
+REPEAT_LOAD_ROUNDS = 5
+"""Rounds after which an unchanged advertisement is repeated."""
--- a/packages/policy/src/oriolestand_policy/admission/_errors.py
+++ b/packages/policy/src/oriolestand_policy/admission/_errors.py
@@ -4,7 +4,10 @@
 
 
 class OverloadedError(core.OriolestandError):
-    """Raise when a pool has neither a free slot nor room in its queue."""
+    """Raise when a request would wait too long.
+
+    The value ``retry_after_ms`` says when a repeat is likely to succeed.
+    """
 
     code = 'overloaded'
     http_status = 503
--- a/packages/policy/src/oriolestand_policy/admission/_queue.py
+++ b/packages/policy/src/oriolestand_policy/admission/_queue.py
@@ -1,7 +1,6 @@
 """Define the queue of requests that wait for a slot of a pool."""
 
 import abc
-import collections
 import dataclasses
 
 import oriolestand_core as core
@@ -12,8 +11,9 @@
 class Ticket:
     """Hold what decisions need to know of one request.
 
-    ``arrived`` and ``deadline`` are on the daemon's monotonic clock;
-    ``hops`` is 1 for a request that a peer forwarded.
+    ``arrived`` and ``deadline`` are on the daemon's monotonic clock; a
+    higher ``priority`` is more urgent within a team; ``hops`` is 1 for a
+    request that a peer forwarded.
     """
 
     id: str
@@ -29,7 +29,11 @@
 
 
 class AdmissionQueue(abc.ABC):
-    """Order the requests that wait for slots of one pool."""
+    """Order the requests that wait for slots of one pool.
+
+    It counts the slots in use, so that it can share them between teams and
+    kinds.
+    """
 
     @abc.abstractmethod
     def __len__(self) -> int:
@@ -40,8 +44,15 @@
         """Add a request; return the requests to refuse, maybe itself."""
 
     @abc.abstractmethod
-    def take(self, now: core.Millis) -> Ticket | None:
-        """Remove and return the request to serve next."""
+    def take(self, now: core.Millis, free: int) -> Ticket | None:
+        """Remove and return the request to serve next.
+
+        :param free: slots that are free, at least one.
+        """
+
+    @abc.abstractmethod
+    def put_back(self, ticket: Ticket) -> None:
+        """Put a request back to the head of its line."""
 
     @abc.abstractmethod
     def expire(self, now: core.Millis) -> list[Ticket]:
@@ -51,40 +62,60 @@
     def cancel(self, ticket_id: str) -> bool:
         """Remove a request; return whether it was waiting."""
 
+    @abc.abstractmethod
+    def set_limit(self, limit: int) -> None:
+        """Change the number of requests that may wait."""
 
-class FifoQueue(AdmissionQueue):
-    """Serve in order of arrival, up to a limit."""
+    @abc.abstractmethod
+    def set_weights(self, weights: tuple[tuple[str, int], ...]) -> None:
+        """Change the weights of teams."""
 
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._tickets: collections.OrderedDict[str, Ticket] = (
-            collections.OrderedDict()
-        )
+    @abc.abstractmethod
+    def set_total(self, total: int) -> None:
+        """Set the number of slots that this daemon holds in the pool."""
 
-    def __len__(self) -> int:
-        """Return the number of waiting requests."""
-        return len(self._tickets)
+    @abc.abstractmethod
+    def has_waiting(self, kind: tables.Kind) -> bool:
+        """Return whether a new request of a kind has to wait in line."""
 
-    def offer(self, ticket: Ticket, now: core.Millis) -> list[Ticket]:
-        """Add a request unless the queue is full."""
-        if len(self._tickets) >= self._limit:
-            return [ticket]
-        self._tickets[ticket.id] = ticket
-        return []
-
-    def take(self, now: core.Millis) -> Ticket | None:
-        """Return the oldest request."""
-        if not self._tickets:
-            return None
-        return self._tickets.popitem(last=False)[1]
+    @abc.abstractmethod
+    def may_start(self, kind: tables.Kind, slots: int, free: int) -> bool:
+        """Return whether a kind may take slots now."""
 
-    def expire(self, now: core.Millis) -> list[Ticket]:
-        """Return the requests whose deadline has passed."""
-        late = [t for t in self._tickets.values() if t.deadline <= now]
-        for ticket in late:
-            del self._tickets[ticket.id]
-        return late
+    @abc.abstractmethod
+    def note_start(self, kind: tables.Kind, team: str, slots: int) -> None:
+        """Count slots taken."""
 
-    def cancel(self, ticket_id: str) -> bool:
-        """Remove a request."""
-        return self._tickets.pop(ticket_id, None) is not None
+    @abc.abstractmethod
+    def note_end(
+        self, kind: tables.Kind, team: str, slots: int, took_ms: float
+    ) -> None:
+        """Count slots given back after a time."""
+
+    @abc.abstractmethod
+    def may_reserve(self, team: str, slots: int, free: int) -> bool:
+        """Return whether a batch task of a team may take slots now."""
+
+    @abc.abstractmethod
+    def has_room_for_task(self, free: int) -> bool:
+        """Return whether a task that found no place should try again."""
+
+    @abc.abstractmethod
+    def note_unmet(self, team: str, slots: int) -> None:
+        """Count a batch task that found no place."""
+
+    @abc.abstractmethod
+    def tick(self, now: core.Millis) -> None:
+        """Follow the demand."""
+
+    @abc.abstractmethod
+    def is_owed(self, kind: tables.Kind) -> bool:
+        """Return whether a kind waits and has less than its share."""
+
+    @abc.abstractmethod
+    def oldest_wait_ms(self, kind: tables.Kind, now: core.Millis) -> int:
+        """Return how long the first request of a kind has waited."""
+
+    @abc.abstractmethod
+    def retry_after_ms(self, ticket: Ticket) -> int:
+        """Estimate when a refused request would be admitted."""
--- a/packages/policy/src/oriolestand_policy/dispatching/__init__.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/__init__.py
@@ -6,13 +6,15 @@
 from oriolestand_policy.dispatching._effects import Fail
 from oriolestand_policy.dispatching._effects import Finish
 from oriolestand_policy.dispatching._effects import RequestEffect
+from oriolestand_policy.dispatching._effects import RoomForTasks
 from oriolestand_policy.dispatching._effects import SendLocal
 from oriolestand_policy.dispatching._effects import SendPeer
+from oriolestand_policy.dispatching._effects import Throttle
 from oriolestand_policy.dispatching._outcome import Outcome
 from oriolestand_policy.dispatching._state import PeerLoad
 from oriolestand_policy.dispatching._state import PoolState
 from oriolestand_policy.dispatching._state import Reservation
-from oriolestand_policy.dispatching._state import UpstreamState
+from oriolestand_policy.placement import UpstreamState
 
 __all__ = [
     'Dispatcher',
@@ -25,7 +27,9 @@
     'PoolState',
     'RequestEffect',
     'Reservation',
+    'RoomForTasks',
     'SendLocal',
     'SendPeer',
+    'Throttle',
     'UpstreamState',
 ]
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -2,178 +2,221 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-import dataclasses
 
 import oriolestand_core as core
 from oriolestand_policy import admission
+from oriolestand_policy import health
+from oriolestand_policy import interference
 from oriolestand_policy import placement
+from oriolestand_policy import retries
 from oriolestand_policy.dispatching import _effects
+from oriolestand_policy.dispatching import _flights
 from oriolestand_policy.dispatching import _outcome
+from oriolestand_policy.dispatching import _slots
 from oriolestand_policy.dispatching import _state
+from oriolestand_policy.dispatching import _tasks
 
-MAX_ATTEMPTS = 3
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Flight:
-    """Hold a request that was sent and where to."""
-
-    ticket: admission.Ticket
-    upstream: str | None
-    peer: str | None
-    attempts: int
+ANY_FREE = 1 << 30
+"""Free slots assumed for peers: each keeps its own headroom."""
 
 
 class Dispatcher:
     """Hold slots and queues; return effects, do no input or output.
 
+    Each submitted ticket ends in exactly one ``Fail`` or ``Finish``, unless
+    it is cancelled while it waits.
+
     :param choice: chooses between upstreams with a free slot.
     :param make_queue: returns the queue of a new pool, given its limit.
+    :param watch: takes failing upstreams out of use.
+    :param make_retries: returns the retry policy of a new pool.
+    :param noise: learns which tasks slow services.
     """
 
     def __init__(
         self,
         choice: placement.Placement,
         make_queue: Callable[[int], admission.AdmissionQueue],
+        *,
+        watch: health.Health | None = None,
+        make_retries: Callable[
+            [], retries.RetryPolicy
+        ] = retries.BudgetedRetries,
+        noise: interference.Interference | None = None,
     ) -> None:
         self._choice = choice
         self._make_queue = make_queue
-        self._pools: dict[str, _state.PoolState] = {}
-        self._flights: dict[str, _Flight] = {}
-        self._reservations: dict[str, _state.Reservation] = {}
-        self._held: list[tuple[core.Millis, str, str]] = []
+        self._make_retries = make_retries
+        self._slots = _slots.Slots(watch or health.FailureHealth())
+        self._tasks = _tasks.TaskBook(
+            self._slots, choice, noise or interference.LearnedInterference()
+        )
+        self._retries: dict[str, retries.RetryPolicy] = {}
+        self._flights = _flights.Flights(self._slots, choice)
         self.is_draining = False
 
     @property
     def pools(self) -> Mapping[str, _state.PoolState]:
         """Return the pools by name."""
-        return self._pools
+        return self._slots.pools
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that were sent and not ended."""
-        return len(self._flights)
+        return len(self._flights.sent)
 
-    def set_pool(self, name: str, queue_limit: int) -> None:
-        """Add a pool unless it exists."""
-        if name not in self._pools:
-            self._pools[name] = _state.PoolState(
-                name=name, queue=self._make_queue(queue_limit)
-            )
+    def set_pool(
+        self,
+        name: str,
+        queue_limit: int,
+        team_weights: tuple[tuple[str, int], ...] = (),
+    ) -> None:
+        """Add a pool, or change its limit and weights."""
+        pool = self._slots.pools.get(name)
+        if pool is None:
+            pool = self._slots.add_pool(name, self._make_queue(queue_limit))
+            self._retries[name] = self._make_retries()
+        pool.is_removed = False
+        pool.queue.set_limit(queue_limit)
+        pool.queue.set_weights(team_weights)
+
+    def remove_pool(
+        self, name: str, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Refuse what waits in a pool and forget it once it is unused."""
+        pool = self._slots.pools.get(name)
+        if pool is None:
+            return []
+        effects = self.set_limits(name, {}, now)
+        for peer in pool.peers.values():
+            pool.peers.set(peer.address, 0, 0)
+        waiting = [f for f in self._flights.waiting.values() if f.pool is pool]
+        for flight in waiting:
+            pool.queue.cancel(flight.ticket.id)
+            effects.append(self._refuse(flight.ticket, pool))
+        pool.is_removed = True
+        return effects
 
     def set_limits(
         self, pool: str, limits: Mapping[str, int], now: core.Millis
     ) -> list[_effects.Effect]:
         """Replace the granted slots of a pool, by upstream address."""
-        state = self._pools[pool]
-        for address, limit in limits.items():
-            if address not in state.upstreams:
-                state.upstreams[address] = _state.UpstreamState(
-                    address=address, pool=pool
-                )
-            state.upstreams[address].limit = limit
-        for address in list(state.upstreams):
-            if address in limits:
-                continue
-            state.upstreams[address].limit = 0
-            if not state.upstreams[address].in_use:
-                del state.upstreams[address]
+        state = self._slots.pools[pool]
+        self._slots.set_limits(state, limits)
         return self._drain(state, now)
 
-    def set_peer(self, pool: str, peer: str, free: int, distance: int) -> None:
-        """Record what a peer advertised; a free of 0 removes it."""
-        state = self._pools.get(pool)
+    def set_peer(
+        self,
+        pool: str,
+        peer: str,
+        free: int,
+        distance: int,
+        now: core.Millis | None = None,
+    ) -> list[_effects.Effect]:
+        """Record what a peer advertised; a free of 0 removes it.
+
+        With ``now``, forward what waits.
+        """
+        state = self._slots.pools.get(pool)
         if state is None:
-            return
-        if free <= 0:
-            state.peers.pop(peer, None)
-            return
-        state.peers[peer] = _state.PeerLoad(
-            peer=peer, free=free, distance=distance
-        )
+            return []
+        state.peers.set(peer, free, distance)
+        return [] if now is None else self._drain(state, now)
 
     def set_leaving(self, address: str, is_leaving: bool) -> None:
         """Give an upstream no new work, or take it into use again."""
-        for state in self._pools.values():
-            if address in state.upstreams:
-                state.upstreams[address].is_leaving = is_leaving
+        self._slots.set_leaving(address, is_leaving)
 
     def submit(
         self, ticket: admission.Ticket, now: core.Millis
     ) -> list[_effects.Effect]:
         """Decide on a new request."""
-        state = self._pools.get(ticket.pool)
-        if state is None or self.is_draining and ticket.hops:
+        pool = self._slots.pools.get(ticket.pool)
+        if (
+            pool is None
+            or pool.is_removed
+            or (self.is_draining and ticket.hops)
+        ):
             error = admission.OverloadedError(
                 'the pool takes no work here', pool=ticket.pool
             )
             return [_effects.Fail(ticket=ticket, error=error)]
         if ticket.deadline <= now:
             return [_late(ticket)]
-        if not len(state.queue):
-            sent = self._send(state, ticket, attempts=1)
+        self._retries[pool.name].note_request()
+        queue = pool.queue
+        # An index or a share may be ahead of the queue, but nobody may
+        # overtake a request of the same kind that waits.
+        if not queue.has_waiting(ticket.kind):
+            flight = _flights.Flight(ticket=ticket, pool=pool)
+            sent = self._flights.send(flight, now)
             if sent is not None:
                 return [sent]
         if ticket.hops:
             # The peer saw a free slot that is taken by now; it can queue
             # the request itself, where the caller waits.
-            return [_refuse(ticket)]
-        refused = state.queue.offer(ticket, now)
-        return [_refuse(other) for other in refused]
+            return [self._refuse(ticket, pool)]
+        shed = queue.offer(ticket, now)
+        effects: list[_effects.Effect] = [
+            self._refuse(other, pool) for other in shed
+        ]
+        if not shed or shed[0] is not ticket:
+            flight = _flights.Flight(ticket=ticket, pool=pool)
+            self._flights.waiting[ticket.id] = flight
+            if pool.index.total:
+                effects += self._drain(pool, now)
+        return effects
 
     def finished(
         self, ticket_id: str, outcome: _outcome.Outcome, now: core.Millis
     ) -> list[_effects.Effect]:
         """Free the slot of an attempt; retry or end the request."""
-        flight = self._flights.pop(ticket_id)
-        effects = self._settle(flight, outcome, now)
-        if flight.upstream is not None:
-            self._free_slot(flight, outcome)
-        state = self._pools[flight.ticket.pool]
-        return [*effects, *self._drain(state, now)]
+        flight = self._flights.sent.pop(ticket_id)
+        was_refused = False
+        if flight.upstream:
+            self._flights.end(flight, outcome, now)
+        else:
+            was_refused = _is_refusal(outcome)
+            flight.pool.peers.ended(flight.peer, flight.round, was_refused)
+        effects = self._settle(flight, outcome, was_refused, now)
+        effects += self._drain(flight.pool, now)
+        return effects
 
     def cancel(
         self, ticket_id: str, now: core.Millis
     ) -> list[_effects.Effect]:
         """Drop a request that waits in a queue."""
-        for state in self._pools.values():
-            if state.queue.cancel(ticket_id):
-                break
+        flight = self._flights.waiting.pop(ticket_id, None)
+        if flight is not None:
+            flight.pool.queue.cancel(ticket_id)
         return []
 
     def reserve(
-        self, key: str, pool: str, slots: int, team: str, priority: int
-    ) -> _state.Reservation | None:
-        """Take slots of one upstream for a batch task, or return None."""
-        state = self._pools.get(pool)
-        if state is None or self.is_draining or key in self._reservations:
-            return None
-        fitting = [u for u in state.upstreams.values() if u.free >= slots]
-        if not fitting:
-            return None
-        chosen = max(fitting, key=lambda u: (u.free, u.address))
-        return self._reserve_on(chosen, key, slots, team, priority)
-
-    def _reserve_on(
         self,
-        upstream: _state.UpstreamState,
         key: str,
+        pool: str,
         slots: int,
         team: str,
         priority: int,
-    ) -> _state.Reservation:
-        """Count slots of an upstream as used by a task."""
-        upstream.in_use += slots
-        reservation = _state.Reservation(
+        job: str = '',
+    ) -> _state.Reservation | None:
+        """Take slots of one upstream for a batch task, or return None.
+
+        :param job: what fails as a whole if its tasks do; the team if empty.
+        """
+        if pool not in self._slots.pools or self.is_draining:
+            return None
+        if key in self._tasks:
+            return None
+        wanted = _state.Reservation(
             key=key,
-            pool=upstream.pool,
-            address=upstream.address,
+            pool=pool,
+            address='',
             slots=slots,
             team=team,
             priority=priority,
         )
-        self._reservations[key] = reservation
-        return reservation
+        return self._tasks.reserve(wanted, job or team)
 
     def adopt_reservation(
         self,
@@ -182,175 +225,177 @@
         slots: int,
         team: str,
         priority: int,
+        job: str = '',
     ) -> _state.Reservation | None:
         """Take slots of a given upstream for a task that runs there.
 
         Return None when this daemon does not have that many free slots.
         """
-        for state in self._pools.values():
-            upstream = state.upstreams.get(address)
-            if upstream is not None and upstream.free >= slots:
-                return self._reserve_on(upstream, key, slots, team, priority)
-        return None
-
-    def unreserve(self, key: str, now: core.Millis) -> list[_effects.Effect]:
-        """Give the slots of a task back once it has stopped for certain."""
-        reservation = self._reservations.pop(key, None)
-        if reservation is None:
-            return []
-        for _ in range(reservation.slots):
-            self._release(reservation.pool, reservation.address)
-        return self._drain(self._pools[reservation.pool], now)
+        wanted = _state.Reservation(
+            key=key,
+            pool='',
+            address=address,
+            slots=slots,
+            team=team,
+            priority=priority,
+        )
+        return self._tasks.adopt(wanted, job or team)
+
+    def unreserve(
+        self, key: str, now: core.Millis, failed: bool | None = None
+    ) -> list[_effects.Effect]:
+        """Give the slots of a task back once it has stopped for certain.
+
+        :param failed: whether the task failed; None if that is not known
+            or not the upstream's doing.
+        """
+        pool = self._tasks.release(key, failed, now)
+        return [] if pool is None else self._drain(pool, now)
+
+    def report_usage(
+        self, usage: interference.UsageReport, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Take a lagging measurement of an upstream into account."""
+        return self._tasks.report(usage, now)
+
+    def never_fits(self, pool: str, slots: int) -> str:
+        """Return why a task can never run in a pool, or ''.
+
+        Linear in the upstreams of the pool; meant for submission.
+        """
+        state = self._slots.pools.get(pool)
+        if state is None:
+            return f'there is no pool {pool}'
+        largest = max((u.limit for u in state.upstreams.values()), default=0)
+        if state.upstreams and slots > largest:
+            return (
+                f'it needs {slots} slots of one upstream, and no upstream '
+                f'of pool {pool} grants more than {largest} here'
+            )
+        return ''
 
     def is_waiting(self, ticket_id: str) -> bool:
         """Return whether a request was not sent yet."""
-        return ticket_id not in self._flights
+        return ticket_id not in self._flights.sent
 
     def tick(self, now: core.Millis) -> list[_effects.Effect]:
-        """Free held slots, refuse late requests and serve queues."""
+        """Free held slots, refuse late requests and serve queues.
+
+        The cost grows with what is due and with the pools, not with
+        upstreams, requests or tasks.
+        """
         effects: list[_effects.Effect] = []
-        for due, pool, address in self._held:
-            if due <= now:
-                self._release(pool, address)
-        self._held = [item for item in self._held if item[0] > now]
-        for state in self._pools.values():
-            effects += [_late(t) for t in state.queue.expire(now)]
-            effects += self._drain(state, now)
+        self._flights.tick(now)
+        self._slots.tick(now)
+        for pool in list(self._slots.pools.values()):
+            if pool.is_removed and not pool.upstreams:
+                del self._slots.pools[pool.name]
+                del self._retries[pool.name]
+                continue
+            pool.share_slots()
+            pool.queue.tick(now)
+            for ticket in pool.queue.expire(now):
+                del self._flights.waiting[ticket.id]
+                effects.append(_late(ticket))
+            effects += self._drain(pool, now)
+        effects += self._tasks.tick(now)
         return effects
 
     def _settle(
         self,
-        flight: _Flight,
+        flight: _flights.Flight,
         outcome: _outcome.Outcome,
+        was_refused: bool,
         now: core.Millis,
     ) -> list[_effects.Effect]:
         """Return what the end of an attempt means for the caller."""
         ticket = flight.ticket
         if outcome.error is None:
             return [_effects.Finish(ticket=ticket)]
-        if self._may_retry(flight, outcome, now):
-            state = self._pools[ticket.pool]
-            sent = self._send(
-                state,
-                ticket,
-                attempts=flight.attempts + 1,
-                avoid=flight.upstream or flight.peer or '',
-            )
-            if sent is not None:
-                return [sent]
-        return [_effects.Fail(ticket=ticket, error=outcome.error)]
+        if (
+            ticket.deadline <= now
+            or outcome.answered
+            or flight.pool.is_removed
+        ):
+            return [_effects.Fail(ticket=ticket, error=outcome.error)]
+        if was_refused:
+            # The upstreams saw nothing of it, so this is no retry.
+            flight.is_local = True
+        elif not self._may_retry(flight, outcome):
+            return [_effects.Fail(ticket=ticket, error=outcome.error)]
+        flight.avoid = flight.upstream or flight.peer
+        flight.upstream = flight.peer = ''
+        sent = self._flights.send(flight, now)
+        if sent is not None:
+            return [sent]
+        if ticket.hops:
+            return [_effects.Fail(ticket=ticket, error=outcome.error)]
+        self._flights.wait_again(flight)
+        return []
 
     def _may_retry(
-        self,
-        flight: _Flight,
-        outcome: _outcome.Outcome,
-        now: core.Millis,
+        self, flight: _flights.Flight, outcome: _outcome.Outcome
     ) -> bool:
-        """Return whether another attempt is allowed."""
-        if outcome.answered or flight.attempts >= MAX_ATTEMPTS:
+        """Return whether another attempt is allowed, and count it."""
+        ticket = flight.ticket
+        if not outcome.verdict.is_safe_to_retry and not (
+            ticket.safe and ticket.body_is_empty
+        ):
             return False
-        if flight.ticket.deadline <= now:
+        policy = self._retries[flight.pool.name]
+        if flight.attempts >= policy.max_attempts:
             return False
-        if outcome.verdict.is_safe_to_retry:
-            return True
-        return flight.ticket.safe and flight.ticket.body_is_empty
+        return policy.allow()
 
     def _drain(
-        self, state: _state.PoolState, now: core.Millis
+        self, pool: _state.PoolState, now: core.Millis
     ) -> list[_effects.Effect]:
         """Send waiting requests while there are free slots."""
         effects: list[_effects.Effect] = []
-        while len(state.queue) and (state.free or state.peers):
-            ticket = state.queue.take(now)
+        queue = pool.queue
+        while len(queue):
+            free = pool.index.total
+            ticket = queue.take(now, free) if free else None
+            if ticket is None and pool.peers:
+                ticket = queue.take(now, ANY_FREE)
             if ticket is None:
                 break
+            flight = self._flights.waiting.pop(ticket.id)
             if ticket.deadline <= now:
                 effects.append(_late(ticket))
                 continue
-            sent = self._send(state, ticket, attempts=1)
+            sent = self._flights.send(flight, now)
             if sent is None:
-                effects += [_refuse(t) for t in state.queue.offer(ticket, now)]
+                self._flights.wait_again(flight)
                 break
             effects.append(sent)
+        if pool.wants_room and queue.has_room_for_task(pool.index.total):
+            # Told once; a task that finds no place asks again.
+            pool.wants_room = False
+            effects.append(_effects.RoomForTasks(pool=pool.name))
         return effects
 
-    def _send(
-        self,
-        state: _state.PoolState,
-        ticket: admission.Ticket,
-        attempts: int,
-        avoid: str = '',
-    ) -> _effects.Effect | None:
-        """Take a slot and return the effect that uses it."""
-        candidates = [
-            placement.Candidate(
-                address=up.address,
-                latency_ms=up.latency_ms,
-                load=up.in_use / up.limit,
-            )
-            for up in state.upstreams.values()
-            if up.free > 0 and up.address != avoid
-        ]
-        chosen = self._choice.choose(candidates)
-        if chosen is not None:
-            state.upstreams[chosen.address].in_use += 1
-            self._flights[ticket.id] = _Flight(
-                ticket=ticket,
-                upstream=chosen.address,
-                peer=None,
-                attempts=attempts,
-            )
-            return _effects.SendLocal(ticket=ticket, upstream=chosen.address)
-        if ticket.hops or not state.peers:
-            return None
-        return self._forward(state, ticket, attempts, avoid)
-
-    def _forward(
-        self,
-        state: _state.PoolState,
-        ticket: admission.Ticket,
-        attempts: int,
-        avoid: str,
-    ) -> _effects.Effect | None:
-        """Choose the nearest peer with the most free slots."""
-        peers = [p for p in state.peers.values() if p.peer != avoid]
-        if not peers:
-            return None
-        best = min(peers, key=lambda p: (p.distance, -p.free, p.peer))
-        # Until the next advertisement, count what was sent to the peer.
-        self.set_peer(state.name, best.peer, best.free - 1, best.distance)
-        self._flights[ticket.id] = _Flight(
-            ticket=ticket, upstream=None, peer=best.peer, attempts=attempts
+    def _refuse(
+        self, ticket: admission.Ticket, pool: _state.PoolState
+    ) -> _effects.Fail:
+        """Return the refusal of a request for want of slots."""
+        self._flights.waiting.pop(ticket.id, None)
+        error = admission.OverloadedError(
+            'no slot is free and the wait would be too long',
+            pool=ticket.pool,
+            retry_after_ms=pool.queue.retry_after_ms(ticket),
         )
-        return _effects.SendPeer(ticket=ticket, peer=best.peer)
+        return _effects.Fail(ticket=ticket, error=error)
 
-    def _free_slot(self, flight: _Flight, outcome: _outcome.Outcome) -> None:
-        """Give a slot back, at once or when the request must have ended."""
-        assert flight.upstream is not None
-        pool = flight.ticket.pool
-        state = self._pools[pool].upstreams[flight.upstream]
-        if outcome.error is None:
-            state.observe(outcome.latency_ms)
-        if outcome.slot_held_until is not None:
-            self._held.append((outcome.slot_held_until, pool, flight.upstream))
-            return
-        self._release(pool, flight.upstream)
-
-    def _release(self, pool: str, address: str) -> None:
-        """Count one slot less in use."""
-        upstreams = self._pools[pool].upstreams
-        state = upstreams[address]
-        state.in_use -= 1
-        if state.in_use == 0 and state.limit == 0:
-            del upstreams[address]
-
-
-def _refuse(ticket: admission.Ticket) -> _effects.Fail:
-    """Return the refusal of a request for want of slots."""
-    error = admission.OverloadedError(
-        'no slot is free and the queue is full', pool=ticket.pool
+
+def _is_refusal(outcome: _outcome.Outcome) -> bool:
+    """Return whether a peer sent a request back without trying it."""
+    return (
+        outcome.error is not None
+        and outcome.verdict.is_safe_to_retry
+        and not outcome.upstream_failed
+        and not outcome.answered
     )
-    return _effects.Fail(ticket=ticket, error=error)
 
 
 def _late(ticket: admission.Ticket) -> _effects.Fail:
--- a/packages/policy/src/oriolestand_policy/dispatching/_effects.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_effects.py
@@ -53,3 +53,18 @@
     """
 
     key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Throttle(Effect):
+    """Ask the owner of a reservation to slow its task, or to stop that."""
+
+    key: str
+    is_on: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoomForTasks(Effect):
+    """Tell that a batch task that found no place may find one now."""
+
+    pool: str
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/dispatching/_slots.py
@@ -0,0 +1,132 @@
+"""Count the slots of all upstreams, by pool."""
+
+from collections.abc import Mapping
+import random
+
+import oriolestand_core as core
+from oriolestand_policy import admission
+from oriolestand_policy import health
+from oriolestand_policy import placement
+from oriolestand_policy.dispatching import _state
+
+
+class Slots:
+    """Own the pools and their upstreams, each in exactly one pool."""
+
+    def __init__(self, watch: health.Health) -> None:
+        self._health = watch
+        self.pools: dict[str, _state.PoolState] = {}
+        self.upstreams: dict[str, placement.UpstreamState] = {}
+
+    def add_pool(
+        self, name: str, queue: admission.AdmissionQueue
+    ) -> _state.PoolState:
+        """Add a pool."""
+        rng = random.Random(name)
+        pool = self.pools[name] = _state.PoolState(name, queue, rng)
+        return pool
+
+    def set_limits(
+        self, pool: _state.PoolState, limits: Mapping[str, int]
+    ) -> None:
+        """Replace the granted slots of a pool, by upstream address."""
+        for address, limit in limits.items():
+            upstream = self._claim(pool, address)
+            upstream.limit = limit
+            pool.refresh(upstream)
+        for address in [a for a in pool.upstreams if a not in limits]:
+            upstream = pool.upstreams[address]
+            upstream.limit = 0
+            pool.refresh(upstream)
+            self._drop_unused(upstream)
+        pool.share_slots()
+
+    def _claim(
+        self, pool: _state.PoolState, address: str
+    ) -> placement.UpstreamState:
+        """Return an upstream, moved from another pool if need be.
+
+        Its slots in use move along: the grant is for the upstream, whatever
+        pool it is in.
+        """
+        upstream = self.upstreams.get(address)
+        if upstream is None:
+            upstream = placement.UpstreamState(address=address, pool=pool.name)
+            self.upstreams[address] = upstream
+        elif upstream.pool == pool.name:
+            return upstream
+        else:
+            old = self.pools[upstream.pool]
+            del old.upstreams[address]
+            old.index.discard(address)
+            old.in_use -= upstream.in_use
+            self._health.remove(upstream)
+            upstream.pool = pool.name
+        pool.upstreams[address] = upstream
+        pool.in_use += upstream.in_use
+        self._health.add(upstream)
+        return upstream
+
+    def set_leaving(self, address: str, is_leaving: bool) -> None:
+        """Give an upstream no new work, or take it into use again."""
+        upstream = self.upstreams.get(address)
+        if upstream is not None:
+            upstream.is_leaving = is_leaving
+            self.pools[upstream.pool].refresh(upstream)
+
+    def take(self, upstream: placement.UpstreamState, slots: int) -> None:
+        """Count slots as used and a start as open."""
+        upstream.in_use += slots
+        upstream.starts += 1
+        pool = self.pools[upstream.pool]
+        pool.in_use += slots
+        pool.index.update(upstream)
+
+    def give(self, address: str, slots: int) -> None:
+        """Count slots as free."""
+        upstream = self.upstreams[address]
+        upstream.in_use -= slots
+        pool = self.pools[upstream.pool]
+        pool.in_use -= slots
+        pool.index.update(upstream)
+        self._drop_unused(upstream)
+
+    def end_start(self, address: str) -> None:
+        """Count a start as no longer open."""
+        upstream = self.upstreams[address]
+        upstream.starts -= 1
+        if upstream.start_limit is not None:
+            self.pools[upstream.pool].index.update(upstream)
+
+    def note(
+        self,
+        address: str,
+        source: str,
+        origin: str,
+        failed: bool,
+        now: core.Millis,
+    ) -> None:
+        """Record a result of an upstream."""
+        upstream = self.upstreams[address]
+        before = upstream.start_limit
+        self._health.note(upstream, source, origin, failed, now)
+        if upstream.start_limit != before:
+            self.pools[upstream.pool].index.update(upstream)
+
+    def tick(self, now: core.Millis) -> set[str]:
+        """Let upstreams be probed; return the pools concerned."""
+        changed = set()
+        for upstream in self._health.due(now):
+            self.pools[upstream.pool].refresh(upstream)
+            changed.add(upstream.pool)
+        return changed
+
+    def _drop_unused(self, upstream: placement.UpstreamState) -> None:
+        """Forget an upstream without grant and use."""
+        if upstream.limit or upstream.in_use:
+            return
+        pool = self.pools[upstream.pool]
+        pool.index.discard(upstream.address)
+        del pool.upstreams[upstream.address]
+        del self.upstreams[upstream.address]
+        self._health.remove(upstream)
--- a/packages/policy/src/oriolestand_policy/dispatching/_state.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_state.py
@@ -1,37 +1,12 @@
-"""Hold what the dispatcher knows of upstreams, peers and pools."""
+"""Hold what the dispatcher knows of peers and pools."""
 
 import dataclasses
+import random
 
 from oriolestand_policy import admission
+from oriolestand_policy import placement
 
-LATENCY_GAIN = 0.1
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class UpstreamState:
-    """Count the slots of one upstream that this daemon uses.
-
-    ``limit`` is granted by the table service; ``in_use`` may be above it
-    only after the limit was lowered.
-    """
-
-    address: str
-    pool: str
-    limit: int = 0
-    in_use: int = 0
-    is_leaving: bool = False
-    latency_ms: float = 0.0
-
-    @property
-    def free(self) -> int:
-        """Return the number of slots that may be taken."""
-        if self.is_leaving:
-            return 0
-        return max(0, self.limit - self.in_use)
-
-    def observe(self, latency_ms: float) -> None:
-        """Fold a latency into the moving average."""
-        self.latency_ms += LATENCY_GAIN * (latency_ms - self.latency_ms)
+DISTANCES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,26 +26,135 @@
     """Hold what a peer advertised for one pool.
 
     ``distance`` is 0 in the same failure domain, 1 in the same region and
-    2 across the region link.
+    2 across the region link. ``sent`` counts the requests forwarded since
+    the advertisement that have not ended; ``round`` counts advertisements.
     """
 
-    peer: str
-    free: int
+    address: str
+    advertised: int
     distance: int = 0
+    sent: int = 0
+    round: int = 0
+
+    @property
+    def peer(self) -> str:
+        """Return the instance id."""
+        return self.address
+
+    @property
+    def free(self) -> int:
+        """Return the slots that are likely to be free."""
+        return max(0, self.advertised - self.sent)
+
+
+class PeerIndex:
+    """Keep the peers with free slots, by distance."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._peers: dict[str, PeerLoad] = {}
+        self._near: list[placement.FreeIndex[PeerLoad]] = [
+            placement.FreeIndex() for _ in range(DISTANCES)
+        ]
+        self._rounds = 0
+
+    def __bool__(self) -> bool:
+        """Return whether a peer has free slots."""
+        return any(index.total for index in self._near)
+
+    def values(self) -> list[PeerLoad]:
+        """Return all peers that advertised slots."""
+        return list(self._peers.values())
+
+    def set(self, peer: str, free: int, distance: int) -> None:
+        """Record an advertisement; a free of 0 removes the peer."""
+        old = self._peers.pop(peer, None)
+        if old is not None:
+            self._near[old.distance].discard(peer)
+        if free <= 0:
+            return
+        self._rounds += 1
+        load = PeerLoad(
+            address=peer,
+            advertised=free,
+            distance=max(0, min(distance, DISTANCES - 1)),
+            round=self._rounds,
+        )
+        self._peers[peer] = load
+        self._near[load.distance].update(load)
+
+    def choose(self, avoid: str) -> PeerLoad | None:
+        """Return the freer of two random peers at the least distance."""
+        for index in self._near:
+            first = index.draw(self._rng, avoid)
+            if first is None:
+                continue
+            second = index.draw(self._rng, avoid)
+            assert second is not None
+            return first if first.free >= second.free else second
+        return None
+
+    def sent(self, load: PeerLoad) -> None:
+        """Count a request forwarded to a peer."""
+        load.sent += 1
+        self._near[load.distance].update(load)
+
+    def ended(self, peer: str, round_: int, was_refused: bool) -> None:
+        """Count the end of a forwarded request.
+
+        A refusal means that the advertisement is out of date, so nothing
+        more is sent until the next one.
+        """
+        load = self._peers.get(peer)
+        if load is None or load.round != round_:
+            return
+        if was_refused:
+            load.advertised = 0
+        load.sent -= 1
+        self._near[load.distance].update(load)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
 class PoolState:
-    """Hold the queue, upstreams and peers of one pool."""
+    """Hold the queue, upstreams and peers of one pool.
+
+    A removed pool stays until its last slot is given back.
+    """
 
-    name: str
-    queue: admission.AdmissionQueue
-    upstreams: dict[str, UpstreamState] = dataclasses.field(
-        default_factory=dict
+    __slots__ = (
+        'in_use',
+        'index',
+        'is_removed',
+        'name',
+        'peers',
+        'queue',
+        'upstreams',
+        'wants_room',
     )
-    peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
+
+    def __init__(
+        self,
+        name: str,
+        queue: admission.AdmissionQueue,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.queue = queue
+        self.upstreams: dict[str, placement.UpstreamState] = {}
+        self.index: placement.Upstreams = placement.FreeIndex()
+        self.in_use = 0
+        self.is_removed = False
+        self.wants_room = False
+        self.peers = PeerIndex(rng)
 
     @property
     def free(self) -> int:
         """Return the number of slots that may be taken now."""
-        return sum(state.free for state in self.upstreams.values())
+        return self.index.total
+
+    def refresh(self, upstream: placement.UpstreamState) -> None:
+        """Bring the index and the shares up to date with an upstream."""
+        self.index.update(upstream)
+
+    def share_slots(self) -> None:
+        """Tell the queue how many slots there are to share."""
+        self.queue.set_total(self.in_use + self.index.total)
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/dispatching/_tasks.py
@@ -0,0 +1,316 @@
+"""Give slots to batch tasks and take them back."""
+
+import dataclasses
+import heapq
+
+import oriolestand_core as core
+from oriolestand_policy import interference
+from oriolestand_policy import placement
+from oriolestand_policy import tables
+from oriolestand_policy.dispatching import _effects
+from oriolestand_policy.dispatching import _slots
+from oriolestand_policy.dispatching import _state
+
+START_GRACE_MS = 3_000
+"""A task that runs this long counts as started for health."""
+OWED_PATIENCE_MS = 500
+"""Services must lack their share this long before a task is evicted, as
+most slots come back by themselves within a request's time."""
+URGENT_PATIENCE_MS = 1_000
+URGENT_MEMORY_MS = 2_000
+LOSS_SHARE = 0.05
+"""Part of the batch time that evictions may lose."""
+CHECKPOINT_MS = 30_000
+"""Assumed time between checkpoints: an eviction loses no more than that."""
+
+_BATCH = tables.Kind.BATCH
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Task:
+    """Hold a reservation and its state."""
+
+    reservation: _state.Reservation
+    pool: _state.PoolState
+    origin: str
+    started: core.Millis
+    is_open: bool
+    is_evicting: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _PoolTasks:
+    """Hold the tasks of a pool that may be evicted, and the budget."""
+
+    by_priority: dict[int, dict[str, _Task]] = dataclasses.field(
+        default_factory=dict
+    )
+    slots: int = 0
+    evicting: int = 0
+    budget: float = 0.0
+    counted: int = 0
+    owed_since: int | None = None
+    urgent: int | None = None
+    urgent_slots: int = 0
+    urgent_since: int = 0
+    urgent_seen: int = 0
+
+
+class TaskBook:
+    """Own the reservations of batch tasks."""
+
+    def __init__(
+        self,
+        slots: _slots.Slots,
+        choice: placement.Placement,
+        noise: interference.Interference,
+    ) -> None:
+        self._slots = slots
+        self._choice = choice
+        self._noise = noise
+        self._tasks: dict[str, _Task] = {}
+        self._pools: dict[str, _PoolTasks] = {}
+        self._opened: list[tuple[int, str]] = []
+        self.now = core.Millis(0)
+
+    def __contains__(self, key: str) -> bool:
+        """Return whether a task holds slots."""
+        return key in self._tasks
+
+    def reserve(
+        self, wanted: _state.Reservation, origin: str
+    ) -> _state.Reservation | None:
+        """Take slots of one upstream; ``wanted`` has no address yet."""
+        pool = self._slots.pools[wanted.pool]
+        held = self._held(pool.name)
+        upstream = None
+        if (
+            not self._is_outranked(held, wanted.priority)
+            and pool.free >= wanted.slots
+            and pool.queue.may_reserve(wanted.team, wanted.slots, pool.free)
+        ):
+            upstream = self._choice.choose_for_task(
+                pool.index, wanted.slots, self._cost(wanted.team)
+            )
+        if upstream is None:
+            pool.queue.note_unmet(wanted.team, wanted.slots)
+            pool.wants_room = True
+            self._note_urgent(held, wanted)
+            return None
+        if held.urgent is not None and wanted.priority >= held.urgent:
+            held.urgent = None
+        return self._place(wanted, upstream, origin, is_open=True)
+
+    def adopt(
+        self, wanted: _state.Reservation, origin: str
+    ) -> _state.Reservation | None:
+        """Take slots of the upstream where a task runs already."""
+        upstream = self._slots.upstreams.get(wanted.address)
+        if upstream is None or wanted.key in self._tasks:
+            return None
+        if upstream.limit - upstream.in_use < wanted.slots:
+            return None
+        wanted = dataclasses.replace(wanted, pool=upstream.pool)
+        return self._place(wanted, upstream, origin, is_open=False)
+
+    def release(
+        self, key: str, failed: bool | None, now: core.Millis
+    ) -> _state.PoolState | None:
+        """Give the slots of a task back; return its pool."""
+        task = self._tasks.pop(key, None)
+        if task is None:
+            return None
+        one = task.reservation
+        held = self._held(task.pool.name)
+        self._count(held, now)
+        if task.is_evicting:
+            held.evicting -= one.slots
+        else:
+            self._unlist(held, task)
+        held.slots -= one.slots
+        self._close(task)
+        if failed is not None:
+            self._slots.note(one.address, key, task.origin, failed, now)
+        self._slots.give(one.address, one.slots)
+        task.pool.queue.note_end(_BATCH, one.team, one.slots, 0.0)
+        self._noise.forget(key)
+        return task.pool
+
+    def tick(self, now: core.Millis) -> list[_effects.Effect]:
+        """Close starts that lasted and evict what others are owed."""
+        self.now = now
+        while self._opened and self._opened[0][0] <= now:
+            task = self._tasks.get(heapq.heappop(self._opened)[1])
+            if task is not None:
+                self._close(task)
+        effects: list[_effects.Effect] = []
+        for name, held in self._pools.items():
+            if held.slots:
+                effects += self._evict_for_services(name, held, now)
+                effects += self._evict_for_urgent(held, now)
+        return effects
+
+    def report(
+        self, usage: interference.UsageReport, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Throttle, release or move a task that slows services."""
+        effects: list[_effects.Effect] = []
+        for advice in self._noise.observe(usage, self._tasks, now):
+            task = self._tasks.get(advice.key)
+            if task is None or task.is_evicting:
+                continue
+            if advice.step is interference.Step.MOVE:
+                held = self._held(task.pool.name)
+                self._count(held, now)
+                effects += self._evict(held, task, now)
+                continue
+            is_on = advice.step is interference.Step.THROTTLE
+            effects.append(_effects.Throttle(key=advice.key, is_on=is_on))
+        return effects
+
+    def _held(self, pool: str) -> _PoolTasks:
+        """Return the tasks of a pool."""
+        held = self._pools.get(pool)
+        if held is None:
+            held = self._pools[pool] = _PoolTasks(counted=self.now)
+        return held
+
+    def _cost(self, team: str) -> placement.TaskCost:
+        """Return the order in which a team's tasks prefer upstreams.
+
+        Tasks that slow services go where services are slow already, since
+        services avoid those upstreams.
+        """
+        if self._noise.harm(team) >= interference.HARMFUL:
+            return lambda upstream: -upstream.latency_ms
+        return lambda upstream: 0.0
+
+    def _place(
+        self,
+        wanted: _state.Reservation,
+        upstream: placement.UpstreamState,
+        origin: str,
+        is_open: bool,
+    ) -> _state.Reservation:
+        """Count slots of an upstream as used by a task."""
+        one = dataclasses.replace(wanted, address=upstream.address)
+        pool = self._slots.pools[one.pool]
+        task = _Task(
+            reservation=one,
+            pool=pool,
+            origin=origin,
+            started=self.now,
+            is_open=True,
+        )
+        held = self._held(one.pool)
+        self._count(held, self.now)
+        self._slots.take(upstream, one.slots)
+        pool.queue.note_start(_BATCH, one.team, one.slots)
+        self._tasks[one.key] = task
+        held.by_priority.setdefault(one.priority, {})[one.key] = task
+        held.slots += one.slots
+        if is_open:
+            due = self.now + START_GRACE_MS
+            heapq.heappush(self._opened, (due, one.key))
+        else:
+            self._close(task)
+        return one
+
+    def _close(self, task: _Task) -> None:
+        """Count the start of a task as over."""
+        if task.is_open:
+            task.is_open = False
+            self._slots.end_start(task.reservation.address)
+
+    def _unlist(self, held: _PoolTasks, task: _Task) -> None:
+        """Make a task no candidate for eviction."""
+        one = task.reservation
+        step = held.by_priority[one.priority]
+        del step[one.key]
+        if not step:
+            del held.by_priority[one.priority]
+
+    def _count(self, held: _PoolTasks, now: core.Millis) -> None:
+        """Add the batch time since the last count to the loss budget."""
+        spent = max(0, now - held.counted) * held.slots
+        held.budget += LOSS_SHARE * spent
+        held.counted = now
+
+    def _evict(
+        self, held: _PoolTasks, task: _Task, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Evict a task if the budget of lost work allows it."""
+        one = task.reservation
+        loss = one.slots * min(now - task.started, CHECKPOINT_MS)
+        if loss > held.budget:
+            return []
+        held.budget -= loss
+        task.is_evicting = True
+        held.evicting += one.slots
+        self._unlist(held, task)
+        return [_effects.Evict(key=one.key)]
+
+    def _evict_for_services(
+        self, name: str, held: _PoolTasks, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Evict the newest task of least priority while services lack."""
+        pool = self._slots.pools.get(name)
+        if pool is None or not pool.queue.is_owed(tables.Kind.SERVICE):
+            held.owed_since = None
+            return []
+        if held.owed_since is None:
+            held.owed_since = now
+        if now - held.owed_since < OWED_PATIENCE_MS or held.evicting:
+            return []
+        self._count(held, now)
+        return self._evict_below(held, None, now)
+
+    def _evict_for_urgent(
+        self, held: _PoolTasks, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Evict tasks of less priority for a task that found no place."""
+        if held.urgent is None:
+            return []
+        if held.urgent_seen + URGENT_MEMORY_MS < now:
+            held.urgent = None
+            return []
+        if now - held.urgent_since < URGENT_PATIENCE_MS:
+            return []
+        if held.evicting >= held.urgent_slots:
+            return []
+        self._count(held, now)
+        return self._evict_below(held, held.urgent, now)
+
+    def _evict_below(
+        self, held: _PoolTasks, priority: int | None, now: core.Millis
+    ) -> list[_effects.Effect]:
+        """Evict the newest task of the least priority, if low enough."""
+        if not held.by_priority:
+            return []
+        least = min(held.by_priority)
+        if priority is not None and least >= priority:
+            return []
+        # The newest task has the least work to lose.
+        task = next(reversed(held.by_priority[least].values()))
+        return self._evict(held, task, now)
+
+    def _is_outranked(self, held: _PoolTasks, priority: int) -> bool:
+        """Return whether a more urgent task waits for these slots."""
+        if held.urgent is None or priority >= held.urgent:
+            return False
+        return held.urgent_seen + URGENT_MEMORY_MS >= self.now
+
+    def _note_urgent(
+        self, held: _PoolTasks, wanted: _state.Reservation
+    ) -> None:
+        """Remember the most urgent task that found no place."""
+        if not held.by_priority:
+            return
+        if held.urgent is None or wanted.priority > held.urgent:
+            if wanted.priority <= min(held.by_priority):
+                return
+            held.urgent = wanted.priority
+            held.urgent_slots = wanted.slots
+            held.urgent_since = self.now
+        if wanted.priority == held.urgent:
+            held.urgent_seen = self.now
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/health/__init__.py
@@ -0,0 +1,8 @@
+"""Take failing upstreams out of use and probe them."""
+
+from oriolestand_policy.health._health import MAX_FAILURES
+from oriolestand_policy.health._health import FailureHealth
+from oriolestand_policy.health._health import Health
+from oriolestand_policy.health._health import NoHealth
+
+__all__ = ['FailureHealth', 'Health', 'MAX_FAILURES', 'NoHealth']
--- a/packages/policy/src/oriolestand_policy/placement/__init__.py
+++ b/packages/policy/src/oriolestand_policy/placement/__init__.py
@@ -1,7 +1,17 @@
-"""Choose upstreams and keep an eye on their health."""
+"""Choose upstreams from lagging data, by an index of free slots."""
 
-from oriolestand_policy.placement._placement import Candidate
 from oriolestand_policy.placement._placement import Placement
+from oriolestand_policy.placement._placement import TaskCost
 from oriolestand_policy.placement._placement import TwoChoicesPlacement
+from oriolestand_policy.placement._placement import Upstreams
+from oriolestand_policy.placement._upstream import FreeIndex
+from oriolestand_policy.placement._upstream import UpstreamState
 
-__all__ = ['Candidate', 'Placement', 'TwoChoicesPlacement']
+__all__ = [
+    'FreeIndex',
+    'Placement',
+    'TaskCost',
+    'TwoChoicesPlacement',
+    'UpstreamState',
+    'Upstreams',
+]
--- a/packages/policy/src/oriolestand_policy/placement/_placement.py
+++ b/packages/policy/src/oriolestand_policy/placement/_placement.py
@@ -1,34 +1,42 @@
 """Choose one of the upstreams that have a free slot."""
 
 import abc
-from collections.abc import Sequence
-import dataclasses
+from collections.abc import Callable
 import random
 
+from oriolestand_policy.placement import _upstream
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Candidate:
-    """Describe an upstream with a free slot.
+TASK_DRAWS = 6
+"""Draws for a batch task; four left spare slots unfound in small pools."""
 
-    ``latency_ms`` is estimated from outcomes; ``load`` is the part of this
-    daemon's slots in use, 0 to 1.
-    """
-
-    address: str
-    latency_ms: float
-    load: float
+Upstreams = _upstream.FreeIndex[_upstream.UpstreamState]
+TaskCost = Callable[[_upstream.UpstreamState], float]
 
 
 class Placement(abc.ABC):
-    """Choose an upstream for a request."""
+    """Choose an upstream for a request or a batch task."""
+
+    @abc.abstractmethod
+    def choose(
+        self, free: Upstreams, avoid: str = ''
+    ) -> _upstream.UpstreamState | None:
+        """Return an upstream with a free slot, or None."""
 
     @abc.abstractmethod
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate | None:
-        """Return one candidate, or None when there is none."""
+    def choose_for_task(
+        self,
+        free: Upstreams,
+        slots: int,
+        cost: TaskCost,
+    ) -> _upstream.UpstreamState | None:
+        """Return an upstream with that many free slots, or None.
+
+        :param cost: expected harm to what runs on the upstream.
+        """
 
 
 class TwoChoicesPlacement(Placement):
-    """Take the better of two candidates drawn at random.
+    """Take the better of two upstreams drawn at random.
 
     With lagging data, always taking the best one sends all requests of an
     interval to the same upstream.
@@ -37,15 +45,37 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate | None:
-        """Return the better of two random candidates."""
-        if not candidates:
+    def choose(
+        self, free: Upstreams, avoid: str = ''
+    ) -> _upstream.UpstreamState | None:
+        """Return the better of two random upstreams."""
+        first = free.draw(self._rng, avoid)
+        if first is None:
             return None
-        first = self._rng.choice(candidates)
-        second = self._rng.choice(candidates)
-        return min(first, second, key=_cost)
+        second = free.draw(self._rng, avoid)
+        assert second is not None
+        return first if _cost(first) <= _cost(second) else second
+
+    def choose_for_task(
+        self,
+        free: Upstreams,
+        slots: int,
+        cost: TaskCost,
+    ) -> _upstream.UpstreamState | None:
+        """Return the least harmful of a few random upstreams."""
+        best = None
+        best_key = (0.0, 0)
+        for _ in range(min(TASK_DRAWS, 2 * len(free))):
+            upstream = free.draw(self._rng)
+            if upstream is None or upstream.free < slots:
+                continue
+            key = (cost(upstream), upstream.in_use)
+            if best is None or key < best_key:
+                best, best_key = upstream, key
+        return best
 
 
-def _cost(candidate: Candidate) -> float:
+def _cost(upstream: _upstream.UpstreamState) -> float:
     """Return an estimate of the time that a request will take."""
-    return (candidate.latency_ms + 1.0) * (1.0 + candidate.load)
+    load = upstream.in_use / upstream.limit
+    return (upstream.latency_ms + 1.0) * (1.0 + load)
