--- a/packages/policy/src/oriolestand_policy/admission/_fair.py
+++ b/packages/policy/src/oriolestand_policy/admission/_fair.py
@@ -183,10 +183,19 @@
         """Return whether a kind waits and has less than its share."""
         return self._shares.is_owed(kind)
 
-    def is_entitled(self, kind: _Kind) -> bool:
-        """Return whether a kind, with what waits, is below its share."""
-        use = self._shares.of(kind)
-        return use.in_use + use.waiting < int(use.share * self._shares.total)
+    def is_entitled(self, kind: _Kind, team: str) -> bool:
+        """Return whether a team, with what waits, is below its share.
+
+        The slots of its kind are divided among the teams that use or want
+        some now.
+        """
+        own = self._line_of(kind, team)
+        weights = own.weight
+        for (other_kind, name), line in self._lines.items():
+            if other_kind is kind and name != team and line.is_active:
+                weights += line.weight
+        slots = self._shares.of(kind).share * self._shares.total
+        return own.in_use + len(own) < slots * own.weight / weights
 
     def oldest_wait_ms(self, kind: _Kind, now: core.Millis) -> int:
         """Return the longest wait among the heads of lines."""
--- a/packages/policy/src/oriolestand_policy/admission/_fifo.py
+++ b/packages/policy/src/oriolestand_policy/admission/_fifo.py
@@ -52,7 +52,7 @@
         """Return whether a kind waits and has less than its share."""
         return False
 
-    def is_entitled(self, kind: tables.Kind) -> bool:
+    def is_entitled(self, kind: tables.Kind, team: str) -> bool:
         """Return False: there are no shares."""
         return False
 
--- a/packages/policy/src/oriolestand_policy/admission/_line.py
+++ b/packages/policy/src/oriolestand_policy/admission/_line.py
@@ -34,6 +34,11 @@
         """Return the slots in use for each unit of weight."""
         return self.in_use / self.weight
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether the team uses or waits for slots."""
+        return self.in_use > 0 or self._size > 0
+
     def observe(self, took_ms: float) -> None:
         """Fold the time that a slot was held into the mean."""
         if not self.mean_ms:
--- a/packages/policy/src/oriolestand_policy/admission/_queue.py
+++ b/packages/policy/src/oriolestand_policy/admission/_queue.py
@@ -113,8 +113,8 @@
         """Return whether a kind waits and has less than its share."""
 
     @abc.abstractmethod
-    def is_entitled(self, kind: tables.Kind) -> bool:
-        """Return whether a kind, with what waits, is below its share."""
+    def is_entitled(self, kind: tables.Kind, team: str) -> bool:
+        """Return whether a team, with what waits, is below its share."""
 
     @abc.abstractmethod
     def oldest_wait_ms(self, kind: tables.Kind, now: core.Millis) -> int:
--- a/packages/policy/src/oriolestand_policy/admission/_shares.py
+++ b/packages/policy/src/oriolestand_policy/admission/_shares.py
@@ -94,12 +94,16 @@
         if own.in_use + slots <= own.share * self.total:
             return True
         claim = min(other.share * self.total, self._need(other))
+        if other is self._batch:
+            # Rounded down, a small share lost a tenth and more.
+            claim = math.ceil(claim)
         return free - slots >= int(claim) - other.in_use
 
     def _need(self, use: KindUse) -> float:
         """Return the slots that a kind is likely to need soon."""
         if use is self._batch:
-            return use.demand
+            # A mean never reaches the last slot that a task waits for.
+            return max(use.demand, use.in_use + use.waiting + use.unmet)
         spare = self._cfg.headroom_sigmas * math.sqrt(use.demand)
         return max(0.0, use.demand + spare)
 
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -160,9 +160,9 @@
             sent = self._flights.send(flight, now)
             if sent is not None:
                 return [sent]
-        if ticket.hops and not queue.is_entitled(ticket.kind):
-            # The peer saw a free slot that is taken by now; it can queue
-            # the request itself, where the caller waits.
+        if ticket.hops and not queue.is_entitled(ticket.kind, ticket.team):
+            # The peer saw a free slot that is taken by now. Only the team's
+            # own share may wait here, for a peer that has lost its slots.
             return [self._refuse(ticket, pool)]
         shed = queue.offer(ticket, now)
         effects: list[_effects.Effect] = [
--- a/packages/policy/src/oriolestand_policy/dispatching/_flights.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_flights.py
@@ -105,10 +105,14 @@
         if outcome.error is None:
             self._slots.upstreams[address].observe(outcome.latency_ms)
         if outcome.error is None or outcome.upstream_failed:
+            # What did not run cannot have failed by its own fault.
+            is_unreachable = (
+                outcome.upstream_failed and outcome.verdict.is_safe_to_retry
+            )
             self._slots.note(
                 address,
                 ticket.id,
-                ticket.team,
+                '' if is_unreachable else ticket.team,
                 outcome.upstream_failed,
                 flight.started,
                 now,
--- a/packages/policy/src/oriolestand_policy/dispatching/_tasks.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_tasks.py
@@ -23,10 +23,9 @@
 URGENT_MEMORY_MS = 2_000
 LOSS_SHARE = 0.05
 """Part of the batch time that evictions may lose."""
-STOP_MS = 200
-"""Assumed time in which an evicted task holds its slots without progress."""
-CHECKPOINT_MS = 30_000
-"""Assumed time between checkpoints: an eviction loses no more than that."""
+LOSS_MS = 2_000
+"""Assumed work lost by an eviction, which takes a checkpoint first: the time
+until the task has stopped. A younger task loses no more than its age."""
 
 _BATCH = tables.Kind.BATCH
 
@@ -257,8 +256,7 @@
     ) -> list[_effects.Effect]:
         """Evict a task if the budget of lost work allows it."""
         one = task.reservation
-        age = min(now - task.started, CHECKPOINT_MS)
-        loss = one.slots * (age + STOP_MS)
+        loss = one.slots * min(now - task.started, LOSS_MS)
         if loss > held.budget:
             return []
         held.budget -= loss
--- a/packages/policy/src/oriolestand_policy/health/_health.py
+++ b/packages/policy/src/oriolestand_policy/health/_health.py
@@ -49,7 +49,8 @@
         :param source: id of the request or task.
         :param started: when it was sent; a success says nothing about
             failures of what was sent later.
-        :param origin: the team or job that it belongs to.
+        :param origin: the team or job that it belongs to; empty if the
+            failure cannot be the fault of what was sent.
         """
 
     @abc.abstractmethod
@@ -158,15 +159,11 @@
             self._succeed(record, origin, started)
             return
         record.failed_at = now
-        past = self._origin(origin)
-        past.failed_on.add(upstream.address)
+        counts = not origin or self._is_new_evidence(record, origin)
         if record.is_ejected:
             self._postpone(record, now)
             return
-        if past.is_trusted:
-            record.sources.add(source)
-        elif origin not in record.origins:
-            record.origins.add(origin)
+        if counts:
             record.sources.add(source)
         failures = len(record.sources)
         if failures >= MAX_FAILURES:
@@ -189,6 +186,19 @@
                 changed.append(record.upstream)
         return changed
 
+    def _is_new_evidence(self, record: _Record, origin: str) -> bool:
+        """Return whether a failure of an origin speaks against an upstream.
+
+        Only the first one does if the origin fails elsewhere as well.
+        """
+        past = self._origin(origin)
+        past.failed_on.add(record.upstream.address)
+        if past.is_trusted:
+            return True
+        is_new = origin not in record.origins
+        record.origins.add(origin)
+        return is_new
+
     def _origin(self, name: str) -> _Origin:
         """Return the history of an origin; forget the oldest ones."""
         past = self._origins.get(name)
