--- a/packages/policy/tests/dispatching/test_dispatcher.py
+++ b/packages/policy/tests/dispatching/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Test single decisions of the dispatcher."""
 
+import dataclasses
 import random
 
 import pytest
@@ -82,15 +83,16 @@
 
 
 def test_retries_stay_within_a_tenth(one: dispatching.Dispatcher) -> None:
-    """Retries must not multiply the load when all upstreams fail."""
+    """Retries must not multiply the load when everything is rejected."""
     one.set_limits('p', {f'u{n}': 8 for n in range(20)}, NOW)
+    rejected = dataclasses.replace(NOT_RUN, upstream_failed=False)
     sent = 0
     for number in range(500):
         effects = one.submit(ticket(f'r{number}'), NOW)
         while effects and isinstance(effects[0], dispatching.SendLocal):
             sent += 1
-            effects = one.finished(f'r{number}', NOT_RUN, NOW)
-    assert sent <= 550
+            effects = one.finished(f'r{number}', rejected, NOW)
+    assert 500 < sent <= 550
 
 
 def test_advertisement_recovers(one: dispatching.Dispatcher) -> None:
--- a/packages/policy/tests/interference/test_interference.py
+++ b/packages/policy/tests/interference/test_interference.py
@@ -38,10 +38,12 @@
 def test_steps_wait_for_reports_after_the_last_one() -> None:
     """A lagging report must not cause a second step."""
     one = interference.LearnedInterference()
-    steps = [observe(one, report(1.6, 0, k='noisy'), 2_000)]
-    steps.append(observe(one, report(1.6, 1_000, k='noisy'), 3_000))
-    steps.append(observe(one, report(1.6, 20_000, k='noisy'), 22_000))
-    assert steps == [[Step.THROTTLE], [], [Step.MOVE]]
+    both = {'k': 'noisy', 'm': 'noisy'}
+    steps = [
+        observe(one, report(1.8, at, **both), at + 2_000)
+        for at in (0, 1_000, 6_000, 8_000, 20_000)
+    ]
+    assert steps == [[Step.THROTTLE], [], [], [Step.THROTTLE], [Step.MOVE]]
 
 
 def test_release_when_services_are_fast() -> None:
