Grant slots by shard rows of fixed keys and resolve lost answers

A write whose answer was lost may take effect after a later read. The ledger lets this daemon use only slots that both the row and such a write give, until the row has moved past the version that the write was based on. Limits are lowered before the slots in use are counted, so no request can take a slot that the row gives up. A home row keeps an upstream whose failure domain was edited from being granted twice. The peer listener must be one address, because it proves that a former daemon there is over.

--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/grants/_store.py
@@ -0,0 +1,134 @@
+"""Read and write the rows of shards in the table service."""
+
+from collections.abc import Sequence
+import dataclasses
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import platform as store
+from oriolestand_daemon.services.grants import const
+from oriolestand_daemon.services.grants import models
+import oriolestand_platform as platform
+from oriolestand_policy import grants
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Batch:
+    """Collect the checks and puts of one transaction."""
+
+    checks: list[platform.Check]
+    puts: list[platform.Put]
+
+
+class ShardStore:
+    """Reach the rows of one failure domain through the platform service."""
+
+    def __init__(self, kernel: core.Kernel, failure_domain: str) -> None:
+        self._kernel = kernel
+        self._failure_domain = failure_domain
+
+    async def read(self, key: str) -> tuple[grants.ShardRow, int]:
+        """Return a shard's row and its version, 0 when there is none."""
+        row = await self._read(const.TABLE, key)
+        return models.parse_row(row), row.version if row else 0
+
+    async def _read(self, table: str, key: str) -> platform.Row | None:
+        """Return a row of the table service."""
+        row: platform.Row | None = await self._kernel.ask(
+            'platform', store.ReadRow(table=table, key=key)
+        )
+        return row
+
+    async def write(
+        self,
+        key: str,
+        former: grants.ShardRow,
+        row: grants.ShardRow,
+        version: int,
+    ) -> bool:
+        """Write a row if it is still at a version; return whether it took.
+
+        The same transaction makes this shard the home of upstreams that are
+        new in it, so that an upstream whose failure domain was edited is
+        never granted from two shards.
+        """
+        request_id = self._kernel.ids.request_id()
+        batch = _Batch(checks=[], puts=[])
+        self._put(batch, key, row, version, request_id)
+        new = sorted(set(row.upstreams) - set(former.upstreams))
+        if not await self._claim(batch, new, request_id):
+            return False
+        result = await self._kernel.ask(
+            'platform',
+            store.Commit(
+                transaction=platform.Transaction(
+                    request_id=request_id,
+                    checks=tuple(batch.checks),
+                    puts=tuple(batch.puts),
+                )
+            ),
+        )
+        return bool(result.applied)
+
+    def _put(
+        self,
+        batch: _Batch,
+        key: str,
+        row: grants.ShardRow,
+        version: int,
+        request_id: str,
+    ) -> None:
+        """Add the write of a shard's row to a transaction."""
+        batch.checks.append(
+            platform.Check(table=const.TABLE, key=key, version=version)
+        )
+        batch.puts.append(
+            platform.Put(
+                table=const.TABLE,
+                key=key,
+                value=models.dump_row(row, request_id),
+            )
+        )
+
+    async def _claim(
+        self, batch: _Batch, addresses: Sequence[str], request_id: str
+    ) -> bool:
+        """Make this domain the home of upstreams; False if one is in use."""
+        for address in addresses:
+            home = await self._read(const.HOME_TABLE, address)
+            domain = models.parse_home(home)
+            batch.checks.append(
+                platform.Check(
+                    table=const.HOME_TABLE,
+                    key=address,
+                    version=home.version if home else 0,
+                )
+            )
+            if domain == self._failure_domain:
+                continue
+            if domain and not await self._evacuate(
+                batch, domain, address, request_id
+            ):
+                return False
+            batch.puts.append(
+                platform.Put(
+                    table=const.HOME_TABLE,
+                    key=address,
+                    value={'failure_domain': self._failure_domain},
+                )
+            )
+        return True
+
+    async def _evacuate(
+        self, batch: _Batch, domain: str, address: str, request_id: str
+    ) -> bool:
+        """Remove an upstream without shares from its former shard."""
+        key = grants.shard_key(domain, address)
+        row, version = await self.read(key)
+        former = row.upstreams.get(address)
+        if former is not None and former.shares:
+            return False
+        rest = {a: g for a, g in row.upstreams.items() if a != address}
+        self._put(
+            batch, key, grants.ShardRow(upstreams=rest), version, request_id
+        )
+        return True
--- a/packages/daemon/src/oriolestand_daemon/services/grants/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/grants/_task.py
@@ -1,5 +1,8 @@
-"""Keep this daemon's shares in the table service."""
+"""Keep this daemon's shares at their targets."""
 
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 
 from twisted.internet import defer
@@ -10,36 +13,41 @@
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import grants as contracts
 from oriolestand_daemon.messages import membership
-from oriolestand_daemon.messages import platform as store
+from oriolestand_daemon.services.grants import _store
 from oriolestand_daemon.services.grants import const
-from oriolestand_daemon.services.grants import models
 import oriolestand_platform as platform
 from oriolestand_policy import grants
 from oriolestand_policy import tables
 
+Limits = Mapping[str, int]
+
 
 class GrantsTask(core.Task):
-    """Own this daemon's view of its shard's row."""
+    """Own this daemon's view of the shards of its failure domain."""
 
     def __init__(self, kernel: core.Kernel, cfg: settings.Settings) -> None:
         super().__init__(kernel, const.DOMAIN)
         self._cfg = cfg
         self._log = core.get_logger(const.DOMAIN)
+        self._store = _store.ShardStore(kernel, cfg.failure_domain)
         self._me = grants.Holder(
             instance_id=cfg.instance_id, incarnation=kernel.incarnation
         )
         self._tables = tables.Tables(version=0)
         self._members: membership.MembershipChanged | None = None
+        self._entry_ids: list[str] = []
+        self._ledgers: dict[str, grants.Ledger] = {}
+        self._caps: dict[str, int] = {}
         self._gone_since: dict[grants.Holder, core.Millis] = {}
         self._timer: Any = None
         self._is_syncing = False
+        self._is_dirty = False
         self._is_released = False
 
     def start(self) -> object:
         """Follow tables and members; sync at intervals."""
         self.kernel.subscribe(config.TablesChanged, self)
         self.kernel.subscribe(membership.MembershipChanged, self)
-        self._tick()
         return None
 
     @core.handles(config.TablesChanged)
@@ -50,133 +58,199 @@
 
     @core.handles(membership.MembershipChanged)
     def _on_members(self, msg: membership.MembershipChanged) -> None:
-        """Keep the members for the next sync."""
+        """Move towards the shares among the new members."""
+        former = self._members
         self._members = msg
+        ids = self._live_entries(msg)
+        is_same = former is not None and (
+            former.gone_instances == msg.gone_instances
+        )
+        if ids == self._entry_ids and is_same:
+            return
+        self._entry_ids = ids
+        self._sync_soon()
 
     @core.handles(contracts.ReleaseGrants)
     def _on_release(
         self, msg: contracts.ReleaseGrants
     ) -> 'defer.Deferred[None]':
-        """Give all slots back."""
+        """Give all slots back that no request may still use."""
         self._is_released = True
-        self._publish(grants.ShardRow())
+        self._entry_ids = [i for i in self._entry_ids if i != self._me_id]
         return defer.ensureDeferred(self._release())
 
-    def _tick(self) -> None:
-        """Sync now and schedule the next time."""
-        if self.is_stopped:
-            return
-        self._sync_soon()
-        self._timer = self.kernel.clock.call_later(
-            const.SYNC_INTERVAL_MS, self._tick
-        )
+    @property
+    def _me_id(self) -> str:
+        """Return this instance's id."""
+        return self._cfg.instance_id
+
+    def _live_entries(self, msg: membership.MembershipChanged) -> list[str]:
+        """Return the live entry instances of this failure domain."""
+        ids = {
+            entry.id
+            for entry in msg.instances
+            if entry.role is platform.InstanceRole.ENTRY
+            and entry.state is platform.InstanceState.LIVE
+            and entry.failure_domain == self._cfg.failure_domain
+        }
+        return sorted(ids | {self._me_id})
 
     def _sync_soon(self) -> None:
-        """Start a sync unless one runs or the slots were given back."""
-        if self._is_syncing or self._is_released or self._members is None:
+        """Start a sync, or another one after the one that runs."""
+        if self._members is None or self.is_stopped or self._is_released:
+            return
+        if self._is_syncing:
+            self._is_dirty = True
             return
         self._is_syncing = True
-        fut = defer.ensureDeferred(self._sync())
+        self._is_dirty = False
+        if self._timer is not None:
+            self._timer.cancel()
+        fut = defer.ensureDeferred(self._sync_all())
         fut.addErrback(self._on_failure)
-        fut.addBoth(lambda _: setattr(self, '_is_syncing', False))
+        fut.addCallback(self._on_synced)
 
-    def _on_failure(self, failure: Any) -> None:
+    def _on_failure(self, failure: Any) -> bool:
         """Log why a sync failed; the slots held stay usable."""
         self._log.warning('Grants not synced', reason=str(failure.value))
+        return False
 
-    async def _sync(self) -> None:
-        """Read the row, write the planned one, announce what is held."""
-        row, version = await self._read()
-        demand = await self._demand()
-        planned = grants.plan(row, self._me, demand, self._reclaimable(row))
-        if planned == row:
-            self._publish(row)
+    def _on_synced(self, is_settled: bool) -> None:
+        """Schedule the next sync."""
+        self._is_syncing = False
+        if self.is_stopped or self._is_released:
             return
-        # Slots that the planned row no longer gives must not be used from
-        # before the write, whose answer may be lost.
-        lowered = {
-            address: min(slots, planned.slots_of(self._me).get(address, 0))
-            for address, slots in row.slots_of(self._me).items()
+        delay = const.UNSETTLED_INTERVAL_MS
+        if is_settled and not self._is_dirty:
+            delay = const.SETTLED_INTERVAL_MS
+        self._timer = self.kernel.clock.call_later(delay, self._sync_soon)
+        if self._is_dirty:
+            self._sync_soon()
+
+    async def _sync_all(self) -> bool:
+        """Sync every shard; return whether all shares are at target."""
+        capacity = self._capacity()
+        by_key: dict[str, set[str]] = collections.defaultdict(set)
+        for address in capacity:
+            key = grants.shard_key(self._cfg.failure_domain, address)
+            by_key[key].add(address)
+        for key in self._ledgers:
+            by_key.setdefault(key, set())
+        is_settled = True
+        for key, addresses in sorted(by_key.items()):
+            if not await self._sync(key, addresses, capacity):
+                is_settled = False
+        return is_settled
+
+    def _capacity(self) -> dict[str, int]:
+        """Return the slots of the upstreams of this failure domain."""
+        return {
+            upstream.address: pool.slots_per_upstream
+            for pool in self._tables.pools.values()
+            for upstream in pool.upstreams
+            if upstream.failure_domain == self._cfg.failure_domain
         }
-        self._publish_slots(lowered, row)
-        if await self._write(planned, version):
-            self._publish(planned)
-
-    async def _read(self) -> tuple[grants.ShardRow, int]:
-        """Return the shard's row and its version."""
-        row = await self.kernel.ask(
-            'platform',
-            store.ReadRow(table=const.TABLE, key=self._cfg.failure_domain),
+
+    def _horizons(self, addresses: Iterable[str]) -> dict[str, int]:
+        """Return how long requests to each upstream may run."""
+        wanted = set(addresses)
+        grace = self._cfg.limits.abort_grace_ms
+        return {
+            upstream.address: self._tables.longest_timeout(pool.name) + grace
+            for pool in self._tables.pools.values()
+            for upstream in pool.upstreams
+            if upstream.address in wanted
+        }
+
+    async def _sync(
+        self, key: str, addresses: set[str], capacity: Limits
+    ) -> bool:
+        """Bring one shard's row towards the plan; return if settled."""
+        ledger = self._ledgers.setdefault(key, grants.Ledger(self._me))
+        row, version = await self._store.read(key)
+        ledger.observe(row, version)
+        planned = await self._plan(ledger, addresses, capacity)
+        if planned == ledger.row and not ledger.has_pending:
+            self._publish()
+            return self._is_at_target(planned, addresses, capacity)
+        write = ledger.begin(planned)
+        self._publish()
+        applied = await self._store.write(
+            key, ledger.row, planned, ledger.version
+        )
+        if applied:
+            ledger.applied(write)
+        else:
+            ledger.refused(write)
+        self._publish()
+        return applied and self._is_at_target(planned, addresses, capacity)
+
+    async def _plan(
+        self, ledger: grants.Ledger, addresses: set[str], capacity: Limits
+    ) -> grants.ShardRow:
+        """Return the next row; it gives at least the slots in use.
+
+        Limits are lowered before the slots in use are counted for good:
+        from then on no request can take a slot that the row gives up.
+        """
+        planned = ledger.row
+        in_use = await self._slots_in_use()
+        for _ in range(const.MAX_PLAN_ROUNDS):
+            demand = grants.Demand(
+                capacity={a: capacity[a] for a in addresses},
+                horizon_ms=self._horizons(addresses),
+                in_use=in_use,
+                entry_ids=self._entry_ids,
+                address=self._address(),
+            )
+            gone = self._reclaimable(ledger.row)
+            planned = grants.plan(ledger.row, self._me, demand, gone)
+            slots = planned.slots_of(self._me)
+            for address in {*ledger.row.upstreams, *addresses}:
+                self._caps[address] = slots.get(address, 0)
+            self._publish()
+            in_use = await self._slots_in_use()
+            if all(
+                in_use.get(address, 0) <= slots.get(address, 0)
+                for address in ledger.usable()
+            ):
+                return planned
+        return ledger.row
+
+    async def _slots_in_use(self) -> dict[str, int]:
+        """Return the slots that dispatch uses now, by upstream."""
+        in_use: dict[str, int] = await self.kernel.ask(
+            'dispatch', dispatch.GetSlotsInUse()
         )
-        return models.parse_row(row), row.version if row else 0
-
-    async def _write(self, row: grants.ShardRow, version: int) -> bool:
-        """Write the row by compare-and-swap; return whether it took."""
-        request_id = self.kernel.ids.request_id()
-        result = await self.kernel.ask(
-            'platform',
-            store.Commit(
-                transaction=platform.Transaction(
-                    request_id=request_id,
-                    checks=(
-                        platform.Check(
-                            table=const.TABLE,
-                            key=self._cfg.failure_domain,
-                            version=version,
-                        ),
-                    ),
-                    puts=(
-                        platform.Put(
-                            table=const.TABLE,
-                            key=self._cfg.failure_domain,
-                            value=models.dump_row(row, request_id),
-                        ),
-                    ),
-                )
-            ),
+        return in_use
+
+    def _is_at_target(
+        self, row: grants.ShardRow, addresses: set[str], capacity: Limits
+    ) -> bool:
+        """Return whether this daemon's shares are what they should be."""
+        slots = row.slots_of(self._me)
+        holders_are_live = all(
+            not self._is_gone(holder, row) for holder in row.holders()
         )
-        return bool(result.applied)
-
-    async def _demand(self) -> grants.Demand:
-        """Return what this daemon should hold and what it uses."""
-        in_use = await self.kernel.ask('dispatch', dispatch.GetSlotsInUse())
-        capacity = {}
-        horizon = {}
-        for pool in self._tables.pools.values():
-            for upstream in pool.upstreams:
-                if upstream.failure_domain != self._cfg.failure_domain:
-                    continue
-                capacity[upstream.address] = pool.slots_per_upstream
-                horizon[upstream.address] = (
-                    self._tables.longest_timeout(pool.name)
-                    + self._cfg.limits.abort_grace_ms
-                )
-        return grants.Demand(
-            capacity=capacity,
-            horizon_ms=horizon,
-            in_use=in_use,
-            entry_ids=self._entry_ids(),
+        return holders_are_live and all(
+            slots.get(address, 0)
+            == grants.target_slots(
+                address, capacity[address], self._entry_ids, self._me_id
+            )
+            for address in addresses
         )
 
-    def _entry_ids(self) -> list[str]:
-        """Return the live entry instances of this failure domain."""
-        assert self._members is not None
-        ids = {
-            entry.id
-            for entry in self._members.instances
-            if entry.role is platform.InstanceRole.ENTRY
-            and entry.state is platform.InstanceState.LIVE
-            and entry.failure_domain == self._cfg.failure_domain
-        }
-        return sorted(ids | {self._cfg.instance_id})
+    def _address(self) -> str:
+        """Return this daemon's peer listener, fixed by the settings."""
+        listener = self._cfg.peers
+        return f'{listener.host}:{listener.port}' if listener.port else ''
 
     def _reclaimable(self, row: grants.ShardRow) -> set[grants.Holder]:
         """Return holders proven gone whose requests must have ended."""
         now = self.kernel.clock.now()
         ready = set()
         for holder in row.holders():
-            if not self._is_gone(holder):
-                self._gone_since.pop(holder, None)
+            if not self._is_gone(holder, row):
                 continue
             since = self._gone_since.setdefault(holder, now)
             horizon = max(
@@ -188,44 +262,44 @@
                 ready.add(holder)
         return ready
 
-    def _is_gone(self, holder: grants.Holder) -> bool:
+    def _is_gone(self, holder: grants.Holder, row: grants.ShardRow) -> bool:
         """Return whether there is proof that a holder is gone."""
+        if holder == self._me:
+            return False
         assert self._members is not None
-        if holder.instance_id == self._cfg.instance_id:
-            # This process listens at the address of its former start.
-            return holder != self._me
         if holder.instance_id in self._members.gone_instances:
             return True
-        return holder in self._members.replaced
-
-    def _publish(self, row: grants.ShardRow) -> None:
-        """Announce the slots that the row gives to this daemon."""
-        self._publish_slots(row.slots_of(self._me), row)
+        mine = self._address()
+        return bool(mine) and any(
+            item.shares[holder].address == mine
+            for item in row.upstreams.values()
+            if holder in item.shares
+        )
 
-    def _publish_slots(
-        self, slots: dict[str, int], row: grants.ShardRow
-    ) -> None:
-        """Announce slots that may be used."""
+    def _publish(self) -> None:
+        """Announce the slots that may be used now."""
+        slots: dict[str, int] = {}
+        horizons: dict[str, int] = {}
+        for ledger in self._ledgers.values():
+            horizons.update(ledger.horizons())
+            for address, count in ledger.usable().items():
+                slots[address] = min(count, self._caps.get(address, count))
         self.kernel.publish(
-            contracts.GrantsChanged(
-                slots=slots,
-                horizon_ms={
-                    address: item.shares[self._me].horizon_ms
-                    for address, item in row.upstreams.items()
-                    if self._me in item.shares
-                },
-            ),
+            contracts.GrantsChanged(slots=slots, horizon_ms=horizons),
             is_state=True,
         )
 
     async def _release(self) -> None:
-        """Write the row without this daemon's shares."""
-        for _ in range(10):
-            row, version = await self._read()
-            if self._me not in row.holders():
-                return
-            if await self._write(grants.release_all(row, self._me), version):
-                return
+        """Write the rows without the shares that are no longer in use."""
+        addresses = set(self._capacity())
+        for key, ledger in sorted(self._ledgers.items()):
+            mine = {a for a in addresses if a in ledger.row.upstreams}
+            for _ in range(const.RELEASE_ATTEMPTS):
+                if not ledger.row.slots_of(self._me):
+                    break
+                capacity = {a: self._capacity()[a] for a in mine}
+                if await self._sync(key, mine, capacity):
+                    break
 
     def stop(self) -> object:
         """Stop syncing."""
--- a/packages/daemon/src/oriolestand_daemon/services/grants/models.py
+++ b/packages/daemon/src/oriolestand_daemon/services/grants/models.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from oriolestand_daemon.services.grants import errors
 import oriolestand_platform as platform
 from oriolestand_policy import grants
 
@@ -19,6 +20,7 @@
 
     slots: int = pydantic.Field(ge=1)
     horizon_ms: int = pydantic.Field(ge=0)
+    address: str = ''
 
 
 class UpstreamModel(_Model):
@@ -39,14 +41,21 @@
     """Return the grants in a row; a missing row holds none."""
     if row is None:
         return grants.ShardRow()
-    model = ShardModel.model_validate(row.value)
+    try:
+        model = ShardModel.model_validate(row.value)
+    except pydantic.ValidationError as exc:
+        raise errors.MalformedShardError(
+            'the row of a shard is malformed', key=row.key, reason=str(exc)
+        ) from exc
     return grants.ShardRow(
         upstreams={
             address: grants.UpstreamGrants(
                 capacity=item.capacity,
                 shares={
                     grants.Holder.parse(key): grants.Share(
-                        slots=share.slots, horizon_ms=share.horizon_ms
+                        slots=share.slots,
+                        horizon_ms=share.horizon_ms,
+                        address=share.address,
                     )
                     for key, share in item.shares.items()
                 },
@@ -64,7 +73,9 @@
                 capacity=item.capacity,
                 shares={
                     str(holder): ShareModel(
-                        slots=share.slots, horizon_ms=share.horizon_ms
+                        slots=share.slots,
+                        horizon_ms=share.horizon_ms,
+                        address=share.address,
                     )
                     for holder, share in sorted(item.shares.items())
                 },
@@ -74,3 +85,21 @@
         written_by=written_by,
     )
     return model.model_dump()
+
+
+class HomeModel(_Model):
+    """Name the failure domain whose shard holds an upstream's grants."""
+
+    failure_domain: str
+
+
+def parse_home(row: platform.Row | None) -> str:
+    """Return the failure domain in a home row, or an empty string."""
+    if row is None:
+        return ''
+    try:
+        return HomeModel.model_validate(row.value).failure_domain
+    except pydantic.ValidationError as exc:
+        raise errors.MalformedShardError(
+            'a home row is malformed', key=row.key, reason=str(exc)
+        ) from exc
--- a/packages/daemon/src/oriolestand_daemon/settings.py
+++ b/packages/daemon/src/oriolestand_daemon/settings.py
@@ -1,6 +1,7 @@
 """Define and read the settings of a daemon."""
 
 from collections.abc import Sequence
+import ipaddress
 import json
 import pathlib
 from typing import Annotated
@@ -37,6 +38,22 @@
     port: Port = 0
 
 
+class PeerListenerSettings(ListenerSettings):
+    """Say where to listen for peers, by one address of this instance.
+
+    The address identifies the instance: a daemon that listens on it takes
+    over the slots of the former daemon there.
+    """
+
+    @pydantic.field_validator('host')
+    @classmethod
+    def _check_host(cls, host: str) -> str:
+        """Refuse names and wildcards, which several instances share."""
+        if ipaddress.ip_address(host).is_unspecified:
+            raise ValueError('must be one address, not a wildcard')
+        return host
+
+
 class EmbeddedPlatform(_Model):
     """Keep the platform's tables in this process."""
 
@@ -75,7 +92,7 @@
     failure_domain: str = pydantic.Field(min_length=1)
     region: str = pydantic.Field(min_length=1)
     callers: ListenerSettings = ListenerSettings()
-    peers: ListenerSettings = ListenerSettings()
+    peers: PeerListenerSettings = PeerListenerSettings()
     admin: ListenerSettings = ListenerSettings()
     seed_peers: tuple[str, ...] = ()
     platform: EmbeddedPlatform | HttpPlatformSettings = pydantic.Field(
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/grants/_ledger.py
@@ -0,0 +1,106 @@
+"""Track which slots of a shard this daemon may use right now."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from oriolestand_policy.grants import _row
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PendingWrite:
+    """Hold a write that was sent and not refused.
+
+    It can still take effect as long as the row is at ``base_version``.
+    """
+
+    base_version: int
+    planned: _row.ShardRow
+
+
+class Ledger:
+    """Combine the last row read with the writes whose fate is unknown.
+
+    The store may apply a write after its answer was given up on, and even
+    after a later read. Until the row has moved past the version that the
+    write was based on, only slots that both the row and the write give may
+    be used.
+
+    >>> me = _row.Holder(instance_id='a', incarnation='1')
+    >>> def row(slots):
+    ...     share = _row.Share(slots=slots, horizon_ms=0)
+    ...     grants = _row.UpstreamGrants(capacity=8, shares={me: share})
+    ...     return _row.ShardRow(upstreams={'u': grants})
+    >>> ledger = Ledger(me)
+    >>> ledger.observe(row(8), 1)
+    >>> write = ledger.begin(row(4))
+    >>> ledger.observe(row(8), 1)
+    >>> ledger.usable()
+    {'u': 4}
+    >>> ledger.observe(row(8), 2)
+    >>> ledger.usable()
+    {'u': 8}
+    """
+
+    def __init__(self, me: _row.Holder) -> None:
+        self._me = me
+        self._row = _row.ShardRow()
+        self._version = 0
+        self._pending: list[PendingWrite] = []
+
+    @property
+    def row(self) -> _row.ShardRow:
+        """Return the last row that is known to be committed."""
+        return self._row
+
+    @property
+    def version(self) -> int:
+        """Return the version of that row, 0 before the first write."""
+        return self._version
+
+    @property
+    def has_pending(self) -> bool:
+        """Return whether a write may still take effect."""
+        return bool(self._pending)
+
+    def observe(self, row: _row.ShardRow, version: int) -> None:
+        """Take over a committed row; an older one is ignored."""
+        if version < self._version:
+            return
+        self._row = row
+        self._version = version
+        self._pending = [
+            write for write in self._pending if write.base_version >= version
+        ]
+
+    def begin(self, planned: _row.ShardRow) -> PendingWrite:
+        """Note a write before it is sent."""
+        write = PendingWrite(base_version=self._version, planned=planned)
+        self._pending.append(write)
+        return write
+
+    def refused(self, write: PendingWrite) -> None:
+        """Forget a write that certainly did not take effect."""
+        self._pending.remove(write)
+
+    def applied(self, write: PendingWrite) -> None:
+        """Take over the row of a write that took effect."""
+        self.observe(write.planned, write.base_version + 1)
+
+    def usable(self) -> dict[str, int]:
+        """Return the slots that may be used, by upstream address."""
+        slots = self._row.slots_of(self._me)
+        for write in self._pending:
+            planned = write.planned.slots_of(self._me)
+            slots = {
+                address: min(count, planned.get(address, 0))
+                for address, count in slots.items()
+            }
+        return slots
+
+    def horizons(self) -> Mapping[str, int]:
+        """Return the published horizon of each upstream, milliseconds."""
+        return {
+            address: grants.shares[self._me].horizon_ms
+            for address, grants in self._row.upstreams.items()
+            if self._me in grants.shares
+        }
--- a/packages/policy/src/oriolestand_policy/grants/_planner.py
+++ b/packages/policy/src/oriolestand_policy/grants/_planner.py
@@ -17,13 +17,15 @@
 
     ``capacity`` and ``horizon_ms`` are by upstream address, from the pools
     and routes; ``in_use`` is the number of slots that cannot be released
-    yet; ``entry_ids`` are the instances that share the shard.
+    yet; ``entry_ids`` are the instances that share the shard; ``address``
+    is this daemon's peer listener.
     """
 
     capacity: Mapping[str, int]
     horizon_ms: Mapping[str, int]
     in_use: Mapping[str, int]
     entry_ids: Sequence[str]
+    address: str = ''
 
 
 def _weight(address: str, instance_id: str) -> bytes:
@@ -61,7 +63,8 @@
     Shares of ``gone`` holders are dropped: pass only holders that are
     proven gone and whose horizon is over. Shares of all others stay as
     they are. A share is lowered to what is in use at the least, and raised
-    by free slots at the most.
+    by free slots at the most. ``demand`` must cover the upstreams of this
+    shard only.
     """
     addresses = sorted({*row.upstreams, *demand.capacity})
     planned = {}
@@ -90,30 +93,18 @@
     held_by_others = sum(share.slots for share in others.values())
     target = target_slots(address, wanted, demand.entry_ids, me.instance_id)
     target = min(target, max(0, wanted - held_by_others))
-    mine = max(target, demand.in_use.get(address, 0))
     old = current.shares.get(me)
-    if old is not None and mine > old.slots:
-        mine = max(old.slots, target)
+    in_use = min(demand.in_use.get(address, 0), old.slots if old else 0)
+    mine = max(target, in_use)
     shares = dict(others)
     if mine > 0:
         horizon = demand.horizon_ms.get(address, 0)
         if old is not None and old.slots > 0:
             # Requests sent under the former horizon may still run.
             horizon = max(horizon, old.horizon_ms)
-        shares[me] = _row.Share(slots=mine, horizon_ms=horizon)
+        shares[me] = _row.Share(
+            slots=mine, horizon_ms=horizon, address=demand.address
+        )
     # A shrunk capacity takes effect as the holders release their shares.
     capacity = max(wanted, held_by_others + mine)
     return _row.UpstreamGrants(capacity=capacity, shares=shares)
-
-
-def release_all(row: _row.ShardRow, me: _row.Holder) -> _row.ShardRow:
-    """Return the row without the shares of a holder."""
-    return _row.ShardRow(
-        upstreams={
-            address: _row.UpstreamGrants(
-                capacity=grants.capacity,
-                shares={h: s for h, s in grants.shares.items() if h != me},
-            )
-            for address, grants in row.upstreams.items()
-        }
-    )
--- a/packages/policy/src/oriolestand_policy/grants/_row.py
+++ b/packages/policy/src/oriolestand_policy/grants/_row.py
@@ -28,10 +28,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Share:
-    """Grant slots; requests end within ``horizon_ms`` of being sent."""
+    """Grant slots; requests end within ``horizon_ms`` of being sent.
+
+    ``address`` is the holder's peer listener: a process that listens there
+    proves that every former start of a daemon at it is over.
+    """
 
     slots: int
     horizon_ms: int
+    address: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
