--- /dev/null
+++ b/packages/bench/tests/models/test_grants_conformance.py
@@ -0,0 +1,104 @@
+"""Tie the model of grants to the ledger and the planner."""
+
+import random
+
+import pytest
+
+from oriolestand_bench.models import _grants as model
+from oriolestand_policy import grants
+
+UPSTREAM = '127.0.0.1:1'
+HOLDERS = (
+    grants.Holder(instance_id='a', incarnation='1'),
+    grants.Holder(instance_id='b', incarnation='1'),
+)
+STEPS = 300
+
+
+def to_row(slots: tuple[int, int]) -> grants.ShardRow:
+    """Return the shard's row that stands for a row of the model."""
+    shares = {
+        holder: grants.Share(slots=count, horizon_ms=0)
+        for holder, count in zip(HOLDERS, slots, strict=True)
+        if count
+    }
+    item = grants.UpstreamGrants(capacity=model.CAPACITY, shares=shares)
+    return grants.ShardRow(upstreams={UPSTREAM: item})
+
+
+def slots_in(row: grants.ShardRow) -> tuple[int, ...]:
+    """Return the row of the model that a shard's row stands for."""
+    return tuple(row.slots_of(holder).get(UPSTREAM, 0) for holder in HOLDERS)
+
+
+class Mirror:
+    """Drive ledgers through the steps that the model takes."""
+
+    def __init__(self) -> None:
+        self.ledgers = [grants.Ledger(holder) for holder in HOLDERS]
+        for ledger in self.ledgers:
+            ledger.observe(to_row((model.CAPACITY, 0)), 0)
+
+    def follow(self, label: str, state: model.State) -> None:
+        """Repeat a step of the model on the code."""
+        kind, index, *_ = label.split()
+        holder = state.holders[int(index)]
+        if kind == 'write':
+            self.ledgers[int(index)].begin(to_row(holder.writes[-1].row))
+        elif kind == 'read':
+            self.ledgers[int(index)].observe(to_row(state.row), state.version)
+
+    def check(self, state: model.State, steps: model.Steps) -> None:
+        """Compare what may be used according to model and code."""
+        for index, holder in enumerate(state.holders):
+            if not holder.is_alive:
+                continue
+            code = self.ledgers[index].usable().get(UPSTREAM, 0)
+            assert min(code, holder.cap) == steps.usable(holder, index)
+            assert self.ledgers[index].version == holder.version
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_ledger_follows_the_model(seed: int) -> None:
+    """Code that allows more than the model voids what was proved."""
+    rng = random.Random(seed)
+    steps = model.Steps()
+    mirror = Mirror()
+    state = model.initial(model.CAPACITY)
+    for _ in range(STEPS):
+        choices = list(steps.all(state))
+        if not choices:
+            break
+        label, state = rng.choice(choices)
+        mirror.follow(label, state)
+        mirror.check(state, steps)
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_plans_are_writes_that_the_model_allows(seed: int) -> None:
+    """A plan must change nobody else's share and keep what is in use."""
+    rng = random.Random(seed)
+    steps = model.Steps()
+    state = model.initial(model.CAPACITY)
+    for _ in range(STEPS):
+        choices = list(steps.all(state))
+        if not choices:
+            break
+        _, state = rng.choice(choices)
+        index = rng.randrange(2)
+        holder = state.holders[index]
+        other = state.holders[1 - index]
+        is_gone = not other.is_alive and not other.sent
+        row = to_row(holder.known)
+        demand = grants.Demand(
+            capacity={UPSTREAM: model.CAPACITY},
+            horizon_ms={UPSTREAM: 0},
+            in_use={UPSTREAM: holder.used},
+            entry_ids=rng.choice((['a'], ['b'], ['a', 'b'])),
+        )
+        gone = {HOLDERS[1 - index]} if is_gone else set()
+        planned = slots_in(grants.plan(row, HOLDERS[index], demand, gone))
+        assert sum(planned) <= model.CAPACITY
+        assert planned[index] >= min(holder.used, holder.known[index])
+        if not is_gone:
+            assert planned[1 - index] == holder.known[1 - index]
--- /dev/null
+++ b/packages/policy/tests/grants/test_planner.py
@@ -0,0 +1,87 @@
+"""Test how shares move towards their targets."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from oriolestand_policy import grants
+
+ADDRESS = '10.0.0.1:80'
+IDS = ('a', 'b', 'c', 'd')
+
+
+def holder(name: str) -> grants.Holder:
+    """Return the holder of an instance."""
+    return grants.Holder(instance_id=name, incarnation='1')
+
+
+def demand(
+    ids: tuple[str, ...], capacity: int = 8, in_use: int = 0
+) -> grants.Demand:
+    """Return the demand for one upstream."""
+    return grants.Demand(
+        capacity={ADDRESS: capacity},
+        horizon_ms={ADDRESS: 100},
+        in_use={ADDRESS: in_use},
+        entry_ids=ids,
+    )
+
+
+def settle(
+    row: grants.ShardRow, ids: tuple[str, ...], capacity: int = 8
+) -> grants.ShardRow:
+    """Let all instances plan in turn until nothing changes."""
+    for _ in range(3):
+        for name in ids:
+            row = grants.plan(
+                row, holder(name), demand(ids, capacity), gone=()
+            )
+    return row
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(count=st.integers(1, 4), capacity=st.integers(0, 64))
+def test_all_slots_are_granted_once(count: int, capacity: int) -> None:
+    """Slots that nobody holds are lost; slots held twice overload."""
+    row = settle(grants.ShardRow(), IDS[:count], capacity)
+    assert row.upstreams[ADDRESS].granted == capacity
+
+
+def test_one_death_leaves_the_shares_of_the_others() -> None:
+    """Survivors must be able to serve before the death is proven."""
+    row = settle(grants.ShardRow(), IDS[:3])
+    left = {h: s.slots for h, s in row.upstreams[ADDRESS].shares.items()}
+    del left[holder('a')]
+    assert sum(left.values()) >= 8 * (1 - 1 / 3) - 1
+
+
+def test_a_live_holder_is_never_robbed() -> None:
+    """Only a holder that is proven gone may lose its share to another."""
+    row = settle(grants.ShardRow(), ('a',))
+    row = grants.plan(row, holder('b'), demand(('b',)), gone=())
+    assert row.slots_of(holder('a')) == {ADDRESS: 8}
+    assert row.slots_of(holder('b')) == {}
+    row = grants.plan(row, holder('b'), demand(('b',)), gone={holder('a')})
+    assert row.slots_of(holder('b')) == {ADDRESS: 8}
+
+
+def test_a_shrunk_pool_keeps_slots_in_use() -> None:
+    """Releasing a slot that runs a request lets another one use it too."""
+    row = settle(grants.ShardRow(), ('a',))
+    row = grants.plan(
+        row, holder('a'), demand(('a',), capacity=2, in_use=5), gone=()
+    )
+    assert row.slots_of(holder('a')) == {ADDRESS: 5}
+    assert row.upstreams[ADDRESS].capacity == 5
+
+
+def test_horizon_never_falls_while_slots_are_held() -> None:
+    """Requests sent under the longer deadline may still run."""
+    row = settle(grants.ShardRow(), ('a',))
+    short = grants.Demand(
+        capacity={ADDRESS: 8},
+        horizon_ms={ADDRESS: 1},
+        in_use={},
+        entry_ids=('a',),
+    )
+    row = grants.plan(row, holder('a'), short, gone=())
+    assert row.upstreams[ADDRESS].shares[holder('a')].horizon_ms == 100
--- a/packages/standins/src/oriolestand_standins/_upstream.py
+++ b/packages/standins/src/oriolestand_standins/_upstream.py
@@ -104,18 +104,26 @@
         key = request.getHeader('x-request-key') or ''
         if key:
             site.runs[key] += 1
-        request.notifyFinish().addBoth(self._on_end)
+        # Work goes on when the caller leaves, up to the deadline.
+        deadline_ms = int(request.getHeader('oriolestand-deadline-ms') or 0)
         faults = site.faults
-        if faults.hangs:
-            return server.NOT_DONE_YET
+        work_ms = deadline_ms if faults.hangs else faults.service_ms
+        if deadline_ms:
+            work_ms = min(work_ms, deadline_ms)
+        request.notifyFinish().addErrback(lambda _: None)
         site.reactor.callLater(
-            faults.service_ms / MILLIS_PER_SECOND, self._answer, request
+            work_ms / MILLIS_PER_SECOND,
+            self._end,
+            request,
+            faults.hangs or work_ms < faults.service_ms,
         )
         return server.NOT_DONE_YET
 
-    def _on_end(self, _: Any) -> None:
-        """Free the slot."""
+    def _end(self, request: Any, is_late: bool) -> None:
+        """Free the slot; answer unless the work was not done in time."""
         self._site.running -= 1
+        if not is_late:
+            self._answer(request)
 
     def _set_faults(self, request: Any) -> bytes:
         """Replace the faults by those in the body."""
