--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/capacity.py
@@ -0,0 +1,285 @@
+"""Measure the slopes from which the capacity page is worked out.
+
+Each entry has the slope as its value; the points are printed with it.
+"""
+
+import json
+import threading
+import tracemalloc
+from typing import Any
+
+import click
+
+from oriolestand_bench import _fit
+from oriolestand_daemon.services.grants import models as grant_models
+from oriolestand_daemon.services.tables import models as table_models
+from oriolestand_policy import grants
+from oriolestand_policy import routing
+from oriolestand_standins import _cluster
+import oriolestand_wire as wire
+
+Entry = dict[str, Any]
+Points = list[tuple[float, float]]
+
+SHARD_SIZES = (8, 16, 32, 64)
+TABLE_SIZES = (10, 100, 1_000, 10_000)
+POOL_COUNTS = (1, 10, 100)
+DAEMON_COUNTS = (2, 4, 8)
+IDLE_SECONDS = 12
+SETTLE_SECONDS = 2
+HOLDERS = ('a', 'b', 'c')
+
+
+def _entry(name: str, unit: str, points: Points) -> Entry:
+    """Return the slope through points as an entry, and print the points."""
+    line = _fit.fit(points)
+    text = ', '.join(f'{x:g}: {y:.4g}' for x, y in points)
+    click.echo(f'{name}: {text} -> {line.base:.4g} + {line.slope:.4g} x')
+    return {
+        'name': f'capacity/{name}',
+        'unit': unit,
+        'value': line.slope,
+        'baseline': line.base,
+        'ratio': None,
+        'target': None,
+        'met': None,
+    }
+
+
+def _address(index: int) -> str:
+    """Return the address of an upstream."""
+    return f'10.{index >> 16 & 255}.{index >> 8 & 255}.{index & 255}:8080'
+
+
+def _shard(size: int) -> tuple[grants.ShardRow, grants.Demand]:
+    """Return a settled row with three holders, and one's demand."""
+    capacity = {_address(i): 8 for i in range(size)}
+    demand = grants.Demand(
+        capacity=capacity,
+        horizon_ms=dict.fromkeys(capacity, 5_000),
+        in_use={},
+        entry_ids=HOLDERS,
+        address='10.1.1.1:7000',
+    )
+    row = grants.ShardRow()
+    for name in HOLDERS * 2:
+        holder = grants.Holder(instance_id=name, incarnation='0' * 16)
+        row = grants.plan(row, holder, demand, gone=())
+    return row, demand
+
+
+def measure_grants() -> list[Entry]:
+    """Measure planning, row size and memory against a shard's size."""
+    me = grants.Holder(instance_id='a', incarnation='0' * 16)
+    plan_points: Points = []
+    size_points: Points = []
+    memory_points: Points = []
+    for size in SHARD_SIZES:
+        row, demand = _shard(size)
+        spent = _fit.micros(
+            lambda r=row, d=demand: grants.plan(r, me, d, gone=()),  # type: ignore[misc]
+            50,
+        )
+        plan_points.append((size, spent))
+        value = grant_models.dump_row(row, 'x' * 32)
+        size_points.append((size, len(json.dumps(value))))
+        tracemalloc.start()
+        kept, _ = _shard(size)
+        memory_points.append((size, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del kept
+    return [
+        _entry('grants_plan_per_upstream', 'us', plan_points),
+        _entry('grants_row_per_upstream', 'bytes', size_points),
+        _entry('grants_memory_per_upstream', 'bytes', memory_points),
+    ]
+
+
+def _document(size: int) -> table_models.DocumentModel:
+    """Return a document with a number of upstreams and routes."""
+    pools = tuple(
+        table_models.PoolModel(
+            name=f'pool-{p}',
+            upstreams=tuple(
+                table_models.UpstreamModel(
+                    address=_address(p * 10 + i),
+                    failure_domain='domain-1',
+                    rack=f'rack-{p}',
+                )
+                for i in range(10)
+            ),
+        )
+        for p in range(max(1, size // 10))
+    )
+    routes = tuple(
+        table_models.RouteModel(
+            name=f'route-{i}',
+            pool=pools[i % len(pools)].name,
+            match=table_models.MatchModel(path_prefix=f'/{i}/'),
+        )
+        for i in range(size)
+    )
+    return table_models.DocumentModel(version=1, routes=routes, pools=pools)
+
+
+def measure_tables() -> list[Entry]:
+    """Measure documents, parsing and routing against the tables' size."""
+    sizes: Points = []
+    parsing: Points = []
+    finding: Points = []
+    memory: Points = []
+    for size in TABLE_SIZES:
+        document = _document(size)
+        data = document.model_dump_json().encode()
+        sizes.append((size, len(data)))
+        parsing.append(
+            (
+                size,
+                _fit.micros(
+                    lambda d=data: table_models.to_tables(  # type: ignore[misc]
+                        table_models.parse_bytes(d)
+                    ),
+                    1,
+                ),
+            )
+        )
+        tracemalloc.start()
+        generation = table_models.to_tables(document)
+        memory.append((size, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        router = routing.Router(generation)
+        facts = routing.RequestFacts(
+            host='h', method='GET', path=f'/{size - 1}/x', headers={}
+        )
+        finding.append(
+            (size, _fit.micros(lambda r=router, f=facts: r.find(f), 2_000))  # type: ignore[misc]
+        )
+    return [
+        _entry('tables_bytes_per_route_and_upstream', 'bytes', sizes),
+        _entry('tables_parse_per_route_and_upstream', 'us', parsing),
+        _entry('tables_memory_per_route_and_upstream', 'bytes', memory),
+        _entry('router_find_per_route', 'us', finding),
+    ]
+
+
+def measure_wire() -> list[Entry]:
+    """Measure the size of control messages against the number of pools."""
+    points: Points = []
+    for count in POOL_COUNTS:
+        pools = tuple(
+            wire.PoolLoad(pool=f'pool-{i}', free=8, queued=0, latency_ms=5)
+            for i in range(count)
+        )
+        points.append((count, len(wire.encode(wire.Load(pools=pools)))))
+    entries = [_entry('load_message_per_pool', 'bytes', points)]
+    beat = len(wire.write_frame(wire.encode(wire.Heartbeat(sequence=9))))
+    entries.append(
+        {
+            'name': 'capacity/heartbeat_message',
+            'unit': 'bytes',
+            'value': beat,
+            'baseline': None,
+            'ratio': None,
+            'target': None,
+            'met': None,
+        }
+    )
+    return entries
+
+
+def _let_run(seconds: float) -> None:
+    """Wait while the daemons run."""
+    threading.Event().wait(seconds)
+
+
+def _counts(cluster: _cluster.Cluster) -> tuple[int, int]:
+    """Return the reads and writes that the platform counted."""
+    assert cluster.platform is not None
+    counts = _cluster.call(cluster.platform.port, 'GET', '/counts').json()
+    return counts['reads'], counts['writes']
+
+
+def _start(cluster: _cluster.Cluster, count: int) -> list[str]:
+    """Start daemons of one failure domain around two upstreams."""
+    cluster.start_platform()
+    ups = [cluster.start_upstream(f'up-{i}') for i in range(2)]
+    names = [f'entry-{i}' for i in range(count)]
+    for name in names:
+        cluster.add_entry(name, 'a', 'north')
+        cluster.start_daemon(name)
+    document = {
+        'routes': [{'name': 'all', 'pool': 'main'}],
+        'pools': [
+            {
+                'name': 'main',
+                'upstreams': [
+                    {
+                        'address': f'{_cluster.HOST}:{up.port}',
+                        'failure_domain': 'a',
+                    }
+                    for up in ups
+                ],
+            }
+        ],
+    }
+    _cluster.wait_until(
+        lambda: cluster.put_tables(names[0], document, 0).status in (200, 409),
+        'tables accepted',
+    )
+    _wait_granted(cluster, names)
+    return names
+
+
+def _wait_granted(cluster: _cluster.Cluster, names: list[str]) -> None:
+    """Wait until all 16 slots are granted."""
+
+    def granted() -> int:
+        return sum(
+            up['limit']
+            for name in names
+            for up in cluster.status(name)['pools']['main'][
+                'upstreams'
+            ].values()
+        )
+
+    _cluster.wait_until(lambda: granted() == 16, 'all slots granted')
+
+
+def measure_platform() -> list[Entry]:
+    """Measure reads and writes a second against the number of daemons."""
+    reads: Points = []
+    writes: Points = []
+    death_writes: Points = []
+    for count in DAEMON_COUNTS:
+        with _cluster.Cluster() as cluster:
+            names = _start(cluster, count)
+            # The last syncs of the start are over before counting begins.
+            _let_run(SETTLE_SECONDS)
+            before = _counts(cluster)
+            _let_run(IDLE_SECONDS)
+            after = _counts(cluster)
+            reads.append((count, (after[0] - before[0]) / IDLE_SECONDS))
+            writes.append((count, (after[1] - before[1]) / IDLE_SECONDS))
+            cluster.daemons[names[-1]].kill()
+            cluster.list_entry(names[-1], 'gone')
+            _wait_granted(cluster, names[:-1])
+            death_writes.append((count, _counts(cluster)[1] - after[1]))
+    return [
+        _entry('platform_reads_per_second_per_daemon', '1/s', reads),
+        _entry('platform_writes_per_second_per_daemon', '1/s', writes),
+        _entry('grant_writes_per_death', 'writes', death_writes),
+    ]
+
+
+def run() -> list[Entry]:
+    """Measure all slopes."""
+    return [
+        *measure_grants(),
+        *measure_tables(),
+        *measure_wire(),
+        *measure_platform(),
+    ]
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/failover.py
@@ -0,0 +1,116 @@
+"""Measure what callers of other daemons notice when one daemon dies."""
+
+import concurrent.futures
+import itertools
+import threading
+import time
+from typing import Any
+
+import click
+
+from oriolestand_standins import _cluster
+
+Entry = dict[str, Any]
+
+ENTRIES = ('entry-1', 'entry-2', 'entry-3')
+CALLERS = 4
+BEFORE_SECONDS = 2
+AFTER_SECONDS = 6
+TARGET_GAP_S = 5.0
+
+
+def _start(cluster: _cluster.Cluster) -> None:
+    """Start three daemons of one failure domain around one upstream."""
+    cluster.start_platform()
+    port = cluster.start_upstream('up-1').port
+    for name in ENTRIES:
+        cluster.add_entry(name, 'a', 'north')
+        cluster.start_daemon(name)
+    upstream = {'address': f'{_cluster.HOST}:{port}', 'failure_domain': 'a'}
+    document = {
+        'routes': [{'name': 'all', 'pool': 'main', 'timeout_ms': 1_000}],
+        'pools': [{'name': 'main', 'upstreams': [upstream]}],
+    }
+    _cluster.wait_until(
+        lambda: (
+            cluster.put_tables(ENTRIES[0], document, 0).status in (200, 409)
+        ),
+        'tables accepted',
+    )
+    for name in ENTRIES:
+        _cluster.wait_until(
+            lambda name=name: _held(cluster, name) >= 2,  # type: ignore[misc]
+            f'{name} holds its share',
+        )
+
+
+def _held(cluster: _cluster.Cluster, name: str) -> int:
+    """Return the slots that a daemon holds."""
+    ups = cluster.status(name)['pools']['main']['upstreams']
+    return sum(up['limit'] for up in ups.values())
+
+
+def _call_until(
+    stop: threading.Event, port: int
+) -> tuple[list[float], list[int]]:
+    """Send requests one after another; return times and bad statuses."""
+    times = []
+    bad = []
+    while not stop.is_set():
+        status = _cluster.call(port, 'GET', '/').status
+        if status == 200:
+            times.append(time.monotonic())
+        else:
+            bad.append(status)
+    return times, bad
+
+
+def run() -> list[Entry]:
+    """Kill one daemon under load; measure its neighbours' callers."""
+    stop = threading.Event()
+    with _cluster.Cluster() as cluster:
+        _start(cluster)
+        ports = [cluster.entries[name].callers for name in ENTRIES[1:]]
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            work = [
+                pool.submit(_call_until, stop, port)
+                for port in itertools.islice(itertools.cycle(ports), CALLERS)
+            ]
+            stop.wait(BEFORE_SECONDS)
+            cluster.daemons[ENTRIES[0]].kill()
+            killed = time.monotonic()
+            cluster.list_entry(ENTRIES[0], 'gone')
+            _cluster.wait_until(
+                lambda: sum(_held(cluster, n) for n in ENTRIES[1:]) == 8,
+                'all slots held by the others',
+            )
+            regained = time.monotonic() - killed
+            stop.wait(AFTER_SECONDS)
+            stop.set()
+            results = [item.result() for item in work]
+    times = sorted(t for found, _ in results for t in found)
+    gap = max(b - a for a, b in itertools.pairwise(times))
+    bad = sum(len(statuses) for _, statuses in results)
+    return [
+        _entry('longest_gap', 's', gap, TARGET_GAP_S),
+        _entry('all_slots_regained', 's', regained, TARGET_GAP_S),
+        _entry('errors_at_other_daemons', 'requests', bad, 0),
+    ]
+
+
+def _entry(name: str, unit: str, value: float, target: float) -> Entry:
+    """Return a measurement with its target."""
+    click.echo(f'{name}: {value:.4g} {unit} (target {target:g})')
+    return {
+        'name': f'failover/{name}',
+        'unit': unit,
+        'value': value,
+        'baseline': None,
+        'ratio': None,
+        'target': target,
+        'met': value <= target,
+    }
+
+
+if __name__ == '__main__':
+    run()
--- a/packages/policy/src/oriolestand_policy/routing/_router.py
+++ b/packages/policy/src/oriolestand_policy/routing/_router.py
@@ -30,27 +30,33 @@
     """
 
     def __init__(self, generation: tables.Tables) -> None:
-        self._routes = sorted(generation.routes, key=_rank)
+        # Looking up one prefix of each length keeps the cost independent
+        # of the number of routes.
+        self._by_prefix: dict[str, list[tables.Route]] = {}
+        for route in sorted(generation.routes, key=_rank):
+            prefix = route.match.path_prefix
+            self._by_prefix.setdefault(prefix, []).append(route)
+        lengths = {len(prefix) for prefix in self._by_prefix}
+        self._lengths = sorted(lengths, reverse=True)
 
     def find(self, facts: RequestFacts) -> tables.Route | None:
         """Return the first route that matches, or None."""
-        for route in self._routes:
-            if _matches(route.match, facts):
-                return route
+        for length in self._lengths:
+            for route in self._by_prefix.get(facts.path[:length], ()):
+                if _matches(route.match, facts):
+                    return route
         return None
 
 
-def _rank(route: tables.Route) -> tuple[int, int, str]:
-    """Return the place of a route in the order of trial."""
+def _rank(route: tables.Route) -> tuple[int, str]:
+    """Return the place of a route among those with the same prefix."""
     match = route.match
     conditions = bool(match.host) + bool(match.methods) + len(match.headers)
-    return (-len(match.path_prefix), -conditions, route.name)
+    return (-conditions, route.name)
 
 
 def _matches(match: tables.Match, facts: RequestFacts) -> bool:
-    """Return whether a request meets all conditions."""
-    if not facts.path.startswith(match.path_prefix):
-        return False
+    """Return whether a request meets the conditions besides the prefix."""
     if match.host and match.host != facts.host:
         return False
     if match.methods and facts.method not in match.methods:
--- /dev/null
+++ b/packages/policy/tests/routing/test_router.py
@@ -0,0 +1,68 @@
+"""Test that the router finds what a plain search finds."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from oriolestand_policy import routing
+from oriolestand_policy import tables
+
+PREFIXES = st.sampled_from(('/', '/a', '/a/', '/a/b', '/b'))
+METHODS = st.sampled_from((frozenset(), frozenset({'GET'})))
+HOSTS = st.sampled_from(('', 'h'))
+
+
+@st.composite
+def routes(draw: st.DrawFn) -> tuple[tables.Route, ...]:
+    """Draw routes with distinct names."""
+    count = draw(st.integers(0, 6))
+    return tuple(
+        tables.Route(
+            name=f'r{index}',
+            pool='p',
+            match=tables.Match(
+                path_prefix=draw(PREFIXES),
+                methods=draw(METHODS),
+                host=draw(HOSTS),
+            ),
+        )
+        for index in range(count)
+    )
+
+
+def find_naively(
+    all_routes: tuple[tables.Route, ...], facts: routing.RequestFacts
+) -> tables.Route | None:
+    """Return the match with the longest prefix, most conditions, name."""
+    found = [
+        route
+        for route in all_routes
+        if facts.path.startswith(route.match.path_prefix)
+        and route.match.host in ('', facts.host)
+        and (not route.match.methods or facts.method in route.match.methods)
+    ]
+    return min(
+        found,
+        key=lambda r: (
+            -len(r.match.path_prefix),
+            -bool(r.match.host) - bool(r.match.methods),
+            r.name,
+        ),
+        default=None,
+    )
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(
+    all_routes=routes(),
+    path=st.sampled_from(('/', '/a', '/a/b/c', '/b', '/c')),
+    method=st.sampled_from(('GET', 'POST')),
+)
+def test_router_agrees_with_plain_search(
+    all_routes: tuple[tables.Route, ...], path: str, method: str
+) -> None:
+    """An index that misses a route sends requests to the wrong pool."""
+    facts = routing.RequestFacts(
+        host='h', method=method, path=path, headers={}
+    )
+    router = routing.Router(tables.Tables(version=1, routes=all_routes))
+    assert router.find(facts) == find_naively(all_routes, facts)
