Change the tables by compare-and-swap with read-back and undo

An edit relied on the document's version being equal to the row's version, so a row that was deleted and restored blocked all further edits, and a lost answer was reported as a failure. An edit now reads the row, checks its version and that the history row of the new version does not exist, and writes document, history and a small stamp row in one transaction. After a lost answer the current row is read before the history row; while they do not tell, the same transaction is sent again. The models move to a package of their own, so that the client can check files; the daemon's settings module stays as the place that services import.

Ruled out: judging a lost write by the current row alone, which is wrong once a later edit follows; polling the whole document each second.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core policy platform wire daemon cli standins bench
+PACKAGES := core policy models platform wire daemon cli standins bench
 STAMP := $(VENV)/.stamp
 SOURCES := packages
 
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_instances.py
@@ -0,0 +1,114 @@
+"""Know which entry instance has which version in force."""
+
+import dataclasses
+
+import oriolestand_core as core
+from oriolestand_daemon import settings
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.messages import membership
+import oriolestand_platform as platform
+from oriolestand_policy import tables
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Peer:
+    """Hold what a peer said in its hello and since."""
+
+    hello: membership.PeerConnected
+    stamp: tables.Stamp = tables.Stamp()
+    is_connected: bool = True
+
+
+class Instances:
+    """Collect versions from peers.
+
+    A daemon sends its document to a peer when the link comes up and after
+    each change, and only documents that it has in force; so a document
+    received is the report of the sender's version.
+    """
+
+    def __init__(
+        self, cfg: settings.Settings, incarnation: core.Incarnation
+    ) -> None:
+        self._cfg = cfg
+        self._incarnation = incarnation
+        self._peers: dict[str, _Peer] = {}
+        self._listed: dict[str, platform.InstanceEntry] = {}
+
+    def connected(self, msg: membership.PeerConnected) -> None:
+        """Note a link; a new incarnation starts without a version."""
+        known = self._peers.get(msg.instance_id)
+        if known and known.hello.incarnation == msg.incarnation:
+            known.is_connected = True
+            return
+        self._peers[msg.instance_id] = _Peer(hello=msg)
+
+    def disconnected(self, instance_id: str) -> None:
+        """Note the loss of a link."""
+        if instance_id in self._peers:
+            self._peers[instance_id].is_connected = False
+
+    def reported(self, instance_id: str, stamp: tables.Stamp) -> None:
+        """Note the version that a peer has in force."""
+        peer = self._peers.get(instance_id)
+        if peer is not None and stamp.version >= peer.stamp.version:
+            peer.stamp = stamp
+
+    def listed(self, msg: membership.MembershipChanged) -> None:
+        """Take over the entry instances of the platform's list."""
+        self._listed = {
+            entry.id: entry
+            for entry in msg.instances
+            if entry.role is platform.InstanceRole.ENTRY
+        }
+
+    def statuses(
+        self, in_force: tables.Stamp
+    ) -> tuple[config.InstanceStatus, ...]:
+        """Return all instances by id; gone ones only while linked."""
+        gone = platform.InstanceState.GONE
+        ids = {self._cfg.instance_id}
+        ids.update(i for i, e in self._listed.items() if e.state is not gone)
+        ids.update(
+            i
+            for i, peer in self._peers.items()
+            if peer.is_connected or i not in self._listed
+        )
+        return tuple(self._status(i, in_force) for i in sorted(ids))
+
+    def _status(
+        self, instance_id: str, in_force: tables.Stamp
+    ) -> config.InstanceStatus:
+        """Return the status of one instance."""
+        entry = self._listed.get(instance_id)
+        state = entry.state.value if entry is not None else ''
+        admin = entry.admin_address if entry is not None else ''
+        if instance_id == self._cfg.instance_id:
+            return config.InstanceStatus(
+                instance_id=instance_id,
+                incarnation=self._incarnation,
+                failure_domain=self._cfg.failure_domain,
+                region=self._cfg.region,
+                version=in_force.version,
+                digest=in_force.digest,
+                is_connected=True,
+                is_self=True,
+                state=state,
+                admin_address=admin,
+            )
+        peer = self._peers.get(instance_id)
+        hello = peer.hello if peer is not None else None
+        stamp = peer.stamp if peer is not None else tables.Stamp()
+        place = hello or entry
+        return config.InstanceStatus(
+            instance_id=instance_id,
+            incarnation=hello.incarnation if hello is not None else '',
+            failure_domain=place.failure_domain if place else '',
+            region=place.region if place else '',
+            version=stamp.version,
+            digest=stamp.digest,
+            is_connected=peer is not None and peer.is_connected,
+            is_self=False,
+            state=state,
+            admin_address=admin,
+        )
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -1,19 +1,30 @@
 """Poll, change and announce the configuration document."""
 
-import json
+import collections
 import pathlib
 from typing import Any
 
+import pydantic
 from twisted.internet import defer
 
 import oriolestand_core as core
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
-from oriolestand_daemon.messages import platform as store
+from oriolestand_daemon.messages import membership
+from oriolestand_daemon.services.tables import _editor
+from oriolestand_daemon.services.tables import _edits
+from oriolestand_daemon.services.tables import _instances
 from oriolestand_daemon.services.tables import const
 from oriolestand_daemon.services.tables import errors
-from oriolestand_daemon.services.tables import models
-import oriolestand_platform as platform
+import oriolestand_models as models
+from oriolestand_policy import tables
+
+
+class _StampModel(pydantic.BaseModel):
+    """Validate the row that is polled."""
+
+    version: int = pydantic.Field(ge=1)
+    digest: str
 
 
 class TablesTask(core.Task):
@@ -23,119 +34,256 @@
         super().__init__(kernel, const.DOMAIN)
         self._cfg = cfg
         self._log = core.get_logger(const.DOMAIN)
+        self._editor = _editor.Editor(kernel)
+        self._instances = _instances.Instances(cfg, kernel.incarnation)
         self._document = models.DocumentModel()
+        self._stamp = tables.Stamp()
+        self._adoptions: collections.deque[config.Adoption] = (
+            collections.deque(maxlen=const.KEPT_ADOPTIONS)
+        )
+        self._store_version: int | None = None
+        self._store_error = ''
+        self._conflicting_digest = ''
         self._timer: Any = None
 
-    async def _start(self) -> None:
+    def start(self) -> object:
         """Load the first version and begin to poll."""
+        self.kernel.subscribe(membership.MembershipChanged, self)
+        self.kernel.subscribe(membership.PeerConnected, self)
+        self.kernel.subscribe(membership.PeerDisconnected, self)
+        return defer.ensureDeferred(self._start())
+
+    async def _start(self) -> None:
+        """Offer the tables of the settings to an empty store, then poll."""
         if self._cfg.tables_file:
             text = pathlib.Path(self._cfg.tables_file).read_bytes()
-            await self._apply(
-                config.ApplyDocument(
-                    document=text, base_version=0, edited_by='tables_file'
-                )
+            msg = config.ApplyDocument(
+                document=text, base_version=0, edited_by='tables_file'
             )
+            edit = _edits.replace_document(msg)
+            try:
+                await self._apply(edit)
+            except models.InvalidTablesError:
+                raise
+            except core.OriolestandError as exc:
+                # The store has tables already, or cannot be reached now.
+                self._log.warning('Tables file not used', reason=str(exc))
         await self._poll()
 
-    def start(self) -> object:
-        """Load the first version and begin to poll."""
-        return defer.ensureDeferred(self._start())
-
     async def _poll(self) -> None:
-        """Read the document and schedule the next poll."""
+        """Ask the store for a new version and schedule the next time."""
         try:
-            row = await self.kernel.ask(
-                'platform', store.ReadRow(table=const.TABLE, key=const.KEY)
-            )
-            if row is not None:
-                self._adopt(models.parse_document(row.value))
+            await self._refresh()
+            self._store_error = ''
         except core.OriolestandError as exc:
-            self._log.warning('Tables not read', reason=str(exc))
+            if exc.code != self._store_error:
+                self._log.warning('Tables not read', reason=str(exc))
+            self._store_error = exc.code
         if not self.is_stopped:
             self._timer = self.kernel.clock.call_later(
                 const.POLL_INTERVAL_MS,
                 lambda: defer.ensureDeferred(self._poll()),
             )
 
-    def _adopt(self, document: models.DocumentModel) -> None:
+    async def _refresh(self) -> None:
+        """Adopt the stored document if its stamp differs."""
+        row = await self._editor.read_row(const.TABLE, const.STAMP_KEY)
+        if row is not None and self._stamp == _parse_stamp(row.value):
+            self._store_version = self._stamp.version
+            return
+        current = await self._editor.read_current()
+        if current.document.version < self._stamp.version:
+            if self._store_version != current.document.version:
+                self._log.warning(
+                    'The store is behind',
+                    stored=current.document.version,
+                    in_force=self._stamp.version,
+                )
+        else:
+            self._adopt(current.document, 'store')
+        self._store_version = current.document.version
+
+    def _adopt(self, document: models.DocumentModel, source: str) -> None:
         """Put a document in force if its version is higher."""
-        if document.version <= self._document.version:
+        stamp = document.stamp()
+        if not document.version:
+            return
+        choice = tables.choose(self._stamp, stamp)
+        if choice is tables.Choice.CONFLICT:
+            self._report_conflict(stamp, source)
+        if choice is not tables.Choice.ADOPT:
             return
         self._document = document
-        self._log.info('Tables in force', version=document.version)
+        self._stamp = stamp
+        self._conflicting_digest = ''
+        self._adoptions.append(
+            config.Adoption(
+                version=stamp.version,
+                digest=stamp.digest,
+                wall_ms=self.kernel.clock.wall(),
+                source=source,
+            )
+        )
+        self._log.info(
+            'Tables in force',
+            version=stamp.version,
+            digest=stamp.digest,
+            source=source,
+        )
         self.kernel.publish(
             config.TablesChanged(
-                tables=models.to_tables(document), document=self._dump()
+                tables=models.to_tables(document), document=document.dump()
             ),
             is_state=True,
         )
 
-    def _dump(self) -> bytes:
-        """Return the document as JSON."""
-        return self._document.model_dump_json().encode()
+    def _report_conflict(self, stamp: tables.Stamp, source: str) -> None:
+        """Keep the document in force and show that there is another one."""
+        if self._conflicting_digest != stamp.digest:
+            self._log.error(
+                'Two documents have one version',
+                version=stamp.version,
+                in_force=self._stamp.digest,
+                other=stamp.digest,
+                source=source,
+            )
+        self._conflicting_digest = stamp.digest
 
-    @core.handles(config.GetDocument)
-    def _on_get(self, msg: config.GetDocument) -> bytes:
-        """Return the document in force."""
-        return self._dump()
+    async def _apply(self, edit: _editor.Edit) -> bytes:
+        """Make an edit, put it in force here and return the document."""
+        document = await self._editor.apply(edit, self._stamp)
+        self._adopt(document, 'edit')
+        return document.dump()
 
     @core.handles(config.ReceivedTables)
     def _on_received(self, msg: config.ReceivedTables) -> None:
-        """Take a higher version from a peer."""
-        self._adopt(models.parse_bytes(msg.document))
+        """Note a peer's version and take it if it is higher."""
+        if msg.document == self._document.dump():
+            self._instances.reported(msg.peer, self._stamp)
+            return
+        try:
+            document = models.parse_bytes(msg.document)
+        except models.InvalidTablesError as exc:
+            self._log.warning(
+                'Tables of a peer refused', peer=msg.peer, reason=str(exc)
+            )
+            return
+        self._instances.reported(msg.peer, document.stamp())
+        self._adopt(document, msg.peer)
 
     @core.handles(config.ApplyDocument)
     def _on_apply(self, msg: config.ApplyDocument) -> 'defer.Deferred[bytes]':
-        """Change the tables by compare-and-swap."""
-        return defer.ensureDeferred(self._apply(msg))
-
-    async def _apply(self, msg: config.ApplyDocument) -> bytes:
-        """Write the next version, or raise why it was refused."""
-        edited = models.parse_bytes(msg.document)
-        edit_id = self.kernel.ids.request_id()
-        document = edited.model_copy(
-            update={
-                'version': msg.base_version + 1,
-                'edited_by': msg.edited_by,
-                'edit_id': edit_id,
-            }
-        )
-        value = json.loads(document.model_dump_json())
-        history_key = f'{document.version:012d}'
-        result = await self.kernel.ask(
-            'platform',
-            store.Commit(
-                transaction=platform.Transaction(
-                    request_id=edit_id,
-                    checks=(
-                        platform.Check(
-                            table=const.TABLE,
-                            key=const.KEY,
-                            version=msg.base_version,
-                        ),
-                    ),
-                    puts=(
-                        platform.Put(
-                            table=const.TABLE, key=const.KEY, value=value
-                        ),
-                        platform.Put(
-                            table=const.HISTORY_TABLE,
-                            key=history_key,
-                            value=value,
-                        ),
-                    ),
+        """Replace the tables."""
+        edit = _edits.replace_document(msg)
+        return defer.ensureDeferred(self._apply(edit))
+
+    @core.handles(config.EditEntry)
+    def _on_entry(self, msg: config.EditEntry) -> 'defer.Deferred[bytes]':
+        """Replace one route or pool."""
+        edit = _edits.replace_entry(msg)
+        return defer.ensureDeferred(self._apply(edit))
+
+    @core.handles(config.UndoEdit)
+    def _on_undo(self, msg: config.UndoEdit) -> 'defer.Deferred[bytes]':
+        """Bring old content back as a new version."""
+        return defer.ensureDeferred(self._undo(msg))
+
+    async def _undo(self, msg: config.UndoEdit) -> bytes:
+        """Read the old version and apply its content."""
+        old = await self._editor.read_version(msg.version)
+        return await self._apply(_edits.restore(msg, old))
+
+    @core.handles(config.GetDocument)
+    def _on_get(self, msg: config.GetDocument) -> Any:
+        """Return a document."""
+        if msg.version in (None, self._stamp.version):
+            return self._document.dump()
+        return defer.ensureDeferred(self._read_version(msg.version or 0))
+
+    async def _read_version(self, version: int) -> bytes:
+        """Return a version of the history."""
+        document = await self._editor.read_version(version)
+        if document is None:
+            raise errors.UnknownVersionError(
+                'the history does not hold this version', version=version
+            )
+        return document.dump()
+
+    @core.handles(config.GetHistory)
+    def _on_history(self, msg: config.GetHistory) -> Any:
+        """Return the newest versions."""
+        return defer.ensureDeferred(self._history(msg.limit))
+
+    async def _history(self, limit: int) -> tuple[config.HistoryEntry, ...]:
+        """Read versions from the newest on, with what each changed."""
+        newest = (await self._editor.read_current()).document
+        entries: list[config.HistoryEntry] = []
+        while newest.version and len(entries) < min(limit, const.MAX_HISTORY):
+            older = await self._editor.read_version(newest.version - 1)
+            base = older or models.DocumentModel()
+            changes = tables.diff(
+                models.to_tables(base), models.to_tables(newest)
+            )
+            entries.append(
+                config.HistoryEntry(
+                    version=newest.version,
+                    edited_by=newest.edited_by,
+                    edit_id=newest.edit_id,
+                    digest=newest.digest(),
+                    changes=tuple(str(change) for change in changes),
                 )
-            ),
-        )
-        if not result.applied:
-            raise errors.EditConflictError(
-                'the tables changed since', base_version=msg.base_version
             )
-        self._adopt(document)
-        return self._dump()
+            newest = base
+        return tuple(entries)
+
+    @core.handles(config.GetTablesStatus)
+    def _on_status(self, msg: config.GetTablesStatus) -> config.TablesStatus:
+        """Return what is in force here."""
+        return config.TablesStatus(
+            version=self._stamp.version,
+            digest=self._stamp.digest,
+            is_known=bool(self._stamp.version or self._store_version == 0),
+            store_version=self._store_version,
+            store_error=self._store_error,
+            conflicting_digest=self._conflicting_digest,
+            adoptions=tuple(self._adoptions),
+        )
+
+    @core.handles(config.GetInstances)
+    def _on_instances(
+        self, msg: config.GetInstances
+    ) -> tuple[config.InstanceStatus, ...]:
+        """Return all instances with their versions."""
+        return self._instances.statuses(self._stamp)
+
+    @core.handles(membership.PeerConnected)
+    def _on_connected(self, msg: membership.PeerConnected) -> None:
+        """Note a peer."""
+        self._instances.connected(msg)
+
+    @core.handles(membership.PeerDisconnected)
+    def _on_disconnected(self, msg: membership.PeerDisconnected) -> None:
+        """Note that a peer cannot be reached."""
+        self._instances.disconnected(msg.instance_id)
+
+    @core.handles(membership.MembershipChanged)
+    def _on_members(self, msg: membership.MembershipChanged) -> None:
+        """Note the listed instances."""
+        self._instances.listed(msg)
 
     def stop(self) -> object:
         """Stop polling."""
         if self._timer is not None:
             self._timer.cancel()
         return super().stop()
+
+
+def _parse_stamp(value: dict[str, Any]) -> tables.Stamp:
+    """Return the stamp in a row, or raise InvalidTablesError."""
+    try:
+        model = _StampModel.model_validate(value)
+    except pydantic.ValidationError as exc:
+        raise models.InvalidTablesError(['stamp: the row is malformed']) from (
+            exc
+        )
+    return tables.Stamp(version=model.version, digest=model.digest)
--- a/packages/daemon/src/oriolestand_daemon/services/tables/errors.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/errors.py
@@ -1,23 +1,58 @@
 """Define the errors of edits to the tables."""
 
 from collections.abc import Sequence
+from typing import Any
 
 import oriolestand_core as core
 
 
-class InvalidTablesError(core.OriolestandError):
-    """Raise when an edit has problems; each names the field's path."""
+class EditConflictError(core.OriolestandError):
+    """Raise when the tables changed since the version that was edited.
 
-    code = 'invalid_tables'
-    http_status = 400
+    ``changes`` are lines that say what changed in between.
+    """
 
-    def __init__(self, problems: Sequence[str]) -> None:
-        super().__init__('; '.join(problems))
-        self.problems = tuple(problems)
+    code = 'edit_conflict'
+    http_status = 409
 
+    def __init__(
+        self, message: str, changes: Sequence[str] = (), **values: Any
+    ) -> None:
+        super().__init__(message, **values)
+        self.changes = tuple(changes)
 
-class EditConflictError(core.OriolestandError):
-    """Raise when the tables changed since the version that was edited."""
 
-    code = 'edit_conflict'
+class StoreBehindError(core.OriolestandError):
+    """Raise when the store holds a lower version than is in force."""
+
+    code = 'store_behind'
     http_status = 409
+
+
+class EditUnknownError(core.OriolestandError):
+    """Raise when nothing shows whether an edit took effect."""
+
+    code = 'edit_unknown'
+    verdict = core.Verdict.MAY_HAVE_RUN
+    http_status = 504
+
+
+class EditLostError(core.OriolestandError):
+    """Raise when an edit whose answer was lost is proven not in force."""
+
+    code = 'edit_not_applied'
+    http_status = 503
+
+
+class UnknownVersionError(core.OriolestandError):
+    """Raise when the history does not hold a version."""
+
+    code = 'unknown_version'
+    http_status = 404
+
+
+class UnknownEntryError(core.OriolestandError):
+    """Raise when a table has no entry with a name."""
+
+    code = 'unknown_entry'
+    http_status = 404
--- a/packages/daemon/src/oriolestand_daemon/settings.py
+++ b/packages/daemon/src/oriolestand_daemon/settings.py
@@ -1,116 +1,23 @@
-"""Define and read the settings of a daemon."""
-
-from collections.abc import Sequence
-import json
-import pathlib
-from typing import Annotated
-from typing import Any
-from typing import Literal
-
-import pydantic
-
-import oriolestand_core as core
-
-Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
-
-
-class SettingsError(core.OriolestandError):
-    """Raise when a settings file has problems; all are listed."""
-
-    code = 'invalid_settings'
-
-    def __init__(self, problems: Sequence[str]) -> None:
-        super().__init__('; '.join(problems))
-        self.problems = tuple(problems)
-
-
-class _Model(pydantic.BaseModel):
-    """Refuse unknown keys and changes."""
-
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-
-class ListenerSettings(_Model):
-    """Say where to listen; port 0 lets the system choose."""
-
-    host: str = '127.0.0.1'
-    port: Port = 0
-
-
-class EmbeddedPlatform(_Model):
-    """Keep the platform's tables in this process."""
-
-    kind: Literal['embedded'] = 'embedded'
-
-
-class HttpPlatformSettings(_Model):
-    """Reach the platform over HTTP."""
-
-    kind: Literal['http']
-    url: str
-    timeout_ms: int = pydantic.Field(default=1_000, ge=10)
-
-
-class LogSettings(_Model):
-    """Say how to write logs."""
-
-    format: Literal['console', 'json'] = 'console'
-    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
-
-
-class LimitSettings(_Model):
-    """Bound what one daemon holds."""
-
-    max_body_bytes: int = pydantic.Field(default=64 * 1024 * 1024, ge=0)
-    max_header_bytes: int = pydantic.Field(default=16 * 1024, ge=1024)
-    idle_timeout_ms: int = pydantic.Field(default=60_000, ge=100)
-    linger_ms: int = pydantic.Field(default=500, ge=0)
-    abort_grace_ms: int = pydantic.Field(default=250, ge=0)
-
-
-class Settings(_Model):
-    """Hold all settings of a daemon."""
-
-    instance_id: str = pydantic.Field(pattern=r'^[A-Za-z0-9._-]{1,64}$')
-    failure_domain: str = pydantic.Field(min_length=1)
-    region: str = pydantic.Field(min_length=1)
-    callers: ListenerSettings = ListenerSettings()
-    peers: ListenerSettings = ListenerSettings()
-    admin: ListenerSettings = ListenerSettings()
-    seed_peers: tuple[str, ...] = ()
-    platform: EmbeddedPlatform | HttpPlatformSettings = pydantic.Field(
-        default=EmbeddedPlatform(), discriminator='kind'
-    )
-    log: LogSettings = LogSettings()
-    limits: LimitSettings = LimitSettings()
-    tables_file: str = ''
-
-
-def parse_settings(data: Any) -> Settings:
-    """Return validated settings, or raise SettingsError with all problems.
-
-    >>> parse_settings({'instance_id': 'a', 'region': 'r', 'size': 3})
-    Traceback (most recent call last):
-    ...
-    oriolestand_daemon.settings.SettingsError: invalid_settings: \
-failure_domain: Field required; size: Extra inputs are not permitted
-    """
-    try:
-        return Settings.model_validate(data)
-    except pydantic.ValidationError as exc:
-        problems = [
-            f'{".".join(str(p) for p in item["loc"]) or "."}: {item["msg"]}'
-            for item in exc.errors()
-        ]
-        raise SettingsError(problems) from exc
-
-
-def read_settings(path: pathlib.Path) -> Settings:
-    """Return the settings in a JSON file."""
-    try:
-        data = json.loads(path.read_text(encoding='utf-8'))
-    except OSError as exc:
-        raise SettingsError([f'{path}: {exc.strerror}']) from exc
-    except ValueError as exc:
-        raise SettingsError([f'{path}: not valid JSON: {exc}']) from exc
-    return parse_settings(data)
+"""Provide the settings of a daemon, which the client validates as well."""
+
+from oriolestand_models.settings import EmbeddedPlatform
+from oriolestand_models.settings import HttpPlatformSettings
+from oriolestand_models.settings import LimitSettings
+from oriolestand_models.settings import ListenerSettings
+from oriolestand_models.settings import LogSettings
+from oriolestand_models.settings import Settings
+from oriolestand_models.settings import SettingsError
+from oriolestand_models.settings import parse_settings
+from oriolestand_models.settings import read_settings
+
+__all__ = [
+    'EmbeddedPlatform',
+    'HttpPlatformSettings',
+    'LimitSettings',
+    'ListenerSettings',
+    'LogSettings',
+    'Settings',
+    'SettingsError',
+    'parse_settings',
+    'read_settings',
+]
--- a/packages/daemon/src/oriolestand_daemon/services/tables/models.py
+++ b/packages/models/src/oriolestand_models/document.py
@@ -1,16 +1,39 @@
 """Define the validated form of the configuration document."""
 
+from collections.abc import Sequence
+import hashlib
 import json
 from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import pydantic
 
-from oriolestand_daemon.services.tables import errors
+import oriolestand_core as core
+from oriolestand_models import _address
+from oriolestand_models import _json
 from oriolestand_policy import tables
 
+Entry = TypeVar('Entry', 'RouteModel', 'PoolModel')
+
 Name = Annotated[str, pydantic.Field(pattern=r'^[A-Za-z0-9._-]{1,64}$')]
+Method = Annotated[str, pydantic.Field(pattern=r'^[A-Z]{1,20}$')]
+HeaderName = Annotated[str, pydantic.Field(pattern=r'^[A-Za-z0-9-]{1,64}$')]
 MAX_TIMEOUT_MS = 3_600_000
+DIGEST_HEX_DIGITS = 16
+MAX_DOCUMENT_BYTES = 768 * 1024
+"""A document must fit into one frame of 1 MiB between daemons."""
+
+
+class InvalidTablesError(core.OriolestandError):
+    """Raise when an edit has problems; each names the field's path."""
+
+    code = 'invalid_tables'
+    http_status = 400
+
+    def __init__(self, problems: Sequence[str]) -> None:
+        super().__init__('; '.join(problems))
+        self.problems = tuple(problems)
 
 
 class _Model(pydantic.BaseModel):
@@ -23,9 +46,9 @@
     """Say which requests a route takes; an empty field matches all."""
 
     host: str = ''
-    methods: tuple[str, ...] = ()
+    methods: tuple[Method, ...] = ()
     path_prefix: str = pydantic.Field(default='/', pattern='^/')
-    headers: dict[str, str] = {}
+    headers: dict[HeaderName, str] = {}
 
 
 class RouteModel(_Model):
@@ -44,7 +67,7 @@
 class UpstreamModel(_Model):
     """Name an upstream; the address is ``ip:port``."""
 
-    address: str = pydantic.Field(pattern=r'^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$')
+    address: _address.Address
     failure_domain: str = pydantic.Field(min_length=1)
     rack: str = ''
 
@@ -66,56 +89,92 @@
     version: int = pydantic.Field(default=0, ge=0)
     routes: tuple[RouteModel, ...] = ()
     pools: tuple[PoolModel, ...] = ()
-    edited_by: str = ''
-    edit_id: str = ''
-
-    def problems(self) -> list[str]:
-        """Return what is wrong beyond single fields, with paths."""
-        found = []
-        names = [pool.name for pool in self.pools]
-        for index, name in enumerate(names):
-            if name in names[:index]:
-                found.append(f'pools.{index}.name: {name} is taken')
-        seen: set[str] = set()
-        for index, route in enumerate(self.routes):
-            if route.name in seen:
-                found.append(f'routes.{index}.name: {route.name} is taken')
-            seen.add(route.name)
-            if route.pool not in names:
-                found.append(f'routes.{index}.pool: no pool {route.pool}')
-        addresses: dict[str, str] = {}
-        for index, pool in enumerate(self.pools):
-            for number, upstream in enumerate(pool.upstreams):
-                other = addresses.setdefault(upstream.address, pool.name)
-                path = f'pools.{index}.upstreams.{number}.address'
-                if other != pool.name:
-                    found.append(f'{path}: already in pool {other}')
-        return found
+    edited_by: str = pydantic.Field(default='', max_length=200)
+    edit_id: str = pydantic.Field(default='', max_length=64)
+
+    def dump(self) -> bytes:
+        """Return the document as JSON."""
+        return self.model_dump_json().encode()
+
+    def digest(self) -> str:
+        """Return a digest that equal documents share.
+
+        Defaults are left out, so that daemons of two releases agree on a
+        document that uses no field that only one of them knows.
+        """
+        data = self.model_dump(mode='json', exclude_defaults=True)
+        text = json.dumps(data, sort_keys=True, separators=(',', ':'))
+        return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
+
+    def stamp(self) -> tables.Stamp:
+        """Return version and digest."""
+        return tables.Stamp(version=self.version, digest=self.digest())
 
 
 def parse_document(data: Any) -> DocumentModel:
-    """Return a validated document, or raise InvalidTablesError."""
+    """Return a validated document, or raise InvalidTablesError.
+
+    The error lists all problems: those of single fields, and those between
+    entries as far as the entries concerned are valid themselves.
+    """
+    problems: list[str] = []
+    document = None
     try:
         document = DocumentModel.model_validate(data)
     except pydantic.ValidationError as exc:
-        raise errors.InvalidTablesError(
-            [
-                f'{".".join(str(p) for p in e["loc"]) or "."}: {e["msg"]}'
-                for e in exc.errors()
-            ]
-        ) from exc
-    problems = document.problems()
-    if problems:
-        raise errors.InvalidTablesError(problems)
+        problems = _json.list_problems(exc)
+    raw = data if isinstance(data, dict) else {}
+    pools = _valid_entries(PoolModel, raw.get('pools'))
+    routes = _valid_entries(RouteModel, raw.get('routes'))
+    found = tables.find_problems(
+        [(index, _to_route(route)) for index, route in routes],
+        [(index, _to_pool(pool)) for index, pool in pools],
+        _names(raw.get('pools')),
+    )
+    problems.extend(str(problem) for problem in found)
+    if document is None or problems:
+        raise InvalidTablesError(problems)
     return document
 
 
+def _valid_entries(
+    model: type[Entry], entries: Any
+) -> list[tuple[int, Entry]]:
+    """Return the entries of a list that are valid, with their index."""
+    found = []
+    for index, entry in enumerate(_as_list(entries)):
+        try:
+            found.append((index, model.model_validate(entry)))
+        except pydantic.ValidationError:
+            continue
+    return found
+
+
+def _as_list(entries: Any) -> Sequence[Any]:
+    """Return the entries if they are a list."""
+    return entries if isinstance(entries, list | tuple) else ()
+
+
+def _names(entries: Any) -> set[str]:
+    """Return all names in a list, also of entries that are not valid."""
+    return {
+        entry['name']
+        for entry in _as_list(entries)
+        if isinstance(entry, dict) and isinstance(entry.get('name'), str)
+    }
+
+
 def parse_bytes(data: bytes) -> DocumentModel:
     """Return the document in JSON bytes."""
+    if len(data) > MAX_DOCUMENT_BYTES:
+        raise InvalidTablesError(
+            [f'.: {len(data)} bytes exceed {MAX_DOCUMENT_BYTES}']
+        )
     try:
-        return parse_document(json.loads(data))
+        parsed = _json.parse(data)
     except ValueError as exc:
-        raise errors.InvalidTablesError([f'.: {exc}']) from exc
+        raise InvalidTablesError([f'.: not valid JSON: {exc}']) from exc
+    return parse_document(parsed)
 
 
 def to_tables(document: DocumentModel) -> tables.Tables:
--- a/packages/policy/src/oriolestand_policy/tables/__init__.py
+++ b/packages/policy/src/oriolestand_policy/tables/__init__.py
@@ -1,10 +1,37 @@
 """Hold the two tables that operators edit: routes and pools."""
 
+from oriolestand_policy.tables._diff import Change
+from oriolestand_policy.tables._diff import diff
+from oriolestand_policy.tables._problems import Problem
+from oriolestand_policy.tables._problems import find_overcommitted
+from oriolestand_policy.tables._problems import find_problems
 from oriolestand_policy.tables._tables import Kind
 from oriolestand_policy.tables._tables import Match
 from oriolestand_policy.tables._tables import Pool
 from oriolestand_policy.tables._tables import Route
 from oriolestand_policy.tables._tables import Tables
 from oriolestand_policy.tables._tables import Upstream
+from oriolestand_policy.tables._versions import Choice
+from oriolestand_policy.tables._versions import Stamp
+from oriolestand_policy.tables._versions import WriteState
+from oriolestand_policy.tables._versions import choose
+from oriolestand_policy.tables._versions import judge_write
 
-__all__ = ['Kind', 'Match', 'Pool', 'Route', 'Tables', 'Upstream']
+__all__ = [
+    'Change',
+    'Choice',
+    'Kind',
+    'Match',
+    'Pool',
+    'Problem',
+    'Route',
+    'Stamp',
+    'Tables',
+    'Upstream',
+    'WriteState',
+    'choose',
+    'diff',
+    'find_overcommitted',
+    'find_problems',
+    'judge_write',
+]
