Give each failed call to the platform its verdict

A 500 or 502 to a write counted as "did not run" although the change may have taken effect, a failed read counted as "may have run", answers had no size limit, a 4xx ended as a malformed answer, and a truncated body without a length passed as whole. The client now connects by address within half of its time-out, so that an unreachable store is told from a lost answer, bounds each answer and checks that rows are those asked for.

--- a/packages/platform/src/oriolestand_platform/__init__.py
+++ b/packages/platform/src/oriolestand_platform/__init__.py
@@ -3,6 +3,8 @@
 from oriolestand_platform._client import PlatformClient
 from oriolestand_platform._errors import ConflictError
 from oriolestand_platform._errors import MalformedAnswerError
+from oriolestand_platform._errors import StoreFailedError
+from oriolestand_platform._errors import StoreRefusedError
 from oriolestand_platform._errors import StoreTimeoutError
 from oriolestand_platform._errors import StoreUnavailableError
 from oriolestand_platform._http import HttpPlatform
@@ -32,6 +34,8 @@
     'PlatformClient',
     'Put',
     'Row',
+    'StoreFailedError',
+    'StoreRefusedError',
     'StoreTimeoutError',
     'StoreUnavailableError',
     'Transaction',
--- a/packages/platform/src/oriolestand_platform/_client.py
+++ b/packages/platform/src/oriolestand_platform/_client.py
@@ -9,8 +9,9 @@
 class PlatformClient(abc.ABC):
     """Reach the platform's table service, object store and instance list.
 
-    All methods raise StoreUnavailableError when the platform certainly did
-    nothing, and StoreTimeoutError when it may have applied a write.
+    All methods raise StoreUnavailableError or one of its subclasses. The
+    verdict is ``did_not_run`` when the platform certainly did nothing and
+    ``may_have_run`` when it may have applied a write.
     """
 
     @abc.abstractmethod
--- a/packages/platform/src/oriolestand_platform/_errors.py
+++ b/packages/platform/src/oriolestand_platform/_errors.py
@@ -4,7 +4,12 @@
 
 
 class StoreUnavailableError(core.OriolestandError):
-    """Raise when the platform's store refused or could not be reached."""
+    """Raise when the platform's store refused or could not be reached.
+
+    All failures of a call to the platform are of this class; the verdict
+    tells whether a write may have taken effect. A failed read has always
+    the verdict ``did_not_run``.
+    """
 
     code = 'store_unavailable'
     http_status = 503
@@ -17,6 +22,20 @@
     verdict = core.Verdict.MAY_HAVE_RUN
 
 
+class StoreFailedError(StoreUnavailableError):
+    """Raise when the platform reported a fault of its own."""
+
+    code = 'store_failed'
+    verdict = core.Verdict.MAY_HAVE_RUN
+
+
+class StoreRefusedError(StoreUnavailableError):
+    """Raise when the platform found a request to be wrong."""
+
+    code = 'store_refused'
+    http_status = 502
+
+
 class ConflictError(core.OriolestandError):
     """Raise when a row was not at the version that a write expected."""
 
--- a/packages/platform/src/oriolestand_platform/_http.py
+++ b/packages/platform/src/oriolestand_platform/_http.py
@@ -1,7 +1,6 @@
 """Reach the platform over HTTP with JSON bodies."""
 
 from collections.abc import Sequence
-import io
 import json
 from typing import Any
 from typing import TypeVar
@@ -12,18 +11,18 @@
 from twisted.internet import error
 from twisted.web import client
 from twisted.web import http
-from twisted.web import http_headers
-from twisted.web import iweb
 
+import oriolestand_core as core
 from oriolestand_platform import _client
 from oriolestand_platform import _errors
 from oriolestand_platform import _models
+from oriolestand_platform import _transport
 
 Model = TypeVar('Model', bound=pydantic.BaseModel)
 
 DEFAULT_TIMEOUT_MS = 1_000
-MAX_CONNECTIONS = 4
-MILLIS_PER_SECOND = 1000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_OBJECT_BYTES = 64 * 1024 * 1024
 
 
 class HttpPlatform(_client.PlatformClient):
@@ -40,45 +39,48 @@
         base_url: str,
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
     ) -> None:
-        self._reactor = reactor
-        self._base_url = base_url.rstrip('/')
-        self._timeout = timeout_ms / MILLIS_PER_SECOND
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
-        # A repeat must be the caller's decision: a write may have run.
-        self._pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, pool=self._pool, connectTimeout=self._timeout
+        self._transport = _transport.HttpTransport(
+            reactor, base_url, timeout_ms
         )
 
     async def read(self, table: str, key: str) -> _models.Row | None:
         """Return a row or None."""
         path = f'/tables/{_quote(table)}/{_quote(key)}'
-        status, body = await self._call('GET', path)
-        if status == http.NOT_FOUND:
+        body = await self._call('GET', path)
+        if body is None:
             return None
-        return _parse(_models.Row, body)
+        row = _parse(_models.Row, body)
+        if (row.table, row.key) != (table, key):
+            raise _malformed('the answer holds another row')
+        return row
 
     async def scan(
         self, table: str, prefix: str = ''
     ) -> Sequence[_models.Row]:
         """Return the rows of a table by key."""
         path = f'/tables/{_quote(table)}?prefix={_quote(prefix)}'
-        _, body = await self._call('GET', path)
-        return _parse(_Rows, body).rows
+        rows = _parse(_Rows, await self._call('GET', path)).rows
+        if any(
+            row.table != table or not row.key.startswith(prefix)
+            for row in rows
+        ):
+            raise _malformed('the answer holds other rows')
+        return rows
 
     async def commit(
         self, transaction: _models.Transaction
     ) -> _models.TransactionResult:
         """Apply a transaction."""
         data = transaction.model_dump_json().encode()
-        _, body = await self._call('POST', '/transactions', data)
-        return _parse(_models.TransactionResult, body)
+        body = await self._call('POST', '/transactions', data)
+        return _parse(
+            _models.TransactionResult, body, core.Verdict.MAY_HAVE_RUN
+        )
 
     async def read_object(self, key: str) -> bytes | None:
         """Return an object's bytes or None."""
-        status, body = await self._call('GET', f'/objects/{_quote(key)}')
-        return None if status == http.NOT_FOUND else body
+        path = f'/objects/{_quote(key)}'
+        return await self._call('GET', path, limit=MAX_OBJECT_BYTES)
 
     async def write_object(self, key: str, data: bytes) -> None:
         """Store an object."""
@@ -86,54 +88,72 @@
 
     async def list_instances(self) -> _models.InstanceList:
         """Return the platform's lagging instance list."""
-        _, body = await self._call('GET', '/instances')
-        return _parse(_models.InstanceList, body)
+        return _parse(
+            _models.InstanceList, await self._call('GET', '/instances')
+        )
 
     def close(self) -> object:
         """Close idle connections."""
-        return self._pool.closeCachedConnections()
+        return self._transport.close()
 
     async def _call(
-        self, method: str, path: str, data: bytes | None = None
-    ) -> tuple[int, bytes]:
-        """Return status and body, or raise an error with its verdict."""
-        producer: Any = None
-        if data is not None:
-            producer = client.FileBodyProducer(io.BytesIO(data))
-        url = f'{self._base_url}{path}'.encode('ascii')
-        fut = self._agent.request(
-            method.encode('ascii'),
-            url,
-            http_headers.Headers({b'content-type': [b'application/json']}),
-            producer,
-        )
-        fut.addCallback(self._read_body)
-        fut.addTimeout(self._timeout, self._reactor)
+        self,
+        method: str,
+        path: str,
+        data: bytes | None = None,
+        limit: int = MAX_ANSWER_BYTES,
+    ) -> bytes | None:
+        """Return the body, None for 404, or raise with the verdict.
+
+        A lost answer to a read is ``did_not_run``, as a read has no effect.
+        """
+        lost = core.Verdict.MAY_HAVE_RUN
+        if method == 'GET':
+            lost = core.Verdict.DID_NOT_RUN
         try:
-            status, body = await fut
-        except (
-            error.ConnectError,
-            client.RequestNotSent,
-        ) as exc:
+            answer = await self._transport.send(method, path, data, limit)
+        except (error.ConnectError, client.RequestNotSent) as exc:
             raise _errors.StoreUnavailableError(
                 'the platform cannot be reached', reason=str(exc)
             ) from exc
-        except Exception as exc:
+        except _transport.AnswerTooLongError as exc:
+            raise _malformed('the answer is too long', lost) from exc
+        except (
+            _transport.BodyLostError,
+            client.ResponseFailed,
+            client.RequestGenerationFailed,
+            defer.CancelledError,
+            defer.TimeoutError,
+            error.ConnectionClosed,
+        ) as exc:
             raise _errors.StoreTimeoutError(
-                'the answer of the platform was lost', reason=repr(exc)
+                'the answer of the platform was lost', lost, reason=repr(exc)
             ) from exc
-        if status >= http.INTERNAL_SERVER_ERROR:
-            raise _errors.StoreUnavailableError(
-                'the platform refused the request', status=status
-            )
-        return status, body
-
-    def _read_body(
-        self, response: iweb.IResponse
-    ) -> 'defer.Deferred[tuple[int, bytes]]':
-        """Collect the whole body of a response."""
-        fut = client.readBody(response)
-        return fut.addCallback(lambda body: (response.code, body))
+        return _check_status(method, answer, lost)
+
+
+def _check_status(
+    method: str, answer: _transport.Answer, lost: core.Verdict
+) -> bytes | None:
+    """Return the body of a success, None for 404 to a read, or raise."""
+    status = answer.status
+    if status == http.OK:
+        return answer.body
+    if status == http.NOT_FOUND and method == 'GET':
+        return None
+    if status == http.SERVICE_UNAVAILABLE:
+        raise _errors.StoreUnavailableError(
+            'the platform refused the request', status=status
+        )
+    if status >= http.INTERNAL_SERVER_ERROR:
+        raise _errors.StoreFailedError(
+            'the platform failed', lost, status=status
+        )
+    if status >= http.BAD_REQUEST:
+        raise _errors.StoreRefusedError(
+            'the platform found the request to be wrong', status=status
+        )
+    raise _malformed('the status is not of the protocol', lost)
 
 
 class _Rows(pydantic.BaseModel):
@@ -147,11 +167,22 @@
     return parse.quote(text, safe='')
 
 
-def _parse(model: type[Model], body: bytes) -> Model:
+def _malformed(
+    reason: str, verdict: core.Verdict = core.Verdict.DID_NOT_RUN
+) -> _errors.MalformedAnswerError:
+    """Return the error for an answer that breaks the protocol."""
+    return _errors.MalformedAnswerError(
+        'the answer of the platform is malformed', verdict, reason=reason
+    )
+
+
+def _parse(
+    model: type[Model],
+    body: bytes | None,
+    verdict: core.Verdict = core.Verdict.DID_NOT_RUN,
+) -> Model:
     """Validate a body, or raise MalformedAnswerError."""
     try:
-        return model.model_validate(json.loads(body))
-    except ValueError as exc:
-        raise _errors.MalformedAnswerError(
-            'the answer of the platform is malformed', reason=str(exc)
-        ) from exc
+        return model.model_validate(json.loads(body or b''))
+    except (ValueError, RecursionError) as exc:
+        raise _malformed(str(exc)[:200], verdict) from exc
--- /dev/null
+++ b/packages/platform/src/oriolestand_platform/_transport.py
@@ -0,0 +1,161 @@
+"""Send one HTTP request and collect a bounded answer."""
+
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
+
+MAX_CONNECTIONS = 4
+MILLIS_PER_SECOND = 1000
+JSON_HEADERS = http_headers.Headers({b'content-type': [b'application/json']})
+
+
+class AnswerTooLongError(Exception):
+    """Raise when an answer has more bytes than are allowed."""
+
+
+class BodyLostError(Exception):
+    """Raise when an answer ended before it was complete."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """Hold the status and the whole body of an answer."""
+
+    status: int
+    body: bytes
+
+
+@interface.implementer(iweb.IBodyProducer)
+class _BytesProducer:
+    """Write a body at once; bodies are bounded by who makes them."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self.length = len(data)
+
+    def startProducing(  # noqa: N802
+        self, consumer: Any
+    ) -> 'defer.Deferred[None]':
+        """Write the body."""
+        consumer.write(self._data)
+        return defer.succeed(None)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; all is written."""
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing; all is written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing; all is written."""
+
+
+class _BodyReader(protocol.Protocol):
+    """Collect a body up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._data = bytearray()
+        self.done: defer.Deferred[bytes] = defer.Deferred(self._abort)
+
+    def _abort(self, _: object) -> None:
+        """Close the connection when the caller no longer waits."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body."""
+        if self.done.called:
+            return
+        self._data += data
+        if len(self._data) > self._limit:
+            self.done.errback(AnswerTooLongError(self._limit))
+            self._abort(None)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Finish; only a body with a known end counts as whole."""
+        if self.done.called:
+            return
+        if reason.check(client.ResponseDone):
+            self.done.callback(bytes(self._data))
+        else:
+            self.done.errback(BodyLostError(reason.getErrorMessage()))
+
+
+@interface.implementer(iweb.IAgentEndpointFactory)
+class _AddressEndpoints:
+    """Connect by IP address, without a resolver."""
+
+    def __init__(self, reactor: Any, timeout: float) -> None:
+        self._reactor = reactor
+        self._timeout = timeout
+
+    def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
+        """Return the endpoint of a URL's host."""
+        host = uri.host.decode('ascii').strip('[]')
+        kind = (
+            endpoints.TCP6ClientEndpoint
+            if ':' in host
+            else endpoints.TCP4ClientEndpoint
+        )
+        return kind(self._reactor, host, uri.port, timeout=self._timeout)
+
+
+class HttpTransport:
+    """Own the connections to one server.
+
+    :param timeout_ms: bounds the whole exchange. Connecting may take half
+        of it, so that an unreachable server is told from a lost answer.
+    """
+
+    def __init__(self, reactor: Any, base_url: str, timeout_ms: int) -> None:
+        self._reactor = reactor
+        self._base_url = base_url.rstrip('/')
+        self._timeout = timeout_ms / MILLIS_PER_SECOND
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
+        # A repeat must be the caller's decision: a write may have run.
+        self._pool.retryAutomatically = False
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor,
+            _AddressEndpoints(reactor, self._timeout / 2),
+            pool=self._pool,
+        )
+
+    def send(
+        self, method: str, path: str, data: bytes | None, limit: int
+    ) -> 'defer.Deferred[Answer]':
+        """Return the answer; ``limit`` bounds its body in bytes."""
+        producer = None if data is None else _BytesProducer(data)
+        fut = self._agent.request(
+            method.encode('ascii'),
+            f'{self._base_url}{path}'.encode('ascii'),
+            JSON_HEADERS,
+            producer,
+        )
+        fut.addCallback(self._read, limit)
+        fut.addTimeout(self._timeout, self._reactor)
+        return fut
+
+    def _read(self, response: Any, limit: int) -> 'defer.Deferred[Answer]':
+        """Collect the whole body of a response."""
+        reader = _BodyReader(limit)
+        response.deliverBody(reader)
+        return reader.done.addCallback(
+            lambda body: Answer(status=response.code, body=body)
+        )
+
+    def close(self) -> object:
+        """Close idle connections."""
+        return self._pool.closeCachedConnections()
