--- a/packages/daemon/src/oriolestand_daemon/settings.py
+++ b/packages/daemon/src/oriolestand_daemon/settings.py
@@ -5,6 +5,7 @@
 from oriolestand_models.settings import LimitSettings
 from oriolestand_models.settings import ListenerSettings
 from oriolestand_models.settings import LogSettings
+from oriolestand_models.settings import PeerListenerSettings
 from oriolestand_models.settings import Settings
 from oriolestand_models.settings import SettingsError
 from oriolestand_models.settings import parse_settings
@@ -16,6 +17,7 @@
     'LimitSettings',
     'ListenerSettings',
     'LogSettings',
+    'PeerListenerSettings',
     'Settings',
     'SettingsError',
     'parse_settings',
