--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.stamp
 SOURCES := packages
 
-.PHONY: help setup test unit format lint types doctest models bench demo lock
+.PHONY: help setup schemas test unit format lint types doctest models bench demo lock
 .NOTPARALLEL:
 
 help:
@@ -15,6 +15,7 @@
 	@echo "make check   run formatter, linter, type check and doctests"
 	@echo "make models  check the models of the core protocols"
 	@echo "make bench   run the benchmarks, write out/bench.json"
+	@echo "make schemas write the JSON schemas under docs/schemas"
 	@echo "make lock    pin the dependencies again"
 
 setup: $(STAMP)
@@ -55,6 +56,9 @@
 demo: setup
 	$(BIN)/python -m oriolestand_standins.demo
 
+schemas: setup
+	$(BIN)/python -m oriolestand_models docs/schemas
+
 # Hashes come from the registry that pip is set up with; no address is kept.
 lock: setup
 	$(BIN)/pip install --quiet uv
--- a/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
@@ -1,18 +1,14 @@
 """Own the admin listener."""
 
-import json
 from typing import Any
 
-from twisted.internet import defer
-from twisted.python import failure
-from twisted.web import http
-from twisted.web import resource
-from twisted.web import server
-
 import oriolestand_core as core
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.services.admin import _probes
+from oriolestand_daemon.services.admin import _site
+from oriolestand_daemon.services.admin import _tables
 from oriolestand_daemon.services.admin import const
 
 
@@ -24,7 +20,6 @@
         self._cfg = cfg
         self._log = core.get_logger(const.DOMAIN)
         self._port: Any = None
-        self.version = 0
         self.is_leaving = False
 
     @property
@@ -35,150 +30,69 @@
         host = self._port.getHost()
         return f'{host.host}:{host.port}'
 
+    def make_site(self) -> Any:
+        """Return the site with all parts of the interface."""
+        kernel = self.kernel
+        return _site.make_site(
+            kernel.reactor,
+            {
+                'live': _probes.ProbeApi(kernel, self._liveness),
+                'ready': _probes.ProbeApi(kernel, self._readiness),
+                'status': _probes.StatusApi(kernel, self._status),
+                'instances': _probes.InstancesApi(kernel),
+                'traces': _probes.TracesApi(kernel),
+                'metrics': _probes.MetricsApi(kernel),
+                'tables': _tables.TablesApi(kernel),
+            },
+        )
+
     def start(self) -> object:
         """Listen for operators."""
-        self.kernel.subscribe(config.TablesChanged, self)
-        site = server.Site(_Root(self), reactor=self.kernel.reactor)
         listener = self._cfg.admin
         self._port = self.kernel.reactor.listenTCP(
-            listener.port, site, interface=listener.host
+            listener.port, self.make_site(), interface=listener.host
         )
         self._log.info('Listening', address=self.address)
         return None
 
-    @core.handles(config.TablesChanged)
-    def _on_tables(self, msg: config.TablesChanged) -> None:
-        """Know the version in force."""
-        self.version = msg.tables.version
+    async def _tables(self) -> config.TablesStatus:
+        """Return what is in force here."""
+        status: config.TablesStatus = await self.kernel.ask(
+            'tables', config.GetTablesStatus()
+        )
+        return status
+
+    async def _liveness(self) -> str:
+        """Return no reason: a process that answers is alive."""
+        return ''
 
-    async def status(self) -> dict[str, Any]:
+    async def _readiness(self) -> str:
+        """Return why the balancer must not send callers here."""
+        if self.is_leaving:
+            return 'shutting down'
+        if not (await self._tables()).is_known:
+            return 'no tables yet, neither from the store nor from a peer'
+        return ''
+
+    async def _status(self) -> dict[str, Any]:
         """Return what this daemon knows and does."""
         pools = await self.kernel.ask('dispatch', dispatch.GetDispatchStatus())
+        tables = await self._tables()
         return {
             'instance_id': self._cfg.instance_id,
             'incarnation': self.kernel.incarnation,
             'failure_domain': self._cfg.failure_domain,
             'region': self._cfg.region,
-            'version': self.version,
-            'ready': self.is_ready,
+            'version': tables.version,
+            'digest': tables.digest,
+            'ready': not await self._readiness(),
+            'leaving': self.is_leaving,
+            'services': sorted(self.kernel.services),
+            'tables': tables,
             'pools': pools,
         }
 
-    @property
-    def is_ready(self) -> bool:
-        """Return whether the balancer may send callers here."""
-        return self.version > 0 and not self.is_leaving
-
     def stop(self) -> object:
         """Close the listener."""
         super().stop()
         return self._port.stopListening() if self._port else None
-
-
-class _Root(resource.Resource):
-    """Route admin requests by path."""
-
-    def __init__(self, task: AdminTask) -> None:
-        super().__init__()
-        children: Any = self
-        children.putChild(b'live', _Probe(lambda: True))
-        children.putChild(b'ready', _Probe(lambda: task.is_ready))
-        children.putChild(b'status', _Json(task.status))
-        children.putChild(b'tables', _Tables(task.kernel))
-
-
-class _Probe(resource.Resource):
-    """Answer 200 or 503."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, check: Any) -> None:
-        super().__init__()
-        self._check = check
-
-    def render_GET(self, request: Any) -> bytes:  # noqa: N802
-        """Answer a probe."""
-        if self._check():
-            return b'ok\n'
-        request.setResponseCode(http.SERVICE_UNAVAILABLE)
-        return b'not ready\n'
-
-
-def _reply(request: Any, work: Any) -> int:
-    """Answer with the JSON result of a coroutine, or its error."""
-    request.setHeader('Content-Type', 'application/json')
-
-    def succeed(result: Any) -> None:
-        data = result if isinstance(result, bytes) else json.dumps(result)
-        request.write(data if isinstance(data, bytes) else data.encode())
-        request.finish()
-
-    def fail(reason: failure.Failure) -> None:
-        exc: Any = reason.value
-        if not isinstance(exc, core.OriolestandError):
-            exc = core.OriolestandError(reason.getErrorMessage())
-        request.setResponseCode(exc.http_status)
-        body = {
-            'code': exc.code,
-            'message': exc.message,
-            'verdict': exc.verdict.value,
-            'problems': list(getattr(exc, 'problems', ())),
-        }
-        request.write(json.dumps(body).encode())
-        request.finish()
-
-    defer.ensureDeferred(work).addCallbacks(succeed, fail)
-    return server.NOT_DONE_YET
-
-
-class _Json(resource.Resource):
-    """Answer with the result of a coroutine."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, make: Any) -> None:
-        super().__init__()
-        self._make = make
-
-    def render_GET(self, request: Any) -> int:  # noqa: N802
-        """Answer a question."""
-        return _reply(request, self._make())
-
-
-class _Tables(resource.Resource):
-    """Show and replace the tables."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, kernel: core.Kernel) -> None:
-        super().__init__()
-        self._kernel = kernel
-
-    async def _get(self) -> bytes:
-        """Return the document in force."""
-        document: bytes = await self._kernel.ask(
-            'tables', config.GetDocument()
-        )
-        return document
-
-    async def _put(self, request: Any) -> bytes:
-        """Replace the document."""
-        base = request.args.get(b'base_version', [b'0'])[0]
-        author = request.args.get(b'edited_by', [b''])[0]
-        document: bytes = await self._kernel.ask(
-            'tables',
-            config.ApplyDocument(
-                document=request.content.read(),
-                base_version=int(base),
-                edited_by=author.decode(),
-            ),
-        )
-        return document
-
-    def render_GET(self, request: Any) -> int:  # noqa: N802
-        """Answer with the tables."""
-        return _reply(request, self._get())
-
-    def render_PUT(self, request: Any) -> int:  # noqa: N802
-        """Replace the tables."""
-        return _reply(request, self._put(request))
