Take a repeat of an edit by its client for the same edit

A client that lost the daemon's answer repeats the edit with its edit id; when the first one was still on its way, the repeat was told of a conflict with itself. The content is compared as well, so that an edit id used twice claims nothing.

--- a/packages/daemon/src/oriolestand_daemon/services/tables/_editor.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_editor.py
@@ -111,8 +111,10 @@
         A client that lost our answer repeats the edit with its edit id.
         """
         if edit.edit_id:
+            old = await self.read_version(base) or models.DocumentModel()
+            made = edit.make(old)
             done = await self.read_version(base + 1)
-            if done is not None and done.edit_id == edit.edit_id:
+            if done is not None and _is_repeat(edit.edit_id, made, done):
                 return done
         raise await self._conflict(base, current.document)
 
@@ -127,10 +129,9 @@
                 base_version=base,
                 current_version=current.version,
             )
-        changes = tables.diff(models.to_tables(old), models.to_tables(current))
         return errors.EditConflictError(
             'the tables changed since the version that was edited',
-            [str(change) for change in changes],
+            models.diff(old, current),
             base_version=base,
             current_version=current.version,
             edited_by=current.edited_by,
@@ -178,6 +179,10 @@
             is_applied = await self._read_back(message, document, current)
         if is_applied:
             return document
+        done = await self.read_version(document.version)
+        if done is not None and _is_repeat(document.edit_id, document, done):
+            # The client sent the edit twice, and the other one won.
+            return done
         now = await self.read_current()
         if now.document.version < document.version:
             raise errors.StoreBehindError(
@@ -267,3 +272,14 @@
 def _put(table: str, key: str, value: Any) -> platform.Put:
     """Return a put of one row."""
     return platform.Put(table=table, key=key, value=value)
+
+
+def _is_repeat(
+    edit_id: str, made: models.DocumentModel, done: models.DocumentModel
+) -> bool:
+    """Return whether a stored version is the same edit."""
+    return (edit_id, made.routes, made.pools) == (
+        done.edit_id,
+        done.routes,
+        done.pools,
+    )
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -221,16 +221,13 @@
         while newest.version and len(entries) < min(limit, const.MAX_HISTORY):
             older = await self._editor.read_version(newest.version - 1)
             base = older or models.DocumentModel()
-            changes = tables.diff(
-                models.to_tables(base), models.to_tables(newest)
-            )
             entries.append(
                 config.HistoryEntry(
                     version=newest.version,
                     edited_by=newest.edited_by,
                     edit_id=newest.edit_id,
                     digest=newest.digest(),
-                    changes=tuple(str(change) for change in changes),
+                    changes=tuple(models.diff(base, newest)),
                 )
             )
             newest = base
--- a/packages/daemon/tests/services/tables/test_tables.py
+++ b/packages/daemon/tests/services/tables/test_tables.py
@@ -201,6 +201,20 @@
     assert b'"slots_per_upstream":7' in daemon.document
 
 
+def test_repeat_of_an_edit_by_its_client_is_the_same_edit(
+    store: platform.MemoryStore, daemon: Daemon
+) -> None:
+    """A client that lost our answer must not be told of a conflict."""
+    other = Daemon(store, seed=2).start()
+    daemon.client.before_commit = [
+        lambda: other.apply(_document(7), 0, edit_id='mine')
+    ]
+    assert daemon.apply(_document(7), 0, edit_id='mine') == 1
+    assert daemon.apply(_document(7), 0, edit_id='mine') == 1
+    with pytest.raises(errors.EditConflictError):
+        daemon.apply(_document(6), 0, edit_id='mine')
+
+
 def test_version_in_the_history_is_not_written_again(
     store: platform.MemoryStore, daemon: Daemon
 ) -> None:
--- a/packages/models/src/oriolestand_models/__init__.py
+++ b/packages/models/src/oriolestand_models/__init__.py
@@ -8,6 +8,7 @@
 from oriolestand_models.document import InvalidTablesError
 from oriolestand_models.document import PoolModel
 from oriolestand_models.document import RouteModel
+from oriolestand_models.document import diff
 from oriolestand_models.document import parse_bytes
 from oriolestand_models.document import parse_document
 from oriolestand_models.document import to_tables
@@ -19,6 +20,7 @@
     'PoolModel',
     'RouteModel',
     'SCHEMAS',
+    'diff',
     'dump_schema',
     'parse_bytes',
     'parse_document',
--- a/packages/models/src/oriolestand_models/document.py
+++ b/packages/models/src/oriolestand_models/document.py
@@ -186,6 +186,12 @@
     )
 
 
+def diff(old: DocumentModel, new: DocumentModel) -> list[str]:
+    """Return lines for people that say what changed, pools first."""
+    changes = tables.diff(to_tables(old), to_tables(new))
+    return [str(change) for change in changes]
+
+
 def _to_route(model: RouteModel) -> tables.Route:
     """Return a route."""
     return tables.Route(
