Add the commands of the command-line client

The client was an empty group. It now lists, shows, edits, applies, compares and undoes routes and pools, one table or both, shows instances, status and traces, checks files without a daemon and prints schemas and completion scripts. An edit carries an id that the client chooses; after a lost answer it is sent again with the same id, and when that stays unanswered the exit code says that the outcome is unknown.

--- /dev/null
+++ b/packages/cli/src/oriolestand_cli/_output.py
@@ -0,0 +1,44 @@
+"""Print results for people and for programs."""
+
+from collections.abc import Sequence
+import json
+from typing import Any
+
+import click
+
+COLUMN_GAP = '  '
+
+
+def print_json(value: Any) -> None:
+    """Print a value as JSON."""
+    click.echo(json.dumps(value, indent=2))
+
+
+def format_table(
+    headers: Sequence[str], rows: Sequence[Sequence[object]]
+) -> str:
+    """Return aligned columns.
+
+    >>> print(format_table(['NAME', 'SLOTS'], [['main', 8], ['b', 16]]))
+    NAME  SLOTS
+    main  8
+    b     16
+    """
+    lines = [list(headers), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return '\n'.join(
+        COLUMN_GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def print_table(headers: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Print aligned columns."""
+    click.echo(format_table(headers, rows))
+
+
+def note(text: str) -> None:
+    """Print a remark for people, apart from the result."""
+    click.echo(text, err=True)
--- /dev/null
+++ b/packages/cli/src/oriolestand_cli/_tables.py
@@ -0,0 +1,263 @@
+"""Show and edit routes and pools."""
+
+from typing import Any
+
+import click
+
+from oriolestand_cli import _app
+from oriolestand_cli import _changes
+from oriolestand_cli import _editor
+from oriolestand_cli import _errors
+from oriolestand_cli import _output
+from oriolestand_cli import _scope
+import oriolestand_models as models
+
+DEFAULT_WAIT_S = 10.0
+HISTORY_LIMIT = 20
+
+
+def _wait_option(func: Any) -> Any:
+    """Add ``--wait`` to a command that edits."""
+    return click.option(
+        '--wait',
+        type=click.FloatRange(min=0),
+        default=DEFAULT_WAIT_S,
+        show_default=True,
+        help='Seconds to wait until the edit is in force; 0 does not wait.',
+    )(func)
+
+
+def make_group(scope: _scope.Scope) -> click.Group:
+    """Return the commands for one table, or for both."""
+    name = scope.name
+    subject = 'routes and pools' if len(scope.tables) > 1 else name
+    group = click.Group(
+        name,
+        help=f'Show and edit {subject}.\n\n\b\nExamples:\n'
+        f'  oriolestand {name} list\n'
+        f'  oriolestand {name} list -o json > {name}.json\n'
+        f'  oriolestand {name} diff {name}.json\n'
+        f'  oriolestand {name} apply {name}.json\n'
+        f'  oriolestand {name} undo --to 7\n\n'
+        f'A file holds the tables and the version that it is based on, as '
+        f'"list -o json" prints it.\n\n{_errors.EXIT_CODES_HELP}',
+    )
+    for add in (_add_views, _add_edits, _add_versions):
+        add(group, scope)
+    return group
+
+
+def _add_views(group: click.Group, scope: _scope.Scope) -> None:
+    """Add ``list`` and, for a single table, ``show``."""
+
+    @group.command('list')
+    @click.option('--version', type=click.IntRange(min=0))
+    @_app.with_app
+    def list_entries(app: _app.App, version: int | None) -> None:
+        """List the entries in force, or those of an older version."""
+        part = scope.part(_changes.load(app, version))
+        if app.is_json:
+            _output.print_json(part)
+            return
+        for table in scope.tables:
+            headers, rows = _ROWS[table](part[table])
+            _output.print_table(headers, rows)
+        _output.note(f'Version {part["version"]}')
+
+    if len(scope.tables) > 1:
+        return
+
+    @group.command()
+    @click.argument('name', shell_complete=_complete(scope))
+    @_app.with_app
+    def show(app: _app.App, name: str) -> None:
+        """Show one entry with all its fields, as JSON."""
+        document = _changes.load(app)
+        (table,) = scope.tables
+        _output.print_json(_find(scope.part(document)[table], table, name))
+
+
+def _find(entries: list[dict[str, Any]], table: str, name: str) -> Any:
+    """Return an entry by name."""
+    for entry in entries:
+        if entry['name'] == name:
+            return entry
+    raise _errors.CommandError(
+        f'{table} has no entry {name}', _errors.ExitCode.NOT_FOUND
+    )
+
+
+def _complete(scope: _scope.Scope) -> Any:
+    """Return a completion of names from the daemon."""
+
+    def complete(
+        ctx: click.Context, param: click.Parameter, incomplete: str
+    ) -> list[str]:
+        daemons = ctx.params.get('daemon') or (_app.DEFAULT_DAEMON,)
+        (table,) = scope.tables
+        try:
+            client = _app.make_client(daemons)
+            entries = client.get(f'/tables/{table}')[table]
+        except _errors.CommandError:
+            return []
+        names = [entry['name'] for entry in entries]
+        return [name for name in names if name.startswith(incomplete)]
+
+    return complete
+
+
+def _add_edits(group: click.Group, scope: _scope.Scope) -> None:
+    """Add ``edit``, ``apply`` and ``diff``."""
+
+    @group.command()
+    @_wait_option
+    @_app.with_app
+    def edit(app: _app.App, wait: float) -> None:
+        """Edit in $EDITOR and apply the result.
+
+        What you wrote is kept in a file when it cannot be applied.
+        """
+        _editor.edit(app, scope, _changes.Waiting(seconds=wait))
+
+    @group.command()
+    @click.argument('file')
+    @_wait_option
+    @_app.with_app
+    def apply(app: _app.App, file: str, wait: float) -> None:
+        """Replace the tables by those in FILE; - reads standard input.
+
+        With a version in FILE the edit is refused when the tables changed
+        since then.
+        """
+        part = _scope.parse_part(scope, _scope.read_file(file), file)
+        base, document = _changes.make(app, scope, part)
+        waiting = _changes.Waiting(seconds=wait)
+        _changes.submit(app, base, document, waiting)
+
+    @group.command()
+    @click.argument('file')
+    @_app.with_app
+    def diff(app: _app.App, file: str) -> None:
+        """Show what applying FILE would change in the tables in force."""
+        part = _scope.parse_part(scope, _scope.read_file(file), file)
+        part.pop('version', None)
+        base, document = _changes.make(app, scope, part)
+        changes = models.diff(base, document)
+        if app.is_json:
+            _output.print_json({'version': base.version, 'changes': changes})
+        for change in () if app.is_json else changes:
+            click.echo(change)
+        if changes:
+            click.get_current_context().exit(_errors.ExitCode.DIFFERS)
+
+
+def _add_versions(group: click.Group, scope: _scope.Scope) -> None:
+    """Add ``history`` and ``undo``."""
+
+    @group.command()
+    @click.option(
+        '--limit',
+        type=click.IntRange(1, 50),
+        default=HISTORY_LIMIT,
+        show_default=True,
+    )
+    @_app.with_app
+    def history(app: _app.App, limit: int) -> None:
+        """Show who changed what, the newest version first."""
+        entries = _history(app, scope, limit)
+        if app.is_json:
+            _output.print_json(entries)
+            return
+        rows = [
+            (
+                e['version'],
+                e['edited_by'],
+                e['edit_id'],
+                '; '.join(e['changes']),
+            )
+            for e in entries
+        ]
+        _output.print_table(['VERSION', 'BY', 'EDIT ID', 'CHANGES'], rows)
+
+    @group.command()
+    @click.option(
+        '--to',
+        'version',
+        type=click.IntRange(min=0),
+        help='Version to bring back; by default the one before the last '
+        'change.',
+    )
+    @_wait_option
+    @_app.with_app
+    def undo(app: _app.App, version: int | None, wait: float) -> None:
+        """Bring old content back as a new version."""
+        base = _changes.load(app)
+        if version is None:
+            entries = _history(app, scope, HISTORY_LIMIT)
+            if not entries:
+                raise _errors.CommandError(
+                    'there is no change to undo', _errors.ExitCode.NOT_FOUND
+                )
+            version = entries[0]['version'] - 1
+        old = models.DocumentModel()
+        if version:
+            old = _changes.load(app, version)
+        document = scope.merge(base, scope.part(old))
+        waiting = _changes.Waiting(seconds=wait)
+        _changes.submit(app, base, document, waiting)
+
+
+def _history(
+    app: _app.App, scope: _scope.Scope, limit: int
+) -> list[dict[str, Any]]:
+    """Return the versions that changed this scope."""
+    entries = []
+    for entry in app.client.get('/tables/history', limit=limit):
+        changes = [c for c in entry['changes'] if scope.is_concerned(c)]
+        if changes:
+            entries.append({**entry, 'changes': changes})
+    return entries
+
+
+def _route_rows(routes: list[dict[str, Any]]) -> Any:
+    """Return headers and rows of routes."""
+    headers = ['ROUTE', 'MATCH', 'POOL', 'TEAM', 'KIND', 'PRIO', 'TIMEOUT']
+    return headers, [
+        (
+            route['name'],
+            _match(route['match']),
+            route['pool'],
+            route['team'],
+            route['kind'],
+            route['priority'],
+            f'{route["timeout_ms"]} ms',
+        )
+        for route in routes
+    ]
+
+
+def _match(match: dict[str, Any]) -> str:
+    """Return which requests a route takes."""
+    methods = ','.join(match['methods'])
+    headers = ' '.join(f'{k}={v}' for k, v in match['headers'].items())
+    target = f'{match["host"]}{match["path_prefix"]}'
+    return ' '.join(part for part in (methods, target, headers) if part)
+
+
+def _pool_rows(pools: list[dict[str, Any]]) -> Any:
+    """Return headers and rows of pools."""
+    headers = ['POOL', 'UPSTREAMS', 'DOMAINS', 'SLOTS', 'CONNECTIONS', 'QUEUE']
+    return headers, [
+        (
+            pool['name'],
+            len(pool['upstreams']),
+            ','.join(sorted({u['failure_domain'] for u in pool['upstreams']})),
+            pool['slots_per_upstream'],
+            pool['connections_per_upstream'],
+            pool['queue_limit'],
+        )
+        for pool in pools
+    ]
+
+
+_ROWS = {'routes': _route_rows, 'pools': _pool_rows}
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -203,6 +203,8 @@
     async def _read_version(self, version: int) -> bytes:
         """Return a version of the history."""
         document = await self._editor.read_version(version)
+        if document is None and version == 0:
+            return models.DocumentModel().dump()
         if document is None:
             raise errors.UnknownVersionError(
                 'the history does not hold this version', version=version
--- a/packages/models/src/oriolestand_models/settings.py
+++ b/packages/models/src/oriolestand_models/settings.py
@@ -119,12 +119,19 @@
         raise SettingsError(_json.list_problems(exc)) from exc
 
 
+def parse_bytes(data: bytes) -> Settings:
+    """Return the settings in JSON bytes."""
+    try:
+        parsed = _json.parse(data)
+    except ValueError as exc:
+        raise SettingsError([f'.: not valid JSON: {exc}']) from exc
+    return parse_settings(parsed)
+
+
 def read_settings(path: pathlib.Path) -> Settings:
     """Return the settings in a JSON file."""
     try:
-        data = _json.parse(path.read_bytes())
+        data = path.read_bytes()
     except OSError as exc:
         raise SettingsError([f'{path}: {exc.strerror}']) from exc
-    except ValueError as exc:
-        raise SettingsError([f'{path}: not valid JSON: {exc}']) from exc
-    return parse_settings(data)
+    return parse_bytes(data)
