Start unknown and noisy batch tasks with care

A wave of noisy tasks was half over before the first report on it. A team that was never measured runs one task for each daemon until it is, at most for 5 s; tasks known to be noisy start throttled and hold at most a twentieth of the slots; a task that failed somewhere goes elsewhere. Room that was kept for a team that may not start is given to others.

--- a/packages/bench/src/oriolestand_bench/policy/_batch.py
+++ b/packages/bench/src/oriolestand_bench/policy/_batch.py
@@ -41,7 +41,7 @@
         self._mean_ms = mean_ms
         self._count = 0
         self.dispatcher: Any = None
-        self.backlog: collections.deque[_fakes.Task] = collections.deque()
+        self.backlog: dict[str, collections.deque[_fakes.Task]] = {}
         self.running: dict[str, _fakes.Task] = {}
         self.pools = ['main']
         self.has_store = True
@@ -58,23 +58,33 @@
             if reason:
                 self.unrunnable.append(reason)
                 return
-        self.backlog.append(
+        self._put(
             _fakes.Task(
                 key=key, team=team, slots=slots, work_ms=work_ms, job=job
             )
         )
 
+    def _put(self, task: _fakes.Task) -> None:
+        """Put a task at the end of its team's line."""
+        self.backlog.setdefault(task.team, collections.deque()).append(task)
+
     def poll(self) -> None:
-        """Start tasks until one finds no place."""
+        """Start tasks of each team until one finds no place."""
         if not (self.has_store and self.is_on and self.is_up):
             return
+        for team in ('noisy', 'reshuffle'):
+            self._start_team(team)
+
+    def _start_team(self, team: str) -> None:
+        """Start tasks of a team until one finds no place."""
         while True:
-            if not self.backlog:
+            if team == 'reshuffle' and not self.backlog.get(team):
                 work = _workload.draw_work(self._rng, self._mean_ms)
-                self.add('reshuffle', 1, work, f'job{self._count % 7}')
-            if not self._start(self.backlog[0]):
+                self.add(team, 1, work, f'job{self._count % 7}')
+            line = self.backlog.get(team)
+            if not line or not self._start(line[0]):
                 return
-            self.backlog.popleft()
+            line.popleft()
 
     def _start(self, task: _fakes.Task) -> bool:
         """Reserve slots for a task and run it there."""
@@ -112,17 +122,23 @@
         worker = task.worker
         assert worker is not None
         task.worker = None
-        self.backlog.append(task)
+        self._put(task)
         self._free(task, worker, failed=True)
 
     def evict(self, key: str) -> None:
         """Stop a task a little later and put it back."""
         if key in self.running:
             self._record.at(self._clock.now()).evictions += 1
-            self._clock.call_later(EVICT_MS, lambda: self.stop(key, True))
+            self._clock.call_later(
+                EVICT_MS, lambda: self.stop(key, True, is_eviction=True)
+            )
 
     def stop(
-        self, key: str, goes_on: bool, failed: bool | None = None
+        self,
+        key: str,
+        goes_on: bool,
+        failed: bool | None = None,
+        is_eviction: bool = False,
     ) -> None:
         """Stop a task now; it goes on later, or is cancelled."""
         task = self.running.get(key)
@@ -130,9 +146,10 @@
             return
         worker = task.worker
         lost = worker.stop(task)
-        self._record.at(self._clock.now()).lost_ms += lost
+        if is_eviction:
+            self._record.at(self._clock.now()).lost_ms += lost
         if goes_on:
-            self.backlog.append(task)
+            self._put(task)
         self._free(task, worker, failed)
 
     def throttle(self, key: str, is_on: bool) -> None:
--- a/packages/bench/src/oriolestand_bench/policy/_measures.py
+++ b/packages/bench/src/oriolestand_bench/policy/_measures.py
@@ -270,6 +270,11 @@
 }
 
 
+def needs_alone(scenario: str) -> bool:
+    """Return whether a scenario is compared with a run without batch."""
+    return any(m.compute is of_alone for m in BY_SCENARIO[scenario])
+
+
 def measures_of(scenario: str) -> tuple[Measure, ...]:
     """Return the measures of a scenario; own ones replace common ones."""
     own = BY_SCENARIO[scenario]
--- a/packages/bench/src/oriolestand_bench/policy/_replacing.py
+++ b/packages/bench/src/oriolestand_bench/policy/_replacing.py
@@ -1,18 +1,19 @@
 """Replace an entry instance by its next incarnation."""
 
+from oriolestand_bench.policy import _entry
 from oriolestand_bench.policy import _simulation
 
 RETRY_MS = 100
 
 
-def begin(entry: _simulation.Entry) -> None:
+def begin(entry: _entry.Entry) -> None:
     """Give an entry instance no new requests and tasks."""
     entry.is_up = False
     entry.dispatcher.is_draining = True
     entry.controller.is_up = False
 
 
-def end(sim: _simulation.Simulation, entry: _simulation.Entry) -> None:
+def end(sim: _simulation.Simulation, entry: _entry.Entry) -> None:
     """Start the next incarnation once the last request has ended."""
     if sim.is_busy(entry):
         sim.clock.call_later(RETRY_MS, lambda: end(sim, entry))
--- a/packages/policy/src/oriolestand_policy/admission/_fair.py
+++ b/packages/policy/src/oriolestand_policy/admission/_fair.py
@@ -172,6 +172,10 @@
         self._shares.note_unmet(_Kind.BATCH, slots)
         self._unmet[team] = self._now + _shares.UNMET_MEMORY_MS
 
+    def forget_unmet(self, team: str) -> None:
+        """Keep no room for a team that may not start tasks now."""
+        self._unmet.pop(team, None)
+
     def tick(self, now: core.Millis) -> None:
         """Follow the demand."""
         self._now = now
--- a/packages/policy/src/oriolestand_policy/admission/_fifo.py
+++ b/packages/policy/src/oriolestand_policy/admission/_fifo.py
@@ -45,6 +45,9 @@
     def note_unmet(self, team: str, slots: int) -> None:
         """Count a batch task that found no place."""
 
+    def forget_unmet(self, team: str) -> None:
+        """Keep no room."""
+
     def tick(self, now: core.Millis) -> None:
         """Follow the demand."""
 
--- a/packages/policy/src/oriolestand_policy/admission/_queue.py
+++ b/packages/policy/src/oriolestand_policy/admission/_queue.py
@@ -104,6 +104,10 @@
     def note_unmet(self, team: str, slots: int) -> None:
         """Count a batch task that found no place."""
 
+    @abc.abstractmethod
+    def forget_unmet(self, team: str) -> None:
+        """Keep no room for a team that may not start tasks now."""
+
     @abc.abstractmethod
     def tick(self, now: core.Millis) -> None:
         """Follow the demand."""
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -12,6 +12,7 @@
 from oriolestand_policy.dispatching import _effects
 from oriolestand_policy.dispatching import _flights
 from oriolestand_policy.dispatching import _outcome
+from oriolestand_policy.dispatching import _refusals
 from oriolestand_policy.dispatching import _slots
 from oriolestand_policy.dispatching import _state
 from oriolestand_policy.dispatching import _tasks
@@ -96,7 +97,7 @@
         waiting = [f for f in self._flights.waiting.values() if f.pool is pool]
         for flight in waiting:
             pool.queue.cancel(flight.ticket.id)
-            effects.append(self._refuse(flight.ticket, pool))
+            effects.append(self._flights.refuse(flight.ticket, pool))
         pool.is_removed = True
         return effects
 
@@ -150,7 +151,7 @@
             )
             return [_effects.Fail(ticket=ticket, error=error)]
         if ticket.deadline <= now:
-            return [_late(ticket)]
+            return [_refusals.late(ticket)]
         self._retries[pool.name].note_request()
         queue = pool.queue
         # An index or a share may be ahead of the queue, but nobody may
@@ -163,10 +164,10 @@
         if ticket.hops and not queue.is_entitled(ticket.kind, ticket.team):
             # The peer saw a free slot that is taken by now. Only the team's
             # own share may wait here, for a peer that has lost its slots.
-            return [self._refuse(ticket, pool)]
+            return [self._flights.refuse(ticket, pool)]
         shed = queue.offer(ticket, now)
         effects: list[_effects.Effect] = [
-            self._refuse(other, pool) for other in shed
+            self._flights.refuse(other, pool) for other in shed
         ]
         if not shed or shed[0] is not ticket:
             flight = _flights.Flight(ticket=ticket, pool=pool)
@@ -184,7 +185,7 @@
         if flight.upstream:
             self._flights.end(flight, outcome, now)
         else:
-            was_refused = _is_refusal(outcome)
+            was_refused = _refusals.is_refusal(outcome)
             flight.pool.peers.ended(flight.peer, flight.round, was_refused)
         effects = self._settle(flight, outcome, was_refused, now)
         effects += self._drain(flight.pool, now)
@@ -304,7 +305,7 @@
             pool.queue.tick(now)
             for ticket in pool.queue.expire(now):
                 del self._flights.waiting[ticket.id]
-                effects.append(_late(ticket))
+                effects.append(_refusals.late(ticket))
             effects += self._drain(pool, now)
         effects += self._tasks.tick(now)
         return effects
@@ -370,7 +371,7 @@
                 break
             flight = self._flights.waiting.pop(ticket.id)
             if ticket.deadline <= now:
-                effects.append(_late(ticket))
+                effects.append(_refusals.late(ticket))
                 continue
             sent = self._flights.send(flight, now)
             if sent is None:
@@ -387,33 +388,3 @@
             pool.room_told = now
             effects.append(_effects.RoomForTasks(pool=pool.name))
         return effects
-
-    def _refuse(
-        self, ticket: admission.Ticket, pool: _state.PoolState
-    ) -> _effects.Fail:
-        """Return the refusal of a request for want of slots."""
-        self._flights.waiting.pop(ticket.id, None)
-        error = admission.OverloadedError(
-            'no slot is free and the wait would be too long',
-            pool=ticket.pool,
-            retry_after_ms=pool.queue.retry_after_ms(ticket),
-        )
-        return _effects.Fail(ticket=ticket, error=error)
-
-
-def _is_refusal(outcome: _outcome.Outcome) -> bool:
-    """Return whether a peer sent a request back without trying it."""
-    return (
-        outcome.error is not None
-        and outcome.verdict.is_safe_to_retry
-        and not outcome.upstream_failed
-        and not outcome.answered
-    )
-
-
-def _late(ticket: admission.Ticket) -> _effects.Fail:
-    """Return the refusal of a request whose deadline has passed."""
-    error = admission.DeadlineExceededError(
-        'the deadline passed before a slot was free', pool=ticket.pool
-    )
-    return _effects.Fail(ticket=ticket, error=error)
--- a/packages/policy/src/oriolestand_policy/dispatching/_flights.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_flights.py
@@ -133,3 +133,15 @@
         took = float(now - flight.started)
         self._slots.give(flight.upstream, 1)
         flight.pool.queue.note_end(ticket.kind, ticket.team, 1, took)
+
+    def refuse(
+        self, ticket: admission.Ticket, pool: _state.PoolState
+    ) -> _effects.Fail:
+        """Return the refusal of a request for want of slots."""
+        self.waiting.pop(ticket.id, None)
+        error = admission.OverloadedError(
+            'no slot is free and the wait would be too long',
+            pool=ticket.pool,
+            retry_after_ms=pool.queue.retry_after_ms(ticket),
+        )
+        return _effects.Fail(ticket=ticket, error=error)
--- a/packages/policy/src/oriolestand_policy/dispatching/_tasks.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_tasks.py
@@ -1,5 +1,6 @@
 """Give slots to batch tasks and take them back."""
 
+import collections
 import dataclasses
 import heapq
 import zlib
@@ -26,6 +27,12 @@
 LOSS_MS = 2_000
 """Assumed work lost by an eviction, which takes a checkpoint first: the time
 until the task has stopped. A younger task loses no more than its age."""
+TRIAL_MS = 5_000
+"""Time in which a team that was never measured runs one task here. Reports
+lag by 2 s; if none has come by then, there are no reports."""
+HARMFUL_SHARE = 0.05
+"""Part of the slots that tasks known to slow services may hold."""
+MAX_FAILED = 4_096
 
 _BATCH = tables.Kind.BATCH
 
@@ -49,6 +56,9 @@
     by_priority: dict[int, dict[str, _Task]] = dataclasses.field(
         default_factory=dict
     )
+    teams: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     slots: int = 0
     evicting: int = 0
     budget: float = 0.0
@@ -77,6 +87,8 @@
         self._pools: dict[str, _PoolTasks] = {}
         self._opened: list[tuple[int, str]] = []
         self._slow: list[str] = []
+        self._trial_until: dict[str, int] = {}
+        self._failed_at: dict[str, str] = {}
         self.now = core.Millis(0)
 
     def __contains__(self, key: str) -> bool:
@@ -89,6 +101,9 @@
         """Take slots of one upstream; ``wanted`` has no address yet."""
         pool = self._slots.pools[wanted.pool]
         held = self._held(pool.name)
+        if self._is_too_noisy(pool, held, wanted.team):
+            pool.queue.forget_unmet(wanted.team)
+            return None
         upstream = None
         if (
             not self._is_outranked(held, wanted.priority)
@@ -96,7 +111,10 @@
             and pool.queue.may_reserve(wanted.team, wanted.slots, pool.free)
         ):
             upstream = self._choice.choose_for_task(
-                pool.index, wanted.slots, self._cost(wanted.team)
+                pool.index,
+                wanted.slots,
+                self._cost(wanted.team),
+                self._failed_at.get(wanted.key, ''),
             )
         if upstream is None:
             pool.queue.note_unmet(wanted.team, wanted.slots)
@@ -134,7 +152,14 @@
         else:
             self._unlist(held, task)
         held.slots -= one.slots
+        held.teams[one.team] -= one.slots
         self._close(task)
+        if failed:
+            # The same task is no new evidence there, and may be luckier
+            # elsewhere.
+            self._failed_at[key] = one.address
+            if len(self._failed_at) > MAX_FAILED:
+                del self._failed_at[next(iter(self._failed_at))]
         if failed is not None:
             self._slots.note(
                 one.address, key, task.origin, failed, task.started, now
@@ -188,6 +213,23 @@
             held = self._pools[pool] = _PoolTasks(counted=self.now)
         return held
 
+    def _is_too_noisy(
+        self, pool: _state.PoolState, held: _PoolTasks, team: str
+    ) -> bool:
+        """Return whether more tasks of a team would slow services.
+
+        Not starting a task loses no work, and others may use the slots.
+        """
+        running = held.teams[team]
+        if not running:
+            return False
+        if self._noise.harm(team) >= interference.HARMFUL:
+            return running >= HARMFUL_SHARE * pool.granted
+        if self._noise.is_known(team):
+            return False
+        until = self._trial_until.setdefault(team, self.now + TRIAL_MS)
+        return self.now < until
+
     def _cost(self, team: str) -> placement.TaskCost:
         """Return the order in which a team's tasks prefer upstreams.
 
@@ -222,6 +264,7 @@
         self._tasks[one.key] = task
         held.by_priority.setdefault(one.priority, {})[one.key] = task
         held.slots += one.slots
+        held.teams[one.team] += one.slots
         if is_open:
             due = self.now + START_GRACE_MS
             heapq.heappush(self._opened, (due, one.key))
--- a/packages/policy/src/oriolestand_policy/interference/_interference.py
+++ b/packages/policy/src/oriolestand_policy/interference/_interference.py
@@ -76,6 +76,10 @@
     def harm(self, team: str) -> float:
         """Return by how much one task of a team slows services."""
 
+    @abc.abstractmethod
+    def is_known(self, team: str) -> bool:
+        """Return whether tasks of a team have been measured."""
+
     @abc.abstractmethod
     def should_start_slow(self, key: str, team: str) -> bool:
         """Return whether to throttle a new task from its start."""
@@ -98,6 +102,10 @@
         """Expect no harm."""
         return 0.0
 
+    def is_known(self, team: str) -> bool:
+        """Return True: nothing is measured."""
+        return True
+
     def should_start_slow(self, key: str, team: str) -> bool:
         """Return False."""
         return False
@@ -144,12 +152,16 @@
         """Return the learned slowdown for one task, 0 when unknown."""
         return self._harm.get(team, 0.0)
 
+    def is_known(self, team: str) -> bool:
+        """Return whether a report has covered the team."""
+        return team in self._harm
+
     def should_start_slow(self, key: str, team: str) -> bool:
-        """Throttle tasks of a team that alone break the bound.
+        """Throttle tasks of a team that is known to be noisy.
 
         A wave of them would be over before the first report on it.
         """
-        if 1.0 + self.harm(team) <= THROTTLE_ABOVE:
+        if self.harm(team) < HARMFUL:
             return False
         self._throttled[key] = self._now
         return True
--- a/packages/policy/src/oriolestand_policy/placement/_placement.py
+++ b/packages/policy/src/oriolestand_policy/placement/_placement.py
@@ -28,10 +28,12 @@
         free: Upstreams,
         slots: int,
         cost: TaskCost,
+        avoid: str = '',
     ) -> _upstream.UpstreamState | None:
         """Return an upstream with that many free slots, or None.
 
         :param cost: expected harm to what runs on the upstream.
+        :param avoid: address of an upstream to leave out.
         """
 
 
@@ -61,12 +63,13 @@
         free: Upstreams,
         slots: int,
         cost: TaskCost,
+        avoid: str = '',
     ) -> _upstream.UpstreamState | None:
         """Return the least harmful of a few random upstreams."""
         best = None
         best_key = (0.0, 0)
         for _ in range(min(TASK_DRAWS, 2 * len(free))):
-            upstream = free.draw(self._rng)
+            upstream = free.draw(self._rng, avoid)
             if upstream is None or upstream.free < slots:
                 continue
             key = (cost(upstream), upstream.in_use)
