Pack the tables between daemons and accept up to 8 MiB

A document had to fit into one frame of 1 MiB as JSON, which ends at about 3,700 routes and upstreams; the design asks for 28,000 upstreams. Unpacking is bounded.

Red with the mechanism removed, green with it: bound of the packed size and detection of a cut document (1 test each). The bound while unpacking keeps the test green when removed, because parse_bytes refuses the text as well; it bounds memory only.

--- a/packages/bench/src/oriolestand_bench/capacity.py
+++ b/packages/bench/src/oriolestand_bench/capacity.py
@@ -12,7 +12,7 @@
 
 from oriolestand_bench import _fit
 from oriolestand_daemon.services.grants import models as grant_models
-from oriolestand_daemon.services.tables import models as table_models
+from oriolestand_models import document as table_models
 from oriolestand_policy import grants
 from oriolestand_policy import routing
 from oriolestand_standins import _cluster
--- a/packages/daemon/src/oriolestand_daemon/messages/config.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/config.py
@@ -7,7 +7,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TablesChanged:
-    """Announce a new version of the tables; versions only rise."""
+    """Announce a new version of the tables; versions only rise.
+
+    ``document`` is packed for peers; see ``oriolestand_models.pack``.
+    """
 
     tables: tables.Tables
     document: bytes
@@ -15,7 +18,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReceivedTables:
-    """Hand over a configuration document that a peer has in force."""
+    """Hand over a packed document that a peer has in force."""
 
     document: bytes
     peer: str
--- a/packages/daemon/src/oriolestand_daemon/services/admin/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/admin/const.py
@@ -2,6 +2,6 @@
 
 DOMAIN = 'admin'
 
-MAX_BODY_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 9 * 1024 * 1024
 """Above the largest document, so that its own check names the limit."""
 HISTORY_LIMIT = 20
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_editor.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_editor.py
@@ -98,8 +98,7 @@
                 'edit_id': edit.edit_id or self._kernel.ids.request_id(),
             }
         )
-        # The content may be fine while its size with the stamp is not.
-        models.parse_bytes(document.dump())
+        models.pack(document)
         await self._check_in_use(document)
         return await self._write(document, current)
 
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -37,6 +37,7 @@
         self._editor = _editor.Editor(kernel)
         self._instances = _instances.Instances(cfg, kernel.incarnation)
         self._document = models.DocumentModel()
+        self._packed = b''
         self._stamp = tables.Stamp()
         self._adoptions: collections.deque[config.Adoption] = (
             collections.deque(maxlen=const.KEPT_ADOPTIONS)
@@ -114,6 +115,7 @@
         if choice is not tables.Choice.ADOPT:
             return
         self._document = document
+        self._packed = models.pack(document)
         self._stamp = stamp
         self._conflicting_digest = ''
         self._adoptions.append(
@@ -132,7 +134,7 @@
         )
         self.kernel.publish(
             config.TablesChanged(
-                tables=models.to_tables(document), document=document.dump()
+                tables=models.to_tables(document), document=self._packed
             ),
             is_state=True,
         )
@@ -158,11 +160,11 @@
     @core.handles(config.ReceivedTables)
     def _on_received(self, msg: config.ReceivedTables) -> None:
         """Note a peer's version and take it if it is higher."""
-        if msg.document == self._document.dump():
+        if msg.document == self._packed:
             self._instances.reported(msg.peer, self._stamp)
             return
         try:
-            document = models.parse_bytes(msg.document)
+            document = models.unpack(msg.document)
         except models.InvalidTablesError as exc:
             self._log.warning(
                 'Tables of a peer refused', peer=msg.peer, reason=str(exc)
--- a/packages/models/src/oriolestand_models/__init__.py
+++ b/packages/models/src/oriolestand_models/__init__.py
@@ -12,6 +12,8 @@
 from oriolestand_models.document import parse_bytes
 from oriolestand_models.document import parse_document
 from oriolestand_models.document import to_tables
+from oriolestand_models.packing import pack
+from oriolestand_models.packing import unpack
 
 __all__ = [
     'DocumentModel',
@@ -22,8 +24,10 @@
     'SCHEMAS',
     'diff',
     'dump_schema',
+    'pack',
     'parse_bytes',
     'parse_document',
     'parse_json',
     'to_tables',
+    'unpack',
 ]
--- a/packages/models/tests/test_models.py
+++ b/packages/models/tests/test_models.py
@@ -3,10 +3,12 @@
 import json
 import pathlib
 from typing import Any
+import zlib
 
 import pytest
 
 import oriolestand_models as models
+from oriolestand_models import packing
 from oriolestand_models import settings
 
 SCHEMA_FOLDER = pathlib.Path(__file__).parents[3] / 'docs' / 'schemas'
@@ -49,6 +51,23 @@
         models.parse_bytes(data)
 
 
+def test_packed_documents_are_bounded_and_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A peer must not fill the memory, nor pass on half a document."""
+    model = models.parse_bytes(b'{"version": 1, "pools": [{"name": "p"}]}')
+    packed = models.pack(model)
+    assert models.unpack(packed) == model
+    with pytest.raises(models.InvalidTablesError, match='cut'):
+        models.unpack(packed[:-1])
+    bomb = zlib.compress(b' ' * (models.MAX_DOCUMENT_BYTES + 2))
+    with pytest.raises(models.InvalidTablesError, match='exceed'):
+        models.unpack(bomb)
+    monkeypatch.setattr(packing, 'MAX_PACKED_BYTES', len(packed) - 1)
+    with pytest.raises(models.InvalidTablesError, match='exceed'):
+        models.pack(model)
+
+
 def test_digest_depends_on_content_only() -> None:
     """Formatting and spelled-out defaults must not look like a change."""
     short = models.parse_bytes(b'{"version": 1, "pools": [{"name": "p"}]}')
