Keep polling after errors and report accepted edits as accepted

An unexpected error in one poll ended all later ones, and the client exited with "unreachable" when its daemon was lost after it had accepted an edit, which invites a repeat. A document that cannot be packed no longer replaces the one in force half-way.

Both were seen red once: scheduling the next poll only after success (test_polls_go_on_after_failures), and raising the error of the wait (test_daemon_lost_after_the_accept_is_not_a_failed_edit).

--- a/packages/cli/src/oriolestand_cli/_changes.py
+++ b/packages/cli/src/oriolestand_cli/_changes.py
@@ -124,30 +124,45 @@
     end = time.monotonic() + waiting.seconds
     former = ''
     while True:
-        instances = app.client.get('/instances')['instances']
-        linked = [i for i in instances if i['is_connected']]
-        late = [i['instance_id'] for i in linked if i['version'] < version]
-        done = len(linked) - len(late)
-        text = f'In force at {done} of {len(linked)} reachable instances'
-        if late:
-            text += f'; waiting for {", ".join(late)}'
+        instances, late, text = _look(app, version)
         if text != former:
             _output.note(f'{text}.')
             former = text
-        if not late:
-            return list(instances)
+        if instances and not late:
+            return instances
         if time.monotonic() >= end:
             raise _errors.CommandError(
-                f'version {version} is accepted, but not in force everywhere '
-                f'after {waiting.seconds:g} s',
+                f'version {version} is accepted, but not seen in force '
+                f'everywhere after {waiting.seconds:g} s',
                 _errors.ExitCode.NOT_IN_FORCE,
-                [f'not in force at {name}' for name in late],
+                [f'not in force at {name}' for name in late] or [text],
                 core.Verdict.RAN,
                 'not_in_force',
             )
         threading.Event().wait(POLL_S)
 
 
+def _look(
+    app: _app.App, version: int
+) -> tuple[list[dict[str, Any]], list[str], str]:
+    """Return all instances, the ids of late ones, and a line on them.
+
+    There are no instances when the daemon does not answer, which must not
+    end the command with a failure: the edit is accepted.
+    """
+    try:
+        instances = app.client.get('/instances')['instances']
+    except _errors.CommandError as exc:
+        return [], [], f'Not known where it is in force: {exc.message}'
+    linked = [item for item in instances if item['is_connected']]
+    late = [i['instance_id'] for i in linked if i['version'] < version]
+    done = len(linked) - len(late)
+    text = f'In force at {done} of {len(linked)} reachable instances'
+    if late:
+        text += f'; waiting for {", ".join(late)}'
+    return instances, late, text
+
+
 def _report(
     app: _app.App,
     version: int,
--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -151,6 +151,27 @@
     assert 'not in force at e2' in result.stderr
 
 
+def test_daemon_lost_after_the_accept_is_not_a_failed_edit(
+    client: FakeClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The exit code must not make an operator repeat an accepted edit."""
+    gone = _errors.UnreachableError('gone', _errors.ExitCode.UNREACHABLE)
+    put = client._put
+
+    def accept(*args: Any) -> bytes:
+        monkeypatch.setattr(client, 'get', lambda *_, **__: _raise(gone))
+        return put(*args)
+
+    monkeypatch.setattr(client, '_put', accept)
+    result = run('pools', 'apply', '-', '--wait', '0.01', text=pools(4))
+    assert result.exit_code == _errors.ExitCode.NOT_IN_FORCE
+    assert 'version 3 is accepted' in result.stderr
+
+
+def _raise(error: Exception) -> Any:
+    raise error
+
+
 def test_diff_shows_changes_and_exits_with_its_code(
     client: FakeClient,
 ) -> None:
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -80,11 +80,21 @@
             if exc.code != self._store_error:
                 self._log.warning('Tables not read', reason=str(exc))
             self._store_error = exc.code
-        if not self.is_stopped:
-            self._timer = self.kernel.clock.call_later(
-                const.POLL_INTERVAL_MS,
-                lambda: defer.ensureDeferred(self._poll()),
+        finally:
+            # Also after an unexpected error, which must not end the polls.
+            if not self.is_stopped:
+                self._timer = self.kernel.clock.call_later(
+                    const.POLL_INTERVAL_MS, self._poll_again
+                )
+
+    def _poll_again(self) -> None:
+        """Poll and log an unexpected error."""
+        fut = defer.ensureDeferred(self._poll())
+        fut.addErrback(
+            lambda reason: self._log.error(
+                'Poll failed', reason=reason.getTraceback()
             )
+        )
 
     async def _refresh(self) -> None:
         """Adopt the stored document if its stamp differs."""
@@ -114,8 +124,9 @@
             self._report_conflict(stamp, source)
         if choice is not tables.Choice.ADOPT:
             return
+        packed = models.pack(document)
         self._document = document
-        self._packed = models.pack(document)
+        self._packed = packed
         self._stamp = stamp
         self._conflicting_digest = ''
         self._adoptions.append(
--- a/packages/daemon/tests/services/tables/test_tables.py
+++ b/packages/daemon/tests/services/tables/test_tables.py
@@ -376,6 +376,29 @@
     assert daemon.status.version == 1
 
 
+def test_polls_go_on_after_failures(
+    store: platform.MemoryStore,
+    daemon: Daemon,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One unexpected error must not cut a daemon off from the store."""
+    for error in (ValueError('bug'), platform.StoreUnavailableError('down')):
+        with monkeypatch.context() as patch:
+            patch.setattr(daemon.client, 'read', _raise(error))
+            daemon.clock.advance(const.POLL_INTERVAL_MS)
+    assert daemon.status.store_error == 'store_unavailable'
+    Daemon(store, seed=2).start().apply(_document(8), 0)
+    daemon.clock.advance(const.POLL_INTERVAL_MS)
+    assert (daemon.status.version, daemon.status.store_error) == (1, '')
+
+
+def _raise(error: Exception) -> Callable[..., Any]:
+    async def read(table: str, key: str) -> None:
+        raise error
+
+    return read
+
+
 def test_undo_is_a_new_version_with_old_content(daemon: Daemon) -> None:
     """Undo must never lower a version."""
     daemon.apply(_document(8), 0)
--- a/packages/models/src/oriolestand_models/document.py
+++ b/packages/models/src/oriolestand_models/document.py
@@ -81,7 +81,7 @@
     upstreams: tuple[UpstreamModel, ...] = ()
     slots_per_upstream: int = pydantic.Field(default=8, ge=0, le=10_000)
     connections_per_upstream: int = pydantic.Field(default=64, ge=1)
-    team_weights: dict[str, Annotated[int, pydantic.Field(ge=1)]] = {}
+    team_weights: dict[Name, Annotated[int, pydantic.Field(ge=1)]] = {}
     queue_limit: int = pydantic.Field(default=256, ge=0, le=1_000_000)
 
 
