--- /dev/null
+++ b/packages/daemon/tests/services/tables/test_edits.py
@@ -0,0 +1,235 @@
+"""Test edits of the tables: races, lost answers, history and undo."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import pytest
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.services.tables import const
+from oriolestand_daemon.services.tables import errors
+import oriolestand_models as models
+import oriolestand_platform as platform
+
+Make = Callable[..., Any]
+
+
+def test_version_does_not_depend_on_the_version_of_the_row(
+    store: platform.MemoryStore, daemon: Any
+) -> None:
+    """A row that was deleted and restored must not block edits."""
+    assert daemon.apply_slots(8, 0) == 1
+    row = store.read(const.TABLE, const.KEY)
+    assert row is not None
+    for value in (None, row.value):
+        put = platform.Put(table=const.TABLE, key=const.KEY, value=value)
+        store.commit(
+            platform.Transaction(request_id=f'{value is None}', puts=(put,))
+        )
+    restored = store.read(const.TABLE, const.KEY)
+    assert restored is not None and restored.version != 1
+    assert daemon.apply_slots(7, 1) == 2
+
+
+def test_lost_race_is_told_what_changed(
+    store: platform.MemoryStore, daemon: Any, make_daemon: Make
+) -> None:
+    """An operator who loses a race must see the other's change."""
+    daemon.apply_slots(8, 0)
+    other = make_daemon(2).start()
+    other.apply_slots(7, 1)
+    with pytest.raises(errors.EditConflictError) as caught:
+        daemon.apply_slots(6, 1)
+    assert caught.value.changes == ('pools.main.slots_per_upstream: 8 -> 7',)
+    assert caught.value.verdict is core.Verdict.DID_NOT_RUN
+
+
+def _delete(store: platform.MemoryStore, table: str, key: str) -> None:
+    put = platform.Put(table=table, key=key, value=None)
+    store.commit(platform.Transaction(request_id=key, puts=(put,)))
+
+
+@pytest.mark.parametrize('is_history_lost', [False, True])
+def test_edit_between_read_and_write_wins_the_race(
+    store: platform.MemoryStore,
+    daemon: Any,
+    is_history_lost: bool,
+    make_daemon: Make,
+) -> None:
+    """Of two racing edits one must win, with or without a history."""
+
+    def race() -> None:
+        make_daemon(2).start().apply_slots(7, 0)
+        if is_history_lost:
+            _delete(store, const.HISTORY_TABLE, const.history_key(1))
+
+    daemon.client.before_commit = [race]
+    with pytest.raises(errors.EditConflictError):
+        daemon.apply_slots(8, 0)
+    daemon.clock.advance(const.POLL_INTERVAL_MS)
+    assert b'"slots_per_upstream":7' in daemon.document
+
+
+def test_repeat_of_an_edit_by_its_client_is_the_same_edit(
+    store: platform.MemoryStore, daemon: Any, make_daemon: Make
+) -> None:
+    """A client that lost our answer must not be told of a conflict."""
+    other = make_daemon(2).start()
+    daemon.client.before_commit = [
+        lambda: other.apply_slots(7, 0, edit_id='mine')
+    ]
+    assert daemon.apply_slots(7, 0, edit_id='mine') == 1
+    assert daemon.apply_slots(7, 0, edit_id='mine') == 1
+    with pytest.raises(errors.EditConflictError):
+        daemon.apply_slots(6, 0, edit_id='mine')
+
+
+def test_version_in_the_history_is_not_written_again(
+    store: platform.MemoryStore, daemon: Any, make_daemon: Make
+) -> None:
+    """A lost current row must not lead to a second document 1."""
+    daemon.apply_slots(8, 0)
+    _delete(store, const.TABLE, const.KEY)
+    with pytest.raises(errors.StoreBehindError):
+        make_daemon(2).start().apply_slots(7, 0)
+
+
+def test_capacity_below_use_is_refused_but_removal_drains(
+    daemon: Any,
+) -> None:
+    """A shrink must not leave an upstream with more work than slots."""
+    daemon.apply_slots(8, 0)
+    daemon.dispatch.in_use = {'127.0.0.1:1': 5}
+    with pytest.raises(models.InvalidTablesError) as caught:
+        daemon.apply_slots(4, 1)
+    assert caught.value.problems[0].startswith('pools.0.slots_per_upstream')
+    assert daemon.apply_slots(5, 1) == 2
+    assert daemon.apply({'routes': [], 'pools': []}, 2) == 3
+
+
+def test_bad_edit_is_refused_while_the_store_is_down(daemon: Any) -> None:
+    """Problems of the edit itself must not hide behind an outage."""
+    daemon.client.is_down = True
+    with pytest.raises(models.InvalidTablesError):
+        daemon.apply({'routes': [{'name': 'r', 'pool': 'none'}]}, 0)
+    with pytest.raises(platform.StoreUnavailableError) as caught:
+        daemon.apply_slots(8, 0)
+    assert caught.value.verdict is core.Verdict.DID_NOT_RUN
+
+
+def test_lost_answer_of_an_applied_edit_is_in_force(
+    store: platform.MemoryStore, daemon: Any
+) -> None:
+    """An edit that took effect must not be reported as failed."""
+    daemon.client.on_commit = [store.commit]
+    assert daemon.apply_slots(8, 0) == 1
+    assert daemon.status.version == 1
+
+
+def test_lost_answer_is_in_force_although_a_later_edit_followed(
+    store: platform.MemoryStore, daemon: Any, make_daemon: Make
+) -> None:
+    """The current row alone would say that the edit was lost."""
+
+    def commit_and_follow(tx: platform.Transaction) -> None:
+        store.commit(tx)
+        make_daemon(2).start().apply_slots(7, 1)
+
+    daemon.client.on_commit = [commit_and_follow]
+    assert daemon.apply_slots(8, 0) == 1
+
+
+def test_lost_write_is_sent_again_and_applied_once(
+    store: platform.MemoryStore, daemon: Any
+) -> None:
+    """A write that arrives late, after its repeat, must change nothing."""
+    late: list[platform.Transaction] = []
+    daemon.client.on_commit = [late.append]
+    assert daemon.apply_slots(8, 0) == 1
+    assert store.commit(late[0]).applied
+    row = store.read(const.TABLE, const.KEY)
+    assert row is not None and row.version == 1
+
+
+def test_lost_write_that_lost_a_race_is_a_conflict(
+    store: platform.MemoryStore, daemon: Any, make_daemon: Make
+) -> None:
+    """A row past the checked version proves that a write cannot apply."""
+    other = make_daemon(2).start()
+    daemon.client.on_commit = [lambda _: other.apply_slots(7, 0)]
+    with pytest.raises(errors.EditConflictError):
+        daemon.apply_slots(8, 0)
+
+
+def test_edit_is_unknown_while_nothing_can_be_read(
+    store: platform.MemoryStore, daemon: Any
+) -> None:
+    """Neither success nor failure may be claimed without a proof."""
+
+    def commit_and_stop(tx: platform.Transaction) -> None:
+        store.commit(tx)
+        daemon.client.is_down = True
+
+    daemon.client.on_commit = [commit_and_stop]
+    with pytest.raises(errors.EditUnknownError) as caught:
+        daemon.apply_slots(8, 0, edit_id='mine')
+    assert caught.value.verdict is core.Verdict.MAY_HAVE_RUN
+    assert daemon.status.version == 0
+    daemon.client.is_down = False
+    assert daemon.apply_slots(8, 0, edit_id='mine') == 1
+
+
+def test_undo_is_a_new_version_with_old_content(daemon: Any) -> None:
+    """Undo must never lower a version."""
+    daemon.apply_slots(8, 0)
+    daemon.apply_slots(7, 1)
+    undo = config.UndoEdit(version=1, base_version=2, edited_by='test')
+    assert json.loads(daemon.ask(undo))['version'] == 3
+    history = daemon.ask(config.GetHistory(limit=10))
+    assert [entry.version for entry in history] == [3, 2, 1]
+    assert history[0].changes == ('pools.main.slots_per_upstream: 7 -> 8',)
+    with pytest.raises(errors.UnknownVersionError):
+        daemon.ask(
+            config.UndoEdit(version=9, base_version=None, edited_by='t')
+        )
+
+
+def test_history_is_pruned_within_the_edit(
+    monkeypatch: pytest.MonkeyPatch,
+    store: platform.MemoryStore,
+    daemon: Any,
+) -> None:
+    """The history must not grow without bound."""
+    monkeypatch.setattr(const, 'KEPT_VERSIONS', 2)
+    for base in range(4):
+        daemon.apply_slots(8 + base, base)
+    keys = [row.key for row in store.scan(const.HISTORY_TABLE)]
+    assert keys == [const.history_key(v) for v in (3, 4)]
+
+
+def test_single_entries_are_replaced_added_and_removed(
+    daemon: Any,
+) -> None:
+    """An edit of one entry must leave the others as they are."""
+
+    def edit(name: str, entry: Any) -> Any:
+        data = None if entry is None else json.dumps(entry).encode()
+        message = config.EditEntry(
+            table='routes',
+            name=name,
+            entry=data,
+            base_version=None,
+            edited_by='test',
+        )
+        return json.loads(daemon.ask(message))['routes']
+
+    daemon.apply_slots(8, 0)
+    assert len(edit('book', {'pool': 'main'})) == 2
+    assert edit('check', {'pool': 'main', 'priority': 3})[0]['priority'] == 3
+    assert [route['name'] for route in edit('check', None)] == ['book']
+    with pytest.raises(errors.UnknownEntryError):
+        edit('check', None)
+    with pytest.raises(models.InvalidTablesError):
+        edit('book', {'pool': 'none'})
