Keep faults of the store's content apart from faults of an edit

An invalid stored document was reported as a problem of the operator's edit, and while reading back a lost write it ended in "did not run" although the write may have taken effect. It is now an error of its own, and no error of the read-back decides the outcome. A base version that does not exist yet gets its own message. The warning that the store is behind is no longer given when an edit finishes between two reads.

--- a/packages/daemon/src/oriolestand_daemon/services/tables/_editor.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_editor.py
@@ -58,16 +58,14 @@
         row = await self.read_row(const.TABLE, const.KEY)
         if row is None:
             return Current(row_version=0, document=models.DocumentModel())
-        return Current(
-            row_version=row.version, document=models.parse_document(row.value)
-        )
+        return Current(row_version=row.version, document=_parse(row))
 
     async def read_version(self, version: int) -> models.DocumentModel | None:
         """Return a version from the history, or None."""
         row = await self.read_row(
             const.HISTORY_TABLE, const.history_key(version)
         )
-        return models.parse_document(row.value) if row is not None else None
+        return _parse(row) if row is not None else None
 
     async def apply(
         self, edit: Edit, in_force: tables.Stamp
@@ -109,11 +107,10 @@
 
         A client that lost our answer repeats the edit with its edit id.
         """
-        if edit.edit_id:
+        done = await self.read_version(base + 1) if edit.edit_id else None
+        if done is not None and done.edit_id == edit.edit_id:
             old = await self.read_version(base) or models.DocumentModel()
-            made = edit.make(old)
-            done = await self.read_version(base + 1)
-            if done is not None and _is_repeat(edit.edit_id, made, done):
+            if _is_repeat(edit.edit_id, edit.make(old), done):
                 return done
         raise await self._conflict(base, current.document)
 
@@ -121,6 +118,12 @@
         self, base: int, current: models.DocumentModel
     ) -> errors.EditConflictError:
         """Return an error with the difference from base to current."""
+        if base > current.version:
+            return errors.EditConflictError(
+                'the base version does not exist yet',
+                base_version=base,
+                current_version=current.version,
+            )
         old = await self.read_version(base) if base else models.DocumentModel()
         if old is None:
             return errors.EditConflictError(
@@ -243,7 +246,8 @@
                 result = await self._kernel.ask('platform', message)
                 if result.applied:
                     return True
-            except platform.StoreUnavailableError as exc:
+            except core.OriolestandError as exc:
+                # Whatever went wrong here says nothing about the write.
                 self._log.debug('Read-back failed', reason=str(exc))
             if clock.now() >= end:
                 raise errors.EditUnknownError(
@@ -268,6 +272,19 @@
         )
 
 
+def _parse(row: platform.Row) -> models.DocumentModel:
+    """Return a stored document, or raise StoredTablesError."""
+    try:
+        return models.parse_document(row.value)
+    except models.InvalidTablesError as exc:
+        raise errors.StoredTablesError(
+            'a stored document is not valid',
+            table=row.table,
+            key=row.key,
+            reason=str(exc)[:200],
+        ) from exc
+
+
 def _put(table: str, key: str, value: Any) -> platform.Put:
     """Return a put of one row."""
     return platform.Put(table=table, key=key, value=value)
--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -98,21 +98,23 @@
 
     async def _refresh(self) -> None:
         """Adopt the stored document if its stamp differs."""
+        before = self._stamp
         row = await self._editor.read_row(const.TABLE, const.STAMP_KEY)
-        if row is not None and self._stamp == _parse_stamp(row.value):
-            self._store_version = self._stamp.version
+        if row is not None and before == _parse_stamp(row.value):
+            self._store_version = before.version
             return
-        current = await self._editor.read_current()
-        if current.document.version < self._stamp.version:
-            if self._store_version != current.document.version:
-                self._log.warning(
-                    'The store is behind',
-                    stored=current.document.version,
-                    in_force=self._stamp.version,
-                )
-        else:
-            self._adopt(current.document, 'store')
-        self._store_version = current.document.version
+        current = (await self._editor.read_current()).document
+        # Compared with the version from before the reads: an edit or a peer
+        # may have brought a higher one meanwhile.
+        is_behind = current.version < before.version
+        if is_behind and self._store_version != current.version:
+            self._log.warning(
+                'The store is behind',
+                stored=current.version,
+                in_force=before.version,
+            )
+        self._store_version = current.version
+        self._adopt(current, 'store')
 
     def _adopt(self, document: models.DocumentModel, source: str) -> None:
         """Put a document in force if its version is higher."""
@@ -291,11 +293,11 @@
 
 
 def _parse_stamp(value: dict[str, Any]) -> tables.Stamp:
-    """Return the stamp in a row, or raise InvalidTablesError."""
+    """Return the stamp in a row, or raise StoredTablesError."""
     try:
         model = _StampModel.model_validate(value)
     except pydantic.ValidationError as exc:
-        raise models.InvalidTablesError(['stamp: the row is malformed']) from (
-            exc
-        )
+        raise errors.StoredTablesError(
+            'the stored stamp is not valid', reason=str(exc)[:200]
+        ) from exc
     return tables.Stamp(version=model.version, digest=model.digest)
--- a/packages/daemon/src/oriolestand_daemon/services/tables/errors.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/errors.py
@@ -37,11 +37,14 @@
     http_status = 504
 
 
-class EditLostError(core.OriolestandError):
-    """Raise when an edit whose answer was lost is proven not in force."""
+class StoredTablesError(core.OriolestandError):
+    """Raise when a document in the store is not valid.
 
-    code = 'edit_not_applied'
-    http_status = 503
+    It was written by a later release, or not by a daemon.
+    """
+
+    code = 'stored_tables_invalid'
+    http_status = 502
 
 
 class UnknownVersionError(core.OriolestandError):
--- a/packages/daemon/tests/services/tables/test_edits.py
+++ b/packages/daemon/tests/services/tables/test_edits.py
@@ -181,6 +181,36 @@
     assert daemon.apply_slots(8, 0, edit_id='mine') == 1
 
 
+def test_unreadable_history_leaves_a_lost_write_unknown(
+    store: platform.MemoryStore, daemon: Any
+) -> None:
+    """A fault of the read-back must not be reported as that of the edit."""
+
+    def commit_and_spoil(tx: platform.Transaction) -> None:
+        store.commit(tx)
+        key = const.history_key(1)
+        spoilt = platform.Put(
+            table=const.HISTORY_TABLE, key=key, value={'routes': 3}
+        )
+        store.commit(platform.Transaction(request_id='x', puts=(spoilt,)))
+
+    daemon.client.on_commit = [commit_and_spoil]
+    with pytest.raises(errors.EditUnknownError):
+        daemon.apply_slots(8, 0)
+    assert daemon.apply_slots(7, 1) == 2
+    with pytest.raises(errors.StoredTablesError):
+        daemon.ask(config.GetDocument(version=1))
+
+
+def test_base_version_that_does_not_exist_is_a_conflict(
+    daemon: Any,
+) -> None:
+    """An edit must not skip versions."""
+    daemon.apply_slots(8, 0)
+    with pytest.raises(errors.EditConflictError, match='does not exist'):
+        daemon.apply_slots(7, 5)
+
+
 def test_undo_is_a_new_version_with_old_content(daemon: Any) -> None:
     """Undo must never lower a version."""
     daemon.apply_slots(8, 0)
