--- a/packages/cli/src/oriolestand_cli/_tables.py
+++ b/packages/cli/src/oriolestand_cli/_tables.py
@@ -42,7 +42,7 @@
         f'A file holds the tables and the version that it is based on, as '
         f'"list -o json" prints it.\n\n{_errors.EXIT_CODES_HELP}',
     )
-    for add in (_add_views, _add_edits, _add_versions):
+    for add in (_add_views, _add_editor, _add_edits, _add_versions):
         add(group, scope)
     return group
 
@@ -106,18 +106,31 @@
     return complete
 
 
-def _add_edits(group: click.Group, scope: _scope.Scope) -> None:
-    """Add ``edit``, ``apply`` and ``diff``."""
+def _add_editor(group: click.Group, scope: _scope.Scope) -> None:
+    """Add ``edit``; a single table also takes the name of an entry."""
 
-    @group.command()
     @_wait_option
     @_app.with_app
-    def edit(app: _app.App, wait: float) -> None:
+    def edit(app: _app.App, wait: float, name: str | None = None) -> None:
         """Edit in $EDITOR and apply the result.
 
-        What you wrote is kept in a file when it cannot be applied.
+        With NAME only that entry is edited. What you wrote is kept in a
+        file when it cannot be applied.
         """
-        _editor.edit(app, scope, _changes.Waiting(seconds=wait))
+        subject: _editor.Subject = _editor.WholeScope(scope)
+        if name is not None:
+            subject = _editor.OneEntry(scope, name)
+        _editor.edit(app, subject, _changes.Waiting(seconds=wait))
+
+    if len(scope.tables) == 1:
+        edit = click.argument(
+            'name', required=False, shell_complete=_complete(scope)
+        )(edit)
+    group.command('edit')(edit)
+
+
+def _add_edits(group: click.Group, scope: _scope.Scope) -> None:
+    """Add ``apply`` and ``diff``."""
 
     @group.command()
     @click.argument('file')
--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -265,6 +265,20 @@
     assert kept.read_text() == pools(4)
 
 
+def test_edit_of_one_entry_leaves_the_others(
+    client: FakeClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An operator with many pools must be able to edit just one."""
+    client.versions[2]['pools'] = [POOL, {'name': 'other'}]
+    entry = json.dumps({'name': 'other', 'queue_limit': 7})
+    monkeypatch.setattr(click, 'edit', lambda *_, **__: entry)
+    assert run('pools', 'edit', 'other').exit_code == 0
+    limits = {p['name']: p['queue_limit'] for p in client.versions[3]['pools']}
+    assert limits == {'main': 256, 'other': 7}
+    assert run('pools', 'edit', 'none').exit_code == 8
+    assert run('tables', 'edit', 'main').exit_code == 2
+
+
 def test_check_lists_all_problems_of_a_file(tmp_path: pathlib.Path) -> None:
     """A file must be checkable without a daemon."""
     path = tmp_path / 'file.json'
