--- a/packages/daemon/src/oriolestand_daemon/services/tables/_instances.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_instances.py
@@ -10,7 +10,7 @@
 from oriolestand_policy import tables
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Peer:
     """Hold what a peer said in its hello and since."""
 
@@ -39,20 +39,25 @@
         """Note a link; a new incarnation starts without a version."""
         known = self._peers.get(msg.instance_id)
         if known and known.hello.incarnation == msg.incarnation:
-            known.is_connected = True
+            self._peers[msg.instance_id] = dataclasses.replace(
+                known, is_connected=True
+            )
             return
         self._peers[msg.instance_id] = _Peer(hello=msg)
 
     def disconnected(self, instance_id: str) -> None:
         """Note the loss of a link."""
-        if instance_id in self._peers:
-            self._peers[instance_id].is_connected = False
+        peer = self._peers.get(instance_id)
+        if peer is not None:
+            self._peers[instance_id] = dataclasses.replace(
+                peer, is_connected=False
+            )
 
     def reported(self, instance_id: str, stamp: tables.Stamp) -> None:
         """Note the version that a peer has in force."""
         peer = self._peers.get(instance_id)
         if peer is not None and stamp.version >= peer.stamp.version:
-            peer.stamp = stamp
+            self._peers[instance_id] = dataclasses.replace(peer, stamp=stamp)
 
     def listed(self, msg: membership.MembershipChanged) -> None:
         """Take over the entry instances of the platform's list."""
