--- a/packages/daemon/src/oriolestand_daemon/messages/exchange.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/exchange.py
@@ -26,6 +26,7 @@
     'BodyEnd',
     'CREDIT_BYTES',
     'Cancel',
+    'CancelAttempt',
     'CancelRequest',
     'Credit',
     'Endpoint',
@@ -114,6 +115,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CancelRequest:
-    """Tell dispatch that the caller left before an attempt was accepted."""
+    """Tell dispatch that nobody waits for a request any more."""
 
     ticket_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CancelAttempt:
+    """Tell ``upstreams`` or ``peers`` to abort the attempt for a ticket.
+
+    The attempt still reports its end to dispatch, which frees the slot.
+    """
+
+    ticket_id: str
+    target: str
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -12,6 +12,7 @@
 from oriolestand_daemon.messages import grants
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import peers
+from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.dispatch import const
 from oriolestand_policy import dispatching
 import oriolestand_wire as wire
@@ -28,6 +29,7 @@
         super().__init__(kernel, const.DOMAIN)
         self._dispatcher = dispatcher
         self._open: dict[str, exchange.OpenExchange] = {}
+        self._attempts: dict[str, tuple[str, str]] = {}
         self._pool_of: dict[str, str] = {}
         self._slots: grants.GrantsChanged | None = None
         self._horizon_ms: dict[str, int] = {}
@@ -122,16 +124,25 @@
 
     @core.handles(exchange.CancelRequest)
     def _on_cancel(self, msg: exchange.CancelRequest) -> None:
-        """Forget a request that still waits for a slot."""
+        """Forget a waiting request, or abort the attempt for it."""
         now = self.kernel.clock.now()
+        if msg.ticket_id not in self._open:
+            return
         if self._dispatcher.is_waiting(msg.ticket_id):
-            self._open.pop(msg.ticket_id, None)
+            del self._open[msg.ticket_id]
             self._run(self._dispatcher.cancel(msg.ticket_id, now))
+            return
+        service, target = self._attempts[msg.ticket_id]
+        self.kernel.post(
+            service,
+            exchange.CancelAttempt(ticket_id=msg.ticket_id, target=target),
+        )
 
     @core.handles(dispatch.AttemptFinished)
     def _on_finished(self, msg: dispatch.AttemptFinished) -> None:
         """Let the dispatcher free the slot, retry or end the request."""
         now = self.kernel.clock.now()
+        self._attempts.pop(msg.ticket_id, None)
         self._run(self._dispatcher.finished(msg.ticket_id, msg.outcome, now))
         if self._drained is not None and not self._dispatcher.in_flight:
             drained, self._drained = self._drained, None
@@ -240,6 +251,8 @@
     ) -> None:
         """Ask a service to make one attempt."""
         head = request.head
+        self._attempts[request.ticket.id] = (service, target)
+        self._report_wait(request)
         horizon = self._horizon_ms.get(target)
         if service == 'upstreams' and horizon is not None:
             # The published horizon bounds how long a request may run.
@@ -256,3 +269,20 @@
                 caller=request.caller,
             ),
         )
+
+    def _report_wait(self, request: exchange.OpenExchange) -> None:
+        """Tell telemetry how long a sampled request waited for a slot."""
+        context = telemetry.sampled_child(request.head.traceparent)
+        if context is None or 'telemetry' not in self.kernel.services:
+            return
+        self.kernel.post(
+            'telemetry',
+            telemetry.SpanEnded(
+                name='dispatch wait',
+                context=context,
+                parent_id=telemetry.parent_id(request.head.traceparent),
+                started=request.ticket.arrived,
+                ended=self.kernel.clock.now(),
+                attributes=(('oriolestand.pool', request.ticket.pool),),
+            ),
+        )
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
@@ -0,0 +1,209 @@
+"""Read requests from one caller's connection."""
+
+import http as status_codes
+import select
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import http
+
+import oriolestand_core as core
+from oriolestand_daemon.services.frontend import _head
+from oriolestand_daemon.services.frontend import _refusal
+from oriolestand_daemon.services.frontend import _request
+from oriolestand_daemon.services.frontend import const
+from oriolestand_daemon.services.frontend import errors
+
+if TYPE_CHECKING:
+    from oriolestand_daemon.services.frontend._task import FrontendTask
+
+
+def _ignore(_: bytes) -> None:
+    """Drop what a caller sends after the final response."""
+
+
+class CallerChannel(http.HTTPChannel):
+    """Bound what a connection may send and close it without loss."""
+
+    def __init__(self, owner: 'FrontendTask') -> None:
+        super().__init__()
+        channel: Any = self
+        limit = owner.cfg.limits.max_header_bytes
+        channel.totalHeadersSize = limit
+        channel.MAX_LENGTH = limit
+        self._owner = owner
+        channel.requestFactory = lambda *_: _request.CallerRequest(self, owner)
+        # A sweep of all connections replaces a timer per request.
+        channel.timeOut = None
+        self._head_since: core.Millis | None = None
+        self._idle_since: core.Millis | None = None
+        self._done_requests = 0
+        self._swept_requests = 0
+        self._is_body_paused = False
+        self._is_lingering = False
+        self._linger_timer: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Begin to read requests."""
+        super().connectionMade()
+        self._owner.channels.add(self)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Tell the requests in progress that the caller left."""
+        self._owner.channels.discard(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+        super().connectionLost(reason)
+
+    def checkPersistence(  # noqa: N802
+        self, request: Any, version: bytes
+    ) -> bool:
+        """Return whether more requests may follow on the connection."""
+        values = request.requestHeaders.getRawHeaders('connection')
+        if values and 'close' in _head.connection_options(values):
+            request.responseHeaders.setRawHeaders(b'Connection', [b'close'])
+            return False
+        return version == b'HTTP/1.1'
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a line that is longer than the whole head may be."""
+        self.refuse(errors.HeadTooLargeError('the head is too large'))
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        """Refuse what the parser does not accept."""
+        channel: Any = self
+        if (
+            channel._receivedHeaderSize > channel.totalHeadersSize
+            or channel._receivedHeaderCount > channel.maxHeaders
+        ):
+            self.refuse(
+                errors.HeadTooLargeError(
+                    'the head is too large', limit=channel.totalHeadersSize
+                )
+            )
+            return
+        self.refuse(errors.BadRequestError('the request is malformed'))
+
+    def _send100Continue(self) -> None:  # noqa: N802
+        """Invite the body only once the server's side accepts it."""
+        requests: Any = self.requests
+        if requests and not self._is_lingering:
+            requests[-1].expect_continue()
+
+    def refuse(self, error: core.OriolestandError) -> None:
+        """Answer a request that cannot be read and close the connection."""
+        if self._is_lingering:
+            return
+        requests: Any = self.requests
+        if requests and requests[-1].is_open:
+            requests[-1].refuse_body(error)
+            return
+        transport: Any = self.transport
+        body = _refusal.body_of(error)
+        phrase = status_codes.HTTPStatus(error.http_status).phrase.encode()
+        lines = [b'HTTP/1.1 %d %s\r\n' % (error.http_status, phrase)]
+        for name, value in _refusal.headers_of(error, len(body)):
+            lines.append(b'%s: %s\r\n' % (name, value))
+        lines += [b'Connection: close\r\n\r\n', body]
+        transport.writeSequence(lines)
+        self.linger()
+
+    def linger(self) -> None:
+        """Close for writing; drop what still comes for a bounded time."""
+        if self._is_lingering:
+            return
+        self._is_lingering = True
+        channel: Any = self
+        channel.persistent = False
+        channel.setTimeout(None)
+        channel.clearLineBuffer()
+        channel.dataReceived = channel.rawDataReceived = _ignore
+        channel.lineReceived = _ignore
+        transport: Any = self.transport
+        channel._networkProducer.unregisterProducer()
+        if interfaces.ISSLTransport.providedBy(transport) or not hasattr(
+            transport, 'loseWriteConnection'
+        ):
+            transport.loseConnection()
+            return
+        transport.resumeProducing()
+        transport.loseWriteConnection()
+        self._linger_timer = self._owner.kernel.clock.call_later(
+            const.LINGER_MS, transport.abortConnection
+        )
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Go on with the next request, or drop the rest of this one."""
+        channel: Any = self
+        self._done_requests += 1
+        if channel._handlingRequest:
+            super().requestDone(request)
+            return
+        channel.requests.remove(request)
+        self.linger()
+
+    def pause_body(self, is_paused: bool) -> None:
+        """Stop or resume reading for want of credit."""
+        channel: Any = self
+        self._is_body_paused = is_paused
+        if is_paused:
+            channel._networkProducer.pauseProducing()
+        elif not channel._waitingForTransport:
+            channel._networkProducer.resumeProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Write again; read again unless there is no credit for it."""
+        channel: Any = self
+        channel._waitingForTransport = False
+        if channel._requestProducer is not None:
+            channel._requestProducer.resumeProducing()
+        if not channel._handlingRequest and not self._is_body_paused:
+            channel._networkProducer.resumeProducing()
+
+    def sweep(self, now: core.Millis) -> None:
+        """Refuse a head that is overdue; free what an absent caller holds."""
+        channel: Any = self
+        if self._is_lingering:
+            return
+        if self._is_body_paused or channel._dataBuffer:
+            # Without reading, the end of the connection goes unnoticed.
+            if channel.requests and _is_hung_up(channel.transport):
+                channel.transport.abortConnection()
+            return
+        if channel._receivedHeaderSize or (
+            channel.line_mode and channel._buffer
+        ):
+            self._sweep_head(now)
+            return
+        self._head_since = None
+        is_idle = not channel.requests
+        if not is_idle or self._done_requests != self._swept_requests:
+            self._swept_requests = self._done_requests
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = now
+        elif now - self._idle_since >= self._owner.cfg.limits.idle_timeout_ms:
+            self._is_lingering = True
+            channel.loseConnection()
+
+    def _sweep_head(self, now: core.Millis) -> None:
+        """Refuse a head that is overdue."""
+        if self._head_since is None:
+            self._head_since = now
+        elif now - self._head_since >= self._owner.cfg.limits.head_timeout_ms:
+            self.refuse(errors.HeadTimeoutError('the head came too slowly'))
+
+
+def _is_hung_up(transport: Any) -> bool:
+    """Return whether the other side closed, without reading."""
+    fileno = getattr(transport, 'fileno', None)
+    if fileno is None:
+        return bool(getattr(transport, 'is_hung_up', False))
+    poll = select.poll()
+    poll.register(fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
@@ -2,21 +2,23 @@
 
 from typing import Any
 
-from twisted.web import http
+from twisted.internet import protocol
 
 import oriolestand_core as core
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import telemetry
+from oriolestand_daemon.services.frontend import _channel
+from oriolestand_daemon.services.frontend import _head
 from oriolestand_daemon.services.frontend import _request
+from oriolestand_daemon.services.frontend import _tls
 from oriolestand_daemon.services.frontend import const
 from oriolestand_daemon.services.frontend import errors
 from oriolestand_policy import admission
 from oriolestand_policy import routing
 from oriolestand_policy import tables
 
-MILLIS_PER_SECOND = 1000
-
 
 class FrontendTask(core.Task):
     """Match requests against routes and pass answers to callers."""
@@ -32,6 +34,9 @@
         self._requests: dict[int, _request.CallerRequest] = {}
         self._next_xid = 0
         self._port: Any = None
+        self._sampler = telemetry.Sampler(cfg.telemetry.sample_rate)
+        self._telemetry: core.Task | None = None
+        self.channels: set[_channel.CallerChannel] = set()
 
     @property
     def address(self) -> str:
@@ -44,52 +49,61 @@
     def start(self) -> object:
         """Listen for callers."""
         self.kernel.subscribe(config.TablesChanged, self)
-        timeout = self.cfg.limits.idle_timeout_ms / MILLIS_PER_SECOND
-        factory: Any = http.HTTPFactory(
-            timeout=timeout, reactor=self.kernel.reactor
-        )
-        factory.log = lambda _: None
-        factory.protocol = lambda: _request.make_channel(self)
-        listener = self.cfg.callers
-        self._port = self.kernel.reactor.listenTCP(
-            listener.port, factory, interface=listener.host
+        self._telemetry = self.kernel.services.get('telemetry')
+        factory = protocol.Factory()
+        factory.noisy = False
+        factory.protocol = lambda: _channel.CallerChannel(self)
+        self._port = _tls.listen(
+            self.kernel.reactor, factory, self.cfg.callers
         )
+        self._sweep()
         self._log.info('Listening', address=self.address)
         return None
 
+    def _sweep(self) -> None:
+        """Close connections that are idle, slow or left by their caller."""
+        if self.is_stopped and not self.channels:
+            return
+        now = self.kernel.clock.now()
+        for channel in list(self.channels):
+            channel.sweep(now)
+        self.kernel.clock.call_later(const.SWEEP_INTERVAL_MS, self._sweep)
+
     @core.handles(config.TablesChanged)
     def _on_tables(self, msg: config.TablesChanged) -> None:
         """Match later requests against the new tables."""
         self._generation = msg.tables
         self._router = routing.Router(msg.tables)
 
-    def open(self, req: '_request.CallerRequest') -> int:
+    def open(self, req: _request.CallerRequest, parsed: _head.Head) -> int:
         """Start an exchange for a request; return its id here."""
-        route = self._router.find(req.facts)
+        route = self._router.find(parsed.facts)
         if route is None:
-            raise errors.NoRouteError('no route matches', path=req.facts.path)
-        self._next_xid += 1
-        xid = self._next_xid
-        self._requests[xid] = req
+            raise errors.NoRouteError(
+                'no route matches', path=parsed.facts.path
+            )
         now = self.kernel.clock.now()
-        timeout = min(route.timeout_ms, req.timeout_ms or route.timeout_ms)
+        timeout = min(route.timeout_ms, parsed.timeout_ms or route.timeout_ms)
         deadline = core.Millis(now + timeout)
-        headers = req.facts.headers
-        team = headers.get(const.HEADER_TEAM.lower(), route.team)
+        headers = parsed.facts.headers
+        team = headers.get(const.HEADER_TEAM, route.team)
+        req.begin(
+            route,
+            now,
+            self._sampler.begin(headers.get(const.HEADER_TRACEPARENT, '')),
+        )
         head = exchange.RequestHead(
             request_id=self.kernel.ids.request_id(),
-            method=req.facts.method,
-            target=req.target,
-            headers=req.forward_headers,
+            method=parsed.facts.method,
+            target=parsed.target,
+            headers=parsed.headers,
             route=route,
             generation=self._generation.version,
             deadline=deadline,
             team=team,
-            traceparent=headers.get(const.HEADER_TRACEPARENT, ''),
+            traceparent=req.traceparent,
             body_length=req.body_length,
-            idempotency_key=headers.get(
-                const.HEADER_IDEMPOTENCY_KEY.lower(), ''
-            ),
+            idempotency_key=headers.get(const.HEADER_IDEMPOTENCY_KEY, ''),
         )
         ticket = admission.Ticket(
             id=head.request_id,
@@ -103,16 +117,57 @@
             body_is_empty=req.body_length == 0,
         )
         req.ticket_id = ticket.id
-        self.kernel.post(
-            'dispatch',
-            exchange.OpenExchange(
-                head=head,
-                ticket=ticket,
-                caller=exchange.Endpoint(task=self, xid=xid),
-            ),
+        self._next_xid += 1
+        xid = self._next_xid
+        self._requests[xid] = req
+        message = exchange.OpenExchange(
+            head=head,
+            ticket=ticket,
+            caller=exchange.Endpoint(task=self, xid=xid),
         )
+        try:
+            self.kernel.post('dispatch', message)
+        except core.OriolestandError:
+            del self._requests[xid]
+            raise
         return xid
 
+    def record(
+        self,
+        req: _request.CallerRequest,
+        verdict: core.Verdict,
+        has_left: bool = False,
+    ) -> None:
+        """Tell telemetry how a request ended."""
+        if self._telemetry is None:
+            return
+        route = req.route
+        now = self.kernel.clock.now()
+        self._telemetry.post(
+            telemetry.RequestEnded(
+                route=route.name if route is not None else '',
+                pool=route.pool if route is not None else '',
+                verdict=verdict,
+                status=req.status,
+                latency_ms=now - req.started if route is not None else 0,
+                has_left=has_left,
+            )
+        )
+        if req.trace is not None and req.trace.is_sampled:
+            self._telemetry.post(
+                telemetry.SpanEnded(
+                    name='frontend',
+                    context=req.trace,
+                    parent_id=req.parent_id,
+                    started=req.started,
+                    ended=now,
+                    attributes=(
+                        ('http.response.status_code', str(req.status)),
+                        ('oriolestand.verdict', verdict.value),
+                    ),
+                )
+            )
+
     def forget(self, xid: int) -> None:
         """Drop an exchange that has ended."""
         self._requests.pop(xid, None)
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
@@ -13,6 +13,7 @@
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import peers
+from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
 from oriolestand_policy import admission
@@ -30,6 +31,7 @@
     error: core.OriolestandError | None,
     answered: bool = False,
     latency_ms: float = 0.0,
+    is_final: bool = False,
 ) -> None:
     """Tell dispatch how an attempt at a peer ended."""
     kernel.post(
@@ -40,6 +42,7 @@
                 verdict=core.Verdict.RAN if error is None else error.verdict,
                 error=error,
                 answered=answered,
+                is_final=is_final,
                 latency_ms=latency_ms,
             ),
         ),
@@ -53,7 +56,11 @@
     ticket_id: str
     caller: exchange.Endpoint
     started: core.Millis
+    trace: telemetry.TraceContext | None = None
+    parent_id: str = ''
+    has_body: bool = False
     is_answered: bool = False
+    is_body_accepted: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -152,6 +159,7 @@
                 forwarded.ticket_id,
                 errors.PeerLostError('the link to the peer broke'),
                 forwarded.is_answered,
+                is_final=forwarded.is_body_accepted,
             )
         for served in self._served.values():
             self._cancel(served)
@@ -208,10 +216,16 @@
         xid = self._next_xid
         self._next_xid += 2
         now = self.kernel.clock.now()
+        head = msg.head
+        trace = telemetry.sampled_child(head.traceparent)
         self._forwarded[xid] = _Forwarded(
-            ticket_id=msg.ticket_id, caller=msg.caller, started=now
+            ticket_id=msg.ticket_id,
+            caller=msg.caller,
+            started=now,
+            trace=trace,
+            parent_id=telemetry.parent_id(head.traceparent),
+            has_body=head.body_length != 0,
         )
-        head = msg.head
         self.send(
             wire.Open(
                 xid=xid,
@@ -223,7 +237,7 @@
                 generation=head.generation,
                 remaining_ms=max(0, head.deadline - now),
                 team=head.team,
-                traceparent=head.traceparent,
+                traceparent=str(trace or head.traceparent),
                 hops=head.hops + 1,
                 body_length=head.body_length,
                 priority=head.route.priority,
@@ -258,6 +272,7 @@
         """Pass a message of the server's side on to the caller's side."""
         caller = forwarded.caller
         if isinstance(message, wire.Accepted):
+            forwarded.is_body_accepted = forwarded.has_body
             caller.post(
                 exchange.ExchangeAccepted(
                     xid=caller.xid,
@@ -266,7 +281,7 @@
             )
             return
         if isinstance(message, wire.Failed):
-            del self._forwarded[message.xid]
+            self._forget(message.xid)
             error = errors.PeerRefusedError(
                 message.message, core.Verdict(message.verdict)
             )
@@ -277,16 +292,57 @@
                 forwarded.ticket_id,
                 error,
                 forwarded.is_answered,
+                is_final=forwarded.is_body_accepted,
             )
             return
         if isinstance(message, wire.ResponseHead):
             forwarded.is_answered = True
         caller.post(dataclasses.replace(message, xid=caller.xid))
         if isinstance(message, wire.ResponseEnd):
-            del self._forwarded[message.xid]
+            self._forget(message.xid)
             latency = self.kernel.clock.now() - forwarded.started
             report(self.kernel, forwarded.ticket_id, None, True, latency)
 
+    def _forget(self, xid: int) -> None:
+        """Drop a forwarded request and tell telemetry about the hop."""
+        forwarded = self._forwarded.pop(xid)
+        if forwarded.trace is None or 'telemetry' not in self.kernel.services:
+            return
+        self.kernel.post(
+            'telemetry',
+            telemetry.SpanEnded(
+                name='peer forward',
+                context=forwarded.trace,
+                parent_id=forwarded.parent_id,
+                started=forwarded.started,
+                ended=self.kernel.clock.now(),
+                attributes=(
+                    (
+                        'oriolestand.peer',
+                        self.hello.instance_id if self.hello else '',
+                    ),
+                ),
+            ),
+        )
+
+    def cancel_forwarded(self, ticket_id: str) -> None:
+        """Abort a forwarded request whose caller left."""
+        for xid, forwarded in list(self._forwarded.items()):
+            if forwarded.ticket_id == ticket_id:
+                self._end_cancelled(xid, forwarded)
+
+    def _end_cancelled(self, xid: int, forwarded: _Forwarded) -> None:
+        """Tell the peer and dispatch; the peer answers nothing more."""
+        self.send(wire.Cancel(xid=xid))
+        self._forget(xid)
+        report(
+            self.kernel,
+            forwarded.ticket_id,
+            errors.PeerLostError('the caller left'),
+            forwarded.is_answered,
+            is_final=True,
+        )
+
     def _on_open(self, message: wire.Open) -> None:
         """Serve a request that the peer forwarded."""
         generation = self._owner.generation
@@ -389,7 +445,11 @@
     @core.handles(exchange.Cancel)
     def _on_local(self, msg: wire.PeerMessage) -> None:
         """Send a message of this side to the peer."""
-        if msg.xid not in self._served and msg.xid not in self._forwarded:
+        forwarded = self._forwarded.get(msg.xid)
+        if msg.xid not in self._served and forwarded is None:
+            return
+        if forwarded is not None and isinstance(msg, exchange.Cancel):
+            self._end_cancelled(msg.xid, forwarded)
             return
         self.send(msg)
         if isinstance(msg, exchange.ResponseEnd):
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_task.py
@@ -189,6 +189,13 @@
             return
         link.forward(msg)
 
+    @core.handles(exchange.CancelAttempt)
+    def _on_cancel_attempt(self, msg: exchange.CancelAttempt) -> None:
+        """Abort a forwarded request whose caller left."""
+        link = self._links.get(msg.target)
+        if link is not None:
+            link.cancel_forwarded(msg.ticket_id)
+
     def stop(self) -> object:
         """Close the listener and all links."""
         super().stop()
--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/_attempt.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_attempt.py
@@ -3,85 +3,28 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from twisted.internet import defer
-from twisted.internet import interfaces
-from twisted.internet import protocol
 from twisted.python import failure
 from twisted.web import client
 from twisted.web import http
-from twisted.web import http_headers
-from twisted.web import iweb
-import zope.interface
 
 import oriolestand_core as core
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import membership
+from oriolestand_daemon.messages import telemetry
+from oriolestand_daemon.services.upstreams import _body
+from oriolestand_daemon.services.upstreams import _headers
 from oriolestand_daemon.services.upstreams import const
 from oriolestand_daemon.services.upstreams import errors
 from oriolestand_policy import dispatching
 
 if TYPE_CHECKING:
+    from oriolestand_daemon.services.upstreams._connection import (
+        UpstreamConnection,
+    )
     from oriolestand_daemon.services.upstreams._task import UpstreamsTask
 
-
-@zope.interface.implementer(iweb.IBodyProducer)
-class _Body:
-    """Write a request's body as its parts arrive."""
-
-    def __init__(self, attempt: 'Attempt', length: int | None) -> None:
-        self.length: Any = iweb.UNKNOWN_LENGTH if length is None else length
-        self._attempt = attempt
-        self._consumer: Any = None
-        self._done: defer.Deferred[None] = defer.Deferred()
-
-    def startProducing(  # noqa: N802
-        self, consumer: interfaces.IConsumer
-    ) -> 'defer.Deferred[None]':
-        """Accept the body from now on."""
-        self._consumer = consumer
-        self._attempt.accept_body()
-        return self._done
-
-    def write(self, data: bytes) -> None:
-        """Write a part and allow the caller to send as much again."""
-        if self._consumer is not None:
-            self._consumer.write(data)
-
-    def end(self) -> None:
-        """End the body."""
-        self._consumer = None
-        if not self._done.called:
-            self._done.callback(None)
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Give no more credit until the connection drains."""
-        self._attempt.hold_credit(True)
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Give credit again."""
-        self._attempt.hold_credit(False)
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Write nothing more."""
-        self._consumer = None
-
-
-class _AnswerReader(protocol.Protocol):
-    """Pass an answer's body to the attempt."""
-
-    def __init__(self, attempt: 'Attempt') -> None:
-        self._attempt = attempt
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Pass on a part of the body."""
-        self._attempt.answer_chunk(data)
-
-    def connectionLost(  # noqa: N802
-        self, reason: failure.Failure = protocol.connectionDone
-    ) -> None:
-        """Tell a whole answer from a cut one."""
-        self._attempt.answer_end(reason)
+NO_BODY_CODES = frozenset({http.NO_CONTENT, http.NOT_MODIFIED})
 
 
 class Attempt:
@@ -94,67 +37,81 @@
         start: exchange.StartExchange,
     ) -> None:
         self.xid = xid
+        self.ticket_id = start.ticket_id
         self._owner = owner
         self._clock = owner.kernel.clock
-        self._start = start
+        self._target = start.target
         self._head = start.head
         self._caller = start.caller
-        self._conn: Any = None
-        self._body: _Body | None = None
-        self._reader: _AnswerReader | None = None
+        self._conn: UpstreamConnection | None = None
+        self._body: _body.RequestBody | None = None
+        self._reader: _body.ResponseReader | None = None
         self._is_sent = False
+        self._is_body_accepted = False
         self._is_answered = False
+        self._is_complete = False
         self._is_ended = False
         self._is_holding_credit = False
         self._owed_credit = 0
         self._credit = exchange.CREDIT_BYTES
+        self._unsent = b''
         self._started = self._clock.now()
+        self._trace = telemetry.sampled_child(start.head.traceparent)
         self._timer = self._clock.call_later(
             max(0, self._head.deadline - self._started), self._on_deadline
         )
 
     def begin(self) -> None:
         """Get a connection and send the request."""
-        fut = self._owner.connect(self._start.target)
+        conn = self._owner.pool.take_idle(self._target)
+        if conn is not None:
+            self._send(conn)
+            return
+        fut = self._owner.pool.connect(self._target)
         fut.addCallbacks(self._send, self._on_connect_failed)
+        fut.addErrback(self._on_fault)
+
+    def _on_fault(self, reason: failure.Failure) -> None:
+        """End the attempt after a fault of this program."""
+        self._owner.log.error('Attempt failed', reason=str(reason))
+        self._end(core.OriolestandError('the attempt failed', self._verdict()))
 
-    def _send(self, conn: Any) -> None:
+    def _send(self, conn: 'UpstreamConnection') -> None:
         """Send the request's head; the body follows in parts."""
         if self._is_ended:
-            self._owner.release(self._start.target, conn)
+            self._owner.pool.release(self._target, conn)
+            return
+        if self._head.body_length != 0:
+            self._body = _body.RequestBody(self, self._head.body_length)
+        try:
+            request = self._make_request()
+        except ValueError as exc:
+            self._owner.pool.release(self._target, conn)
+            self._end(errors.UnsendableRequestError(str(exc)))
             return
         self._conn = conn
         self._is_sent = True
-        if self._head.body_length == 0:
+        if self._body is None:
             self._post_accepted()
-        else:
-            self._body = _Body(self, self._head.body_length)
-        request: Any = client.Request._construct(
+        fut = conn.send(request, self._on_answer)
+        fut.addCallbacks(self._on_answer, self._on_lost)
+        fut.addErrback(self._on_fault)
+
+    def _make_request(self) -> Any:
+        """Return the request; raise ValueError when HTTP cannot carry it."""
+        request: Any = client.Request
+        return request._construct(
             self._head.method.encode('ascii'),
             self._head.target.encode('ascii'),
-            self._headers(),
+            _headers.to_upstream(
+                self._head,
+                self._target,
+                self._head.deadline - self._clock.now(),
+                str(self._trace or self._head.traceparent),
+            ),
             self._body,
             persistent=True,
         )
-        fut = conn.request(request)
-        fut.addCallbacks(self._on_answer, self._on_lost)
-
-    def _headers(self) -> http_headers.Headers:
-        """Return the headers for the upstream, with what is left of time."""
-        headers = http_headers.Headers()
-        for name, value in self._head.headers:
-            headers.addRawHeader(name.encode('ascii'), value.encode('latin-1'))
-        if not headers.hasHeader('host'):
-            headers.setRawHeaders('host', [self._start.target])
-        left = max(0, self._head.deadline - self._clock.now())
-        headers.setRawHeaders(const.HEADER_DEADLINE, [str(left)])
-        if self._head.traceparent:
-            headers.setRawHeaders('traceparent', [self._head.traceparent])
-        if self._head.idempotency_key:
-            headers.setRawHeaders(
-                'idempotency-key', [self._head.idempotency_key]
-            )
-        return headers
 
     def _post_accepted(self) -> None:
         """Tell the caller's side where to send body and credit."""
@@ -167,6 +124,7 @@
 
     def accept_body(self) -> None:
         """Let the caller's side send the body."""
+        self._is_body_accepted = True
         self._post_accepted()
         self._give_credit(exchange.CREDIT_BYTES)
 
@@ -197,102 +155,154 @@
         self._caller.post(exchange.Credit(xid=self._caller.xid, size=size))
 
     def _on_answer(self, response: Any) -> None:
-        """Pass on the head of the answer."""
-        if self._is_ended:
+        """Pass on the head of the response."""
+        if self._is_ended or self._reader is not None:
             return
         headers = response.headers
-        if headers.hasHeader(const.HEADER_LEAVING):
+        if headers.getRawHeaders(const.HEADER_LEAVING, ['0'])[0] == '1':
             self._owner.kernel.publish(
-                membership.UpstreamLeaving(address=self._start.target)
-            )
-        verdict = headers.getRawHeaders(const.HEADER_VERDICT, [''])[0]
-        if (
-            response.code == http.SERVICE_UNAVAILABLE
-            and verdict == core.Verdict.DID_NOT_RUN.value
-        ):
-            self._end(
-                errors.UpstreamRefusedError(
-                    'the upstream refused', upstream=self._start.target
-                )
+                membership.UpstreamLeaving(address=self._target)
             )
+        error = self._check_head(response)
+        if error is not None:
+            self._end(error)
             return
         self._is_answered = True
-        pairs = tuple(
-            (name.decode('ascii'), value.decode('latin-1'))
-            for name, values in headers.getAllRawHeaders()
-            for value in values
+        has_body = (
+            response.code not in NO_BODY_CODES and self._head.method != 'HEAD'
         )
         length = response.length
-        if isinstance(length, int):
-            pairs = (*pairs, ('Content-Length', str(length)))
+        assert self._conn is not None
         self._caller.post(
             exchange.ResponseHead(
-                xid=self._caller.xid, status=response.code, headers=pairs
+                xid=self._caller.xid,
+                status=response.code,
+                headers=_headers.to_caller(
+                    headers,
+                    self._conn.connection_headers,
+                    length if has_body and isinstance(length, int) else None,
+                ),
             )
         )
-        self._reader = _AnswerReader(self)
+        self._reader = _body.ResponseReader(self)
         response.deliverBody(self._reader)
 
+    def _check_head(self, response: Any) -> core.OriolestandError | None:
+        """Return the error that the head of a response amounts to."""
+        verdict = response.headers.getRawHeaders(const.HEADER_VERDICT, [''])[0]
+        if (
+            response.code == http.SERVICE_UNAVAILABLE
+            and verdict == core.Verdict.DID_NOT_RUN.value
+        ):
+            return errors.UpstreamRefusedError(
+                'the upstream refused', upstream=self._target
+            )
+        assert self._conn is not None
+        if not isinstance(response.length, int) and not self._conn.is_chunked:
+            return errors.UnframedResponseError(
+                'the response has neither a length nor chunks',
+                upstream=self._target,
+            )
+        return None
+
     def answer_chunk(self, data: bytes) -> None:
-        """Pass on a part of the answer and pause when credit runs out."""
+        """Pass on a part of the response and pause without credit."""
         if self._is_ended:
             return
-        self._credit -= len(data)
-        self._caller.post(
-            exchange.ResponseChunk(xid=self._caller.xid, data=data)
-        )
+        if self._unsent or len(data) > self._credit:
+            data = self._unsent + data
+            self._unsent = data[self._credit :]
+            data = data[: self._credit]
+        if data:
+            self._credit -= len(data)
+            self._caller.post(
+                exchange.ResponseChunk(xid=self._caller.xid, data=data)
+            )
         if self._credit <= 0 and self._reader is not None:
-            transport: Any = self._reader.transport
-            transport.pauseProducing()
+            self._reader.pause(True)
 
     def add_credit(self, size: int) -> None:
-        """Read more of the answer."""
+        """Read more of the response."""
         was_empty = self._credit <= 0
         self._credit += size
-        if was_empty and self._credit > 0 and self._reader is not None:
-            transport: Any = self._reader.transport
-            if transport is not None:
-                transport.resumeProducing()
+        if self._unsent:
+            self.answer_chunk(b'')
+        if self._is_complete and not self._unsent:
+            self._end(None)
+        elif was_empty and self._credit > 0 and self._reader is not None:
+            self._reader.pause(False)
 
     def answer_end(self, reason: failure.Failure) -> None:
-        """End the attempt when the answer's body has ended."""
+        """End the attempt when the response's body has ended."""
         if self._is_ended:
             return
-        if reason.check(client.ResponseDone):
-            self._owner.release(self._start.target, self._conn)
+        if not reason.check(client.ResponseDone):
+            self._on_lost(reason)
+            return
+        self._is_complete = True
+        if self._conn is not None:
+            self._owner.pool.release(self._target, self._conn)
             self._conn = None
+        if not self._unsent:
             self._end(None)
-            return
-        self._on_lost(reason)
 
     def cancel(self) -> None:
         """Abort because the caller left."""
-        self._end(errors.CallerLeftError('the caller left'))
+        self._end(errors.CallerLeftError('the caller left', self._verdict()))
+
+    def _verdict(self) -> core.Verdict:
+        """Return what is known when the attempt ends now."""
+        if not self._is_sent:
+            return core.Verdict.DID_NOT_RUN
+        if self._is_complete:
+            return core.Verdict.RAN
+        return core.Verdict.MAY_HAVE_RUN
+
+    def _is_waiting_for_caller(self) -> bool:
+        """Return whether only the caller's side can go on."""
+        if self._credit <= 0:
+            return True
+        return (
+            self._body is not None
+            and not self._body.is_ended
+            and not self._is_answered
+            and not self._is_holding_credit
+        )
 
     def _on_deadline(self) -> None:
         """Abort because the deadline passed."""
-        if self._is_sent:
+        if not self._is_sent:
+            self._end(
+                errors.UpstreamConnectError(
+                    'no connection before the deadline', upstream=self._target
+                ),
+                is_failure=True,
+            )
+        elif self._is_waiting_for_caller():
+            self._end(
+                errors.CallerTooSlowError(
+                    'the deadline passed while waiting for the caller',
+                    self._verdict(),
+                )
+            )
+        else:
             self._end(
                 errors.UpstreamTimeoutError(
-                    'the deadline passed', upstream=self._start.target
+                    'the deadline passed', upstream=self._target
                 ),
                 is_failure=True,
             )
-            return
-        self._end(
-            errors.UpstreamConnectError(
-                'no connection before the deadline',
-                upstream=self._start.target,
-            ),
-            is_failure=True,
-        )
 
     def _on_connect_failed(self, reason: failure.Failure) -> None:
         """End the attempt; nothing was sent."""
+        error = reason.value
+        if isinstance(error, core.OriolestandError):
+            self._end(error)
+            return
         self._end(
             errors.UpstreamConnectError(
                 'the upstream cannot be reached',
-                upstream=self._start.target,
+                upstream=self._target,
                 reason=reason.getErrorMessage(),
             ),
             is_failure=True,
@@ -300,10 +310,14 @@
 
     def _on_lost(self, reason: failure.Failure) -> None:
         """End the attempt; the upstream may have run the request."""
+        if reason.check(client.RequestNotSent):
+            self._is_sent = False
+            self._on_connect_failed(reason)
+            return
         self._end(
             errors.UpstreamLostError(
-                'the answer did not come whole',
-                upstream=self._start.target,
+                'the response did not come whole',
+                upstream=self._target,
                 reason=reason.getErrorMessage(),
             ),
             is_failure=True,
@@ -318,33 +332,50 @@
         self._is_ended = True
         self._timer.cancel()
         self._owner.forget(self.xid)
+        verdict = core.Verdict.RAN if error is None else error.verdict
         held_until = None
-        if error is not None and self._is_sent:
-            if error.verdict is not core.Verdict.DID_NOT_RUN:
-                held_until = core.Millis(
-                    self._head.deadline + self._owner.abort_grace_ms
-                )
-            self._abort_connection()
+        if verdict is core.Verdict.MAY_HAVE_RUN:
+            held_until = core.Millis(
+                self._head.deadline + self._owner.abort_grace_ms
+            )
+        if self._conn is not None:
+            # The response did not end cleanly on it.
+            self._conn.abort()
+            self._conn = None
         if error is None:
             self._caller.post(exchange.ResponseEnd(xid=self._caller.xid))
-        verdict = core.Verdict.RAN if error is None else error.verdict
+        outcome = dispatching.Outcome(
+            verdict=verdict,
+            error=error,
+            answered=self._is_answered,
+            is_final=self._is_body_accepted
+            or isinstance(error, errors.CallerLeftError),
+            latency_ms=self._clock.now() - self._started,
+            slot_held_until=held_until,
+            upstream_failed=is_failure,
+        )
+        if self._trace is not None:
+            self._post_span(verdict)
         self._owner.kernel.post(
             'dispatch',
             dispatch.AttemptFinished(
-                ticket_id=self._start.ticket_id,
-                outcome=dispatching.Outcome(
-                    verdict=verdict,
-                    error=error,
-                    answered=self._is_answered,
-                    latency_ms=self._clock.now() - self._started,
-                    slot_held_until=held_until,
-                    upstream_failed=is_failure,
-                ),
+                ticket_id=self.ticket_id, outcome=outcome
             ),
         )
 
-    def _abort_connection(self) -> None:
-        """Close a connection whose answer did not end cleanly."""
-        if self._conn is not None and self._conn.transport is not None:
-            self._conn.transport.abortConnection()
-        self._conn = None
+    def _post_span(self, verdict: core.Verdict) -> None:
+        """Tell telemetry about this hop of a sampled request."""
+        assert self._trace is not None
+        self._owner.report_span(
+            telemetry.SpanEnded(
+                name='upstream attempt',
+                context=self._trace,
+                parent_id=telemetry.parent_id(self._head.traceparent),
+                started=self._started,
+                ended=self._clock.now(),
+                attributes=(
+                    ('server.address', self._target),
+                    ('oriolestand.verdict', verdict.value),
+                ),
+            )
+        )
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_body.py
@@ -0,0 +1,85 @@
+"""Move bodies between an exchange and an upstream's connection."""
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import iweb
+import zope.interface
+
+if TYPE_CHECKING:
+    from oriolestand_daemon.services.upstreams._attempt import Attempt
+
+
+@zope.interface.implementer(iweb.IBodyProducer)
+class RequestBody:
+    """Write a request's body as its parts arrive."""
+
+    def __init__(self, attempt: 'Attempt', length: int | None) -> None:
+        self.length: Any = iweb.UNKNOWN_LENGTH if length is None else length
+        self.is_ended = False
+        self._attempt = attempt
+        self._consumer: Any = None
+        self._done: defer.Deferred[None] = defer.Deferred()
+
+    def startProducing(  # noqa: N802
+        self, consumer: interfaces.IConsumer
+    ) -> 'defer.Deferred[None]':
+        """Accept the body from now on."""
+        self._consumer = consumer
+        self._attempt.accept_body()
+        return self._done
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if self._consumer is not None:
+            self._consumer.write(data)
+
+    def end(self) -> None:
+        """End the body."""
+        self.is_ended = True
+        self._consumer = None
+        if not self._done.called:
+            self._done.callback(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Give no more credit until the connection drains."""
+        self._attempt.hold_credit(True)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Give credit again."""
+        self._attempt.hold_credit(False)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Write nothing more."""
+        self._consumer = None
+
+
+class ResponseReader(protocol.Protocol):
+    """Pass a response's body to the attempt."""
+
+    def __init__(self, attempt: 'Attempt') -> None:
+        self._attempt = attempt
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass on a part of the body."""
+        self._attempt.answer_chunk(data)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Tell a whole response from a cut one."""
+        self._attempt.answer_end(reason)
+
+    def pause(self, is_paused: bool) -> None:
+        """Stop or resume reading the response."""
+        transport: Any = self.transport
+        if transport is None:
+            return
+        if is_paused:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_task.py
@@ -1,22 +1,14 @@
 """Own the connections to upstreams and the attempts on them."""
 
-import collections
-from typing import Any
-
-from twisted.internet import defer
-from twisted.internet import endpoints
-from twisted.internet import protocol
-from twisted.web import client
-
 import oriolestand_core as core
 from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import grants
+from oriolestand_daemon.messages import membership
+from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.upstreams import _attempt
+from oriolestand_daemon.services.upstreams import _pool
 from oriolestand_daemon.services.upstreams import const
 
-MILLIS_PER_SECOND = 1000
-
-Connection = Any
-
 
 class UpstreamsTask(core.Task):
     """Pool connections by upstream and run one attempt on each."""
@@ -26,12 +18,27 @@
     def __init__(self, kernel: core.Kernel, abort_grace_ms: int) -> None:
         super().__init__(kernel, const.DOMAIN)
         self.abort_grace_ms = abort_grace_ms
-        self._idle: dict[str, collections.deque[Connection]] = (
-            collections.defaultdict(collections.deque)
-        )
+        self.log = core.get_logger(const.DOMAIN)
+        self.pool = _pool.ConnectionPool(kernel.reactor)
         self._attempts: dict[int, _attempt.Attempt] = {}
         self._next_xid = 0
 
+    def start(self) -> object:
+        """Follow the grants, which bound the connections."""
+        self.kernel.subscribe(grants.GrantsChanged, self)
+        self.kernel.subscribe(membership.UpstreamLeaving, self)
+        return None
+
+    @core.handles(grants.GrantsChanged)
+    def _on_grants(self, msg: grants.GrantsChanged) -> None:
+        """Keep no more connections than the slots allow."""
+        self.pool.set_slots(msg.slots)
+
+    @core.handles(membership.UpstreamLeaving)
+    def _on_leaving(self, msg: membership.UpstreamLeaving) -> None:
+        """Keep no idle connection to an upstream that leaves."""
+        self.pool.set_leaving(msg.address)
+
     @core.handles(exchange.StartExchange)
     def _on_start(self, msg: exchange.StartExchange) -> None:
         """Begin an attempt."""
@@ -56,7 +63,7 @@
 
     @core.handles(exchange.Credit)
     def _on_credit(self, msg: exchange.Credit) -> None:
-        """Send more of an answer."""
+        """Send more of a response."""
         attempt = self._attempts.get(msg.xid)
         if attempt is not None:
             attempt.add_credit(msg.size)
@@ -68,44 +75,25 @@
         if attempt is not None:
             attempt.cancel()
 
+    @core.handles(exchange.CancelAttempt)
+    def _on_cancel_attempt(self, msg: exchange.CancelAttempt) -> None:
+        """Abort an attempt that its caller's side does not know yet."""
+        for attempt in list(self._attempts.values()):
+            if attempt.ticket_id == msg.ticket_id:
+                attempt.cancel()
+
     def forget(self, xid: int) -> None:
         """Drop an attempt that has ended."""
         self._attempts.pop(xid, None)
 
-    def connect(self, address: str) -> 'defer.Deferred[Connection]':
-        """Return an idle connection or open a new one."""
-        idle = self._idle[address]
-        while idle:
-            conn = idle.pop()
-            if conn.state == 'QUIESCENT':
-                return defer.succeed(conn)
-        host, _, port = address.rpartition(':')
-        endpoint: Any = endpoints.HostnameEndpoint(
-            self.kernel.reactor,
-            host.strip('[]'),
-            int(port),
-            timeout=const.CONNECT_TIMEOUT_MS / MILLIS_PER_SECOND,
-        )
-        factory = protocol.Factory.forProtocol(client.HTTP11ClientProtocol)
-        fut: defer.Deferred[Connection] = endpoint.connect(factory)
-        return fut
-
-    def release(self, address: str, conn: Connection) -> None:
-        """Keep a connection whose answer ended cleanly."""
-        if conn.state != 'QUIESCENT':
-            return
-        idle = self._idle[address]
-        if len(idle) >= const.IDLE_CONNECTIONS_PER_UPSTREAM:
-            conn.transport.loseConnection()
-            return
-        idle.append(conn)
+    def report_span(self, span: telemetry.SpanEnded) -> None:
+        """Tell telemetry about an attempt at a sampled request."""
+        if 'telemetry' in self.kernel.services:
+            self.kernel.post('telemetry', span)
 
     def stop(self) -> object:
         """Close idle connections and abort what still runs."""
         for attempt in list(self._attempts.values()):
             attempt.cancel()
-        for idle in self._idle.values():
-            for conn in idle:
-                if conn.transport is not None:
-                    conn.transport.loseConnection()
+        self.pool.close()
         return super().stop()
--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/const.py
@@ -3,8 +3,26 @@
 DOMAIN = 'upstreams'
 
 CONNECT_TIMEOUT_MS = 1_000
-IDLE_CONNECTIONS_PER_UPSTREAM = 8
+CONNECTIONS_PER_SLOT = 8
+"""An upstream has 64 connections for 8 slots; grants share both alike."""
 
-HEADER_DEADLINE = 'Oriolestand-Deadline-Ms'
-HEADER_LEAVING = 'Oriolestand-Leaving'
-HEADER_VERDICT = 'Oriolestand-Verdict'
+HEADER_DEADLINE = 'oriolestand-deadline-ms'
+HEADER_IDEMPOTENCY_KEY = 'idempotency-key'
+HEADER_LEAVING = 'oriolestand-leaving'
+HEADER_TRACEPARENT = 'traceparent'
+HEADER_VERDICT = 'oriolestand-verdict'
+OWN_PREFIX = 'oriolestand-'
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+"""Twisted's client takes out most of these; peers may send any."""
--- a/packages/daemon/src/oriolestand_daemon/settings.py
+++ b/packages/daemon/src/oriolestand_daemon/settings.py
@@ -37,6 +37,27 @@
     port: Port = 0
 
 
+class TlsSettings(_Model):
+    """Name the PEM files of a certificate chain and its private key."""
+
+    certificate: str = pydantic.Field(min_length=1)
+    key: str = pydantic.Field(min_length=1)
+
+
+class CallerListenerSettings(ListenerSettings):
+    """Say where to listen for callers, and whether over TLS."""
+
+    tls: TlsSettings | None = None
+
+
+class TelemetrySettings(_Model):
+    """Say how many requests are traced and how many spans are kept."""
+
+    sample_rate: float = pydantic.Field(default=0.01, ge=0, le=1)
+    span_limit: int = pydantic.Field(default=4_096, ge=1)
+    exporter: Literal['none', 'console'] = 'none'
+
+
 class EmbeddedPlatform(_Model):
     """Keep the platform's tables in this process."""
 
@@ -64,6 +85,7 @@
     max_body_bytes: int = pydantic.Field(default=64 * 1024 * 1024, ge=0)
     max_header_bytes: int = pydantic.Field(default=16 * 1024, ge=1024)
     idle_timeout_ms: int = pydantic.Field(default=60_000, ge=100)
+    head_timeout_ms: int = pydantic.Field(default=10_000, ge=100)
     linger_ms: int = pydantic.Field(default=500, ge=0)
     abort_grace_ms: int = pydantic.Field(default=250, ge=0)
 
@@ -74,7 +96,7 @@
     instance_id: str = pydantic.Field(pattern=r'^[A-Za-z0-9._-]{1,64}$')
     failure_domain: str = pydantic.Field(min_length=1)
     region: str = pydantic.Field(min_length=1)
-    callers: ListenerSettings = ListenerSettings()
+    callers: CallerListenerSettings = CallerListenerSettings()
     peers: ListenerSettings = ListenerSettings()
     admin: ListenerSettings = ListenerSettings()
     seed_peers: tuple[str, ...] = ()
@@ -83,6 +105,7 @@
     )
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
     tables_file: str = ''
 
 
--- /dev/null
+++ b/packages/daemon/tests/services/frontend/conftest.py
@@ -0,0 +1,144 @@
+"""Provide a frontend with a recording dispatch service."""
+
+import json
+from typing import Any
+
+import pytest
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+import oriolestand_core as core
+from oriolestand_daemon import settings
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.services.frontend import _channel
+from oriolestand_daemon.services.frontend import _task
+from oriolestand_policy import tables
+
+ROUTES = (
+    tables.Route(name='all', pool='main', timeout_ms=5_000),
+    tables.Route(
+        name='safe',
+        pool='main',
+        match=tables.Match(path_prefix='/safe'),
+        idempotent=True,
+    ),
+)
+
+
+class Wire(testing.StringTransport):
+    """Record how the daemon closes the connection."""
+
+    aborted = False
+    is_write_closed = False
+    is_hung_up = False
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.aborted = True
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.is_write_closed = True
+
+
+class Recorder(core.Task):
+    """Keep all messages."""
+
+    def __init__(self, kernel: core.Kernel, name: str) -> None:
+        super().__init__(kernel, name)
+        self.seen: list[Any] = []
+
+    @core.handles(exchange.OpenExchange)
+    @core.handles(exchange.CancelRequest)
+    @core.handles(exchange.BodyChunk)
+    @core.handles(exchange.BodyEnd)
+    @core.handles(exchange.Credit)
+    @core.handles(exchange.Cancel)
+    def _on_any(self, msg: object) -> None:
+        self.seen.append(msg)
+
+    def of(self, kind: type) -> list[Any]:
+        return [m for m in self.seen if isinstance(m, kind)]
+
+
+class Bench:
+    """Hold a frontend, what it sends and one caller's connection."""
+
+    def __init__(self, **limits: int) -> None:
+        cfg = settings.parse_settings(
+            {
+                'instance_id': 'a',
+                'failure_domain': 'd',
+                'region': 'r',
+                'limits': limits,
+                'telemetry': {'sample_rate': 0},
+            }
+        )
+        self.clock = core.ManualClock()
+        reactor = testing.MemoryReactorClock()
+        self.kernel = core.Kernel(self.clock, core.IdSource(1), reactor)
+        self.dispatch = Recorder(self.kernel, 'dispatch')
+        self.kernel.register('dispatch', self.dispatch)
+        self.server = Recorder(self.kernel, 'upstreams')
+        self.task = _task.FrontendTask(self.kernel, cfg)
+        self.task.start()
+        self.kernel.publish(
+            config.TablesChanged(
+                tables=tables.Tables(version=1, routes=ROUTES), document=b''
+            )
+        )
+        self.channel: Any = None
+        self.wire = self.connect()
+
+    def connect(self) -> Wire:
+        self.channel = _channel.CallerChannel(self.task)
+        self.wire = Wire()
+        self.channel.makeConnection(self.wire)
+        return self.wire
+
+    def send(self, data: bytes) -> None:
+        self.channel.dataReceived(data)
+
+    def leave(self) -> None:
+        self.channel.connectionLost(failure.Failure(error.ConnectionDone()))
+
+    @property
+    def opened(self) -> exchange.OpenExchange:
+        found: exchange.OpenExchange = self.dispatch.of(exchange.OpenExchange)[
+            -1
+        ]
+        return found
+
+    def accept(self, credit: int = 0) -> None:
+        xid = self.opened.caller.xid
+        server = exchange.Endpoint(task=self.server, xid=7)
+        self.task.post(exchange.ExchangeAccepted(xid=xid, server=server))
+        if credit:
+            self.task.post(exchange.Credit(xid=xid, size=credit))
+
+    def answer(self, *chunks: bytes, **headers: str) -> None:
+        xid = self.opened.caller.xid
+        pairs = tuple((k.replace('_', '-'), v) for k, v in headers.items())
+        self.task.post(
+            exchange.ResponseHead(xid=xid, status=200, headers=pairs)
+        )
+        for data in chunks:
+            self.task.post(exchange.ResponseChunk(xid=xid, data=data))
+
+    def end(self) -> None:
+        self.task.post(exchange.ResponseEnd(xid=self.opened.caller.xid))
+
+    def fail(self, exc: core.OriolestandError) -> None:
+        xid = self.opened.caller.xid
+        self.task.post(exchange.ExchangeFailed(xid=xid, error=exc))
+
+    def refusal(self) -> tuple[int, str, str]:
+        """Return status, code and verdict of the error response."""
+        head, _, body = self.wire.value().partition(b'\r\n\r\n')
+        data = json.loads(body)
+        return int(head.split()[1]), data['code'], data['verdict']
+
+
+@pytest.fixture
+def bench() -> Bench:
+    return Bench(max_body_bytes=200_000, head_timeout_ms=1_000)
--- /dev/null
+++ b/packages/daemon/tests/services/frontend/test_requests.py
@@ -0,0 +1,190 @@
+"""Test what the frontend makes of callers' requests."""
+
+from typing import Any
+
+import pytest
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.services.frontend import const
+
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n'
+POST = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+
+
+@pytest.mark.parametrize(
+    ('data', 'expected'),
+    [
+        (b'GET /a HTTP/1.1\r\n\r\n', (400, 'bad_request')),
+        (GET + b'Host: other\r\n\r\n', (400, 'bad_request')),
+        (GET + b'no colon\r\n\r\n', (400, 'bad_request')),
+        (b'GET a HTTP/1.1\r\nHost: h\r\n\r\n', (400, 'bad_request')),
+        (GET + b'Oriolestand-Deadline-Ms: 1x\r\n\r\n', (400, 'bad_request')),
+        (
+            POST + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\n',
+            (400, 'bad_request'),
+        ),
+        (
+            POST
+            + b'Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n',
+            (400, 'bad_request'),
+        ),
+        (
+            b'POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            (400, 'bad_request'),
+        ),
+        (POST + b'Content-Length: 200001\r\n\r\n', (413, 'body_too_large')),
+        (GET + b'X: ' + b'y' * 20_000 + b'\r\n\r\n', (431, 'head_too_large')),
+        (GET + b'X: y' * 9_000, (431, 'head_too_large')),
+        (GET + b'X: y\r\n' * 600 + b'\r\n', (431, 'head_too_large')),
+    ],
+)
+def test_bad_heads_are_refused(
+    bench: Any, data: bytes, expected: tuple[int, str]
+) -> None:
+    """A refusal without code and verdict leaves the caller guessing."""
+    bench.send(data)
+    assert bench.refusal() == (*expected, 'did_not_run')
+    assert not bench.dispatch.seen
+
+
+def test_head_reaches_dispatch_without_hop_headers(bench: Any) -> None:
+    """Hop-by-hop headers of one hop must not act on the next one."""
+    bench.send(
+        GET + b'Connection: X-Secret, Host\r\nX-Secret: 1\r\nTE: gzip\r\n'
+        b'Oriolestand-Verdict: ran\r\nOriolestand-Deadline-Ms: 700\r\n'
+        b'Idempotency-Key: k\r\nAccept: a\r\nAccept: b\r\n'
+        b'traceparent: ' + b'00-%s-%s-00\r\n\r\n' % (b'a' * 32, b'b' * 16)
+    )
+    head = bench.opened.head
+    names = [name for name, _ in head.headers]
+    assert names == ['host', 'idempotency-key', 'accept', 'accept'] + [
+        'traceparent'
+    ]
+    assert (head.deadline, head.idempotency_key) == (700, 'k')
+    assert head.traceparent.endswith('b-00')
+
+
+def test_absolute_target_replaces_the_host(bench: Any) -> None:
+    """RFC 9112 asks servers to accept absolute targets."""
+    bench.send(b'GET http://x:81?q HTTP/1.1\r\nHost: h\r\n\r\n')
+    assert bench.opened.head.target == '/?q'
+    assert bench.opened.head.headers == (('host', 'x:81'),)
+
+
+def test_body_follows_credit(bench: Any) -> None:
+    """Without bounds, one caller's upload could fill the memory."""
+    bench.send(POST + b'Content-Length: 100\r\n\r\n' + b'x' * 60)
+    assert bench.wire.producerState == 'paused'
+    bench.accept(credit=50)
+    assert [len(m.data) for m in bench.server.seen] == [50]
+    assert bench.wire.producerState == 'paused'
+    # A drained response buffer must not resume a body without credit.
+    bench.channel.resumeProducing()
+    assert bench.wire.producerState == 'paused'
+    bench.task.post(exchange.Credit(xid=bench.opened.caller.xid, size=50))
+    assert bench.wire.producerState == 'producing'
+    bench.send(b'x' * 40)
+    assert sum(len(m.data) for m in bench.server.of(exchange.BodyChunk)) == 100
+    assert len(bench.server.of(exchange.BodyEnd)) == 1
+
+
+def test_continue_is_sent_once_the_body_is_accepted(bench: Any) -> None:
+    """A caller must not upload a body that is then refused."""
+    bench.send(POST + b'Content-Length: 9\r\nExpect: 100-continue\r\n\r\n')
+    assert bench.wire.value() == b''
+    bench.accept(credit=10)
+    assert bench.wire.value() == b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@pytest.mark.parametrize('is_accepted', [False, True])
+@pytest.mark.parametrize(
+    ('body', 'code'),
+    [
+        (b'%x\r\n' % 200_001 + b'x' * 200_001, 'body_too_large'),
+        (b'zz\r\n', 'bad_request'),
+    ],
+)
+def test_bad_chunked_bodies_end_the_exchange(
+    bench: Any, body: bytes, code: str, is_accepted: bool
+) -> None:
+    """Once a part was passed on, the request may have run."""
+    bench.send(POST + b'Transfer-Encoding: chunked\r\n\r\n')
+    if is_accepted:
+        bench.accept(credit=1)
+    bench.send(body)
+    verdict = 'may_have_run' if is_accepted else 'did_not_run'
+    assert bench.refusal()[1:] == (code, verdict)
+    assert bench.dispatch.of(exchange.CancelRequest)
+    assert len(bench.server.of(exchange.Cancel)) == is_accepted
+
+
+def test_refused_body_is_read_before_the_close(bench: Any) -> None:
+    """A reset could destroy the refusal before the caller reads it."""
+    bench.send(POST + b'Content-Length: 200001\r\n\r\n' + b'x' * 100)
+    assert bench.wire.is_write_closed
+    assert b'Connection: close' in bench.wire.value()
+    bench.send(b'GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n')
+    assert not bench.dispatch.seen
+    bench.clock.advance(const.LINGER_MS)
+    assert bench.wire.aborted
+
+
+def test_slow_head_is_refused(bench: Any) -> None:
+    """Callers that trickle a head must not hold connections."""
+    for _ in range(4):
+        bench.send(b'G')
+        bench.clock.advance(500)
+    assert bench.refusal() == (408, 'head_timeout', 'did_not_run')
+
+
+def test_idle_connection_is_closed_but_not_a_busy_one(bench: Any) -> None:
+    """Idle timeouts must spare a request in progress."""
+    bench.send(GET + b'\r\n')
+    bench.clock.advance(120_000)
+    assert not bench.wire.disconnecting
+    bench.answer(Content_Length='0')
+    bench.end()
+    bench.clock.advance(62_000)
+    assert bench.wire.disconnecting
+
+
+@pytest.mark.parametrize('is_accepted', [False, True])
+def test_caller_that_leaves_cancels(bench: Any, is_accepted: bool) -> None:
+    """Work for nobody would hold a slot until its deadline."""
+    bench.send(GET + b'\r\n')
+    if is_accepted:
+        bench.accept()
+    bench.leave()
+    ticket = bench.opened.ticket.id
+    assert bench.dispatch.of(exchange.CancelRequest)[0].ticket_id == ticket
+    assert len(bench.server.of(exchange.Cancel)) == is_accepted
+    bench.answer(b'late')
+    bench.end()
+
+
+def test_caller_that_leaves_unread_is_noticed(bench: Any) -> None:
+    """A paused connection reports no end; the sweep has to find it."""
+    bench.send(POST + b'Content-Length: 9\r\n\r\nxx')
+    bench.clock.advance(1_000)
+    assert not bench.wire.aborted
+    bench.wire.is_hung_up = True
+    bench.clock.advance(1_000)
+    assert bench.wire.aborted
+
+
+def test_new_attempt_starts_without_old_credit(bench: Any) -> None:
+    """Credit of a failed attempt must not flood the next one."""
+    bench.send(POST + b'Content-Length: 90\r\n\r\n')
+    bench.accept(credit=50)
+    bench.accept()
+    bench.send(b'x' * 60)
+    assert not bench.server.of(exchange.BodyChunk)
+
+
+def test_overload_carries_retry_after(bench: Any) -> None:
+    """Without Retry-After, callers repeat at once."""
+    bench.send(GET + b'\r\n')
+    bench.fail(core.InboxFullError('full'))
+    assert bench.refusal() == (503, 'inbox_full', 'did_not_run')
+    assert b'Retry-After: 1' in bench.wire.value()
--- /dev/null
+++ b/packages/daemon/tests/services/upstreams/test_attempts.py
@@ -0,0 +1,213 @@
+"""Test the verdict at each point at which a connection can break."""
+
+from typing import Any
+
+import pytest
+from twisted.internet import error
+
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import membership
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
+LOST = ('upstream_lost', 'may_have_run', True)
+NOT_SENT = ('upstream_unreachable', 'did_not_run', False)
+RAN = ('', 'ran', False)
+
+
+def test_refused_connection(bench: Any) -> None:
+    """Nothing was written, so the request did not run."""
+    bench.start()
+    bench.refuse()
+    assert bench.summary() == NOT_SENT
+
+
+def test_deadline_while_connecting(bench: Any) -> None:
+    """A late connection must neither send nor leak."""
+    bench.start()
+    bench.clock.advance(1_000)
+    assert bench.summary() == NOT_SENT
+    wire = bench.connect()
+    assert wire.value() == b''
+    bench.start()
+    assert b'GET /a' in wire.value()
+
+
+@pytest.mark.parametrize(
+    'data',
+    [b'', b'HTTP/1.1 20', HEAD, HEAD + b'abc', b'junk\r\n\r\n']
+    + [b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n'],
+)
+def test_connection_lost_after_the_head_was_sent(
+    bench: Any, data: bytes
+) -> None:
+    """Any byte sent without a complete response may have run."""
+    bench.start()
+    wire = bench.connect()
+    wire.protocol.dataReceived(data)
+    wire.close(error.ConnectionDone())
+    assert bench.summary() == LOST
+    assert not bench.caller.of(exchange.ResponseEnd)
+
+
+def test_connection_lost_during_the_body(bench: Any) -> None:
+    """A part of a body was consumed: neither safe nor to be retried."""
+    server = bench.start(body_length=9)
+    wire = bench.connect()
+    server.post(exchange.BodyChunk(xid=server.xid, data=b'abc'))
+    wire.close(error.ConnectionLost())
+    outcome = bench.outcome
+    assert outcome.verdict.value == 'may_have_run' and outcome.is_final
+
+
+@pytest.mark.parametrize('body_length', [0, 9])
+def test_upstream_refusal(bench: Any, body_length: int) -> None:
+    """A refusal is retried only if no body was asked for."""
+    bench.start(body_length=body_length)
+    wire = bench.connect()
+    wire.protocol.dataReceived(
+        b'HTTP/1.1 503 Busy\r\nOriolestand-Verdict: did_not_run\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+    outcome = bench.outcome
+    assert outcome.verdict.value == 'did_not_run'
+    assert outcome.is_final is bool(body_length)
+    assert not bench.caller.of(exchange.ResponseHead)
+
+
+def test_response_without_an_end_is_refused(bench: Any) -> None:
+    """A close could be the end of the response or a cut."""
+    bench.start()
+    wire = bench.connect()
+    wire.protocol.dataReceived(b'HTTP/1.0 200 OK\r\n\r\npart')
+    assert bench.summary() == ('unframed_response', 'may_have_run', True)
+    assert not bench.caller.of(exchange.ResponseHead)
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer', 'length'),
+    [
+        ('GET', HEAD + b'abcd', '4'),
+        ('HEAD', HEAD, '4'),
+        ('GET', b'HTTP/1.1 204 No\r\n\r\n', None),
+        ('GET', b'HTTP/1.1 103 Early\r\n\r\n' + HEAD + b'abcd', '4'),
+    ],
+)
+def test_complete_response(
+    bench: Any, method: str, answer: bytes, length: str | None
+) -> None:
+    """A complete response ran; its length is told once."""
+    bench.start(method=method)
+    bench.connect().protocol.dataReceived(answer)
+    assert bench.summary() == RAN
+    (head,) = bench.caller.of(exchange.ResponseHead)
+    found = [v for k, v in head.headers if k.lower() == 'content-length']
+    assert found == ([length] if length else [])
+    assert len(bench.caller.of(exchange.ResponseEnd)) == 1
+
+
+def test_early_response_is_passed_on_while_the_body_comes(bench: Any) -> None:
+    """An upstream that answers early must not wait for the body's end."""
+    bench.start(body_length=None)
+    wire = bench.connect()
+    wire.protocol.dataReceived(HEAD + b'ab')
+    assert bench.caller.of(exchange.ResponseHead)
+    wire.protocol.dataReceived(b'cd')
+    assert bench.summary() == RAN
+    assert wire.is_closed
+
+
+def test_deadline_after_sending(bench: Any) -> None:
+    """The slot stays taken until the upstream must have stopped."""
+    bench.start()
+    wire = bench.connect()
+    bench.clock.advance(1_000)
+    outcome = bench.outcome
+    assert outcome.error.code == 'upstream_timeout'
+    assert (outcome.slot_held_until, outcome.upstream_failed) == (1_250, True)
+    assert wire.is_closed
+
+
+@pytest.mark.parametrize('is_upload', [False, True])
+def test_deadline_while_the_caller_is_slow(
+    bench: Any, is_upload: bool
+) -> None:
+    """A slow caller must not count as a failure of the upstream."""
+    bench.start(body_length=9 if is_upload else 0)
+    wire = bench.connect()
+    if not is_upload:
+        size = exchange.CREDIT_BYTES
+        wire.protocol.dataReceived(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % (2 * size)
+        )
+        wire.protocol.dataReceived(b'x' * size)
+    bench.clock.advance(1_000)
+    outcome = bench.outcome
+    assert outcome.error.code == 'caller_too_slow'
+    assert outcome.verdict.value == 'may_have_run'
+    assert not outcome.upstream_failed
+
+
+def test_response_follows_credit(bench: Any) -> None:
+    """Without bounds, a slow caller's response could fill the memory."""
+    server = bench.start()
+    wire = bench.connect()
+    size = exchange.CREDIT_BYTES
+    wire.protocol.dataReceived(
+        b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % (size + 10)
+    )
+    wire.protocol.dataReceived(b'x' * (size + 10))
+    sent = bench.caller.of(exchange.ResponseChunk)
+    assert sum(len(m.data) for m in sent) == size
+    assert not bench.dispatch.seen
+    server.post(exchange.Credit(xid=server.xid, size=20))
+    sent = bench.caller.of(exchange.ResponseChunk)
+    assert sum(len(m.data) for m in sent) == size + 10
+    assert bench.summary() == RAN
+
+
+@pytest.mark.parametrize('is_connected', [False, True])
+def test_cancel_by_ticket(bench: Any, is_connected: bool) -> None:
+    """Work for a caller that left must end, and must not be retried."""
+    bench.start()
+    wire = bench.connect() if is_connected else None
+    bench.task.post(exchange.CancelAttempt(ticket_id='ticket', target=''))
+    outcome = bench.outcome
+    verdict = 'may_have_run' if is_connected else 'did_not_run'
+    assert (outcome.verdict.value, outcome.is_final) == (verdict, True)
+    assert wire is None or wire.is_closed
+
+
+def test_unsendable_request_did_not_run(bench: Any) -> None:
+    """A request that HTTP cannot carry must not hold its slot."""
+    bench.start(target='/a b')
+    bench.connect()
+    assert bench.summary() == ('bad_request', 'did_not_run', False)
+
+
+def test_headers_on_the_way_to_the_upstream(bench: Any) -> None:
+    """The upstream needs the time left, the key and the trace."""
+    bench.start(
+        headers=(('host', 'h'), ('oriolestand-deadline-ms', '9')),
+        idempotency_key='k',
+        traceparent='tp',
+    )
+    bench.clock.advance(100)
+    text = bench.connect().value().lower()
+    assert text.count(b'oriolestand-deadline-ms: 900\r\n') == 1
+    assert b'idempotency-key: k\r\n' in text and b'traceparent: tp' in text
+
+
+def test_headers_on_the_way_back(bench: Any) -> None:
+    """Headers for one hop and of this project end at the daemon."""
+    left: list[Any] = []
+    bench.kernel.subscribe(membership.UpstreamLeaving, bench.task)
+    bench.task._on_leaving = left.append
+    bench.start()
+    bench.connect().protocol.dataReceived(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: X-Hop\r\n'
+        b'X-Hop: 1\r\nOriolestand-Leaving: 1\r\nOriolestand-Verdict: x\r\n'
+        b'Via: v\r\n\r\n'
+    )
+    (head,) = bench.caller.of(exchange.ResponseHead)
+    assert [k.lower() for k, _ in head.headers] == ['via', 'content-length']
+    assert left
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -247,7 +247,9 @@
         now: core.Millis,
     ) -> bool:
         """Return whether another attempt is allowed."""
-        if outcome.answered or flight.attempts >= MAX_ATTEMPTS:
+        if outcome.answered or outcome.is_final:
+            return False
+        if flight.attempts >= MAX_ATTEMPTS:
             return False
         if flight.ticket.deadline <= now:
             return False
