--- a/packages/daemon/tests/services/frontend/conftest.py
+++ b/packages/daemon/tests/services/frontend/conftest.py
@@ -37,6 +37,9 @@
     def abortConnection(self) -> None:  # noqa: N802
         self.aborted = True
 
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing in memory."""
+
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.is_write_closed = True
 
