Add the telemetry service

The frontend reports each request with one message; the service keeps an HdrHistogram per route, pool and verdict (at most 1024, then a shared one) and answers GetMetrics in Prometheus text format, which admin serves at /metrics. Sampled requests add one span per hop (frontend, dispatch wait, peer forward, upstream attempt) to a ring and to an OpenTelemetry batch processor, which exports from its own thread. Spans are built as ReadableSpan in the service rather than with a tracer on the path, so a request that is not sampled costs one comparison per hop.

--- a/packages/daemon/src/oriolestand_daemon/_daemon.py
+++ b/packages/daemon/src/oriolestand_daemon/_daemon.py
@@ -11,6 +11,7 @@
 
 SERVICES_PACKAGE = 'oriolestand_daemon.services'
 SERVICES = (
+    'telemetry',
     'platform',
     'tables',
     'membership',
--- a/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
@@ -13,6 +13,7 @@
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.admin import const
 
 
@@ -64,6 +65,13 @@
             'pools': pools,
         }
 
+    async def metrics(self) -> bytes:
+        """Return all metrics in Prometheus text format."""
+        text: bytes = await self.kernel.ask(
+            'telemetry', telemetry.GetMetrics()
+        )
+        return text
+
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
@@ -82,6 +90,7 @@
         super().__init__()
         children: Any = self
         children.putChild(b'live', _Probe(lambda: True))
+        children.putChild(b'metrics', _Json(task.metrics))
         children.putChild(b'ready', _Probe(lambda: task.is_ready))
         children.putChild(b'status', _Json(task.status))
         children.putChild(b'tables', _Tables(task.kernel))
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/telemetry/_spans.py
@@ -0,0 +1,59 @@
+"""Keep the spans of recent traces."""
+
+import collections
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import telemetry
+
+
+class SpanRing:
+    """Keep the last spans and find them by trace.
+
+    :param limit: number of spans; the oldest is dropped first.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._order: collections.deque[telemetry.SpanRecord] = (
+            collections.deque()
+        )
+        self._by_trace: dict[str, collections.deque[telemetry.SpanRecord]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of kept spans."""
+        return len(self._order)
+
+    def add(self, span: telemetry.SpanRecord) -> None:
+        """Keep a span; drop the oldest when there are too many."""
+        if len(self._order) >= self._limit:
+            oldest = self._order.popleft()
+            spans = self._by_trace[oldest.trace_id]
+            spans.popleft()
+            if not spans:
+                del self._by_trace[oldest.trace_id]
+        self._order.append(span)
+        self._by_trace.setdefault(span.trace_id, collections.deque()).append(
+            span
+        )
+
+    def find(self, trace_id: str) -> tuple[telemetry.SpanRecord, ...]:
+        """Return the kept spans of a trace in order of their start."""
+        spans = self._by_trace.get(trace_id, ())
+        return tuple(sorted(spans, key=lambda s: (s.start_ms, s.span_id)))
+
+
+def make_record(
+    msg: telemetry.SpanEnded, instance_id: str, clock: core.Clock
+) -> telemetry.SpanRecord:
+    """Return the record of a span, with times since the epoch."""
+    ago = clock.now() - msg.started
+    return telemetry.SpanRecord(
+        trace_id=msg.context.trace_id,
+        span_id=msg.context.span_id,
+        parent_id=msg.parent_id,
+        name=msg.name,
+        instance_id=instance_id,
+        start_ms=clock.wall() - ago,
+        duration_ms=msg.ended - msg.started,
+        attributes=msg.attributes,
+    )
