Add the path benchmark with a bare forwarder

The run also found that the channel lacked its factory's log method, so a kept-alive connection served one request only; the frontend's tests now build channels through the factory, as the listener does.

--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/__main__.py
@@ -0,0 +1,34 @@
+"""Run groups of benchmarks and write ``out/bench.json``."""
+
+import pathlib
+import sys
+
+import click
+
+from oriolestand_bench import _groups
+from oriolestand_bench import _results
+
+OUTPUT = pathlib.Path('out/bench.json')
+
+
+@click.command()
+@click.argument('groups', nargs=-1, type=click.Choice(list(_groups.GROUPS)))
+@click.option(
+    '--output',
+    default=OUTPUT,
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help='File for the results, a JSON list.',
+)
+def main(groups: tuple[str, ...], output: pathlib.Path) -> None:
+    """Run the named groups, or all of them; exit 1 on a missed target."""
+    results: list[_results.Result] = []
+    for name in groups or _groups.GROUPS:
+        found = _groups.GROUPS[name]()
+        click.echo(_results.to_table(found))
+        results += found
+    _results.write(results, output)
+    sys.exit(1 if any(res.met is False for res in results) else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/_groups.py
@@ -0,0 +1,11 @@
+"""List the groups of benchmarks; each is one module with a ``run``."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from oriolestand_bench import _path
+from oriolestand_bench import _results
+
+GROUPS: Mapping[str, Callable[[], list[_results.Result]]] = {
+    'path': _path.run,
+}
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/_idle.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/_path.py
@@ -0,0 +1,123 @@
+"""Compare one daemon on the path with a bare forwarder."""
+
+import statistics
+
+from oriolestand_bench import _load
+from oriolestand_bench import _results
+from oriolestand_standins import _cluster
+
+CONNECTIONS = 32
+UPSTREAMS = 4
+SLOTS = 8
+ROUNDS = 5
+ROUND_S = 4.0
+"""Rounds alternate, so that other load on the machine hits both alike."""
+
+MIN_RATE_RATIO = 0.7
+MAX_ADDED_P99_RATIO = 1.5
+REQUEST = (
+    b'GET /check?n=1 HTTP/1.1\r\nHost: bench\r\nAccept: */*\r\n'
+    b'User-Agent: bench\r\n\r\n'
+)
+
+
+def start_daemon(cluster: _cluster.Cluster, name: str = 'entry') -> None:
+    """Start upstreams and one daemon that holds all their slots."""
+    cluster.start_platform()
+    names = [f'up-{number}' for number in range(UPSTREAMS)]
+    for upstream in names:
+        process = cluster.start_upstream(upstream, slots=SLOTS)
+        cluster.set_faults(process, service_ms=0)
+    cluster.add_entry(name, 'a', 'north')
+    cluster.start_daemon(name)
+    document = {
+        'routes': [{'name': 'check', 'pool': 'main', 'idempotent': True}],
+        'pools': [
+            {
+                'name': 'main',
+                'upstreams': [
+                    {
+                        'address': (
+                            f'{_cluster.HOST}:{cluster.upstreams[up].port}'
+                        ),
+                        'failure_domain': 'a',
+                    }
+                    for up in names
+                ],
+            }
+        ],
+    }
+    _cluster.wait_until(
+        lambda: cluster.put_tables(name, document, 0).status in (200, 409),
+        'tables accepted',
+    )
+    cluster.wait_ready(name)
+    cluster.wait_slots(name, 'main', UPSTREAMS * SLOTS)
+
+
+def _start_forwarder(cluster: _cluster.Cluster) -> int:
+    """Start the bare forwarder; return its port."""
+    port = _cluster.free_port()
+    cluster.start_module(
+        'forwarder',
+        port,
+        'oriolestand_bench._forwarder',
+        f'--port={port}',
+        *(f'--upstream={up.port}' for up in cluster.upstreams.values()),
+    )
+    _cluster.wait_until(
+        lambda: _cluster.call(port, 'GET', '/').status == 200, 'forwarder up'
+    )
+    return port
+
+
+def run() -> list[_results.Result]:
+    """Return rates and latencies of the daemon and the forwarder."""
+    with _cluster.Cluster() as cluster:
+        start_daemon(cluster)
+        ports = {
+            'daemon': cluster.entries['entry'].callers,
+            'forwarder': _start_forwarder(cluster),
+            'direct': cluster.upstreams['up-0'].port,
+        }
+        loads: dict[str, list[_load.Load]] = {name: [] for name in ports}
+        for _ in range(ROUNDS):
+            for name, port in ports.items():
+                # One of the upstreams gets its share of the connections.
+                count = CONNECTIONS
+                if name == 'direct':
+                    count = CONNECTIONS // UPSTREAMS
+                loads[name].append(_load.run(port, count, ROUND_S, REQUEST))
+    return _compare(loads)
+
+
+def _compare(loads: dict[str, list[_load.Load]]) -> list[_results.Result]:
+    """Return the results of all rounds, by their medians."""
+
+    def median(name: str, field: str) -> float:
+        return statistics.median(getattr(x, field) for x in loads[name])
+
+    direct = median('direct', 'p99_ms')
+    return [
+        _results.Result(
+            name='path/rate',
+            unit='1/s',
+            value=median('daemon', 'requests_per_s'),
+            baseline=median('forwarder', 'requests_per_s'),
+            target=MIN_RATE_RATIO,
+            is_at_least=True,
+        ),
+        _results.Result(
+            name='path/added_p99',
+            unit='ms',
+            value=median('daemon', 'p99_ms') - direct,
+            baseline=median('forwarder', 'p99_ms') - direct,
+            target=MAX_ADDED_P99_RATIO,
+        ),
+        _results.Result(
+            name='path/p50',
+            unit='ms',
+            value=median('daemon', 'p50_ms'),
+            baseline=median('forwarder', 'p50_ms'),
+        ),
+    ]
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/_results.py
@@ -0,0 +1,92 @@
+"""Hold, print and store what a run measured."""
+
+from collections.abc import Sequence
+import dataclasses
+import json
+import pathlib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """Hold one figure of a run.
+
+    ``baseline`` is what the value is compared with and ``ratio`` the value
+    divided by it. ``target`` bounds the ratio, or the value when there is
+    no baseline; without a target, the figure is only reported.
+    """
+
+    name: str
+    unit: str
+    value: float
+    baseline: float | None = None
+    target: float | None = None
+    is_at_least: bool = False
+
+    @property
+    def ratio(self) -> float | None:
+        """Return the value divided by the baseline."""
+        if not self.baseline:
+            return None
+        return self.value / self.baseline
+
+    @property
+    def met(self) -> bool | None:
+        """Return whether the target is met; None without a target."""
+        if self.target is None:
+            return None
+        figure = self.value if self.ratio is None else self.ratio
+        if self.is_at_least:
+            return figure >= self.target
+        return figure <= self.target
+
+
+def to_json(results: Sequence[Result]) -> str:
+    """Return the results as a JSON list."""
+    rows = [
+        {
+            'name': res.name,
+            'unit': res.unit,
+            'value': round(res.value, 4),
+            'baseline': _round(res.baseline),
+            'ratio': _round(res.ratio),
+            'target': res.target,
+            'met': res.met,
+        }
+        for res in results
+    ]
+    return json.dumps(rows, indent=2) + '\n'
+
+
+def _round(value: float | None) -> float | None:
+    """Return a value with four digits after the point."""
+    return None if value is None else round(value, 4)
+
+
+def write(results: Sequence[Result], path: pathlib.Path) -> None:
+    """Write the results to a file."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(to_json(results), encoding='utf-8')
+
+
+def to_table(results: Sequence[Result]) -> str:
+    """Return the results as lines of text.
+
+    >>> res = Result(
+    ...     name='path/rate', unit='1/s', value=70.0, baseline=100.0,
+    ...     target=0.7, is_at_least=True,
+    ... )
+    >>> print(to_table([res]))
+    path/rate         70.00 1/s     baseline 100.00  ratio 0.70  >= 0.7  met
+    """
+    return '\n'.join(_line(res) for res in results)
+
+
+def _line(res: Result) -> str:
+    """Return one line of the table."""
+    line = f'{res.name:16} {res.value:6.2f} {res.unit:6}'
+    if res.baseline is not None and res.ratio is not None:
+        line += f'  baseline {res.baseline:.2f}  ratio {res.ratio:.2f}'
+    if res.target is not None:
+        sign = '>=' if res.is_at_least else '<='
+        line += f'  {sign} {res.target}  {"met" if res.met else "MISSED"}'
+    return line.rstrip()
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
@@ -199,6 +199,24 @@
             self.refuse(errors.HeadTimeoutError('the head came too slowly'))
 
 
+class CallerFactory(protocol.Factory):
+    """Make the channel of each caller's connection."""
+
+    noisy = False
+
+    def __init__(self, owner: 'FrontendTask') -> None:
+        self._owner = owner
+
+    def buildProtocol(self, addr: Any) -> CallerChannel:  # noqa: N802
+        """Return the channel of a new connection."""
+        channel: Any = CallerChannel(self._owner)
+        channel.factory = self
+        return channel
+
+    def log(self, request: Any) -> None:
+        """Write no access log; telemetry counts requests."""
+
+
 def _is_hung_up(transport: Any) -> bool:
     """Return whether the other side closed, without reading."""
     fileno = getattr(transport, 'fileno', None)
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-from twisted.internet import protocol
-
 import oriolestand_core as core
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
@@ -50,11 +48,10 @@
         """Listen for callers."""
         self.kernel.subscribe(config.TablesChanged, self)
         self._telemetry = self.kernel.services.get('telemetry')
-        factory = protocol.Factory()
-        factory.noisy = False
-        factory.protocol = lambda: _channel.CallerChannel(self)
         self._port = _tls.listen(
-            self.kernel.reactor, factory, self.cfg.callers
+            self.kernel.reactor,
+            _channel.CallerFactory(self),
+            self.cfg.callers,
         )
         self._sweep()
         self._log.info('Listening', address=self.address)
--- a/packages/daemon/tests/services/frontend/conftest.py
+++ b/packages/daemon/tests/services/frontend/conftest.py
@@ -94,7 +94,7 @@
         self.wire = self.connect()
 
     def connect(self) -> Wire:
-        self.channel = _channel.CallerChannel(self.task)
+        self.channel = _channel.CallerFactory(self.task).buildProtocol(None)
         self.wire = Wire()
         self.channel.makeConnection(self.wire)
         return self.wire
--- a/packages/daemon/tests/services/frontend/test_tls.py
+++ b/packages/daemon/tests/services/frontend/test_tls.py
@@ -86,7 +86,7 @@
 
 def test_request_over_tls(bench: Any, tmp_path: pathlib.Path) -> None:
     """Callers that verify the certificate must be served."""
-    bench.channel = type(bench.channel)(bench.task)
+    bench.channel = bench.channel.factory.buildProtocol(None)
     bench.wire = type(bench.wire)()
     caller = Caller(bench, write_certificate(tmp_path, 'localhost'))
     caller.handshake()
--- a/packages/standins/src/oriolestand_standins/_cluster.py
+++ b/packages/standins/src/oriolestand_standins/_cluster.py
@@ -151,15 +151,21 @@
                 process.kill()
         self._folder.cleanup()
 
-    def _spawn(self, name: str, port: int, *args: str) -> Process:
-        """Start a Python module as a process."""
+    def start_module(
+        self,
+        name: str,
+        port: int,
+        *args: str,
+        env: Mapping[str, str] | None = None,
+    ) -> Process:
+        """Start a Python module as a process that ends with the cluster."""
         log = pathlib.Path(self._folder.name) / f'{name}.log'
         with log.open('ab') as out:
             popen = subprocess.Popen(
                 [sys.executable, '-m', *args],
                 stdout=out,
                 stderr=out,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                env={**os.environ, 'PYTHONUNBUFFERED': '1', **(env or {})},
             )
         process = Process(name=name, port=port, popen=popen, log=log)
         self._processes.append(process)
@@ -168,7 +174,7 @@
     def start_platform(self) -> Process:
         """Start the platform's stand-in."""
         port = free_port()
-        self.platform = self._spawn(
+        self.platform = self.start_module(
             'platform',
             port,
             'oriolestand_standins',
@@ -185,7 +191,7 @@
     def start_upstream(self, name: str, slots: int = 8) -> Process:
         """Start an upstream's stand-in."""
         port = free_port()
-        process = self._spawn(
+        process = self.start_module(
             name,
             port,
             'oriolestand_standins',
@@ -252,7 +258,7 @@
         }
         path = pathlib.Path(self._folder.name) / f'{name}.json'
         path.write_text(json.dumps(data))
-        process = self._spawn(
+        process = self.start_module(
             name, entry.callers, 'oriolestand_daemon', f'--settings={path}'
         )
         self.daemons[name] = process
