--- /dev/null
+++ b/packages/models/src/oriolestand_models/document.py
@@ -0,0 +1,232 @@
+"""Define the validated form of the configuration document."""
+
+from collections.abc import Sequence
+import hashlib
+import json
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+import oriolestand_core as core
+from oriolestand_models import _address
+from oriolestand_models import _json
+from oriolestand_policy import tables
+
+Entry = TypeVar('Entry', 'RouteModel', 'PoolModel')
+
+Name = Annotated[str, pydantic.Field(pattern=r'^[A-Za-z0-9._-]{1,64}$')]
+Method = Annotated[str, pydantic.Field(pattern=r'^[A-Z]{1,20}$')]
+HeaderName = Annotated[str, pydantic.Field(pattern=r'^[A-Za-z0-9-]{1,64}$')]
+MAX_TIMEOUT_MS = 3_600_000
+DIGEST_HEX_DIGITS = 16
+MAX_DOCUMENT_BYTES = 768 * 1024
+"""A document must fit into one frame of 1 MiB between daemons."""
+
+
+class InvalidTablesError(core.OriolestandError):
+    """Raise when an edit has problems; each names the field's path."""
+
+    code = 'invalid_tables'
+    http_status = 400
+
+    def __init__(self, problems: Sequence[str]) -> None:
+        super().__init__('; '.join(problems))
+        self.problems = tuple(problems)
+
+
+class _Model(pydantic.BaseModel):
+    """Refuse unknown keys and changes."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class MatchModel(_Model):
+    """Say which requests a route takes; an empty field matches all."""
+
+    host: str = ''
+    methods: tuple[Method, ...] = ()
+    path_prefix: str = pydantic.Field(default='/', pattern='^/')
+    headers: dict[HeaderName, str] = {}
+
+
+class RouteModel(_Model):
+    """Send matching requests to a pool."""
+
+    name: Name
+    pool: Name
+    match: MatchModel = MatchModel()
+    team: Name = 'default'
+    kind: tables.Kind = tables.Kind.SERVICE
+    priority: int = pydantic.Field(default=0, ge=-100, le=100)
+    timeout_ms: int = pydantic.Field(default=5_000, ge=1, le=MAX_TIMEOUT_MS)
+    idempotent: bool = False
+
+
+class UpstreamModel(_Model):
+    """Name an upstream; the address is ``ip:port``."""
+
+    address: _address.Address
+    failure_domain: str = pydantic.Field(min_length=1)
+    rack: str = ''
+
+
+class PoolModel(_Model):
+    """Describe a group of upstreams."""
+
+    name: Name
+    upstreams: tuple[UpstreamModel, ...] = ()
+    slots_per_upstream: int = pydantic.Field(default=8, ge=0, le=10_000)
+    connections_per_upstream: int = pydantic.Field(default=64, ge=1)
+    team_weights: dict[str, Annotated[int, pydantic.Field(ge=1)]] = {}
+    queue_limit: int = pydantic.Field(default=256, ge=0, le=1_000_000)
+
+
+class DocumentModel(_Model):
+    """Hold both tables, one version of them."""
+
+    version: int = pydantic.Field(default=0, ge=0)
+    routes: tuple[RouteModel, ...] = ()
+    pools: tuple[PoolModel, ...] = ()
+    edited_by: str = pydantic.Field(default='', max_length=200)
+    edit_id: str = pydantic.Field(default='', max_length=64)
+
+    def dump(self) -> bytes:
+        """Return the document as JSON."""
+        return self.model_dump_json().encode()
+
+    def digest(self) -> str:
+        """Return a digest that equal documents share.
+
+        Defaults are left out, so that daemons of two releases agree on a
+        document that uses no field that only one of them knows.
+        """
+        data = self.model_dump(mode='json', exclude_defaults=True)
+        text = json.dumps(data, sort_keys=True, separators=(',', ':'))
+        return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
+
+    def stamp(self) -> tables.Stamp:
+        """Return version and digest."""
+        return tables.Stamp(version=self.version, digest=self.digest())
+
+
+def parse_document(data: Any) -> DocumentModel:
+    """Return a validated document, or raise InvalidTablesError.
+
+    The error lists all problems: those of single fields, and those between
+    entries as far as the entries concerned are valid themselves.
+    """
+    problems: list[str] = []
+    document = None
+    try:
+        document = DocumentModel.model_validate(data)
+    except pydantic.ValidationError as exc:
+        problems = _json.list_problems(exc)
+    raw = data if isinstance(data, dict) else {}
+    pools = _valid_entries(PoolModel, raw.get('pools'))
+    routes = _valid_entries(RouteModel, raw.get('routes'))
+    found = tables.find_problems(
+        [(index, _to_route(route)) for index, route in routes],
+        [(index, _to_pool(pool)) for index, pool in pools],
+        _names(raw.get('pools')),
+    )
+    problems.extend(str(problem) for problem in found)
+    if document is None or problems:
+        raise InvalidTablesError(problems)
+    return document
+
+
+def _valid_entries(
+    model: type[Entry], entries: Any
+) -> list[tuple[int, Entry]]:
+    """Return the entries of a list that are valid, with their index."""
+    found = []
+    for index, entry in enumerate(_as_list(entries)):
+        try:
+            found.append((index, model.model_validate(entry)))
+        except pydantic.ValidationError:
+            continue
+    return found
+
+
+def _as_list(entries: Any) -> Sequence[Any]:
+    """Return the entries if they are a list."""
+    return entries if isinstance(entries, list | tuple) else ()
+
+
+def _names(entries: Any) -> set[str]:
+    """Return all names in a list, also of entries that are not valid."""
+    return {
+        entry['name']
+        for entry in _as_list(entries)
+        if isinstance(entry, dict) and isinstance(entry.get('name'), str)
+    }
+
+
+def parse_bytes(data: bytes) -> DocumentModel:
+    """Return the document in JSON bytes."""
+    if len(data) > MAX_DOCUMENT_BYTES:
+        raise InvalidTablesError(
+            [f'.: {len(data)} bytes exceed {MAX_DOCUMENT_BYTES}']
+        )
+    try:
+        parsed = _json.parse(data)
+    except ValueError as exc:
+        raise InvalidTablesError([f'.: not valid JSON: {exc}']) from exc
+    return parse_document(parsed)
+
+
+def to_tables(document: DocumentModel) -> tables.Tables:
+    """Return the tables as the decision code uses them."""
+    return tables.Tables(
+        version=document.version,
+        routes=tuple(_to_route(route) for route in document.routes),
+        pools={pool.name: _to_pool(pool) for pool in document.pools},
+    )
+
+
+def diff(old: DocumentModel, new: DocumentModel) -> list[str]:
+    """Return lines for people that say what changed, pools first."""
+    changes = tables.diff(to_tables(old), to_tables(new))
+    return [str(change) for change in changes]
+
+
+def _to_route(model: RouteModel) -> tables.Route:
+    """Return a route."""
+    return tables.Route(
+        name=model.name,
+        pool=model.pool,
+        match=tables.Match(
+            host=model.match.host,
+            methods=frozenset(model.match.methods),
+            path_prefix=model.match.path_prefix,
+            headers=tuple(
+                sorted((k.lower(), v) for k, v in model.match.headers.items())
+            ),
+        ),
+        team=model.team,
+        kind=model.kind,
+        priority=model.priority,
+        timeout_ms=model.timeout_ms,
+        idempotent=model.idempotent,
+    )
+
+
+def _to_pool(model: PoolModel) -> tables.Pool:
+    """Return a pool."""
+    return tables.Pool(
+        name=model.name,
+        upstreams=tuple(
+            tables.Upstream(
+                address=item.address,
+                failure_domain=item.failure_domain,
+                rack=item.rack,
+            )
+            for item in model.upstreams
+        ),
+        slots_per_upstream=model.slots_per_upstream,
+        connections_per_upstream=model.connections_per_upstream,
+        team_weights=tuple(sorted(model.team_weights.items())),
+        queue_limit=model.queue_limit,
+    )
