--- a/packages/bench/src/oriolestand_bench/_groups.py
+++ b/packages/bench/src/oriolestand_bench/_groups.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 
+from oriolestand_bench import _idle
 from oriolestand_bench import _path
 from oriolestand_bench import _results
 
 GROUPS: Mapping[str, Callable[[], list[_results.Result]]] = {
     'path': _path.run,
+    'idle': _idle.run,
 }
--- a/packages/bench/src/oriolestand_bench/_idle.py
+++ b/packages/bench/src/oriolestand_bench/_idle.py
@@ -1,1 +1,140 @@
-"""Placeholder."""
+"""Measure what a daemon costs with seven peers, idle and under load."""
+
+import dataclasses
+import json
+import pathlib
+import signal
+import tempfile
+import time
+
+from oriolestand_bench import _counted
+from oriolestand_bench import _load
+from oriolestand_bench import _path
+from oriolestand_bench import _process
+from oriolestand_bench import _results
+from oriolestand_standins import _cluster
+
+ENTRIES = 8
+SETTLE_S = 5.0
+IDLE_S = 20.0
+LOAD_S = 10.0
+UPSTREAMS = 8
+
+MAX_CORE_PERCENT = 1.9
+MAX_RESIDENT_MIB = 256.0
+MAX_CONTROL_KIB_S = 8.0
+KIB = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Sample:
+    """Hold the counts of a daemon at one time."""
+
+    at_s: float
+    cpu_s: float
+    control_bytes: int
+
+
+class _Probe:
+    """Read the counts of one daemon."""
+
+    def __init__(self, pid: int, path: pathlib.Path) -> None:
+        self.pid = pid
+        self._path = path
+
+    def take(self) -> _Sample:
+        """Return the counts now."""
+        return _Sample(
+            at_s=time.monotonic(),
+            cpu_s=_process.cpu_seconds(self.pid),
+            control_bytes=int(self._path.read_text(encoding='ascii') or 0),
+        )
+
+    def results(self, name: str, first: _Sample) -> list[_results.Result]:
+        """Return what the daemon used since a sample."""
+        last = self.take()
+        seconds = last.at_s - first.at_s
+        sent = last.control_bytes - first.control_bytes
+        is_idle = name == 'idle'
+        return [
+            _results.Result(
+                name=f'{name}/core',
+                unit='%',
+                value=100 * (last.cpu_s - first.cpu_s) / seconds,
+                target=MAX_CORE_PERCENT if is_idle else None,
+            ),
+            _results.Result(
+                name=f'{name}/resident',
+                unit='MiB',
+                value=_process.resident_mib(self.pid),
+                target=MAX_RESIDENT_MIB,
+            ),
+            _results.Result(
+                name=f'{name}/control',
+                unit='KiB/s',
+                value=sent / KIB / seconds,
+                target=MAX_CONTROL_KIB_S,
+            ),
+        ]
+
+
+def _pause(seconds: float) -> None:
+    """Let the daemons run undisturbed."""
+    signal.sigtimedwait([], seconds)
+
+
+def _slots(cluster: _cluster.Cluster, name: str) -> int:
+    """Return the slots that a daemon holds."""
+    pool = cluster.status(name)['pools'].get('main', {'upstreams': {}})
+    return sum(up['limit'] for up in pool['upstreams'].values())
+
+
+def _start(cluster: _cluster.Cluster, path: pathlib.Path) -> _Probe:
+    """Start eight daemons; return the probe of the first."""
+    cluster.start_platform()
+    ups = _path.start_upstreams(cluster, UPSTREAMS)
+    names = [f'entry-{number}' for number in range(ENTRIES)]
+    for name in names:
+        cluster.add_entry(name, 'a', 'north')
+    ports = [entry.peers for entry in cluster.entries.values()]
+    assert cluster.platform is not None
+    ports.append(cluster.platform.port)
+    env = {
+        _counted.PORTS_VARIABLE: json.dumps(ports),
+        _counted.FILE_VARIABLE: str(path),
+    }
+    first = cluster.start_daemon(
+        names[0], module='oriolestand_bench._counted', env=env
+    )
+    for name in names[1:]:
+        cluster.start_daemon(name)
+    _path.put_tables(cluster, names[0], ups)
+    for name in names:
+        cluster.wait_ready(name)
+    _cluster.wait_until(
+        lambda: (
+            sum(_slots(cluster, name) for name in names)
+            == UPSTREAMS * _path.SLOTS
+        ),
+        'all slots granted',
+    )
+    return _Probe(first.popen.pid, path)
+
+
+def run() -> list[_results.Result]:
+    """Return what one daemon of eight uses."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _cluster.Cluster() as cluster,
+    ):
+        probe = _start(cluster, pathlib.Path(folder) / 'bytes')
+        _pause(SETTLE_S)
+        before = probe.take()
+        _pause(IDLE_S)
+        results = probe.results('idle', before)
+        before = probe.take()
+        # Within its own slots, the daemon forwards nothing to its peers.
+        connections = max(1, _slots(cluster, 'entry-0') // 2)
+        port = cluster.entries['entry-0'].callers
+        _load.run(port, connections, LOAD_S, _path.REQUEST)
+        return results + probe.results('loaded', before)
--- a/packages/bench/src/oriolestand_bench/_path.py
+++ b/packages/bench/src/oriolestand_bench/_path.py
@@ -23,15 +23,21 @@
 )
 
 
-def start_daemon(cluster: _cluster.Cluster, name: str = 'entry') -> None:
-    """Start upstreams and one daemon that holds all their slots."""
-    cluster.start_platform()
-    names = [f'up-{number}' for number in range(UPSTREAMS)]
-    for upstream in names:
-        process = cluster.start_upstream(upstream, slots=SLOTS)
+def start_upstreams(
+    cluster: _cluster.Cluster, count: int = UPSTREAMS
+) -> list[str]:
+    """Start upstreams that answer at once; return their names."""
+    names = [f'up-{number}' for number in range(count)]
+    for name in names:
+        process = cluster.start_upstream(name, slots=SLOTS)
         cluster.set_faults(process, service_ms=0)
-    cluster.add_entry(name, 'a', 'north')
-    cluster.start_daemon(name)
+    return names
+
+
+def put_tables(
+    cluster: _cluster.Cluster, entry: str, upstreams: list[str]
+) -> None:
+    """Put one route and one pool into force."""
     document = {
         'routes': [{'name': 'check', 'pool': 'main', 'idempotent': True}],
         'pools': [
@@ -40,19 +46,28 @@
                 'upstreams': [
                     {
                         'address': (
-                            f'{_cluster.HOST}:{cluster.upstreams[up].port}'
+                            f'{_cluster.HOST}:{cluster.upstreams[name].port}'
                         ),
                         'failure_domain': 'a',
                     }
-                    for up in names
+                    for name in upstreams
                 ],
             }
         ],
     }
     _cluster.wait_until(
-        lambda: cluster.put_tables(name, document, 0).status in (200, 409),
+        lambda: cluster.put_tables(entry, document, 0).status in (200, 409),
         'tables accepted',
     )
+
+
+def start_daemon(cluster: _cluster.Cluster, name: str = 'entry') -> None:
+    """Start upstreams and one daemon that holds all their slots."""
+    cluster.start_platform()
+    upstreams = start_upstreams(cluster)
+    cluster.add_entry(name, 'a', 'north')
+    cluster.start_daemon(name)
+    put_tables(cluster, name, upstreams)
     cluster.wait_ready(name)
     cluster.wait_slots(name, 'main', UPSTREAMS * SLOTS)
 
--- a/packages/standins/src/oriolestand_standins/_cluster.py
+++ b/packages/standins/src/oriolestand_standins/_cluster.py
@@ -241,8 +241,15 @@
             self.platform.port, 'POST', '/instances', json.dumps(body).encode()
         )
 
-    def start_daemon(self, name: str, **settings: Any) -> Process:
-        """Start the daemon of an entry instance."""
+    def start_daemon(
+        self,
+        name: str,
+        *,
+        module: str = 'oriolestand_daemon',
+        env: Mapping[str, str] | None = None,
+        **settings: Any,
+    ) -> Process:
+        """Start the daemon of an entry instance, or a module around it."""
         assert self.platform is not None
         entry = self.entries[name]
         data = {
@@ -261,7 +268,7 @@
         path = pathlib.Path(self._folder.name) / f'{name}.json'
         path.write_text(json.dumps(data))
         process = self.start_module(
-            name, entry.callers, 'oriolestand_daemon', f'--settings={path}'
+            name, entry.callers, module, f'--settings={path}', env=env
         )
         self.daemons[name] = process
         return process
