--- a/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/tables/_task.py
@@ -37,6 +37,7 @@
         self._editor = _editor.Editor(kernel)
         self._instances = _instances.Instances(cfg, kernel.incarnation)
         self._document = models.DocumentModel()
+        self._packed = b''
         self._stamp = tables.Stamp()
         self._adoptions: collections.deque[config.Adoption] = (
             collections.deque(maxlen=const.KEPT_ADOPTIONS)
@@ -79,29 +80,41 @@
             if exc.code != self._store_error:
                 self._log.warning('Tables not read', reason=str(exc))
             self._store_error = exc.code
-        if not self.is_stopped:
-            self._timer = self.kernel.clock.call_later(
-                const.POLL_INTERVAL_MS,
-                lambda: defer.ensureDeferred(self._poll()),
+        finally:
+            # Also after an unexpected error, which must not end the polls.
+            if not self.is_stopped:
+                self._timer = self.kernel.clock.call_later(
+                    const.POLL_INTERVAL_MS, self._poll_again
+                )
+
+    def _poll_again(self) -> None:
+        """Poll and log an unexpected error."""
+        fut = defer.ensureDeferred(self._poll())
+        fut.addErrback(
+            lambda reason: self._log.error(
+                'Poll failed', reason=reason.getTraceback()
             )
+        )
 
     async def _refresh(self) -> None:
         """Adopt the stored document if its stamp differs."""
+        before = self._stamp
         row = await self._editor.read_row(const.TABLE, const.STAMP_KEY)
-        if row is not None and self._stamp == _parse_stamp(row.value):
-            self._store_version = self._stamp.version
+        if row is not None and before == _parse_stamp(row.value):
+            self._store_version = before.version
             return
-        current = await self._editor.read_current()
-        if current.document.version < self._stamp.version:
-            if self._store_version != current.document.version:
-                self._log.warning(
-                    'The store is behind',
-                    stored=current.document.version,
-                    in_force=self._stamp.version,
-                )
-        else:
-            self._adopt(current.document, 'store')
-        self._store_version = current.document.version
+        current = (await self._editor.read_current()).document
+        # Compared with the version from before the reads: an edit or a peer
+        # may have brought a higher one meanwhile.
+        is_behind = current.version < before.version
+        if is_behind and self._store_version != current.version:
+            self._log.warning(
+                'The store is behind',
+                stored=current.version,
+                in_force=before.version,
+            )
+        self._store_version = current.version
+        self._adopt(current, 'store')
 
     def _adopt(self, document: models.DocumentModel, source: str) -> None:
         """Put a document in force if its version is higher."""
@@ -113,7 +126,9 @@
             self._report_conflict(stamp, source)
         if choice is not tables.Choice.ADOPT:
             return
+        packed = models.pack(document)
         self._document = document
+        self._packed = packed
         self._stamp = stamp
         self._conflicting_digest = ''
         self._adoptions.append(
@@ -132,7 +147,7 @@
         )
         self.kernel.publish(
             config.TablesChanged(
-                tables=models.to_tables(document), document=document.dump()
+                tables=models.to_tables(document), document=self._packed
             ),
             is_state=True,
         )
@@ -158,11 +173,11 @@
     @core.handles(config.ReceivedTables)
     def _on_received(self, msg: config.ReceivedTables) -> None:
         """Note a peer's version and take it if it is higher."""
-        if msg.document == self._document.dump():
+        if msg.document == self._packed:
             self._instances.reported(msg.peer, self._stamp)
             return
         try:
-            document = models.parse_bytes(msg.document)
+            document = models.unpack(msg.document)
         except models.InvalidTablesError as exc:
             self._log.warning(
                 'Tables of a peer refused', peer=msg.peer, reason=str(exc)
@@ -278,11 +293,11 @@
 
 
 def _parse_stamp(value: dict[str, Any]) -> tables.Stamp:
-    """Return the stamp in a row, or raise InvalidTablesError."""
+    """Return the stamp in a row, or raise StoredTablesError."""
     try:
         model = _StampModel.model_validate(value)
     except pydantic.ValidationError as exc:
-        raise models.InvalidTablesError(['stamp: the row is malformed']) from (
-            exc
-        )
+        raise errors.StoredTablesError(
+            'the stored stamp is not valid', reason=str(exc)[:200]
+        ) from exc
     return tables.Stamp(version=model.version, digest=model.digest)
