--- a/packages/daemon/src/oriolestand_daemon/settings.py
+++ b/packages/daemon/src/oriolestand_daemon/settings.py
@@ -1,5 +1,6 @@
 """Provide the settings of a daemon, which the client validates as well."""
 
+from oriolestand_models.settings import CallerListenerSettings
 from oriolestand_models.settings import EmbeddedPlatform
 from oriolestand_models.settings import HttpPlatformSettings
 from oriolestand_models.settings import LimitSettings
@@ -8,10 +9,13 @@
 from oriolestand_models.settings import PeerListenerSettings
 from oriolestand_models.settings import Settings
 from oriolestand_models.settings import SettingsError
+from oriolestand_models.settings import TelemetrySettings
+from oriolestand_models.settings import TlsSettings
 from oriolestand_models.settings import parse_settings
 from oriolestand_models.settings import read_settings
 
 __all__ = [
+    'CallerListenerSettings',
     'EmbeddedPlatform',
     'HttpPlatformSettings',
     'LimitSettings',
@@ -20,6 +24,8 @@
     'PeerListenerSettings',
     'Settings',
     'SettingsError',
+    'TelemetrySettings',
+    'TlsSettings',
     'parse_settings',
     'read_settings',
 ]
