--- a/packages/core/src/oriolestand_core/_task.py
+++ b/packages/core/src/oriolestand_core/_task.py
@@ -124,9 +124,11 @@
 
     def run_one(self) -> None:
         """Handle the oldest message; called by the run queue only."""
-        if not self._inbox:
+        try:
+            item = self._inbox.take()
+        except IndexError:
+            # The task stopped, which cleared its inbox.
             return
-        item = self._inbox.take()
         kind = type(item)
         if kind is Envelope:
             self._answer(item)
--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/_attempt.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_attempt.py
@@ -240,7 +240,7 @@
         """End the attempt when the response's body has ended."""
         if self._is_ended:
             return
-        if not reason.check(_RESPONSE_DONE):
+        if not isinstance(reason.value, _RESPONSE_DONE):
             self._on_lost(reason)
             return
         self._is_complete = True
