--- a/packages/bench/src/oriolestand_bench/_groups.py
+++ b/packages/bench/src/oriolestand_bench/_groups.py
@@ -6,8 +6,14 @@
 from oriolestand_bench import _idle
 from oriolestand_bench import _path
 from oriolestand_bench import _results
+from oriolestand_bench import capacity
+from oriolestand_bench import config
+from oriolestand_bench import failover
 
 GROUPS: Mapping[str, Callable[[], list[_results.Result]]] = {
     'path': _path.run,
     'idle': _idle.run,
+    'failover': failover.run,
+    'config': config.run,
+    'capacity': capacity.run,
 }
--- a/packages/bench/src/oriolestand_bench/_results.py
+++ b/packages/bench/src/oriolestand_bench/_results.py
@@ -12,7 +12,9 @@
 
     ``baseline`` is what the value is compared with and ``ratio`` the value
     divided by it. ``target`` bounds the ratio, or the value when there is
-    no baseline; without a target, the figure is only reported.
+    no baseline; without a target, the figure is only reported. ``low`` and
+    ``high`` are set for the median of several seeds, and ``all_met`` says
+    whether every seed met the target.
     """
 
     name: str
@@ -21,6 +23,9 @@
     baseline: float | None = None
     target: float | None = None
     is_at_least: bool = False
+    low: float | None = None
+    high: float | None = None
+    all_met: bool | None = None
 
     @property
     def ratio(self) -> float | None:
@@ -32,8 +37,8 @@
     @property
     def met(self) -> bool | None:
         """Return whether the target is met; None without a target."""
-        if self.target is None:
-            return None
+        if self.all_met is not None or self.target is None:
+            return self.all_met
         figure = self.value if self.ratio is None else self.ratio
         if self.is_at_least:
             return figure >= self.target
@@ -51,6 +56,8 @@
             'ratio': _round(res.ratio),
             'target': res.target,
             'met': res.met,
+            'min': _round(res.low),
+            'max': _round(res.high),
         }
         for res in results
     ]
@@ -75,15 +82,15 @@
     ...     name='path/rate', unit='1/s', value=70.0, baseline=100.0,
     ...     target=0.7, is_at_least=True,
     ... )
-    >>> print(to_table([res]))
-    path/rate         70.00 1/s     baseline 100.00  ratio 0.70  >= 0.7  met
+    >>> print(to_table([res]))  # doctest: +ELLIPSIS
+    path/rate  ...  70 1/s       baseline 100.00  ratio 0.70  >= 0.7  met
     """
     return '\n'.join(_line(res) for res in results)
 
 
 def _line(res: Result) -> str:
     """Return one line of the table."""
-    line = f'{res.name:16} {res.value:6.2f} {res.unit:6}'
+    line = f'{res.name:44} {res.value:10.4g} {res.unit:8}'
     if res.baseline is not None and res.ratio is not None:
         line += f'  baseline {res.baseline:.2f}  ratio {res.ratio:.2f}'
     if res.target is not None:
--- a/packages/bench/src/oriolestand_bench/capacity.py
+++ b/packages/bench/src/oriolestand_bench/capacity.py
@@ -6,11 +6,11 @@
 import json
 import threading
 import tracemalloc
-from typing import Any
 
 import click
 
 from oriolestand_bench import _fit
+from oriolestand_bench import _results
 from oriolestand_daemon.services.grants import models as grant_models
 from oriolestand_models import document as table_models
 from oriolestand_policy import grants
@@ -18,7 +18,7 @@
 from oriolestand_standins import _cluster
 import oriolestand_wire as wire
 
-Entry = dict[str, Any]
+Entry = _results.Result
 Points = list[tuple[float, float]]
 
 SHARD_SIZES = (8, 16, 32, 64)
@@ -35,15 +35,9 @@
     line = _fit.fit(points)
     text = ', '.join(f'{x:g}: {y:.4g}' for x, y in points)
     click.echo(f'{name}: {text} -> {line.base:.4g} + {line.slope:.4g} x')
-    return {
-        'name': f'capacity/{name}',
-        'unit': unit,
-        'value': line.slope,
-        'baseline': line.base,
-        'ratio': None,
-        'target': None,
-        'met': None,
-    }
+    return _results.Result(
+        name=f'capacity/{name}', unit=unit, value=line.slope
+    )
 
 
 def _address(index: int) -> str:
@@ -174,15 +168,9 @@
     entries = [_entry('load_message_per_pool', 'bytes', points)]
     beat = len(wire.write_frame(wire.encode(wire.Heartbeat(sequence=9))))
     entries.append(
-        {
-            'name': 'capacity/heartbeat_message',
-            'unit': 'bytes',
-            'value': beat,
-            'baseline': None,
-            'ratio': None,
-            'target': None,
-            'met': None,
-        }
+        _results.Result(
+            name='capacity/heartbeat_message', unit='bytes', value=beat
+        )
     )
     return entries
 
@@ -234,13 +222,7 @@
     """Wait until all 16 slots are granted."""
 
     def granted() -> int:
-        return sum(
-            up['limit']
-            for name in names
-            for up in cluster.status(name)['pools']['main'][
-                'upstreams'
-            ].values()
-        )
+        return sum(cluster.held_slots(name, 'main') for name in names)
 
     _cluster.wait_until(lambda: granted() == 16, 'all slots granted')
 
--- a/packages/bench/src/oriolestand_bench/config.py
+++ b/packages/bench/src/oriolestand_bench/config.py
@@ -11,9 +11,10 @@
 
 import click
 
+from oriolestand_bench import _results
 from oriolestand_standins import _cluster
 
-Entry = dict[str, Any]
+Entry = _results.Result
 
 ENTRIES = (
     ('entry-a1', 'a', 'north'),
@@ -156,15 +157,9 @@
     """Return a measurement with its target."""
     bound = '' if target is None else f' (target {target:g})'
     click.echo(f'{name}: {value:.4g} ms{bound}')
-    return {
-        'name': f'config/{name}',
-        'unit': 'ms',
-        'value': value,
-        'baseline': None,
-        'ratio': None,
-        'target': target,
-        'met': None if target is None else value <= target,
-    }
+    return _results.Result(
+        name=f'config/{name}', unit='ms', value=value, target=target
+    )
 
 
 if __name__ == '__main__':
--- a/packages/bench/src/oriolestand_bench/failover.py
+++ b/packages/bench/src/oriolestand_bench/failover.py
@@ -4,13 +4,13 @@
 import itertools
 import threading
 import time
-from typing import Any
 
 import click
 
+from oriolestand_bench import _results
 from oriolestand_standins import _cluster
 
-Entry = dict[str, Any]
+Entry = _results.Result
 
 ENTRIES = ('entry-1', 'entry-2', 'entry-3')
 CALLERS = 4
@@ -39,17 +39,11 @@
     )
     for name in ENTRIES:
         _cluster.wait_until(
-            lambda name=name: _held(cluster, name) >= 2,  # type: ignore[misc]
+            lambda name=name: cluster.held_slots(name, 'main') >= 2,  # type: ignore[misc]
             f'{name} holds its share',
         )
 
 
-def _held(cluster: _cluster.Cluster, name: str) -> int:
-    """Return the slots that a daemon holds."""
-    ups = cluster.status(name)['pools']['main']['upstreams']
-    return sum(up['limit'] for up in ups.values())
-
-
 def _call_until(
     stop: threading.Event, port: int
 ) -> tuple[list[float], list[int]]:
@@ -81,7 +75,10 @@
             killed = time.monotonic()
             cluster.list_entry(ENTRIES[0], 'gone')
             _cluster.wait_until(
-                lambda: sum(_held(cluster, n) for n in ENTRIES[1:]) == 8,
+                lambda: (
+                    sum(cluster.held_slots(n, 'main') for n in ENTRIES[1:])
+                    == 8
+                ),
                 'all slots held by the others',
             )
             regained = time.monotonic() - killed
@@ -101,15 +98,9 @@
 def _entry(name: str, unit: str, value: float, target: float) -> Entry:
     """Return a measurement with its target."""
     click.echo(f'{name}: {value:.4g} {unit} (target {target:g})')
-    return {
-        'name': f'failover/{name}',
-        'unit': unit,
-        'value': value,
-        'baseline': None,
-        'ratio': None,
-        'target': target,
-        'met': value <= target,
-    }
+    return _results.Result(
+        name=f'failover/{name}', unit=unit, value=value, target=target
+    )
 
 
 if __name__ == '__main__':
--- a/packages/daemon/tests/failures/test_capacity.py
+++ b/packages/daemon/tests/failures/test_capacity.py
@@ -51,18 +51,14 @@
     return cluster
 
 
-def held(cluster: _cluster.Cluster, name: str) -> int:
-    """Return the slots that a daemon may use."""
-    pool = cluster.status(name)['pools'].get('main', {'upstreams': {}})
-    return sum(up['limit'] for up in pool['upstreams'].values())
-
-
 def wait_granted(
     cluster: _cluster.Cluster, names: tuple[str, ...], slots: int
 ) -> None:
     """Wait until daemons hold a number of slots together."""
     _cluster.wait_until(
-        lambda: sum(held(cluster, name) for name in names) == slots,
+        lambda: (
+            sum(cluster.held_slots(name, 'main') for name in names) == slots
+        ),
         f'{names} hold {slots} slots',
     )
 
--- a/packages/standins/src/oriolestand_standins/_cluster.py
+++ b/packages/standins/src/oriolestand_standins/_cluster.py
@@ -284,14 +284,18 @@
             lambda: call(port, 'GET', '/ready').status == 200, f'{name} ready'
         )
 
+    def held_slots(self, name: str, pool: str) -> int:
+        """Return the slots of a pool that a daemon may use."""
+        pools = self.status(name)['pools']
+        ups = pools.get(pool, {'upstreams': {}})['upstreams']
+        return sum(up['limit'] for up in ups.values())
+
     def wait_slots(self, name: str, pool: str, slots: int) -> None:
         """Wait until a daemon holds a number of slots of a pool."""
-
-        def is_reached() -> bool:
-            ups = self.status(name)['pools'][pool]['upstreams']
-            return sum(up['limit'] for up in ups.values()) == slots
-
-        wait_until(is_reached, f'{name} holds {slots} slots of {pool}')
+        wait_until(
+            lambda: self.held_slots(name, pool) == slots,
+            f'{name} holds {slots} slots of {pool}',
+        )
 
     def counts(self, name: str) -> Any:
         """Return what an upstream counted."""
