--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -324,6 +324,7 @@
         if (
             ticket.deadline <= now
             or outcome.answered
+            or outcome.is_final
             or flight.pool.is_removed
         ):
             return [_effects.Fail(ticket=ticket, error=outcome.error)]
--- a/packages/policy/src/oriolestand_policy/retries/_retries.py
+++ b/packages/policy/src/oriolestand_policy/retries/_retries.py
@@ -26,11 +26,12 @@
 class BudgetedRetries(RetryPolicy):
     """Allow retries up to a share of the requests.
 
-    The budget starts empty, so retries never exceed the share.
+    One retry is saved at the start, so that a new or quiet pool can retry
+    at all; retries never exceed the share by more than that one.
 
     >>> policy = BudgetedRetries()
-    >>> policy.allow()
-    False
+    >>> policy.allow(), policy.allow()
+    (True, False)
     >>> for _ in range(10):
     ...     policy.note_request()
     >>> policy.allow(), policy.allow()
@@ -43,7 +44,7 @@
         # Whole requests are counted, as sums of 0.1 fall short of 1.0.
         self._cost = round(1 / share)
         self._most = int(burst * self._cost)
-        self._saved = 0
+        self._saved = self._cost
 
     def note_request(self) -> None:
         """Save a part of a retry."""
