--- a/packages/daemon/tests/services/frontend/test_requests.py
+++ b/packages/daemon/tests/services/frontend/test_requests.py
@@ -1,11 +1,13 @@
 """Test what the frontend makes of callers' requests."""
 
+import socket
 from typing import Any
 
 import pytest
 
 import oriolestand_core as core
 from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.services.frontend import _channel
 from oriolestand_daemon.services.frontend import const
 
 GET = b'GET /a HTTP/1.1\r\nHost: h\r\n'
@@ -176,6 +178,16 @@
     assert bench.wire.aborted
 
 
+def test_closed_socket_shows_without_reading() -> None:
+    """The end must be seen behind bytes that nobody has read."""
+    ours, theirs = socket.socketpair()
+    theirs.sendall(b'unread')
+    assert not _channel._is_hung_up(ours)
+    theirs.close()
+    assert _channel._is_hung_up(ours)
+    ours.close()
+
+
 def test_new_attempt_starts_without_old_credit(bench: Any) -> None:
     """Credit of a failed attempt must not flood the next one."""
     bench.send(POST + b'Content-Length: 90\r\n\r\n')
--- a/packages/daemon/tests/services/upstreams/test_attempts.py
+++ b/packages/daemon/tests/services/upstreams/test_attempts.py
@@ -177,9 +177,20 @@
     assert wire is None or wire.is_closed
 
 
-def test_unsendable_request_did_not_run(bench: Any) -> None:
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'target': '/a b'},
+        {'method': 'GET /b'},
+        {'headers': (('x', 'a\r\ny: b'),)},
+        {'idempotency_key': 'a\nb'},
+    ],
+)
+def test_unsendable_request_did_not_run(
+    bench: Any, fields: dict[str, Any]
+) -> None:
     """A request that HTTP cannot carry must not hold its slot."""
-    bench.start(target='/a b')
+    bench.start(**fields)
     bench.connect()
     assert bench.summary() == ('bad_request', 'did_not_run', False)
 
