--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -151,6 +151,27 @@
     assert 'not in force at e2' in result.stderr
 
 
+def test_daemon_lost_after_the_accept_is_not_a_failed_edit(
+    client: FakeClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The exit code must not make an operator repeat an accepted edit."""
+    gone = _errors.UnreachableError('gone', _errors.ExitCode.UNREACHABLE)
+    put = client._put
+
+    def accept(*args: Any) -> bytes:
+        monkeypatch.setattr(client, 'get', lambda *_, **__: _raise(gone))
+        return put(*args)
+
+    monkeypatch.setattr(client, '_put', accept)
+    result = run('pools', 'apply', '-', '--wait', '0.01', text=pools(4))
+    assert result.exit_code == _errors.ExitCode.NOT_IN_FORCE
+    assert 'version 3 is accepted' in result.stderr
+
+
+def _raise(error: Exception) -> Any:
+    raise error
+
+
 def test_diff_shows_changes_and_exits_with_its_code(
     client: FakeClient,
 ) -> None:
@@ -244,6 +265,20 @@
     assert kept.read_text() == pools(4)
 
 
+def test_edit_of_one_entry_leaves_the_others(
+    client: FakeClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An operator with many pools must be able to edit just one."""
+    client.versions[2]['pools'] = [POOL, {'name': 'other'}]
+    entry = json.dumps({'name': 'other', 'queue_limit': 7})
+    monkeypatch.setattr(click, 'edit', lambda *_, **__: entry)
+    assert run('pools', 'edit', 'other').exit_code == 0
+    limits = {p['name']: p['queue_limit'] for p in client.versions[3]['pools']}
+    assert limits == {'main': 256, 'other': 7}
+    assert run('pools', 'edit', 'none').exit_code == 8
+    assert run('tables', 'edit', 'main').exit_code == 2
+
+
 def test_check_lists_all_problems_of_a_file(tmp_path: pathlib.Path) -> None:
     """A file must be checkable without a daemon."""
     path = tmp_path / 'file.json'
