--- a/packages/bench/src/oriolestand_bench/_path.py
+++ b/packages/bench/src/oriolestand_bench/_path.py
@@ -131,6 +131,8 @@
         unit='us',
         value=statistics.median(cpu['daemon']),
         baseline=statistics.median(cpu['forwarder']),
+        low=min(cpu['daemon']),
+        high=max(cpu['daemon']),
     )
 
 
@@ -147,6 +149,8 @@
             unit='1/s',
             value=median('daemon', 'requests_per_s'),
             baseline=median('forwarder', 'requests_per_s'),
+            low=min(x.requests_per_s for x in loads['daemon']),
+            high=max(x.requests_per_s for x in loads['daemon']),
             target=MIN_RATE_RATIO,
             is_at_least=True,
         ),
--- a/packages/bench/tests/test_results.py
+++ b/packages/bench/tests/test_results.py
@@ -40,6 +40,8 @@
         'ratio',
         'target',
         'met',
+        'min',
+        'max',
     }
 
 
