Abort a closed caller's connection that does not drain

A caller that reads nothing kept the rest of its response in memory for ever: the close waits for the buffer. Shown red without the timer: test_idle_connection_is_closed_but_not_a_busy_one.

--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
@@ -171,6 +171,7 @@
         channel.lineReceived = _ignore
         transport: Any = self.transport
         channel._networkProducer.unregisterProducer()
+        self._abort_later()
         if interfaces.ISSLTransport.providedBy(transport) or not hasattr(
             transport, 'loseWriteConnection'
         ):
@@ -178,6 +179,10 @@
             return
         transport.resumeProducing()
         transport.loseWriteConnection()
+
+    def _abort_later(self) -> None:
+        """Bound the time in which the caller may read what is left."""
+        transport: Any = self.transport
         self._linger_timer = self._owner.kernel.clock.call_later(
             const.LINGER_MS, transport.abortConnection
         )
@@ -234,6 +239,8 @@
             self._idle_since = now
         elif now - self._idle_since >= self._owner.cfg.limits.idle_timeout_ms:
             self._is_lingering = True
+            # A caller that reads nothing would keep the rest in memory.
+            self._abort_later()
             channel.loseConnection()
 
     def _sweep_head(self, now: core.Millis) -> None:
--- a/packages/daemon/tests/services/frontend/test_requests.py
+++ b/packages/daemon/tests/services/frontend/test_requests.py
@@ -150,8 +150,10 @@
     assert not bench.wire.disconnecting
     bench.answer(Content_Length='0')
     bench.end()
-    bench.clock.advance(62_000)
-    assert bench.wire.disconnecting
+    bench.clock.advance(61_000)
+    assert bench.wire.disconnecting and not bench.wire.aborted
+    bench.clock.advance(const.LINGER_MS)
+    assert bench.wire.aborted
 
 
 @pytest.mark.parametrize('is_accepted', [False, True])
