Bound the decoding of peer messages by the size of the frame

The traversal limit is now 8 words for each word of the frame. Property tests cover damaged frames, cuts of the stream and the round trip of messages. The limit of a frame can change, so that a link accepts only short frames before its handshake.

--- a/packages/wire/src/oriolestand_wire/_codec.py
+++ b/packages/wire/src/oriolestand_wire/_codec.py
@@ -12,6 +12,15 @@
 PROTOCOL_VERSION = 1
 UNKNOWN_LENGTH = -1
 
+BYTES_PER_WORD = 8
+TRAVERSAL_FACTOR = 8
+TRAVERSAL_SLACK_WORDS = 1_024
+"""Bounds the reading of one frame in proportion to its size.
+
+A list of empty structs takes no bytes, so that a frame of 100 bytes could
+announce millions of elements; the library's own limit is 64 MB.
+"""
+
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(
     str(importlib.resources.files('oriolestand_wire') / 'peer.capnp')
@@ -233,10 +242,18 @@
     return bytes(out.to_bytes())
 
 
+def _traversal_limit(data: bytes) -> int:
+    """Return how many words may be read while a frame is decoded."""
+    words = len(data) // BYTES_PER_WORD
+    return TRAVERSAL_FACTOR * words + TRAVERSAL_SLACK_WORDS
+
+
 def decode(data: bytes) -> _messages.PeerMessage:
     """Return the message in a frame, or raise MalformedMessageError."""
     try:
-        with _SCHEMA.Message.from_bytes(data) as msg:
+        with _SCHEMA.Message.from_bytes(
+            data, traversal_limit_in_words=_traversal_limit(data)
+        ) as msg:
             name = str(msg.which())
             return _DECODERS[name](msg.xid, getattr(msg, name))
     except (capnp.KjException, KeyError, ValueError, TypeError) as exc:
--- a/packages/wire/src/oriolestand_wire/_framing.py
+++ b/packages/wire/src/oriolestand_wire/_framing.py
@@ -19,6 +19,8 @@
 class FrameReader:
     """Collect bytes and yield whole frames.
 
+    ``limit`` bounds the bytes of one frame; it may change between frames.
+
     >>> reader = FrameReader()
     >>> data = write_frame(b'ab') + write_frame(b'c')
     >>> list(reader.feed(data[:5])), list(reader.feed(data[5:]))
@@ -26,7 +28,7 @@
     """
 
     def __init__(self, limit: int = MAX_FRAME_BYTES) -> None:
-        self._limit = limit
+        self.limit = limit
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> Iterator[bytes]:
@@ -37,7 +39,7 @@
         self._buffer += data
         while len(self._buffer) >= _LENGTH.size:
             (size,) = _LENGTH.unpack_from(self._buffer)
-            if size > self._limit:
+            if size > self.limit:
                 raise _errors.FrameTooLongError('frame too long', size=size)
             end = _LENGTH.size + size
             if len(self._buffer) < end:
--- /dev/null
+++ b/packages/wire/tests/test_codec.py
@@ -0,0 +1,100 @@
+"""Test that bytes of any kind give a message or one known error."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+import oriolestand_wire as wire
+
+XIDS = st.integers(0, 2**64 - 1)
+TEXT = st.text(st.characters(exclude_categories=['Cs']), max_size=20)
+HEADERS = st.lists(st.tuples(TEXT, TEXT), max_size=4).map(tuple)
+OPENS = st.builds(
+    wire.Open,
+    xid=XIDS,
+    request_id=TEXT,
+    method=TEXT,
+    target=TEXT,
+    headers=HEADERS,
+    route=TEXT,
+    generation=XIDS,
+    remaining_ms=st.integers(0, 2**32 - 1),
+    team=TEXT,
+    traceparent=TEXT,
+    hops=st.integers(0, 255),
+    body_length=st.none() | st.integers(0, 2**62),
+    priority=st.integers(-(2**31), 2**31 - 1),
+    idempotency_key=TEXT,
+    is_service=st.booleans(),
+)
+MESSAGES = st.one_of(
+    OPENS,
+    st.builds(wire.BodyChunk, xid=XIDS, data=st.binary(max_size=99)),
+    st.builds(wire.ResponseEnd, xid=XIDS),
+    st.builds(wire.Leaving, upstreams=st.lists(TEXT, max_size=3).map(tuple)),
+    st.builds(
+        wire.Failed,
+        xid=XIDS,
+        code=TEXT,
+        message=TEXT,
+        verdict=TEXT,
+        http_status=st.integers(0, 65535),
+    ),
+)
+
+
+@given(MESSAGES)
+def test_messages_survive_encoding(message: wire.PeerMessage) -> None:
+    """A field that is not carried would change requests on their way."""
+    assert wire.decode(wire.encode(message)) == message
+
+
+@given(st.lists(MESSAGES, max_size=4), st.lists(st.integers(1, 40)))
+def test_cuts_of_the_stream_do_not_matter(
+    messages: list[wire.PeerMessage], sizes: list[int]
+) -> None:
+    """A frame must be whole, wherever the network cuts the stream."""
+    data = b''.join(wire.write_frame(wire.encode(m)) for m in messages)
+    reader = wire.FrameReader()
+    seen = []
+    for size in [*sizes, len(data)]:
+        part, data = data[:size], data[size:]
+        seen += [wire.decode(frame) for frame in reader.feed(part)]
+    assert seen == messages
+
+
+@given(
+    MESSAGES,
+    st.lists(st.tuples(st.integers(0, 10_000), st.integers(0, 255))),
+    st.binary(max_size=64),
+)
+def test_damaged_frames_raise_one_error(
+    message: wire.PeerMessage, edits: list[tuple[int, int]], tail: bytes
+) -> None:
+    """Any other exception would escape the check of a link's input."""
+    data = bytearray(wire.encode(message))
+    for place, value in edits:
+        data[place % len(data)] = value
+    for bad in (bytes(data), bytes(data[:-8]), tail):
+        try:
+            wire.decode(bad)
+        except wire.MalformedMessageError:
+            pass
+
+
+def test_huge_frames_are_refused_before_they_arrive() -> None:
+    """A length alone must not make the reader wait for gigabytes."""
+    reader = wire.FrameReader(limit=100)
+    with pytest.raises(wire.FrameTooLongError):
+        list(reader.feed(b'\x00\x00\x00\x65'))
+
+
+def test_small_frames_cannot_announce_millions_of_elements() -> None:
+    """A list of empty structs takes no bytes but takes time to read."""
+    data = bytearray(wire.encode(wire.Load(xid=0, pools=())))
+    # The word after the pointer to the list becomes the tag of 2**22
+    # structs without fields.
+    pointer = data.rindex(b'\x01\x00\x00\x00\x07\x00\x00\x00')
+    data[pointer + 8 :] = b'\x00\x00\x00\x01\x00\x00\x00\x00'
+    with pytest.raises(wire.MalformedMessageError):
+        wire.decode(bytes(data))
