Give leaving upstreams no new work while the list lags

Membership now merges three sources of departures: the list, the header of an upstream and the messages of peers. An upstream comes back only when a list says that it is live and is newer than the last signal by 10 s; a plain comparison would bring an upstream back that knows of its departure before the platform does. A list that is older than an earlier one, or than 30 s, changes nothing but what is gone for ever.

The set of replaced incarnations is removed: an older incarnation of a peer does not prove which incarnation is newest.

The dispatcher remembers departures by address. Dispatch keeps the load of peers for pools to come, advertises again after it served peers (their count of free slots fell to 0 for good when the slots were free again by the next advertisement), and answers DrainRequests once no request waits, runs or holds a slot.

--- a/packages/daemon/src/oriolestand_daemon/messages/dispatch.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/dispatch.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DrainRequests:
-    """Take no forwarded work; reply when nothing is in flight."""
+    """Ask for a reply when no request is left and no slot is held."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/daemon/src/oriolestand_daemon/messages/exchange.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/exchange.py
@@ -115,7 +115,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CancelRequest:
-    """Tell dispatch that nobody waits for a request any more."""
+    """Tell dispatch that nobody waits for a request any more.
+
+    The reply says whether the request was waiting and is dropped; if not,
+    its attempt is aborted and reports its end.
+    """
 
     ticket_id: str
 
--- a/packages/daemon/src/oriolestand_daemon/messages/membership.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/membership.py
@@ -3,20 +3,21 @@
 import dataclasses
 
 import oriolestand_platform as platform
-from oriolestand_policy import grants
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MembershipChanged:
     """Announce the instances that are known.
 
-    ``gone`` holds former starts of daemons that are proven to be over.
+    ``live_peers`` holds the ids of daemons that a link is up to,
+    ``gone_instances`` ids that the platform says are gone, and
+    ``leaving_upstreams`` addresses that must get no new work.
     """
 
     instances: tuple[platform.InstanceEntry, ...]
     live_peers: frozenset[str]
     gone_instances: frozenset[str]
-    replaced: frozenset[grants.Holder]
+    leaving_upstreams: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -10,6 +10,7 @@
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import grants
+from oriolestand_daemon.messages import lifecycle
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import peers
 from oriolestand_daemon.messages import telemetry
@@ -34,7 +35,10 @@
         self._slots: grants.GrantsChanged | None = None
         self._horizon_ms: dict[str, int] = {}
         self._drained: defer.Deferred[None] | None = None
+        self._leaving: frozenset[str] = frozenset()
+        self._peer_loads: dict[str, peers.PeerLoadChanged] = {}
         self._advertised: tuple[wire.PoolLoad, ...] = ()
+        self._has_served_peers = False
         self._timers: list[Any] = []
 
     def start(self) -> object:
@@ -44,7 +48,9 @@
             grants.GrantsChanged,
             peers.PeerLoadChanged,
             membership.PeerDisconnected,
+            membership.MembershipChanged,
             membership.UpstreamLeaving,
+            lifecycle.ShutdownStarted,
         ):
             self.kernel.subscribe(event, self)
         self._repeat(const.TICK_INTERVAL_MS, self._tick)
@@ -63,6 +69,7 @@
     def _tick(self) -> None:
         """Let the dispatcher act on the passage of time."""
         self._run(self._dispatcher.tick(self.kernel.clock.now()))
+        self._check_drained()
 
     @core.handles(config.TablesChanged)
     def _on_tables(self, msg: config.TablesChanged) -> None:
@@ -72,6 +79,8 @@
             self._dispatcher.set_pool(pool.name, pool.queue_limit)
             for upstream in pool.upstreams:
                 self._pool_of[upstream.address] = pool.name
+        for load in self._peer_loads.values():
+            self._apply_peer_load(load)
         self._apply_slots()
 
     @core.handles(grants.GrantsChanged)
@@ -98,7 +107,12 @@
 
     @core.handles(peers.PeerLoadChanged)
     def _on_peer_load(self, msg: peers.PeerLoadChanged) -> None:
-        """Know what a peer can take."""
+        """Know what a peer can take, also of pools to come."""
+        self._peer_loads[msg.peer] = msg
+        self._apply_peer_load(msg)
+
+    def _apply_peer_load(self, msg: peers.PeerLoadChanged) -> None:
+        """Give the dispatcher what a peer can take."""
         for pool in msg.pools:
             self._dispatcher.set_peer(
                 pool.pool, msg.peer, pool.free, msg.distance
@@ -107,36 +121,60 @@
     @core.handles(membership.PeerDisconnected)
     def _on_peer_lost(self, msg: membership.PeerDisconnected) -> None:
         """Forward nothing to a peer without a link."""
+        self._peer_loads.pop(msg.instance_id, None)
         for pool in self._dispatcher.pools:
             self._dispatcher.set_peer(pool, msg.instance_id, 0, 0)
 
     @core.handles(membership.UpstreamLeaving)
     def _on_leaving(self, msg: membership.UpstreamLeaving) -> None:
-        """Give a leaving upstream no new work."""
-        self._dispatcher.set_leaving(msg.address, True)
+        """Give a leaving upstream no new work from now on."""
+        self._set_leaving(self._leaving | {msg.address})
+
+    @core.handles(membership.MembershipChanged)
+    def _on_members(self, msg: membership.MembershipChanged) -> None:
+        """Follow which upstreams are leaving and which are back."""
+        self._set_leaving(msg.leaving_upstreams)
+
+    def _set_leaving(self, leaving: frozenset[str]) -> None:
+        """Replace the set of upstreams that get no new work."""
+        if leaving == self._leaving:
+            return
+        for address in self._leaving - leaving:
+            self._dispatcher.set_leaving(address, False)
+        for address in leaving - self._leaving:
+            self._dispatcher.set_leaving(address, True)
+        self._leaving = leaving
+
+    @core.handles(lifecycle.ShutdownStarted)
+    def _on_shutdown(self, msg: lifecycle.ShutdownStarted) -> None:
+        """Take no forwarded work and tell peers so at once."""
+        self._dispatcher.is_draining = True
+        self._advertise()
 
     @core.handles(exchange.OpenExchange)
     def _on_open(self, msg: exchange.OpenExchange) -> None:
         """Decide on a new request."""
         self._open[msg.ticket.id] = msg
+        self._has_served_peers |= msg.ticket.hops > 0
         now = self.kernel.clock.now()
         self._run(self._dispatcher.submit(msg.ticket, now))
 
     @core.handles(exchange.CancelRequest)
-    def _on_cancel(self, msg: exchange.CancelRequest) -> None:
+    def _on_cancel(self, msg: exchange.CancelRequest) -> bool:
         """Forget a waiting request, or abort the attempt for it."""
-        now = self.kernel.clock.now()
         if msg.ticket_id not in self._open:
-            return
+            return False
         if self._dispatcher.is_waiting(msg.ticket_id):
+            now = self.kernel.clock.now()
             del self._open[msg.ticket_id]
             self._run(self._dispatcher.cancel(msg.ticket_id, now))
-            return
+            return True
         service, target = self._attempts[msg.ticket_id]
         self.kernel.post(
             service,
             exchange.CancelAttempt(ticket_id=msg.ticket_id, target=target),
         )
+        return False
 
     @core.handles(dispatch.AttemptFinished)
     def _on_finished(self, msg: dispatch.AttemptFinished) -> None:
@@ -144,9 +182,6 @@
         now = self.kernel.clock.now()
         self._attempts.pop(msg.ticket_id, None)
         self._run(self._dispatcher.finished(msg.ticket_id, msg.outcome, now))
-        if self._drained is not None and not self._dispatcher.in_flight:
-            drained, self._drained = self._drained, None
-            drained.callback(None)
 
     @core.handles(dispatch.GetSlotsInUse)
     def _on_slots(self, msg: dispatch.GetSlotsInUse) -> dict[str, int]:
@@ -179,14 +214,23 @@
 
     @core.handles(dispatch.DrainRequests)
     def _on_drain(self, msg: dispatch.DrainRequests) -> Any:
-        """Take no forwarded work; reply when nothing is in flight."""
-        self._dispatcher.is_draining = True
-        self._advertise()
-        if not self._open:
-            return None
-        self._drained = defer.Deferred()
+        """Reply once all requests ended and their slots are free."""
+        if self._drained is None:
+            self._drained = defer.Deferred()
+        self.kernel.clock.call_later(0, self._check_drained)
         return self._drained
 
+    def _check_drained(self) -> None:
+        """Answer DrainRequests when no request is left.
+
+        A slot may be held beyond its request, until the upstream must have
+        given up; it must not be released before.
+        """
+        if self._drained is None or self._open or self._dispatcher.held:
+            return
+        drained, self._drained = self._drained, None
+        drained.callback(None)
+
     @core.handles(dispatch.GetDispatchStatus)
     def _on_status(self, msg: dispatch.GetDispatchStatus) -> dict[str, Any]:
         """Return pools, queues and slots."""
@@ -215,9 +259,12 @@
             )
             for name, pool in self._dispatcher.pools.items()
         )
-        if loads == self._advertised:
+        # Peers count down what they send here until the next
+        # advertisement, even when the slots are free again by then.
+        if loads == self._advertised and not self._has_served_peers:
             return
         self._advertised = loads
+        self._has_served_peers = False
         self.kernel.post(
             'peers', peers.Broadcast(message=wire.Load(pools=loads))
         )
--- a/packages/daemon/src/oriolestand_daemon/services/membership/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/membership/_task.py
@@ -5,11 +5,11 @@
 from twisted.internet import defer
 
 import oriolestand_core as core
-from oriolestand_daemon.messages import membership
+from oriolestand_daemon.messages import membership as contracts
 from oriolestand_daemon.messages import platform as store
 from oriolestand_daemon.services.membership import const
 import oriolestand_platform as platform
-from oriolestand_policy import grants
+from oriolestand_policy import membership
 
 
 class MembershipTask(core.Task):
@@ -19,15 +19,20 @@
         super().__init__(kernel, const.DOMAIN)
         self._log = core.get_logger(const.DOMAIN)
         self._instances: dict[str, platform.InstanceEntry] = {}
-        self._incarnations: dict[str, str] = {}
-        self._replaced: set[grants.Holder] = set()
         self._live_peers: set[str] = set()
+        self._trust = membership.ListTrust()
+        self._leaving = membership.LeavingUpstreams()
+        self._announced: contracts.MembershipChanged | None = None
         self._timer: Any = None
 
     def start(self) -> object:
         """Read the list and begin to poll."""
-        self.kernel.subscribe(membership.PeerConnected, self)
-        self.kernel.subscribe(membership.PeerDisconnected, self)
+        for event in (
+            contracts.PeerConnected,
+            contracts.PeerDisconnected,
+            contracts.UpstreamLeaving,
+        ):
+            self.kernel.subscribe(event, self)
         return defer.ensureDeferred(self._poll())
 
     async def _poll(self) -> None:
@@ -44,54 +49,81 @@
             )
 
     def _merge(self, listed: platform.InstanceList) -> None:
-        """Take over the list; an instance that is gone stays gone."""
+        """Take over what the list may say; gone instances stay gone."""
+        use = self._trust.judge(listed.as_of_ms, self.kernel.clock.wall())
+        if use is membership.ListUse.GONE:
+            self._log.warning('Instance list is old', as_of=listed.as_of_ms)
+        gone = platform.InstanceState.GONE
         for entry in listed.instances:
             known = self._instances.get(entry.id)
-            if known and known.state is platform.InstanceState.GONE:
+            if known is not None and known.state is gone:
                 continue
-            self._instances[entry.id] = entry
+            if use is membership.ListUse.ALL or entry.state is gone:
+                self._instances[entry.id] = entry
+        if use is membership.ListUse.ALL:
+            self._merge_upstreams(listed)
         self._announce()
 
-    @core.handles(membership.PeerConnected)
-    def _on_connected(self, msg: membership.PeerConnected) -> None:
-        """Note the peer; its former start at the address is over."""
-        former = self._incarnations.get(msg.instance_id)
-        if former is not None and former != msg.incarnation:
-            self._replaced.add(
-                grants.Holder(instance_id=msg.instance_id, incarnation=former)
-            )
-        self._incarnations[msg.instance_id] = msg.incarnation
+    def _merge_upstreams(self, listed: platform.InstanceList) -> None:
+        """Take over which upstreams are live and which are leaving."""
+        by_state: dict[platform.InstanceState, set[str]] = {
+            state: set() for state in platform.InstanceState
+        }
+        for entry in listed.instances:
+            if entry.role is not platform.InstanceRole.UPSTREAM:
+                continue
+            state = self._instances[entry.id].state
+            by_state[state].add(entry.address)
+        live = by_state[platform.InstanceState.LIVE]
+        # A new instance may have got the address of one that is gone.
+        gone = by_state[platform.InstanceState.GONE] - live
+        leaving = by_state[platform.InstanceState.LEAVING] | gone
+        self._leaving.merge(listed.as_of_ms, live, leaving)
+
+    @core.handles(contracts.UpstreamLeaving)
+    def _on_leaving(self, msg: contracts.UpstreamLeaving) -> None:
+        """Note what an upstream said, here or to a peer."""
+        if self._leaving.signal(msg.address, self.kernel.clock.wall()):
+            self._log.info('Upstream is leaving', address=msg.address)
+        self._announce()
+
+    @core.handles(contracts.PeerConnected)
+    def _on_connected(self, msg: contracts.PeerConnected) -> None:
+        """Note that the peer is live."""
         self._live_peers.add(msg.instance_id)
         self._announce()
 
-    @core.handles(membership.PeerDisconnected)
-    def _on_disconnected(self, msg: membership.PeerDisconnected) -> None:
+    @core.handles(contracts.PeerDisconnected)
+    def _on_disconnected(self, msg: contracts.PeerDisconnected) -> None:
         """Note that the link is lost, which proves nothing."""
         self._live_peers.discard(msg.instance_id)
         self._announce()
 
-    @core.handles(membership.GetMembers)
+    @core.handles(contracts.GetMembers)
     def _on_get(
-        self, msg: membership.GetMembers
-    ) -> membership.MembershipChanged:
+        self, msg: contracts.GetMembers
+    ) -> contracts.MembershipChanged:
         """Return what is known."""
         return self._state()
 
-    def _state(self) -> membership.MembershipChanged:
+    def _state(self) -> contracts.MembershipChanged:
         """Return the event that describes the present state."""
         gone = platform.InstanceState.GONE
-        return membership.MembershipChanged(
+        return contracts.MembershipChanged(
             instances=tuple(self._instances.values()),
             live_peers=frozenset(self._live_peers),
             gone_instances=frozenset(
                 e.id for e in self._instances.values() if e.state is gone
             ),
-            replaced=frozenset(self._replaced),
+            leaving_upstreams=self._leaving.addresses,
         )
 
     def _announce(self) -> None:
-        """Publish the present state."""
-        self.kernel.publish(self._state(), is_state=True)
+        """Publish the present state if it is new."""
+        state = self._state()
+        if state != self._announced:
+            self._announced = state
+            self.kernel.publish(state, is_state=True)
 
     def stop(self) -> object:
         """Stop polling."""
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -42,6 +42,7 @@
         self._flights: dict[str, _Flight] = {}
         self._reservations: dict[str, _state.Reservation] = {}
         self._held: list[tuple[core.Millis, str, str]] = []
+        self._leaving: set[str] = set()
         self.is_draining = False
 
     @property
@@ -54,6 +55,11 @@
         """Return the number of requests that were sent and not ended."""
         return len(self._flights)
 
+    @property
+    def held(self) -> int:
+        """Return the number of slots held for requests that were aborted."""
+        return len(self._held)
+
     def set_pool(self, name: str, queue_limit: int) -> None:
         """Add a pool unless it exists."""
         if name not in self._pools:
@@ -69,7 +75,9 @@
         for address, limit in limits.items():
             if address not in state.upstreams:
                 state.upstreams[address] = _state.UpstreamState(
-                    address=address, pool=pool
+                    address=address,
+                    pool=pool,
+                    is_leaving=address in self._leaving,
                 )
             state.upstreams[address].limit = limit
         for address in list(state.upstreams):
@@ -93,7 +101,14 @@
         )
 
     def set_leaving(self, address: str, is_leaving: bool) -> None:
-        """Give an upstream no new work, or take it into use again."""
+        """Give an upstream no new work, or take it into use again.
+
+        This holds also for an upstream whose slots are granted later.
+        """
+        if is_leaving:
+            self._leaving.add(address)
+        else:
+            self._leaving.discard(address)
         for state in self._pools.values():
             if address in state.upstreams:
                 state.upstreams[address].is_leaving = is_leaving
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/membership/_leaving.py
@@ -0,0 +1,61 @@
+"""Know which upstreams must get no new work."""
+
+from collections.abc import Set
+
+import oriolestand_core as core
+
+RETURN_MARGIN_MS = 10_000
+"""How much newer than a leaving signal a list must be to overrule it.
+
+The platform may learn of a departure later than the upstream itself, and
+its clock may differ from this daemon's.
+"""
+
+
+class LeavingUpstreams:
+    """Merge the list with signals of upstreams and peers, by address.
+
+    An upstream comes back into use only when a list says that it is live
+    and is newer than the last signal by the margin.
+
+    >>> leaving = LeavingUpstreams()
+    >>> leaving.signal('10.0.0.1:80', core.Millis(1_000))
+    True
+    >>> leaving.merge(5_000, live={'10.0.0.1:80'}, leaving=set())
+    >>> sorted(leaving.addresses)
+    ['10.0.0.1:80']
+    >>> leaving.merge(11_001, live={'10.0.0.1:80'}, leaving=set())
+    >>> sorted(leaving.addresses)
+    []
+    """
+
+    def __init__(self, margin_ms: int = RETURN_MARGIN_MS) -> None:
+        self._margin_ms = margin_ms
+        self._as_of_ms = 0
+        self._signals: dict[str, int] = {}
+        self._listed: frozenset[str] = frozenset()
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Return the upstreams that must get no new work."""
+        return self._listed | self._signals.keys()
+
+    def signal(self, address: str, wall: core.Millis) -> bool:
+        """Note that an upstream said it leaves; return whether it is news.
+
+        The signal counts as at least as new as the last list, so that a
+        clock that is behind the platform's does not void it.
+        """
+        is_news = address not in self.addresses
+        self._signals[address] = max(wall, self._as_of_ms)
+        return is_news
+
+    def merge(self, as_of_ms: int, live: Set[str], leaving: Set[str]) -> None:
+        """Take over a list; addresses that it lacks keep their state."""
+        self._as_of_ms = max(self._as_of_ms, as_of_ms)
+        kept = self._listed - live
+        self._listed = kept | frozenset(leaving)
+        for address in live - leaving:
+            said = self._signals.get(address)
+            if said is not None and as_of_ms > said + self._margin_ms:
+                del self._signals[address]
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/membership/_list.py
@@ -0,0 +1,45 @@
+"""Decide how far a copy of the platform's list is trusted."""
+
+import enum
+
+import oriolestand_core as core
+
+ALLOWED_LAG_MS = 30_000
+
+
+class ListUse(enum.Enum):
+    """Say which entries of a list are taken over.
+
+    ``GONE`` takes only entries that say gone, which never become untrue.
+    """
+
+    ALL = 'all'
+    GONE = 'gone'
+
+
+class ListTrust:
+    """Follow the age of the lists that were read.
+
+    >>> trust = ListTrust()
+    >>> trust.judge(5_000, core.Millis(6_000))
+    <ListUse.ALL: 'all'>
+    >>> trust.judge(4_000, core.Millis(7_000))
+    <ListUse.GONE: 'gone'>
+    """
+
+    def __init__(self, allowed_lag_ms: int = ALLOWED_LAG_MS) -> None:
+        self._allowed_lag_ms = allowed_lag_ms
+        self.as_of_ms = 0
+
+    def judge(self, as_of_ms: int, wall: core.Millis) -> ListUse:
+        """Return how to use a list; both times are Unix time.
+
+        A list that is older than one read before, or older than the
+        allowed lag, does not change what is known to be live or leaving.
+        """
+        if as_of_ms < self.as_of_ms:
+            return ListUse.GONE
+        self.as_of_ms = as_of_ms
+        if wall - as_of_ms > self._allowed_lag_ms:
+            return ListUse.GONE
+        return ListUse.ALL
