Split the link between daemons and check what peers send

The link was both protocol and bookkeeping. It is now split: link (handshake, heartbeats), forwarded exchanges, served exchanges, dialer, checks, TLS.

- Of two links from simultaneous dialing the smaller instance id chooses one; the other side sends no exchange before the first heartbeat.
Both sides chose for themselves before, and requests on the dropped link were lost.
- A link is dropped exactly 3 s after the last byte, or after 3 s without a handshake.
A healthy link is not replaced by another start of the peer.
- Each exchange has a state; a message that does not fit closes the link with a logged code.
Unknown ids are dropped.
Unknown verdicts count as may_have_run.
An answer shorter than its length is not whole.
- The end of an exchange is always reported: a cancel ends it at once, and a peer that does not answer is given up 1 s after the deadline.
- A request is served with the tables that it started with; 32 versions are kept, others are refused with did_not_run.
- New exchanges to another region need tokens of a byte budget.
Exchanges in progress may overdraw it; their credit then waits.
- TLS between daemons; the certificate's common name is the instance id.

--- a/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
@@ -1,82 +1,44 @@
 """Speak the protocol between daemons on one connection."""
 
-import dataclasses
+import enum
 from typing import TYPE_CHECKING
 from typing import Any
 
+from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure
 
 import oriolestand_core as core
 from oriolestand_daemon.messages import config
-from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import membership
-from oriolestand_daemon.messages import peers
-from oriolestand_daemon.messages import telemetry
+from oriolestand_daemon.services.peers import _forwarded
+from oriolestand_daemon.services.peers import _served
+from oriolestand_daemon.services.peers import _tls
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
-from oriolestand_policy import admission
-from oriolestand_policy import dispatching
-from oriolestand_policy import tables
+from oriolestand_policy import pacing
 import oriolestand_wire as wire
 
 if TYPE_CHECKING:
     from oriolestand_daemon.services.peers._task import PeersTask
 
 
-def report(
-    kernel: core.Kernel,
-    ticket_id: str,
-    error: core.OriolestandError | None,
-    answered: bool = False,
-    latency_ms: float = 0.0,
-    is_final: bool = False,
-) -> None:
-    """Tell dispatch how an attempt at a peer ended."""
-    kernel.post(
-        'dispatch',
-        dispatch.AttemptFinished(
-            ticket_id=ticket_id,
-            outcome=dispatching.Outcome(
-                verdict=core.Verdict.RAN if error is None else error.verdict,
-                error=error,
-                answered=answered,
-                is_final=is_final,
-                latency_ms=latency_ms,
-            ),
-        ),
-    )
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Forwarded:
-    """Hold a request that this daemon forwarded on the link."""
-
-    ticket_id: str
-    caller: exchange.Endpoint
-    started: core.Millis
-    trace: telemetry.TraceContext | None = None
-    parent_id: str = ''
-    has_body: bool = False
-    is_answered: bool = False
-    is_body_accepted: bool = False
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Served:
-    """Hold a request that the peer forwarded to this daemon."""
-
-    ticket_id: str
-    server: exchange.Endpoint | None = None
+class LinkState(enum.Enum):
+    """Name how far a link has come.
 
+    Of two daemons, the one with the smaller instance id decides whether a
+    link is used; the other one is ``PROPOSED`` until its first heartbeat.
+    """
 
-class Link(protocol.Protocol, core.Task):
-    """Own one connection to a peer and the exchanges on it.
+    CONNECTED = 'connected'
+    PROPOSED = 'proposed'
+    UP = 'up'
+    CLOSED = 'closed'
 
-    Exchanges that this side opened have odd ids when it dialed and even
-    ones otherwise, so both sides can open exchanges at any time.
-    """
+
+class Link(protocol.Protocol, core.Task):
+    """Own one connection to a peer and the exchanges on it."""
 
     inbox_limit = 65_536
 
@@ -84,21 +46,28 @@
         core.Task.__init__(self, owner.kernel, const.DOMAIN)
         self.dialed = dialed
         self.hello: wire.Hello | None = None
-        self._owner = owner
-        self._reader = wire.FrameReader()
-        self._next_xid = 1 if dialed is not None else 2
-        self._forwarded: dict[int, _Forwarded] = {}
-        self._served: dict[int, _Served] = {}
+        self.state = LinkState.CONNECTED
+        self.session = owner.next_session()
+        self.owner = owner
+        self.last_load: wire.Load | None = None
+        self.budget: pacing.ByteBudget | None = None
+        self.closed: defer.Deferred[None] = defer.Deferred()
+        self._reader = wire.FrameReader(const.HANDSHAKE_FRAME_BYTES)
+        self._forwarded = _forwarded.ForwardedExchanges(
+            self, first_xid=2 if dialed is None else 1
+        )
+        self._served = _served.ServedExchanges(
+            self, owner.cfg.limits.max_body_bytes
+        )
         self._last_heard = owner.kernel.clock.now()
         self._sequence = 0
-        self._timer: Any = None
-        self._is_closed = False
+        self._timers: dict[str, Any] = {}
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Introduce this daemon and begin heartbeats."""
+        """Introduce this daemon and wait for the peer's hello."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        cfg = self._owner.cfg
+        cfg = self.owner.cfg
         self.send(
             wire.Hello(
                 version=wire.PROTOCOL_VERSION,
@@ -106,335 +75,237 @@
                 incarnation=self.kernel.incarnation,
                 failure_domain=cfg.failure_domain,
                 region=cfg.region,
-                peer_address=self._owner.address,
+                peer_address=self.owner.address,
+                is_leaving=self.owner.is_leaving,
             )
         )
-        self._beat()
+        self._last_heard = self.kernel.clock.now()
+        self._call_later(
+            'handshake', const.HANDSHAKE_TIMEOUT_MS, self._check_handshake
+        )
+        self._call_later(
+            'silence', const.HEARTBEAT_TIMEOUT_MS, self._check_silence
+        )
 
-    def _beat(self) -> None:
-        """Send a heartbeat, or drop a link that has been silent."""
-        now = self.kernel.clock.now()
-        if now - self._last_heard > const.HEARTBEAT_TIMEOUT_MS:
-            self.drop()
+    def _call_later(self, name: str, delay: int, func: Any) -> None:
+        """Set one of the link's timers."""
+        self._timers[name] = self.kernel.clock.call_later(delay, func)
+
+    def _check_handshake(self) -> None:
+        """Drop a link that is not in use in time."""
+        if self.state is not LinkState.UP:
+            self.drop(errors.HandshakeError('no handshake in time'))
+
+    def _check_silence(self) -> None:
+        """Drop a link on which nothing was heard."""
+        silent = self.kernel.clock.now() - self._last_heard
+        left = const.HEARTBEAT_TIMEOUT_MS - silent
+        if left <= 0:
+            self.drop(errors.SilentPeerError('nothing heard', silent=silent))
             return
+        self._call_later('silence', left, self._check_silence)
+
+    def _beat(self) -> None:
+        """Send a heartbeat and schedule the next one."""
         self._sequence += 1
         self.send(wire.Heartbeat(sequence=self._sequence))
-        self._timer = self.kernel.clock.call_later(
-            const.HEARTBEAT_INTERVAL_MS, self._beat
-        )
+        self._call_later('beat', const.HEARTBEAT_INTERVAL_MS, self._beat)
+
+    def encode(self, message: wire.PeerMessage) -> bytes:
+        """Return the frame of a message, or raise FrameTooLongError."""
+        return wire.write_frame(wire.encode(message))
+
+    def begin(self, size: int) -> None:
+        """Take the bytes of a new exchange from the region's budget."""
+        if self.state is not LinkState.UP:
+            raise errors.PeerUnreachableError('the link is not in use')
+        if self.budget is None:
+            return
+        if not self.budget.try_spend(size, self.kernel.clock.now()):
+            self.owner.pause_region()
+            raise errors.RegionBudgetError('the region link is busy')
 
     def send(self, message: wire.PeerMessage) -> None:
         """Write a message unless the link is closed."""
-        if self._is_closed:
+        if self.state is LinkState.CLOSED:
             return
+        frame = self.encode(message)
+        if self.budget is not None and message.xid:
+            self.budget.spend(len(frame), self.kernel.clock.now())
+        self.write(frame)
+
+    def write(self, frame: bytes) -> None:
+        """Write an encoded message unless the link is closed."""
         transport: Any = self.transport
-        transport.write(wire.write_frame(wire.encode(message)))
+        if self.state is not LinkState.CLOSED:
+            transport.write(frame)
+
+    def give_credit(self, receiver: exchange.Endpoint, size: int) -> None:
+        """Pass on credit once the region's budget is not overdrawn."""
+        now = self.kernel.clock.now()
+        delay = 0 if self.budget is None else self.budget.wait_ms(0, now)
+        credit = exchange.Credit(xid=receiver.xid, size=size)
+        if not delay:
+            receiver.post(credit)
+            return
+        self.kernel.clock.call_later(delay, lambda: receiver.post(credit))
 
-    def drop(self) -> None:
-        """Close the connection now."""
+    def drop(self, error: core.OriolestandError | None = None) -> None:
+        """Close the connection now and end all exchanges on it."""
+        if self.state is LinkState.CLOSED:
+            return
+        if error is not None:
+            self.owner.log.warning(
+                'Link dropped',
+                code=error.code,
+                reason=str(error),
+                peer=self.hello.instance_id if self.hello else '',
+            )
+        self._close()
         transport: Any = self.transport
         if transport is not None:
             transport.abortConnection()
 
+    def finish(self) -> 'defer.Deferred[None]':
+        """Close the connection after what was written has been sent."""
+        transport: Any = self.transport
+        self._close()
+        if transport is not None:
+            transport.loseConnection()
+            self.kernel.clock.call_later(
+                const.CLOSE_TIMEOUT_MS, transport.abortConnection
+            )
+        return self.closed
+
+    def _close(self) -> None:
+        """End all exchanges and tell the owner, once."""
+        if self.state is LinkState.CLOSED:
+            return
+        was_up = self.state is LinkState.UP
+        self.state = LinkState.CLOSED
+        for timer in self._timers.values():
+            timer.cancel()
+        self._forwarded.close()
+        self._served.close()
+        self.owner.link_down(self, was_up)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Handle each whole message."""
+        """Handle each whole message; bad input closes the link only."""
         self._last_heard = self.kernel.clock.now()
         try:
             for frame in self._reader.feed(data):
+                if self.state is LinkState.CLOSED:
+                    return
                 self._receive(wire.decode(frame))
         except core.OriolestandError as exc:
-            self._owner.log.warning('Link refused', reason=str(exc))
-            self.drop()
+            self.drop(exc)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        """End all exchanges on the link."""
-        self._is_closed = True
-        if self._timer is not None:
-            self._timer.cancel()
-        for forwarded in self._forwarded.values():
-            report(
-                self.kernel,
-                forwarded.ticket_id,
-                errors.PeerLostError('the link to the peer broke'),
-                forwarded.is_answered,
-                is_final=forwarded.is_body_accepted,
-            )
-        for served in self._served.values():
-            self._cancel(served)
-        self._forwarded.clear()
-        self._served.clear()
-        self._owner.link_down(self)
+        """End what is left on the link."""
+        self._close()
         core.Task.stop(self)
+        if not self.closed.called:
+            self.closed.callback(None)
 
     def _receive(self, message: wire.PeerMessage) -> None:
-        """Handle one message of the peer."""
-        if self.hello is None:
+        """Handle one message, as the state of the link allows."""
+        if self.state is LinkState.CONNECTED:
             self._on_hello(message)
-        elif message.xid:
-            self._on_exchange(message)
-        elif isinstance(message, wire.Heartbeat):
-            self.send(wire.HeartbeatAck(sequence=message.sequence))
-        elif isinstance(message, wire.Load):
-            self.kernel.publish(
-                peers.PeerLoadChanged(
-                    peer=self.hello.instance_id,
-                    distance=self._owner.distance(self.hello),
-                    pools=message.pools,
-                )
-            )
-        elif isinstance(message, wire.TablesDocument):
-            self.kernel.post(
-                'tables',
-                config.ReceivedTables(
-                    document=message.document, peer=self.hello.instance_id
-                ),
-            )
-        elif isinstance(message, wire.Leaving):
-            for address in message.upstreams:
-                self.kernel.publish(
-                    membership.UpstreamLeaving(address=address)
-                )
+        elif self.state is LinkState.PROPOSED:
+            if not isinstance(message, wire.Heartbeat):
+                raise errors.HandshakeError('the link is not in use yet')
+            self._go_up()
+        elif message.xid == 0:
+            self._on_link_message(message)
+        elif self._forwarded.is_mine(message.xid):
+            self._forwarded.receive(message)
+        else:
+            self._served.receive(message)
 
     def _on_hello(self, message: wire.PeerMessage) -> None:
-        """Check the first message."""
+        """Check the first message and take or propose the link."""
         if not isinstance(message, wire.Hello):
             raise errors.HandshakeError('the first message is not a hello')
         if message.version != wire.PROTOCOL_VERSION:
             raise errors.HandshakeError(
                 'unknown protocol version', version=message.version
             )
-        if message.incarnation == self.kernel.incarnation:
-            raise errors.HandshakeError('the peer is this daemon itself')
+        me = self.owner.cfg
+        if message.instance_id == me.instance_id or not message.instance_id:
+            raise errors.HandshakeError('the peer has no id of its own')
+        if me.peers.tls is not None:
+            _tls.check_identity(self.transport, message.instance_id)
         self.hello = message
-        if not self._owner.link_up(self, message):
-            self.drop()
-
-    def forward(self, msg: exchange.StartExchange) -> None:
-        """Open an exchange at the peer."""
-        xid = self._next_xid
-        self._next_xid += 2
-        now = self.kernel.clock.now()
-        head = msg.head
-        trace = telemetry.sampled_child(head.traceparent)
-        self._forwarded[xid] = _Forwarded(
-            ticket_id=msg.ticket_id,
-            caller=msg.caller,
-            started=now,
-            trace=trace,
-            parent_id=telemetry.parent_id(head.traceparent),
-            has_body=head.body_length != 0,
-        )
-        self.send(
-            wire.Open(
-                xid=xid,
-                request_id=head.request_id,
-                method=head.method,
-                target=head.target,
-                headers=head.headers,
-                route=head.route.name,
-                generation=head.generation,
-                remaining_ms=max(0, head.deadline - now),
-                team=head.team,
-                traceparent=str(trace or head.traceparent),
-                hops=head.hops + 1,
-                body_length=head.body_length,
-                priority=head.route.priority,
-                idempotency_key=head.idempotency_key,
-                is_service=head.route.kind is tables.Kind.SERVICE,
-            )
-        )
-
-    def _on_exchange(self, message: wire.PeerMessage) -> None:
-        """Handle a message of an exchange; drop those of unknown ids."""
-        if isinstance(message, wire.Open):
-            self._on_open(message)
-            return
-        forwarded = self._forwarded.get(message.xid)
-        if forwarded is not None:
-            self._on_answer(forwarded, message)
+        self._reader.limit = wire.MAX_FRAME_BYTES
+        if me.instance_id < message.instance_id:
+            if self.owner.may_take(self):
+                self._go_up()
+            else:
+                self.drop()
             return
-        served = self._served.get(message.xid)
-        if served is None:
-            return
-        if isinstance(message, wire.Cancel):
-            self._served.pop(message.xid)
-            self._cancel(served)
-        elif served.server is not None:
-            served.server.post(
-                dataclasses.replace(message, xid=served.server.xid)
-            )
+        self.state = LinkState.PROPOSED
 
-    def _on_answer(
-        self, forwarded: _Forwarded, message: wire.PeerMessage
-    ) -> None:
-        """Pass a message of the server's side on to the caller's side."""
-        caller = forwarded.caller
-        if isinstance(message, wire.Accepted):
-            forwarded.is_body_accepted = forwarded.has_body
-            caller.post(
-                exchange.ExchangeAccepted(
-                    xid=caller.xid,
-                    server=exchange.Endpoint(task=self, xid=message.xid),
-                )
-            )
-            return
-        if isinstance(message, wire.Failed):
-            self._forget(message.xid)
-            error = errors.PeerRefusedError(
-                message.message, core.Verdict(message.verdict)
-            )
-            error.code = message.code
-            error.http_status = message.http_status
-            report(
-                self.kernel,
-                forwarded.ticket_id,
-                error,
-                forwarded.is_answered,
-                is_final=forwarded.is_body_accepted,
-            )
-            return
-        if isinstance(message, wire.ResponseHead):
-            forwarded.is_answered = True
-        caller.post(dataclasses.replace(message, xid=caller.xid))
-        if isinstance(message, wire.ResponseEnd):
-            self._forget(message.xid)
-            latency = self.kernel.clock.now() - forwarded.started
-            report(self.kernel, forwarded.ticket_id, None, True, latency)
-
-    def _forget(self, xid: int) -> None:
-        """Drop a forwarded request and tell telemetry about the hop."""
-        forwarded = self._forwarded.pop(xid)
-        if forwarded.trace is None or 'telemetry' not in self.kernel.services:
-            return
-        self.kernel.post(
-            'telemetry',
-            telemetry.SpanEnded(
-                name='peer forward',
-                context=forwarded.trace,
-                parent_id=forwarded.parent_id,
-                started=forwarded.started,
-                ended=self.kernel.clock.now(),
-                attributes=(
-                    (
-                        'oriolestand.peer',
-                        self.hello.instance_id if self.hello else '',
+    def _go_up(self) -> None:
+        """Take the link into use."""
+        self.state = LinkState.UP
+        self._beat()
+        self.owner.link_up(self)
+
+    def _on_link_message(self, message: wire.PeerMessage) -> None:
+        """Handle a message that belongs to no exchange."""
+        assert self.hello is not None
+        match message:
+            case wire.Heartbeat():
+                self.send(wire.HeartbeatAck(sequence=message.sequence))
+            case wire.HeartbeatAck():
+                pass
+            case wire.Load():
+                self.last_load = message
+                self.owner.offer(self)
+            case wire.TablesDocument():
+                self._post(
+                    'tables',
+                    config.ReceivedTables(
+                        document=message.document, peer=self.hello.instance_id
                     ),
-                ),
-            ),
-        )
-
-    def cancel_forwarded(self, ticket_id: str) -> None:
-        """Abort a forwarded request whose caller left."""
-        for xid, forwarded in list(self._forwarded.items()):
-            if forwarded.ticket_id == ticket_id:
-                self._end_cancelled(xid, forwarded)
-
-    def _end_cancelled(self, xid: int, forwarded: _Forwarded) -> None:
-        """Tell the peer and dispatch; the peer answers nothing more."""
-        self.send(wire.Cancel(xid=xid))
-        self._forget(xid)
-        report(
-            self.kernel,
-            forwarded.ticket_id,
-            errors.PeerLostError('the caller left'),
-            forwarded.is_answered,
-            is_final=True,
-        )
+                )
+            case wire.Leaving():
+                for address in message.upstreams:
+                    self.kernel.publish(
+                        membership.UpstreamLeaving(address=address)
+                    )
+            case _:
+                raise errors.ProtocolError(
+                    'the message does not fit the link',
+                    type=type(message).__name__,
+                )
 
-    def _on_open(self, message: wire.Open) -> None:
-        """Serve a request that the peer forwarded."""
-        generation = self._owner.generation
-        route = None
-        if generation is not None:
-            route = next(
-                (
-                    r
-                    for r in generation.tables.routes
-                    if r.name == message.route
-                ),
-                None,
-            )
-        if route is None:
-            self._fail(
-                message.xid,
-                errors.PeerRefusedError('unknown route', route=message.route),
-            )
-            return
-        now = self.kernel.clock.now()
-        deadline = core.Millis(now + message.remaining_ms)
-        ticket_id = f'{id(self)}:{message.xid}'
-        self._served[message.xid] = _Served(ticket_id=ticket_id)
-        head = exchange.RequestHead(
-            request_id=message.request_id,
-            method=message.method,
-            target=message.target,
-            headers=message.headers,
-            route=route,
-            generation=message.generation,
-            deadline=deadline,
-            team=message.team,
-            traceparent=message.traceparent,
-            hops=message.hops,
-            body_length=message.body_length,
-            idempotency_key=message.idempotency_key,
-        )
-        ticket = admission.Ticket(
-            id=ticket_id,
-            pool=route.pool,
-            team=message.team,
-            kind=route.kind,
-            priority=message.priority,
-            arrived=now,
-            deadline=deadline,
-            hops=message.hops,
-        )
-        self.kernel.post(
-            'dispatch',
-            exchange.OpenExchange(
-                head=head,
-                ticket=ticket,
-                caller=exchange.Endpoint(task=self, xid=message.xid),
-            ),
-        )
+    def _post(self, service: str, message: object) -> None:
+        """Post a state that the peer sends again, so that one may drop."""
+        try:
+            self.kernel.post(service, message)
+        except core.InboxFullError as exc:
+            self.owner.log.warning('Message dropped', reason=str(exc))
 
-    def _cancel(self, served: _Served) -> None:
-        """Abort a request whose caller left."""
-        if served.server is not None:
-            served.server.post(exchange.Cancel(xid=served.server.xid))
-            return
-        self.kernel.post(
-            'dispatch', exchange.CancelRequest(ticket_id=served.ticket_id)
-        )
+    def forward(self, msg: exchange.StartExchange) -> None:
+        """Open an exchange at the peer."""
+        self._forwarded.open(msg)
 
-    def _fail(self, xid: int, error: core.OriolestandError) -> None:
-        """Tell the peer that its request failed."""
-        self.send(
-            wire.Failed(
-                xid=xid,
-                code=error.code,
-                message=error.message,
-                verdict=error.verdict.value,
-                http_status=error.http_status,
-            )
-        )
+    def cancel_forwarded(self, ticket_id: str) -> None:
+        """Abort a forwarded request whose caller left."""
+        self._forwarded.cancel(ticket_id)
 
     @core.handles(exchange.ExchangeAccepted)
     def _on_accepted(self, msg: exchange.ExchangeAccepted) -> None:
         """Tell the peer that the body may come."""
-        served = self._served.get(msg.xid)
-        if served is None:
-            msg.server.post(exchange.Cancel(xid=msg.server.xid))
-            return
-        served.server = msg.server
-        self.send(wire.Accepted(xid=msg.xid))
+        self._served.accept(msg)
 
     @core.handles(exchange.ExchangeFailed)
     def _on_failed(self, msg: exchange.ExchangeFailed) -> None:
         """Tell the peer that its request failed."""
-        if self._served.pop(msg.xid, None) is not None:
-            self._fail(msg.xid, msg.error)
+        self._served.fail(msg)
 
     @core.handles(exchange.ResponseHead)
     @core.handles(exchange.ResponseChunk)
@@ -445,12 +316,7 @@
     @core.handles(exchange.Cancel)
     def _on_local(self, msg: wire.PeerMessage) -> None:
         """Send a message of this side to the peer."""
-        forwarded = self._forwarded.get(msg.xid)
-        if msg.xid not in self._served and forwarded is None:
-            return
-        if forwarded is not None and isinstance(msg, exchange.Cancel):
-            self._end_cancelled(msg.xid, forwarded)
-            return
-        self.send(msg)
-        if isinstance(msg, exchange.ResponseEnd):
-            self._served.pop(msg.xid, None)
+        if self._forwarded.is_mine(msg.xid):
+            self._forwarded.send(msg)
+        else:
+            self._served.send(msg)
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_task.py
@@ -1,24 +1,29 @@
 """Own the peer listener and one link to each known peer."""
 
+import collections
 from typing import Any
 
-from twisted.internet import endpoints
+from twisted.internet import defer
 from twisted.internet import protocol
 
 import oriolestand_core as core
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import lifecycle
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import peers
+from oriolestand_daemon.services.peers import _dialer
+from oriolestand_daemon.services.peers import _forwarded
 from oriolestand_daemon.services.peers import _link
+from oriolestand_daemon.services.peers import _tls
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
 import oriolestand_platform as platform
+from oriolestand_policy import pacing
+from oriolestand_policy import tables
 import oriolestand_wire as wire
 
-MILLIS_PER_SECOND = 1000
-
 
 class PeersTask(core.Task):
     """Dial known peers, accept links and route messages to them."""
@@ -29,12 +34,23 @@
         super().__init__(kernel, const.DOMAIN)
         self.cfg = cfg
         self.log = core.get_logger(const.DOMAIN)
-        self.generation: config.TablesChanged | None = None
+        self.is_leaving = False
+        tls = cfg.peers.tls
+        self._tls_options = None if tls is None else _tls.load_options(tls)
+        self._dialer = _dialer.Dialer(self, self._tls_options)
         self._port: Any = None
         self._links: dict[str, _link.Link] = {}
-        self._dialing: dict[str, int] = {}
-        self._addresses: set[str] = set(cfg.seed_peers)
-        self._last_load: wire.PeerMessage | None = None
+        self._sessions = 0
+        self._generations: collections.OrderedDict[int, tables.Tables] = (
+            collections.OrderedDict()
+        )
+        self._document = b''
+        self._last_load: wire.Load | None = None
+        self._leaving: frozenset[str] = frozenset()
+        self._budget = pacing.ByteBudget(
+            cfg.limits.region_bytes_per_s, cfg.limits.region_burst_bytes
+        )
+        self._region_timer: Any = None
 
     @property
     def address(self) -> str:
@@ -46,71 +62,65 @@
 
     def start(self) -> object:
         """Listen, dial the known peers and follow the list."""
-        self.kernel.subscribe(membership.MembershipChanged, self)
-        self.kernel.subscribe(config.TablesChanged, self)
-        factory = protocol.Factory()
+        for event in (
+            membership.MembershipChanged,
+            config.TablesChanged,
+            lifecycle.ShutdownStarted,
+        ):
+            self.kernel.subscribe(event, self)
+        factory: Any = protocol.Factory()
+        factory.noisy = False
         factory.protocol = lambda: _link.Link(self)
+        if self._tls_options is not None:
+            factory = _tls.wrap(
+                self._tls_options, factory, False, self.kernel.reactor
+            )
         listener = self.cfg.peers
         self._port = self.kernel.reactor.listenTCP(
             listener.port, factory, interface=listener.host
         )
         self.log.info('Listening', address=self.address)
-        for address in self._addresses:
-            self._dial(address)
+        for address in self.cfg.seed_peers:
+            self._dialer.add(address)
         return None
 
-    def _dial(self, address: str, delay: int = const.RECONNECT_MIN_MS) -> None:
-        """Connect to a peer, again after a pause when that fails."""
-        if self.is_stopped or address == self.address:
-            return
-        if address not in self._addresses or address in self._dialing:
-            return
-        if any(link.dialed == address for link in self._links.values()):
-            return
-        self._dialing[address] = delay
-        host, _, port = address.rpartition(':')
-        endpoint: Any = endpoints.HostnameEndpoint(
-            self.kernel.reactor,
-            host,
-            int(port),
-            timeout=const.CONNECT_TIMEOUT_MS / MILLIS_PER_SECOND,
-        )
-        factory = protocol.Factory()
-        factory.protocol = lambda: _link.Link(self, dialed=address)
-        fut = endpoint.connect(factory)
-        fut.addCallbacks(
-            lambda _: self._dialing.pop(address, None),
-            lambda _: self._retry(address),
-        )
+    def next_session(self) -> str:
+        """Return the name of a new link session of this process."""
+        self._sessions += 1
+        return f'{self.kernel.incarnation}.{self._sessions}'
 
-    def _retry(self, address: str) -> None:
-        """Dial again after a growing pause."""
-        delay = self._dialing.pop(address, const.RECONNECT_MIN_MS)
-        longer = min(2 * delay, const.RECONNECT_MAX_MS)
-        self.kernel.clock.call_later(
-            delay, lambda: self._dial(address, longer)
+    def is_linked(self, address: str, instance_id: str) -> bool:
+        """Return whether a link to a peer is in use."""
+        return instance_id in self._links or any(
+            link.dialed == address
+            or link.hello is not None
+            and link.hello.peer_address == address
+            for link in self._links.values()
         )
 
-    def link_up(self, link: '_link.Link', hello: wire.Hello) -> bool:
-        """Take a link into use after its hello; return False to drop it.
+    def may_take(self, link: _link.Link) -> bool:
+        """Decide whether a new link to a peer is used.
 
-        Of two links between the same daemons, both sides keep the one
-        that was dialed by the smaller instance id.
+        The first one stays, because a newer connection does not prove that
+        its incarnation is newer; a dead link ends within the time-out.
         """
-        other = self._links.get(hello.instance_id)
-        same_start = (
-            other is not None
-            and other.hello is not None
-            and other.hello.incarnation == hello.incarnation
+        assert link.hello is not None
+        return not self.is_stopped and link.hello.instance_id not in (
+            self._links
         )
-        if other is not None and same_start:
-            dialed_by_me = link.dialed is not None
-            keep = dialed_by_me == (self.cfg.instance_id < hello.instance_id)
-            if not keep:
-                return False
+
+    def link_up(self, link: _link.Link) -> None:
+        """Take a link into use and tell the peer the present state."""
+        hello = link.hello
+        assert hello is not None
+        former = self._links.get(hello.instance_id)
         self._links[hello.instance_id] = link
-        if other is not None:
-            other.drop()
+        if former is not None:
+            # The peer decides about links and took this one, so that the
+            # former one is lost at its side.
+            former.drop()
+        if hello.region != self.cfg.region:
+            link.budget = self._budget
         self.kernel.publish(
             membership.PeerConnected(
                 instance_id=hello.instance_id,
@@ -119,24 +129,38 @@
                 region=hello.region,
             )
         )
+        self._send_document(link)
+        if self._leaving:
+            link.send(wire.Leaving(upstreams=tuple(sorted(self._leaving))))
         if self._last_load is not None:
             link.send(self._last_load)
-        if self.generation is not None:
-            link.send(wire.TablesDocument(document=self.generation.document))
-        return True
 
-    def link_down(self, link: '_link.Link') -> None:
+    def link_down(self, link: _link.Link, was_up: bool) -> None:
         """Forget a lost link and dial again."""
         hello = link.hello
-        if hello is not None and self._links.get(hello.instance_id) is link:
-            del self._links[hello.instance_id]
-            self.kernel.publish(
-                membership.PeerDisconnected(instance_id=hello.instance_id)
-            )
-            self._addresses.add(hello.peer_address)
-            self._retry(hello.peer_address)
+        if was_up and hello is not None:
+            if self._links.get(hello.instance_id) is link:
+                del self._links[hello.instance_id]
+                self.kernel.publish(
+                    membership.PeerDisconnected(instance_id=hello.instance_id)
+                )
+            if link.dialed is None and hello.peer_address:
+                self._dialer.add(hello.peer_address, hello.instance_id)
         if link.dialed is not None:
-            self._retry(link.dialed)
+            self._dialer.ended(link.dialed, was_up)
+
+    def find_route(self, generation: int, name: str) -> tables.Route:
+        """Return a route of the tables that a request started with."""
+        known = self._generations.get(generation)
+        if known is None:
+            raise errors.UnknownGenerationError(
+                'the version of the tables is not known',
+                generation=generation,
+            )
+        for route in known.routes:
+            if route.name == name:
+                return route
+        raise errors.UnknownGenerationError('no such route', route=name)
 
     def distance(self, hello: wire.Hello) -> int:
         """Return how far a peer is."""
@@ -146,6 +170,53 @@
             return const.DISTANCE_REGION
         return const.DISTANCE_REMOTE
 
+    def offer(self, link: _link.Link) -> None:
+        """Announce what a peer can take, nothing if it must not be used."""
+        hello = link.hello
+        if hello is None or link.last_load is None:
+            return
+        pools = link.last_load.pools
+        is_paused = link.budget is not None and self._region_timer is not None
+        if hello.is_leaving or is_paused:
+            pools = tuple(
+                wire.PoolLoad(
+                    pool=pool.pool,
+                    free=0,
+                    queued=pool.queued,
+                    latency_ms=pool.latency_ms,
+                )
+                for pool in pools
+            )
+        self.kernel.publish(
+            peers.PeerLoadChanged(
+                peer=hello.instance_id,
+                distance=self.distance(hello),
+                pools=pools,
+            )
+        )
+
+    def pause_region(self) -> None:
+        """Offer no peers of other regions until there is budget again."""
+        if self._region_timer is not None:
+            return
+        now = self.kernel.clock.now()
+        delay = self._budget.wait_ms(const.REGION_RESUME_BYTES, now)
+        self._region_timer = self.kernel.clock.call_later(
+            max(1, delay), self._resume_region
+        )
+        self._offer_remote()
+
+    def _resume_region(self) -> None:
+        """Offer the peers of other regions again."""
+        self._region_timer = None
+        self._offer_remote()
+
+    def _offer_remote(self) -> None:
+        """Announce the peers of other regions again."""
+        for link in self._links.values():
+            if link.budget is not None:
+                self.offer(link)
+
     @core.handles(membership.MembershipChanged)
     def _on_members(self, msg: membership.MembershipChanged) -> None:
         """Dial entry instances that are new in the list."""
@@ -153,16 +224,37 @@
             if entry.role is not platform.InstanceRole.ENTRY:
                 continue
             if entry.state is platform.InstanceState.GONE:
-                self._addresses.discard(entry.peer_address)
+                self._dialer.discard(entry.peer_address, entry.id)
             elif entry.peer_address and entry.id != self.cfg.instance_id:
-                self._addresses.add(entry.peer_address)
-                self._dial(entry.peer_address)
+                self._dialer.add(entry.peer_address, entry.id)
+        new = msg.leaving_upstreams - self._leaving
+        self._leaving = msg.leaving_upstreams
+        if new:
+            self._broadcast(wire.Leaving(upstreams=tuple(sorted(new))))
 
     @core.handles(config.TablesChanged)
     def _on_tables(self, msg: config.TablesChanged) -> None:
-        """Spread a new version of the tables."""
-        self.generation = msg
-        self._broadcast(wire.TablesDocument(document=msg.document))
+        """Keep and spread a new version of the tables."""
+        self._generations[msg.tables.version] = msg.tables
+        while len(self._generations) > const.KEPT_GENERATIONS:
+            self._generations.popitem(last=False)
+        self._document = msg.document
+        for link in list(self._links.values()):
+            self._send_document(link)
+
+    def _send_document(self, link: _link.Link) -> None:
+        """Send the tables in force, which must precede requests."""
+        if not self._document:
+            return
+        try:
+            link.send(wire.TablesDocument(document=self._document))
+        except wire.FrameTooLongError as exc:
+            self.log.error('Tables not announced', reason=str(exc))
+
+    @core.handles(lifecycle.ShutdownStarted)
+    def _on_shutdown(self, msg: lifecycle.ShutdownStarted) -> None:
+        """Tell new links that this daemon is leaving."""
+        self.is_leaving = True
 
     @core.handles(peers.Broadcast)
     def _on_broadcast(self, msg: peers.Broadcast) -> None:
@@ -173,21 +265,18 @@
 
     def _broadcast(self, message: wire.PeerMessage) -> None:
         """Send a message on every link."""
-        for link in self._links.values():
+        for link in list(self._links.values()):
             link.send(message)
 
     @core.handles(exchange.StartExchange)
     def _on_start(self, msg: exchange.StartExchange) -> None:
         """Forward a request to a peer."""
         link = self._links.get(msg.target)
-        if link is None:
-            _link.report(
-                self.kernel,
-                msg.ticket_id,
-                errors.PeerUnreachableError('no link', peer=msg.target),
-            )
+        if link is not None:
+            link.forward(msg)
             return
-        link.forward(msg)
+        error = errors.PeerUnreachableError('no link', peer=msg.target)
+        _forwarded.report(self.kernel, msg.ticket_id, error)
 
     @core.handles(exchange.CancelAttempt)
     def _on_cancel_attempt(self, msg: exchange.CancelAttempt) -> None:
@@ -197,9 +286,14 @@
             link.cancel_forwarded(msg.ticket_id)
 
     def stop(self) -> object:
-        """Close the listener and all links."""
+        """Close the listener, and all links once their bytes are sent."""
         super().stop()
-        for link in list(self._links.values()):
-            link.drop()
+        self._dialer.stop()
+        if self._region_timer is not None:
+            self._region_timer.cancel()
+        links = list(self._links.values())
+        waits: list[Any] = [link.finish() for link in links]
         self._links.clear()
-        return self._port.stopListening() if self._port else None
+        if self._port is not None:
+            waits.append(defer.maybeDeferred(self._port.stopListening))
+        return defer.DeferredList(waits)
--- a/packages/daemon/src/oriolestand_daemon/services/peers/errors.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/errors.py
@@ -18,6 +18,19 @@
     http_status = 502
 
 
+class PeerTimeoutError(PeerLostError):
+    """Raise when a peer did not end an exchange by its deadline."""
+
+    code = 'peer_timeout'
+    http_status = 504
+
+
+class PeerAnswerError(PeerLostError):
+    """Raise when the answer that a peer passed on is malformed or cut."""
+
+    code = 'peer_answer_invalid'
+
+
 class PeerRefusedError(core.OriolestandError):
     """Raise when a peer reports that a forwarded request failed."""
 
@@ -25,7 +38,68 @@
     http_status = 503
 
 
+class UnknownGenerationError(PeerRefusedError):
+    """Raise when a request names tables that this daemon does not hold."""
+
+    code = 'unknown_generation'
+
+
+class HopLimitError(PeerRefusedError):
+    """Raise when a request would be forwarded more than once."""
+
+    code = 'hop_limit'
+    http_status = 508
+
+
+class ForwardedRequestError(core.OriolestandError):
+    """Raise when the head of a forwarded request is not acceptable."""
+
+    code = 'bad_request'
+    http_status = 400
+
+
+class ForwardedBodyError(core.OriolestandError):
+    """Raise when the body of a forwarded request cannot be passed on."""
+
+    code = 'body_lost'
+    verdict = core.Verdict.MAY_HAVE_RUN
+    http_status = 502
+
+
+class RegionBudgetError(core.OriolestandError):
+    """Raise when the budget of the link between regions is used up."""
+
+    code = 'region_budget_used_up'
+    http_status = 503
+
+
+class CallerLeftError(core.OriolestandError):
+    """Raise when the caller of a forwarded request left."""
+
+    code = 'caller_left'
+    verdict = core.Verdict.MAY_HAVE_RUN
+    http_status = 499
+
+
 class HandshakeError(core.OriolestandError):
     """Raise when a peer's first message is not an acceptable hello."""
 
     code = 'handshake_failed'
+
+
+class ProtocolError(core.OriolestandError):
+    """Raise when a peer's message does not fit the state of the link."""
+
+    code = 'protocol_violation'
+
+
+class SilentPeerError(core.OriolestandError):
+    """Raise when nothing was heard from a peer within the timeout."""
+
+    code = 'peer_silent'
+
+
+class TlsSettingsError(core.OriolestandError):
+    """Raise when the files named in the TLS settings cannot be used."""
+
+    code = 'invalid_tls_settings'
--- a/packages/daemon/src/oriolestand_daemon/settings.py
+++ b/packages/daemon/src/oriolestand_daemon/settings.py
@@ -7,6 +7,7 @@
 from oriolestand_models.settings import ListenerSettings
 from oriolestand_models.settings import LogSettings
 from oriolestand_models.settings import PeerListenerSettings
+from oriolestand_models.settings import PeerTlsSettings
 from oriolestand_models.settings import Settings
 from oriolestand_models.settings import SettingsError
 from oriolestand_models.settings import TelemetrySettings
@@ -22,6 +23,7 @@
     'ListenerSettings',
     'LogSettings',
     'PeerListenerSettings',
+    'PeerTlsSettings',
     'Settings',
     'SettingsError',
     'TelemetrySettings',
--- /dev/null
+++ b/packages/daemon/tests/services/peers/conftest.py
@@ -0,0 +1,185 @@
+"""Provide two daemons' peers services over an in-memory connection."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+import pytest
+
+import oriolestand_core as core
+from oriolestand_daemon import settings
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import membership
+from oriolestand_daemon.messages import peers
+from oriolestand_daemon.services.peers import _link
+from oriolestand_daemon.services.peers import _task
+from oriolestand_policy import tables
+
+
+class Recorder(core.Task):
+    """Keep all messages."""
+
+    def __init__(self, kernel: core.Kernel, name: str) -> None:
+        super().__init__(kernel, name)
+        self.seen: list[Any] = []
+
+    def post(self, message: object) -> None:
+        self.seen.append(message)
+
+    def of(self, kind: type) -> list[Any]:
+        return [m for m in self.seen if isinstance(m, kind)]
+
+
+class Wire:
+    """Hold what one side wrote until the test delivers it."""
+
+    def __init__(self) -> None:
+        self.link: Any = None
+        self.other: Wire | None = None
+        self.buffer = b''
+        self.is_closed = False
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def write(self, data: bytes) -> None:
+        self.buffer += data
+
+    def abortConnection(self) -> None:
+        for side in (self, self.other):
+            if side is not None and not side.is_closed:
+                side.is_closed = True
+                side.link.connectionLost()
+
+    loseConnection = abortConnection
+
+    def deliver(self, size: int | None = None) -> bool:
+        """Give bytes to the other side; return whether there were any."""
+        data, self.buffer = self.buffer[:size], self.buffer[size or 1 << 30 :]
+        if data and self.other is not None and not self.other.is_closed:
+            self.other.link.dataReceived(data)
+        return bool(data)
+
+
+class Side:
+    """Hold one daemon's peers service and record what it tells others."""
+
+    def __init__(
+        self, clock: core.ManualClock, name: str, seed: int, **extra: Any
+    ) -> None:
+        data = {
+            'instance_id': name,
+            'failure_domain': 'a',
+            'region': 'r',
+            **extra,
+        }
+        self.kernel = core.Kernel(clock, core.IdSource(seed=seed))
+        self.task = _task.PeersTask(self.kernel, settings.parse_settings(data))
+        self.kernel.register('peers', self.task)
+        self.dispatch = Recorder(self.kernel, 'dispatch')
+        self.tables = Recorder(self.kernel, 'tables')
+        self.caller = Recorder(self.kernel, 'caller')
+        self.events = Recorder(self.kernel, 'events')
+        for task in (self.dispatch, self.tables):
+            self.kernel.register(task.name, task)
+        for event in (
+            membership.PeerConnected,
+            membership.PeerDisconnected,
+            membership.UpstreamLeaving,
+            peers.PeerLoadChanged,
+        ):
+            self.kernel.subscribe(event, self.events)
+
+    def use_tables(self, version: int, *routes: str) -> None:
+        self.task.post(
+            config.TablesChanged(
+                tables=tables.Tables(
+                    version=version,
+                    routes=tuple(
+                        tables.Route(name=name, pool=f'{name}-{version}')
+                        for name in routes
+                    ),
+                ),
+                document=b'{}',
+            )
+        )
+
+    def forward(self, target: str, number: int, **changes: Any) -> None:
+        """Forward a request with a number as ticket and caller's id."""
+        head = exchange.RequestHead(
+            request_id=f'r{number}',
+            method='GET',
+            target='/',
+            headers=(),
+            route=tables.Route(name='main', pool='main'),
+            generation=1,
+            deadline=core.Millis(self.kernel.clock.now() + 5_000),
+            team='t',
+        )
+        self.task.post(
+            exchange.StartExchange(
+                head=dataclasses.replace(head, **changes),
+                ticket_id=f't{number}',
+                target=target,
+                caller=exchange.Endpoint(task=self.caller, xid=number),
+            )
+        )
+
+    def opened(self, number: int) -> exchange.OpenExchange:
+        found: exchange.OpenExchange = self.dispatch.of(exchange.OpenExchange)[
+            number
+        ]
+        return found
+
+    def outcomes(self) -> dict[str, Any]:
+        return {
+            m.ticket_id: m.outcome
+            for m in self.dispatch.seen
+            if hasattr(m, 'outcome')
+        }
+
+
+class Net:
+    """Connect sides and move bytes between them."""
+
+    def __init__(self) -> None:
+        self.clock = core.ManualClock(start=10_000)
+        self.wires: list[Wire] = []
+
+    def side(self, name: str, seed: int = 0, **extra: Any) -> Side:
+        side = Side(self.clock, name, seed or ord(name[0]), **extra)
+        side.use_tables(1, 'main')
+        return side
+
+    def connect(self, dialer: Side, other: Side) -> tuple[Any, Any]:
+        """Open a connection; nothing is delivered yet."""
+        ends = (Wire(), Wire())
+        ends[0].other, ends[1].other = ends[1], ends[0]
+        ends[0].link = _link.Link(dialer.task, dialed='127.0.0.1:1')
+        ends[1].link = _link.Link(other.task)
+        for end in ends:
+            end.link.makeConnection(end)
+        self.wires += ends
+        return ends[0].link, ends[1].link
+
+    def pump(self) -> None:
+        """Deliver until nothing is under way."""
+        while any([w.deliver() for w in self.wires]):
+            pass
+
+    def run(self, millis: int) -> None:
+        """Let time pass with everything delivered at once."""
+        for _ in range(millis // 100):
+            self.clock.advance(100)
+            self.pump()
+
+
+@pytest.fixture
+def net() -> Net:
+    return Net()
+
+
+@pytest.fixture(scope='session')
+def make_net() -> Callable[[], Net]:
+    return Net
--- /dev/null
+++ b/packages/daemon/tests/services/peers/test_exchanges.py
@@ -0,0 +1,220 @@
+"""Test that forwarded requests get whole answers of their own."""
+
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import exchange
+import oriolestand_wire as wire
+
+HEAD = {'status': 200, 'headers': (('Content-Length', '4'),)}
+
+
+def _pair(net: Any) -> tuple[Any, Any, Any, Any]:
+    """Return two sides with a link in use."""
+    left, right = net.side('a'), net.side('b')
+    ends = net.connect(left, right)
+    net.pump()
+    return left, right, *ends
+
+
+def _accept(side: Any, number: int, xid: int) -> exchange.Endpoint:
+    """Accept a forwarded request; return where its answer goes."""
+    caller: exchange.Endpoint = side.opened(number).caller
+    server = exchange.Endpoint(task=side.caller, xid=xid)
+    caller.post(exchange.ExchangeAccepted(xid=caller.xid, server=server))
+    return caller
+
+
+@given(order=st.permutations([0, 1, 2]), cut=st.integers(0, 400))
+def test_answers_meet_their_own_callers(
+    make_net: Any, order: list[int], cut: int
+) -> None:
+    """Answers out of order, or cut by a loss, must not mix or look whole."""
+    net = make_net()
+    left, right, _, end = _pair(net)
+    for number in range(3):
+        left.forward('b', number)
+    net.pump()
+    for number in order:
+        caller = _accept(right, number, number)
+        caller.post(exchange.ResponseHead(xid=caller.xid, **HEAD))
+        data = b'own%d' % number
+        caller.post(exchange.ResponseChunk(xid=caller.xid, data=data))
+        caller.post(exchange.ResponseEnd(xid=caller.xid))
+    wire_back = net.wires[1]
+    whole_size = len(wire_back.buffer)
+    wire_back.deliver(cut)
+    wire_back.buffer = b''
+    wire_back.abortConnection()
+    chunks = {m.xid: m.data for m in left.caller.of(exchange.ResponseChunk)}
+    ended = {m.xid for m in left.caller.of(exchange.ResponseEnd)}
+    assert all(data == b'own%d' % xid for xid, data in chunks.items())
+    assert ended <= chunks.keys()
+    if cut >= whole_size:
+        assert ended == {0, 1, 2}
+    outcomes = left.outcomes()
+    assert len(outcomes) == 3
+    for number in range(3):
+        is_whole = outcomes[f't{number}'].verdict is core.Verdict.RAN
+        assert is_whole == (number in ended)
+
+
+def test_an_answer_shorter_than_announced_is_not_whole(net: Any) -> None:
+    """A server side that ends early must not look complete."""
+    left, right, _, _ = _pair(net)
+    left.forward('b', 1)
+    net.pump()
+    caller = _accept(right, 0, 7)
+    caller.post(exchange.ResponseHead(xid=caller.xid, **HEAD))
+    caller.post(exchange.ResponseChunk(xid=caller.xid, data=b'abc'))
+    caller.post(exchange.ResponseEnd(xid=caller.xid))
+    net.pump()
+    assert not left.caller.of(exchange.ResponseEnd)
+    outcome = left.outcomes()['t1']
+    assert outcome.verdict is core.Verdict.MAY_HAVE_RUN
+    assert outcome.answered
+
+
+def test_late_messages_of_ended_exchanges_are_dropped(net: Any) -> None:
+    """After a cancel, the rest of an answer must not reach anybody."""
+    left, right, _, _ = _pair(net)
+    left.forward('b', 1)
+    net.pump()
+    caller = _accept(right, 0, 7)
+    net.pump()
+    server = left.caller.of(exchange.ExchangeAccepted)[0].server
+    caller.post(exchange.ResponseHead(xid=caller.xid, **HEAD))
+    server.post(exchange.Cancel(xid=server.xid))
+    assert left.outcomes()['t1'].error.code == 'caller_left'
+    left.forward('b', 2)
+    net.pump()
+    assert not left.caller.of(exchange.ResponseHead)
+    assert [m.xid for m in right.caller.of(exchange.Cancel)] == [7]
+    assert right.opened(1).caller.xid > caller.xid
+    assert len(left.outcomes()) == 1
+
+
+def test_requests_are_forwarded_at_most_once(net: Any) -> None:
+    """A request that was forwarded must not travel on."""
+    left, right, link, _ = _pair(net)
+    left.forward('b', 1, hops=1)
+    assert left.outcomes()['t1'].error.code == 'hop_limit'
+    left.forward('b', 2)
+    net.pump()
+    assert right.opened(0).ticket.hops == 1
+    link.send(_open(xid=99, hops=2))
+    net.pump()
+    assert len(right.dispatch.seen) == 1
+
+
+def _open(xid: int, **changes: Any) -> wire.Open:
+    """Return the head of a request as a peer sends it."""
+    values: dict[str, Any] = {
+        'request_id': 'r',
+        'method': 'GET',
+        'target': '/',
+        'headers': (),
+        'route': 'main',
+        'generation': 1,
+        'remaining_ms': 1_000,
+        'team': 't',
+        'traceparent': '',
+        'hops': 1,
+        'body_length': 0,
+        'priority': 0,
+        'idempotency_key': '',
+        'is_service': True,
+    }
+    return wire.Open(xid=xid, **{**values, **changes})
+
+
+def test_requests_keep_the_tables_they_started_with(net: Any) -> None:
+    """A change of the tables must not send a request to another pool."""
+    left, right, _, _ = _pair(net)
+    right.use_tables(2, 'main')
+    left.forward('b', 1, generation=1)
+    left.forward('b', 2, generation=2)
+    left.forward('b', 3, generation=3)
+    net.pump()
+    assert right.opened(0).ticket.pool == 'main-1'
+    assert right.opened(1).ticket.pool == 'main-2'
+    outcome = left.outcomes()['t3']
+    assert outcome.error.code == 'unknown_generation'
+    assert outcome.verdict is core.Verdict.DID_NOT_RUN
+
+
+def test_unknown_codes_count_as_may_have_run(net: Any) -> None:
+    """A newer peer's verdict must not be taken for did_not_run."""
+    left, _, _, end = _pair(net)
+    left.forward('b', 1)
+    failed = wire.Failed(
+        xid=1, code='Bad\n', message='m', verdict='new', http_status=7
+    )
+    end.send(failed)
+    net.pump()
+    outcome = left.outcomes()['t1']
+    assert outcome.verdict is core.Verdict.MAY_HAVE_RUN
+    assert outcome.error.code == 'peer_refused'
+    assert outcome.error.http_status == 502
+
+
+def test_an_exchange_without_an_end_is_given_up(net: Any) -> None:
+    """A peer that forgets an exchange must not hold it for ever."""
+    left, right, _, _ = _pair(net)
+    left.forward('b', 1)
+    net.run(6_100)
+    assert left.outcomes()['t1'].error.code == 'peer_timeout'
+    assert right.dispatch.of(exchange.CancelRequest)
+
+
+def test_a_body_beyond_its_credit_closes_the_link(net: Any) -> None:
+    """A peer that ignores credit must not fill this daemon's memory."""
+    left, right, link, end = _pair(net)
+    left.forward('b', 1, method='POST', body_length=None)
+    net.pump()
+    _accept(right, 0, 7)
+    chunk = wire.BodyChunk(xid=1, data=bytes(64 * 1024))
+    for _ in range(5):
+        link.send(chunk)
+    net.pump()
+    assert len(right.caller.of(exchange.BodyChunk)) == 4
+    assert end.state.value == 'closed'
+    assert left.outcomes()['t1'].error.code == 'peer_lost'
+
+
+def test_the_budget_of_the_region_link_holds(net: Any) -> None:
+    """Traffic between regions is billed, and the link is narrow."""
+    limits = {'region_bytes_per_s': 1_000, 'region_burst_bytes': 5_000}
+    left = net.side('a', limits=limits)
+    right = net.side('b', region='s')
+    _, end = net.connect(left, right)
+    net.pump()
+    pools = (wire.PoolLoad(pool='main', free=4, queued=0, latency_ms=0),)
+    end.send(wire.Load(pools=pools))
+    for number in range(30):
+        left.forward('b', number)
+    net.pump()
+    refused = left.outcomes()
+    assert {o.error.code for o in refused.values()} == {
+        'region_budget_used_up'
+    }
+    sent = len(right.dispatch.of(exchange.OpenExchange))
+    assert 30 - len(refused) == sent
+    assert 5 < sent < 25
+    assert left.events.seen[-1].pools[0].free == 0
+    net.run(6_000)
+    assert left.events.seen[-1].pools[0].free == 4
+
+
+def test_a_local_peer_needs_no_budget(net: Any) -> None:
+    """The budget must not slow links inside a region."""
+    left = net.side('a', limits={'region_burst_bytes': 1})
+    right = net.side('b', failure_domain='c')
+    net.connect(left, right)
+    net.pump()
+    left.forward('b', 1)
+    net.pump()
+    assert right.opened(0).head.request_id == 'r1'
--- a/packages/models/src/oriolestand_models/settings.py
+++ b/packages/models/src/oriolestand_models/settings.py
@@ -39,13 +39,32 @@
     port: Port = 0
 
 
+class TlsSettings(_Model):
+    """Name the PEM files of a certificate chain and its private key."""
+
+    certificate: str = pydantic.Field(min_length=1)
+    key: str = pydantic.Field(min_length=1)
+
+
+class PeerTlsSettings(TlsSettings):
+    """Add the PEM file of the authority that certifies all daemons.
+
+    The common name of a daemon's certificate is its instance id.
+    """
+
+    authority: str = pydantic.Field(min_length=1)
+
+
 class PeerListenerSettings(ListenerSettings):
     """Say where to listen for peers, by one address of this instance.
 
     The address identifies the instance: a daemon that listens on it takes
-    over the slots of the former daemon there.
+    over the slots of the former daemon there. Without ``tls`` links are
+    neither encrypted nor authenticated.
     """
 
+    tls: PeerTlsSettings | None = None
+
     @pydantic.field_validator('host')
     @classmethod
     def _check_host(cls, host: str) -> str:
@@ -55,13 +74,6 @@
         return host
 
 
-class TlsSettings(_Model):
-    """Name the PEM files of a certificate chain and its private key."""
-
-    certificate: str = pydantic.Field(min_length=1)
-    key: str = pydantic.Field(min_length=1)
-
-
 class CallerListenerSettings(ListenerSettings):
     """Say where to listen for callers, and whether over TLS."""
 
@@ -98,14 +110,22 @@
 
 
 class LimitSettings(_Model):
-    """Bound what one daemon holds."""
+    """Bound what one daemon holds.
+
+    ``shutdown_timeout_ms`` exceeds the longest timeout of a route, one
+    hour. ``region_bytes_per_s`` is this daemon's part of the link between
+    regions: eight daemons use half of 15 Mbit/s.
+    """
 
     max_body_bytes: int = pydantic.Field(default=64 * 1024 * 1024, ge=0)
     max_header_bytes: int = pydantic.Field(default=16 * 1024, ge=1024)
     idle_timeout_ms: int = pydantic.Field(default=60_000, ge=100)
     head_timeout_ms: int = pydantic.Field(default=10_000, ge=100)
     linger_ms: int = pydantic.Field(default=500, ge=0)
+    shutdown_timeout_ms: int = pydantic.Field(default=3_900_000, ge=100)
     abort_grace_ms: int = pydantic.Field(default=250, ge=0)
+    region_bytes_per_s: int = pydantic.Field(default=125_000, ge=1)
+    region_burst_bytes: int = pydantic.Field(default=262_144, ge=1)
 
 
 class Settings(_Model):
