Finish requests before a daemon exits

A shutdown stopped the frontend task, which dropped the rest of all answers in progress, and left links with bytes unsent.

A new connection without a request stays open until the end, because its first request may be on its way.

Red without the mechanism, green with it: the close header and the choice of idle connections (1 test each).

--- a/packages/daemon/src/oriolestand_daemon/__main__.py
+++ b/packages/daemon/src/oriolestand_daemon/__main__.py
@@ -13,8 +13,9 @@
 from oriolestand_daemon import _daemon
 from oriolestand_daemon import settings
 
-EXIT_BAD_SETTINGS = 2
+EXIT_OK = 0
 EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
 
 GC_THRESHOLDS = (20_000, 20, 50)
 """Collect rarely: requests leave few cycles, and a pause is tail latency."""
@@ -51,13 +52,23 @@
     daemon = _daemon.Daemon(cfg, reactor)
     core.configure_logs(cfg.log.format, cfg.log.level, daemon.kernel.clock.now)
     log = core.get_logger('daemon')
-    status = [0]
+    status = [EXIT_OK]
 
-    def stop(*_: object) -> None:
+    def stop() -> None:
+        if daemon.is_stopping:
+            daemon.cut_wait('a second signal came')
+            return
         fut = defer.ensureDeferred(daemon.shut_down())
-        fut.addErrback(lambda f: log.error('Shutdown failed', reason=str(f)))
+        fut.addCallbacks(end, fail_to_stop)
         fut.addBoth(lambda _: reactor.stop())
 
+    def end(is_whole: bool) -> None:
+        status[0] = EXIT_OK if is_whole else EXIT_FAILED
+
+    def fail_to_stop(reason: Any) -> None:
+        log.error('Shutdown failed', reason=reason.getErrorMessage())
+        status[0] = EXIT_FAILED
+
     def fail(reason: Any) -> None:
         log.error('Start failed', reason=reason.getErrorMessage())
         status[0] = EXIT_FAILED
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
@@ -62,7 +62,7 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Tell the requests in progress that the caller left."""
-        self._owner.channels.discard(self)
+        self._owner.channel_lost(self)
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         super().connectionLost(reason)
@@ -210,6 +210,22 @@
         if not channel._handlingRequest and not self._is_body_paused:
             channel._networkProducer.resumeProducing()
 
+    def close_kept(self) -> None:
+        """Close a connection that waits for another request.
+
+        The first request on a new connection may be on its way.
+        """
+        channel: Any = self
+        if self._done_requests and not channel.requests:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection once what was written is sent."""
+        if not self._is_lingering:
+            self._is_lingering = True
+            channel: Any = self
+            channel.loseConnection()
+
     def sweep(self, now: core.Millis) -> None:
         """Refuse a head that is overdue; free what an absent caller holds."""
         channel: Any = self
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_request.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_request.py
@@ -39,6 +39,7 @@
         self.queued = False
         self.says_close = False
         self.ticket_id = ''
+        self.service = ''
         self.body_length: int | None = 0
         self.status = 0
         self.route: tables.Route | None = None
@@ -245,6 +246,10 @@
     def _write_head(self, pairs: list[tuple[str, str]]) -> None:
         """Write the head; the reactor joins it with what follows."""
         self.startedWriting = 1
+        if self._owner.is_leaving:
+            channel: Any = self._channel
+            channel.persistent = False
+            self.says_close = True
         if self.says_close:
             pairs.append(('Connection', 'close'))
         self._channel.write(
@@ -378,5 +383,5 @@
             self._server.post(exchange.Cancel(xid=self._server.xid))
         if self.ticket_id:
             self._owner.kernel.post(
-                'dispatch', exchange.CancelRequest(ticket_id=self.ticket_id)
+                self.service, exchange.CancelRequest(ticket_id=self.ticket_id)
             )
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
@@ -2,10 +2,13 @@
 
 from typing import Any
 
+from twisted.internet import defer
+
 import oriolestand_core as core
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import lifecycle
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.frontend import _channel
 from oriolestand_daemon.services.frontend import _head
@@ -35,6 +38,8 @@
         self._sampler = telemetry.Sampler(cfg.telemetry.sample_rate)
         self._telemetry: core.Task | None = None
         self.channels: set[_channel.CallerChannel] = set()
+        self.is_leaving = False
+        self._closed: defer.Deferred[None] | None = None
 
     @property
     def address(self) -> str:
@@ -47,6 +52,7 @@
     def start(self) -> object:
         """Listen for callers."""
         self.kernel.subscribe(config.TablesChanged, self)
+        self.kernel.subscribe(lifecycle.ShutdownStarted, self)
         self._telemetry = self.kernel.services.get('telemetry')
         self._port = _tls.listen(
             self.kernel.reactor,
@@ -114,6 +120,7 @@
             body_is_empty=req.body_length == 0,
         )
         req.ticket_id = ticket.id
+        req.service = 'dispatch'
         self._next_xid += 1
         xid = self._next_xid
         self._requests[xid] = req
@@ -123,7 +130,7 @@
             caller=exchange.Endpoint(task=self, xid=xid),
         )
         try:
-            self.kernel.post('dispatch', message)
+            self.kernel.post(req.service, message)
         except core.OriolestandError:
             del self._requests[xid]
             raise
@@ -213,7 +220,41 @@
         if req is not None:
             req.on_failed(msg.error)
 
+    @core.handles(lifecycle.ShutdownStarted)
+    def _on_shutdown(self, msg: lifecycle.ShutdownStarted) -> None:
+        """Ask callers to close their connections from now on."""
+        self.is_leaving = True
+
+    @core.handles(lifecycle.CloseListener)
+    def _on_close_listener(self, msg: lifecycle.CloseListener) -> object:
+        """Accept no connections; go on with the requests in progress."""
+        for channel in list(self.channels):
+            channel.close_kept()
+        return self._close_port()
+
+    @core.handles(lifecycle.CloseConnections)
+    def _on_close(self, msg: lifecycle.CloseConnections) -> object:
+        """Close all connections once their last bytes are sent."""
+        if not self.channels:
+            return None
+        self._closed = defer.Deferred()
+        for channel in list(self.channels):
+            channel.close()
+        return self._closed
+
+    def channel_lost(self, channel: _channel.CallerChannel) -> None:
+        """Forget a connection that is lost."""
+        self.channels.discard(channel)
+        if self._closed is not None and not self.channels:
+            closed, self._closed = self._closed, None
+            closed.callback(None)
+
+    def _close_port(self) -> object:
+        """Close the listener."""
+        port, self._port = self._port, None
+        return defer.maybeDeferred(port.stopListening) if port else None
+
     def stop(self) -> object:
         """Close the listener."""
         super().stop()
-        return self._port.stopListening() if self._port else None
+        return self._close_port()
--- a/packages/daemon/tests/services/frontend/conftest.py
+++ b/packages/daemon/tests/services/frontend/conftest.py
@@ -82,6 +82,8 @@
         self.kernel = core.Kernel(self.clock, core.IdSource(1), reactor)
         self.dispatch = Recorder(self.kernel, 'dispatch')
         self.kernel.register('dispatch', self.dispatch)
+        self.guard = Recorder(self.kernel, 'idempotency')
+        self.kernel.register('idempotency', self.guard)
         self.server = Recorder(self.kernel, 'upstreams')
         self.task = _task.FrontendTask(self.kernel, cfg)
         self.task.start()
@@ -107,10 +109,9 @@
 
     @property
     def opened(self) -> exchange.OpenExchange:
-        found: exchange.OpenExchange = self.dispatch.of(exchange.OpenExchange)[
-            -1
-        ]
-        return found
+        seen = (*self.guard.seen, *self.dispatch.seen)
+        found = [m for m in seen if isinstance(m, exchange.OpenExchange)]
+        return found[-1]
 
     def accept(self, credit: int = 0) -> None:
         xid = self.opened.caller.xid
--- /dev/null
+++ b/packages/daemon/tests/services/frontend/test_shutdown.py
@@ -0,0 +1,55 @@
+"""Test how callers' connections end in a shutdown."""
+
+from typing import Any
+
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import lifecycle
+
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+def _serve(bench: Any) -> bytes:
+    """Send a request on the connection and answer it."""
+    bench.wire.clear()
+    bench.send(GET)
+    bench.answer(b'x', Content_Length='1')
+    bench.end()
+    written: bytes = bench.wire.value()
+    return written
+
+
+def test_kept_connections_are_closed_after_the_next_response(
+    bench: Any,
+) -> None:
+    """A caller must move to another entry instance in time."""
+    assert b'Connection: close' not in _serve(bench)
+    assert not bench.wire.disconnecting
+    bench.task.post(lifecycle.ShutdownStarted())
+    written = _serve(bench)
+    assert b'Connection: close' in written
+    assert written.endswith(b'x')
+    assert bench.wire.disconnecting
+
+
+def test_a_request_in_progress_is_not_interrupted(bench: Any) -> None:
+    """Closing the listener must cut neither requests nor responses."""
+    idle = bench.wire
+    _serve(bench)
+    new = bench.connect()
+    busy, channel = bench.connect(), bench.channel
+    bench.send(GET)
+    bench.answer(b'ab', Content_Length='4')
+    bench.task.post(lifecycle.CloseListener())
+    assert [w.disconnecting for w in (idle, new, busy)] == [True, False, False]
+    xid = bench.opened.caller.xid
+    bench.task.post(exchange.ResponseChunk(xid=xid, data=b'cd'))
+    bench.end()
+    assert busy.value().endswith(b'abcd')
+    ended = bench.task.ask(lifecycle.CloseConnections())
+    assert new.disconnecting
+    for connection in list(bench.task.channels):
+        assert not ended.called
+        bench.channel = connection
+        bench.leave()
+    assert ended.called
+    assert channel not in bench.task.channels
