Run a keyed request at most once at any entry instance

The service sits between frontend and dispatch for requests with a key on routes that are not idempotent. It claims the key in the table service before the request is sent, many keys in one transaction, and records the outcome afterwards: ran (with a small response), did not run, or nothing, which a repeat sees as may_have_run. A lost response of the store is read back; as the absence of the row proves nothing, the same transaction is then sent again. When that fails too, the request is refused and its claim is withdrawn by a write that also blocks a claim still on its way.

The body is digested while it passes through, so that it needs no buffer. A repeat of a request that ran is read to its end and compared before a stored response is sent. Outcomes are recorded after the response, which saves a round trip to the store; a repeat in between gets 409 with may_have_run.

--- a/packages/daemon/src/oriolestand_daemon/_daemon.py
+++ b/packages/daemon/src/oriolestand_daemon/_daemon.py
@@ -10,6 +10,7 @@
 from oriolestand_daemon.messages import batch
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import grants
+from oriolestand_daemon.messages import idempotency
 from oriolestand_daemon.messages import lifecycle
 
 SERVICES_PACKAGE = 'oriolestand_daemon.services'
@@ -21,6 +22,7 @@
     'grants',
     'peers',
     'dispatch',
+    'idempotency',
     'upstreams',
     'frontend',
     'admin',
@@ -86,6 +88,7 @@
         self.kernel.publish(lifecycle.ShutdownStarted(), is_state=True)
         is_whole = await self._wait(defer.ensureDeferred(self._drain()))
         timer.cancel()
+        await self._bounded('Keys', 'idempotency', idempotency.FlushKeys())
         await self._bounded('Grants', 'grants', grants.ReleaseGrants())
         await self._bounded(
             'Connections', 'frontend', lifecycle.CloseConnections()
@@ -102,6 +105,8 @@
                 await self.kernel.ask('batch', batch.DrainTasks())
             except core.OriolestandError as exc:
                 self._log.error('Tasks not handed over', reason=str(exc))
+        # A keyed request reaches dispatch only after its key is recorded.
+        await self.kernel.ask('idempotency', idempotency.DrainKeys())
         await self.kernel.ask('dispatch', dispatch.DrainRequests())
 
     async def _wait(self, work: 'defer.Deferred[None]') -> bool:
--- a/packages/daemon/tests/services/frontend/test_shutdown.py
+++ b/packages/daemon/tests/services/frontend/test_shutdown.py
@@ -53,3 +53,21 @@
         bench.leave()
     assert ended.called
     assert channel not in bench.task.channels
+
+
+def test_keyed_requests_are_guarded_unless_they_are_idempotent(
+    bench: Any,
+) -> None:
+    """A keyed request that went past the guard could run twice."""
+    for path in (b'a', b'safe'):
+        bench.connect()
+        bench.send(
+            b'POST /%s HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n'
+            b'Content-Length: 0\r\n\r\n' % path
+        )
+        bench.leave()
+    assert [type(m) for m in bench.guard.seen] == [
+        exchange.OpenExchange,
+        exchange.CancelRequest,
+    ]
+    assert len(bench.dispatch.seen) == 2
