--- a/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from OpenSSL import SSL
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure
@@ -203,7 +204,13 @@
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        """End what is left on the link."""
+        """End what is left on the link; log why TLS refused it."""
+        if self.state is LinkState.CONNECTED and reason.check(SSL.Error):
+            self.owner.log.warning(
+                'Link refused',
+                code=errors.HandshakeError.code,
+                reason=repr(reason.value),
+            )
         self._close()
         core.Task.stop(self)
         if not self.closed.called:
--- a/packages/daemon/tests/services/peers/test_link.py
+++ b/packages/daemon/tests/services/peers/test_link.py
@@ -10,10 +10,12 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from hypothesis import given
 from hypothesis import strategies as st
+from OpenSSL import SSL
 import pytest
 from twisted.internet import protocol
 from twisted.internet import task
 from twisted.internet import testing
+from twisted.python import failure
 
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import membership
@@ -290,3 +292,17 @@
     net.wires += pipes
     for pipe, end in zip(pipes, ends, strict=True):
         end.makeConnection(pipe)
+
+
+def test_a_refusal_by_tls_is_logged(
+    net: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A wrong certificate must not look like a network fault."""
+    side = net.side('a')
+    logged: list[Any] = []
+    log = type('Log', (), {'warning': lambda _, *a, **k: logged.append(k)})()
+    monkeypatch.setattr(side.task, 'log', log)
+    link, other = net.connect(side, net.side('b'))
+    link.connectionLost(failure.Failure(SSL.Error('unknown ca')))
+    assert [entry['code'] for entry in logged] == ['handshake_failed']
+    assert other.state is _link.LinkState.CONNECTED
