Test deaths, shutdowns and departures with processes

- A forwarder or the daemon behind it is killed in mid answer: no caller takes a part for the whole.
- An entry instance is killed and the keyed request repeated at another one: one run, 409 with may_have_run; a stored response is replayed.
- The daemons of a failure domain restart one after another under load with open streams: no request fails, no stream is cut, exit status 0.
- A second signal ends the wait with exit status 1.
- A peer that was frozen while an upstream left, with the list frozen as well, learns of it from its links.

The upstream's stand-in can hold answers after their first half.

--- a/packages/daemon/tests/failures/conftest.py
+++ b/packages/daemon/tests/failures/conftest.py
@@ -1,11 +1,159 @@
-"""Share a running cluster between failure tests."""
+"""Run daemons and stand-ins as processes for the failure tests."""
 
 from collections.abc import Iterator
+import http.client
+import json
+from typing import Any
 
 import pytest
 
 from oriolestand_standins import _cluster
 
+HELD = {'holds_path': '/stream', 'service_ms': 0}
+LINGER_MS = 2_000
+"""How long a load may still send after it saw that an entry is ready."""
+
+FREE = {'holds_path': '', 'service_ms': 0}
+
+
+class Stream:
+    """Hold a request whose answer has begun."""
+
+    def __init__(self, port: int, key: str, **headers: str) -> None:
+        self.key = key
+        self._conn = http.client.HTTPConnection(
+            _cluster.HOST, port, timeout=_cluster.WAIT_BOUND_S
+        )
+        sent = {'x-request-key': key, **headers}
+        self._conn.request('POST', '/stream', b'body', sent)
+
+    def begin(self) -> None:
+        """Wait for the head and the first bytes of the answer."""
+        self._answer = self._conn.getresponse()
+        self._data = self._answer.read(1)
+
+    def is_whole(self) -> bool:
+        """Read the rest; return whether this is the whole own answer."""
+        try:
+            self._data += self._answer.read()
+        except (http.client.HTTPException, OSError):
+            return False
+        finally:
+            self._conn.close()
+        body = json.loads(self._data)
+        assert body['key'] == self.key
+        return True
+
+
+class Setup:
+    """Start entry instances and upstreams, by failure domain."""
+
+    def __init__(self, cluster: _cluster.Cluster) -> None:
+        self.cluster = cluster
+
+    def start(self, entries: dict[str, str], ups: dict[str, str]) -> None:
+        """Start everything and wait until the slots are shared."""
+        cluster = self.cluster
+        cluster.start_platform()
+        for name in ups:
+            cluster.start_upstream(name)
+        for name, domain in entries.items():
+            cluster.add_entry(name, domain, 'north')
+        for name in entries:
+            self.start_daemon(name)
+        first = next(iter(entries))
+        _cluster.wait_until(
+            lambda: (
+                cluster.put_tables(first, self._document(ups), 0).status
+                in (200, 409)
+            ),
+            'tables accepted',
+        )
+        for name in entries:
+            cluster.wait_ready(name)
+        for domain in set(entries.values()):
+            holders = [n for n, d in entries.items() if d == domain]
+            slots = 8 * sum(d == domain for d in ups.values())
+            _cluster.wait_until(
+                lambda holders=holders, slots=slots: (
+                    sum(self.limits(name) for name in holders) == slots
+                    and all(
+                        bool(slots) == bool(self.limits(n)) for n in holders
+                    )
+                ),
+                f'the slots of {domain} are shared',
+            )
+
+    def limits(self, name: str) -> int:
+        """Return the slots that a daemon holds."""
+        pool = self.cluster.status(name)['pools'].get('main', {})
+        ups = pool.get('upstreams', {})
+        return sum(up['limit'] for up in ups.values())
+
+    def peers(self, name: str) -> dict[str, int]:
+        """Return the peers that a daemon may forward to, by free slots."""
+        pool = self.cluster.status(name)['pools'].get('main', {})
+        found: dict[str, int] = pool.get('peers', {})
+        return found
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon."""
+        self.cluster.start_daemon(
+            name, limits={'linger_ms': LINGER_MS, 'abort_grace_ms': 50}
+        )
+
+    def _document(self, ups: dict[str, str]) -> dict[str, Any]:
+        """Return one route and one pool over all upstreams."""
+        return {
+            'routes': [{'name': 'book', 'pool': 'main', 'timeout_ms': 60_000}],
+            'pools': [
+                {
+                    'name': 'main',
+                    'upstreams': [
+                        {
+                            'address': self.address(name),
+                            'failure_domain': domain,
+                        }
+                        for name, domain in ups.items()
+                    ],
+                }
+            ],
+        }
+
+    def address(self, upstream: str) -> str:
+        """Return the address of an upstream."""
+        return f'{_cluster.HOST}:{self.cluster.upstreams[upstream].port}'
+
+    def wait_offer(self, name: str, peer: str) -> None:
+        """Wait until a daemon may forward to a peer."""
+        _cluster.wait_until(
+            lambda: bool(self.peers(name).get(peer)),
+            f'{name} may forward to {peer}',
+        )
+
+    def hold(self, upstream: str, is_held: bool) -> None:
+        """Hold the answers of an upstream, or let them end."""
+        process = self.cluster.upstreams[upstream]
+        self.cluster.set_faults(process, **(HELD if is_held else FREE))
+
+    def open(self, entry: str, key: str, **headers: str) -> Stream:
+        """Start a request whose answer is held."""
+        stream = Stream(self.cluster.entries[entry].callers, key, **headers)
+        stream.begin()
+        return stream
+
+    def send(
+        self, entry: str, key: str, path: str = '/book', **headers: str
+    ) -> _cluster.Answer:
+        """Send a request and return its answer."""
+        return _cluster.call(
+            self.cluster.entries[entry].callers,
+            'POST',
+            path,
+            b'body',
+            {'x-request-key': key, **headers},
+        )
+
 
 @pytest.fixture
 def cluster() -> Iterator[_cluster.Cluster]:
@@ -13,3 +161,11 @@
     with _cluster.Cluster() as running:
         running.start_platform()
         yield running
+
+
+@pytest.fixture
+def setup() -> Iterator[Setup]:
+    with _cluster.Cluster() as cluster:
+        yield Setup(cluster)
+        for process in cluster.daemons.values():
+            print(process.name, process.log.read_text()[-4000:])
--- a/packages/standins/src/oriolestand_standins/_upstream.py
+++ b/packages/standins/src/oriolestand_standins/_upstream.py
@@ -25,17 +25,23 @@
     hangs: bool = False
     cuts_answers: bool = False
     is_leaving: bool = False
+    holds_path: str = ''
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class UpstreamFaults:
-    """Switch the behaviour of an upstream."""
+    """Switch the behaviour of an upstream.
+
+    With ``holds_path``, answers to paths that begin with it stop after
+    their first half, without a length, until the switch is cleared.
+    """
 
     service_ms: int = 5
     fails: bool = False
     hangs: bool = False
     cuts_answers: bool = False
     is_leaving: bool = False
+    holds_path: str = ''
 
 
 class UpstreamSite(server.Site):
@@ -53,6 +59,7 @@
         self.max_connections = 0
         self.runs: collections.Counter[str] = collections.Counter()
         self.reactor: Any = reactor
+        self.held: list[tuple[Any, bytes]] = []
         root: Any = _Upstream(self)
         super().__init__(root, reactor=reactor)
 
@@ -76,10 +83,12 @@
             'name': self.name,
             'slots': self.slots,
             'running': self.running,
+            'held': len(self.held),
             'max_running': self.max_running,
             'max_connections': self.max_connections,
             'requests': sum(self.runs.values()),
             'run_more_than_once': sum(n > 1 for n in self.runs.values()),
+            'runs': dict(self.runs),
         }
 
 
@@ -133,8 +142,19 @@
             request.setResponseCode(http.BAD_REQUEST)
             return str(exc).encode()
         self._site.faults = UpstreamFaults(**model.model_dump())
+        if not model.holds_path:
+            self._finish_held()
         return b'{}'
 
+    def _finish_held(self) -> None:
+        """Send the rest of the answers that are held."""
+        held, self._site.held = self._site.held, []
+        for request, rest in held:
+            self._site.running -= 1
+            if not request._disconnected:
+                request.write(rest)
+                request.finish()
+
     def _answer(self, request: Any) -> None:
         """Answer with the request's own body and key."""
         if request._disconnected:
@@ -152,6 +172,12 @@
                 'size': len(request.content.read()),
             }
         ).encode()
+        held = faults.holds_path.encode()
+        if held and request.path.startswith(held):
+            request.write(body[: len(body) // 2])
+            self._site.running += 1
+            self._site.held.append((request, body[len(body) // 2 :]))
+            return
         request.setHeader('Content-Length', str(len(body)))
         if faults.cuts_answers:
             request.write(body[: len(body) // 2])
