--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
@@ -62,7 +62,7 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Tell the requests in progress that the caller left."""
-        self._owner.channels.discard(self)
+        self._owner.channel_lost(self)
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         super().connectionLost(reason)
@@ -171,6 +171,7 @@
         channel.lineReceived = _ignore
         transport: Any = self.transport
         channel._networkProducer.unregisterProducer()
+        self._abort_later()
         if interfaces.ISSLTransport.providedBy(transport) or not hasattr(
             transport, 'loseWriteConnection'
         ):
@@ -178,6 +179,10 @@
             return
         transport.resumeProducing()
         transport.loseWriteConnection()
+
+    def _abort_later(self) -> None:
+        """Bound the time in which the caller may read what is left."""
+        transport: Any = self.transport
         self._linger_timer = self._owner.kernel.clock.call_later(
             const.LINGER_MS, transport.abortConnection
         )
@@ -210,6 +215,22 @@
         if not channel._handlingRequest and not self._is_body_paused:
             channel._networkProducer.resumeProducing()
 
+    def close_kept(self) -> None:
+        """Close a connection that waits for another request.
+
+        The first request on a new connection may be on its way.
+        """
+        channel: Any = self
+        if self._done_requests and not channel.requests:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection once what was written is sent."""
+        if not self._is_lingering:
+            self._is_lingering = True
+            channel: Any = self
+            channel.loseConnection()
+
     def sweep(self, now: core.Millis) -> None:
         """Refuse a head that is overdue; free what an absent caller holds."""
         channel: Any = self
@@ -234,6 +255,8 @@
             self._idle_since = now
         elif now - self._idle_since >= self._owner.cfg.limits.idle_timeout_ms:
             self._is_lingering = True
+            # A caller that reads nothing would keep the rest in memory.
+            self._abort_later()
             channel.loseConnection()
 
     def _sweep_head(self, now: core.Millis) -> None:
--- a/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_dispatcher.py
@@ -69,6 +69,11 @@
         """Return the number of requests that were sent and not ended."""
         return len(self._flights.sent)
 
+    @property
+    def held(self) -> int:
+        """Return the number of slots held for requests that were aborted."""
+        return self._flights.held
+
     def set_pool(
         self,
         name: str,
@@ -133,7 +138,10 @@
             pool.peers.remove(peer)
 
     def set_leaving(self, address: str, is_leaving: bool) -> None:
-        """Give an upstream no new work, or take it into use again."""
+        """Give an upstream no new work, or take it into use again.
+
+        This holds also for an upstream whose slots are granted later.
+        """
         self._slots.set_leaving(address, is_leaving)
 
     def submit(
@@ -156,8 +164,7 @@
             # The entry instance that forwarded it has counted it.
             self._retries[pool.name].note_request()
         queue = pool.queue
-        # An index or a share may be ahead of the queue, but nobody may
-        # overtake a request of the same kind that waits.
+        # Nobody may overtake a request of the same kind that waits.
         if not queue.has_waiting(ticket.kind):
             flight = _flights.Flight(ticket=ticket, pool=pool)
             sent = self._flights.send(flight, now)
@@ -323,12 +330,8 @@
         ticket = flight.ticket
         if outcome.error is None:
             return [_effects.Finish(ticket=ticket)]
-        if (
-            ticket.deadline <= now
-            or outcome.answered
-            or outcome.is_final
-            or flight.pool.is_removed
-        ):
+        is_over = outcome.answered or outcome.is_final
+        if is_over or ticket.deadline <= now or flight.pool.is_removed:
             return [_effects.Fail(ticket=ticket, error=outcome.error)]
         if was_refused:
             # The upstreams saw nothing of it, so this is no retry.
--- a/packages/policy/src/oriolestand_policy/dispatching/_flights.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_flights.py
@@ -47,6 +47,11 @@
         self._held: list[tuple[core.Millis, int, Flight]] = []
         self._held_count = 0
 
+    @property
+    def held(self) -> int:
+        """Return the number of slots held for requests that were aborted."""
+        return len(self._held)
+
     def tick(self, now: core.Millis) -> None:
         """Free the slots of requests that must have ended."""
         while self._held and self._held[0][0] <= now:
--- a/packages/policy/src/oriolestand_policy/dispatching/_slots.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_slots.py
@@ -17,6 +17,7 @@
         self._health = watch
         self.pools: dict[str, _state.PoolState] = {}
         self.upstreams: dict[str, placement.UpstreamState] = {}
+        self._leaving: set[str] = set()
 
     def add_pool(
         self, name: str, queue: admission.AdmissionQueue
@@ -52,7 +53,11 @@
         """
         upstream = self.upstreams.get(address)
         if upstream is None:
-            upstream = placement.UpstreamState(address=address, pool=pool.name)
+            upstream = placement.UpstreamState(
+                address=address,
+                pool=pool.name,
+                is_leaving=address in self._leaving,
+            )
             self.upstreams[address] = upstream
         elif upstream.pool == pool.name:
             return upstream
@@ -70,6 +75,10 @@
 
     def set_leaving(self, address: str, is_leaving: bool) -> None:
         """Give an upstream no new work, or take it into use again."""
+        if is_leaving:
+            self._leaving.add(address)
+        else:
+            self._leaving.discard(address)
         upstream = self.upstreams.get(address)
         if upstream is not None:
             upstream.is_leaving = is_leaving
