--- a/packages/platform/src/oriolestand_platform/_client.py
+++ b/packages/platform/src/oriolestand_platform/_client.py
@@ -4,13 +4,15 @@
 from collections.abc import Sequence
 
 from oriolestand_platform import _models
+from oriolestand_platform import _workers
 
 
-class PlatformClient(abc.ABC):
-    """Reach the platform's table service, object store and instance list.
+class PlatformClient(_workers.WorkerClient):
+    """Reach the platform's table service, object store, list and workers.
 
-    All methods raise StoreUnavailableError when the platform certainly did
-    nothing, and StoreTimeoutError when it may have applied a write.
+    All methods of the store raise StoreUnavailableError when the platform
+    certainly did nothing, and StoreTimeoutError when it may have applied a
+    write.
     """
 
     @abc.abstractmethod
--- a/packages/platform/src/oriolestand_platform/_errors.py
+++ b/packages/platform/src/oriolestand_platform/_errors.py
@@ -17,6 +17,20 @@
     verdict = core.Verdict.MAY_HAVE_RUN
 
 
+class WorkerUnreachableError(core.OriolestandError):
+    """Raise when a worker certainly did not get a request."""
+
+    code = 'worker_unreachable'
+    http_status = 503
+
+
+class WorkerTimeoutError(WorkerUnreachableError):
+    """Raise when no usable answer came; the request may have acted."""
+
+    code = 'worker_timeout'
+    verdict = core.Verdict.MAY_HAVE_RUN
+
+
 class ConflictError(core.OriolestandError):
     """Raise when a row was not at the version that a write expected."""
 
--- a/packages/platform/src/oriolestand_platform/_http.py
+++ b/packages/platform/src/oriolestand_platform/_http.py
@@ -17,7 +17,9 @@
 
 from oriolestand_platform import _client
 from oriolestand_platform import _errors
+from oriolestand_platform import _http_workers
 from oriolestand_platform import _models
+from oriolestand_platform import _workers
 
 Model = TypeVar('Model', bound=pydantic.BaseModel)
 
@@ -43,6 +45,7 @@
         self._reactor = reactor
         self._base_url = base_url.rstrip('/')
         self._timeout = timeout_ms / MILLIS_PER_SECOND
+        self._workers = _http_workers.HttpWorkers(reactor, timeout_ms)
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         # A repeat must be the caller's decision: a write may have run.
@@ -89,8 +92,15 @@
         _, body = await self._call('GET', '/instances')
         return _parse(_models.InstanceList, body)
 
+    async def call_worker(
+        self, address: str, request: _workers.WorkerRequest
+    ) -> _workers.WorkerReply:
+        """Send one request to a worker."""
+        return await self._workers.call(address, request)
+
     def close(self) -> object:
         """Close idle connections."""
+        self._workers.close()
         return self._pool.closeCachedConnections()
 
     async def _call(
--- a/packages/platform/src/oriolestand_platform/_memory.py
+++ b/packages/platform/src/oriolestand_platform/_memory.py
@@ -5,7 +5,9 @@
 from collections.abc import Sequence
 
 from oriolestand_platform import _client
+from oriolestand_platform import _memory_workers
 from oriolestand_platform import _models
+from oriolestand_platform import _workers
 
 MAX_REMEMBERED_REQUESTS = 10_000
 
@@ -113,6 +115,13 @@
     def __init__(self, store: MemoryStore, wall_ms: Callable[[], int]) -> None:
         self._store = store
         self._wall_ms = wall_ms
+        self.workers = _memory_workers.MemoryWorkers()
+
+    async def call_worker(
+        self, address: str, request: _workers.WorkerRequest
+    ) -> _workers.WorkerReply:
+        """Send one request to a worker."""
+        return await self.workers.call(address, request)
 
     async def read(self, table: str, key: str) -> _models.Row | None:
         """Return a row or None."""
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/batch/_workers.py
@@ -0,0 +1,194 @@
+"""Choose workers by demand class and keep failing ones out of use."""
+
+from collections.abc import Iterable
+import dataclasses
+
+import oriolestand_core as core
+from oriolestand_policy.batch import _row
+
+FAILURES_TO_EJECT = 5
+PROBE_INTERVAL_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerSpec:
+    """State what one worker has in total."""
+
+    address: str
+    slots: int
+    accelerators: int = 0
+    memory_mb: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Worker:
+    """Hold what is free at a worker and how its last runs ended."""
+
+    spec: WorkerSpec
+    free_slots: int = 0
+    accelerators: int = 0
+    memory_mb: int = 0
+    failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    probe_at: core.Millis | None = None
+    runs: int = 0
+
+    def fits(self, demand: _row.Demand) -> bool:
+        """Return whether a demand fits into what is free."""
+        return (
+            demand.slots <= self.free_slots
+            and demand.accelerators <= self.accelerators
+            and demand.memory_mb <= self.memory_mb
+        )
+
+
+class WorkerIndex:
+    """Find a worker for a demand without looking at all workers.
+
+    For each demand class the workers that fit it are kept; a change of one
+    worker costs one check for each class.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, _Worker] = {}
+        self._fitting: dict[_row.Demand, dict[str, None]] = {}
+
+    def set_worker(self, spec: WorkerSpec) -> None:
+        """Add a worker or change what it has."""
+        worker = self._workers.get(spec.address)
+        if worker is not None and worker.spec == spec:
+            return
+        if worker is None:
+            worker = _Worker(
+                spec=spec,
+                accelerators=spec.accelerators,
+                memory_mb=spec.memory_mb,
+            )
+            self._workers[spec.address] = worker
+        else:
+            worker.accelerators += spec.accelerators - worker.spec.accelerators
+            worker.memory_mb += spec.memory_mb - worker.spec.memory_mb
+            worker.spec = spec
+        self._update(worker)
+
+    def remove(self, address: str) -> None:
+        """Forget a worker."""
+        if self._workers.pop(address, None) is not None:
+            for addresses in self._fitting.values():
+                addresses.pop(address, None)
+
+    def set_free_slots(self, address: str, slots: int) -> None:
+        """Record how many granted slots are free."""
+        worker = self._workers.get(address)
+        if worker is not None and worker.free_slots != slots:
+            worker.free_slots = slots
+            self._update(worker)
+
+    def choose(
+        self, demand: _row.Demand, now: core.Millis, avoid: str = ''
+    ) -> str | None:
+        """Return a worker that fits and is in use, or None."""
+        if demand not in self._fitting:
+            self._fitting[demand] = {
+                w.spec.address: None
+                for w in self._workers.values()
+                if w.fits(demand)
+            }
+        fallback = None
+        for address in self._fitting[demand]:
+            if not self._is_usable(self._workers[address], now):
+                continue
+            if address != avoid:
+                return address
+            fallback = address
+        return fallback
+
+    def _is_usable(self, worker: _Worker, now: core.Millis) -> bool:
+        """Return whether a worker may get a task, as a probe or not."""
+        if len(worker.failed_jobs) < FAILURES_TO_EJECT:
+            return True
+        if worker.runs or worker.probe_at is None:
+            return False
+        return now >= worker.probe_at
+
+    def take(self, address: str, demand: _row.Demand) -> None:
+        """Count a task as placed at a worker."""
+        worker = self._workers.get(address)
+        if worker is None:
+            return
+        worker.runs += 1
+        worker.free_slots -= demand.slots
+        worker.accelerators -= demand.accelerators
+        worker.memory_mb -= demand.memory_mb
+        self._update(worker)
+
+    def give_back(self, address: str, demand: _row.Demand) -> None:
+        """Count a task as ended at a worker."""
+        worker = self._workers.get(address)
+        if worker is None:
+            return
+        worker.runs -= 1
+        worker.accelerators += demand.accelerators
+        worker.memory_mb += demand.memory_mb
+        worker.free_slots += demand.slots
+        self._update(worker)
+
+    def observe(
+        self, address: str, job: str, failed: bool, now: core.Millis
+    ) -> None:
+        """Record how a run ended.
+
+        A job counts once, so that one bad job ejects no worker.
+        """
+        worker = self._workers.get(address)
+        if worker is None:
+            return
+        if not failed:
+            worker.failed_jobs.clear()
+            worker.probe_at = None
+            return
+        worker.failed_jobs.add(job)
+        if len(worker.failed_jobs) >= FAILURES_TO_EJECT:
+            worker.probe_at = core.Millis(now + PROBE_INTERVAL_MS)
+
+    def _update(self, worker: _Worker) -> None:
+        """Put a worker into the classes that it fits now."""
+        address = worker.spec.address
+        for demand, addresses in self._fitting.items():
+            # Moving it to the end spreads tasks over the workers.
+            addresses.pop(address, None)
+            if worker.fits(demand):
+                addresses[address] = None
+
+
+def why_never(
+    demand: _row.Demand, specs: Iterable[WorkerSpec], pool: str
+) -> str:
+    """Return why no worker can ever run a demand, or ''.
+
+    >>> spec = WorkerSpec(address='w', slots=8)
+    >>> why_never(_row.Demand(slots=9), [spec], 'main')
+    'no worker of pool main has 9 slots; the most is 8'
+    """
+    known = list(specs)
+    if not known:
+        return ''
+    for name in ('slots', 'accelerators', 'memory_mb'):
+        needed = getattr(demand, name)
+        most = max(getattr(spec, name) for spec in known)
+        if needed > most:
+            return (
+                f'no worker of pool {pool} has {needed} {name};'
+                f' the most is {most}'
+            )
+    if any(_has(spec, demand) for spec in known):
+        return ''
+    return f'no single worker of pool {pool} has all that the task needs'
+
+
+def _has(spec: WorkerSpec, demand: _row.Demand) -> bool:
+    """Return whether an idle worker could run a demand."""
+    return (
+        demand.slots <= spec.slots
+        and demand.accelerators <= spec.accelerators
+        and demand.memory_mb <= spec.memory_mb
+    )
--- /dev/null
+++ b/packages/policy/tests/batch/test_queue.py
@@ -0,0 +1,162 @@
+"""Guard the order of tasks and the choice of workers."""
+
+import random
+
+from oriolestand_policy import batch
+
+SMALL = batch.Demand()
+BIG = batch.Demand(slots=4)
+
+
+def entry(name, team='t', priority=0, demand=SMALL):
+    return batch.Entry(
+        name=name, team=team, priority=priority, demand=demand, pool='p'
+    )
+
+
+def test_priority_comes_before_share():
+    """A flood of less urgent work must not delay urgent work."""
+    queue = batch.TaskQueue()
+    for i in range(100):
+        queue.put(entry(f'low{i}'))
+    queue.put(entry('urgent', priority=9))
+    assert queue.take(lambda e: 'w')[0].name == 'urgent'
+
+
+def test_teams_get_slots_by_weight():
+    """A team with many tasks must not starve one with few."""
+    queue = batch.TaskQueue()
+    queue.set_team('a', weight=3)
+    queue.set_team('b', weight=1)
+    for i in range(1_000):
+        queue.put(entry(f'a{i}', 'a'))
+        queue.put(entry(f'b{i}', 'b'))
+    taken = [queue.take(lambda e: 'w')[0].team for _ in range(100)]
+    assert 74 <= taken.count('a') <= 76
+
+
+def test_quota_bounds_a_team_and_frees_with_its_tasks():
+    """A team must stay within its quota even when workers are idle."""
+    queue = batch.TaskQueue()
+    queue.set_team('a', quota=4)
+    for i in range(3):
+        queue.put(entry(str(i), 'a', demand=BIG))
+    assert queue.take(lambda e: 'w') is not None
+    assert queue.take(lambda e: 'w') is None
+    queue.ended('a', 4)
+    assert queue.take(lambda e: 'w') is not None
+
+
+def test_class_that_fits_nowhere_does_not_block_others():
+    """A large task at the head must not block small ones."""
+    queue = batch.TaskQueue()
+    queue.put(entry('big', demand=BIG))
+    queue.put(entry('small'))
+    taken = queue.take(lambda e: 'w' if e.demand == SMALL else None)
+    assert taken[0].name == 'small'
+
+
+def decisions(tasks, workers):
+    """Return the number of calls that the same decisions cost."""
+    calls = [0]
+    queue = batch.TaskQueue()
+    index = batch.WorkerIndex()
+    for i in range(workers):
+        index.set_worker(batch.WorkerSpec(address=f'w{i}', slots=8))
+        index.set_free_slots(f'w{i}', 8)
+    for i in range(tasks):
+        demand = (SMALL, BIG)[i % 2]
+        queue.put(entry(str(i), f'team{i % 78}', i % 3, demand))
+
+    def fits(item):
+        calls[0] += 1
+        return index.choose(item.demand, 0)
+
+    for _ in range(50):
+        item, worker = queue.take(fits)
+        index.take(worker, item.demand)
+    return calls[0]
+
+
+def test_cost_of_a_decision_does_not_grow():
+    """Many tasks or workers must not make decisions slower."""
+    assert decisions(1_000, 60) == 50
+    assert decisions(100_000, 60) == 50
+    assert decisions(1_000, 6_000) == 50
+
+
+def test_a_failing_worker_is_out_after_five_jobs_then_probed():
+    """A worker that fails every task must get one probe at a time."""
+    index = batch.WorkerIndex()
+    index.set_worker(batch.WorkerSpec(address='bad', slots=8))
+    index.set_free_slots('bad', 8)
+    for i in range(5):
+        assert index.choose(SMALL, 0) == 'bad'
+        index.observe('bad', f'job{i}', True, 0)
+    assert index.choose(SMALL, 0) is None
+    assert index.choose(SMALL, 10_000) == 'bad'
+    index.take('bad', SMALL)
+    assert index.choose(SMALL, 10_000) is None
+    index.give_back('bad', SMALL)
+    index.observe('bad', 'job9', False, 10_000)
+    assert index.choose(SMALL, 10_000) == 'bad'
+
+
+def test_one_bad_job_ejects_no_worker():
+    """Retries of one failing job must not count as a failing worker."""
+    index = batch.WorkerIndex()
+    index.set_worker(batch.WorkerSpec(address='w', slots=8))
+    index.set_free_slots('w', 8)
+    for _ in range(20):
+        index.observe('w', 'bad-job', True, 0)
+    assert index.choose(SMALL, 0) == 'w'
+
+
+def test_memory_and_accelerators_bound_a_worker():
+    """A worker must not get more than it has of anything."""
+    index = batch.WorkerIndex()
+    spec = batch.WorkerSpec(
+        address='w', slots=8, accelerators=1, memory_mb=1_000
+    )
+    index.set_worker(spec)
+    index.set_free_slots('w', 8)
+    demand = batch.Demand(accelerators=1, memory_mb=600)
+    assert index.choose(demand, 0) == 'w'
+    index.take('w', demand)
+    assert index.choose(demand, 0) is None
+    assert index.choose(batch.Demand(memory_mb=401), 0) is None
+    assert index.choose(batch.Demand(memory_mb=400), 0) == 'w'
+
+
+def test_why_never_names_what_is_missing():
+    """A job that can never run must be reported with the reason."""
+    specs = [
+        batch.WorkerSpec(address='a', slots=8, accelerators=2),
+        batch.WorkerSpec(address='b', slots=8, memory_mb=9),
+    ]
+    assert batch.why_never(SMALL, specs, 'p') == ''
+    assert batch.why_never(SMALL, [], 'p') == ''
+    assert '3 accelerators' in batch.why_never(
+        batch.Demand(accelerators=3), specs, 'p'
+    )
+    both = batch.Demand(accelerators=1, memory_mb=1)
+    assert 'single worker' in batch.why_never(both, specs, 'p')
+
+
+def test_random_changes_keep_the_queue_consistent():
+    """Removals in any order must leave no empty team or level behind."""
+    rng = random.Random(1)
+    queue = batch.TaskQueue()
+    names = set()
+    for i in range(2_000):
+        if names and rng.random() < 0.5:
+            name = rng.choice(sorted(names))
+            names.remove(name)
+            queue.remove(name)
+        else:
+            names.add(str(i))
+            queue.put(entry(str(i), f't{i % 5}', i % 3))
+    for name in names:
+        queue.remove(name)
+    assert len(queue) == 0
+    assert queue._levels == {} and queue._priorities == []
