--- a/packages/platform/src/oriolestand_platform/_client.py
+++ b/packages/platform/src/oriolestand_platform/_client.py
@@ -10,9 +10,9 @@
 class PlatformClient(_workers.WorkerClient):
     """Reach the platform's table service, object store, list and workers.
 
-    All methods of the store raise StoreUnavailableError when the platform
-    certainly did nothing, and StoreTimeoutError when it may have applied a
-    write.
+    All methods raise StoreUnavailableError or one of its subclasses. The
+    verdict is ``did_not_run`` when the platform certainly did nothing and
+    ``may_have_run`` when it may have applied a write.
     """
 
     @abc.abstractmethod
--- a/packages/platform/src/oriolestand_platform/_http_workers.py
+++ b/packages/platform/src/oriolestand_platform/_http_workers.py
@@ -1,55 +1,43 @@
 """Reach workers over HTTP with JSON bodies."""
 
-import io
 from typing import Any
 
 import pydantic
-from twisted.internet import defer
 from twisted.internet import error
 from twisted.web import client
 from twisted.web import http
-from twisted.web import http_headers
 
 from oriolestand_platform import _errors
+from oriolestand_platform import _transport
 from oriolestand_platform import _workers
 
 PATH = '/_worker'
-MILLIS_PER_SECOND = 1000
+MAX_ANSWER_BYTES = 1024 * 1024
 
 
 class HttpWorkers:
-    """Post requests to workers, on one kept connection for each.
+    """Post requests to workers, each over connections of its own.
 
     :param timeout_ms: after this an answer counts as lost.
     """
 
     def __init__(self, reactor: Any, timeout_ms: int) -> None:
         self._reactor = reactor
-        self._timeout = timeout_ms / MILLIS_PER_SECOND
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = 1
-        self._pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, pool=self._pool, connectTimeout=self._timeout
-        )
+        self._timeout_ms = timeout_ms
+        self._transports: dict[str, _transport.HttpTransport] = {}
 
     async def call(
         self, address: str, request: _workers.WorkerRequest
     ) -> _workers.WorkerReply:
         """Send a request to a worker, or raise WorkerUnreachableError."""
-        body: Any = client.FileBodyProducer(
-            io.BytesIO(request.model_dump_json().encode())
-        )
-        fut = self._agent.request(
-            b'POST',
-            f'http://{address}{PATH}'.encode('ascii'),
-            http_headers.Headers({b'content-type': [b'application/json']}),
-            body,
-        )
-        fut.addCallback(_read)
-        fut.addTimeout(self._timeout, self._reactor)
+        transport = self._transports.get(address)
+        if transport is None:
+            transport = self._transports[address] = _transport.HttpTransport(
+                self._reactor, f'http://{address}', self._timeout_ms
+            )
+        data = request.model_dump_json().encode()
         try:
-            status, data = await fut
+            answer = await transport.send('POST', PATH, data, MAX_ANSWER_BYTES)
         except (error.ConnectError, client.RequestNotSent) as exc:
             raise _errors.WorkerUnreachableError(
                 'the worker cannot be reached',
@@ -62,14 +50,14 @@
                 address=address,
                 reason=repr(exc),
             ) from exc
-        if status != http.OK:
+        if answer.status != http.OK:
             raise _errors.WorkerTimeoutError(
                 'the worker refused the request',
                 address=address,
-                status=status,
+                status=answer.status,
             )
         try:
-            return _workers.WorkerReply.model_validate_json(data)
+            return _workers.WorkerReply.model_validate_json(answer.body)
         except pydantic.ValidationError as exc:
             raise _errors.WorkerTimeoutError(
                 'the answer of the worker is malformed',
@@ -77,12 +65,8 @@
                 reason=str(exc),
             ) from exc
 
-    def close(self) -> object:
+    def close(self) -> None:
         """Close idle connections."""
-        return self._pool.closeCachedConnections()
-
-
-def _read(response: Any) -> 'defer.Deferred[tuple[int, bytes]]':
-    """Collect the whole body of a response."""
-    fut = client.readBody(response)
-    return fut.addCallback(lambda body: (response.code, body))
+        for transport in self._transports.values():
+            transport.close()
+        self._transports.clear()
