Run batch tasks in the daemon

The batch service keeps one row a task. Open tasks have a small index row, written in the same transaction: by queue shard while they wait, by controller while they are placed. A daemon reads, each second, the hand-overs, its cancels and, for each pool with room, the urgent queue and one of four other shards; rows of running tasks are read by nobody. State changes are grouped into transactions of up to 100, repeated with the same request id until their outcome is certain.

A daemon whose instance is listed as gone, or whose former start is replaced, loses its tasks to whoever writes the row first. An adopted task that gets no slots of its worker within 5 s is evicted.

--- a/packages/cli/src/oriolestand_cli/__main__.py
+++ b/packages/cli/src/oriolestand_cli/__main__.py
@@ -5,6 +5,7 @@
 from oriolestand_cli import _daemons
 from oriolestand_cli import _errors
 from oriolestand_cli import _files
+from oriolestand_cli import _jobs
 from oriolestand_cli import _scope
 from oriolestand_cli import _tables
 
@@ -31,6 +32,7 @@
     _files.check,
     _files.schema,
     _files.completion,
+    _jobs.jobs,
 ):
     main.add_command(_command)
 
--- a/packages/cli/src/oriolestand_cli/_client.py
+++ b/packages/cli/src/oriolestand_cli/_client.py
@@ -23,6 +23,9 @@
     'unknown_entry': _errors.ExitCode.NOT_FOUND,
     'unknown_version': _errors.ExitCode.NOT_FOUND,
     'unknown_trace': _errors.ExitCode.NOT_FOUND,
+    'invalid_job': _errors.ExitCode.INVALID,
+    'job_exists': _errors.ExitCode.CONFLICT,
+    'unknown_job': _errors.ExitCode.NOT_FOUND,
 }
 
 
--- a/packages/daemon/src/oriolestand_daemon/_daemon.py
+++ b/packages/daemon/src/oriolestand_daemon/_daemon.py
@@ -6,6 +6,7 @@
 
 import oriolestand_core as core
 from oriolestand_daemon import settings
+from oriolestand_daemon.messages import batch
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import grants
 
@@ -19,6 +20,7 @@
     'dispatch',
     'upstreams',
     'frontend',
+    'batch',
     'admin',
 )
 
@@ -56,6 +58,7 @@
         await self.kernel.sleep(self._cfg.limits.linger_ms)
         await defer.maybeDeferred(self.kernel.find('frontend').stop)
         await self.kernel.ask('dispatch', dispatch.DrainRequests())
+        await self.kernel.ask('batch', batch.DrainTasks())
         try:
             await self.kernel.ask('grants', grants.ReleaseGrants())
         except core.OriolestandError as exc:
--- a/packages/daemon/src/oriolestand_daemon/messages/platform.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/platform.py
@@ -33,6 +33,14 @@
     """Ask for the platform's list, as ``InstanceList``."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallWorker:
+    """Send a request to a worker, as ``WorkerReply``."""
+
+    address: str
+    request: platform.WorkerRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReadObject:
     """Ask for an object's bytes or None."""
--- a/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
@@ -6,6 +6,7 @@
 from oriolestand_daemon import settings
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.services.admin import _jobs
 from oriolestand_daemon.services.admin import _probes
 from oriolestand_daemon.services.admin import _site
 from oriolestand_daemon.services.admin import _tables
@@ -43,6 +44,7 @@
                 'traces': _probes.TracesApi(kernel),
                 'metrics': _probes.MetricsApi(kernel),
                 'tables': _tables.TablesApi(kernel),
+                'jobs': _jobs.JobsApi(kernel),
             },
         )
 
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -0,0 +1,248 @@
+"""Match waiting tasks with free slots of workers."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import platform as store
+from oriolestand_daemon.services.batch import _store
+from oriolestand_daemon.services.batch import const
+import oriolestand_platform as platform
+from oriolestand_policy import batch
+from oriolestand_policy import tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """Hold what a placed task uses; ``has_slots`` says if they are ours."""
+
+    key: str
+    pool: str
+    address: str
+    team: str
+    demand: batch.Demand
+    has_slots: bool
+
+
+class Placer:
+    """Own the queue, what is known of workers and the reservations.
+
+    :param failure_domain: workers of other domains get no tasks from here.
+    """
+
+    def __init__(
+        self, kernel: core.Kernel, rows: _store.TaskStore, failure_domain: str
+    ) -> None:
+        self._kernel = kernel
+        self._store = rows
+        self._failure_domain = failure_domain
+        self._log = core.get_logger(const.DOMAIN)
+        self._tables = tables.Tables(version=0)
+        self._indexes: dict[str, batch.WorkerIndex] = {}
+        self._kinds: dict[str, dict[str, batch.WorkerSpec]] = {}
+        self._held: dict[str, Held] = {}
+        self._specs_at: dict[str, core.Millis] = {}
+        self.queue = batch.TaskQueue()
+
+    @property
+    def held(self) -> dict[str, Held]:
+        """Return what tasks use, by task."""
+        return self._held
+
+    def set_tables(self, known: tables.Tables) -> None:
+        """Know the pools, their workers and the weights of teams."""
+        self._tables = known
+        for pool in known.pools.values():
+            self._indexes.setdefault(pool.name, batch.WorkerIndex())
+            self._kinds.setdefault(pool.name, {})
+            for team, weight in pool.team_weights:
+                self.queue.set_team(team, weight)
+
+    def pools_with_room(self) -> list[str]:
+        """Return the pools for which more queued tasks may be read."""
+        if len(self.queue) >= const.MAX_BACKLOG:
+            return []
+        return sorted(self._indexes)
+
+    async def refresh(self) -> None:
+        """Take over the free granted slots from the dispatcher."""
+        status = await self._kernel.ask(
+            'dispatch', dispatch.GetDispatchStatus()
+        )
+        for name, index in self._indexes.items():
+            for address, up in status.get(name, {})['upstreams'].items():
+                free = max(0, up['limit'] - up['in_use'])
+                index.set_free_slots(address, 0 if up['is_leaving'] else free)
+
+    async def learn_specs(self, ask: Callable[[str], Any]) -> None:
+        """Ask this domain's workers what they have; publish the kinds.
+
+        :param ask: returns a worker's answer to a status request.
+        """
+        now = self._kernel.clock.now()
+        for pool in self._tables.pools.values():
+            mine = [
+                up.address
+                for up in pool.upstreams
+                if up.failure_domain == self._failure_domain
+            ]
+            kinds = self._kinds[pool.name]
+            for address in mine:
+                if self._specs_at.get(address, 0) > now:
+                    continue
+                delay = const.SPEC_RETRY_MS
+                try:
+                    reply: platform.WorkerReply = await ask(address)
+                    spec = batch.WorkerSpec(
+                        address=address,
+                        slots=min(pool.slots_per_upstream, reply.slots),
+                        accelerators=reply.accelerators,
+                        memory_mb=reply.memory_mb,
+                    )
+                    self._indexes[pool.name].set_worker(spec)
+                    kinds[address] = spec
+                    delay = const.SPEC_INTERVAL_MS
+                except core.OriolestandError as exc:
+                    self._log.info('Worker silent', reason=str(exc))
+                self._specs_at[address] = core.Millis(now + delay)
+            if mine and all(address in kinds for address in mine):
+                await self._publish(pool.name, [kinds[a] for a in mine])
+
+    async def _publish(self, pool: str, specs: list[batch.WorkerSpec]) -> None:
+        """Store the kinds of workers of this domain when they changed."""
+        key = f'{pool}/{self._failure_domain}'
+        kinds = sorted({(s.slots, s.accelerators, s.memory_mb) for s in specs})
+        value = {'workers': len(specs), 'kinds': [list(k) for k in kinds]}
+        row = await self._kernel.ask(
+            'platform', store.ReadRow(table=const.CAPACITY, key=key)
+        )
+        if row is None or row.value != value:
+            await self._store.put(const.CAPACITY, key, value)
+
+    async def why_never(self, entry: batch.Entry) -> str:
+        """Return why no worker of the pool can ever run a task, or ''."""
+        pool = self._tables.pools.get(entry.pool)
+        if pool is None or not pool.upstreams:
+            return ''
+        kinds = self._kinds.get(entry.pool, {}).values()
+        if not batch.why_never(entry.demand, kinds, entry.pool):
+            return ''
+        expected: dict[str, int] = {}
+        for up in pool.upstreams:
+            domain = up.failure_domain
+            expected[domain] = expected.get(domain, 0) + 1
+        specs = []
+        rows = await self._store.scan(const.CAPACITY, f'{entry.pool}/')
+        for row in rows:
+            domain = row.key.partition('/')[2]
+            if expected.get(domain) == row.value['workers']:
+                del expected[domain]
+            for slots, accelerators, memory_mb in row.value['kinds']:
+                specs.append(
+                    batch.WorkerSpec(
+                        address=row.key,
+                        slots=slots,
+                        accelerators=accelerators,
+                        memory_mb=memory_mb,
+                    )
+                )
+        if expected:
+            # Some domain's workers are not all known: no verdict yet.
+            return ''
+        return batch.why_never(entry.demand, specs, entry.pool)
+
+    async def place(self) -> tuple[batch.Entry, str] | None:
+        """Take the next task that fits and reserve slots for it."""
+        while True:
+            found = self.queue.take(self._choose)
+            if found is None:
+                return None
+            entry, address = found
+            index = self._indexes[entry.pool]
+            held = Held(
+                key=f'{entry.name}@{self._kernel.ids.request_id()[:8]}',
+                pool=entry.pool,
+                address=address,
+                team=entry.team,
+                demand=entry.demand,
+                has_slots=True,
+            )
+            if await self._reserve(held, entry.priority):
+                index.take(address, entry.demand)
+                self._held[entry.name] = held
+                return found
+            index.set_free_slots(address, 0)
+            self.queue.ended(entry.team, entry.demand.slots)
+            self.queue.put(entry)
+
+    def _choose(self, entry: batch.Entry) -> str | None:
+        """Return a worker of the entry's pool."""
+        index = self._indexes.get(entry.pool)
+        if index is None:
+            return None
+        now = self._kernel.clock.now()
+        return index.choose(entry.demand, now, entry.avoid)
+
+    async def _reserve(self, held: Held, priority: int) -> bool:
+        """Ask the dispatcher for slots of one worker."""
+        reservation = await self._kernel.ask(
+            'dispatch',
+            dispatch.ReserveSlots(
+                key=held.key,
+                pool=held.pool,
+                slots=held.demand.slots,
+                team=held.team,
+                priority=priority,
+                address=held.address,
+            ),
+        )
+        return reservation is not None
+
+    async def adopt(self, row: batch.TaskRow) -> bool:
+        """Count an adopted task; return whether slots were free for it."""
+        former = self._held.get(row.name)
+        held = Held(
+            key=f'{row.name}@{self._kernel.ids.request_id()[:8]}',
+            pool=row.pool,
+            address=row.worker,
+            team=row.team,
+            demand=row.demand,
+            has_slots=False,
+        )
+        if former is None:
+            self._held[row.name] = held
+            self.queue.occupy(row.team, row.demand.slots)
+            if row.pool in self._indexes:
+                self._indexes[row.pool].take(row.worker, row.demand)
+        if not await self._reserve(held, row.priority):
+            return False
+        if row.name not in self._held:
+            # The task ended meanwhile.
+            self._unreserve(held.key)
+            return True
+        self._held[row.name] = dataclasses.replace(held, has_slots=True)
+        return True
+
+    def release(self, name: str) -> None:
+        """Give back what a task used; a repeat does nothing."""
+        held = self._held.pop(name, None)
+        if held is None:
+            return
+        self.queue.ended(held.team, held.demand.slots)
+        if held.pool in self._indexes:
+            self._indexes[held.pool].give_back(held.address, held.demand)
+        if held.has_slots:
+            self._unreserve(held.key)
+
+    def _unreserve(self, key: str) -> None:
+        """Give slots back to the dispatcher."""
+        self._kernel.post('dispatch', dispatch.UnreserveSlots(key=key))
+
+    def observe(self, row: batch.TaskRow, failed: bool) -> None:
+        """Record how a run ended, for the health of its worker."""
+        index = self._indexes.get(row.pool)
+        if index is not None:
+            now = self._kernel.clock.now()
+            index.observe(row.worker, row.name, failed, now)
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
@@ -0,0 +1,199 @@
+"""Speak to workers for the life cycles of tasks."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import platform as store
+from oriolestand_daemon.services.batch import const
+import oriolestand_platform as platform
+from oriolestand_policy import batch
+
+Reports = Callable[[str, platform.RunReport], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Clock:
+    """Relate a worker's clock to the moment its answer came."""
+
+    boot: str
+    now_ms: int
+    at: core.Millis
+
+
+class RunDriver:
+    """Send what life cycles ask for; one renewal message a worker.
+
+    :param on_report: gets a worker's address and what it says of a run.
+    """
+
+    def __init__(
+        self, kernel: core.Kernel, timing: batch.Timing, on_report: Reports
+    ) -> None:
+        self._kernel = kernel
+        self._timing = timing
+        self._on_report = on_report
+        self._log = core.get_logger(const.DOMAIN)
+        self._clocks: dict[str, _Clock] = {}
+        self._renewed_at: dict[str, core.Millis] = {}
+        self._renewing: set[str] = set()
+
+    def send(self, life: batch.Lifecycle, effect: batch.Effect) -> None:
+        """Carry out an effect that concerns a worker."""
+        self._start(self._send(life, effect))
+
+    def _start(self, work: Any) -> None:
+        """Run a coroutine; an unreachable worker is seen by its silence."""
+        fut = defer.ensureDeferred(work)
+        fut.addErrback(
+            lambda f: self._log.info('Worker silent', reason=str(f.value))
+        )
+
+    async def _send(self, life: batch.Lifecycle, effect: batch.Effect) -> None:
+        """Send one request and pass on its answer."""
+        row = life.row
+        ref = platform.RunRef(
+            task=row.name, attempt=row.attempt, epoch=row.epoch
+        )
+        request: platform.WorkerRequest
+        match effect:
+            case batch.StartRun():
+                await self._send_start(life)
+                return
+            case batch.CheckpointRun():
+                request = platform.CheckpointRequest(run=ref)
+            case batch.StopRun():
+                request = platform.StopRequest(run=ref)
+            case _:
+                request = platform.StatusRequest(runs=(ref,))
+        await self.call(row.worker, request)
+
+    async def _send_start(self, life: batch.Lifecycle) -> None:
+        """Send a start once the worker's clock is known."""
+        row = life.row
+        if row.worker not in self._clocks:
+            await self.call(row.worker, platform.StatusRequest())
+        if life.is_stopped or life.row.token != row.token:
+            return
+        demand = row.demand
+        # From here to the request there is no wait in which time passes
+        # unseen: the window and the lease are counted from this moment.
+        life.extended(self._kernel.clock.now())
+        await self.call(
+            row.worker,
+            platform.StartRequest(
+                run=_renewal(row),
+                slots=demand.slots,
+                accelerators=demand.accelerators,
+                memory_mb=demand.memory_mb,
+                payload=row.payload,
+                checkpoint=row.checkpoint,
+                **self._window(row.worker),
+            ),
+        )
+
+    def _window(self, address: str) -> dict[str, Any]:
+        """Return the end of the window on the worker's clock."""
+        clock = self._clocks[address]
+        passed = self._kernel.clock.now() - clock.at
+        return {
+            'boot': clock.boot,
+            'not_after_ms': clock.now_ms + passed + self._timing.window_ms,
+        }
+
+    def renew(self, lives: Iterable[batch.Lifecycle]) -> None:
+        """Extend the leases that are due, one message a worker."""
+        now = self._kernel.clock.now()
+        by_worker = collections.defaultdict(list)
+        for life in lives:
+            if life.may_renew(now):
+                by_worker[life.row.worker].append(life)
+        for address in self._renewed_at.keys() - by_worker.keys():
+            del self._renewed_at[address]
+        for address, group in by_worker.items():
+            lease_ms = min(life.row.lease_ms for life in group)
+            due = lease_ms // const.RENEWALS_PER_LEASE
+            last = self._renewed_at.get(address)
+            if address in self._renewing:
+                continue
+            if last is not None and now - last < due:
+                continue
+            self._renewed_at[address] = now
+            self._renewing.add(address)
+            self._start(self._renew(address, group))
+
+    async def _renew(self, address: str, group: list[batch.Lifecycle]) -> None:
+        """Send one renewal for all tasks of a worker."""
+        try:
+            if address not in self._clocks:
+                await self.call(address, platform.StatusRequest())
+            now = self._kernel.clock.now()
+            group = [life for life in group if life.may_renew(now)]
+            for life in group:
+                life.extended(now)
+            await self.call(
+                address,
+                platform.RenewRequest(
+                    runs=tuple(_renewal(life.row) for life in group),
+                    **self._window(address),
+                ),
+            )
+        finally:
+            self._renewing.discard(address)
+
+    async def call(
+        self, address: str, request: platform.WorkerRequest
+    ) -> platform.WorkerReply:
+        """Send a request; pass on reports and learn the worker's clock."""
+        reply: platform.WorkerReply = await self._kernel.ask(
+            'platform', store.CallWorker(address=address, request=request)
+        )
+        # The clock was read before now, so it is at least this far on.
+        self._clocks[address] = _Clock(
+            boot=reply.boot,
+            now_ms=reply.now_ms,
+            at=self._kernel.clock.now(),
+        )
+        for report in reply.reports:
+            self._on_report(address, report)
+        return reply
+
+
+def _renewal(row: batch.TaskRow) -> platform.Renewal:
+    """Return the lease that a row asks for."""
+    return platform.Renewal(
+        task=row.name,
+        attempt=row.attempt,
+        epoch=row.epoch,
+        lease_ms=row.lease_ms,
+    )
+
+
+def to_answer(report: platform.RunReport) -> batch.WorkerAnswered:
+    """Return a worker's report as the life cycle takes it."""
+    return batch.WorkerAnswered(
+        attempt=report.attempt,
+        status=batch.RunStatus(report.status.value),
+        checkpoint=report.checkpoint,
+        result=report.result,
+        reason=report.reason,
+        ran_ms=report.ran_ms,
+        is_saving=report.is_saving,
+    )
+
+
+def gone_workers(instances: Iterable[platform.InstanceEntry]) -> set[str]:
+    """Return the addresses at which every listed instance is gone."""
+    states: Mapping[str, set[platform.InstanceState]]
+    states = collections.defaultdict(set)
+    for entry in instances:
+        if entry.role is platform.InstanceRole.UPSTREAM:
+            states[entry.address].add(entry.state)
+    gone = {platform.InstanceState.GONE}
+    return {address for address, found in states.items() if found == gone}
--- /dev/null
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -0,0 +1,385 @@
+"""Run the life cycles of tasks that this daemon controls."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_daemon import settings
+from oriolestand_daemon.messages import batch as contracts
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import membership
+from oriolestand_daemon.services.batch import _finder
+from oriolestand_daemon.services.batch import _jobs
+from oriolestand_daemon.services.batch import _placer
+from oriolestand_daemon.services.batch import _runs
+from oriolestand_daemon.services.batch import _store
+from oriolestand_daemon.services.batch import const
+import oriolestand_platform as platform
+from oriolestand_policy import batch
+from oriolestand_policy import grants
+from oriolestand_policy import tables
+
+Reply = defer.Deferred[Any]
+
+
+class BatchTask(core.Task):
+    """Own the life cycles of tasks; carry out their effects."""
+
+    def __init__(self, kernel: core.Kernel, cfg: settings.Settings) -> None:
+        super().__init__(kernel, const.DOMAIN)
+        self._log = core.get_logger(const.DOMAIN)
+        holder = grants.Holder(
+            instance_id=cfg.instance_id, incarnation=kernel.incarnation
+        )
+        self._instance_id = cfg.instance_id
+        self._me = str(holder)
+        self._timing = batch.Timing()
+        self._store = _store.TaskStore(kernel)
+        self._placer = _placer.Placer(kernel, self._store, cfg.failure_domain)
+        self._finder = _finder.Finder(
+            kernel, self._store, cfg.instance_id, self._me
+        )
+        self._driver = _runs.RunDriver(kernel, self._timing, self._on_report)
+        self._desk = _jobs.JobDesk(self._store)
+        self._tables = tables.Tables(version=0)
+        self._lives: dict[str, batch.Lifecycle] = {}
+        self._unslotted: dict[str, core.Millis] = {}
+        self._adopting: set[str] = set()
+        self._busy: set[str] = set()
+        self._polled_at: core.Millis | None = None
+        self._adopted = 0
+        self._drained: defer.Deferred[None] | None = None
+        self._timer: Any = None
+
+    def start(self) -> object:
+        """Follow tables, members and evictions; keep time."""
+        # A former start of this instance is over: this process runs.
+        self._finder.add_proof(f'{self._instance_id}/')
+        for event in (
+            config.TablesChanged,
+            membership.MembershipChanged,
+            dispatch.EvictionRequested,
+        ):
+            self.kernel.subscribe(event, self)
+        self._tick()
+        return None
+
+    # Messages
+
+    @core.handles(config.TablesChanged)
+    def _on_tables(self, msg: config.TablesChanged) -> None:
+        """Know the pools."""
+        self._tables = msg.tables
+        self._placer.set_tables(msg.tables)
+
+    @core.handles(membership.MembershipChanged)
+    def _on_members(self, msg: membership.MembershipChanged) -> None:
+        """Take over from gone controllers; give up gone workers."""
+        for instance_id in msg.gone_instances:
+            self._finder.add_proof(f'{instance_id}/')
+        for holder in msg.replaced:
+            self._finder.add_proof(f'{holder}/')
+        gone = _runs.gone_workers(msg.instances)
+        for life in list(self._lives.values()):
+            if gone and life.row.worker in gone:
+                self._tell(life, batch.WorkerGone())
+
+    @core.handles(dispatch.EvictionRequested)
+    def _on_evict(self, msg: dispatch.EvictionRequested) -> None:
+        """Evict the task that holds a reservation."""
+        for name, held in self._placer.held.items():
+            if held.key == msg.key and name in self._lives:
+                self._tell(self._lives[name], batch.EvictWanted())
+                return
+
+    @core.handles(contracts.SubmitJob)
+    def _on_submit(self, msg: contracts.SubmitJob) -> Reply:
+        """Store a job and consider it at once."""
+        return defer.ensureDeferred(self._submit(msg))
+
+    async def _submit(self, msg: contracts.SubmitJob) -> Any:
+        """Store a job and put it into the queue here."""
+        reply, row = await self._desk.submit(msg.document, self._tables)
+        if reply.is_new:
+            self._enqueue(row)
+        return reply
+
+    @core.handles(contracts.ShowJob)
+    def _on_show(self, msg: contracts.ShowJob) -> Reply:
+        """Return one job."""
+        return defer.ensureDeferred(self._desk.show(msg.name))
+
+    @core.handles(contracts.ListJobs)
+    def _on_list(self, msg: contracts.ListJobs) -> Reply:
+        """Return jobs."""
+        return defer.ensureDeferred(self._desk.list(msg))
+
+    @core.handles(contracts.CancelJob)
+    def _on_cancel(self, msg: contracts.CancelJob) -> Reply:
+        """End a job."""
+        return defer.ensureDeferred(self._desk.cancel(msg.name))
+
+    @core.handles(contracts.GetBatchStatus)
+    def _on_status(
+        self, msg: contracts.GetBatchStatus
+    ) -> contracts.BatchStatus:
+        """Return what is held here."""
+        return contracts.BatchStatus(
+            controlled=len(self._lives),
+            waiting=len(self._placer.queue),
+            adopted=self._adopted,
+            without_slots=len(self._unslotted),
+        )
+
+    @core.handles(contracts.DrainTasks)
+    def _on_drain(self, msg: contracts.DrainTasks) -> Any:
+        """Hand all tasks over to other daemons."""
+        self._drained = defer.Deferred()
+        drained = self._drained
+        for life in list(self._lives.values()):
+            self._tell(life, batch.HandOverWanted())
+        self.kernel.clock.call_later(const.DRAIN_BOUND_MS, self._end_drain)
+        self._check_drained()
+        return drained
+
+    def _check_drained(self) -> None:
+        """Reply once no task is left."""
+        if self._drained is not None and not self._lives:
+            self._end_drain()
+
+    def _end_drain(self) -> None:
+        """Reply to the request to drain, once."""
+        if self._drained is not None and not self._drained.called:
+            if self._lives:
+                self._log.warning('Not handed over', tasks=len(self._lives))
+            self._drained.callback(None)
+
+    # Time
+
+    def _tick(self) -> None:
+        """Let time pass for all tasks; renew, look for work and place it."""
+        if self.is_stopped:
+            return
+        for life in list(self._lives.values()):
+            self._tell(life, batch.Tick())
+        self._driver.renew(self._lives.values())
+        if self._drained is None:
+            now = self.kernel.clock.now()
+            last = self._polled_at
+            if last is None or now - last >= const.POLL_INTERVAL_MS:
+                self._polled_at = now
+                self._spawn('poll', self._poll())
+                self._spawn('specs', self._learn())
+            self._spawn('place', self._place())
+            self._spawn('slots', self._claim_slots())
+        self._timer = self.kernel.clock.call_later(
+            const.TICK_INTERVAL_MS, self._tick
+        )
+
+    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine unless the former one of its name still runs."""
+        if name in self._busy:
+            work.close()
+            return
+        self._busy.add(name)
+        fut = defer.ensureDeferred(work)
+        fut.addErrback(
+            lambda f: self._log.warning(
+                'Step failed', step=name, reason=str(f.value)
+            )
+        )
+        fut.addBoth(lambda _: self._busy.discard(name))
+
+    async def _learn(self) -> None:
+        """Ask workers what they have."""
+        await self._placer.learn_specs(
+            lambda address: self._driver.call(
+                address, platform.StatusRequest()
+            )
+        )
+
+    async def _poll(self) -> None:
+        """Look for queued, orphaned and cancelled tasks."""
+        found = await self._finder.poll(self._placer.pools_with_room())
+        for name in found.cancels:
+            if name in self._lives:
+                self._tell(self._lives[name], batch.CancelWanted())
+            await self._finder.drop_mail(name)
+        for name in found.orphans:
+            await self._adopt(name)
+        for entry in found.entries:
+            if entry.name in self._lives or entry.name in self._placer.queue:
+                continue
+            reason = await self._placer.why_never(entry)
+            if reason:
+                await self._refuse(entry.name, reason)
+            else:
+                self._placer.queue.put(entry)
+
+    async def _refuse(self, name: str, reason: str) -> None:
+        """End a task that can never run."""
+        stored = await self._store.read(name)
+        if stored is None or name in self._lives:
+            return
+        if stored.row.state is not batch.TaskState.QUEUED:
+            return
+        life = self._live(stored)
+        self._log.info('Job can never run', job=name, reason=reason)
+        self._run(life, life.refuse(reason))
+
+    def _enqueue(self, row: batch.TaskRow) -> None:
+        """Consider a queued task in the next poll or placement."""
+        if row.state is not batch.TaskState.QUEUED:
+            return
+        # The poll reads the index; an urgent task must not wait for it.
+        self._polled_at = None
+
+    async def _place(self) -> None:
+        """Start queued tasks while slots are free."""
+        if not len(self._placer.queue):
+            return
+        await self._placer.refresh()
+        while self._drained is None:
+            found = await self._placer.place()
+            if found is None:
+                return
+            entry, address = found
+            try:
+                stored = await self._store.read(entry.name)
+            except core.OriolestandError:
+                self._placer.release(entry.name)
+                raise
+            if (
+                stored is None
+                or entry.name in self._lives
+                or stored.row.state is not batch.TaskState.QUEUED
+            ):
+                self._placer.release(entry.name)
+                continue
+            life = self._live(stored)
+            self._run(life, life.begin(address))
+
+    async def _adopt(self, name: str) -> None:
+        """Take over a task whose controller is over or has let go."""
+        if name in self._lives or name in self._adopting:
+            return
+        stored = await self._store.read(name)
+        if stored is None or not self._finder.is_orphaned(
+            stored.row.controller
+        ):
+            return
+        row = batch.adopt(stored.row, self._me)
+        if row is None or name in self._lives:
+            return
+        self._adopting.add(name)
+        try:
+            outcome = await self._store.write(row, stored.row, stored.version)
+        finally:
+            self._adopting.discard(name)
+        if not outcome.is_applied:
+            return
+        self._adopted += 1
+        self._log.info('Task adopted', task=name, worker=row.worker)
+        life = self._live(outcome.stored)
+        now = self.kernel.clock.now()
+        self._unslotted[name] = core.Millis(now + const.ADOPT_GRACE_MS)
+        self._tell(life, batch.Tick())
+        await self._claim(name)
+
+    async def _claim_slots(self) -> None:
+        """Reserve slots for adopted tasks, or evict them in time."""
+        for name in list(self._unslotted):
+            await self._claim(name)
+
+    async def _claim(self, name: str) -> None:
+        """Reserve slots for one adopted task."""
+        life = self._lives.get(name)
+        if life is None or life.is_stopped:
+            self._unslotted.pop(name, None)
+            return
+        if await self._placer.adopt(life.row):
+            self._unslotted.pop(name, None)
+        elif self.kernel.clock.now() >= self._unslotted.get(name, 0):
+            # Someone else will use the worker's slots soon.
+            self._tell(life, batch.EvictWanted())
+
+    # Life cycles
+
+    def _live(self, stored: _store.Stored) -> batch.Lifecycle:
+        """Begin to control a task."""
+        life = batch.Lifecycle(
+            stored.row,
+            stored.version,
+            self._me,
+            self.kernel.clock.now(),
+            self._timing,
+        )
+        self._lives[stored.row.name] = life
+        return life
+
+    def _on_report(self, address: str, report: platform.RunReport) -> None:
+        """Pass on what a worker says."""
+        life = self._lives.get(report.task)
+        if life is None or life.row.worker != address:
+            return
+        is_new = not life.is_stopped and report.attempt == life.row.attempt
+        if is_new and report.status in (
+            platform.RunStatus.FINISHED,
+            platform.RunStatus.FAILED,
+        ):
+            failed = report.status is platform.RunStatus.FAILED
+            self._placer.observe(life.row, failed)
+        self._tell(life, _runs.to_answer(report))
+
+    def _tell(self, life: batch.Lifecycle, message: batch.Message) -> None:
+        """Give a message to a life cycle and do what it asks."""
+        self._run(life, life.handle(message, self.kernel.clock.now()))
+
+    def _run(self, life: batch.Lifecycle, effects: list[batch.Effect]) -> None:
+        """Carry out effects."""
+        for effect in effects:
+            match effect:
+                case batch.WriteRow():
+                    fut = self._store.write(
+                        effect.row, effect.before, effect.version
+                    )
+                    fut.addCallback(self._on_outcome, life)
+                case batch.FreeSlots():
+                    self._placer.release(effect.row.name)
+                case batch.Forget():
+                    self._forget(life, effect.row)
+                case _:
+                    self._driver.send(life, effect)
+
+    def _on_outcome(
+        self, outcome: _store.Outcome, life: batch.Lifecycle
+    ) -> None:
+        """Tell a life cycle how its write ended."""
+        stored = outcome.stored
+        if outcome.is_applied:
+            self._tell(life, batch.RowWritten(version=stored.version))
+            return
+        self._tell(
+            life, batch.RowConflicted(row=stored.row, version=stored.version)
+        )
+
+    def _forget(self, life: batch.Lifecycle, row: batch.TaskRow) -> None:
+        """Stop controlling a task."""
+        self._placer.release(row.name)
+        self._unslotted.pop(row.name, None)
+        if self._lives.get(row.name) is life:
+            del self._lives[row.name]
+        self._log.info('Task left', task=row.name, state=row.state.value)
+        if self._drained is None:
+            self._enqueue(row)
+        self._check_drained()
+
+    def stop(self) -> object:
+        """Stop keeping time; tasks go on until their leases lapse."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._store.stop()
+        return super().stop()
--- a/packages/daemon/src/oriolestand_daemon/services/platform/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/platform/_task.py
@@ -47,6 +47,11 @@
         """Read the list of instances."""
         return _run(self._client.list_instances())
 
+    @core.handles(contracts.CallWorker)
+    def _on_call_worker(self, msg: contracts.CallWorker) -> Reply:
+        """Send a request to a worker."""
+        return _run(self._client.call_worker(msg.address, msg.request))
+
     @core.handles(contracts.ReadObject)
     def _on_read_object(self, msg: contracts.ReadObject) -> Reply:
         """Read an object."""
--- /dev/null
+++ b/packages/daemon/tests/failures/test_tasks.py
@@ -0,0 +1,207 @@
+"""Test with processes that tasks end once and never run in two places."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import pytest
+
+from oriolestand_standins import _cluster
+from oriolestand_standins import _worker
+
+ENTRIES = ('entry-1', 'entry-2')
+LEASE_MS = 3_000
+LONG_MS = 600_000
+
+
+def document(cluster: _cluster.Cluster) -> dict[str, Any]:
+    """Return one pool of all upstreams."""
+    return {
+        'pools': [
+            {
+                'name': 'main',
+                'upstreams': [
+                    {
+                        'address': f'{_cluster.HOST}:{up.port}',
+                        'failure_domain': 'a',
+                    }
+                    for up in cluster.upstreams.values()
+                ],
+            }
+        ],
+    }
+
+
+@pytest.fixture
+def shared(cluster: _cluster.Cluster) -> _cluster.Cluster:
+    """Provide two daemons that share two workers."""
+    for name in ('up-1', 'up-2'):
+        cluster.start_upstream(name)
+    for name in ENTRIES:
+        cluster.add_entry(name, 'a', 'north')
+        cluster.start_daemon(name)
+    _cluster.wait_until(
+        lambda: (
+            cluster.put_tables(ENTRIES[0], document(cluster), 0).status
+            in (200, 409)
+        ),
+        'tables accepted',
+    )
+    for name in ENTRIES:
+        cluster.wait_slots(name, 'main', 8)
+    return cluster
+
+
+def submit(cluster: _cluster.Cluster, name: str, **job: Any) -> None:
+    """Submit a job through the first daemon."""
+    work_ms = job.pop('work_ms', LONG_MS)
+    body = {
+        'name': name,
+        'pool': 'main',
+        'lease_ms': LEASE_MS,
+        'payload': json.dumps({'work_ms': work_ms}),
+        **job,
+    }
+    answer = _cluster.call(
+        cluster.entries[ENTRIES[0]].admin,
+        'POST',
+        '/jobs',
+        json.dumps(body).encode(),
+    )
+    assert answer.status == 200, answer.body
+
+
+def show(cluster: _cluster.Cluster, name: str) -> Any:
+    """Return a job's row as the platform stores it."""
+    assert cluster.platform is not None
+    path = f'/tables/tasks/{name}'
+    return _cluster.call(cluster.platform.port, 'GET', path).json()['value']
+
+
+def wait_job(
+    cluster: _cluster.Cluster, name: str, check: Callable[[Any], bool]
+) -> Any:
+    """Wait until a job's row is as wanted; return it."""
+    _cluster.wait_until(
+        lambda: check(show(cluster, name)), f'{name} as wanted'
+    )
+    return show(cluster, name)
+
+
+def runs(cluster: _cluster.Cluster) -> list[Any]:
+    """Return the runs of all workers."""
+    found = []
+    for up in cluster.upstreams.values():
+        path = '/_worker/runs'
+        found += _cluster.call(up.port, 'GET', path).json()['runs']
+    return found
+
+
+def set_worker_faults(cluster: _cluster.Cluster, **faults: Any) -> None:
+    """Switch the faults of all workers."""
+    for up in cluster.upstreams.values():
+        body = json.dumps(faults).encode()
+        _cluster.call(up.port, 'POST', '/_worker/faults', body)
+
+
+def running(cluster: _cluster.Cluster, name: str) -> str:
+    """Wait until a job runs; return the name of its controller."""
+    row = wait_job(cluster, name, lambda r: r['state'] == 'running')
+    return str(row['controller'].partition('/')[0])
+
+
+def test_killed_controller(shared: _cluster.Cluster) -> None:
+    """Another daemon must go on with the same run, and only one."""
+    submit(shared, 'job', work_ms=15_000)
+    first = running(shared, 'job')
+    shared.daemons[first].kill()
+    shared.list_entry(first, 'gone')
+    row = wait_job(
+        shared, 'job', lambda r: not r['controller'].startswith(first)
+    )
+    row = wait_job(shared, 'job', lambda r: r['state'] == 'done')
+    assert row['epoch'] >= 1
+    assert _worker.overlaps(runs(shared)) == []
+    finished = [r for r in runs(shared) if r['status'] == 'finished']
+    assert len(finished) == 1
+
+
+def test_frozen_controller_thaws_after_its_lease(
+    shared: _cluster.Cluster,
+) -> None:
+    """A controller that wakes must not start or renew a second run."""
+    submit(shared, 'job', work_ms=8_000)
+    first = running(shared, 'job')
+    shared.daemons[first].freeze()
+    _cluster.wait_until(
+        lambda: runs(shared)[0]['status'] == 'stopped', 'lease lapsed'
+    )
+    shared.daemons[first].thaw()
+    row = wait_job(shared, 'job', lambda r: r['state'] == 'done')
+    assert row['attempt'] == 2
+    assert _worker.overlaps(runs(shared)) == []
+
+
+def test_lost_answer_to_a_start(shared: _cluster.Cluster) -> None:
+    """A start that took effect must be repeated without a second run."""
+    _cluster.wait_until(
+        lambda: all(
+            _cluster.call(up.port, 'GET', '/_worker/runs').status == 200
+            for up in shared.upstreams.values()
+        ),
+        'workers up',
+    )
+    submit(shared, 'warm', work_ms=10)
+    wait_job(shared, 'warm', lambda r: r['state'] == 'done')
+    set_worker_faults(shared, loses_answers=2)
+    submit(shared, 'job', work_ms=3_000)
+    row = wait_job(shared, 'job', lambda r: r['state'] == 'done')
+    assert row['attempt'] == 1
+    assert len([r for r in runs(shared) if r['task'] == 'job']) == 1
+
+
+def test_cancel_races_with_finish(shared: _cluster.Cluster) -> None:
+    """Each of many races must end in one state that the worker confirms."""
+    names = [f'job-{i}' for i in range(12)]
+    for i, name in enumerate(names):
+        submit(shared, name, work_ms=1_500 + 150 * i)
+    admin = shared.entries[ENTRIES[1]].admin
+    running(shared, names[-1])
+    for name in names:
+        _cluster.call(admin, 'DELETE', f'/jobs/{name}')
+    final = {
+        name: wait_job(
+            shared, name, lambda r: r['state'] in ('done', 'cancelled')
+        )['state']
+        for name in names
+    }
+    ended = {r['task']: r['status'] for r in runs(shared)}
+    for name, state in final.items():
+        assert (state == 'done') == (ended.get(name) == 'finished')
+    assert _worker.overlaps(runs(shared)) == []
+
+
+def test_store_down_during_a_run(shared: _cluster.Cluster) -> None:
+    """Tasks must go on without the store and claim no state meanwhile."""
+    assert shared.platform is not None
+    submit(shared, 'job', work_ms=9_000)
+    running(shared, 'job')
+    shared.set_faults(shared.platform, is_down=True)
+    _cluster.wait_until(
+        lambda: runs(shared)[0]['status'] != 'running', 'run ended'
+    )
+    assert runs(shared)[0]['status'] == 'finished'
+    shared.set_faults(shared.platform)
+    assert show(shared, 'job')['state'] == 'running'
+    row = wait_job(shared, 'job', lambda r: r['state'] == 'done')
+    assert row['attempt'] == 1
+
+
+def test_shut_down_hands_over(shared: _cluster.Cluster) -> None:
+    """A planned shutdown must not stop a task."""
+    submit(shared, 'job', work_ms=12_000)
+    first = running(shared, 'job')
+    assert shared.daemons[first].terminate() == 0
+    row = wait_job(shared, 'job', lambda r: r['state'] == 'done')
+    assert row['attempt'] == 1
+    assert row['epoch'] >= 1
--- a/packages/policy/src/oriolestand_policy/batch/__init__.py
+++ b/packages/policy/src/oriolestand_policy/batch/__init__.py
@@ -23,6 +23,7 @@
 from oriolestand_policy.batch._messages import WorkerGone
 from oriolestand_policy.batch._queue import Entry
 from oriolestand_policy.batch._queue import TaskQueue
+from oriolestand_policy.batch._row import QUEUE_SHARDS
 from oriolestand_policy.batch._row import Demand
 from oriolestand_policy.batch._row import TaskRow
 from oriolestand_policy.batch._row import TaskState
@@ -45,6 +46,7 @@
     'HandOverWanted',
     'Lifecycle',
     'Message',
+    'QUEUE_SHARDS',
     'RowConflicted',
     'RowWritten',
     'RunStatus',
--- a/packages/policy/src/oriolestand_policy/batch/_row.py
+++ b/packages/policy/src/oriolestand_policy/batch/_row.py
@@ -62,6 +62,7 @@
     priority: int = 0
     demand: Demand = Demand()
     payload: str = ''
+    retries: int = 3
     lease_ms: int = 30_000
     time_limit_ms: int = 0
     retries_left: int = 3
--- a/packages/standins/src/oriolestand_standins/_upstream.py
+++ b/packages/standins/src/oriolestand_standins/_upstream.py
@@ -10,6 +10,8 @@
 from twisted.web import resource
 from twisted.web import server
 
+from oriolestand_standins import _worker
+
 MILLIS_PER_SECOND = 1000
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
@@ -53,6 +55,7 @@
         self.max_connections = 0
         self.runs: collections.Counter[str] = collections.Counter()
         self.reactor: Any = reactor
+        self.worker = _worker.WorkerSide(reactor, name, slots)
         root: Any = _Upstream(self)
         super().__init__(root, reactor=reactor)
 
@@ -99,6 +102,8 @@
             return json.dumps(site.counts()).encode()
         if request.path == b'/_faults':
             return self._set_faults(request)
+        if request.path.startswith(b'/_worker'):
+            return site.worker.render(request)
         site.running += 1
         site.max_running = max(site.max_running, site.running)
         key = request.getHeader('x-request-key') or ''
--- /dev/null
+++ b/packages/standins/src/oriolestand_standins/_worker.py
@@ -0,0 +1,141 @@
+"""Serve a worker's task protocol with faults and a record of runs."""
+
+import json
+import time
+from typing import Any
+
+import pydantic
+from twisted.web import http
+from twisted.web import server
+
+import oriolestand_platform as platform
+
+MILLIS_PER_SECOND = 1000
+USAGE_LAG_MS = 5_000
+
+
+class WorkerFaultModel(pydantic.BaseModel):
+    """Validate a change of a worker's faults."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    fails_tasks: bool = False
+    checkpoint_ms: int = pydantic.Field(default=0, ge=0)
+    delay_ms: int = pydantic.Field(default=0, ge=0)
+    hangs: bool = False
+    loses_answers: int = pydantic.Field(default=0, ge=0)
+    is_gone: bool = False
+
+
+def _now_ms() -> int:
+    """Return the monotonic clock, which all stand-ins here share."""
+    return int(time.monotonic() * MILLIS_PER_SECOND)
+
+
+class WorkerSide:
+    """Answer the paths below ``/_worker``: tasks, faults and runs."""
+
+    def __init__(self, reactor: Any, name: str, slots: int) -> None:
+        self._reactor = reactor
+        self.worker = platform.MemoryWorker(
+            _now_ms, f'{name}-{_now_ms()}', slots, usage_lag_ms=USAGE_LAG_MS
+        )
+
+    def slots_in_use(self) -> int:
+        """Return the slots of the tasks that run now."""
+        self.worker.advance(_now_ms())
+        return sum(
+            run.request.slots
+            for run in self.worker.history
+            if run.status is platform.RunStatus.RUNNING
+        )
+
+    def render(self, request: Any) -> Any:
+        """Answer now, later or not at all, as the faults say."""
+        body = request.content.read()
+        path = request.path.decode()
+        try:
+            if path == '/_worker/faults':
+                model = WorkerFaultModel.model_validate_json(body)
+                self.worker.faults = platform.WorkerFaults(
+                    **model.model_dump()
+                )
+                return b'{}'
+            if path == '/_worker/runs':
+                return json.dumps({'runs': self._runs()}).encode()
+            message = platform.REQUEST_ADAPTER.validate_json(body)
+        except ValueError as exc:
+            request.setResponseCode(http.BAD_REQUEST)
+            return str(exc).encode()
+        self._serve(request, message)
+        return server.NOT_DONE_YET
+
+    def _serve(self, request: Any, message: platform.WorkerRequest) -> None:
+        """Apply the faults of the connection to a request."""
+        faults = self.worker.faults
+        if faults.hangs:
+            return
+        if faults.is_gone:
+            request.channel.transport.abortConnection()
+            return
+        if faults.delay_ms:
+            self._reactor.callLater(
+                faults.delay_ms / MILLIS_PER_SECOND,
+                self._answer,
+                request,
+                message,
+            )
+            return
+        self._answer(request, message)
+
+    def _answer(self, request: Any, message: platform.WorkerRequest) -> None:
+        """Do what is asked; lose the answer if a fault says so."""
+        reply = self.worker.handle(message)
+        if request._disconnected:
+            return
+        if self.worker.faults.loses_answers:
+            self.worker.faults.loses_answers -= 1
+            request.channel.transport.abortConnection()
+            return
+        request.write(reply.model_dump_json().encode())
+        request.finish()
+
+    def _runs(self) -> list[dict[str, Any]]:
+        """Return all runs that were ever started here."""
+        self.worker.advance(_now_ms())
+        return [
+            {
+                'task': run.request.run.task,
+                'attempt': run.attempt,
+                'started': run.started,
+                'ended': run.ended,
+                'status': run.status.value,
+                'resumed_from': run.request.checkpoint,
+                'result': run.result,
+            }
+            for run in self.worker.history
+        ]
+
+
+def overlaps(runs: list[dict[str, Any]]) -> list[str]:
+    """Return tasks that ran in two places at once, from all workers' runs.
+
+    >>> one = {'task': 't', 'started': 1, 'ended': 5, 'status': 'stopped'}
+    >>> overlaps([one, {**one, 'started': 5, 'ended': 9}])
+    []
+    >>> overlaps([one, {**one, 'started': 4, 'ended': 9}])
+    ['t']
+    """
+    spans: dict[str, list[tuple[float, float]]] = {}
+    for run in runs:
+        is_running = run['status'] == platform.RunStatus.RUNNING.value
+        end = float('inf') if is_running else run['ended']
+        if end > run['started']:
+            spans.setdefault(run['task'], []).append((run['started'], end))
+    found = []
+    for task, items in spans.items():
+        items.sort()
+        pairs = zip(items, items[1:], strict=False)
+        if any(second[0] < first[1] for first, second in pairs):
+            found.append(task)
+    return found
