--- a/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
@@ -2,7 +2,8 @@
 
 Reads each second: one scan for hand-overs, one for cancels of this
 instance, and for each pool with room the urgent queue and one of the
-other shards. Running tasks of live daemons are never read.
+other shards; for a minute after a proof, one for the tasks of who is gone.
+Running tasks of live daemons are never read.
 """
 
 from collections.abc import Iterable
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -240,9 +240,15 @@
         """Give slots back to the dispatcher."""
         self._kernel.post('dispatch', dispatch.UnreserveSlots(key=key))
 
-    def observe(self, row: batch.TaskRow, failed: bool) -> None:
+    def observe(self, row: batch.TaskRow, status: batch.RunStatus) -> None:
         """Record how a run ended, for the health of its worker."""
         index = self._indexes.get(row.pool)
-        if index is not None:
-            now = self._kernel.clock.now()
-            index.observe(row.worker, row.name, failed, now)
+        if index is None:
+            return
+        now = self._kernel.clock.now()
+        if status is batch.RunStatus.REFUSED:
+            index.refused(row.worker, now)
+        elif status is batch.RunStatus.FAILED:
+            index.observe(row.worker, row.name, True, now)
+        elif status is batch.RunStatus.FINISHED:
+            index.observe(row.worker, row.name, False, now)
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -17,6 +17,7 @@
 from oriolestand_daemon.services.batch import _runs
 from oriolestand_daemon.services.batch import _store
 from oriolestand_daemon.services.batch import const
+from oriolestand_daemon.services.batch import models
 import oriolestand_platform as platform
 from oriolestand_policy import batch
 from oriolestand_policy import grants
@@ -211,13 +212,17 @@
         for name in found.orphans:
             await self._adopt(name)
         for entry in found.entries:
-            if entry.name in self._lives or entry.name in self._placer.queue:
-                continue
-            reason = await self._placer.why_never(entry)
-            if reason:
-                await self._refuse(entry.name, reason)
-            else:
-                self._placer.queue.put(entry)
+            await self._consider(entry)
+
+    async def _consider(self, entry: batch.Entry) -> None:
+        """Let a queued task wait here, or end one that can never run."""
+        if entry.name in self._lives or entry.name in self._placer.queue:
+            return
+        reason = await self._placer.why_never(entry)
+        if reason:
+            await self._refuse(entry.name, reason)
+        else:
+            self._placer.queue.put(entry)
 
     async def _refuse(self, name: str, reason: str) -> None:
         """End a task that can never run."""
@@ -231,11 +236,14 @@
         self._run(life, life.refuse(reason))
 
     def _enqueue(self, row: batch.TaskRow) -> None:
-        """Consider a queued task in the next poll or placement."""
+        """Consider a task that was queued here without reading the index."""
         if row.state is not batch.TaskState.QUEUED:
             return
-        # The poll reads the index; an urgent task must not wait for it.
-        self._polled_at = None
+        fut = defer.ensureDeferred(self._consider(models.to_entry(row)))
+        # The next poll finds the task if this fails.
+        fut.addErrback(
+            lambda f: self._log.info('Not queued here', reason=str(f.value))
+        )
 
     async def _place(self) -> None:
         """Start queued tasks while slots are free."""
@@ -326,13 +334,10 @@
         if life is None or life.row.worker != address:
             return
         is_new = not life.is_stopped and report.attempt == life.row.attempt
-        if is_new and report.status in (
-            platform.RunStatus.FINISHED,
-            platform.RunStatus.FAILED,
-        ):
-            failed = report.status is platform.RunStatus.FAILED
-            self._placer.observe(life.row, failed)
-        self._tell(life, _runs.to_answer(report))
+        answer = _runs.to_answer(report)
+        if is_new and answer.status.is_end:
+            self._placer.observe(life.row, answer.status)
+        self._tell(life, answer)
 
     def _tell(self, life: batch.Lifecycle, message: batch.Message) -> None:
         """Give a message to a life cycle and do what it asks."""
--- a/packages/daemon/src/oriolestand_daemon/services/batch/models.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/models.py
@@ -144,6 +144,18 @@
     }
 
 
+def to_entry(row: batch.TaskRow) -> batch.Entry:
+    """Return the queue entry of a row."""
+    return batch.Entry(
+        name=row.name,
+        team=row.team,
+        priority=row.priority,
+        demand=row.demand,
+        pool=row.pool,
+        avoid=row.avoid,
+    )
+
+
 def parse_entry(value: dict[str, Any]) -> batch.Entry:
     """Return the queue entry with an index row."""
     model = EntryModel.model_validate(value)
--- a/packages/policy/src/oriolestand_policy/batch/_workers.py
+++ b/packages/policy/src/oriolestand_policy/batch/_workers.py
@@ -8,6 +8,8 @@
 
 FAILURES_TO_EJECT = 5
 PROBE_INTERVAL_MS = 10_000
+REFUSAL_PAUSE_MS = 5_000
+"""A worker that refuses a task has less free than is known here."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,6 +33,7 @@
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
     probe_at: core.Millis | None = None
     runs: int = 0
+    paused_until: core.Millis | None = None
 
     def fits(self, demand: _row.Demand) -> bool:
         """Return whether a demand fits into what is free."""
@@ -104,6 +107,8 @@
 
     def _is_usable(self, worker: _Worker, now: core.Millis) -> bool:
         """Return whether a worker may get a task, as a probe or not."""
+        if worker.paused_until is not None and now < worker.paused_until:
+            return False
         if len(worker.failed_jobs) < FAILURES_TO_EJECT:
             return True
         if worker.runs or worker.probe_at is None:
@@ -150,6 +155,12 @@
         if len(worker.failed_jobs) >= FAILURES_TO_EJECT:
             worker.probe_at = core.Millis(now + PROBE_INTERVAL_MS)
 
+    def refused(self, address: str, now: core.Millis) -> None:
+        """Give no tasks for a while to a worker that refused one."""
+        worker = self._workers.get(address)
+        if worker is not None:
+            worker.paused_until = core.Millis(now + REFUSAL_PAUSE_MS)
+
     def _update(self, worker: _Worker) -> None:
         """Put a worker into the classes that it fits now."""
         address = worker.spec.address
