Tie the model of tasks to the code and show jobs to operators

The conformance test found that the worker noted the attempt of a message before it looked at its window, so a late renewal of a higher attempt fenced off the running one; it notes only what it accepts now. It also found that the model answered a renewal of an unknown attempt with the state of a lower one.

The test of the reads a second found that a daemon went on scanning its own tasks: 5 scans a second instead of 4. Its own rows are not counted as orphans any more, so the scan ends after a minute.

Waiting for slots raised KeyError while a daemon did not know the pool yet (seen once in seven process runs); it waits now.

--- a/packages/bench/src/oriolestand_bench/models/_tasks.py
+++ b/packages/bench/src/oriolestand_bench/models/_tasks.py
@@ -340,7 +340,7 @@
         if packet.kind == 'start' and not (is_same and worker.mode):
             run = Worker(packet.attempt, packet.epoch, 'running')
             return run, 'running'
-        return worker, worker.mode
+        return worker, worker.mode if is_same else ''
 
 
 def _set(state: State, **fields: Any) -> State:
--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -15,6 +15,7 @@
 from oriolestand_cli import _app
 from oriolestand_cli import _client
 from oriolestand_cli import _errors
+from oriolestand_cli import _jobs
 import oriolestand_core as core
 
 ROUTE = {'name': 'check', 'pool': 'main'}
@@ -45,6 +46,8 @@
         args = args or {}
         if method == 'PUT':
             return self._put(args, json.loads(body or b''))
+        if path.startswith('/jobs'):
+            return self._jobs(method, path)
         if path == '/tables':
             return json.dumps(self.versions[args.get('version', -1)]).encode()
         if path == '/tables/history':
@@ -87,6 +90,19 @@
             }
         ).encode()
 
+    def _jobs(self, method: str, path: str) -> bytes:
+        if self.failures:
+            raise self.failures.pop(0)
+        if method == 'POST':
+            return b'{"name": "n1", "is_new": true, "state": "queued"}'
+        job = {name: '' for name in _jobs.FIELDS}
+        job.update(name='n1', state='running', is_cancel_requested=False)
+        job['is_cancel_requested'] = method == 'DELETE'
+        if path == '/jobs':
+            return json.dumps({'jobs': [job]}).encode()
+        assert path == '/jobs/n1'
+        return json.dumps(job).encode()
+
     def _put(self, args: Mapping[str, Any], document: Any) -> bytes:
         self.edit_ids.append(args['edit_id'])
         if self.failures:
@@ -315,3 +331,31 @@
     assert result.exit_code == _errors.ExitCode.UNREACHABLE
     assert '127.0.0.1:1: ' in result.stderr
     assert 'nonsense: ' in result.stderr
+
+
+def test_jobs_are_submitted_listed_shown_and_cancelled(
+    client: FakeClient,
+) -> None:
+    """Each command must show the state that the daemon answered."""
+    result = run('jobs', 'submit', '-', text='{}')
+    assert result.stdout == 'n1 submitted, queued\n'
+    assert 'running' in run('jobs', 'list').stdout
+    assert 'state         running' in run('jobs', 'show', 'n1').stdout
+    assert 'requested' in run('jobs', 'cancel', 'n1').stdout
+    shown = json.loads(run('jobs', 'show', 'n1', '-o', 'json').stdout)
+    assert shown['name'] == 'n1'
+
+
+def test_refused_job_shows_all_problems(client: FakeClient) -> None:
+    """Problems must reach the operator with their paths."""
+    client.failures = [
+        _errors.CommandError(
+            'the job has problems',
+            _errors.ExitCode.INVALID,
+            ['pool: no pool is called x', 'priority: too high'],
+        )
+    ]
+    result = run('jobs', 'submit', '-', text='{}')
+    assert result.exit_code == _errors.ExitCode.INVALID
+    assert 'pool: no pool is called x' in result.output
+    assert 'priority: too high' in result.output
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
@@ -92,7 +92,12 @@
     async def _names(self, table: str, prefix: str) -> list[str]:
         """Return the names of tasks in index or mail rows."""
         rows = await self._store.scan(table, prefix)
-        return [str(row.value['name']) for row in rows]
+        mine = f'held/{self._me}/'
+        return [
+            str(row.value['name'])
+            for row in rows
+            if not row.key.startswith(mine)
+        ]
 
     async def drop_mail(self, name: str) -> None:
         """Delete a cancel that was acted on."""
--- a/packages/daemon/tests/services/admin/test_admin.py
+++ b/packages/daemon/tests/services/admin/test_admin.py
@@ -8,11 +8,13 @@
 
 import oriolestand_core as core
 from oriolestand_daemon import settings
+from oriolestand_daemon.messages import batch
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.admin import _task
 from oriolestand_daemon.services.admin import const
+from oriolestand_daemon.services.batch import errors as batch_errors
 from oriolestand_daemon.services.tables import errors
 import oriolestand_models as models
 
@@ -76,6 +78,19 @@
         return {}
 
 
+class FakeBatch(core.Task):
+    """Answer with the message itself, or refuse."""
+
+    @core.handles(batch.SubmitJob)
+    @core.handles(batch.ListJobs)
+    @core.handles(batch.ShowJob)
+    @core.handles(batch.CancelJob)
+    def _on_any(self, msg: Any) -> Any:
+        if isinstance(msg, batch.SubmitJob) and msg.document == b'bad':
+            raise batch_errors.InvalidJobError(['pool: missing', 'name: bad'])
+        return {'type': type(msg).__name__, 'message': str(msg)}
+
+
 class FakeTelemetry(core.Task):
     """Answer with fixed telemetry."""
 
@@ -250,3 +265,27 @@
     assert 'text/plain' in head and body == b'up 1\n'
     assert admin.json('GET', '/traces/ab')[1]['spans'] == [{'name': 'hop'}]
     assert admin.json('GET', '/traces/cd')[1]['code'] == 'unknown_trace'
+
+
+def test_jobs_pass_their_parameters(admin: Admin) -> None:
+    """Each request must reach the batch service with all it says."""
+    admin.kernel.register('batch', FakeBatch(admin.kernel, 'batch'))
+    _, body = admin.json('POST', '/jobs', body=b'{}')
+    assert body['type'] == 'SubmitJob'
+    _, body = admin.json('GET', '/jobs?prefix=n&state=done&limit=3')
+    expected = batch.ListJobs(prefix='n', state='done', limit=3)
+    assert body['jobs']['message'] == str(expected)
+    _, body = admin.json('GET', '/jobs/n1')
+    assert body['message'] == str(batch.ShowJob(name='n1'))
+    _, body = admin.json('DELETE', '/jobs/n1')
+    assert body['message'] == str(batch.CancelJob(name='n1'))
+
+
+def test_refused_job_keeps_all_problems(admin: Admin) -> None:
+    """An operator must see all problems of a submission at once."""
+    admin.kernel.register('batch', FakeBatch(admin.kernel, 'batch'))
+    status, body = admin.json('POST', '/jobs', body=b'bad')
+    assert (status, body['code']) == (422, 'invalid_job')
+    assert body['problems'] == ['pool: missing', 'name: bad']
+    assert admin.json('PUT', '/jobs')[1]['code'] == 'unknown_method'
+    assert admin.json('GET', '/jobs/a/b')[1]['code'] == 'unknown_path'
--- a/packages/platform/src/oriolestand_platform/_memory_worker.py
+++ b/packages/platform/src/oriolestand_platform/_memory_worker.py
@@ -173,15 +173,16 @@
             run.advance(now)
 
     def _is_fenced(self, ref: _workers.RunRef) -> bool:
-        """Return whether a higher attempt or epoch was seen; note this."""
+        """Return whether a higher attempt or epoch was accepted."""
         token = (ref.attempt, ref.epoch)
-        if token < self._seen.get(ref.task, (0, 0)):
-            return True
-        self._seen[ref.task] = token
+        return token < self._seen.get(ref.task, (0, 0))
+
+    def _accept(self, ref: _workers.RunRef) -> None:
+        """Accept nothing lower than this attempt and epoch from now on."""
+        self._seen[ref.task] = (ref.attempt, ref.epoch)
         run = self._runs.get(ref.task)
         if run is not None and run.attempt == ref.attempt:
             run.epoch = ref.epoch
-        return False
 
     def _is_late(self, request: _workers._Windowed, now: int) -> bool:
         """Return whether a message is past its window."""
@@ -196,13 +197,11 @@
             return _bare(ref, Status.FENCED)
         run = self._runs.get(ref.task)
         if run is not None and run.attempt == ref.attempt:
-            if run.status is Status.RUNNING and not self._is_late(
-                request, now
-            ):
-                run.lease_until = max(run.lease_until, now + ref.lease_ms)
+            self._extend(run, ref, request, now)
             return run.report(now)
         if self._is_late(request, now):
             return _bare(ref, Status.EXPIRED)
+        self._accept(ref)
         if run is not None:
             run.end(now, Status.STOPPED, 'a higher attempt was started')
         has_room = self._has_room(request)
@@ -255,10 +254,23 @@
         run = self._runs.get(ref.task)
         if run is None or run.attempt != ref.attempt:
             return _bare(ref, Status.UNKNOWN)
-        if run.status is Status.RUNNING and not self._is_late(request, now):
-            run.lease_until = max(run.lease_until, now + ref.lease_ms)
+        self._extend(run, ref, request, now)
         return run.report(now)
 
+    def _extend(
+        self,
+        run: Run,
+        ref: _workers.Renewal,
+        request: _workers._Windowed,
+        now: int,
+    ) -> None:
+        """Extend the lease of a run unless the message is late."""
+        if self._is_late(request, now):
+            return
+        self._accept(ref)
+        if run.status is Status.RUNNING:
+            run.lease_until = max(run.lease_until, now + ref.lease_ms)
+
     def _act(
         self,
         ref: _workers.RunRef,
@@ -271,6 +283,7 @@
         run = self._runs.get(ref.task)
         if run is None or run.attempt != ref.attempt:
             return _bare(ref, Status.UNKNOWN)
+        self._accept(ref)
         if run.status is Status.RUNNING:
             action(run, now)
         return run.report(now)
@@ -284,6 +297,7 @@
         """Stop an attempt; one that never started never will."""
         if self._is_fenced(ref):
             return _bare(ref, Status.FENCED)
+        self._accept(ref)
         run = self._runs.get(ref.task)
         if run is None or run.attempt != ref.attempt:
             request = _workers.StartRequest(
--- a/packages/standins/src/oriolestand_standins/_cluster.py
+++ b/packages/standins/src/oriolestand_standins/_cluster.py
@@ -273,7 +273,10 @@
         """Wait until a daemon holds a number of slots of a pool."""
 
         def is_reached() -> bool:
-            ups = self.status(name)['pools'][pool]['upstreams']
+            pools = self.status(name)['pools']
+            if pool not in pools:
+                return False
+            ups = pools[pool]['upstreams']
             return sum(up['limit'] for up in ups.values()) == slots
 
         wait_until(is_reached, f'{name} holds {slots} slots of {pool}')
