Move a task on when its start did not arrive

A start to a worker that refuses connections held the task until the silence, the window and the lease were over: 43 s with the default lease, while urgent work must start within 7.7 s. If no start of a task that was not adopted reached the worker, the attempt never ran and ends at once; a worker that does not answer gets no tasks for 5 s.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -240,6 +240,12 @@
         """Give slots back to the dispatcher."""
         self._kernel.post('dispatch', dispatch.UnreserveSlots(key=key))
 
+    def pause(self, address: str) -> None:
+        """Give no tasks for a while to a worker that does not answer."""
+        now = self._kernel.clock.now()
+        for index in self._indexes.values():
+            index.refused(address, now)
+
     def observe(self, row: batch.TaskRow, status: batch.RunStatus) -> None:
         """Record how a run ended, for the health of its worker."""
         index = self._indexes.get(row.pool)
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
@@ -31,14 +31,23 @@
     """Send what life cycles ask for; one renewal message a worker.
 
     :param on_report: gets a worker's address and what it says of a run.
+    :param on_unsent: is told that a start certainly did not arrive.
+    :param on_silent: gets the address of a worker that did not answer.
     """
 
     def __init__(
-        self, kernel: core.Kernel, timing: batch.Timing, on_report: Reports
+        self,
+        kernel: core.Kernel,
+        timing: batch.Timing,
+        on_report: Reports,
+        on_unsent: Callable[[batch.Lifecycle], None],
+        on_silent: Callable[[str], None],
     ) -> None:
         self._kernel = kernel
         self._timing = timing
         self._on_report = on_report
+        self._on_unsent = on_unsent
+        self._on_silent = on_silent
         self._log = core.get_logger(const.DOMAIN)
         self._clocks: dict[str, _Clock] = {}
         self._renewed_at: dict[str, core.Millis] = {}
@@ -78,25 +87,37 @@
         """Send a start once the worker's clock is known."""
         row = life.row
         if row.worker not in self._clocks:
-            await self.call(row.worker, platform.StatusRequest())
+            await self._learn_clock(life)
         if life.is_stopped or life.row.token != row.token:
             return
         demand = row.demand
         # From here to the request there is no wait in which time passes
         # unseen: the window and the lease are counted from this moment.
-        life.extended(self._kernel.clock.now())
-        await self.call(
-            row.worker,
-            platform.StartRequest(
-                run=_renewal(row),
-                slots=demand.slots,
-                accelerators=demand.accelerators,
-                memory_mb=demand.memory_mb,
-                payload=row.payload,
-                checkpoint=row.checkpoint,
-                **self._window(row.worker),
-            ),
+        life.start_sent(self._kernel.clock.now())
+        request = platform.StartRequest(
+            run=_renewal(row),
+            slots=demand.slots,
+            accelerators=demand.accelerators,
+            memory_mb=demand.memory_mb,
+            payload=row.payload,
+            checkpoint=row.checkpoint,
+            **self._window(row.worker),
         )
+        try:
+            await self.call(row.worker, request)
+        except core.OriolestandError as exc:
+            if exc.verdict is core.Verdict.DID_NOT_RUN:
+                self._on_unsent(life)
+            raise
+
+    async def _learn_clock(self, life: batch.Lifecycle) -> None:
+        """Ask a worker for its clock before the first start there."""
+        try:
+            await self.call(life.row.worker, platform.StatusRequest())
+        except core.OriolestandError:
+            life.start_sent(self._kernel.clock.now())
+            self._on_unsent(life)
+            raise
 
     def _window(self, address: str) -> dict[str, Any]:
         """Return the end of the window on the worker's clock."""
@@ -151,9 +172,14 @@
         self, address: str, request: platform.WorkerRequest
     ) -> platform.WorkerReply:
         """Send a request; pass on reports and learn the worker's clock."""
-        reply: platform.WorkerReply = await self._kernel.ask(
-            'platform', store.CallWorker(address=address, request=request)
-        )
+        message = store.CallWorker(address=address, request=request)
+        try:
+            reply: platform.WorkerReply = await self._kernel.ask(
+                'platform', message
+            )
+        except core.OriolestandError:
+            self._on_silent(address)
+            raise
         # The clock was read before now, so it is at least this far on.
         self._clocks[address] = _Clock(
             boot=reply.boot,
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -43,7 +43,13 @@
         self._finder = _finder.Finder(
             kernel, self._store, cfg.instance_id, self._me
         )
-        self._driver = _runs.RunDriver(kernel, self._timing, self._on_report)
+        self._driver = _runs.RunDriver(
+            kernel,
+            self._timing,
+            self._on_report,
+            self._on_unsent,
+            self._placer.pause,
+        )
         self._desk = _jobs.JobDesk(self._store)
         self._tables = tables.Tables(version=0)
         self._lives: dict[str, batch.Lifecycle] = {}
@@ -339,6 +345,10 @@
             self._placer.observe(life.row, answer.status)
         self._tell(life, answer)
 
+    def _on_unsent(self, life: batch.Lifecycle) -> None:
+        """Move a task on whose start certainly did not arrive."""
+        self._run(life, life.start_not_sent(self.kernel.clock.now()))
+
     def _tell(self, life: batch.Lifecycle, message: batch.Message) -> None:
         """Give a message to a life cycle and do what it asks."""
         self._run(life, life.handle(message, self.kernel.clock.now()))
--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -449,3 +449,15 @@
         assert isinstance(failure_of(found), errors.UnknownJobError)
     (listed,) = node.ask(contracts.ListJobs())
     assert listed == ()
+
+
+def test_dead_worker_delays_a_task_by_no_lease(rig):
+    """Urgent work must start in time although a worker has just died."""
+    node = rig.node('a')
+    rig.clock.advance(1_000)
+    for worker in list(rig.workers.workers.values())[:1]:
+        worker.faults.is_gone = True
+    for i in range(4):
+        rig.submit(node, f't{i}', work_ms=1_000, priority=9)
+    rig.clock.advance(4_000)
+    assert {rig.row(f't{i}')['state'] for i in range(4)} == {'done'}
--- a/packages/policy/src/oriolestand_policy/batch/_lifecycle.py
+++ b/packages/policy/src/oriolestand_policy/batch/_lifecycle.py
@@ -72,6 +72,7 @@
         self._asked_at: core.Millis | None = None
         self._save_until: core.Millis | None = None
         self._is_saving = False
+        self._starts = 0
         self._lost = False
         if row.is_cancel_requested:
             self._wish = _Wish.CANCEL
@@ -130,6 +131,28 @@
         """Note that a start or renewal is about to be sent."""
         self._extended_at = max(self._extended_at, now)
 
+    def start_sent(self, now: core.Millis) -> None:
+        """Note that a start is about to be sent."""
+        self.extended(now)
+        self._starts += 1
+
+    def start_not_sent(self, now: core.Millis) -> list[_effects.Effect]:
+        """Take back a start that certainly did not reach the worker.
+
+        If no start did, the task never ran and moves on without a wait.
+        An adopted task may have been started by its former controller.
+        """
+        self._starts -= 1
+        is_ours = self._owns() and self.row.epoch == 0
+        if self._starts or not is_ours or self.row.state is not State.STARTING:
+            return []
+        end = _messages.WorkerAnswered(
+            attempt=self.row.attempt,
+            status=Status.REFUSED,
+            reason='worker unreachable',
+        )
+        return self._on_end(end, now)
+
     def handle(
         self, message: _messages.Message, now: core.Millis
     ) -> list[_effects.Effect]:
--- a/packages/policy/tests/batch/test_lifecycle.py
+++ b/packages/policy/tests/batch/test_lifecycle.py
@@ -242,3 +242,25 @@
         world.clock.now(),
     )
     assert not life.may_renew(world.clock.now())
+
+
+def test_start_that_never_arrived_moves_the_task_on(world):
+    """A dead worker must not hold a task for a whole lease."""
+    life = batch.Lifecycle(world.row('t'), 1, ME, 0, batch.Timing())
+    life.begin('w0')
+    life.handle(batch.RowWritten(version=2), 0)
+    life.start_sent(0)
+    life.start_sent(1_000)
+    assert life.start_not_sent(1_000) == []
+    (free, write) = life.start_not_sent(1_000)
+    assert isinstance(free, batch.FreeSlots)
+    assert (write.row.state, write.row.avoid) == (State.QUEUED, 'w0')
+
+
+def test_adopted_start_is_never_taken_back(world):
+    """The former controller of a task may have started it."""
+    placed(world)
+    row = batch.adopt(world.row('t'), 'b/2')
+    life = batch.Lifecycle(row, 9, 'b/2', 0, batch.Timing())
+    life.start_sent(0)
+    assert life.start_not_sent(0) == []
