--- a/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
@@ -1,8 +1,9 @@
 """Find tasks that wait, were handed over, cancelled or orphaned.
 
-Reads each second: one scan for hand-overs, one for cancels of this
-instance, and for each pool with room the urgent queue and one of the
-other shards; for a minute after a proof, one for the tasks of who is gone.
+Reads each second: one scan, for hand-overs and for cancels of this
+instance in turn, and for each pool with free slots here the urgent queue
+and one of the other shards; for a minute after a proof, one for the tasks
+of who is gone.
 Running tasks of live daemons are never read.
 """
 
@@ -43,6 +44,7 @@
         self._instance_id = instance_id
         self._me = me
         self._shard = 0
+        self._is_mail_turn = False
         self._orphans_until: dict[str, core.Millis] = {}
         self._proven: set[str] = set()
 
@@ -72,13 +74,18 @@
                     const.INDEX, f'queue/{pool}/{shard}/'
                 )
                 entries += [models.parse_entry(row.value) for row in rows]
-        orphans = await self._names(const.INDEX, 'free/')
+        orphans: list[str] = []
+        cancels: list[str] = []
+        if self._is_mail_turn:
+            cancels = await self._names(const.MAIL, f'{self._instance_id}/')
+        else:
+            orphans = await self._names(const.INDEX, 'free/')
+        self._is_mail_turn = not self._is_mail_turn
         for prefix in list(self._orphans_until):
             found = await self._names(const.INDEX, f'held/{prefix}')
             if not found and self._is_over(prefix):
                 del self._orphans_until[prefix]
             orphans += found
-        cancels = await self._names(const.MAIL, f'{self._instance_id}/')
         return Found(
             entries=tuple(entries),
             orphans=tuple(orphans),
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -60,11 +60,12 @@
             for team, weight in pool.team_weights:
                 self.queue.set_team(team, weight)
 
-    def pools_with_room(self) -> list[str]:
+    async def pools_with_room(self) -> list[str]:
         """Return the pools for which more queued tasks may be read."""
         if len(self.queue) >= const.MAX_BACKLOG:
             return []
-        return sorted(self._indexes)
+        await self.refresh()
+        return sorted(n for n, i in self._indexes.items() if i.has_room)
 
     async def refresh(self) -> None:
         """Take over the free granted slots from the dispatcher."""
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -11,8 +11,8 @@
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import membership
+from oriolestand_daemon.services.batch import _desk_task
 from oriolestand_daemon.services.batch import _finder
-from oriolestand_daemon.services.batch import _jobs
 from oriolestand_daemon.services.batch import _placer
 from oriolestand_daemon.services.batch import _runs
 from oriolestand_daemon.services.batch import _store
@@ -21,16 +21,13 @@
 import oriolestand_platform as platform
 from oriolestand_policy import batch
 from oriolestand_policy import grants
-from oriolestand_policy import tables
 
-Reply = defer.Deferred[Any]
 
-
-class BatchTask(core.Task):
+class BatchTask(_desk_task.DeskTask):
     """Own the life cycles of tasks; carry out their effects."""
 
     def __init__(self, kernel: core.Kernel, cfg: settings.Settings) -> None:
-        super().__init__(kernel, const.DOMAIN)
+        super().__init__(kernel)
         self._log = core.get_logger(const.DOMAIN)
         holder = grants.Holder(
             instance_id=cfg.instance_id, incarnation=kernel.incarnation
@@ -38,7 +35,6 @@
         self._instance_id = cfg.instance_id
         self._me = str(holder)
         self._timing = batch.Timing()
-        self._store = _store.TaskStore(kernel)
         self._placer = _placer.Placer(kernel, self._store, cfg.failure_domain)
         self._finder = _finder.Finder(
             kernel, self._store, cfg.instance_id, self._me
@@ -50,8 +46,6 @@
             self._on_unsent,
             self._placer.pause,
         )
-        self._desk = _jobs.JobDesk(self._store)
-        self._tables = tables.Tables(version=0)
         self._lives: dict[str, batch.Lifecycle] = {}
         self._unslotted: dict[str, core.Millis] = {}
         self._adopting: set[str] = set()
@@ -102,33 +96,6 @@
                 self._tell(self._lives[name], batch.EvictWanted())
                 return
 
-    @core.handles(contracts.SubmitJob)
-    def _on_submit(self, msg: contracts.SubmitJob) -> Reply:
-        """Store a job and consider it at once."""
-        return defer.ensureDeferred(self._submit(msg))
-
-    async def _submit(self, msg: contracts.SubmitJob) -> Any:
-        """Store a job and put it into the queue here."""
-        reply, row = await self._desk.submit(msg.document, self._tables)
-        if reply.is_new:
-            self._enqueue(row)
-        return reply
-
-    @core.handles(contracts.ShowJob)
-    def _on_show(self, msg: contracts.ShowJob) -> Reply:
-        """Return one job."""
-        return defer.ensureDeferred(self._desk.show(msg.name))
-
-    @core.handles(contracts.ListJobs)
-    def _on_list(self, msg: contracts.ListJobs) -> Reply:
-        """Return jobs."""
-        return defer.ensureDeferred(self._desk.list(msg))
-
-    @core.handles(contracts.CancelJob)
-    def _on_cancel(self, msg: contracts.CancelJob) -> Reply:
-        """End a job."""
-        return defer.ensureDeferred(self._desk.cancel(msg.name))
-
     @core.handles(contracts.GetBatchStatus)
     def _on_status(
         self, msg: contracts.GetBatchStatus
@@ -210,7 +177,8 @@
 
     async def _poll(self) -> None:
         """Look for queued, orphaned and cancelled tasks."""
-        found = await self._finder.poll(self._placer.pools_with_room())
+        pools = await self._placer.pools_with_room()
+        found = await self._finder.poll(pools)
         for name in found.cancels:
             if name in self._lives:
                 self._tell(self._lives[name], batch.CancelWanted())
--- a/packages/policy/src/oriolestand_policy/batch/_workers.py
+++ b/packages/policy/src/oriolestand_policy/batch/_workers.py
@@ -79,6 +79,11 @@
             for addresses in self._fitting.values():
                 addresses.pop(address, None)
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether any worker has a free slot."""
+        return any(w.free_slots > 0 for w in self._workers.values())
+
     def set_free_slots(self, address: str, slots: int) -> None:
         """Record how many granted slots are free."""
         worker = self._workers.get(address)
