Let the dispatcher choose workers and keep the model small

Placement asked the dispatcher for a given worker, which is the path of adopted tasks and passes by its choice by load and its evictions for urgent tasks. It now asks for any slot and checks memory, accelerators and health of the choice; if they do not fit, it names a worker that does. The shard of urgent tasks is read even without free slots, because others may be evicted for them: two scans a second at a full daemon.

The tombstone of a stop needs two messages on their way; with one it was shown only by a wrong answer of the model, which the conformance test found.

--- a/packages/bench/src/oriolestand_bench/models/_tasks.py
+++ b/packages/bench/src/oriolestand_bench/models/_tasks.py
@@ -16,7 +16,7 @@
 MAX_MESSAGES_WITHOUT = 1
 """With a mechanism removed; one message shows most faults sooner."""
 
-NEED_TWO_MESSAGES = ('attempt_fence', 'epoch_fence')
+NEED_TWO_MESSAGES = ('attempt_fence', 'epoch_fence', 'stop_tombstone')
 """Mechanisms that act on a message which another one overtook."""
 
 
@@ -107,6 +107,9 @@
     def steps(self, state: tuple) -> list[Step]:
         """Return all next states with their labels."""
         s = State(*state)
+        if _is_broken(s):
+            # What follows a fault shows nothing more.
+            return []
         found: list[Step] = []
         for who in ('a', 'b'):
             if getattr(s, who).is_alive:
@@ -156,6 +159,9 @@
             f'{who} sends {kind[row.state]}',
             self._send(s, kind[row.state], row, who),
         )
+        if not self.has('cas'):
+            # Two takers show the fault; wrong writes multiply the states.
+            return
         if row.state != 'evicting':
             yield (
                 f'{who} evicts',
@@ -348,6 +354,17 @@
     return state._replace(**fields)
 
 
+def _is_broken(s: State) -> bool:
+    """Return whether a state violates an invariant."""
+    return (
+        (s.w1.mode, s.w2.mode) == ('running', 'running')
+        or s.stale_attempt
+        or s.stale_epoch
+        or s.resumed_finished
+        or s.row.saved == 'partial'
+    )
+
+
 def _hear(s: State, who: str, end: str) -> State:
     """Let a controller know how its attempt ended."""
     view: View = getattr(s, who)
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_finder.py
@@ -1,13 +1,13 @@
 """Find tasks that wait, were handed over, cancelled or orphaned.
 
 Reads each second: one scan, for hand-overs and for cancels of this
-instance in turn, and for each pool with free slots here the urgent queue
-and one of the other shards; for a minute after a proof, one for the tasks
-of who is gone.
+instance in turn, for each pool the urgent queue and, if it has free slots
+here, one of the other shards; for a minute after a proof, one for the
+tasks of who is gone.
 Running tasks of live daemons are never read.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 import oriolestand_core as core
@@ -64,12 +64,15 @@
             until = core.Millis(now + const.ORPHAN_SCAN_MS)
             self._orphans_until[prefix] = until
 
-    async def poll(self, pools: Iterable[str]) -> Found:
-        """Read what may concern this daemon."""
+    async def poll(self, pools: Mapping[str, bool]) -> Found:
+        """Read what may concern this daemon.
+
+        :param pools: whether a pool has free slots here, by name.
+        """
         entries: list[batch.Entry] = []
         self._shard = (self._shard + 1) % batch.QUEUE_SHARDS
-        for pool in pools:
-            for shard in ('u', str(self._shard)):
+        for pool, has_room in pools.items():
+            for shard in ('u', str(self._shard))[: 1 + has_room]:
                 rows = await self._store.scan(
                     const.INDEX, f'queue/{pool}/{shard}/'
                 )
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -60,22 +60,21 @@
             for team, weight in pool.team_weights:
                 self.queue.set_team(team, weight)
 
-    async def pools_with_room(self) -> list[str]:
-        """Return the pools for which more queued tasks may be read."""
-        if len(self.queue) >= const.MAX_BACKLOG:
-            return []
-        await self.refresh()
-        return sorted(n for n, i in self._indexes.items() if i.has_room)
+    async def pools(self) -> dict[str, bool]:
+        """Return whether a pool has free slots here, by name.
 
-    async def refresh(self) -> None:
-        """Take over the free granted slots from the dispatcher."""
+        Urgent tasks are read for all pools: others may be evicted for them.
+        """
+        if len(self.queue) >= const.MAX_BACKLOG:
+            return {}
         status = await self._kernel.ask(
             'dispatch', dispatch.GetDispatchStatus()
         )
-        for name, index in self._indexes.items():
-            for address, up in status.get(name, {})['upstreams'].items():
-                free = max(0, up['limit'] - up['in_use'])
-                index.set_free_slots(address, 0 if up['is_leaving'] else free)
+        return {
+            name: status[name]['free'] > 0
+            for name in sorted(self._indexes)
+            if name in status
+        }
 
     async def learn_specs(self, ask: Callable[[str], Any]) -> None:
         """Ask this domain's workers what they have; publish the kinds.
@@ -155,51 +154,86 @@
         return batch.why_never(entry.demand, specs, entry.pool)
 
     async def place(self) -> tuple[batch.Entry, str] | None:
-        """Take the next task that fits and reserve slots for it."""
+        """Take the next task that gets slots of a worker that fits it."""
+        refused: set[tuple[str, str, int]] = set()
         while True:
-            found = self.queue.take(self._choose)
+            found = self.queue.take(lambda e: self._choose(e, refused))
             if found is None:
                 return None
-            entry, address = found
-            index = self._indexes[entry.pool]
-            held = Held(
-                key=f'{entry.name}@{self._kernel.ids.request_id()[:8]}',
+            entry, wanted = found
+            key = f'{entry.name}@{self._kernel.ids.request_id()[:8]}'
+            address = await self._reserve_one(entry, key, wanted)
+            if not address:
+                refused.add((entry.pool, entry.team, entry.demand.slots))
+                self.queue.ended(entry.team, entry.demand.slots)
+                self.queue.put(entry)
+                continue
+            self._indexes[entry.pool].take(address, entry.demand)
+            self._held[entry.name] = Held(
+                key=key,
                 pool=entry.pool,
                 address=address,
                 team=entry.team,
                 demand=entry.demand,
                 has_slots=True,
             )
-            if await self._reserve(held, entry.priority):
-                index.take(address, entry.demand)
-                self._held[entry.name] = held
-                return found
-            index.set_free_slots(address, 0)
-            self.queue.ended(entry.team, entry.demand.slots)
-            self.queue.put(entry)
+            return entry, address
 
-    def _choose(self, entry: batch.Entry) -> str | None:
-        """Return a worker of the entry's pool."""
+    def _choose(
+        self, entry: batch.Entry, refused: set[tuple[str, str, int]]
+    ) -> str | None:
+        """Return a worker that has what the task needs besides slots."""
         index = self._indexes.get(entry.pool)
-        if index is None:
+        kind = (entry.pool, entry.team, entry.demand.slots)
+        if index is None or kind in refused:
             return None
         now = self._kernel.clock.now()
         return index.choose(entry.demand, now, entry.avoid)
 
-    async def _reserve(self, held: Held, priority: int) -> bool:
-        """Ask the dispatcher for slots of one worker."""
+    async def _reserve_one(
+        self, entry: batch.Entry, key: str, wanted: str
+    ) -> str:
+        """Return the worker whose slots were reserved, or ''.
+
+        The dispatcher chooses first, because it knows the load; its choice
+        may lack memory or accelerators, or have just failed the task.
+        """
+        address = await self._reserve(
+            key, entry.pool, entry.team, entry.demand, entry.priority
+        )
+        if not address:
+            return ''
+        now = self._kernel.clock.now()
+        fits = self._indexes[entry.pool].accepts(address, entry.demand, now)
+        if fits and (address != entry.avoid or address == wanted):
+            return address
+        self._unreserve(key)
+        return await self._reserve(
+            key, entry.pool, entry.team, entry.demand, entry.priority, wanted
+        )
+
+    async def _reserve(
+        self,
+        key: str,
+        pool: str,
+        team: str,
+        demand: batch.Demand,
+        priority: int,
+        address: str = '',
+    ) -> str:
+        """Ask the dispatcher for slots of any or of one worker."""
         reservation = await self._kernel.ask(
             'dispatch',
             dispatch.ReserveSlots(
-                key=held.key,
-                pool=held.pool,
-                slots=held.demand.slots,
-                team=held.team,
+                key=key,
+                pool=pool,
+                slots=demand.slots,
+                team=team,
                 priority=priority,
-                address=held.address,
+                address=address,
             ),
         )
-        return reservation is not None
+        return '' if reservation is None else str(reservation.address)
 
     async def adopt(self, row: batch.TaskRow) -> bool:
         """Count an adopted task; return whether slots were free for it."""
@@ -217,7 +251,15 @@
             self.queue.occupy(row.team, row.demand.slots)
             if row.pool in self._indexes:
                 self._indexes[row.pool].take(row.worker, row.demand)
-        if not await self._reserve(held, row.priority):
+        address = await self._reserve(
+            held.key,
+            row.pool,
+            row.team,
+            row.demand,
+            row.priority,
+            row.worker,
+        )
+        if not address:
             return False
         if row.name not in self._held:
             # The task ended meanwhile.
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -177,8 +177,7 @@
 
     async def _poll(self) -> None:
         """Look for queued, orphaned and cancelled tasks."""
-        pools = await self._placer.pools_with_room()
-        found = await self._finder.poll(pools)
+        found = await self._finder.poll(await self._placer.pools())
         for name in found.cancels:
             if name in self._lives:
                 self._tell(self._lives[name], batch.CancelWanted())
@@ -223,7 +222,6 @@
         """Start queued tasks while slots are free."""
         if not len(self._placer.queue):
             return
-        await self._placer.refresh()
         while self._drained is None:
             found = await self._placer.place()
             if found is None:
--- a/packages/policy/src/oriolestand_policy/batch/_workers.py
+++ b/packages/policy/src/oriolestand_policy/batch/_workers.py
@@ -48,7 +48,8 @@
     """Find a worker for a demand without looking at all workers.
 
     For each demand class the workers that fit it are kept; a change of one
-    worker costs one check for each class.
+    worker costs one check for each class. Only tasks placed from here are
+    counted; whether granted slots are free is the dispatcher's business.
     """
 
     def __init__(self) -> None:
@@ -63,11 +64,13 @@
         if worker is None:
             worker = _Worker(
                 spec=spec,
+                free_slots=spec.slots,
                 accelerators=spec.accelerators,
                 memory_mb=spec.memory_mb,
             )
             self._workers[spec.address] = worker
         else:
+            worker.free_slots += spec.slots - worker.spec.slots
             worker.accelerators += spec.accelerators - worker.spec.accelerators
             worker.memory_mb += spec.memory_mb - worker.spec.memory_mb
             worker.spec = spec
@@ -79,18 +82,6 @@
             for addresses in self._fitting.values():
                 addresses.pop(address, None)
 
-    @property
-    def has_room(self) -> bool:
-        """Return whether any worker has a free slot."""
-        return any(w.free_slots > 0 for w in self._workers.values())
-
-    def set_free_slots(self, address: str, slots: int) -> None:
-        """Record how many granted slots are free."""
-        worker = self._workers.get(address)
-        if worker is not None and worker.free_slots != slots:
-            worker.free_slots = slots
-            self._update(worker)
-
     def choose(
         self, demand: _row.Demand, now: core.Millis, avoid: str = ''
     ) -> str | None:
@@ -110,6 +101,15 @@
             fallback = address
         return fallback
 
+    def accepts(
+        self, address: str, demand: _row.Demand, now: core.Millis
+    ) -> bool:
+        """Return whether a worker is known, in use and fits a demand."""
+        worker = self._workers.get(address)
+        if worker is None or not worker.fits(demand):
+            return False
+        return self._is_usable(worker, now)
+
     def _is_usable(self, worker: _Worker, now: core.Millis) -> bool:
         """Return whether a worker may get a task, as a probe or not."""
         if worker.paused_until is not None and now < worker.paused_until:
