--- a/packages/standins/src/oriolestand_standins/_cluster.py
+++ b/packages/standins/src/oriolestand_standins/_cluster.py
@@ -133,6 +133,7 @@
         self.upstreams: dict[str, Process] = {}
         self.entries: dict[str, Entry] = {}
         self.daemons: dict[str, Process] = {}
+        self.modules: dict[str, Process] = {}
 
     def __enter__(self) -> 'Cluster':
         """Return the cluster."""
@@ -151,24 +152,31 @@
                 process.kill()
         self._folder.cleanup()
 
-    def _spawn(self, name: str, port: int, *args: str) -> Process:
-        """Start a Python module as a process."""
+    def start_module(
+        self,
+        name: str,
+        port: int,
+        *args: str,
+        env: Mapping[str, str] | None = None,
+    ) -> Process:
+        """Start a Python module as a process that ends with the cluster."""
         log = pathlib.Path(self._folder.name) / f'{name}.log'
         with log.open('ab') as out:
             popen = subprocess.Popen(
                 [sys.executable, '-m', *args],
                 stdout=out,
                 stderr=out,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                env={**os.environ, 'PYTHONUNBUFFERED': '1', **(env or {})},
             )
         process = Process(name=name, port=port, popen=popen, log=log)
         self._processes.append(process)
+        self.modules[name] = process
         return process
 
     def start_platform(self) -> Process:
         """Start the platform's stand-in."""
         port = free_port()
-        self.platform = self._spawn(
+        self.platform = self.start_module(
             'platform',
             port,
             'oriolestand_standins',
@@ -185,7 +193,7 @@
     def start_upstream(self, name: str, slots: int = 8) -> Process:
         """Start an upstream's stand-in."""
         port = free_port()
-        process = self._spawn(
+        process = self.start_module(
             name,
             port,
             'oriolestand_standins',
@@ -233,8 +241,15 @@
             self.platform.port, 'POST', '/instances', json.dumps(body).encode()
         )
 
-    def start_daemon(self, name: str, **settings: Any) -> Process:
-        """Start the daemon of an entry instance."""
+    def start_daemon(
+        self,
+        name: str,
+        *,
+        module: str = 'oriolestand_daemon',
+        env: Mapping[str, str] | None = None,
+        **settings: Any,
+    ) -> Process:
+        """Start the daemon of an entry instance, or a module around it."""
         assert self.platform is not None
         entry = self.entries[name]
         data = {
@@ -252,8 +267,8 @@
         }
         path = pathlib.Path(self._folder.name) / f'{name}.json'
         path.write_text(json.dumps(data))
-        process = self._spawn(
-            name, entry.callers, 'oriolestand_daemon', f'--settings={path}'
+        process = self.start_module(
+            name, entry.callers, module, f'--settings={path}', env=env
         )
         self.daemons[name] = process
         return process
