Adopt where the slots are and leave workers that are leaving

A daemon of another failure domain that read the hand-over first adopted the task, got no slots of its worker and evicted it. Daemons with free slots of the worker adopt at once, others of its domain after 2 s, all others after 10 s. Tasks of a worker that is listed as leaving are evicted with a checkpoint. A task that is taken while the daemon drains is handed over as well.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -43,6 +43,7 @@
         self._indexes: dict[str, batch.WorkerIndex] = {}
         self._kinds: dict[str, dict[str, batch.WorkerSpec]] = {}
         self._held: dict[str, Held] = {}
+        self._domains: dict[str, str] = {}
         self._specs_at: dict[str, core.Millis] = {}
         self.queue = batch.TaskQueue()
 
@@ -57,6 +58,8 @@
         for pool in known.pools.values():
             self._indexes.setdefault(pool.name, batch.WorkerIndex())
             self._kinds.setdefault(pool.name, {})
+            for up in pool.upstreams:
+                self._domains[up.address] = up.failure_domain
             for team, weight in pool.team_weights:
                 self.queue.set_team(team, weight)
 
@@ -235,6 +238,20 @@
         )
         return '' if reservation is None else str(reservation.address)
 
+    async def adoption_delay_ms(self, row: batch.TaskRow) -> int:
+        """Return how long to leave an orphaned task to better placed ones."""
+        if self._domains.get(row.worker) != self._failure_domain:
+            return const.FOREIGN_ADOPT_MS
+        status = await self._kernel.ask(
+            'dispatch', dispatch.GetDispatchStatus()
+        )
+        up = status.get(row.pool, {'upstreams': {}})['upstreams'].get(
+            row.worker
+        )
+        if up is not None and up['limit'] - up['in_use'] >= row.demand.slots:
+            return 0
+        return const.LOCAL_ADOPT_MS
+
     async def adopt(self, row: batch.TaskRow) -> bool:
         """Count an adopted task; return whether slots were free for it."""
         former = self._held.get(row.name)
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
@@ -214,12 +214,16 @@
     )
 
 
-def gone_workers(instances: Iterable[platform.InstanceEntry]) -> set[str]:
-    """Return the addresses at which every listed instance is gone."""
+def workers_in(
+    state: platform.InstanceState, instances: Iterable[platform.InstanceEntry]
+) -> set[str]:
+    """Return the addresses at which every listed instance is in a state.
+
+    A new instance may have the address of one that is gone.
+    """
     states: Mapping[str, set[platform.InstanceState]]
     states = collections.defaultdict(set)
     for entry in instances:
         if entry.role is platform.InstanceRole.UPSTREAM:
             states[entry.address].add(entry.state)
-    gone = {platform.InstanceState.GONE}
-    return {address for address, found in states.items() if found == gone}
+    return {address for address, found in states.items() if found == {state}}
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -49,6 +49,7 @@
         self._lives: dict[str, batch.Lifecycle] = {}
         self._unslotted: dict[str, core.Millis] = {}
         self._adopting: set[str] = set()
+        self._orphaned_at: dict[str, core.Millis] = {}
         self._busy: set[str] = set()
         self._polled_at: core.Millis | None = None
         self._adopted = 0
@@ -83,10 +84,14 @@
             self._finder.add_proof(f'{instance_id}/')
         for holder in msg.replaced:
             self._finder.add_proof(f'{holder}/')
-        gone = _runs.gone_workers(msg.instances)
+        listed = platform.InstanceState
+        gone = _runs.workers_in(listed.GONE, msg.instances)
+        leaving = _runs.workers_in(listed.LEAVING, msg.instances)
         for life in list(self._lives.values()):
-            if gone and life.row.worker in gone:
+            if life.row.worker in gone:
                 self._tell(life, batch.WorkerGone())
+            elif life.row.worker in leaving:
+                self._tell(life, batch.EvictWanted())
 
     @core.handles(dispatch.EvictionRequested)
     def _on_evict(self, msg: dispatch.EvictionRequested) -> None:
@@ -247,13 +252,20 @@
         if name in self._lives or name in self._adopting:
             return
         stored = await self._store.read(name)
-        if stored is None or not self._finder.is_orphaned(
-            stored.row.controller
+        row = batch.adopt(stored.row, self._me) if stored else None
+        if (
+            stored is None
+            or row is None
+            or not self._finder.is_orphaned(stored.row.controller)
         ):
+            self._orphaned_at.pop(name, None)
             return
-        row = batch.adopt(stored.row, self._me)
-        if row is None or name in self._lives:
+        now = self.kernel.clock.now()
+        since = self._orphaned_at.setdefault(name, now)
+        delay_ms = await self._placer.adoption_delay_ms(row)
+        if now - since < delay_ms or name in self._lives:
             return
+        self._orphaned_at.pop(name, None)
         self._adopting.add(name)
         try:
             outcome = await self._store.write(row, stored.row, stored.version)
@@ -298,6 +310,8 @@
             self._timing,
         )
         self._lives[stored.row.name] = life
+        if self._drained is not None:
+            self._tell(life, batch.HandOverWanted())
         return life
 
     def _on_report(self, address: str, report: platform.RunReport) -> None:
--- a/packages/daemon/src/oriolestand_daemon/services/batch/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/const.py
@@ -25,5 +25,8 @@
 """A write of a dead controller may be applied late; scan this long."""
 ADOPT_GRACE_MS = 5_000
 """An adopted task that got no slots of its worker by then is evicted."""
+LOCAL_ADOPT_MS = 2_000
+FOREIGN_ADOPT_MS = 10_000
+"""Who has free slots of the worker adopts first, then its domain, then all."""
 DRAIN_BOUND_MS = 5_000
 RENEWALS_PER_LEASE = 3
--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -76,7 +76,11 @@
 
     @core.handles(dispatch.GetDispatchStatus)
     def _on_status(self, msg):
-        return {'main': {'free': sum(self.free.values())}}
+        ups = {
+            address: {'limit': free, 'in_use': 0}
+            for address, free in self.free.items()
+        }
+        return {'main': {'free': sum(self.free.values()), 'upstreams': ups}}
 
     @core.handles(dispatch.ReserveSlots)
     def _on_reserve(self, msg):
@@ -103,7 +107,7 @@
 class Node:
     """Hold one daemon's kernel with the batch service."""
 
-    def __init__(self, rig, name, slots=8):
+    def __init__(self, rig, name, slots=8, domain='a'):
         self.kernel = core.Kernel(
             rig.clock, core.IdSource(seed=rig.next_seed())
         )
@@ -113,7 +117,7 @@
         self.slots = Slots(self.kernel, slots)
         self.kernel.register('dispatch', self.slots)
         cfg = settings.parse_settings(
-            {'instance_id': name, 'failure_domain': 'a', 'region': 'r'}
+            {'instance_id': name, 'failure_domain': domain, 'region': 'r'}
         )
         self.batch = service.setup(self.kernel, cfg)
         self.kernel.register('batch', self.batch)
@@ -419,24 +423,26 @@
     assert [run.status.value for run in rig.runs()] == ['stopped']
 
 
-def test_gone_worker_frees_its_tasks(rig):
-    """A task must move when the list has its worker as gone."""
+@pytest.mark.parametrize('state', ['gone', 'leaving'])
+def test_task_moves_when_its_worker_goes(rig, state):
+    """A task must leave a leaving worker with a checkpoint, a gone one too."""
     node = rig.node('a')
     rig.submit(node, work_ms=5_000)
     rig.clock.advance(2_000)
     address = rig.row()['worker']
-    rig.workers.workers[address].faults.is_gone = True
+    rig.workers.workers[address].faults.is_gone = state == 'gone'
     entry = platform.InstanceEntry(
         id='w',
         role=platform.InstanceRole.UPSTREAM,
-        state=platform.InstanceState.GONE,
+        state=platform.InstanceState(state),
         address=address,
         failure_domain='a',
     )
     node.members(instances=[entry])
-    node.slots.free[address] = 0
+    node.slots.free[address] = -8
     rig.clock.advance(9_000)
     assert (rig.row()['state'], rig.row()['attempt']) == ('done', 2)
+    assert bool(rig.row()['checkpoint']) == (state == 'leaving')
 
 
 def test_unknown_job(rig):
@@ -480,3 +486,24 @@
     assert sum(node.slots.free.values()) == 14
     rig.clock.advance(8_000)
     assert {rig.row(f't{i}')['state'] for i in range(3)} == {'done'}
+
+
+def test_daemon_with_slots_of_the_worker_adopts(rig):
+    """A daemon that would have to evict the task must not be faster."""
+    first = rig.node('a')
+    rig.submit(first, work_ms=20_000)
+    rig.clock.advance(2_000)
+    first.kill()
+    nodes = {
+        'b': rig.node('b', domain='elsewhere'),
+        'c': rig.node('c', slots=0),
+        'd': rig.node('d'),
+    }
+    for node in nodes.values():
+        node.members(gone=['a'])
+    rig.clock.advance(3_000)
+    assert rig.row()['controller'].startswith('d/')
+    rig.clock.advance(22_000)
+    assert rig.row()['state'] == 'done'
+    assert (rig.row()['attempt'], rig.row()['epoch']) == (1, 1)
+    assert set(nodes['d'].slots.free.values()) == {8}
