Follow throttling and room, and split the batch task in three

An adopted task runs at full speed again, because its new controller does not know why the former one slowed it down.

--- a/packages/daemon/src/oriolestand_daemon/messages/dispatch.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/dispatch.py
@@ -55,3 +55,18 @@
     """Announce that a task should be evicted to free its slots."""
 
     key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ThrottleRequested:
+    """Announce that a task should be slowed, or no longer."""
+
+    key: str
+    is_on: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoomForTasks:
+    """Announce that a task that got no slots may get some now."""
+
+    pool: str
--- a/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/admin/_task.py
@@ -4,6 +4,7 @@
 
 import oriolestand_core as core
 from oriolestand_daemon import settings
+from oriolestand_daemon.messages import batch
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.services.admin import _jobs
@@ -80,6 +81,9 @@
         """Return what this daemon knows and does."""
         pools = await self.kernel.ask('dispatch', dispatch.GetDispatchStatus())
         tables = await self._tables()
+        tasks = None
+        if 'batch' in self.kernel.services:
+            tasks = await self.kernel.ask('batch', batch.GetBatchStatus())
         return {
             'instance_id': self._cfg.instance_id,
             'incarnation': self.kernel.incarnation,
@@ -92,6 +96,7 @@
             'services': sorted(self.kernel.services),
             'tables': tables,
             'pools': pools,
+            'batch': tasks,
         }
 
     def stop(self) -> object:
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
@@ -57,6 +57,12 @@
         """Carry out an effect that concerns a worker."""
         self._start(self._send(life, effect))
 
+    def throttle(self, life: batch.Lifecycle, is_on: bool) -> None:
+        """Slow a run down or let it run at full speed again."""
+        percent = const.THROTTLED_PERCENT if is_on else const.FULL_PERCENT
+        request = platform.ThrottleRequest(run=_ref(life.row), percent=percent)
+        self._start(self.call(life.row.worker, request))
+
     def _start(self, work: Any) -> None:
         """Run a coroutine; an unreachable worker is seen by its silence."""
         fut = defer.ensureDeferred(work)
@@ -67,9 +73,7 @@
     async def _send(self, life: batch.Lifecycle, effect: batch.Effect) -> None:
         """Send one request and pass on its answer."""
         row = life.row
-        ref = platform.RunRef(
-            task=row.name, attempt=row.attempt, epoch=row.epoch
-        )
+        ref = _ref(row)
         request: platform.WorkerRequest
         match effect:
             case batch.StartRun():
@@ -191,6 +195,11 @@
         return reply
 
 
+def _ref(row: batch.TaskRow) -> platform.RunRef:
+    """Return the name of a row's attempt at its worker."""
+    return platform.RunRef(task=row.name, attempt=row.attempt, epoch=row.epoch)
+
+
 def _renewal(row: batch.TaskRow) -> platform.Renewal:
     """Return the lease that a row asks for."""
     return platform.Renewal(
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -11,49 +11,31 @@
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import membership
-from oriolestand_daemon.services.batch import _desk_task
 from oriolestand_daemon.services.batch import _finder
-from oriolestand_daemon.services.batch import _placer
+from oriolestand_daemon.services.batch import _lives
 from oriolestand_daemon.services.batch import _runs
-from oriolestand_daemon.services.batch import _store
 from oriolestand_daemon.services.batch import const
 from oriolestand_daemon.services.batch import models
 import oriolestand_platform as platform
 from oriolestand_policy import batch
-from oriolestand_policy import grants
 
 
-class BatchTask(_desk_task.DeskTask):
-    """Own the life cycles of tasks; carry out their effects."""
+class BatchTask(_lives.LivesTask):
+    """Look for tasks, place them, keep time and shut down."""
 
     def __init__(self, kernel: core.Kernel, cfg: settings.Settings) -> None:
-        super().__init__(kernel)
-        self._log = core.get_logger(const.DOMAIN)
-        holder = grants.Holder(
-            instance_id=cfg.instance_id, incarnation=kernel.incarnation
-        )
+        super().__init__(kernel, cfg)
         self._instance_id = cfg.instance_id
-        self._me = str(holder)
-        self._timing = batch.Timing()
-        self._placer = _placer.Placer(kernel, self._store, cfg.failure_domain)
         self._finder = _finder.Finder(
             kernel, self._store, cfg.instance_id, self._me
         )
-        self._driver = _runs.RunDriver(
-            kernel,
-            self._timing,
-            self._on_report,
-            self._on_unsent,
-            self._placer.pause,
-        )
-        self._lives: dict[str, batch.Lifecycle] = {}
         self._unslotted: dict[str, core.Millis] = {}
         self._adopting: set[str] = set()
         self._orphaned_at: dict[str, core.Millis] = {}
         self._busy: set[str] = set()
         self._polled_at: core.Millis | None = None
         self._adopted = 0
-        self._drained: defer.Deferred[None] | None = None
+        self._drained: defer.Deferred[None] = defer.Deferred()
         self._timer: Any = None
 
     def start(self) -> object:
@@ -64,6 +46,8 @@
             config.TablesChanged,
             membership.MembershipChanged,
             dispatch.EvictionRequested,
+            dispatch.ThrottleRequested,
+            dispatch.RoomForTasks,
         ):
             self.kernel.subscribe(event, self)
         self._tick()
@@ -96,10 +80,29 @@
     @core.handles(dispatch.EvictionRequested)
     def _on_evict(self, msg: dispatch.EvictionRequested) -> None:
         """Evict the task that holds a reservation."""
+        life = self._holder_of(msg.key)
+        if life is not None:
+            self._tell(life, batch.EvictWanted())
+
+    @core.handles(dispatch.ThrottleRequested)
+    def _on_throttle(self, msg: dispatch.ThrottleRequested) -> None:
+        """Slow down the task that holds a reservation, or no longer."""
+        life = self._holder_of(msg.key)
+        if life is not None:
+            self._driver.throttle(life, msg.is_on)
+
+    @core.handles(dispatch.RoomForTasks)
+    def _on_room(self, msg: dispatch.RoomForTasks) -> None:
+        """Place waiting tasks at once."""
+        if not self._is_draining:
+            self._spawn('place', self._place())
+
+    def _holder_of(self, key: str) -> batch.Lifecycle | None:
+        """Return the life cycle that holds a reservation."""
         for name, held in self._placer.held.items():
-            if held.key == msg.key and name in self._lives:
-                self._tell(self._lives[name], batch.EvictWanted())
-                return
+            if held.key == key:
+                return self._lives.get(name)
+        return None
 
     @core.handles(contracts.GetBatchStatus)
     def _on_status(
@@ -116,22 +119,21 @@
     @core.handles(contracts.DrainTasks)
     def _on_drain(self, msg: contracts.DrainTasks) -> Any:
         """Hand all tasks over to other daemons."""
-        self._drained = defer.Deferred()
-        drained = self._drained
+        self._is_draining = True
         for life in list(self._lives.values()):
             self._tell(life, batch.HandOverWanted())
         self.kernel.clock.call_later(const.DRAIN_BOUND_MS, self._end_drain)
         self._check_drained()
-        return drained
+        return self._drained
 
     def _check_drained(self) -> None:
         """Reply once no task is left."""
-        if self._drained is not None and not self._lives:
+        if self._is_draining and not self._lives:
             self._end_drain()
 
     def _end_drain(self) -> None:
         """Reply to the request to drain, once."""
-        if self._drained is not None and not self._drained.called:
+        if not self._drained.called:
             if self._lives:
                 self._log.warning('Not handed over', tasks=len(self._lives))
             self._drained.callback(None)
@@ -145,7 +147,7 @@
         for life in list(self._lives.values()):
             self._tell(life, batch.Tick())
         self._driver.renew(self._lives.values())
-        if self._drained is None:
+        if not self._is_draining:
             now = self.kernel.clock.now()
             last = self._polled_at
             if last is None or now - last >= const.POLL_INTERVAL_MS:
@@ -227,7 +229,7 @@
         """Start queued tasks while slots are free."""
         if not len(self._placer.queue):
             return
-        while self._drained is None:
+        while not self._is_draining:
             found = await self._placer.place()
             if found is None:
                 return
@@ -279,6 +281,8 @@
         now = self.kernel.clock.now()
         self._unslotted[name] = core.Millis(now + const.ADOPT_GRACE_MS)
         self._tell(life, batch.Tick())
+        # The former controller may have slowed it down.
+        self._driver.throttle(life, False)
         await self._claim(name)
 
     async def _claim_slots(self) -> None:
@@ -298,77 +302,10 @@
             # Someone else will use the worker's slots soon.
             self._tell(life, batch.EvictWanted())
 
-    # Life cycles
-
-    def _live(self, stored: _store.Stored) -> batch.Lifecycle:
-        """Begin to control a task."""
-        life = batch.Lifecycle(
-            stored.row,
-            stored.version,
-            self._me,
-            self.kernel.clock.now(),
-            self._timing,
-        )
-        self._lives[stored.row.name] = life
-        if self._drained is not None:
-            self._tell(life, batch.HandOverWanted())
-        return life
-
-    def _on_report(self, address: str, report: platform.RunReport) -> None:
-        """Pass on what a worker says."""
-        life = self._lives.get(report.task)
-        if life is None or life.row.worker != address:
-            return
-        is_new = not life.is_stopped and report.attempt == life.row.attempt
-        answer = _runs.to_answer(report)
-        if is_new and answer.status.is_end:
-            self._placer.observe(life.row, answer.status)
-        self._tell(life, answer)
-
-    def _on_unsent(self, life: batch.Lifecycle) -> None:
-        """Move a task on whose start certainly did not arrive."""
-        self._run(life, life.start_not_sent(self.kernel.clock.now()))
-
-    def _tell(self, life: batch.Lifecycle, message: batch.Message) -> None:
-        """Give a message to a life cycle and do what it asks."""
-        self._run(life, life.handle(message, self.kernel.clock.now()))
-
-    def _run(self, life: batch.Lifecycle, effects: list[batch.Effect]) -> None:
-        """Carry out effects."""
-        for effect in effects:
-            match effect:
-                case batch.WriteRow():
-                    fut = self._store.write(
-                        effect.row, effect.before, effect.version
-                    )
-                    fut.addCallback(self._on_outcome, life)
-                case batch.FreeSlots():
-                    self._placer.release(effect.row.name)
-                case batch.Forget():
-                    self._forget(life, effect.row)
-                case _:
-                    self._driver.send(life, effect)
-
-    def _on_outcome(
-        self, outcome: _store.Outcome, life: batch.Lifecycle
-    ) -> None:
-        """Tell a life cycle how its write ended."""
-        stored = outcome.stored
-        if outcome.is_applied:
-            self._tell(life, batch.RowWritten(version=stored.version))
-            return
-        self._tell(
-            life, batch.RowConflicted(row=stored.row, version=stored.version)
-        )
-
-    def _forget(self, life: batch.Lifecycle, row: batch.TaskRow) -> None:
-        """Stop controlling a task."""
-        self._placer.release(row.name)
+    def _left(self, row: batch.TaskRow) -> None:
+        """Consider a task that is queued again; notice the last one."""
         self._unslotted.pop(row.name, None)
-        if self._lives.get(row.name) is life:
-            del self._lives[row.name]
-        self._log.info('Task left', task=row.name, state=row.state.value)
-        if self._drained is None:
+        if not self._is_draining:
             self._enqueue(row)
         self._check_drained()
 
--- a/packages/daemon/src/oriolestand_daemon/services/batch/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/const.py
@@ -30,3 +30,5 @@
 """Who has free slots of the worker adopts first, then its domain, then all."""
 DRAIN_BOUND_MS = 5_000
 RENEWALS_PER_LEASE = 3
+THROTTLED_PERCENT = 25
+FULL_PERCENT = 100
--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -332,6 +332,8 @@
     second.members(gone=['a'])
     rig.clock.advance(2_000)
     assert rig.row()['controller'].startswith('b/')
+    (status,) = second.ask(contracts.GetBatchStatus())
+    assert (status.controlled, status.adopted) == (1, 1)
     rig.clock.advance(15_000)
     assert (rig.row()['state'], rig.row()['attempt']) == ('done', 1)
 
@@ -507,3 +509,28 @@
     assert rig.row()['state'] == 'done'
     assert (rig.row()['attempt'], rig.row()['epoch']) == (1, 1)
     assert set(nodes['d'].slots.free.values()) == {8}
+
+
+def test_throttled_task_runs_slower_until_it_is_released(rig):
+    """A request to slow a task down must reach its worker and end."""
+    node = rig.node('a')
+    rig.submit(node, work_ms=8_000)
+    rig.clock.advance(1_000)
+    (key,) = node.slots.reserved
+    node.kernel.publish(dispatch.ThrottleRequested(key=key, is_on=True))
+    rig.clock.advance(8_000)
+    assert rig.row()['state'] == 'running'
+    node.kernel.publish(dispatch.ThrottleRequested(key=key, is_on=False))
+    rig.clock.advance(8_000)
+    assert (rig.row()['state'], rig.row()['attempt']) == ('done', 1)
+
+
+def test_room_places_a_waiting_task_at_once(rig):
+    """Freed slots must not stay empty until the next tick."""
+    node = rig.node('a', slots=0)
+    rig.submit(node)
+    rig.clock.advance(2_000)
+    node.slots.free = dict.fromkeys(WORKERS, 8)
+    node.kernel.publish(dispatch.RoomForTasks(pool='main'))
+    rig.clock.advance(50)
+    assert rig.row()['state'] == 'running'
