Ask only workers of pools with jobs and judge waiting jobs again

Every upstream got worker requests, also those of pools that only serve requests and may be no workers. Workers are asked once a pool has a job.

A job that was queued before the kinds of workers were known was never judged, and 256 of them kept the daemon from reading others. The classes that wait are judged in each poll now, and tasks that no worker here can run do not wait here.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -26,6 +26,17 @@
     has_slots: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """Say whether workers of this domain may run a class of tasks.
+
+    ``why_never`` is set when no worker of the pool can, in any domain.
+    """
+
+    may_run_here: bool
+    why_never: str = ''
+
+
 class Placer:
     """Own the queue, what is known of workers and the reservations.
 
@@ -44,6 +55,7 @@
         self._kinds: dict[str, dict[str, batch.WorkerSpec]] = {}
         self._held: dict[str, Held] = {}
         self._domains: dict[str, str] = {}
+        self._wanted: set[str] = set()
         self._specs_at: dict[str, core.Millis] = {}
         self.queue = batch.TaskQueue()
 
@@ -86,12 +98,16 @@
         """
         now = self._kernel.clock.now()
         for pool in self._tables.pools.values():
+            if pool.name not in self._wanted:
+                # An upstream that gets no tasks may not be a worker.
+                continue
             mine = [
                 up.address
                 for up in pool.upstreams
                 if up.failure_domain == self._failure_domain
             ]
             kinds = self._kinds[pool.name]
+            is_news = False
             for address in mine:
                 if self._specs_at.get(address, 0) > now:
                     continue
@@ -107,10 +123,11 @@
                     self._indexes[pool.name].set_worker(spec)
                     kinds[address] = spec
                     delay = const.SPEC_INTERVAL_MS
+                    is_news = True
                 except core.OriolestandError as exc:
                     self._log.info('Worker silent', reason=str(exc))
                 self._specs_at[address] = core.Millis(now + delay)
-            if mine and all(address in kinds for address in mine):
+            if is_news and all(address in kinds for address in mine):
                 await self._publish(pool.name, [kinds[a] for a in mine])
 
     async def _publish(self, pool: str, specs: list[batch.WorkerSpec]) -> None:
@@ -124,20 +141,21 @@
         if row is None or row.value != value:
             await self._store.put(const.CAPACITY, key, value)
 
-    async def why_never(self, entry: batch.Entry) -> str:
-        """Return why no worker of the pool can ever run a task, or ''."""
-        pool = self._tables.pools.get(entry.pool)
+    async def judge(self, name: str, demand: batch.Demand) -> Verdict:
+        """Return whether workers of a pool may run a class of tasks."""
+        self._wanted.add(name)
+        pool = self._tables.pools.get(name)
         if pool is None or not pool.upstreams:
-            return ''
-        kinds = self._kinds.get(entry.pool, {}).values()
-        if not batch.why_never(entry.demand, kinds, entry.pool):
-            return ''
+            return Verdict(may_run_here=False)
+        kinds = self._kinds[name].values()
+        if not batch.why_never(demand, kinds, name):
+            return Verdict(may_run_here=True)
         expected: dict[str, int] = {}
         for up in pool.upstreams:
             domain = up.failure_domain
             expected[domain] = expected.get(domain, 0) + 1
         specs = []
-        rows = await self._store.scan(const.CAPACITY, f'{entry.pool}/')
+        rows = await self._store.scan(const.CAPACITY, f'{name}/')
         for row in rows:
             domain = row.key.partition('/')[2]
             if expected.get(domain) == row.value['workers']:
@@ -151,10 +169,11 @@
                         memory_mb=memory_mb,
                     )
                 )
-        if expected:
-            # Some domain's workers are not all known: no verdict yet.
-            return ''
-        return batch.why_never(entry.demand, specs, entry.pool)
+        reason = ''
+        if not expected:
+            # Otherwise some domain's workers are not all known yet.
+            reason = batch.why_never(demand, specs, name)
+        return Verdict(may_run_here=False, why_never=reason)
 
     async def place(self) -> tuple[batch.Entry, str] | None:
         """Take the next task that gets slots of a worker that fits it."""
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -13,12 +13,15 @@
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.services.batch import _finder
 from oriolestand_daemon.services.batch import _lives
+from oriolestand_daemon.services.batch import _placer
 from oriolestand_daemon.services.batch import _runs
 from oriolestand_daemon.services.batch import const
 from oriolestand_daemon.services.batch import models
 import oriolestand_platform as platform
 from oriolestand_policy import batch
 
+Verdicts = dict[tuple[str, batch.Demand], _placer.Verdict]
+
 
 class BatchTask(_lives.LivesTask):
     """Look for tasks, place them, keep time and shut down."""
@@ -191,18 +194,36 @@
             await self._finder.drop_mail(name)
         for name in found.orphans:
             await self._adopt(name)
+        verdicts = await self._judge_queue()
         for entry in found.entries:
-            await self._consider(entry)
+            await self._consider(entry, verdicts)
+
+    async def _judge_queue(self) -> Verdicts:
+        """Remove the tasks that no worker here can run, as is known now."""
+        queue = self._placer.queue
+        verdicts: Verdicts = {}
+        for pool, demand in queue.classes():
+            verdict = await self._placer.judge(pool, demand)
+            verdicts[pool, demand] = verdict
+            if verdict.may_run_here:
+                continue
+            for name in queue.names_of(pool, demand):
+                queue.remove(name)
+                if verdict.why_never:
+                    await self._refuse(name, verdict.why_never)
+        return verdicts
 
-    async def _consider(self, entry: batch.Entry) -> None:
+    async def _consider(self, entry: batch.Entry, verdicts: Verdicts) -> None:
         """Let a queued task wait here, or end one that can never run."""
         if entry.name in self._lives or entry.name in self._placer.queue:
             return
-        reason = await self._placer.why_never(entry)
-        if reason:
-            await self._refuse(entry.name, reason)
-        else:
+        key = (entry.pool, entry.demand)
+        if key not in verdicts:
+            verdicts[key] = await self._placer.judge(*key)
+        if verdicts[key].may_run_here:
             self._placer.queue.put(entry)
+        elif verdicts[key].why_never:
+            await self._refuse(entry.name, verdicts[key].why_never)
 
     async def _refuse(self, name: str, reason: str) -> None:
         """End a task that can never run."""
@@ -219,7 +240,7 @@
         """Consider a task that was queued here without reading the index."""
         if row.state is not batch.TaskState.QUEUED:
             return
-        fut = defer.ensureDeferred(self._consider(models.to_entry(row)))
+        fut = defer.ensureDeferred(self._consider(models.to_entry(row), {}))
         # The next poll finds the task if this fails.
         fut.addErrback(
             lambda f: self._log.info('Not queued here', reason=str(f.value))
--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -534,3 +534,21 @@
     node.kernel.publish(dispatch.RoomForTasks(pool='main'))
     rig.clock.advance(50)
     assert rig.row()['state'] == 'running'
+
+
+def test_upstreams_without_jobs_get_no_worker_requests(rig):
+    """An upstream of a pool for requests only must not be asked for tasks."""
+    node = rig.node('a')
+    rig.clock.advance(10_000)
+    assert node.platform.calls == []
+
+
+def test_impossible_jobs_do_not_fill_the_backlog(rig):
+    """Jobs that can never run must not keep others from being read."""
+    node = rig.node('a')
+    for i in range(300):
+        rig.submit(node, f'bad{i}', demand={'memory_mb': 1_001})
+    rig.submit(node, work_ms=1_000)
+    rig.clock.advance(20_000)
+    assert rig.row()['state'] == 'done'
+    assert {rig.row(f'bad{i}')['state'] for i in range(300)} == {'failed'}
--- a/packages/policy/src/oriolestand_policy/batch/_queue.py
+++ b/packages/policy/src/oriolestand_policy/batch/_queue.py
@@ -79,6 +79,24 @@
             entry
         )
 
+    def classes(self) -> set[_Class]:
+        """Return the pools and demands of the tasks that wait."""
+        return {
+            key
+            for level in self._levels.values()
+            for team in level.values()
+            for key in team.classes
+        }
+
+    def names_of(self, pool: str, demand: _row.Demand) -> list[str]:
+        """Return the waiting tasks of a class."""
+        return [
+            name
+            for level in self._levels.values()
+            for team in level.values()
+            for name in team.classes.get((pool, demand), ())
+        ]
+
     def remove(self, name: str) -> None:
         """Drop a task that is no longer waiting."""
         entry = self._entries.pop(name, None)
