--- a/packages/daemon/src/oriolestand_daemon/_daemon.py
+++ b/packages/daemon/src/oriolestand_daemon/_daemon.py
@@ -25,6 +25,7 @@
     'idempotency',
     'upstreams',
     'frontend',
+    'batch',
     'admin',
 )
 
--- a/packages/platform/src/oriolestand_platform/_client.py
+++ b/packages/platform/src/oriolestand_platform/_client.py
@@ -4,10 +4,11 @@
 from collections.abc import Sequence
 
 from oriolestand_platform import _models
+from oriolestand_platform import _workers
 
 
-class PlatformClient(abc.ABC):
-    """Reach the platform's table service, object store and instance list.
+class PlatformClient(_workers.WorkerClient):
+    """Reach the platform's table service, object store, list and workers.
 
     All methods raise StoreUnavailableError or one of its subclasses. The
     verdict is ``did_not_run`` when the platform certainly did nothing and
--- a/packages/standins/src/oriolestand_standins/_upstream.py
+++ b/packages/standins/src/oriolestand_standins/_upstream.py
@@ -10,6 +10,8 @@
 from twisted.web import resource
 from twisted.web import server
 
+from oriolestand_standins import _worker
+
 MILLIS_PER_SECOND = 1000
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
@@ -60,6 +62,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.reactor: Any = reactor
         self.held: list[tuple[Any, bytes]] = []
+        self.worker = _worker.WorkerSide(reactor, name, slots)
         root: Any = _Upstream(self)
         super().__init__(root, reactor=reactor)
 
@@ -108,6 +111,8 @@
             return json.dumps(site.counts()).encode()
         if request.path == b'/_faults':
             return self._set_faults(request)
+        if request.path.startswith(b'/_worker'):
+            return site.worker.render(request)
         site.running += 1
         site.max_running = max(site.max_running, site.running)
         key = request.getHeader('x-request-key') or ''
