--- a/packages/platform/src/oriolestand_platform/_http.py
+++ b/packages/platform/src/oriolestand_platform/_http.py
@@ -15,8 +15,10 @@
 import oriolestand_core as core
 from oriolestand_platform import _client
 from oriolestand_platform import _errors
+from oriolestand_platform import _http_workers
 from oriolestand_platform import _models
 from oriolestand_platform import _transport
+from oriolestand_platform import _workers
 
 Model = TypeVar('Model', bound=pydantic.BaseModel)
 
@@ -39,6 +41,7 @@
         base_url: str,
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
     ) -> None:
+        self._workers = _http_workers.HttpWorkers(reactor, timeout_ms)
         self._transport = _transport.HttpTransport(
             reactor, base_url, timeout_ms
         )
@@ -100,8 +103,15 @@
         self._listed = listed
         return listed
 
+    async def call_worker(
+        self, address: str, request: _workers.WorkerRequest
+    ) -> _workers.WorkerReply:
+        """Send one request to a worker."""
+        return await self._workers.call(address, request)
+
     def close(self) -> object:
         """Close idle connections."""
+        self._workers.close()
         return self._transport.close()
 
     async def _call(
