--- a/packages/bench/src/oriolestand_bench/_groups.py
+++ b/packages/bench/src/oriolestand_bench/_groups.py
@@ -9,6 +9,7 @@
 from oriolestand_bench import capacity
 from oriolestand_bench import config
 from oriolestand_bench import failover
+from oriolestand_bench import policy
 
 GROUPS: Mapping[str, Callable[[], list[_results.Result]]] = {
     'path': _path.run,
@@ -16,4 +17,5 @@
     'failover': failover.run,
     'config': config.run,
     'capacity': capacity.run,
+    'policy': policy.run,
 }
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -76,9 +76,14 @@
         """Know the pools and which pool an upstream belongs to."""
         self._pool_of = {}
         for pool in msg.tables.pools.values():
-            self._dispatcher.set_pool(pool.name, pool.queue_limit)
+            self._dispatcher.set_pool(
+                pool.name, pool.queue_limit, pool.team_weights
+            )
             for upstream in pool.upstreams:
                 self._pool_of[upstream.address] = pool.name
+        now = self.kernel.clock.now()
+        for name in set(self._dispatcher.pools) - set(msg.tables.pools):
+            self._run(self._dispatcher.remove_pool(name, now))
         for load in self._peer_loads.values():
             self._apply_peer_load(load)
         self._apply_slots()
@@ -113,17 +118,19 @@
 
     def _apply_peer_load(self, msg: peers.PeerLoadChanged) -> None:
         """Give the dispatcher what a peer can take."""
+        now = self.kernel.clock.now()
         for pool in msg.pools:
-            self._dispatcher.set_peer(
-                pool.pool, msg.peer, pool.free, msg.distance
+            self._run(
+                self._dispatcher.set_peer(
+                    pool.pool, msg.peer, pool.free, msg.distance, now
+                )
             )
 
     @core.handles(membership.PeerDisconnected)
     def _on_peer_lost(self, msg: membership.PeerDisconnected) -> None:
         """Forward nothing to a peer without a link."""
         self._peer_loads.pop(msg.instance_id, None)
-        for pool in self._dispatcher.pools:
-            self._dispatcher.set_peer(pool, msg.instance_id, 0, 0)
+        self._dispatcher.remove_peer(msg.instance_id)
 
     @core.handles(membership.UpstreamLeaving)
     def _on_leaving(self, msg: membership.UpstreamLeaving) -> None:
@@ -275,6 +282,16 @@
             if isinstance(effect, dispatching.Evict):
                 self.kernel.publish(dispatch.EvictionRequested(key=effect.key))
                 continue
+            if isinstance(effect, dispatching.Throttle):
+                self.kernel.publish(
+                    dispatch.ThrottleRequested(
+                        key=effect.key, is_on=effect.is_on
+                    )
+                )
+                continue
+            if isinstance(effect, dispatching.RoomForTasks):
+                self.kernel.publish(dispatch.RoomForTasks(pool=effect.pool))
+                continue
             assert isinstance(effect, dispatching.RequestEffect)
             request = self._open.get(effect.ticket.id)
             if request is None:
