Keep slots of batch tasks taken after their controller is gone

Cause: a task runs on at its worker until its lease lapses or it is adopted. The grant of its dead controller was free after the longest request deadline, so the slots could be granted while the task still used them. After a hand-over at shutdown they were free at once.

A task now starts only once the row says that the grant outlives its lease by 30 s (CoverTasks), and a handed-over task keeps its reservation, so its slots are released only after proof and horizon. Limits are also lowered to the target instead of the slots in use, so a busy holder converges.

--- a/packages/daemon/src/oriolestand_daemon/messages/grants.py
+++ b/packages/daemon/src/oriolestand_daemon/messages/grants.py
@@ -18,3 +18,15 @@
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReleaseGrants:
     """Give all slots back; the reply comes when that is recorded."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CoverTasks:
+    """Ask to record that a task may outlive this daemon at an upstream.
+
+    The reply is True once the row says that, after this daemon's death,
+    its slots there are not free before ``horizon_ms`` have passed.
+    """
+
+    address: str
+    horizon_ms: int
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_lives.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_lives.py
@@ -99,7 +99,11 @@
 
     def _forget(self, life: batch.Lifecycle, row: batch.TaskRow) -> None:
         """Stop controlling a task."""
-        self._placer.release(row.name)
+        is_running = row.worker and row.state is not batch.TaskState.QUEUED
+        if is_running and not row.state.is_final and not row.controller:
+            self._placer.hand_over(row.name)
+        else:
+            self._placer.release(row.name)
         if self._lives.get(row.name) is life:
             del self._lives[row.name]
         self._log.info('Task left', task=row.name, state=row.state.value)
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -6,6 +6,7 @@
 
 import oriolestand_core as core
 from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import grants
 from oriolestand_daemon.messages import platform as store
 from oriolestand_daemon.services.batch import _store
 from oriolestand_daemon.services.batch import const
@@ -185,6 +186,9 @@
             entry, wanted = found
             key = f'{entry.name}@{self._kernel.ids.request_id()[:8]}'
             address = await self._reserve_one(entry, key, wanted)
+            if address and not await self._cover(address, entry.lease_ms):
+                self._unreserve(key)
+                address = ''
             if not address:
                 refused.add((entry.pool, entry.team, entry.demand.slots))
                 self.queue.ended(entry.team, entry.demand.slots)
@@ -201,6 +205,17 @@
             )
             return entry, address
 
+    async def _cover(self, address: str, lease_ms: int) -> bool:
+        """Return whether the grant of the slots outlives the task's lease."""
+        covered: bool = await self._kernel.ask(
+            'grants',
+            grants.CoverTasks(
+                address=address,
+                horizon_ms=lease_ms + const.TASK_HORIZON_MS,
+            ),
+        )
+        return covered
+
     def _choose(
         self, entry: batch.Entry, refused: set[tuple[str, str, int]]
     ) -> str | None:
@@ -297,6 +312,9 @@
         )
         if not address:
             return False
+        if not await self._cover(address, row.lease_ms):
+            self._unreserve(held.key)
+            return False
         if row.name not in self._held:
             # The task ended meanwhile.
             self._unreserve(held.key)
@@ -315,6 +333,13 @@
         if held.has_slots:
             self._unreserve(held.key)
 
+    def hand_over(self, name: str) -> None:
+        """Forget a task that goes on running without a controller.
+
+        Its slots stay reserved: they are not free when this daemon leaves.
+        """
+        self._held.pop(name, None)
+
     def _unreserve(self, key: str) -> None:
         """Give slots back to the dispatcher."""
         self._kernel.post('dispatch', dispatch.UnreserveSlots(key=key))
--- a/packages/daemon/src/oriolestand_daemon/services/batch/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/const.py
@@ -32,3 +32,10 @@
 RENEWALS_PER_LEASE = 3
 THROTTLED_PERCENT = 25
 FULL_PERCENT = 100
+
+TASK_HORIZON_MS = 30_000
+"""Added to a task's lease: slots of a dead daemon's tasks stay taken so long.
+
+It covers the proofs that daemons see at different times, FOREIGN_ADOPT_MS,
+ADOPT_GRACE_MS and the eviction that follows it.
+"""
--- a/packages/daemon/src/oriolestand_daemon/services/batch/models.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/models.py
@@ -71,6 +71,7 @@
     demand: DemandModel
     pool: str
     avoid: str = ''
+    lease_ms: int = 30_000
 
 
 def parse_job(document: bytes, known: tables.Tables) -> batch.TaskRow:
@@ -141,6 +142,7 @@
         'demand': dataclasses.asdict(row.demand),
         'pool': row.pool,
         'avoid': row.avoid,
+        'lease_ms': row.lease_ms,
     }
 
 
@@ -153,6 +155,7 @@
         demand=row.demand,
         pool=row.pool,
         avoid=row.avoid,
+        lease_ms=row.lease_ms,
     )
 
 
--- a/packages/daemon/src/oriolestand_daemon/services/grants/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/grants/_task.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 from typing import Any
 
 from twisted.internet import defer
@@ -22,6 +23,15 @@
 Limits = Mapping[str, int]
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Cover:
+    """Hold a question for a longer horizon and the syncs since."""
+
+    msg: contracts.CoverTasks
+    reply: 'defer.Deferred[bool]'
+    rounds: int = 0
+
+
 class GrantsTask(core.Task):
     """Own this daemon's view of the shards of its failure domain."""
 
@@ -39,6 +49,8 @@
         self._ledgers: dict[str, grants.Ledger] = {}
         self._caps: dict[str, int] = {}
         self._gone_since: dict[grants.Holder, core.Millis] = {}
+        self._task_horizons: dict[str, int] = {}
+        self._covers: list[_Cover] = []
         self._timer: Any = None
         self._is_syncing = False
         self._is_dirty = False
@@ -70,6 +82,43 @@
         self._entry_ids = ids
         self._sync_soon()
 
+    @core.handles(contracts.CoverTasks)
+    def _on_cover(self, msg: contracts.CoverTasks) -> Any:
+        """Publish a horizon that covers a task before it is started."""
+        if self._covers_task(msg):
+            return True
+        if self._is_released:
+            return False
+        former = self._task_horizons.get(msg.address, 0)
+        self._task_horizons[msg.address] = max(former, msg.horizon_ms)
+        cover = _Cover(msg=msg, reply=defer.Deferred())
+        self._covers.append(cover)
+        self._sync_soon()
+        return cover.reply
+
+    def _covers_task(self, msg: contracts.CoverTasks) -> bool:
+        """Return whether the committed row has the horizon asked for."""
+        key = grants.shard_key(self._cfg.failure_domain, msg.address)
+        ledger = self._ledgers.get(key)
+        if ledger is None:
+            return False
+        return ledger.horizons().get(msg.address, 0) >= msg.horizon_ms
+
+    def _answer_covers(self) -> None:
+        """Reply to questions that a sync has settled.
+
+        A question that came during a sync is only settled by the next one.
+        """
+        waiting, self._covers = self._covers, []
+        for cover in waiting:
+            cover.rounds += 1
+            if self._covers_task(cover.msg):
+                cover.reply.callback(True)
+            elif cover.rounds > 1 or self._is_released:
+                cover.reply.callback(False)
+            else:
+                self._covers.append(cover)
+
     @core.handles(contracts.ReleaseGrants)
     def _on_release(
         self, msg: contracts.ReleaseGrants
@@ -118,10 +167,11 @@
     def _on_synced(self, is_settled: bool) -> None:
         """Schedule the next sync."""
         self._is_syncing = False
+        self._answer_covers()
         if self.is_stopped or self._is_released:
             return
         delay = const.UNSETTLED_INTERVAL_MS
-        if is_settled and not self._is_dirty:
+        if is_settled and not self._is_dirty and not self._covers:
             delay = const.SETTLED_INTERVAL_MS
         self._timer = self.kernel.clock.call_later(delay, self._sync_soon)
         if self._is_dirty:
@@ -156,7 +206,10 @@
         wanted = set(addresses)
         grace = self._cfg.limits.abort_grace_ms
         return {
-            upstream.address: self._tables.longest_timeout(pool.name) + grace
+            upstream.address: max(
+                self._tables.longest_timeout(pool.name) + grace,
+                self._task_horizons.get(upstream.address, 0),
+            )
             for pool in self._tables.pools.values()
             for upstream in pool.upstreams
             if upstream.address in wanted
@@ -206,8 +259,12 @@
             gone = self._reclaimable(ledger.row)
             planned = grants.plan(ledger.row, self._me, demand, gone)
             slots = planned.slots_of(self._me)
+            # Slots in use above the goal are not taken again once free.
+            idle = dataclasses.replace(demand, in_use={})
+            goal = grants.plan(ledger.row, self._me, idle, gone)
+            goal_slots = goal.slots_of(self._me)
             for address in {*ledger.row.upstreams, *addresses}:
-                self._caps[address] = slots.get(address, 0)
+                self._caps[address] = goal_slots.get(address, 0)
             self._publish()
             in_use = await self._slots_in_use()
             if all(
--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -11,6 +11,7 @@
 from oriolestand_daemon.messages import batch as contracts
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import grants
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.services import batch as service
 from oriolestand_daemon.services.batch import errors
@@ -104,6 +105,20 @@
         self.free[one.address] += one.slots
 
 
+class Grants(core.Task):
+    """Record the horizons that tasks ask for."""
+
+    def __init__(self, kernel):
+        super().__init__(kernel, 'grants')
+        self.horizons = {}
+        self.refuses = False
+
+    @core.handles(grants.CoverTasks)
+    def _on_cover(self, msg):
+        self.horizons[msg.address] = msg.horizon_ms
+        return not self.refuses
+
+
 class Node:
     """Hold one daemon's kernel with the batch service."""
 
@@ -116,6 +131,8 @@
         self.kernel.register('platform', task)
         self.slots = Slots(self.kernel, slots)
         self.kernel.register('dispatch', self.slots)
+        self.grants = Grants(self.kernel)
+        self.kernel.register('grants', self.grants)
         cfg = settings.parse_settings(
             {'instance_id': name, 'failure_domain': domain, 'region': 'r'}
         )
@@ -373,12 +390,29 @@
     rig.clock.advance(100)
     assert drained == [None]
     assert rig.keys('task_index') == ['free/t']
+    # Freed slots would be granted to others while the task runs on.
+    assert len(first.slots.reserved) == 1
     first.kill()
     rig.node('b')
     rig.clock.advance(12_000)
     assert (rig.row()['state'], rig.row()['attempt']) == ('done', 1)
 
 
+def test_task_starts_only_when_its_grant_outlives_it(rig):
+    """A dead daemon's slots must stay taken while its tasks may run."""
+    node = rig.node('a')
+    node.grants.refuses = True
+    rig.submit(node, work_ms=1_000)
+    rig.clock.advance(2_000)
+    assert rig.row()['state'] == 'queued'
+    assert not node.slots.reserved
+    node.grants.refuses = False
+    rig.clock.advance(500)
+    assert rig.row()['state'] == 'running'
+    lease_ms = rig.row()['lease_ms']
+    assert all(h > lease_ms for h in node.grants.horizons.values())
+
+
 def test_store_down_keeps_tasks_running(rig):
     """An outage longer than a lease must not stop a task."""
     node = rig.node('a')
--- a/packages/policy/src/oriolestand_policy/batch/_queue.py
+++ b/packages/policy/src/oriolestand_policy/batch/_queue.py
@@ -19,6 +19,7 @@
     demand: _row.Demand
     pool: str
     avoid: str = ''
+    lease_ms: int = 30_000
 
 
 _Class = tuple[str, _row.Demand]
