--- a/packages/bench/tests/policy/test_policy_bench.py
+++ b/packages/bench/tests/policy/test_policy_bench.py
@@ -3,6 +3,7 @@
 from oriolestand_bench.policy import _fakes
 from oriolestand_bench.policy import _measures
 from oriolestand_bench.policy import _runner
+from oriolestand_bench.policy import _scale
 from oriolestand_bench.policy import _scenarios
 import oriolestand_core as core
 
@@ -42,3 +43,8 @@
     for scenario in _scenarios.SCENARIOS:
         assert scenario().streams()
         assert _measures.measures_of(scenario.name)
+
+
+def test_costs_can_be_measured_with_many_tasks() -> None:
+    """A reservation that fails is cheap and would hide the cost."""
+    assert _scale.task_cost(_scale.build(50), tasks=200, rounds=10) > 0
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_refusal.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_refusal.py
@@ -5,6 +5,7 @@
 import oriolestand_core as core
 from oriolestand_daemon.services.frontend import const
 
+MILLIS_PER_SECOND = 1000
 RETRY_CODES = frozenset({429, 503})
 
 
@@ -30,5 +31,13 @@
         (const.HEADER_VERDICT, error.verdict.value),
     ]
     if error.http_status in RETRY_CODES:
-        headers.append(('Retry-After', str(const.RETRY_AFTER_S)))
+        headers.append(('Retry-After', str(_retry_after_s(error))))
     return headers
+
+
+def _retry_after_s(error: core.OriolestandError) -> int:
+    """Return the estimate of the error in whole seconds, at least one."""
+    wait_ms = error.values.get('retry_after_ms')
+    if not isinstance(wait_ms, int):
+        return const.RETRY_AFTER_S
+    return max(const.RETRY_AFTER_S, -(-wait_ms // MILLIS_PER_SECOND))
