--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -69,8 +69,6 @@
         """Take over from gone controllers; give up gone workers."""
         for instance_id in msg.gone_instances:
             self._finder.add_proof(f'{instance_id}/')
-        for holder in msg.replaced:
-            self._finder.add_proof(f'{holder}/')
         listed = platform.InstanceState
         gone = _runs.workers_in(listed.GONE, msg.instances)
         leaving = _runs.workers_in(listed.LEAVING, msg.instances)
--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -138,7 +138,6 @@
                 instances=tuple(instances),
                 live_peers=frozenset(),
                 gone_instances=frozenset(gone),
-                replaced=frozenset(),
             ),
             is_state=True,
         )
