--- a/packages/policy/src/oriolestand_policy/admission/_fair.py
+++ b/packages/policy/src/oriolestand_policy/admission/_fair.py
@@ -201,11 +201,6 @@
         slots = self._shares.of(kind).share * self._shares.total
         return own.in_use + len(own) < slots * own.weight / weights
 
-    def oldest_wait_ms(self, kind: _Kind, now: core.Millis) -> int:
-        """Return the longest wait among the heads of lines."""
-        heads = [line.head() for line in self._busy[kind].values()]
-        return max((now - t.arrived for t in heads), default=0)
-
     def retry_after_ms(self, ticket: _queue.Ticket) -> int:
         """Return the time in which the team's line is served."""
         line = self._line_of(ticket.kind, ticket.team)
--- a/packages/policy/src/oriolestand_policy/admission/_fifo.py
+++ b/packages/policy/src/oriolestand_policy/admission/_fifo.py
@@ -59,10 +59,6 @@
         """Return False: there are no shares."""
         return False
 
-    def oldest_wait_ms(self, kind: tables.Kind, now: core.Millis) -> int:
-        """Return how long the first request of a kind has waited."""
-        return 0
-
     def retry_after_ms(self, ticket: _queue.Ticket) -> int:
         """Estimate when a refused request would be admitted."""
         return DEFAULT_RETRY_AFTER_MS
--- a/packages/policy/src/oriolestand_policy/admission/_queue.py
+++ b/packages/policy/src/oriolestand_policy/admission/_queue.py
@@ -120,10 +120,6 @@
     def is_entitled(self, kind: tables.Kind, team: str) -> bool:
         """Return whether a team, with what waits, is below its share."""
 
-    @abc.abstractmethod
-    def oldest_wait_ms(self, kind: tables.Kind, now: core.Millis) -> int:
-        """Return how long the first request of a kind has waited."""
-
     @abc.abstractmethod
     def retry_after_ms(self, ticket: Ticket) -> int:
         """Estimate when a refused request would be admitted."""
--- a/packages/policy/src/oriolestand_policy/dispatching/_slots.py
+++ b/packages/policy/src/oriolestand_policy/dispatching/_slots.py
@@ -124,13 +124,10 @@
         if upstream.start_limit != before:
             self.pools[upstream.pool].index.update(upstream)
 
-    def tick(self, now: core.Millis) -> set[str]:
-        """Let upstreams be probed; return the pools concerned."""
-        changed = set()
+    def tick(self, now: core.Millis) -> None:
+        """Let upstreams be probed."""
         for upstream in self._health.due(now):
             self.pools[upstream.pool].refresh(upstream)
-            changed.add(upstream.pool)
-        return changed
 
     def _drop_unused(self, upstream: placement.UpstreamState) -> None:
         """Forget an upstream without grant and use."""
