--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/__init__.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/__init__.py
@@ -12,8 +12,9 @@
 
 def setup(kernel: core.Kernel, cfg: settings.Settings) -> DispatchTask:
     """Set up the dispatch service."""
+    shares = admission.ShareConfig(**cfg.shares.model_dump())
     dispatcher = dispatching.Dispatcher(
         placement.TwoChoicesPlacement(random.Random(kernel.incarnation)),
-        admission.FairQueue,
+        lambda limit: admission.FairQueue(limit, shares),
     )
     return DispatchTask(kernel, dispatcher)
--- a/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/dispatch/_task.py
@@ -14,6 +14,7 @@
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import peers
 from oriolestand_daemon.messages import telemetry
+from oriolestand_daemon.services.dispatch import _tasks
 from oriolestand_daemon.services.dispatch import const
 from oriolestand_policy import dispatching
 import oriolestand_wire as wire
@@ -39,7 +40,7 @@
         self._peer_loads: dict[str, peers.PeerLoadChanged] = {}
         self._advertised: tuple[wire.PoolLoad, ...] = ()
         self._has_served_peers = False
-        self._timers: list[Any] = []
+        self._tasks = _tasks.TaskWatch()
 
     def start(self) -> object:
         """Follow tables, grants and peers; keep time."""
@@ -55,6 +56,7 @@
             self.kernel.subscribe(event, self)
         self._repeat(const.TICK_INTERVAL_MS, self._tick)
         self._repeat(const.LOAD_INTERVAL_MS, self._advertise)
+        self._repeat(const.USAGE_INTERVAL_MS, self._report_usage)
         return None
 
     def _repeat(self, interval: int, func: Any) -> None:
@@ -71,9 +73,16 @@
         self._run(self._dispatcher.tick(self.kernel.clock.now()))
         self._check_drained()
 
+    def _report_usage(self) -> None:
+        """Let the dispatcher act on tasks that slow services."""
+        now = self.kernel.clock.now()
+        for usage in self._tasks.report(now):
+            self._run(self._dispatcher.report_usage(usage, now))
+
     @core.handles(config.TablesChanged)
     def _on_tables(self, msg: config.TablesChanged) -> None:
         """Know the pools and which pool an upstream belongs to."""
+        self._tasks.set_routes(msg.tables)
         self._pool_of = {}
         for pool in msg.tables.pools.values():
             self._dispatcher.set_pool(
@@ -187,7 +196,11 @@
     def _on_finished(self, msg: dispatch.AttemptFinished) -> None:
         """Let the dispatcher free the slot, retry or end the request."""
         now = self.kernel.clock.now()
-        self._attempts.pop(msg.ticket_id, None)
+        service, target = self._attempts.pop(msg.ticket_id, ('', ''))
+        request = self._open.get(msg.ticket_id)
+        is_served = service == 'upstreams' and msg.outcome.error is None
+        if is_served and request is not None:
+            self._tasks.finished(request, target, msg.outcome.latency_ms)
         self._run(self._dispatcher.finished(msg.ticket_id, msg.outcome, now))
 
     @core.handles(dispatch.GetSlotsInUse)
@@ -206,17 +219,22 @@
     ) -> dispatching.Reservation | None:
         """Take slots for a batch task."""
         if msg.address:
-            return self._dispatcher.adopt_reservation(
+            task = self._dispatcher.adopt_reservation(
                 msg.key, msg.address, msg.slots, msg.team, msg.priority
             )
-        return self._dispatcher.reserve(
-            msg.key, msg.pool, msg.slots, msg.team, msg.priority
-        )
+        else:
+            task = self._dispatcher.reserve(
+                msg.key, msg.pool, msg.slots, msg.team, msg.priority
+            )
+        if task is not None:
+            self._tasks.reserved(task)
+        return task
 
     @core.handles(dispatch.UnreserveSlots)
     def _on_unreserve(self, msg: dispatch.UnreserveSlots) -> None:
         """Give the slots of a batch task back."""
         now = self.kernel.clock.now()
+        self._tasks.unreserved(msg.key)
         self._run(self._dispatcher.unreserve(msg.key, now))
 
     @core.handles(dispatch.DrainRequests)
@@ -283,6 +301,7 @@
                 self.kernel.publish(dispatch.EvictionRequested(key=effect.key))
                 continue
             if isinstance(effect, dispatching.Throttle):
+                self._tasks.throttled(effect.key, effect.is_on)
                 self.kernel.publish(
                     dispatch.ThrottleRequested(
                         key=effect.key, is_on=effect.is_on
--- /dev/null
+++ b/packages/daemon/tests/services/dispatch/test_usage.py
@@ -0,0 +1,124 @@
+"""Test that tasks which slow services are throttled."""
+
+import random
+
+import oriolestand_core as core
+from oriolestand_daemon.messages import config
+from oriolestand_daemon.messages import dispatch
+from oriolestand_daemon.messages import exchange
+from oriolestand_daemon.messages import grants
+from oriolestand_daemon.services.dispatch import _task
+from oriolestand_policy import admission
+from oriolestand_policy import dispatching
+from oriolestand_policy import placement
+from oriolestand_policy import tables
+
+ROUTE = tables.Route(name='quick', pool='p')
+CALM_MS = 10
+SLOW_MS = 20
+
+
+class Upstreams(core.Task):
+    """End each attempt after a time that depends on the upstream."""
+
+    def __init__(self, kernel: core.Kernel) -> None:
+        super().__init__(kernel, 'upstreams')
+        self.latency_ms: dict[str, int] = {}
+
+    @core.handles(exchange.StartExchange)
+    def _on_start(self, msg: exchange.StartExchange) -> None:
+        spent = self.latency_ms.get(msg.target, CALM_MS)
+        self.kernel.clock.call_later(
+            spent,
+            lambda: self.kernel.post(
+                'dispatch',
+                dispatch.AttemptFinished(
+                    ticket_id=msg.ticket_id,
+                    outcome=dispatching.Outcome(
+                        verdict=core.Verdict.RAN, latency_ms=spent
+                    ),
+                ),
+            ),
+        )
+
+
+class Sink(core.Task):
+    """Take what is sent to peers and what dispatch announces."""
+
+    def __init__(self, kernel: core.Kernel) -> None:
+        super().__init__(kernel, 'peers')
+        self.throttled: list[str] = []
+        kernel.subscribe(dispatch.ThrottleRequested, self)
+
+    @core.handles(dispatch.ThrottleRequested)
+    def _on_throttle(self, msg: dispatch.ThrottleRequested) -> None:
+        if msg.is_on:
+            self.throttled.append(msg.key)
+
+
+def _send(kernel: core.Kernel, sink: Sink, name: str) -> None:
+    """Submit one quick request."""
+    now = kernel.clock.now()
+    deadline = core.Millis(now + 5_000)
+    head = exchange.RequestHead(
+        request_id=name,
+        method='GET',
+        target='/',
+        headers=(),
+        route=ROUTE,
+        generation=1,
+        deadline=deadline,
+        team='t',
+    )
+    ticket = admission.Ticket(
+        id=name,
+        pool='p',
+        team='t',
+        kind=tables.Kind.SERVICE,
+        priority=0,
+        arrived=now,
+        deadline=deadline,
+    )
+    caller = exchange.Endpoint(task=sink, xid=1)
+    kernel.post(
+        'dispatch',
+        exchange.OpenExchange(head=head, ticket=ticket, caller=caller),
+    )
+
+
+def test_task_that_slows_services_is_throttled() -> None:
+    """Reports that never reach the policy leave services slow."""
+    clock = core.ManualClock()
+    kernel = core.Kernel(clock, core.IdSource(seed=1))
+    upstreams = Upstreams(kernel)
+    sink = Sink(kernel)
+    kernel.register('upstreams', upstreams)
+    kernel.register('peers', sink)
+    dispatcher = dispatching.Dispatcher(
+        placement.TwoChoicesPlacement(random.Random(1)), admission.FairQueue
+    )
+    task = _task.DispatchTask(kernel, dispatcher)
+    kernel.register('dispatch', task)
+    task.start()
+    members = tuple(
+        tables.Upstream(address=a, failure_domain='a') for a in ('u1', 'u2')
+    )
+    pool = tables.Pool(name='p', upstreams=members)
+    generation = tables.Tables(version=1, routes=(ROUTE,), pools={'p': pool})
+    kernel.publish(config.TablesChanged(tables=generation, document=b''))
+    slots = {'u1': 8, 'u2': 8}
+    horizons = dict.fromkeys(slots, 60_000)
+    kernel.publish(grants.GrantsChanged(slots=slots, horizon_ms=horizons))
+    for index in range(100):
+        _send(kernel, sink, f'calm-{index}')
+        clock.advance(CALM_MS)
+    reserve = dispatch.ReserveSlots(
+        key='k', pool='p', slots=1, team='noisy', priority=0
+    )
+    placed: list[dispatching.Reservation] = []
+    kernel.ask('dispatch', reserve).addCallback(placed.append)
+    upstreams.latency_ms[placed[0].address] = SLOW_MS
+    for index in range(1_500):
+        _send(kernel, sink, f'slow-{index}')
+        clock.advance(CALM_MS)
+    assert sink.throttled == ['k']
--- a/packages/models/src/oriolestand_models/settings.py
+++ b/packages/models/src/oriolestand_models/settings.py
@@ -128,6 +128,20 @@
     region_burst_bytes: int = pydantic.Field(default=262_144, ge=1)
 
 
+class ShareSettings(_Model):
+    """Weigh services against batch work; all daemons should agree.
+
+    For tail latency first use 0.8 and -0.25, for batch throughput and few
+    evictions first 0.5 and -0.1. ``service_wait`` and ``batch_wait`` bound
+    the time in the queue, in mean slot times.
+    """
+
+    service_share: float = pydantic.Field(default=0.7, ge=0, le=1)
+    headroom_sigmas: float = pydantic.Field(default=0.0, ge=-3, le=3)
+    service_wait: float = pydantic.Field(default=1.2, gt=0)
+    batch_wait: float = pydantic.Field(default=10.0, gt=0)
+
+
 class Settings(_Model):
     """Hold all settings of a daemon."""
 
@@ -143,6 +157,7 @@
     )
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    shares: ShareSettings = ShareSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     tables_file: str = ''
 
--- a/packages/policy/src/oriolestand_policy/interference/__init__.py
+++ b/packages/policy/src/oriolestand_policy/interference/__init__.py
@@ -7,8 +7,12 @@
 from oriolestand_policy.interference._interference import NoInterference
 from oriolestand_policy.interference._interference import Step
 from oriolestand_policy.interference._interference import UsageReport
+from oriolestand_policy.interference._meter import Slowdown
+from oriolestand_policy.interference._meter import SlowdownMeter
 
 __all__ = [
+    'Slowdown',
+    'SlowdownMeter',
     'Advice',
     'HARMFUL',
     'Interference',
