--- a/packages/bench/src/oriolestand_bench/_idle.py
+++ b/packages/bench/src/oriolestand_bench/_idle.py
@@ -83,17 +83,13 @@
     signal.sigtimedwait([], seconds)
 
 
-def _slots(cluster: _cluster.Cluster, name: str) -> int:
-    """Return the slots that a daemon holds."""
-    pool = cluster.status(name)['pools'].get('main', {'upstreams': {}})
-    return sum(up['limit'] for up in pool['upstreams'].values())
-
-
-def _start(cluster: _cluster.Cluster, path: pathlib.Path) -> _Probe:
-    """Start eight daemons; return the probe of the first."""
+def _start(
+    cluster: _cluster.Cluster, path: pathlib.Path, entries: int
+) -> _Probe:
+    """Start daemons; return the probe of the first."""
     cluster.start_platform()
     ups = _path.start_upstreams(cluster, UPSTREAMS)
-    names = [f'entry-{number}' for number in range(ENTRIES)]
+    names = [f'entry-{number}' for number in range(entries)]
     for name in names:
         cluster.add_entry(name, 'a', 'north')
     ports = [entry.peers for entry in cluster.entries.values()]
@@ -113,7 +109,7 @@
         cluster.wait_ready(name)
     _cluster.wait_until(
         lambda: (
-            sum(_slots(cluster, name) for name in names)
+            sum(cluster.held_slots(name, 'main') for name in names)
             == UPSTREAMS * _path.SLOTS
         ),
         'all slots granted',
@@ -121,20 +117,33 @@
     return _Probe(first.popen.pid, path)
 
 
+def measure_idle(entries: int) -> list[_results.Result]:
+    """Return what one of a number of idle daemons uses."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _cluster.Cluster() as cluster,
+    ):
+        probe = _start(cluster, pathlib.Path(folder) / 'bytes', entries)
+        _pause(SETTLE_S)
+        before = probe.take()
+        _pause(IDLE_S)
+        return probe.results('idle', before)
+
+
 def run() -> list[_results.Result]:
     """Return what one daemon of eight uses."""
     with (
         tempfile.TemporaryDirectory() as folder,
         _cluster.Cluster() as cluster,
     ):
-        probe = _start(cluster, pathlib.Path(folder) / 'bytes')
+        probe = _start(cluster, pathlib.Path(folder) / 'bytes', ENTRIES)
         _pause(SETTLE_S)
         before = probe.take()
         _pause(IDLE_S)
         results = probe.results('idle', before)
         before = probe.take()
         # Within its own slots, the daemon forwards nothing to its peers.
-        connections = max(1, _slots(cluster, 'entry-0') // 2)
+        connections = max(1, cluster.held_slots('entry-0', 'main') // 2)
         port = cluster.entries['entry-0'].callers
         _load.run(port, connections, LOAD_S, _path.REQUEST)
         return results + probe.results('loaded', before)
--- a/packages/bench/src/oriolestand_bench/capacity.py
+++ b/packages/bench/src/oriolestand_bench/capacity.py
@@ -10,6 +10,7 @@
 import click
 
 from oriolestand_bench import _fit
+from oriolestand_bench import _idle
 from oriolestand_bench import _results
 from oriolestand_daemon.services.grants import models as grant_models
 from oriolestand_models import document as table_models
@@ -25,6 +26,7 @@
 TABLE_SIZES = (10, 100, 1_000, 10_000)
 POOL_COUNTS = (1, 10, 100)
 DAEMON_COUNTS = (2, 4, 8)
+PEER_COUNTS = (1, 3, 7)
 IDLE_SECONDS = 12
 SETTLE_SECONDS = 2
 HOLDERS = ('a', 'b', 'c')
@@ -253,6 +255,19 @@
     ]
 
 
+def measure_peers() -> list[Entry]:
+    """Measure an idle daemon against the number of its peers."""
+    points: dict[str, Points] = {}
+    for count in PEER_COUNTS:
+        for result in _idle.measure_idle(count + 1):
+            points.setdefault(result.name, []).append((count, result.value))
+    return [
+        _entry('core_percent_per_peer', '%', points['idle/core']),
+        _entry('memory_per_peer', 'MiB', points['idle/resident']),
+        _entry('control_per_peer', 'KiB/s', points['idle/control']),
+    ]
+
+
 def run() -> list[Entry]:
     """Measure all slopes."""
     return [
@@ -260,6 +275,7 @@
         *measure_tables(),
         *measure_wire(),
         *measure_platform(),
+        *measure_peers(),
     ]
 
 
