--- a/packages/bench/src/oriolestand_bench/capacity.py
+++ b/packages/bench/src/oriolestand_bench/capacity.py
@@ -244,9 +244,10 @@
             after = _counts(cluster)
             reads.append((count, (after[0] - before[0]) / IDLE_SECONDS))
             writes.append((count, (after[1] - before[1]) / IDLE_SECONDS))
-            cluster.daemons[names[-1]].kill()
-            cluster.list_entry(names[-1], 'gone')
-            _wait_granted(cluster, names[:-1])
+            dead = next(n for n in names if cluster.held_slots(n, 'main'))
+            cluster.daemons[dead].kill()
+            cluster.list_entry(dead, 'gone')
+            _wait_granted(cluster, [n for n in names if n != dead])
             death_writes.append((count, _counts(cluster)[1] - after[1]))
     return [
         _entry('platform_reads_per_second_per_daemon', '1/s', reads),
