--- a/packages/bench/src/oriolestand_bench/capacity.py
+++ b/packages/bench/src/oriolestand_bench/capacity.py
@@ -10,6 +10,7 @@
 import click
 
 from oriolestand_bench import _fit
+from oriolestand_bench import _idle
 from oriolestand_bench import _results
 from oriolestand_daemon.services.grants import models as grant_models
 from oriolestand_models import document as table_models
@@ -25,6 +26,7 @@
 TABLE_SIZES = (10, 100, 1_000, 10_000)
 POOL_COUNTS = (1, 10, 100)
 DAEMON_COUNTS = (2, 4, 8)
+PEER_COUNTS = (1, 3, 7)
 IDLE_SECONDS = 12
 SETTLE_SECONDS = 2
 HOLDERS = ('a', 'b', 'c')
@@ -242,9 +244,10 @@
             after = _counts(cluster)
             reads.append((count, (after[0] - before[0]) / IDLE_SECONDS))
             writes.append((count, (after[1] - before[1]) / IDLE_SECONDS))
-            cluster.daemons[names[-1]].kill()
-            cluster.list_entry(names[-1], 'gone')
-            _wait_granted(cluster, names[:-1])
+            dead = next(n for n in names if cluster.held_slots(n, 'main'))
+            cluster.daemons[dead].kill()
+            cluster.list_entry(dead, 'gone')
+            _wait_granted(cluster, [n for n in names if n != dead])
             death_writes.append((count, _counts(cluster)[1] - after[1]))
     return [
         _entry('platform_reads_per_second_per_daemon', '1/s', reads),
@@ -253,6 +256,19 @@
     ]
 
 
+def measure_peers() -> list[Entry]:
+    """Measure an idle daemon against the number of its peers."""
+    points: dict[str, Points] = {}
+    for count in PEER_COUNTS:
+        for result in _idle.measure_idle(count + 1):
+            points.setdefault(result.name, []).append((count, result.value))
+    return [
+        _entry('core_percent_per_peer', '%', points['idle/core']),
+        _entry('memory_per_peer', 'MiB', points['idle/resident']),
+        _entry('control_per_peer', 'KiB/s', points['idle/control']),
+    ]
+
+
 def run() -> list[Entry]:
     """Measure all slopes."""
     return [
@@ -260,6 +276,7 @@
         *measure_tables(),
         *measure_wire(),
         *measure_platform(),
+        *measure_peers(),
     ]
 
 
