--- a/packages/daemon/tests/services/batch/test_batch.py
+++ b/packages/daemon/tests/services/batch/test_batch.py
@@ -8,8 +8,6 @@
 import oriolestand_platform as platform
 from oriolestand_policy import batch
 
-LEASE_MS = 6_000
-
 
 def failure_of(result):
     assert not isinstance(result, contracts.SubmitReply), result
