--- a/packages/core/src/oriolestand_core/_clock.py
+++ b/packages/core/src/oriolestand_core/_clock.py
@@ -125,8 +125,13 @@
         self._reactor = reactor
 
     def now(self) -> Millis:
-        """Return the process's monotonic time."""
-        return Millis(int(time.monotonic() * MILLIS_PER_SECOND))
+        """Return the time since boot, with the time spent suspended.
+
+        ``time.monotonic`` stops while a machine is suspended, so that a
+        lease would seem to hold after the machine wakes.
+        """
+        seconds = time.clock_gettime(time.CLOCK_BOOTTIME)
+        return Millis(int(seconds * MILLIS_PER_SECOND))
 
     def wall(self) -> Millis:
         """Return the machine's wall time."""
--- a/packages/core/src/oriolestand_core/_kernel.py
+++ b/packages/core/src/oriolestand_core/_kernel.py
@@ -1,6 +1,7 @@
 """Provide the kernel, which finds services by name and runs their life."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import importlib
@@ -33,9 +34,12 @@
 
 def sort_manifests(
     manifests: Iterable[ServiceManifest],
+    loaded: Collection[str] = (),
 ) -> list[ServiceManifest]:
     """Return the manifests in an order that respects dependencies.
 
+    :param loaded: names of services that are there already.
+
     >>> grants = ServiceManifest(name='grants', depends_on=('platform',))
     >>> platform = ServiceManifest(name='platform')
     >>> [m.name for m in sort_manifests([grants, platform])]
@@ -47,7 +51,9 @@
         ready = sorted(
             name
             for name, manifest in waiting.items()
-            if all(dep in done for dep in manifest.depends_on)
+            if all(
+                dep in done or dep in loaded for dep in manifest.depends_on
+            )
         )
         if not ready:
             raise _errors.UnknownServiceError(
@@ -142,7 +148,7 @@
     ) -> None:
         """Set up and start the named services of a package, in order."""
         manifests = [read_manifest(package, name) for name in names]
-        for manifest in sort_manifests(manifests):
+        for manifest in sort_manifests(manifests, self._tasks):
             module = importlib.import_module(f'{package}.{manifest.name}')
             task = await self._set_up(manifest.name, module.setup, cfg)
             if manifest.name not in self._tasks:
--- a/packages/core/src/oriolestand_core/_logs.py
+++ b/packages/core/src/oriolestand_core/_logs.py
@@ -4,7 +4,6 @@
 import sys
 from typing import Any
 from typing import Literal
-from typing import TextIO
 
 import structlog
 
@@ -56,7 +55,8 @@
     log_format: LogFormat,
     level: str,
     now_ms: Any,
-    stream: TextIO | None = None,
+    stream: Any = None,
+    repeat_limit: int | None = REPEAT_LIMIT,
 ) -> None:
     """Send structured logs to a stream.
 
@@ -64,14 +64,19 @@
     :param level: name of the lowest level shown, such as ``INFO``.
     :param now_ms: callable that returns milliseconds, for repeat limits.
     :param stream: defaults to standard error.
+    :param repeat_limit: how often an event may repeat in ten seconds; None
+        leaves the bound to the stream.
     """
     renderer: Any = structlog.processors.JSONRenderer()
     if log_format == 'console':
         renderer = structlog.dev.ConsoleRenderer(colors=False)
+    limits: list[Any] = []
+    if repeat_limit is not None:
+        limits.append(RepeatFilter(repeat_limit, now_ms))
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
-            RepeatFilter(REPEAT_LIMIT, now_ms),
+            *limits,
             _add_prefix,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Define the messages between the services of the fleet daemon."""
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/__init__.py
@@ -0,0 +1,1 @@
+"""Contain the services of the fleet daemon, one folder each."""
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/__init__.py
@@ -0,0 +1,10 @@
+"""Own the cell and decide what its workers run."""
+
+import oriolestand_core as core
+from oriolestand_fleet import settings
+from oriolestand_fleet.services.cell._task import CellTask
+
+
+def setup(kernel: core.Kernel, cfg: settings.FleetSettings) -> CellTask:
+    """Set up the cell service."""
+    return CellTask(kernel, cfg)
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -0,0 +1,34 @@
+"""Define constants of the cell service."""
+
+DOMAIN = 'cell'
+
+DECIDE_DELAY_MS = 5
+"""Answers that arrive close together lead to one round of decisions."""
+
+TICK_MS = 200
+LOOK_WAIT_MS = 1_000
+"""Long enough to keep looks few, short enough for leases of seconds."""
+
+LOOK_RETRY_MS = 250
+LOOK_PAUSE_MS = 250
+"""Pause between looks while ends cannot be written to the store."""
+
+FOLLOW_WAIT_MS = 1_000
+RETRY_MS = 150
+
+CLAIM_JITTER_MS = 120
+FAR_DELAY_MS = 500
+"""Daemons far from the store claim the cell later."""
+
+FAR_LATENCY_MS = 25
+CLAIM_RETRY_MS = 300
+
+SAVE_BATCH = 40
+"""Records in one commit; the store takes up to 100 entries."""
+
+SAVE_RETRY_MS = 150
+
+SWEEP_INTERVAL_MS = 10_000
+SWEEP_BATCH = 20
+RETENTION_MARGIN_MS = 30_000
+"""Covers clocks that differ between daemons."""
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
@@ -0,0 +1,117 @@
+"""Keep a copy of the table in memory, up to date with its changes."""
+
+from collections.abc import Iterable
+
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import jobs as contracts
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.jobs import models
+
+
+class Replica:
+    """Hold the entries of all jobs and the rows of the cell."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, models.Entry] = {}
+        self.cell: dict[str, store.Row] = {}
+        self.version = -1
+
+    def apply(self, row: store.Row) -> list[object]:
+        """Take over a row; return the events to publish."""
+        kind, _, name = row.key.partition('/')
+        prefix = kind + '/'
+        if prefix == layout.JOB_PREFIX:
+            return self._apply_job(name, row)
+        if prefix == layout.CANCEL_PREFIX:
+            return self._apply_cancel(name, row)
+        if prefix == layout.RECORD_PREFIX:
+            entry = self._entry(name)
+            entry.set_record(row.value, row.version)
+            self._drop_if_empty(entry)
+            return []
+        known = self.cell.get(row.key)
+        if known is not None and known.version >= row.version:
+            return []
+        self.cell[row.key] = row
+        return [contracts.CellRowChanged(row=row)]
+
+    def _apply_job(self, job: str, row: store.Row) -> list[object]:
+        """Take over the row of a job."""
+        entry = self._entry(job)
+        if row.value is None:
+            entry.body = None
+            self._drop_if_empty(entry)
+            return []
+        if entry.body is not None:
+            return []
+        entry.set_body(row.value)
+        stored = entry.stored_job()
+        return [contracts.JobAdded(job=stored)] if stored else []
+
+    def _apply_cancel(self, job: str, row: store.Row) -> list[object]:
+        """Take over the row of a cancellation."""
+        entry = self._entry(job)
+        if row.value is None:
+            entry.is_cancelled = False
+            self._drop_if_empty(entry)
+            return []
+        if entry.is_cancelled:
+            return []
+        entry.is_cancelled = True
+        return [contracts.JobCancelled(id=job)]
+
+    def _entry(self, job: str) -> models.Entry:
+        """Return the entry of a job, made when missing."""
+        entry = self.entries.get(job)
+        if entry is None:
+            entry = self.entries[job] = models.Entry(id=job)
+        return entry
+
+    def _drop_if_empty(self, entry: models.Entry) -> None:
+        """Forget a job of which no row is left."""
+        if entry.body is None and entry.record is None:
+            if not entry.is_cancelled:
+                self.entries.pop(entry.id, None)
+
+    def find(self, job: str, route: str) -> models.Entry | None:
+        """Return the entry of a job of a route, or None."""
+        entry = self.entries.get(job)
+        if entry is None or entry.body is None or entry.route != route:
+            return None
+        return entry
+
+    def count_waiting(self, route: str) -> int:
+        """Return how many jobs of a route have not begun."""
+        return sum(
+            1
+            for entry in self.entries.values()
+            if entry.route == route
+            and entry.body is not None
+            and entry.state is contracts.JobState.QUEUED
+        )
+
+    def snapshot(self) -> contracts.Snapshot:
+        """Return all jobs that have a body, and the rows of the cell."""
+        stored = (entry.stored_job() for entry in self.entries.values())
+        return contracts.Snapshot(
+            jobs=tuple(job for job in stored if job is not None),
+            cell=dict(self.cell),
+            version=self.version,
+        )
+
+    def replace(self, rows: Iterable[store.Row]) -> list[object]:
+        """Take over a whole reading of the table; return the events.
+
+        Rows are never taken back to an older version. A job that the
+        reading lacks has been removed, as its row exists from its
+        acceptance on.
+        """
+        events: list[object] = []
+        seen = set()
+        for row in rows:
+            seen.add(row.key)
+            events += self.apply(row)
+        for job in list(self.entries):
+            if layout.JOB_PREFIX + job not in seen:
+                self.entries.pop(job)
+        return events
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
@@ -0,0 +1,133 @@
+"""Collect counters, gauges and latency histograms and serve them."""
+
+from typing import Any
+
+from hdrh import histogram
+from twisted.web import resource
+from twisted.web import server
+
+import oriolestand_core as core
+from oriolestand_fleet import settings
+from oriolestand_fleet.messages import telemetry as contracts
+from oriolestand_fleet.services.telemetry import const
+
+Key = tuple[str, str]
+
+
+class TelemetryTask(core.Task):
+    """Own all metrics and the socket that serves them."""
+
+    def __init__(
+        self, kernel: core.Kernel, cfg: settings.FleetSettings
+    ) -> None:
+        super().__init__(kernel, const.DOMAIN)
+        self._address = cfg.metrics
+        self._log = core.get_logger(const.DOMAIN)
+        self._counters: dict[Key, int] = {}
+        self._gauges: dict[Key, int] = {}
+        self._latencies: dict[Key, histogram.HdrHistogram] = {}
+        self._port: Any = None
+
+    def start(self) -> None:
+        """Listen on the metrics address."""
+        site = server.Site(_MetricsResource(self.text))
+        site.noisy = False
+        self._port = self.kernel.reactor.listenTCP(
+            self._address.port, site, interface=self._address.host
+        )
+
+    def stop(self) -> object:
+        """Close the listener."""
+        super().stop()
+        return self._port.stopListening() if self._port else None
+
+    @core.handles(contracts.Count)
+    def _on_count(self, msg: contracts.Count) -> None:
+        """Add to a counter."""
+        key = (msg.name, msg.label)
+        if key not in self._counters and self._is_full():
+            return
+        self._counters[key] = self._counters.get(key, 0) + msg.amount
+
+    @core.handles(contracts.SetGauge)
+    def _on_gauge(self, msg: contracts.SetGauge) -> None:
+        """Set a gauge."""
+        self._gauges[(msg.name, msg.label)] = msg.value
+
+    @core.handles(contracts.Observe)
+    def _on_observe(self, msg: contracts.Observe) -> None:
+        """Record a latency."""
+        key = (msg.name, msg.label)
+        found = self._latencies.get(key)
+        if found is None:
+            if self._is_full():
+                return
+            found = histogram.HdrHistogram(
+                const.LOWEST_LATENCY_MS,
+                const.HIGHEST_LATENCY_MS,
+                const.SIGNIFICANT_FIGURES,
+            )
+            self._latencies[key] = found
+        found.record_value(
+            min(
+                max(msg.latency_ms, const.LOWEST_LATENCY_MS),
+                const.HIGHEST_LATENCY_MS,
+            )
+        )
+
+    def _is_full(self) -> bool:
+        """Return whether no further series may be added."""
+        return len(self._counters) + len(self._latencies) >= const.MAX_SERIES
+
+    @core.handles(contracts.GetMetrics)
+    def _on_get(self, msg: contracts.GetMetrics) -> str:
+        """Return all metrics as text."""
+        return self.text()
+
+    def text(self) -> str:
+        """Return all metrics in the text format of Prometheus."""
+        lines = []
+        for (name, label), value in sorted(self._counters.items()):
+            lines.append(f'{_series(name + "_total", label)} {value}')
+        for (name, label), value in sorted(self._gauges.items()):
+            lines.append(f'{_series(name, label)} {value}')
+        for (name, label), found in sorted(self._latencies.items()):
+            full = f'{name}_ms'
+            for share in const.QUANTILES:
+                value = found.get_value_at_percentile(share * 100)
+                lines.append(
+                    f'{_series(full, label, str(share))} {int(value)}'
+                )
+            count = found.get_total_count()
+            lines.append(f'{_series(full + "_count", label)} {count}')
+        return '\n'.join(lines) + '\n'
+
+
+def _series(name: str, label: str, quantile: str = '') -> str:
+    """Return the name of a series with its labels.
+
+    >>> _series('intake_total', 'stored')
+    'oriolestand_intake_total{kind="stored"}'
+    """
+    labels = []
+    if label:
+        labels.append(f'kind="{label}"')
+    if quantile:
+        labels.append(f'quantile="{quantile}"')
+    tail = '{' + ','.join(labels) + '}' if labels else ''
+    return f'oriolestand_{name}{tail}'
+
+
+class _MetricsResource(resource.Resource):
+    """Serve the metrics at any path."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, text: Any) -> None:
+        super().__init__()
+        self._text = text
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Return the metrics."""
+        request.setHeader(b'content-type', b'text/plain; version=0.0.4')
+        return self._text().encode()
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/const.py
@@ -0,0 +1,10 @@
+"""Define constants of the telemetry service."""
+
+DOMAIN = 'telemetry'
+
+LOWEST_LATENCY_MS = 1
+HIGHEST_LATENCY_MS = 600_000
+SIGNIFICANT_FIGURES = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+MAX_SERIES = 500
+"""Bounds memory if labels come from outside."""
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -0,0 +1,75 @@
+"""Decide which worker runs which task of which job.
+
+The unit of ownership is a cell: some workers and all the jobs that may run
+on them, with one owner at a time. Nothing here reads a clock or a socket.
+"""
+
+from oriolestand_policy.scheduling._effects import Decision
+from oriolestand_policy.scheduling._effects import Effect
+from oriolestand_policy.scheduling._effects import PaceTask
+from oriolestand_policy.scheduling._effects import SaveJob
+from oriolestand_policy.scheduling._effects import StartTask
+from oriolestand_policy.scheduling._effects import StopTask
+from oriolestand_policy.scheduling._fleet import Run
+from oriolestand_policy.scheduling._fleet import RunPhase
+from oriolestand_policy.scheduling._fleet import Worker
+from oriolestand_policy.scheduling._fleet import WorkerInfo
+from oriolestand_policy.scheduling._jobs import EndKind
+from oriolestand_policy.scheduling._jobs import Job
+from oriolestand_policy.scheduling._jobs import Outcome
+from oriolestand_policy.scheduling._jobs import Task
+from oriolestand_policy.scheduling._jobs import TaskKey
+from oriolestand_policy.scheduling._jobs import parse_key
+from oriolestand_policy.scheduling._placement import Placement
+from oriolestand_policy.scheduling._placement import PlacementConfig
+from oriolestand_policy.scheduling._placement import SeparatedPlacement
+from oriolestand_policy.scheduling._record import Progress
+from oriolestand_policy.scheduling._record import job_from_plain
+from oriolestand_policy.scheduling._record import job_to_plain
+from oriolestand_policy.scheduling._record import progress_of
+from oriolestand_policy.scheduling._scheduler import EndReport
+from oriolestand_policy.scheduling._scheduler import Look
+from oriolestand_policy.scheduling._scheduler import RunReport
+from oriolestand_policy.scheduling._scheduler import Scheduler
+from oriolestand_policy.scheduling._scheduler import StartOutcome
+from oriolestand_policy.scheduling._specs import BadJobError
+from oriolestand_policy.scheduling._specs import JobSpec
+from oriolestand_policy.scheduling._specs import RoutePolicy
+from oriolestand_policy.scheduling._specs import StepSpec
+from oriolestand_policy.scheduling._specs import check_job
+
+__all__ = [
+    'BadJobError',
+    'Decision',
+    'Effect',
+    'EndKind',
+    'EndReport',
+    'Job',
+    'JobSpec',
+    'Look',
+    'Outcome',
+    'PaceTask',
+    'Placement',
+    'PlacementConfig',
+    'Progress',
+    'RoutePolicy',
+    'Run',
+    'RunPhase',
+    'RunReport',
+    'SaveJob',
+    'Scheduler',
+    'SeparatedPlacement',
+    'StartOutcome',
+    'StartTask',
+    'StepSpec',
+    'StopTask',
+    'Task',
+    'TaskKey',
+    'Worker',
+    'WorkerInfo',
+    'check_job',
+    'job_from_plain',
+    'job_to_plain',
+    'parse_key',
+    'progress_of',
+]
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_effects.py
@@ -0,0 +1,55 @@
+"""Define what the scheduler asks its driver to do."""
+
+import dataclasses
+
+from oriolestand_policy.scheduling import _jobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartTask:
+    """Start a run of a task on a worker."""
+
+    worker: str
+    key: _jobs.TaskKey
+    run: int
+    payload: str
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopTask:
+    """Stop a run of a task on a worker."""
+
+    worker: str
+    key: _jobs.TaskKey
+    run: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PaceTask:
+    """Let a run work at a share of its speed, in percent."""
+
+    worker: str
+    key: _jobs.TaskKey
+    run: int
+    percent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SaveJob:
+    """Write the progress of a job to the store."""
+
+    job: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """Report a change of what is believed, for the log."""
+
+    what: str
+    job: str
+    values: dict[str, object]
+
+
+Effect = StartTask | StopTask | PaceTask | SaveJob | Decision
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -0,0 +1,94 @@
+"""Turn the progress of a job into a plain record and back.
+
+A record holds what a successor cannot learn from the workers: which tasks
+are done, how often they failed and what they saved. Which tasks run is not
+in it; the workers say so.
+"""
+
+import dataclasses
+from typing import Any
+
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _specs
+
+Progress = dict[str, Any]
+
+
+def progress_of(job: _jobs.Job) -> Progress:
+    """Return the durable progress of a job.
+
+    Keys: ``outcome`` (text or None), ``started``, ``ended`` (Unix ms),
+    ``done`` (rows of occurrence, step and indices of done tasks), ``open``
+    (rows of occurrence, step, index, failures, last counted run and
+    checkpoint, only for tasks that have one of these).
+    """
+    done: list[list[Any]] = []
+    unfinished: list[list[Any]] = []
+    if job.outcome is None:
+        for number, steps in job.tasks.items():
+            for step, tasks in enumerate(steps):
+                indices = [t.key.index for t in tasks if t.is_done]
+                if indices:
+                    done.append([number, step, indices])
+                unfinished += [
+                    [
+                        number,
+                        step,
+                        task.key.index,
+                        task.failures,
+                        task.ended_run,
+                        task.checkpoint,
+                    ]
+                    for task in tasks
+                    if not task.is_done and (task.ended_run or task.checkpoint)
+                ]
+    return {
+        'outcome': job.outcome.value if job.outcome else None,
+        'started': job.has_started,
+        'ended': job.ended_wall_ms,
+        'done': done,
+        'open': unfinished,
+    }
+
+
+def restore(job: _jobs.Job, progress: Progress) -> None:
+    """Apply a record to a job that has just been read."""
+    if progress.get('outcome'):
+        job.outcome = _jobs.Outcome(progress['outcome'])
+    job.has_started = bool(progress.get('started'))
+    job.ended_wall_ms = int(progress.get('ended', 0))
+    for number, step, indices in progress.get('done', ()):
+        for index in indices:
+            task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+            if task is not None:
+                task.is_done = True
+    for row in progress.get('open', ()):
+        number, step, index, failures, ended_run, checkpoint = row
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.failures = failures
+            task.ended_run = ended_run
+            task.checkpoint = checkpoint
+
+
+def job_to_plain(spec: _specs.JobSpec) -> dict[str, Any]:
+    """Return a job as a plain mapping without the default values."""
+    plain = dataclasses.asdict(spec)
+    defaults = {
+        field.name: field.default
+        for field in dataclasses.fields(_specs.StepSpec)
+    }
+    plain['steps'] = [
+        {k: v for k, v in step.items() if v != defaults[k]}
+        for step in plain['steps']
+    ]
+    return plain
+
+
+def job_from_plain(plain: dict[str, Any]) -> _specs.JobSpec:
+    """Return the job of a mapping that ``job_to_plain`` made."""
+    steps = tuple(
+        _specs.StepSpec(**{**step, 'after': tuple(step.get('after', ()))})
+        for step in plain['steps']
+    )
+    return _specs.JobSpec(**{**plain, 'steps': steps})
