Acknowledge ends in the order of the looks that showed them

Cause: the owner kept, by worker, one cursor of ends whose records are written, and set it to the newest end of any look that was settled. A look whose ends led to no record (a job that had ended) settled at once and so acknowledged earlier ends whose records waited for the store.

Ruled out: workers not probed before the first start (the log shows all 24), records lost in the store.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
@@ -1,5 +1,6 @@
 """Keep looking at one worker while the cell is owned."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 from typing import Any
@@ -17,11 +18,25 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Cursor:
-    """Hold the ends of one life of a worker that were seen and written."""
+    """Hold the ends of one life of a worker that were seen and written.
+
+    ``pending`` has, by look, the last end seen and whether the records that
+    it led to are written. Ends are acknowledged in the order of the looks:
+    an end without a record must not acknowledge an earlier one.
+    """
 
     born_ms: int = 0
     seen: int = 0
     written: int = 0
+    pending: collections.deque[list[int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def settle(self, entry: list[int]) -> None:
+        """Note that the records of a look are written."""
+        entry[1] = True
+        while self.pending and self.pending[0][1]:
+            self.written = self.pending.popleft()[0]
 
 
 class Looker:
@@ -126,14 +141,12 @@
 
     def _acknowledge(self, cursor: _Cursor, touched: set[str]) -> None:
         """Let ends be dropped once the records of their jobs are written."""
-        upto = cursor.seen
-
-        def on_saved(_: Any) -> None:
-            cursor.written = max(cursor.written, upto)
-
+        entry = [cursor.seen, False]
+        cursor.pending.append(entry)
         # The change must reach the saver before it is asked to wait.
         self._on_change()
-        self._saver.when_saved(touched).addCallback(on_saved)
+        fut = self._saver.when_saved(touched)
+        fut.addCallback(lambda _: cursor.settle(entry))
 
     async def _wait_for_records(self) -> None:
         """Wait until the ends are written, or for a short while."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -291,8 +291,11 @@
             worker.drop(run)
         job = self.jobs.get(end.key.job)
         task = job.find(end.key) if job is not None else None
-        if job is None or task is None or job.outcome is not None:
+        if job is None or task is None:
             return False
+        if job.outcome is not None:
+            # The record with the outcome may not be written yet.
+            return True
         if end.kind is _jobs.EndKind.DONE and not task.spec.is_service:
             if not task.is_done:
                 self._on_done(worker, job, task, end, now_ms)
