Put filling tasks beside service tasks by the harm that is learned of pairs

What the reports show: tails follow base / (1 - load); the tasks of a service job have one own load at a time; the excess depends on the pair of images (0.1 to 1.5 of load for a whole worker). So the weights of pairs are learned, a filling task goes where it passes no limit, and the most harmful neighbour of a task over its target moves away; after 1.6 s all of them do.

A looker that fails is started again.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -96,13 +96,6 @@
     is_cancelled: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CellRows:
-    """Hold the rows of the cell that are not of a job, by key."""
-
-    rows: dict[str, store.Row]
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Snapshot:
     """Hold all jobs as of a version of the store or later."""
@@ -142,10 +135,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicaSynced:
-    """Announce an answer of the store about changes, or its failure.
-
-    ``latency_ms`` is the shortest round trip seen lately.
-    """
+    """Announce an answer of the store about changes, or its failure."""
 
     is_reachable: bool
     is_complete: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipChanged:
+    """Announce whether this daemon owns the cell."""
+
+    is_owner: bool
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
@@ -68,6 +68,14 @@
 
     async def run(self) -> None:
         """Look until the worker is gone or the term is over."""
+        try:
+            await self._run()
+        finally:
+            # After a fault the owner starts a new looker.
+            self.is_ended = True
+
+    async def _run(self) -> None:
+        """Look again and again."""
         while not self._term.is_over:
             worker = self._scheduler.workers.get(self._worker)
             if worker is None:
@@ -92,7 +100,6 @@
             except orders.WorkerError as exc:
                 self._note_lost(exc)
                 await self._kernel.sleep(const.LOOK_RETRY_MS)
-        self.is_ended = True
 
     async def _look(self, worker: scheduling.Worker) -> None:
         """Extend the lease, take over what is listed, wait for records."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -234,6 +234,7 @@
         for msg in self._pending:
             self.post(msg)
         self._work.start()
+        self.kernel.publish(jobs.OwnershipChanged(is_owner=True))
         defer.ensureDeferred(self._renew(term)).addErrback(self._on_fault)
 
     async def _renew(self, term: models.Term) -> None:
@@ -295,6 +296,7 @@
             return
         work.term.is_over = True
         self._work = None
+        self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
         self._count('depositions', '')
         self._log.warning(
             'Cell is no longer owned', epoch=work.term.epoch, why=why
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -40,7 +40,7 @@
         self._scheduler = scheduling.Scheduler(
             term.epoch,
             cfg.limits.lease_max_ms,
-            scheduling.SeparatedPlacement(cfg.placement),
+            cfg.placement,
         )
         self._saver = _saver.Saver(
             kernel,
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -26,10 +26,12 @@
         self._replica = _replica.Replica()
         self._cursor: int | None = None
         self._is_lost = False
+        self._is_owner = False
         self._snapshots: list[tuple[int, defer.Deferred[Any]]] = []
 
     def start(self) -> None:
         """Begin to follow the table."""
+        self.kernel.subscribe(contracts.OwnershipChanged, self)
         defer.ensureDeferred(self._follow())
 
     # Following the table.
@@ -84,6 +86,12 @@
         for row in page.rows:
             self._publish(self._replica.apply(row))
         self._move_to(max(cursor, page.version))
+        if page.rows:
+            await self.kernel.sleep(
+                const.OWNER_PAUSE_MS
+                if self._is_owner
+                else const.FOLLOW_PAUSE_MS
+            )
 
     def _move_to(self, version: int) -> None:
         """Note up to where the replica is complete."""
@@ -120,6 +128,11 @@
         for event in events:
             self.kernel.publish(event)
 
+    @core.handles(contracts.OwnershipChanged)
+    def _on_ownership(self, msg: contracts.OwnershipChanged) -> None:
+        """Follow the table more closely while the daemon owns the cell."""
+        self._is_owner = msg.is_owner
+
     @core.handles(contracts.TakeSnapshot)
     def _on_snapshot(
         self, msg: contracts.TakeSnapshot
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -20,9 +20,10 @@
 from oriolestand_policy.scheduling._jobs import Task
 from oriolestand_policy.scheduling._jobs import TaskKey
 from oriolestand_policy.scheduling._jobs import parse_key
+from oriolestand_policy.scheduling._placement import FirstFitPlacement
 from oriolestand_policy.scheduling._placement import Placement
 from oriolestand_policy.scheduling._placement import PlacementConfig
-from oriolestand_policy.scheduling._placement import SeparatedPlacement
+from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._record import Progress
 from oriolestand_policy.scheduling._record import job_from_plain
 from oriolestand_policy.scheduling._record import job_to_plain
@@ -44,9 +45,11 @@
     'Effect',
     'EndKind',
     'EndReport',
+    'FirstFitPlacement',
     'Job',
     'JobSpec',
     'Look',
+    'MixedPlacement',
     'Outcome',
     'PaceTask',
     'Placement',
@@ -58,7 +61,6 @@
     'RunReport',
     'SaveJob',
     'Scheduler',
-    'SeparatedPlacement',
     'StartOutcome',
     'StartTask',
     'StepSpec',
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -39,6 +39,7 @@
     percent_ms: int = 0
     measured: int = 0
     pace: int = 100
+    paced_ms: int = 0
     over_since_ms: int = -1
     missing_looks: int = 0
 
@@ -82,9 +83,10 @@
     used_memory: int = 0
     used_accelerators: int = 0
     filling_cpu: int = 0
-    service_count: int = 0
+    service_cpu: int = 0
     recent_failures: int = 0
     avoid_until_ms: int = 0
+    relieved_ms: int = 0
 
     def clock_at_least(self, now_ms: int) -> int:
         """Return a lower bound of the worker's clock."""
@@ -115,7 +117,7 @@
         else:
             self.used_cpu += sign * spec.cpu
         if spec.is_service:
-            self.service_count += sign
+            self.service_cpu += sign * spec.cpu
         self.used_memory += sign * spec.memory_mb
         self.used_accelerators += sign * spec.accelerators
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -6,21 +6,32 @@
 
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
-from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _pressure
 
 SILENCE_LIMIT_MS = 2_500
 """A worker that has not answered for this long gets no new task."""
 
 
+MAX_EXCESS = 0.05
+"""Load over the limit of a service task that a filling task may cause, as
+pacing takes back what is too much."""
+
+HIGH_TAIL_SHARE = 0.85
+"""Share of a target above which no filling task is added to a worker."""
+
+SERVICE_USE = 0.55
+"""Share of the processors of service tasks that they use when busy."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementConfig:
     """Hold the weights of placement.
 
-    ``filling_share`` is the share of the workers kept for filling tasks,
-    which slow the service tasks beside them.
+    ``spread_services`` is whether service tasks go to the emptiest worker
+    rather than to one that already runs their image.
     """
 
-    filling_share: float = 0.3
+    spread_services: bool = False
 
 
 class Placement(abc.ABC):
@@ -47,91 +58,153 @@
     )
 
 
-class SeparatedPlacement(Placement):
-    """Keep filling tasks and service tasks on different workers."""
+def may_run(worker: _fleet.Worker, task: _jobs.Task) -> bool:
+    """Return whether a worker has room for a task and is allowed it."""
+    spec = task.spec
+    if not worker.fits(spec):
+        return False
+    if spec.label and spec.label not in worker.info.labels:
+        return False
+    return not spec.max_per_worker or (
+        count_of_step(worker, task.key) < spec.max_per_worker
+    )
+
+
+class FirstFitPlacement(Placement):
+    """Take the first worker with room; the naive policy for comparison."""
+
+    def __init__(self) -> None:
+        self._workers: list[_fleet.Worker] = []
+
+    def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
+        """Keep the usable workers in order of their ids."""
+        self._workers = sorted(
+            (w for w in workers if is_usable(w, now_ms)),
+            key=lambda w: w.info.id,
+        )
+
+    def choose(self, task: _jobs.Task, pool: str) -> _fleet.Worker | None:
+        """Return the first worker with room."""
+        for worker in self._workers:
+            if worker.info.pool == pool and may_run(worker, task):
+                return worker
+        return None
+
 
-    def __init__(self, cfg: PlacementConfig) -> None:
+class MixedPlacement(Placement):
+    """Put filling tasks beside the service tasks that they harm least."""
+
+    def __init__(
+        self, cfg: PlacementConfig, pressure: _pressure.Pressure
+    ) -> None:
         self._cfg = cfg
+        self._pressure = pressure
         self._by_pool: dict[str, list[_fleet.Worker]] = {}
-        self._for_filling: set[str] = set()
 
     def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
-        """Group the usable workers by pool and set some apart."""
+        """Group the usable workers by pool."""
         by_pool: dict[str, list[_fleet.Worker]] = {}
-        known: dict[str, list[str]] = {}
         for worker in workers:
-            pool = worker.info.pool
-            known.setdefault(pool, []).append(worker.info.id)
             if is_usable(worker, now_ms):
-                by_pool.setdefault(pool, []).append(worker)
+                by_pool.setdefault(worker.info.pool, []).append(worker)
         self._by_pool = by_pool
-        self._for_filling = set()
-        for ids in known.values():
-            kept = round(len(ids) * self._cfg.filling_share)
-            self._for_filling.update(sorted(ids)[:kept])
 
     def choose(self, task: _jobs.Task, pool: str) -> _fleet.Worker | None:
-        """Return the tightest fit among the workers for this kind."""
+        """Return the worker with the lowest rank that may run a task."""
         best: _fleet.Worker | None = None
-        best_rank: tuple[int, ...] = ()
+        best_rank: tuple[float, ...] = ()
+        rank_of = self._rank_service
+        if task.spec.is_filling:
+            rank_of = self._rank_filling
+        elif not task.spec.is_service:
+            rank_of = self._rank_other
         for worker in self._by_pool.get(pool, ()):
-            if not self._may_run(worker, task):
+            if not may_run(worker, task):
                 continue
-            rank = self._rank(worker, task)
-            if best is None or rank < best_rank:
+            rank = rank_of(worker, task)
+            if rank is not None and (best is None or rank < best_rank):
                 best, best_rank = worker, rank
         return best
 
-    def _may_run(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
-        """Return whether a worker may run a task now."""
+    def _rank_filling(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> tuple[float, ...] | None:
+        """Rank by harm to service tasks; None where it would be too much."""
         spec = task.spec
-        if not worker.fits(spec):
-            return False
-        if spec.label and spec.label not in worker.info.labels:
-            return False
-        if spec.max_per_worker and (
-            count_of_step(worker, task.key) >= spec.max_per_worker
-        ):
-            return False
-        is_apart = worker.info.id in self._for_filling
-        if spec.is_filling:
-            busy = worker.filling_cpu + worker.used_cpu
-            return (
-                is_apart
-                and not worker.service_count
-                and busy + spec.cpu <= worker.info.cpu
-            )
-        return not (spec.is_service and is_apart)
+        info = worker.info
+        free = info.cpu - busy_cpu(worker)
+        if free < spec.cpu or has_high_tail(worker):
+            return None
+        excess = self._pressure.excess(
+            worker, spec.image, spec.cpu / max(1, info.cpu)
+        )
+        if excess > MAX_EXCESS:
+            return None
+        return (*_common_rank(worker, task), excess - free / info.cpu)
 
-    def _rank(
+    def _rank_service(
         self, worker: _fleet.Worker, task: _jobs.Task
-    ) -> tuple[int, ...]:
-        """Return the sort key of a worker; the lowest is the best."""
+    ) -> tuple[float, ...]:
+        """Rank by other images on the worker, then by room."""
         spec = task.spec
-        info = worker.info
-        is_apart = info.id in self._for_filling
-        free = info.cpu - worker.used_cpu - worker.filling_cpu
+        others = 0
+        if not self._cfg.spread_services:
+            others = sum(
+                1
+                for run in worker.runs.values()
+                if run.spec.is_service and run.spec.image != spec.image
+            )
+        free = worker.info.cpu - worker.used_cpu
         return (
-            int(info.id in task.avoid),
-            int(bool(spec.rack) and spec.rack != info.rack),
-            int(is_apart and not spec.is_filling),
-            worker.recent_failures,
-            -free if spec.is_filling or spec.is_service else free,
+            *_common_rank(worker, task),
+            worker.filling_cpu > 0,
+            others,
+            -free,
         )
 
+    def _rank_other(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> tuple[float, ...]:
+        """Rank by the tightest fit in what is not in use."""
+        free = worker.info.cpu - busy_cpu(worker)
+        lack = max(0, task.spec.cpu - free)
+        return (*_common_rank(worker, task), lack, free)
+
+
+def _common_rank(
+    worker: _fleet.Worker, task: _jobs.Task
+) -> tuple[float, ...]:
+    """Rank workers on which a task failed, far data and failures last."""
+    spec = task.spec
+    return (
+        worker.info.id in task.avoid,
+        bool(spec.rack) and spec.rack != worker.info.rack,
+        worker.recent_failures,
+    )
 
-def count_of_step(worker: _fleet.Worker, key: _jobs.TaskKey) -> int:
-    """Return how many tasks of a step may run on a worker."""
-    prefix = key[:3]
-    return sum(1 for other, _ in worker.runs if other[:3] == prefix)
+
+def busy_cpu(worker: _fleet.Worker) -> float:
+    """Return the processors in use when service tasks are busy."""
+    idle = worker.service_cpu * (1.0 - SERVICE_USE)
+    slowed = sum(
+        run.spec.cpu * (100 - run.pace) / 100
+        for run in worker.runs.values()
+        if run.pace < 100
+    )
+    return worker.used_cpu + worker.filling_cpu - idle - slowed
 
 
-def can_any_run(
-    workers: Iterable[_fleet.Worker], spec: _specs.StepSpec, pool: str
-) -> bool:
-    """Return whether a worker of the pool could run a task when empty."""
+def has_high_tail(worker: _fleet.Worker) -> bool:
+    """Return whether the tail of a service task is near its target."""
     return any(
-        worker.can_ever_run(spec)
-        for worker in workers
-        if worker.info.pool == pool
+        run.spec.target_ms
+        and run.measured > run.spec.target_ms * HIGH_TAIL_SHARE
+        for run in worker.runs.values()
+        if run.spec.is_service
     )
+
+
+def count_of_step(worker: _fleet.Worker, key: _jobs.TaskKey) -> int:
+    """Return how many tasks of a step may run on a worker."""
+    prefix = key[:3]
+    return sum(1 for other, _ in worker.runs if other[:3] == prefix)
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -8,7 +8,9 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _record
 from oriolestand_policy.scheduling import _specs
 
@@ -92,15 +94,16 @@
         self,
         epoch: int,
         lease_max_ms: int,
-        placement: _placement.Placement | None = None,
+        placement_cfg: _placement.PlacementConfig | None = None,
     ) -> None:
         self.epoch = epoch
         self._lease_max_ms = lease_max_ms
+        self.pressure = _pressure.Pressure()
         self.jobs: dict[str, _jobs.Job] = {}
         self.workers: dict[str, _fleet.Worker] = {}
         self.routes: dict[str, _specs.RoutePolicy] = {}
-        self._placement = placement or _placement.SeparatedPlacement(
-            _placement.PlacementConfig()
+        self._placement: _placement.Placement = _placement.MixedPlacement(
+            placement_cfg or _placement.PlacementConfig(), self.pressure
         )
         self._effects: list[_effects.Effect] = []
         self._ready: dict[_jobs.TaskKey, _jobs.Task] = {}
@@ -263,8 +266,31 @@
             listed.add((report.key, report.number))
             self._on_report(worker, report, now_ms)
         self._drop_missing(worker, listed, sent_ms, now_ms)
+        self.pressure.observe(worker, now_ms)
+        self._relieve(worker, now_ms)
         return touched
 
+    def _relieve(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Move or slow the filling tasks that harm service tasks."""
+        _pacing.note_tails(worker, now_ms)
+        reliefs = list(_pacing.plan_relief(worker, self.pressure, now_ms))
+        for relief in reliefs:
+            run = relief.run
+            if relief.is_move:
+                self._stop_run(worker.info.id, run.key, run.number, 'harm')
+                self._mark_stop(run, now_ms)
+                continue
+            run.pace = relief.pace
+            run.paced_ms = now_ms
+            self._effects.append(
+                _effects.PaceTask(
+                    worker=worker.info.id,
+                    key=run.key,
+                    run=run.number,
+                    percent=relief.pace,
+                )
+            )
+
     def _note_birth(
         self, worker: _fleet.Worker, look: Look, now_ms: int
     ) -> _fleet.Worker:
@@ -805,6 +831,7 @@
     ) -> None:
         """End a job early and stop its runs."""
         job.outcome = outcome
+        self.pressure.forget_job(job.spec.id)
         self._log('job_' + outcome.value, job.spec.id)
         for steps in job.tasks.values():
             for tasks in steps:
