Count the failed runs of a task by their numbers

Cause: a failure was counted only if its run was newer than the last counted one. The end of an older run that comes late (its worker was out of reach while a newer run failed) was not counted, so a task could start once more than its limit.

Ruled out: a change of owner at that time (none in the log).

Service tasks have no limit, so that their failures are not recorded.

--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -53,17 +53,17 @@
 class Task:
     """Hold one task; ``worker`` is empty while nothing runs it.
 
-    ``checkpoint`` is the last saved state, from whichever run. ``ended_run``
-    is the highest run whose end was counted; a successor of the owner may
-    see that end again. ``avoid`` are the workers on which it failed.
+    ``checkpoint`` is the last saved state, from whichever run.
+    ``failed_runs`` are the numbers of the runs that failed: the end of one
+    may be seen again by a successor of the owner, or late, after the end of
+    a newer run. ``avoid`` are the workers on which it failed.
     """
 
     key: TaskKey
     spec: _specs.StepSpec
     is_done: bool = False
-    failures: int = 0
+    failed_runs: list[int] = dataclasses.field(default_factory=list)
     checkpoint: str = ''
-    ended_run: int = 0
     run: int = 0
     worker: str = ''
     started_ms: int = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -19,8 +19,8 @@
 
     Keys: ``outcome`` (text or None), ``started``, ``ended`` (Unix ms),
     ``done`` (rows of occurrence, step and indices of done tasks), ``open``
-    (rows of occurrence, step, index, failures, last counted run and
-    checkpoint, only for tasks that have one of these).
+    (rows of occurrence, step, index, failed runs and checkpoint, only for
+    tasks that have one of these).
     """
     done: list[list[Any]] = []
     unfinished: list[list[Any]] = []
@@ -35,12 +35,11 @@
                         number,
                         step,
                         task.key.index,
-                        task.failures,
-                        task.ended_run,
+                        task.failed_runs,
                         task.checkpoint,
                     ]
                     for task in tasks
-                    if not task.is_done and (task.ended_run or task.checkpoint)
+                    if not task.is_done and (task.failed_runs or task.checkpoint)
                 ]
     return {
         'outcome': job.outcome.value if job.outcome else None,
@@ -63,11 +62,10 @@
             if task is not None:
                 task.is_done = True
     for row in progress.get('open', ()):
-        number, step, index, failures, ended_run, checkpoint = row
+        number, step, index, failed_runs, checkpoint = row
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
-            task.failures = failures
-            task.ended_run = ended_run
+            task.failed_runs = list(failed_runs)
             task.checkpoint = checkpoint
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -326,13 +326,12 @@
             if not task.is_done:
                 self._on_done(worker, job, task, end, now_ms)
             return True
-        if end.number <= task.ended_run:
-            return False
-        task.ended_run = end.number
+        if end.number in task.failed_runs:
+            return True
         if end.checkpoint and not task.is_done:
             task.checkpoint = end.checkpoint
         if end.kind is _jobs.EndKind.FAILED:
-            self._on_failed(worker, job, task, now_ms)
+            self._on_failed(worker, job, task, end.number, now_ms)
         elif end.kind is not _jobs.EndKind.STOPPED:
             self._log(
                 'run_ended',
@@ -381,10 +380,12 @@
         worker: _fleet.Worker,
         job: _jobs.Job,
         task: _jobs.Task,
+        number: int,
         now_ms: int,
     ) -> None:
         """Count a failure of a task and of its worker."""
-        task.failures += 1
+        if not task.spec.is_service:
+            task.failed_runs.append(number)
         task.avoid.add(worker.info.id)
         worker.recent_failures += 1
         route = self.routes.get(job.spec.route)
@@ -393,7 +394,7 @@
             'run_failed',
             job.spec.id,
             task=str(task.key),
-            failures=task.failures,
+            failures=len(task.failed_runs),
             limit=limit,
             worker=worker.info.id,
         )
@@ -402,7 +403,7 @@
             # One more failure after the pause is enough to avoid it again.
             worker.recent_failures = FAILURES_TO_AVOID - 1
             self._log('worker_avoided', '', worker=worker.info.id)
-        if not task.spec.is_service and task.failures >= limit:
+        if not task.spec.is_service and len(task.failed_runs) >= limit:
             self._end_job(job, _jobs.Outcome.FAILED, now_ms)
 
     def _on_report(
