Test the fleet daemon against an in-process platform on a virtual clock

Adds a stand-in of the row store and of leased workers (standins.fleet): a daemon cut off, answers lost, writes and starts late, workers out of reach.

Found by it and mended: an owner sent every worker out of reach a new lease with each look, so that its tasks were never known to be over and never moved (now a look after a lost one asks for no lease). A gang without room kept later gangs of the same size from starting.

Command: pytest packages/fleet packages/policy/tests/scheduling.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core policy models platform wire daemon cli standins bench
+PACKAGES := core policy models platform wire daemon fleet cli standins bench
+ADAPTER := platform
 STAMP := $(VENV)/.stamp
 SOURCES := packages
 
--- a/packages/core/src/oriolestand_core/_kernel.py
+++ b/packages/core/src/oriolestand_core/_kernel.py
@@ -51,9 +51,7 @@
         ready = sorted(
             name
             for name, manifest in waiting.items()
-            if all(
-                dep in done or dep in loaded for dep in manifest.depends_on
-            )
+            if all(dep in done or dep in loaded for dep in manifest.depends_on)
         )
         if not ready:
             raise _errors.UnknownServiceError(
--- a/packages/fleet/src/oriolestand_fleet/_commits.py
+++ b/packages/fleet/src/oriolestand_fleet/_commits.py
@@ -61,9 +61,7 @@
         finish()
 
     def on_error(reason: Any) -> None:
-        verdict = getattr(
-            reason.value, 'verdict', core.Verdict.MAY_HAVE_RUN
-        )
+        verdict = getattr(reason.value, 'verdict', core.Verdict.MAY_HAVE_RUN)
         if verdict is not core.Verdict.DID_NOT_RUN:
             attempt.is_in_doubt = True
         attempt.why = str(reason.value)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
@@ -106,7 +106,11 @@
         cursor = self._cursor
         clock = self._kernel.clock
         sent = clock.now()
-        lease = self._scheduler.new_lease_end(self._worker, sent)
+        lease = None
+        if not self._is_lost:
+            # A worker out of reach may take every extension that is sent to
+            # it, so that its runs would never be known to be over.
+            lease = self._scheduler.new_lease_end(self._worker, sent)
         has_open_ends = cursor.written < cursor.seen
         wait = 0 if has_open_ends or lease is None else const.LOOK_WAIT_MS
         look: scheduling.Look = await self._kernel.ask(
@@ -187,7 +191,5 @@
     """Run a looker; a fault in it is logged, not lost."""
     fut = defer.ensureDeferred(looker.run())
     fut.addErrback(
-        lambda reason: log.error(
-            'Looks failed', reason=reason.getTraceback()
-        )
+        lambda reason: log.error('Looks failed', reason=reason.getTraceback())
     )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_saver.py
@@ -93,9 +93,7 @@
             )
         self._in_flight = set(batch)
         checks = [
-            store.Check(
-                key=layout.OWNER_KEY, version=self._term.owner_version
-            )
+            store.Check(key=layout.OWNER_KEY, version=self._term.owner_version)
         ] + [
             store.Check(
                 key=layout.RECORD_PREFIX + job_id,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -1,6 +1,5 @@
 """Claim the cell, renew the claim and give it up."""
 
-import random
 from typing import Any
 
 from twisted.internet import defer
@@ -33,7 +32,7 @@
         self._election = ownership.Election(
             cfg.instance,
             self._incarnation,
-            random.randrange(const.CLAIM_JITTER_MS),
+            int(self._incarnation, base=16) % const.CLAIM_JITTER_MS,
         )
         self._owner_version = 0
         self._renewal_version = 0
@@ -316,9 +315,7 @@
             return
         term = work.term
         self._depose('the daemon ends')
-        owner = ownership.Owner(
-            instance='', incarnation='', epoch=term.epoch
-        )
+        owner = ownership.Owner(instance='', incarnation='', epoch=term.epoch)
         attempt = await _commits.try_commit(
             self.kernel,
             store.CommitRows(
@@ -350,9 +347,7 @@
         )
 
 
-def _version_of_claim(
-    attempt: _commits.Attempt, value: bytes
-) -> int | None:
+def _version_of_claim(attempt: _commits.Attempt, value: bytes) -> int | None:
     """Return the version of the owner's row if the claim was applied.
 
     A repeat of a commit that was applied is refused; the row then holds
--- /dev/null
+++ b/packages/fleet/tests/conftest.py
@@ -0,0 +1,23 @@
+"""Provide a site of daemons, store and workers on a virtual clock."""
+
+import pytest
+
+from oriolestand_standins import fleet
+
+
+@pytest.fixture
+def site() -> fleet.Site:
+    """Return a site with three workers and no daemon."""
+    site = fleet.Site()
+    for number in range(3):
+        site.add_worker(f'w{number}')
+    return site
+
+
+@pytest.fixture
+def daemons(site: fleet.Site) -> list[fleet.Daemon]:
+    """Return three daemons of which one owns the cell."""
+    found = [site.add_daemon(f'front-{number}') for number in range(3)]
+    site.run_until(lambda: any(d.is_owner for d in found), 5_000)
+    site.run(500)
+    return found
--- /dev/null
+++ b/packages/fleet/tests/test_failures.py
@@ -0,0 +1,266 @@
+"""Test that no failure makes a task run twice or loses a job."""
+
+import json
+
+import pytest
+
+from oriolestand_fleet.messages import jobs
+from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import follower_of
+from oriolestand_standins.fleet import owner_of
+from oriolestand_standins.fleet import result_of
+
+ONE_TASK = (scheduling.StepSpec(count=1, cpu=1_000),)
+
+
+def survivors(daemons, lost):
+    return [daemon for daemon in daemons if daemon is not lost]
+
+
+def test_successor_adopts_what_runs(site, daemons):
+    # Guards against a second run of tasks that outlive their owner.
+    site.submit(daemons[0], 'a' * 16, duration_ms=8_000)
+    site.run(1_000)
+    lost = owner_of(daemons)
+    lost.kill()
+    rest = survivors(daemons, lost)
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    site.run(9_000)
+    assert site.state(rest[0], 'a' * 16) == 'completed'
+    assert len(site.history) == 2
+    assert site.double_runs() == []
+
+
+def test_release_hands_over_at_once(site, daemons):
+    # Guards against a gap of ownership at a planned shutdown.
+    lost = owner_of(daemons)
+    site.shut_down(lost)
+    rest = survivors(daemons, lost)
+    site.run_until(lambda: any(d.is_owner for d in rest), 1_000)
+
+
+def test_ends_are_acknowledged_after_their_records(site, daemons):
+    # Guards against a successor that runs done tasks again: a look whose
+    # end leads to no record must not acknowledge earlier ends that wait
+    # for the store.
+    one = (scheduling.StepSpec(count=1, cpu=7_000),)
+    site.submit(daemons[0], 'a' * 16, one, duration_ms=2_000)
+    site.run(600)
+    busy = site.history[0].worker
+    site.submit(daemons[0], 'b' * 16, ONE_TASK * 1, duration_ms=2_500)
+    site.submit(daemons[0], 'c' * 16, ONE_TASK * 1, duration_ms=2_500)
+    site.submit(daemons[0], 'd' * 16, ONE_TASK * 1, duration_ms=2_500)
+    site.run(600)
+    assert any(r.worker == busy for r in site.history[1:])
+    lost = owner_of(daemons)
+    for daemon in daemons:
+        daemon.store.faults.is_down = True
+    cell = lost.kernel.find('cell')
+    for job in ('b' * 16, 'c' * 16, 'd' * 16):
+        cell._work.cancel_job(job)
+    site.run(3_000)
+    lost.kill()
+    rest = survivors(daemons, lost)
+    for daemon in rest:
+        daemon.store.faults.is_down = False
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    site.run(6_000)
+    assert site.repeated_runs() == []
+    assert len([r for r in site.history if r.key.job == 'a' * 16]) == 1
+
+
+def test_late_start_does_not_run_twice(site, daemons):
+    # Guards against a start without an answer that acts seconds later.
+    owner = owner_of(daemons)
+    owner.orders.faults.lost_starts = 1
+    owner.orders.faults.late_ms = 3_000
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=2_000)
+    site.run(9_000)
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+    assert site.double_runs() == []
+    assert len([r for r in site.history if r.how == 'done']) == 1
+
+
+def test_task_moves_only_after_the_lease_of_an_unreachable_worker(
+    site, daemons
+):
+    # Guards against a second run while the first may still go on.
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=20_000)
+    site.run(500)
+    worker = site.history[0].worker
+    for daemon in daemons:
+        daemon.orders.faults.unreachable = {worker}
+    site.run(12_000)
+    assert len(site.history) == 2
+    assert site.history[0].how == 'lapsed'
+    assert site.double_runs() == []
+
+
+def test_owner_without_store_keeps_leases(site, daemons):
+    # Guards against tasks that end because the store is away for a while.
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=9_000)
+    site.run(500)
+    for daemon in daemons:
+        daemon.store.faults.is_down = True
+    site.run(7_000)
+    for daemon in daemons:
+        daemon.store.faults.is_down = False
+    site.run(4_000)
+    assert [r.how for r in site.history] == ['done']
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+
+
+def test_owner_cut_from_the_store_is_fenced_off(site, daemons):
+    # Guards against two owners that act at the same workers.
+    site.submit(daemons[0], 'a' * 16, duration_ms=15_000)
+    site.run(500)
+    former = owner_of(daemons)
+    former.store.faults.is_silent = True
+    rest = survivors(daemons, former)
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    site.run(1_500)
+    assert not former.is_owner
+    site.run(15_000)
+    assert site.double_runs() == []
+    assert len(site.history) == 2
+
+
+def test_owner_gives_up_after_a_long_time_without_store(site, daemons):
+    # Guards against a cut-off owner that extends leases for ever, for which
+    # a successor would have to wait.
+    former = owner_of(daemons)
+    former.store.faults.is_silent = True
+    for daemon in survivors(daemons, former):
+        daemon.store.faults.is_down = True
+    site.run(15_000)
+    assert not former.is_owner
+
+
+@pytest.mark.parametrize('late_ms', [0, 700, 3_000])
+def test_lost_answer_of_the_store_does_not_refuse_a_job(
+    site, daemons, late_ms
+):
+    # Guards against a refusal of a job that is stored after all.
+    follower = follower_of(daemons)
+    follower.store.faults.lost_commits = 1
+    follower.store.faults.late_ms = late_ms
+    fut = site.submit(follower, 'a' * 16, ONE_TASK)
+    site.run(5_000)
+    assert result_of(fut) in (True, False)
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+    assert len(site.history) == 1
+
+
+def test_job_is_refused_at_once_when_the_store_refuses(site, daemons):
+    # Guards against holding a caller whose job cannot be stored.
+    follower = follower_of(daemons)
+    follower.store.faults.is_down = True
+    fut = site.submit(follower, 'a' * 16, ONE_TASK)
+    site.run(700)
+    assert isinstance(result_of(fut), jobs.JobNotStoredError)
+    follower.store.faults.is_down = False
+    site.run(3_000)
+    assert site.history == []
+
+
+def test_silence_of_the_store_leaves_a_job_in_doubt(site, daemons):
+    # Guards against a refusal that may be untrue.
+    follower = follower_of(daemons)
+    follower.store.faults.is_silent = True
+    fut = site.submit(follower, 'a' * 16, ONE_TASK)
+    site.run(3_500)
+    assert isinstance(result_of(fut), jobs.JobInDoubtError)
+
+
+def test_lost_answers_to_records_do_not_undo_them(site, daemons):
+    # Guards against a late write of an older record over a newer one.
+    owner = owner_of(daemons)
+    steps = tuple(
+        scheduling.StepSpec(count=1, cpu=1_000, after=tuple(range(n)))
+        for n in range(4)
+    )
+    owner.store.faults.late_ms = 900
+    site.submit(follower_of(daemons), 'a' * 16, steps, duration_ms=300)
+    for _ in range(8):
+        owner.store.faults.lost_commits = 1
+        site.run(400)
+    site.run(6_000)
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+    assert len(site.history) == 4
+    rows = site.store.rows
+    record = rows[('cell-0', 'record/' + 'a' * 16)]
+    assert json.loads(record.value)['outcome'] == 'completed'
+
+
+def test_history_lost_by_the_store_is_read_again(site, daemons):
+    # Guards against jobs that are never seen after a compaction.
+    site.store.forget_history()
+    site.submit(daemons[0], 'a' * 16, ONE_TASK)
+    site.run(300)
+    site.store.forget_history()
+    site.submit(daemons[1], 'b' * 16, ONE_TASK)
+    site.run(4_000)
+    for daemon in daemons:
+        assert site.state(daemon, 'a' * 16) == 'completed'
+        assert site.state(daemon, 'b' * 16) == 'completed'
+
+
+def test_all_daemons_killed_at_once(site, daemons):
+    # Guards against jobs that are lost, or run twice, after a loss of power.
+    site.submit(daemons[0], 'a' * 16, duration_ms=4_000)
+    site.submit(daemons[0], 'b' * 16, duration_ms=300)
+    site.run(1_500)
+    for daemon in daemons:
+        daemon.kill()
+    site.run(1_000)
+    fresh = [site.add_daemon(f'front-{n}') for n in range(3)]
+    site.run(9_000)
+    assert site.state(fresh[0], 'a' * 16) == 'completed'
+    assert site.state(fresh[0], 'b' * 16) == 'completed'
+    assert len(site.history) == 4
+    assert site.repeated_runs() == []
+
+
+def test_worker_in_a_new_life_runs_nothing_of_the_former(site, daemons):
+    # Guards against waiting for runs that a crash has ended.
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=5_000)
+    site.run(500)
+    name = site.history[0].worker
+    site.workers[name].crash()
+    site.run(300)
+    site.add_worker(name, born_ms=2)
+    site.run(7_000)
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+    assert [r.how for r in site.history] == ['lost', 'done']
+
+
+def test_configuration_never_goes_back(site, daemons):
+    # Guards against an older version that is read late.
+    site.set_config(5)
+    site.run(500)
+    site.set_config(3)
+    site.run(2_500)
+    for daemon in daemons:
+        config = daemon.kernel.find('config')
+        assert config._config.version == 5
+
+
+def test_successor_waits_for_workers_that_it_cannot_reach(site, daemons):
+    # Guards against a start of a task that may run on a worker which the
+    # successor has not heard of yet.
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=7_000)
+    site.run(500)
+    worker = site.history[0].worker
+    lost = owner_of(daemons)
+    rest = survivors(daemons, lost)
+    for daemon in rest:
+        daemon.orders.faults.unreachable = {worker}
+    lost.store.faults.is_silent = True
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    site.run(2_000)
+    assert len(site.history) == 1
+    for daemon in rest:
+        daemon.orders.faults.unreachable = set()
+    site.run(6_000)
+    assert site.double_runs() == []
+    assert [r.how for r in site.history] == ['done']
--- /dev/null
+++ b/packages/fleet/tests/test_path.py
@@ -0,0 +1,110 @@
+"""Test the path of a job from its caller to its workers and back."""
+
+from oriolestand_fleet.messages import jobs
+from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import follower_of
+from oriolestand_standins.fleet import owner_of
+from oriolestand_standins.fleet import result_of
+
+
+def test_job_completes_and_all_daemons_tell(site, daemons):
+    # Guards against a state that only the owner of the cell can tell.
+    fut = site.submit(follower_of(daemons), 'a' * 16)
+    site.run(200)
+    assert result_of(fut) is True
+    site.run(2_000)
+    assert {site.state(d, 'a' * 16) for d in daemons} == {'completed'}
+    assert len(site.history) == 2
+
+
+def test_repeat_of_a_job_stays_one_job(site, daemons):
+    # Guards against a second run when a caller repeats a stored request.
+    site.submit(daemons[0], 'a' * 16)
+    fut = site.submit(daemons[1], 'a' * 16)
+    site.run(2_500)
+    assert result_of(fut) in (True, False)
+    assert len(site.history) == 2
+    again = site.submit(daemons[2], 'a' * 16)
+    site.run(1_500)
+    assert result_of(again) is False
+    assert len(site.history) == 2
+
+
+def test_steps_run_in_order(site, daemons):
+    # Guards against a start before the steps it waits for are done.
+    steps = (
+        scheduling.StepSpec(count=3, cpu=1_000),
+        scheduling.StepSpec(count=2, cpu=1_000, after=(0,)),
+    )
+    site.submit(daemons[0], 'b' * 16, steps)
+    site.run(4_000)
+    first_end = max(r.ended_ms for r in site.history if r.key.step == 0)
+    second = [r.started_ms for r in site.history if r.key.step == 1]
+    assert len(second) == 2
+    assert min(second) >= first_end
+
+
+def test_capacity_is_not_passed(site, daemons):
+    # Guards against more work on a worker than it has room for.
+    steps = (scheduling.StepSpec(count=30, cpu=3_000),)
+    site.submit(daemons[0], 'c' * 16, steps)
+    site.run(8_000)
+    assert site.state(daemons[0], 'c' * 16) == 'completed'
+    for record in site.history:
+        beside = [
+            r
+            for r in site.history
+            if r.worker == record.worker
+            and r.started_ms <= record.started_ms < r.ended_ms
+        ]
+        assert len(beside) <= 2
+
+
+def test_failed_task_is_tried_up_to_its_limit(site, daemons):
+    # Guards against more attempts than the route allows, or fewer.
+    site.how = lambda key, number: 'failed'
+    steps = (scheduling.StepSpec(count=1, cpu=1_000),)
+    site.submit(daemons[0], 'd' * 16, steps)
+    site.run(5_000)
+    assert len(site.history) == 2
+    assert site.state(daemons[1], 'd' * 16) == 'failed'
+
+
+def test_service_task_is_started_again(site, daemons):
+    # Guards against a service task that stays down after an end.
+    steps = (scheduling.StepSpec(count=1, cpu=1_000, is_service=True),)
+    site.submit(daemons[0], 'e' * 16, steps, duration_ms=700)
+    site.run(4_000)
+    assert len(site.history) >= 4
+    assert site.state(daemons[0], 'e' * 16) == 'running'
+
+
+def test_cancel_stops_what_runs(site, daemons):
+    # Guards against a task that outlives its cancelled job.
+    site.submit(daemons[0], 'f' * 16, duration_ms=60_000)
+    site.run(500)
+    fut = site.cancel(follower_of(daemons), 'f' * 16)
+    site.run(1_000)
+    assert result_of(fut) is True
+    assert [r.how for r in site.history] == ['stopped', 'stopped']
+    assert {site.state(d, 'f' * 16) for d in daemons} == {'cancelled'}
+
+
+def test_unknown_job_is_said_not_to_exist(site, daemons):
+    # Guards against a state invented for a job that nobody sent.
+    assert site.state(daemons[0], '0' * 16) is None
+    fut = site.cancel(daemons[0], '0' * 16)
+    site.run(100)
+    assert result_of(fut) is False
+
+
+def test_waiting_counts_jobs_that_have_not_begun(site, daemons):
+    # Guards against a count without the jobs that found no room.
+    steps = (scheduling.StepSpec(count=1, cpu=8_000),)
+    for number in range(5):
+        site.submit(daemons[0], f'{number:016x}', steps, duration_ms=30_000)
+    site.run(2_500)
+    for daemon in daemons:
+        fut = daemon.kernel.ask('jobs', jobs.CountWaiting(route='route'))
+        assert result_of(fut) == 2
+    assert owner_of(daemons)
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -1,10 +1,10 @@
 """Decide when to claim a cell and how long its owner may act."""
 
 from oriolestand_policy.ownership._election import BLIND_LIMIT_MS
+from oriolestand_policy.ownership._election import RENEW_INTERVAL_MS
 from oriolestand_policy.ownership._election import ClaimReason
 from oriolestand_policy.ownership._election import Election
 from oriolestand_policy.ownership._election import Owner
-from oriolestand_policy.ownership._election import RENEW_INTERVAL_MS
 from oriolestand_policy.ownership._election import Renewal
 from oriolestand_policy.ownership._election import settle_delay_ms
 
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -60,9 +60,7 @@
 class Election:
     """Watch the owner of a cell; all times are the caller's clock."""
 
-    def __init__(
-        self, instance: str, incarnation: str, delay_ms: int
-    ) -> None:
+    def __init__(self, instance: str, incarnation: str, delay_ms: int) -> None:
         self._instance = instance
         self._incarnation = incarnation
         self.delay_ms = delay_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -21,9 +21,9 @@
 from oriolestand_policy.scheduling._jobs import TaskKey
 from oriolestand_policy.scheduling._jobs import parse_key
 from oriolestand_policy.scheduling._placement import FirstFitPlacement
+from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._placement import Placement
 from oriolestand_policy.scheduling._placement import PlacementConfig
-from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._record import Progress
 from oriolestand_policy.scheduling._record import job_from_plain
 from oriolestand_policy.scheduling._record import job_to_plain
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -128,8 +128,7 @@
         return (
             self.used_cpu + cpu <= info.cpu
             and self.used_memory + spec.memory_mb <= info.memory_mb
-            and self.used_accelerators + spec.accelerators
-            <= info.accelerators
+            and self.used_accelerators + spec.accelerators <= info.accelerators
         )
 
     def can_ever_run(self, spec: _specs.StepSpec) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -171,9 +171,7 @@
         return (*_common_rank(worker, task), lack, free)
 
 
-def _common_rank(
-    worker: _fleet.Worker, task: _jobs.Task
-) -> tuple[float, ...]:
+def _common_rank(worker: _fleet.Worker, task: _jobs.Task) -> tuple[float, ...]:
     """Rank workers on which a task failed, far data and failures last."""
     spec = task.spec
     return (
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -39,7 +39,8 @@
                         task.checkpoint,
                     ]
                     for task in tasks
-                    if not task.is_done and (task.failed_runs or task.checkpoint)
+                    if not task.is_done
+                    and (task.failed_runs or task.checkpoint)
                 ]
     return {
         'outcome': job.outcome.value if job.outcome else None,
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -624,7 +624,7 @@
                 spec.is_filling,
                 spec.is_service,
                 spec.label,
-                task.key[:3] if spec.max_per_worker else None,
+                task.key[:3] if spec.max_per_worker or spec.is_gang else None,
             )
             if shape in full:
                 continue
--- /dev/null
+++ b/packages/policy/tests/scheduling/conftest.py
@@ -0,0 +1,122 @@
+"""Provide a scheduler with probed workers."""
+
+import pytest
+
+from oriolestand_policy import scheduling
+
+LEASE_MS = 6_000
+
+
+class Bench:
+    """Drive a scheduler by hand; time is in ``now``."""
+
+    def __init__(self, workers: int = 2) -> None:
+        self.now = 10_000
+        self.scheduler = scheduling.Scheduler(1, LEASE_MS)
+        self.scheduler.set_routes(
+            [scheduling.RoutePolicy(name='r', pool='p', max_attempts=2)]
+        )
+        self.infos = {
+            f'w{n}': scheduling.WorkerInfo(
+                id=f'w{n}',
+                pool='p',
+                address=f'w{n}:1',
+                failure_domain='d',
+                cpu=10_000,
+                memory_mb=10_000,
+                born_ms=1,
+            )
+            for n in range(workers)
+        }
+        self.scheduler.set_workers(self.infos)
+        self.scheduler.mark_recorded(self.infos)
+        for name in self.infos:
+            self.look(name)
+        self.scheduler.take_effects()
+
+    def look(self, worker, running=(), ended=(), sent=None):
+        """Report what a worker lists."""
+        return self.scheduler.on_look(
+            worker,
+            scheduling.Look(
+                clock_ms=self.now,
+                born_ms=1,
+                running=tuple(running),
+                ended=tuple(ended),
+            ),
+            self.now if sent is None else sent,
+            self.now,
+        )
+
+    def add(self, job, *steps, **spec):
+        """Add a job."""
+        self.scheduler.add_job(
+            scheduling.JobSpec(
+                id=job, route='r', payload='x', steps=tuple(steps), **spec
+            ),
+            self.now,
+        )
+
+    def decide(self, wall=0, is_probed=True):
+        """Decide and return the effects by kind."""
+        for name in list(self.infos):
+            worker = self.scheduler.workers.get(name)
+            if worker is not None and self.now - worker.seen_ms <= 1_000:
+                self.scheduler.new_lease_end(name, self.now)
+        self.scheduler.decide(self.now, wall, is_probed)
+        return self.effects()
+
+    def effects(self):
+        """Return the starts and the stops."""
+        found = self.scheduler.take_effects()
+        starts = [e for e in found if isinstance(e, scheduling.StartTask)]
+        stops = [e for e in found if isinstance(e, scheduling.StopTask)]
+        return starts, stops
+
+    def answer(self, start, outcome=scheduling.StartOutcome.STARTED):
+        """Answer a start."""
+        self.scheduler.on_start_reply(
+            start.worker, start.key, start.run, outcome, '', self.now
+        )
+
+
+def report(start, percent=100, measured=0):
+    """Return the report of a run."""
+    return scheduling.RunReport(
+        key=start.key,
+        number=start.run,
+        checkpoint='',
+        percent=percent,
+        measured=measured,
+    )
+
+
+def end(start, how, sequence=1, checkpoint=''):
+    """Return the end of a run."""
+    return scheduling.EndReport(
+        sequence=sequence,
+        key=start.key,
+        number=start.run,
+        kind=scheduling.EndKind(how),
+        checkpoint=checkpoint,
+    )
+
+
+@pytest.fixture
+def bench():
+    """Return a bench with two workers."""
+    return Bench()
+
+
+@pytest.fixture
+def make():
+    """Return the helpers that make reports."""
+
+    class Make:
+        """Hold the helpers."""
+
+        Bench = Bench
+        report = staticmethod(report)
+        end = staticmethod(end)
+
+    return Make
--- /dev/null
+++ b/packages/policy/tests/scheduling/test_pressure.py
@@ -0,0 +1,145 @@
+"""Test what is learned of neighbours and what follows from it."""
+
+import pytest
+
+from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _pacing
+
+SERVICE = scheduling.StepSpec(
+    count=2,
+    cpu=4_000,
+    is_service=True,
+    image='web',
+    target_ms=18,
+    max_per_worker=1,
+)
+LOUD = scheduling.StepSpec(
+    count=1, cpu=3_000, is_filling=True, image='loud', has_checkpoints=True
+)
+CALM = scheduling.StepSpec(
+    count=1, cpu=3_000, is_filling=True, image='calm', has_checkpoints=True
+)
+
+
+@pytest.fixture
+def loaded(bench, make):
+    """Return a bench with a service task on each of two workers."""
+    bench.add('svc', SERVICE)
+    for start in bench.decide()[0]:
+        bench.answer(start)
+        bench.look(start.worker, [make.report(start, measured=4)])
+    return bench
+
+
+def services_of(bench):
+    """Return the runs of the service by worker."""
+    return {
+        name: next(r for r in w.runs.values() if r.spec.is_service)
+        for name, w in bench.scheduler.workers.items()
+    }
+
+
+def beside(bench, make, start, tail, times=25):
+    """Report a filling task at full speed and the tail beside it."""
+    services = services_of(bench)
+    for _ in range(times):
+        bench.now += 1_000
+        for name, run in services.items():
+            is_here = name == start.worker
+            rows = [
+                scheduling.RunReport(
+                    key=run.key,
+                    number=run.number,
+                    checkpoint='',
+                    percent=100,
+                    measured=tail if is_here else 8,
+                )
+            ]
+            if is_here:
+                rows.append(make.report(start, 50, start_cpu(bench, start)))
+            bench.look(name, rows)
+
+
+def start_cpu(bench, start):
+    """Return the processors that a task asks for."""
+    return bench.scheduler.jobs[start.key.job].spec.steps[0].cpu
+
+
+def test_harm_of_a_pair_is_learned(loaded, make):
+    # Guards against placing by load alone, blind to which images clash.
+    for name, spec, tail in (('l', LOUD, 16), ('c', CALM, 8)):
+        loaded.add(name, spec)
+        start = loaded.decide()[0][0]
+        loaded.answer(start)
+        beside(loaded, make, start, tail)
+        loaded.look(start.worker, ended=[make.end(start, 'done')])
+    pressure = loaded.scheduler.pressure
+    assert pressure.weight('web', 'loud') > 0.5
+    assert pressure.weight('web', 'calm') < 0.05
+
+
+def test_filling_task_stays_off_a_worker_with_a_high_tail(loaded, make):
+    # Guards against more neighbours for a service task in need.
+    services = services_of(loaded)
+    for run in services.values():
+        run.measured = 17
+    loaded.add('c', CALM)
+    assert loaded.decide()[0] == []
+    services['w1'].measured = 5
+    assert [s.worker for s in loaded.decide()[0]] == ['w1']
+
+
+def test_harmful_neighbour_moves_and_another_stays(loaded, make):
+    # Guards against users harmed for seconds, and against giving up work
+    # that does no harm.
+    pressure = loaded.scheduler.pressure
+    pressure._weights[('web', 'loud')] = 1.0
+    pressure._weights[('web', 'calm')] = 0.01
+    worker = loaded.scheduler.workers['w0']
+    runs = {}
+    for name, spec in (('l', LOUD), ('c', CALM)):
+        key = scheduling.TaskKey(name, 0, 0, 0)
+        run = scheduling.Run(
+            key=key,
+            number=1,
+            spec=spec,
+            phase=scheduling.RunPhase.RUNNING,
+            since_ms=0,
+        )
+        worker.add(run)
+        runs[name] = run
+    services_of(loaded)['w0'].measured = 40
+    _pacing.note_tails(worker, loaded.now)
+    later = loaded.now + _pacing.PATIENCE_MS
+    reliefs = list(_pacing.plan_relief(worker, pressure, later))
+    assert [(r.run, r.is_move) for r in reliefs] == [(runs['l'], True)]
+    worker.relieved_ms = 0
+    late = loaded.now + _pacing.EMERGENCY_MS
+    reliefs = list(_pacing.plan_relief(worker, pressure, late))
+    assert {r.run.key.job for r in reliefs} == {'l', 'c'}
+
+
+def test_slowed_neighbour_is_raised_when_no_tail_is_high(loaded):
+    # Guards against filling work that stays slow for good.
+    worker = loaded.scheduler.workers['w0']
+    run = scheduling.Run(
+        key=scheduling.TaskKey('c', 0, 0, 0),
+        number=1,
+        spec=CALM,
+        phase=scheduling.RunPhase.RUNNING,
+        since_ms=0,
+        pace=0,
+    )
+    worker.add(run)
+    reliefs = list(
+        _pacing.plan_relief(worker, loaded.scheduler.pressure, loaded.now)
+    )
+    assert [(r.run, r.pace) for r in reliefs] == [(run, 100)]
+
+
+def test_service_task_takes_room_beside_filling_tasks(bench):
+    # Guards against a service task that waits although a worker has room.
+    bench.add('c', scheduling.StepSpec(count=6, cpu=3_000, is_filling=True))
+    assert len(bench.decide()[0]) == 6
+    bench.add('svc', SERVICE)
+    assert len(bench.decide()[0]) == 2
--- /dev/null
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -0,0 +1,250 @@
+"""Run several daemons against the stand-ins, without sockets."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_fleet import daemon
+from oriolestand_fleet import settings
+from oriolestand_fleet.messages import jobs
+from oriolestand_fleet.messages import lifecycle
+from oriolestand_fleet.messages import store as store_messages
+from oriolestand_fleet.messages import telemetry
+from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import _store
+from oriolestand_standins.fleet import _workers
+
+POOL = 'pool'
+ROUTE = 'route'
+STEP_MS = 5
+WORKER_CPU = 8_000
+
+
+class _TelemetryTask(core.Task):
+    """Drop all metrics."""
+
+    def __init__(self, kernel: core.Kernel) -> None:
+        super().__init__(kernel, telemetry.SERVICE)
+
+    @core.handles(telemetry.Count)
+    @core.handles(telemetry.Observe)
+    @core.handles(telemetry.SetGauge)
+    def _on_any(self, msg: object) -> None:
+        """Drop a metric."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Daemon:
+    """Hold one daemon without its frontend."""
+
+    kernel: core.Kernel
+    store: _store.StoreTask
+    orders: _workers.OrdersTask
+
+    @property
+    def is_owner(self) -> bool:
+        """Return whether the daemon owns the cell."""
+        cell: Any = self.kernel.find('cell')
+        return cell._work is not None
+
+    def kill(self) -> None:
+        """Cut the daemon off for ever: nothing it does has an effect."""
+        self.store.faults.is_silent = True
+        self.orders.faults.unreachable = _Everything()
+
+
+class _Everything(set[str]):
+    """Contain every worker."""
+
+    def __contains__(self, item: object) -> bool:
+        """Return True."""
+        return True
+
+
+class Site:
+    """Own the clock, the store, the workers and the daemons."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.clock = core.ManualClock(start=1_000, wall=1_700_000_000_000)
+        self.store = _store.RowStore(self.clock)
+        self.workers: dict[str, _workers.FleetWorker] = {}
+        self.history: list[_workers.RunRecord] = []
+        self.durations: dict[str, int] = {}
+        self.how: Callable[[scheduling.TaskKey, int], str] = (
+            lambda key, number: 'done'
+        )
+        self._seed = seed
+        self.set_config(1)
+
+    def set_config(self, version: int, max_attempts: int = 2) -> None:
+        """Put a configuration with one route into the store."""
+        policy = scheduling.RoutePolicy(
+            name=ROUTE, pool=POOL, max_attempts=max_attempts
+        )
+        self.store.set_config(
+            store_messages.FleetConfig(
+                version=version,
+                routes=(
+                    store_messages.Route(
+                        host='jobs.test', prefix='/j/', policy=policy
+                    ),
+                ),
+                header_bytes=16_384,
+                body_bytes=262_144,
+                header_timeout_ms=3_000,
+                idle_timeout_ms=15_000,
+            )
+        )
+
+    def add_worker(self, name: str, born_ms: int = 1) -> None:
+        """Start a worker and register it."""
+        info = scheduling.WorkerInfo(
+            id=name,
+            pool=POOL,
+            address=f'{name}:1',
+            failure_domain='d1',
+            cpu=WORKER_CPU,
+            memory_mb=16_000,
+            born_ms=born_ms,
+        )
+        self.workers[name] = _workers.FleetWorker(
+            self.clock,
+            info,
+            self.history,
+            lambda key: self.durations.get(key.job, 1_000),
+            lambda key, number: self.how(key, number),
+        )
+        self.store.list_worker(info)
+
+    def add_daemon(self, name: str) -> Daemon:
+        """Start a daemon."""
+        self._seed += 1
+        kernel = core.Kernel(self.clock, core.IdSource(self._seed))
+        store = _store.StoreTask(kernel, self.store)
+        orders = _workers.OrdersTask(kernel, self.workers)
+        for task in (_TelemetryTask(kernel), store, orders):
+            kernel.register(task.name, task)
+        names = [n for n in daemon.SERVICES if n in ('config', 'jobs', 'cell')]
+        defer.ensureDeferred(
+            kernel.load(daemon.SERVICES_PACKAGE, names, _settings(name))
+        )
+        return Daemon(kernel=kernel, store=store, orders=orders)
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass in small steps."""
+        for _ in range(0, duration_ms, STEP_MS):
+            self.clock.advance(STEP_MS)
+
+    def run_until(self, check: Callable[[], bool], limit_ms: int) -> None:
+        """Let time pass until a check holds; fail after a limit."""
+        for _ in range(0, limit_ms, STEP_MS):
+            if check():
+                return
+            self.clock.advance(STEP_MS)
+        raise AssertionError(f'did not happen within {limit_ms} ms')
+
+    def submit(
+        self,
+        where: Daemon,
+        job: str,
+        steps: tuple[scheduling.StepSpec, ...] | None = None,
+        duration_ms: int = 1_000,
+        deadline_ms: int = 3_000,
+    ) -> 'defer.Deferred[Any]':
+        """Send a job to a daemon; the Deferred has the answer."""
+        self.durations[job] = duration_ms
+        spec = scheduling.JobSpec(
+            id=job,
+            route=ROUTE,
+            payload='p',
+            steps=steps or (scheduling.StepSpec(count=2, cpu=1_000),),
+            accepted_ms=self.clock.wall(),
+        )
+        return where.kernel.ask(
+            jobs.SERVICE,
+            jobs.SubmitJob(
+                spec=spec, deadline_ms=self.clock.now() + deadline_ms
+            ),
+        )
+
+    def cancel(self, where: Daemon, job: str) -> 'defer.Deferred[Any]':
+        """Cancel a job at a daemon."""
+        return where.kernel.ask(
+            jobs.SERVICE,
+            jobs.CancelJob(
+                job=job, route=ROUTE, deadline_ms=self.clock.now() + 3_000
+            ),
+        )
+
+    def state(self, where: Daemon, job: str) -> str | None:
+        """Return the state of a job that a daemon tells, or None."""
+        fut = where.kernel.ask(
+            jobs.SERVICE,
+            jobs.GetState(
+                job=job, route=ROUTE, deadline_ms=self.clock.now() + 3_000
+            ),
+        )
+        found: list[Any] = []
+        fut.addBoth(found.append)
+        self.run_until(lambda: bool(found), 3_000)
+        state = found[0]
+        return state.value if isinstance(state, jobs.JobState) else None
+
+    def shut_down(self, which: Daemon) -> None:
+        """Ask a daemon to hand over the cell and end."""
+        which.kernel.publish(lifecycle.ShutdownStarted(), is_state=True)
+        which.kernel.ask('cell', lifecycle.ReleaseCell())
+
+    def double_runs(self) -> list[tuple[_workers.RunRecord, ...]]:
+        """Return pairs of runs of one task that ran at the same time."""
+        return [
+            (one, other)
+            for one in self.history
+            for other in self.history
+            if one.key == other.key
+            and one.number < other.number
+            and other.started_ms < _end_of(one)
+            and one.started_ms < _end_of(other)
+        ]
+
+    def repeated_runs(self) -> list[tuple[_workers.RunRecord, ...]]:
+        """Return runs after an end as done that was acknowledged."""
+        return [
+            (one, other)
+            for one in self.history
+            for other in self.history
+            if one.key == other.key
+            and one.how == 'done'
+            and one.is_acknowledged
+            and other.started_ms > one.ended_ms
+        ]
+
+
+def _end_of(record: _workers.RunRecord) -> float:
+    """Return when a run ended; infinity while it runs."""
+    return record.ended_ms if record.how else float('inf')
+
+
+def _settings(name: str) -> settings.FleetSettings:
+    """Return settings whose addresses are not used."""
+    unused = settings.Address(host='127.0.0.1', port=0)
+    codec: Any = None
+    return settings.FleetSettings(
+        instance=name,
+        failure_domain='d1',
+        front=unused,
+        ready=unused,
+        metrics=unused,
+        limits=settings.Limits(
+            lease_max_ms=_workers.LEASE_MAX_MS,
+            stop_ms=_workers.STOP_MS,
+            retention_ms=120_000,
+            shutdown_ms=6_000,
+            row_bytes=65_536,
+        ),
+        log=settings.LogSettings(),
+        codec=codec,
+    )
