--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_channel.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_channel.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import protocol
 from twisted.web import http
 
 import oriolestand_core as core
@@ -16,13 +17,17 @@
 class Channel(http.HTTPChannel):
     """Hold one connection and know whether a request is in progress."""
 
+    is_closing = False
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register with the factory."""
         super().connectionMade()
         self.factory.channels.add(self)
         self.idle_since = self.factory.now()
 
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+    def connectionLost(  # noqa: N802
+        self, reason: Any = protocol.connectionDone
+    ) -> None:
         """Leave the factory."""
         self.factory.channels.discard(self)
         super().connectionLost(reason)
@@ -32,6 +37,12 @@
         self.idle_since = self.factory.now()
         super().requestDone(request)
 
+    def close(self) -> None:
+        """Close the connection once what was written has been sent."""
+        if not self.is_closing:
+            self.is_closing = True
+            self.loseConnection()
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
@@ -44,7 +55,8 @@
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body that is over the limit before it is read."""
         if length is not None and length > self.channel.factory.body_limit():
-            self.channel.transport.write(TOO_LARGE)
+            transport: Any = self.channel.transport
+            transport.write(TOO_LARGE)
             self.channel.loseConnection()
         super().gotLength(length)
 
@@ -65,7 +77,7 @@
         handle: Callable[[FrontRequest], None],
         body_limit: Callable[[], int],
     ) -> None:
-        super().__init__(timeout=None, reactor=reactor)
+        super().__init__(reactor=reactor)
         self.channels: set[Channel] = set()
         self.handle = handle
         self.body_limit = body_limit
@@ -73,7 +85,7 @@
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Return a channel with the configured idle timeout."""
-        channel = Channel()
+        channel: Any = Channel()
         channel.requestFactory = FrontRequest
         channel.factory = self
         channel.timeOut = self.timeOut
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -123,7 +123,7 @@
     def _body_limit(self) -> int:
         """Return the largest body to read, in bytes."""
         if self._routes is None:
-            return 0
+            return const.DEFAULT_BODY_BYTES
         return self._routes.config.body_bytes
 
     def _on_request(self, req: _channel.FrontRequest) -> None:
@@ -177,6 +177,7 @@
         self, req: _channel.FrontRequest, job: str, route: str, deadline: int
     ) -> tuple[int, bytes]:
         """Store a job."""
+        assert req.content is not None
         body = req.content.read()
         spec = self._codec.decode_job(
             body, job, route, self.kernel.clock.wall()
@@ -292,7 +293,7 @@
             for channel in list(self._factory.channels):
                 idle_ms = now - channel.idle_since
                 if channel.is_idle and idle_ms >= const.DRAIN_IDLE_MS:
-                    channel.loseConnection()
+                    channel.close()
             await self.kernel.sleep(const.DRAIN_POLL_MS)
 
 
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/const.py
@@ -6,6 +6,9 @@
 DEFAULT_DEADLINE_MS = 3_000
 RETRY_AFTER_S = 1
 
+DEFAULT_BODY_BYTES = 262_144
+"""Largest body while there is no configuration that says so."""
+
 READY_PATH = b'/readiness'
 SYNC_GRACE_MS = 1_500
 """A daemon that has not heard from the store for this long is not ready."""
--- /dev/null
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -0,0 +1,263 @@
+"""Test the answers to callers over HTTP."""
+
+import json
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import testing
+
+import oriolestand_core as core
+from oriolestand_fleet import settings
+from oriolestand_fleet.messages import config
+from oriolestand_fleet.messages import jobs
+from oriolestand_fleet.messages import lifecycle
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services import frontend
+from oriolestand_fleet.services.frontend import const
+from oriolestand_policy import scheduling
+
+JOB = '5c0e7a21d94b36f8'
+
+
+class _Codec(settings.JobCodec):
+    content_type = 'application/json'
+
+    def decode_job(self, body, job, route, accepted_ms):
+        if body == b'bad':
+            raise scheduling.BadJobError('the body is not a job')
+        return scheduling.JobSpec(
+            id=job,
+            route=route,
+            payload='',
+            steps=(scheduling.StepSpec(count=1),),
+        )
+
+    def encode_state(self, state):
+        return json.dumps({'state': state}).encode()
+
+    def encode_waiting(self, count):
+        return json.dumps({'waiting': count}).encode()
+
+    def encode_error(self, code, message, verdict):
+        return json.dumps({'code': code, 'verdict': verdict}).encode()
+
+
+class _Telemetry(core.Task):
+    @core.handles(telemetry.Count)
+    def _on_count(self, msg):
+        pass
+
+
+class _Jobs(core.Task):
+    """Answer as the test says; keep the questions."""
+
+    def __init__(self, kernel):
+        super().__init__(kernel, 'jobs')
+        self.asked = []
+        self.answer = defer.succeed(True)
+
+    @core.handles(jobs.SubmitJob)
+    @core.handles(jobs.GetState)
+    @core.handles(jobs.CancelJob)
+    @core.handles(jobs.CountWaiting)
+    def _on_any(self, msg):
+        self.asked.append(msg)
+        return self.answer
+
+
+class _Front:
+    def __init__(self):
+        self.clock = core.ManualClock(start=1_000)
+        self.reactor = testing.MemoryReactorClock()
+        self.kernel = core.Kernel(self.clock, reactor=self.reactor)
+        self.jobs = _Jobs(self.kernel)
+        self.kernel.register('jobs', self.jobs)
+        self.kernel.register('telemetry', _Telemetry(self.kernel, 'telemetry'))
+        address = settings.Address(host='127.0.0.1', port=1)
+        cfg = settings.FleetSettings(
+            instance='a',
+            failure_domain='d',
+            front=address,
+            ready=address,
+            metrics=address,
+            limits=settings.Limits(
+                lease_max_ms=6_000,
+                stop_ms=200,
+                retention_ms=1,
+                shutdown_ms=6_000,
+                row_bytes=1,
+            ),
+            log=settings.LogSettings(),
+            codec=_Codec(),
+        )
+        self.task = frontend.setup(self.kernel, cfg)
+        self.task.start()
+        self.kernel.register('frontend', self.task)
+
+    def configure(self):
+        routes = tuple(
+            store.Route(
+                host='jobs.test',
+                prefix=prefix,
+                policy=scheduling.RoutePolicy(name=name, pool='p'),
+            )
+            for prefix, name in (('/j/', 'short'), ('/j/long/', 'long'))
+        )
+        self.kernel.publish(
+            config.ConfigChanged(
+                config=store.FleetConfig(
+                    version=3,
+                    routes=routes,
+                    header_bytes=16_384,
+                    body_bytes=100,
+                    header_timeout_ms=3_000,
+                    idle_timeout_ms=15_000,
+                )
+            ),
+            is_state=True,
+        )
+
+    def open(self, which=0):
+        factory = self.reactor.tcpServers[which][1]
+        channel = factory.buildProtocol(None)
+        transport = testing.StringTransport()
+        channel.makeConnection(transport)
+        return channel, transport
+
+    def send(self, line, body=b'', headers=(), channel=None, which=0):
+        found = channel or self.open(which)
+        lines = [f'{line} HTTP/1.1', 'Host: jobs.test', *headers]
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
+        found[0].dataReceived('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+        return found
+
+    def status(self, *args, **kwargs):
+        _, transport = self.send(*args, **kwargs)
+        return int(transport.value().split(b' ')[1])
+
+
+@pytest.fixture
+def front():
+    """Return a frontend with a configuration."""
+    front = _Front()
+    front.configure()
+    return front
+
+
+def test_job_is_stored_before_the_answer(front):
+    # Guards against an acceptance that the store does not know.
+    front.jobs.answer = defer.Deferred()
+    channel, transport = front.send(f'POST /j/{JOB}', b'{}')
+    assert transport.value() == b''
+    front.jobs.answer.callback(True)
+    assert transport.value().startswith(b'HTTP/1.1 200')
+    assert front.jobs.asked[0].spec.id == JOB
+
+
+def test_longest_prefix_wins(front):
+    # Guards against a job in the queue of a shorter prefix.
+    front.send(f'POST /j/long/{JOB}', b'{}')
+    assert front.jobs.asked[0].spec.route == 'long'
+
+
+@pytest.mark.parametrize(
+    ('line', 'body', 'expected'),
+    [
+        (f'POST /none/{JOB}', b'{}', 404),
+        ('POST /j/../etc/passwd0000', b'{}', 400),
+        (f'PATCH /j/{JOB}', b'{}', 400),
+        (f'POST /j/{JOB}', b'bad', 400),
+        ('POST /j/', b'{}', 400),
+        (f'POST /j/{JOB}', b'x' * 101, 413),
+    ],
+)
+def test_bad_requests_get_a_clear_error(front, line, body, expected):
+    # Guards against bad input that is stored or that hangs.
+    assert front.status(line, body) == expected
+    assert front.jobs.asked == []
+
+
+def test_no_configuration_is_unavailable():
+    # Guards against a refusal with 404 of routes not yet known.
+    assert _Front().status(f'POST /j/{JOB}', b'{}') == 503
+
+
+@pytest.mark.parametrize(
+    ('error', 'status'),
+    [
+        (jobs.JobNotStoredError('no'), 503),
+        (jobs.JobInDoubtError('?'), 504),
+        (jobs.StateUnknownError('?'), 503),
+    ],
+)
+def test_verdicts_become_statuses(front, error, status):
+    # Guards against a refusal of what may have been stored.
+    front.jobs.answer = defer.fail(error)
+    _, transport = front.send(f'POST /j/{JOB}', b'{}')
+    assert int(transport.value().split(b' ')[1]) == status
+    has_hint = b'retry-after' in transport.value().lower()
+    assert has_hint == (status == 503)
+
+
+def test_state_and_count_are_told(front):
+    # Guards against answers that callers cannot read.
+    front.jobs.answer = defer.succeed(jobs.JobState.RUNNING)
+    _, transport = front.send(f'GET /j/{JOB}')
+    assert transport.value().endswith(b'{"state": "running"}')
+    front.jobs.answer = defer.succeed(None)
+    assert front.status(f'GET /j/{JOB}') == 410
+    front.jobs.answer = defer.succeed(4)
+    _, transport = front.send('GET /j/')
+    assert transport.value().endswith(b'{"waiting": 4}')
+
+
+def test_deadline_of_the_caller_is_passed_on(front):
+    # Guards against answers after the caller has left.
+    front.send(f'POST /j/{JOB}', b'{}', ['X-Deadline-Ms: 700'])
+    assert front.jobs.asked[0].deadline_ms == 1_700
+
+
+def test_ready_only_with_configuration_and_store():
+    # Guards against callers sent to a daemon that can store nothing.
+    front = _Front()
+    assert front.status('GET /readiness', which=1) == 503
+    front.configure()
+    assert front.status('GET /readiness', which=1) == 503
+    synced = jobs.ReplicaSynced(is_reachable=True, is_complete=True)
+    front.kernel.publish(synced)
+    assert front.status('GET /readiness', which=1) == 200
+    front.clock.advance(const.SYNC_GRACE_MS + 1_001)
+    assert front.status('GET /readiness', which=1) == 503
+
+
+def test_shutdown_answers_what_was_read(front):
+    # Guards against requests cut off by a planned shutdown.
+    front.jobs.answer = defer.Deferred()
+    channel, transport = front.send(f'POST /j/{JOB}', b'{}')
+    idle, idle_transport = front.open()
+    front.kernel.publish(lifecycle.ShutdownStarted(), is_state=True)
+    done = []
+    fut = front.kernel.ask('frontend', lifecycle.DrainConnections())
+    fut.addCallback(done.append)
+    front.clock.advance(const.DRAIN_SERVE_MS + const.DRAIN_IDLE_MS + 100)
+    assert idle_transport.disconnecting
+    assert not transport.disconnecting
+    assert not done
+    front.jobs.answer.callback(True)
+    assert b'200' in transport.value()
+    assert b'connection: close' in transport.value().lower()
+    for each in (channel, idle):
+        each.connectionLost()
+    front.clock.advance(const.DRAIN_POLL_MS * 2)
+    assert done == [None]
+
+
+def test_caller_that_left_gets_no_answer(front):
+    # Guards against a fault when the connection is gone before the answer.
+    front.jobs.answer = defer.Deferred()
+    channel, transport = front.send(f'POST /j/{JOB}', b'{}')
+    channel.connectionLost()
+    front.jobs.answer.callback(True)
+    assert transport.value() == b''
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -27,12 +27,12 @@
 
 
 class TaskKey(NamedTuple):
-    """Identify a task."""
+    """Identify a task; ``index`` counts the tasks of a step."""
 
     job: str
     occurrence: int
     step: int
-    index: int
+    index: int  # type: ignore[assignment]
 
     def __str__(self) -> str:
         """Return the name that workers know."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -1,6 +1,7 @@
 """Choose the worker of a task."""
 
 import abc
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -70,6 +71,9 @@
     )
 
 
+_Ranking = Callable[[_fleet.Worker, _jobs.Task], tuple[float, ...] | None]
+
+
 class FirstFitPlacement(Placement):
     """Take the first worker with room; the naive policy for comparison."""
 
@@ -113,7 +117,7 @@
         """Return the worker with the lowest rank that may run a task."""
         best: _fleet.Worker | None = None
         best_rank: tuple[float, ...] = ()
-        rank_of = self._rank_service
+        rank_of: _Ranking = self._rank_service
         if task.spec.is_filling:
             rank_of = self._rank_filling
         elif not task.spec.is_service:
