Start jobs that can be in time first; learn harm with a Kalman filter

Weights of pairs were corrected by the same step whether a tail told much or little.

Changed: order by tier (can be in time, late, lost), then by due time; a Kalman filter by pair with the rounding of tails as noise; looks each 0.5 s at workers with both kinds; neighbours move after 0.5 s, all after 1.2 s.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_looks.py
@@ -112,7 +112,11 @@
             # it, so that its runs would never be known to be over.
             lease = self._scheduler.new_lease_end(self._worker, sent)
         has_open_ends = cursor.written < cursor.seen
-        wait = 0 if has_open_ends or lease is None else const.LOOK_WAIT_MS
+        wait = const.LOOK_WAIT_MS
+        if worker.service_cpu and worker.filling_cpu:
+            wait = const.MIXED_LOOK_WAIT_MS
+        if has_open_ends or lease is None:
+            wait = 0
         look: scheduling.Look = await self._kernel.ask(
             orders.SERVICE,
             orders.LookAt(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -9,6 +9,10 @@
 LOOK_WAIT_MS = 1_000
 """Long enough to keep looks few, short enough for leases of seconds."""
 
+MIXED_LOOK_WAIT_MS = 500
+"""Users of a service task are harmed after a few seconds, so that workers
+with neighbours beside service tasks are looked at more often."""
+
 LOOK_RETRY_MS = 250
 LOOK_PAUSE_MS = 250
 """Pause between looks while ends cannot be written to the store."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
@@ -9,10 +9,10 @@
 FULL_PACE = 100
 LOW_PACE = 0
 
-PATIENCE_MS = 1_000
+PATIENCE_MS = 500
 """How long a tail may be over its target before a neighbour has to yield."""
 
-EMERGENCY_MS = 1_600
+EMERGENCY_MS = 1_200
 """How long a tail may be over its target before all neighbours yield; users
 are harmed after 4 s."""
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
@@ -5,10 +5,9 @@
 what runs beside it. All tasks of a service job have the same own load at a
 time; the excess of one over its siblings comes from its neighbours. How much
 a filling image adds to a service image differs widely by pair and is learned
-by normalised least mean squares.
+by a Kalman filter whose weights count as independent.
 """
 
-from collections.abc import Iterable
 import dataclasses
 
 from oriolestand_policy.scheduling import _fleet
@@ -16,14 +15,20 @@
 PRIOR_WEIGHT = 0.1
 """Load that a filling task is expected to add when it uses a whole worker."""
 
-LEARNING_RATE = 0.12
-MIN_SHARE = 0.01
-"""Keeps the step of a correction bounded when little runs beside a task."""
+PRIOR_VARIANCE = 0.25
+DRIFT = 0.0005
+"""Variance that a weight gains with each report, as harm changes slowly."""
+
+LOAD_NOISE = 0.03
+"""Standard deviation of a load that tails do not explain."""
+
+TAIL_NOISE = 0.7
+"""Standard deviation of a reported tail in milliseconds, from rounding."""
 
 TARGET_MARGIN = 0.9
 """Share of the target that tails should stay below, as reports lag."""
 
-REPORT_AGE_MS = 2_500
+REPORT_AGE_MS = 1_300
 """Reports older than this say nothing about the present load."""
 
 
@@ -46,29 +51,37 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class _Weight:
+    """Hold the load that a pair adds, and how uncertain that is."""
+
+    value: float = PRIOR_WEIGHT
+    variance: float = PRIOR_VARIANCE
+
+
 class Pressure:
     """Estimate the load of service tasks beside filling tasks."""
 
     def __init__(self) -> None:
-        self._weights: dict[tuple[str, str], float] = {}
+        self._weights: dict[tuple[str, str], _Weight] = {}
         self._bases: dict[str, int] = {}
         self._own: dict[tuple[str, int, int], _OwnLoad] = {}
 
     def observe(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Learn from what a worker has just reported of its runs."""
-        filling = [
-            (run.spec.image, _share(run, worker))
-            for run in worker.runs.values()
-            if run.spec.is_filling and run.phase is _fleet.RunPhase.RUNNING
-        ]
+        shares: dict[str, float] = {}
+        for run in worker.runs.values():
+            if run.spec.is_filling and run.phase is _fleet.RunPhase.RUNNING:
+                image = run.spec.image
+                shares[image] = shares.get(image, 0.0) + _share(run, worker)
         for run in worker.runs.values():
             if not _is_serving(run):
                 continue
             load = self._load(run)
             own = self._own.setdefault(run.key[:3], _OwnLoad())
             own.update(run.key.index, load, now_ms)
-            if filling:
-                self._learn(run.spec.image, filling, load - own.value)
+            if shares:
+                self._learn(run, shares, load - own.value)
 
     def _load(self, run: _fleet.Run) -> float:
         """Return the load that the tail of a service task stands for."""
@@ -79,28 +92,34 @@
         return 1.0 - base / tail
 
     def _learn(
-        self,
-        image: str,
-        filling: Iterable[tuple[str, float]],
-        excess: float,
+        self, run: _fleet.Run, shares: dict[str, float], excess: float
     ) -> None:
         """Correct the weights of the pairs that were seen together."""
-        shares: dict[str, float] = {}
-        for other, share in filling:
-            shares[other] = shares.get(other, 0.0) + share
-        expected = sum(
-            self.weight(image, other) * share
-            for other, share in shares.items()
+        image = run.spec.image
+        weights = {
+            other: self._weights.setdefault((image, other), _Weight())
+            for other in shares
+        }
+        expected = sum(weights[o].value * part for o, part in shares.items())
+        tail = max(1, run.measured)
+        rounding = TAIL_NOISE * self._bases[image] / (tail * tail)
+        noise = rounding * rounding + LOAD_NOISE * LOAD_NOISE
+        total = noise + sum(
+            weights[o].variance * part * part for o, part in shares.items()
         )
-        norm = MIN_SHARE + sum(share * share for share in shares.values())
-        step = LEARNING_RATE * (excess - expected) / norm
-        for other, share in shares.items():
-            weight = self.weight(image, other) + step * share
-            self._weights[(image, other)] = max(0.0, weight)
+        for other, part in shares.items():
+            weight = weights[other]
+            gain = weight.variance * part / total
+            weight.value = max(0.0, weight.value + gain * (excess - expected))
+            weight.variance = (1.0 - gain * part) * weight.variance + DRIFT
 
     def weight(self, image: str, filling: str) -> float:
-        """Return the load that a filling image adds to a service image."""
-        return self._weights.get((image, filling), PRIOR_WEIGHT)
+        """Return the load that a filling image adds to a service image.
+
+        It is for a filling task that uses all processors of a worker.
+        """
+        found = self._weights.get((image, filling))
+        return PRIOR_WEIGHT if found is None else found.value
 
     def limit(self, run: _fleet.Run) -> float:
         """Return the highest load at which a tail is well in its target."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -13,6 +13,7 @@
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _record
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _urgency
 
 RUNS_PER_EPOCH = 1_000_000
 """Numbers of runs rise with the epoch, so that no owner repeats one."""
@@ -581,7 +582,7 @@
         self._repeat_stops(now_ms)
         self._evacuate(now_ms)
         self._placement.plan(self.workers.values(), now_ms)
-        self._start_ready(now_ms, is_probe_complete)
+        self._start_ready(now_ms, wall_ms, is_probe_complete)
 
     def take_effects(self) -> list[_effects.Effect]:
         """Return the effects since the last call."""
@@ -601,11 +602,13 @@
         """Return how many tasks wait for a worker."""
         return len(self._ready)
 
-    def _start_ready(self, now_ms: int, is_probe_complete: bool) -> None:
+    def _start_ready(
+        self, now_ms: int, wall_ms: int, is_probe_complete: bool
+    ) -> None:
         """Start ready tasks in order of urgency while workers have room."""
         full: set[tuple[object, ...]] = set()
         started = 0
-        for task in sorted(self._ready.values(), key=self._urgency):
+        for task in self._in_order(wall_ms):
             if started >= STARTS_PER_ROUND:
                 return
             if task.key not in self._ready:
@@ -636,16 +639,23 @@
             if not begun:
                 full.add(shape)
 
-    def _urgency(self, task: _jobs.Task) -> tuple[object, ...]:
-        """Return the sort key of a ready task; the lowest goes first."""
-        job = self.jobs[task.key.job]
-        route = self.routes.get(job.spec.route)
-        priority = route.priority if route is not None else 0
-        return (
-            priority,
-            task.spec.is_service,
-            job.spec.accepted_ms,
-            task.key,
+    def _in_order(self, wall_ms: int) -> list[_jobs.Task]:
+        """Return the ready tasks, the most urgent one first."""
+        ranks: dict[tuple[str, int], tuple[int, ...]] = {}
+        for key, task in self._ready.items():
+            ref = (key.job, key.occurrence)
+            if ref in ranks:
+                continue
+            job = self.jobs[key.job]
+            route = self.routes.get(job.spec.route)
+            if route is None:
+                ranks[ref] = (0,)
+                continue
+            order = _urgency.rank(job, key.occurrence, route, wall_ms)
+            ranks[ref] = (route.priority, task.spec.is_service, *order)
+        return sorted(
+            self._ready.values(),
+            key=lambda t: (ranks[(t.key.job, t.key.occurrence)], t.key),
         )
 
     def _start_one(
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
@@ -0,0 +1,58 @@
+"""Order the tasks that are ready to start.
+
+A job earns the most when it completes within its objective, little up to
+three times that, and nothing later. Under overload first come, first served
+makes every job late, so that jobs that can still be in time go first.
+"""
+
+import enum
+
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _specs
+
+LATE_FACTOR = 3
+"""A job that takes this many times its objective has lost all its worth."""
+
+
+class Tier(enum.IntEnum):
+    """Name what a job can still earn; the lowest goes first."""
+
+    IN_TIME = 0
+    LATE = 1
+    LOST = 2
+
+
+def remaining_ms(job: _jobs.Job, occurrence: int) -> int:
+    """Return the longest chain of steps that are not done, by estimates."""
+    ends: list[int] = []
+    for number, spec in enumerate(job.spec.steps):
+        begin = max((ends[other] for other in spec.after), default=0)
+        is_done = job.is_step_done(occurrence, number)
+        ends.append(begin + (0 if is_done else spec.estimate_ms))
+    return max(ends)
+
+
+def objective_ms(job: _jobs.Job, route: _specs.RoutePolicy) -> int:
+    """Return the time in which a job should complete, from its submission."""
+    ends: list[int] = []
+    for spec in job.spec.steps:
+        begin = max((ends[other] for other in spec.after), default=0)
+        ends.append(begin + spec.estimate_ms)
+    return int(route.stretch * max(ends)) + route.target_ms
+
+
+def rank(
+    job: _jobs.Job,
+    occurrence: int,
+    route: _specs.RoutePolicy,
+    wall_ms: int,
+) -> tuple[int, int]:
+    """Return the sort key of a job: its tier, then its due time."""
+    due = job.spec.due_ms(occurrence) or job.spec.accepted_ms
+    objective = objective_ms(job, route)
+    finish = wall_ms + remaining_ms(job, occurrence)
+    if finish <= due + objective:
+        return (Tier.IN_TIME, due + objective)
+    if finish <= due + LATE_FACTOR * objective:
+        return (Tier.LATE, due + LATE_FACTOR * objective)
+    return (Tier.LOST, due)
--- a/packages/policy/tests/scheduling/test_pressure.py
+++ b/packages/policy/tests/scheduling/test_pressure.py
@@ -4,6 +4,7 @@
 
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _pacing
+from oriolestand_policy.scheduling import _pressure
 
 SERVICE = scheduling.StepSpec(
     count=2,
@@ -93,8 +94,8 @@
     # Guards against users harmed for seconds, and against giving up work
     # that does no harm.
     pressure = loaded.scheduler.pressure
-    pressure._weights[('web', 'loud')] = 1.0
-    pressure._weights[('web', 'calm')] = 0.01
+    pressure._weights[('web', 'loud')] = _pressure._Weight(1.0)
+    pressure._weights[('web', 'calm')] = _pressure._Weight(0.01)
     worker = loaded.scheduler.workers['w0']
     runs = {}
     for name, spec in (('l', LOUD), ('c', CALM)):
