--- a/packages/cli/src/oriolestand_cli/__main__.py
+++ b/packages/cli/src/oriolestand_cli/__main__.py
@@ -6,6 +6,7 @@
 from oriolestand_cli import _errors
 from oriolestand_cli import _files
 from oriolestand_cli import _jobs
+from oriolestand_cli import _logs
 from oriolestand_cli import _scope
 from oriolestand_cli import _tables
 
@@ -33,6 +34,7 @@
     _files.schema,
     _files.completion,
     _jobs.jobs,
+    _logs.logs,
 ):
     main.add_command(_command)
 
--- a/packages/fleet/src/oriolestand_fleet/daemon.py
+++ b/packages/fleet/src/oriolestand_fleet/daemon.py
@@ -4,6 +4,7 @@
 import signal
 from typing import Any
 
+import structlog
 from twisted.internet import defer
 
 import oriolestand_core as core
@@ -55,6 +56,7 @@
             stream=self._sink,
             repeat_limit=None,
         )
+        structlog.contextvars.bind_contextvars(instance=self._cfg.instance)
         reactor = self._reactor
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(
@@ -77,7 +79,6 @@
         cfg = self._cfg
         self._log.info(
             'Daemon starts',
-            instance=cfg.instance,
             failure_domain=cfg.failure_domain,
             incarnation=str(self.kernel.incarnation),
         )
--- a/packages/fleet/src/oriolestand_fleet/settings.py
+++ b/packages/fleet/src/oriolestand_fleet/settings.py
@@ -64,7 +64,7 @@
     """Hold how much is logged; ``lines_per_s`` bounds decision lines."""
 
     level: str = 'INFO'
-    lines_per_s: int = 6000
+    lines_per_s: int = 150
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
