Refuse jobs at once while the store is out of reach

It already knew that it could not reach the store, as it follows its changes.

Test seen red first: test_daemon_out_of_reach_of_the_store_refuses_at_once.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -162,6 +162,10 @@
             scheduling.job_to_plain(msg.spec), separators=(',', ':')
         ).encode()
         try:
+            if self._is_lost:
+                # Nothing is sent, so that the refusal is certain and the
+                # caller can turn to a daemon that reaches the store.
+                raise contracts.JobNotStoredError('the store is out of reach')
             is_new = await _commits.insert(
                 self.kernel,
                 layout.TABLE,
--- a/packages/fleet/tests/test_failures.py
+++ b/packages/fleet/tests/test_failures.py
@@ -264,3 +264,19 @@
     site.run(6_000)
     assert site.double_runs() == []
     assert [r.how for r in site.history] == ['done']
+
+
+def test_daemon_out_of_reach_of_the_store_refuses_at_once(site, daemons):
+    # Guards against callers held in doubt by a daemon that already knows
+    # that it cannot reach the store; another daemon would serve them.
+    follower = follower_of(daemons)
+    follower.store.faults.is_silent = True
+    site.run(3_500)
+    fut = site.submit(follower, 'a' * 16, ONE_TASK)
+    site.run(50)
+    assert isinstance(result_of(fut), jobs.JobNotStoredError)
+    follower.store.faults.is_silent = False
+    site.run(3_000)
+    fut = site.submit(follower, 'a' * 16, ONE_TASK)
+    site.run(3_000)
+    assert result_of(fut) is True
