Split the scheduler and the term of the owner

Of the term, OrderSender, FleetRecord and Sweeper own their parts; commit_as_owner is the one place that names the owner's row. No decision changed but one: every answer to an order, not only a refusal, leads to a round of decisions. A test holds that old jobs are removed.

--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -0,0 +1,89 @@
+"""Record the workers of a cell for a successor of its owner."""
+
+from collections.abc import Callable
+
+import oriolestand_core as core
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.cell import _owner_commits
+from oriolestand_fleet.services.cell import const
+from oriolestand_fleet.services.cell import models
+from oriolestand_policy import scheduling
+
+
+class FleetRecord:
+    """Own the row that lists where tasks may run.
+
+    Nothing is started on a worker before the row names it.
+    """
+
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        term: models.Term,
+        scheduler: scheduling.Scheduler,
+        row: store.Row | None,
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self._kernel = kernel
+        self._term = term
+        self._scheduler = scheduler
+        self._on_deposed = on_deposed
+        self._version = row.version if row is not None else 0
+        self._is_busy = False
+        infos = models.decode_fleet(row.value if row is not None else None)
+        self.former = frozenset(info.id for info in infos)
+        self._recorded = self.former
+        for info in infos:
+            scheduler.add_former(info)
+        scheduler.mark_recorded(self._recorded)
+
+    async def update(self) -> None:
+        """Write the list of workers until it names all that are known."""
+        self._scheduler.mark_recorded(self._recorded)
+        if self._is_busy:
+            return
+        self._is_busy = True
+        try:
+            while not self._term.is_over:
+                wanted = frozenset(self._scheduler.workers)
+                if wanted <= self._recorded and not self._is_stale():
+                    return
+                if await self._write(wanted):
+                    self._recorded = wanted
+                    self._scheduler.mark_recorded(wanted)
+                else:
+                    await self._kernel.sleep(const.RETRY_MS)
+        finally:
+            self._is_busy = False
+
+    def _is_stale(self) -> bool:
+        """Return whether many recorded workers are long gone."""
+        known = len(self._scheduler.workers)
+        return len(self._recorded) > 2 * known + 1
+
+    async def _write(self, wanted: frozenset[str]) -> bool:
+        """Commit the list of workers; return whether it was applied."""
+        value = models.encode_fleet(
+            worker.info
+            for worker_id, worker in self._scheduler.workers.items()
+            if worker_id in wanted
+        )
+        attempt = await _owner_commits.commit_as_owner(
+            self._kernel,
+            self._term,
+            (store.Put(key=layout.FLEET_KEY, value=value),),
+            (store.Check(key=layout.FLEET_KEY, version=self._version),),
+        )
+        result = attempt.result
+        if result is None:
+            return False
+        if result.is_applied:
+            self._version = result.version
+            return True
+        for row in result.current:
+            if row.key == layout.FLEET_KEY:
+                self._version = row.version
+            elif row.version != self._term.owner_version:
+                self._on_deposed('another daemon owns the cell')
+        return False
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -0,0 +1,194 @@
+"""Carry out what the scheduler decides at the workers."""
+
+from collections.abc import Callable
+
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_fleet.messages import orders
+from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import const
+from oriolestand_fleet.services.cell import models
+from oriolestand_policy import scheduling
+
+
+class OrderSender:
+    """Send orders for one term and report the answers to the scheduler.
+
+    :param on_answer: called after an answer, as it may have effects.
+    :param on_fenced: called when a worker has seen a newer owner.
+    """
+
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        term: models.Term,
+        scheduler: scheduling.Scheduler,
+        on_answer: Callable[[], None],
+        on_fenced: Callable[[str], None],
+    ) -> None:
+        self._kernel = kernel
+        self._term = term
+        self._scheduler = scheduler
+        self._on_answer = on_answer
+        self._on_fenced = on_fenced
+        self._log = core.get_logger(const.DOMAIN)
+
+    def send(
+        self,
+        effect: (
+            scheduling.StartTask | scheduling.StopTask | scheduling.PaceTask
+        ),
+    ) -> None:
+        """Send an order; the answer is reported when it comes."""
+        if isinstance(effect, scheduling.StartTask):
+            defer.ensureDeferred(self._start_run(effect))
+        elif isinstance(effect, scheduling.StopTask):
+            defer.ensureDeferred(self._stop_run(effect))
+        else:
+            defer.ensureDeferred(self._pace_run(effect))
+
+    def _target(self, worker_id: str) -> orders.Target | None:
+        """Return where a worker listens, or None when it is gone."""
+        worker = self._scheduler.workers.get(worker_id)
+        if worker is None:
+            return None
+        return orders.Target(worker=worker_id, address=worker.info.address)
+
+    async def _start_run(self, effect: scheduling.StartTask) -> None:
+        """Order a worker to start a run and report its answer."""
+        clock = self._kernel.clock
+        began = clock.now()
+        target = self._target(effect.worker)
+        lease = self._scheduler.new_lease_end(effect.worker, began)
+        if (
+            target is None
+            or lease is None
+            or not self._term.is_entitled(began)
+        ):
+            outcome = scheduling.StartOutcome.UNHEALTHY
+            reply = orders.StartReply(outcome=outcome, reason='not sent')
+        else:
+            try:
+                reply = await self._kernel.ask(
+                    orders.SERVICE,
+                    orders.StartRun(
+                        target=target,
+                        key=effect.key,
+                        number=effect.run,
+                        payload=effect.payload,
+                        checkpoint=effect.checkpoint,
+                        lease_end_ms=lease,
+                        epoch=self._term.epoch,
+                    ),
+                )
+            except orders.FencedError as exc:
+                self._on_fenced(str(exc))
+                return
+        if self._term.is_over:
+            return
+        self._observe('start', reply.outcome.value, began)
+        self._scheduler.on_start_reply(
+            effect.worker,
+            effect.key,
+            effect.run,
+            reply.outcome,
+            reply.reason,
+            clock.now(),
+        )
+        self._log.info(
+            'Start ordered',
+            job=effect.key.job,
+            task=str(effect.key),
+            run=effect.run,
+            worker=effect.worker,
+            outcome=reply.outcome.value,
+            reason=reply.reason,
+            has_checkpoint=bool(effect.checkpoint),
+        )
+        self._on_answer()
+
+    async def _stop_run(self, effect: scheduling.StopTask) -> None:
+        """Order a worker to stop a run and report whether it answered."""
+        clock = self._kernel.clock
+        began = clock.now()
+        target = self._target(effect.worker)
+        if target is None or not self._term.is_entitled(began):
+            return
+        is_answered = True
+        code = 'answered'
+        try:
+            await self._kernel.ask(
+                orders.SERVICE,
+                orders.StopRun(
+                    target=target,
+                    key=effect.key,
+                    number=effect.run,
+                    epoch=self._term.epoch,
+                ),
+            )
+        except orders.FencedError as exc:
+            self._on_fenced(str(exc))
+            return
+        except orders.WorkerError as exc:
+            is_answered = False
+            code = exc.code
+        if self._term.is_over:
+            return
+        self._observe('stop', code, began)
+        self._scheduler.on_stop_reply(
+            effect.worker, effect.key, effect.run, is_answered, clock.now()
+        )
+        self._log.info(
+            'Stop ordered',
+            job=effect.key.job,
+            task=str(effect.key),
+            run=effect.run,
+            worker=effect.worker,
+            reason=effect.reason,
+            outcome=code,
+        )
+        self._on_answer()
+
+    async def _pace_run(self, effect: scheduling.PaceTask) -> None:
+        """Order a worker to pace a run."""
+        target = self._target(effect.worker)
+        if target is None or not self._term.is_entitled(
+            self._kernel.clock.now()
+        ):
+            return
+        code = 'answered'
+        try:
+            await self._kernel.ask(
+                orders.SERVICE,
+                orders.PaceRun(
+                    target=target,
+                    key=effect.key,
+                    number=effect.run,
+                    percent=effect.percent,
+                    epoch=self._term.epoch,
+                ),
+            )
+        except orders.FencedError as exc:
+            self._on_fenced(str(exc))
+            return
+        except orders.WorkerError as exc:
+            code = exc.code
+        self._count('pace', code)
+
+    def _observe(self, name: str, label: str, began: int) -> None:
+        """Record the outcome and latency of an order."""
+        self._kernel.post(
+            telemetry.SERVICE,
+            telemetry.Observe(
+                name=name,
+                label=label,
+                latency_ms=self._kernel.clock.now() - began,
+            ),
+        )
+
+    def _count(self, name: str, label: str) -> None:
+        """Count an event."""
+        self._kernel.post(
+            telemetry.SERVICE, telemetry.Count(name=name, label=label)
+        )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_saver.py
@@ -1,14 +1,15 @@
 """Write the records of jobs, in groups, while the cell is owned."""
 
+from collections.abc import Iterator
 import json
 
 from twisted.internet import defer
 
 import oriolestand_core as core
-from oriolestand_fleet import _commits
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import errors
 from oriolestand_fleet.services.cell import models
@@ -78,23 +79,9 @@
     async def _write_batch(self) -> None:
         """Write the oldest changed records."""
         batch = list(self._dirty)[: const.SAVE_BATCH]
-        puts = []
-        for job_id in batch:
-            job = self._scheduler.jobs.get(job_id)
-            del self._dirty[job_id]
-            if job is None:
-                continue
-            if job.outcome is not None and not job.ended_wall_ms:
-                job.ended_wall_ms = self._kernel.clock.wall()
-            progress = scheduling.progress_of(job)
-            value = json.dumps(progress, separators=(',', ':')).encode()
-            puts.append(
-                store.Put(key=layout.RECORD_PREFIX + job_id, value=value)
-            )
+        puts = [put for job in batch for put in self._take(job)]
         self._in_flight = set(batch)
         checks = [
-            store.Check(key=layout.OWNER_KEY, version=self._term.owner_version)
-        ] + [
             store.Check(
                 key=layout.RECORD_PREFIX + job_id,
                 version=self._versions.get(job_id, 0),
@@ -102,14 +89,8 @@
             for job_id in batch
         ]
         began = self._kernel.clock.now()
-        attempt = await _commits.try_commit(
-            self._kernel,
-            store.CommitRows(
-                table=layout.TABLE,
-                part=layout.CELL_PART,
-                checks=tuple(checks),
-                puts=tuple(puts),
-            ),
+        attempt = await _owner_commits.commit_as_owner(
+            self._kernel, self._term, puts, checks
         )
         self._in_flight = set()
         result = attempt.result
@@ -137,6 +118,18 @@
         )
         await self._kernel.sleep(const.SAVE_RETRY_MS)
 
+    def _take(self, job_id: str) -> Iterator[store.Put]:
+        """Yield the record of a job, which is no longer dirty then."""
+        del self._dirty[job_id]
+        job = self._scheduler.jobs.get(job_id)
+        if job is None:
+            return
+        if job.outcome is not None and not job.ended_wall_ms:
+            job.ended_wall_ms = self._kernel.clock.wall()
+        progress = scheduling.progress_of(job)
+        value = json.dumps(progress, separators=(',', ':')).encode()
+        yield store.Put(key=layout.RECORD_PREFIX + job_id, value=value)
+
     def _learn_versions(
         self, result: store.CommitResult, batch: list[str]
     ) -> None:
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_sweeper.py
@@ -0,0 +1,80 @@
+"""Remove jobs whose state need no longer be known."""
+
+import oriolestand_core as core
+from oriolestand_fleet import _commits
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.cell import _owner_commits
+from oriolestand_fleet.services.cell import const
+from oriolestand_fleet.services.cell import models
+from oriolestand_policy import scheduling
+
+
+class Sweeper:
+    """Remove the rows of old jobs, a few at a time.
+
+    :param retention_ms: how long the state of an ended job can be asked for.
+    """
+
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        term: models.Term,
+        scheduler: scheduling.Scheduler,
+        retention_ms: int,
+    ) -> None:
+        self._kernel = kernel
+        self._term = term
+        self._scheduler = scheduler
+        self._retention_ms = retention_ms
+        self._log = core.get_logger(const.DOMAIN)
+        self._swept_ms = kernel.clock.now()
+
+    @property
+    def is_due(self) -> bool:
+        """Return whether old jobs should be looked for."""
+        now = self._kernel.clock.now()
+        return now - self._swept_ms >= const.SWEEP_INTERVAL_MS
+
+    async def sweep(self) -> None:
+        """Remove the oldest jobs that ended long ago."""
+        self._swept_ms = self._kernel.clock.now()
+        limit = self._kernel.clock.wall() - (
+            self._retention_ms + const.RETENTION_MARGIN_MS
+        )
+        old = [
+            job.spec.id
+            for job in self._scheduler.jobs.values()
+            if job.outcome is not None and 0 < job.ended_wall_ms < limit
+        ]
+        for job_id in old[: const.SWEEP_BATCH]:
+            if not await self._remove(job_id):
+                return
+            self._scheduler.forget_job(job_id)
+
+    async def _remove(self, job_id: str) -> bool:
+        """Remove the rows of a job; return whether that succeeded."""
+        attempt = await _commits.try_commit(
+            self._kernel,
+            store.CommitRows(
+                table=layout.TABLE,
+                part=layout.part_of(job_id),
+                checks=(),
+                puts=(
+                    store.Put(key=layout.JOB_PREFIX + job_id, value=None),
+                    store.Put(key=layout.CANCEL_PREFIX + job_id, value=None),
+                ),
+            ),
+        )
+        if attempt.result is not None:
+            # The record goes last: without it a job would seem to wait.
+            record = store.Put(key=layout.RECORD_PREFIX + job_id, value=None)
+            attempt = await _owner_commits.commit_as_owner(
+                self._kernel, self._term, (record,)
+            )
+        if attempt.result is None or not attempt.result.is_applied:
+            self._log.warning(
+                'Old job not removed', job=job_id, why=attempt.why
+            )
+            return False
+        return True
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -13,6 +13,7 @@
 from oriolestand_fleet.messages import lifecycle
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import _term
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
@@ -165,7 +166,6 @@
 
     async def _claim(self, reason: ownership.ClaimReason) -> None:
         """Write the row of the owner, then load the cell."""
-        clock = self.kernel.clock
         former = self._election.owner
         former_renewal = self._election.renewal
         owner = ownership.Owner(
@@ -173,11 +173,42 @@
             incarnation=self._incarnation,
             epoch=(former.epoch if former else 0) + 1,
         )
+        sent = self.kernel.clock.now()
+        version, why = await self._write_claim(owner)
+        self._log.info(
+            'Claim of the cell',
+            reason=reason.value,
+            epoch=owner.epoch,
+            former=former.instance if former else None,
+            outcome='lost' if version is None else 'won',
+            why=why,
+        )
+        if version is None:
+            await self.kernel.sleep(const.CLAIM_RETRY_MS)
+            return
+        self._count('claims', reason.value)
+        now = self.kernel.clock.now()
+        settle = ownership.settle_delay_ms(
+            reason, former_renewal, self._cfg.limits.lease_max_ms
+        )
+        await self._begin(
+            models.Term(
+                epoch=owner.epoch,
+                owner_version=version,
+                claimed_ms=now,
+                renewed_ms=sent,
+                settle_ms=now + settle,
+            )
+        )
+
+    async def _write_claim(
+        self, owner: ownership.Owner
+    ) -> tuple[int | None, str]:
+        """Commit the claim; return the version of the row, or why not."""
+        value = models.encode_owner(owner)
         renewal = ownership.Renewal(
             epoch=owner.epoch, count=0, is_settled=False
         )
-        value = models.encode_owner(owner)
-        sent = clock.now()
         attempt = await _commits.try_commit(
             self.kernel,
             store.CommitRows(
@@ -197,34 +228,15 @@
                 ),
             ),
         )
-        version = _version_of_claim(attempt, value)
-        self._log.info(
-            'Claim of the cell',
-            reason=reason.value,
-            epoch=owner.epoch,
-            former=former.instance if former else None,
-            outcome='lost' if version is None else 'won',
-            why=attempt.why,
-        )
-        if version is None:
-            await self.kernel.sleep(const.CLAIM_RETRY_MS)
-            return
-        self._count('claims', reason.value)
-        settle = ownership.settle_delay_ms(
-            reason, former_renewal, self._cfg.limits.lease_max_ms
-        )
-        term = models.Term(
-            epoch=owner.epoch,
-            owner_version=version,
-            claimed_ms=clock.now(),
-            renewed_ms=sent,
-            settle_ms=clock.now() + settle,
-        )
+        return _version_of_claim(attempt, value), attempt.why
+
+    async def _begin(self, term: models.Term) -> None:
+        """Load the cell and act as its owner."""
         snapshot = await self.kernel.ask(
-            jobs.SERVICE, jobs.TakeSnapshot(version=version)
+            jobs.SERVICE, jobs.TakeSnapshot(version=term.owner_version)
         )
-        if self._owner_version > version or self._is_leaving:
-            self._log.info('Claim was lost while loading', epoch=owner.epoch)
+        if self._owner_version > term.owner_version or self._is_leaving:
+            self._log.info('Claim was lost while loading', epoch=term.epoch)
             return
         assert self._config is not None
         self._work = _term.OwnerTerm(
@@ -246,23 +258,11 @@
             renewal = ownership.Renewal(
                 epoch=term.epoch, count=count, is_settled=term.is_settled
             )
-            attempt = await _commits.try_commit(
+            value = models.encode_renewal(renewal)
+            attempt = await _owner_commits.commit_as_owner(
                 self.kernel,
-                store.CommitRows(
-                    table=layout.TABLE,
-                    part=layout.CELL_PART,
-                    checks=(
-                        store.Check(
-                            key=layout.OWNER_KEY, version=term.owner_version
-                        ),
-                    ),
-                    puts=(
-                        store.Put(
-                            key=layout.RENEWAL_KEY,
-                            value=models.encode_renewal(renewal),
-                        ),
-                    ),
-                ),
+                term,
+                (store.Put(key=layout.RENEWAL_KEY, value=value),),
             )
             result = attempt.result
             if result is not None and result.is_applied:
@@ -316,22 +316,9 @@
         term = work.term
         self._depose('the daemon ends')
         owner = ownership.Owner(instance='', incarnation='', epoch=term.epoch)
-        attempt = await _commits.try_commit(
-            self.kernel,
-            store.CommitRows(
-                table=layout.TABLE,
-                part=layout.CELL_PART,
-                checks=(
-                    store.Check(
-                        key=layout.OWNER_KEY, version=term.owner_version
-                    ),
-                ),
-                puts=(
-                    store.Put(
-                        key=layout.OWNER_KEY, value=models.encode_owner(owner)
-                    ),
-                ),
-            ),
+        value = models.encode_owner(owner)
+        attempt = await _owner_commits.commit_as_owner(
+            self.kernel, term, (store.Put(key=layout.OWNER_KEY, value=value),)
         )
         self._log.info(
             'Cell released',
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -6,15 +6,16 @@
 from twisted.internet import defer
 
 import oriolestand_core as core
-from oriolestand_fleet import _commits
 from oriolestand_fleet import layout
 from oriolestand_fleet import settings
 from oriolestand_fleet.messages import jobs
-from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _fleet_record
 from oriolestand_fleet.services.cell import _looks
+from oriolestand_fleet.services.cell import _order_sender
 from oriolestand_fleet.services.cell import _saver
+from oriolestand_fleet.services.cell import _sweeper
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
@@ -50,13 +51,21 @@
         )
         self._lookers: dict[str, _looks.Looker] = {}
         self._dead: set[str] = set()
-        self._former: set[str] = set()
         self._listed: dict[str, scheduling.WorkerInfo] = {}
-        self._recorded: frozenset[str] = frozenset()
-        self._fleet_version = 0
-        self._is_recording = False
         self._decide_timer: Any = None
-        self._swept_ms = kernel.clock.now()
+        self._fleet = _fleet_record.FleetRecord(
+            kernel,
+            term,
+            self._scheduler,
+            snapshot.cell.get(layout.FLEET_KEY),
+            on_deposed,
+        )
+        self._orders = _order_sender.OrderSender(
+            kernel, term, self._scheduler, self._on_answer, on_deposed
+        )
+        self._sweeper = _sweeper.Sweeper(
+            kernel, term, self._scheduler, cfg.limits.retention_ms
+        )
         self._load(snapshot, config)
 
     def _load(
@@ -73,19 +82,11 @@
                 is_cancelled=job.is_cancelled,
                 needs_probe=True,
             )
-        fleet = snapshot.cell.get(layout.FLEET_KEY)
-        if fleet is not None:
-            self._fleet_version = fleet.version
-            for info in models.decode_fleet(fleet.value):
-                self._former.add(info.id)
-                self._scheduler.add_former(info)
-            self._recorded = frozenset(self._former)
-        self._scheduler.mark_recorded(self._recorded)
         self._log.info(
             'Cell loaded',
             epoch=self.term.epoch,
             jobs=len(snapshot.jobs),
-            workers=len(self._former),
+            workers=len(self._fleet.former),
             version=snapshot.version,
         )
 
@@ -166,14 +167,9 @@
         self._scheduler.set_workers(
             {k: v for k, v in self._listed.items() if k not in self._dead}
         )
-        self._scheduler.mark_recorded(self._recorded)
         self._sync_lookers()
-        if not self._is_recording:
-            self._is_recording = True
-            defer.ensureDeferred(self._record_fleet()).addErrback(
-                self._on_fault
-            )
-        self.kick()
+        fut = defer.ensureDeferred(self._fleet.update())
+        fut.addCallbacks(lambda _: self.kick(), self._on_fault)
 
     def _sync_lookers(self) -> None:
         """Look at every worker that is known."""
@@ -191,78 +187,17 @@
                 self._scheduler,
                 self._saver,
                 worker_id,
-                self._on_look,
+                self._on_answer,
                 self._on_deposed,
             )
             self._lookers[worker_id] = looker
             _looks.launch(looker, self._log)
 
-    def _on_look(self) -> None:
-        """Carry out what a look led to; decide soon."""
+    def _on_answer(self) -> None:
+        """Carry out what an answer led to; decide soon."""
         self._carry_out()
         self.kick()
 
-    async def _record_fleet(self) -> None:
-        """Write the list of workers before anything is started there."""
-        try:
-            while not self.term.is_over:
-                wanted = frozenset(self._scheduler.workers)
-                if wanted <= self._recorded and not self._is_fleet_stale():
-                    return
-                if await self._write_fleet(wanted):
-                    self._recorded = wanted
-                    self._scheduler.mark_recorded(wanted)
-                    self.kick()
-                else:
-                    await self._kernel.sleep(const.RETRY_MS)
-        finally:
-            self._is_recording = False
-
-    def _is_fleet_stale(self) -> bool:
-        """Return whether many recorded workers are long gone."""
-        known = len(self._scheduler.workers)
-        return len(self._recorded) > 2 * known + 1
-
-    async def _write_fleet(self, wanted: frozenset[str]) -> bool:
-        """Commit the list of workers; return whether it was applied."""
-        infos = [
-            worker.info
-            for worker_id, worker in self._scheduler.workers.items()
-            if worker_id in wanted
-        ]
-        attempt = await _commits.try_commit(
-            self._kernel,
-            store.CommitRows(
-                table=layout.TABLE,
-                part=layout.CELL_PART,
-                checks=(
-                    store.Check(
-                        key=layout.OWNER_KEY, version=self.term.owner_version
-                    ),
-                    store.Check(
-                        key=layout.FLEET_KEY, version=self._fleet_version
-                    ),
-                ),
-                puts=(
-                    store.Put(
-                        key=layout.FLEET_KEY, value=models.encode_fleet(infos)
-                    ),
-                ),
-            ),
-        )
-        result = attempt.result
-        if result is None:
-            return False
-        if result.is_applied:
-            self._fleet_version = result.version
-            return True
-        for row in result.current:
-            if row.key == layout.FLEET_KEY:
-                self._fleet_version = row.version
-            elif row.version != self.term.owner_version:
-                self._on_deposed('another daemon owns the cell')
-        return False
-
     # Decisions.
 
     async def _tick(self) -> None:
@@ -272,8 +207,8 @@
             self._sync_lookers()
             self._decide()
             self._report()
-            if self._is_sweep_due():
-                await self._sweep()
+            if self._sweeper.is_due:
+                await self._sweeper.sweep()
 
     def kick(self) -> None:
         """Decide soon."""
@@ -307,12 +242,12 @@
         workers = self._scheduler.workers
         return all(
             worker_id not in workers or workers[worker_id].is_probed
-            for worker_id in self._former
+            for worker_id in self._fleet.former
         )
 
     def _drop_unreached(self) -> None:
         """Forget former workers that never answered and are not listed."""
-        for worker_id in self._former:
+        for worker_id in self._fleet.former:
             worker = self._scheduler.workers.get(worker_id)
             if worker is not None and not worker.is_probed:
                 if not worker.is_listed:
@@ -323,205 +258,14 @@
         for effect in self._scheduler.take_effects():
             if isinstance(effect, scheduling.SaveJob):
                 self._saver.mark(effect.job)
-            elif isinstance(effect, scheduling.StartTask):
-                defer.ensureDeferred(self._start_run(effect))
-            elif isinstance(effect, scheduling.StopTask):
-                defer.ensureDeferred(self._stop_run(effect))
-            elif isinstance(effect, scheduling.PaceTask):
-                defer.ensureDeferred(self._pace_run(effect))
-            else:
+            elif isinstance(effect, scheduling.Decision):
                 self._log.info(
                     effect.what.replace('_', ' ').capitalize(),
                     job=effect.job,
                     **effect.values,
                 )
-
-    def _target(self, worker_id: str) -> orders.Target | None:
-        """Return where a worker listens, or None when it is gone."""
-        worker = self._scheduler.workers.get(worker_id)
-        if worker is None:
-            return None
-        return orders.Target(worker=worker_id, address=worker.info.address)
-
-    async def _start_run(self, effect: scheduling.StartTask) -> None:
-        """Order a worker to start a run and report its answer."""
-        clock = self._kernel.clock
-        began = clock.now()
-        target = self._target(effect.worker)
-        lease = self._scheduler.new_lease_end(effect.worker, began)
-        if target is None or lease is None or not self.term.is_entitled(began):
-            outcome = scheduling.StartOutcome.UNHEALTHY
-            reply = orders.StartReply(outcome=outcome, reason='not sent')
-        else:
-            try:
-                reply = await self._kernel.ask(
-                    orders.SERVICE,
-                    orders.StartRun(
-                        target=target,
-                        key=effect.key,
-                        number=effect.run,
-                        payload=effect.payload,
-                        checkpoint=effect.checkpoint,
-                        lease_end_ms=lease,
-                        epoch=self.term.epoch,
-                    ),
-                )
-            except orders.FencedError as exc:
-                self._on_deposed(str(exc))
-                return
-        if self.term.is_over:
-            return
-        self._observe('start', reply.outcome.value, began)
-        self._scheduler.on_start_reply(
-            effect.worker,
-            effect.key,
-            effect.run,
-            reply.outcome,
-            reply.reason,
-            clock.now(),
-        )
-        self._log.info(
-            'Start ordered',
-            job=effect.key.job,
-            task=str(effect.key),
-            run=effect.run,
-            worker=effect.worker,
-            outcome=reply.outcome.value,
-            reason=reply.reason,
-            has_checkpoint=bool(effect.checkpoint),
-        )
-        self._carry_out()
-        if reply.outcome is not scheduling.StartOutcome.STARTED:
-            self.kick()
-
-    async def _stop_run(self, effect: scheduling.StopTask) -> None:
-        """Order a worker to stop a run and report whether it answered."""
-        clock = self._kernel.clock
-        began = clock.now()
-        target = self._target(effect.worker)
-        if target is None or not self.term.is_entitled(began):
-            return
-        is_answered = True
-        code = 'answered'
-        try:
-            await self._kernel.ask(
-                orders.SERVICE,
-                orders.StopRun(
-                    target=target,
-                    key=effect.key,
-                    number=effect.run,
-                    epoch=self.term.epoch,
-                ),
-            )
-        except orders.FencedError as exc:
-            self._on_deposed(str(exc))
-            return
-        except orders.WorkerError as exc:
-            is_answered = False
-            code = exc.code
-        if self.term.is_over:
-            return
-        self._observe('stop', code, began)
-        self._scheduler.on_stop_reply(
-            effect.worker, effect.key, effect.run, is_answered, clock.now()
-        )
-        self._log.info(
-            'Stop ordered',
-            job=effect.key.job,
-            task=str(effect.key),
-            run=effect.run,
-            worker=effect.worker,
-            reason=effect.reason,
-            outcome=code,
-        )
-        self._carry_out()
-
-    async def _pace_run(self, effect: scheduling.PaceTask) -> None:
-        """Order a worker to pace a run."""
-        target = self._target(effect.worker)
-        if target is None or not self.term.is_entitled(
-            self._kernel.clock.now()
-        ):
-            return
-        code = 'answered'
-        try:
-            await self._kernel.ask(
-                orders.SERVICE,
-                orders.PaceRun(
-                    target=target,
-                    key=effect.key,
-                    number=effect.run,
-                    percent=effect.percent,
-                    epoch=self.term.epoch,
-                ),
-            )
-        except orders.FencedError as exc:
-            self._on_deposed(str(exc))
-            return
-        except orders.WorkerError as exc:
-            code = exc.code
-        self._count('pace', code)
-
-    # Upkeep.
-
-    def _is_sweep_due(self) -> bool:
-        """Return whether old jobs should be looked for."""
-        now = self._kernel.clock.now()
-        return now - self._swept_ms >= const.SWEEP_INTERVAL_MS
-
-    async def _sweep(self) -> None:
-        """Remove jobs whose state need no longer be known."""
-        self._swept_ms = self._kernel.clock.now()
-        limit = self._kernel.clock.wall() - (
-            self._cfg.limits.retention_ms + const.RETENTION_MARGIN_MS
-        )
-        old = [
-            job.spec.id
-            for job in self._scheduler.jobs.values()
-            if job.outcome is not None and 0 < job.ended_wall_ms < limit
-        ]
-        for job_id in old[: const.SWEEP_BATCH]:
-            if not await self._remove(job_id):
-                return
-            self._scheduler.forget_job(job_id)
-
-    async def _remove(self, job_id: str) -> bool:
-        """Remove the rows of a job; return whether that succeeded."""
-        steps = (
-            (
-                layout.part_of(job_id),
-                (
-                    layout.JOB_PREFIX + job_id,
-                    layout.CANCEL_PREFIX + job_id,
-                ),
-                (),
-            ),
-            (
-                layout.CELL_PART,
-                (layout.RECORD_PREFIX + job_id,),
-                (
-                    store.Check(
-                        key=layout.OWNER_KEY, version=self.term.owner_version
-                    ),
-                ),
-            ),
-        )
-        for part, keys, checks in steps:
-            attempt = await _commits.try_commit(
-                self._kernel,
-                store.CommitRows(
-                    table=layout.TABLE,
-                    part=part,
-                    checks=checks,
-                    puts=tuple(store.Put(key=k, value=None) for k in keys),
-                ),
-            )
-            if attempt.result is None or not attempt.result.is_applied:
-                self._log.warning(
-                    'Old job not removed', job=job_id, why=attempt.why
-                )
-                return False
-        return True
+            else:
+                self._orders.send(effect)
 
     def _report(self) -> None:
         """Set the gauges of the cell."""
@@ -537,20 +281,3 @@
                 telemetry.SERVICE,
                 telemetry.SetGauge(name=name, label='', value=value),
             )
-
-    def _observe(self, name: str, label: str, began: int) -> None:
-        """Record the outcome and latency of an order."""
-        self._kernel.post(
-            telemetry.SERVICE,
-            telemetry.Observe(
-                name=name,
-                label=label,
-                latency_ms=self._kernel.clock.now() - began,
-            ),
-        )
-
-    def _count(self, name: str, label: str) -> None:
-        """Count an event."""
-        self._kernel.post(
-            telemetry.SERVICE, telemetry.Count(name=name, label=label)
-        )
--- a/packages/fleet/tests/test_path.py
+++ b/packages/fleet/tests/test_path.py
@@ -108,3 +108,19 @@
         fut = daemon.kernel.ask('jobs', jobs.CountWaiting(route='route'))
         assert result_of(fut) == 2
     assert owner_of(daemons)
+
+
+def test_old_jobs_are_removed_from_the_store(site, daemons):
+    # Guards against a store and replicas that grow for ever.
+    site.submit(daemons[0], 'a' * 16)
+    site.run(3_000)
+    site.submit(daemons[1], 'b' * 16, duration_ms=400_000)
+    for _ in range(170):
+        site.run(1_000)
+    keys = {key for _, key in site.store.rows}
+    assert 'record/' + 'a' * 16 not in keys
+    assert 'job/' + 'a' * 16 not in keys
+    assert 'job/' + 'b' * 16 in keys
+    for daemon in daemons:
+        assert site.state(daemon, 'a' * 16) is None
+        assert site.state(daemon, 'b' * 16) == 'running'
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -28,11 +28,11 @@
 from oriolestand_policy.scheduling._record import job_from_plain
 from oriolestand_policy.scheduling._record import job_to_plain
 from oriolestand_policy.scheduling._record import progress_of
-from oriolestand_policy.scheduling._scheduler import EndReport
-from oriolestand_policy.scheduling._scheduler import Look
-from oriolestand_policy.scheduling._scheduler import RunReport
+from oriolestand_policy.scheduling._reports import EndReport
+from oriolestand_policy.scheduling._reports import Look
+from oriolestand_policy.scheduling._reports import RunReport
+from oriolestand_policy.scheduling._reports import StartOutcome
 from oriolestand_policy.scheduling._scheduler import Scheduler
-from oriolestand_policy.scheduling._scheduler import StartOutcome
 from oriolestand_policy.scheduling._specs import BadJobError
 from oriolestand_policy.scheduling._specs import JobSpec
 from oriolestand_policy.scheduling._specs import RoutePolicy
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_starts.py
@@ -0,0 +1,175 @@
+"""Start the tasks that are ready."""
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _urgency
+
+RUNS_PER_EPOCH = 1_000_000
+"""Numbers of runs rise with the epoch, so that no owner repeats one."""
+
+STARTS_PER_ROUND = 200
+
+
+class Starts:
+    """Choose workers for ready tasks and order the starts."""
+
+    def __init__(
+        self, cell: _cell.Cell, placement: _placement.Placement
+    ) -> None:
+        self._cell = cell
+        self._placement = placement
+        self._run_count = 0
+
+    def run(self, now_ms: int, wall_ms: int, is_probe_complete: bool) -> None:
+        """Start ready tasks in order of urgency while workers have room."""
+        self._placement.plan(self._cell.workers.values(), now_ms)
+        self._start_ready(now_ms, wall_ms, is_probe_complete)
+
+    def _start_ready(
+        self, now_ms: int, wall_ms: int, is_probe_complete: bool
+    ) -> None:
+        """Start ready tasks in order of urgency while workers have room."""
+        full: set[tuple[object, ...]] = set()
+        started = 0
+        for task in self._in_order(wall_ms):
+            if started >= STARTS_PER_ROUND:
+                return
+            if task.key not in self._cell.ready:
+                continue
+            job = self._cell.jobs[task.key.job]
+            if job.needs_probe and not is_probe_complete:
+                continue
+            route = self._cell.routes.get(job.spec.route)
+            if route is None:
+                continue
+            spec = task.spec
+            shape = (
+                route.pool,
+                spec.cpu,
+                spec.memory_mb,
+                spec.is_filling,
+                spec.is_service,
+                spec.label,
+                task.key[:3] if spec.max_per_worker or spec.is_gang else None,
+            )
+            if shape in full:
+                continue
+            if spec.is_gang:
+                begun = self._start_gang(job, task, route, now_ms)
+            else:
+                begun = self._start_one(job, task, route, now_ms)
+            started += begun
+            if not begun:
+                full.add(shape)
+
+    def _in_order(self, wall_ms: int) -> list[_jobs.Task]:
+        """Return the ready tasks, the most urgent one first."""
+        ranks: dict[tuple[str, int], tuple[int, ...]] = {}
+        for key, task in self._cell.ready.items():
+            ref = (key.job, key.occurrence)
+            if ref in ranks:
+                continue
+            job = self._cell.jobs[key.job]
+            route = self._cell.routes.get(job.spec.route)
+            if route is None:
+                ranks[ref] = (0,)
+                continue
+            order = _urgency.rank(job, key.occurrence, route, wall_ms)
+            ranks[ref] = (route.priority, task.spec.is_service, *order)
+        return sorted(
+            self._cell.ready.values(),
+            key=lambda t: (ranks[(t.key.job, t.key.occurrence)], t.key),
+        )
+
+    def _start_one(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        route: _specs.RoutePolicy,
+        now_ms: int,
+    ) -> int:
+        """Start a task if a worker has room; return how many started."""
+        worker = self._placement.choose(task, route.pool)
+        if worker is None:
+            return 0
+        self._run_count += 1
+        number = self._cell.epoch * RUNS_PER_EPOCH + self._run_count
+        self._start_on(job, task, worker, number, now_ms)
+        return 1
+
+    def _start_gang(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        route: _specs.RoutePolicy,
+        now_ms: int,
+    ) -> int:
+        """Start all members of a gang at once, or none."""
+        members = job.occurrence(task.key.occurrence)[task.key.step]
+        if any(m.key not in self._cell.ready for m in members):
+            return 0
+        self._run_count += 1
+        number = self._cell.epoch * RUNS_PER_EPOCH + self._run_count
+        chosen: list[tuple[_fleet.Worker, _fleet.Run]] = []
+        for member in members:
+            worker = self._placement.choose(member, route.pool)
+            if worker is None:
+                break
+            # Taken at once, so that the next choice sees it.
+            run = self._make_run(member, number, now_ms)
+            worker.add(run)
+            chosen.append((worker, run))
+        is_whole = len(chosen) == len(members)
+        for worker, run in chosen:
+            worker.drop(run)
+        if not is_whole:
+            return 0
+        checkpoint = next((m.checkpoint for m in members if m.checkpoint), '')
+        for member, (worker, _) in zip(members, chosen, strict=True):
+            member.checkpoint = checkpoint
+            self._start_on(job, member, worker, number, now_ms)
+        return len(members)
+
+    def _make_run(
+        self, task: _jobs.Task, number: int, now_ms: int
+    ) -> _fleet.Run:
+        """Return a run that is about to be ordered."""
+        return _fleet.Run(
+            key=task.key,
+            number=number,
+            spec=task.spec,
+            phase=_fleet.RunPhase.STARTING,
+            since_ms=now_ms,
+            percent_ms=now_ms,
+        )
+
+    def _start_on(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        worker: _fleet.Worker,
+        number: int,
+        now_ms: int,
+    ) -> None:
+        """Order a worker to start a task."""
+        worker.add(self._make_run(task, number, now_ms))
+        self._cell.ready.pop(task.key, None)
+        task.worker = worker.info.id
+        task.run = number
+        task.started_ms = now_ms
+        if not job.has_started:
+            job.has_started = True
+            self._cell.save(job)
+        self._cell.effects.append(
+            _effects.StartTask(
+                worker=worker.info.id,
+                key=task.key,
+                run=number,
+                payload=job.spec.payload,
+                checkpoint=task.checkpoint,
+            )
+        )
