Remove the switches and messages that nothing uses; check row sizes

SIGHUP now reads the settings again and logs which changed. A job that does not fit in a row of the store is refused with a clear error.

Adds a differential test of placement against first fit on random fleets: 20 seeds, choices keep to room and labels, and no task with capacity of its own waits that first fit could place.

--- a/packages/fleet/src/oriolestand_fleet/daemon.py
+++ b/packages/fleet/src/oriolestand_fleet/daemon.py
@@ -1,5 +1,7 @@
 """Start the services of a fleet daemon and shut them down."""
 
+from collections.abc import Callable
+import dataclasses
 import gc
 import signal
 from typing import Any
@@ -29,12 +31,18 @@
 
     :param adapter: the package that contains the services ``store`` and
         ``orders`` of the platform.
+    :param read_settings: reads the settings again; raises OriolestandError.
     """
 
     def __init__(
-        self, cfg: settings.FleetSettings, adapter: str, reactor: Any
+        self,
+        cfg: settings.FleetSettings,
+        adapter: str,
+        reactor: Any,
+        read_settings: Callable[[], settings.FleetSettings],
     ) -> None:
         self._cfg = cfg
+        self._read_settings = read_settings
         self._adapter = adapter
         self._reactor = reactor
         self.kernel = core.Kernel(core.ReactorClock(reactor), reactor=reactor)
@@ -96,9 +104,19 @@
         self._reactor.stop()
 
     def _reload(self) -> None:
-        """Tell all services that the settings file may have changed."""
-        self._log.info('Settings are to be read again')
-        self.kernel.publish(lifecycle.SettingsChanged())
+        """Check the settings again and log which need a restart."""
+        try:
+            fresh = self._read_settings()
+        except core.OriolestandError as exc:
+            self._log.error('Settings not usable, kept', why=str(exc))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(fresh)
+            if field.name != 'codec'
+            and getattr(fresh, field.name) != getattr(self._cfg, field.name)
+        ]
+        self._log.info('Settings read again', needs_restart=changed)
 
     def _begin_stop(self) -> None:
         """Shut down once; a second signal changes nothing."""
--- a/packages/fleet/src/oriolestand_fleet/messages/lifecycle.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/lifecycle.py
@@ -16,8 +16,3 @@
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DrainConnections:
     """Ask the frontend to end; replies when no connection is left."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SettingsChanged:
-    """Announce that the settings file is to be read again."""
--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -70,13 +70,6 @@
     wait_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ListParts:
-    """Ask for the names of the parts of a table, a tuple of texts."""
-
-    table: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Check:
     """Require a row to have a version; 0 means that there is no row."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -195,7 +195,6 @@
             models.Term(
                 epoch=owner.epoch,
                 owner_version=version,
-                claimed_ms=now,
                 renewed_ms=sent,
                 settle_ms=now + settle,
             )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -41,7 +41,6 @@
         self._scheduler = scheduling.Scheduler(
             term.epoch,
             cfg.limits.lease_max_ms,
-            cfg.placement,
         )
         self._saver = _saver.Saver(
             kernel,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -18,7 +18,6 @@
 
     epoch: int
     owner_version: int
-    claimed_ms: int
     renewed_ms: int
     settle_ms: int
     is_over: bool = False
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/__init__.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/__init__.py
@@ -7,4 +7,4 @@
 
 def setup(kernel: core.Kernel, cfg: settings.FleetSettings) -> JobsTask:
     """Set up the jobs service."""
-    return JobsTask(kernel)
+    return JobsTask(kernel, cfg)
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -8,6 +8,7 @@
 import oriolestand_core as core
 from oriolestand_fleet import _commits
 from oriolestand_fleet import layout
+from oriolestand_fleet import settings
 from oriolestand_fleet.messages import jobs as contracts
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
@@ -20,8 +21,11 @@
 class JobsTask(core.Task):
     """Own the replica of all jobs and the writes of callers."""
 
-    def __init__(self, kernel: core.Kernel) -> None:
+    def __init__(
+        self, kernel: core.Kernel, cfg: settings.FleetSettings
+    ) -> None:
         super().__init__(kernel, const.DOMAIN)
+        self._row_bytes = cfg.limits.row_bytes
         self._log = core.get_logger(const.DOMAIN)
         self._replica = _replica.Replica()
         self._cursor: int | None = None
@@ -162,6 +166,13 @@
             scheduling.job_to_plain(msg.spec), separators=(',', ':')
         ).encode()
         try:
+            if len(body) > self._row_bytes:
+                raise scheduling.BadJobError(
+                    'the job does not fit in a row',
+                    job=job,
+                    bytes=len(body),
+                    limit=self._row_bytes,
+                )
             if self._is_lost:
                 # Nothing is sent, so that the refusal is certain and the
                 # caller can turn to a daemon that reaches the store.
--- a/packages/fleet/src/oriolestand_fleet/settings.py
+++ b/packages/fleet/src/oriolestand_fleet/settings.py
@@ -46,14 +46,12 @@
     """Hold the figures that the platform guarantees or demands.
 
     ``lease_max_ms``: the longest lease that a worker grants.
-    ``stop_ms``: how long a stopped task may go on.
     ``retention_ms``: how long the state of an ended job can be asked for.
     ``shutdown_ms``: time between the signal to end and the kill.
     ``row_bytes``: the largest value of a row.
     """
 
     lease_max_ms: int
-    stop_ms: int
     retention_ms: int
     shutdown_ms: int
     row_bytes: int
@@ -79,6 +77,3 @@
     limits: Limits
     log: LogSettings
     codec: JobCodec
-    placement: scheduling.PlacementConfig = dataclasses.field(
-        default_factory=scheduling.PlacementConfig
-    )
--- a/packages/fleet/tests/services/frontend/test_requests.py
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -83,7 +83,6 @@
             metrics=address,
             limits=settings.Limits(
                 lease_max_ms=6_000,
-                stop_ms=200,
                 retention_ms=1,
                 shutdown_ms=6_000,
                 row_bytes=1,
--- a/packages/fleet/tests/test_failures.py
+++ b/packages/fleet/tests/test_failures.py
@@ -280,3 +280,14 @@
     fut = site.submit(follower, 'a' * 16, ONE_TASK)
     site.run(3_000)
     assert result_of(fut) is True
+
+
+def test_job_that_does_not_fit_in_a_row_is_refused(site, daemons):
+    # Guards against a job whose row the store would refuse for ever.
+    steps = tuple(
+        scheduling.StepSpec(count=1, cpu=1, image='x' * 1_000)
+        for _ in range(70)
+    )
+    fut = site.submit(daemons[0], 'a' * 16, steps)
+    site.run(100)
+    assert result_of(fut).code == 'bad_job'
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -23,7 +23,7 @@
 from oriolestand_policy.scheduling._placement import FirstFitPlacement
 from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._placement import Placement
-from oriolestand_policy.scheduling._placement import PlacementConfig
+from oriolestand_policy.scheduling._pressure import Pressure
 from oriolestand_policy.scheduling._record import Progress
 from oriolestand_policy.scheduling._record import job_from_plain
 from oriolestand_policy.scheduling._record import job_to_plain
@@ -53,7 +53,7 @@
     'Outcome',
     'PaceTask',
     'Placement',
-    'PlacementConfig',
+    'Pressure',
     'Progress',
     'RoutePolicy',
     'Run',
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -3,7 +3,6 @@
 import abc
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -24,17 +23,6 @@
 """Share of the processors of service tasks that they use when busy."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PlacementConfig:
-    """Hold the weights of placement.
-
-    ``spread_services`` is whether service tasks go to the emptiest worker
-    rather than to one that already runs their image.
-    """
-
-    spread_services: bool = False
-
-
 class Placement(abc.ABC):
     """Choose workers for tasks."""
 
@@ -98,10 +86,7 @@
 class MixedPlacement(Placement):
     """Put filling tasks beside the service tasks that they harm least."""
 
-    def __init__(
-        self, cfg: PlacementConfig, pressure: _pressure.Pressure
-    ) -> None:
-        self._cfg = cfg
+    def __init__(self, pressure: _pressure.Pressure) -> None:
         self._pressure = pressure
         self._by_pool: dict[str, list[_fleet.Worker]] = {}
 
@@ -151,13 +136,11 @@
     ) -> tuple[float, ...]:
         """Rank by other images on the worker, then by room."""
         spec = task.spec
-        others = 0
-        if not self._cfg.spread_services:
-            others = sum(
-                1
-                for run in worker.runs.values()
-                if run.spec.is_service and run.spec.image != spec.image
-            )
+        others = sum(
+            1
+            for run in worker.runs.values()
+            if run.spec.is_service and run.spec.image != spec.image
+        )
         free = worker.info.cpu - worker.used_cpu
         return (
             *_common_rank(worker, task),
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -1,5 +1,6 @@
 """Decide what runs where in one cell of workers."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -24,6 +25,9 @@
 """Starts of timed jobs wait a little, as wall clocks differ."""
 
 
+PlacementMaker = Callable[[_pressure.Pressure], _placement.Placement]
+
+
 class Scheduler:
     """Take events of a cell and decide; effects gather until they are taken.
 
@@ -35,16 +39,13 @@
         self,
         epoch: int,
         lease_max_ms: int,
-        placement_cfg: _placement.PlacementConfig | None = None,
+        make_placement: PlacementMaker = _placement.MixedPlacement,
     ) -> None:
         self._cell = _cell.Cell(epoch, lease_max_ms)
         self._answers = _answers.Answers(self._cell)
         self._starts = _starts.Starts(
             self._cell,
-            _placement.MixedPlacement(
-                placement_cfg or _placement.PlacementConfig(),
-                self._cell.pressure,
-            ),
+            make_placement(self._cell.pressure),
         )
 
     @property
--- a/packages/policy/src/oriolestand_policy/scheduling/_specs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_specs.py
@@ -95,8 +95,9 @@
     http_status = 400
 
 
-MAX_TASKS = 10_000
-"""Bounds the tasks of one occurrence, so that one job cannot fill memory."""
+MAX_TASKS = 2_000
+"""Bounds the tasks of one occurrence, so that the record of a job fits in a
+row."""
 
 
 def check_job(job: JobSpec) -> None:
--- /dev/null
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -0,0 +1,80 @@
+"""Compare placement with the naive first fit on random fleets."""
+
+import random
+
+import pytest
+
+from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _placement
+
+
+def random_spec(rng):
+    kind = rng.choice(['plain', 'service', 'filling'])
+    return scheduling.StepSpec(
+        count=20,
+        cpu=rng.randrange(500, 9_000),
+        memory_mb=rng.randrange(100, 6_000),
+        is_service=kind == 'service',
+        is_filling=kind == 'filling',
+        image=rng.choice('abc'),
+        target_ms=18 if kind == 'service' else 0,
+        label=rng.choice(['', '', 'x']),
+        max_per_worker=rng.choice([0, 0, 1]),
+    )
+
+
+def fill(rng, pressure):
+    """Place random tasks; yield each task and what both policies chose."""
+    workers = [
+        scheduling.Worker(
+            info=scheduling.WorkerInfo(
+                id=f'w{n}',
+                pool='p',
+                address='',
+                failure_domain='d',
+                cpu=16_000,
+                memory_mb=16_000,
+                labels=frozenset(rng.choice([(), ('x',)])),
+            ),
+            is_probed=True,
+            is_recorded=True,
+            seen_ms=0,
+        )
+        for n in range(4)
+    ]
+    naive = _placement.FirstFitPlacement()
+    mixed = _placement.MixedPlacement(pressure)
+    for number in range(60):
+        spec = random_spec(rng)
+        key = scheduling.TaskKey(f'j{number // 4}', 0, 0, number)
+        task = scheduling.Task(key=key, spec=spec)
+        naive.plan(workers, 0)
+        mixed.plan(workers, 0)
+        chosen = mixed.choose(task, 'p')
+        yield task, chosen, naive.choose(task, 'p')
+        if chosen is not None:
+            chosen.add(
+                scheduling.Run(
+                    key=key,
+                    number=1,
+                    spec=spec,
+                    phase=scheduling.RunPhase.RUNNING,
+                    since_ms=0,
+                )
+            )
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_choices_keep_to_what_first_fit_allows(seed):
+    # Guards against a choice beyond room, label or limit, and against a
+    # task with capacity of its own that waits although it fits.
+    rng = random.Random(seed)
+    for task, chosen, naive in fill(rng, scheduling.Pressure()):
+        if chosen is not None:
+            assert naive is not None
+            info = chosen.info
+            assert chosen.used_cpu <= info.cpu
+            assert chosen.used_memory <= info.memory_mb
+            assert not task.spec.label or task.spec.label in info.labels
+        elif not task.spec.is_filling:
+            assert naive is None
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -240,7 +240,6 @@
         metrics=unused,
         limits=settings.Limits(
             lease_max_ms=_workers.LEASE_MAX_MS,
-            stop_ms=_workers.STOP_MS,
             retention_ms=120_000,
             shutdown_ms=6_000,
             row_bytes=65_536,
