Forecast the load of service jobs and try unknown pairs one task at a time

The least load of the last 1.3 s was taken for its own, so that the swing of the wave was blamed on filling tasks; the weights of harmless pairs came out high, those of harmful ones low, and filling tasks were added on a rising load. Service tasks were spread over all workers, so that no worker was free for filling tasks.

Change: a wave is fitted to the least load of each job, with a period found for all jobs. Placement and relief use the highest load ahead. Weights have a wide prior and learn slowly until the wave is known. A pair of which little is known is tried by one task. Service tasks take the tightest fit beside their own image.

--- a/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
@@ -22,6 +22,12 @@
 INTERVAL_MS = 700
 """A change shows in the reports only after their averaging time."""
 
+AHEAD_MS = 700
+"""How far ahead a tail is forecast; a change takes about as long to show."""
+
+MAX_LACK = 0.02
+"""Forecast load over the limit that is borne, as limits have a margin."""
+
 MOST_AT_ONCE = 2
 """Neighbours that yield in one interval."""
 
@@ -51,9 +57,10 @@
 ) -> Iterator[Relief]:
     """Yield what to do with the filling tasks of a worker.
 
-    The one that adds the most load to a service task in need yields: one
-    with checkpoints moves to another worker, another stops working for a
-    while. When no service task is in need all work at full speed.
+    When a tail is over its target, or is about to be, the filling task that
+    adds the most load to the service task yields: one with checkpoints moves
+    to another worker, another stops working for a while. It works again when
+    the forecast has room for it.
     """
     filling = [
         run
@@ -62,20 +69,28 @@
         and run.phase is _fleet.RunPhase.RUNNING
         and run.stop_sent_ms < 0
     ]
+    if not filling:
+        return
     needy = [
         run
         for run in worker.runs.values()
         if run.over_since_ms >= 0 and now_ms - run.over_since_ms >= PATIENCE_MS
     ]
-    if not needy:
-        for run in filling:
-            if run.pace < FULL_PACE and _is_due(run, now_ms):
-                yield Relief(run=run, pace=FULL_PACE)
+    rooms = pressure.rooms(worker, now_ms, AHEAD_MS)
+    lacks = {
+        image: pressure.added_beside(worker, image) - room
+        for image, room in rooms.items()
+    }
+    if not needy and max(lacks.values(), default=-1.0) <= MAX_LACK:
+        yield from _plan_return(worker, pressure, filling, lacks, now_ms)
         return
     if now_ms - worker.relieved_ms < INTERVAL_MS:
         return
-    worst = max(needy, key=lambda run: run.measured / run.spec.target_ms)
-    image = worst.spec.image
+    if needy:
+        worst = max(needy, key=lambda run: run.measured / run.spec.target_ms)
+        image = worst.spec.image
+    else:
+        image = max(lacks, key=lambda name: lacks[name])
 
     def added(run: _fleet.Run) -> float:
         weight = pressure.weight(image, run.spec.image)
@@ -95,6 +110,29 @@
         yield Relief(run=run, pace=LOW_PACE, is_move=is_move)
 
 
+def _plan_return(
+    worker: _fleet.Worker,
+    pressure: _pressure.Pressure,
+    filling: list[_fleet.Run],
+    lacks: dict[str, float],
+    now_ms: int,
+) -> Iterator[Relief]:
+    """Yield the slowed filling tasks for which there is room again."""
+    for run in filling:
+        if run.pace >= FULL_PACE or not _is_due(run, now_ms):
+            continue
+        share = run.spec.cpu / max(1, worker.info.cpu)
+        share *= (FULL_PACE - run.pace) / FULL_PACE
+        after = {
+            image: lack + share * pressure.weight(image, run.spec.image)
+            for image, lack in lacks.items()
+        }
+        if max(after.values(), default=0.0) > 0.0:
+            continue
+        lacks = after
+        yield Relief(run=run, pace=FULL_PACE)
+
+
 def _is_due(run: _fleet.Run, now_ms: int) -> bool:
     """Return whether the last change of a pace has shown its effect."""
     return now_ms - run.paced_ms >= INTERVAL_MS
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -12,9 +12,13 @@
 """A worker that has not answered for this long gets no new task."""
 
 
-MAX_EXCESS = 0.05
-"""Load over the limit of a service task that a filling task may cause, as
-pacing takes back what is too much."""
+FILLING_AHEAD_MS = 1_200
+"""How far ahead the load of service tasks counts for a filling task, which
+runs for about that long."""
+
+HARM_STEP = 0.04
+"""Added loads that differ by less than this count as equal, so that room
+decides."""
 
 HIGH_TAIL_SHARE = 0.85
 """Share of a target above which no filling task is added to a worker."""
@@ -89,15 +93,37 @@
     def __init__(self, pressure: _pressure.Pressure) -> None:
         self._pressure = pressure
         self._by_pool: dict[str, list[_fleet.Worker]] = {}
+        self._rooms: dict[str, dict[str, float]] = {}
+        self._trials: set[tuple[str, str]] = set()
+        self._now_ms = 0
 
     def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
         """Group the usable workers by pool."""
+        self._now_ms = now_ms
+        self._rooms.clear()
+        self._trials.clear()
         by_pool: dict[str, list[_fleet.Worker]] = {}
         for worker in workers:
             if is_usable(worker, now_ms):
                 by_pool.setdefault(worker.info.pool, []).append(worker)
+            if worker.filling_cpu:
+                self._note_trials(worker)
         self._by_pool = by_pool
 
+    def _note_trials(self, worker: _fleet.Worker) -> None:
+        """Note the pairs on a worker of which little is known."""
+        services = {
+            run.spec.image
+            for run in worker.runs.values()
+            if run.spec.is_service
+        }
+        for run in worker.runs.values():
+            if not run.spec.is_filling:
+                continue
+            for image in services:
+                if not self._pressure.is_known(image, run.spec.image):
+                    self._trials.add((image, run.spec.image))
+
     def choose(self, task: _jobs.Task, pool: str) -> _fleet.Worker | None:
         """Return the worker with the lowest rank that may run a task."""
         best: _fleet.Worker | None = None
@@ -113,6 +139,12 @@
             rank = rank_of(worker, task)
             if rank is not None and (best is None or rank < best_rank):
                 best, best_rank = worker, rank
+        if best is not None and task.spec.is_filling:
+            self._trials.update(
+                (image, task.spec.image)
+                for image in self._rooms_of(best)
+                if not self._pressure.is_known(image, task.spec.image)
+            )
         return best
 
     def _rank_filling(
@@ -124,17 +156,40 @@
         free = info.cpu - busy_cpu(worker)
         if free < spec.cpu or has_high_tail(worker):
             return None
-        excess = self._pressure.excess(
-            worker, spec.image, spec.cpu / max(1, info.cpu)
+        share = spec.cpu / max(1, info.cpu)
+        harm = 0.0
+        for image, room in self._rooms_of(worker).items():
+            # A pair of which little is known is tried by one task first.
+            weigh = self._pressure.weight
+            if (image, spec.image) in self._trials:
+                weigh = self._pressure.weight_bound
+            added = weigh(image, spec.image) * share
+            if self._pressure.bound_beside(worker, image) + added > room:
+                return None
+            harm = max(harm, added)
+        return (
+            *_common_rank(worker, task),
+            int(harm / HARM_STEP),
+            -free / info.cpu,
         )
-        if excess > MAX_EXCESS:
-            return None
-        return (*_common_rank(worker, task), excess - free / info.cpu)
+
+    def _rooms_of(self, worker: _fleet.Worker) -> dict[str, float]:
+        """Return the load that may be added on a worker, by service image."""
+        rooms = self._rooms.get(worker.info.id)
+        if rooms is None:
+            rooms = self._pressure.rooms(
+                worker, self._now_ms, FILLING_AHEAD_MS
+            )
+            self._rooms[worker.info.id] = rooms
+        return rooms
 
     def _rank_service(
         self, worker: _fleet.Worker, task: _jobs.Task
     ) -> tuple[float, ...]:
-        """Rank by other images on the worker, then by room."""
+        """Rank by other images on the worker, then by the tightest fit.
+
+        Workers without service tasks have the most room for filling tasks.
+        """
         spec = task.spec
         others = sum(
             1
@@ -144,9 +199,9 @@
         free = worker.info.cpu - worker.used_cpu
         return (
             *_common_rank(worker, task),
-            worker.filling_cpu > 0,
+            worker.filling_cpu > 0 and not worker.service_cpu,
             others,
-            -free,
+            free,
         )
 
     def _rank_other(
--- a/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
@@ -3,52 +3,48 @@
 The tail of a service task's response times grows as ``base / (1 - load)``,
 so that ``1 - base / tail`` tells its load, from its own requests and from
 what runs beside it. All tasks of a service job have the same own load at a
-time; the excess of one over its siblings comes from its neighbours. How much
-a filling image adds to a service image differs widely by pair and is learned
-by a Kalman filter whose weights count as independent.
+time; the excess of one over what is forecast for the job comes from its
+neighbours. How much a filling image adds to a service image differs widely
+by pair and is learned by a Kalman filter whose weights count as independent.
 """
 
 import dataclasses
+import math
 
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _forecast
 
-PRIOR_WEIGHT = 0.1
-"""Load that a filling task is expected to add when it uses a whole worker."""
+PRIOR_WEIGHT = 0.5
+"""Load that a filling task is expected to add when it uses a whole worker.
+Most pairs add a tenth of the share, one in four adds twice the share."""
 
-PRIOR_VARIANCE = 0.25
-DRIFT = 0.0005
+PRIOR_VARIANCE = 0.64
+DRIFT = 0.00002
 """Variance that a weight gains with each report, as harm changes slowly."""
 
-LOAD_NOISE = 0.03
+CAUTION = 1.5
+"""Standard deviations added to a weight before a task is placed."""
+
+SURE_DEVIATION = 0.15
+"""Standard deviation of a weight that many reports have confirmed."""
+
+KNOWN_VARIANCE = 0.09
+"""Variance of a weight below which it is told from the other kind."""
+
+LOAD_NOISE = 0.1
 """Standard deviation of a load that tails do not explain."""
 
 TAIL_NOISE = 0.7
 """Standard deviation of a reported tail in milliseconds, from rounding."""
 
-TARGET_MARGIN = 0.9
+TARGET_MARGIN = 1.0
 """Share of the target that tails should stay below, as reports lag."""
 
-REPORT_AGE_MS = 1_300
-"""Reports older than this say nothing about the present load."""
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _OwnLoad:
-    """Hold the latest loads of the tasks of a service job."""
+UNSEEN_LOAD = 0.6
+"""Load of a service task of which nothing is known, near its usual peak."""
 
-    loads: dict[int, tuple[float, int]] = dataclasses.field(
-        default_factory=dict
-    )
-    value: float = 0.0
-
-    def update(self, index: int, load: float, now_ms: int) -> None:
-        """Take over the load of one task; the least disturbed one counts."""
-        self.loads[index] = (load, now_ms)
-        self.value = min(
-            value
-            for value, when in self.loads.values()
-            if now_ms - when <= REPORT_AGE_MS
-        )
+UNKNOWN_RISE = 0.1
+"""Load that may be added within seconds while its course is not known."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +54,12 @@
     value: float = PRIOR_WEIGHT
     variance: float = PRIOR_VARIANCE
 
+    @property
+    def bound(self) -> float:
+        """Return the weight to plan with, higher while it is uncertain."""
+        unsure = max(0.0, math.sqrt(self.variance) - SURE_DEVIATION)
+        return self.value + CAUTION * unsure
+
 
 class Pressure:
     """Estimate the load of service tasks beside filling tasks."""
@@ -65,23 +67,41 @@
     def __init__(self) -> None:
         self._weights: dict[tuple[str, str], _Weight] = {}
         self._bases: dict[str, int] = {}
-        self._own: dict[tuple[str, int, int], _OwnLoad] = {}
+        self._histories: dict[tuple[str, int, int], _forecast.LoadHistory] = {}
+        self._search = _forecast.PeriodSearch()
 
     def observe(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Learn from what a worker has just reported of its runs."""
+        self._search.run(list(self._histories.values()), now_ms)
         shares: dict[str, float] = {}
         for run in worker.runs.values():
             if run.spec.is_filling and run.phase is _fleet.RunPhase.RUNNING:
                 image = run.spec.image
                 shares[image] = shares.get(image, 0.0) + _share(run, worker)
         for run in worker.runs.values():
-            if not _is_serving(run):
-                continue
-            load = self._load(run)
-            own = self._own.setdefault(run.key[:3], _OwnLoad())
-            own.update(run.key.index, load, now_ms)
-            if shares:
-                self._learn(run, shares, load - own.value)
+            if _is_serving(run):
+                self._observe_run(run, shares, now_ms)
+
+    def _observe_run(
+        self, run: _fleet.Run, shares: dict[str, float], now_ms: int
+    ) -> None:
+        """Learn from the tail of one service task."""
+        load = self._load(run)
+        image = run.spec.image
+        weights = {
+            other: self._weights.setdefault((image, other), _Weight())
+            for other in shares
+        }
+        expected = sum(weights[o].value * part for o, part in shares.items())
+        history = self._histories.setdefault(
+            run.key[:3], _forecast.LoadHistory()
+        )
+        # What neighbours are thought to add stays in: a weight that is too
+        # high would make the own load look low and so confirm itself.
+        history.add(load, now_ms, self._search.period_ms)
+        if shares:
+            excess = load - history.value(now_ms)
+            self._learn(run, weights, shares, excess - expected)
 
     def _load(self, run: _fleet.Run) -> float:
         """Return the load that the tail of a service task stands for."""
@@ -92,25 +112,26 @@
         return 1.0 - base / tail
 
     def _learn(
-        self, run: _fleet.Run, shares: dict[str, float], excess: float
+        self,
+        run: _fleet.Run,
+        weights: dict[str, _Weight],
+        shares: dict[str, float],
+        surprise: float,
     ) -> None:
         """Correct the weights of the pairs that were seen together."""
-        image = run.spec.image
-        weights = {
-            other: self._weights.setdefault((image, other), _Weight())
-            for other in shares
-        }
-        expected = sum(weights[o].value * part for o, part in shares.items())
         tail = max(1, run.measured)
-        rounding = TAIL_NOISE * self._bases[image] / (tail * tail)
-        noise = rounding * rounding + LOAD_NOISE * LOAD_NOISE
+        rounding = TAIL_NOISE * self._bases[run.spec.image] / (tail * tail)
+        noise = LOAD_NOISE
+        if not self._histories[run.key[:3]].is_known:
+            noise = UNKNOWN_RISE + LOAD_NOISE
+        noise = rounding * rounding + noise * noise
         total = noise + sum(
             weights[o].variance * part * part for o, part in shares.items()
         )
         for other, part in shares.items():
             weight = weights[other]
             gain = weight.variance * part / total
-            weight.value = max(0.0, weight.value + gain * (excess - expected))
+            weight.value = max(0.0, weight.value + gain * surprise)
             weight.variance = (1.0 - gain * part) * weight.variance + DRIFT
 
     def weight(self, image: str, filling: str) -> float:
@@ -121,50 +142,70 @@
         found = self._weights.get((image, filling))
         return PRIOR_WEIGHT if found is None else found.value
 
+    def weight_bound(self, image: str, filling: str) -> float:
+        """Return the most that a filling image may add to a service image."""
+        found = self._weights.get((image, filling))
+        return (_Weight() if found is None else found).bound
+
+    def is_known(self, image: str, filling: str) -> bool:
+        """Return whether reports have shown what a pair adds."""
+        found = self._weights.get((image, filling))
+        return found is not None and found.variance < KNOWN_VARIANCE
+
     def limit(self, run: _fleet.Run) -> float:
         """Return the highest load at which a tail is well in its target."""
         base = self._bases.get(run.spec.image, 1)
         target = run.spec.target_ms * TARGET_MARGIN
         return max(0.0, 1.0 - base / target) if target > 0 else 1.0
 
-    def own_load(self, run: _fleet.Run) -> float:
-        """Return the load that a service task brings itself."""
-        own = self._own.get(run.key[:3])
-        return own.value if own is not None else 0.0
+    def own_load(self, run: _fleet.Run, now_ms: int, ahead_ms: int) -> float:
+        """Return the highest load that a service task will bring itself.
 
-    def excess(
-        self,
-        worker: _fleet.Worker,
-        image: str = '',
-        share: float = 0.0,
-    ) -> float:
-        """Return by how much the worst service task passes its limit.
-
-        ``image`` and ``share`` describe a filling task that would be added.
-        Negative when all service tasks have room.
+        ``ahead_ms`` is how far to look ahead.
         """
-        filling = [
-            (run.spec.image, planned_share(run, worker))
-            for run in worker.runs.values()
-            if run.spec.is_filling
-        ]
-        if image:
-            filling.append((image, share))
-        worst = -1.0
+        history = self._histories.get(run.key[:3])
+        if history is None:
+            return UNSEEN_LOAD
+        load = history.peak(now_ms, ahead_ms)
+        if ahead_ms and not history.is_known:
+            load += UNKNOWN_RISE
+        return load
+
+    def rooms(
+        self, worker: _fleet.Worker, now_ms: int, ahead_ms: int
+    ) -> dict[str, float]:
+        """Return the load that neighbours may add, by service image."""
+        rooms: dict[str, float] = {}
         for run in worker.runs.values():
-            if not run.spec.is_service:
+            if not run.spec.is_service or not run.spec.target_ms:
                 continue
-            added = sum(
-                self.weight(run.spec.image, other) * part
-                for other, part in filling
-            )
-            worst = max(worst, self.own_load(run) + added - self.limit(run))
-        return worst
+            own = self.own_load(run, now_ms, ahead_ms)
+            room = self.limit(run) - own
+            image = run.spec.image
+            rooms[image] = min(room, rooms.get(image, room))
+        return rooms
+
+    def bound_beside(self, worker: _fleet.Worker, image: str) -> float:
+        """Return the most that all filling tasks may add to an image."""
+        return sum(
+            self.weight_bound(image, run.spec.image)
+            * planned_share(run, worker)
+            for run in worker.runs.values()
+            if run.spec.is_filling
+        )
+
+    def added_beside(self, worker: _fleet.Worker, image: str) -> float:
+        """Return what the filling tasks at work add to a service image."""
+        return sum(
+            self.weight(image, run.spec.image) * planned_share(run, worker)
+            for run in worker.runs.values()
+            if run.spec.is_filling
+        )
 
     def forget_job(self, job: str) -> None:
         """Drop what is known of the load of a job."""
-        for key in [key for key in self._own if key[0] == job]:
-            del self._own[key]
+        for key in [key for key in self._histories if key[0] == job]:
+            del self._histories[key]
 
 
 def _is_serving(run: _fleet.Run) -> bool:
--- a/packages/policy/tests/scheduling/test_pressure.py
+++ b/packages/policy/tests/scheduling/test_pressure.py
@@ -1,5 +1,8 @@
 """Test what is learned of neighbours and what follows from it."""
 
+import dataclasses
+import math
+
 import pytest
 
 from oriolestand_policy import scheduling
@@ -144,3 +147,101 @@
     assert len(bench.decide()[0]) == 6
     bench.add('svc', SERVICE)
     assert len(bench.decide()[0]) == 2
+
+
+def swing(bench, until_ms):
+    """Report a load that rises and falls, with its peak at 2.5 s of 10 s."""
+    services = services_of(bench)
+    while bench.now < until_ms:
+        bench.now += 200
+        load = 0.45 + 0.2 * math.sin(2 * math.pi * bench.now / 10_000)
+        for name, run in services.items():
+            added = sum(
+                0.17
+                for other in bench.scheduler.workers[name].runs.values()
+                if other.spec.is_filling and other.pace
+            )
+            tail = round(8 / (1 - load - added))
+            rows = [
+                scheduling.RunReport(
+                    key=run.key,
+                    number=run.number,
+                    checkpoint='',
+                    percent=100,
+                    measured=tail,
+                )
+            ]
+            rows += [
+                scheduling.RunReport(
+                    key=other.key,
+                    number=other.number,
+                    checkpoint='',
+                    percent=50,
+                    measured=other.spec.cpu,
+                )
+                for other in bench.scheduler.workers[name].runs.values()
+                if other.spec.is_filling
+            ]
+            bench.look(name, rows)
+
+
+def learn(pressure, filling, weight):
+    """Make the weight of a pair known."""
+    pressure._weights[('web', filling)] = _pressure._Weight(weight, 0.01)
+
+
+def test_filling_task_waits_for_a_peak_to_pass(bench, make):
+    # Guards against a filling task that is stopped at once by a rising load.
+    spec = dataclasses.replace(SERVICE, target_ms=32)
+    bench.add('svc', spec)
+    for start in bench.decide()[0]:
+        bench.answer(start)
+    learn(bench.scheduler.pressure, 'loud', 0.8)
+    swing(bench, 41_600)
+    bench.add('l', LOUD)
+    assert bench.decide()[0] == []
+    swing(bench, 44_800)
+    assert len(bench.decide()[0]) == 1
+
+
+def test_filling_task_yields_before_a_peak(bench, make):
+    # Guards against users who are harmed until a report shows it.
+    bench.add('svc', dataclasses.replace(SERVICE, target_ms=32))
+    for start in bench.decide()[0]:
+        bench.answer(start)
+    learn(bench.scheduler.pressure, 'still', 0.8)
+    swing(bench, 46_000)
+    spec = dataclasses.replace(LOUD, image='still', has_checkpoints=False)
+    bench.add('l', spec)
+    start = bench.decide()[0][0]
+    bench.answer(start)
+    swing(bench, 51_000)
+    worker = bench.scheduler.workers[start.worker]
+    run = worker.runs[(start.key, start.run)]
+    assert run.pace == 0
+    service = services_of(bench)[start.worker]
+    assert service.over_since_ms < 0
+    swing(bench, 57_000)
+    assert run.pace == 100
+
+
+def test_one_task_tries_a_pair(loaded, make):
+    # Guards against many service tasks that are harmed to learn one weight.
+    pressure = loaded.scheduler.pressure
+    for _ in range(20):
+        loaded.now += 400
+        for name, run in services_of(loaded).items():
+            row = scheduling.RunReport(
+                key=run.key,
+                number=run.number,
+                checkpoint='',
+                percent=100,
+                measured=8,
+            )
+            loaded.look(name, [row])
+    loaded.add('n', dataclasses.replace(LOUD, count=2, image='new'))
+    placement = scheduling.MixedPlacement(pressure)
+    placement.plan(loaded.scheduler.workers.values(), loaded.now)
+    first, second = loaded.scheduler.jobs['n'].occurrence(0)[0]
+    assert placement.choose(first, 'p') is not None
+    assert placement.choose(second, 'p') is None
