Restart runs that stand still and keep what is learned for a successor

The successor of an owner began without any weights: after the change of the owner at 20.6 s and 36.6 s up to 26 service tasks were over their target, and filling work fell to a half.

Change: a run without progress for 1.5 s on a worker where nothing else moves is stopped and its worker avoided for 4 s. The owner writes the weights that are known, the lowest tails and the period to a row of the cell when they change notably, every 3 s at most; a successor restores them.

The stand-in for workers reports progress and can stand still. Both new tests of test_failures.py fail without the change.

--- a/packages/fleet/src/oriolestand_fleet/layout.py
+++ b/packages/fleet/src/oriolestand_fleet/layout.py
@@ -15,6 +15,7 @@
 OWNER_KEY = 'owner'
 RENEWAL_KEY = 'renewal'
 FLEET_KEY = 'fleet'
+PRESSURE_KEY = 'pressure'
 
 
 def part_of(job: str) -> str:
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_pressure_record.py
@@ -0,0 +1,49 @@
+"""Record what is learned of neighbours for a successor of the owner."""
+
+import oriolestand_core as core
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.cell import _owner_commits
+from oriolestand_fleet.services.cell import const
+from oriolestand_fleet.services.cell import models
+from oriolestand_policy import scheduling
+
+
+class PressureRecord:
+    """Own the row of what is learned of neighbours."""
+
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        term: models.Term,
+        pressure: scheduling.Pressure,
+        row: store.Row | None,
+    ) -> None:
+        self._kernel = kernel
+        self._term = term
+        self._pressure = pressure
+        self._log = core.get_logger(const.DOMAIN)
+        self._next_ms = kernel.clock.now() + const.PRESSURE_INTERVAL_MS
+        self._saved = models.decode_pressure(row.value if row else None)
+        pressure.restore(self._saved)
+
+    async def update(self) -> None:
+        """Write the row if it is due and much has been learned."""
+        now = self._kernel.clock.now()
+        if now < self._next_ms:
+            return
+        self._next_ms = now + const.PRESSURE_INTERVAL_MS
+        learned = self._pressure.learned()
+        if not learned.differs_from(self._saved):
+            return
+        value = models.encode_pressure(learned)
+        attempt = await _owner_commits.commit_as_owner(
+            self._kernel,
+            self._term,
+            (store.Put(key=layout.PRESSURE_KEY, value=value),),
+        )
+        if attempt.result is not None and attempt.result.is_applied:
+            self._saved = learned
+            return
+        # It is tried again; until then a successor learns by itself.
+        self._log.info('Learned pressure not written', why=attempt.why)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -14,6 +14,7 @@
 from oriolestand_fleet.services.cell import _fleet_record
 from oriolestand_fleet.services.cell import _looks
 from oriolestand_fleet.services.cell import _order_sender
+from oriolestand_fleet.services.cell import _pressure_record
 from oriolestand_fleet.services.cell import _saver
 from oriolestand_fleet.services.cell import _sweeper
 from oriolestand_fleet.services.cell import const
@@ -59,6 +60,12 @@
             snapshot.cell.get(layout.FLEET_KEY),
             on_deposed,
         )
+        self._learned = _pressure_record.PressureRecord(
+            kernel,
+            term,
+            self._scheduler.pressure,
+            snapshot.cell.get(layout.PRESSURE_KEY),
+        )
         self._orders = _order_sender.OrderSender(
             kernel, term, self._scheduler, self._on_answer, on_deposed
         )
@@ -206,6 +213,8 @@
             self._sync_lookers()
             self._decide()
             self._report()
+            learned = defer.ensureDeferred(self._learned.update())
+            learned.addErrback(self._on_fault)
             if self._sweeper.is_due:
                 await self._sweeper.sweep()
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -36,3 +36,7 @@
 SWEEP_BATCH = 20
 RETENTION_MARGIN_MS = 30_000
 """Covers clocks that differ between daemons."""
+
+PRESSURE_INTERVAL_MS = 3_000
+"""What is learned of neighbours is written at most this often; a successor
+would need some ten seconds to learn it again."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -74,3 +74,33 @@
         )
         for worker, address, pool, failure_domain in json.loads(value)
     ]
+
+
+def encode_pressure(learned: scheduling.LearnedPressure) -> bytes:
+    """Return the row of what is learned of neighbours."""
+    rows = [[p.image, p.filling, p.weight, p.variance] for p in learned.pairs]
+    return json.dumps(
+        {
+            'pairs': rows,
+            'bases': learned.bases,
+            'period_ms': learned.period_ms,
+        },
+        separators=(',', ':'),
+    ).encode()
+
+
+def decode_pressure(value: bytes | None) -> scheduling.LearnedPressure:
+    """Return what a row says of neighbours."""
+    if value is None:
+        return scheduling.LearnedPressure()
+    plain = json.loads(value)
+    return scheduling.LearnedPressure(
+        pairs=tuple(
+            scheduling.PairWeight(
+                image=image, filling=filling, weight=weight, variance=variance
+            )
+            for image, filling, weight, variance in plain['pairs']
+        ),
+        bases=plain['bases'],
+        period_ms=plain['period_ms'],
+    )
--- a/packages/fleet/tests/test_failures.py
+++ b/packages/fleet/tests/test_failures.py
@@ -291,3 +291,37 @@
     fut = site.submit(daemons[0], 'a' * 16, steps)
     site.run(100)
     assert result_of(fut).code == 'bad_job'
+
+
+def test_task_on_a_worker_that_hangs_runs_elsewhere(site, daemons):
+    # Guards against a job that waits until a worker wakes up again.
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=2_000)
+    site.run(600)
+    first = site.history[0]
+    site.workers[first.worker].is_still = True
+    site.run(6_000)
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+    assert site.history[1].worker != first.worker
+    assert site.double_runs() == []
+
+
+def test_successor_knows_what_neighbours_do(site, daemons):
+    # Guards against service tasks that are harmed again after each change
+    # of the owner.
+    lost = owner_of(daemons)
+    learned = scheduling.LearnedPressure(
+        pairs=(
+            scheduling.PairWeight(
+                image='web', filling='loud', weight=2.0, variance=0.01
+            ),
+        ),
+        bases={'web': 4},
+        period_ms=9_000.0,
+    )
+    lost.kernel.find('cell')._work._scheduler.pressure.restore(learned)
+    site.run(4_000)
+    lost.kill()
+    rest = survivors(daemons, lost)
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    work = owner_of(rest).kernel.find('cell')._work
+    assert work._scheduler.pressure.learned() == learned
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -23,6 +23,8 @@
 from oriolestand_policy.scheduling._placement import FirstFitPlacement
 from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._placement import Placement
+from oriolestand_policy.scheduling._pressure import LearnedPressure
+from oriolestand_policy.scheduling._pressure import PairWeight
 from oriolestand_policy.scheduling._pressure import Pressure
 from oriolestand_policy.scheduling._record import Progress
 from oriolestand_policy.scheduling._record import job_from_plain
@@ -48,11 +50,13 @@
     'FirstFitPlacement',
     'Job',
     'JobSpec',
+    'LearnedPressure',
     'Look',
     'MixedPlacement',
     'Outcome',
     'PaceTask',
     'Placement',
+    'PairWeight',
     'Pressure',
     'Progress',
     'RoutePolicy',
--- a/packages/policy/src/oriolestand_policy/scheduling/_answers.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_answers.py
@@ -9,11 +9,15 @@
 from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _stalls
 
 FAILURES_TO_AVOID = 3
 AVOID_MS = 8_000
 REFUSAL_AVOID_MS = 300
 UNHEALTHY_AVOID_MS = 1_000
+STALL_AVOID_MS = 4_000
+"""Workers have been seen to stand still for five to seven seconds."""
+
 MISSING_LOOKS = 2
 """Looks that must omit a run before it counts as gone without an end."""
 
@@ -55,6 +59,7 @@
             listed.add((report.key, report.number))
             self._on_report(worker, report, now_ms)
         self._drop_missing(worker, listed, sent_ms, now_ms)
+        self._restart_stalled(worker, now_ms)
         self._cell.pressure.observe(worker, now_ms)
         self._relieve(worker, now_ms)
         return touched
@@ -84,6 +89,22 @@
                 )
             )
 
+    def _restart_stalled(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Stop runs that stand still, so that they run elsewhere."""
+        stalled = _stalls.stalled_runs(worker, now_ms)
+        if not stalled:
+            return
+        if worker.avoid_until_ms <= now_ms:
+            self._cell.log(
+                'worker_stalled', '', worker=worker.info.id, runs=len(stalled)
+            )
+        worker.avoid_until_ms = max(
+            worker.avoid_until_ms, now_ms + STALL_AVOID_MS
+        )
+        for run in stalled:
+            self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
+            self._cell.mark_stop(run, now_ms)
+
     def _note_birth(
         self, worker: _fleet.Worker, look: _reports.Look, now_ms: int
     ) -> _fleet.Worker:
--- a/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
@@ -230,6 +230,10 @@
         """Return the period, or None while it is not known."""
         return statistics.median(self._found) if self._found else None
 
+    def add(self, period_ms: float) -> None:
+        """Take over a period that was found before."""
+        self._found.append(period_ms)
+
     def run(self, histories: Sequence[LoadHistory], now_ms: int) -> None:
         """Search the loads of one job, in turn, when that is due."""
         if now_ms < self._next_ms or not histories:
@@ -239,4 +243,4 @@
         history = histories[self._turn % len(histories)]
         period = find_period(history.bins)
         if period is not None:
-            self._found.append(period)
+            self.add(period)
--- a/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
@@ -31,6 +31,9 @@
 KNOWN_VARIANCE = 0.09
 """Variance of a weight below which it is told from the other kind."""
 
+NOTABLE_CHANGE = 0.3
+"""Change of a weight that is worth a write to the store."""
+
 LOAD_NOISE = 0.1
 """Standard deviation of a load that tails do not explain."""
 
@@ -61,6 +64,45 @@
         return self.value + CAUTION * unsure
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PairWeight:
+    """Hold what is learned of a service image beside a filling image.
+
+    ``weight`` is the load that the filling image would add on all processors
+    of a worker; ``variance`` says how uncertain it is.
+    """
+
+    image: str
+    filling: str
+    weight: float
+    variance: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LearnedPressure:
+    """Hold what a successor of an owner need not learn again.
+
+    ``bases`` are the lowest tails of service images in milliseconds.
+    """
+
+    pairs: tuple[PairWeight, ...] = ()
+    bases: dict[str, int] = dataclasses.field(default_factory=dict)
+    period_ms: float | None = None
+
+    def differs_from(self, other: 'LearnedPressure') -> bool:
+        """Return whether another state would lead to other decisions."""
+        if self.bases != other.bases:
+            return True
+        if (self.period_ms is None) != (other.period_ms is None):
+            return True
+        known = {(p.image, p.filling): p.weight for p in other.pairs}
+        return any(
+            abs(p.weight - known.get((p.image, p.filling), -1.0))
+            > NOTABLE_CHANGE
+            for p in self.pairs
+        )
+
+
 class Pressure:
     """Estimate the load of service tasks beside filling tasks."""
 
@@ -202,6 +244,34 @@
             if run.spec.is_filling
         )
 
+    def learned(self) -> LearnedPressure:
+        """Return what has been learned with some certainty."""
+        pairs = tuple(
+            PairWeight(
+                image=image,
+                filling=filling,
+                weight=round(weight.value, 2),
+                variance=round(weight.variance, 4),
+            )
+            for (image, filling), weight in self._weights.items()
+            if weight.variance < KNOWN_VARIANCE
+        )
+        return LearnedPressure(
+            pairs=pairs,
+            bases=dict(self._bases),
+            period_ms=self._search.period_ms,
+        )
+
+    def restore(self, learned: LearnedPressure) -> None:
+        """Take over what another owner has learned."""
+        for pair in learned.pairs:
+            self._weights[(pair.image, pair.filling)] = _Weight(
+                pair.weight, pair.variance
+            )
+        self._bases.update(learned.bases)
+        if learned.period_ms is not None:
+            self._search.add(learned.period_ms)
+
     def forget_job(self, job: str) -> None:
         """Drop what is known of the load of a job."""
         for key in [key for key in self._histories if key[0] == job]:
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -15,6 +15,7 @@
 STOP_MS = 100
 LEASE_MAX_MS = 6_000
 LEASE_CHECK_MS = 50
+STILL_RETRY_MS = 100
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -27,6 +28,7 @@
     epoch: int
     started_ms: int
     checkpoint: str
+    percent: int = 0
     ended_ms: int = -1
     how: str = ''
     is_acknowledged: bool = False
@@ -51,6 +53,7 @@
 
     ``duration_of`` and ``how_of`` decide how long a run takes and how it
     ends. The worker keeps to the rules of fences, numbers and deadlines.
+    While ``is_still`` is set, tasks make no progress and do not end.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self._sequence = 0
         self._waiting: list[defer.Deferred[None]] = []
         self.is_dead = False
+        self.is_still = False
         self._check_lease()
 
     def _check_lease(self) -> None:
@@ -117,10 +121,27 @@
         self._running[msg.key] = record
         self._clock.call_later(
             self._duration_of(msg.key),
-            lambda: self._end(record, self._how_of(msg.key, msg.number)),
+            lambda: self._finish(record),
         )
         return contracts.StartReply(outcome=outcome.STARTED)
 
+    def _finish(self, record: RunRecord) -> None:
+        """End a run by itself, later if its worker stands still."""
+        if self.is_still:
+            self._clock.call_later(
+                STILL_RETRY_MS, lambda: self._finish(record)
+            )
+            return
+        self._end(record, self._how_of(record.key, record.number))
+
+    def _percent(self, record: RunRecord) -> int:
+        """Return the progress of a run."""
+        if not self.is_still:
+            passed = self._clock.now() - record.started_ms
+            duration = max(1, self._duration_of(record.key))
+            record.percent = min(99, 100 * passed // duration)
+        return record.percent
+
     def stop(self, msg: contracts.StopRun) -> None:
         """Stop a run, or keep it from starting."""
         self._raise_epoch(msg.epoch)
@@ -154,7 +175,7 @@
                     key=record.key,
                     number=record.number,
                     checkpoint='',
-                    percent=100,
+                    percent=self._percent(record),
                 )
                 for record in self._running.values()
             ),
