--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
@@ -0,0 +1,52 @@
+"""Report the state of the cell to operators."""
+
+import oriolestand_core as core
+from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import const
+from oriolestand_fleet.services.cell import models
+from oriolestand_policy import scheduling
+
+
+class Gauges:
+    """Set the gauges of one term at a steady pace."""
+
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        term: models.Term,
+        scheduler: scheduling.Scheduler,
+    ) -> None:
+        self._kernel = kernel
+        self._term = term
+        self._scheduler = scheduler
+        self._next_ms = 0
+
+    def report(self, record_backlog: int) -> None:
+        """Set the gauges if that is due.
+
+        ``record_backlog`` is how many records wait to be written.
+        """
+        now = self._kernel.clock.now()
+        if now < self._next_ms:
+            return
+        self._next_ms = now + const.GAUGE_INTERVAL_MS
+        scheduler = self._scheduler
+        for kind, count in scheduler.ready_by_kind().items():
+            self._set('ready_tasks', count, kind.value)
+        for kind, count in scheduler.running_by_kind().items():
+            self._set('running_tasks', count, kind.value)
+        learned = scheduler.pressure.learned()
+        self._set('service_tasks_over_target', scheduler.harmed_count())
+        self._set('known_image_pairs', len(learned.pairs))
+        self._set('load_period_ms', int(learned.period_ms or 0))
+        self._set('waiting_jobs', scheduler.waiting_jobs())
+        self._set('workers', len(scheduler.workers))
+        self._set('record_backlog', record_backlog)
+        self._set('owner_epoch', self._term.epoch)
+
+    def _set(self, name: str, value: int, label: str = '') -> None:
+        """Set one gauge."""
+        self._kernel.post(
+            telemetry.SERVICE,
+            telemetry.SetGauge(name=name, label=label, value=value),
+        )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -10,8 +10,8 @@
 from oriolestand_fleet import settings
 from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import store
-from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.cell import _fleet_record
+from oriolestand_fleet.services.cell import _gauges
 from oriolestand_fleet.services.cell import _looks
 from oriolestand_fleet.services.cell import _order_sender
 from oriolestand_fleet.services.cell import _pressure_record
@@ -49,6 +49,7 @@
             self._scheduler,
             {job.id: job.record_version for job in snapshot.jobs},
         )
+        self._gauges = _gauges.Gauges(kernel, term, self._scheduler)
         self._lookers: dict[str, _looks.Looker] = {}
         self._dead: set[str] = set()
         self._listed: dict[str, scheduling.WorkerInfo] = {}
@@ -212,7 +213,7 @@
             await self._kernel.sleep(const.TICK_MS)
             self._sync_lookers()
             self._decide()
-            self._report()
+            self._gauges.report(self._saver.backlog)
             learned = defer.ensureDeferred(self._learned.update())
             learned.addErrback(self._on_fault)
             if self._sweeper.is_due:
@@ -274,18 +275,3 @@
                 )
             else:
                 self._orders.send(effect)
-
-    def _report(self) -> None:
-        """Set the gauges of the cell."""
-        gauges = {
-            'ready_tasks': self._scheduler.ready_count,
-            'waiting_jobs': self._scheduler.waiting_jobs(),
-            'workers': len(self._scheduler.workers),
-            'record_backlog': self._saver.backlog,
-            'owner_epoch': self.term.epoch,
-        }
-        for name, value in gauges.items():
-            self._kernel.post(
-                telemetry.SERVICE,
-                telemetry.SetGauge(name=name, label='', value=value),
-            )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -6,6 +6,7 @@
 """Answers that arrive close together lead to one round of decisions."""
 
 TICK_MS = 200
+GAUGE_INTERVAL_MS = 1_000
 LOOK_WAIT_MS = 1_000
 """Long enough to keep looks few, short enough for leases of seconds."""
 
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -39,6 +39,7 @@
 from oriolestand_policy.scheduling._specs import JobSpec
 from oriolestand_policy.scheduling._specs import RoutePolicy
 from oriolestand_policy.scheduling._specs import StepSpec
+from oriolestand_policy.scheduling._specs import TaskKind
 from oriolestand_policy.scheduling._specs import check_job
 
 __all__ = [
@@ -71,6 +72,7 @@
     'StopTask',
     'Task',
     'TaskKey',
+    'TaskKind',
     'Worker',
     'WorkerInfo',
     'check_job',
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -228,10 +228,25 @@
             if job.outcome is None and not job.has_started
         )
 
-    @property
-    def ready_count(self) -> int:
-        """Return how many tasks wait for a worker."""
-        return len(self._cell.ready)
+    def ready_by_kind(self) -> dict[_specs.TaskKind, int]:
+        """Return how many tasks wait for a worker, by their kind."""
+        return _count(task.spec for task in self._cell.ready.values())
+
+    def running_by_kind(self) -> dict[_specs.TaskKind, int]:
+        """Return how many runs take capacity of workers, by their kind."""
+        return _count(
+            run.spec
+            for worker in self._cell.workers.values()
+            for run in worker.runs.values()
+        )
+
+    def harmed_count(self) -> int:
+        """Return how many service tasks are over their target."""
+        return sum(
+            run.over_since_ms >= 0
+            for worker in self._cell.workers.values()
+            for run in worker.runs.values()
+        )
 
     def _open_timed(self, now_ms: int, wall_ms: int) -> None:
         """Make the tasks of occurrences that have fallen due ready."""
@@ -283,3 +298,11 @@
                         worker.info.id, run.key, run.number, 'worker leaves'
                     )
                     self._cell.mark_stop(run, now_ms)
+
+
+def _count(specs: Iterable[_specs.StepSpec]) -> dict[_specs.TaskKind, int]:
+    """Return how many tasks there are of each kind."""
+    counts = dict.fromkeys(_specs.TaskKind, 0)
+    for spec in specs:
+        counts[spec.kind] += 1
+    return counts
--- a/packages/policy/src/oriolestand_policy/scheduling/_specs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_specs.py
@@ -1,10 +1,20 @@
 """Define what a job asks for."""
 
 import dataclasses
+import enum
 
 import oriolestand_core as core
 
 
+class TaskKind(enum.Enum):
+    """Name how tasks use processors; reported in metrics."""
+
+    SERVICE = 'service'
+    FILLING = 'filling'
+    GANG = 'gang'
+    PLAIN = 'plain'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StepSpec:
     """Describe the tasks of one step of a job.
@@ -36,6 +46,19 @@
     is_filling: bool = False
     max_unavailable: int = 0
 
+    @property
+    def kind(self) -> TaskKind:
+        """Return the kind of the step's tasks.
+
+        >>> StepSpec(count=1, is_filling=True).kind
+        <TaskKind.FILLING: 'filling'>
+        """
+        if self.is_service:
+            return TaskKind.SERVICE
+        if self.is_filling:
+            return TaskKind.FILLING
+        return TaskKind.GANG if self.is_gang else TaskKind.PLAIN
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class JobSpec:
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -24,17 +24,22 @@
 
 
 class _TelemetryTask(core.Task):
-    """Drop all metrics."""
+    """Keep the gauges; drop all other metrics."""
 
     def __init__(self, kernel: core.Kernel) -> None:
         super().__init__(kernel, telemetry.SERVICE)
+        self.gauges: dict[tuple[str, str], int] = {}
 
     @core.handles(telemetry.Count)
     @core.handles(telemetry.Observe)
-    @core.handles(telemetry.SetGauge)
     def _on_any(self, msg: object) -> None:
         """Drop a metric."""
 
+    @core.handles(telemetry.SetGauge)
+    def _on_gauge(self, msg: telemetry.SetGauge) -> None:
+        """Keep a gauge."""
+        self.gauges[(msg.name, msg.label)] = msg.value
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Daemon:
