Start jobs first that have slack left

Change: a job that has not started and has less than 0.35 of its first slack left comes after those that have more, before late ones.

--- a/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
@@ -10,6 +10,11 @@
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _specs
 
+START_MARGIN = 0.35
+"""Share of its first slack that a job should have left when it starts. Under
+overload the earliest due time goes first, so that each job would start when
+it can just be in time, and miss by any delay."""
+
 LATE_FACTOR = 3
 """A job that takes this many times its objective has lost all its worth."""
 
@@ -18,8 +23,9 @@
     """Name what a job can still earn; the lowest goes first."""
 
     IN_TIME = 0
-    LATE = 1
-    LOST = 2
+    AT_RISK = 1
+    LATE = 2
+    LOST = 3
 
 
 def remaining_ms(job: _jobs.Job, occurrence: int) -> int:
@@ -50,9 +56,14 @@
     """Return the sort key of a job: its tier, then its due time."""
     due = job.spec.due_ms(occurrence) or job.spec.accepted_ms
     objective = objective_ms(job, route)
-    finish = wall_ms + remaining_ms(job, occurrence)
-    if finish <= due + objective:
+    remaining = remaining_ms(job, occurrence)
+    finish = wall_ms + remaining
+    slack = due + objective - finish
+    margin = 0.0 if job.has_started else START_MARGIN * (objective - remaining)
+    if slack >= max(0.0, margin):
         return (Tier.IN_TIME, due + objective)
+    if slack >= 0:
+        return (Tier.AT_RISK, due + objective)
     if finish <= due + LATE_FACTOR * objective:
         return (Tier.LATE, due + LATE_FACTOR * objective)
     return (Tier.LOST, due)
--- a/packages/policy/tests/scheduling/test_urgency.py
+++ b/packages/policy/tests/scheduling/test_urgency.py
@@ -38,3 +38,30 @@
     bench.scheduler.workers['w1'].avoid_until_ms = bench.now + 1_000
     starts, _ = bench.decide(wall=110_000)
     assert [s.key.job for s in starts] == ['b']
+
+
+def test_job_that_can_just_be_in_time_gives_way_to_a_fresh_one(bench):
+    # Guards against an overload in which each job starts when any delay
+    # makes it late.
+    bench.scheduler.set_routes(
+        [scheduling.RoutePolicy(name='r', pool='p', stretch=3.0)]
+    )
+    bench.add('old', BIG, accepted_ms=108_100)
+    bench.add('new', BIG, accepted_ms=109_900)
+    bench.scheduler.workers['w1'].avoid_until_ms = bench.now + 1_000
+    starts, _ = bench.decide(wall=110_000)
+    # Two of three seconds may pass before the start; 1.9 s have.
+    assert [s.key.job for s in starts] == ['new']
+
+
+def test_job_that_has_started_keeps_its_turn(bench):
+    # Guards against work on the first step of a job that is then given up.
+    bench.scheduler.set_routes(
+        [scheduling.RoutePolicy(name='r', pool='p', stretch=3.0)]
+    )
+    bench.add('old', BIG, accepted_ms=108_100)
+    bench.scheduler.jobs['old'].has_started = True
+    bench.add('new', BIG, accepted_ms=109_900)
+    bench.scheduler.workers['w1'].avoid_until_ms = bench.now + 1_000
+    starts, _ = bench.decide(wall=110_000)
+    assert [s.key.job for s in starts] == ['old']
