Decide less often in a large fleet

A round passes over all 246 workers and 1,400 service tasks, and each answer of a worker asked for one within 5 ms.

Change: a round waits a millisecond longer for every ten workers, 29 ms there.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -222,8 +222,10 @@
     def kick(self) -> None:
         """Decide soon."""
         if self._decide_timer is None and not self.term.is_over:
+            size = len(self._scheduler.workers)
             self._decide_timer = self._kernel.clock.call_later(
-                const.DECIDE_DELAY_MS, self._on_timer
+                const.DECIDE_DELAY_MS + size // const.DECIDE_WORKERS_PER_MS,
+                self._on_timer,
             )
 
     def _on_timer(self) -> None:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -5,6 +5,11 @@
 DECIDE_DELAY_MS = 5
 """Answers that arrive close together lead to one round of decisions."""
 
+DECIDE_WORKERS_PER_MS = 10
+"""A round of decisions passes over all workers: in a larger fleet it waits a
+millisecond longer for this many workers, so that rounds do not take all of a
+slow processor."""
+
 TICK_MS = 200
 GAUGE_INTERVAL_MS = 1_000
 LOOK_WAIT_MS = 1_000
