Check the offer of a worker to filling tasks once in a round

Change: free processors, high tails and room of a worker are worked out once in a round and again after a choice. A round spends 3,000 checks at most on filling tasks that find no room. The list of load histories is made only when a search of the period is due.

--- a/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Sequence
 import dataclasses
 import math
@@ -240,13 +241,13 @@
         """Take over a period that was found before."""
         self._found.append(period_ms)
 
-    def run(self, histories: Sequence[LoadHistory], now_ms: int) -> None:
+    def run(self, histories: Collection[LoadHistory], now_ms: int) -> None:
         """Search the loads of one job, in turn, when that is due."""
         if now_ms < self._next_ms or not histories:
             return
         self._next_ms = now_ms + SEARCH_INTERVAL_MS
         self._turn += 1
-        history = histories[self._turn % len(histories)]
+        history = list(histories)[self._turn % len(histories)]
         period = find_period(history.bins)
         if period is not None:
             self.add(period)
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -3,6 +3,7 @@
 import abc
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -87,20 +88,33 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    """Hold what a worker has for filling tasks.
+
+    ``free`` is in thousandths of a core; ``rooms`` is the load that may still
+    be added, by service image.
+    """
+
+    free: float
+    is_closed: bool
+    rooms: dict[str, float]
+
+
 class MixedPlacement(Placement):
     """Put filling tasks beside the service tasks that they harm least."""
 
     def __init__(self, pressure: _pressure.Pressure) -> None:
         self._pressure = pressure
         self._by_pool: dict[str, list[_fleet.Worker]] = {}
-        self._rooms: dict[str, dict[str, float]] = {}
+        self._offers: dict[str, _Offer] = {}
         self._trials: set[tuple[str, str]] = set()
         self._now_ms = 0
 
     def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
         """Group the usable workers by pool."""
         self._now_ms = now_ms
-        self._rooms.clear()
+        self._offers.clear()
         self._trials.clear()
         by_pool: dict[str, list[_fleet.Worker]] = {}
         for worker in workers:
@@ -139,12 +153,16 @@
             rank = rank_of(worker, task)
             if rank is not None and (best is None or rank < best_rank):
                 best, best_rank = worker, rank
-        if best is not None and task.spec.is_filling:
+        if best is None:
+            return None
+        if task.spec.is_filling:
             self._trials.update(
                 (image, task.spec.image)
-                for image in self._rooms_of(best)
+                for image in self._offer_of(best).rooms
                 if not self._pressure.is_known(image, task.spec.image)
             )
+        # The task that is about to be added changes the offer.
+        self._offers.pop(best.info.id, None)
         return best
 
     def _rank_filling(
@@ -153,35 +171,43 @@
         """Rank by harm to service tasks; None where it would be too much."""
         spec = task.spec
         info = worker.info
-        free = info.cpu - busy_cpu(worker)
-        if free < spec.cpu or has_high_tail(worker):
+        offer = self._offer_of(worker)
+        if offer.free < spec.cpu or offer.is_closed:
             return None
         share = spec.cpu / max(1, info.cpu)
         harm = 0.0
-        for image, room in self._rooms_of(worker).items():
+        for image, room in offer.rooms.items():
             # A pair of which little is known is tried by one task first.
             weigh = self._pressure.weight
             if (image, spec.image) in self._trials:
                 weigh = self._pressure.weight_bound
             added = weigh(image, spec.image) * share
-            if self._pressure.bound_beside(worker, image) + added > room:
+            if added > room:
                 return None
             harm = max(harm, added)
         return (
             *_common_rank(worker, task),
             int(harm / HARM_STEP),
-            -free / info.cpu,
+            -offer.free / info.cpu,
         )
 
-    def _rooms_of(self, worker: _fleet.Worker) -> dict[str, float]:
-        """Return the load that may be added on a worker, by service image."""
-        rooms = self._rooms.get(worker.info.id)
-        if rooms is None:
+    def _offer_of(self, worker: _fleet.Worker) -> _Offer:
+        """Return what a worker has for filling tasks in this round."""
+        offer = self._offers.get(worker.info.id)
+        if offer is None:
             rooms = self._pressure.rooms(
                 worker, self._now_ms, FILLING_AHEAD_MS
             )
-            self._rooms[worker.info.id] = rooms
-        return rooms
+            offer = _Offer(
+                free=worker.info.cpu - busy_cpu(worker),
+                is_closed=has_high_tail(worker),
+                rooms={
+                    image: room - self._pressure.bound_beside(worker, image)
+                    for image, room in rooms.items()
+                },
+            )
+            self._offers[worker.info.id] = offer
+        return offer
 
     def _rank_service(
         self, worker: _fleet.Worker, task: _jobs.Task
--- a/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
@@ -114,7 +114,7 @@
 
     def observe(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Learn from what a worker has just reported of its runs."""
-        self._search.run(list(self._histories.values()), now_ms)
+        self._search.run(self._histories.values(), now_ms)
         shares: dict[str, float] = {}
         for run in worker.runs.values():
             if run.spec.is_filling and run.phase is _fleet.RunPhase.RUNNING:
--- a/packages/policy/src/oriolestand_policy/scheduling/_starts.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_starts.py
@@ -13,6 +13,10 @@
 
 STARTS_PER_ROUND = 200
 
+MISSED_CHECKS_PER_ROUND = 3_000
+"""Checks of workers that a round spends on filling tasks that find no room.
+One takes some 4 us, and under overload hundreds of jobs wait."""
+
 
 class Starts:
     """Choose workers for ready tasks and order the starts."""
@@ -35,6 +39,7 @@
         """Start ready tasks in order of urgency while workers have room."""
         full: set[tuple[object, ...]] = set()
         started = 0
+        misses = MISSED_CHECKS_PER_ROUND // max(1, len(self._cell.workers))
         for task in self._in_order(wall_ms):
             if started >= STARTS_PER_ROUND:
                 return
@@ -47,6 +52,8 @@
             if route is None:
                 continue
             spec = task.spec
+            if spec.is_filling and misses < 0:
+                continue
             shape = (
                 route.pool,
                 spec.cpu,
@@ -65,6 +72,7 @@
             started += begun
             if not begun:
                 full.add(shape)
+                misses -= spec.is_filling
 
     def _in_order(self, wall_ms: int) -> list[_jobs.Task]:
         """Return the ready tasks, the most urgent one first."""
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -6,6 +6,7 @@
 
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _starts
 
 
 def random_spec(rng):
@@ -78,3 +79,22 @@
             assert not task.spec.label or task.spec.label in info.labels
         elif not task.spec.is_filling:
             assert naive is None
+
+
+def test_filling_tasks_without_room_hold_up_no_other(bench, monkeypatch):
+    # Guards against rounds that check all workers for hundreds of filling
+    # jobs, and against a limit on these checks that holds up plain tasks.
+    monkeypatch.setattr(_starts, 'MISSED_CHECKS_PER_ROUND', 4)
+    for number in range(9):
+        spec = scheduling.StepSpec(
+            count=1, cpu=11_000 + number, is_filling=True
+        )
+        bench.add(f'f{number}', spec)
+    fitting = scheduling.StepSpec(count=1, cpu=1_000, is_filling=True)
+    bench.add('g', fitting)
+    bench.add('p', scheduling.StepSpec(count=1, cpu=1_000))
+    started = [start.key.job for start in bench.decide()[0]]
+    assert started == ['p']
+    for number in range(9):
+        bench.scheduler.cancel_job(f'f{number}', bench.now)
+    assert [start.key.job for start in bench.decide()[0]] == ['g']
