--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -98,3 +98,12 @@
     for number in range(9):
         bench.scheduler.cancel_job(f'f{number}', bench.now)
     assert [start.key.job for start in bench.decide()[0]] == ['g']
+
+
+def test_filling_tasks_of_one_round_share_what_is_free(bench):
+    # Guards against an offer that is not worked out again after a choice,
+    # so that a round puts more on a worker than it has.
+    spec = scheduling.StepSpec(count=3, cpu=6_000, is_filling=True)
+    bench.add('f', spec)
+    workers = [start.worker for start in bench.decide()[0]]
+    assert sorted(workers) == ['w0', 'w1']
