Count bytes of the store, age of the replica and delay of the event loop

Cause: the logs and metrics of the lost service tasks could not tell apart a full link, a busy processor and an outdated view: calls were counted, bytes were not.

No decision changes.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -191,14 +191,19 @@
 
     def _on_poll_failed(self, exc: core.OriolestandError) -> None:
         """Count a failed poll; log the first of consecutive failures."""
+        worker = self._scheduler.workers.get(self._worker)
+        domain = worker.info.failure_domain if worker is not None else ''
         self._kernel.post(
             telemetry.SERVICE,
-            telemetry.Count(name='looks', label=exc.code),
+            telemetry.Count(name='looks', label=f'{exc.code} {domain}'),
         )
         if not self._is_unreachable:
             self._is_unreachable = True
             self._log.warning(
-                'Worker cannot be reached', worker=self._worker, why=str(exc)
+                'Worker cannot be reached',
+                worker=self._worker,
+                failure_domain=domain,
+                why=str(exc),
             )
 
 
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -1,5 +1,7 @@
 """Accept jobs, serve their state and keep the replica up to date."""
 
+import collections
+from collections.abc import Sequence
 import json
 from typing import Any
 
@@ -29,6 +31,7 @@
         self._log = core.get_logger(const.DOMAIN)
         self._replica = _replica.Replica()
         self._cursor: int | None = None
+        self._synced_ms: int | None = None
         self._is_store_unreachable = False
         self._is_owner = False
         self._snapshot_requests: list[tuple[int, defer.Deferred[Any]]] = []
@@ -96,6 +99,7 @@
                 table=layout.TABLE, after=cursor, wait_ms=const.FOLLOW_WAIT_MS
             ),
         )
+        self._count_rows(page.rows)
         for row in page.rows:
             self._publish(self._replica.apply(row))
         self._set_synced_version(max(cursor, page.version))
@@ -106,8 +110,20 @@
                 else const.FOLLOW_PAUSE_MS
             )
 
+    def _count_rows(self, rows: Sequence[store.Row]) -> None:
+        """Count the bytes of the received rows by kind."""
+        sizes: collections.Counter[str] = collections.Counter()
+        for row in rows:
+            sizes[row.key.partition('/')[0]] += len(row.value or b'')
+        for kind, size in sizes.items():
+            self.kernel.post(
+                telemetry.SERVICE,
+                telemetry.Count(name='replica_bytes', label=kind, amount=size),
+            )
+
     def _set_synced_version(self, version: int) -> None:
         """Set the version up to which the replica is complete."""
+        self._observe_sync()
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             self._log.info('Store is reached again', version=version)
@@ -121,6 +137,20 @@
                 self._snapshot_requests.remove((min_version, fut))
                 fut.callback(self._replica.snapshot())
 
+    def _observe_sync(self) -> None:
+        """Record the time since the replica was last in sync."""
+        now = self.kernel.clock.now()
+        if self._synced_ms is not None:
+            self.kernel.post(
+                telemetry.SERVICE,
+                telemetry.Observe(
+                    name='replica_sync_interval',
+                    label='',
+                    latency_ms=now - self._synced_ms,
+                ),
+            )
+        self._synced_ms = now
+
     def _on_read_failed(self, exc: core.OriolestandError) -> None:
         """Publish a failed sync; log the first of consecutive failures."""
         if not self._is_store_unreachable:
--- a/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from hdrh import histogram
+from twisted.internet import defer
 from twisted.web import resource
 from twisted.web import server
 
@@ -36,6 +37,21 @@
         self._port = self.kernel.reactor.listenTCP(
             self._address.port, site, interface=self._address.host
         )
+        defer.ensureDeferred(self._measure_loop_delay())
+
+    async def _measure_loop_delay(self) -> None:
+        """Record how late timers fire, which shows a busy processor."""
+        clock = self.kernel.clock
+        while not self.is_stopped:
+            due_ms = clock.now() + const.LOOP_CHECK_INTERVAL_MS
+            await self.kernel.sleep(const.LOOP_CHECK_INTERVAL_MS)
+            self._on_observe(
+                messages.Observe(
+                    name='loop_delay',
+                    label='',
+                    latency_ms=clock.now() - due_ms,
+                )
+            )
 
     def stop(self) -> object:
         """Close the listener."""
--- a/packages/fleet/src/oriolestand_fleet/services/telemetry/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/const.py
@@ -8,3 +8,6 @@
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 MAX_SERIES = 500
 """Limits memory use, as labels can contain values from requests."""
+
+LOOP_CHECK_INTERVAL_MS = 500
+"""How often the delay of the event loop is measured."""
