--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -78,6 +78,7 @@
         self.workers: dict[str, _workers.FleetWorker] = {}
         self.history: list[_workers.RunRecord] = []
         self.durations: dict[str, int] = {}
+        self.payload = 'p'
         self.outcome_of: Callable[[scheduling.TaskKey, int], str] = (
             lambda key, number: 'done'
         )
@@ -167,7 +168,7 @@
         spec = scheduling.JobSpec(
             id=job,
             route=ROUTE,
-            payload='p',
+            payload=self.payload,
             steps=steps or (scheduling.StepSpec(count=2, cpu=1_000),),
             accepted_ms=self.clock.wall(),
         )
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -1,5 +1,6 @@
 """Stand-in for the row store."""
 
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 
@@ -123,12 +124,22 @@
 
 
 class StoreTask(core.Task):
-    """Store service of one daemon, with faults between it and the store."""
+    """Store service of one daemon, with faults between it and the store.
+
+    ``received_bytes`` counts the keys and values of all rows returned.
+    """
 
     def __init__(self, kernel: core.Kernel, store: RowStore) -> None:
         super().__init__(kernel, contracts.SERVICE)
         self._store = store
         self.faults = StoreFaults()
+        self.received_bytes = 0
+
+    def _count_rows(self, rows: Sequence[contracts.Row]) -> None:
+        """Count the bytes of rows that are returned to the daemon."""
+        self.received_bytes += sum(
+            len(row.key) + len(row.value or b'') for row in rows
+        )
 
     async def _simulate_network(self) -> None:
         """Wait for the network latency; raise StoreError if a fault is set."""
@@ -178,6 +189,7 @@
             and key >= msg.start
             and (not msg.end or key < msg.end)
         ]
+        self._count_rows(rows)
         return contracts.RowPage(rows=tuple(rows), version=self._store.version)
 
     @core.handles(contracts.FollowRows)
@@ -202,9 +214,9 @@
         while not new_changes() and self.kernel.clock.now() < end:
             await self._store.wait_for_change(end - self.kernel.clock.now())
         await self._simulate_network()
-        return contracts.RowPage(
-            rows=new_changes(), version=self._store.version
-        )
+        rows = new_changes()
+        self._count_rows(rows)
+        return contracts.RowPage(rows=rows, version=self._store.version)
 
     @core.handles(contracts.ReadConfig)
     def _on_read_config(self, msg: contracts.ReadConfig) -> Any:
