Send followers only the states of jobs

Cause: every daemon followed one table that held everything: the specification of each job, its whole record after each end of a task, and one row with all workers, rewritten at each registration. Each write crossed the link between the regions once for each of the 20 daemons behind it, 2,000 to 5,400 kB/s of 3,750. Polls and orders to the workers of that region share the link, so half of the fleet was out of reach. The class: the cost of a change is multiplied by the number of daemons or the size of the fleet.

Change: three tables. All daemons follow the entry, the cancellation and the state of a job, the owner row and its renewal. The owner alone follows specifications. The progress of jobs, one row for each worker, and the interference model are written for the successor and followed by nobody; a new owner reads them once. Rows of earlier versions are read.

Ruled out: the owner's processor; it used 0.7 cores of 2.15.

Removing a mechanism fails its test: version checks of progress and worker rows (test_commits_of_the_owner_have_no_effect_when_applied_again), the cancelled flag of a job received late, reading worker rows. Test of delayed commits: before, the former test passed without the check; the new one replays every commit.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -8,9 +8,8 @@
 TEST_PREFIX = 'test: '
 
 
-def pytest_collection_modifyitems(items):
-    # Strict: a listed test that passes fails the run, so that the list holds
-    # exactly the tests that fail.
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect listed tests to fail; one that passes fails the run."""
     lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
     listed = {
         line.removeprefix(TEST_PREFIX).strip()
--- a/packages/fleet/src/oriolestand_fleet/_commits.py
+++ b/packages/fleet/src/oriolestand_fleet/_commits.py
@@ -97,16 +97,16 @@
     return outcome
 
 
-async def insert_job_row(
+async def insert_job_rows(
     kernel: core.Kernel,
     table: str,
     part: str,
-    put: store.Put,
+    puts: Sequence[store.Put],
     deadline_ms: int,
 ) -> bool:
-    """Insert a row of a job; return False if it already existed.
+    """Insert rows of a job; return False if the first already existed.
 
-    ``part`` is the partition of the table that holds the row.
+    ``part`` is the partition of the table that holds the rows.
 
     Raises JobNotStoredError if the store refused every attempt, and
     JobInDoubtError if a response was lost and no retry could determine
@@ -115,8 +115,8 @@
     message = store.CommitRows(
         table=table,
         part=part,
-        checks=(store.Check(key=put.key, version=0),),
-        puts=(put,),
+        checks=(store.Check(key=puts[0].key, version=0),),
+        puts=tuple(puts),
     )
     clock = kernel.clock
     end_ms = min(deadline_ms, clock.now() + IN_DOUBT_LIMIT_MS)
--- a/packages/fleet/src/oriolestand_fleet/layout.py
+++ b/packages/fleet/src/oriolestand_fleet/layout.py
@@ -3,6 +3,17 @@
 import zlib
 
 TABLE = 'oriolestand'
+"""Table that every daemon follows: entries, cancellations and states of jobs,
+the owner row and its renewal. Each row crosses the link of every daemon, so
+rows are small and none of them grows with the fleet or with a job."""
+
+SPEC_TABLE = 'oriolestand-specs'
+"""Specifications of jobs, which only the owner of the cell follows."""
+
+OWNER_TABLE = 'oriolestand-owner'
+"""Rows that the owner writes for its successor: progress of jobs, workers and
+the interference model. No daemon follows them."""
+
 CELL_PART = 'cell-0'
 """Part that holds the owner row and the rows that only the owner writes."""
 
@@ -13,9 +24,16 @@
 JOB_PREFIX = 'job/'
 CANCEL_PREFIX = 'cancel/'
 RECORD_PREFIX = 'record/'
+"""The state of a job, which daemons report to callers."""
+
+SPEC_PREFIX = 'spec/'
+PROGRESS_PREFIX = 'progress/'
+WORKER_PREFIX = 'worker/'
 OWNER_KEY = 'owner'
 RENEWAL_KEY = 'renewal'
 FLEET_KEY = 'fleet'
+"""Row of ``TABLE`` in which earlier versions listed all workers."""
+
 PRESSURE_KEY = 'pressure'
 
 
@@ -28,6 +46,11 @@
     return f'jobs-{zlib.crc32(job.encode()) % JOB_PARTS}'
 
 
+def job_parts() -> list[str]:
+    """Return the names of the parts that hold accepted jobs."""
+    return [f'jobs-{number}' for number in range(JOB_PARTS)]
+
+
 def all_parts() -> list[str]:
     """Return the names of all parts of the table."""
-    return [CELL_PART] + [f'jobs-{number}' for number in range(JOB_PARTS)]
+    return [CELL_PART, *job_parts()]
--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -87,34 +87,45 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoredJob:
-    """A job as stored; a ``record_version`` of 0 means no record row."""
+    """A job as stored; a ``progress_version`` of 0 means no progress row."""
 
     id: str
     spec: scheduling.JobSpec
-    progress: scheduling.Progress | None
-    record_version: int
-    is_cancelled: bool
+    progress: scheduling.Progress | None = None
+    progress_version: int = 0
+    is_cancelled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Snapshot:
-    """All jobs and rows of the cell at ``version`` of the store or later."""
+    """All jobs and rows of the owner at ``version`` of the store or later.
+
+    ``jobs`` holds every job that has not ended. ``ended`` holds the Unix time
+    in milliseconds at which ended jobs did so, by id. ``rows`` holds by key
+    the rows of the workers and of the interference model that the former
+    owner wrote.
+    """
 
     jobs: tuple[StoredJob, ...]
-    cell: dict[str, store.Row]
+    ended: dict[str, int]
+    rows: dict[str, store.Row]
     version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GetSnapshot:
-    """Request a Snapshot once the replica has reached a version."""
+    """Request a Snapshot at a version of the store or later.
+
+    From then on, JobAdded is published for new jobs until OwnershipChanged
+    tells that this daemon is not the owner.
+    """
 
     version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class JobAdded:
-    """Event: a job was stored."""
+    """Event: a job was stored. Published only while owning the cell."""
 
     job: StoredJob
 
@@ -128,7 +139,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CellRowChanged:
-    """Event: a row of the cell other than a job record changed."""
+    """Event: a row of the cell other than the state of a job changed."""
 
     row: store.Row
 
--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -74,18 +74,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Check:
-    """Condition on the version of a row; 0 requires that it is absent."""
+    """Condition on the version of a row; 0 requires that it is absent.
+
+    An empty ``table`` means that of the commit.
+    """
 
     key: str
     version: int
+    table: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Put:
-    """Write a row, or remove it if the value is None."""
+    """Write a row, or remove it if the value is None.
+
+    An empty ``table`` means that of the commit.
+    """
 
     key: str
     value: bytes | None
+    table: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -4,6 +4,7 @@
 
 import oriolestand_core as core
 from oriolestand_fleet import layout
+from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import const
@@ -12,10 +13,11 @@
 
 
 class FleetRecord:
-    """Maintain the row that lists the workers that may run tasks.
+    """Maintain one row for each worker that may run tasks.
 
-    No task is started on a worker before the row lists it, so that a
-    successor finds every run of the former owner.
+    No task is started on a worker before its row is written, so that a
+    successor finds every run of the former owner. A change writes only the
+    rows of the workers that changed.
     """
 
     def __init__(
@@ -23,68 +25,102 @@
         kernel: core.Kernel,
         term: models.Term,
         scheduler: scheduling.Scheduler,
-        row: store.Row | None,
+        snapshot: jobs.Snapshot,
         on_ownership_lost: Callable[[str], None],
     ) -> None:
         self._kernel = kernel
         self._term = term
         self._scheduler = scheduler
         self._on_ownership_lost = on_ownership_lost
-        self._version = row.version if row is not None else 0
         self._is_busy = False
-        infos = models.decode_fleet(row.value if row is not None else None)
+        self._versions = {
+            key.removeprefix(layout.WORKER_PREFIX): row.version
+            for key, row in snapshot.rows.items()
+            if key.startswith(layout.WORKER_PREFIX)
+        }
+        infos = models.decode_workers(snapshot.rows)
         self.former_worker_ids = frozenset(info.id for info in infos)
-        self._recorded = self.former_worker_ids
         for info in infos:
             scheduler.add_former_worker(info)
-        scheduler.mark_workers_recorded(self._recorded)
+        scheduler.mark_workers_recorded(self._versions)
 
     async def update(self) -> None:
-        """Write the row until it lists all workers of the scheduler."""
-        self._scheduler.mark_workers_recorded(self._recorded)
+        """Write rows until they match the workers of the scheduler."""
+        self._scheduler.mark_workers_recorded(self._versions)
         if self._is_busy:
             return
         self._is_busy = True
         try:
             while not self._term.is_over:
-                worker_ids = frozenset(self._scheduler.workers)
-                if worker_ids <= self._recorded and not self._is_stale():
+                workers = self._scheduler.workers
+                added = [w for w in workers if w not in self._versions]
+                removed = [w for w in self._versions if w not in workers]
+                if not added and not removed:
                     return
-                if await self._write(worker_ids):
-                    self._recorded = worker_ids
-                    self._scheduler.mark_workers_recorded(worker_ids)
+                batch = (added + removed)[: const.WORKER_BATCH]
+                if await self._write(batch):
+                    await self._kernel.sleep(const.WORKER_WRITE_PAUSE_MS)
                 else:
                     await self._kernel.sleep(const.RETRY_MS)
         finally:
             self._is_busy = False
 
-    def _is_stale(self) -> bool:
-        """Return whether more than half of the recorded workers are gone."""
-        current = len(self._scheduler.workers)
-        return len(self._recorded) > 2 * current + 1
-
-    async def _write(self, worker_ids: frozenset[str]) -> bool:
-        """Commit the list of workers; return whether it was applied."""
-        value = models.encode_fleet(
-            worker.info
-            for worker_id, worker in self._scheduler.workers.items()
-            if worker_id in worker_ids
-        )
+    async def _write(self, worker_ids: list[str]) -> bool:
+        """Commit the rows of workers; return whether they were applied."""
+        puts = [self._put(worker_id) for worker_id in worker_ids]
         outcome = await _owner_commits.commit_as_owner(
             self._kernel,
             self._term,
-            (store.Put(key=layout.FLEET_KEY, value=value),),
-            (store.Check(key=layout.FLEET_KEY, version=self._version),),
+            puts,
+            [
+                store.Check(
+                    key=put.key,
+                    version=self._versions.get(worker_id, 0),
+                    table=layout.OWNER_TABLE,
+                )
+                for worker_id, put in zip(worker_ids, puts, strict=True)
+            ],
         )
         result = outcome.result
         if result is None:
             return False
         if result.is_applied:
-            self._version = result.version
+            for worker_id, put in zip(worker_ids, puts, strict=True):
+                if put.value is None:
+                    del self._versions[worker_id]
+                else:
+                    self._versions[worker_id] = result.version
+            self._scheduler.mark_workers_recorded(
+                w for w in worker_ids if w in self._versions
+            )
             return True
-        for row in result.current:
-            if row.key == layout.FLEET_KEY:
-                self._version = row.version
-            elif row.version != self._term.owner_version:
-                self._on_ownership_lost('another daemon owns the cell')
+        self._refresh_versions(result, worker_ids)
         return False
+
+    def _put(self, worker_id: str) -> store.Put:
+        """Return the write, or the removal, of the row of a worker."""
+        worker = self._scheduler.workers.get(worker_id)
+        value = models.encode_worker(worker.info) if worker else None
+        return store.Put(
+            key=layout.WORKER_PREFIX + worker_id,
+            value=value,
+            table=layout.OWNER_TABLE,
+        )
+
+    def _refresh_versions(
+        self, result: store.CommitResult, worker_ids: list[str]
+    ) -> None:
+        """Update the versions of rows after a conflict.
+
+        An earlier commit without a response may have been applied late.
+        """
+        current = {row.key: row.version for row in result.current}
+        if current.get(layout.OWNER_KEY) != self._term.owner_version:
+            self._on_ownership_lost('another daemon owns the cell')
+            return
+        for worker_id in worker_ids:
+            version = current.get(layout.WORKER_PREFIX + worker_id, 0)
+            if version:
+                self._versions[worker_id] = version
+            else:
+                self._versions.pop(worker_id, None)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_interference_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_interference_record.py
@@ -40,7 +40,13 @@
         outcome = await _owner_commits.commit_as_owner(
             self._kernel,
             self._term,
-            (store.Put(key=layout.PRESSURE_KEY, value=value),),
+            (
+                store.Put(
+                    key=layout.PRESSURE_KEY,
+                    value=value,
+                    table=layout.OWNER_TABLE,
+                ),
+            ),
         )
         if outcome.result is not None and outcome.result.is_applied:
             self._saved = learned
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -1,7 +1,13 @@
-"""Write job records to the store in batches during the term of an owner."""
+"""Write job records to the store in batches during the term of an owner.
+
+The record of a job has two rows. The progress row has all that the next owner
+needs. The state row has what callers are told; every daemon receives it, so it
+is written only when it changes.
+"""
 
 from collections.abc import Iterator
 import json
+from typing import Any
 
 from twisted.internet import defer
 
@@ -15,13 +21,19 @@
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
 
+STATE_FIELDS = ('outcome', 'started')
+"""Fields of the progress that the state row holds as well."""
+
 
 class RecordSaver:
     """Write changed job records, one commit at a time.
 
     Each commit is conditional on the versions of the owner row and of all
-    records in it, so that neither a former owner nor a commit that arrives
-    late can overwrite newer records.
+    progress rows in it, so that neither a former owner nor a commit that
+    arrives late can overwrite newer records. Progress rows therefore stay
+    until the job expires.
+
+    :param versions: versions of the progress rows by job id.
     """
 
     def __init__(
@@ -35,6 +47,7 @@
         self._term = term
         self._scheduler = scheduler
         self._versions = versions
+        self._written_states: dict[str, bytes] = {}
         self._log = core.get_logger(const.DOMAIN)
         self._queued: dict[str, None] = {}
         self._in_flight: set[str] = set()
@@ -56,14 +69,14 @@
     def when_saved(self, jobs: set[str]) -> 'defer.Deferred[None]':
         """Return a Deferred that fires once the jobs' records are written."""
         fut: defer.Deferred[None] = defer.Deferred()
-        unsaved = {job for job in jobs if self._is_unsaved(job)}
+        unsaved = {job for job in jobs if self.is_unsaved(job)}
         if not unsaved:
             fut.callback(None)
         else:
             self._waiters.append((unsaved, fut))
         return fut
 
-    def _is_unsaved(self, job: str) -> bool:
+    def is_unsaved(self, job: str) -> bool:
         """Return whether the record of a job is not yet written."""
         return job in self._queued or job in self._in_flight
 
@@ -80,12 +93,14 @@
     async def _write_batch(self) -> None:
         """Commit the records that were queued first."""
         batch = list(self._queued)[: const.SAVE_BATCH]
-        puts = [put for job in batch for put in self._take_record(job)]
+        states: dict[str, bytes] = {}
+        puts = [put for job in batch for put in self._take_record(job, states)]
         self._in_flight = set(batch)
         checks = [
             store.Check(
-                key=layout.RECORD_PREFIX + job_id,
+                key=layout.PROGRESS_PREFIX + job_id,
                 version=self._versions.get(job_id, 0),
+                table=layout.OWNER_TABLE,
             )
             for job_id in batch
         ]
@@ -107,6 +122,7 @@
         if result is not None and result.is_applied:
             for job_id in batch:
                 self._versions[job_id] = result.version
+            self._written_states.update(states)
             self._fire_waiters()
             return
         for job_id in batch:
@@ -119,8 +135,13 @@
         )
         await self._kernel.sleep(const.SAVE_RETRY_MS)
 
-    def _take_record(self, job_id: str) -> Iterator[store.Put]:
-        """Remove a job from the queue and yield its record if it exists."""
+    def _take_record(
+        self, job_id: str, states: dict[str, bytes]
+    ) -> Iterator[store.Put]:
+        """Remove a job from the queue and yield its rows if it exists.
+
+        Add the state row to ``states`` if it has changed.
+        """
         del self._queued[job_id]
         job = self._scheduler.jobs.get(job_id)
         if job is None:
@@ -128,8 +149,20 @@
         if job.outcome is not None and not job.ended_wall_ms:
             job.ended_wall_ms = self._kernel.clock.wall()
         progress = scheduling.progress_of(job)
-        value = json.dumps(progress, separators=(',', ':')).encode()
-        yield store.Put(key=layout.RECORD_PREFIX + job_id, value=value)
+        yield store.Put(
+            key=layout.PROGRESS_PREFIX + job_id,
+            value=_encode(progress),
+            table=layout.OWNER_TABLE,
+        )
+        state = _encode({k: progress[k] for k in STATE_FIELDS})
+        if self._written_states.get(job_id) != state:
+            states[job_id] = state
+            yield store.Put(key=layout.RECORD_PREFIX + job_id, value=state)
+
+    def forget(self, job_id: str) -> None:
+        """Drop what is kept for a job whose rows were removed."""
+        self._versions.pop(job_id, None)
+        self._written_states.pop(job_id, None)
 
     def _refresh_versions(
         self, result: store.CommitResult, batch: list[str]
@@ -144,16 +177,21 @@
         if owner is None or owner.version != self._term.owner_version:
             raise errors.OwnershipLostError('another daemon owns the cell')
         for job_id in batch:
-            row = current.get(layout.RECORD_PREFIX + job_id)
+            row = current.get(layout.PROGRESS_PREFIX + job_id)
             self._versions[job_id] = 0 if row is None else row.version
 
     def _fire_waiters(self) -> None:
         """Fire the Deferreds whose records are all written."""
         waiting = []
         for unsaved, fut in self._waiters:
-            remaining = {job for job in unsaved if self._is_unsaved(job)}
+            remaining = {job for job in unsaved if self.is_unsaved(job)}
             if remaining:
                 waiting.append((remaining, fut))
             else:
                 fut.callback(None)
         self._waiters = waiting
+
+
+def _encode(value: dict[str, Any]) -> bytes:
+    """Encode a mapping as compact JSON."""
+    return json.dumps(value, separators=(',', ':')).encode()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -244,6 +244,7 @@
             self._log.info(
                 'Claim was lost while loading the cell', epoch=term.epoch
             )
+            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
             return
         assert self._config is not None
         self._owner_term = _term.OwnerTerm(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -53,7 +53,7 @@
             kernel,
             term,
             self._scheduler,
-            {job.id: job.record_version for job in snapshot.jobs},
+            {job.id: job.progress_version for job in snapshot.jobs},
         )
         self._gauges = _gauges.Gauges(kernel, term, self._scheduler)
         self._pollers: dict[str, _worker_poller.WorkerPoller] = {}
@@ -64,14 +64,14 @@
             kernel,
             term,
             self._scheduler,
-            snapshot.cell.get(layout.FLEET_KEY),
+            snapshot,
             on_ownership_lost,
         )
         self._interference_record = _interference_record.InterferenceRecord(
             kernel,
             term,
             self._scheduler.pressure,
-            snapshot.cell.get(layout.PRESSURE_KEY),
+            snapshot.rows.get(layout.PRESSURE_KEY),
         )
         self._orders = _order_sender.OrderSender(
             kernel,
@@ -80,10 +80,15 @@
             self._on_worker_reply,
             on_ownership_lost,
         )
+        self._load(snapshot, config)
         self._sweeper = _sweeper.Sweeper(
-            kernel, term, self._scheduler, cfg.limits.retention_ms
+            kernel,
+            term,
+            self._scheduler,
+            self._saver,
+            snapshot.ended,
+            cfg.limits.retention_ms,
         )
-        self._load(snapshot, config)
 
     def _load(
         self, snapshot: jobs.Snapshot, config: store.FleetConfig
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -35,14 +35,26 @@
 FAR_LATENCY_MS = 25
 CLAIM_RETRY_MS = 300
 
-SAVE_BATCH = 40
-"""Maximum number of records in one commit; the store accepts up to 100
-entries."""
+COMMIT_ENTRIES = 100
+"""Checks and puts that the store accepts in one commit."""
+
+SAVE_BATCH = 32
+"""Maximum number of records in one commit. Each takes up to three entries, and
+the check of the owner takes one."""
+
+WORKER_BATCH = 48
+"""Maximum number of workers in one commit; each takes two entries."""
+
+WORKER_WRITE_PAUSE_MS = 50
+"""Pause between commits of workers, so that one commit covers several that
+register at the same time."""
 
 SAVE_RETRY_MS = 150
 
-SWEEP_INTERVAL_MS = 10_000
-SWEEP_BATCH = 20
+SWEEP_INTERVAL_MS = 3_000
+SWEEP_BATCH = 33
+"""Maximum number of jobs in one commit; each takes up to three entries."""
+
 RETENTION_MARGIN_MS = 30_000
 """Allows for differences between the clocks of daemons."""
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -1,9 +1,11 @@
 """State of an owner's term and encoding of the rows of the cell."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import json
 
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
@@ -58,19 +60,29 @@
     return ownership.Renewal(**json.loads(value))
 
 
-def encode_fleet(workers: Iterable[scheduling.WorkerInfo]) -> bytes:
-    """Encode the row that tells a successor which workers may run tasks."""
-    rows = [[w.id, w.address, w.pool, w.failure_domain] for w in workers]
-    return json.dumps(rows, separators=(',', ':')).encode()
+def encode_worker(worker: scheduling.WorkerInfo) -> bytes:
+    """Encode the row that tells a successor that a worker may run tasks."""
+    row = [worker.address, worker.pool, worker.failure_domain]
+    return json.dumps(row, separators=(',', ':')).encode()
 
 
-def decode_fleet(value: bytes | None) -> list[scheduling.WorkerInfo]:
-    """Decode the fleet row.
+def decode_workers(
+    rows: Mapping[str, store.Row],
+) -> list[scheduling.WorkerInfo]:
+    """Decode the workers in the rows of the former owner.
 
-    The row has no capacities, so the workers have none.
+    The rows have no capacities, so the workers have none. Earlier versions
+    listed all workers in one row.
     """
-    if value is None:
-        return []
+    found: dict[str, list[str]] = {}
+    legacy = rows.get(layout.FLEET_KEY)
+    if legacy is not None and legacy.value is not None:
+        for worker, *fields in json.loads(legacy.value):
+            found[worker] = fields
+    for key, row in rows.items():
+        if key.startswith(layout.WORKER_PREFIX) and row.value is not None:
+            worker = key.removeprefix(layout.WORKER_PREFIX)
+            found[worker] = json.loads(row.value)
     return [
         scheduling.WorkerInfo(
             id=worker,
@@ -80,7 +92,7 @@
             cpu=0,
             memory_mb=0,
         )
-        for worker, address, pool, failure_domain in json.loads(value)
+        for worker, (address, pool, failure_domain) in found.items()
     ]
 
 
--- /dev/null
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -0,0 +1,204 @@
+"""Read what only the owner of the cell needs: job specifications, progress."""
+
+from collections.abc import Iterable
+import json
+from typing import Any
+
+from twisted.internet import defer
+
+import oriolestand_core as core
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import jobs as messages
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.jobs import _replica
+from oriolestand_fleet.services.jobs import const
+from oriolestand_fleet.services.jobs import models
+from oriolestand_policy import scheduling
+
+
+class OwnerView:
+    """Load all jobs for a new owner, then follow new jobs until closed.
+
+    Daemons that do not own the cell hold no specifications, so that neither
+    their memory nor the links to the store carry them.
+    """
+
+    def __init__(self, kernel: core.Kernel, replica: _replica.Replica) -> None:
+        self._kernel = kernel
+        self._replica = replica
+        self._log = core.get_logger(const.DOMAIN)
+        self._cursor = 0
+        self.is_closed = False
+
+    def close(self) -> None:
+        """Stop to follow new jobs."""
+        self.is_closed = True
+
+    async def load(self) -> messages.Snapshot:
+        """Read all specifications and the rows of the former owner.
+
+        The replica must have reached the version of the claim. Fails with
+        StoreError.
+        """
+        specs, version = await self._read_specs()
+        rows, _ = await self._read_part(layout.OWNER_TABLE, layout.CELL_PART)
+        by_key = {row.key: row for row in rows}
+        legacy = self._replica.cell.get(layout.FLEET_KEY)
+        if legacy is not None:
+            by_key[layout.FLEET_KEY] = legacy
+        self._cursor = version
+        return messages.Snapshot(
+            jobs=tuple(
+                self._to_job(job, value, by_key)
+                for job, value in specs.items()
+            ),
+            ended=_ended_jobs(rows),
+            rows={
+                key: row
+                for key, row in by_key.items()
+                if not key.startswith(layout.PROGRESS_PREFIX)
+            },
+            version=version,
+        )
+
+    async def _read_specs(self) -> tuple[dict[str, bytes], int]:
+        """Return the specifications by job id, and the oldest version read."""
+        # Rows of earlier versions held the specification in the job row.
+        specs = {
+            entry.id: entry.spec
+            for entry in self._replica.entries.values()
+            if entry.spec is not None
+        }
+        parts = await _gather(
+            self._read_part(layout.SPEC_TABLE, part)
+            for part in layout.job_parts()
+        )
+        for rows, _ in parts:
+            for row in rows:
+                if row.value is not None:
+                    specs[_job_id(row)] = row.value
+        return specs, min(version for _, version in parts)
+
+    async def _read_part(
+        self, table: str, part: str
+    ) -> tuple[list[store.Row], int]:
+        """Return the rows of a part and the oldest version of its pages."""
+        rows: list[store.Row] = []
+        versions = []
+        start = ''
+        while True:
+            page: store.RowPage = await self._kernel.ask(
+                store.SERVICE,
+                store.ReadRows(table=table, part=part, start=start),
+            )
+            rows += page.rows
+            versions.append(page.version)
+            if not page.has_more or not page.rows:
+                return rows, min(versions)
+            start = page.rows[-1].key + '\0'
+
+    def _to_job(
+        self, job: str, spec: bytes, rows: dict[str, store.Row]
+    ) -> messages.StoredJob:
+        """Return a job with its stored progress."""
+        entry = self._replica.entries.get(job)
+        row = rows.get(layout.PROGRESS_PREFIX + job)
+        progress: scheduling.Progress | None = None
+        if row is not None and row.value is not None:
+            progress = json.loads(row.value)
+        elif entry is not None and entry.record is not None:
+            # Earlier versions stored the progress in the state row.
+            progress = json.loads(entry.record)
+        return messages.StoredJob(
+            id=job,
+            spec=models.decode_spec(spec),
+            progress=progress,
+            progress_version=row.version if row is not None else 0,
+            is_cancelled=entry is not None and entry.is_cancelled,
+        )
+
+    async def follow(self) -> None:
+        """Publish new jobs until closed."""
+        while not self.is_closed:
+            try:
+                await self._follow_once()
+            except store.HistoryLostError as exc:
+                self._log.warning(
+                    'Change history lost, reading all jobs again',
+                    why=str(exc),
+                )
+                await self._read_again()
+            except core.OriolestandError as exc:
+                self._log.warning('New jobs cannot be read', why=str(exc))
+                await self._kernel.sleep(const.RETRY_MS)
+
+    async def _follow_once(self) -> None:
+        """Wait for new jobs and publish them."""
+        page: store.RowPage = await self._kernel.ask(
+            store.SERVICE,
+            store.FollowRows(
+                table=layout.SPEC_TABLE,
+                after=self._cursor,
+                wait_ms=const.FOLLOW_WAIT_MS,
+            ),
+        )
+        if self.is_closed:
+            return
+        for row in page.rows:
+            if row.value is not None:
+                self._publish(_job_id(row), row.value)
+        self._cursor = max(self._cursor, page.version)
+        if page.rows:
+            await self._kernel.sleep(const.OWNER_PAUSE_MS)
+
+    async def _read_again(self) -> None:
+        """Read all specifications and publish them; known jobs are ignored."""
+        try:
+            specs, version = await self._read_specs()
+        except core.OriolestandError as exc:
+            self._log.warning('Jobs cannot be read again', why=str(exc))
+            await self._kernel.sleep(const.RETRY_MS)
+            return
+        if self.is_closed:
+            return
+        for job, value in specs.items():
+            self._publish(job, value)
+        self._cursor = version
+
+    def _publish(self, job: str, value: bytes) -> None:
+        """Publish a job; a cancellation may have been received before it."""
+        entry = self._replica.entries.get(job)
+        stored = messages.StoredJob(
+            id=job,
+            spec=models.decode_spec(value),
+            is_cancelled=entry is not None and entry.is_cancelled,
+        )
+        self._kernel.publish(messages.JobAdded(job=stored))
+
+
+async def _gather(reads: Iterable[Any]) -> list[Any]:
+    """Run reads at the same time; raise the error of the first that fails."""
+    futs = [defer.ensureDeferred(read) for read in reads]
+    try:
+        return await defer.gatherResults(futs, consumeErrors=True)
+    except defer.FirstError as exc:
+        exc.subFailure.raiseException()
+        raise
+
+
+def _ended_jobs(rows: Iterable[store.Row]) -> dict[str, int]:
+    """Return the Unix times in ms at which jobs ended, by job id."""
+    ended = {}
+    for row in rows:
+        if not row.key.startswith(layout.PROGRESS_PREFIX) or not row.value:
+            continue
+        progress = json.loads(row.value)
+        if progress.get('outcome'):
+            job = row.key.removeprefix(layout.PROGRESS_PREFIX)
+            ended[job] = int(progress.get('ended', 0))
+    return ended
+
+
+def _job_id(row: store.Row) -> str:
+    """Return the id of the job that a specification row belongs to."""
+    return row.key.removeprefix(layout.SPEC_PREFIX)
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
@@ -1,4 +1,4 @@
-"""In-memory replica of the table."""
+"""In-memory replica of the table that every daemon follows."""
 
 from collections.abc import Iterable
 
@@ -9,7 +9,7 @@
 
 
 class Replica:
-    """A copy of all jobs and of the rows of the cell.
+    """A copy of the states of all jobs and of the rows of the cell.
 
     ``version`` is the version of the store up to which it is complete.
     """
@@ -42,14 +42,11 @@
         """Apply the row of a job."""
         entry = self._entry(job)
         if row.value is None:
-            entry.body = None
+            entry.clear_row()
             self._drop_if_empty(entry)
-            return []
-        if entry.body is not None:
-            return []
-        entry.set_body(row.value)
-        stored = entry.stored_job()
-        return [messages.JobAdded(job=stored)] if stored else []
+        elif not entry.is_stored:
+            entry.set_row(row.value)
+        return []
 
     def _apply_cancel(self, job: str, row: store.Row) -> list[object]:
         """Apply the row of a cancellation."""
@@ -72,14 +69,14 @@
 
     def _drop_if_empty(self, entry: models.Entry) -> None:
         """Remove the entry of a job that has no rows left."""
-        if entry.body is None and entry.record is None:
+        if not entry.is_stored and entry.record is None:
             if not entry.is_cancelled:
                 self.entries.pop(entry.id, None)
 
     def find(self, job: str, route: str) -> models.Entry | None:
         """Return the entry of a stored job if it belongs to the route."""
         entry = self.entries.get(job)
-        if entry is None or entry.body is None or entry.route != route:
+        if entry is None or entry.route != route:
             return None
         return entry
 
@@ -88,18 +85,7 @@
         return sum(
             1
             for entry in self.entries.values()
-            if entry.route == route
-            and entry.body is not None
-            and entry.state is messages.JobState.QUEUED
-        )
-
-    def snapshot(self) -> messages.Snapshot:
-        """Return all stored jobs and the rows of the cell."""
-        stored = (entry.stored_job() for entry in self.entries.values())
-        return messages.Snapshot(
-            jobs=tuple(job for job in stored if job is not None),
-            cell=dict(self.cell),
-            version=self.version,
+            if entry.route == route and entry.state is messages.JobState.QUEUED
         )
 
     def replace(self, rows: Iterable[store.Row]) -> list[object]:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Sequence
-import json
 from typing import Any
 
 from twisted.internet import defer
@@ -14,6 +13,7 @@
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.jobs import _owner_view
 from oriolestand_fleet.services.jobs import _replica
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
@@ -33,8 +33,8 @@
         self._cursor: int | None = None
         self._synced_ms: int | None = None
         self._is_store_unreachable = False
-        self._is_owner = False
-        self._snapshot_requests: list[tuple[int, defer.Deferred[Any]]] = []
+        self._owner_view: _owner_view.OwnerView | None = None
+        self._sync_waiters: list[tuple[int, defer.Deferred[None]]] = []
 
     def start(self) -> None:
         """Start to follow the table."""
@@ -104,11 +104,7 @@
             self._publish(self._replica.apply(row))
         self._set_synced_version(max(cursor, page.version))
         if page.rows:
-            await self.kernel.sleep(
-                const.OWNER_PAUSE_MS
-                if self._is_owner
-                else const.FOLLOW_PAUSE_MS
-            )
+            await self.kernel.sleep(const.FOLLOW_PAUSE_MS)
 
     def _count_rows(self, rows: Sequence[store.Row]) -> None:
         """Count the bytes of the received rows by kind."""
@@ -132,10 +128,10 @@
         self.kernel.publish(
             messages.ReplicaSyncAttempted(is_reachable=True, is_complete=True)
         )
-        for min_version, fut in list(self._snapshot_requests):
+        for min_version, fut in list(self._sync_waiters):
             if min_version <= version:
-                self._snapshot_requests.remove((min_version, fut))
-                fut.callback(self._replica.snapshot())
+                self._sync_waiters.remove((min_version, fut))
+                fut.callback(None)
 
     def _observe_sync(self) -> None:
         """Record the time since the replica was last in sync."""
@@ -171,20 +167,56 @@
         for event in events:
             self.kernel.publish(event)
 
+    # Jobs for the owner.
+
     @core.handles(messages.OwnershipChanged)
     def _on_ownership(self, msg: messages.OwnershipChanged) -> None:
-        """Shorten the pause between reads while this daemon owns the cell."""
-        self._is_owner = msg.is_owner
+        """Stop to follow specifications when the ownership ends."""
+        if not msg.is_owner:
+            self._close_owner_view()
+
+    def _close_owner_view(self) -> None:
+        """Stop to follow specifications."""
+        if self._owner_view is not None:
+            self._owner_view.close()
+            self._owner_view = None
 
     @core.handles(messages.GetSnapshot)
     def _on_snapshot(
         self, msg: messages.GetSnapshot
-    ) -> 'messages.Snapshot | defer.Deferred[Any]':
-        """Return a snapshot once the replica has reached the version."""
-        if self._cursor is not None and msg.version <= self._cursor:
-            return self._replica.snapshot()
-        fut: defer.Deferred[Any] = defer.Deferred()
-        self._snapshot_requests.append((msg.version, fut))
+    ) -> 'defer.Deferred[messages.Snapshot]':
+        """Load all jobs for a new owner."""
+        return defer.ensureDeferred(self._load_snapshot(msg.version))
+
+    async def _load_snapshot(self, version: int) -> messages.Snapshot:
+        """Return a snapshot and start to follow specifications."""
+        self._close_owner_view()
+        view = _owner_view.OwnerView(self.kernel, self._replica)
+        self._owner_view = view
+        await self._wait_for_sync(version)
+        while True:
+            try:
+                snapshot = await view.load()
+                break
+            except core.OriolestandError as exc:
+                self._log.warning('Jobs cannot be loaded', why=str(exc))
+                await self.kernel.sleep(const.RETRY_MS)
+        defer.ensureDeferred(view.follow()).addErrback(self._on_view_failed)
+        return snapshot
+
+    def _on_view_failed(self, reason: Any) -> None:
+        """Log an unexpected error that ended the following of new jobs."""
+        self._log.error(
+            'Following new jobs failed', reason=reason.getTraceback()
+        )
+
+    def _wait_for_sync(self, version: int) -> 'defer.Deferred[None]':
+        """Return a Deferred that fires once the replica has a version."""
+        fut: defer.Deferred[None] = defer.Deferred()
+        if self._cursor is not None and version <= self._cursor:
+            fut.callback(None)
+        else:
+            self._sync_waiters.append((version, fut))
         return fut
 
     # Requests of callers.
@@ -203,9 +235,7 @@
                 'Job is already stored', job=job, route=msg.spec.route
             )
             return False
-        body = json.dumps(
-            scheduling.job_to_dict(msg.spec), separators=(',', ':')
-        ).encode()
+        body = models.encode_spec(msg.spec)
         try:
             if len(body) > self._row_bytes:
                 raise scheduling.InvalidJobError(
@@ -218,11 +248,21 @@
                 # If no write is sent, the job is certainly not stored, and
                 # the caller can retry at a daemon that reaches the store.
                 raise messages.JobNotStoredError('the store is out of reach')
-            is_new = await _commits.insert_job_row(
+            is_new = await _commits.insert_job_rows(
                 self.kernel,
                 layout.TABLE,
                 layout.part_for_job(job),
-                store.Put(key=layout.JOB_PREFIX + job, value=body),
+                (
+                    store.Put(
+                        key=layout.JOB_PREFIX + job,
+                        value=models.encode_row(msg.spec),
+                    ),
+                    store.Put(
+                        key=layout.SPEC_PREFIX + job,
+                        value=body,
+                        table=layout.SPEC_TABLE,
+                    ),
+                ),
                 msg.deadline_ms - const.DEADLINE_MARGIN_MS,
             )
         except core.OriolestandError as exc:
@@ -292,8 +332,8 @@
         for row in page.rows:
             entry = models.Entry(id=job)
             if row.value is not None:
-                entry.set_body(row.value)
-            if entry.body is not None and entry.route == route:
+                entry.set_row(row.value)
+            if entry.route == route:
                 replicated = self._replica.find(job, route)
                 return replicated.state if replicated else entry.state
         self._log.info('Job does not exist', job=job, version=page.version)
@@ -320,11 +360,11 @@
             )
             return True
         try:
-            await _commits.insert_job_row(
+            await _commits.insert_job_rows(
                 self.kernel,
                 layout.TABLE,
                 layout.part_for_job(msg.job),
-                store.Put(key=layout.CANCEL_PREFIX + msg.job, value=b'{}'),
+                (store.Put(key=layout.CANCEL_PREFIX + msg.job, value=b'{}'),),
                 msg.deadline_ms - const.DEADLINE_MARGIN_MS,
             )
         except core.OriolestandError as exc:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -1,7 +1,8 @@
-"""In-memory state of jobs."""
+"""In-memory state of jobs and encoding of their rows."""
 
 import dataclasses
 import json
+from typing import Any
 
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_policy import scheduling
@@ -15,34 +16,47 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Entry:
-    """The latest received rows of one job and the fields decoded from them."""
+    """What a daemon knows of one job to answer its callers.
+
+    ``route`` is None until the row of the job has been received. ``spec`` is
+    set only for rows of earlier versions, which held the specification.
+    """
 
     id: str
-    body: bytes | None = None
-    route: str = ''
-    is_timed: bool = False
+    route: str | None = None
+    spec: bytes | None = None
     record: bytes | None = None
     record_version: int = 0
     is_cancelled: bool = False
     outcome: str | None = None
     has_started: bool = False
 
-    def set_body(self, body: bytes) -> None:
-        """Apply the job row, which holds the caller's request."""
-        decoded = json.loads(body)
-        self.body = body
+    @property
+    def is_stored(self) -> bool:
+        """Return whether the row of the job has been received."""
+        return self.route is not None
+
+    def set_row(self, value: bytes) -> None:
+        """Apply the row of the job."""
+        decoded = json.loads(value)
         self.route = decoded['route']
-        self.is_timed = bool(decoded.get('repeat_count'))
+        if 'steps' in decoded:
+            self.spec = value
+
+    def clear_row(self) -> None:
+        """Apply the removal of the row of the job."""
+        self.route = None
+        self.spec = None
 
     def set_record(self, record: bytes | None, version: int) -> None:
-        """Apply the record row, which the owner of the cell writes."""
+        """Apply the state row, which the owner of the cell writes."""
         if version < self.record_version:
             return
         self.record = record
         self.record_version = version if record is not None else 0
-        progress = json.loads(record) if record is not None else {}
-        self.outcome = progress.get('outcome')
-        self.has_started = bool(progress.get('started'))
+        state = json.loads(record) if record is not None else {}
+        self.outcome = state.get('outcome')
+        self.has_started = bool(state.get('started'))
 
     @property
     def state(self) -> messages.JobState:
@@ -55,14 +69,22 @@
             return messages.JobState.RUNNING
         return messages.JobState.QUEUED
 
-    def stored_job(self) -> messages.StoredJob | None:
-        """Return the decoded job, or None if its job row is missing."""
-        if self.body is None:
-            return None
-        return messages.StoredJob(
-            id=self.id,
-            spec=scheduling.job_from_dict(json.loads(self.body)),
-            progress=json.loads(self.record) if self.record else None,
-            record_version=self.record_version,
-            is_cancelled=self.is_cancelled,
-        )
+
+def encode_row(spec: scheduling.JobSpec) -> bytes:
+    """Encode the row of a job, which every daemon receives."""
+    return _encode({'route': spec.route})
+
+
+def encode_spec(spec: scheduling.JobSpec) -> bytes:
+    """Encode the specification of a job."""
+    return _encode(scheduling.job_to_dict(spec))
+
+
+def decode_spec(value: bytes) -> scheduling.JobSpec:
+    """Decode the specification of a job."""
+    return scheduling.job_from_dict(json.loads(value))
+
+
+def _encode(value: dict[str, Any]) -> bytes:
+    """Encode a mapping as compact JSON."""
+    return json.dumps(value, separators=(',', ':')).encode()
--- a/packages/fleet/tests/test_failures.py
+++ b/packages/fleet/tests/test_failures.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oriolestand_fleet import layout
 from oriolestand_fleet.messages import jobs
 from oriolestand_policy import scheduling
 from oriolestand_standins.fleet import follower_of
@@ -188,8 +189,37 @@
     assert site.state(daemons[0], 'a' * 16) == 'completed'
     assert len(site.history) == 4
     rows = site.store.rows
-    record = rows[('cell-0', 'record/' + 'a' * 16)]
-    assert json.loads(record.value)['outcome'] == 'completed'
+    for table, prefix in (
+        (layout.TABLE, layout.RECORD_PREFIX),
+        (layout.OWNER_TABLE, layout.PROGRESS_PREFIX),
+    ):
+        row = rows[(table, layout.CELL_PART, prefix + 'a' * 16)]
+        assert json.loads(row.value)['outcome'] == 'completed'
+
+
+def test_commits_of_the_owner_have_no_effect_when_applied_again(site, daemons):
+    # A resent or delayed commit must not revert a record that is newer, nor
+    # bring back a worker that has left.
+    sent = []
+    commit = site.store.commit
+    site.store.commit = lambda msg: sent.append(msg) or commit(msg)
+    site.add_worker('w9')
+    site.submit(daemons[0], 'a' * 16, duration_ms=300)
+    site.run(1_000)
+    site.store.unregister_worker('w9')
+    site.workers['w9'].crash()
+    site.run(12_000)
+    assert site.state(daemons[0], 'a' * 16) == 'completed'
+    before = {
+        key: row.value
+        for key, row in site.store.rows.items()
+        if key[0] == layout.OWNER_TABLE or 'record/' in key[2]
+    }
+    assert len(before) > 3
+    for msg in sent:
+        if any(put.table == layout.OWNER_TABLE for put in msg.puts):
+            assert not commit(msg).is_applied
+    assert {key: site.store.rows[key].value for key in before} == before
 
 
 def test_table_is_read_again_after_the_history_is_lost(site, daemons):
--- a/packages/fleet/tests/test_path.py
+++ b/packages/fleet/tests/test_path.py
@@ -117,9 +117,11 @@
     site.submit(daemons[1], 'b' * 16, duration_ms=400_000)
     for _ in range(170):
         site.run(1_000)
-    keys = {key for _, key in site.store.rows}
+    keys = {key for *_, key in site.store.rows}
     assert 'record/' + 'a' * 16 not in keys
     assert 'job/' + 'a' * 16 not in keys
+    assert 'spec/' + 'a' * 16 not in keys
+    assert 'progress/' + 'a' * 16 not in keys
     assert 'job/' + 'b' * 16 in keys
     for daemon in daemons:
         assert site.state(daemon, 'a' * 16) is None
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -11,6 +11,8 @@
 from oriolestand_policy import scheduling
 
 LATENCY_MS = 4
+MAX_COMMIT_ENTRIES = 100
+"""Checks and puts that the store accepts in one commit."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,22 +21,27 @@
 
     ``is_down``: calls are refused. ``is_unresponsive``: calls get no answer
     and have no effect. ``unanswered_commits``: number of commits that get no
-    answer and are applied after ``effect_delay_ms``.
+    answer and are applied after ``effect_delay_ms``. ``paused_tables``: the
+    change feeds of these tables return nothing.
     """
 
     is_down: bool = False
     is_unresponsive: bool = False
     unanswered_commits: int = 0
     effect_delay_ms: int = 0
+    paused_tables: set[str] = dataclasses.field(default_factory=set)
 
 
 class RowStore:
-    """Versioned rows, configuration and workers, with change feeds."""
+    """Versioned rows, configuration and workers, with change feeds.
+
+    ``rows`` maps table, part and key to a row.
+    """
 
     def __init__(self, clock: core.ManualClock) -> None:
         self.clock = clock
         self.version = 0
-        self.rows: dict[tuple[str, str], contracts.Row] = {}
+        self.rows: dict[tuple[str, str, str], contracts.Row] = {}
         self.changes: list[tuple[str, contracts.Row]] = []
         self.config: contracts.FleetConfig | None = None
         self.config_version = 0
@@ -49,7 +56,8 @@
         current = []
         checks_hold = True
         for check in msg.checks:
-            row = self.rows.get((msg.part, check.key))
+            table = check.table or msg.table
+            row = self.rows.get((table, msg.part, check.key))
             found = row.version if row is not None else 0
             checks_hold = checks_hold and found == check.version
             if row is not None:
@@ -60,6 +68,8 @@
                 version=self.version,
                 current=tuple(current),
             )
+        if len(msg.checks) + len(msg.puts) > MAX_COMMIT_ENTRIES:
+            raise contracts.StoreError('the commit has too many entries')
         self.commits += 1
         self.version += 1
         for put in msg.puts:
@@ -69,11 +79,12 @@
                 value=put.value,
                 version=self.version,
             )
+            table = put.table or msg.table
             if put.value is None:
-                self.rows.pop((msg.part, put.key), None)
+                self.rows.pop((table, msg.part, put.key), None)
             else:
-                self.rows[(msg.part, put.key)] = row
-            self.changes.append((msg.table, row))
+                self.rows[(table, msg.part, put.key)] = row
+            self.changes.append((table, row))
         self._notify_followers()
         return contracts.CommitResult(is_applied=True, version=self.version)
 
@@ -184,8 +195,9 @@
         await self._simulate_network()
         rows = [
             row
-            for (part, key), row in sorted(self._store.rows.items())
-            if part == msg.part
+            for (table, part, key), row in sorted(self._store.rows.items())
+            if table == msg.table
+            and part == msg.part
             and key >= msg.start
             and (not msg.end or key < msg.end)
         ]
@@ -214,6 +226,9 @@
         while not new_changes() and self.kernel.clock.now() < end:
             await self._store.wait_for_change(end - self.kernel.clock.now())
         await self._simulate_network()
+        if msg.table in self.faults.paused_tables:
+            await self.kernel.sleep(msg.wait_ms)
+            return contracts.RowPage(rows=(), version=msg.after)
         rows = new_changes()
         self._count_rows(rows)
         return contracts.RowPage(rows=rows, version=self._store.version)
