Read the newest configuration during a burst of changes

Cause: the change feed sends every version, 360 kB each, to each of 41 daemons. An instance with a link of 10 Mbit/s was 25 s behind, the far region 35 s.

Change: after a change that is large, or that follows another within 2 s, the daemon pauses and reads the newest version until there is none, then follows the feed again.

A single small change is read once, as before.

--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -141,10 +141,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigPage:
-    """The configuration, or None if it is missing or unchanged."""
+    """The configuration, or None if it is missing or unchanged.
+
+    ``size_bytes`` is the size of all versions that the response carried.
+    """
 
     config: FleetConfig | None
     cursor: int
+    size_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/config/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_task.py
@@ -20,6 +20,8 @@
         self._config: store.FleetConfig | None = None
         self._cursor: int | None = None
         self._is_unreachable = False
+        self._is_burst = False
+        self._changed_ms = -const.BURST_GAP_MS
         self._loop: Any = None
 
     def start(self) -> None:
@@ -43,7 +45,7 @@
     async def _read_next(self) -> None:
         """Read the configuration or its next change and advance the cursor."""
         message: object = store.ReadConfig()
-        if self._cursor is not None:
+        if self._cursor is not None and not self._is_burst:
             message = store.FollowConfig(
                 after=self._cursor, wait_ms=const.FOLLOW_WAIT_MS
             )
@@ -51,12 +53,23 @@
         if self._is_unreachable:
             self._is_unreachable = False
             self._log.info('Configuration can be read again')
-        if page.config is not None:
-            self._apply(page.config)
+        is_new = page.config is not None and self._apply(page.config)
         if self._config is None and page.config is None:
             # There is no configuration yet; retry soon, as reads are cheap.
             await self.kernel.sleep(const.RETRY_MS)
         self._cursor = max(self._cursor or 0, page.cursor)
+        self._is_burst = is_new and self._starts_burst(page.size_bytes)
+        if self._is_burst:
+            await self.kernel.sleep(_burst_pause_ms(page.size_bytes))
+
+    def _starts_burst(self, size_bytes: int) -> bool:
+        """Return whether further changes are to be skipped after a change."""
+        now = self.kernel.clock.now()
+        gap_ms, self._changed_ms = now - self._changed_ms, now
+        return (
+            gap_ms < const.BURST_GAP_MS
+            or size_bytes >= const.LARGE_CONFIG_BYTES
+        )
 
     def _on_read_failed(self, exc: core.OriolestandError) -> None:
         """Log the first of consecutive failures."""
@@ -64,11 +77,11 @@
             self._is_unreachable = True
             self._log.warning('Configuration cannot be read', why=str(exc))
 
-    def _apply(self, config: store.FleetConfig) -> None:
-        """Publish a configuration if it is newer than the current one."""
+    def _apply(self, config: store.FleetConfig) -> bool:
+        """Publish a configuration and return True if it is a newer one."""
         current = self._config
         if current is not None and config.version <= current.version:
-            return
+            return False
         self._config = config
         self._log.info(
             'Configuration in force',
@@ -85,3 +98,16 @@
         self.kernel.publish(
             messages.ConfigChanged(config=config), is_state=True
         )
+        return True
+
+
+def _burst_pause_ms(size_bytes: int) -> int:
+    """Return the pause after a change of a size during a burst.
+
+    >>> _burst_pause_ms(5_000), _burst_pause_ms(180_000)
+    (200, 500)
+    """
+    pause_ms = size_bytes // const.BURST_BYTES_PER_MS
+    return max(
+        const.MIN_BURST_PAUSE_MS, min(pause_ms, const.MAX_BURST_PAUSE_MS)
+    )
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -35,7 +35,8 @@
 class RowStore:
     """Versioned rows, configuration and workers, with change feeds.
 
-    ``rows`` maps table, part and key to a row.
+    ``rows`` maps table, part and key to a row. ``config_bytes`` is the size
+    that each version of the configuration counts as.
     """
 
     def __init__(self, clock: core.ManualClock) -> None:
@@ -44,7 +45,8 @@
         self.rows: dict[tuple[str, str, str], contracts.Row] = {}
         self.changes: list[tuple[str, contracts.Row]] = []
         self.config: contracts.FleetConfig | None = None
-        self.config_version = 0
+        self.config_versions: list[int] = []
+        self.config_bytes = 0
         self.workers: dict[str, scheduling.WorkerInfo] = {}
         self.worker_changes: list[tuple[int, str]] = []
         self.oldest_cursor = 0
@@ -92,7 +94,7 @@
         """Store a configuration."""
         self.version += 1
         self.config = config
-        self.config_version = self.version
+        self.config_versions.append(self.version)
         self._notify_followers()
 
     def register_worker(self, info: scheduling.WorkerInfo) -> None:
@@ -241,8 +243,16 @@
     async def _read_config(self) -> contracts.ConfigPage:
         """Return the configuration."""
         await self._simulate_network()
+        return self._to_config_page(1)
+
+    def _to_config_page(self, version_count: int) -> contracts.ConfigPage:
+        """Return the newest of some versions and count the bytes of all."""
+        size_bytes = version_count * self._store.config_bytes
+        self.received_bytes += size_bytes
         return contracts.ConfigPage(
-            config=self._store.config, cursor=self._store.version
+            config=self._store.config if version_count else None,
+            cursor=self._store.version,
+            size_bytes=size_bytes,
         )
 
     @core.handles(contracts.FollowConfig)
@@ -253,18 +263,18 @@
     async def _follow_config(
         self, msg: contracts.FollowConfig
     ) -> contracts.ConfigPage:
-        """Return the configuration if it changes after a version."""
+        """Return the versions of the configuration after a cursor."""
         await self._simulate_network()
         end = self.kernel.clock.now() + msg.wait_ms
         store = self._store
-        while (
-            store.config_version <= msg.after and self.kernel.clock.now() < end
-        ):
+
+        def count_new() -> int:
+            return sum(v > msg.after for v in store.config_versions)
+
+        while not count_new() and self.kernel.clock.now() < end:
             await store.wait_for_change(end - self.kernel.clock.now())
-        is_new = store.config_version > msg.after
-        return contracts.ConfigPage(
-            config=store.config if is_new else None, cursor=store.version
-        )
+        await self._simulate_network()
+        return self._to_config_page(count_new())
 
     @core.handles(contracts.ReadWorkers)
     def _on_read_workers(self, msg: contracts.ReadWorkers) -> Any:
