Make a claim from a silent owner conditional on its last renewal

Cause: a daemon that received changes of the store seconds late took the cell from an owner that renewed. The claim was conditional on the owner row only, which a renewal does not change.

Change: a claim with reason silent also names the version of the renewal row that the claimant knows, so that the store refuses it after a newer renewal. Claims for other reasons need no such condition: without an owner, or after a release, the version of the owner row excludes a renewal, and a late renewal of an earlier incarnation must not delay its successor. The daemon applies the current rows of a refusal, so that the silence starts anew, and ignores older versions that reach it later. It logs the known and the current renewal and the age of its view. A claim without a response is logged as in_doubt, not as lost.

Stand-ins: StoreFaults.change_delay_ms delays the changes that reach a daemon.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -117,25 +117,37 @@
     @core.handles(jobs.CellRowChanged)
     def _on_row(self, msg: jobs.CellRowChanged) -> None:
         """Apply a changed owner or renewal row."""
-        row = msg.row
-        now = self.kernel.clock.now()
-        if row.key == layout.OWNER_KEY:
-            owner = models.decode_owner(row.value)
-            self._owner_version = row.version
-            self._election.on_owner(owner, now)
-            self._log.info(
-                'Owner changed',
-                owner=owner.instance if owner else None,
-                epoch=owner.epoch if owner else None,
-                version=row.version,
-            )
-            if self._owner_term is not None:
-                if row.version > self._owner_term.term.owner_version:
-                    self._end_term('the owner row was replaced')
-        elif row.key == layout.RENEWAL_KEY:
+        self._apply_row(msg.row)
+
+    def _apply_row(self, row: store.Row) -> None:
+        """Apply the owner or renewal row unless a newer version is known.
+
+        The response to a refused commit may be newer than the replica.
+        """
+        if row.key == layout.OWNER_KEY and row.version > self._owner_version:
+            self._apply_owner(row)
+        elif (
+            row.key == layout.RENEWAL_KEY
+            and row.version > self._renewal_version
+        ):
             self._renewal_version = row.version
             renewal = models.decode_renewal(row.value)
-            self._election.on_renewal(renewal, now)
+            self._election.on_renewal(renewal, self.kernel.clock.now())
+
+    def _apply_owner(self, row: store.Row) -> None:
+        """Apply the owner row; end the term if there is a newer owner."""
+        owner = models.decode_owner(row.value)
+        self._owner_version = row.version
+        self._election.on_owner(owner, self.kernel.clock.now())
+        self._log.info(
+            'Owner changed',
+            owner=owner.instance if owner else None,
+            epoch=owner.epoch if owner else None,
+            version=row.version,
+        )
+        if self._owner_term is not None:
+            if row.version > self._owner_term.term.owner_version:
+                self._end_term('the owner row was replaced')
 
     @core.handles(jobs.ReplicaSyncAttempted)
     def _on_replica_sync(self, msg: jobs.ReplicaSyncAttempted) -> None:
@@ -176,16 +188,23 @@
             epoch=(former.epoch if former else 0) + 1,
         )
         sent_ms = self.kernel.clock.now()
-        version, error = await self._write_claim(owner)
+        view_age_ms = self._election.silent_ms(sent_ms)
+        value = models.encode_owner(owner)
+        outcome = await self._write_claim(reason, owner, value)
+        version = _version_of_claim(outcome, value)
         self._log.info(
             'Claim of the cell',
             reason=reason.value,
             epoch=owner.epoch,
             former=former.instance if former else None,
-            outcome='lost' if version is None else 'won',
-            why=error,
+            outcome=_describe_outcome(outcome, version),
+            why=outcome.error,
         )
         if version is None:
+            if outcome.result is not None:
+                self._apply_refusal(
+                    outcome.result, former, former_renewal, view_age_ms
+                )
             await self.kernel.sleep(const.CLAIM_RETRY_MS)
             return
         self._count('claims', reason.value)
@@ -203,27 +222,30 @@
         )
 
     async def _write_claim(
-        self, owner: ownership.Owner
-    ) -> tuple[int | None, str]:
-        """Commit the claim.
-
-        Return the version of the owner row, or None if the claim failed, and
-        the last error.
-        """
-        value = models.encode_owner(owner)
+        self,
+        reason: ownership.ClaimReason,
+        owner: ownership.Owner,
+        value: bytes,
+    ) -> _commits.CommitOutcome:
+        """Commit the owner row and its first renewal."""
+        checks = [
+            store.Check(key=layout.OWNER_KEY, version=self._owner_version)
+        ]
+        if reason.depends_on_renewal:
+            checks.append(
+                store.Check(
+                    key=layout.RENEWAL_KEY, version=self._renewal_version
+                )
+            )
         renewal = ownership.Renewal(
             epoch=owner.epoch, count=0, is_settled=False
         )
-        outcome = await _commits.try_commit(
+        return await _commits.try_commit(
             self.kernel,
             store.CommitRows(
                 table=layout.TABLE,
                 part=layout.CELL_PART,
-                checks=(
-                    store.Check(
-                        key=layout.OWNER_KEY, version=self._owner_version
-                    ),
-                ),
+                checks=tuple(checks),
                 puts=(
                     store.Put(key=layout.OWNER_KEY, value=value),
                     store.Put(
@@ -233,7 +255,31 @@
                 ),
             ),
         )
-        return _version_of_claim(outcome, value), outcome.error
+
+    def _apply_refusal(
+        self,
+        result: store.CommitResult,
+        known_owner: ownership.Owner | None,
+        known_renewal: ownership.Renewal | None,
+        view_age_ms: int,
+    ) -> None:
+        """Apply the current rows of the cell; log how old the view was.
+
+        ``view_age_ms``: how long before the claim the rows that it was based
+        on were received.
+        """
+        for row in result.current:
+            self._apply_row(row)
+        owner = self._election.owner
+        renewal = self._election.renewal
+        self._log.info(
+            'Claim was based on an old view',
+            known_epoch=known_owner.epoch if known_owner else None,
+            known_renewal=known_renewal.count if known_renewal else None,
+            current_epoch=owner.epoch if owner else None,
+            current_renewal=renewal.count if renewal else None,
+            view_age_ms=view_age_ms,
+        )
 
     async def _start_term(self, term: models.Term) -> None:
         """Load the state of the cell and start to act as its owner."""
@@ -351,6 +397,17 @@
         )
 
 
+def _describe_outcome(
+    outcome: _commits.CommitOutcome, version: int | None
+) -> str:
+    """Return the outcome of a claim for the log."""
+    if version is not None:
+        return 'won'
+    if outcome.result is not None:
+        return 'refused'
+    return 'in_doubt' if outcome.is_in_doubt else 'failed'
+
+
 def _version_of_claim(
     outcome: _commits.CommitOutcome, value: bytes
 ) -> int | None:
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -4,7 +4,9 @@
 A second row, which the owner updates every second, renews its ownership. A
 daemon claims the cell if it has no owner, if the owner released it, if the
 owner is an earlier incarnation of the daemon itself, or if the owner has not
-renewed for some time although the store was reachable.
+renewed for some time although the store was reachable. A daemon may receive
+changes of the store late, so a claim for the last reason is conditional on the
+renewal row too.
 """
 
 import dataclasses
@@ -38,6 +40,16 @@
     SAME_INSTANCE = 'same_instance'
     SILENT = 'silent'
 
+    @property
+    def depends_on_renewal(self) -> bool:
+        """Return whether a renewal that the claimant missed voids the claim.
+
+        Without an owner, or after a release, no renewal can be written. An
+        earlier incarnation cannot act any more, although a last renewal of
+        it may still arrive.
+        """
+        return self is ClaimReason.SILENT
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Owner:
@@ -97,11 +109,17 @@
         elif self._silent_since_ms is None:
             self._silent_since_ms = now_ms
 
+    def silent_ms(self, now_ms: int) -> int:
+        """Return the time since the last change while the store answered."""
+        if self._silent_since_ms is None:
+            return 0
+        return now_ms - self._silent_since_ms
+
     def claim_reason(self, now_ms: int) -> ClaimReason | None:
         """Return the reason to claim the cell now, or None."""
         if self._silent_since_ms is None:
             return None
-        silent_ms = now_ms - self._silent_since_ms
+        silent_ms = self.silent_ms(now_ms)
         owner = self.owner
         if owner is not None and owner.instance == self._instance:
             if owner.incarnation == self._incarnation:
--- a/packages/policy/tests/ownership/test_election.py
+++ b/packages/policy/tests/ownership/test_election.py
@@ -50,6 +50,14 @@
     assert reason is ownership.ClaimReason.SAME_INSTANCE
 
 
+@pytest.mark.parametrize('reason', list(ownership.ClaimReason))
+def test_only_a_claim_from_a_silent_owner_depends_on_the_renewal(reason):
+    # Guards against a late renewal of an ended process that blocks the claim
+    # of its successor.
+    expected = reason is ownership.ClaimReason.SILENT
+    assert reason.depends_on_renewal is expected
+
+
 @pytest.mark.parametrize(
     ('reason', 'is_settled', 'expected'),
     [
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -1,5 +1,6 @@
 """Stand-in for the row store."""
 
+import bisect
 from collections.abc import Sequence
 import dataclasses
 from typing import Any
@@ -22,7 +23,8 @@
     ``is_down``: calls are refused. ``is_unresponsive``: calls get no answer
     and have no effect. ``unanswered_commits``: number of commits that get no
     answer and are applied after ``effect_delay_ms``. ``paused_tables``: the
-    change feeds of these tables return nothing.
+    change feeds of these tables return nothing. ``change_delay_ms``: how long
+    after a commit its changes reach the daemon.
     """
 
     is_down: bool = False
@@ -30,6 +32,7 @@
     unanswered_commits: int = 0
     effect_delay_ms: int = 0
     paused_tables: set[str] = dataclasses.field(default_factory=set)
+    change_delay_ms: int = 0
 
 
 class RowStore:
@@ -51,6 +54,8 @@
         self.worker_changes: list[tuple[int, str]] = []
         self.oldest_cursor = 0
         self.commits = 0
+        self._commit_versions: list[int] = []
+        self._commit_times_ms: list[int] = []
         self._followers: list[defer.Deferred[None]] = []
 
     def commit(self, msg: contracts.CommitRows) -> contracts.CommitResult:
@@ -74,6 +79,8 @@
             raise contracts.StoreError('the commit has too many entries')
         self.commits += 1
         self.version += 1
+        self._commit_versions.append(self.version)
+        self._commit_times_ms.append(self.clock.now())
         for put in msg.puts:
             row = contracts.Row(
                 part=msg.part,
@@ -90,6 +97,13 @@
         self._notify_followers()
         return contracts.CommitResult(is_applied=True, version=self.version)
 
+    def version_at(self, time_ms: int) -> int:
+        """Return the newest version without commits after a time."""
+        index = bisect.bisect_right(self._commit_times_ms, time_ms)
+        if index == len(self._commit_versions):
+            return self.version
+        return self._commit_versions[index] - 1
+
     def set_config(self, config: contracts.FleetConfig) -> None:
         """Store a configuration."""
         self.version += 1
@@ -217,11 +231,16 @@
         if msg.after < self._store.oldest_cursor:
             raise contracts.HistoryLostError('changes were dropped')
 
+        def newest_version() -> int:
+            delay_ms = self.faults.change_delay_ms
+            return self._store.version_at(self.kernel.clock.now() - delay_ms)
+
         def new_changes() -> tuple[contracts.Row, ...]:
             return tuple(
                 row
                 for table, row in self._store.changes
-                if table == msg.table and row.version > msg.after
+                if table == msg.table
+                and msg.after < row.version <= newest_version()
             )
 
         end = self.kernel.clock.now() + msg.wait_ms
@@ -233,7 +252,7 @@
             return contracts.RowPage(rows=(), version=msg.after)
         rows = new_changes()
         self._count_rows(rows)
-        return contracts.RowPage(rows=rows, version=self._store.version)
+        return contracts.RowPage(rows=rows, version=newest_version())
 
     @core.handles(contracts.ReadConfig)
     def _on_read_config(self, msg: contracts.ReadConfig) -> Any:
