Claim the cell again after an unanswered claim or a failed term

Cause: a daemon that the owner row named, but that had no term, never claimed the cell: neither after a claim that was applied without a response, nor after a term that ended because it could not be renewed. The cell had no acting owner until another daemon timed out.

Change: the new reason inactive claims the cell at once with the next epoch. The daemon waits for runs of former owners as after a release if the last renewal of its own epoch was settled. The renewal of an unanswered claim is not, so the wait then also covers the owner before that claim; the renewal of another epoch is not taken into account. Claims of a daemon are at least 300 ms apart, then 600 and 1,200 ms, then 4,800 ms, which lets other daemons replace one that cannot act; another owner or 10 s without a claim reset this. A refused renewal applies the current rows, so that a replaced owner with a late view does not claim the cell again.

const.CLAIM_RETRY_MS of the cell service has no use any more.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -1,5 +1,6 @@
 """Claim, renew and release ownership of the cell."""
 
+from collections.abc import Iterable
 from typing import Any
 
 from twisted.internet import defer
@@ -117,22 +118,20 @@
     @core.handles(jobs.CellRowChanged)
     def _on_row(self, msg: jobs.CellRowChanged) -> None:
         """Apply a changed owner or renewal row."""
-        self._apply_row(msg.row)
+        self._apply_rows([msg.row])
 
-    def _apply_row(self, row: store.Row) -> None:
-        """Apply the owner or renewal row unless a newer version is known.
+    def _apply_rows(self, rows: Iterable[store.Row]) -> None:
+        """Apply owner and renewal rows unless a newer version is known.
 
         The response to a refused commit may be newer than the replica.
         """
-        if row.key == layout.OWNER_KEY and row.version > self._owner_version:
-            self._apply_owner(row)
-        elif (
-            row.key == layout.RENEWAL_KEY
-            and row.version > self._renewal_version
-        ):
-            self._renewal_version = row.version
-            renewal = models.decode_renewal(row.value)
-            self._election.on_renewal(renewal, self.kernel.clock.now())
+        for row in rows:
+            if row.key == layout.OWNER_KEY:
+                if row.version > self._owner_version:
+                    self._apply_owner(row)
+            elif row.key == layout.RENEWAL_KEY:
+                if row.version > self._renewal_version:
+                    self._apply_renewal(row)
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
@@ -149,6 +148,12 @@
             if row.version > self._owner_term.term.owner_version:
                 self._end_term('the owner row was replaced')
 
+    def _apply_renewal(self, row: store.Row) -> None:
+        """Apply the renewal row."""
+        self._renewal_version = row.version
+        renewal = models.decode_renewal(row.value)
+        self._election.on_renewal(renewal, self.kernel.clock.now())
+
     @core.handles(jobs.ReplicaSyncAttempted)
     def _on_replica_sync(self, msg: jobs.ReplicaSyncAttempted) -> None:
         """Tell the election whether the replica is in sync with the store."""
@@ -181,7 +186,7 @@
     async def _claim(self, reason: ownership.ClaimReason) -> None:
         """Write the owner row and, if that succeeds, start a term."""
         former = self._election.owner
-        former_renewal = self._election.renewal
+        former_renewal = self._election.renewal_of_owner
         owner = ownership.Owner(
             instance=self._cfg.instance,
             incarnation=self._incarnation,
@@ -189,6 +194,7 @@
         )
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
+        self._election.on_claim(sent_ms)
         value = models.encode_owner(owner)
         outcome = await self._write_claim(reason, owner, value)
         version = _version_of_claim(outcome, value)
@@ -205,7 +211,6 @@
                 self._apply_refusal(
                     outcome.result, former, former_renewal, view_age_ms
                 )
-            await self.kernel.sleep(const.CLAIM_RETRY_MS)
             return
         self._count('claims', reason.value)
         now = self.kernel.clock.now()
@@ -268,8 +273,7 @@
         ``view_age_ms``: how long before the claim the rows that it was based
         on were received.
         """
-        for row in result.current:
-            self._apply_row(row)
+        self._apply_rows(result.current)
         owner = self._election.owner
         renewal = self._election.renewal
         self._log.info(
@@ -331,6 +335,7 @@
             if result is not None and result.is_applied:
                 term.renewed_ms = sent_ms
             elif result is not None:
+                self._apply_rows(result.current)
                 self._end_term('the renewal was refused')
             else:
                 self._on_renewal_failed(term, outcome.error)
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -5,6 +5,10 @@
 
 import pytest
 
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.cell import models
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins.fleet import follower_of
 from oriolestand_standins.fleet import owner_of
@@ -14,9 +18,8 @@
 
 def stored_owner(site):
     """Return the content of the owner row."""
-    return json.loads(
-        site.store.rows[('oriolestand', 'cell-0', 'owner')].value
-    )
+    key = (layout.TABLE, layout.CELL_PART, layout.OWNER_KEY)
+    return json.loads(site.store.rows[key].value)
 
 
 def record_claims(site):
@@ -25,7 +28,7 @@
     commit = site.store.commit
 
     def record(msg):
-        if any(put.key == 'owner' for put in msg.puts):
+        if any(put.key == layout.OWNER_KEY for put in msg.puts):
             times.append(site.clock.now())
         return commit(msg)
 
@@ -33,6 +36,11 @@
     return times
 
 
+def acting_owners(daemons):
+    """Return the daemons that act as owner."""
+    return [daemon for daemon in daemons if daemon.is_owner]
+
+
 @pytest.mark.parametrize('delay_ms', [2_000, 3_000, 5_000, 9_000])
 def test_late_view_does_not_replace_a_healthy_owner(site, daemons, delay_ms):
     # A daemon that receives renewals seconds late must not take the cell
@@ -88,3 +96,104 @@
         versions.append(cell._renewal_version)
     assert versions == sorted(versions)
     assert versions[-1] > versions[0]
+
+
+@pytest.mark.parametrize(
+    ('unanswered_commits', 'effect_delay_ms'), [(2, 0), (2, 1_200), (4, 3_000)]
+)
+def test_unanswered_claim_does_not_leave_the_cell_without_an_owner(
+    site, daemons, unanswered_commits, effect_delay_ms
+):
+    # A claim may be applied, also late, although its response is lost.
+    site.submit(daemons[0], 'a' * 16, duration_ms=9_000)
+    site.run(500)
+    lost = owner_of(daemons)
+    rest = [daemon for daemon in daemons if daemon is not lost]
+    for daemon in rest:
+        daemon.store.faults.unanswered_commits = unanswered_commits
+        daemon.store.faults.effect_delay_ms = effect_delay_ms
+    lost.disconnect()
+    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 10_000)
+    site.run_until(lambda: acting_owners(rest) != [], 2_000)
+    for daemon in rest:
+        daemon.store.faults.unanswered_commits = 0
+    site.submit(rest[0], 'b' * 16, duration_ms=1_000)
+    site.run(15_000)
+    assert len(acting_owners(rest)) == 1
+    assert site.overlapping_runs() == []
+    assert site.state(rest[0], 'a' * 16) == 'completed'
+    assert site.state(rest[0], 'b' * 16) == 'completed'
+    assert [run.outcome for run in site.history].count('done') == 4
+
+
+def test_owner_before_an_unanswered_claim_is_waited_for(site, daemons):
+    # That owner may still extend leases of a worker that only it reaches, so
+    # the tasks there must not start elsewhere.
+    site.submit(daemons[0], 'a' * 16, ONE_TASK, duration_ms=30_000)
+    site.run(500)
+    worker = site.history[0].worker
+    lost = owner_of(daemons)
+    rest = [daemon for daemon in daemons if daemon is not lost]
+    for daemon in rest:
+        daemon.orders.faults.unreachable = {worker}
+        daemon.store.faults.unanswered_commits = 2
+    lost.store.faults.is_unresponsive = True
+    lost.orders.faults.unreachable = set(site.workers) - {worker}
+    site.run_until(lambda: acting_owners(rest) != [], 8_000)
+    site.run(25_000)
+    assert site.overlapping_runs() == []
+    assert len(site.history) == 2
+
+
+def test_owner_that_could_not_renew_claims_the_cell_again(site, daemons):
+    # After an outage that outlasts its term, the last owner may be the only
+    # daemon that reaches the store.
+    owner = owner_of(daemons)
+    for daemon in daemons:
+        daemon.store.faults.is_unresponsive = True
+    site.run_until(lambda: not owner.is_owner, 15_000)
+    owner.store.faults.is_unresponsive = False
+    site.run_until(lambda: owner.is_owner, 3_000)
+
+
+def test_owner_that_fails_at_once_does_not_keep_the_cell(site, daemons):
+    # A daemon whose terms end with an error at once must claim the cell more
+    # and more rarely, so that another daemon can own it.
+    broken = owner_of(daemons)
+    rest = [daemon for daemon in daemons if daemon is not broken]
+    times = record_claims(site)
+
+    def is_owned_by_another():
+        broken.kernel.find('cell')._end_term('fault')
+        return acting_owners(rest) != []
+
+    site.run_until(is_owned_by_another, 8_000)
+    assert len(times) <= 6
+
+
+def test_replaced_owner_with_a_late_view_does_not_claim(site, daemons):
+    # Its replica names it as the owner until it receives the change, but the
+    # refusal of its renewal tells it the new owner.
+    former = owner_of(daemons)
+    former.store.faults.change_delay_ms = 5_000
+    site.store.commit(
+        store.CommitRows(
+            table=layout.TABLE,
+            part=layout.CELL_PART,
+            checks=(),
+            puts=(
+                store.Put(
+                    key=layout.OWNER_KEY,
+                    value=models.encode_owner(
+                        ownership.Owner(
+                            instance='other', incarnation='1', epoch=2
+                        )
+                    ),
+                ),
+            ),
+        )
+    )
+    times = record_claims(site)
+    site.run(2_000)
+    assert not former.is_owner
+    assert times == []
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -3,10 +3,10 @@
 The owner of a cell is stored in a row that is written by conditional updates.
 A second row, which the owner updates every second, renews its ownership. A
 daemon claims the cell if it has no owner, if the owner released it, if the
-owner is an earlier incarnation of the daemon itself, or if the owner has not
-renewed for some time although the store was reachable. A daemon may receive
-changes of the store late, so a claim for the last reason is conditional on the
-renewal row too.
+owner is an earlier incarnation of the daemon itself, if the daemon is the
+owner but does not act, or if the owner has not renewed for some time although
+the store was reachable. A daemon may receive changes of the store late, so a
+claim for the last reason is conditional on the renewal row too.
 """
 
 import dataclasses
@@ -31,13 +31,26 @@
 
 SETTLE_MARGIN_MS = 700
 
+CLAIM_BACKOFF_MS = (300, 600, 1_200, 4_800)
+"""Shortest times between successive claims of a daemon; the last one repeats.
+It is longer than other daemons wait for a silent owner, so that they replace
+one that owns the cell again and again without acting."""
+
+CLAIM_BACKOFF_RESET_MS = 10_000
+"""Time without a claim after which the shortest back-off applies again."""
+
 
 class ClaimReason(enum.Enum):
-    """Reason why a daemon claims a cell."""
+    """Reason why a daemon claims a cell.
+
+    ``INACTIVE``: the row names this incarnation, but it does not act as the
+    owner, as the response to its claim was lost or its term has ended.
+    """
 
     NO_OWNER = 'no_owner'
     RELEASED = 'released'
     SAME_INSTANCE = 'same_instance'
+    INACTIVE = 'inactive'
     SILENT = 'silent'
 
     @property
@@ -45,8 +58,8 @@
         """Return whether a renewal that the claimant missed voids the claim.
 
         Without an owner, or after a release, no renewal can be written. An
-        earlier incarnation cannot act any more, although a last renewal of
-        it may still arrive.
+        earlier incarnation or term cannot act any more, although a last
+        renewal of it may still arrive.
         """
         return self is ClaimReason.SILENT
 
@@ -77,7 +90,8 @@
 
     All times are milliseconds of one clock. Claims are delayed by
     ``delay_ms``, so that daemons do not all claim at once, except when the
-    owner is an earlier incarnation of this daemon.
+    owner is this daemon or an earlier incarnation of it. Call
+    ``claim_reason`` only while the daemon does not act as the owner.
     """
 
     def __init__(self, instance: str, incarnation: str, delay_ms: int) -> None:
@@ -87,11 +101,25 @@
         self.owner: Owner | None = None
         self.renewal: Renewal | None = None
         self._silent_since_ms: int | None = None
+        self._claim_count = 0
+        self._next_claim_ms = 0
+
+    @property
+    def renewal_of_owner(self) -> Renewal | None:
+        """Return the last renewal by the current owner, or None."""
+        if self.owner is None or self.renewal is None:
+            return None
+        if self.renewal.epoch != self.owner.epoch:
+            return None
+        return self.renewal
 
     def on_owner(self, owner: Owner | None, now_ms: int) -> None:
         """Apply a change of the owner row."""
         self.owner = owner
         self._silent_since_ms = now_ms
+        if owner is None or owner.incarnation != self._incarnation:
+            self._claim_count = 0
+            self._next_claim_ms = 0
 
     def on_renewal(self, renewal: Renewal | None, now_ms: int) -> None:
         """Apply a change of the renewal row."""
@@ -109,6 +137,14 @@
         elif self._silent_since_ms is None:
             self._silent_since_ms = now_ms
 
+    def on_claim(self, now_ms: int) -> None:
+        """Record that this daemon sends a claim, which delays its next one."""
+        if now_ms >= self._next_claim_ms + CLAIM_BACKOFF_RESET_MS:
+            self._claim_count = 0
+        index = min(self._claim_count, len(CLAIM_BACKOFF_MS) - 1)
+        self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[index]
+        self._claim_count += 1
+
     def silent_ms(self, now_ms: int) -> int:
         """Return the time since the last change while the store answered."""
         if self._silent_since_ms is None:
@@ -117,23 +153,33 @@
 
     def claim_reason(self, now_ms: int) -> ClaimReason | None:
         """Return the reason to claim the cell now, or None."""
-        if self._silent_since_ms is None:
+        if self._silent_since_ms is None or now_ms < self._next_claim_ms:
+            return None
+        reason = self._possible_reason()
+        if self.silent_ms(now_ms) < self._required_silence_ms(reason):
             return None
-        silent_ms = self.silent_ms(now_ms)
+        return reason
+
+    def _possible_reason(self) -> ClaimReason:
+        """Return the reason for a claim after enough silence."""
         owner = self.owner
-        if owner is not None and owner.instance == self._instance:
-            if owner.incarnation == self._incarnation:
-                return None
-            return ClaimReason.SAME_INSTANCE
-        if owner is None or not owner.instance:
-            if silent_ms < self.delay_ms:
-                return None
-            if owner is None:
-                return ClaimReason.NO_OWNER
+        if owner is None:
+            return ClaimReason.NO_OWNER
+        if not owner.instance:
             return ClaimReason.RELEASED
-        if silent_ms >= OWNER_TIMEOUT_MS + self.delay_ms:
-            return ClaimReason.SILENT
-        return None
+        if owner.incarnation == self._incarnation:
+            return ClaimReason.INACTIVE
+        if owner.instance == self._instance:
+            return ClaimReason.SAME_INSTANCE
+        return ClaimReason.SILENT
+
+    def _required_silence_ms(self, reason: ClaimReason) -> int:
+        """Return the time without a change after which to claim the cell."""
+        if reason in (ClaimReason.INACTIVE, ClaimReason.SAME_INSTANCE):
+            return 0
+        if reason is ClaimReason.SILENT:
+            return OWNER_TIMEOUT_MS + self.delay_ms
+        return self.delay_ms
 
 
 def takeover_wait_ms(
@@ -142,20 +188,24 @@
     """Return how long tasks of a former owner may run on unreachable workers.
 
     The result is in milliseconds. A former owner that released the cell, or
-    whose process has ended, requests no further leases. One that is merely
-    disconnected may do so for up to ``MAX_UNRENEWED_MS``, and so may the owner
-    before it if ``former`` was not settled.
+    whose process or term has ended, requests no further leases. One that is
+    merely disconnected may do so for up to ``MAX_UNRENEWED_MS``, and so may
+    the owner before it unless ``former``, the last renewal of the former
+    owner, was settled. The renewal of an unanswered claim is not.
 
     >>> settled = Renewal(epoch=1, count=1, is_settled=True)
     >>> takeover_wait_ms(ClaimReason.RELEASED, settled, 6_000)
     6820
     >>> takeover_wait_ms(ClaimReason.SILENT, settled, 6_000)
     16820
+    >>> unanswered = Renewal(epoch=2, count=0, is_settled=False)
+    >>> takeover_wait_ms(ClaimReason.INACTIVE, unanswered, 6_000)
+    16820
     """
     if reason is ClaimReason.NO_OWNER:
         return 0
     lease = lease_max_ms * CLOCK_SLACK_PERCENT // 100 + SETTLE_MARGIN_MS
-    is_ended = reason in (ClaimReason.RELEASED, ClaimReason.SAME_INSTANCE)
+    is_ended = reason is not ClaimReason.SILENT
     if is_ended and former is not None and former.is_settled:
         return lease
     return lease + MAX_UNRENEWED_MS
--- a/packages/policy/tests/ownership/test_election.py
+++ b/packages/policy/tests/ownership/test_election.py
@@ -1,5 +1,7 @@
 """Test when a daemon claims the cell."""
 
+import itertools
+
 import pytest
 
 from oriolestand_policy import ownership
@@ -50,6 +52,63 @@
     assert reason is ownership.ClaimReason.SAME_INSTANCE
 
 
+def test_owner_without_a_term_claims_again_at_once(election):
+    # Guards against a cell without an acting owner after the response to a
+    # claim was lost.
+    named = ownership.Owner(instance='a', incarnation='x', epoch=3)
+    election.on_owner(named, 0)
+    assert election.claim_reason(1) is ownership.ClaimReason.INACTIVE
+
+
+def test_claims_are_repeated_more_and_more_rarely(election):
+    # Guards against a hot loop of claims. The longest pause lets daemons that
+    # claim from a silent owner go first.
+    named = ownership.Owner(instance='a', incarnation='x', epoch=3)
+    election.on_owner(named, 0)
+    times = []
+    for now in range(1, 30_000):
+        if election.claim_reason(now) is not None:
+            election.on_claim(now)
+            times.append(now)
+    pauses = [later - time for time, later in itertools.pairwise(times)]
+    assert pauses == sorted(pauses)
+    assert pauses[0] <= 300
+    assert 4_000 <= pauses[-1] <= 5_000
+
+
+def test_first_claim_after_a_long_time_is_not_delayed(election):
+    # Guards against a slow takeover because of claims long ago.
+    named = ownership.Owner(instance='a', incarnation='x', epoch=3)
+    election.on_owner(named, 0)
+    for now in (1, 1_000, 2_000, 4_000):
+        election.on_claim(now)
+    assert election.claim_reason(8_000) is None
+    election.on_claim(20_000)
+    assert election.claim_reason(20_300) is ownership.ClaimReason.INACTIVE
+
+
+def test_claims_before_another_owner_do_not_delay(election):
+    # Guards against a slow takeover by a daemon that lost earlier elections.
+    for now in (1, 1_000, 2_000, 4_000):
+        election.on_claim(now)
+    election.on_owner(OTHER, 4_100)
+    released = ownership.Owner(instance='', incarnation='', epoch=3)
+    election.on_owner(released, 4_200)
+    assert election.claim_reason(4_300) is ownership.ClaimReason.RELEASED
+
+
+def test_renewal_by_an_earlier_owner_says_nothing_of_the_owner(election):
+    # Guards against a short wait for the owner before an unanswered claim,
+    # which may still act although its own renewal was settled.
+    renewal = ownership.Renewal(epoch=2, count=9, is_settled=True)
+    election.on_renewal(renewal, 0)
+    election.on_owner(OTHER, 0)
+    assert election.renewal_of_owner is None
+    renewal = ownership.Renewal(epoch=3, count=0, is_settled=False)
+    election.on_renewal(renewal, 0)
+    assert election.renewal_of_owner == renewal
+
+
 @pytest.mark.parametrize('reason', list(ownership.ClaimReason))
 def test_only_a_claim_from_a_silent_owner_depends_on_the_renewal(reason):
     # Guards against a late renewal of an ended process that blocks the claim
@@ -66,6 +125,9 @@
         # The owner before the last one may be disconnected and still act.
         (ownership.ClaimReason.RELEASED, False, 16_820),
         (ownership.ClaimReason.SILENT, True, 16_820),
+        (ownership.ClaimReason.INACTIVE, True, 6_820),
+        # The owner before an unanswered claim.
+        (ownership.ClaimReason.INACTIVE, False, 16_820),
         (ownership.ClaimReason.NO_OWNER, True, 0),
     ],
 )
