End a term whose loss was found by the writer of records

Cause: if the commit of a record was refused before the daemon received the new owner row, the writer of records marked the term as over, and the daemon then ignored every later reason to end it. It counted as owner for ever, never claimed the cell again and did not publish that it lost the cell.

Change: a term that is marked as over is still removed.

Result: before, test_owner_whose_records_are_refused_can_claim_again failed (the daemon still was the owner 1 s after the end of its term); it passes now.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -359,8 +359,9 @@
     def _end_term(self, reason: str) -> None:
         """End the current term."""
         owner_term = self._owner_term
-        if owner_term is None or owner_term.term.is_over:
+        if owner_term is None:
             return
+        # The writer of records may have ended the term already.
         owner_term.term.is_over = True
         self._owner_term = None
         self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -171,29 +171,46 @@
     assert len(times) <= 6
 
 
+def replace_owner(site):
+    """Write an owner row in the name of another daemon."""
+    other = ownership.Owner(instance='other', incarnation='1', epoch=2)
+    put = store.Put(key=layout.OWNER_KEY, value=models.encode_owner(other))
+    site.store.commit(
+        store.CommitRows(
+            table=layout.TABLE, part=layout.CELL_PART, checks=(), puts=(put,)
+        )
+    )
+
+
 def test_replaced_owner_with_a_late_view_does_not_claim(site, daemons):
     # Its replica names it as the owner until it receives the change, but the
     # refusal of its renewal tells it the new owner.
     former = owner_of(daemons)
     former.store.faults.change_delay_ms = 5_000
-    site.store.commit(
-        store.CommitRows(
-            table=layout.TABLE,
-            part=layout.CELL_PART,
-            checks=(),
-            puts=(
-                store.Put(
-                    key=layout.OWNER_KEY,
-                    value=models.encode_owner(
-                        ownership.Owner(
-                            instance='other', incarnation='1', epoch=2
-                        )
-                    ),
-                ),
-            ),
-        )
-    )
+    replace_owner(site)
     times = record_claims(site)
     site.run(2_000)
     assert not former.is_owner
     assert times == []
+
+
+def test_owner_whose_records_are_refused_can_claim_again(site, daemons):
+    # The refusal of a record may be the first sign of a newer owner. The
+    # daemon must still notice that its term is over.
+    former = owner_of(daemons)
+    former.store.faults.change_delay_ms = 500
+    steps = tuple(
+        scheduling.StepSpec(count=1, cpu=1_000, after=tuple(range(n)))
+        for n in range(8)
+    )
+    site.submit(former, 'a' * 16, steps, duration_ms=100)
+    site.run_until(lambda: len(site.history) > 2, 3_000)
+    term = former.kernel.find('cell')._owner_term.term
+    replace_owner(site)
+    site.run_until(lambda: term.is_over, 1_000)
+    site.run(1_000)
+    assert not former.is_owner
+    for daemon in daemons:
+        if daemon is not former:
+            daemon.disconnect()
+    site.run_until(lambda: former.is_owner, 8_000)
