Keep late failures of a former term from ending the next one

Cause: the renewal loop and the pollers of a term ended whatever term was current. A daemon can claim the cell again within 300 ms, while requests of its former term are on their way; their refusal ended the new term.

Change: only the current term ends, and only for its own failures.

Result: before, test_late_refusal_of_a_former_term_does_not_end_the_next and test_late_fence_of_a_former_term_does_not_end_the_next failed (the term of epoch 2 was over within 2 s); both pass now.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -1,6 +1,7 @@
 """Claim, renew and release ownership of the cell."""
 
 from collections.abc import Iterable
+import functools
 from typing import Any
 
 from twisted.internet import defer
@@ -145,8 +146,9 @@
             version=row.version,
         )
         if self._owner_term is not None:
-            if row.version > self._owner_term.term.owner_version:
-                self._end_term('the owner row was replaced')
+            term = self._owner_term.term
+            if row.version > term.owner_version:
+                self._end_term(term, 'the owner row was replaced')
 
     def _apply_renewal(self, row: store.Row) -> None:
         """Apply the renewal row."""
@@ -303,7 +305,7 @@
             term,
             snapshot,
             self._config,
-            self._end_term,
+            functools.partial(self._end_term, term),
         )
         for msg in self._pending_events:
             self.post(msg)
@@ -336,7 +338,7 @@
                 term.renewed_ms = sent_ms
             elif result is not None:
                 self._apply_rows(result.current)
-                self._end_term('the renewal was refused')
+                self._end_term(term, 'the renewal was refused')
             else:
                 self._on_renewal_failed(term, outcome.error)
             elapsed_ms = clock.now() - sent_ms
@@ -354,20 +356,19 @@
             why=error,
         )
         if not term.may_act(now):
-            self._end_term('the claim was not renewed in time')
+            self._end_term(term, 'the claim was not renewed in time')
 
-    def _end_term(self, reason: str) -> None:
-        """End the current term."""
-        owner_term = self._owner_term
-        if owner_term is None:
+    def _end_term(self, term: models.Term, reason: str) -> None:
+        """End a term; a late failure of a former one changes nothing."""
+        # The writer of records may have marked the term as over already.
+        term.is_over = True
+        if self._owner_term is None or self._owner_term.term is not term:
             return
-        # The writer of records may have ended the term already.
-        owner_term.term.is_over = True
         self._owner_term = None
         self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
         self._count('depositions', '')
         self._log.warning(
-            'Cell is no longer owned', epoch=owner_term.term.epoch, why=reason
+            'Cell is no longer owned', epoch=term.epoch, why=reason
         )
 
     @core.handles(lifecycle.ReleaseCell)
@@ -383,7 +384,7 @@
         if owner_term is None:
             return
         term = owner_term.term
-        self._end_term('the daemon is shutting down')
+        self._end_term(term, 'the daemon is shutting down')
         owner = ownership.Owner(instance='', incarnation='', epoch=term.epoch)
         value = models.encode_owner(owner)
         outcome = await _owner_commits.commit_as_owner(
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -164,7 +164,9 @@
     times = record_claims(site)
 
     def is_owned_by_another():
-        broken.kernel.find('cell')._end_term('fault')
+        owner_term = broken.kernel.find('cell')._owner_term
+        if owner_term is not None:
+            owner_term._on_ownership_lost('fault')
         return acting_owners(rest) != []
 
     site.run_until(is_owned_by_another, 8_000)
@@ -214,3 +216,34 @@
         if daemon is not former:
             daemon.disconnect()
     site.run_until(lambda: former.is_owner, 8_000)
+
+
+def test_late_refusal_of_a_former_term_does_not_end_the_next(site, daemons):
+    # A daemon may claim the cell again while the second copy of the last
+    # renewal of its former term is on its way; that copy is refused.
+    owner = owner_of(daemons)
+    cell = owner.kernel.find('cell')
+    owner.store.faults.unanswered_commits = 1
+    site.run_until(lambda: not owner.store.faults.unanswered_commits, 2_000)
+    cell._owner_term._on_ownership_lost('fault')
+    assert not owner.is_owner
+    site.run_until(lambda: owner.is_owner, 300)
+    term = cell._owner_term.term
+    site.run(2_000)
+    assert not term.is_over
+    assert stored_owner(site)['epoch'] == term.epoch == 2
+
+
+def test_late_fence_of_a_former_term_does_not_end_the_next(site, daemons):
+    # A worker that has seen the next term rejects late orders of the former
+    # one.
+    owner = owner_of(daemons)
+    cell = owner.kernel.find('cell')
+    former = cell._owner_term
+    former._on_ownership_lost('fault')
+    site.run_until(lambda: owner.is_owner, 300)
+    term = cell._owner_term.term
+    former._on_ownership_lost('fenced')
+    site.run(2_000)
+    assert not term.is_over
+    assert stored_owner(site)['epoch'] == term.epoch == 2
