Apply the rows of an applied claim without waiting for the replica

Cause: after an applied claim the daemon knew its own owner row only from the replica. If the term ended before that, the next claim named the former owner and the same epoch; the store refused it, but its current row had the value of the claim, which counted as applied. Two terms had one epoch, and the numbers of their runs could be the same. The start of a term waits for the replica today, which hides this.

Change: the rows that an applied claim wrote are applied at once.

Result: before, test_terms_of_a_daemon_have_different_epochs, in which terms end at once and changes arrive 2 s late, failed with the epochs 2, 2, 2, 2, 3; it passes now.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -197,9 +197,9 @@
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
         self._election.on_claim(sent_ms)
-        value = models.encode_owner(owner)
-        outcome = await self._write_claim(reason, owner, value)
-        version = _version_of_claim(outcome, value)
+        claim = self._build_claim(reason, owner)
+        outcome = await _commits.try_commit(self.kernel, claim)
+        version = _version_of_claim(outcome, claim)
         self._log.info(
             'Claim of the cell',
             reason=reason.value,
@@ -215,6 +215,7 @@
                 )
             return
         self._count('claims', reason.value)
+        self._apply_rows(_rows_of_claim(claim, version))
         now = self.kernel.clock.now()
         takeover_wait_ms = ownership.takeover_wait_ms(
             reason, former_renewal, self._cfg.limits.lease_max_ms
@@ -228,13 +229,10 @@
             )
         )
 
-    async def _write_claim(
-        self,
-        reason: ownership.ClaimReason,
-        owner: ownership.Owner,
-        value: bytes,
-    ) -> _commits.CommitOutcome:
-        """Commit the owner row and its first renewal."""
+    def _build_claim(
+        self, reason: ownership.ClaimReason, owner: ownership.Owner
+    ) -> store.CommitRows:
+        """Return the commit of the owner row and its first renewal."""
         checks = [
             store.Check(key=layout.OWNER_KEY, version=self._owner_version)
         ]
@@ -247,18 +245,17 @@
         renewal = ownership.Renewal(
             epoch=owner.epoch, count=0, is_settled=False
         )
-        return await _commits.try_commit(
-            self.kernel,
-            store.CommitRows(
-                table=layout.TABLE,
-                part=layout.CELL_PART,
-                checks=tuple(checks),
-                puts=(
-                    store.Put(key=layout.OWNER_KEY, value=value),
-                    store.Put(
-                        key=layout.RENEWAL_KEY,
-                        value=models.encode_renewal(renewal),
-                    ),
+        return store.CommitRows(
+            table=layout.TABLE,
+            part=layout.CELL_PART,
+            checks=tuple(checks),
+            puts=(
+                store.Put(
+                    key=layout.OWNER_KEY, value=models.encode_owner(owner)
+                ),
+                store.Put(
+                    key=layout.RENEWAL_KEY,
+                    value=models.encode_renewal(renewal),
                 ),
             ),
         )
@@ -415,8 +412,18 @@
     return 'in_doubt' if outcome.is_in_doubt else 'failed'
 
 
+def _rows_of_claim(claim: store.CommitRows, version: int) -> list[store.Row]:
+    """Return the rows that an applied claim has written."""
+    return [
+        store.Row(
+            part=claim.part, key=put.key, value=put.value, version=version
+        )
+        for put in claim.puts
+    ]
+
+
 def _version_of_claim(
-    outcome: _commits.CommitOutcome, value: bytes
+    outcome: _commits.CommitOutcome, claim: store.CommitRows
 ) -> int | None:
     """Return the version of the owner row, or None if the claim failed.
 
@@ -428,7 +435,8 @@
         return None
     if result.is_applied:
         return result.version
+    values = {put.key: put.value for put in claim.puts}
     for row in result.current:
-        if row.key == layout.OWNER_KEY and row.value == value:
+        if row.key == layout.OWNER_KEY and row.value == values[row.key]:
             return row.version
     return None
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -173,6 +173,27 @@
     assert len(times) <= 6
 
 
+def test_terms_of_a_daemon_have_different_epochs(site, daemons):
+    # Run numbers are derived from the epoch. A term may end before its daemon
+    # receives the owner row that it wrote itself.
+    lost = owner_of(daemons)
+    follower = follower_of(daemons)
+    epochs = []
+
+    async def end_at_once(term):
+        epochs.append(term.epoch)
+
+    follower.kernel.find('cell')._start_term = end_at_once
+    follower.store.faults.change_delay_ms = 2_000
+    for daemon in daemons:
+        if daemon is not follower:
+            daemon.disconnect()
+    site.run(12_000)
+    assert not lost.is_owner
+    assert len(epochs) > 1
+    assert len(set(epochs)) == len(epochs)
+
+
 def replace_owner(site):
     """Write an owner row in the name of another daemon."""
     other = ownership.Owner(instance='other', incarnation='1', epoch=2)
