Delay the claims of daemons with little processor time

Cause: the owner schedules the whole cell, and instances of one deployment have 0.3 to 2.15 cores of processor time, but the delay of a claim depended on the store latency only.

Change: Limits.processors is the processor time of the instance. Claims without an owner, after a release and from a silent owner are delayed by up to 500 ms, less with more processor time and not at all from 2 cores on; claims from an earlier incarnation stay immediate.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -32,10 +32,11 @@
         self._cfg = cfg
         self._log = core.get_logger(const.DOMAIN)
         self._incarnation = str(kernel.incarnation)
+        jitter_ms = int(self._incarnation, base=16) % const.CLAIM_JITTER_MS
         self._election = ownership.Election(
             cfg.instance,
             self._incarnation,
-            int(self._incarnation, base=16) % const.CLAIM_JITTER_MS,
+            jitter_ms + ownership.processor_delay_ms(cfg.limits.processors),
         )
         self._owner_version = 0
         self._renewal_version = 0
--- a/packages/fleet/src/oriolestand_fleet/settings.py
+++ b/packages/fleet/src/oriolestand_fleet/settings.py
@@ -49,12 +49,14 @@
     ``retention_ms``: how long the state of an ended job must be available.
     ``shutdown_ms``: time between SIGTERM and SIGKILL.
     ``row_bytes``: the largest size of a row's value.
+    ``processors``: processor time that the instance may use, in cores.
     """
 
     lease_max_ms: int
     retention_ms: int
     shutdown_ms: int
     row_bytes: int
+    processors: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -7,9 +7,11 @@
 
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
+from oriolestand_standins import fleet
 from oriolestand_standins.fleet import follower_of
 from oriolestand_standins.fleet import owner_of
 
@@ -173,6 +175,39 @@
     assert len(times) <= 6
 
 
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_daemon_with_more_processor_time_owns_the_cell(seed):
+    # The owner does most of the work, so a slow instance should own the cell
+    # only if there is no faster one.
+    site = fleet.FleetSimulation(seed)
+    site.add_worker('w0')
+    slow = [site.add_daemon(f'slow-{n}', processors=0.3) for n in range(3)]
+    fast = [site.add_daemon(f'fast-{n}', processors=2.15) for n in range(2)]
+    site.run_until(lambda: acting_owners(slow + fast) != [], 5_000)
+    first = owner_of(slow + fast)
+    assert first in fast
+    site.run(1_000)
+    site.shut_down(first)
+    fast.remove(first)
+    site.run_until(lambda: acting_owners(slow + fast) != [], 5_000)
+    second = owner_of(slow + fast)
+    assert second in fast
+    site.run(1_000)
+    second.disconnect()
+    site.run_until(lambda: acting_owners(slow) != [], 5_000)
+
+
+def test_delays_of_claims_are_bounded():
+    # A takeover from a silent owner must end within a few seconds even if
+    # only a far, slow daemon is left.
+    longest_ms = (
+        const.CLAIM_JITTER_MS
+        + const.FAR_CLAIM_DELAY_MS
+        + ownership.processor_delay_ms(0.01)
+    )
+    assert longest_ms <= 1_500
+
+
 def test_terms_of_a_daemon_have_different_epochs(site, daemons):
     # Run numbers are derived from the epoch. A term may end before its daemon
     # receives the owner row that it wrote itself.
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -39,6 +39,14 @@
 CLAIM_BACKOFF_RESET_MS = 10_000
 """Time without a claim after which the shortest back-off applies again."""
 
+AMPLE_PROCESSORS = 2.0
+"""Processor time, in cores, above which a daemon does not delay its claims.
+The owner of several hundred workers needs more than one core at times."""
+
+MAX_PROCESSOR_DELAY_MS = 500
+"""Longer than the differences in jitter and in when daemons learn that they
+may claim, so that a much faster daemon claims first."""
+
 
 class ClaimReason(enum.Enum):
     """Reason why a daemon claims a cell.
@@ -182,6 +190,18 @@
         return self.delay_ms
 
 
+def processor_delay_ms(processors: float) -> int:
+    """Return how long a daemon delays its claims for want of processor time.
+
+    :param processors: processor time of the instance in cores.
+
+    >>> [processor_delay_ms(cores) for cores in (0.3, 1.0, 2.15)]
+    [425, 250, 0]
+    """
+    missing = max(0.0, 1.0 - processors / AMPLE_PROCESSORS)
+    return round(MAX_PROCESSOR_DELAY_MS * missing)
+
+
 def takeover_wait_ms(
     reason: ClaimReason, former: Renewal | None, lease_max_ms: int
 ) -> int:
--- a/packages/policy/tests/ownership/test_election.py
+++ b/packages/policy/tests/ownership/test_election.py
@@ -136,3 +136,14 @@
     # leases.
     former = ownership.Renewal(epoch=1, count=1, is_settled=is_settled)
     assert ownership.takeover_wait_ms(reason, former, 6_000) == expected
+
+
+def test_slower_daemons_claim_later():
+    # Guards against an owner with little processor time beside a faster
+    # daemon, and against a takeover that a slow daemon delays for long.
+    processors = [0.05, 0.3, 0.43, 1.07, 2.0, 2.15, 64.0]
+    delays = [ownership.processor_delay_ms(value) for value in processors]
+    assert delays == sorted(delays, reverse=True)
+    assert delays[1] > delays[2] > delays[3] > delays[4]
+    assert delays[-1] == 0
+    assert delays[0] <= 1_000
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -125,7 +125,7 @@
         )
         self.store.register_worker(info)
 
-    def add_daemon(self, name: str) -> Daemon:
+    def add_daemon(self, name: str, processors: float = 2.0) -> Daemon:
         """Start a daemon with its own connections to store and workers."""
         self._seed += 1
         kernel = core.Kernel(self.clock, core.IdSource(self._seed))
@@ -135,7 +135,9 @@
             kernel.register(task.name, task)
         names = [n for n in daemon.SERVICES if n in ('config', 'jobs', 'cell')]
         defer.ensureDeferred(
-            kernel.load(daemon.SERVICES_PACKAGE, names, _settings(name))
+            kernel.load(
+                daemon.SERVICES_PACKAGE, names, _settings(name, processors)
+            )
         )
         return Daemon(kernel=kernel, store=store, orders=orders)
 
@@ -237,7 +239,7 @@
     return record.ended_ms if record.outcome else float('inf')
 
 
-def _settings(name: str) -> settings.FleetSettings:
+def _settings(name: str, processors: float) -> settings.FleetSettings:
     """Return settings of a daemon; no port of them is opened."""
     unused_address = settings.Address(host='127.0.0.1', port=0)
     codec: Any = None
@@ -252,6 +254,7 @@
             retention_ms=120_000,
             shutdown_ms=6_000,
             row_bytes=65_536,
+            processors=processors,
         ),
         log=settings.LogSettings(),
         codec=codec,
