Measure the store latency repeatedly; count a failed read as far

Cause: the store latency was measured once, when all daemons start together and the network may be busy, and a daemon whose read failed claimed the cell as early as one near the store.

Change: a daemon counts as far until a read succeeds, and the measurement is repeated after 5, 10 and 30 s and then every 60 s. The delay of claims is one function of the ownership policy, claim_delay_ms, which takes jitter, store latency and processor time.

Result: before, test_failed_measurement_of_the_store_latency_counts_as_far and both cases of test_store_latency_is_measured_again failed; they pass now.

const.FAR_LATENCY_MS and FAR_CLAIM_DELAY_MS of the cell service have no use any more.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -21,6 +21,10 @@
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import ownership
 
+LATENCY_INTERVALS_MS = (5_000, 10_000, 30_000, 60_000)
+"""Times between measurements of the store latency; the last one repeats. They
+are shorter after the start, when all daemons may load the network."""
+
 
 class CellTask(core.Task):
     """Take part in the election of the owner; act as owner after a win."""
@@ -32,11 +36,8 @@
         self._cfg = cfg
         self._log = core.get_logger(const.DOMAIN)
         self._incarnation = str(kernel.incarnation)
-        jitter_ms = int(self._incarnation, base=16) % const.CLAIM_JITTER_MS
         self._election = ownership.Election(
-            cfg.instance,
-            self._incarnation,
-            jitter_ms + ownership.processor_delay_ms(cfg.limits.processors),
+            cfg.instance, self._incarnation, self._claim_delay_ms(None)
         )
         self._owner_version = 0
         self._renewal_version = 0
@@ -57,9 +58,8 @@
             lifecycle.ShutdownStarted,
         ):
             self.kernel.subscribe(event, self)
-        defer.ensureDeferred(self._watch()).addErrback(
-            self._on_unexpected_error
-        )
+        for loop in (self._watch(), self._watch_store_latency()):
+            defer.ensureDeferred(loop).addErrback(self._on_unexpected_error)
         return None
 
     def _on_unexpected_error(self, reason: Any) -> None:
@@ -68,13 +68,36 @@
 
     async def _watch(self) -> None:
         """Check at a fixed interval whether to claim the cell."""
-        await self._measure_store_latency()
         while not self.is_stopped:
             await self.kernel.sleep(const.TICK_MS // 2)
             await self._claim_if_due()
 
-    async def _measure_store_latency(self) -> None:
-        """Measure the latency of the store; if it is high, delay claims."""
+    async def _watch_store_latency(self) -> None:
+        """Delay claims while the latency of the store is high or unknown."""
+        measurement_count = 0
+        while not self.is_stopped:
+            latency_ms = await self._measure_store_latency()
+            delay_ms = self._claim_delay_ms(latency_ms)
+            if delay_ms != self._election.delay_ms:
+                self._election.delay_ms = delay_ms
+                self._log.info(
+                    'Delay of claims changed',
+                    delay_ms=delay_ms,
+                    store_latency_ms=latency_ms,
+                )
+            await self.kernel.sleep(_latency_interval_ms(measurement_count))
+            measurement_count += 1
+
+    def _claim_delay_ms(self, store_latency_ms: int | None) -> int:
+        """Return the delay of claims, given the latency of the store."""
+        return ownership.claim_delay_ms(
+            jitter_ms=int(self._incarnation, base=16) % const.CLAIM_JITTER_MS,
+            store_latency_ms=store_latency_ms,
+            processors=self._cfg.limits.processors,
+        )
+
+    async def _measure_store_latency(self) -> int | None:
+        """Return the time of a read from the store; None if it failed."""
         started_ms = self.kernel.clock.now()
         try:
             await self.kernel.ask(
@@ -88,9 +111,8 @@
             )
         except core.OriolestandError as exc:
             self._log.warning('Store latency not measured', why=str(exc))
-            return
-        if self.kernel.clock.now() - started_ms > const.FAR_LATENCY_MS:
-            self._election.delay_ms += const.FAR_CLAIM_DELAY_MS
+            return None
+        return self.kernel.clock.now() - started_ms
 
     # Events.
 
@@ -402,6 +424,12 @@
         )
 
 
+def _latency_interval_ms(measurement_count: int) -> int:
+    """Return the time to the next measurement of the store latency."""
+    last = len(LATENCY_INTERVALS_MS) - 1
+    return LATENCY_INTERVALS_MS[min(measurement_count, last)]
+
+
 def _describe_outcome(
     outcome: _commits.CommitOutcome, version: int | None
 ) -> str:
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -9,7 +9,7 @@
 from oriolestand_policy.ownership._election import Election
 from oriolestand_policy.ownership._election import Owner
 from oriolestand_policy.ownership._election import Renewal
-from oriolestand_policy.ownership._election import processor_delay_ms
+from oriolestand_policy.ownership._election import claim_delay_ms
 from oriolestand_policy.ownership._election import takeover_wait_ms
 
 __all__ = [
@@ -19,6 +19,6 @@
     'Owner',
     'RENEW_INTERVAL_MS',
     'Renewal',
-    'processor_delay_ms',
+    'claim_delay_ms',
     'takeover_wait_ms',
 ]
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -39,6 +39,11 @@
 CLAIM_BACKOFF_RESET_MS = 10_000
 """Time without a claim after which the shortest back-off applies again."""
 
+FAR_LATENCY_MS = 25
+"""Latency of the store above which a daemon counts as far from it."""
+
+FAR_DELAY_MS = 500
+
 AMPLE_PROCESSORS = 2.0
 """Processor time, in cores, above which a daemon does not delay its claims.
 The owner of several hundred workers needs more than one core at times."""
@@ -190,16 +195,28 @@
         return self.delay_ms
 
 
-def processor_delay_ms(processors: float) -> int:
-    """Return how long a daemon delays its claims for want of processor time.
+def claim_delay_ms(
+    *, jitter_ms: int, store_latency_ms: int | None, processors: float
+) -> int:
+    """Return how long a daemon delays its claims in favour of others.
 
+    :param jitter_ms: random part, so that equal daemons claim one by one.
+    :param store_latency_ms: time of a read from the store; None if unknown,
+        which counts as far.
     :param processors: processor time of the instance in cores.
 
-    >>> [processor_delay_ms(cores) for cores in (0.3, 1.0, 2.15)]
-    [425, 250, 0]
+    >>> claim_delay_ms(jitter_ms=7, store_latency_ms=4, processors=2.15)
+    7
+    >>> claim_delay_ms(jitter_ms=7, store_latency_ms=4, processors=0.3)
+    432
+    >>> claim_delay_ms(jitter_ms=7, store_latency_ms=None, processors=0.3)
+    932
     """
     missing = max(0.0, 1.0 - processors / AMPLE_PROCESSORS)
-    return round(MAX_PROCESSOR_DELAY_MS * missing)
+    delay_ms = jitter_ms + round(MAX_PROCESSOR_DELAY_MS * missing)
+    if store_latency_ms is None or store_latency_ms > FAR_LATENCY_MS:
+        delay_ms += FAR_DELAY_MS
+    return delay_ms
 
 
 def takeover_wait_ms(
