Test elections under random faults of the store and workers

Cause: the tests of elections covered one fault at a time.

Change: ten seeds play 60 s of late changes, lost responses, outages and unreachable workers with four daemons, then end the faults.

--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import random
 
 import pytest
 
@@ -14,6 +15,7 @@
 from oriolestand_standins import fleet
 from oriolestand_standins.fleet import follower_of
 from oriolestand_standins.fleet import owner_of
+from oriolestand_standins.fleet import result_of
 
 ONE_TASK = (scheduling.StepSpec(count=1, cpu=1_000),)
 
@@ -331,3 +333,61 @@
     site.run(2_000)
     assert not term.is_over
     assert stored_owner(site)['epoch'] == term.epoch == 2
+
+
+def set_random_faults(daemon, workers, rng):
+    """Set faults between a daemon, the store and workers."""
+    store_faults = daemon.store.faults
+    store_faults.is_down = rng.random() < 0.1
+    store_faults.is_unresponsive = rng.random() < 0.15
+    store_faults.unanswered_commits = rng.choice([0, 0, 1, 2, 3, 4])
+    store_faults.effect_delay_ms = rng.choice([0, 500, 1_500, 4_000])
+    store_faults.change_delay_ms = rng.choice([0, 0, 0, 1_000, 3_000, 6_000])
+    order_faults = daemon.orders.faults
+    order_faults.unanswered_starts = rng.choice([0, 0, 1])
+    order_faults.effect_delay_ms = rng.choice([0, 3_000])
+    is_isolated = rng.random() < 0.2
+    order_faults.unreachable = {rng.choice(workers)} if is_isolated else set()
+
+
+def clear_faults(daemon):
+    """End the faults of a daemon."""
+    daemon.store.faults = fleet.StoreFaults()
+    daemon.orders.faults = fleet.OrderFaults()
+
+
+@pytest.mark.parametrize('seed', range(1, 11))
+def test_random_faults_leave_one_owner_and_no_overlapping_runs(seed):
+    # Combinations of late changes, lost responses and outages must neither
+    # run a task twice at once nor leave the cell without an acting owner.
+    rng = random.Random(seed)
+    site = fleet.FleetSimulation(seed)
+    workers = ['w0', 'w1', 'w2']
+    for name in workers:
+        site.add_worker(name)
+    daemons = [
+        site.add_daemon(f'front-{number}', processors=rng.choice([0.3, 2.15]))
+        for number in range(4)
+    ]
+    site.run(2_000)
+    submitted = {}
+    for number in range(60):
+        for daemon in daemons:
+            if rng.random() < 0.25:
+                set_random_faults(daemon, workers, rng)
+        job = f'{number:016x}'
+        submitted[job] = site.submit(
+            rng.choice(daemons),
+            job,
+            ONE_TASK,
+            duration_ms=rng.choice([300, 3_000, 9_000]),
+        )
+        site.run(1_000)
+    for daemon in daemons:
+        clear_faults(daemon)
+    site.run(40_000)
+    assert len(acting_owners(daemons)) == 1
+    assert site.overlapping_runs() == []
+    for job, fut in submitted.items():
+        if result_of(fut) is True:
+            assert site.state(daemons[0], job) == 'completed'
