Renew the claim of a new owner while it loads the cell

Cause: a new owner renewed its claim only after it had read all jobs. One behind a slow link, or with a late replica, was deposed after 2.6 s, and so was the next.

Change: the claim is renewed from the moment it is won. An owner that has not loaded the cell after 8 s gives it up, as another daemon may be able to. A claim that a shutdown interrupts is released. Constants that the election no longer uses are removed.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -21,10 +21,6 @@
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import ownership
 
-LATENCY_INTERVALS_MS = (5_000, 10_000, 30_000, 60_000)
-"""Times between measurements of the store latency; the last one repeats. They
-are shorter after the start, when all daemons may load the network."""
-
 
 class CellTask(core.Task):
     """Take part in the election of the owner; act as owner after a win."""
@@ -308,15 +304,24 @@
         )
 
     async def _start_term(self, term: models.Term) -> None:
-        """Load the state of the cell and start to act as its owner."""
-        snapshot = await self.kernel.ask(
-            jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
+        """Load the state of the cell and start to act as its owner.
+
+        The claim is renewed while loading, so that no other daemon takes the
+        cell from a new owner behind a slow link.
+        """
+        defer.ensureDeferred(self._renew(term)).addErrback(
+            self._on_unexpected_error
         )
+        snapshot = await self._load_snapshot(term)
         if self._owner_version > term.owner_version or self._is_shutting_down:
+            self._end_term(term, 'the claim was lost while loading')
+        if term.is_over:
             self._log.info(
                 'Claim was lost while loading the cell', epoch=term.epoch
             )
             self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
+            if self._is_shutting_down:
+                await self._write_release(term)
             return
         assert self._config is not None
         self._owner_term = _term.OwnerTerm(
@@ -331,9 +336,23 @@
             self.post(msg)
         self._owner_term.start()
         self.kernel.publish(jobs.OwnershipChanged(is_owner=True))
-        defer.ensureDeferred(self._renew(term)).addErrback(
-            self._on_unexpected_error
+
+    async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot:
+        """Return the state of the cell; end the term if that takes too long.
+
+        Another daemon may be able to load it.
+        """
+        timer = self.kernel.clock.call_later(
+            const.LOAD_TIMEOUT_MS,
+            lambda: self._end_term(term, 'the cell was not loaded in time'),
         )
+        try:
+            snapshot: jobs.Snapshot = await self.kernel.ask(
+                jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
+            )
+        finally:
+            timer.cancel()
+        return snapshot
 
     async def _renew(self, term: models.Term) -> None:
         """Renew the claim at a fixed interval until the term is over."""
@@ -403,8 +422,11 @@
         owner_term = self._owner_term
         if owner_term is None:
             return
-        term = owner_term.term
-        self._end_term(term, 'the daemon is shutting down')
+        self._end_term(owner_term.term, 'the daemon is shutting down')
+        await self._write_release(owner_term.term)
+
+    async def _write_release(self, term: models.Term) -> None:
+        """Write an owner row without an owner."""
         owner = ownership.Owner(instance='', incarnation='', epoch=term.epoch)
         value = models.encode_owner(owner)
         outcome = await _owner_commits.commit_as_owner(
@@ -426,8 +448,8 @@
 
 def _latency_interval_ms(measurement_count: int) -> int:
     """Return the time to the next measurement of the store latency."""
-    last = len(LATENCY_INTERVALS_MS) - 1
-    return LATENCY_INTERVALS_MS[min(measurement_count, last)]
+    last = len(const.LATENCY_INTERVALS_MS) - 1
+    return const.LATENCY_INTERVALS_MS[min(measurement_count, last)]
 
 
 def _describe_outcome(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -28,19 +28,16 @@
 RETRY_MS = 150
 
 CLAIM_JITTER_MS = 120
-FAR_CLAIM_DELAY_MS = 500
-"""Extra delay before a daemon with a slow connection to the store claims the
-cell."""
+LATENCY_INTERVALS_MS = (5_000, 10_000, 30_000, 60_000)
+"""Times between measurements of the store latency; the last one repeats. They
+are shorter after the start, when all daemons may load the network."""
 
-FAR_LATENCY_MS = 25
-CLAIM_RETRY_MS = 300
-
-COMMIT_ENTRIES = 100
-"""Checks and puts that the store accepts in one commit."""
+LOAD_TIMEOUT_MS = 8_000
+"""How long a new owner may take to read the state of the cell."""
 
 SAVE_BATCH = 32
-"""Maximum number of records in one commit. Each takes up to three entries, and
-the check of the owner takes one."""
+"""Maximum number of records in one commit. Each takes up to three entries, the
+check of the owner takes one, and the store accepts 100."""
 
 WORKER_BATCH = 48
 """Maximum number of workers in one commit; each takes two entries."""
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -77,6 +77,34 @@
     site.run_until(lambda: stored_owner(site)['epoch'] == 2, 8_000)
 
 
+def test_new_owner_renews_while_it_loads_the_cell(site, daemons):
+    # A new owner behind a slow link was deposed before it had read the jobs,
+    # and the next one after it.
+    lost = owner_of(daemons)
+    rest = [daemon for daemon in daemons if daemon is not lost]
+    lost.disconnect()
+    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 8_000)
+    for daemon in rest:
+        daemon.store.faults.change_delay_ms = 5_000
+    site.run_until(lambda: bool(acting_owners(rest)), 7_000)
+    assert stored_owner(site)['epoch'] == 2
+
+
+def test_owner_that_cannot_load_the_cell_gives_it_up(site, daemons):
+    # A cell whose owner renews but never acts would stand still.
+    lost = owner_of(daemons)
+    rest = [daemon for daemon in daemons if daemon is not lost]
+    lost.disconnect()
+    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 8_000)
+    name = stored_owner(site)['instance']
+    first = next(
+        d for d in rest if d.kernel.find('cell')._cfg.instance == name
+    )
+    first.store.faults.paused_tables = {layout.TABLE}
+    second = next(daemon for daemon in rest if daemon is not first)
+    site.run_until(lambda: second.is_owner, 16_000)
+
+
 def test_refused_claim_is_repeated_only_after_further_silence(site, daemons):
     # A daemon that learns from a refusal that the owner renews must not send
     # claim after claim.
