Back off retries of failed reads of the store

Cause: the loops of the config, jobs and cell services retried a failed read of the store after a fixed 100 ms or 150 ms, at every daemon at once, which added to the overload that had made the reads fail.

Change: a policy class computes delays that double up to 500 ms, with jitter between half of the limit and the limit, and start again after a success. The three loops use it, seeded by incarnation and service. After an outage, a loop reads again within 500 ms if the store refused requests. If it did not respond, the open read is added, up to 1,900 ms (derived, not run). The owner's loop that follows specifications of jobs is not changed.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -1,6 +1,7 @@
 """Schedule the tasks of a cell while this daemon owns it."""
 
 from collections.abc import Callable
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -19,6 +20,7 @@
 from oriolestand_fleet.services.cell import _worker_poller
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_policy import backoff
 from oriolestand_policy import scheduling
 
 
@@ -150,17 +152,20 @@
 
     async def _watch_workers(self) -> None:
         """Watch the list of registered workers until the term is over."""
+        rng = random.Random(f'{self._kernel.incarnation} {const.DOMAIN}')
+        retries = backoff.ExponentialBackoff(const.RETRY_MS, rng=rng)
         cursor: int | None = None
         while not self.term.is_over:
             try:
                 cursor = await self._read_workers(cursor)
+                retries.reset()
             except store.HistoryLostError:
                 cursor = None
             except core.OriolestandError as exc:
                 self._log.warning(
                     'Worker list could not be read', why=str(exc)
                 )
-                await self._kernel.sleep(const.RETRY_MS)
+                await self._kernel.sleep(retries.next_delay_ms())
 
     async def _read_workers(self, cursor: int | None) -> int:
         """Read and apply a page of worker changes; return the next cursor."""
--- a/packages/fleet/src/oriolestand_fleet/services/config/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_task.py
@@ -1,5 +1,6 @@
 """Track the operator's configuration."""
 
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -9,6 +10,7 @@
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.config import const
+from oriolestand_policy import backoff
 
 
 class ConfigTask(core.Task):
@@ -30,9 +32,12 @@
 
     async def _follow(self) -> None:
         """Read the configuration, then apply changes until the task stops."""
+        rng = random.Random(f'{self.kernel.incarnation} {const.DOMAIN}')
+        retries = backoff.ExponentialBackoff(const.RETRY_MS, rng=rng)
         while not self.is_stopped:
             try:
                 await self._read_next()
+                retries.reset()
             except store.HistoryLostError as exc:
                 self._log.warning(
                     'Change history lost, reading again', why=str(exc)
@@ -40,7 +45,7 @@
                 self._cursor = None
             except core.OriolestandError as exc:
                 self._on_read_failed(exc)
-                await self.kernel.sleep(const.RETRY_MS)
+                await self.kernel.sleep(retries.next_delay_ms())
 
     async def _read_next(self) -> None:
         """Read the configuration or its next change and advance the cursor."""
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Sequence
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -17,6 +18,7 @@
 from oriolestand_fleet.services.jobs import _replica
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
+from oriolestand_policy import backoff
 from oriolestand_policy import scheduling
 
 
@@ -45,12 +47,15 @@
 
     async def _follow(self) -> None:
         """Read the table, then apply its changes until the task stops."""
+        rng = random.Random(f'{self.kernel.incarnation} {const.DOMAIN}')
+        retries = backoff.ExponentialBackoff(const.RETRY_MS, rng=rng)
         while not self.is_stopped:
             try:
                 if self._cursor is None:
                     await self._read_all()
                 else:
                     await self._read_changes(self._cursor)
+                retries.reset()
             except store.HistoryLostError as exc:
                 self._log.warning(
                     'Change history lost, reading the table again',
@@ -59,7 +64,7 @@
                 self._cursor = None
             except core.OriolestandError as exc:
                 self._on_read_failed(exc)
-                await self.kernel.sleep(const.RETRY_MS)
+                await self.kernel.sleep(retries.next_delay_ms())
 
     async def _read_all(self) -> None:
         """Read all parts and replace the contents of the replica.
