Keep loops of a daemon running after an unexpected error

Cause: found on reading the new code. A row that cannot be decoded kept every owner from loading the cell, and any unexpected error ended the loop that follows the table, the one that follows specifications, or the one that claims the cell, without another attempt. An owner that failed to load the cell renewed its claim for ever.

Change: malformed specifications are logged and ignored; the loops start again after 1 s, or go on; a term that cannot be loaded ends. The owner's reads of specifications back off as the other reads do.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import functools
+import traceback
 from typing import Any
 
 from twisted.internet import defer
@@ -66,7 +67,14 @@
         """Check at a fixed interval whether to claim the cell."""
         while not self.is_stopped:
             await self.kernel.sleep(const.TICK_MS // 2)
-            await self._claim_if_due()
+            try:
+                await self._claim_if_due()
+            except Exception:
+                # The loop goes on, so that the daemon can claim again.
+                self._log.error(
+                    'Claim failed with an unexpected error',
+                    reason=traceback.format_exc(),
+                )
 
     async def _watch_store_latency(self) -> None:
         """Delay claims while the latency of the store is high or unknown."""
@@ -239,14 +247,19 @@
         takeover_wait_ms = ownership.takeover_wait_ms(
             reason, former_renewal, self._cfg.limits.lease_max_ms
         )
-        await self._start_term(
-            models.Term(
-                epoch=owner.epoch,
-                owner_version=version,
-                renewed_ms=sent_ms,
-                takeover_deadline_ms=now + takeover_wait_ms,
-            )
+        term = models.Term(
+            epoch=owner.epoch,
+            owner_version=version,
+            renewed_ms=sent_ms,
+            takeover_deadline_ms=now + takeover_wait_ms,
         )
+        try:
+            await self._start_term(term)
+        except Exception:
+            # Otherwise the claim would be renewed although nobody acts.
+            self._end_term(term, 'the cell could not be loaded')
+            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
+            raise
 
     def _build_claim(
         self, reason: ownership.ClaimReason, owner: ownership.Owner
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -1,7 +1,9 @@
 """Read what only the owner of the cell needs: job specifications, progress."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import json
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -13,6 +15,7 @@
 from oriolestand_fleet.services.jobs import _replica
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
+from oriolestand_policy import backoff
 from oriolestand_policy import scheduling
 
 
@@ -28,6 +31,10 @@
         self._replica = replica
         self._log = core.get_logger(const.DOMAIN)
         self._cursor = 0
+        self._retries = backoff.ExponentialBackoff(
+            const.RETRY_MS,
+            rng=random.Random(f'{kernel.incarnation} {layout.SPEC_TABLE}'),
+        )
         self.is_closed = False
 
     def close(self) -> None:
@@ -35,11 +42,23 @@
         self.is_closed = True
 
     async def load(self) -> messages.Snapshot:
-        """Read all specifications and the rows of the former owner.
+        """Return all open jobs and the rows of the former owner.
 
-        The replica must have reached the version of the claim. Fails with
-        StoreError.
+        The replica must have reached the version of the claim. Reads are
+        repeated until they succeed.
         """
+        while True:
+            try:
+                snapshot = await self._load_once()
+            except core.OriolestandError as exc:
+                self._log.warning('Jobs cannot be loaded', why=str(exc))
+                await self._kernel.sleep(self._retries.next_delay_ms())
+                continue
+            self._retries.reset()
+            return snapshot
+
+    async def _load_once(self) -> messages.Snapshot:
+        """Read all specifications and the rows of the former owner."""
         specs, version = await self._read_specs()
         rows, _ = await self._read_part(layout.OWNER_TABLE, layout.CELL_PART)
         by_key = {row.key: row for row in rows}
@@ -49,8 +68,8 @@
         self._cursor = version
         return messages.Snapshot(
             jobs=tuple(
-                self._to_job(job, value, by_key)
-                for job, value in specs.items()
+                self._to_job(spec, by_key)
+                for spec in self._decode_specs(specs)
             ),
             ended=_ended_jobs(rows),
             rows={
@@ -97,10 +116,24 @@
                 return rows, min(versions)
             start = page.rows[-1].key + '\0'
 
+    def _decode_specs(
+        self, specs: dict[str, bytes]
+    ) -> Iterator[scheduling.JobSpec]:
+        """Yield the decoded specifications; skip malformed rows."""
+        for job, value in specs.items():
+            try:
+                yield models.decode_spec(value)
+            except (ValueError, KeyError, TypeError) as exc:
+                # One such row must not keep all other jobs from running.
+                self._log.error(
+                    'Malformed specification ignored', job=job, why=str(exc)
+                )
+
     def _to_job(
-        self, job: str, spec: bytes, rows: dict[str, store.Row]
+        self, spec: scheduling.JobSpec, rows: dict[str, store.Row]
     ) -> messages.StoredJob:
         """Return a job with its stored progress."""
+        job = spec.id
         entry = self._replica.entries.get(job)
         row = rows.get(layout.PROGRESS_PREFIX + job)
         progress: scheduling.Progress | None = None
@@ -111,7 +144,7 @@
             progress = json.loads(entry.record)
         return messages.StoredJob(
             id=job,
-            spec=models.decode_spec(spec),
+            spec=spec,
             progress=progress,
             progress_version=row.version if row is not None else 0,
             is_cancelled=entry is not None and entry.is_cancelled,
@@ -121,16 +154,22 @@
         """Publish new jobs until closed."""
         while not self.is_closed:
             try:
-                await self._follow_once()
-            except store.HistoryLostError as exc:
-                self._log.warning(
-                    'Change history lost, reading all jobs again',
-                    why=str(exc),
-                )
-                await self._read_again()
+                await self._read_next()
             except core.OriolestandError as exc:
                 self._log.warning('New jobs cannot be read', why=str(exc))
-                await self._kernel.sleep(const.RETRY_MS)
+                await self._kernel.sleep(self._retries.next_delay_ms())
+                continue
+            self._retries.reset()
+
+    async def _read_next(self) -> None:
+        """Publish new jobs; read all jobs again if the history is lost."""
+        try:
+            await self._follow_once()
+        except store.HistoryLostError as exc:
+            self._log.warning(
+                'Change history lost, reading all jobs again', why=str(exc)
+            )
+            await self._read_again()
 
     async def _follow_once(self) -> None:
         """Wait for new jobs and publish them."""
@@ -144,36 +183,35 @@
         )
         if self.is_closed:
             return
-        for row in page.rows:
-            if row.value is not None:
-                self._publish(_job_id(row), row.value)
+        self._publish(
+            {
+                _job_id(row): row.value
+                for row in page.rows
+                if row.value is not None
+            }
+        )
         self._cursor = max(self._cursor, page.version)
         if page.rows:
             await self._kernel.sleep(const.OWNER_PAUSE_MS)
 
     async def _read_again(self) -> None:
         """Read all specifications and publish them; known jobs are ignored."""
-        try:
-            specs, version = await self._read_specs()
-        except core.OriolestandError as exc:
-            self._log.warning('Jobs cannot be read again', why=str(exc))
-            await self._kernel.sleep(const.RETRY_MS)
-            return
+        specs, version = await self._read_specs()
         if self.is_closed:
             return
-        for job, value in specs.items():
-            self._publish(job, value)
+        self._publish(specs)
         self._cursor = version
 
-    def _publish(self, job: str, value: bytes) -> None:
-        """Publish a job; a cancellation may have been received before it."""
-        entry = self._replica.entries.get(job)
-        stored = messages.StoredJob(
-            id=job,
-            spec=models.decode_spec(value),
-            is_cancelled=entry is not None and entry.is_cancelled,
-        )
-        self._kernel.publish(messages.JobAdded(job=stored))
+    def _publish(self, specs: dict[str, bytes]) -> None:
+        """Publish jobs; a cancellation may have been received before one."""
+        for spec in self._decode_specs(specs):
+            entry = self._replica.entries.get(spec.id)
+            stored = messages.StoredJob(
+                id=spec.id,
+                spec=spec,
+                is_cancelled=entry is not None and entry.is_cancelled,
+            )
+            self._kernel.publish(messages.JobAdded(job=stored))
 
 
 async def _gather(reads: Iterable[Any]) -> list[Any]:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -41,7 +41,18 @@
     def start(self) -> None:
         """Start to follow the table."""
         self.kernel.subscribe(messages.OwnershipChanged, self)
-        defer.ensureDeferred(self._follow())
+        self._run_replica()
+
+    def _run_replica(self) -> None:
+        """Follow the table; start again after an unexpected error."""
+
+        def on_failed(reason: Any) -> None:
+            self._log.error(
+                'Following the table failed', reason=reason.getTraceback()
+            )
+            self.kernel.clock.call_later(const.RESTART_MS, self._run_replica)
+
+        defer.ensureDeferred(self._follow()).addErrback(on_failed)
 
     # Following the table.
 
@@ -199,21 +210,22 @@
         view = _owner_view.OwnerView(self.kernel, self._replica)
         self._owner_view = view
         await self._wait_for_sync(version)
-        while True:
-            try:
-                snapshot = await view.load()
-                break
-            except core.OriolestandError as exc:
-                self._log.warning('Jobs cannot be loaded', why=str(exc))
-                await self.kernel.sleep(const.RETRY_MS)
-        defer.ensureDeferred(view.follow()).addErrback(self._on_view_failed)
+        snapshot = await view.load()
+        self._run_owner_view(view)
         return snapshot
 
-    def _on_view_failed(self, reason: Any) -> None:
-        """Log an unexpected error that ended the following of new jobs."""
-        self._log.error(
-            'Following new jobs failed', reason=reason.getTraceback()
-        )
+    def _run_owner_view(self, view: _owner_view.OwnerView) -> None:
+        """Follow new jobs; start again after an unexpected error."""
+
+        def on_failed(reason: Any) -> None:
+            self._log.error(
+                'Following new jobs failed', reason=reason.getTraceback()
+            )
+            self.kernel.clock.call_later(
+                const.RESTART_MS, lambda: self._run_owner_view(view)
+            )
+
+        defer.ensureDeferred(view.follow()).addErrback(on_failed)
 
     def _wait_for_sync(self, version: int) -> 'defer.Deferred[None]':
         """Return a Deferred that fires once the replica has a version."""
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/const.py
@@ -5,6 +5,9 @@
 FOLLOW_WAIT_MS = 1_000
 RETRY_MS = 100
 
+RESTART_MS = 1_000
+"""Delay before a loop that ended with an unexpected error is started again."""
+
 FOLLOW_PAUSE_MS = 120
 """Pause after changes, so that one response carries several; calls to the
 store are charged."""
--- a/packages/fleet/tests/services/jobs/test_owner_view.py
+++ b/packages/fleet/tests/services/jobs/test_owner_view.py
@@ -111,3 +111,41 @@
     replica = follower_of(daemons).kernel.find('jobs')._replica
     assert replica.entries['a' * 16].is_stored
     assert replica.entries['a' * 16].spec is None
+
+
+def test_malformed_specification_does_not_stop_other_jobs(site, daemons):
+    # One bad row would keep every owner from loading the cell.
+    def insert_bad_row(job):
+        put = store.Put(key=layout.SPEC_PREFIX + job, value=b'{"steps":1}')
+        site.store.commit(
+            store.CommitRows(
+                table=layout.SPEC_TABLE, part='jobs-0', checks=(), puts=(put,)
+            )
+        )
+
+    insert_bad_row('0' * 16)
+    site.submit(daemons[0], 'a' * 16, STEPS, duration_ms=20_000)
+    site.run(1_000)
+    lost = owner_of(daemons)
+    lost.disconnect()
+    rest = [daemon for daemon in daemons if daemon is not lost]
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    site.submit(rest[0], 'b' * 16, STEPS)
+    site.run(25_000)
+    assert {site.state(rest[0], job * 16) for job in 'ab'} == {'completed'}
+
+
+def test_unexpected_error_does_not_end_the_replica(site, daemons):
+    # A daemon whose replica stands still reports outdated states for ever.
+    follower = follower_of(daemons)
+    replica = follower.kernel.find('jobs')._replica
+    apply_row = replica.apply
+
+    def fail_once(row):
+        replica.apply = apply_row
+        raise RuntimeError('unexpected')
+
+    replica.apply = fail_once
+    site.submit(daemons[0], 'a' * 16, STEPS)
+    site.run(4_000)
+    assert replica.entries['a' * 16].outcome == 'completed'
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -10,6 +10,7 @@
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_fleet.services.jobs import _owner_view
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins import fleet
@@ -105,6 +106,25 @@
     site.run_until(lambda: second.is_owner, 16_000)
 
 
+def test_unexpected_error_while_loading_does_not_block_the_cell(
+    site, daemons, monkeypatch
+):
+    # The claim of an owner that never acts would be renewed for ever.
+    failures = []
+
+    def fail_once(self):
+        failures.append(1)
+        monkeypatch.undo()
+        raise RuntimeError('unexpected')
+
+    monkeypatch.setattr(_owner_view.OwnerView, 'load', fail_once)
+    lost = owner_of(daemons)
+    rest = [daemon for daemon in daemons if daemon is not lost]
+    lost.disconnect()
+    site.run_until(lambda: bool(failures), 8_000)
+    site.run_until(lambda: bool(acting_owners(rest)), 8_000)
+
+
 def test_refused_claim_is_repeated_only_after_further_silence(site, daemons):
     # A daemon that learns from a refusal that the owner renews must not send
     # claim after claim.
