Measure the processor time of the cell owner's decisions

Cause: the owner of 246 workers used 0.7 to 1.08 cores; no measurement showed which part of its decisions used them. Change: benchmark group 'owner', without sockets and on a simulated clock: 246 workers, 170 services of 14 tasks, 6 quick and 9 batch jobs a second, in a steady and an overloaded variant. It prints the time by call and a digest of all effects. Its target is half of the smallest instance's 0.516 of a core.

--- a/packages/bench/src/oriolestand_bench/_groups.py
+++ b/packages/bench/src/oriolestand_bench/_groups.py
@@ -9,6 +9,7 @@
 from oriolestand_bench import capacity
 from oriolestand_bench import config
 from oriolestand_bench import failover
+from oriolestand_bench import owner
 from oriolestand_bench import policy
 
 GROUPS: Mapping[str, Callable[[], list[_results.Result]]] = {
@@ -17,5 +18,6 @@
     'failover': failover.run,
     'config': config.run,
     'capacity': capacity.run,
+    'owner': owner.run,
     'policy': policy.run,
 }
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/owner.py
@@ -0,0 +1,486 @@
+"""Measure the processor time of the scheduler of one cell owner.
+
+A simulated fleet replies to the scheduler's orders and polls on a simulated
+clock. Only the calls to the scheduler are measured. The digest covers all
+effects in their order: two versions of the scheduler that make the same
+decisions print the same digest.
+"""
+
+from collections.abc import Callable
+import cProfile
+import dataclasses
+import hashlib
+import heapq
+import itertools
+import math
+import pstats
+import random
+import time
+from typing import Any
+
+import click
+
+from oriolestand_bench import _results
+from oriolestand_policy import scheduling
+
+WORKERS = 246
+WORKER_CPU = 64_000
+WORKER_MEMORY_MB = 250_000
+WORKERS_PER_RACK = 11
+SERVICE_JOBS = 170
+SERVICE_TASKS = 14
+SERVICE_IMAGES = 8
+FILLING_IMAGES = 8
+QUICK_JOBS_PER_S = 6
+BATCH_JOBS_PER_S = 9
+QUICK_MS = 400
+BATCH_MS = 1_100
+OVERLOAD_BATCH_MS = 10_000
+"""Run time at which more batch tasks arrive than fit beside the services."""
+
+WARM_UP_MS = 20_000
+MEASURED_MS = 10_000
+LEASE_MS = 6_000
+LATENCY_MS = 3
+POLL_WAIT_MS = 1_000
+MIXED_POLL_WAIT_MS = 500
+RECORD_WAIT_MS = 150
+STOP_MS = 100
+ROUND_DELAY_MS = 29
+TICK_MS = 200
+LOAD_PERIOD_MS = 10_000
+MAX_CORES = 0.25
+"""Half of the processor time of the smallest instance, 0.516 of a core."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _SimulatedRun:
+    """Run on a simulated worker."""
+
+    key: scheduling.TaskKey
+    number: int
+    spec: scheduling.StepSpec
+    started_ms: int
+    duration_ms: int
+    pace: int = 100
+
+
+class _SimulatedWorker:
+    """Worker that runs tasks and reports them."""
+
+    def __init__(self, worker_id: str) -> None:
+        self.id = worker_id
+        self.runs: dict[scheduling.TaskKey, _SimulatedRun] = {}
+        self.ended: list[scheduling.EndReport] = []
+        self.sequence = 0
+        self.poll_number = 0
+
+    def report(
+        self, now_ms: int, weights: dict[tuple[str, str], float]
+    ) -> scheduling.WorkerReport:
+        """Return the report of all runs and of the ends since the last."""
+        ended, self.ended = tuple(self.ended), []
+        running = tuple(
+            scheduling.RunReport(
+                key=run.key,
+                number=run.number,
+                checkpoint='',
+                percent=self._percent(run, now_ms),
+                measured=self._measured(run, now_ms, weights),
+            )
+            for run in self.runs.values()
+        )
+        return scheduling.WorkerReport(
+            clock_ms=now_ms,
+            running=running,
+            ended=ended,
+            process_start_ms=1,
+        )
+
+    def _percent(self, run: _SimulatedRun, now_ms: int) -> int:
+        """Return the progress of a run."""
+        if run.spec.is_service:
+            return 100
+        elapsed_ms = now_ms - run.started_ms
+        return min(99, 100 * elapsed_ms // run.duration_ms)
+
+    def _measured(
+        self,
+        run: _SimulatedRun,
+        now_ms: int,
+        weights: dict[tuple[str, str], float],
+    ) -> int:
+        """Return the tail latency or the processor use of a run."""
+        if not run.spec.is_service:
+            return run.spec.cpu * run.pace // 100
+        phase = hash_of(run.key.job)
+        angle = 2 * math.pi * (now_ms / LOAD_PERIOD_MS + phase)
+        load = 0.45 + 0.2 * math.sin(angle)
+        for other in self.runs.values():
+            if other.spec.is_filling:
+                weight = weights[(run.spec.image, other.spec.image)]
+                share = other.spec.cpu * other.pace / 100 / WORKER_CPU
+                load += weight * share
+        return round(20 / (1.0 - min(0.95, load)))
+
+
+def hash_of(text: str) -> float:
+    """Return a number from 0 to 1 that depends on a text only."""
+    return int(hashlib.sha256(text.encode()).hexdigest()[:8], 16) / 2**32
+
+
+class OwnerSimulation:
+    """Drive a scheduler with reports of a simulated fleet."""
+
+    def __init__(self, batch_ms: int, seed: int = 1) -> None:
+        self.now = 10_000
+        self.scheduler = scheduling.Scheduler(1, LEASE_MS)
+        self.spent_ns: dict[str, int] = {}
+        self.digest = hashlib.sha256()
+        self.ends = 0
+        self.starts = 0
+        self.profile: cProfile.Profile | None = None
+        self._batch_ms = batch_ms
+        self._random = random.Random(seed)
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._event_numbers = itertools.count()
+        self._job_numbers = itertools.count()
+        self._is_round_due = False
+        self._weights = {
+            (f's{service}', f'f{filling}'): (
+                1.2 if self._random.random() < 0.25 else 0.12
+            )
+            for service in range(SERVICE_IMAGES)
+            for filling in range(FILLING_IMAGES)
+        }
+        self.workers = {
+            f'w{number:03}': _SimulatedWorker(f'w{number:03}')
+            for number in range(WORKERS)
+        }
+        self._set_up()
+
+    def _set_up(self) -> None:
+        """Add routes, workers and jobs, and schedule the first events."""
+        self.scheduler.set_routes(
+            scheduling.RoutePolicy(
+                name=name,
+                pool='p',
+                priority=priority,
+                max_attempts=3,
+                stretch=2.0,
+                target_ms=2_000,
+            )
+            for priority, name in enumerate(('service', 'quick', 'batch'))
+        )
+        infos = {
+            worker_id: scheduling.WorkerInfo(
+                id=worker_id,
+                pool='p',
+                address=f'{worker_id}:1',
+                failure_domain='d',
+                cpu=WORKER_CPU,
+                memory_mb=WORKER_MEMORY_MB,
+                rack=f'r{number // WORKERS_PER_RACK}',
+                process_start_ms=1,
+            )
+            for number, worker_id in enumerate(self.workers)
+        }
+        self.scheduler.set_workers(infos)
+        self.scheduler.mark_workers_recorded(infos)
+        for number in range(SERVICE_JOBS):
+            self._submit(
+                'service',
+                scheduling.StepSpec(
+                    count=SERVICE_TASKS,
+                    cpu=self._random.choice((5_000, 6_000, 7_000)),
+                    memory_mb=4_000,
+                    is_service=True,
+                    image=f's{number % SERVICE_IMAGES}',
+                    target_ms=100,
+                    max_per_worker=2,
+                ),
+            )
+        for worker in self.workers.values():
+            self._at(self._random.randrange(300), self._poll_later(worker))
+        self._at(0, self._submit_quick)
+        self._at(0, self._submit_batch)
+        self._at(0, self._tick)
+
+    def _at(self, delay_ms: int, func: Callable[[], None]) -> None:
+        """Call a function after a delay."""
+        entry = (self.now + delay_ms, next(self._event_numbers), func)
+        heapq.heappush(self._events, entry)
+
+    def run(self, duration_ms: int) -> None:
+        """Run the events of some simulated time."""
+        end_ms = self.now + duration_ms
+        while self._events[0][0] <= end_ms:
+            self.now, _, func = heapq.heappop(self._events)
+            func()
+        self.now = end_ms
+
+    def _measure(self, func: Callable[..., Any], *args: Any) -> Any:
+        """Call the scheduler and add up the processor time."""
+        if self.profile is not None:
+            return self.profile.runcall(func, *args)
+        began_ns = time.process_time_ns()
+        result = func(*args)
+        spent_ns = time.process_time_ns() - began_ns
+        name = func.__name__
+        self.spent_ns[name] = self.spent_ns.get(name, 0) + spent_ns
+        return result
+
+    # Jobs.
+
+    def _submit(self, route: str, *steps: scheduling.StepSpec) -> None:
+        """Submit a job."""
+        spec = scheduling.JobSpec(
+            id=f'j{next(self._job_numbers):06}',
+            route=route,
+            payload='x',
+            steps=steps,
+            accepted_ms=self.now,
+        )
+        self._measure(self.scheduler.add_job, spec, self.now)
+        self._request_round()
+
+    def _submit_quick(self) -> None:
+        """Submit a quick job of two steps."""
+        cpu = self._random.choice((1_000, 2_000))
+        first = scheduling.StepSpec(
+            count=8, cpu=cpu, memory_mb=500, estimate_ms=QUICK_MS
+        )
+        second = dataclasses.replace(first, after=(0,))
+        self._submit('quick', first, second)
+        self._at(1_000 // QUICK_JOBS_PER_S, self._submit_quick)
+
+    def _submit_batch(self) -> None:
+        """Submit a batch job of filling tasks."""
+        image = f'f{self._random.randrange(FILLING_IMAGES)}'
+        self._submit(
+            'batch',
+            scheduling.StepSpec(
+                count=40,
+                cpu=self._random.choice((2_000, 4_000)),
+                memory_mb=1_000,
+                estimate_ms=self._batch_ms,
+                is_filling=True,
+                has_checkpoints=self._random.random() < 0.5,
+                image=image,
+            ),
+        )
+        self._at(1_000 // BATCH_JOBS_PER_S, self._submit_batch)
+
+    # Workers.
+
+    def _poll_later(self, worker: _SimulatedWorker) -> Callable[[], None]:
+        """Return a function that starts to poll a worker."""
+        return lambda: self._start_poll(worker)
+
+    def _start_poll(self, worker: _SimulatedWorker) -> None:
+        """Send a poll; the report comes at an end or after the wait."""
+        self._measure(self.scheduler.new_lease_end, worker.id, self.now)
+        worker.poll_number += 1
+        number, sent_ms = worker.poll_number, self.now
+        wait_ms = POLL_WAIT_MS
+        if any(run.spec.is_filling for run in worker.runs.values()):
+            wait_ms = MIXED_POLL_WAIT_MS
+        if worker.ended:
+            wait_ms = LATENCY_MS
+        self._at(wait_ms, lambda: self._end_poll(worker, number, sent_ms))
+
+    def _end_poll(
+        self, worker: _SimulatedWorker, number: int, sent_ms: int
+    ) -> None:
+        """Apply a report, unless an end has completed the poll before."""
+        if worker.poll_number != number:
+            return
+        worker.poll_number += 1
+        report = worker.report(self.now, self._weights)
+        self.ends += len(report.ended)
+        jobs = self._measure(
+            self.scheduler.on_worker_report,
+            worker.id,
+            report,
+            sent_ms,
+            self.now,
+        )
+        for job in sorted(jobs):
+            self._measure(scheduling.progress_of, self.scheduler.jobs[job])
+        delay_ms = RECORD_WAIT_MS if report.ended else LATENCY_MS
+        self._at(delay_ms, self._poll_later(worker))
+        self._apply_effects()
+        self._request_round()
+
+    def _end_run(
+        self,
+        worker: _SimulatedWorker,
+        run: _SimulatedRun,
+        kind: scheduling.EndKind,
+    ) -> None:
+        """End a run and complete the pending poll."""
+        if worker.runs.get(run.key) is not run:
+            return
+        del worker.runs[run.key]
+        worker.sequence += 1
+        worker.ended.append(
+            scheduling.EndReport(
+                sequence=worker.sequence,
+                key=run.key,
+                number=run.number,
+                kind=kind,
+                checkpoint='',
+            )
+        )
+        number, sent_ms = worker.poll_number, self.now - LATENCY_MS
+        self._at(LATENCY_MS, lambda: self._end_poll(worker, number, sent_ms))
+
+    # Scheduling.
+
+    def _tick(self) -> None:
+        """Run a round at a fixed interval."""
+        self._run_round()
+        self._at(TICK_MS, self._tick)
+
+    def _request_round(self) -> None:
+        """Run a round after a short delay."""
+        if not self._is_round_due:
+            self._is_round_due = True
+            self._at(ROUND_DELAY_MS, self._on_round_due)
+
+    def _on_round_due(self) -> None:
+        """Run a requested round."""
+        self._is_round_due = False
+        self._run_round()
+
+    def _run_round(self) -> None:
+        """Run a scheduling round."""
+        self._measure(self.scheduler.decide, self.now, self.now, True)
+        self._apply_effects()
+
+    def _apply_effects(self) -> None:
+        """Carry out the orders of the scheduler."""
+        for effect in self._measure(self.scheduler.take_effects):
+            self.digest.update(repr((self.now, effect)).encode())
+            if isinstance(effect, scheduling.StartTask):
+                self._start_run(effect)
+            elif isinstance(effect, scheduling.StopTask):
+                self._stop_run(effect)
+            elif isinstance(effect, scheduling.PaceTask):
+                run = self.workers[effect.worker].runs.get(effect.key)
+                if run is not None:
+                    run.pace = effect.percent
+
+    def _start_run(self, effect: scheduling.StartTask) -> None:
+        """Start a run on a worker and reply to the order."""
+        self.starts += 1
+        key = effect.key
+        spec = self.scheduler.jobs[key.job].spec.steps[key.step]
+        duration_ms = self._batch_ms if spec.is_filling else QUICK_MS
+        run = _SimulatedRun(
+            key=key,
+            number=effect.run,
+            spec=spec,
+            started_ms=self.now,
+            duration_ms=int(duration_ms * self._random.uniform(0.7, 1.3)),
+        )
+        worker = self.workers[effect.worker]
+        worker.runs[key] = run
+        if not spec.is_service:
+            self._at(
+                run.duration_ms,
+                lambda: self._end_run(worker, run, scheduling.EndKind.DONE),
+            )
+        self._at(LATENCY_MS, lambda: self._on_started(effect))
+
+    def _on_started(self, effect: scheduling.StartTask) -> None:
+        """Apply the reply to a start order."""
+        self._measure(
+            self.scheduler.on_start_reply,
+            effect.worker,
+            effect.key,
+            effect.run,
+            scheduling.StartOutcome.STARTED,
+            '',
+            self.now,
+        )
+        self._apply_effects()
+        self._request_round()
+
+    def _stop_run(self, effect: scheduling.StopTask) -> None:
+        """Stop a run on a worker and reply to the order."""
+        worker = self.workers[effect.worker]
+        run = worker.runs.get(effect.key)
+        if run is not None and run.number == effect.run:
+            stopped = run
+            self._at(
+                STOP_MS,
+                lambda: self._end_run(
+                    worker, stopped, scheduling.EndKind.STOPPED
+                ),
+            )
+        self._measure(
+            self.scheduler.on_stop_reply,
+            effect.worker,
+            effect.key,
+            effect.run,
+            True,
+            self.now,
+        )
+
+
+SCENARIOS = {'steady': BATCH_MS, 'overload': OVERLOAD_BATCH_MS}
+
+
+def _measure_scenario(name: str, seed: int) -> _results.Result:
+    """Measure a scenario, print its parts and return the total."""
+    simulation = OwnerSimulation(SCENARIOS[name], seed)
+    simulation.run(WARM_UP_MS)
+    simulation.spent_ns.clear()
+    simulation.starts = simulation.ends = 0
+    simulation.run(MEASURED_MS)
+    seconds = MEASURED_MS / 1_000
+    for func, spent_ns in simulation.spent_ns.items():
+        click.echo(f'{name}/{func}: {spent_ns / 1e9 / seconds:.4f} cores')
+    ready = sum(simulation.scheduler.ready_by_kind().values())
+    click.echo(
+        f'{name}: {simulation.starts / seconds:g} starts/s, '
+        f'{simulation.ends / seconds:g} ends/s, {ready} ready tasks, '
+        f'digest {simulation.digest.hexdigest()[:16]}'
+    )
+    return _results.Result(
+        name=f'owner/{name}',
+        unit='cores',
+        value=sum(simulation.spent_ns.values()) / 1e9 / seconds,
+        target=MAX_CORES,
+    )
+
+
+def run(seed: int = 1) -> list[_results.Result]:
+    """Measure the processor time per simulated second."""
+    return [_measure_scenario(name, seed) for name in SCENARIOS]
+
+
+def _print_profile(name: str, seed: int) -> None:
+    """Print the functions that use the most processor time."""
+    simulation = OwnerSimulation(SCENARIOS[name], seed)
+    simulation.run(WARM_UP_MS)
+    simulation.profile = cProfile.Profile()
+    simulation.run(MEASURED_MS)
+    stats = pstats.Stats(simulation.profile)
+    stats.strip_dirs().sort_stats('tottime').print_stats(25)
+
+
+@click.command()
+@click.option('--profile', type=click.Choice(list(SCENARIOS)))
+@click.option('--seed', default=1, help='Seed of the random numbers.')
+def main(profile: str | None, seed: int) -> None:
+    """Print the processor time, or the profile of one scenario."""
+    if profile is not None:
+        _print_profile(profile, seed)
+        return
+    click.echo(_results.to_table(run(seed)))
+
+
+if __name__ == '__main__':
+    main()
