Observe the load of services with fewer repeated calculations

Cause: each report of a service task calculated the common period, the peak of its wave and a new weight of each pair, which hardly ever change; each entry of a report checked the key of its task against the specification. Change: the period is read once a report, a wave keeps its peak, weights are made only if missing, and tasks of an existing occurrence are looked up directly.

--- a/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
@@ -65,6 +65,8 @@
     """A load that varies as a sine wave around a mean.
 
     ``explained`` is the share of the variance that the wave explains.
+    ``peak_phase`` is the time of a peak in periods, and ``height`` the load
+    above the mean at a peak.
     """
 
     period_ms: float
@@ -72,6 +74,15 @@
     sine: float = 0.0
     cosine: float = 0.0
     explained: float = 1.0
+    peak_phase: float = dataclasses.field(init=False)
+    height: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Calculate the peak once, as forecasts ask for it often."""
+        phase = math.atan2(self.sine, self.cosine) / (2 * math.pi)
+        object.__setattr__(self, 'peak_phase', phase)
+        height = math.hypot(self.sine, self.cosine)
+        object.__setattr__(self, 'height', height)
 
     def at(self, when_ms: float) -> float:
         """Return the load at a time.
@@ -94,10 +105,11 @@
         >>> round(Wave(period_ms=8, mean=0.5, sine=0.2).peak(3, 5), 3)
         0.641
         """
-        peak_phase = math.atan2(self.sine, self.cosine) / (2 * math.pi)
-        cycles = math.ceil(begin_ms / self.period_ms - peak_phase)
-        if (cycles + peak_phase) * self.period_ms <= end_ms:
-            return self.mean + math.hypot(self.sine, self.cosine)
+        cycles = math.ceil(begin_ms / self.period_ms - self.peak_phase)
+        if (cycles + self.peak_phase) * self.period_ms <= end_ms:
+            return self.mean + self.height
+        if begin_ms == end_ms:
+            return self.at(begin_ms)
         return max(self.at(begin_ms), self.at(end_ms))
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -76,6 +76,14 @@
         return not self.is_done and not self.worker
 
 
+def _task_at(steps: list[list[Task]], key: TaskKey) -> Task | None:
+    """Return the task of an occurrence with a key, or None."""
+    if not 0 <= key.step < len(steps):
+        return None
+    tasks = steps[key.step]
+    return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Job:
     """State of a job; ``tasks`` holds the occurrences due so far.
@@ -121,6 +129,9 @@
 
     def find(self, key: TaskKey) -> Task | None:
         """Return the task with a key, or None if the job has no such task."""
+        steps = self.tasks.get(key.occurrence)
+        if steps is not None:
+            return _task_at(steps, key)
         if not 0 <= key.occurrence < self.spec.occurrence_count:
             return None
         if not 0 <= key.step < len(self.spec.steps):
--- a/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
@@ -132,34 +132,46 @@
                 shares[image] = shares.get(image, 0.0) + _used_share(
                     run, worker
                 )
+        period_ms = self._search.period_ms
         for run in worker.runs.values():
             if _is_serving(run):
-                self._observe_run(run, shares, now_ms)
+                self._observe_run(run, shares, period_ms, now_ms)
 
     def _observe_run(
-        self, run: _fleet.Run, shares: dict[str, float], now_ms: int
+        self,
+        run: _fleet.Run,
+        shares: dict[str, float],
+        period_ms: float | None,
+        now_ms: int,
     ) -> None:
         """Update the estimates from the tail latency of one service task."""
         load = self._observed_load(run)
         image = run.spec.image
         weights = {
-            filling: self._weights.setdefault((image, filling), _Weight())
-            for filling in shares
+            filling: self._weight_of((image, filling)) for filling in shares
         }
         expected = sum(
             weights[filling].value * share for filling, share in shares.items()
         )
-        history = self._histories.setdefault(
-            run.key[:3], _forecast.LoadHistory()
-        )
+        history = self._histories.get(run.key[:3])
+        if history is None:
+            history = _forecast.LoadHistory()
+            self._histories[run.key[:3]] = history
         # The load that neighbours are expected to add is not subtracted: a
         # weight that is too high would make the intrinsic load look low,
         # and so confirm itself.
-        history.add(load, now_ms, self._search.period_ms)
+        history.add(load, now_ms, period_ms)
         if shares:
             excess = load - history.value(now_ms)
             self._update_weights(run, weights, shares, excess - expected)
 
+    def _weight_of(self, pair: tuple[str, str]) -> _Weight:
+        """Return the weight of a pair, added if it is missing."""
+        weight = self._weights.get(pair)
+        if weight is None:
+            weight = self._weights[pair] = _Weight()
+        return weight
+
     def _observed_load(self, run: _fleet.Run) -> float:
         """Return the load that the tail latency of a service task implies."""
         image = run.spec.image
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -13,6 +13,7 @@
 
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _candidates
+from oriolestand_policy.scheduling import _forecast
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _scheduler
@@ -302,11 +303,50 @@
     return (_urgency.Tier.LOST, due)
 
 
+class ReferenceModel(scheduling.InterferenceModel):
+    """Look up the period and the weights anew for each service task."""
+
+    def observe(self, worker, now_ms):
+        self._search.run(self._histories.values(), now_ms)
+        shares = {}
+        for run in worker.runs.values():
+            if run.spec.is_filling and (
+                run.phase is scheduling.RunPhase.RUNNING
+            ):
+                image = run.spec.image
+                share = run.measured / max(1, worker.info.cpu)
+                shares[image] = shares.get(image, 0.0) + share
+        for run in worker.runs.values():
+            if _pressure._is_serving(run):
+                self._observe_service(run, shares, now_ms)
+
+    def _observe_service(self, run, shares, now_ms):
+        load = self._observed_load(run)
+        image = run.spec.image
+        weights = {
+            filling: self._weights.setdefault(
+                (image, filling), _pressure._Weight()
+            )
+            for filling in shares
+        }
+        expected = sum(
+            weights[filling].value * share for filling, share in shares.items()
+        )
+        history = self._histories.setdefault(
+            run.key[:3], _forecast.LoadHistory()
+        )
+        history.add(load, now_ms, self._search.period_ms)
+        if shares:
+            excess = load - history.value(now_ms)
+            self._update_weights(run, weights, shares, excess - expected)
+
+
 class ReferenceScheduler(scheduling.Scheduler):
     """Scheduler that visits all of its state in each round."""
 
     def __init__(self):
         super().__init__(1, LEASE_MS)
+        self._cell.pressure = ReferenceModel()
         self._cell.ready = ReferenceReady()
         self._task_starter = ReferenceStarter(
             self._cell, ReferencePlacement(self._cell.pressure)
@@ -585,11 +625,49 @@
         if rng.random() < 0.6:
             self.decide()
         assert self.subject.ready_by_kind() == self.reference.ready_by_kind()
+        learned = self.subject.pressure.learned()
+        assert learned == self.reference.pressure.learned()
 
 
 SEEDS = range(24)
 
 
+def reference_find(job, key):
+    """Return the task with a key after checks against the specification."""
+    if not 0 <= key.occurrence < job.spec.occurrence_count:
+        return None
+    if not 0 <= key.step < len(job.spec.steps):
+        return None
+    if not 0 <= key.index < job.spec.steps[key.step].count:
+        return None
+    return job.occurrence(key.occurrence)[key.step][key.index]
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_task_is_found_as_by_the_specification(seed):
+    # Guards against a task of another key, and against occurrences that are
+    # created too early or not at all.
+    rng = random.Random(seed)
+    spec = scheduling.JobSpec(
+        id='j',
+        route='r',
+        payload='',
+        steps=tuple(
+            scheduling.StepSpec(count=rng.randrange(1, 4)) for _ in range(2)
+        ),
+        repeat_count=rng.randrange(3),
+    )
+    job = scheduling.Job(spec=spec)
+    reference = scheduling.Job(spec=spec)
+    for _ in range(100):
+        numbers = [rng.randrange(-2, 5) for _ in range(3)]
+        key = scheduling.TaskKey('j', *numbers)
+        found = job.find(key)
+        assert found == reference_find(reference, key)
+        assert list(job.tasks) == list(reference.tasks)
+        assert found is None or found.key == key
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_effects_equal_those_of_passes_over_all_state(seed):
     # Guards against an index that is not updated with the state it covers,
--- a/packages/policy/tests/scheduling/test_forecast.py
+++ b/packages/policy/tests/scheduling/test_forecast.py
@@ -113,3 +113,27 @@
         loads = [mean - factor * deviation, mean + factor * deviation] * count
         bins = list(enumerate(loads))
         assert _forecast.is_steady(bins) == reference_is_steady(bins)
+
+
+def reference_peak(wave, begin_ms, end_ms):
+    peak_phase = math.atan2(wave.sine, wave.cosine) / (2 * math.pi)
+    cycles = math.ceil(begin_ms / wave.period_ms - peak_phase)
+    if (cycles + peak_phase) * wave.period_ms <= end_ms:
+        return wave.mean + math.hypot(wave.sine, wave.cosine)
+    return max(wave.at(begin_ms), wave.at(end_ms))
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_peak_of_a_wave_equals_the_peak_without_kept_values(seed):
+    # Guards against a kept peak that differs from that of the wave.
+    rng = random.Random(seed)
+    for _ in range(200):
+        wave = _forecast.Wave(
+            period_ms=rng.choice([8, rng.uniform(4_000, 30_000)]),
+            mean=rng.random(),
+            sine=rng.choice([0.0, 0.2, rng.uniform(-1, 1)]),
+            cosine=rng.choice([0.0, rng.uniform(-1, 1)]),
+        )
+        begin = rng.randrange(100_000)
+        end = begin + rng.choice([0, 0, 700, 1_200])
+        assert wave.peak(begin, end) == reference_peak(wave, begin, end)
