Drop log lines over the limit before they are rendered

Change: the writer is asked about each line before it is rendered. Levels above info have a budget of their own, of the same size, and the first 3 lines of each event text in a second are written in any case. The count of dropped lines is written once a second. Texts of lines are unchanged.

--- a/packages/core/src/oriolestand_core/__init__.py
+++ b/packages/core/src/oriolestand_core/__init__.py
@@ -14,6 +14,7 @@
 from oriolestand_core._inbox import Inbox
 from oriolestand_core._kernel import Kernel
 from oriolestand_core._kernel import ServiceManifest
+from oriolestand_core._logs import LimitedStream
 from oriolestand_core._logs import configure_logs
 from oriolestand_core._logs import get_logger
 from oriolestand_core._task import Task
@@ -27,6 +28,7 @@
     'InboxFullError',
     'Incarnation',
     'Kernel',
+    'LimitedStream',
     'ManualClock',
     'Millis',
     'NotReadyError',
--- a/packages/core/src/oriolestand_core/_logs.py
+++ b/packages/core/src/oriolestand_core/_logs.py
@@ -1,5 +1,6 @@
 """Configure structured logging; events are prefixed with a component."""
 
+import abc
 import logging
 import sys
 from typing import Any
@@ -47,6 +48,38 @@
         return dict(event)
 
 
+class LimitedStream(abc.ABC):
+    """Stream that limits the log volume before lines are rendered."""
+
+    @abc.abstractmethod
+    def admits(self, level: str, event: str) -> bool:
+        """Return whether the next line is to be rendered and written.
+
+        ``event`` is the text of its event.
+        """
+
+    @abc.abstractmethod
+    def write(self, text: str) -> int:
+        """Write a line; return its length."""
+
+    @abc.abstractmethod
+    def flush(self) -> None:
+        """Write the lines that are queued."""
+
+
+class _AdmissionFilter:
+    """Drop events that a stream does not admit."""
+
+    def __init__(self, stream: LimitedStream) -> None:
+        self._stream = stream
+
+    def __call__(self, logger: Any, method: str, event: Any) -> Any:
+        """Return the event, or raise DropEvent."""
+        if not self._stream.admits(method, event['event']):
+            raise structlog.DropEvent
+        return event
+
+
 def _add_prefix(logger: Any, method: str, event: Any) -> dict[str, Any]:
     """Prefix the event text with the component in brackets."""
     part = event.get('part', 'daemon')
@@ -66,18 +99,23 @@
     :param level: name of the lowest level written, such as ``INFO``.
     :param now_ms: callable that returns monotonic time in milliseconds, for
         the repeat limit.
-    :param stream: defaults to standard error.
+    :param stream: defaults to standard error. A ``LimitedStream`` is asked
+        about each line before it is rendered.
     :param repeat_limit: how many times the same event is written in ten
         seconds; None for a stream that limits the volume itself.
     """
     renderer: Any = structlog.processors.JSONRenderer()
     if log_format == 'console':
         renderer = structlog.dev.ConsoleRenderer(colors=False)
+    admission: list[Any] = []
+    if isinstance(stream, LimitedStream):
+        admission.append(_AdmissionFilter(stream))
     filters: list[Any] = []
     if repeat_limit is not None:
         filters.append(RepeatFilter(repeat_limit, now_ms))
     structlog.configure(
         processors=[
+            *admission,
             structlog.contextvars.merge_contextvars,
             *filters,
             _add_prefix,
--- a/packages/fleet/src/oriolestand_fleet/_logs.py
+++ b/packages/fleet/src/oriolestand_fleet/_logs.py
@@ -1,20 +1,70 @@
-"""Write log lines to a file descriptor without blocking."""
+"""Limit log lines, and write them to a file descriptor without blocking."""
 
 import collections
 from collections.abc import Callable
 import os
 
+import oriolestand_core as core
+
 FLUSH_DELAY_MS = 20
 MAX_QUEUED_BYTES = 256 * 1024
 """Limit of the queue; further lines are dropped and counted while the reader
 is slow."""
 
 
-class NonBlockingLineWriter:
+COMMON_LEVELS = frozenset({'debug', 'info'})
+FIRST_LINES = 3
+"""Lines of each event text that are written in each second, so that an event
+that is rare, such as a change of owner, is not lost in a flood of others."""
+
+
+class LineLimit:
+    """Limit the log lines per second.
+
+    Levels above info have a budget of their own. The first lines of an event
+    text in a second are written even if the budget of their level is used up;
+    the texts are constants, so that there are only a few dozen.
+    """
+
+    def __init__(self, lines_per_s: int, now_ms: Callable[[], int]) -> None:
+        self._lines_per_s = lines_per_s
+        self._now_ms = now_ms
+        self._current_second = 0
+        self._lines: collections.Counter[bool] = collections.Counter()
+        self._lines_of_event: collections.Counter[str] = collections.Counter()
+
+    def second(self) -> int:
+        """Return the current second; begin its budgets if it is new."""
+        second = self._now_ms() // 1000
+        if second != self._current_second:
+            self._current_second = second
+            self._lines.clear()
+            self._lines_of_event.clear()
+        return second
+
+    def admits(self, level: str, event: str | None) -> bool:
+        """Count a line; return whether it is to be written.
+
+        ``event`` is None if its text is unknown.
+        """
+        self.second()
+        is_common = level in COMMON_LEVELS
+        is_first = False
+        if event is not None:
+            self._lines_of_event[event] += 1
+            is_first = self._lines_of_event[event] <= FIRST_LINES
+        if self._lines[is_common] >= self._lines_per_s and not is_first:
+            return False
+        self._lines[is_common] += 1
+        return True
+
+
+class NonBlockingLineWriter(core.LimitedStream):
     """Queue log lines and write them without blocking.
 
     A limit of lines per second bounds the log volume under load. Dropped
-    lines are counted, and the count is written before the next line.
+    lines are counted, and the count is written before the first line of a
+    later second.
     """
 
     def __init__(
@@ -25,30 +75,37 @@
         call_later: Callable[[int, Callable[[], object]], object],
     ) -> None:
         self._descriptor = descriptor
-        self._lines_per_s = lines_per_s
-        self._now_ms = now_ms
+        self._limit = LineLimit(lines_per_s, now_ms)
         self._call_later = call_later
         self._queue: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
-        self._current_second = 0
-        self._lines_in_second = 0
+        self._is_next_admitted = False
+        self._last_drop_second = -1
         self.dropped_lines = 0
         self._is_scheduled = False
         os.set_blocking(descriptor, False)
 
+    def admits(self, level: str, event: str) -> bool:
+        """Return whether the next line is to be rendered and written."""
+        self._is_next_admitted = self._limit.admits(level, event)
+        if not self._is_next_admitted:
+            self._count_dropped()
+        return self._is_next_admitted
+
     def write(self, text: str) -> int:
         """Queue a line unless a limit is reached; return its length."""
         if text == '\n' or not text:
             return len(text)
-        second = self._now_ms() // 1000
-        if second != self._current_second:
-            self._current_second = second
-            self._lines_in_second = 0
-        if self._lines_in_second >= self._lines_per_s or self._is_queue_full():
-            self.dropped_lines += 1
+        is_admitted = self._is_next_admitted
+        self._is_next_admitted = False
+        if not is_admitted:
+            is_admitted = self._limit.admits('info', None)
+        if not is_admitted or self._is_queue_full():
+            self._count_dropped()
             return len(text)
-        self._lines_in_second += 1
-        if self.dropped_lines:
+        if self.dropped_lines and (
+            self._limit.second() != self._last_drop_second
+        ):
             self._enqueue(
                 f'{{"event":"log lines dropped: {self.dropped_lines}"}}\n'
             )
@@ -56,6 +113,11 @@
         self._enqueue(text if text.endswith('\n') else text + '\n')
         return len(text)
 
+    def _count_dropped(self) -> None:
+        """Count a dropped line."""
+        self.dropped_lines += 1
+        self._last_drop_second = self._limit.second()
+
     def flush(self) -> None:
         """Schedule a write of the queued lines."""
         if self._queue and not self._is_scheduled:
