--- a/packages/bench/src/oriolestand_bench/_groups.py
+++ b/packages/bench/src/oriolestand_bench/_groups.py
@@ -10,6 +10,7 @@
 from oriolestand_bench import config
 from oriolestand_bench import failover
 from oriolestand_bench import owner
+from oriolestand_bench import owner_daemon
 from oriolestand_bench import policy
 
 GROUPS: Mapping[str, Callable[[], list[_results.Result]]] = {
@@ -19,5 +20,6 @@
     'config': config.run,
     'capacity': capacity.run,
     'owner': owner.run,
+    'owner_daemon': owner_daemon.run,
     'policy': policy.run,
 }
