Move the state of a placement round to its own module

Change: demands, queues by pool, filling capacity and forecasts of a round are in _placement_round. The comment on the limit of fit checks no longer gives the time of a check, which has changed.

--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -3,12 +3,11 @@
 import abc
 import collections
 from collections.abc import Iterable
-import dataclasses
-from typing import NamedTuple
 
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _specs
 
@@ -85,39 +84,6 @@
         return None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _FillingCapacity:
-    """Capacity of a worker for filling tasks.
-
-    ``free`` is in thousandths of a core. ``is_tail_high`` is whether a tail
-    latency is near its target, so that nothing may be added. ``headrooms``
-    is the load that may still be added, by service image.
-    """
-
-    free: float
-    is_tail_high: bool
-    headrooms: dict[str, float]
-
-
-class _Demands(NamedTuple):
-    """What the ranks of workers for a task depend on.
-
-    ``step`` is set if the tasks of a step on a worker are limited. ``filling``
-    is the image of a filling task, ``service`` that of a service task.
-    """
-
-    cpu: int
-    memory_mb: int
-    accelerators: int
-    label: str
-    rack: str
-    max_per_worker: int
-    step: _candidates.StepKey | None
-    is_service: bool
-    service: str
-    filling: str | None
-
-
 class MixedPlacement(Placement):
     """Place filling tasks beside the service tasks that they slow least.
 
@@ -136,11 +102,11 @@
         self._pair_counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        self._by_pool: dict[str, _PoolRound] = {}
-        self._capacities: dict[str, _FillingCapacity] = {}
+        self._by_pool: dict[str, _placement_round.PoolRound] = {}
+        self._capacities: dict[str, _placement_round.FillingCapacity] = {}
         self._high_tails: dict[str, bool] = {}
         self._pairs_on_trial: set[tuple[str, str]] = set()
-        self._forecast = _RoundForecast(pressure, 0)
+        self._forecast = _placement_round.RoundForecast(pressure, 0, 0)
 
     def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
         """Start a round; the workers are examined at the first selection."""
@@ -153,15 +119,19 @@
         self._is_prepared = True
         self._capacities.clear()
         self._high_tails.clear()
-        self._forecast = _RoundForecast(self._pressure, self._now_ms)
-        by_pool: dict[str, _PoolRound] = {}
+        self._forecast = _placement_round.RoundForecast(
+            self._pressure, self._now_ms, FILLING_FORECAST_MS
+        )
+        by_pool: dict[str, _placement_round.PoolRound] = {}
         worker_ids = set()
         for worker in self._workers:
             worker_ids.add(worker.info.id)
             self._view(worker)
             if is_usable(worker, self._now_ms):
                 pool = worker.info.pool
-                by_pool.setdefault(pool, _PoolRound()).workers.append(worker)
+                by_pool.setdefault(
+                    pool, _placement_round.PoolRound()
+                ).workers.append(worker)
         self._by_pool = by_pool
         if len(self._views) > len(worker_ids):
             for worker_id in self._views.keys() - worker_ids:
@@ -231,7 +201,9 @@
         for pool_round in self._by_pool.values():
             pool_round.drop_queues(filling)
 
-    def _scan(self, task: _jobs.Task, pool_round: '_PoolRound') -> int | None:
+    def _scan(
+        self, task: _jobs.Task, pool_round: _placement_round.PoolRound
+    ) -> int | None:
         """Return the index of the best worker after a pass over all."""
         best: int | None = None
         best_rank: _candidates.Rank = ()
@@ -245,12 +217,12 @@
         return best
 
     def _search(
-        self, task: _jobs.Task, pool_round: '_PoolRound'
+        self, task: _jobs.Task, pool_round: _placement_round.PoolRound
     ) -> int | None:
         """Return the index of the best worker by the queue of its demands."""
         workers = pool_round.workers
         avoid = task.avoid
-        demands = _demands(task)
+        demands = _placement_round.demands_of(task)
         queue = pool_round.queues.get(demands)
         if queue is None:
             bound_of = self._rank
@@ -343,12 +315,14 @@
             return self._forecast.weight_bound(image, filling)
         return self._pressure.weight(image, filling)
 
-    def _filling_capacity(self, worker: _fleet.Worker) -> _FillingCapacity:
+    def _filling_capacity(
+        self, worker: _fleet.Worker
+    ) -> _placement_round.FillingCapacity:
         """Return the capacity of a worker for filling tasks, cached."""
         capacity = self._capacities.get(worker.info.id)
         if capacity is None:
             view = self._view(worker)
-            capacity = _FillingCapacity(
+            capacity = _placement_round.FillingCapacity(
                 free=view.free_cpu,
                 is_tail_high=self._is_tail_high(view),
                 headrooms=self._forecast.headrooms(view),
@@ -389,103 +363,6 @@
         return (*_common_rank(worker, spec), shortfall, free)
 
 
-@dataclasses.dataclass(slots=True)
-class _PoolRound:
-    """Usable workers of a pool in a round, and their queues by demands.
-
-    ``changed`` are the indices of the selected workers, in order.
-    """
-
-    workers: list[_fleet.Worker] = dataclasses.field(default_factory=list)
-    changed: list[int] = dataclasses.field(default_factory=list)
-    queues: dict[_Demands, _candidates.CandidateQueue] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def drop_queues(self, filling: str) -> None:
-        """Remove the queues for filling tasks of an image."""
-        for demands in [d for d in self.queues if d.filling == filling]:
-            del self.queues[demands]
-
-
-class _RoundForecast:
-    """Forecasts of one round, each calculated once.
-
-    ``planned_weights`` are the weights for placement, by filling image and
-    service image.
-    """
-
-    def __init__(
-        self, pressure: _pressure.InterferenceModel, now_ms: int
-    ) -> None:
-        self._pressure = pressure
-        self._now_ms = now_ms
-        self._intrinsic_loads: dict[_candidates.StepKey, float] = {}
-        self._max_loads: dict[tuple[str, int], float] = {}
-        self._bounds: dict[tuple[str, str], float] = {}
-        self.planned_weights: dict[str, dict[str, float]] = {}
-
-    def weight_bound(self, image: str, filling: str) -> float:
-        """Return the upper bound of the weight of a pair."""
-        bound = self._bounds.get((image, filling))
-        if bound is None:
-            bound = self._pressure.weight_bound(image, filling)
-            self._bounds[(image, filling)] = bound
-        return bound
-
-    def headrooms(self, view: _candidates.WorkerView) -> dict[str, float]:
-        """Return the load that may be added to a worker's service images."""
-        headrooms: dict[str, float] = {}
-        for run in view.services:
-            image = run.spec.image
-            headroom = self._max_load(image, run.spec.target_ms)
-            headroom -= self._intrinsic_load(run.key[:3])
-            headrooms[image] = min(headroom, headrooms.get(image, headroom))
-        return {
-            image: headroom
-            - sum(
-                self.weight_bound(image, filling) * share
-                for filling, share in view.filling
-            )
-            for image, headroom in headrooms.items()
-        }
-
-    def _max_load(self, image: str, target_ms: int) -> float:
-        """Return the highest load that meets a latency target."""
-        load = self._max_loads.get((image, target_ms))
-        if load is None:
-            load = self._pressure.max_load(image, target_ms)
-            self._max_loads[(image, target_ms)] = load
-        return load
-
-    def _intrinsic_load(self, step_key: _candidates.StepKey) -> float:
-        """Return the highest intrinsic load expected for a service job."""
-        load = self._intrinsic_loads.get(step_key)
-        if load is None:
-            load = self._pressure.intrinsic_load(
-                step_key, self._now_ms, FILLING_FORECAST_MS
-            )
-            self._intrinsic_loads[step_key] = load
-        return load
-
-
-def _demands(task: _jobs.Task) -> _Demands:
-    """Return what the ranks of workers for a task depend on."""
-    spec = task.spec
-    return _Demands(
-        cpu=spec.cpu,
-        memory_mb=spec.memory_mb,
-        accelerators=spec.accelerators,
-        label=spec.label,
-        rack=spec.rack,
-        max_per_worker=spec.max_per_worker,
-        step=task.key[:3] if spec.max_per_worker else None,
-        is_service=spec.is_service,
-        service=spec.image if spec.is_service else '',
-        filling=spec.image if spec.is_filling else None,
-    )
-
-
 def _common_rank(
     worker: _fleet.Worker, spec: _specs.StepSpec
 ) -> _candidates.Rank:
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -19,8 +19,8 @@
 
 MAX_FAILED_FIT_CHECKS_PER_ROUND = 3_000
 """Maximum number of fit checks, one per worker, that a round spends on filling
-tasks that fit on no worker. A check takes about 4 us, and under overload
-hundreds of jobs wait, so that without a limit a round would take too long."""
+tasks that fit on no worker. Under overload hundreds of jobs wait, so that
+without a limit a round would take too long."""
 
 
 class TaskStarter:
