Compare placement when workers leave the list or change size

Cause: the random events of the differential test removed no worker and changed no processors, so that stale views of workers could go unnoticed. Change: events that unlist, silence and resize workers; two direct tests of image pairs on trial, run with both placements. Result: removing the purge of views fails 1 test, the comparison of a worker's attributes 2, the drop of queues after a new trial 2. With the earlier events the first two removals failed none.

--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -378,6 +378,9 @@
         self.paces = set()
         self.effect_count = 0
         self.infos = {}
+        self.unlisted = set()
+        self.silent = set()
+        self.removed = 0
         self.call(
             'set_routes',
             [
@@ -527,6 +530,8 @@
                 self.stop(effect)
             elif isinstance(effect, scheduling.PaceTask):
                 self.paces.add(effect.percent)
+            elif isinstance(effect, scheduling.LogEvent):
+                self.removed += effect.values.get('reason') == 'lease over'
 
     def start(self, effect):
         """Reply to a start order."""
@@ -581,16 +586,32 @@
         self.call('set_routes', [route])
 
     def change_worker(self):
-        """Restart a worker, or change whether it is leaving."""
+        """Restart a worker, or change whether it leaves, is listed or silent.
+
+        A worker that is silent for long enough is removed.
+        """
         name = self.rng.choice(list(self.infos))
         info = self.infos[name]
-        if self.rng.random() < 0.5:
+        change = self.rng.randrange(4)
+        if change == 0:
             self.runs[name].clear()
             info = dataclasses.replace(info, process_start_ms=self.now)
+        elif change == 1:
+            info = dataclasses.replace(
+                info,
+                is_leaving=not info.is_leaving,
+                cpu=self.rng.choice([16_000, 24_000]),
+            )
+        elif change == 2:
+            self.unlisted ^= {name}
         else:
-            info = dataclasses.replace(info, is_leaving=not info.is_leaving)
+            self.silent ^= {name}
         self.infos[name] = info
-        self.call('set_workers', dict(self.infos))
+        listed = {
+            k: v for k, v in self.infos.items() if k not in self.unlisted
+        }
+        self.call('set_workers', listed)
+        self.call('mark_workers_recorded', list(listed))
         self.apply_effects()
 
     def cancel_job(self):
@@ -616,12 +637,12 @@
             self.add_job()
         elif event < 0.23:
             self.cancel_job()
-        elif event < 0.25:
+        elif event < 0.26:
             self.change_worker()
-        elif event < 0.27:
+        elif event < 0.28:
             self.change_routes()
         else:
-            self.poll(rng.choice(list(self.infos)))
+            self.poll(rng.choice(sorted(set(self.infos) - self.silent)))
         if rng.random() < 0.6:
             self.decide()
         assert self.subject.ready_by_kind() == self.reference.ready_by_kind()
@@ -683,12 +704,83 @@
     # Guards against events that leave a part of the scheduler unused.
     reasons = set()
     paces = set()
+    removed = 0
     for seed in SEEDS[:8]:
         pair = Pair(seed)
         for _ in range(STEPS):
             pair.step()
         reasons.update(pair.stops)
         paces.update(pair.paces)
+        removed += pair.removed
     expected = {'harm', 'repeat', 'cancelled', 'worker leaves', 'in doubt'}
     assert expected <= reasons
     assert paces == {0, 100}
+    assert removed
+
+
+def make_worker(name, *specs):
+    """Return a usable worker that runs a task of each specification."""
+    worker = scheduling.Worker(
+        info=scheduling.WorkerInfo(
+            id=name,
+            pool='p',
+            address='',
+            failure_domain='d',
+            cpu=10_000,
+            memory_mb=10_000,
+        ),
+        is_probed=True,
+        is_recorded=True,
+        last_report_ms=0,
+    )
+    for number, spec in enumerate(specs):
+        worker.add(
+            scheduling.Run(
+                key=scheduling.TaskKey(name, 0, 0, number),
+                number=1,
+                spec=spec,
+                phase=scheduling.RunPhase.RUNNING,
+                since_ms=0,
+            )
+        )
+    return worker
+
+
+SERVICE = scheduling.StepSpec(
+    count=1, cpu=1_000, is_service=True, image='web', target_ms=18
+)
+# Fits beside the service by the prior weight, and not by its upper bound.
+FILLING = scheduling.StepSpec(
+    count=9, cpu=4_000, is_filling=True, image='loud'
+)
+PLACEMENTS = [_placement.MixedPlacement, ReferencePlacement]
+
+
+def filling_task(index):
+    """Return a task that interferes with the service by an unknown weight."""
+    return scheduling.Task(
+        key=scheduling.TaskKey('f', 0, 0, index), spec=FILLING
+    )
+
+
+@pytest.mark.parametrize('placement_class', PLACEMENTS)
+def test_trial_of_a_pair_ends_with_the_removal_of_its_worker(placement_class):
+    # Guards against pairs that stay on trial for ever, so that no task of the
+    # image starts beside the service.
+    placement = placement_class(scheduling.InterferenceModel())
+    first = make_worker('w0', SERVICE, FILLING)
+    second = make_worker('w1', SERVICE)
+    placement.plan([first, second], 0)
+    assert placement.select_worker(filling_task(0), 'p') is None
+    placement.plan([second], 0)
+    assert placement.select_worker(filling_task(0), 'p') is second
+
+
+@pytest.mark.parametrize('placement_class', PLACEMENTS)
+def test_a_trial_ends_the_use_of_the_prior_in_its_round(placement_class):
+    # Guards against a queue of workers by ranks from before the trial.
+    placement = placement_class(scheduling.InterferenceModel())
+    workers = [make_worker(f'w{n}', SERVICE) for n in range(3)]
+    placement.plan(workers, 0)
+    assert placement.select_worker(filling_task(0), 'p') is workers[0]
+    assert placement.select_worker(filling_task(1), 'p') is None
