--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -4,6 +4,7 @@
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _pressure
+from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _specs
 
 
@@ -12,7 +13,8 @@
 
     Effects are queued until ``take_effects``. ``ready`` holds the tasks that
     wait for a worker, and ``timed_job_ids`` the repeated jobs, which may
-    have occurrences that are not due yet.
+    have occurrences that are not due yet. ``stopping_worker_ids`` includes
+    all workers with a run for which a stop order was sent and not answered.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -22,8 +24,9 @@
         self.workers: dict[str, _fleet.Worker] = {}
         self.routes: dict[str, _specs.RoutePolicy] = {}
         self.pressure = _pressure.InterferenceModel()
-        self.ready: dict[_jobs.TaskKey, _jobs.Task] = {}
+        self.ready = _ready.ReadyQueue()
         self.timed_job_ids: set[str] = set()
+        self.stopping_worker_ids: set[str] = set()
         self.effects: list[_effects.Effect] = []
 
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
@@ -93,7 +96,7 @@
         """Add a task to the queue of ready tasks, once."""
         if task.key not in self.ready:
             task.ready_ms = now_ms
-            self.ready[task.key] = task
+            self.ready.add(task)
 
     def finish_if_complete(self, job: _jobs.Job) -> None:
         """Mark a job as completed if all its tasks are done."""
@@ -112,7 +115,7 @@
         for steps in job.tasks.values():
             for tasks in steps:
                 for task in tasks:
-                    self.ready.pop(task.key, None)
+                    self.ready.discard(task.key)
                     if task.worker:
                         self.stop_run(
                             task.worker, task.key, task.run, outcome.value
@@ -142,6 +145,7 @@
         if run is None:
             return
         run.stop_sent_ms = max(run.stop_sent_ms, run.since_ms)
+        self.stopping_worker_ids.add(worker_id)
         self.queue_stop(worker_id, run, reason)
 
     def queue_stop(self, worker_id: str, run: _fleet.Run, reason: str) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
@@ -45,6 +45,9 @@
 """Variance below which a load counts as constant; rounding of the reported
 values alone can cause this much."""
 
+VARIANCE_TOLERANCE = 1e-9
+"""Far above the rounding error of a variance of loads from 0 to 1."""
+
 RECENT_BINS = 3
 """Number of latest bins whose mean error corrects a forecast."""
 
@@ -62,6 +65,8 @@
     """A load that varies as a sine wave around a mean.
 
     ``explained`` is the share of the variance that the wave explains.
+    ``peak_phase`` is the time of a peak in periods, and ``height`` the load
+    above the mean at a peak.
     """
 
     period_ms: float
@@ -69,6 +74,15 @@
     sine: float = 0.0
     cosine: float = 0.0
     explained: float = 1.0
+    peak_phase: float = dataclasses.field(init=False)
+    height: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Calculate the peak once, as forecasts ask for it often."""
+        phase = math.atan2(self.sine, self.cosine) / (2 * math.pi)
+        object.__setattr__(self, 'peak_phase', phase)
+        height = math.hypot(self.sine, self.cosine)
+        object.__setattr__(self, 'height', height)
 
     def at(self, when_ms: float) -> float:
         """Return the load at a time.
@@ -91,10 +105,11 @@
         >>> round(Wave(period_ms=8, mean=0.5, sine=0.2).peak(3, 5), 3)
         0.641
         """
-        peak_phase = math.atan2(self.sine, self.cosine) / (2 * math.pi)
-        cycles = math.ceil(begin_ms / self.period_ms - peak_phase)
-        if (cycles + peak_phase) * self.period_ms <= end_ms:
-            return self.mean + math.hypot(self.sine, self.cosine)
+        cycles = math.ceil(begin_ms / self.period_ms - self.peak_phase)
+        if (cycles + self.peak_phase) * self.period_ms <= end_ms:
+            return self.mean + self.height
+        if begin_ms == end_ms:
+            return self.at(begin_ms)
         return max(self.at(begin_ms), self.at(end_ms))
 
 
@@ -157,7 +172,12 @@
 def is_steady(bins: Bins) -> bool:
     """Return whether the loads are nearly constant."""
     loads = [load for _, load in bins]
-    return statistics.pvariance(loads) < STEADY_VARIANCE
+    mean = math.fsum(loads) / len(loads)
+    variance = math.fsum((load - mean) ** 2 for load in loads) / len(loads)
+    if abs(variance - STEADY_VARIANCE) < VARIANCE_TOLERANCE:
+        # ``statistics`` calculates with fractions: exact, but slow.
+        variance = statistics.pvariance(loads)
+    return variance < STEADY_VARIANCE
 
 
 class LoadHistory:
