Record a worker again that returns during the removal of its row

A worker whose row was being removed, or whose removal was not answered, still counted as recorded. If it returned, tasks started on it without a row, and a successor that could not reach it started them again (four overlapping runs). The row of a lost worker stayed until the list of workers changed, and the list of an earlier version for ever; each successor waits for these workers.

Change: a worker is not recorded from the moment its removal is sent. Rows are compared with the workers on each tick. The list of an earlier version is removed once all its workers have rows of their own.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -38,36 +38,58 @@
             for key, row in snapshot.rows.items()
             if key.startswith(layout.WORKER_PREFIX)
         }
+        self._recorded = set(self._versions)
+        legacy = snapshot.rows.get(layout.FLEET_KEY)
+        self._has_legacy_row = legacy is not None and legacy.value is not None
         infos = models.decode_workers(snapshot.rows)
         self.former_worker_ids = frozenset(info.id for info in infos)
         for info in infos:
             scheduler.add_former_worker(info)
-        scheduler.mark_workers_recorded(self._versions)
+        scheduler.mark_workers_recorded(self._recorded)
+
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether ``update`` has rows to write."""
+        return not self._is_busy and bool(self._changed_workers())
 
     async def update(self) -> None:
         """Write rows until they match the workers of the scheduler."""
-        self._scheduler.mark_workers_recorded(self._versions)
+        self._scheduler.mark_workers_recorded(self._recorded)
         if self._is_busy:
             return
         self._is_busy = True
         try:
             while not self._term.is_over:
-                workers = self._scheduler.workers
-                added = [w for w in workers if w not in self._versions]
-                removed = [w for w in self._versions if w not in workers]
-                if not added and not removed:
-                    return
-                batch = (added + removed)[: const.WORKER_BATCH]
-                if await self._write(batch):
+                changed = self._changed_workers()
+                if not changed:
+                    break
+                if await self._write(changed[: const.WORKER_BATCH]):
                     await self._kernel.sleep(const.WORKER_WRITE_PAUSE_MS)
                 else:
                     await self._kernel.sleep(const.RETRY_MS)
+            if self._has_legacy_row and not self._term.is_over:
+                await self._remove_legacy_row()
         finally:
             self._is_busy = False
 
+    def _changed_workers(self) -> list[str]:
+        """Return the workers without a row and those that have left."""
+        workers = self._scheduler.workers
+        added = [w for w in workers if w not in self._recorded]
+        # A row whose removal was not answered may still exist.
+        left = [w for w in self._versions if w not in workers]
+        return added + left
+
     async def _write(self, worker_ids: list[str]) -> bool:
         """Commit the rows of workers; return whether they were applied."""
         puts = [self._put(worker_id) for worker_id in worker_ids]
+        # A worker that returns while its removal is on its way gets no task
+        # before its row is written again.
+        self._recorded.difference_update(
+            worker_id
+            for worker_id, put in zip(worker_ids, puts, strict=True)
+            if put.value is None
+        )
         outcome = await _owner_commits.commit_as_owner(
             self._kernel,
             self._term,
@@ -84,18 +106,27 @@
         result = outcome.result
         if result is None:
             return False
-        if result.is_applied:
-            for worker_id, put in zip(worker_ids, puts, strict=True):
-                if put.value is None:
-                    del self._versions[worker_id]
-                else:
-                    self._versions[worker_id] = result.version
-            self._scheduler.mark_workers_recorded(
-                w for w in worker_ids if w in self._versions
-            )
-            return True
-        self._refresh_versions(result, worker_ids)
-        return False
+        if not result.is_applied:
+            self._refresh_versions(result, worker_ids)
+            return False
+        for worker_id, put in zip(worker_ids, puts, strict=True):
+            if put.value is None:
+                del self._versions[worker_id]
+            else:
+                self._versions[worker_id] = result.version
+                self._recorded.add(worker_id)
+        self._scheduler.mark_workers_recorded(self._recorded)
+        return True
+
+    async def _remove_legacy_row(self) -> None:
+        """Remove the list of an earlier version; its workers have rows now."""
+        outcome = await _owner_commits.commit_as_owner(
+            self._kernel,
+            self._term,
+            (store.Put(key=layout.FLEET_KEY, value=None),),
+        )
+        if outcome.result is not None and outcome.result.is_applied:
+            self._has_legacy_row = False
 
     def _put(self, worker_id: str) -> store.Put:
         """Return the write, or the removal, of the row of a worker."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -201,6 +201,10 @@
             }
         )
         self._sync_pollers()
+        self._update_fleet_record()
+
+    def _update_fleet_record(self) -> None:
+        """Write the rows of workers that have changed."""
         fut = defer.ensureDeferred(self._fleet.update())
         fut.addCallbacks(
             lambda _: self.request_round(), self._on_unexpected_error
@@ -248,6 +252,9 @@
             await self._kernel.sleep(const.TICK_MS)
             self._sync_pollers()
             self._run_round()
+            if self._fleet.is_outdated:
+                # Rounds remove workers whose leases are over.
+                self._update_fleet_record()
             self._gauges.report(self._saver.backlog)
             model_update = defer.ensureDeferred(
                 self._interference_record.update()
