Show why workers get no tasks and how long ready tasks wait

Change: gauges worker_states by reason and oldest_ready_task_ms by kind.

Result: test_gauges_tell_why_workers_get_no_tasks.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
@@ -33,6 +33,10 @@
         scheduler = self._scheduler
         for kind, count in scheduler.ready_by_kind().items():
             self._set('ready_tasks', count, kind.value)
+        for kind, age_ms in scheduler.oldest_ready_ms(now).items():
+            self._set('oldest_ready_task_ms', age_ms, kind.value)
+        for state, count in scheduler.workers_by_state(now).items():
+            self._set('worker_states', count, state.value)
         for kind, count in scheduler.running_by_kind().items():
             self._set('running_tasks', count, kind.value)
         learned = scheduler.pressure.learned()
--- a/packages/fleet/tests/services/cell/test_gauges.py
+++ b/packages/fleet/tests/services/cell/test_gauges.py
@@ -15,3 +15,21 @@
     assert gauges[('running_tasks', 'plain')] == 3
     assert gauges[('running_tasks', 'service')] == 0
     assert gauges[('service_tasks_over_target', '')] == 0
+
+
+def test_gauges_tell_why_workers_get_no_tasks(site, daemons):
+    # A task that waits beside free workers must be explained.
+    steps = (scheduling.StepSpec(count=1, cpu=8_000, is_service=True),)
+    for number in range(3):
+        site.submit(daemons[0], f'{number:016x}', steps, duration_ms=60_000)
+    site.run(1_000)
+    site.store.unregister_worker('w0')
+    for daemon in daemons:
+        daemon.orders.faults.unreachable = {'w1'}
+    site.submit(daemons[0], 'a' * 16, steps, duration_ms=60_000)
+    site.run(5_000)
+    gauges = owner_of(daemons).kernel.find('telemetry').gauges
+    assert gauges[('worker_states', 'usable')] == 1
+    assert gauges[('worker_states', 'not_listed')] == 1
+    assert gauges[('worker_states', 'silent')] == 1
+    assert 3_000 <= gauges[('oldest_ready_task_ms', 'service')] <= 5_000
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -3,6 +3,7 @@
 import abc
 import collections
 from collections.abc import Iterable
+import enum
 
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _fleet
@@ -37,16 +38,38 @@
         """Return the worker of a pool that should run a task, or None."""
 
 
+class WorkerState(enum.Enum):
+    """Whether a worker may get new tasks, and if not, the first reason."""
+
+    USABLE = 'usable'
+    NOT_PROBED = 'not_probed'
+    NOT_RECORDED = 'not_recorded'
+    NOT_LISTED = 'not_listed'
+    LEAVING = 'leaving'
+    SILENT = 'silent'
+    AVOIDED = 'avoided'
+
+
+def worker_state(worker: _fleet.Worker, now_ms: int) -> WorkerState:
+    """Return whether a worker may get new tasks, or why not."""
+    if not worker.is_probed:
+        return WorkerState.NOT_PROBED
+    if not worker.is_recorded:
+        return WorkerState.NOT_RECORDED
+    if not worker.is_listed:
+        return WorkerState.NOT_LISTED
+    if worker.info.is_leaving:
+        return WorkerState.LEAVING
+    if now_ms - worker.last_report_ms > MAX_REPORT_AGE_MS:
+        return WorkerState.SILENT
+    if now_ms < worker.avoid_until_ms:
+        return WorkerState.AVOIDED
+    return WorkerState.USABLE
+
+
 def is_usable(worker: _fleet.Worker, now_ms: int) -> bool:
     """Return whether a worker may get new tasks."""
-    return (
-        worker.is_probed
-        and worker.is_recorded
-        and worker.is_listed
-        and not worker.info.is_leaving
-        and now_ms - worker.last_report_ms <= MAX_REPORT_AGE_MS
-        and now_ms >= worker.avoid_until_ms
-    )
+    return worker_state(worker, now_ms) is WorkerState.USABLE
 
 
 def can_run(worker: _fleet.Worker, task: _jobs.Task) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -262,6 +262,23 @@
         """Return the number of tasks that wait for a worker, by kind."""
         return _count_by_kind(task.spec for task in self._cell.ready)
 
+    def oldest_ready_ms(self, now_ms: int) -> dict[_specs.TaskKind, int]:
+        """Return how long the oldest ready task has waited, by kind."""
+        oldest = dict.fromkeys(_specs.TaskKind, 0)
+        for task in self._cell.ready:
+            kind = task.spec.kind
+            oldest[kind] = max(oldest[kind], now_ms - task.ready_ms)
+        return oldest
+
+    def workers_by_state(
+        self, now_ms: int
+    ) -> dict[_placement.WorkerState, int]:
+        """Return the number of workers that may get tasks, or why not."""
+        counts = dict.fromkeys(_placement.WorkerState, 0)
+        for worker in self._cell.workers.values():
+            counts[_placement.worker_state(worker, now_ms)] += 1
+        return counts
+
     def running_by_kind(self) -> dict[_specs.TaskKind, int]:
         """Return the number of runs that occupy workers, by kind."""
         return _count_by_kind(
