Start ended service tasks before those of later services

Ready services were ordered by the value that a job with an end can still reach. A service is past its objective as soon as it has run for some time, so each service submitted later went first, and its ended tasks waited as long as new services kept coming and workers were nearly full.

Change: services are ordered by the time of their submission. The reference of the differential test follows.

--- a/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
@@ -3,6 +3,7 @@
 A job has its full value if it completes within its objective, little value up
 to three times the objective, and none later. Under overload, first come, first
 served would make every job late, so jobs that can still be on time go first.
+A service job keeps its value for as long as it runs, so the oldest goes first.
 """
 
 import dataclasses
@@ -67,6 +68,7 @@
     due_ms: int
     objective_ms: int
     remaining_ms: int
+    is_service: bool
 
 
 class UrgencyRanks:
@@ -103,6 +105,7 @@
                 due_ms=job.spec.due_ms(occurrence) or job.spec.accepted_ms,
                 objective_ms=objective_ms(job, route),
                 remaining_ms=remaining_ms(job, occurrence),
+                is_service=any(spec.is_service for spec in job.spec.steps),
             )
         self._times[key] = times
         return _rank(times, job.has_started, wall_ms)
@@ -111,6 +114,8 @@
 def _rank(times: _Times, has_started: bool, wall_ms: int) -> tuple[int, int]:
     """Return the tier and the deadline of an occurrence."""
     due, objective = times.due_ms, times.objective_ms
+    if times.is_service:
+        return (Tier.IN_TIME, due)
     finish = wall_ms + times.remaining_ms
     slack = due + objective - finish
     margin = START_MARGIN * (objective - times.remaining_ms)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -282,6 +282,8 @@
 
 def reference_rank(job, occurrence, route, wall_ms):
     due = job.spec.due_ms(occurrence) or job.spec.accepted_ms
+    if any(spec.is_service for spec in job.spec.steps):
+        return (_urgency.Tier.IN_TIME, due)
     objective = _urgency.objective_ms(job, route)
     remaining = _urgency.remaining_ms(job, occurrence)
     finish = wall_ms + remaining
--- a/packages/policy/tests/scheduling/test_urgency.py
+++ b/packages/policy/tests/scheduling/test_urgency.py
@@ -1,5 +1,7 @@
 """Test the order in which ready tasks start."""
 
+import dataclasses
+
 from oriolestand_policy import scheduling
 
 BIG = scheduling.StepSpec(count=1, cpu=10_000, estimate_ms=1_000)
@@ -66,3 +68,20 @@
     harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 1_000
     starts, _ = harness.decide(wall=110_000)
     assert [s.key.job for s in starts] == ['old']
+
+
+def test_ended_service_task_starts_before_later_services(harness, make):
+    # A service is past its objective once it has run for some time. Every
+    # service submitted later then started before its ended tasks.
+    service = dataclasses.replace(BIG, is_service=True)
+    harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 100_000
+    harness.add('old', service, accepted_ms=1)
+    start = harness.decide(wall=1)[0][0]
+    harness.answer(start)
+    harness.now += 60_000
+    harness.add('new', service, accepted_ms=59_990)
+    harness.poll('w0', ended=[make.end(start, 'failed')])
+    harness.now += 9_000
+    harness.poll('w0')
+    starts, _ = harness.decide(wall=60_000)
+    assert [s.key.job for s in starts] == ['old']
