Do not starve ended service tasks in a full cell

What callers saw: service tasks that had ended did not run for 12 s to 34 s (LOST).

Cause: ready plain tasks go before service tasks of the same priority. While plain tasks wait, each takes the room that another one leaves. The link between the regions was not full.

Ruled out: workers that are not usable (worker_states: 212 of 212 usable), runs that are counted although they have ended (none older than 1 s), memory, limits for each worker.

Change: an ended service task that has waited for 2 s starts before plain tasks of its priority. Tasks that never ran keep their place, so that a wave of new services does not displace quick jobs.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -1,5 +1,6 @@
 """Start ready tasks on workers."""
 
+import collections
 from collections.abc import Iterator
 
 from oriolestand_policy.scheduling import _cell
@@ -17,6 +18,10 @@
 
 MAX_STARTS_PER_ROUND = 200
 
+MAX_SERVICE_RESTART_WAIT_MS = 2_000
+"""After this time an ended service task starts before plain tasks of the same
+priority. In a full cell these would take all room that becomes free."""
+
 MAX_FAILED_FIT_CHECKS_PER_ROUND = 3_000
 """Maximum number of fit checks, one per worker, that a round spends on filling
 tasks that fit on no worker. Under overload hundreds of jobs wait, so that
@@ -56,7 +61,7 @@
         failed_placements_left = MAX_FAILED_FIT_CHECKS_PER_ROUND // max(
             1, len(self._cell.workers)
         )
-        for occurrence_key, step in self._steps_by_urgency(wall_ms):
+        for occurrence_key, step, tasks in self._by_urgency(now_ms, wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
             if job.needs_probe and not is_takeover_complete:
                 continue
@@ -81,7 +86,7 @@
             )
             if demand_class in unplaceable_classes:
                 continue
-            for task in self._cell.ready.tasks_of(occurrence_key, step):
+            for task in tasks:
                 if started >= MAX_STARTS_PER_ROUND:
                     return
                 if task.key not in self._cell.ready:
@@ -96,10 +101,15 @@
                     failed_placements_left -= spec.is_filling
                     break
 
-    def _steps_by_urgency(
-        self, wall_ms: int
-    ) -> Iterator[tuple[_ready.OccurrenceKey, int]]:
-        """Yield the steps with ready tasks, the most urgent first."""
+    def _by_urgency(
+        self, now_ms: int, wall_ms: int
+    ) -> Iterator[tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]]:
+        """Yield ready tasks by step, the most urgent first.
+
+        Ended service tasks that have waited too long go first among those of
+        their priority.
+        """
+        overdue = self._overdue_services(now_ms)
         ranks: dict[_ready.OccurrenceKey, tuple[int, ...]] = {}
         self._urgency_ranks.begin_round()
         for key, task in self._cell.ready.occurrences():
@@ -111,8 +121,31 @@
             urgency = self._urgency_ranks.rank(job, key[1], route, wall_ms)
             ranks[key] = (route.priority, task.spec.is_service, *urgency)
         for key in sorted(ranks, key=lambda k: (ranks[k], k)):
+            while overdue and overdue[0][0] <= ranks[key][0]:
+                task = overdue.popleft()[2]
+                yield task.key[:2], task.key.step, [task]
             for step in self._cell.ready.steps_of(key):
-                yield key, step
+                yield key, step, self._cell.ready.tasks_of(key, step)
+
+    def _overdue_services(
+        self, now_ms: int
+    ) -> collections.deque[tuple[int, int, _jobs.Task]]:
+        """Return priority, time and task of ended services that waited long.
+
+        They are in the order of priority and time.
+        """
+        overdue = []
+        for task in self._cell.ready:
+            if not task.spec.is_service or not task.run:
+                continue
+            if now_ms - task.ready_ms < MAX_SERVICE_RESTART_WAIT_MS:
+                continue
+            job = self._cell.jobs[task.key.job]
+            route = self._cell.routes.get(job.spec.route)
+            if route is not None:
+                overdue.append((route.priority, task.ready_ms, task))
+        overdue.sort(key=lambda entry: (entry[0], entry[1], entry[2].key))
+        return collections.deque(overdue)
 
     def _start_task(
         self,
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -222,7 +222,7 @@
             _task_starter.MAX_FAILED_FIT_CHECKS_PER_ROUND
             // max(1, len(self._cell.workers))
         )
-        for task in self._ready_by_urgency(wall_ms):
+        for task in self._ready_by_urgency(now_ms, wall_ms):
             if started >= _task_starter.MAX_STARTS_PER_ROUND:
                 return
             if task.key not in self._cell.ready:
@@ -256,7 +256,7 @@
                 unplaceable_classes.add(demand_class)
                 failed_placements_left -= spec.is_filling
 
-    def _ready_by_urgency(self, wall_ms):
+    def _ready_by_urgency(self, now_ms, wall_ms):
         ranks = {}
         for task in self._cell.ready:
             key = task.key
@@ -274,10 +274,16 @@
                 task.spec.is_service,
                 *urgency,
             )
-        return sorted(
-            self._cell.ready,
-            key=lambda t: (ranks[(t.key.job, t.key.occurrence)], t.key),
-        )
+
+        def sort_key(task):
+            rank = ranks[(task.key.job, task.key.occurrence)]
+            wait_ms = now_ms - task.ready_ms
+            limit_ms = _task_starter.MAX_SERVICE_RESTART_WAIT_MS
+            if task.spec.is_service and task.run and wait_ms >= limit_ms:
+                rank = (rank[0], -1, task.ready_ms)
+            return (rank, task.key)
+
+        return sorted(self._cell.ready, key=sort_key)
 
 
 def reference_rank(job, occurrence, route, wall_ms):
--- a/packages/policy/tests/scheduling/test_urgency.py
+++ b/packages/policy/tests/scheduling/test_urgency.py
@@ -85,3 +85,25 @@
     harness.poll('w0')
     starts, _ = harness.decide(wall=60_000)
     assert [s.key.job for s in starts] == ['old']
+
+
+def test_ended_service_task_is_not_starved_by_plain_tasks(harness, make):
+    # In a full cell plain tasks of the same priority took all room that
+    # became free, so that ended service tasks waited for 30 s.
+    service = dataclasses.replace(BIG, is_service=True)
+    harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 100_000
+    harness.add('service', service, accepted_ms=1)
+    start = harness.decide(wall=1)[0][0]
+    harness.answer(start)
+    harness.now += 60_000
+    harness.add('first', BIG, accepted_ms=60_000)
+    harness.poll('w0', ended=[make.end(start, 'failed')])
+    harness.scheduler.workers['w0'].avoid_until_ms = 0
+    plain = harness.decide(wall=60_000)[0][0]
+    assert plain.key.job == 'first'
+    harness.answer(plain)
+    harness.now += 2_500
+    harness.add('second', BIG, accepted_ms=62_500)
+    harness.poll('w0', ended=[make.end(plain, 'done')])
+    starts, _ = harness.decide(wall=62_500)
+    assert [s.key.job for s in starts] == ['service']
