Add a soak that runs the fleet daemon against stand-ins

Daemons run as processes; store, workers, callers and operator are stand-ins that speak HTTP. A checker derives broken promises from the recorded history.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core policy models platform wire daemon fleet cli standins bench
+PACKAGES := core policy models platform wire daemon fleet cli standins bench soak
 SOURCE_DIRS = $(foreach p,$(PACKAGES),packages/$(p)/src) platform/src
 STAMP := $(VENV)/.stamp
 SOURCES := packages platform
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/_plan.py
@@ -0,0 +1,216 @@
+"""Draw the traffic of a soak from its seed."""
+
+import dataclasses
+import random
+from typing import Any
+
+from oriolestand_soak import _payload
+from oriolestand_soak import history
+
+HOST = 'jobs.test'
+POOLS = ('alpha', 'beta')
+BASE_ROUTES = (
+    history.Route(name='batch', pool='alpha', max_attempts=3),
+    history.Route(name='bulk', pool='beta', max_attempts=4),
+    history.Route(name='serve', pool='alpha', max_attempts=2),
+)
+SERVICE_TARGET_MS = 50
+CONFIG_GAP_MS = (700, 5_000)
+JOBS_PER_WORKER_S = 0.18
+"""Uses less than half of the capacity on average."""
+
+SERVICES_PER_WORKER = 0.4
+CANCELLED_SHARE = 0.15
+FAILING_SHARE = 0.08
+HOPELESS_SHARE = 0.03
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedJob:
+    """A job, when it is submitted and after what time it is cancelled."""
+
+    at_ms: int
+    caller: int
+    job: str
+    route: str
+    payload: str
+    steps: tuple[history.Step, ...]
+    work: tuple[_payload.StepWork, ...]
+    cancel_after_ms: int | None = None
+    repeats_after_ms: int | None = None
+
+    @property
+    def is_service(self) -> bool:
+        """Return whether tasks run until the job is cancelled."""
+        return any(step.is_service for step in self.steps)
+
+    def body(self) -> dict[str, Any]:
+        """Return the body of the request that submits the job."""
+        return {
+            'spec': self.payload,
+            'steps': [
+                _encode_step(step, work)
+                for step, work in zip(self.steps, self.work, strict=True)
+            ],
+        }
+
+
+def _encode_step(step: history.Step, work: _payload.StepWork) -> Any:
+    """Return a step as callers send it; default values are omitted."""
+    fields = {
+        'count': step.count,
+        'cpu': step.cpu,
+        'mem_mb': step.memory_mb,
+        'estimate_ms': 0 if step.is_service else work.work_ms,
+        'after': step.after,
+        'checkpointing': step.has_checkpoints,
+        'gang': step.is_gang,
+        'requires': step.label,
+        'anti_affinity': step.max_per_worker,
+        'persistent': step.is_service,
+        'fills': step.is_filling,
+        'image': 'service' if step.is_service else 'batch',
+        'target_ms': SERVICE_TARGET_MS if step.is_service else 0,
+    }
+    return {name: value for name, value in fields.items() if value}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedConfig:
+    """A configuration and when the operator writes it."""
+
+    at_ms: int
+    version: int
+    routes: tuple[history.Route, ...]
+
+
+def draw_jobs(
+    seed: int, duration_ms: int, workers: int, callers: int
+) -> list[PlannedJob]:
+    """Draw the jobs of a soak, in the order of their submission."""
+    rng = random.Random(f'{seed}/jobs')
+    rate = workers * JOBS_PER_WORKER_S / 1_000
+    jobs = [
+        _draw_service(rng, rng.randrange(duration_ms // 2), callers)
+        for _ in range(max(1, int(workers * SERVICES_PER_WORKER)))
+    ]
+    at_ms = 0.0
+    while True:
+        at_ms += rng.expovariate(rate)
+        if at_ms >= duration_ms:
+            break
+        jobs.append(_draw_batch(rng, int(at_ms), callers))
+    return sorted(jobs, key=lambda job: job.at_ms)
+
+
+def _draw_service(rng: random.Random, at_ms: int, callers: int) -> PlannedJob:
+    """Draw a job of service tasks."""
+    step = history.Step(
+        count=rng.randint(1, 3),
+        cpu=rng.choice((500, 1_000)),
+        memory_mb=512,
+        is_service=True,
+        max_per_worker=rng.choice((0, 1)),
+    )
+    work = _payload.StepWork(
+        work_ms=rng.choice((8_000, 20_000, 300_000)),
+        is_service=True,
+        failing=1.0,
+    )
+    cancel = rng.randint(4_000, 20_000) if rng.random() < 0.3 else None
+    return _to_job(rng, at_ms, callers, 'serve', (step,), (work,), cancel)
+
+
+def _draw_batch(rng: random.Random, at_ms: int, callers: int) -> PlannedJob:
+    """Draw a job of up to three steps."""
+    steps, works = [], []
+    is_hopeless = rng.random() < HOPELESS_SHARE
+    for number in range(rng.choice((1, 1, 2, 3))):
+        is_gang = rng.random() < 0.2
+        is_filling = not is_gang and rng.random() < 0.2
+        count = rng.randint(2, 3) if is_gang else rng.randint(1, 5)
+        after: tuple[int, ...] = ()
+        if number and rng.random() < 0.8:
+            after = tuple(sorted(rng.sample(range(number), 1)))
+        steps.append(
+            history.Step(
+                count=count,
+                cpu=rng.choice((250, 1_000, 2_000)),
+                memory_mb=rng.choice((256, 1_024)),
+                after=after,
+                is_gang=is_gang,
+                is_filling=is_filling,
+                has_checkpoints=rng.random() < 0.4,
+                label='big' if rng.random() < 0.1 else '',
+                max_per_worker=2 if rng.random() < 0.15 else 0,
+            )
+        )
+        is_failing = rng.random() < FAILING_SHARE
+        works.append(
+            _payload.StepWork(
+                work_ms=rng.randint(150, 3_500),
+                gang=count if is_gang else 0,
+                has_checkpoints=steps[-1].has_checkpoints,
+                failing=1.0 if is_hopeless else 0.4 * is_failing,
+            )
+        )
+    cancel = None
+    if rng.random() < CANCELLED_SHARE:
+        cancel = rng.randint(100, 4_000)
+    route = rng.choice(('batch', 'bulk'))
+    return _to_job(
+        rng, at_ms, callers, route, tuple(steps), tuple(works), cancel
+    )
+
+
+def _to_job(
+    rng: random.Random,
+    at_ms: int,
+    callers: int,
+    route: str,
+    steps: tuple[history.Step, ...],
+    work: tuple[_payload.StepWork, ...],
+    cancel_after_ms: int | None,
+) -> PlannedJob:
+    """Return a job with a drawn id and caller."""
+    return PlannedJob(
+        at_ms=at_ms,
+        caller=rng.randrange(callers),
+        job=f'{rng.getrandbits(64):016x}',
+        route=route,
+        payload=_payload.encode(work),
+        steps=steps,
+        work=work,
+        cancel_after_ms=cancel_after_ms,
+        repeats_after_ms=(
+            rng.randint(500, 4_000) if rng.random() < 0.1 else None
+        ),
+    )
+
+
+def draw_configs(seed: int, duration_ms: int) -> list[PlannedConfig]:
+    """Draw the configurations, which add and remove probe routes."""
+    rng = random.Random(f'{seed}/configs')
+    version = rng.randint(1, 9)
+    probes: dict[str, history.Route] = {}
+    configs = []
+    at_ms, added = 0, 0
+    while at_ms < duration_ms:
+        if probes and rng.random() < 0.4:
+            del probes[rng.choice(sorted(probes))]
+        else:
+            added += 1
+            name = f'probe{added}'
+            probes[name] = history.Route(
+                name=name, pool=rng.choice(POOLS), max_attempts=1
+            )
+        configs.append(
+            PlannedConfig(
+                at_ms=at_ms,
+                version=version,
+                routes=BASE_ROUTES + tuple(probes.values()),
+            )
+        )
+        version += rng.randint(1, 5)
+        at_ms += rng.randint(*CONFIG_GAP_MS)
+    return configs
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/_soak.py
@@ -0,0 +1,300 @@
+"""Run one soak: set up, traffic with faults, calm, check."""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import pathlib
+import random
+from typing import Any
+
+import oriolestand_core as core
+from oriolestand_soak import _callers
+from oriolestand_soak import _daemons
+from oriolestand_soak import _http
+from oriolestand_soak import _links
+from oriolestand_soak import _plan
+from oriolestand_soak import _recorder
+from oriolestand_soak import _services
+from oriolestand_soak import _workers
+from oriolestand_soak import checks
+from oriolestand_soak import faults
+from oriolestand_soak import history
+
+BOUNDS = history.Bounds()
+SETTINGS_BOUNDS = {
+    'hold_max_ms': BOUNDS.lease_max_ms,
+    'stop_grace_ms': BOUNDS.stop_ms,
+    'grace_s': BOUNDS.grace_ms / 1_000,
+    'status_s': BOUNDS.retention_ms / 1_000,
+}
+HOST = '127.0.0.1'
+ZONES = ('near', 'far')
+RACKS = 3
+WORKER_CPU = (4_000, 8_000)
+WORKER_MEMORY_MB = 16_000
+CALLERS_PER_DAEMON = 3
+START_TIMEOUT_MS = 30_000
+POLL_MS = 100
+LAG_MS = 250
+"""A soak whose own event loop runs later than this harms all daemons."""
+
+SETTLE_MS = BOUNDS.contact_ms + BOUNDS.recover_ms
+IDLE_MS = 10_000
+"""Time after the traffic in which idle tasks are noticed."""
+
+
+class SoakError(core.OriolestandError):
+    """Raised when a soak cannot be set up."""
+
+    code = 'soak_failed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Size, duration and seed of a soak."""
+
+    seed: int
+    duration_ms: int
+    daemons: int
+    workers: int
+    directory: pathlib.Path
+
+
+class Soak:
+    """The services of one soak."""
+
+    def __init__(
+        self, reactor: Any, options: Options, recorder: _recorder.Recorder
+    ) -> None:
+        self._reactor = reactor
+        self._options = options
+        self._recorder = recorder
+        self.kernel = core.Kernel(core.ReactorClock(reactor), reactor=reactor)
+        seed = options.seed
+        self._configs = _plan.draw_configs(seed, options.duration_ms)
+        self._store = _services.StoreTask(self.kernel)
+        self._network = _links.Network(reactor, HOST)
+        self._workers = self._create_workers()
+        self._daemons = _daemons.DaemonsTask(
+            self.kernel, recorder, options.directory, BOUNDS.grace_ms
+        )
+        self._create_daemons()
+        daemons = list(self._daemons.daemons.values())
+        self._callers = _callers.CallersTask(
+            self.kernel, recorder, daemons, seed
+        )
+        self._operator = _services.OperatorTask(
+            self.kernel, recorder, self._store.store
+        )
+        self._faults = faults.FaultsTask(self.kernel, recorder)
+        for task in (
+            self._store,
+            _services.NetworkTask(self.kernel, self._network),
+            _services.WorkersTask(self.kernel, self._workers),
+            self._daemons,
+            self._callers,
+            self._operator,
+            self._faults,
+        ):
+            self.kernel.register(task.name, task)
+
+    def _create_workers(self) -> dict[str, _workers.Worker]:
+        """Create the workers of all pools and zones."""
+        gangs = _workers.GangBoard()
+        rng = random.Random(f'{self._options.seed}/workers')
+        workers = {}
+        for number in range(self._options.workers):
+            name = f'worker-{number}'
+            kind = 'big' if number % 3 == 0 else 'small'
+            info = history.WorkerStarted(
+                worker=name,
+                life='',
+                pool=_plan.POOLS[number % len(_plan.POOLS)],
+                cpu=rng.choice(WORKER_CPU),
+                memory_mb=WORKER_MEMORY_MB,
+                labels=(kind, f'rack-{number % RACKS}'),
+            )
+            worker = _workers.Worker(
+                self.kernel,
+                self._recorder,
+                self._store.store,
+                gangs,
+                info,
+                ZONES[number // len(_plan.POOLS) % len(ZONES)],
+                random.Random(f'{self._options.seed}/{name}'),
+            )
+            worker.listen(HOST)
+            workers[name] = worker
+        return workers
+
+    def _create_daemons(self) -> None:
+        """Create the daemons, their links and their store frontends."""
+        count = self._options.daemons
+        hosts = _daemons.find_hosts(count)
+        if len(hosts) < count:
+            raise SoakError('not enough addresses with a free metrics port')
+        for number, host in enumerate(hosts):
+            name = f'daemon-{number}'
+            zone = ZONES[number % len(ZONES)]
+            is_far = zone != ZONES[0]
+            addresses = {
+                worker.address: self._network.add(
+                    name,
+                    worker.machine,
+                    worker.address,
+                    is_far != (worker.zone != ZONES[0]),
+                )
+                for worker in self._workers.values()
+            }
+            rng = random.Random(f'{self._options.seed}/store/{name}')
+            frontend = self._store.add_frontend(name, rng, addresses)
+            factory = _http.ServerFactory(frontend, _links.log_failure)
+            listener = self._reactor.listenTCP(0, factory, interface=HOST)
+            address = self._network.add(
+                name, 'store', f'{HOST}:{listener.getHost().port}', is_far
+            )
+            self._daemons.add(name, zone, host, address, SETTINGS_BOUNDS)
+
+    # Phases.
+
+    async def run(self) -> list[checks.Violation]:
+        """Run the soak and return the violations."""
+        options = self._options
+        self._recorder.record(
+            history.SoakStarted(
+                seed=options.seed,
+                daemons=options.daemons,
+                workers=options.workers,
+                bounds=BOUNDS,
+            )
+        )
+        try:
+            await self._start()
+            await self._run_traffic()
+            await self._settle()
+            self._recorder.record(history.SoakFinished())
+        finally:
+            await self._stop()
+        return checks.check(self._recorder.events)
+
+    async def _start(self) -> None:
+        """Start all processes and wait until the daemons are ready."""
+        for worker in self._workers.values():
+            worker.start()
+        self._write_config(self._configs[0])
+        for number, daemon in enumerate(self._daemons.daemons.values()):
+            self._daemons.start_daemon(daemon)
+            callers = self._callers
+            callers.run_in_background(callers.watch_readiness(daemon))
+            callers.run_in_background(callers.probe(daemon, -1 - number))
+        self._watch_lag()
+        await self._wait_until(
+            lambda: (
+                len(self._callers.rotation.ready()) == self._options.daemons
+            ),
+            START_TIMEOUT_MS,
+            'all daemons ready',
+        )
+
+    def _write_config(self, config: _plan.PlannedConfig) -> None:
+        """Let the operator write a configuration; probe its routes."""
+        self._callers.routes.update(route.name for route in config.routes)
+        self._operator.write(config)
+
+    async def _run_traffic(self) -> None:
+        """Send the jobs while faults come and go."""
+        options = self._options
+        total_ms = options.duration_ms + SETTLE_MS
+        for config in self._configs[1:]:
+            self._call_at(
+                config.at_ms, functools.partial(self._write_config, config)
+            )
+        for job in _plan.draw_jobs(
+            options.seed,
+            total_ms,
+            options.workers,
+            options.daemons * CALLERS_PER_DAEMON,
+        ):
+            self._call_at(
+                job.at_ms,
+                functools.partial(self._submit, job),
+            )
+        plan = faults.draw_faults(
+            options.seed,
+            options.duration_ms,
+            tuple(self._daemons.daemons),
+            tuple(self._workers),
+        )
+        self._faults.schedule(plan)
+        await self.kernel.sleep(total_ms)
+        await self._wait_until(
+            lambda: self._faults.is_idle, START_TIMEOUT_MS, 'no fault left'
+        )
+        self._recorder.record(history.TrafficEnded())
+
+    def _submit(self, job: _plan.PlannedJob) -> None:
+        """Let a caller submit a job and follow it."""
+        self._callers.run_in_background(self._callers.serve_job(job))
+
+    async def _settle(self) -> None:
+        """Wait for the end of the jobs; ask for the state of each."""
+        end = self._recorder.now() + BOUNDS.finish_ms
+        callers = self._callers
+        services = [job for job in callers.accepted.values() if job.is_service]
+        for job in services[::2]:
+            callers.run_in_background(callers.cancel(job))
+        await self.kernel.sleep(IDLE_MS)
+        while self._recorder.now() < end and any(
+            job.job not in callers.final and not job.is_service
+            for job in callers.accepted.values()
+        ):
+            await self.kernel.sleep(POLL_MS)
+        for job in callers.accepted.values():
+            await callers.ask_state(job)
+
+    async def _stop(self) -> None:
+        """End all processes."""
+        for daemon in self._daemons.daemons.values():
+            daemon.is_wanted = False
+        await self.kernel.stop()
+        await self._wait_until(
+            lambda: not self._daemons.running, START_TIMEOUT_MS, 'all ended'
+        )
+
+    # Time.
+
+    def _call_at(self, delay_ms: int, func: Callable[[], object]) -> None:
+        """Call a function later unless the soak has ended."""
+        self.kernel.clock.call_later(
+            delay_ms, lambda: None if self._callers.is_stopped else func()
+        )
+
+    def _watch_lag(self) -> None:
+        """Record as a fault when the soak's own event loop runs late."""
+        expected = self.kernel.clock.now() + POLL_MS
+
+        def measure() -> None:
+            lag_ms = self.kernel.clock.now() - expected
+            if lag_ms > LAG_MS:
+                self._faults.record_lag(lag_ms)
+            self._watch_lag()
+
+        self._call_at(POLL_MS, measure)
+
+    async def _wait_until(
+        self, check: Callable[[], bool], limit_ms: int, what: str
+    ) -> None:
+        """Wait until a check is true; raise SoakError after a limit."""
+        end = self._recorder.now() + limit_ms
+        while not check():
+            if self._recorder.now() > end:
+                raise SoakError('condition not met', what=what)
+            await self.kernel.sleep(POLL_MS)
+
+
+async def run(reactor: Any, options: Options) -> list[checks.Violation]:
+    """Run one soak; the history is written to its directory."""
+    options.directory.mkdir(parents=True, exist_ok=True)
+    path = options.directory / 'history.jsonl'
+    with _recorder.Recorder(core.ReactorClock(reactor), path) as recorder:
+        return await Soak(reactor, options, recorder).run()
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/faults/__init__.py
@@ -0,0 +1,7 @@
+"""Faults that are drawn from the seed and injected from outside."""
+
+from oriolestand_soak.faults._base import Fault
+from oriolestand_soak.faults._schedule import draw_faults
+from oriolestand_soak.faults._task import FaultsTask
+
+__all__ = ['Fault', 'FaultsTask', 'draw_faults']
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/faults/_base.py
@@ -0,0 +1,83 @@
+"""Base class of all faults."""
+
+import abc
+from collections.abc import Iterable
+import dataclasses
+import random
+from typing import ClassVar
+
+OWNER = '@owner'
+"""Stands for the daemon that gives orders when the fault begins."""
+
+OWNER_SHARE = 0.35
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Site:
+    """The daemons and workers that faults are drawn for."""
+
+    daemons: tuple[str, ...]
+    workers: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """A message to a service of the soak."""
+
+    service: str
+    message: object
+
+
+class Fault(abc.ABC):
+    """A fault with drawn parameters.
+
+    ``daemons`` and ``workers``: what it harms. ``is_core``: whether it harms
+    the store itself. ``is_planned``: see ``history.FaultBegan``.
+    """
+
+    kind: ClassVar[str]
+    is_core: ClassVar[bool] = False
+    is_planned: ClassVar[bool] = False
+
+    def __init__(self, number: int, rng: random.Random, site: Site) -> None:
+        self.number = number
+        self.daemons: tuple[str, ...] = ()
+        self.workers: tuple[str, ...] = ()
+        self.duration_ms = rng.randint(500, 6_000)
+        self.detail = ''
+        self.draw(rng, site)
+
+    @abc.abstractmethod
+    def draw(self, rng: random.Random, site: Site) -> None:
+        """Draw the parameters."""
+
+    @abc.abstractmethod
+    def begin(self) -> Iterable[Order]:
+        """Return the orders that start the fault."""
+
+    @abc.abstractmethod
+    def end(self) -> Iterable[Order]:
+        """Return the orders that end it."""
+
+    def name_owner(self, owner: str) -> None:
+        """Replace the placeholder of the owner by its name."""
+        self.daemons = tuple(
+            dict.fromkeys(owner if d == OWNER else d for d in self.daemons)
+        )
+
+
+def draw_some(
+    rng: random.Random, names: tuple[str, ...], most: float = 0.5
+) -> tuple[str, ...]:
+    """Draw at least one name and at most a share of all."""
+    limit = max(1, int(len(names) * most))
+    return tuple(sorted(rng.sample(names, rng.randint(1, limit))))
+
+
+def draw_daemons(
+    rng: random.Random, site: Site, most: float = 0.5
+) -> tuple[str, ...]:
+    """Draw daemons, often the owner."""
+    if rng.random() < OWNER_SHARE:
+        return (OWNER,)
+    return draw_some(rng, site.daemons, most)
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/faults/_schedule.py
@@ -0,0 +1,79 @@
+"""Draw the faults of a soak from its seed."""
+
+import dataclasses
+import random
+
+from oriolestand_soak.faults import _base
+from oriolestand_soak.faults import _networks
+from oriolestand_soak.faults import _processes
+from oriolestand_soak.faults import _stores
+from oriolestand_soak.faults import _upstreams
+
+KINDS: tuple[type[_base.Fault], ...] = (
+    _processes.Kill,
+    _processes.KillAll,
+    _processes.Terminate,
+    _processes.Pause,
+    _processes.Reload,
+    _stores.StoreDown,
+    _stores.StoreTurnsAway,
+    _stores.StoreSlow,
+    _stores.StoreLosesResponses,
+    _stores.StoreAppliesLate,
+    _stores.StoreForgets,
+    _networks.Delay,
+    _networks.Cut,
+    _networks.Reset,
+    _networks.Silence,
+    _networks.Narrow,
+    _upstreams.WorkerLosesResponses,
+    _upstreams.WorkerExecutesLate,
+    _upstreams.WorkerUnhealthy,
+    _upstreams.WorkerHangs,
+    _upstreams.WorkerCrash,
+    _upstreams.WorkerFlaps,
+    _upstreams.WorkerLeaves,
+)
+PLANNED = tuple(kind for kind in KINDS if kind.is_planned)
+
+FIRST_MS = 1_500
+MOST_AT_ONCE = 4
+SPREAD_MS = 2_500
+"""Faults of a series begin within this time, so that they overlap."""
+
+CALM_MS = (1_000, 9_000)
+"""Time between series; checks with time bounds need the long ones."""
+
+PLANNED_SHARE = 0.3
+"""Share of the series that consist of planned work alone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedFault:
+    """A fault and when it begins."""
+
+    at_ms: int
+    fault: _base.Fault
+
+
+def draw_faults(
+    seed: int,
+    duration_ms: int,
+    daemons: tuple[str, ...],
+    workers: tuple[str, ...],
+) -> list[PlannedFault]:
+    """Draw series of overlapping faults that begin within the duration."""
+    rng = random.Random(f'{seed}/faults')
+    site = _base.Site(daemons=daemons, workers=workers)
+    planned: list[PlannedFault] = []
+    at_ms = FIRST_MS
+    while at_ms < duration_ms:
+        kinds = PLANNED if rng.random() < PLANNED_SHARE else KINDS
+        end_ms = at_ms
+        for _ in range(rng.randint(1, MOST_AT_ONCE)):
+            start_ms = at_ms + rng.randrange(SPREAD_MS)
+            fault = rng.choice(kinds)(len(planned) + 1, rng, site)
+            planned.append(PlannedFault(at_ms=start_ms, fault=fault))
+            end_ms = max(end_ms, start_ms + fault.duration_ms)
+        at_ms = end_ms + rng.randint(*CALM_MS)
+    return planned
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/messages.py
@@ -0,0 +1,102 @@
+"""Messages between the services of the soak."""
+
+import dataclasses
+
+from oriolestand_soak import _links
+from oriolestand_soak import _store
+from oriolestand_soak import _workers
+
+DAEMONS = 'daemons'
+NETWORK = 'network'
+STORE = 'store'
+WORKERS = 'workers'
+CALLERS = 'callers'
+OPERATOR = 'operator'
+FAULTS = 'faults'
+
+AnyFaults = _store.StoreFaults | _links.LinkFaults | _workers.WorkerFaults
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SetFaults:
+    """Add the faults of a fault to its targets, or remove them for None.
+
+    Targets are daemons, or workers if the message is for their service.
+    ``peer``: the stand-in of the link; empty for all.
+    """
+
+    fault: int
+    targets: tuple[str, ...]
+    faults: AnyFaults | None
+    peer: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ForgetHistory:
+    """Make the store forget its log of changes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DisturbConnections:
+    """Reset the open connections of daemons, or silence them."""
+
+    daemons: tuple[str, ...]
+    peer: str = ''
+    is_silent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SetBandwidth:
+    """Limit the shared link in each direction; 0 for no limit."""
+
+    bytes_per_s: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartDaemon:
+    """Start a daemon unless it runs."""
+
+    daemon: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndDaemon:
+    """End a daemon by a signal; it stays down until it is started."""
+
+    daemon: str
+    signal: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SignalDaemon:
+    """Send a signal to a daemon."""
+
+    daemon: str
+    signal: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashWorker:
+    """Crash a worker."""
+
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartWorker:
+    """Start a worker unless it is up."""
+
+    worker: str
+    keeps_id: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DrainWorker:
+    """Announce that a worker leaves."""
+
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GetOwner:
+    """Ask for the daemon that last opened a connection to a worker."""
