--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/.stamp
 SOURCES := packages platform
 
-.PHONY: help setup schemas test unit format lint types doctest models bench demo lock
+.PHONY: help setup schemas test unit format lint types doctest models bench soak demo lock
 .NOTPARALLEL:
 
 help:
@@ -16,6 +16,7 @@
 	@echo "make check   run formatter, linter, type check and doctests"
 	@echo "make models  check the models of the core protocols"
 	@echo "make bench   run the benchmarks, write out/bench.json"
+	@echo "make soak    run the fleet daemon under random faults"
 	@echo "make schemas write the JSON schemas under docs/schemas"
 	@echo "make lock    pin the dependencies again"
 
@@ -55,6 +56,10 @@
 bench: setup
 	$(BIN)/python -m oriolestand_bench
 
+# The seeds that once failed, then new ones.
+soak: setup
+	$(BIN)/python -m oriolestand_soak --failed --fresh 5
+
 demo: setup
 	$(BIN)/python -m oriolestand_standins.demo
 
--- a/packages/soak/src/oriolestand_soak/__main__.py
+++ b/packages/soak/src/oriolestand_soak/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the soak."""
 
 import pathlib
+import random
 import sys
 import tempfile
 from typing import Any
@@ -11,11 +12,14 @@
 import oriolestand_core as core
 from oriolestand_soak import _soak
 from oriolestand_soak import checks
+from oriolestand_soak import failed_seeds
 from oriolestand_soak import history
 
 EXIT_VIOLATIONS = 1
 EXIT_FAILED = 3
 MILLIS_PER_SECOND = 1_000
+FRESH_SEEDS = 1_000_000
+"""Fresh seeds are drawn below this number."""
 
 
 def _report(label: str, violations: list[checks.Violation]) -> None:
@@ -25,18 +29,12 @@
         click.echo(f'  {violation}')
 
 
-async def _run_seeds(
-    reactor: Any, seeds: range, options: dict[str, Any], out: pathlib.Path
-) -> int:
+async def _run_all(reactor: Any, soaks: list[_soak.Options]) -> int:
     """Run one soak after another and return the exit status."""
     status = 0
-    for seed in seeds:
-        directory = out / f'seed-{seed}'
-        violations = await _soak.run(
-            reactor,
-            _soak.Options(seed=seed, directory=directory, **options),
-        )
-        _report(f'seed {seed}', violations)
+    for options in soaks:
+        violations = await _soak.run(reactor, options)
+        _report(f'seed {options.seed}', violations)
         sys.stdout.flush()
         if violations:
             status = EXIT_VIOLATIONS
@@ -58,7 +56,9 @@
 
 @click.command()
 @click.option('--seed', type=int, help='Run the soak with this seed.')
-@click.option('--seeds', help='Run the soaks with the seeds A-B.')
+@click.option('--seeds', default='', help='Run the soaks with seeds A-B.')
+@click.option('--fresh', default=0, help='Run this many soaks of new seeds.')
+@click.option('--failed', is_flag=True, help='Run the seeds that once failed.')
 @click.option('--seconds', default=30, help='Time in which faults begin.')
 @click.option('--daemons', default=5)
 @click.option('--workers', default=12)
@@ -75,7 +75,9 @@
 )
 def main(
     seed: int | None,
-    seeds: str | None,
+    seeds: str,
+    fresh: int,
+    failed: bool,
     seconds: int,
     daemons: int,
     workers: int,
@@ -88,24 +90,44 @@
         violations = checks.check(list(history.read(check_path)))
         _report(str(check_path), violations)
         sys.exit(EXIT_VIOLATIONS if violations else 0)
-    if (seed is None) == (seeds is None):
-        raise click.UsageError('give either --seed or --seeds')
-    chosen = (
-        _parse_seeds(seeds) if seeds else range(seed or 0, (seed or 0) + 1)
-    )
+    chosen = [] if seed is None else [seed]
+    chosen += _parse_seeds(seeds) if seeds else []
+    rng = random.SystemRandom()
+    chosen += [rng.randrange(FRESH_SEEDS) for _ in range(fresh)]
     directory = out or pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+    soaks = [
+        _soak.Options(
+            seed=number,
+            duration_ms=seconds * MILLIS_PER_SECOND,
+            daemons=daemons,
+            workers=workers,
+            directory=directory / f'seed-{number}',
+        )
+        for number in chosen
+    ]
+    if failed:
+        soaks += _failed_soaks(directory)
+    if not soaks and not failed:
+        raise click.UsageError('no seed is given')
     click.echo(f'Histories and logs: {directory}')
-    options = {
-        'duration_ms': seconds * MILLIS_PER_SECOND,
-        'daemons': daemons,
-        'workers': workers,
-    }
-    sys.exit(_run_reactor(chosen, options, directory))
+    sys.exit(_run_reactor(soaks))
+
+
+def _failed_soaks(directory: pathlib.Path) -> list[_soak.Options]:
+    """Return the soaks that once failed."""
+    return [
+        _soak.Options(
+            seed=case.seed,
+            duration_ms=case.seconds * MILLIS_PER_SECOND,
+            daemons=case.daemons,
+            workers=case.workers,
+            directory=directory / f'failed-{number}-seed-{case.seed}',
+        )
+        for number, case in enumerate(failed_seeds.FAILED_SEEDS)
+    ]
 
 
-def _run_reactor(
-    seeds: range, options: dict[str, Any], directory: pathlib.Path
-) -> int:
+def _run_reactor(soaks: list[_soak.Options]) -> int:
     """Run the soaks in the reactor and return the exit status."""
     from twisted.internet import reactor as installed_reactor
 
@@ -117,9 +139,7 @@
         return EXIT_FAILED
 
     def start() -> None:
-        fut = defer.ensureDeferred(
-            _run_seeds(reactor, seeds, options, directory)
-        )
+        fut = defer.ensureDeferred(_run_all(reactor, soaks))
         fut.addErrback(on_failed)
         fut.addCallback(statuses.append)
         fut.addBoth(lambda _: reactor.stop())
--- a/packages/soak/src/oriolestand_soak/_soak.py
+++ b/packages/soak/src/oriolestand_soak/_soak.py
@@ -39,8 +39,8 @@
 """A soak whose own event loop runs later than this harms all daemons."""
 
 SETTLE_MS = BOUNDS.contact_ms + BOUNDS.recover_ms
-IDLE_MS = 10_000
-"""Time after the traffic in which idle tasks are noticed."""
+CANCEL_MS = BOUNDS.cancel_ms + BOUNDS.stop_ms + 2 * POLL_MS
+"""Time after which runs of cancelled jobs are noticed."""
 
 
 class SoakError(core.OriolestandError):
@@ -204,7 +204,13 @@
     async def _run_traffic(self) -> None:
         """Send the jobs while faults come and go."""
         options = self._options
-        total_ms = options.duration_ms + SETTLE_MS
+        plan = faults.draw_faults(
+            options.seed,
+            options.duration_ms,
+            tuple(self._daemons.daemons),
+            tuple(self._workers),
+        )
+        total_ms = SETTLE_MS + max(fault.end_ms for fault in plan)
         for config in self._configs[1:]:
             self._call_at(
                 config.at_ms, functools.partial(self._write_config, config)
@@ -219,12 +225,6 @@
                 job.at_ms,
                 functools.partial(self._submit, job),
             )
-        plan = faults.draw_faults(
-            options.seed,
-            options.duration_ms,
-            tuple(self._daemons.daemons),
-            tuple(self._workers),
-        )
         self._faults.schedule(plan)
         await self.kernel.sleep(total_ms)
         await self._wait_until(
@@ -243,12 +243,10 @@
         services = [job for job in callers.accepted.values() if job.is_service]
         for job in services[::2]:
             callers.run_in_background(callers.cancel(job))
-        await self.kernel.sleep(IDLE_MS)
-        while self._recorder.now() < end and any(
-            job.job not in callers.final and not job.is_service
-            for job in callers.accepted.values()
-        ):
+        ending = set(callers.accepted) - {job.job for job in services[1::2]}
+        while self._recorder.now() < end and ending - set(callers.final):
             await self.kernel.sleep(POLL_MS)
+        await self.kernel.sleep(CANCEL_MS)
         for job in callers.accepted.values():
             await callers.ask_state(job)
 
--- a/packages/soak/src/oriolestand_soak/_workers.py
+++ b/packages/soak/src/oriolestand_soak/_workers.py
@@ -122,7 +122,7 @@
         self._rng = rng
         self.zone = zone
         self._listener: Any = None
-        self._factory: Any = None
+        self._factory = _http.ServerFactory(self, self._on_failed)
         self._lives = 0
         self.machine = info.worker
         self.info = info
@@ -153,7 +153,6 @@
 
     def listen(self, host: str) -> None:
         """Reserve the address of the machine."""
-        self._factory = _http.ServerFactory(self, self._on_failed)
         self._listener = self._kernel.reactor.listenTCP(
             0, self._factory, interface=host
         )
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/failed_seeds.py
@@ -0,0 +1,17 @@
+"""Soaks that once found a fault, kept as regression cases."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FailedSeed:
+    """A soak that failed, and why; ``seconds`` as on the command line."""
+
+    seed: int
+    seconds: int
+    daemons: int
+    workers: int
+    cause: str
+
+
+FAILED_SEEDS: tuple[FailedSeed, ...] = ()
--- a/packages/soak/src/oriolestand_soak/faults/_schedule.py
+++ b/packages/soak/src/oriolestand_soak/faults/_schedule.py
@@ -55,6 +55,11 @@
     at_ms: int
     fault: _base.Fault
 
+    @property
+    def end_ms(self) -> int:
+        """Return when the fault ends."""
+        return self.at_ms + self.fault.duration_ms
+
 
 def draw_faults(
     seed: int,
@@ -74,6 +79,6 @@
             start_ms = at_ms + rng.randrange(SPREAD_MS)
             fault = rng.choice(kinds)(len(planned) + 1, rng, site)
             planned.append(PlannedFault(at_ms=start_ms, fault=fault))
-            end_ms = max(end_ms, start_ms + fault.duration_ms)
+            end_ms = max(end_ms, planned[-1].end_ms)
         at_ms = end_ms + rng.randint(*CALM_MS)
     return planned
