--- a/packages/soak/src/oriolestand_soak/_fault_stack.py
+++ b/packages/soak/src/oriolestand_soak/_fault_stack.py
@@ -2,32 +2,26 @@
 
 import dataclasses
 from typing import Any
-from typing import Generic
-from typing import TypeVar
 
-T = TypeVar('T')
 
-
-class FaultStack(Generic[T]):
-    """The faults in force at one target, by the id of the fault.
+class FaultStack:
+    """The faults in force at each target, by the id of the fault.
 
     Of several values of a field, the largest is in force.
     """
 
-    def __init__(self, cls: type[T]) -> None:
+    def __init__(self, cls: Any) -> None:
         self._cls = cls
-        self._active: dict[int, T] = {}
+        self._active: dict[object, dict[int, Any]] = {}
 
-    def set(self, fault: int, faults: T | None) -> T:
+    def set(self, target: object, fault: int, faults: Any) -> Any:
         """Add or remove the faults of a fault; return those in force."""
-        self._active.pop(fault, None)
+        active = self._active.setdefault(target, {})
+        active.pop(fault, None)
         if faults is not None:
-            self._active[fault] = faults
-        cls: Any = self._cls
-        values = [cls(), *self._active.values()]
-        return cls(
-            **{
-                field.name: max(getattr(value, field.name) for value in values)
-                for field in dataclasses.fields(cls)
-            }
+            active[fault] = faults
+        values = [self._cls(), *active.values()]
+        names = [field.name for field in dataclasses.fields(self._cls)]
+        return self._cls(
+            **{n: max(getattr(value, n) for value in values) for n in names}
         )
--- a/packages/soak/src/oriolestand_soak/_links.py
+++ b/packages/soak/src/oriolestand_soak/_links.py
@@ -7,13 +7,12 @@
 
 from twisted.internet import protocol
 
-import oriolestand_core as core
-from oriolestand_soak import _http
-
 CHUNK_BYTES = 4_096
 HIGH_WATER_BYTES = 65_536
 """A connection with more bytes in transit is not read from."""
 
+MILLIS_PER_SECOND = 1_000
+
 
 class Shaper:
     """Limits the bytes per second of all connections that share a link."""
@@ -30,7 +29,7 @@
         return self._free_at
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LinkFaults:
     """Faults of the connections between a daemon and a stand-in.
 
@@ -43,24 +42,45 @@
     is_down_cut: bool = False
 
 
+class _End(protocol.Protocol):
+    """One end of a proxied connection, which reads for one direction."""
+
+    def __init__(self, pair: '_Pair', out: '_Direction') -> None:
+        self._pair = pair
+        self._out = out
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Disable Nagle's algorithm."""
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        self._out.source = transport
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass on bytes."""
+        for start in range(0, len(data), CHUNK_BYTES):
+            self._out.push(data[start : start + CHUNK_BYTES])
+
+    def connectionLost(  # noqa: N802
+        self, reason: Any = protocol.connectionDone
+    ) -> None:
+        """Pass on the end of the connection."""
+        self._out.source = None
+        self._out.push(None)
+        self._pair.on_lost()
+
+
 class _Direction:
     """Bytes in transit in one direction of a connection."""
 
     def __init__(
-        self,
-        reactor: Any,
-        link: 'Link',
-        is_cut: Callable[[], bool],
-        shaper: Shaper,
+        self, link: 'Link', shaper: Shaper, is_cut: Callable[[], bool]
     ) -> None:
-        self._reactor = reactor
         self._link = link
-        self._is_cut = is_cut
         self._shaper = shaper
+        self._is_cut = is_cut
         self._queue: collections.deque[tuple[float, bytes | None]] = (
             collections.deque()
         )
-        self._timer: Any = None
         self._size = 0
         self.is_silent = False
         self.source: Any = None
@@ -70,23 +90,22 @@
         """Forward bytes, or the end of the connection for None."""
         if self.is_silent:
             return
-        now = self._reactor.seconds()
-        delay = self._link.faults.delay_ms / _http.MILLIS_PER_SECOND
-        size = len(data or b'')
-        due = self._shaper.reserve(now, size) + delay
+        reactor, size = self._link.reactor, len(data or b'')
+        due = self._shaper.reserve(reactor.seconds(), size)
+        due += self._link.faults.delay_ms / MILLIS_PER_SECOND
         if self._queue:
             due = max(due, self._queue[-1][0])
         self._queue.append((due, data))
         self._size += size
         if self._size > HIGH_WATER_BYTES and self.source is not None:
             self.source.pauseProducing()
-        self.flush()
+        reactor.callLater(max(0.0, due - reactor.seconds()), self.flush)
 
     def flush(self) -> None:
-        """Deliver what is due; schedule the rest."""
+        """Deliver what is due."""
         if self.sink is None or self._is_cut() or self.is_silent:
             return
-        now = self._reactor.seconds()
+        now = self._link.reactor.seconds()
         while self._queue and self._queue[0][0] <= now:
             _, data = self._queue.popleft()
             if data is None:
@@ -96,67 +115,33 @@
             self.sink.write(data)
         if self._size <= HIGH_WATER_BYTES and self.source is not None:
             self.source.resumeProducing()
-        if self._queue and (self._timer is None or not self._timer.active()):
-            self._timer = self._reactor.callLater(
-                self._queue[0][0] - now, self.flush
-            )
-
-
-class _End(protocol.Protocol):
-    """One end of a proxied connection."""
-
-    def __init__(self, out: _Direction, on_lost: Callable[[], None]) -> None:
-        self._out = out
-        self._on_lost = on_lost
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Disable Nagle's algorithm."""
-        transport: Any = self.transport
-        transport.setTcpNoDelay(True)
-        self._out.source = transport
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Pass on bytes."""
-        for start in range(0, len(data), CHUNK_BYTES):
-            self._out.push(data[start : start + CHUNK_BYTES])
-
-    def connectionLost(  # noqa: N802
-        self, reason: Any = protocol.connectionDone
-    ) -> None:
-        """Pass on the end of the connection."""
-        self._out.source = None
-        self._out.push(None)
-        self._on_lost()
 
 
 class _Pair:
     """A connection of a daemon and the one to the stand-in."""
 
-    def __init__(self, reactor: Any, link: 'Link') -> None:
+    def __init__(self, link: 'Link') -> None:
         self._link = link
         self.up = _Direction(
-            reactor, link, lambda: link.faults.is_up_cut, link.up_shaper
+            link, link.up_shaper, lambda: link.faults.is_up_cut
         )
         self.down = _Direction(
-            reactor, link, lambda: link.faults.is_down_cut, link.down_shaper
-        )
-        self.front = _End(self.up, self._on_lost)
-        self._back: Any = None
-        creator = protocol.ClientCreator(
-            reactor, _End, self.down, self._on_lost
+            link, link.down_shaper, lambda: link.faults.is_down_cut
         )
+        self.front = _End(self, self.up)
+        self._back = _End(self, self.down)
+        creator = protocol.ClientCreator(link.reactor, lambda: self._back)
         connecting = creator.connectTCP(*link.target)
         connecting.addCallbacks(self._on_open, lambda _: self.reset())
 
-    def _on_open(self, back: _End) -> None:
+    def _on_open(self, _: object) -> None:
         """Start forwarding."""
-        self._back = back
-        self.up.sink = back.transport
+        self.up.sink = self._back.transport
         self.down.sink = self.front.transport
         self.up.flush()
         self.down.flush()
 
-    def _on_lost(self) -> None:
+    def on_lost(self) -> None:
         """Forget the pair once both ends are closed."""
         if self.up.source is None and self.down.source is None:
             self._link.pairs.discard(self)
@@ -164,13 +149,9 @@
     def reset(self) -> None:
         """Reset both connections."""
         for end in (self.front, self._back):
-            if end is not None and end.transport is not None:
-                end.transport.abortConnection()
-
-    def silence(self) -> None:
-        """Deliver nothing any more, without closing the connections."""
-        self.up.is_silent = True
-        self.down.is_silent = True
+            transport: Any = end.transport
+            if transport is not None:
+                transport.abortConnection()
 
 
 class Link(protocol.ServerFactory):
@@ -181,23 +162,22 @@
     def __init__(
         self,
         reactor: Any,
-        target: tuple[str, int],
-        up_shaper: Shaper,
-        down_shaper: Shaper,
-        on_use: Callable[[], None] = lambda: None,
+        address: str,
+        shapers: tuple[Shaper, Shaper],
+        on_use: Callable[[], None],
     ) -> None:
-        self._reactor = reactor
-        self._on_use = on_use
-        self.target = target
-        self.up_shaper = up_shaper
-        self.down_shaper = down_shaper
+        host, _, port = address.rpartition(':')
+        self.reactor = reactor
+        self.target = (host, int(port))
+        self.up_shaper, self.down_shaper = shapers
         self.faults = LinkFaults()
         self.pairs: set[_Pair] = set()
+        self._on_use = on_use
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Return the daemon's end of a new connection."""
         self._on_use()
-        pair = _Pair(self._reactor, self)
+        pair = _Pair(self)
         self.pairs.add(pair)
         return pair.front
 
@@ -208,71 +188,10 @@
             pair.up.flush()
             pair.down.flush()
 
-    def reset(self) -> None:
-        """Reset all open connections."""
-        for pair in list(self.pairs):
-            pair.reset()
-
-    def silence(self) -> None:
-        """Silence all open connections."""
+    def disturb(self, is_silent: bool) -> None:
+        """Reset or silence all open connections."""
         for pair in list(self.pairs):
-            pair.silence()
-
-
-class Network:
-    """All links, by daemon and stand-in.
-
-    The daemons of the far region reach everything in the other region over a
-    shared link, of which each direction has its own shaper.
-    """
-
-    def __init__(self, reactor: Any, host: str) -> None:
-        self._reactor = reactor
-        self._host = host
-        self.outbound = Shaper()
-        self.inbound = Shaper()
-        self._links: dict[tuple[str, str], Link] = {}
-        self.last_owner = ''
-
-    def add(
-        self, daemon: str, target: str, address: str, is_shared: bool
-    ) -> str:
-        """Add a link and return the address of its listener.
-
-        ``is_shared``: whether it passes the shared link.
-        """
-        host, _, port = address.rpartition(':')
-        shapers = (self.outbound, self.inbound)
-        link = Link(
-            self._reactor,
-            (host, int(port)),
-            *(shapers if is_shared else (Shaper(), Shaper())),
-            on_use=lambda: self._on_use(daemon, target),
-        )
-        listener = self._reactor.listenTCP(0, link, interface=self._host)
-        self._links[daemon, target] = link
-        return f'{self._host}:{listener.getHost().port}'
-
-    def _on_use(self, daemon: str, target: str) -> None:
-        """Record which daemon last opened a connection to a worker."""
-        if target != 'store':
-            self.last_owner = daemon
-
-    def select(self, daemon: str, target: str = '') -> list[Link]:
-        """Return the links of a daemon, to all targets or to one."""
-        return [
-            link
-            for (link_daemon, link_target), link in self._links.items()
-            if link_daemon == daemon and target in ('', link_target)
-        ]
-
-    def targets(self) -> list[str]:
-        """Return all targets."""
-        return sorted({target for _, target in self._links})
-
-
-def log_failure(reason: Any) -> None:
-    """Log an error in a stand-in."""
-    core.get_logger('soak').error(
-        'Stand-in failed', reason=reason.getTraceback()
-    )
+            if is_silent:
+                pair.up.is_silent = pair.down.is_silent = True
+            else:
+                pair.reset()
--- a/packages/soak/src/oriolestand_soak/_plan.py
+++ b/packages/soak/src/oriolestand_soak/_plan.py
@@ -1,5 +1,6 @@
 """Draw the traffic of a soak from its seed."""
 
+from collections.abc import Iterator
 import dataclasses
 import random
 from typing import Any
@@ -14,6 +15,9 @@
     history.Route(name='bulk', pool='beta', max_attempts=4),
     history.Route(name='serve', pool='alpha', max_attempts=2),
 )
+WORKER_CPU = (4_000, 8_000)
+WORKER_MEMORY_MB = 16_000
+RACKS = 3
 SERVICE_TARGET_MS = 50
 CONFIG_GAP_MS = (700, 5_000)
 JOBS_PER_WORKER_S = 0.18
@@ -44,6 +48,15 @@
         """Return whether tasks run until the job is cancelled."""
         return any(step.is_service for step in self.steps)
 
+    def created(self) -> history.JobCreated:
+        """Return the event of the first submission."""
+        return history.JobCreated(
+            job=self.job,
+            route=self.route,
+            payload=self.payload,
+            steps=self.steps,
+        )
+
     def body(self) -> dict[str, Any]:
         """Return the body of the request that submits the job."""
         return {
@@ -83,6 +96,42 @@
     version: int
     routes: tuple[history.Route, ...]
 
+    def body(self) -> dict[str, Any]:
+        """Return the content of the row."""
+        routes = [
+            {
+                'name': route.name,
+                'host': HOST,
+                'path_prefix': f'/{route.name}/',
+                'service': route.pool,
+                'max_attempts': route.max_attempts,
+                'stretch': 2.0,
+                'target_latency_ms': 500,
+            }
+            for route in self.routes
+        ]
+        services = [{'name': x, 'admission_check': False} for x in POOLS]
+        return {
+            'version': self.version,
+            'routes': routes,
+            'services': services,
+        }
+
+
+def draw_workers(seed: int, count: int) -> Iterator[history.WorkerStarted]:
+    """Draw the machines of all pools."""
+    rng = random.Random(f'{seed}/workers')
+    for number in range(count):
+        kind = 'big' if number % 3 == 0 else 'small'
+        yield history.WorkerStarted(
+            worker=f'worker-{number}',
+            life='',
+            pool=POOLS[number % len(POOLS)],
+            cpu=rng.choice(WORKER_CPU),
+            memory_mb=WORKER_MEMORY_MB,
+            labels=(kind, f'rack-{number % RACKS}'),
+        )
+
 
 def draw_jobs(
     seed: int, duration_ms: int, workers: int, callers: int
--- a/packages/soak/src/oriolestand_soak/_recorder.py
+++ b/packages/soak/src/oriolestand_soak/_recorder.py
@@ -2,19 +2,24 @@
 
 import dataclasses
 import pathlib
+from typing import Any
 
 import oriolestand_core as core
 from oriolestand_soak import history
 
 
 class Recorder:
-    """Writes events to the history file and keeps them for checks."""
+    """Writes events to the history file and keeps them for the checks.
+
+    ``failure``: the traceback of an error in the soak itself.
+    """
 
     def __init__(self, clock: core.Clock, path: pathlib.Path) -> None:
         self._clock = clock
         self._start_ms = clock.now()
         self._out = path.open('wb')
         self.events: list[history.Event] = []
+        self.failure = ''
 
     def now(self) -> int:
         """Return the milliseconds since the start of the soak."""
@@ -28,6 +33,10 @@
         self.events.append(event)
         self._out.write(history.encode(event))
 
+    def fail(self, reason: Any) -> None:
+        """Keep the first error of the soak."""
+        self.failure = self.failure or reason.getTraceback()
+
     def __enter__(self) -> 'Recorder':
         """Return the recorder."""
         return self
--- a/packages/soak/src/oriolestand_soak/_soak.py
+++ b/packages/soak/src/oriolestand_soak/_soak.py
@@ -10,8 +10,7 @@
 import oriolestand_core as core
 from oriolestand_soak import _callers
 from oriolestand_soak import _daemons
-from oriolestand_soak import _http
-from oriolestand_soak import _links
+from oriolestand_soak import _network
 from oriolestand_soak import _plan
 from oriolestand_soak import _recorder
 from oriolestand_soak import _services
@@ -19,19 +18,13 @@
 from oriolestand_soak import checks
 from oriolestand_soak import faults
 from oriolestand_soak import history
+from oriolestand_soak import messages
 
 BOUNDS = history.Bounds()
-SETTINGS_BOUNDS = {
-    'hold_max_ms': BOUNDS.lease_max_ms,
-    'stop_grace_ms': BOUNDS.stop_ms,
-    'grace_s': BOUNDS.grace_ms / 1_000,
-    'status_s': BOUNDS.retention_ms / 1_000,
-}
 HOST = '127.0.0.1'
 ZONES = ('near', 'far')
-RACKS = 3
-WORKER_CPU = (4_000, 8_000)
-WORKER_MEMORY_MB = 16_000
+"""The store is in the near region."""
+
 CALLERS_PER_DAEMON = 3
 START_TIMEOUT_MS = 30_000
 POLL_MS = 100
@@ -44,7 +37,7 @@
 
 
 class SoakError(core.OriolestandError):
-    """Raised when a soak cannot be set up."""
+    """Raised when a soak cannot be run."""
 
     code = 'soak_failed'
 
@@ -66,54 +59,48 @@
     def __init__(
         self, reactor: Any, options: Options, recorder: _recorder.Recorder
     ) -> None:
-        self._reactor = reactor
         self._options = options
         self._recorder = recorder
-        self.kernel = core.Kernel(core.ReactorClock(reactor), reactor=reactor)
-        seed = options.seed
-        self._configs = _plan.draw_configs(seed, options.duration_ms)
-        self._store = _services.StoreTask(self.kernel)
-        self._network = _links.Network(reactor, HOST)
+        self.kernel = kernel = core.Kernel(
+            core.ReactorClock(reactor), reactor=reactor
+        )
+        self._configs = _plan.draw_configs(options.seed, options.duration_ms)
+        self._store = _services.StoreTask(kernel, recorder, HOST)
+        self._network = _network.NetworkTask(kernel, HOST)
         self._workers = self._create_workers()
         self._daemons = _daemons.DaemonsTask(
-            self.kernel, recorder, options.directory, BOUNDS.grace_ms
+            kernel, recorder, options.directory, BOUNDS
         )
         self._create_daemons()
-        daemons = list(self._daemons.daemons.values())
         self._callers = _callers.CallersTask(
-            self.kernel, recorder, daemons, seed
+            kernel,
+            recorder,
+            list(self._daemons.daemons.values()),
+            options.seed,
         )
         self._operator = _services.OperatorTask(
-            self.kernel, recorder, self._store.store
+            kernel, recorder, self._store.store
         )
-        self._faults = faults.FaultsTask(self.kernel, recorder)
+        self._faults = faults.FaultsTask(kernel, recorder)
         for task in (
             self._store,
-            _services.NetworkTask(self.kernel, self._network),
-            _services.WorkersTask(self.kernel, self._workers),
+            self._network,
+            _services.WorkersTask(kernel, self._workers),
             self._daemons,
             self._callers,
             self._operator,
             self._faults,
         ):
-            self.kernel.register(task.name, task)
+            kernel.register(task.name, task)
 
     def _create_workers(self) -> dict[str, _workers.Worker]:
         """Create the workers of all pools and zones."""
+        seed = self._options.seed
         gangs = _workers.GangBoard()
-        rng = random.Random(f'{self._options.seed}/workers')
         workers = {}
-        for number in range(self._options.workers):
-            name = f'worker-{number}'
-            kind = 'big' if number % 3 == 0 else 'small'
-            info = history.WorkerStarted(
-                worker=name,
-                life='',
-                pool=_plan.POOLS[number % len(_plan.POOLS)],
-                cpu=rng.choice(WORKER_CPU),
-                memory_mb=WORKER_MEMORY_MB,
-                labels=(kind, f'rack-{number % RACKS}'),
-            )
+        for number, info in enumerate(
+            _plan.draw_workers(seed, self._options.workers)
+        ):
             worker = _workers.Worker(
                 self.kernel,
                 self._recorder,
@@ -121,10 +108,10 @@
                 gangs,
                 info,
                 ZONES[number // len(_plan.POOLS) % len(ZONES)],
-                random.Random(f'{self._options.seed}/{name}'),
+                random.Random(f'{seed}/{info.worker}'),
             )
             worker.listen(HOST)
-            workers[name] = worker
+            workers[info.worker] = worker
         return workers
 
     def _create_daemons(self) -> None:
@@ -136,24 +123,20 @@
         for number, host in enumerate(hosts):
             name = f'daemon-{number}'
             zone = ZONES[number % len(ZONES)]
-            is_far = zone != ZONES[0]
             addresses = {
                 worker.address: self._network.add(
-                    name,
-                    worker.machine,
-                    worker.address,
-                    is_far != (worker.zone != ZONES[0]),
+                    name, worker.machine, worker.address, zone != worker.zone
                 )
                 for worker in self._workers.values()
             }
             rng = random.Random(f'{self._options.seed}/store/{name}')
-            frontend = self._store.add_frontend(name, rng, addresses)
-            factory = _http.ServerFactory(frontend, _links.log_failure)
-            listener = self._reactor.listenTCP(0, factory, interface=HOST)
-            address = self._network.add(
-                name, 'store', f'{HOST}:{listener.getHost().port}', is_far
+            store = self._network.add(
+                name,
+                messages.STORE,
+                self._store.add_frontend(name, rng, addresses),
+                zone != ZONES[0],
             )
-            self._daemons.add(name, zone, host, address, SETTINGS_BOUNDS)
+            self._daemons.add(name, zone, host, store)
 
     # Phases.
 
@@ -174,7 +157,8 @@
             await self._settle()
             self._recorder.record(history.SoakFinished())
         finally:
-            await self._stop()
+            await self.kernel.stop()
+        await self._wait_until(lambda: not self._daemons.running, 'all ended')
         return checks.check(self._recorder.events)
 
     async def _start(self) -> None:
@@ -182,18 +166,16 @@
         for worker in self._workers.values():
             worker.start()
         self._write_config(self._configs[0])
+        callers = self._callers
         for number, daemon in enumerate(self._daemons.daemons.values()):
-            self._daemons.start_daemon(daemon)
-            callers = self._callers
+            message = messages.StartDaemon(daemon=daemon.name)
+            self.kernel.post(messages.DAEMONS, message)
             callers.run_in_background(callers.watch_readiness(daemon))
             callers.run_in_background(callers.probe(daemon, -1 - number))
         self._watch_lag()
+        count = self._options.daemons
         await self._wait_until(
-            lambda: (
-                len(self._callers.rotation.ready()) == self._options.daemons
-            ),
-            START_TIMEOUT_MS,
-            'all daemons ready',
+            lambda: len(callers.rotation.ready()) == count, 'daemons ready'
         )
 
     def _write_config(self, config: _plan.PlannedConfig) -> None:
@@ -215,21 +197,13 @@
             self._call_at(
                 config.at_ms, functools.partial(self._write_config, config)
             )
+        callers = options.daemons * CALLERS_PER_DAEMON
         for job in _plan.draw_jobs(
-            options.seed,
-            total_ms,
-            options.workers,
-            options.daemons * CALLERS_PER_DAEMON,
+            options.seed, total_ms, options.workers, callers
         ):
-            self._call_at(
-                job.at_ms,
-                functools.partial(self._submit, job),
-            )
+            self._call_at(job.at_ms, functools.partial(self._submit, job))
         self._faults.schedule(plan)
         await self.kernel.sleep(total_ms)
-        await self._wait_until(
-            lambda: self._faults.is_idle, START_TIMEOUT_MS, 'no fault left'
-        )
         self._recorder.record(history.TrafficEnded())
 
     def _submit(self, job: _plan.PlannedJob) -> None:
@@ -244,21 +218,12 @@
         for job in services[::2]:
             callers.run_in_background(callers.cancel(job))
         ending = set(callers.accepted) - {job.job for job in services[1::2]}
-        while self._recorder.now() < end and ending - set(callers.final):
+        while self._recorder.now() < end and ending - callers.final:
             await self.kernel.sleep(POLL_MS)
         await self.kernel.sleep(CANCEL_MS)
         for job in callers.accepted.values():
             await callers.ask_state(job)
 
-    async def _stop(self) -> None:
-        """End all processes."""
-        for daemon in self._daemons.daemons.values():
-            daemon.is_wanted = False
-        await self.kernel.stop()
-        await self._wait_until(
-            lambda: not self._daemons.running, START_TIMEOUT_MS, 'all ended'
-        )
-
     # Time.
 
     def _call_at(self, delay_ms: int, func: Callable[[], object]) -> None:
@@ -279,11 +244,9 @@
 
         self._call_at(POLL_MS, measure)
 
-    async def _wait_until(
-        self, check: Callable[[], bool], limit_ms: int, what: str
-    ) -> None:
+    async def _wait_until(self, check: Callable[[], bool], what: str) -> None:
         """Wait until a check is true; raise SoakError after a limit."""
-        end = self._recorder.now() + limit_ms
+        end = self._recorder.now() + START_TIMEOUT_MS
         while not check():
             if self._recorder.now() > end:
                 raise SoakError('condition not met', what=what)
@@ -295,4 +258,7 @@
     options.directory.mkdir(parents=True, exist_ok=True)
     path = options.directory / 'history.jsonl'
     with _recorder.Recorder(core.ReactorClock(reactor), path) as recorder:
-        return await Soak(reactor, options, recorder).run()
+        violations = await Soak(reactor, options, recorder).run()
+    if recorder.failure:
+        raise SoakError('a stand-in failed', why=recorder.failure)
+    return violations
--- a/packages/soak/src/oriolestand_soak/_store.py
+++ b/packages/soak/src/oriolestand_soak/_store.py
@@ -1,7 +1,6 @@
 """Stand-in for the platform's row store, over HTTP."""
 
 import base64
-import bisect
 import dataclasses
 import functools
 import random
@@ -15,7 +14,6 @@
 
 WORKERS_TABLE = 'servers'
 OPERATOR_TABLE = 'op'
-PROTECTED_TABLES = frozenset({WORKERS_TABLE, OPERATOR_TABLE})
 
 COMMIT_MS = 5
 PART_QUEUE_MS = 1_000
@@ -25,6 +23,9 @@
 PAGE_ROWS = 500
 MAX_WAIT_MS = 30_000
 
+RowId = tuple[str, str, str]
+"""Table, part and key of a row."""
+
 
 class _Ref(msgspec.Struct, frozen=True):
     """A row of a transaction; ``ver`` only where a version is expected."""
@@ -36,7 +37,7 @@
     value: str = ''
 
     @property
-    def row_id(self) -> tuple[str, str, str]:
+    def row_id(self) -> RowId:
         """Return the identity of the row."""
         return self.table, self.part, self.key
 
@@ -47,10 +48,27 @@
     expected: tuple[_Ref, ...] = ()
     set_keys: tuple[_Ref, ...] = ()
     remove: tuple[_Ref, ...] = ()
-    cross_shard: bool = False
+
+    def find_error(self) -> int:
+        """Return the status if the store must refuse the body, else 0."""
+        refs = self.expected + self.set_keys + self.remove
+        written = {ref.table for ref in self.set_keys + self.remove}
+        if written & {WORKERS_TABLE, OPERATOR_TABLE}:
+            return 403
+        is_valid = (
+            0 < len(refs) <= MAX_ENTRIES
+            and len({ref.part for ref in refs}) == 1
+            and all(
+                len(text.encode()) <= MAX_TEXT_BYTES
+                for ref in refs
+                for text in ref.row_id
+            )
+            and all(len(ref.value) * 3 // 4 <= MAX_ROW_BYTES for ref in refs)
+        )
+        return 0 if is_valid else 400
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreFaults:
     """Faults that the store shows to one daemon.
 
@@ -75,62 +93,49 @@
     def __init__(self, clock: core.Clock) -> None:
         self.clock = clock
         self.version = 0
-        self.rows: dict[tuple[str, str, str], tuple[int, str]] = {}
-        self._changes: dict[str, list[tuple[int, str, str]]] = {}
+        self.rows: dict[RowId, tuple[int, str]] = {}
+        self.busy_until: dict[str, int] = {}
+        self._changes: dict[RowId, int] = {}
         self._oldest = 0
         self._waiting: dict[str, list[defer.Deferred[None]]] = {}
-        self.busy_until: dict[str, int] = {}
 
     def page(self, rows: list[dict[str, Any]], **more: Any) -> dict[str, Any]:
         """Return the body of a response with rows."""
-        return {
-            'ver': self.version,
-            'now_ms': self.clock.now(),
-            'rows': rows,
-            **more,
-        }
-
-    def _describe(self, row_id: tuple[str, str, str]) -> dict[str, Any]:
+        now_ms = self.clock.now()
+        return {'ver': self.version, 'now_ms': now_ms, 'rows': rows, **more}
+
+    def _describe(self, row_id: RowId) -> dict[str, Any]:
         """Return a row as it appears in a response."""
-        version, value = self.rows[row_id]
         table, part, key = row_id
-        return {
-            'table': table,
-            'part': part,
-            'key': key,
-            'value': value,
-            'ver': version,
-        }
+        row: dict[str, Any] = {'table': table, 'part': part, 'key': key}
+        if row_id not in self.rows:
+            return {**row, 'ver': self._changes[row_id], 'deleted': True}
+        version, value = self.rows[row_id]
+        return {**row, 'ver': version, 'value': value}
 
     def commit(self, change: _Transaction) -> _http.Reply:
         """Apply a transaction if its versions hold."""
-        found = [self.rows.get(ref.row_id, (0, '')) for ref in change.expected]
-        if any(
-            version != ref.ver
-            for ref, (version, _) in zip(change.expected, found, strict=True)
-        ):
-            rows = [
-                self._describe(ref.row_id)
-                for ref in change.expected
-                if ref.row_id in self.rows
-            ]
+        ids = [ref.row_id for ref in change.expected]
+        found = [self.rows.get(row_id, (0, ''))[0] for row_id in ids]
+        if found != [ref.ver for ref in change.expected]:
+            rows = [self._describe(x) for x in ids if x in self.rows]
             return _http.json_reply(412, self.page(rows))
         self.version += 1
         for ref in change.set_keys:
             self.rows[ref.row_id] = (self.version, ref.value)
-            self._log_change(ref)
         for ref in change.remove:
-            if self.rows.pop(ref.row_id, None) is not None:
-                self._log_change(ref)
+            self.rows.pop(ref.row_id, None)
+        for ref in change.set_keys + change.remove:
+            self._log_change(ref)
         return _http.json_reply(200, self.page([]))
 
     def _log_change(self, ref: _Ref) -> None:
         """Log a change and notify the followers of the table."""
-        log = self._changes.setdefault(ref.table, [])
-        log.append((self.version, ref.part, ref.key))
+        self._changes.pop(ref.row_id, None)
+        self._changes[ref.row_id] = self.version
         for fut in self._waiting.pop(ref.table, []):
             # Followers run after the whole transaction is applied.
-            self.clock.call_later(0, functools.partial(_fire, fut))
+            self.clock.call_later(0, functools.partial(_http.fire, fut))
 
     def put(self, table: str, key: str, content: object) -> None:
         """Write a row on behalf of the operator or a worker."""
@@ -140,78 +145,51 @@
 
     def drop(self, table: str, key: str) -> None:
         """Remove a row on behalf of a worker."""
-        ref = _Ref(table=table, key=key)
-        if ref.row_id in self.rows:
-            self.commit(_Transaction(remove=(ref,)))
+        if (table, '', key) in self.rows:
+            self.commit(_Transaction(remove=(_Ref(table=table, key=key),)))
 
     def read(self, query: dict[str, str]) -> dict[str, Any]:
         """Return a range of rows of a part."""
-        table, part = query['table'], query.get('part', '')
+        prefix = (query['table'], query.get('part', ''))
         start, end = query.get('from', ''), query.get('target', '')
         limit = min(int(query.get('limit', PAGE_ROWS)), PAGE_ROWS)
-        keys = sorted(
-            key
-            for row_table, row_part, key in self.rows
-            if (row_table, row_part) == (table, part)
-            and key >= start
-            and (not end or key < end)
+        ids = sorted(
+            row_id
+            for row_id in self.rows
+            if row_id[:2] == prefix
+            and row_id[2] >= start
+            and (not end or row_id[2] < end)
         )
-        rows = [self._describe((table, part, key)) for key in keys[:limit]]
-        return self.page(rows, has_more=len(keys) > limit)
+        rows = [self._describe(row_id) for row_id in ids[:limit]]
+        return self.page(rows, has_more=len(ids) > limit)
 
     def forget(self) -> None:
         """Forget the log of changes."""
         self._oldest = self.version
         self._changes.clear()
 
-    def has_history(self, after: int) -> bool:
-        """Return whether all changes after a version are known."""
-        return after >= self._oldest
-
-    def changes(self, table: str, after: int) -> list[dict[str, Any]]:
-        """Return the rows of a table that changed after a version."""
-        log = self._changes.get(table, [])
-        start = bisect.bisect_right(log, (after, '\U0010ffff', ''))
-        latest = {
-            (table, part, key): version for version, part, key in log[start:]
-        }
-        rows = []
-        for row_id, version in sorted(latest.items(), key=lambda x: x[1]):
-            if row_id in self.rows:
-                rows.append(self._describe(row_id))
-            else:
-                _, part, key = row_id
-                rows.append(
-                    {
-                        'table': table,
-                        'part': part,
-                        'key': key,
-                        'ver': version,
-                        'deleted': True,
-                    }
-                )
-        return rows
+    def changes(self, table: str, after: int) -> list[dict[str, Any]] | None:
+        """Return the rows that changed after a version; None if forgotten."""
+        if after < self._oldest:
+            return None
+        return [
+            self._describe(row_id)
+            for row_id, version in self._changes.items()
+            if row_id[0] == table and version > after
+        ]
 
     async def wait_for_change(self, table: str, wait_ms: int) -> None:
         """Wait until a table changes, for a limited time."""
         fut: defer.Deferred[None] = defer.Deferred()
         self._waiting.setdefault(table, []).append(fut)
-        timer = self.clock.call_later(wait_ms, lambda: _fire(fut))
-        await fut
-        timer.cancel()
-
-
-def _fire(fut: 'defer.Deferred[None]') -> None:
-    """Fire a Deferred unless it has fired."""
-    if not fut.called:
-        fut.callback(None)
+        await _http.wait(self.clock, fut, wait_ms)
 
 
 class StoreFrontend(_http.Handler):
     """Serves the store to one daemon, with the faults that it meets.
 
-    ``address_of`` maps a worker's address to the proxy between the daemon
-    and that worker.
+    ``addresses`` maps a worker's address to the proxy between the daemon and
+    that worker.
     """
 
     def __init__(
@@ -229,16 +207,12 @@
 
     async def handle(self, request: _http.Request) -> _http.Reply:
         """Serve a call."""
-        faults = self.faults
-        if faults.delay_ms:
-            await self._kernel.sleep(faults.delay_ms)
-        refusal = self.faults.refusal
-        if refusal:
-            return _refuse(refusal)
+        if self.faults.delay_ms:
+            await self._kernel.sleep(self.faults.delay_ms)
+        if self.faults.refusal:
+            return _refuse(self.faults.refusal)
         if request.path == '/rows-get':
-            return _http.json_reply(
-                200, self._translate(self._store.read(request.query))
-            )
+            return self._reply(self._store.read(request.query))
         if request.path == '/rows-feed':
             return await self._follow(request.query)
         if request.path == '/rows-tx':
@@ -247,32 +221,29 @@
 
     async def _follow(self, query: dict[str, str]) -> _http.Reply:
         """Return the changes of a table once there are any."""
-        store = self._store
         table, after = query['table'], int(query['after'])
         wait_ms = min(int(query.get('wait_ms', '0')), MAX_WAIT_MS)
-        end = self._kernel.clock.now() + wait_ms
-        while True:
-            if not store.has_history(after):
+        now = self._kernel.clock.now
+        end = now() + wait_ms
+        while not (rows := self._store.changes(table, after)):
+            if rows is None:
                 return _http.json_reply(410, {})
-            rows = store.changes(table, after)
-            left = end - self._kernel.clock.now()
-            if rows or left <= 0:
+            if now() >= end:
                 break
-            await store.wait_for_change(table, left)
+            await self._store.wait_for_change(table, end - now())
         if self.faults.refusal:
             return _refuse(self.faults.refusal)
-        return _http.json_reply(200, self._translate(store.page(rows)))
+        return self._reply(self._store.page(rows))
 
-    def _translate(self, page: dict[str, Any]) -> dict[str, Any]:
-        """Replace the addresses of workers by those of proxies."""
+    def _reply(self, page: dict[str, Any]) -> _http.Reply:
+        """Return a page with the addresses of proxies for those of workers."""
         for row in page['rows']:
-            if row['table'] != WORKERS_TABLE or 'value' not in row:
-                continue
-            entry = msgspec.json.decode(base64.b64decode(row['value']))
-            entry['address'] = self._addresses[entry['address']]
-            value = msgspec.json.encode(entry)
-            row['value'] = base64.b64encode(value).decode()
-        return page
+            if row['table'] == WORKERS_TABLE and 'value' in row:
+                entry = msgspec.json.decode(base64.b64decode(row['value']))
+                entry['address'] = self._addresses[entry['address']]
+                value = msgspec.json.encode(entry)
+                row['value'] = base64.b64encode(value).decode()
+        return _http.json_reply(200, page)
 
     async def _commit(self, body: bytes) -> _http.Reply:
         """Apply a transaction after those before it in the same part."""
@@ -280,24 +251,18 @@
             change = msgspec.json.decode(body, type=_Transaction)
         except msgspec.MsgspecError:
             return _http.json_reply(400, {})
-        refs = change.expected + change.set_keys + change.remove
-        parts = {ref.part for ref in refs}
-        written = change.set_keys + change.remove
-        if any(ref.table in PROTECTED_TABLES for ref in written):
-            return _http.json_reply(403, {})
-        if not _is_valid(refs) or len(parts) > 1:
-            return _http.json_reply(400, {})
-        now = self._kernel.clock.now()
-        busy = self._store.busy_until
-        part = next(iter(parts))
-        ready = max(now, busy.get(part, 0)) + COMMIT_MS
-        if ready > now + PART_QUEUE_MS:
+        if status := change.find_error():
+            return _http.json_reply(status, {})
+        part = (change.expected + change.set_keys + change.remove)[0].part
+        clock, busy = self._kernel.clock, self._store.busy_until
+        ready = max(clock.now(), busy.get(part, 0)) + COMMIT_MS
+        if ready > clock.now() + PART_QUEUE_MS:
             return _http.json_reply(429, {})
         busy[part] = ready
-        await self._kernel.sleep(ready - now)
+        await self._kernel.sleep(ready - clock.now())
         faults = self.faults
         if self._rng.random() < faults.late:
-            self._kernel.clock.call_later(
+            clock.call_later(
                 faults.late_ms, lambda: self._store.commit(change)
             )
             return _http.Reply(is_silent=True)
@@ -307,19 +272,6 @@
         return reply
 
 
-def _is_valid(refs: tuple[_Ref, ...]) -> bool:
-    """Return whether a transaction keeps the limits of the store."""
-    return (
-        0 < len(refs) <= MAX_ENTRIES
-        and all(
-            len(text.encode()) <= MAX_TEXT_BYTES
-            for ref in refs
-            for text in ref.row_id
-        )
-        and all(len(ref.value) * 3 // 4 <= MAX_ROW_BYTES for ref in refs)
-    )
-
-
 def _refuse(refusal: str) -> _http.Reply:
     """Return the reply of a store that refuses a call."""
     if refusal == 'reset':
--- a/packages/soak/src/oriolestand_soak/_workers.py
+++ b/packages/soak/src/oriolestand_soak/_workers.py
@@ -45,7 +45,7 @@
     percent: int = FULL_PERCENT
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerFaults:
     """Faults of a worker; see ``StoreFaults`` for ``lost`` and ``late``.
 
@@ -121,8 +121,7 @@
         self._gangs = gangs
         self._rng = rng
         self.zone = zone
-        self._listener: Any = None
-        self._factory = _http.ServerFactory(self, self._on_failed)
+        self._listener: _http.Listener | None = None
         self._lives = 0
         self.machine = info.worker
         self.info = info
@@ -153,17 +152,18 @@
 
     def listen(self, host: str) -> None:
         """Reserve the address of the machine."""
-        self._listener = self._kernel.reactor.listenTCP(
-            0, self._factory, interface=host
+        self._listener = _http.Listener(
+            self._kernel.reactor, host, self, self._recorder
         )
-        self.address = f'{host}:{self._listener.getHost().port}'
-
-    def _on_failed(self, reason: Any) -> None:
-        """Log an error of the stand-in."""
-        self._kernel.log.error('Worker failed', why=reason.getTraceback())
+        self.address = self._listener.address
 
     def start(self, keeps_id: bool = False) -> None:
-        """Start an incarnation and register it."""
+        """Start an incarnation, after a draining one has left."""
+        if self.is_draining:
+            self.crash()
+            self._store.drop(_store.WORKERS_TABLE, self.info.worker)
+        if self.is_up:
+            return
         self._lives += not keeps_id
         self._reset_state()
         worker = f'{self.machine}-{self._lives}'
@@ -207,11 +207,6 @@
             self._register('draining')
             self._recorder.record(history.WorkerDraining(life=self.info.life))
 
-    def leave(self) -> None:
-        """End the incarnation in good order."""
-        self.crash()
-        self._store.drop(_store.WORKERS_TABLE, self.info.worker)
-
     def crash(self) -> None:
         """End the incarnation; its row is removed after some heartbeats."""
         if not self.is_up:
@@ -220,8 +215,8 @@
         self._recorder.record(history.WorkerStopped(life=self.info.life))
         for run in list(self._running.values()):
             self._remove(run)
-        for conn in list(self._factory.connections):
-            conn.reset()
+        if self._listener is not None:
+            self._listener.reset()
         life = self.info.life
         self._clock.call_later(
             HEARTBEAT_MS * MISSED_HEARTBEATS, lambda: self._expire(life)
@@ -281,8 +276,7 @@
         faults = self.faults
         if faults.is_hanging:
             return _http.Reply(is_silent=True)
-        expected = request.headers.get('x-expect-instance')
-        if expected and expected != self.info.worker:
+        if request.expected_instance not in ('', self.info.worker):
             return _http.json_reply(421, {})
         try:
             order = msgspec.json.decode(request.body, type=_Order)
@@ -308,7 +302,7 @@
             fut = defer.ensureDeferred(
                 self._execute(path, order, is_late=True)
             )
-            fut.addErrback(self._on_failed)
+            fut.addErrback(self._recorder.fail)
 
     async def _execute(
         self, path: str, order: _Order, is_late: bool = False
@@ -350,9 +344,7 @@
         if not self._ended and wait_ms:
             fut: defer.Deferred[None] = defer.Deferred()
             self._waiting.append(fut)
-            timer = self._clock.call_later(wait_ms, lambda: _fire(fut))
-            await fut
-            timer.cancel()
+            await _http.wait(self._clock, fut, wait_ms)
         return self._reply(
             200,
             running=[self._describe(run) for run in self._running.values()],
@@ -498,7 +490,7 @@
         self._remove(run)
         waiting, self._waiting = self._waiting, []
         for fut in waiting:
-            _fire(fut)
+            _http.fire(fut)
 
     def _remove(self, run: _Run) -> None:
         """Remove a run; a gang that has begun breaks."""
@@ -529,9 +521,3 @@
             self._update(run)
             run.percent = order.percent
             self._schedule_end(run)
-
-
-def _fire(fut: 'defer.Deferred[None]') -> None:
-    """Fire a Deferred unless it has fired."""
-    if not fut.called:
-        fut.callback(None)
--- a/packages/soak/src/oriolestand_soak/faults/_base.py
+++ b/packages/soak/src/oriolestand_soak/faults/_base.py
@@ -1,7 +1,7 @@
 """Base class of all faults."""
 
 import abc
-from collections.abc import Iterable
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import ClassVar
@@ -11,6 +11,9 @@
 
 OWNER_SHARE = 0.35
 
+Post = Callable[[str, object], None]
+"""Sends a message to a service of the soak."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Site:
@@ -20,14 +23,6 @@
     workers: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Order:
-    """A message to a service of the soak."""
-
-    service: str
-    message: object
-
-
 class Fault(abc.ABC):
     """A fault with drawn parameters.
 
@@ -52,18 +47,16 @@
         """Draw the parameters."""
 
     @abc.abstractmethod
-    def begin(self) -> Iterable[Order]:
-        """Return the orders that start the fault."""
+    def begin(self, post: Post) -> None:
+        """Start the fault."""
 
     @abc.abstractmethod
-    def end(self) -> Iterable[Order]:
-        """Return the orders that end it."""
+    def end(self, post: Post) -> None:
+        """End the fault."""
 
     def name_owner(self, owner: str) -> None:
         """Replace the placeholder of the owner by its name."""
-        self.daemons = tuple(
-            dict.fromkeys(owner if d == OWNER else d for d in self.daemons)
-        )
+        self.daemons = tuple(owner if d == OWNER else d for d in self.daemons)
 
 
 def draw_some(
@@ -74,10 +67,8 @@
     return tuple(sorted(rng.sample(names, rng.randint(1, limit))))
 
 
-def draw_daemons(
-    rng: random.Random, site: Site, most: float = 0.5
-) -> tuple[str, ...]:
+def draw_daemons(rng: random.Random, site: Site) -> tuple[str, ...]:
     """Draw daemons, often the owner."""
     if rng.random() < OWNER_SHARE:
         return (OWNER,)
-    return draw_some(rng, site.daemons, most)
+    return draw_some(rng, site.daemons)
--- a/packages/soak/src/oriolestand_soak/faults/_processes.py
+++ b/packages/soak/src/oriolestand_soak/faults/_processes.py
@@ -1,6 +1,5 @@
-"""Faults of daemon processes, by signals."""
+"""Faults of daemon processes and of the processes of workers."""
 
-from collections.abc import Iterable
 import random
 
 from oriolestand_soak import messages
@@ -8,116 +7,150 @@
 
 
 class _Signals(_base.Fault):
-    """A fault that consists of signals to daemons."""
+    """Some daemons get a signal at the start and one at the end.
 
-    def _signal(self, name: str) -> Iterable[_base.Order]:
-        """Return the orders to send a signal."""
-        for daemon in self.daemons:
-            yield _base.Order(
-                service=messages.DAEMONS,
-                message=messages.SignalDaemon(daemon=daemon, signal=name),
-            )
+    ``is_final``: whether the first signal ends them; then they are started.
+    """
+
+    first = ''
+    last = ''
+    is_final = False
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the daemons."""
+        self.daemons = _base.draw_daemons(rng, site)
 
-    def _end_processes(self, name: str) -> Iterable[_base.Order]:
-        """Return the orders to end the processes by a signal."""
+    def begin(self, post: _base.Post) -> None:
+        """Send the first signal."""
         for daemon in self.daemons:
-            yield _base.Order(
-                service=messages.DAEMONS,
-                message=messages.EndDaemon(daemon=daemon, signal=name),
+            message = messages.SignalDaemon(
+                daemon=daemon, signal=self.first, is_final=self.is_final
             )
+            post(messages.DAEMONS, message)
 
-    def _start(self) -> Iterable[_base.Order]:
-        """Return the orders to start the daemons."""
+    def end(self, post: _base.Post) -> None:
+        """Send the last signal, or start the daemons."""
         for daemon in self.daemons:
-            yield _base.Order(
-                service=messages.DAEMONS,
-                message=messages.StartDaemon(daemon=daemon),
-            )
+            message: object = messages.StartDaemon(daemon=daemon)
+            if self.last:
+                message = messages.SignalDaemon(
+                    daemon=daemon, signal=self.last
+                )
+            post(messages.DAEMONS, message)
 
 
 class Kill(_Signals):
     """Some daemons are killed and started again."""
 
     kind = 'kill'
-    most = 0.5
-
-    def draw(self, rng: random.Random, site: _base.Site) -> None:
-        """Draw the daemons."""
-        self.daemons = _base.draw_daemons(rng, site, self.most)
-
-    def begin(self) -> Iterable[_base.Order]:
-        """Kill the daemons."""
-        return self._end_processes('SIGKILL')
-
-    def end(self) -> Iterable[_base.Order]:
-        """Start the daemons."""
-        return self._start()
+    first = 'SIGKILL'
+    is_final = True
 
 
 class KillAll(Kill):
-    """All daemons are killed at once."""
+    """All daemons are killed at once, for a short time."""
 
     kind = 'kill_all'
 
     def draw(self, rng: random.Random, site: _base.Site) -> None:
-        """Take all daemons; the outage is short."""
+        """Take all daemons."""
         self.daemons = site.daemons
         self.duration_ms = rng.randint(300, 2_500)
 
 
-class Terminate(Kill):
+class Terminate(_Signals):
     """Some daemons shut down gracefully and are started again."""
 
     kind = 'terminate'
     is_planned = True
-    least_ms = 6_500
-    """Longer than a daemon may take to exit."""
+    first = 'SIGTERM'
+    is_final = True
 
     def draw(self, rng: random.Random, site: _base.Site) -> None:
-        """Draw the daemons."""
+        """Draw the daemons; the fault lasts longer than their exit."""
         super().draw(rng, site)
-        self.duration_ms = self.least_ms + rng.randint(0, 2_000)
-
-    def begin(self) -> Iterable[_base.Order]:
-        """Ask the daemons to exit."""
-        return self._end_processes('SIGTERM')
+        self.duration_ms = rng.randint(6_200, 8_000)
 
 
 class Pause(_Signals):
-    """Some daemons are suspended for a while."""
+    """Some daemons are suspended, in part for longer than a lease."""
 
     kind = 'pause'
+    first = 'SIGSTOP'
+    last = 'SIGCONT'
 
     def draw(self, rng: random.Random, site: _base.Site) -> None:
-        """Draw the daemons; some pauses are longer than a lease."""
-        self.daemons = _base.draw_daemons(rng, site)
+        """Draw the daemons and the duration."""
+        super().draw(rng, site)
         if rng.random() < 0.3:
             self.duration_ms = rng.randint(6_000, 12_000)
 
-    def begin(self) -> Iterable[_base.Order]:
-        """Suspend the daemons."""
-        return self._signal('SIGSTOP')
-
-    def end(self) -> Iterable[_base.Order]:
-        """Resume the daemons."""
-        return self._signal('SIGCONT')
-
 
 class Reload(_Signals):
-    """Some daemons are told to read their settings again."""
+    """Some daemons are told twice to read their settings again."""
 
     kind = 'reload'
     is_planned = True
+    first = 'SIGHUP'
+    last = 'SIGHUP'
+
+
+class WorkerCrash(_base.Fault):
+    """Workers crash and start again, under a new id or the same."""
+
+    kind = 'worker_crash'
 
     def draw(self, rng: random.Random, site: _base.Site) -> None:
-        """Draw the daemons."""
-        self.daemons = _base.draw_daemons(rng, site, 1.0)
-        self.duration_ms = 500
+        """Draw the workers."""
+        self.workers = _base.draw_some(rng, site.workers, 0.34)
+        self.keeps_id = rng.random() < 0.5
+        self.detail = f'keeps_id={self.keeps_id}'
+
+    def steer(self, post: _base.Post, action: str) -> None:
+        """Send an order to the workers."""
+        for worker in self.workers:
+            message = messages.SteerWorker(
+                worker=worker, action=action, keeps_id=self.keeps_id
+            )
+            post(messages.WORKERS, message)
+
+    def begin(self, post: _base.Post) -> None:
+        """Crash the workers."""
+        self.steer(post, 'crash')
+
+    def end(self, post: _base.Post) -> None:
+        """Start the workers."""
+        self.steer(post, 'start')
+
+
+class WorkerFlaps(WorkerCrash):
+    """Workers crash and start at once, twice."""
 
-    def begin(self) -> Iterable[_base.Order]:
-        """Send the signal."""
-        return self._signal('SIGHUP')
+    kind = 'worker_flaps'
+
+    def begin(self, post: _base.Post) -> None:
+        """Crash the workers and start them."""
+        self.steer(post, 'crash')
+        self.steer(post, 'start')
+
+    def end(self, post: _base.Post) -> None:
+        """Crash the workers and start them once more."""
+        self.begin(post)
+
+
+class WorkerLeaves(WorkerCrash):
+    """Workers announce that they leave, leave and are replaced."""
+
+    kind = 'worker_leaves'
+    is_planned = True
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the workers; their replacements have new ids."""
+        super().draw(rng, site)
+        self.keeps_id = False
+        self.detail = ''
+        self.duration_ms = rng.randint(3_500, 8_000)
 
-    def end(self) -> Iterable[_base.Order]:
-        """Send the signal once more."""
-        return self._signal('SIGHUP')
+    def begin(self, post: _base.Post) -> None:
+        """Announce that the workers leave."""
+        self.steer(post, 'drain')
--- a/packages/soak/src/oriolestand_soak/faults/_schedule.py
+++ b/packages/soak/src/oriolestand_soak/faults/_schedule.py
@@ -4,10 +4,8 @@
 import random
 
 from oriolestand_soak.faults import _base
-from oriolestand_soak.faults import _networks
+from oriolestand_soak.faults import _conditions
 from oriolestand_soak.faults import _processes
-from oriolestand_soak.faults import _stores
-from oriolestand_soak.faults import _upstreams
 
 KINDS: tuple[type[_base.Fault], ...] = (
     _processes.Kill,
@@ -15,24 +13,24 @@
     _processes.Terminate,
     _processes.Pause,
     _processes.Reload,
-    _stores.StoreDown,
-    _stores.StoreTurnsAway,
-    _stores.StoreSlow,
-    _stores.StoreLosesResponses,
-    _stores.StoreAppliesLate,
-    _stores.StoreForgets,
-    _networks.Delay,
-    _networks.Cut,
-    _networks.Reset,
-    _networks.Silence,
-    _networks.Narrow,
-    _upstreams.WorkerLosesResponses,
-    _upstreams.WorkerExecutesLate,
-    _upstreams.WorkerUnhealthy,
-    _upstreams.WorkerHangs,
-    _upstreams.WorkerCrash,
-    _upstreams.WorkerFlaps,
-    _upstreams.WorkerLeaves,
+    _processes.WorkerCrash,
+    _processes.WorkerFlaps,
+    _processes.WorkerLeaves,
+    _conditions.StoreDown,
+    _conditions.StoreTurnsAway,
+    _conditions.StoreSlow,
+    _conditions.StoreLosesResponses,
+    _conditions.StoreAppliesLate,
+    _conditions.StoreForgets,
+    _conditions.Delay,
+    _conditions.Cut,
+    _conditions.Reset,
+    _conditions.Silence,
+    _conditions.Narrow,
+    _conditions.WorkerLosesResponses,
+    _conditions.WorkerExecutesLate,
+    _conditions.WorkerUnhealthy,
+    _conditions.WorkerHangs,
 )
 PLANNED = tuple(kind for kind in KINDS if kind.is_planned)
 
@@ -41,10 +39,10 @@
 SPREAD_MS = 2_500
 """Faults of a series begin within this time, so that they overlap."""
 
-CALM_MS = (1_000, 9_000)
+CALM_MS = (0, 8_000)
 """Time between series; checks with time bounds need the long ones."""
 
-PLANNED_SHARE = 0.3
+PLANNED_SHARE = 0.2
 """Share of the series that consist of planned work alone."""
 
 
@@ -70,15 +68,14 @@
     """Draw series of overlapping faults that begin within the duration."""
     rng = random.Random(f'{seed}/faults')
     site = _base.Site(daemons=daemons, workers=workers)
-    planned: list[PlannedFault] = []
+    plan: list[PlannedFault] = []
     at_ms = FIRST_MS
     while at_ms < duration_ms:
         kinds = PLANNED if rng.random() < PLANNED_SHARE else KINDS
-        end_ms = at_ms
         for _ in range(rng.randint(1, MOST_AT_ONCE)):
             start_ms = at_ms + rng.randrange(SPREAD_MS)
-            fault = rng.choice(kinds)(len(planned) + 1, rng, site)
-            planned.append(PlannedFault(at_ms=start_ms, fault=fault))
-            end_ms = max(end_ms, planned[-1].end_ms)
+            fault = rng.choice(kinds)(len(plan) + 1, rng, site)
+            plan.append(PlannedFault(at_ms=start_ms, fault=fault))
+        end_ms = max(planned.end_ms for planned in plan)
         at_ms = end_ms + rng.randint(*CALM_MS)
-    return planned
+    return plan
--- a/packages/soak/src/oriolestand_soak/faults/_task.py
+++ b/packages/soak/src/oriolestand_soak/faults/_task.py
@@ -1,14 +1,11 @@
 """Service that begins and ends the drawn faults."""
 
-from collections.abc import Iterable
-
 from twisted.internet import defer
 
 import oriolestand_core as core
 from oriolestand_soak import _recorder
 from oriolestand_soak import history
 from oriolestand_soak import messages
-from oriolestand_soak.faults import _base
 from oriolestand_soak.faults import _schedule
 
 LAG_KIND = 'soak_runs_late'
@@ -22,24 +19,13 @@
     ) -> None:
         super().__init__(kernel, messages.FAULTS)
         self._recorder = recorder
-        self._open = 0
         self._lags = 0
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no fault is in progress or to come."""
-        return not self._open
-
     def schedule(self, plan: list[_schedule.PlannedFault]) -> None:
         """Schedule the faults."""
         for planned in plan:
-            self._open += 1
             fut = defer.ensureDeferred(self._run(planned))
-            fut.addErrback(
-                lambda reason: self.kernel.log.error(
-                    'Fault failed', reason=reason.getTraceback()
-                )
-            )
+            fut.addErrback(self._recorder.fail)
 
     async def _run(self, planned: _schedule.PlannedFault) -> None:
         """Begin a fault and end it after its duration."""
@@ -60,18 +46,12 @@
                 is_planned=fault.is_planned,
             )
         )
-        self._send(fault.begin())
+        fault.begin(self.kernel.post)
         await self.kernel.sleep(fault.duration_ms)
         if self.is_stopped:
             return
-        self._send(fault.end())
+        fault.end(self.kernel.post)
         self._recorder.record(history.FaultEnded(fault=fault.number))
-        self._open -= 1
-
-    def _send(self, orders: Iterable[_base.Order]) -> None:
-        """Send the orders of a fault."""
-        for order in orders:
-            self.kernel.post(order.service, order.message)
 
     def record_lag(self, lag_ms: int) -> None:
         """Record that the soak itself ran late and harmed everything."""
--- a/packages/soak/src/oriolestand_soak/messages.py
+++ b/packages/soak/src/oriolestand_soak/messages.py
@@ -14,8 +14,6 @@
 OPERATOR = 'operator'
 FAULTS = 'faults'
 
-AnyFaults = _store.StoreFaults | _links.LinkFaults | _workers.WorkerFaults
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SetFaults:
@@ -27,7 +25,9 @@
 
     fault: int
     targets: tuple[str, ...]
-    faults: AnyFaults | None
+    faults: (
+        _store.StoreFaults | _links.LinkFaults | _workers.WorkerFaults | None
+    )
     peer: str = ''
 
 
@@ -53,50 +53,37 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class StartDaemon:
-    """Start a daemon unless it runs."""
-
-    daemon: str
-
+class SignalDaemon:
+    """Send a signal to a daemon.
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EndDaemon:
-    """End a daemon by a signal; it stays down until it is started."""
+    ``is_final``: whether the process has to end and stay down until it is
+    started.
+    """
 
     daemon: str
     signal: str
+    is_final: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SignalDaemon:
-    """Send a signal to a daemon."""
+class StartDaemon:
+    """Start a daemon unless it runs."""
 
     daemon: str
-    signal: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CrashWorker:
-    """Crash a worker."""
-
-    worker: str
+class SteerWorker:
+    """Call a method of a worker: ``crash``, ``drain`` or ``start``.
 
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class StartWorker:
-    """Start a worker unless it is up."""
+    ``keeps_id``: whether a worker that starts keeps its id.
+    """
 
     worker: str
+    action: str
     keeps_id: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class DrainWorker:
-    """Announce that a worker leaves."""
-
-    worker: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GetOwner:
     """Ask for the daemon that last opened a connection to a worker."""
