--- a/packages/soak/src/oriolestand_soak/_plan.py
+++ b/packages/soak/src/oriolestand_soak/_plan.py
@@ -10,6 +10,9 @@
 
 HOST = 'jobs.test'
 POOLS = ('alpha', 'beta')
+ZONES = ('near', 'far')
+"""The store is in the near region."""
+
 BASE_ROUTES = (
     history.Route(name='batch', pool='alpha', max_attempts=3),
     history.Route(name='bulk', pool='beta', max_attempts=4),
@@ -127,6 +130,7 @@
             worker=f'worker-{number}',
             life='',
             pool=POOLS[number % len(POOLS)],
+            zone=ZONES[number // len(POOLS) % len(ZONES)],
             cpu=rng.choice(WORKER_CPU),
             memory_mb=WORKER_MEMORY_MB,
             labels=(kind, f'rack-{number % RACKS}'),
--- a/packages/soak/src/oriolestand_soak/_soak.py
+++ b/packages/soak/src/oriolestand_soak/_soak.py
@@ -14,6 +14,7 @@
 from oriolestand_soak import _plan
 from oriolestand_soak import _recorder
 from oriolestand_soak import _services
+from oriolestand_soak import _work
 from oriolestand_soak import _workers
 from oriolestand_soak import checks
 from oriolestand_soak import faults
@@ -22,9 +23,6 @@
 
 BOUNDS = history.Bounds()
 HOST = '127.0.0.1'
-ZONES = ('near', 'far')
-"""The store is in the near region."""
-
 CALLERS_PER_DAEMON = 3
 START_TIMEOUT_MS = 30_000
 POLL_MS = 100
@@ -96,18 +94,15 @@
     def _create_workers(self) -> dict[str, _workers.Worker]:
         """Create the workers of all pools and zones."""
         seed = self._options.seed
-        gangs = _workers.GangBoard()
+        gangs = _work.GangBoard()
         workers = {}
-        for number, info in enumerate(
-            _plan.draw_workers(seed, self._options.workers)
-        ):
+        for info in _plan.draw_workers(seed, self._options.workers):
             worker = _workers.Worker(
                 self.kernel,
                 self._recorder,
                 self._store.store,
                 gangs,
                 info,
-                ZONES[number // len(_plan.POOLS) % len(ZONES)],
                 random.Random(f'{seed}/{info.worker}'),
             )
             worker.listen(HOST)
@@ -122,10 +117,13 @@
             raise SoakError('not enough addresses with a free metrics port')
         for number, host in enumerate(hosts):
             name = f'daemon-{number}'
-            zone = ZONES[number % len(ZONES)]
+            zone = _plan.ZONES[number % len(_plan.ZONES)]
             addresses = {
                 worker.address: self._network.add(
-                    name, worker.machine, worker.address, zone != worker.zone
+                    name,
+                    worker.machine,
+                    worker.address,
+                    zone != worker.info.zone,
                 )
                 for worker in self._workers.values()
             }
@@ -134,7 +132,7 @@
                 name,
                 messages.STORE,
                 self._store.add_frontend(name, rng, addresses),
-                zone != ZONES[0],
+                zone != _plan.ZONES[0],
             )
             self._daemons.add(name, zone, host, store)
 
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/faults/_events.py
@@ -0,0 +1,210 @@
+"""Faults that consist of single events, at their start and their end."""
+
+import abc
+from collections.abc import Iterator
+import random
+from typing import ClassVar
+
+from oriolestand_soak import messages
+from oriolestand_soak.faults import _base
+
+
+class _Events(_base.Fault):
+    """Sends messages to one service at the start and at the end."""
+
+    service: ClassVar[str]
+
+    @abc.abstractmethod
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the messages of the start or of the end."""
+
+    def begin(self, post: _base.Post) -> None:
+        """Send the messages of the start."""
+        for message in self.orders(is_end=False):
+            post(self.service, message)
+
+    def end(self, post: _base.Post) -> None:
+        """Send the messages of the end."""
+        for message in self.orders(is_end=True):
+            post(self.service, message)
+
+
+class Kill(_Events):
+    """Some daemons are killed and started again."""
+
+    kind = 'kill'
+    service = messages.DAEMONS
+    signal = 'SIGKILL'
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the daemons."""
+        self.daemons = _base.draw_daemons(rng, site)
+
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the signals, or the starts at the end."""
+        for daemon in self.daemons:
+            if is_end:
+                yield messages.StartDaemon(daemon=daemon)
+            else:
+                yield messages.SignalDaemon(
+                    daemon=daemon, signal=self.signal, is_final=True
+                )
+
+
+class KillAll(Kill):
+    """All daemons are killed at once, for a short time."""
+
+    kind = 'kill_all'
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Take all daemons."""
+        self.daemons = site.daemons
+        self.duration_ms = rng.randint(300, 2_500)
+
+
+class Terminate(Kill):
+    """Some daemons shut down gracefully and are started again."""
+
+    kind = 'terminate'
+    is_planned = True
+    signal = 'SIGTERM'
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the daemons; the fault lasts longer than their exit."""
+        super().draw(rng, site)
+        self.duration_ms = rng.randint(6_200, 8_000)
+
+
+class Pause(Kill):
+    """Some daemons are suspended, in part for longer than a lease."""
+
+    kind = 'pause'
+    signals = ('SIGSTOP', 'SIGCONT')
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the daemons and the duration."""
+        super().draw(rng, site)
+        if rng.random() < 0.3:
+            self.duration_ms = rng.randint(6_000, 12_000)
+
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the signal of the start or the end."""
+        for daemon in self.daemons:
+            yield messages.SignalDaemon(
+                daemon=daemon, signal=self.signals[is_end]
+            )
+
+
+class Reload(Pause):
+    """Some daemons are told twice to read their settings again."""
+
+    kind = 'reload'
+    is_planned = True
+    signals = ('SIGHUP', 'SIGHUP')
+
+
+class StoreForgets(_Events):
+    """The store forgets its log of changes, twice."""
+
+    kind = 'store_forgets'
+    service = messages.STORE
+    is_core = True
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Take all daemons."""
+        self.daemons = site.daemons
+
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the order to forget."""
+        yield messages.ForgetHistory()
+
+
+class Reset(_Events):
+    """Open connections are reset, twice."""
+
+    kind = 'reset'
+    service = messages.NETWORK
+    is_silent = False
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the daemons and the stand-in; all stand-ins if empty."""
+        self.daemons = _base.draw_daemons(rng, site)
+        worker = rng.choice(site.workers)
+        self.peer = rng.choice(('', '', messages.STORE, worker))
+        self.detail = self.peer
+
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the order to disturb the connections."""
+        yield messages.DisturbConnections(
+            daemons=self.daemons, peer=self.peer, is_silent=self.is_silent
+        )
+
+
+class Silence(Reset):
+    """Open connections deliver nothing any more, twice; new ones work."""
+
+    kind = 'silence'
+    is_silent = True
+
+
+class Narrow(_Events):
+    """The link that the daemons of the far region share is narrow."""
+
+    kind = 'narrow'
+    service = messages.NETWORK
+    is_core = True
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the bandwidth."""
+        self.daemons = site.daemons
+        self.bytes_per_s = rng.choice((15_000, 40_000, 120_000))
+        self.duration_ms = rng.randint(3_000, 10_000)
+        self.detail = f'{self.bytes_per_s} bytes/s'
+
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the order to set or remove the limit."""
+        bytes_per_s = 0 if is_end else self.bytes_per_s
+        yield messages.SetBandwidth(bytes_per_s=bytes_per_s)
+
+
+class WorkerCrash(_Events):
+    """Workers crash and start again, under a new id or the same."""
+
+    kind = 'worker_crash'
+    service = messages.WORKERS
+    actions: tuple[tuple[str, ...], tuple[str, ...]] = (('crash',), ('start',))
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the workers."""
+        self.workers = _base.draw_some(rng, site.workers)
+        self.keeps_id = rng.random() < 0.5
+        self.detail = f'keeps_id={self.keeps_id}'
+
+    def orders(self, is_end: bool) -> Iterator[object]:
+        """Yield the actions of the start or the end."""
+        for action in self.actions[is_end]:
+            for worker in self.workers:
+                yield messages.SteerWorker(
+                    worker=worker, action=action, keeps_id=self.keeps_id
+                )
+
+
+class WorkerFlaps(WorkerCrash):
+    """Workers crash and start at once, twice."""
+
+    kind = 'worker_flaps'
+    actions = (('crash', 'start'), ('crash', 'start'))
+
+
+class WorkerLeaves(WorkerCrash):
+    """Workers announce that they leave, leave and are replaced."""
+
+    kind = 'worker_leaves'
+    is_planned = True
+    actions = (('drain',), ('start',))
+
+    def draw(self, rng: random.Random, site: _base.Site) -> None:
+        """Draw the workers; their replacements have new ids."""
+        super().draw(rng, site)
+        self.keeps_id = False
+        self.duration_ms = rng.randint(3_500, 8_000)
--- a/packages/soak/src/oriolestand_soak/faults/_schedule.py
+++ b/packages/soak/src/oriolestand_soak/faults/_schedule.py
@@ -5,32 +5,32 @@
 
 from oriolestand_soak.faults import _base
 from oriolestand_soak.faults import _conditions
-from oriolestand_soak.faults import _processes
+from oriolestand_soak.faults import _events
 
 KINDS: tuple[type[_base.Fault], ...] = (
-    _processes.Kill,
-    _processes.KillAll,
-    _processes.Terminate,
-    _processes.Pause,
-    _processes.Reload,
-    _processes.WorkerCrash,
-    _processes.WorkerFlaps,
-    _processes.WorkerLeaves,
+    _events.Kill,
+    _events.KillAll,
+    _events.Terminate,
+    _events.Pause,
+    _events.Reload,
+    _events.StoreForgets,
+    _events.Reset,
+    _events.Silence,
+    _events.Narrow,
+    _events.WorkerCrash,
+    _events.WorkerFlaps,
+    _events.WorkerLeaves,
     _conditions.StoreDown,
     _conditions.StoreTurnsAway,
     _conditions.StoreSlow,
     _conditions.StoreLosesResponses,
     _conditions.StoreAppliesLate,
-    _conditions.StoreForgets,
     _conditions.Delay,
     _conditions.Cut,
-    _conditions.Reset,
-    _conditions.Silence,
-    _conditions.Narrow,
+    _conditions.WorkerHangs,
     _conditions.WorkerLosesResponses,
     _conditions.WorkerExecutesLate,
     _conditions.WorkerUnhealthy,
-    _conditions.WorkerHangs,
 )
 PLANNED = tuple(kind for kind in KINDS if kind.is_planned)
 
--- a/packages/soak/src/oriolestand_soak/history.py
+++ b/packages/soak/src/oriolestand_soak/history.py
@@ -144,6 +144,7 @@
     life: str
     worker: str
     pool: str
+    zone: str
     cpu: int
     memory_mb: int
     labels: tuple[str, ...]
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -56,6 +56,7 @@
                 life=life,
                 worker=life.partition('@')[0],
                 pool=pool,
+                zone='near',
                 cpu=4_000,
                 memory_mb=8_000,
                 labels=('small', 'rack-1'),
--- a/packages/soak/tests/test_standins.py
+++ b/packages/soak/tests/test_standins.py
@@ -12,6 +12,7 @@
 from oriolestand_soak import _payload
 from oriolestand_soak import _recorder
 from oriolestand_soak import _store
+from oriolestand_soak import _work
 from oriolestand_soak import _workers
 from oriolestand_soak import history
 
@@ -40,7 +41,7 @@
             self.kernel, self.store, random.Random(1), self.addresses
         )
         self.recorder = _recorder.Recorder(self.clock, path)
-        gangs = _workers.GangBoard()
+        gangs = _work.GangBoard()
         self.workers = [self._worker(name, gangs) for name in ('a', 'b')]
 
     def _worker(self, name, gangs):
@@ -48,6 +49,7 @@
             worker=name,
             life='',
             pool='alpha',
+            zone='near',
             cpu=4_000,
             memory_mb=8_000,
             labels=('small', 'rack-0'),
@@ -58,7 +60,6 @@
             self.store,
             gangs,
             info,
-            'near',
             random.Random(name),
         )
         worker.start()
