--- a/packages/soak/src/oriolestand_soak/_callers.py
+++ b/packages/soak/src/oriolestand_soak/_callers.py
@@ -179,12 +179,21 @@
 
     # Jobs.
 
+    async def _call_for(
+        self, job: _plan.PlannedJob, method: str, body: bytes = b''
+    ) -> tuple[int, str]:
+        """Send a request about a job."""
+        created = job.created
+        return await self._call(
+            job.caller, method, created.route, created.job, body
+        )
+
     async def serve_job(self, job: _plan.PlannedJob) -> None:
         """Submit a job, cancel it if planned, follow it to its end."""
-        self._recorder.record(job.created())
+        self._recorder.record(job.created)
         if not await self._submit(job):
             return
-        self.accepted[job.job] = job
+        self.accepted[job.created.job] = job
         if job.repeats_after_ms is not None:
             self.run_in_background(self._repeat(job, job.repeats_after_ms))
         if job.cancel_after_ms is not None:
@@ -199,9 +208,7 @@
         """Submit a job until it is accepted; return whether it was."""
         body = msgspec.json.encode(job.body())
         for attempt in range(1, SUBMIT_ATTEMPTS + 1):
-            status, _ = await self._call(
-                job.caller, 'POST', job.route, job.job, body
-            )
+            status, _ = await self._call_for(job, 'POST', body)
             if status not in RETRIED:
                 return 200 <= status < 300
             await self.kernel.sleep(RETRY_MS * attempt)
@@ -210,24 +217,21 @@
     async def _repeat(self, job: _plan.PlannedJob, delay_ms: int) -> None:
         """Submit an accepted job once more."""
         await self.kernel.sleep(delay_ms)
-        body = msgspec.json.encode(job.body())
-        await self._call(job.caller, 'POST', job.route, job.job, body)
+        await self._call_for(job, 'POST', msgspec.json.encode(job.body()))
 
     async def cancel(self, job: _plan.PlannedJob) -> None:
         """Cancel a job until that is acknowledged."""
         while not self.is_stopped:
-            status, _ = await self._call(
-                job.caller, 'DELETE', job.route, job.job
-            )
+            status, _ = await self._call_for(job, 'DELETE')
             if 200 <= status < 300 or status == GONE:
                 return
             await self.kernel.sleep(RETRY_MS)
 
     async def ask_state(self, job: _plan.PlannedJob) -> str:
         """Ask for the state of a job; return an empty one if unknown."""
-        _, state = await self._call(job.caller, 'GET', job.route, job.job)
+        _, state = await self._call_for(job, 'GET')
         if state in FINAL_STATES:
-            self.final.add(job.job)
+            self.final.add(job.created.job)
         return state
 
 
--- a/packages/soak/src/oriolestand_soak/_daemons.py
+++ b/packages/soak/src/oriolestand_soak/_daemons.py
@@ -99,6 +99,10 @@
         self._directory = directory
         self._bounds = bounds
         self.daemons: dict[str, Daemon] = {}
+        # An interrupted soak must not leave processes behind.
+        kernel.reactor.addSystemEventTrigger(
+            'before', 'shutdown', self._kill_all
+        )
 
     def add(self, name: str, zone: str, host: str, store: str) -> None:
         """Add a daemon and write its settings."""
@@ -204,7 +208,11 @@
     def stop(self) -> object:
         """Kill the processes that still run."""
         super().stop()
+        self._kill_all()
+        return None
+
+    def _kill_all(self) -> None:
+        """Kill the processes that still run."""
         for daemon in self.running:
             daemon.is_wanted = False
             self._signal(daemon, 'SIGKILL')
-        return None
--- a/packages/soak/src/oriolestand_soak/_plan.py
+++ b/packages/soak/src/oriolestand_soak/_plan.py
@@ -30,6 +30,7 @@
 CANCELLED_SHARE = 0.15
 FAILING_SHARE = 0.08
 HOPELESS_SHARE = 0.03
+REPEATED_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,10 +39,7 @@
 
     at_ms: int
     caller: int
-    job: str
-    route: str
-    payload: str
-    steps: tuple[history.Step, ...]
+    created: history.JobCreated
     work: tuple[_payload.StepWork, ...]
     cancel_after_ms: int | None = None
     repeats_after_ms: int | None = None
@@ -49,25 +47,14 @@
     @property
     def is_service(self) -> bool:
         """Return whether tasks run until the job is cancelled."""
-        return any(step.is_service for step in self.steps)
-
-    def created(self) -> history.JobCreated:
-        """Return the event of the first submission."""
-        return history.JobCreated(
-            job=self.job,
-            route=self.route,
-            payload=self.payload,
-            steps=self.steps,
-        )
+        return any(step.is_service for step in self.created.steps)
 
     def body(self) -> dict[str, Any]:
         """Return the body of the request that submits the job."""
+        pairs = zip(self.created.steps, self.work, strict=True)
         return {
-            'spec': self.payload,
-            'steps': [
-                _encode_step(step, work)
-                for step, work in zip(self.steps, self.work, strict=True)
-            ],
+            'spec': self.created.payload,
+            'steps': [_encode_step(step, work) for step, work in pairs],
         }
 
 
@@ -143,21 +130,19 @@
     """Draw the jobs of a soak, in the order of their submission."""
     rng = random.Random(f'{seed}/jobs')
     rate = workers * JOBS_PER_WORKER_S / 1_000
-    jobs = [
-        _draw_service(rng, rng.randrange(duration_ms // 2), callers)
-        for _ in range(max(1, int(workers * SERVICES_PER_WORKER)))
-    ]
-    at_ms = 0.0
-    while True:
-        at_ms += rng.expovariate(rate)
-        if at_ms >= duration_ms:
-            break
-        jobs.append(_draw_batch(rng, int(at_ms), callers))
+    jobs = []
+    for _ in range(max(1, int(workers * SERVICES_PER_WORKER))):
+        at_ms = rng.randrange(duration_ms // 2)
+        jobs.append(_draw_service(rng, at_ms, rng.randrange(callers)))
+    at_ms = int(rng.expovariate(rate))
+    while at_ms < duration_ms:
+        jobs.append(_draw_batch(rng, at_ms, rng.randrange(callers)))
+        at_ms += int(rng.expovariate(rate))
     return sorted(jobs, key=lambda job: job.at_ms)
 
 
-def _draw_service(rng: random.Random, at_ms: int, callers: int) -> PlannedJob:
-    """Draw a job of service tasks."""
+def _draw_service(rng: random.Random, at_ms: int, caller: int) -> PlannedJob:
+    """Draw a job of service tasks, all of which fail at some time."""
     step = history.Step(
         count=rng.randint(1, 3),
         cpu=rng.choice((500, 1_000)),
@@ -170,74 +155,68 @@
         is_service=True,
         failing=1.0,
     )
-    cancel = rng.randint(4_000, 20_000) if rng.random() < 0.3 else None
-    return _to_job(rng, at_ms, callers, 'serve', (step,), (work,), cancel)
+    cancel_after_ms = rng.randint(4_000, 20_000)
+    return PlannedJob(
+        at_ms=at_ms,
+        caller=caller,
+        created=_create_job(rng, 'serve', (step,), (work,)),
+        work=(work,),
+        cancel_after_ms=cancel_after_ms if rng.random() < 0.3 else None,
+    )
 
 
-def _draw_batch(rng: random.Random, at_ms: int, callers: int) -> PlannedJob:
+def _draw_batch(rng: random.Random, at_ms: int, caller: int) -> PlannedJob:
     """Draw a job of up to three steps."""
     steps, works = [], []
     is_hopeless = rng.random() < HOPELESS_SHARE
     for number in range(rng.choice((1, 1, 2, 3))):
         is_gang = rng.random() < 0.2
-        is_filling = not is_gang and rng.random() < 0.2
-        count = rng.randint(2, 3) if is_gang else rng.randint(1, 5)
-        after: tuple[int, ...] = ()
-        if number and rng.random() < 0.8:
-            after = tuple(sorted(rng.sample(range(number), 1)))
-        steps.append(
-            history.Step(
-                count=count,
-                cpu=rng.choice((250, 1_000, 2_000)),
-                memory_mb=rng.choice((256, 1_024)),
-                after=after,
-                is_gang=is_gang,
-                is_filling=is_filling,
-                has_checkpoints=rng.random() < 0.4,
-                label='big' if rng.random() < 0.1 else '',
-                max_per_worker=2 if rng.random() < 0.15 else 0,
-            )
+        has_dependency = number and rng.random() < 0.8
+        step = history.Step(
+            count=rng.randint(2, 3) if is_gang else rng.randint(1, 5),
+            cpu=rng.choice((250, 1_000, 2_000)),
+            memory_mb=rng.choice((256, 1_024)),
+            after=(rng.randrange(number),) if has_dependency else (),
+            is_gang=is_gang,
+            is_filling=not is_gang and rng.random() < 0.2,
+            has_checkpoints=rng.random() < 0.4,
+            label='big' if rng.random() < 0.1 else '',
+            max_per_worker=2 if rng.random() < 0.15 else 0,
         )
         is_failing = rng.random() < FAILING_SHARE
-        works.append(
-            _payload.StepWork(
-                work_ms=rng.randint(150, 3_500),
-                gang=count if is_gang else 0,
-                has_checkpoints=steps[-1].has_checkpoints,
-                failing=1.0 if is_hopeless else 0.4 * is_failing,
-            )
+        work = _payload.StepWork(
+            work_ms=rng.randint(150, 3_500),
+            gang=step.count if is_gang else 0,
+            has_checkpoints=step.has_checkpoints,
+            failing=1.0 if is_hopeless else 0.4 * is_failing,
         )
-    cancel = None
-    if rng.random() < CANCELLED_SHARE:
-        cancel = rng.randint(100, 4_000)
+        steps.append(step)
+        works.append(work)
+    is_cancelled = rng.random() < CANCELLED_SHARE
+    is_repeated = rng.random() < REPEATED_SHARE
     route = rng.choice(('batch', 'bulk'))
-    return _to_job(
-        rng, at_ms, callers, route, tuple(steps), tuple(works), cancel
+    return PlannedJob(
+        at_ms=at_ms,
+        caller=caller,
+        created=_create_job(rng, route, tuple(steps), tuple(works)),
+        work=tuple(works),
+        cancel_after_ms=rng.randint(100, 4_000) if is_cancelled else None,
+        repeats_after_ms=rng.randint(500, 4_000) if is_repeated else None,
     )
 
 
-def _to_job(
+def _create_job(
     rng: random.Random,
-    at_ms: int,
-    callers: int,
     route: str,
     steps: tuple[history.Step, ...],
     work: tuple[_payload.StepWork, ...],
-    cancel_after_ms: int | None,
-) -> PlannedJob:
-    """Return a job with a drawn id and caller."""
-    return PlannedJob(
-        at_ms=at_ms,
-        caller=rng.randrange(callers),
+) -> history.JobCreated:
+    """Return the event of a job with a drawn id."""
+    return history.JobCreated(
         job=f'{rng.getrandbits(64):016x}',
         route=route,
         payload=_payload.encode(work),
         steps=steps,
-        work=work,
-        cancel_after_ms=cancel_after_ms,
-        repeats_after_ms=(
-            rng.randint(500, 4_000) if rng.random() < 0.1 else None
-        ),
     )
 
 
--- a/packages/soak/src/oriolestand_soak/_soak.py
+++ b/packages/soak/src/oriolestand_soak/_soak.py
@@ -215,7 +215,8 @@
         services = [job for job in callers.accepted.values() if job.is_service]
         for job in services[::2]:
             callers.run_in_background(callers.cancel(job))
-        ending = set(callers.accepted) - {job.job for job in services[1::2]}
+        lasting = {job.created.job for job in services[1::2]}
+        ending = set(callers.accepted) - lasting
         while self._recorder.now() < end and ending - callers.final:
             await self.kernel.sleep(POLL_MS)
         await self.kernel.sleep(CANCEL_MS)
--- a/packages/soak/src/oriolestand_soak/checks/_jobs.py
+++ b/packages/soak/src/oriolestand_soak/checks/_jobs.py
@@ -73,12 +73,11 @@
                 ):
                     text = f'{run} starts, cancelled at {cancelled_ms}'
                     yield run.start_ms, text
+                since = max(since, run.start_ms)
                 for start, end in past.stretches:
-                    start = max(start, since)
-                    limit = start + bounds.cancel_ms + bounds.stop_ms
-                    if run.start_ms <= start and limit < min(
-                        end, run.ended_ms
-                    ):
+                    limit = max(start, since)
+                    limit += bounds.cancel_ms + bounds.stop_ms
+                    if limit < min(end, run.ended_ms):
                         yield limit, f'{run} goes on, cancelled before {since}'
                         break
 
--- a/packages/soak/src/oriolestand_soak/faults/_schedule.py
+++ b/packages/soak/src/oriolestand_soak/faults/_schedule.py
@@ -35,14 +35,14 @@
 PLANNED = tuple(kind for kind in KINDS if kind.is_planned)
 
 FIRST_MS = 1_500
-MOST_AT_ONCE = 4
+AT_ONCE = (2, 5)
 SPREAD_MS = 2_500
 """Faults of a series begin within this time, so that they overlap."""
 
-CALM_MS = (0, 8_000)
+CALM_MS = (0, 7_000)
 """Time between series; checks with time bounds need the long ones."""
 
-PLANNED_SHARE = 0.2
+PLANNED_SHARE = 0.15
 """Share of the series that consist of planned work alone."""
 
 
@@ -72,7 +72,7 @@
     at_ms = FIRST_MS
     while at_ms < duration_ms:
         kinds = PLANNED if rng.random() < PLANNED_SHARE else KINDS
-        for _ in range(rng.randint(1, MOST_AT_ONCE)):
+        for _ in range(rng.randint(*AT_ONCE)):
             start_ms = at_ms + rng.randrange(SPREAD_MS)
             fault = rng.choice(kinds)(len(plan) + 1, rng, site)
             plan.append(PlannedFault(at_ms=start_ms, fault=fault))
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -340,6 +340,14 @@
     assert past.violated() == {'cancelled'}
 
 
+def test_run_that_starts_in_time_but_outlasts_cancellation(past):
+    past.submit()
+    past.call(6_000, 6_010, 'DELETE', 200)
+    past.start(8_000)
+    past.end(12_000, 'stopped')
+    assert past.violated() == {'cancelled'}
+
+
 def test_late_start_has_longer_to_stop(past):
     past.submit()
     past.call(6_000, 6_010, 'DELETE', 200)
