Fail the soak on errors of its stand-ins; let workers crash with a gang

The crash of a worker with two members of a gang raised KeyError in the handler, which was only logged; the new test failed with that error before.

--- a/packages/soak/src/oriolestand_soak/_workers.py
+++ b/packages/soak/src/oriolestand_soak/_workers.py
@@ -151,7 +151,9 @@
             return
         self.is_up = False
         self._recorder.record(history.WorkerStopped(life=self.info.life))
-        for run in list(self._running.values()):
+        runs = list(self._running.values())
+        self._running.clear()
+        for run in runs:
             self._remove(run)
         if self._listener is not None:
             self._listener.reset()
@@ -337,7 +339,7 @@
 
     def _remove(self, run: _work.WorkerRun) -> None:
         """Remove a run; a gang that has begun breaks."""
-        del self._running[run.started.task]
+        self._running.pop(run.started.task, None)
         self._raise_highest(run.started.task, run.started.number)
         if run.timer is not None:
             run.timer.cancel()
--- a/packages/soak/src/oriolestand_soak/faults/_task.py
+++ b/packages/soak/src/oriolestand_soak/faults/_task.py
@@ -46,13 +46,18 @@
                 is_planned=fault.is_planned,
             )
         )
-        fault.begin(self.kernel.post)
+        fault.begin(self._post)
         await self.kernel.sleep(fault.duration_ms)
         if self.is_stopped:
             return
-        fault.end(self.kernel.post)
+        fault.end(self._post)
         self._recorder.record(history.FaultEnded(fault=fault.number))
 
+    def _post(self, service: str, message: object) -> None:
+        """Send a message; an error of its handler fails the soak."""
+        fut = self.kernel.ask(service, message)
+        fut.addErrback(self._recorder.fail)
+
     def record_lag(self, lag_ms: int) -> None:
         """Record that the soak itself ran late and harmed everything."""
         self._lags -= 1
--- a/packages/soak/tests/test_standins.py
+++ b/packages/soak/tests/test_standins.py
@@ -239,6 +239,16 @@
     assert bench.ends(bench.workers[1])[0][2] == 'broken'
 
 
+def test_crash_ends_gang_members_on_the_same_worker(bench):
+    # The gang breaks while the runs of the crashed worker are removed.
+    work = (_payload.StepWork(work_ms=5_000, gang=3),)
+    bench.start(bench.workers[0], task='aa.0.0.0', work=work)
+    bench.start(bench.workers[0], task='aa.0.0.1', work=work)
+    bench.start(bench.workers[1], task='aa.0.0.2', work=work)
+    bench.workers[0].crash()
+    assert [row[2] for row in bench.ends(bench.workers[1])] == ['broken']
+
+
 def test_overlapping_faults_end_one_by_one():
     # The end of one fault must not end another one of the same kind.
     stack = _fault_stack.FaultStack(_store.StoreFaults)
