--- a/packages/soak/src/oriolestand_soak/_network.py
+++ b/packages/soak/src/oriolestand_soak/_network.py
@@ -19,6 +19,7 @@
         self._shared = (_links.Shaper(), _links.Shaper())
         self._links: dict[tuple[str, str], _links.Link] = {}
         self._stack = _fault_stack.FaultStack(_links.LinkFaults)
+        self._limits: dict[int, int] = {}
         self._owner = ''
 
     def add(
@@ -68,9 +69,12 @@
 
     @core.handles(messages.SetBandwidth)
     def _on_bandwidth(self, msg: messages.SetBandwidth) -> None:
-        """Limit the shared link."""
+        """Limit the shared link; the narrowest limit is in force."""
+        self._limits.pop(msg.fault, None)
+        if msg.bytes_per_s:
+            self._limits[msg.fault] = msg.bytes_per_s
         for shaper in self._shared:
-            shaper.bytes_per_s = msg.bytes_per_s
+            shaper.bytes_per_s = min(self._limits.values(), default=0)
 
     @core.handles(messages.GetOwner)
     def _on_get_owner(self, msg: messages.GetOwner) -> str:
--- a/packages/soak/src/oriolestand_soak/faults/_events.py
+++ b/packages/soak/src/oriolestand_soak/faults/_events.py
@@ -164,7 +164,7 @@
     def orders(self, is_end: bool) -> Iterator[object]:
         """Yield the order to set or remove the limit."""
         bytes_per_s = 0 if is_end else self.bytes_per_s
-        yield messages.SetBandwidth(bytes_per_s=bytes_per_s)
+        yield messages.SetBandwidth(fault=self.number, bytes_per_s=bytes_per_s)
 
 
 class WorkerCrash(_Events):
--- a/packages/soak/src/oriolestand_soak/messages.py
+++ b/packages/soak/src/oriolestand_soak/messages.py
@@ -47,8 +47,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SetBandwidth:
-    """Limit the shared link in each direction; 0 for no limit."""
+    """Limit the shared link in each direction, or remove a fault's limit.
 
+    ``bytes_per_s``: 0 removes the limit of the fault.
+    """
+
+    fault: int
     bytes_per_s: int
 
 
