--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -74,18 +74,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Check:
-    """Condition on the version of a row; 0 requires that it is absent."""
+    """Condition on the version of a row; 0 requires that it is absent.
+
+    An empty ``table`` means that of the commit.
+    """
 
     key: str
     version: int
+    table: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Put:
-    """Write a row, or remove it if the value is None."""
+    """Write a row, or remove it if the value is None.
+
+    An empty ``table`` means that of the commit.
+    """
 
     key: str
     value: bytes | None
+    table: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -133,10 +141,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigPage:
-    """The configuration, or None if it is missing or unchanged."""
+    """The configuration, or None if it is missing or unchanged.
+
+    ``size_bytes`` is the size of all versions that the response carried.
+    """
 
     config: FleetConfig | None
     cursor: int
+    size_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -1,5 +1,7 @@
 """Claim, renew and release ownership of the cell."""
 
+from collections.abc import Iterable
+import functools
 from typing import Any
 
 from twisted.internet import defer
@@ -31,9 +33,7 @@
         self._log = core.get_logger(const.DOMAIN)
         self._incarnation = str(kernel.incarnation)
         self._election = ownership.Election(
-            cfg.instance,
-            self._incarnation,
-            int(self._incarnation, base=16) % const.CLAIM_JITTER_MS,
+            cfg.instance, self._incarnation, self._claim_delay_ms(None)
         )
         self._owner_version = 0
         self._renewal_version = 0
@@ -54,9 +54,8 @@
             lifecycle.ShutdownStarted,
         ):
             self.kernel.subscribe(event, self)
-        defer.ensureDeferred(self._watch()).addErrback(
-            self._on_unexpected_error
-        )
+        for loop in (self._watch(), self._watch_store_latency()):
+            defer.ensureDeferred(loop).addErrback(self._on_unexpected_error)
         return None
 
     def _on_unexpected_error(self, reason: Any) -> None:
@@ -65,13 +64,36 @@
 
     async def _watch(self) -> None:
         """Check at a fixed interval whether to claim the cell."""
-        await self._measure_store_latency()
         while not self.is_stopped:
             await self.kernel.sleep(const.TICK_MS // 2)
             await self._claim_if_due()
 
-    async def _measure_store_latency(self) -> None:
-        """Measure the latency of the store; if it is high, delay claims."""
+    async def _watch_store_latency(self) -> None:
+        """Delay claims while the latency of the store is high or unknown."""
+        measurement_count = 0
+        while not self.is_stopped:
+            latency_ms = await self._measure_store_latency()
+            delay_ms = self._claim_delay_ms(latency_ms)
+            if delay_ms != self._election.delay_ms:
+                self._election.delay_ms = delay_ms
+                self._log.info(
+                    'Delay of claims changed',
+                    delay_ms=delay_ms,
+                    store_latency_ms=latency_ms,
+                )
+            await self.kernel.sleep(_latency_interval_ms(measurement_count))
+            measurement_count += 1
+
+    def _claim_delay_ms(self, store_latency_ms: int | None) -> int:
+        """Return the delay of claims, given the latency of the store."""
+        return ownership.claim_delay_ms(
+            jitter_ms=int(self._incarnation, base=16) % const.CLAIM_JITTER_MS,
+            store_latency_ms=store_latency_ms,
+            processors=self._cfg.limits.processors,
+        )
+
+    async def _measure_store_latency(self) -> int | None:
+        """Return the time of a read from the store; None if it failed."""
         started_ms = self.kernel.clock.now()
         try:
             await self.kernel.ask(
@@ -85,9 +107,8 @@
             )
         except core.OriolestandError as exc:
             self._log.warning('Store latency not measured', why=str(exc))
-            return
-        if self.kernel.clock.now() - started_ms > const.FAR_LATENCY_MS:
-            self._election.delay_ms += const.FAR_CLAIM_DELAY_MS
+            return None
+        return self.kernel.clock.now() - started_ms
 
     # Events.
 
@@ -117,25 +138,42 @@
     @core.handles(jobs.CellRowChanged)
     def _on_row(self, msg: jobs.CellRowChanged) -> None:
         """Apply a changed owner or renewal row."""
-        row = msg.row
-        now = self.kernel.clock.now()
-        if row.key == layout.OWNER_KEY:
-            owner = models.decode_owner(row.value)
-            self._owner_version = row.version
-            self._election.on_owner(owner, now)
-            self._log.info(
-                'Owner changed',
-                owner=owner.instance if owner else None,
-                epoch=owner.epoch if owner else None,
-                version=row.version,
-            )
-            if self._owner_term is not None:
-                if row.version > self._owner_term.term.owner_version:
-                    self._end_term('the owner row was replaced')
-        elif row.key == layout.RENEWAL_KEY:
-            self._renewal_version = row.version
-            renewal = models.decode_renewal(row.value)
-            self._election.on_renewal(renewal, now)
+        self._apply_rows([msg.row])
+
+    def _apply_rows(self, rows: Iterable[store.Row]) -> None:
+        """Apply owner and renewal rows unless a newer version is known.
+
+        The response to a refused commit may be newer than the replica.
+        """
+        for row in rows:
+            if row.key == layout.OWNER_KEY:
+                if row.version > self._owner_version:
+                    self._apply_owner(row)
+            elif row.key == layout.RENEWAL_KEY:
+                if row.version > self._renewal_version:
+                    self._apply_renewal(row)
+
+    def _apply_owner(self, row: store.Row) -> None:
+        """Apply the owner row; end the term if there is a newer owner."""
+        owner = models.decode_owner(row.value)
+        self._owner_version = row.version
+        self._election.on_owner(owner, self.kernel.clock.now())
+        self._log.info(
+            'Owner changed',
+            owner=owner.instance if owner else None,
+            epoch=owner.epoch if owner else None,
+            version=row.version,
+        )
+        if self._owner_term is not None:
+            term = self._owner_term.term
+            if row.version > term.owner_version:
+                self._end_term(term, 'the owner row was replaced')
+
+    def _apply_renewal(self, row: store.Row) -> None:
+        """Apply the renewal row."""
+        self._renewal_version = row.version
+        renewal = models.decode_renewal(row.value)
+        self._election.on_renewal(renewal, self.kernel.clock.now())
 
     @core.handles(jobs.ReplicaSyncAttempted)
     def _on_replica_sync(self, msg: jobs.ReplicaSyncAttempted) -> None:
@@ -169,26 +207,34 @@
     async def _claim(self, reason: ownership.ClaimReason) -> None:
         """Write the owner row and, if that succeeds, start a term."""
         former = self._election.owner
-        former_renewal = self._election.renewal
+        former_renewal = self._election.renewal_of_owner
         owner = ownership.Owner(
             instance=self._cfg.instance,
             incarnation=self._incarnation,
             epoch=(former.epoch if former else 0) + 1,
         )
         sent_ms = self.kernel.clock.now()
-        version, error = await self._write_claim(owner)
+        view_age_ms = self._election.silent_ms(sent_ms)
+        self._election.on_claim(sent_ms)
+        claim = self._build_claim(reason, owner)
+        outcome = await _commits.try_commit(self.kernel, claim)
+        version = _version_of_claim(outcome, claim)
         self._log.info(
             'Claim of the cell',
             reason=reason.value,
             epoch=owner.epoch,
             former=former.instance if former else None,
-            outcome='lost' if version is None else 'won',
-            why=error,
+            outcome=_describe_outcome(outcome, version),
+            why=outcome.error,
         )
         if version is None:
-            await self.kernel.sleep(const.CLAIM_RETRY_MS)
+            if outcome.result is not None:
+                self._apply_refusal(
+                    outcome.result, former, former_renewal, view_age_ms
+                )
             return
         self._count('claims', reason.value)
+        self._apply_rows(_rows_of_claim(claim, version))
         now = self.kernel.clock.now()
         takeover_wait_ms = ownership.takeover_wait_ms(
             reason, former_renewal, self._cfg.limits.lease_max_ms
@@ -202,48 +248,80 @@
             )
         )
 
-    async def _write_claim(
-        self, owner: ownership.Owner
-    ) -> tuple[int | None, str]:
-        """Commit the claim.
-
-        Return the version of the owner row, or None if the claim failed, and
-        the last error.
-        """
-        value = models.encode_owner(owner)
+    def _build_claim(
+        self, reason: ownership.ClaimReason, owner: ownership.Owner
+    ) -> store.CommitRows:
+        """Return the commit of the owner row and its first renewal."""
+        checks = [
+            store.Check(key=layout.OWNER_KEY, version=self._owner_version)
+        ]
+        if reason.depends_on_renewal:
+            checks.append(
+                store.Check(
+                    key=layout.RENEWAL_KEY, version=self._renewal_version
+                )
+            )
         renewal = ownership.Renewal(
             epoch=owner.epoch, count=0, is_settled=False
         )
-        outcome = await _commits.try_commit(
-            self.kernel,
-            store.CommitRows(
-                table=layout.TABLE,
-                part=layout.CELL_PART,
-                checks=(
-                    store.Check(
-                        key=layout.OWNER_KEY, version=self._owner_version
-                    ),
+        return store.CommitRows(
+            table=layout.TABLE,
+            part=layout.CELL_PART,
+            checks=tuple(checks),
+            puts=(
+                store.Put(
+                    key=layout.OWNER_KEY, value=models.encode_owner(owner)
                 ),
-                puts=(
-                    store.Put(key=layout.OWNER_KEY, value=value),
-                    store.Put(
-                        key=layout.RENEWAL_KEY,
-                        value=models.encode_renewal(renewal),
-                    ),
+                store.Put(
+                    key=layout.RENEWAL_KEY,
+                    value=models.encode_renewal(renewal),
                 ),
             ),
         )
-        return _version_of_claim(outcome, value), outcome.error
+
+    def _apply_refusal(
+        self,
+        result: store.CommitResult,
+        known_owner: ownership.Owner | None,
+        known_renewal: ownership.Renewal | None,
+        view_age_ms: int,
+    ) -> None:
+        """Apply the current rows of the cell; log how old the view was.
+
+        ``view_age_ms``: how long before the claim the rows that it was based
+        on were received.
+        """
+        self._apply_rows(result.current)
+        owner = self._election.owner
+        renewal = self._election.renewal
+        self._log.info(
+            'Claim was based on an old view',
+            known_epoch=known_owner.epoch if known_owner else None,
+            known_renewal=known_renewal.count if known_renewal else None,
+            current_epoch=owner.epoch if owner else None,
+            current_renewal=renewal.count if renewal else None,
+            view_age_ms=view_age_ms,
+        )
 
     async def _start_term(self, term: models.Term) -> None:
-        """Load the state of the cell and start to act as its owner."""
-        snapshot = await self.kernel.ask(
-            jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
+        """Load the state of the cell and start to act as its owner.
+
+        The claim is renewed while loading, so that no other daemon takes the
+        cell from a new owner behind a slow link.
+        """
+        defer.ensureDeferred(self._renew(term)).addErrback(
+            self._on_unexpected_error
         )
+        snapshot = await self._load_snapshot(term)
         if self._owner_version > term.owner_version or self._is_shutting_down:
+            self._end_term(term, 'the claim was lost while loading')
+        if term.is_over:
             self._log.info(
                 'Claim was lost while loading the cell', epoch=term.epoch
             )
+            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
+            if self._is_shutting_down:
+                await self._write_release(term)
             return
         assert self._config is not None
         self._owner_term = _term.OwnerTerm(
@@ -252,15 +330,29 @@
             term,
             snapshot,
             self._config,
-            self._end_term,
+            functools.partial(self._end_term, term),
         )
         for msg in self._pending_events:
             self.post(msg)
         self._owner_term.start()
         self.kernel.publish(jobs.OwnershipChanged(is_owner=True))
-        defer.ensureDeferred(self._renew(term)).addErrback(
-            self._on_unexpected_error
+
+    async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot:
+        """Return the state of the cell; end the term if that takes too long.
+
+        Another daemon may be able to load it.
+        """
+        timer = self.kernel.clock.call_later(
+            const.LOAD_TIMEOUT_MS,
+            lambda: self._end_term(term, 'the cell was not loaded in time'),
         )
+        try:
+            snapshot: jobs.Snapshot = await self.kernel.ask(
+                jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
+            )
+        finally:
+            timer.cancel()
+        return snapshot
 
     async def _renew(self, term: models.Term) -> None:
         """Renew the claim at a fixed interval until the term is over."""
@@ -284,7 +376,8 @@
             if result is not None and result.is_applied:
                 term.renewed_ms = sent_ms
             elif result is not None:
-                self._end_term('the renewal was refused')
+                self._apply_rows(result.current)
+                self._end_term(term, 'the renewal was refused')
             else:
                 self._on_renewal_failed(term, outcome.error)
             elapsed_ms = clock.now() - sent_ms
@@ -302,19 +395,19 @@
             why=error,
         )
         if not term.may_act(now):
-            self._end_term('the claim was not renewed in time')
+            self._end_term(term, 'the claim was not renewed in time')
 
-    def _end_term(self, reason: str) -> None:
-        """End the current term."""
-        owner_term = self._owner_term
-        if owner_term is None or owner_term.term.is_over:
+    def _end_term(self, term: models.Term, reason: str) -> None:
+        """End a term; a late failure of a former one changes nothing."""
+        # The writer of records may have marked the term as over already.
+        term.is_over = True
+        if self._owner_term is None or self._owner_term.term is not term:
             return
-        owner_term.term.is_over = True
         self._owner_term = None
         self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
         self._count('depositions', '')
         self._log.warning(
-            'Cell is no longer owned', epoch=owner_term.term.epoch, why=reason
+            'Cell is no longer owned', epoch=term.epoch, why=reason
         )
 
     @core.handles(lifecycle.ReleaseCell)
@@ -329,8 +422,11 @@
         owner_term = self._owner_term
         if owner_term is None:
             return
-        term = owner_term.term
-        self._end_term('the daemon is shutting down')
+        self._end_term(owner_term.term, 'the daemon is shutting down')
+        await self._write_release(owner_term.term)
+
+    async def _write_release(self, term: models.Term) -> None:
+        """Write an owner row without an owner."""
         owner = ownership.Owner(instance='', incarnation='', epoch=term.epoch)
         value = models.encode_owner(owner)
         outcome = await _owner_commits.commit_as_owner(
@@ -350,8 +446,35 @@
         )
 
 
+def _latency_interval_ms(measurement_count: int) -> int:
+    """Return the time to the next measurement of the store latency."""
+    last = len(const.LATENCY_INTERVALS_MS) - 1
+    return const.LATENCY_INTERVALS_MS[min(measurement_count, last)]
+
+
+def _describe_outcome(
+    outcome: _commits.CommitOutcome, version: int | None
+) -> str:
+    """Return the outcome of a claim for the log."""
+    if version is not None:
+        return 'won'
+    if outcome.result is not None:
+        return 'refused'
+    return 'in_doubt' if outcome.is_in_doubt else 'failed'
+
+
+def _rows_of_claim(claim: store.CommitRows, version: int) -> list[store.Row]:
+    """Return the rows that an applied claim has written."""
+    return [
+        store.Row(
+            part=claim.part, key=put.key, value=put.value, version=version
+        )
+        for put in claim.puts
+    ]
+
+
 def _version_of_claim(
-    outcome: _commits.CommitOutcome, value: bytes
+    outcome: _commits.CommitOutcome, claim: store.CommitRows
 ) -> int | None:
     """Return the version of the owner row, or None if the claim failed.
 
@@ -363,7 +486,8 @@
         return None
     if result.is_applied:
         return result.version
+    values = {put.key: put.value for put in claim.puts}
     for row in result.current:
-        if row.key == layout.OWNER_KEY and row.value == value:
+        if row.key == layout.OWNER_KEY and row.value == values[row.key]:
             return row.version
     return None
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -1,6 +1,7 @@
 """Schedule the tasks of a cell while this daemon owns it."""
 
 from collections.abc import Callable
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -19,6 +20,7 @@
 from oriolestand_fleet.services.cell import _worker_poller
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_policy import backoff
 from oriolestand_policy import scheduling
 
 
@@ -53,7 +55,7 @@
             kernel,
             term,
             self._scheduler,
-            {job.id: job.record_version for job in snapshot.jobs},
+            {job.id: job.progress_version for job in snapshot.jobs},
         )
         self._gauges = _gauges.Gauges(kernel, term, self._scheduler)
         self._pollers: dict[str, _worker_poller.WorkerPoller] = {}
@@ -64,14 +66,14 @@
             kernel,
             term,
             self._scheduler,
-            snapshot.cell.get(layout.FLEET_KEY),
+            snapshot,
             on_ownership_lost,
         )
         self._interference_record = _interference_record.InterferenceRecord(
             kernel,
             term,
             self._scheduler.pressure,
-            snapshot.cell.get(layout.PRESSURE_KEY),
+            snapshot.rows.get(layout.PRESSURE_KEY),
         )
         self._orders = _order_sender.OrderSender(
             kernel,
@@ -80,10 +82,15 @@
             self._on_worker_reply,
             on_ownership_lost,
         )
+        self._load(snapshot, config)
         self._sweeper = _sweeper.Sweeper(
-            kernel, term, self._scheduler, cfg.limits.retention_ms
+            kernel,
+            term,
+            self._scheduler,
+            self._saver,
+            snapshot.ended,
+            cfg.limits.retention_ms,
         )
-        self._load(snapshot, config)
 
     def _load(
         self, snapshot: jobs.Snapshot, config: store.FleetConfig
@@ -145,17 +152,20 @@
 
     async def _watch_workers(self) -> None:
         """Watch the list of registered workers until the term is over."""
+        rng = random.Random(f'{self._kernel.incarnation} {const.DOMAIN}')
+        retries = backoff.ExponentialBackoff(const.RETRY_MS, rng=rng)
         cursor: int | None = None
         while not self.term.is_over:
             try:
                 cursor = await self._read_workers(cursor)
+                retries.reset()
             except store.HistoryLostError:
                 cursor = None
             except core.OriolestandError as exc:
                 self._log.warning(
                     'Worker list could not be read', why=str(exc)
                 )
-                await self._kernel.sleep(const.RETRY_MS)
+                await self._kernel.sleep(retries.next_delay_ms())
 
     async def _read_workers(self, cursor: int | None) -> int:
         """Read and apply a page of worker changes; return the next cursor."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -28,21 +28,30 @@
 RETRY_MS = 150
 
 CLAIM_JITTER_MS = 120
-FAR_CLAIM_DELAY_MS = 500
-"""Extra delay before a daemon with a slow connection to the store claims the
-cell."""
+LATENCY_INTERVALS_MS = (5_000, 10_000, 30_000, 60_000)
+"""Times between measurements of the store latency; the last one repeats. They
+are shorter after the start, when all daemons may load the network."""
 
-FAR_LATENCY_MS = 25
-CLAIM_RETRY_MS = 300
+LOAD_TIMEOUT_MS = 8_000
+"""How long a new owner may take to read the state of the cell."""
 
-SAVE_BATCH = 40
-"""Maximum number of records in one commit; the store accepts up to 100
-entries."""
+SAVE_BATCH = 32
+"""Maximum number of records in one commit. Each takes up to three entries, the
+check of the owner takes one, and the store accepts 100."""
+
+WORKER_BATCH = 48
+"""Maximum number of workers in one commit; each takes two entries."""
+
+WORKER_WRITE_PAUSE_MS = 50
+"""Pause between commits of workers, so that one commit covers several that
+register at the same time."""
 
 SAVE_RETRY_MS = 150
 
-SWEEP_INTERVAL_MS = 10_000
-SWEEP_BATCH = 20
+SWEEP_INTERVAL_MS = 3_000
+SWEEP_BATCH = 33
+"""Maximum number of jobs in one commit; each takes up to three entries."""
+
 RETENTION_MARGIN_MS = 30_000
 """Allows for differences between the clocks of daemons."""
 
--- a/packages/fleet/src/oriolestand_fleet/services/config/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_task.py
@@ -1,5 +1,6 @@
 """Track the operator's configuration."""
 
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -9,6 +10,7 @@
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.config import const
+from oriolestand_policy import backoff
 
 
 class ConfigTask(core.Task):
@@ -20,6 +22,8 @@
         self._config: store.FleetConfig | None = None
         self._cursor: int | None = None
         self._is_unreachable = False
+        self._is_burst = False
+        self._changed_ms = -const.BURST_GAP_MS
         self._loop: Any = None
 
     def start(self) -> None:
@@ -28,9 +32,12 @@
 
     async def _follow(self) -> None:
         """Read the configuration, then apply changes until the task stops."""
+        rng = random.Random(f'{self.kernel.incarnation} {const.DOMAIN}')
+        retries = backoff.ExponentialBackoff(const.RETRY_MS, rng=rng)
         while not self.is_stopped:
             try:
                 await self._read_next()
+                retries.reset()
             except store.HistoryLostError as exc:
                 self._log.warning(
                     'Change history lost, reading again', why=str(exc)
@@ -38,12 +45,12 @@
                 self._cursor = None
             except core.OriolestandError as exc:
                 self._on_read_failed(exc)
-                await self.kernel.sleep(const.RETRY_MS)
+                await self.kernel.sleep(retries.next_delay_ms())
 
     async def _read_next(self) -> None:
         """Read the configuration or its next change and advance the cursor."""
         message: object = store.ReadConfig()
-        if self._cursor is not None:
+        if self._cursor is not None and not self._is_burst:
             message = store.FollowConfig(
                 after=self._cursor, wait_ms=const.FOLLOW_WAIT_MS
             )
@@ -51,12 +58,23 @@
         if self._is_unreachable:
             self._is_unreachable = False
             self._log.info('Configuration can be read again')
-        if page.config is not None:
-            self._apply(page.config)
+        is_new = page.config is not None and self._apply(page.config)
         if self._config is None and page.config is None:
             # There is no configuration yet; retry soon, as reads are cheap.
             await self.kernel.sleep(const.RETRY_MS)
         self._cursor = max(self._cursor or 0, page.cursor)
+        self._is_burst = is_new and self._starts_burst(page.size_bytes)
+        if self._is_burst:
+            await self.kernel.sleep(_burst_pause_ms(page.size_bytes))
+
+    def _starts_burst(self, size_bytes: int) -> bool:
+        """Return whether further changes are to be skipped after a change."""
+        now = self.kernel.clock.now()
+        gap_ms, self._changed_ms = now - self._changed_ms, now
+        return (
+            gap_ms < const.BURST_GAP_MS
+            or size_bytes >= const.LARGE_CONFIG_BYTES
+        )
 
     def _on_read_failed(self, exc: core.OriolestandError) -> None:
         """Log the first of consecutive failures."""
@@ -64,11 +82,11 @@
             self._is_unreachable = True
             self._log.warning('Configuration cannot be read', why=str(exc))
 
-    def _apply(self, config: store.FleetConfig) -> None:
-        """Publish a configuration if it is newer than the current one."""
+    def _apply(self, config: store.FleetConfig) -> bool:
+        """Publish a configuration and return True if it is a newer one."""
         current = self._config
         if current is not None and config.version <= current.version:
-            return
+            return False
         self._config = config
         self._log.info(
             'Configuration in force',
@@ -85,3 +103,16 @@
         self.kernel.publish(
             messages.ConfigChanged(config=config), is_state=True
         )
+        return True
+
+
+def _burst_pause_ms(size_bytes: int) -> int:
+    """Return the pause after a change of a size during a burst.
+
+    >>> _burst_pause_ms(5_000), _burst_pause_ms(180_000)
+    (200, 500)
+    """
+    pause_ms = size_bytes // const.BURST_BYTES_PER_MS
+    return max(
+        const.MIN_BURST_PAUSE_MS, min(pause_ms, const.MAX_BURST_PAUSE_MS)
+    )
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -1,5 +1,7 @@
 """Stand-in for the row store."""
 
+import bisect
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 
@@ -10,6 +12,8 @@
 from oriolestand_policy import scheduling
 
 LATENCY_MS = 4
+MAX_COMMIT_ENTRIES = 100
+"""Checks and puts that the store accepts in one commit."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,29 +22,40 @@
 
     ``is_down``: calls are refused. ``is_unresponsive``: calls get no answer
     and have no effect. ``unanswered_commits``: number of commits that get no
-    answer and are applied after ``effect_delay_ms``.
+    answer and are applied after ``effect_delay_ms``. ``paused_tables``: the
+    change feeds of these tables return nothing. ``change_delay_ms``: how long
+    after a commit its changes reach the daemon.
     """
 
     is_down: bool = False
     is_unresponsive: bool = False
     unanswered_commits: int = 0
     effect_delay_ms: int = 0
+    paused_tables: set[str] = dataclasses.field(default_factory=set)
+    change_delay_ms: int = 0
 
 
 class RowStore:
-    """Versioned rows, configuration and workers, with change feeds."""
+    """Versioned rows, configuration and workers, with change feeds.
+
+    ``rows`` maps table, part and key to a row. ``config_bytes`` is the size
+    that each version of the configuration counts as.
+    """
 
     def __init__(self, clock: core.ManualClock) -> None:
         self.clock = clock
         self.version = 0
-        self.rows: dict[tuple[str, str], contracts.Row] = {}
+        self.rows: dict[tuple[str, str, str], contracts.Row] = {}
         self.changes: list[tuple[str, contracts.Row]] = []
         self.config: contracts.FleetConfig | None = None
-        self.config_version = 0
+        self.config_versions: list[int] = []
+        self.config_bytes = 0
         self.workers: dict[str, scheduling.WorkerInfo] = {}
         self.worker_changes: list[tuple[int, str]] = []
         self.oldest_cursor = 0
         self.commits = 0
+        self._commit_versions: list[int] = []
+        self._commit_times_ms: list[int] = []
         self._followers: list[defer.Deferred[None]] = []
 
     def commit(self, msg: contracts.CommitRows) -> contracts.CommitResult:
@@ -48,7 +63,8 @@
         current = []
         checks_hold = True
         for check in msg.checks:
-            row = self.rows.get((msg.part, check.key))
+            table = check.table or msg.table
+            row = self.rows.get((table, msg.part, check.key))
             found = row.version if row is not None else 0
             checks_hold = checks_hold and found == check.version
             if row is not None:
@@ -59,8 +75,12 @@
                 version=self.version,
                 current=tuple(current),
             )
+        if len(msg.checks) + len(msg.puts) > MAX_COMMIT_ENTRIES:
+            raise contracts.StoreError('the commit has too many entries')
         self.commits += 1
         self.version += 1
+        self._commit_versions.append(self.version)
+        self._commit_times_ms.append(self.clock.now())
         for put in msg.puts:
             row = contracts.Row(
                 part=msg.part,
@@ -68,19 +88,27 @@
                 value=put.value,
                 version=self.version,
             )
+            table = put.table or msg.table
             if put.value is None:
-                self.rows.pop((msg.part, put.key), None)
+                self.rows.pop((table, msg.part, put.key), None)
             else:
-                self.rows[(msg.part, put.key)] = row
-            self.changes.append((msg.table, row))
+                self.rows[(table, msg.part, put.key)] = row
+            self.changes.append((table, row))
         self._notify_followers()
         return contracts.CommitResult(is_applied=True, version=self.version)
 
+    def version_at(self, time_ms: int) -> int:
+        """Return the newest version without commits after a time."""
+        index = bisect.bisect_right(self._commit_times_ms, time_ms)
+        if index == len(self._commit_versions):
+            return self.version
+        return self._commit_versions[index] - 1
+
     def set_config(self, config: contracts.FleetConfig) -> None:
         """Store a configuration."""
         self.version += 1
         self.config = config
-        self.config_version = self.version
+        self.config_versions.append(self.version)
         self._notify_followers()
 
     def register_worker(self, info: scheduling.WorkerInfo) -> None:
@@ -123,12 +151,22 @@
 
 
 class StoreTask(core.Task):
-    """Store service of one daemon, with faults between it and the store."""
+    """Store service of one daemon, with faults between it and the store.
+
+    ``received_bytes`` counts the keys and values of all rows returned.
+    """
 
     def __init__(self, kernel: core.Kernel, store: RowStore) -> None:
         super().__init__(kernel, contracts.SERVICE)
         self._store = store
         self.faults = StoreFaults()
+        self.received_bytes = 0
+
+    def _count_rows(self, rows: Sequence[contracts.Row]) -> None:
+        """Count the bytes of rows that are returned to the daemon."""
+        self.received_bytes += sum(
+            len(row.key) + len(row.value or b'') for row in rows
+        )
 
     async def _simulate_network(self) -> None:
         """Wait for the network latency; raise StoreError if a fault is set."""
@@ -173,11 +211,13 @@
         await self._simulate_network()
         rows = [
             row
-            for (part, key), row in sorted(self._store.rows.items())
-            if part == msg.part
+            for (table, part, key), row in sorted(self._store.rows.items())
+            if table == msg.table
+            and part == msg.part
             and key >= msg.start
             and (not msg.end or key < msg.end)
         ]
+        self._count_rows(rows)
         return contracts.RowPage(rows=tuple(rows), version=self._store.version)
 
     @core.handles(contracts.FollowRows)
@@ -191,20 +231,28 @@
         if msg.after < self._store.oldest_cursor:
             raise contracts.HistoryLostError('changes were dropped')
 
+        def newest_version() -> int:
+            delay_ms = self.faults.change_delay_ms
+            return self._store.version_at(self.kernel.clock.now() - delay_ms)
+
         def new_changes() -> tuple[contracts.Row, ...]:
             return tuple(
                 row
                 for table, row in self._store.changes
-                if table == msg.table and row.version > msg.after
+                if table == msg.table
+                and msg.after < row.version <= newest_version()
             )
 
         end = self.kernel.clock.now() + msg.wait_ms
         while not new_changes() and self.kernel.clock.now() < end:
             await self._store.wait_for_change(end - self.kernel.clock.now())
         await self._simulate_network()
-        return contracts.RowPage(
-            rows=new_changes(), version=self._store.version
-        )
+        if msg.table in self.faults.paused_tables:
+            await self.kernel.sleep(msg.wait_ms)
+            return contracts.RowPage(rows=(), version=msg.after)
+        rows = new_changes()
+        self._count_rows(rows)
+        return contracts.RowPage(rows=rows, version=newest_version())
 
     @core.handles(contracts.ReadConfig)
     def _on_read_config(self, msg: contracts.ReadConfig) -> Any:
@@ -214,8 +262,16 @@
     async def _read_config(self) -> contracts.ConfigPage:
         """Return the configuration."""
         await self._simulate_network()
+        return self._to_config_page(1)
+
+    def _to_config_page(self, version_count: int) -> contracts.ConfigPage:
+        """Return the newest of some versions and count the bytes of all."""
+        size_bytes = version_count * self._store.config_bytes
+        self.received_bytes += size_bytes
         return contracts.ConfigPage(
-            config=self._store.config, cursor=self._store.version
+            config=self._store.config if version_count else None,
+            cursor=self._store.version,
+            size_bytes=size_bytes,
         )
 
     @core.handles(contracts.FollowConfig)
@@ -226,18 +282,18 @@
     async def _follow_config(
         self, msg: contracts.FollowConfig
     ) -> contracts.ConfigPage:
-        """Return the configuration if it changes after a version."""
+        """Return the versions of the configuration after a cursor."""
         await self._simulate_network()
         end = self.kernel.clock.now() + msg.wait_ms
         store = self._store
-        while (
-            store.config_version <= msg.after and self.kernel.clock.now() < end
-        ):
+
+        def count_new() -> int:
+            return sum(v > msg.after for v in store.config_versions)
+
+        while not count_new() and self.kernel.clock.now() < end:
             await store.wait_for_change(end - self.kernel.clock.now())
-        is_new = store.config_version > msg.after
-        return contracts.ConfigPage(
-            config=store.config if is_new else None, cursor=store.version
-        )
+        await self._simulate_network()
+        return self._to_config_page(count_new())
 
     @core.handles(contracts.ReadWorkers)
     def _on_read_workers(self, msg: contracts.ReadWorkers) -> Any:
