Draw long faults in the soak, in which leases expire

The seeds that failed before draw other faults now, so their list starts anew; they are found again with the new draw.

--- a/packages/soak/src/oriolestand_soak/failed_seeds.py
+++ b/packages/soak/src/oriolestand_soak/failed_seeds.py
@@ -14,26 +14,4 @@
     cause: str
 
 
-FAILED_SEEDS = (
-    FailedSeed(
-        seed=225,
-        seconds=20,
-        daemons=3,
-        workers=6,
-        cause='failing service tasks make the scheduler avoid all workers',
-    ),
-    FailedSeed(
-        seed=8,
-        seconds=6,
-        daemons=3,
-        workers=6,
-        cause='a job shown as cancelled is later shown as completed',
-    ),
-    FailedSeed(
-        seed=10,
-        seconds=6,
-        daemons=3,
-        workers=6,
-        cause='SIGHUP ends a daemon that has not installed its handlers yet',
-    ),
-)
+FAILED_SEEDS: tuple[FailedSeed, ...] = ()
--- a/packages/soak/src/oriolestand_soak/faults/_base.py
+++ b/packages/soak/src/oriolestand_soak/faults/_base.py
@@ -10,6 +10,11 @@
 """Stands for the daemon that gives orders when the fault begins."""
 
 OWNER_SHARE = 0.35
+DURATION_MS = (300, 5_000)
+LONG_MS = (5_000, 12_000)
+"""Leases of 6 s expire in long faults."""
+
+LONG_SHARE = 0.3
 
 Post = Callable[[str, object], None]
 """Sends a message to a service of the soak."""
@@ -38,7 +43,8 @@
         self.number = number
         self.daemons: tuple[str, ...] = ()
         self.workers: tuple[str, ...] = ()
-        self.duration_ms = rng.randint(500, 6_000)
+        is_long = rng.random() < LONG_SHARE
+        self.duration_ms = rng.randint(*(LONG_MS if is_long else DURATION_MS))
         self.detail = ''
         self.draw(rng, site)
 
--- a/packages/soak/src/oriolestand_soak/faults/_conditions.py
+++ b/packages/soak/src/oriolestand_soak/faults/_conditions.py
@@ -174,8 +174,9 @@
 
     def draw_faults(self, rng: random.Random) -> _workers.WorkerFaults:
         """Draw the share and the delay."""
+        late_ms = rng.randint(*rng.choice(((200, 1_200), (1_200, 5_000))))
         return _workers.WorkerFaults(
-            late=rng.uniform(0.1, 0.5), late_ms=rng.randint(300, 5_000)
+            late=rng.uniform(0.1, 0.5), late_ms=late_ms
         )
 
 
--- a/packages/soak/src/oriolestand_soak/faults/_events.py
+++ b/packages/soak/src/oriolestand_soak/faults/_events.py
@@ -52,14 +52,13 @@
 
 
 class KillAll(Kill):
-    """All daemons are killed at once, for a short time."""
+    """All daemons are killed at once."""
 
     kind = 'kill_all'
 
     def draw(self, rng: random.Random, site: _base.Site) -> None:
         """Take all daemons."""
         self.daemons = site.daemons
-        self.duration_ms = rng.randint(300, 2_500)
 
 
 class Terminate(Kill):
@@ -76,17 +75,11 @@
 
 
 class Pause(Kill):
-    """Some daemons are suspended, in part for longer than a lease."""
+    """Some daemons are suspended for a while."""
 
     kind = 'pause'
     signals = ('SIGSTOP', 'SIGCONT')
 
-    def draw(self, rng: random.Random, site: _base.Site) -> None:
-        """Draw the daemons and the duration."""
-        super().draw(rng, site)
-        if rng.random() < 0.3:
-            self.duration_ms = rng.randint(6_000, 12_000)
-
     def orders(self, is_end: bool) -> Iterator[object]:
         """Yield the signal of the start or the end."""
         for daemon in self.daemons:
@@ -158,7 +151,6 @@
         """Draw the bandwidth."""
         self.daemons = site.daemons
         self.bytes_per_s = rng.choice((15_000, 40_000, 120_000))
-        self.duration_ms = rng.randint(3_000, 10_000)
         self.detail = f'{self.bytes_per_s} bytes/s'
 
     def orders(self, is_end: bool) -> Iterator[object]:
