--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -379,6 +379,15 @@
     assert past.violated() == {'completed'}
 
 
+def test_done_job_whose_state_nobody_asks_for(past):
+    # A caller in doubt about its submission gives up and never asks.
+    past.submit(status=0)
+    past.start(5_020)
+    past.end(6_000, 'done', acknowledged_ms=6_010)
+    past.finish(30_000, 10_000)
+    assert past.violated() == set()
+
+
 def test_unknown_job(past):
     past.submit()
     past.call(8_500, 8_510, 'GET', 410)
