--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -76,12 +76,21 @@
         return not self.is_done and not self.worker
 
 
+def _task_at(steps: list[list[Task]], key: TaskKey) -> Task | None:
+    """Return the task of an occurrence with a key, or None."""
+    if not 0 <= key.step < len(steps):
+        return None
+    tasks = steps[key.step]
+    return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Job:
     """State of a job; ``tasks`` holds the occurrences due so far.
 
     ``needs_probe`` is set if a former owner of the cell may have started the
-    job on a worker that has not reported to this owner yet.
+    job on a worker that has not reported to this owner yet. ``completions``
+    counts the tasks that were marked as done.
     """
 
     spec: _specs.JobSpec
@@ -94,6 +103,12 @@
     needs_probe: bool = False
     ended_wall_ms: int = 0
     added_ms: int = 0
+    completions: int = 0
+
+    def mark_done(self, task: Task) -> None:
+        """Mark a task as done."""
+        task.is_done = True
+        self.completions += 1
 
     def occurrence(self, number: int) -> list[list[Task]]:
         """Return the tasks of an occurrence by step; create missing ones."""
@@ -114,6 +129,9 @@
 
     def find(self, key: TaskKey) -> Task | None:
         """Return the task with a key, or None if the job has no such task."""
+        steps = self.tasks.get(key.occurrence)
+        if steps is not None:
+            return _task_at(steps, key)
         if not 0 <= key.occurrence < self.spec.occurrence_count:
             return None
         if not 0 <= key.step < len(self.spec.steps):
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -260,7 +260,24 @@
 
     def ready_by_kind(self) -> dict[_specs.TaskKind, int]:
         """Return the number of tasks that wait for a worker, by kind."""
-        return _count_by_kind(task.spec for task in self._cell.ready.values())
+        return _count_by_kind(task.spec for task in self._cell.ready)
+
+    def oldest_ready_ms(self, now_ms: int) -> dict[_specs.TaskKind, int]:
+        """Return how long the oldest ready task has waited, by kind."""
+        oldest = dict.fromkeys(_specs.TaskKind, 0)
+        for task in self._cell.ready:
+            kind = task.spec.kind
+            oldest[kind] = max(oldest[kind], now_ms - task.ready_ms)
+        return oldest
+
+    def workers_by_state(
+        self, now_ms: int
+    ) -> dict[_placement.WorkerState, int]:
+        """Return the number of workers that may get tasks, or why not."""
+        counts = dict.fromkeys(_placement.WorkerState, 0)
+        for worker in self._cell.workers.values():
+            counts[_placement.worker_state(worker, now_ms)] += 1
+        return counts
 
     def running_by_kind(self) -> dict[_specs.TaskKind, int]:
         """Return the number of runs that occupy workers, by kind."""
@@ -309,13 +326,22 @@
 
     def _resend_stops(self, now_ms: int) -> None:
         """Resend stop orders that were not answered."""
-        for worker in self._cell.workers.values():
+        stopping_ids = self._cell.stopping_worker_ids
+        if not stopping_ids:
+            return
+        still_stopping_ids = set()
+        # The order of the workers decides the order of the stop orders.
+        for worker_id, worker in self._cell.workers.items():
+            if worker_id not in stopping_ids:
+                continue
             for run in worker.runs.values():
                 if run.stop_sent_ms < 0 or run.is_stop_settled:
                     continue
+                still_stopping_ids.add(worker_id)
                 if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
                     run.stop_sent_ms = now_ms
-                    self._cell.queue_stop(worker.info.id, run, 'repeat')
+                    self._cell.queue_stop(worker_id, run, 'repeat')
+        self._cell.stopping_worker_ids = still_stopping_ids
 
     def _drain_leaving_workers(self, now_ms: int) -> None:
         """Stop service tasks on leaving workers, so that they move."""
