--- a/packages/soak/src/oriolestand_soak/failed_seeds.py
+++ b/packages/soak/src/oriolestand_soak/failed_seeds.py
@@ -29,4 +29,11 @@
         workers=8,
         cause='a done end that a silent worker lists late is acknowledged',
     ),
+    FailedSeed(
+        seed=602,
+        seconds=15,
+        daemons=12,
+        workers=40,
+        cause='a job shown as cancelled is later shown as completed',
+    ),
 )
