--- a/packages/soak/src/oriolestand_soak/failed_seeds.py
+++ b/packages/soak/src/oriolestand_soak/failed_seeds.py
@@ -36,4 +36,11 @@
         workers=40,
         cause='a job shown as cancelled is later shown as completed',
     ),
+    FailedSeed(
+        seed=704,
+        seconds=12,
+        daemons=3,
+        workers=6,
+        cause='failing tasks make the scheduler avoid all workers of a pool',
+    ),
 )
