--- a/packages/soak/src/oriolestand_soak/_workers.py
+++ b/packages/soak/src/oriolestand_soak/_workers.py
@@ -205,7 +205,10 @@
             return _http.json_reply(421, {})
         if faults.refusal and request.path == '/run-start':
             return _http.json_reply(int(faults.refusal), {})
-        order = msgspec.json.decode(request.body, type=_Order)
+        try:
+            order = msgspec.json.decode(request.body, type=_Order)
+        except msgspec.MsgspecError:
+            return _http.json_reply(400, {})
         if self._rng.random() < faults.late:
             await self._kernel.sleep(faults.late_ms)
             if self.is_up and self.info.life == life:
