--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/failed_seeds.py
@@ -0,0 +1,46 @@
+"""Soaks that once found a fault, kept as regression cases."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FailedSeed:
+    """A soak that failed, and why; ``seconds`` as on the command line."""
+
+    seed: int
+    seconds: int
+    daemons: int
+    workers: int
+    cause: str
+
+
+FAILED_SEEDS: tuple[FailedSeed, ...] = (
+    FailedSeed(
+        seed=627,
+        seconds=6,
+        daemons=3,
+        workers=6,
+        cause='SIGHUP ends a daemon that has not installed its handler yet',
+    ),
+    FailedSeed(
+        seed=509,
+        seconds=15,
+        daemons=4,
+        workers=8,
+        cause='a done end that a silent worker lists late is acknowledged',
+    ),
+    FailedSeed(
+        seed=602,
+        seconds=15,
+        daemons=12,
+        workers=40,
+        cause='a job shown as cancelled is later shown as completed',
+    ),
+    FailedSeed(
+        seed=704,
+        seconds=12,
+        daemons=3,
+        workers=6,
+        cause='failing tasks make the scheduler avoid all workers of a pool',
+    ),
+)
--- /dev/null
+++ b/packages/soak/src/oriolestand_soak/faults/_schedule.py
@@ -0,0 +1,81 @@
+"""Draw the faults of a soak from its seed."""
+
+import dataclasses
+import random
+
+from oriolestand_soak.faults import _base
+from oriolestand_soak.faults import _conditions
+from oriolestand_soak.faults import _events
+
+KINDS: tuple[type[_base.Fault], ...] = (
+    _events.Kill,
+    _events.KillAll,
+    _events.Terminate,
+    _events.Pause,
+    _events.Reload,
+    _events.StoreForgets,
+    _events.Reset,
+    _events.Silence,
+    _events.Narrow,
+    _events.WorkerCrash,
+    _events.WorkerFlaps,
+    _events.WorkerLeaves,
+    _conditions.StoreDown,
+    _conditions.StoreTurnsAway,
+    _conditions.StoreSlow,
+    _conditions.StoreLosesResponses,
+    _conditions.StoreAppliesLate,
+    _conditions.Delay,
+    _conditions.Cut,
+    _conditions.WorkerHangs,
+    _conditions.WorkerLosesResponses,
+    _conditions.WorkerExecutesLate,
+    _conditions.WorkerUnhealthy,
+)
+PLANNED = tuple(kind for kind in KINDS if kind.is_planned)
+
+FIRST_MS = 1_500
+AT_ONCE = (2, 5)
+SPREAD_MS = 2_500
+"""Faults of a series begin within this time, so that they overlap."""
+
+CALM_MS = (0, 7_000)
+"""Time between series; checks with time bounds need the long ones."""
+
+PLANNED_SHARE = 0.15
+"""Share of the series that consist of planned work alone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedFault:
+    """A fault and when it begins."""
+
+    at_ms: int
+    fault: _base.Fault
+
+    @property
+    def end_ms(self) -> int:
+        """Return when the fault ends."""
+        return self.at_ms + self.fault.duration_ms
+
+
+def draw_faults(
+    seed: int,
+    duration_ms: int,
+    daemons: tuple[str, ...],
+    workers: tuple[str, ...],
+) -> list[PlannedFault]:
+    """Draw series of overlapping faults that begin within the duration."""
+    rng = random.Random(f'{seed}/faults')
+    site = _base.Site(daemons=daemons, workers=workers)
+    plan: list[PlannedFault] = []
+    at_ms = FIRST_MS
+    while at_ms < duration_ms:
+        kinds = PLANNED if rng.random() < PLANNED_SHARE else KINDS
+        for _ in range(rng.randint(*AT_ONCE)):
+            start_ms = at_ms + rng.randrange(SPREAD_MS)
+            fault = rng.choice(kinds)(len(plan) + 1, rng, site)
+            plan.append(PlannedFault(at_ms=start_ms, fault=fault))
+        end_ms = max(planned.end_ms for planned in plan)
+        at_ms = end_ms + rng.randint(*CALM_MS)
+    return plan
