Stop to load the cell when the claim is given up

The timer of a load ended the term, but the jobs service was told only after the load, so a daemon that had given up read the cell again and again while the next one loaded it. A wait for the replica had no end either, and a newer owner row was looked at only after the load.

The end of a term that is loading is now published at once, also when a newer owner row arrives. The view of the jobs service then sends no further read, ends its wait for the replica and fails with LoadEndedError, which the cell service treats as a lost claim. As the daemon could then claim again at once, a load that timed out delays its next claim by the longest back-off, 4.8 s, so that another daemon claims first.

test_daemon_that_gave_up_loading_stops_reading failed before with "12934 > 13612" and passes now. Its last lines put daemons into a set, which raised "TypeError: unhashable type: 'Daemon'" whenever a read was within the last second; the set holds their ids now, which is as strict.

With one mechanism removed at a time: the look at the closed view, and the event, "12934 > 13612" again; the back-off, "assert []" (no other daemon claimed); the end at a newer owner row, test_lost_claim_ends_the_load_at_once; the end of the wait for the replica, test_load_ends_although_the_replica_is_behind. All pass with them restored.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -42,6 +42,12 @@
     http_status = 503
 
 
+class LoadEndedError(core.OriolestandError):
+    """Raised when the ownership ended before the cell was loaded."""
+
+    code = 'load_ended'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SubmitJob:
     """Request to store a job; the reply is False if it already existed.
@@ -117,7 +123,8 @@
     """Request a Snapshot at a version of the store or later.
 
     From then on, JobAdded is published for new jobs until OwnershipChanged
-    tells that this daemon is not the owner.
+    tells that this daemon is not the owner. Fails with LoadEndedError if that
+    is told before all is read.
     """
 
     version: int
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -40,6 +40,7 @@
         self._renewal_version = 0
         self._config: store.FleetConfig | None = None
         self._owner_term: _term.OwnerTerm | None = None
+        self._loading_term: models.Term | None = None
         self._pending_events: list[object] = []
         self._is_claiming = False
         self._is_shutting_down = False
@@ -172,10 +173,11 @@
             epoch=owner.epoch if owner else None,
             version=row.version,
         )
+        term = self._loading_term
         if self._owner_term is not None:
             term = self._owner_term.term
-            if row.version > term.owner_version:
-                self._end_term(term, 'the owner row was replaced')
+        if term is not None and row.version > term.owner_version:
+            self._end_term(term, 'the owner row was replaced')
 
     def _apply_renewal(self, row: store.Row) -> None:
         """Apply the renewal row."""
@@ -258,7 +260,6 @@
         except Exception:
             # Otherwise the claim would be renewed although nobody acts.
             self._end_term(term, 'the cell could not be loaded')
-            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
             raise
 
     def _build_claim(
@@ -322,17 +323,18 @@
         The claim is renewed while loading, so that no other daemon takes the
         cell from a new owner behind a slow link.
         """
+        self._loading_term = term
         defer.ensureDeferred(self._renew(term)).addErrback(
             self._on_unexpected_error
         )
         snapshot = await self._load_snapshot(term)
         if self._owner_version > term.owner_version or self._is_shutting_down:
             self._end_term(term, 'the claim was lost while loading')
-        if term.is_over:
+        if snapshot is None or term.is_over:
+            self._end_term(term, 'the cell was not loaded')
             self._log.info(
                 'Claim was lost while loading the cell', epoch=term.epoch
             )
-            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
             if self._is_shutting_down:
                 await self._write_release(term)
             return
@@ -345,28 +347,37 @@
             self._config,
             functools.partial(self._end_term, term),
         )
+        self._loading_term = None
         for msg in self._pending_events:
             self.post(msg)
         self._owner_term.start()
         self.kernel.publish(jobs.OwnershipChanged(is_owner=True))
 
-    async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot:
-        """Return the state of the cell; end the term if that takes too long.
+    async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot | None:
+        """Return the state of the cell, or None if the term ended before.
 
-        Another daemon may be able to load it.
+        End the term if that takes too long, as another daemon may be able to
+        load it.
         """
         timer = self.kernel.clock.call_later(
             const.LOAD_TIMEOUT_MS,
-            lambda: self._end_term(term, 'the cell was not loaded in time'),
+            lambda: self._on_load_timeout(term),
         )
         try:
             snapshot: jobs.Snapshot = await self.kernel.ask(
                 jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
             )
+        except jobs.LoadEndedError:
+            return None
         finally:
             timer.cancel()
         return snapshot
 
+    def _on_load_timeout(self, term: models.Term) -> None:
+        """End a term whose load takes too long; let other daemons claim."""
+        self._end_term(term, 'the cell was not loaded in time')
+        self._election.on_load_failed(self.kernel.clock.now())
+
     async def _renew(self, term: models.Term) -> None:
         """Renew the claim at a fixed interval until the term is over."""
         clock = self.kernel.clock
@@ -414,6 +425,14 @@
         """End a term; a late failure of a former one changes nothing."""
         # The writer of records may have marked the term as over already.
         term.is_over = True
+        if self._loading_term is term:
+            # At once, so that the jobs service stops to load the cell.
+            self._loading_term = None
+            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
+            self._log.warning(
+                'Cell is not loaded further', epoch=term.epoch, why=reason
+            )
+            return
         if self._owner_term is None or self._owner_term.term is not term:
             return
         self._owner_term = None
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -44,7 +44,9 @@
         """Return all open jobs and the rows of the former owner.
 
         The replica must have reached the version of the claim. Failed reads
-        are repeated until they succeed.
+        are repeated until they succeed or the view is closed.
+
+        :raises LoadEndedError: if the view is closed before.
         """
         specs, version = await self._read_specs()
         owner_part = self._new_reader(layout.OWNER_TABLE, layout.CELL_PART)
@@ -95,10 +97,14 @@
     async def _read_parts(
         self, readers: Sequence[_part_reader.PartReader]
     ) -> None:
-        """Read parts; repeat what failed until complete."""
+        """Read parts; repeat what failed until complete or closed."""
         while True:
             try:
-                await _part_reader.read_missing(readers)
+                await _part_reader.read_missing(
+                    readers, lambda: self.is_closed
+                )
+            except messages.LoadEndedError:
+                raise
             except core.OriolestandError as exc:
                 self._log.warning('Jobs cannot be loaded', why=str(exc))
                 await self._kernel.sleep(self._retries.next_delay_ms())
@@ -145,6 +151,8 @@
         while not self.is_closed:
             try:
                 await self._read_next()
+            except messages.LoadEndedError:
+                return
             except core.OriolestandError as exc:
                 self._log.warning('New jobs cannot be read', why=str(exc))
                 await self._kernel.sleep(self._retries.next_delay_ms())
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_part_reader.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_part_reader.py
@@ -1,5 +1,6 @@
 """Read all rows of parts of the store, page by page."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 
@@ -7,6 +8,7 @@
 from twisted.python import failure
 
 import oriolestand_core as core
+from oriolestand_fleet.messages import jobs as messages
 from oriolestand_fleet.messages import store
 
 
@@ -26,9 +28,11 @@
         self.version: int | None = None
         self.is_complete = False
 
-    async def read(self) -> None:
-        """Read the missing pages."""
+    async def read(self, is_closed: Callable[[], bool]) -> None:
+        """Read the missing pages; raise LoadEndedError when closed."""
         while not self.is_complete:
+            if is_closed():
+                raise messages.LoadEndedError('the owner view is closed')
             page: store.RowPage = await self._kernel.ask(
                 store.SERVICE,
                 store.ReadRows(
@@ -49,7 +53,9 @@
             self._start = page.rows[-1].key + '\0'
 
 
-async def read_missing(readers: Sequence[PartReader]) -> None:
+async def read_missing(
+    readers: Sequence[PartReader], is_closed: Callable[[], bool]
+) -> None:
     """Read the missing pages of all parts at the same time.
 
     Return or raise once no read is in progress, so that a retry repeats no
@@ -57,7 +63,7 @@
     """
     results: list[Any] = await defer.DeferredList(
         [
-            defer.ensureDeferred(reader.read())
+            defer.ensureDeferred(reader.read(is_closed))
             for reader in readers
             if not reader.is_complete
         ],
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -196,6 +196,11 @@
         if self._owner_view is not None:
             self._owner_view.close()
             self._owner_view = None
+        waiters, self._sync_waiters = self._sync_waiters, []
+        for _, fut in waiters:
+            fut.errback(
+                messages.LoadEndedError('the claim was given up before')
+            )
 
     @core.handles(messages.GetSnapshot)
     def _on_snapshot(
--- a/packages/fleet/tests/services/jobs/test_load_faults.py
+++ b/packages/fleet/tests/services/jobs/test_load_faults.py
@@ -103,3 +103,59 @@
     site.run(7_000)
     assert sent.count(failing) > 2
     assert repeated == []
+
+
+def loading_daemon(site, daemons, lost):
+    def find():
+        return [
+            daemon
+            for daemon in rest_of(daemons, lost)
+            if daemon.kernel.find('cell')._loading_term is not None
+        ]
+
+    site.run_until(find, 8_000)
+    return find()[0]
+
+
+def test_lost_claim_ends_the_load_at_once(site, daemons):
+    # A daemon that was replaced while it loaded the cell read on until all
+    # was read.
+    lost = owner_of(daemons)
+    reads = []
+
+    async def read(daemon, msg, real):
+        reads.append(daemon)
+        raise store.StoreError('refused')
+
+    wrap_reads(daemons, layout.OWNER_TABLE, read)
+    lost.disconnect()
+    loading = loading_daemon(site, daemons, lost)
+    site.run(300)
+    assert loading in reads
+    put_rows(
+        site,
+        layout.TABLE,
+        layout.CELL_PART,
+        {
+            layout.OWNER_KEY: b'{"instance":"other","incarnation":"1",'
+            b'"epoch":9}'
+        },
+    )
+    site.run(300)
+    assert loading.kernel.find('jobs')._owner_view is None
+    reads.clear()
+    site.run(1_000)
+    assert loading not in reads
+    assert not loading.kernel.find('cell')._is_claiming
+
+
+def test_load_ends_although_the_replica_is_behind(site, daemons):
+    # A daemon whose change feed stood still waited for it without a limit
+    # and could not claim the cell again.
+    lost = owner_of(daemons)
+    for daemon in rest_of(daemons, lost):
+        daemon.store.faults.paused_tables = {layout.TABLE}
+    lost.disconnect()
+    loading = loading_daemon(site, daemons, lost)
+    site.run(8_500)
+    assert not loading.kernel.find('cell')._is_claiming
--- a/packages/fleet/tests/services/jobs/test_owner_load.py
+++ b/packages/fleet/tests/services/jobs/test_owner_load.py
@@ -64,3 +64,29 @@
     assert reads.count(failing) > 3
     owners = 2
     assert len(others) <= 7 * 2 * owners
+
+
+def test_daemon_that_gave_up_loading_stops_reading(site, daemons):
+    # A daemon that had given up its claim read the whole cell again and again.
+    lost = owner_of(daemons)
+    reads = []
+    for daemon in daemons:
+        task = daemon.kernel.find('store')
+        real = task._read
+
+        async def read(msg, real=real, daemon=daemon):
+            if msg.table != layout.OWNER_TABLE:
+                return await real(msg)
+            reads.append((daemon, site.clock.now()))
+            raise store.StoreError('refused')
+
+        task._read = read
+    lost.disconnect()
+    site.run(30_000)
+    first = reads[0][0]
+    late = [t for d, t in reads if d is first and t > reads[0][1] + 9_000]
+    claims_again = [t for d, t in reads if d is not first]
+    assert claims_again
+    assert not late or min(late) > min(claims_again)
+    concurrent = {id(d) for d, t in reads if t > site.clock.now() - 1_000}
+    assert len(concurrent) <= 1
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -158,6 +158,10 @@
         self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[index]
         self._claim_count += 1
 
+    def on_load_failed(self, now_ms: int) -> None:
+        """Delay the next claim, so that another daemon can load the cell."""
+        self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[-1]
+
     def silent_ms(self, now_ms: int) -> int:
         """Return the time since the last change while the store answered."""
         if self._silent_since_ms is None:
--- a/packages/policy/tests/ownership/test_election.py
+++ b/packages/policy/tests/ownership/test_election.py
@@ -171,3 +171,14 @@
         jitter_ms=0, store_latency_ms=None, processors=0.01
     )
     assert longest_ms <= 1_500
+
+
+def test_daemon_that_cannot_load_the_cell_lets_others_claim(election):
+    # Guards against a daemon that claims the cell again and again although it
+    # cannot read it; another one claims after 3.7 s of silence.
+    named = ownership.Owner(instance='a', incarnation='x', epoch=3)
+    election.on_owner(named, 0)
+    election.on_load_failed(8_000)
+    assert election.claim_reason(8_000 + 3_700) is None
+    reason = election.claim_reason(8_000 + 4_800)
+    assert reason is ownership.ClaimReason.INACTIVE
