Give a load of the cell up only when no page arrives

A new owner gave the cell up 8 s after its claim. The store client gives one response that keeps arriving 10 s, so behind a slow link pages that made progress were thrown away, and a load of several pages never ended.

The time limit moves from the cell service to the view that reads. It starts again with each page and is checked between reads only, so that a page that still arrives is used; a read has the limits of the store client. The wait for the replica has the same limit. Lowering the client's limit to 7 s was tried and dropped: test_slow_read_is_not_repeated asks for 8 s.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -43,7 +43,10 @@
 
 
 class LoadEndedError(core.OriolestandError):
-    """Raised when the ownership ended before the cell was loaded."""
+    """Raised when a load ended before all was read.
+
+    Either the ownership ended, or no page arrived for too long.
+    """
 
     code = 'load_ended'
 
@@ -124,7 +127,7 @@
 
     From then on, JobAdded is published for new jobs until OwnershipChanged
     tells that this daemon is not the owner. Fails with LoadEndedError if that
-    is told before all is read.
+    is told before all is read, or if the load makes no progress.
     """
 
     version: int
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -354,30 +354,22 @@
         self.kernel.publish(jobs.OwnershipChanged(is_owner=True))
 
     async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot | None:
-        """Return the state of the cell, or None if the term ended before.
+        """Return the state of the cell, or None if the load ended before.
 
-        End the term if that takes too long, as another daemon may be able to
-        load it.
+        After a load without progress, other daemons may claim the cell first,
+        as one of them may be able to load it.
         """
-        timer = self.kernel.clock.call_later(
-            const.LOAD_TIMEOUT_MS,
-            lambda: self._on_load_timeout(term),
-        )
         try:
             snapshot: jobs.Snapshot = await self.kernel.ask(
                 jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
             )
-        except jobs.LoadEndedError:
+        except jobs.LoadEndedError as exc:
+            if not term.is_over:
+                self._end_term(term, str(exc))
+                self._election.on_load_failed(self.kernel.clock.now())
             return None
-        finally:
-            timer.cancel()
         return snapshot
 
-    def _on_load_timeout(self, term: models.Term) -> None:
-        """End a term whose load takes too long; let other daemons claim."""
-        self._end_term(term, 'the cell was not loaded in time')
-        self._election.on_load_failed(self.kernel.clock.now())
-
     async def _renew(self, term: models.Term) -> None:
         """Renew the claim at a fixed interval until the term is over."""
         clock = self.kernel.clock
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -32,9 +32,6 @@
 """Times between measurements of the store latency; the last one repeats. They
 are shorter after the start, when all daemons may load the network."""
 
-LOAD_TIMEOUT_MS = 8_000
-"""How long a new owner may take to read the state of the cell."""
-
 SAVE_BATCH = 32
 """Maximum number of records in one commit. Each takes up to three entries, the
 check of the owner takes one, and the store accepts 100."""
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -35,6 +35,8 @@
             rng=random.Random(f'{kernel.incarnation} {layout.SPEC_TABLE}'),
         )
         self.is_closed = False
+        self._has_time_limit = False
+        self._page_ms = kernel.clock.now()
 
     def close(self) -> None:
         """Stop to follow new jobs."""
@@ -46,8 +48,11 @@
         The replica must have reached the version of the claim. Failed reads
         are repeated until they succeed or the view is closed.
 
-        :raises LoadEndedError: if the view is closed before.
+        :raises LoadEndedError: if the view is closed before, or if no page
+            arrives for LOAD_TIMEOUT_MS. A read in progress is not cut off.
         """
+        self._page_ms = self._kernel.clock.now()
+        self._has_time_limit = True
         specs, version = await self._read_specs()
         owner_part = self._new_reader(layout.OWNER_TABLE, layout.CELL_PART)
         await self._read_parts([owner_part])
@@ -56,6 +61,7 @@
         legacy = self._replica.cell.get(layout.FLEET_KEY)
         if legacy is not None:
             by_key[layout.FLEET_KEY] = legacy
+        self._has_time_limit = False
         self._cursor = version
         return messages.Snapshot(
             jobs=tuple(
@@ -92,7 +98,21 @@
 
     def _new_reader(self, table: str, part: str) -> _part_reader.PartReader:
         """Return a reader of a part."""
-        return _part_reader.PartReader(self._kernel, table, part)
+        return _part_reader.PartReader(
+            self._kernel, table, part, self._on_page
+        )
+
+    def _on_page(self) -> None:
+        """Record that a page has arrived."""
+        self._page_ms = self._kernel.clock.now()
+
+    def _check_progress(self) -> None:
+        """Raise LoadEndedError if no page has arrived for too long."""
+        silent_ms = self._kernel.clock.now() - self._page_ms
+        if self._has_time_limit and silent_ms >= const.LOAD_TIMEOUT_MS:
+            raise messages.LoadEndedError(
+                'no page of the cell arrived in time', silent_ms=silent_ms
+            )
 
     async def _read_parts(
         self, readers: Sequence[_part_reader.PartReader]
@@ -107,6 +127,7 @@
                 raise
             except core.OriolestandError as exc:
                 self._log.warning('Jobs cannot be loaded', why=str(exc))
+                self._check_progress()
                 await self._kernel.sleep(self._retries.next_delay_ms())
                 continue
             self._retries.reset()
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_part_reader.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_part_reader.py
@@ -19,10 +19,17 @@
     the part must be followed.
     """
 
-    def __init__(self, kernel: core.Kernel, table: str, part: str) -> None:
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        table: str,
+        part: str,
+        on_page: Callable[[], None],
+    ) -> None:
         self._kernel = kernel
         self._table = table
         self._part = part
+        self._on_page = on_page
         self._start = ''
         self.rows: list[store.Row] = []
         self.version: int | None = None
@@ -51,6 +58,7 @@
             self.is_complete = True
         else:
             self._start = page.rows[-1].key + '\0'
+        self._on_page()
 
 
 async def read_missing(
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -239,8 +239,24 @@
             fut.callback(None)
         else:
             self._sync_waiters.append((version, fut))
+            self.kernel.clock.call_later(
+                const.LOAD_TIMEOUT_MS,
+                lambda: self._end_sync_wait(version, fut),
+            )
         return fut
 
+    def _end_sync_wait(
+        self, version: int, fut: 'defer.Deferred[None]'
+    ) -> None:
+        """Fail a wait for a version of the replica unless it is over."""
+        if (version, fut) in self._sync_waiters:
+            self._sync_waiters.remove((version, fut))
+            fut.errback(
+                messages.LoadEndedError(
+                    'the replica did not reach the version of the claim'
+                )
+            )
+
     # Requests of callers.
 
     @core.handles(messages.SubmitJob)
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/const.py
@@ -5,6 +5,12 @@
 FOLLOW_WAIT_MS = 1_000
 RETRY_MS = 100
 
+LOAD_TIMEOUT_MS = 8_000
+"""How long a new owner may go without a page of the state of the cell; another
+daemon may be able to load it. The store client gives a response that keeps
+arriving up to 10 s, so the time is checked between reads only: a page that
+makes progress is used."""
+
 RESTART_MS = 1_000
 """Delay before a loop that ended with an unexpected error is started again."""
 
--- a/packages/fleet/tests/services/jobs/test_load_faults.py
+++ b/packages/fleet/tests/services/jobs/test_load_faults.py
@@ -159,3 +159,31 @@
     loading = loading_daemon(site, daemons, lost)
     site.run(8_500)
     assert not loading.kernel.find('cell')._is_claiming
+
+
+def test_load_that_makes_progress_is_not_given_up(site, daemons):
+    # Behind a slow link, the first pages were thrown away 8 s after the
+    # claim, and no daemon ever owned the cell.
+    lost = owner_of(daemons)
+    put_rows(
+        site,
+        layout.OWNER_TABLE,
+        layout.CELL_PART,
+        {f'worker/x{number}': b'["x:1","pool","d1"]' for number in range(4)},
+    )
+    readers = []
+
+    async def read(daemon, msg, real):
+        readers.append(id(daemon))
+        if len(readers) % 2:
+            raise store.StoreError('refused')
+        # The store client gives a response that keeps arriving 10 s.
+        await daemon.kernel.sleep(9_900)
+        return first_page(await real(msg))
+
+    wrap_reads(rest_of(daemons, lost), layout.OWNER_TABLE, read)
+    lost.disconnect()
+    site.run(50_000)
+    assert len(readers) == 2 * 4
+    assert len(set(readers)) == 1
+    assert any(d.is_owner for d in rest_of(daemons, lost))
