Ignore malformed rows of jobs in the replica

A row `job/` or `record/` that could not be decoded raised an unexpected error in the loop that follows the table. The loop started again at the same cursor for ever, and the daemon saw no later job. An unknown outcome was accepted and made each request for the state fail.

Both rows are now decoded by validated models. A malformed one is logged once with its key and version and ignored; a job keeps its former state and is marked, as a state row of an earlier version held the progress.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterable
 
+import oriolestand_core as core
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
 
 
@@ -18,9 +20,36 @@
         self.entries: dict[str, models.Entry] = {}
         self.cell: dict[str, store.Row] = {}
         self.version = -1
+        self._log = core.get_logger(const.DOMAIN)
+        self._unreadable_versions: dict[str, int] = {}
 
     def apply(self, row: store.Row) -> list[object]:
-        """Apply a row; return the events to publish."""
+        """Apply a row; return the events to publish.
+
+        A malformed row is logged and ignored: it must not keep the daemon
+        from following the others.
+        """
+        try:
+            events = self._apply(row)
+        except ValueError as exc:
+            self._log_unreadable(row, exc)
+            return []
+        self._unreadable_versions.pop(row.key, None)
+        return events
+
+    def _log_unreadable(self, row: store.Row, exc: ValueError) -> None:
+        """Log a malformed row, once for each version of it."""
+        if self._unreadable_versions.get(row.key) != row.version:
+            self._unreadable_versions[row.key] = row.version
+            self._log.error(
+                'Malformed row ignored',
+                key=row.key,
+                version=row.version,
+                why=str(exc),
+            )
+
+    def _apply(self, row: store.Row) -> list[object]:
+        """Apply a row; raise ValueError if it is malformed."""
         kind, _, name = row.key.partition('/')
         prefix = kind + '/'
         if prefix == layout.JOB_PREFIX:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -370,7 +370,12 @@
         for row in page.rows:
             entry = models.Entry(id=job)
             if row.value is not None:
-                entry.set_row(row.value)
+                try:
+                    entry.set_row(row.value)
+                except ValueError as exc:
+                    raise messages.StateUnknownError(
+                        'the row of the job is malformed', job=job
+                    ) from exc
             if entry.route == route:
                 replicated = self._replica.find(job, route)
                 return replicated.state if replicated else entry.state
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -3,6 +3,9 @@
 import dataclasses
 import json
 from typing import Any
+from typing import Literal
+
+import pydantic
 
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_policy import scheduling
@@ -14,12 +17,31 @@
 }
 
 
+class _JobRow(pydantic.BaseModel):
+    """Row of a job; rows of earlier versions have the steps as well."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    route: str
+    steps: list[Any] | None = None
+
+
+class _StateRow(pydantic.BaseModel):
+    """State row of a job."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    outcome: Literal['completed', 'failed', 'cancelled'] | None = None
+    started: bool = False
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Entry:
     """What a daemon knows of one job to answer its callers.
 
     ``route`` is None until the row of the job has been received. ``spec`` is
     set only for rows of earlier versions, which held the specification.
+    ``is_record_unreadable`` is whether the last state row was malformed.
     """
 
     id: str
@@ -27,6 +49,7 @@
     spec: bytes | None = None
     record: bytes | None = None
     record_version: int = 0
+    is_record_unreadable: bool = False
     is_cancelled: bool = False
     outcome: str | None = None
     has_started: bool = False
@@ -37,10 +60,10 @@
         return self.route is not None
 
     def set_row(self, value: bytes) -> None:
-        """Apply the row of the job."""
-        decoded = json.loads(value)
-        self.route = decoded['route']
-        if 'steps' in decoded:
+        """Apply the row of the job; raise ValueError if it is malformed."""
+        decoded = _JobRow.model_validate_json(value)
+        self.route = decoded.route
+        if decoded.steps is not None:
             self.spec = value
 
     def clear_row(self) -> None:
@@ -49,14 +72,21 @@
         self.spec = None
 
     def set_record(self, record: bytes | None, version: int) -> None:
-        """Apply the state row, which the owner of the cell writes."""
+        """Apply the state row, which the owner of the cell writes.
+
+        Raise ValueError if it is malformed; the former state is kept.
+        """
         if version < self.record_version:
             return
+        self.is_record_unreadable = record is not None
+        state = _StateRow()
+        if record is not None:
+            state = _StateRow.model_validate_json(record)
+        self.is_record_unreadable = False
         self.record = record
         self.record_version = version if record is not None else 0
-        state = json.loads(record) if record is not None else {}
-        self.outcome = state.get('outcome')
-        self.has_started = bool(state.get('started'))
+        self.outcome = state.outcome
+        self.has_started = state.started
 
     @property
     def state(self) -> messages.JobState:
--- a/packages/fleet/tests/services/jobs/test_owner_load.py
+++ b/packages/fleet/tests/services/jobs/test_owner_load.py
@@ -90,3 +90,15 @@
     assert not late or min(late) > min(claims_again)
     concurrent = {id(d) for d, t in reads if t > site.clock.now() - 1_000}
     assert len(concurrent) <= 1
+
+
+def test_unreadable_row_does_not_stop_the_replica(site, daemons):
+    # The loop that follows the table ended without a log line, and the daemon
+    # saw no further job.
+    follower = follower_of(daemons)
+    put_row(site, layout.TABLE, 'jobs-0', 'job/' + 'b' * 16, b'{}')
+    site.run(500)
+    site.submit(owner_of(daemons), 'a' * 16, ONE_TASK)
+    site.run(3_000)
+    replica = follower.kernel.find('jobs')._replica
+    assert 'a' * 16 in replica.entries
