Withhold jobs whose progress row is malformed

A progress row that could not be decoded, or that the scheduler could not apply, made the start of every owner fail, and the cell had no owner.

Progress is now decoded by a validated model. The same holds for the state row of an earlier version, which held the progress. The key is logged as an error, once for each load. The rows stay as they are, so that they can be repaired.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
-import json
 import random
 
 import oriolestand_core as core
@@ -35,6 +34,7 @@
             rng=random.Random(f'{kernel.incarnation} {layout.SPEC_TABLE}'),
         )
         self.is_closed = False
+        self._withheld_ids: set[str] = set()
         self._has_time_limit = False
         self._page_ms = kernel.clock.now()
 
@@ -63,12 +63,20 @@
             by_key[layout.FLEET_KEY] = legacy
         self._has_time_limit = False
         self._cursor = version
+        progress = self._decode_progress(rows)
+        ended = _ended_jobs(progress)
+        self._add_legacy_progress(specs, progress)
         return messages.Snapshot(
             jobs=tuple(
-                self._to_job(spec, by_key)
+                self._to_job(
+                    spec,
+                    by_key.get(layout.PROGRESS_PREFIX + spec.id),
+                    progress.get(spec.id),
+                )
                 for spec in self._decode_specs(specs)
+                if spec.id not in self._withheld_ids
             ),
-            ended=_ended_jobs(rows),
+            ended=ended,
             rows={
                 key: row
                 for key, row in by_key.items()
@@ -146,21 +154,55 @@
                     'Malformed specification ignored', job=job, why=str(exc)
                 )
 
+    def _decode_progress(
+        self, rows: Iterable[store.Row]
+    ) -> dict[str, scheduling.Progress]:
+        """Return the progress by job id; withhold jobs with malformed rows."""
+        found = {}
+        for row in rows:
+            if not row.key.startswith(layout.PROGRESS_PREFIX) or not row.value:
+                continue
+            job = row.key.removeprefix(layout.PROGRESS_PREFIX)
+            try:
+                found[job] = models.decode_progress(row.value)
+            except ValueError as exc:
+                self._withhold(job, row.key, str(exc))
+        return found
+
+    def _add_legacy_progress(
+        self, jobs: Iterable[str], progress: dict[str, scheduling.Progress]
+    ) -> None:
+        """Add what earlier versions stored in the state rows of jobs."""
+        for job in jobs:
+            entry = self._replica.entries.get(job)
+            if entry is None or job in progress or job in self._withheld_ids:
+                continue
+            key = layout.RECORD_PREFIX + job
+            if entry.is_record_unreadable:
+                self._withhold(job, key, 'the state row is malformed')
+            elif entry.record is not None:
+                try:
+                    progress[job] = models.decode_progress(entry.record)
+                except ValueError as exc:
+                    self._withhold(job, key, str(exc))
+
+    def _withhold(self, job: str, key: str, why: str) -> None:
+        """Keep a job from being started, as its tasks may be done."""
+        self._withheld_ids.add(job)
+        self._log.error(
+            'Malformed progress, job is not started', key=key, why=why
+        )
+
     def _to_job(
-        self, spec: scheduling.JobSpec, rows: dict[str, store.Row]
+        self,
+        spec: scheduling.JobSpec,
+        row: store.Row | None,
+        progress: scheduling.Progress | None,
     ) -> messages.StoredJob:
         """Return a job with its stored progress."""
-        job = spec.id
-        entry = self._replica.entries.get(job)
-        row = rows.get(layout.PROGRESS_PREFIX + job)
-        progress: scheduling.Progress | None = None
-        if row is not None and row.value is not None:
-            progress = json.loads(row.value)
-        elif entry is not None and entry.record is not None:
-            # Earlier versions stored the progress in the state row.
-            progress = json.loads(entry.record)
+        entry = self._replica.entries.get(spec.id)
         return messages.StoredJob(
-            id=job,
+            id=spec.id,
             spec=spec,
             progress=progress,
             progress_version=row.version if row is not None else 0,
@@ -224,6 +266,8 @@
     def _publish(self, specs: dict[str, bytes]) -> None:
         """Publish jobs; a cancellation may have been received before one."""
         for spec in self._decode_specs(specs):
+            if spec.id in self._withheld_ids:
+                continue
             entry = self._replica.entries.get(spec.id)
             stored = messages.StoredJob(
                 id=spec.id,
@@ -233,17 +277,13 @@
             self._kernel.publish(messages.JobAdded(job=stored))
 
 
-def _ended_jobs(rows: Iterable[store.Row]) -> dict[str, int]:
+def _ended_jobs(progress: dict[str, scheduling.Progress]) -> dict[str, int]:
     """Return the Unix times in ms at which jobs ended, by job id."""
-    ended = {}
-    for row in rows:
-        if not row.key.startswith(layout.PROGRESS_PREFIX) or not row.value:
-            continue
-        progress = json.loads(row.value)
-        if progress.get('outcome'):
-            job = row.key.removeprefix(layout.PROGRESS_PREFIX)
-            ended[job] = int(progress.get('ended', 0))
-    return ended
+    return {
+        job: int(values.get('ended', 0))
+        for job, values in progress.items()
+        if values.get('outcome')
+    }
 
 
 def _job_id(row: store.Row) -> str:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -35,6 +35,14 @@
     started: bool = False
 
 
+class _ProgressRow(_StateRow):
+    """Progress row of a job; see ``scheduling.progress_of``."""
+
+    ended: int = 0
+    done: list[tuple[int, int, list[int]]] = []
+    open: list[tuple[int, int, int, list[int], str | None]] = []
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Entry:
     """What a daemon knows of one job to answer its callers.
@@ -115,6 +123,13 @@
     return scheduling.job_from_dict(json.loads(value))
 
 
+def decode_progress(value: bytes) -> scheduling.Progress:
+    """Decode the progress of a job; raise ValueError if it is malformed."""
+    _ProgressRow.model_validate_json(value)
+    progress: scheduling.Progress = json.loads(value)
+    return progress
+
+
 def _encode(value: dict[str, Any]) -> bytes:
     """Encode a mapping as compact JSON."""
     return json.dumps(value, separators=(',', ':')).encode()
--- a/packages/fleet/tests/services/jobs/test_load_faults.py
+++ b/packages/fleet/tests/services/jobs/test_load_faults.py
@@ -1,5 +1,9 @@
 """Tests of failed reads and unreadable rows while a new owner loads."""
 
+import json
+
+import pytest
+
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
 from oriolestand_policy import scheduling
@@ -187,3 +191,65 @@
     assert len(readers) == 2 * 4
     assert len(set(readers)) == 1
     assert any(d.is_owner for d in rest_of(daemons, lost))
+
+
+MALFORMED_PROGRESS = [
+    b'not json',
+    b'[]',
+    b'{"outcome":"lost"}',
+    b'{"done":[[0,0]]}',
+    b'{"done":[[0,0,["x"]]]}',
+    b'{"open":[[0,0,0]]}',
+]
+
+
+@pytest.mark.parametrize('value', MALFORMED_PROGRESS)
+@pytest.mark.parametrize('has_lost_history', [False, True])
+def test_job_with_malformed_progress_does_not_run_again(
+    site, daemons, value, has_lost_history
+):
+    # Without its progress, finished tasks of the job would run again; with
+    # it, each owner failed to load the cell.
+    lost = owner_of(daemons)
+    two_steps = (
+        scheduling.StepSpec(count=2, cpu=1_000),
+        scheduling.StepSpec(count=1, cpu=1_000, after=(0,)),
+    )
+    site.submit(lost, 'a' * 16, two_steps, duration_ms=2_000)
+    site.run(3_000)
+    finished = [run.key for run in site.history if run.outcome == 'done']
+    assert finished
+    lost.disconnect()
+    part = layout.CELL_PART
+    progress = {layout.PROGRESS_PREFIX + 'a' * 16: value}
+    put_rows(site, layout.OWNER_TABLE, part, progress)
+    rest = rest_of(daemons, lost)
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    if has_lost_history:
+        # All followers are behind the history for some commits.
+        site.store.oldest_cursor = site.store.version + 5
+    runs = len(site.history)
+    site.submit(rest[0], 'b' * 16, ONE_TASK)
+    site.run(30_000)
+    assert site.state(rest[0], 'b' * 16) == 'completed'
+    assert {run.key.job for run in site.history[runs:]} == {'b' * 16}
+
+
+@pytest.mark.parametrize('value', MALFORMED_PROGRESS)
+def test_job_of_an_earlier_version_with_malformed_state_does_not_run(
+    site, value
+):
+    # Earlier versions stored the progress in the state row.
+    job = 'a' * 16
+    spec = scheduling.JobSpec(
+        id=job, route='route', payload='p', steps=ONE_TASK, accepted_ms=0
+    )
+    row = json.dumps(scheduling.job_to_dict(spec)).encode()
+    part = layout.part_for_job(job)
+    put_rows(site, layout.TABLE, part, {layout.JOB_PREFIX + job: row})
+    state = {layout.RECORD_PREFIX + job: value}
+    put_rows(site, layout.TABLE, layout.CELL_PART, state)
+    daemon = site.add_daemon('front-0')
+    site.run(25_000)
+    assert daemon.is_owner
+    assert site.history == []
--- a/packages/fleet/tests/services/jobs/test_owner_load.py
+++ b/packages/fleet/tests/services/jobs/test_owner_load.py
@@ -1,5 +1,7 @@
 """Tests of faults while a new owner loads the cell."""
 
+import pytest
+
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
 from oriolestand_policy import scheduling
@@ -20,6 +22,23 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('key', 'value'),
+    [
+        ('progress/' + 'b' * 16, b'not json'),
+    ],
+)
+def test_unreadable_row_does_not_leave_the_cell_without_an_owner(
+    site, daemons, key, value
+):
+    # One row that cannot be decoded made the start of every owner fail.
+    put_row(site, layout.OWNER_TABLE, layout.CELL_PART, key, value)
+    lost = owner_of(daemons)
+    lost.disconnect()
+    site.run(12_000)
+    assert any(d.is_owner for d in daemons if d is not lost)
+
+
 def test_unreadable_specification_does_not_stop_new_jobs(site, daemons):
     # The feed stayed at a specification that it could not decode, so that no
     # later job started.
