Elect an owner although a row of the election is malformed

The handler of a malformed `owner` or `renewal` row failed. The owner row was never replaced while the owner renewed, and a claim whose refusal held such a row ended with an unexpected error.

Both rows are decoded by validated models now, and a malformed one is logged with its key, once for each version. A malformed owner row names an unknown owner, which is replaced once it is silent; the takeover waits as long as for any silent owner. A malformed renewal renews nothing. The epoch of a claim is above that of the last renewal too, as a daemon that starts then does not know the epoch of the owner and workers refuse orders of a lower one.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -164,7 +164,7 @@
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
-        owner = models.decode_owner(row.value)
+        owner = self._decode_owner(row)
         self._owner_version = row.version
         self._election.on_owner(owner, self.kernel.clock.now())
         self._log.info(
@@ -179,10 +179,40 @@
         if term is not None and row.version > term.owner_version:
             self._end_term(term, 'the owner row was replaced')
 
+    def _decode_owner(self, row: store.Row) -> ownership.Owner | None:
+        """Decode the owner row; a malformed one names an unknown owner.
+
+        An unknown owner is replaced once it is silent. It may still act until
+        its renewals are too old, as any other owner.
+        """
+        try:
+            return models.decode_owner(row.value)
+        except ValueError as exc:
+            self._log_malformed(row, exc)
+        known = self._election.owner
+        return ownership.Owner(
+            instance=const.UNKNOWN_INSTANCE,
+            incarnation='',
+            epoch=known.epoch if known is not None else 0,
+        )
+
+    def _log_malformed(self, row: store.Row, exc: ValueError) -> None:
+        """Log a malformed row of the cell; each version is applied once."""
+        self._log.error(
+            'Malformed row of the cell',
+            key=row.key,
+            version=row.version,
+            why=str(exc),
+        )
+
     def _apply_renewal(self, row: store.Row) -> None:
-        """Apply the renewal row."""
+        """Apply the renewal row; a malformed one does not renew anything."""
         self._renewal_version = row.version
-        renewal = models.decode_renewal(row.value)
+        try:
+            renewal = models.decode_renewal(row.value)
+        except ValueError as exc:
+            self._log_malformed(row, exc)
+            return
         self._election.on_renewal(renewal, self.kernel.clock.now())
 
     @core.handles(jobs.ReplicaSyncAttempted)
@@ -221,7 +251,7 @@
         owner = ownership.Owner(
             instance=self._cfg.instance,
             incarnation=self._incarnation,
-            epoch=(former.epoch if former else 0) + 1,
+            epoch=self._election.last_epoch + 1,
         )
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -27,6 +27,9 @@
 FOLLOW_WAIT_MS = 1_000
 RETRY_MS = 150
 
+UNKNOWN_INSTANCE = '?'
+"""Stands for the owner in a malformed row; no instance has this name."""
+
 CLAIM_JITTER_MS = 120
 LATENCY_INTERVALS_MS = (5_000, 10_000, 30_000, 60_000)
 """Times between measurements of the store latency; the last one repeats. They
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -11,6 +11,8 @@
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
+_OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
+_RENEWAL_ROW = pydantic.TypeAdapter(ownership.Renewal)
 _WORKER_ROW = pydantic.TypeAdapter(tuple[str, str, str])
 _FLEET_ROW = pydantic.TypeAdapter(list[tuple[str, str, str, str]])
 
@@ -47,10 +49,13 @@
 
 
 def decode_owner(value: bytes | None) -> ownership.Owner | None:
-    """Decode the owner row; return None if there is no value."""
+    """Decode the owner row; return None if there is no value.
+
+    Raise ValueError if the row is malformed.
+    """
     if value is None:
         return None
-    return ownership.Owner(**json.loads(value))
+    return _OWNER_ROW.validate_json(value, strict=True)
 
 
 def encode_renewal(renewal: ownership.Renewal) -> bytes:
@@ -59,10 +64,13 @@
 
 
 def decode_renewal(value: bytes | None) -> ownership.Renewal | None:
-    """Decode the renewal row; return None if there is no value."""
+    """Decode the renewal row; return None if there is no value.
+
+    Raise ValueError if the row is malformed.
+    """
     if value is None:
         return None
-    return ownership.Renewal(**json.loads(value))
+    return _RENEWAL_ROW.validate_json(value, strict=True)
 
 
 def encode_worker(worker: scheduling.WorkerInfo) -> bytes:
--- a/packages/fleet/tests/services/cell/test_malformed_rows.py
+++ b/packages/fleet/tests/services/cell/test_malformed_rows.py
@@ -4,6 +4,7 @@
 
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins.fleet import owner_of
 
@@ -78,3 +79,54 @@
     site.run(1_000)
     assert term._scheduler.workers['w0'].is_probed
     assert term._is_takeover_complete(site.clock.now())
+
+
+MALFORMED = [b'', b'{', b'null', b'[]', b'{"epoch":1}', b'{"epoch":"x"}']
+
+
+@pytest.mark.parametrize('value', MALFORMED)
+@pytest.mark.parametrize('is_restarted', [False, True])
+def test_cell_with_a_malformed_owner_row_gets_an_owner(
+    site, daemons, value, is_restarted
+):
+    # The handler of the row failed each time, so that the row was never
+    # replaced. A daemon that starts then knows the epoch from the renewal
+    # only; workers refuse the orders of a lower epoch.
+    owner = owner_of(daemons)
+    site.submit(owner, 'a' * 16, LONG, duration_ms=20_000)
+    site.run(1_500)
+    epoch = owner.kernel.find('cell')._owner_term.term.epoch
+    if is_restarted:
+        for daemon in daemons:
+            daemon.disconnect()
+        daemons = [site.add_daemon(f'new-{number}') for number in range(2)]
+    put_row(site, layout.TABLE, layout.OWNER_KEY, value)
+    site.run(8_000)
+    successor = owner_of(daemons)
+    term = successor.kernel.find('cell')._owner_term.term
+    assert term.epoch == epoch + 1
+    # The former owner may act until its renewals are too old.
+    wait_ms = term.takeover_deadline_ms - term.renewed_ms
+    assert wait_ms >= ownership.MAX_UNRENEWED_MS
+    site.run(40_000)
+    assert site.state(successor, 'a' * 16) == 'completed'
+    assert site.overlapping_runs() == []
+
+
+@pytest.mark.parametrize('value', MALFORMED)
+def test_malformed_renewal_does_not_keep_a_silent_owner(
+    site, daemons, capsys, value
+):
+    # The handler of the row failed, as did a claim whose refusal held it.
+    lost = owner_of(daemons)
+    lost.disconnect()
+    site.run(1_000)
+    capsys.readouterr()
+    put_row(site, layout.TABLE, layout.RENEWAL_KEY, value)
+    site.run(8_000)
+    assert any(daemon.is_owner for daemon in daemons if daemon is not lost)
+    lines = capsys.readouterr().out.splitlines()
+    assert not [line for line in lines if 'Handler failed' in line]
+    malformed = [line for line in lines if 'Malformed row' in line]
+    assert len(malformed) == len(daemons) - 1
+    assert all('key=renewal' in line for line in malformed)
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -117,6 +117,13 @@
         self._claim_count = 0
         self._next_claim_ms = 0
 
+    @property
+    def last_epoch(self) -> int:
+        """Return the newest known epoch, also if the owner row lacks it."""
+        owner_epoch = self.owner.epoch if self.owner is not None else 0
+        renewal_epoch = self.renewal.epoch if self.renewal is not None else 0
+        return max(owner_epoch, renewal_epoch)
+
     @property
     def renewal_of_owner(self) -> Renewal | None:
         """Return the last renewal by the current owner, or None."""
