Ignore a malformed row of the interference model

A row `pressure` that could not be decoded made the start of every owner fail. It is decoded by a validated model now; a malformed one is logged once with its key, and the owner learns the model again and replaces the row.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_interference_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_interference_record.py
@@ -24,9 +24,21 @@
         self._model = model
         self._log = core.get_logger(const.DOMAIN)
         self._next_ms = kernel.clock.now() + const.PRESSURE_INTERVAL_MS
-        self._saved = models.decode_pressure(row.value if row else None)
+        self._saved = self._decode(row)
         model.restore(self._saved)
 
+    def _decode(self, row: store.Row | None) -> scheduling.LearnedPressure:
+        """Decode the stored model; a malformed one is learned again."""
+        try:
+            return models.decode_pressure(row.value if row else None)
+        except ValueError as exc:
+            self._log.error(
+                'Malformed interference model ignored',
+                key=layout.PRESSURE_KEY,
+                why=str(exc),
+            )
+            return scheduling.LearnedPressure()
+
     async def update(self) -> None:
         """Write the row if it is due and the model has changed enough."""
         now = self._kernel.clock.now()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -11,6 +11,17 @@
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
+
+class _PressureRow(pydantic.BaseModel):
+    """Row of the learned interference model."""
+
+    model_config = pydantic.ConfigDict(strict=True, allow_inf_nan=False)
+
+    pairs: list[tuple[str, str, float, float]]
+    bases: dict[str, int]
+    period_ms: float | None
+
+
 _OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
 _RENEWAL_ROW = pydantic.TypeAdapter(ownership.Renewal)
 _WORKER_ROW = pydantic.TypeAdapter(tuple[str, str, str])
@@ -147,17 +158,20 @@
 
 
 def decode_pressure(value: bytes | None) -> scheduling.LearnedPressure:
-    """Decode the learned interference model; without a value it is empty."""
+    """Decode the learned interference model; without a value it is empty.
+
+    Raise ValueError if the row is malformed.
+    """
     if value is None:
         return scheduling.LearnedPressure()
-    decoded = json.loads(value)
+    decoded = _PressureRow.model_validate_json(value)
     return scheduling.LearnedPressure(
         pairs=tuple(
             scheduling.PairWeight(
                 image=image, filling=filling, weight=weight, variance=variance
             )
-            for image, filling, weight, variance in decoded['pairs']
+            for image, filling, weight, variance in decoded.pairs
         ),
-        bases=decoded['bases'],
-        period_ms=decoded['period_ms'],
+        bases=decoded.bases,
+        period_ms=decoded.period_ms,
     )
--- a/packages/fleet/tests/services/cell/test_malformed_rows.py
+++ b/packages/fleet/tests/services/cell/test_malformed_rows.py
@@ -130,3 +130,30 @@
     malformed = [line for line in lines if 'Malformed row' in line]
     assert len(malformed) == len(daemons) - 1
     assert all('key=renewal' in line for line in malformed)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'{',
+        b'[]',
+        b'{"pairs":[["a","b",1.0]],"bases":{},"period_ms":null}',
+        b'{"pairs":[["a","b","x",0.1]],"bases":{},"period_ms":null}',
+        b'{"pairs":[],"bases":{"a":"x"},"period_ms":null}',
+        b'{"pairs":[],"bases":{},"period_ms":NaN}',
+    ],
+)
+def test_malformed_interference_model_is_ignored_and_logged_once(
+    site, daemons, capsys, value
+):
+    # One malformed row made the start of every owner fail.
+    owner_of(daemons).disconnect()
+    put_row(site, layout.OWNER_TABLE, layout.PRESSURE_KEY, value)
+    rest = [daemon for daemon in daemons if not daemon.is_owner]
+    capsys.readouterr()
+    site.run_until(lambda: any(d.is_owner for d in rest), 10_000)
+    site.submit(rest[0], 'a' * 16, LONG)
+    site.run(20_000)
+    assert site.state(rest[0], 'a' * 16) == 'completed'
+    lines = capsys.readouterr().out.splitlines()
+    assert sum('key=pressure' in line for line in lines) == 1
