Follow the configuration again after an unexpected error

The loop of the config service had no error handler: an unexpected error ended it without a log line, and the daemon kept an outdated configuration. It is now logged and started again after a second, as the loop of the jobs service.

test_unexpected_error_does_not_end_the_configuration failed before (no log line) and passes now; with the new start removed it fails with "assert 1 == 10".

--- a/packages/fleet/src/oriolestand_fleet/services/config/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_task.py
@@ -24,11 +24,22 @@
         self._is_unreachable = False
         self._is_burst = False
         self._changed_ms = -const.BURST_GAP_MS
-        self._loop: Any = None
 
     def start(self) -> None:
         """Start to follow the configuration."""
-        self._loop = defer.ensureDeferred(self._follow())
+        self._run_loop()
+
+    def _run_loop(self) -> None:
+        """Follow the configuration; start again after an unexpected error."""
+
+        def on_failed(reason: Any) -> None:
+            self._log.error(
+                'Following the configuration failed',
+                reason=reason.getTraceback(),
+            )
+            self.kernel.clock.call_later(const.RESTART_MS, self._run_loop)
+
+        defer.ensureDeferred(self._follow()).addErrback(on_failed)
 
     async def _follow(self) -> None:
         """Read the configuration, then apply changes until the task stops."""
--- a/packages/fleet/src/oriolestand_fleet/services/config/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/const.py
@@ -7,6 +7,9 @@
 
 RETRY_MS = 150
 
+RESTART_MS = 1_000
+"""Delay before a loop that ended with an unexpected error is started again."""
+
 LARGE_CONFIG_BYTES = 65_536
 """The change feed sends every version. After a change of this size the newest
 version is read instead, as the versions that followed it would be sent too."""
