--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -41,9 +41,14 @@
         self._recorded = set(self._versions)
         legacy = snapshot.rows.get(layout.FLEET_KEY)
         self._has_legacy_row = legacy is not None and legacy.value is not None
-        infos = models.decode_workers(snapshot.rows)
-        self.former_worker_ids = frozenset(info.id for info in infos)
-        for info in infos:
+        former = models.decode_workers(snapshot.rows)
+        log = core.get_logger(const.DOMAIN)
+        for key, why in former.malformed.items():
+            log.error('Malformed row of workers', key=key, why=why)
+        self.former_worker_ids = frozenset(info.id for info in former.infos)
+        self.is_complete = former.is_complete
+        """Whether the ids of all workers of the former owner are known."""
+        for info in former.infos:
             scheduler.add_former_worker(info)
         scheduler.mark_workers_recorded(self._recorded)
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -40,6 +40,7 @@
         self._renewal_version = 0
         self._config: store.FleetConfig | None = None
         self._owner_term: _term.OwnerTerm | None = None
+        self._loading_term: models.Term | None = None
         self._pending_events: list[object] = []
         self._is_claiming = False
         self._is_shutting_down = False
@@ -163,7 +164,7 @@
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
-        owner = models.decode_owner(row.value)
+        owner = self._decode_owner(row)
         self._owner_version = row.version
         self._election.on_owner(owner, self.kernel.clock.now())
         self._log.info(
@@ -172,15 +173,46 @@
             epoch=owner.epoch if owner else None,
             version=row.version,
         )
+        term = self._loading_term
         if self._owner_term is not None:
             term = self._owner_term.term
-            if row.version > term.owner_version:
-                self._end_term(term, 'the owner row was replaced')
+        if term is not None and row.version > term.owner_version:
+            self._end_term(term, 'the owner row was replaced')
+
+    def _decode_owner(self, row: store.Row) -> ownership.Owner | None:
+        """Decode the owner row; a malformed one names an unknown owner.
+
+        An unknown owner is replaced once it is silent. It may still act until
+        its renewals are too old, as any other owner.
+        """
+        try:
+            return models.decode_owner(row.value)
+        except ValueError as exc:
+            self._log_malformed(row, exc)
+        known = self._election.owner
+        return ownership.Owner(
+            instance=const.UNKNOWN_INSTANCE,
+            incarnation='',
+            epoch=known.epoch if known is not None else 0,
+        )
+
+    def _log_malformed(self, row: store.Row, exc: ValueError) -> None:
+        """Log a malformed row of the cell; each version is applied once."""
+        self._log.error(
+            'Malformed row of the cell',
+            key=row.key,
+            version=row.version,
+            why=str(exc),
+        )
 
     def _apply_renewal(self, row: store.Row) -> None:
-        """Apply the renewal row."""
+        """Apply the renewal row; a malformed one does not renew anything."""
         self._renewal_version = row.version
-        renewal = models.decode_renewal(row.value)
+        try:
+            renewal = models.decode_renewal(row.value)
+        except ValueError as exc:
+            self._log_malformed(row, exc)
+            return
         self._election.on_renewal(renewal, self.kernel.clock.now())
 
     @core.handles(jobs.ReplicaSyncAttempted)
@@ -219,7 +251,7 @@
         owner = ownership.Owner(
             instance=self._cfg.instance,
             incarnation=self._incarnation,
-            epoch=(former.epoch if former else 0) + 1,
+            epoch=self._election.last_epoch + 1,
         )
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
@@ -258,7 +290,6 @@
         except Exception:
             # Otherwise the claim would be renewed although nobody acts.
             self._end_term(term, 'the cell could not be loaded')
-            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
             raise
 
     def _build_claim(
@@ -322,17 +353,18 @@
         The claim is renewed while loading, so that no other daemon takes the
         cell from a new owner behind a slow link.
         """
+        self._loading_term = term
         defer.ensureDeferred(self._renew(term)).addErrback(
             self._on_unexpected_error
         )
         snapshot = await self._load_snapshot(term)
         if self._owner_version > term.owner_version or self._is_shutting_down:
             self._end_term(term, 'the claim was lost while loading')
-        if term.is_over:
+        if snapshot is None or term.is_over:
+            self._end_term(term, 'the cell was not loaded')
             self._log.info(
                 'Claim was lost while loading the cell', epoch=term.epoch
             )
-            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
             if self._is_shutting_down:
                 await self._write_release(term)
             return
@@ -345,26 +377,27 @@
             self._config,
             functools.partial(self._end_term, term),
         )
+        self._loading_term = None
         for msg in self._pending_events:
             self.post(msg)
         self._owner_term.start()
         self.kernel.publish(jobs.OwnershipChanged(is_owner=True))
 
-    async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot:
-        """Return the state of the cell; end the term if that takes too long.
+    async def _load_snapshot(self, term: models.Term) -> jobs.Snapshot | None:
+        """Return the state of the cell, or None if the load ended before.
 
-        Another daemon may be able to load it.
+        After a load without progress, other daemons may claim the cell first,
+        as one of them may be able to load it.
         """
-        timer = self.kernel.clock.call_later(
-            const.LOAD_TIMEOUT_MS,
-            lambda: self._end_term(term, 'the cell was not loaded in time'),
-        )
         try:
             snapshot: jobs.Snapshot = await self.kernel.ask(
                 jobs.SERVICE, jobs.GetSnapshot(version=term.owner_version)
             )
-        finally:
-            timer.cancel()
+        except jobs.LoadEndedError as exc:
+            if not term.is_over:
+                self._end_term(term, str(exc))
+                self._election.on_load_failed(self.kernel.clock.now())
+            return None
         return snapshot
 
     async def _renew(self, term: models.Term) -> None:
@@ -414,6 +447,14 @@
         """End a term; a late failure of a former one changes nothing."""
         # The writer of records may have marked the term as over already.
         term.is_over = True
+        if self._loading_term is term:
+            # At once, so that the jobs service stops to load the cell.
+            self._loading_term = None
+            self.kernel.publish(jobs.OwnershipChanged(is_owner=False))
+            self._log.warning(
+                'Cell is not loaded further', epoch=term.epoch, why=reason
+            )
+            return
         if self._owner_term is None or self._owner_term.term is not term:
             return
         self._owner_term = None
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -2,16 +2,14 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-import json
+from collections.abc import Sequence
 import random
-from typing import Any
-
-from twisted.internet import defer
 
 import oriolestand_core as core
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.jobs import _part_reader
 from oriolestand_fleet.services.jobs import _replica
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
@@ -36,6 +34,9 @@
             rng=random.Random(f'{kernel.incarnation} {layout.SPEC_TABLE}'),
         )
         self.is_closed = False
+        self._withheld_ids: set[str] = set()
+        self._has_time_limit = False
+        self._page_ms = kernel.clock.now()
 
     def close(self) -> None:
         """Stop to follow new jobs."""
@@ -44,34 +45,38 @@
     async def load(self) -> messages.Snapshot:
         """Return all open jobs and the rows of the former owner.
 
-        The replica must have reached the version of the claim. Reads are
-        repeated until they succeed.
-        """
-        while True:
-            try:
-                snapshot = await self._load_once()
-            except core.OriolestandError as exc:
-                self._log.warning('Jobs cannot be loaded', why=str(exc))
-                await self._kernel.sleep(self._retries.next_delay_ms())
-                continue
-            self._retries.reset()
-            return snapshot
+        The replica must have reached the version of the claim. Failed reads
+        are repeated until they succeed or the view is closed.
 
-    async def _load_once(self) -> messages.Snapshot:
-        """Read all specifications and the rows of the former owner."""
+        :raises LoadEndedError: if the view is closed before, or if no page
+            arrives for LOAD_TIMEOUT_MS. A read in progress is not cut off.
+        """
+        self._page_ms = self._kernel.clock.now()
+        self._has_time_limit = True
         specs, version = await self._read_specs()
-        rows, _ = await self._read_part(layout.OWNER_TABLE, layout.CELL_PART)
+        owner_part = self._new_reader(layout.OWNER_TABLE, layout.CELL_PART)
+        await self._read_parts([owner_part])
+        rows = owner_part.rows
         by_key = {row.key: row for row in rows}
         legacy = self._replica.cell.get(layout.FLEET_KEY)
         if legacy is not None:
             by_key[layout.FLEET_KEY] = legacy
+        self._has_time_limit = False
         self._cursor = version
+        progress = self._decode_progress(rows)
+        ended = _ended_jobs(progress)
+        self._add_legacy_progress(specs, progress)
         return messages.Snapshot(
             jobs=tuple(
-                self._to_job(spec, by_key)
+                self._to_job(
+                    spec,
+                    by_key.get(layout.PROGRESS_PREFIX + spec.id),
+                    progress.get(spec.id),
+                )
                 for spec in self._decode_specs(specs)
+                if spec.id not in self._withheld_ids
             ),
-            ended=_ended_jobs(rows),
+            ended=ended,
             rows={
                 key: row
                 for key, row in by_key.items()
@@ -88,33 +93,53 @@
             for entry in self._replica.entries.values()
             if entry.spec is not None
         }
-        parts = await _gather(
-            self._read_part(layout.SPEC_TABLE, part)
+        parts = [
+            self._new_reader(layout.SPEC_TABLE, part)
             for part in layout.job_parts()
-        )
-        for rows, _ in parts:
-            for row in rows:
+        ]
+        await self._read_parts(parts)
+        for part in parts:
+            for row in part.rows:
                 if row.value is not None:
                     specs[_job_id(row)] = row.value
-        return specs, min(version for _, version in parts)
-
-    async def _read_part(
-        self, table: str, part: str
-    ) -> tuple[list[store.Row], int]:
-        """Return the rows of a part and the oldest version of its pages."""
-        rows: list[store.Row] = []
-        versions = []
-        start = ''
-        while True:
-            page: store.RowPage = await self._kernel.ask(
-                store.SERVICE,
-                store.ReadRows(table=table, part=part, start=start),
+        return specs, min(part.version or 0 for part in parts)
+
+    def _new_reader(self, table: str, part: str) -> _part_reader.PartReader:
+        """Return a reader of a part."""
+        return _part_reader.PartReader(
+            self._kernel, table, part, self._on_page
+        )
+
+    def _on_page(self) -> None:
+        """Record that a page has arrived."""
+        self._page_ms = self._kernel.clock.now()
+
+    def _check_progress(self) -> None:
+        """Raise LoadEndedError if no page has arrived for too long."""
+        silent_ms = self._kernel.clock.now() - self._page_ms
+        if self._has_time_limit and silent_ms >= const.LOAD_TIMEOUT_MS:
+            raise messages.LoadEndedError(
+                'no page of the cell arrived in time', silent_ms=silent_ms
             )
-            rows += page.rows
-            versions.append(page.version)
-            if not page.has_more or not page.rows:
-                return rows, min(versions)
-            start = page.rows[-1].key + '\0'
+
+    async def _read_parts(
+        self, readers: Sequence[_part_reader.PartReader]
+    ) -> None:
+        """Read parts; repeat what failed until complete or closed."""
+        while True:
+            try:
+                await _part_reader.read_missing(
+                    readers, lambda: self.is_closed
+                )
+            except messages.LoadEndedError:
+                raise
+            except core.OriolestandError as exc:
+                self._log.warning('Jobs cannot be loaded', why=str(exc))
+                self._check_progress()
+                await self._kernel.sleep(self._retries.next_delay_ms())
+                continue
+            self._retries.reset()
+            return
 
     def _decode_specs(
         self, specs: dict[str, bytes]
@@ -129,21 +154,55 @@
                     'Malformed specification ignored', job=job, why=str(exc)
                 )
 
+    def _decode_progress(
+        self, rows: Iterable[store.Row]
+    ) -> dict[str, scheduling.Progress]:
+        """Return the progress by job id; withhold jobs with malformed rows."""
+        found = {}
+        for row in rows:
+            if not row.key.startswith(layout.PROGRESS_PREFIX) or not row.value:
+                continue
+            job = row.key.removeprefix(layout.PROGRESS_PREFIX)
+            try:
+                found[job] = models.decode_progress(row.value)
+            except ValueError as exc:
+                self._withhold(job, row.key, str(exc))
+        return found
+
+    def _add_legacy_progress(
+        self, jobs: Iterable[str], progress: dict[str, scheduling.Progress]
+    ) -> None:
+        """Add what earlier versions stored in the state rows of jobs."""
+        for job in jobs:
+            entry = self._replica.entries.get(job)
+            if entry is None or job in progress or job in self._withheld_ids:
+                continue
+            key = layout.RECORD_PREFIX + job
+            if entry.is_record_unreadable:
+                self._withhold(job, key, 'the state row is malformed')
+            elif entry.record is not None:
+                try:
+                    progress[job] = models.decode_progress(entry.record)
+                except ValueError as exc:
+                    self._withhold(job, key, str(exc))
+
+    def _withhold(self, job: str, key: str, why: str) -> None:
+        """Keep a job from being started, as its tasks may be done."""
+        self._withheld_ids.add(job)
+        self._log.error(
+            'Malformed progress, job is not started', key=key, why=why
+        )
+
     def _to_job(
-        self, spec: scheduling.JobSpec, rows: dict[str, store.Row]
+        self,
+        spec: scheduling.JobSpec,
+        row: store.Row | None,
+        progress: scheduling.Progress | None,
     ) -> messages.StoredJob:
         """Return a job with its stored progress."""
-        job = spec.id
-        entry = self._replica.entries.get(job)
-        row = rows.get(layout.PROGRESS_PREFIX + job)
-        progress: scheduling.Progress | None = None
-        if row is not None and row.value is not None:
-            progress = json.loads(row.value)
-        elif entry is not None and entry.record is not None:
-            # Earlier versions stored the progress in the state row.
-            progress = json.loads(entry.record)
+        entry = self._replica.entries.get(spec.id)
         return messages.StoredJob(
-            id=job,
+            id=spec.id,
             spec=spec,
             progress=progress,
             progress_version=row.version if row is not None else 0,
@@ -155,6 +214,8 @@
         while not self.is_closed:
             try:
                 await self._read_next()
+            except messages.LoadEndedError:
+                return
             except core.OriolestandError as exc:
                 self._log.warning('New jobs cannot be read', why=str(exc))
                 await self._kernel.sleep(self._retries.next_delay_ms())
@@ -205,6 +266,8 @@
     def _publish(self, specs: dict[str, bytes]) -> None:
         """Publish jobs; a cancellation may have been received before one."""
         for spec in self._decode_specs(specs):
+            if spec.id in self._withheld_ids:
+                continue
             entry = self._replica.entries.get(spec.id)
             stored = messages.StoredJob(
                 id=spec.id,
@@ -214,27 +277,13 @@
             self._kernel.publish(messages.JobAdded(job=stored))
 
 
-async def _gather(reads: Iterable[Any]) -> list[Any]:
-    """Run reads at the same time; raise the error of the first that fails."""
-    futs = [defer.ensureDeferred(read) for read in reads]
-    try:
-        return await defer.gatherResults(futs, consumeErrors=True)
-    except defer.FirstError as exc:
-        exc.subFailure.raiseException()
-        raise
-
-
-def _ended_jobs(rows: Iterable[store.Row]) -> dict[str, int]:
+def _ended_jobs(progress: dict[str, scheduling.Progress]) -> dict[str, int]:
     """Return the Unix times in ms at which jobs ended, by job id."""
-    ended = {}
-    for row in rows:
-        if not row.key.startswith(layout.PROGRESS_PREFIX) or not row.value:
-            continue
-        progress = json.loads(row.value)
-        if progress.get('outcome'):
-            job = row.key.removeprefix(layout.PROGRESS_PREFIX)
-            ended[job] = int(progress.get('ended', 0))
-    return ended
+    return {
+        job: int(values.get('ended', 0))
+        for job, values in progress.items()
+        if values.get('outcome')
+    }
 
 
 def _job_id(row: store.Row) -> str:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -196,6 +196,11 @@
         if self._owner_view is not None:
             self._owner_view.close()
             self._owner_view = None
+        waiters, self._sync_waiters = self._sync_waiters, []
+        for _, fut in waiters:
+            fut.errback(
+                messages.LoadEndedError('the claim was given up before')
+            )
 
     @core.handles(messages.GetSnapshot)
     def _on_snapshot(
@@ -234,8 +239,24 @@
             fut.callback(None)
         else:
             self._sync_waiters.append((version, fut))
+            self.kernel.clock.call_later(
+                const.LOAD_TIMEOUT_MS,
+                lambda: self._end_sync_wait(version, fut),
+            )
         return fut
 
+    def _end_sync_wait(
+        self, version: int, fut: 'defer.Deferred[None]'
+    ) -> None:
+        """Fail a wait for a version of the replica unless it is over."""
+        if (version, fut) in self._sync_waiters:
+            self._sync_waiters.remove((version, fut))
+            fut.errback(
+                messages.LoadEndedError(
+                    'the replica did not reach the version of the claim'
+                )
+            )
+
     # Requests of callers.
 
     @core.handles(messages.SubmitJob)
@@ -349,7 +370,12 @@
         for row in page.rows:
             entry = models.Entry(id=job)
             if row.value is not None:
-                entry.set_row(row.value)
+                try:
+                    entry.set_row(row.value)
+                except ValueError as exc:
+                    raise messages.StateUnknownError(
+                        'the row of the job is malformed', job=job
+                    ) from exc
             if entry.route == route:
                 replicated = self._replica.find(job, route)
                 return replicated.state if replicated else entry.state
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -117,6 +117,13 @@
         self._claim_count = 0
         self._next_claim_ms = 0
 
+    @property
+    def last_epoch(self) -> int:
+        """Return the newest known epoch, also if the owner row lacks it."""
+        owner_epoch = self.owner.epoch if self.owner is not None else 0
+        renewal_epoch = self.renewal.epoch if self.renewal is not None else 0
+        return max(owner_epoch, renewal_epoch)
+
     @property
     def renewal_of_owner(self) -> Renewal | None:
         """Return the last renewal by the current owner, or None."""
@@ -158,6 +165,10 @@
         self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[index]
         self._claim_count += 1
 
+    def on_load_failed(self, now_ms: int) -> None:
+        """Delay the next claim, so that another daemon can load the cell."""
+        self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[-1]
+
     def silent_ms(self, now_ms: int) -> int:
         """Return the time since the last change while the store answered."""
         if self._silent_since_ms is None:
