Move the soak beside the adapter

Its stand-ins for the store and the workers speak the platform's protocol, whose names stay in the folder platform/.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core policy models platform wire daemon fleet cli standins bench soak
-SOURCE_DIRS = $(foreach p,$(PACKAGES),packages/$(p)/src) platform/src
+PACKAGES := core policy models platform wire daemon fleet cli standins bench
+SOURCE_DIRS = $(foreach p,$(PACKAGES),packages/$(p)/src) platform/src platform/soak/src
 STAMP := $(VENV)/.stamp
 SOURCES := packages platform
 
@@ -22,18 +22,19 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt Makefile $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
+$(STAMP): constraints.txt Makefile $(wildcard packages/*/pyproject.toml) platform/pyproject.toml platform/soak/pyproject.toml
 	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check \
 	    --require-hashes -r constraints.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
 	    --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p)) \
-	    -e platform
+	    -e platform -e platform/soak
 	touch $(STAMP)
 
 test: setup
 	$(BIN)/python -m pytest
 	cd platform && ../$(BIN)/python -m pytest
+	cd platform/soak && ../../$(BIN)/python -m pytest
 
 check: setup format lint types doctest
 
