--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -273,36 +273,8 @@
                 'Job is already stored', job=job, route=msg.spec.route
             )
             return False
-        body = models.encode_spec(msg.spec)
         try:
-            if len(body) > self._row_bytes:
-                raise scheduling.InvalidJobError(
-                    'the job is larger than a row of the store',
-                    job=job,
-                    bytes=len(body),
-                    limit=self._row_bytes,
-                )
-            if self._is_store_unreachable:
-                # If no write is sent, the job is certainly not stored, and
-                # the caller can retry at a daemon that reaches the store.
-                raise messages.JobNotStoredError('the store is out of reach')
-            is_new = await _commits.insert_job_rows(
-                self.kernel,
-                layout.TABLE,
-                layout.part_for_job(job),
-                (
-                    store.Put(
-                        key=layout.JOB_PREFIX + job,
-                        value=models.encode_row(msg.spec),
-                    ),
-                    store.Put(
-                        key=layout.SPEC_PREFIX + job,
-                        value=body,
-                        table=layout.SPEC_TABLE,
-                    ),
-                ),
-                msg.deadline_ms - const.DEADLINE_MARGIN_MS,
-            )
+            is_new = await self._insert(msg)
         except core.OriolestandError as exc:
             self._observe_write('intake', exc.code, started_ms)
             self._log.warning(
@@ -328,6 +300,35 @@
         )
         return is_new
 
+    async def _insert(self, msg: messages.SubmitJob) -> bool:
+        """Insert the rows of a job; return False if they already existed."""
+        job = msg.spec.id
+        body = models.encode_spec(msg.spec)
+        if len(body) > self._row_bytes:
+            raise scheduling.InvalidJobError(
+                'the job is larger than a row of the store',
+                job=job,
+                bytes=len(body),
+                limit=self._row_bytes,
+            )
+        if self._is_store_unreachable:
+            # If no write is sent, the job is certainly not stored, and the
+            # caller can retry at a daemon that reaches the store.
+            raise messages.JobNotStoredError('the store is out of reach')
+        entry = store.Put(
+            key=layout.JOB_PREFIX + job, value=models.encode_row(msg.spec)
+        )
+        spec = store.Put(
+            key=layout.SPEC_PREFIX + job, value=body, table=layout.SPEC_TABLE
+        )
+        return await _commits.insert_job_rows(
+            self.kernel,
+            layout.TABLE,
+            layout.part_for_job(job),
+            (entry, spec),
+            msg.deadline_ms - const.DEADLINE_MARGIN_MS,
+        )
+
     @core.handles(messages.GetState)
     def _on_get(
         self, msg: messages.GetState
