Log why the task that waits longest gets no worker

Cause: the metrics show how long the oldest ready task waits and which workers may be used, but not what the usable ones lack.

Change: once a second the owner logs 'Task waits' for the task of each kind that has waited longest, from 2 s on: the workers by obstacle, the largest free piece, the free total, what excluded workers have free, and what unsettled runs hold.

--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -15,6 +15,7 @@
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _task_starter
+from oriolestand_policy.scheduling import _waits
 
 LEASE_MARGIN_MS = 500
 """Time allowed for a worker to end its runs after its lease has expired."""
@@ -49,6 +50,7 @@
             self._cell,
             make_placement(self._cell.pressure),
         )
+        self._wait_reporter = _waits.WaitReporter(self._cell)
 
     @property
     def jobs(self) -> Mapping[str, _jobs.Job]:
@@ -245,6 +247,7 @@
         self._resend_stops(now_ms)
         self._drain_leaving_workers(now_ms)
         self._task_starter.run(now_ms, wall_ms, is_takeover_complete)
+        self._wait_reporter.run(now_ms)
 
     def take_effects(self) -> list[_effects.Effect]:
         """Return the effects queued since the last call."""
