--- a/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
+++ b/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
@@ -1,10 +1,16 @@
 """Test how long tasks wait in a cell in which smaller tasks always wait."""
 
+import dataclasses
+
 import pytest
 
 from oriolestand_policy import scheduling
 
 POLL_MS = 50
+LEASE_MS = 6_000
+ROUTE = scheduling.RoutePolicy(
+    name='r', pool='p', max_attempts=2, target_ms=60_000
+)
 SMALL = scheduling.StepSpec(count=1, cpu=2_500, estimate_ms=1_000)
 LARGE = scheduling.StepSpec(count=1, cpu=5_000, estimate_ms=4_000)
 """Its objective is 3 s later than that of a small task accepted with it."""
@@ -37,10 +43,7 @@
         self.small_count = 0
         self.last_end_ms = 0
         self.sequence = 0
-        route = scheduling.RoutePolicy(
-            name='r', pool='p', max_attempts=2, target_ms=60_000
-        )
-        harness.scheduler.set_routes([route])
+        harness.scheduler.set_routes([ROUTE])
 
     def add(self, job, spec):
         """Add a job of one step."""
@@ -92,6 +95,22 @@
             ended.append(self.make.end(start, how, self.sequence))
         self.harness.poll(worker, running, ended)
 
+    def take_over(self):
+        """Replace the scheduler by that of a new owner of the cell."""
+        former = self.harness.scheduler
+        self.harness.scheduler = scheduling.Scheduler(2, LEASE_MS)
+        scheduler = self.harness.scheduler
+        scheduler.set_routes([ROUTE])
+        scheduler.set_workers(self.harness.infos)
+        scheduler.mark_workers_recorded(self.harness.infos)
+        for job in former.jobs.values():
+            scheduler.add_job(
+                job.spec,
+                self.harness.now,
+                progress=scheduling.progress_of(job),
+                needs_probe=True,
+            )
+
     def fill(self, failing=''):
         """Run for two seconds, then let a job fail."""
         for _ in range(2_000 // POLL_MS):
@@ -148,3 +167,41 @@
     cell.fill()
     cell.add('gang', GANG)
     assert cell.wait_of('gang', MAX_OTHER_WAIT_MS) is not None
+
+
+def test_ended_service_task_starts_again_after_a_takeover(cell_of):
+    # Guards against an order that depends on the memory of the former owner:
+    # a service task that ended before a takeover then waits without a limit
+    # behind plain tasks, although it fits where one of these ends.
+    cell = cell_of(1)
+    cell.add('service', dataclasses.replace(SERVICE, cpu=SMALL.cpu))
+    assert 'service' in cell.start()
+    cell.fill(failing='service')
+    cell.take_over()
+    assert cell.wait_of('service', MAX_SERVICE_WAIT_MS) is not None
+
+
+def test_ended_service_tasks_start_again_beside_free_capacity(harness, make):
+    # Guards against failures of service tasks, which are normal, that exclude
+    # a sound worker with free capacity again and again.
+    harness.scheduler.workers['w1'].is_recorded = False
+    spec = scheduling.StepSpec(count=4, cpu=2_000, is_service=True)
+    harness.add('service', spec)
+    starts, _ = harness.decide()
+    assert len(starts) == 4
+    for start in starts:
+        harness.answer(start)
+    began_ms = harness.now + POLL_MS
+    restarted = set()
+    while harness.now < began_ms + MAX_SERVICE_WAIT_MS:
+        harness.now += POLL_MS
+        waited_ms = harness.now - began_ms
+        failed = {0: starts[:3], 7_500: starts[3:]}.get(waited_ms, [])
+        running = starts[3:] if waited_ms < 7_500 else []
+        harness.poll(
+            'w0',
+            [make.report(start) for start in running],
+            [make.end(start, 'failed', waited_ms) for start in failed],
+        )
+        restarted |= {start.key.index for start in harness.decide()[0]}
+    assert restarted >= {0, 1, 2}
