Reserve capacity for tasks that wait beside smaller ones

What callers saw: a service task that had ended did not run again although the workers had capacity for it (LOST); large jobs and gangs did not start beside smaller ones.

Cause: a task that ends leaves room of its own size, and a waiting task of that size takes it in the same round. That an overdue service task goes first in the order did not help, as no worker ever has room for all of it.

Change: an overdue task reserves a worker; what becomes free there is kept for it (decision 0020). Ended service tasks are overdue after 2 s and go before tasks of any priority, others after 10 s, one of each pool a second.

--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -79,8 +79,9 @@
     ``is_probed`` is whether the worker has reported to this owner, and
     ``is_listed`` whether it is registered. ``is_recorded`` is whether the
     store holds the worker in the list that the next owner reads. No task may
-    be started on it before, as the next owner would not poll it. ``version``
-    counts the changes that the selection of workers depends on.
+    be started on it before, as the next owner would not poll it. The
+    ``reserved`` amounts are kept free for waiting tasks. ``version`` counts
+    the changes that the selection of workers depends on.
     """
 
     info: WorkerInfo
@@ -98,6 +99,9 @@
     used_accelerators: int = 0
     filling_cpu: int = 0
     service_cpu: int = 0
+    reserved_cpu: int = 0
+    reserved_memory: int = 0
+    reserved_accelerators: int = 0
     recent_failures: int = 0
     avoid_until_ms: int = 0
     mitigated_ms: int = 0
@@ -137,14 +141,44 @@
         self.used_memory += sign * spec.memory_mb
         self.used_accelerators += sign * spec.accelerators
 
+    def reserve(self, spec: _specs.StepSpec) -> None:
+        """Keep capacity free for a waiting task."""
+        self._adjust_reserved(spec, 1)
+
+    def unreserve(self, spec: _specs.StepSpec) -> None:
+        """Return the capacity that was kept free for a task."""
+        self._adjust_reserved(spec, -1)
+
+    def _adjust_reserved(self, spec: _specs.StepSpec, sign: int) -> None:
+        """Add (``sign`` 1) or subtract (-1) reserved capacity."""
+        self.version += 1
+        self.reserved_cpu += sign * spec.cpu
+        self.reserved_memory += sign * spec.memory_mb
+        self.reserved_accelerators += sign * spec.accelerators
+
+    def has_room_for_reserved(self) -> bool:
+        """Return whether all of the reserved capacity has become free."""
+        info = self.info
+        return (
+            self.used_cpu + self.reserved_cpu <= info.cpu
+            and self.used_memory + self.reserved_memory <= info.memory_mb
+            and self.used_accelerators + self.reserved_accelerators
+            <= info.accelerators
+        )
+
     def fits(self, spec: _specs.StepSpec) -> bool:
-        """Return whether the free capacity is enough for a task."""
+        """Return whether a task fits beside the runs and reservations."""
         info = self.info
-        cpu = 0 if spec.is_filling else spec.cpu
+        cpu = self.used_cpu
+        if not spec.is_filling:
+            cpu += self.reserved_cpu + spec.cpu
+        memory = self.used_memory + self.reserved_memory + spec.memory_mb
+        accelerators = self.used_accelerators + self.reserved_accelerators
+        accelerators += spec.accelerators
         return (
-            self.used_cpu + cpu <= info.cpu
-            and self.used_memory + spec.memory_mb <= info.memory_mb
-            and self.used_accelerators + spec.accelerators <= info.accelerators
+            cpu <= info.cpu
+            and memory <= info.memory_mb
+            and accelerators <= info.accelerators
         )
 
     def can_ever_run(self, spec: _specs.StepSpec) -> bool:
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -0,0 +1,71 @@
+"""Find ready tasks that have waited too long."""
+
+import dataclasses
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _jobs
+
+MAX_SERVICE_RESTART_WAIT_MS = 2_000
+"""After this time an ended service task starts before all other tasks. In a
+full cell these would take all room that becomes free."""
+
+MAX_TASK_WAIT_MS = 10_000
+"""After this time capacity is reserved for any other task."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OverdueTask:
+    """A ready task that has waited too long, and the pool that it may use.
+
+    ``is_ended_service`` is whether it is a service task that has run before.
+    """
+
+    task: _jobs.Task
+    pool: str
+    is_ended_service: bool
+
+
+def overdue_ended_services(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
+    """Return the overdue service tasks that have run before.
+
+    Those of urgent routes come first, then those that wait for longer.
+    """
+    found: list[tuple[tuple[int, int, _jobs.TaskKey], OverdueTask]] = []
+    for task in cell.ready:
+        if not task.spec.is_service:
+            continue
+        if now_ms - task.ready_ms < MAX_SERVICE_RESTART_WAIT_MS:
+            continue
+        route = cell.routes.get(cell.jobs[task.key.job].spec.route)
+        if route is None or not task.run:
+            continue
+        overdue = OverdueTask(
+            task=task,
+            pool=route.pool,
+            is_ended_service=True,
+        )
+        found.append(((route.priority, task.ready_ms, task.key), overdue))
+    return [overdue for _, overdue in sorted(found, key=lambda e: e[0])]
+
+
+def overdue_tasks(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
+    """Return all other overdue tasks, the oldest first.
+
+    They are ordered by age alone, so that each comes first at some time.
+    Filling tasks are left out, as the idle processors that they use cannot
+    be reserved.
+    """
+    found: list[tuple[tuple[int, _jobs.TaskKey], OverdueTask]] = []
+    for task in cell.ready:
+        if now_ms - task.ready_ms < MAX_TASK_WAIT_MS or task.spec.is_filling:
+            continue
+        route = cell.routes.get(cell.jobs[task.key.job].spec.route)
+        if route is None or (task.spec.is_service and task.run):
+            continue
+        overdue = OverdueTask(
+            task=task,
+            pool=route.pool,
+            is_ended_service=False,
+        )
+        found.append(((task.ready_ms, task.key), overdue))
+    return [overdue for _, overdue in sorted(found, key=lambda e: e[0])]
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -37,6 +37,10 @@
     ) -> _fleet.Worker | None:
         """Return the worker of a pool that should run a task, or None."""
 
+    @abc.abstractmethod
+    def mark_changed(self, worker: _fleet.Worker) -> None:
+        """Note that the capacity of a worker has changed in the round."""
+
 
 class WorkerState(enum.Enum):
     """Whether a worker may get new tasks, and if not, the first reason."""
@@ -74,9 +78,12 @@
 
 def can_run(worker: _fleet.Worker, task: _jobs.Task) -> bool:
     """Return whether a worker has capacity for a task and may run it."""
+    return worker.fits(task.spec) and is_allowed(worker, task)
+
+
+def is_allowed(worker: _fleet.Worker, task: _jobs.Task) -> bool:
+    """Return whether a worker may run a task if it has the capacity."""
     spec = task.spec
-    if not worker.fits(spec):
-        return False
     if spec.label and spec.label not in worker.info.labels:
         return False
     return not spec.max_per_worker or (
@@ -106,6 +113,9 @@
                 return worker
         return None
 
+    def mark_changed(self, worker: _fleet.Worker) -> None:
+        """Do nothing, as each selection examines the workers anew."""
+
 
 class MixedPlacement(Placement):
     """Place filling tasks beside the service tasks that they slow least.
@@ -209,6 +219,15 @@
         pool_round.changed.append(index)
         return best
 
+    def mark_changed(self, worker: _fleet.Worker) -> None:
+        """Examine a worker again before further selections of the round."""
+        if not self._is_prepared:
+            return
+        self._capacities.pop(worker.info.id, None)
+        pool_round = self._by_pool.get(worker.info.pool)
+        if pool_round is not None:
+            pool_round.mark_changed(worker)
+
     def _start_trials(self, worker: _fleet.Worker, filling: str) -> None:
         """Record the pairs that a new task tries without an estimate."""
         pairs = {
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
@@ -58,6 +58,13 @@
         default_factory=dict
     )
 
+    def mark_changed(self, worker: _fleet.Worker) -> None:
+        """Add a worker to the changed ones if it may get tasks."""
+        for index, other in enumerate(self.workers):
+            if other is worker:
+                self.changed.append(index)
+                return
+
     def drop_queues(self, filling: str) -> None:
         """Remove the queues for filling tasks of an image."""
         for demands in [d for d in self.queues if d.filling == filling]:
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -0,0 +1,300 @@
+"""Reserve capacity for tasks that no worker has room for.
+
+A task that ends leaves room of its own size, and a waiting task of that size
+takes it at once. A larger task would never start, so the capacity that becomes
+free on one worker is kept for it until the worker has room.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import heapq
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _specs
+
+MAX_RESERVED_SHARE = 0.25
+"""Share of a pool's workers that may hold reservations at the same time; one
+worker always may. Capacity is idle while a worker makes room."""
+
+MAX_RESERVATION_MS = 10_000
+"""Time after which a worker is selected again for a reservation, as the runs
+on the reserved worker take longer than expected."""
+
+MIN_PERCENT_FOR_FORECAST = 5
+"""Progress from which the remaining time of a run follows from it rather than
+from the estimate of its caller."""
+
+CANDIDATES = 8
+"""Number of workers, those with the smallest shortage, whose time until they
+have room is estimated."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reservation:
+    """Capacity kept for a task, or for all members of a gang.
+
+    ``tasks`` and ``workers`` are parallel.
+    """
+
+    pool: str
+    tasks: tuple[_jobs.Task, ...]
+    workers: tuple[_fleet.Worker, ...]
+    since_ms: int
+    is_ended_service: bool
+
+    @property
+    def key(self) -> _jobs.TaskKey:
+        """Return the key of the first task."""
+        return self.tasks[0].key
+
+    def is_fulfilled(self) -> bool:
+        """Return whether all workers have room for their tasks."""
+        return all(worker.has_room_for_reserved() for worker in self.workers)
+
+
+class Reservations:
+    """Reservations of a cell, the oldest first.
+
+    A worker holds the reservation of one task, or of members of one gang, so
+    that reservations are fulfilled independently of each other.
+    """
+
+    def __init__(
+        self, cell: _cell.Cell, placement: _placement.Placement
+    ) -> None:
+        self._cell = cell
+        self._placement = placement
+        self._by_key: dict[_jobs.TaskKey, Reservation] = {}
+        self._reserved_ids: set[str] = set()
+        self._usable: dict[str, list[_fleet.Worker]] = {}
+
+    def __contains__(self, key: _jobs.TaskKey) -> bool:
+        """Return whether capacity is reserved for a task and its gang."""
+        return key in self._by_key
+
+    def __iter__(self) -> Iterator[Reservation]:
+        """Yield the reservations; they may be released meanwhile."""
+        yield from list(self._by_key.values())
+
+    def pools_of_other_tasks(self) -> set[str]:
+        """Return the pools with a reservation that is for no ended service."""
+        return {r.pool for r in self if not r.is_ended_service}
+
+    def begin_round(self, now_ms: int) -> None:
+        """Release the reservations that cannot be fulfilled any more."""
+        self._usable.clear()
+        for reservation in self:
+            if not self._is_valid(reservation, now_ms):
+                self.release(reservation)
+
+    def _is_valid(self, reservation: Reservation, now_ms: int) -> bool:
+        """Return whether a reservation is needed and can be fulfilled."""
+        if now_ms - reservation.since_ms > MAX_RESERVATION_MS:
+            return False
+        job = self._cell.jobs.get(reservation.key.job)
+        route = self._cell.routes.get(job.spec.route) if job else None
+        if route is None or route.pool != reservation.pool:
+            return False
+        return all(
+            task.key in self._cell.ready
+            and self._cell.workers.get(worker.info.id) is worker
+            and worker.info.pool == reservation.pool
+            and _placement.is_usable(worker, now_ms)
+            and _placement.is_allowed(worker, task)
+            for task, worker in zip(
+                reservation.tasks, reservation.workers, strict=True
+            )
+        )
+
+    def release(self, reservation: Reservation) -> None:
+        """Return the capacity of a reservation."""
+        del self._by_key[reservation.key]
+        for task, worker in zip(
+            reservation.tasks, reservation.workers, strict=True
+        ):
+            worker.unreserve(task.spec)
+            self._reserved_ids.discard(worker.info.id)
+            self._placement.mark_changed(worker)
+
+    def add(
+        self,
+        tasks: Sequence[_jobs.Task],
+        pool: str,
+        now_ms: int,
+        *,
+        is_ended_service: bool,
+    ) -> Reservation | None:
+        """Reserve capacity for a task or the members of a gang.
+
+        Return None if no worker of the pool can make room for one of them, or
+        if enough workers hold reservations already.
+        """
+        candidates = self._candidates(pool, now_ms)
+        demands: dict[str, _Demand] = {}
+        workers: list[_fleet.Worker] = []
+        for task in tasks:
+            worker = _select_worker(candidates, demands, task, now_ms)
+            if worker is None:
+                return None
+            demand = demands.setdefault(worker.info.id, _Demand())
+            demand.add(task.spec)
+            workers.append(worker)
+        reservation = Reservation(
+            pool=pool,
+            tasks=tuple(tasks),
+            workers=tuple(workers),
+            since_ms=now_ms,
+            is_ended_service=is_ended_service,
+        )
+        self._by_key[reservation.key] = reservation
+        for task, worker in zip(tasks, workers, strict=True):
+            worker.reserve(task.spec)
+            self._reserved_ids.add(worker.info.id)
+            self._placement.mark_changed(worker)
+        return reservation
+
+    def _candidates(self, pool: str, now_ms: int) -> list[_fleet.Worker]:
+        """Return the workers that may hold a reservation; [] at the limit."""
+        usable = self._usable.get(pool)
+        if usable is None:
+            usable = self._usable[pool] = [
+                worker
+                for worker in self._cell.workers.values()
+                if worker.info.pool == pool
+                and _placement.is_usable(worker, now_ms)
+            ]
+        free = [w for w in usable if w.info.id not in self._reserved_ids]
+        reserved_count = len(usable) - len(free)
+        if reserved_count >= max(1, int(len(usable) * MAX_RESERVED_SHARE)):
+            return []
+        return free
+
+
+@dataclasses.dataclass(slots=True)
+class _Demand:
+    """Capacity that the tasks of one reservation need on a worker."""
+
+    cpu: int = 0
+    memory: int = 0
+    accelerators: int = 0
+    tasks: int = 0
+
+    def add(self, spec: _specs.StepSpec) -> None:
+        """Add the demand of a task."""
+        self.cpu += spec.cpu
+        self.memory += spec.memory_mb
+        self.accelerators += spec.accelerators
+        self.tasks += 1
+
+    def plus(self, spec: _specs.StepSpec) -> '_Demand':
+        """Return the demand with one more task."""
+        total = dataclasses.replace(self)
+        total.add(spec)
+        return total
+
+
+def _select_worker(
+    workers: Sequence[_fleet.Worker],
+    demands: dict[str, _Demand],
+    task: _jobs.Task,
+    now_ms: int,
+) -> _fleet.Worker | None:
+    """Return the worker that is expected to have room for a task first.
+
+    ``demands`` are the demands of the other members of the gang, by worker.
+    """
+    eligible = []
+    for worker in workers:
+        demand = demands.get(worker.info.id, _Demand()).plus(task.spec)
+        if _can_make_room(worker, task, demand):
+            shortage = worker.used_cpu + demand.cpu - worker.info.cpu
+            eligible.append((shortage, worker.info.id, worker, demand))
+    nearest = heapq.nsmallest(CANDIDATES, eligible, key=lambda e: e[:2])
+    ranked = [
+        (
+            worker.info.id in task.avoid,
+            bool(task.spec.rack) and task.spec.rack != worker.info.rack,
+            _time_until_room_ms(worker, demand, now_ms),
+            worker.info.id,
+            worker,
+        )
+        for _, _, worker, demand in nearest
+    ]
+    if not ranked:
+        return None
+    return min(ranked, key=lambda entry: entry[:4])[4]
+
+
+def _can_make_room(
+    worker: _fleet.Worker, task: _jobs.Task, demand: _Demand
+) -> bool:
+    """Return whether a worker may run a task once its other runs have ended.
+
+    Service tasks do not end, so they are counted as permanent.
+    """
+    info = worker.info
+    if worker.service_cpu + demand.cpu > info.cpu:
+        return False
+    if not _placement.is_allowed(worker, task):
+        return False
+    limit = task.spec.max_per_worker
+    if limit:
+        count = _placement.count_of_step(worker, task.key)
+        if count + demand.tasks > limit:
+            return False
+    permanent = [run for run in worker.runs.values() if _is_permanent(run)]
+    cpu = sum(run.spec.cpu for run in permanent if not run.spec.is_filling)
+    memory = sum(run.spec.memory_mb for run in permanent)
+    accelerators = sum(run.spec.accelerators for run in permanent)
+    return (
+        cpu + demand.cpu <= info.cpu
+        and memory + demand.memory <= info.memory_mb
+        and accelerators + demand.accelerators <= info.accelerators
+    )
+
+
+def _is_permanent(run: _fleet.Run) -> bool:
+    """Return whether a run will not end by itself."""
+    if run.stop_sent_ms >= 0:
+        return False
+    return run.spec.is_service or not run.pace
+
+
+def _time_until_room_ms(
+    worker: _fleet.Worker, demand: _Demand, now_ms: int
+) -> int:
+    """Return the estimated time until a worker has room for a demand."""
+    info = worker.info
+    cpu = worker.used_cpu + demand.cpu - info.cpu
+    memory = worker.used_memory + demand.memory - info.memory_mb
+    accelerators = worker.used_accelerators + demand.accelerators
+    accelerators -= info.accelerators
+    passed_ms = 0
+    ends = sorted(
+        (_remaining_ms(run, now_ms), number, run)
+        for number, run in enumerate(worker.runs.values())
+        if not _is_permanent(run)
+    )
+    for remaining_ms, _, run in ends:
+        if cpu <= 0 and memory <= 0 and accelerators <= 0:
+            break
+        passed_ms = remaining_ms
+        if not run.spec.is_filling:
+            cpu -= run.spec.cpu
+        memory -= run.spec.memory_mb
+        accelerators -= run.spec.accelerators
+    return passed_ms
+
+
+def _remaining_ms(run: _fleet.Run, now_ms: int) -> int:
+    """Return the estimated time until a run ends."""
+    if run.stop_sent_ms >= 0:
+        return 0
+    elapsed_ms = now_ms - run.since_ms
+    if run.percent >= MIN_PERCENT_FOR_FORECAST:
+        return elapsed_ms * (100 - run.percent) // run.percent
+    return max(0, run.spec.estimate_ms - elapsed_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -1,14 +1,17 @@
 """Start ready tasks on workers."""
 
-import collections
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _ready
+from oriolestand_policy.scheduling import _reservations
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _urgency
 
@@ -18,9 +21,10 @@
 
 MAX_STARTS_PER_ROUND = 200
 
-MAX_SERVICE_RESTART_WAIT_MS = 2_000
-"""After this time an ended service task starts before plain tasks of the same
-priority. In a full cell these would take all room that becomes free."""
+RESERVATION_INTERVAL_MS = 1_000
+"""Time between reservations for tasks that are no service tasks; each is for
+one task or gang of a pool. Under overload hundreds of late jobs are overdue,
+and jobs that can still be on time would wait for all of them."""
 
 MAX_FAILED_FIT_CHECKS_PER_ROUND = 3_000
 """Maximum number of fit checks, one per worker, that a round spends on filling
@@ -36,21 +40,124 @@
     ) -> None:
         self._cell = cell
         self._placement = placement
+        self._reservations = _reservations.Reservations(cell, placement)
+        self._next_reservations_ms = 0
         self._urgency_ranks = _urgency.UrgencyRanks()
         self._last_run_offset = 0
 
     def run(
         self, now_ms: int, wall_ms: int, is_takeover_complete: bool
     ) -> None:
-        """Start ready tasks, the most urgent first, where they fit.
+        """Start overdue tasks, then others, the most urgent first.
 
         ``is_takeover_complete`` is whether all workers of the former owner
         have reported their runs, or the time to wait for them is over. Until
         then, tasks that the former owner may have started wait.
         """
         self._placement.plan(self._cell.workers.values(), now_ms)
+        self._start_reserved(now_ms)
+        self._start_ended_services(now_ms, is_takeover_complete)
+        if now_ms >= self._next_reservations_ms:
+            self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
+            self._reserve_for_overdue(now_ms, is_takeover_complete)
         self._start_ready(now_ms, wall_ms, is_takeover_complete)
 
+    def _start_reserved(self, now_ms: int) -> None:
+        """Start the tasks whose reservations are fulfilled."""
+        self._reservations.begin_round(now_ms)
+        for reservation in self._reservations:
+            if not reservation.is_fulfilled():
+                continue
+            self._reservations.release(reservation)
+            job = self._cell.jobs[reservation.key.job]
+            self._assign_all(
+                job, reservation.tasks, reservation.workers, now_ms
+            )
+            for worker in reservation.workers:
+                self._placement.mark_changed(worker)
+
+    def _start_ended_services(
+        self, now_ms: int, is_takeover_complete: bool
+    ) -> None:
+        """Start overdue service tasks, or reserve capacity for them."""
+        unplaceable: set[_DemandClass] = set()
+        for overdue in _overdue.overdue_ended_services(self._cell, now_ms):
+            task = overdue.task
+            job = self._cell.jobs[task.key.job]
+            if job.needs_probe and not is_takeover_complete:
+                continue
+            if task.key not in self._cell.ready:
+                # It was started with the rest of its gang.
+                continue
+            demand_class = _demand_class(task, overdue.pool)
+            if demand_class in unplaceable:
+                continue
+            route = self._cell.routes[job.spec.route]
+            if task.spec.is_gang:
+                is_started = self._start_gang(job, task, route, now_ms)
+            else:
+                is_started = self._start_task(job, task, route, now_ms)
+            if is_started or self._reserve(job, overdue, now_ms):
+                continue
+            unplaceable.add(demand_class)
+
+    def _reserve_for_overdue(
+        self, now_ms: int, is_takeover_complete: bool
+    ) -> None:
+        """Reserve capacity for the oldest overdue task of each pool.
+
+        Tasks that no worker can make room for are passed over.
+        """
+        served_pools = self._reservations.pools_of_other_tasks()
+        unplaceable: set[_DemandClass] = set()
+        for overdue in _overdue.overdue_tasks(self._cell, now_ms):
+            job = self._cell.jobs[overdue.task.key.job]
+            if overdue.pool in served_pools:
+                continue
+            if job.needs_probe and not is_takeover_complete:
+                continue
+            demand_class = _demand_class(overdue.task, overdue.pool)
+            if demand_class in unplaceable:
+                continue
+            if self._reserve(job, overdue, now_ms):
+                served_pools.add(overdue.pool)
+            else:
+                unplaceable.add(demand_class)
+
+    def _reserve(
+        self, job: _jobs.Job, overdue: _overdue.OverdueTask, now_ms: int
+    ) -> bool:
+        """Reserve capacity for a task or its gang.
+
+        Return False if no worker can make room for it.
+        """
+        tasks = [overdue.task]
+        if overdue.task.spec.is_gang:
+            key = overdue.task.key
+            tasks = job.occurrence(key.occurrence)[key.step]
+            if any(member.key not in self._cell.ready for member in tasks):
+                return False
+        if tasks[0].key in self._reservations:
+            return True
+        reservation = self._reservations.add(
+            tasks,
+            overdue.pool,
+            now_ms,
+            is_ended_service=overdue.is_ended_service,
+        )
+        if reservation is None:
+            return False
+        self._cell.log(
+            'capacity_reserved',
+            job.spec.id,
+            task=str(reservation.key),
+            kind=overdue.task.spec.kind.value,
+            waited_ms=now_ms - overdue.task.ready_ms,
+            worker=reservation.workers[0].info.id,
+            tasks=len(tasks),
+        )
+        return True
+
     def _start_ready(
         self, now_ms: int, wall_ms: int, is_takeover_complete: bool
     ) -> None:
@@ -61,7 +168,7 @@
         failed_placements_left = MAX_FAILED_FIT_CHECKS_PER_ROUND // max(
             1, len(self._cell.workers)
         )
-        for occurrence_key, step, tasks in self._by_urgency(now_ms, wall_ms):
+        for occurrence_key, step, tasks in self._by_urgency(wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
             if job.needs_probe and not is_takeover_complete:
                 continue
@@ -102,14 +209,9 @@
                     break
 
     def _by_urgency(
-        self, now_ms: int, wall_ms: int
+        self, wall_ms: int
     ) -> Iterator[tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]]:
-        """Yield ready tasks by step, the most urgent first.
-
-        Ended service tasks that have waited too long go first among those of
-        their priority.
-        """
-        overdue = self._overdue_services(now_ms)
+        """Yield ready tasks by step, the most urgent first."""
         ranks: dict[_ready.OccurrenceKey, tuple[int, ...]] = {}
         self._urgency_ranks.begin_round()
         for key, task in self._cell.ready.occurrences():
@@ -121,32 +223,9 @@
             urgency = self._urgency_ranks.rank(job, key[1], route, wall_ms)
             ranks[key] = (route.priority, task.spec.is_service, *urgency)
         for key in sorted(ranks, key=lambda k: (ranks[k], k)):
-            while overdue and overdue[0][0] <= ranks[key][0]:
-                task = overdue.popleft()[2]
-                yield task.key[:2], task.key.step, [task]
             for step in self._cell.ready.steps_of(key):
                 yield key, step, self._cell.ready.tasks_of(key, step)
 
-    def _overdue_services(
-        self, now_ms: int
-    ) -> collections.deque[tuple[int, int, _jobs.Task]]:
-        """Return priority, time and task of ended services that waited long.
-
-        They are in the order of priority and time.
-        """
-        overdue = []
-        for task in self._cell.ready:
-            if not task.spec.is_service or not task.run:
-                continue
-            if now_ms - task.ready_ms < MAX_SERVICE_RESTART_WAIT_MS:
-                continue
-            job = self._cell.jobs[task.key.job]
-            route = self._cell.routes.get(job.spec.route)
-            if route is not None:
-                overdue.append((route.priority, task.ready_ms, task))
-        overdue.sort(key=lambda entry: (entry[0], entry[1], entry[2].key))
-        return collections.deque(overdue)
-
     def _start_task(
         self,
         job: _jobs.Job,
@@ -158,9 +237,7 @@
         worker = self._placement.select_worker(task, route.pool)
         if worker is None:
             return 0
-        self._last_run_offset += 1
-        number = self._cell.epoch * RUNS_PER_EPOCH + self._last_run_offset
-        self._assign(job, task, worker, number, now_ms)
+        self._assign_all(job, [task], [worker], now_ms)
         return 1
 
     def _start_gang(
@@ -174,8 +251,7 @@
         members = job.occurrence(task.key.occurrence)[task.key.step]
         if any(m.key not in self._cell.ready for m in members):
             return 0
-        self._last_run_offset += 1
-        number = self._cell.epoch * RUNS_PER_EPOCH + self._last_run_offset
+        number = self._next_run_number()
         placed: list[tuple[_fleet.Worker, _fleet.Run]] = []
         for member in members:
             worker = self._placement.select_worker(member, route.pool)
@@ -191,12 +267,32 @@
             worker.drop(run)
         if not all_placed:
             return 0
-        checkpoint = next((m.checkpoint for m in members if m.checkpoint), '')
-        for member, (worker, _) in zip(members, placed, strict=True):
-            member.checkpoint = checkpoint
-            self._assign(job, member, worker, number, now_ms)
+        workers = [worker for worker, _ in placed]
+        self._assign_all(job, members, workers, now_ms)
         return len(members)
 
+    def _next_run_number(self) -> int:
+        """Return the number of the next run."""
+        return self._cell.epoch * RUNS_PER_EPOCH + self._last_run_offset + 1
+
+    def _assign_all(
+        self,
+        job: _jobs.Job,
+        tasks: Sequence[_jobs.Task],
+        workers: Sequence[_fleet.Worker],
+        now_ms: int,
+    ) -> None:
+        """Assign a task, or all members of a gang, with one run number.
+
+        All members of a gang start from the same checkpoint.
+        """
+        number = self._next_run_number()
+        self._last_run_offset += 1
+        checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
+        for task, worker in zip(tasks, workers, strict=True):
+            task.checkpoint = checkpoint
+            self._assign(job, task, worker, number, now_ms)
+
     def _make_run(
         self, task: _jobs.Task, number: int, now_ms: int
     ) -> _fleet.Run:
@@ -236,3 +332,14 @@
                 checkpoint=task.checkpoint,
             )
         )
+
+
+_DemandClass = tuple[
+    str, _placement_round.Demands, tuple[str, int, int] | None
+]
+
+
+def _demand_class(task: _jobs.Task, pool: str) -> _DemandClass:
+    """Return what tasks share if none of them fits when one does not."""
+    gang = task.key[:3] if task.spec.is_gang else None
+    return (pool, _placement_round.demands_of(task), gang)
