Restart ended service tasks in order after a change of owner

Cause: only tasks that the present owner had started counted as ended. Records do not hold runs, so for a successor all waiting service tasks were new ones, which start after all plain tasks of their priority.

Change: the service tasks of a job that a former owner has started count as ended.

--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -36,8 +36,9 @@
             continue
         if now_ms - task.ready_ms < MAX_SERVICE_RESTART_WAIT_MS:
             continue
-        route = cell.routes.get(cell.jobs[task.key.job].spec.route)
-        if route is None or not task.run:
+        job = cell.jobs[task.key.job]
+        route = cell.routes.get(job.spec.route)
+        if route is None or not _may_have_run(job, task):
             continue
         overdue = OverdueTask(
             task=task,
@@ -48,6 +49,14 @@
     return [overdue for _, overdue in sorted(found, key=lambda e: e[0])]
 
 
+def _may_have_run(job: _jobs.Job, task: _jobs.Task) -> bool:
+    """Return whether this owner or a former one has started a task.
+
+    Records do not hold which tasks of a started job have run.
+    """
+    return bool(task.run) or (job.needs_probe and job.has_started)
+
+
 def overdue_tasks(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
     """Return all other overdue tasks, the oldest first.
 
@@ -59,8 +68,11 @@
     for task in cell.ready:
         if now_ms - task.ready_ms < MAX_TASK_WAIT_MS or task.spec.is_filling:
             continue
-        route = cell.routes.get(cell.jobs[task.key.job].spec.route)
-        if route is None or (task.spec.is_service and task.run):
+        job = cell.jobs[task.key.job]
+        route = cell.routes.get(job.spec.route)
+        if route is None:
+            continue
+        if task.spec.is_service and _may_have_run(job, task):
             continue
         overdue = OverdueTask(
             task=task,
