Report waiting tasks in a fixed order

Cause: the order of the reports, and the choice between tasks that have waited equally long, followed the iteration of the ready queue, which is not defined. Only the log was affected.

Change: reports are in the order of the kinds; of equally old tasks the first by key is reported.

--- a/packages/policy/src/oriolestand_policy/scheduling/_waits.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_waits.py
@@ -107,9 +107,13 @@
         oldest: dict[_specs.TaskKind, _jobs.Task] = {}
         for task in self._cell.ready:
             known = oldest.get(task.spec.kind)
-            if known is None or task.ready_ms < known.ready_ms:
+            if known is None or (
+                (task.ready_ms, task.key) < (known.ready_ms, known.key)
+            ):
                 oldest[task.spec.kind] = task
-        yield from oldest.values()
+        for kind in _specs.TaskKind:
+            if kind in oldest:
+                yield oldest[kind]
 
     def _report(self, task: _jobs.Task, now_ms: int) -> None:
         """Queue the log event for one task."""
