Exclude at most half of a pool for failed or stalled runs

Seen: tasks waited although every worker of their pool was idle.

Cause: failures counted without decay until a plain task completed, so that normal failures of services added up; a single failure after the 8 s excluded the worker again, and nothing limited the number of excluded workers. One service task that fails everywhere excluded one worker after another. The same holds for stalls: tasks whose estimate is far too short look stalled on each worker.

Exclusions for rejected start orders are at most 1 s long and stay as they are (backoff_until_ms).

Change: a worker is excluded after 3 tasks have failed on it within 20 s with no completion between them; repeated failures of one task count once. In each round, at most half of the pool's otherwise usable workers are excluded for failures or stalls. Beyond that, those whose exclusion ends first are readmitted and ranked last. A worker that fails everything is still excluded, and again after one failure. test_equivalence computes the readmitted workers on its own, has failing workers, and compares the counts of worker_states.

--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
@@ -0,0 +1,88 @@
+"""Exclude workers on which tasks fail or stall.
+
+Tasks may fail on sound workers, and a task may look stalled because of a wrong
+estimate. So failures count for a limited time, and only a share of a pool is
+excluded: if more workers are suspect, the task or the pool is at fault.
+"""
+
+import collections
+from collections.abc import Collection
+
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _placement
+
+FAILURES_TO_AVOID = 3
+"""Number of tasks that must fail on a worker within ``FAILURE_WINDOW_MS``,
+without a completed task in between, before it gets no new tasks for some
+time."""
+
+FAILURE_WINDOW_MS = 20_000
+"""Longer than two exclusions, so that a worker that keeps failing is excluded
+again after a single failure."""
+
+FAILURE_AVOID_MS = 8_000
+STALL_AVOID_MS = 4_000
+"""Stalls of five to seven seconds have been observed on workers."""
+
+MAX_AVOIDED_SHARE = 0.5
+"""Share of the workers of a pool that may be excluded at once. As it is below
+1, at least one stays usable."""
+
+
+def forget_old_failures(worker: _fleet.Worker, now_ms: int) -> None:
+    """Remove the failures that are older than the window."""
+    if not worker.failed_tasks:
+        return
+    worker.failed_tasks = {
+        key: failed_ms
+        for key, failed_ms in worker.failed_tasks.items()
+        if now_ms - failed_ms < FAILURE_WINDOW_MS
+    }
+
+
+def record_failure(
+    worker: _fleet.Worker, key: _jobs.TaskKey, now_ms: int
+) -> bool:
+    """Count a failed run; return whether its worker is excluded for it.
+
+    Repeated failures of a task count once, as the task may be at fault.
+    """
+    worker.failed_tasks[key] = now_ms
+    if worker.recent_failures < FAILURES_TO_AVOID:
+        return False
+    worker.avoid_until_ms = max(
+        worker.avoid_until_ms, now_ms + FAILURE_AVOID_MS
+    )
+    return True
+
+
+def record_stall(worker: _fleet.Worker, now_ms: int) -> None:
+    """Exclude a worker on which runs have stalled."""
+    worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + STALL_AVOID_MS)
+
+
+def limit(workers: Collection[_fleet.Worker], now_ms: int) -> None:
+    """Readmit the workers beyond the share of their pool that is excluded.
+
+    Those whose exclusion ends first are readmitted.
+    """
+    pools: set[str] = set()
+    for worker in workers:
+        worker.is_readmitted = now_ms < worker.avoid_until_ms
+        if worker.is_readmitted:
+            pools.add(worker.info.pool)
+    if not pools:
+        return
+    candidates: dict[str, list[_fleet.Worker]] = collections.defaultdict(list)
+    for worker in workers:
+        pool = worker.info.pool
+        if pool in pools and _placement.is_usable(worker, now_ms):
+            candidates[pool].append(worker)
+    for pool_workers in candidates.values():
+        suspects = [w for w in pool_workers if w.is_readmitted]
+        suspects.sort(
+            key=lambda w: (w.avoid_until_ms, w.info.id), reverse=True
+        )
+        for worker in suspects[: int(MAX_AVOIDED_SHARE * len(pool_workers))]:
+            worker.is_readmitted = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -81,6 +81,10 @@
     store holds the worker in the list that the next owner reads. No task may
     be started on it before, as the next owner would not poll it. ``version``
     counts the changes that the selection of workers depends on.
+    ``failed_tasks`` are the tasks that failed on the worker recently, and
+    when. It is excluded until ``avoid_until_ms``, for failed or stalled runs,
+    unless ``is_readmitted``, and until ``backoff_until_ms``, as it rejected a
+    start order.
     """
 
     info: WorkerInfo
@@ -98,11 +102,20 @@
     used_accelerators: int = 0
     filling_cpu: int = 0
     service_cpu: int = 0
-    recent_failures: int = 0
+    failed_tasks: dict[_jobs.TaskKey, int] = dataclasses.field(
+        default_factory=dict
+    )
     avoid_until_ms: int = 0
+    is_readmitted: bool = False
+    backoff_until_ms: int = 0
     mitigated_ms: int = 0
     version: int = 0
 
+    @property
+    def recent_failures(self) -> int:
+        """Return the number of tasks that failed on the worker recently."""
+        return len(self.failed_tasks)
+
     def min_clock_ms(self, now_ms: int) -> int:
         """Return a lower bound of the worker's clock at present."""
         if self.last_report_ms < 0:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -62,7 +62,9 @@
         return WorkerState.LEAVING
     if now_ms - worker.last_report_ms > MAX_REPORT_AGE_MS:
         return WorkerState.SILENT
-    if now_ms < worker.avoid_until_ms:
+    if now_ms < worker.backoff_until_ms:
+        return WorkerState.AVOIDED
+    if now_ms < worker.avoid_until_ms and not worker.is_readmitted:
         return WorkerState.AVOIDED
     return WorkerState.USABLE
 
@@ -389,8 +391,9 @@
 def _common_rank(
     worker: _fleet.Worker, spec: _specs.StepSpec
 ) -> _candidates.Rank:
-    """Rank workers last where data is remote or runs fail."""
+    """Rank workers last where runs fail or stall, or data is remote."""
     return (
+        worker.is_readmitted,
         bool(spec.rack) and spec.rack != worker.info.rack,
         worker.recent_failures,
     )
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -4,6 +4,7 @@
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _pacing
@@ -11,15 +12,8 @@
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _stalls
 
-FAILURES_TO_AVOID = 3
-"""Failed runs on a worker, without a completed task in between, after which it
-gets no new tasks for some time."""
-
-FAILURE_AVOID_MS = 8_000
 REFUSAL_AVOID_MS = 300
 UNHEALTHY_AVOID_MS = 1_000
-STALL_AVOID_MS = 4_000
-"""Stalls of five to seven seconds have been observed on workers."""
 
 MISSED_POLLS_LIMIT = 2
 """Consecutive polls whose reports omit a run before it counts as lost."""
@@ -62,6 +56,7 @@
             self._cell.log('worker_probed', '', worker=worker_id)
         worker.last_report_ms = now_ms
         worker.clock_ms = worker_report.clock_ms
+        _exclusions.forget_old_failures(worker, now_ms)
         jobs_to_save: set[str] = set()
         for end in worker_report.ended:
             if self._apply_end(worker, end, now_ms):
@@ -113,9 +108,7 @@
             self._cell.log(
                 'worker_stalled', '', worker=worker.info.id, runs=len(stalled)
             )
-        worker.avoid_until_ms = max(
-            worker.avoid_until_ms, now_ms + STALL_AVOID_MS
-        )
+        _exclusions.record_stall(worker, now_ms)
         for run in stalled:
             self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
             self._cell.mark_stop_sent(run, now_ms)
@@ -195,7 +188,7 @@
         now_ms: int,
     ) -> None:
         """Mark a task as done and queue the steps that depended on it."""
-        worker.recent_failures = 0
+        worker.failed_tasks.clear()
         members = [task]
         if task.spec.is_gang:
             # The end of one member completes the whole gang.
@@ -227,7 +220,6 @@
         if not task.spec.is_service:
             task.failed_runs.append(number)
         task.avoid.add(worker.info.id)
-        worker.recent_failures += 1
         route = self._cell.routes.get(job.spec.route)
         limit = route.max_attempts if route is not None else 1
         self._cell.log(
@@ -238,10 +230,7 @@
             limit=limit,
             worker=worker.info.id,
         )
-        if worker.recent_failures >= FAILURES_TO_AVOID:
-            worker.avoid_until_ms = now_ms + FAILURE_AVOID_MS
-            # After that time, a single failure suffices to avoid it again.
-            worker.recent_failures = FAILURES_TO_AVOID - 1
+        if _exclusions.record_failure(worker, task.key, now_ms):
             self._cell.log('worker_avoided', '', worker=worker.info.id)
         if not task.spec.is_service and len(task.failed_runs) >= limit:
             self._cell.end_job(job, _jobs.Outcome.FAILED, now_ms)
@@ -388,7 +377,7 @@
         pause = REFUSAL_AVOID_MS
         if outcome is _reports.StartOutcome.UNHEALTHY:
             pause = UNHEALTHY_AVOID_MS
-        worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + pause)
+        worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + pause)
         worker.drop(run)
         self._cell.release(run, worker_id, now_ms)
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -6,6 +6,7 @@
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
@@ -246,6 +247,7 @@
         self._expire_workers(now_ms)
         self._resend_stops(now_ms)
         self._drain_leaving_workers(now_ms)
+        self._limit_exclusions(now_ms)
         self._task_starter.run(now_ms, wall_ms, is_takeover_complete)
         self._wait_reporter.run(now_ms)
 
@@ -358,6 +360,10 @@
                     )
                     self._cell.mark_stop_sent(run, now_ms)
 
+    def _limit_exclusions(self, now_ms: int) -> None:
+        """Readmit workers of pools of which too many are excluded."""
+        _exclusions.limit(self._cell.workers.values(), now_ms)
+
 
 def _count_by_kind(
     specs: Iterable[_specs.StepSpec],
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -13,6 +13,7 @@
 
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _candidates
+from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _forecast
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
@@ -169,6 +170,7 @@
     spec = task.spec
     return (
         worker.info.id in task.avoid,
+        worker.is_readmitted,
         bool(spec.rack) and spec.rack != worker.info.rack,
         worker.recent_failures,
     )
@@ -360,6 +362,26 @@
             self._cell, ReferencePlacement(self._cell.pressure)
         )
 
+    def _limit_exclusions(self, now_ms):
+        for worker in self._cell.workers.values():
+            others = [
+                other
+                for other in self._cell.workers.values()
+                if other.info.pool == worker.info.pool
+                and is_usable_unless_avoided(other, now_ms)
+            ]
+            ends_later = [
+                other
+                for other in others
+                if other.avoid_until_ms > now_ms
+                and (other.avoid_until_ms, other.info.id)
+                > (worker.avoid_until_ms, worker.info.id)
+            ]
+            most = int(len(others) * _exclusions.MAX_AVOIDED_SHARE)
+            worker.is_readmitted = (
+                worker.avoid_until_ms > now_ms and len(ends_later) >= most
+            )
+
     def _resend_stops(self, now_ms):
         for worker in self._cell.workers.values():
             for run in worker.runs.values():
@@ -370,6 +392,18 @@
                     self._cell.queue_stop(worker.info.id, run, 'repeat')
 
 
+def is_usable_unless_avoided(worker, now_ms):
+    age_ms = now_ms - worker.last_report_ms
+    return (
+        worker.is_probed
+        and worker.is_recorded
+        and worker.is_listed
+        and not worker.info.is_leaving
+        and age_ms <= _placement.MAX_REPORT_AGE_MS
+        and worker.backoff_until_ms <= now_ms
+    )
+
+
 class Pair:
     """A scheduler and its reference, which get the same random events."""
 
@@ -388,6 +422,8 @@
         self.infos = {}
         self.unlisted = set()
         self.silent = set()
+        self.failing = set()
+        self.readmitted = 0
         self.removed = 0
         self.call(
             'set_routes',
@@ -487,6 +523,8 @@
             if not is_stopped and (spec.is_service or rng.random() < 0.8):
                 continue
             kind = rng.choice(['done'] * 5 + ['failed', 'lapsed'])
+            if worker in self.failing:
+                kind = 'failed'
             self.runs[worker].pop(run)
             self.sequence += 1
             ended.append(
@@ -594,13 +632,13 @@
         self.call('set_routes', [route])
 
     def change_worker(self):
-        """Restart a worker, or change whether it leaves, is listed or silent.
+        """Restart a worker, or change its state or whether its tasks fail.
 
         A worker that is silent for long enough is removed.
         """
         name = self.rng.choice(list(self.infos))
         info = self.infos[name]
-        change = self.rng.randrange(4)
+        change = self.rng.randrange(6)
         if change == 0:
             self.runs[name].clear()
             info = dataclasses.replace(info, process_start_ms=self.now)
@@ -612,6 +650,8 @@
             )
         elif change == 2:
             self.unlisted ^= {name}
+        elif change > 3:
+            self.failing ^= {name}
         else:
             self.silent ^= {name}
         self.infos[name] = info
@@ -635,6 +675,11 @@
         is_complete = self.rng.random() < 0.9
         self.call('decide', self.now, self.now, is_complete)
         self.apply_effects()
+        self.call('workers_by_state', self.now)
+        self.readmitted += sum(
+            worker.is_readmitted and _placement.is_usable(worker, self.now)
+            for worker in self.subject.workers.values()
+        )
 
     def step(self):
         """Apply one random event, then often a round."""
@@ -713,6 +758,7 @@
     reasons = set()
     paces = set()
     removed = 0
+    readmitted = 0
     for seed in SEEDS[:8]:
         pair = Pair(seed)
         for _ in range(STEPS):
@@ -720,10 +766,12 @@
         reasons.update(pair.stops)
         paces.update(pair.paces)
         removed += pair.removed
+        readmitted += pair.readmitted
     expected = {'harm', 'repeat', 'cancelled', 'worker leaves', 'in doubt'}
     assert expected <= reasons
     assert paces == {0, 100}
     assert removed
+    assert readmitted
 
 
 def make_worker(name, *specs):
