--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -217,6 +217,7 @@
     ranked = [
         (
             worker.info.id in task.avoid,
+            worker.is_readmitted,
             bool(task.spec.rack) and task.spec.rack != worker.info.rack,
             _time_until_room_ms(worker, demand, now_ms),
             worker.info.id,
@@ -226,7 +227,7 @@
     ]
     if not ranked:
         return None
-    return min(ranked, key=lambda entry: entry[:4])[4]
+    return min(ranked, key=lambda entry: entry[:5])[5]
 
 
 def _can_make_room(
