Examine filling tasks behind those that fit nowhere

What callers see: ready tasks wait although a worker has room for them, the same class of fault as in docs/incidents/2026-12-04-service-task-waits.md. Found by reading.

Cause: a round ends its examination of filling tasks after 3,000 failed fit checks, with 350 workers after nine demand classes. Each round began with the most urgent tasks, so that nine classes that fit nowhere hid all others. And a task without free accelerators hid the tasks with equal processors and memory that need none.

Change: a round that reaches the limit is followed by one that passes over the classes examined before; every other round begins with the most urgent tasks. Demand classes include accelerators.

Result: test_filling_tasks_behind_many_that_fit_nowhere_start and test_task_that_fits_starts_beside_one_without_accelerators fail on the former code and pass. The limit itself is still tested (test_placement.py); its name has moved.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -5,6 +5,7 @@
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _overdue
@@ -26,11 +27,6 @@
 one task or gang of a pool. Under overload hundreds of late jobs are overdue,
 and jobs that can still be on time would wait for all of them."""
 
-MAX_FAILED_FIT_CHECKS_PER_ROUND = 3_000
-"""Maximum number of fit checks, one per worker, that a round spends on filling
-tasks that fit on no worker. Under overload hundreds of jobs wait, so that
-without a limit a round would take too long."""
-
 
 class TaskStarter:
     """Select workers for ready tasks and queue the effects to start them."""
@@ -42,6 +38,7 @@
         self._placement = placement
         self._reservations = _reservations.Reservations(cell, placement)
         self._next_reservations_ms = 0
+        self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks()
         self._last_run_offset = 0
 
@@ -60,7 +57,9 @@
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, is_takeover_complete)
+        self._fit_budget.begin_round(len(self._cell.workers))
         self._start_ready(now_ms, wall_ms, is_takeover_complete)
+        self._fit_budget.end_round()
 
     def _start_reserved(self, now_ms: int) -> None:
         """Start the tasks whose reservations are fulfilled."""
@@ -164,10 +163,6 @@
         """Start ready tasks, within the limits per round."""
         unplaceable_classes: set[tuple[object, ...]] = set()
         started = 0
-        # A failed placement checks every worker.
-        failed_placements_left = MAX_FAILED_FIT_CHECKS_PER_ROUND // max(
-            1, len(self._cell.workers)
-        )
         for occurrence_key, step, tasks in self._by_urgency(wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
             if job.needs_probe and not is_takeover_complete:
@@ -176,14 +171,13 @@
             if route is None:
                 continue
             spec = job.spec.steps[step]
-            if spec.is_filling and failed_placements_left < 0:
-                continue
             # Once a task of a class cannot be placed, the round skips the rest
             # of the class.
             demand_class = (
                 route.pool,
                 spec.cpu,
                 spec.memory_mb,
+                spec.accelerators,
                 spec.is_filling,
                 spec.is_service,
                 spec.label,
@@ -193,6 +187,8 @@
             )
             if demand_class in unplaceable_classes:
                 continue
+            if spec.is_filling and not self._fit_budget.allows(demand_class):
+                continue
             for task in tasks:
                 if started >= MAX_STARTS_PER_ROUND:
                     return
@@ -205,7 +201,8 @@
                 started += newly_started
                 if not newly_started:
                     unplaceable_classes.add(demand_class)
-                    failed_placements_left -= spec.is_filling
+                    if spec.is_filling:
+                        self._fit_budget.on_failed(demand_class)
                     break
 
     def _by_urgency(
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -223,10 +223,6 @@
     def _start_ready(self, now_ms, wall_ms, is_takeover_complete):
         unplaceable_classes = set()
         started = 0
-        failed_placements_left = (
-            _task_starter.MAX_FAILED_FIT_CHECKS_PER_ROUND
-            // max(1, len(self._cell.workers))
-        )
         for task in self._ready_by_urgency(wall_ms):
             if started >= _task_starter.MAX_STARTS_PER_ROUND:
                 return
@@ -239,12 +235,11 @@
             if route is None:
                 continue
             spec = task.spec
-            if spec.is_filling and failed_placements_left < 0:
-                continue
             demand_class = (
                 route.pool,
                 spec.cpu,
                 spec.memory_mb,
+                spec.accelerators,
                 spec.is_filling,
                 spec.is_service,
                 spec.label,
@@ -252,6 +247,8 @@
             )
             if demand_class in unplaceable_classes:
                 continue
+            if spec.is_filling and not self._fit_budget.allows(demand_class):
+                continue
             if spec.is_gang:
                 newly_started = self._start_gang(job, task, route, now_ms)
             else:
@@ -259,7 +256,8 @@
             started += newly_started
             if not newly_started:
                 unplaceable_classes.add(demand_class)
-                failed_placements_left -= spec.is_filling
+                if spec.is_filling:
+                    self._fit_budget.on_failed(demand_class)
 
     def _ready_by_urgency(self, wall_ms):
         ranks = {}
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -5,8 +5,8 @@
 import pytest
 
 from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _placement
-from oriolestand_policy.scheduling import _task_starter
 
 
 def random_spec(rng):
@@ -84,7 +84,7 @@
 def test_filling_tasks_that_do_not_fit_delay_no_others(harness, monkeypatch):
     # Guards against rounds that examine all workers for hundreds of filling
     # jobs, and against a limit on these checks that delays plain tasks.
-    monkeypatch.setattr(_task_starter, 'MAX_FAILED_FIT_CHECKS_PER_ROUND', 4)
+    monkeypatch.setattr(_fit_budget, 'MAX_FAILED_FIT_CHECKS_PER_ROUND', 4)
     for number in range(9):
         spec = scheduling.StepSpec(
             count=1, cpu=11_000 + number, is_filling=True
--- a/packages/policy/tests/scheduling/test_scheduler.py
+++ b/packages/policy/tests/scheduling/test_scheduler.py
@@ -1,6 +1,7 @@
 """Test when tasks are started and stopped."""
 
 from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _fit_budget
 
 STEP = scheduling.StepSpec(count=1, cpu=1_000)
 IN_DOUBT = scheduling.StartOutcome.IN_DOUBT
@@ -271,3 +272,33 @@
     )
     mapping = scheduling.job_to_dict(spec)
     assert scheduling.job_from_dict(mapping) == spec
+
+
+def test_task_that_fits_starts_beside_one_without_accelerators(harness):
+    # A task without free accelerators hid the tasks with equal processors and
+    # memory for as long as it waited.
+    harness.add(
+        'first', scheduling.StepSpec(count=1, cpu=1_000, accelerators=1)
+    )
+    harness.add('second', scheduling.StepSpec(count=1, cpu=1_000))
+    starts, _ = harness.decide()
+    assert [s.key.job for s in starts] == ['second']
+
+
+def test_filling_tasks_behind_many_that_fit_nowhere_start(harness):
+    # The most urgent filling tasks were examined in each round, so that all
+    # others waited although there was room for them.
+    workers = len(harness.infos)
+    limit = _fit_budget.MAX_FAILED_FIT_CHECKS_PER_ROUND // workers
+    for number in range(limit + 2):
+        large = scheduling.StepSpec(
+            count=1, cpu=10_001 + number, is_filling=True, image='i'
+        )
+        harness.add(f'large{number:04}', large, accepted_ms=1)
+    small = scheduling.StepSpec(count=1, cpu=1_000, is_filling=True, image='i')
+    harness.add('small', small, accepted_ms=2)
+    jobs = set()
+    for _ in range(3):
+        harness.now += 40
+        jobs |= {s.key.job for s in harness.decide(wall=10)[0]}
+    assert jobs == {'small'}
