Continue the wait of a task whose start was refused

Cause: each release of a task began its wait anew, also if the worker had not run it.

Change: after a refused start the wait goes on.

--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -63,10 +63,18 @@
             worker.drop(run)
             self.release(run, worker.info.id, now_ms)
 
-    def release(self, run: _fleet.Run, worker_id: str, now_ms: int) -> None:
+    def release(
+        self,
+        run: _fleet.Run,
+        worker_id: str,
+        now_ms: int,
+        *,
+        has_run: bool = True,
+    ) -> None:
         """Queue the task of an ended run again.
 
-        Does nothing if the task is done or has a newer run.
+        Does nothing if the task is done or has a newer run. If the worker
+        refused the run, the wait of the task goes on.
         """
         job = self.jobs.get(run.key.job)
         task = job.find(run.key) if job is not None else None
@@ -77,7 +85,7 @@
         if task.worker != worker_id:
             return
         task.worker = ''
-        self.make_ready(job, task, now_ms)
+        self.make_ready(job, task, now_ms if has_run else task.ready_ms)
 
     def queue_ready_steps(
         self, job: _jobs.Job, number: int, now_ms: int
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -379,7 +379,7 @@
             pause = UNHEALTHY_AVOID_MS
         worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + pause)
         worker.drop(run)
-        self._cell.release(run, worker_id, now_ms)
+        self._cell.release(run, worker_id, now_ms, has_run=False)
 
     def on_stop_reply(
         self,
