Limit the exclusion of workers that waiting tasks require by label

What callers see: service tasks that may run on labelled workers only do not start again for over 9 s, as these are excluded after failures (LOST).

Cause: at most half of a pool is excluded, whatever its workers can run. If one worker of four has the label, it may be excluded again and again.

Change: the share also holds for the workers of a pool with a label that a ready task requires. The reference of the differential test computes it on its own.

--- a/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Set
 
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -26,8 +27,8 @@
 """Stalls of five to seven seconds have been observed on workers."""
 
 MAX_AVOIDED_SHARE = 0.5
-"""Share of the workers of a pool that may be excluded at once. As it is below
-1, at least one stays usable."""
+"""Share of a group of workers that may be excluded at once. As it is below 1,
+at least one stays usable."""
 
 
 def forget_old_failures(worker: _fleet.Worker, now_ms: int) -> None:
@@ -62,10 +63,14 @@
     worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + STALL_AVOID_MS)
 
 
-def limit(workers: Collection[_fleet.Worker], now_ms: int) -> None:
-    """Readmit the workers beyond the share of their pool that is excluded.
+def limit(
+    workers: Collection[_fleet.Worker], labels: Set[str], now_ms: int
+) -> None:
+    """Readmit the workers beyond the share of their group that is excluded.
 
-    Those whose exclusion ends first are readmitted.
+    The workers of a pool are a group, and so are those of a pool that have one
+    of ``labels``, which waiting tasks require. Those whose exclusion ends
+    first are readmitted.
     """
     pools: set[str] = set()
     for worker in workers:
@@ -74,15 +79,21 @@
             pools.add(worker.info.pool)
     if not pools:
         return
-    candidates: dict[str, list[_fleet.Worker]] = collections.defaultdict(list)
+    groups: dict[tuple[str, str], list[_fleet.Worker]] = (
+        collections.defaultdict(list)
+    )
     for worker in workers:
         pool = worker.info.pool
         if pool in pools and _placement.is_usable(worker, now_ms):
-            candidates[pool].append(worker)
-    for pool_workers in candidates.values():
-        suspects = [w for w in pool_workers if w.is_readmitted]
+            for label in ('', *(worker.info.labels & labels)):
+                groups[pool, label].append(worker)
+    readmitted_ids: set[str] = set()
+    for group in groups.values():
+        suspects = [w for w in group if w.is_readmitted]
         suspects.sort(
             key=lambda w: (w.avoid_until_ms, w.info.id), reverse=True
         )
-        for worker in suspects[: int(MAX_AVOIDED_SHARE * len(pool_workers))]:
-            worker.is_readmitted = False
+        excluded_count = int(MAX_AVOIDED_SHARE * len(group))
+        readmitted_ids |= {w.info.id for w in suspects[excluded_count:]}
+    for worker in workers:
+        worker.is_readmitted &= worker.info.id in readmitted_ids
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -361,8 +361,9 @@
                     self._cell.mark_stop_sent(run, now_ms)
 
     def _limit_exclusions(self, now_ms: int) -> None:
-        """Readmit workers of pools of which too many are excluded."""
-        _exclusions.limit(self._cell.workers.values(), now_ms)
+        """Readmit workers of groups of which too many are excluded."""
+        labels = {task.spec.label for task in self._cell.ready}
+        _exclusions.limit(self._cell.workers.values(), labels, now_ms)
 
 
 def _count_by_kind(
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -359,25 +359,31 @@
         )
 
     def _limit_exclusions(self, now_ms):
+        required = {task.spec.label for task in self._cell.ready}
         for worker in self._cell.workers.values():
-            others = [
-                other
-                for other in self._cell.workers.values()
-                if other.info.pool == worker.info.pool
-                and is_usable_unless_avoided(other, now_ms)
-            ]
-            ends_later = [
-                other
-                for other in others
-                if other.avoid_until_ms > now_ms
-                and (other.avoid_until_ms, other.info.id)
-                > (worker.avoid_until_ms, worker.info.id)
-            ]
-            most = int(len(others) * _exclusions.MAX_AVOIDED_SHARE)
-            worker.is_readmitted = (
-                worker.avoid_until_ms > now_ms and len(ends_later) >= most
+            labels = [''] + [x for x in worker.info.labels if x in required]
+            worker.is_readmitted = worker.avoid_until_ms > now_ms and any(
+                self._exceeds_share(worker, label, now_ms) for label in labels
             )
 
+    def _exceeds_share(self, worker, label, now_ms):
+        others = [
+            other
+            for other in self._cell.workers.values()
+            if other.info.pool == worker.info.pool
+            and (not label or label in other.info.labels)
+            and is_usable_unless_avoided(other, now_ms)
+        ]
+        ends_later = [
+            other
+            for other in others
+            if other.avoid_until_ms > now_ms
+            and (other.avoid_until_ms, other.info.id)
+            > (worker.avoid_until_ms, worker.info.id)
+        ]
+        most = int(len(others) * _exclusions.MAX_AVOIDED_SHARE)
+        return len(ends_later) >= most
+
     def _resend_stops(self, now_ms):
         for worker in self._cell.workers.values():
             for run in worker.runs.values():
