--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -178,6 +178,7 @@
                 spec.cpu,
                 spec.memory_mb,
                 spec.accelerators,
+                spec.image if spec.is_filling else None,
                 spec.is_filling,
                 spec.is_service,
                 spec.label,
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -240,6 +240,7 @@
                 spec.cpu,
                 spec.memory_mb,
                 spec.accelerators,
+                spec.image if spec.is_filling else None,
                 spec.is_filling,
                 spec.is_service,
                 spec.label,
