Let reservations move, end and be attempted at a bounded rate

What callers see: a large plain task beside runs of 20 s never starts; an ended service task reserves again and again where no room comes; one overdue task that no worker makes room for blocks the others of its pool; a gang reserves all workers of a pool.

Cause: a reservation ended after 10 s and was renewed up to a second later, when others had taken the room. The worker was selected among the eight with the smallest shortage of processors, those on which the task had failed last. The oldest task always came first. Attempts examined all workers for each task in each round.

Change: after 10 s the worker is selected again in the same step, after 30 s the task goes behind the others. Workers are compared by the time until they have room, in steps of 1 s, then by avoidance. A gang exceeds the share only if room is expected within 5 s. Two attempts in 100 ms, one a second for a task. 'Task waits' names reserved capacity.

--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
-import heapq
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _fleet
@@ -20,29 +19,48 @@
 """Share of a pool's workers that may hold reservations at the same time; one
 worker always may. Capacity is idle while a worker makes room."""
 
-MAX_RESERVATION_MS = 10_000
-"""Time after which a worker is selected again for a reservation, as the runs
-on the reserved worker take longer than expected."""
+MAX_WIDE_GANG_TIME_MS = 5_000
+"""Estimated time until there is room for it up to which a gang may exceed
+``MAX_RESERVED_SHARE``."""
+
+RESELECTION_INTERVAL_MS = 10_000
+"""Time after which the worker of a reservation is selected again, as the runs
+on the first one may take longer than expected."""
+
+MAX_RESERVATION_MS = 30_000
+"""Time after which a reservation ends, so that other tasks can have one."""
+
+RETRY_INTERVAL_MS = 1_000
+"""Shortest time between two attempts to reserve capacity for a task."""
+
+ATTEMPT_INTERVAL_MS = 100
+MAX_ATTEMPTS = 2
+"""Maximum number of attempts in each ``ATTEMPT_INTERVAL_MS``. Each examines
+the runs of all workers of the pool."""
+
+MAX_REMEMBERED_ATTEMPTS = 500
 
 MIN_PERCENT_FOR_FORECAST = 5
 """Progress from which the remaining time of a run follows from it rather than
 from the estimate of its caller."""
 
-CANDIDATES = 8
-"""Number of workers, those with the smallest shortage, whose time until they
-have room is estimated."""
+TIME_STEP_MS = 1_000
+"""Granularity of estimated times in the selection of workers."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reservation:
     """Capacity kept for a task, or for all members of a gang.
 
-    ``tasks`` and ``workers`` are parallel.
+    ``tasks`` and ``workers`` are parallel. ``first_ms`` is when capacity was
+    first reserved for the tasks, ``since_ms`` when these workers were
+    selected.
     """
 
     pool: str
     tasks: tuple[_jobs.Task, ...]
     workers: tuple[_fleet.Worker, ...]
+    first_ms: int
     since_ms: int
     is_ended_service: bool
 
@@ -71,6 +89,9 @@
         self._by_key: dict[_jobs.TaskKey, Reservation] = {}
         self._reserved_ids: set[str] = set()
         self._usable: dict[str, list[_fleet.Worker]] = {}
+        self._attempted_ms: dict[_jobs.TaskKey, int] = {}
+        self._attempts_left = 0
+        self._next_attempts_ms = 0
 
     def __contains__(self, key: _jobs.TaskKey) -> bool:
         """Return whether capacity is reserved for a task and its gang."""
@@ -85,16 +106,47 @@
         return {r.pool for r in self if not r.is_ended_service}
 
     def begin_round(self, now_ms: int) -> None:
-        """Release the reservations that cannot be fulfilled any more."""
+        """Release or renew reservations, and allow further attempts if due."""
         self._usable.clear()
+        if now_ms >= self._next_attempts_ms:
+            self._attempts_left = MAX_ATTEMPTS
+            self._next_attempts_ms = now_ms + ATTEMPT_INTERVAL_MS
+        if len(self._attempted_ms) > MAX_REMEMBERED_ATTEMPTS:
+            self._attempted_ms = {
+                key: attempted_ms
+                for key, attempted_ms in self._attempted_ms.items()
+                if key in self._cell.ready
+            }
         for reservation in self:
             if not self._is_valid(reservation, now_ms):
                 self.release(reservation)
+            elif now_ms - reservation.first_ms >= MAX_RESERVATION_MS:
+                self._attempted_ms[reservation.key] = now_ms
+                self.release(reservation)
+            elif now_ms - reservation.since_ms >= RESELECTION_INTERVAL_MS:
+                self._reselect(reservation, now_ms)
+
+    def _reselect(self, reservation: Reservation, now_ms: int) -> None:
+        """Select the workers again; they may be the same."""
+        self.release(reservation)
+        self._add(
+            reservation.tasks,
+            reservation.pool,
+            now_ms,
+            first_ms=reservation.first_ms,
+            is_ended_service=reservation.is_ended_service,
+        )
+
+    def attempted_ms(self, key: _jobs.TaskKey) -> int:
+        """Return when an attempt for a task last failed or ended; 0 if never.
+
+        Tasks with earlier attempts go behind the others, so that one that no
+        worker makes room for does not hold up the rest.
+        """
+        return self._attempted_ms.get(key, 0)
 
     def _is_valid(self, reservation: Reservation, now_ms: int) -> bool:
         """Return whether a reservation is needed and can be fulfilled."""
-        if now_ms - reservation.since_ms > MAX_RESERVATION_MS:
-            return False
         job = self._cell.jobs.get(reservation.key.job)
         route = self._cell.routes.get(job.spec.route) if job else None
         if route is None or route.pool != reservation.pool:
@@ -130,23 +182,58 @@
     ) -> Reservation | None:
         """Reserve capacity for a task or the members of a gang.
 
-        Return None if no worker of the pool can make room for one of them, or
-        if enough workers hold reservations already.
+        Return None if no worker of the pool can make room for one of them, if
+        enough workers hold reservations already, or if no attempt is due.
         """
-        candidates = self._candidates(pool, now_ms)
+        key = tasks[0].key
+        last_ms = self._attempted_ms.get(key)
+        is_due = last_ms is None or now_ms - last_ms >= RETRY_INTERVAL_MS
+        if not is_due or self._attempts_left <= 0:
+            return None
+        self._attempts_left -= 1
+        reservation = self._add(
+            tasks,
+            pool,
+            now_ms,
+            first_ms=now_ms,
+            is_ended_service=is_ended_service,
+        )
+        if reservation is None:
+            self._attempted_ms[key] = now_ms
+        return reservation
+
+    def _add(
+        self,
+        tasks: Sequence[_jobs.Task],
+        pool: str,
+        now_ms: int,
+        *,
+        first_ms: int,
+        is_ended_service: bool,
+    ) -> Reservation | None:
+        """Select workers and reserve their capacity, if possible."""
+        candidates, allowed_count = self._candidates(pool, now_ms)
+        if allowed_count <= 0:
+            return None
         demands: dict[str, _Demand] = {}
         workers: list[_fleet.Worker] = []
+        longest_ms = 0
         for task in tasks:
-            worker = _select_worker(candidates, demands, task, now_ms)
-            if worker is None:
+            found = _select_worker(candidates, demands, task, now_ms)
+            if found is None:
                 return None
+            worker, time_ms = found
+            longest_ms = max(longest_ms, time_ms)
             demand = demands.setdefault(worker.info.id, _Demand())
             demand.add(task.spec)
             workers.append(worker)
+        if len(demands) > allowed_count and longest_ms > MAX_WIDE_GANG_TIME_MS:
+            return None
         reservation = Reservation(
             pool=pool,
             tasks=tuple(tasks),
             workers=tuple(workers),
+            first_ms=first_ms,
             since_ms=now_ms,
             is_ended_service=is_ended_service,
         )
@@ -157,8 +244,10 @@
             self._placement.mark_changed(worker)
         return reservation
 
-    def _candidates(self, pool: str, now_ms: int) -> list[_fleet.Worker]:
-        """Return the workers that may hold a reservation; [] at the limit."""
+    def _candidates(
+        self, pool: str, now_ms: int
+    ) -> tuple[list[_fleet.Worker], int]:
+        """Return workers without a reservation, and how many may get one."""
         usable = self._usable.get(pool)
         if usable is None:
             usable = self._usable[pool] = [
@@ -169,9 +258,8 @@
             ]
         free = [w for w in usable if w.info.id not in self._reserved_ids]
         reserved_count = len(usable) - len(free)
-        if reserved_count >= max(1, int(len(usable) * MAX_RESERVED_SHARE)):
-            return []
-        return free
+        limit = max(1, int(len(usable) * MAX_RESERVED_SHARE))
+        return free, limit - reserved_count
 
 
 @dataclasses.dataclass(slots=True)
@@ -202,32 +290,29 @@
     demands: dict[str, _Demand],
     task: _jobs.Task,
     now_ms: int,
-) -> _fleet.Worker | None:
-    """Return the worker that is expected to have room for a task first.
+) -> tuple[_fleet.Worker, int] | None:
+    """Return the worker that is expected to have room first, and the time.
 
     ``demands`` are the demands of the other members of the gang, by worker.
     """
-    eligible = []
+    best: tuple[_fleet.Worker, int] | None = None
+    best_rank: tuple[object, ...] = ()
     for worker in workers:
         demand = demands.get(worker.info.id, _Demand()).plus(task.spec)
-        if _can_make_room(worker, task, demand):
-            shortage = worker.used_cpu + demand.cpu - worker.info.cpu
-            eligible.append((shortage, worker.info.id, worker, demand))
-    nearest = heapq.nsmallest(CANDIDATES, eligible, key=lambda e: e[:2])
-    ranked = [
-        (
+        if not _can_make_room(worker, task, demand):
+            continue
+        time_ms = _time_until_room_ms(worker, demand, now_ms)
+        rank = (
+            time_ms // TIME_STEP_MS,
             worker.info.id in task.avoid,
             worker.is_readmitted,
             bool(task.spec.rack) and task.spec.rack != worker.info.rack,
-            _time_until_room_ms(worker, demand, now_ms),
+            time_ms,
             worker.info.id,
-            worker,
         )
-        for _, _, worker, demand in nearest
-    ]
-    if not ranked:
-        return None
-    return min(ranked, key=lambda entry: entry[:5])[5]
+        if best is None or rank < best_rank:
+            best, best_rank = (worker, time_ms), rank
+    return best
 
 
 def _can_make_room(
@@ -238,8 +323,6 @@
     Service tasks do not end, so they are counted as permanent.
     """
     info = worker.info
-    if worker.service_cpu + demand.cpu > info.cpu:
-        return False
     if not _placement.is_allowed(worker, task):
         return False
     limit = task.spec.max_per_worker
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -109,7 +109,11 @@
         """
         served_pools = self._reservations.pools_of_other_tasks()
         unplaceable: set[_DemandClass] = set()
-        for overdue in _overdue.overdue_tasks(self._cell, now_ms):
+        overdue_tasks = sorted(
+            _overdue.overdue_tasks(self._cell, now_ms),
+            key=lambda o: self._reservations.attempted_ms(o.task.key),
+        )
+        for overdue in overdue_tasks:
             job = self._cell.jobs[overdue.task.key.job]
             if overdue.pool in served_pools:
                 continue
--- a/packages/policy/src/oriolestand_policy/scheduling/_waits.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_waits.py
@@ -81,6 +81,8 @@
         return 'memory'
     if worker.used_accelerators + spec.accelerators > info.accelerators:
         return 'accelerators'
+    if not worker.fits(spec):
+        return 'reserved'
     if not _placement.can_run(worker, task):
         return 'max_per_worker'
     return 'none'
--- a/packages/policy/tests/scheduling/test_reservations.py
+++ b/packages/policy/tests/scheduling/test_reservations.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-import pytest
-
 from oriolestand_policy import scheduling
 
 POLL_MS = 100
@@ -309,8 +307,7 @@
     assert started == {'b'}
 
 
-@pytest.mark.parametrize('kind', ['reserved'])
-def test_report_names_reservations_as_the_obstacle(make, kind):
+def test_report_names_reservations_as_the_obstacle(make):
     # Guards against reports that name a limit per worker where capacity is
     # reserved for another task.
     harness = make.Harness(1)
@@ -322,7 +319,7 @@
     report = scheduling._waits.explain_wait(
         harness.scheduler.workers.values(), task, 'p', harness.now
     )
-    assert dict(report.obstacles) == {kind: 1}
+    assert dict(report.obstacles) == {'reserved': 1}
 
 
 def test_reservation_is_kept_on_the_worker_of_a_failed_run(make):
