Give overdue tasks their own attempts to reserve capacity

Cause: ended services without room could use up the attempts of a round before the other overdue tasks had theirs. A job removed and added again left its former task in a reservation.

Change: the attempts are allowed again for the other tasks; a reservation ends when its task is not that of the job any more.

--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -35,8 +35,9 @@
 
 ATTEMPT_INTERVAL_MS = 100
 MAX_ATTEMPTS = 2
-"""Maximum number of attempts in each ``ATTEMPT_INTERVAL_MS``. Each examines
-the runs of all workers of the pool."""
+"""Maximum number of attempts for ended services in ``ATTEMPT_INTERVAL_MS``,
+and for other tasks at a time. Each examines the runs of all workers of the
+pool."""
 
 MAX_REMEMBERED_ATTEMPTS = 500
 
@@ -109,7 +110,7 @@
         """Release or renew reservations, and allow further attempts if due."""
         self._usable.clear()
         if now_ms >= self._next_attempts_ms:
-            self._attempts_left = MAX_ATTEMPTS
+            self.allow_attempts()
             self._next_attempts_ms = now_ms + ATTEMPT_INTERVAL_MS
         if len(self._attempted_ms) > MAX_REMEMBERED_ATTEMPTS:
             self._attempted_ms = {
@@ -126,6 +127,10 @@
             elif now_ms - reservation.since_ms >= RESELECTION_INTERVAL_MS:
                 self._reselect(reservation, now_ms)
 
+    def allow_attempts(self) -> None:
+        """Allow the maximum number of attempts again."""
+        self._attempts_left = MAX_ATTEMPTS
+
     def _reselect(self, reservation: Reservation, now_ms: int) -> None:
         """Select the workers again; they may be the same."""
         self.release(reservation)
@@ -149,10 +154,11 @@
         """Return whether a reservation is needed and can be fulfilled."""
         job = self._cell.jobs.get(reservation.key.job)
         route = self._cell.routes.get(job.spec.route) if job else None
-        if route is None or route.pool != reservation.pool:
+        if job is None or route is None or route.pool != reservation.pool:
             return False
         return all(
             task.key in self._cell.ready
+            and job.find(task.key) is task
             and self._cell.workers.get(worker.info.id) is worker
             and worker.info.pool == reservation.pool
             and _placement.is_usable(worker, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -23,7 +23,7 @@
 MAX_STARTS_PER_ROUND = 200
 
 RESERVATION_INTERVAL_MS = 1_000
-"""Time between reservations for tasks that are no service tasks; each is for
+"""Time between reservations for tasks other than ended services; each is for
 one task or gang of a pool. Under overload hundreds of late jobs are overdue,
 and jobs that can still be on time would wait for all of them."""
 
@@ -78,7 +78,7 @@
     def _start_ended_services(
         self, now_ms: int, is_takeover_complete: bool
     ) -> None:
-        """Start overdue service tasks, or reserve capacity for them."""
+        """Start overdue ended services, or reserve capacity for them."""
         unplaceable: set[_DemandClass] = set()
         for overdue in _overdue.overdue_ended_services(self._cell, now_ms):
             task = overdue.task
@@ -107,6 +107,8 @@
 
         Tasks that no worker can make room for are passed over.
         """
+        # Ended services may have used up the attempts.
+        self._reservations.allow_attempts()
         served_pools = self._reservations.pools_of_other_tasks()
         unplaceable: set[_DemandClass] = set()
         overdue_tasks = sorted(
