Log which workers a takeover waits for

Cause: tasks that must not start yet after a change of owner look like tasks that placement passes over: their obstacle is 'none'.

Change: log lines 'Takeover waits', once a second, and 'Takeover completed'; 'Task waits' says whether a run of a former owner may still exist. The state of a takeover moves from OwnerTerm to its own module.

--- a/packages/bench/src/oriolestand_bench/owner.py
+++ b/packages/bench/src/oriolestand_bench/owner.py
@@ -355,7 +355,12 @@
 
     def _run_round(self) -> None:
         """Run a scheduling round."""
-        self._measure(self.scheduler.decide, self.now, self.now, True)
+        self._measure(
+            self.scheduler.decide,
+            self.now,
+            self.now,
+            scheduling.FormerRuns(),
+        )
         self._apply_effects()
 
     def _apply_effects(self) -> None:
--- a/packages/bench/tests/models/test_owners_conformance.py
+++ b/packages/bench/tests/models/test_owners_conformance.py
@@ -173,7 +173,10 @@
         for name in ('w1', 'w2'):
             # The walk does not model the time-out of a worker report.
             scheduler.workers[name].last_report_ms = self.now
-        scheduler.decide(self.now, self.now, owner.probed == {1, 2})
+        former_runs = scheduling.FormerRuns(
+            has_unknown_workers=owner.probed != {1, 2}
+        )
+        scheduler.decide(self.now, self.now, former_runs)
         for effect in scheduler.take_effects():
             if not isinstance(effect, scheduling.StartTask):
                 continue
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -17,6 +17,7 @@
 from oriolestand_fleet.services.cell import _order_sender
 from oriolestand_fleet.services.cell import _record_saver
 from oriolestand_fleet.services.cell import _sweeper
+from oriolestand_fleet.services.cell import _takeover
 from oriolestand_fleet.services.cell import _worker_poller
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
@@ -69,6 +70,13 @@
             snapshot,
             on_ownership_lost,
         )
+        self._takeover = _takeover.Takeover(
+            kernel,
+            term,
+            self._scheduler,
+            self._fleet.former_worker_ids,
+            self._fleet.is_complete,
+        )
         self._interference_record = _interference_record.InterferenceRecord(
             kernel,
             term,
@@ -287,43 +295,9 @@
         now = clock.now()
         if not self.term.may_act(now):
             return
-        self._scheduler.decide(
-            now, clock.wall(), self._is_takeover_complete(now)
-        )
+        self._scheduler.decide(now, clock.wall(), self._takeover.update())
         self._apply_effects()
 
-    def _is_takeover_complete(self, now_ms: int) -> bool:
-        """Return whether the runs of former owners are known.
-
-        Only then may their tasks be started again. This holds once all
-        workers of the former owner have reported their runs, or once the time
-        to wait for them is over.
-        """
-        if self.term.is_takeover_wait_over:
-            return True
-        if now_ms >= self.term.takeover_deadline_ms:
-            self.term.is_takeover_wait_over = True
-            self._remove_unreachable_workers()
-            return True
-        if not self._fleet.is_complete:
-            return False
-        workers = self._scheduler.workers
-        return all(
-            worker_id not in workers or workers[worker_id].is_probed
-            for worker_id in self._fleet.former_worker_ids
-        )
-
-    def _remove_unreachable_workers(self) -> None:
-        """Remove unregistered workers that have not reported to this owner.
-
-        Only workers of the former owner are removed.
-        """
-        for worker_id in self._fleet.former_worker_ids:
-            worker = self._scheduler.workers.get(worker_id)
-            if worker is not None and not worker.is_probed:
-                if not worker.is_listed:
-                    self._scheduler.remove_worker(worker_id, 'never answered')
-
     def _apply_effects(self) -> None:
         """Apply the pending effects of the scheduler in order."""
         for effect in self._scheduler.take_effects():
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -12,6 +12,9 @@
 
 TICK_MS = 200
 GAUGE_INTERVAL_MS = 1_000
+TAKEOVER_REPORT_INTERVAL_MS = 1_000
+MAX_LOGGED_WORKERS = 10
+"""Maximum number of worker ids in one log line."""
 POLL_WAIT_MS = 1_000
 """Long enough to keep polls few, short enough for leases of seconds."""
 
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -42,12 +42,14 @@
 from oriolestand_policy.scheduling._specs import StepSpec
 from oriolestand_policy.scheduling._specs import TaskKind
 from oriolestand_policy.scheduling._specs import check_job
+from oriolestand_policy.scheduling._takeover import FormerRuns
 
 __all__ = [
     'Effect',
     'EndKind',
     'EndReport',
     'FirstFitPlacement',
+    'FormerRuns',
     'InterferenceModel',
     'InvalidJobError',
     'Job',
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -15,6 +15,7 @@
 from oriolestand_policy.scheduling import _reply_handler
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
 from oriolestand_policy.scheduling import _waits
 
@@ -235,21 +236,23 @@
     # Decisions.
 
     def decide(
-        self, now_ms: int, wall_ms: int, is_takeover_complete: bool
+        self,
+        now_ms: int,
+        wall_ms: int,
+        former_runs: _takeover.FormerRuns,
     ) -> None:
         """Start ready tasks, resend stops, and release runs of lost workers.
 
-        ``is_takeover_complete`` is whether the runs of former owners are
-        known: all workers that may have some have been probed, or the time
-        to wait for them is over.
+        ``former_runs`` tells which runs of former owners may exist although
+        no worker has reported them.
         """
         self._queue_due_occurrences(now_ms, wall_ms)
         self._expire_workers(now_ms)
         self._resend_stops(now_ms)
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
-        self._task_starter.run(now_ms, wall_ms, is_takeover_complete)
-        self._wait_reporter.run(now_ms)
+        self._task_starter.run(now_ms, wall_ms, former_runs)
+        self._wait_reporter.run(now_ms, former_runs)
 
     def take_effects(self) -> list[_effects.Effect]:
         """Return the effects queued since the last call."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -14,6 +14,7 @@
 from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _reservations
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _urgency
 
 RUNS_PER_EPOCH = 1_000_000
@@ -43,22 +44,20 @@
         self._last_run_offset = 0
 
     def run(
-        self, now_ms: int, wall_ms: int, is_takeover_complete: bool
+        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Start overdue tasks, then others, the most urgent first.
 
-        ``is_takeover_complete`` is whether all workers of the former owner
-        have reported their runs, or the time to wait for them is over. Until
-        then, tasks that the former owner may have started wait.
+        Tasks that may be among ``former_runs`` wait.
         """
         self._placement.plan(self._cell.workers.values(), now_ms)
         self._start_reserved(now_ms)
-        self._start_ended_services(now_ms, is_takeover_complete)
+        self._start_ended_services(now_ms, former_runs)
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
-            self._reserve_for_overdue(now_ms, is_takeover_complete)
+            self._reserve_for_overdue(now_ms, former_runs)
         self._fit_budget.begin_round(len(self._cell.workers))
-        self._start_ready(now_ms, wall_ms, is_takeover_complete)
+        self._start_ready(now_ms, wall_ms, former_runs)
         self._fit_budget.end_round()
 
     def _start_reserved(self, now_ms: int) -> None:
@@ -76,14 +75,14 @@
                 self._placement.mark_changed(worker)
 
     def _start_ended_services(
-        self, now_ms: int, is_takeover_complete: bool
+        self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Start overdue ended services, or reserve capacity for them."""
         unplaceable: set[_DemandClass] = set()
         for overdue in _overdue.overdue_ended_services(self._cell, now_ms):
             task = overdue.task
             job = self._cell.jobs[task.key.job]
-            if job.needs_probe and not is_takeover_complete:
+            if former_runs.may_include(job):
                 continue
             if task.key not in self._cell.ready:
                 # It was started with the rest of its gang.
@@ -101,7 +100,7 @@
             unplaceable.add(demand_class)
 
     def _reserve_for_overdue(
-        self, now_ms: int, is_takeover_complete: bool
+        self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Reserve capacity for the oldest overdue task of each pool.
 
@@ -119,7 +118,7 @@
             job = self._cell.jobs[overdue.task.key.job]
             if overdue.pool in served_pools:
                 continue
-            if job.needs_probe and not is_takeover_complete:
+            if former_runs.may_include(job):
                 continue
             demand_class = _demand_class(overdue.task, overdue.pool)
             if demand_class in unplaceable:
@@ -164,14 +163,14 @@
         return True
 
     def _start_ready(
-        self, now_ms: int, wall_ms: int, is_takeover_complete: bool
+        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Start ready tasks, within the limits per round."""
         unplaceable_classes: set[tuple[object, ...]] = set()
         started = 0
         for occurrence_key, step, tasks in self._by_urgency(wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
-            if job.needs_probe and not is_takeover_complete:
+            if former_runs.may_include(job):
                 continue
             route = self._cell.routes.get(job.spec.route)
             if route is None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_waits.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_waits.py
@@ -10,6 +10,7 @@
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _takeover
 
 MIN_REPORTED_WAIT_MS = 2_000
 REPORT_INTERVAL_MS = 1_000
@@ -95,14 +96,14 @@
         self._cell = cell
         self._next_ms = 0
 
-    def run(self, now_ms: int) -> None:
+    def run(self, now_ms: int, former_runs: _takeover.FormerRuns) -> None:
         """Queue the log events if the interval has passed."""
         if now_ms < self._next_ms:
             return
         self._next_ms = now_ms + REPORT_INTERVAL_MS
         for task in self._oldest_by_kind():
             if now_ms - task.ready_ms >= MIN_REPORTED_WAIT_MS:
-                self._report(task, now_ms)
+                self._report(task, now_ms, former_runs)
 
     def _oldest_by_kind(self) -> Iterator[_jobs.Task]:
         """Yield the ready task of each kind that has waited longest."""
@@ -117,7 +118,12 @@
             if kind in oldest:
                 yield oldest[kind]
 
-    def _report(self, task: _jobs.Task, now_ms: int) -> None:
+    def _report(
+        self,
+        task: _jobs.Task,
+        now_ms: int,
+        former_runs: _takeover.FormerRuns,
+    ) -> None:
         """Queue the log event for one task."""
         job = self._cell.jobs[task.key.job]
         route = self._cell.routes.get(job.spec.route)
@@ -130,6 +136,7 @@
             kind=task.spec.kind.value,
             waited_ms=now_ms - task.ready_ms,
             has_run=bool(task.run),
+            may_run_elsewhere=former_runs.may_include(job),
             cpu=task.spec.cpu,
             memory_mb=task.spec.memory_mb,
             workers=dict(report.obstacles),
--- a/packages/policy/tests/scheduling/conftest.py
+++ b/packages/policy/tests/scheduling/conftest.py
@@ -66,7 +66,8 @@
                 and self.now - worker.last_report_ms <= 1_000
             ):
                 self.scheduler.new_lease_end(name, self.now)
-        self.scheduler.decide(self.now, wall, is_probed)
+        former_runs = scheduling.FormerRuns(has_unknown_workers=not is_probed)
+        self.scheduler.decide(self.now, wall, former_runs)
         return self.effects()
 
     def effects(self):
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -220,7 +220,7 @@
 class ReferenceStarter(_task_starter.TaskStarter):
     """Rank and sort all ready tasks in each round."""
 
-    def _start_ready(self, now_ms, wall_ms, is_takeover_complete):
+    def _start_ready(self, now_ms, wall_ms, former_runs):
         unplaceable_classes = set()
         started = 0
         for task in self._ready_by_urgency(wall_ms):
@@ -229,7 +229,7 @@
             if task.key not in self._cell.ready:
                 continue
             job = self._cell.jobs[task.key.job]
-            if job.needs_probe and not is_takeover_complete:
+            if former_runs.may_include(job):
                 continue
             route = self._cell.routes.get(job.spec.route)
             if route is None:
@@ -676,7 +676,10 @@
     def decide(self):
         """Run a round."""
         is_complete = self.rng.random() < 0.9
-        self.call('decide', self.now, self.now, is_complete)
+        former_runs = scheduling.FormerRuns(
+            has_unknown_workers=not is_complete
+        )
+        self.call('decide', self.now, self.now, former_runs)
         self.apply_effects()
         self.call('workers_by_state', self.now)
         self.readmitted += sum(
--- a/packages/policy/tests/scheduling/test_scheduler.py
+++ b/packages/policy/tests/scheduling/test_scheduler.py
@@ -222,7 +222,7 @@
         harness.now += 1_000
         for name in rest:
             harness.poll(name)
-        harness.scheduler.decide(harness.now, 0, True)
+        harness.scheduler.decide(harness.now, 0, scheduling.FormerRuns())
         assert harness.effects()[0] == []
     harness.now += 3_000
     for name in rest:
--- a/packages/policy/tests/scheduling/test_waits.py
+++ b/packages/policy/tests/scheduling/test_waits.py
@@ -3,11 +3,12 @@
 from oriolestand_policy import scheduling
 
 STEP = scheduling.StepSpec(count=1, cpu=4_000)
+ALL_KNOWN = scheduling.FormerRuns()
 
 
-def waits_of(harness):
+def waits_of(harness, former_runs=ALL_KNOWN):
     """Run a round; return the values of its reports on waiting tasks."""
-    harness.scheduler.decide(harness.now, 0, True)
+    harness.scheduler.decide(harness.now, 0, former_runs)
     return [
         effect.values
         for effect in harness.scheduler.take_effects()
@@ -78,3 +79,17 @@
     assert len(waits_of(harness)) == 1
     harness.now += 100
     assert waits_of(harness) == []
+
+
+def test_report_tells_tasks_that_may_run_elsewhere(harness):
+    # A task that waits for workers of a former owner must not look like one
+    # that placement passes over: both have workers without an obstacle.
+    spec = scheduling.JobSpec(id='a', route='r', payload='', steps=(STEP,))
+    harness.scheduler.add_job(spec, harness.now, needs_probe=True)
+    missing = scheduling.FormerRuns(worker_ids=frozenset({'left'}))
+    harness.now += 2_000
+    for worker in harness.infos:
+        harness.poll(worker)
+    (report,) = waits_of(harness, missing)
+    assert report['workers'] == {'none': 2}
+    assert report['may_run_elsewhere']
--- a/packages/policy/tests/scheduling/test_waits_in_full_cells.py
+++ b/packages/policy/tests/scheduling/test_waits_in_full_cells.py
@@ -233,7 +233,7 @@
 
     def decide(self):
         """Run a scheduling round and begin the runs that it starts."""
-        self.scheduler.decide(self.now, self.now, True)
+        self.scheduler.decide(self.now, self.now, scheduling.FormerRuns())
         for effect in self.scheduler.take_effects():
             if isinstance(effect, scheduling.StopTask):
                 raise AssertionError(effect)
