--- a/packages/fleet/tests/test_takeover_waits.py
+++ b/packages/fleet/tests/test_takeover_waits.py
@@ -22,9 +22,9 @@
 for 3 s."""
 
 LEASE_LIMIT_MS = 8_500
-"""The lease of a lost worker lasts up to 6 s, 2% more on a slow clock, and 0.7 s
-are allowed to end its runs. The owner may have requested it up to a poll after
-the loss, and its successor learns of the cell within a second."""
+"""The lease of a lost worker lasts up to 6 s, 2% more on a slow clock, and
+0.7 s are allowed to end its runs. The owner may have requested it up to a poll
+after the loss, and its successor claims the cell within a second."""
 
 
 @pytest.fixture
