Add a failing test of ended services in a full cell under short terms

Callers saw service tasks that did not run again (LOST). Besides the wait for workers, each owner counts the 2 s after which an ended service task goes before plain tasks from its own takeover. With terms of 1.5 s the task never comes first.

--- a/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
+++ b/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
@@ -32,6 +32,10 @@
 
 MAX_OTHER_WAIT_MS = 30_000
 
+TERM_MS = 1_500
+"""Daemons may be restarted two seconds apart, the owner first each time, and
+the next owner claims the cell half a second later."""
+
 
 class FullCell:
     """A harness whose workers are full of small tasks, more of which wait."""
@@ -181,6 +185,24 @@
     assert cell.wait_of('service', MAX_SERVICE_WAIT_MS) is not None
 
 
+@pytest.mark.parametrize('cpu', [SMALL.cpu, SERVICE.cpu])
+def test_ended_service_task_starts_again_under_short_terms(cell_of, cpu):
+    # Guards against a wait that counts from the last takeover: with owners
+    # that change before it is over, the task stays behind plain tasks.
+    cell = cell_of(1)
+    cell.add('service', dataclasses.replace(SERVICE, cpu=cpu))
+    assert 'service' in cell.start()
+    cell.fill(failing='service')
+    waited_ms = 0
+    while waited_ms < MAX_SERVICE_WAIT_MS:
+        cell.take_over()
+        found_ms = cell.wait_of('service', TERM_MS)
+        if found_ms is not None:
+            break
+        waited_ms += TERM_MS
+    assert waited_ms < MAX_SERVICE_WAIT_MS
+
+
 def test_ended_service_tasks_start_again_beside_free_capacity(harness, make):
     # Guards against failures of service tasks, which are normal, that exclude
     # a sound worker with free capacity again and again.
