Restart ended services first after a takeover

Callers saw service tasks that did not run again although there was capacity (LOST). Cause: the 2 s after which an ended service task goes before plain tasks counted from the takeover, so that owners with shorter terms never reached it in a full cell.

Change: a service task of a started job that this owner has neither started nor adopted is overdue at once.

--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -28,18 +28,21 @@
 def overdue_ended_services(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
     """Return the overdue service tasks that have run before.
 
-    Those of urgent routes come first, then those that wait for longer.
+    One that this owner has neither started nor adopted is overdue at once: it
+    may have ended long before the takeover, and terms may be shorter than the
+    wait. Tasks of urgent routes come first, then those that wait for longer.
     """
     found: list[tuple[tuple[int, int, _jobs.TaskKey], OverdueTask]] = []
     for task in cell.ready:
         if not task.spec.is_service:
             continue
-        if now_ms - task.ready_ms < MAX_SERVICE_RESTART_WAIT_MS:
-            continue
         job = cell.jobs[task.key.job]
         route = cell.routes.get(job.spec.route)
         if route is None or not _may_have_run(job, task):
             continue
+        waited_ms = now_ms - task.ready_ms
+        if task.run and waited_ms < MAX_SERVICE_RESTART_WAIT_MS:
+            continue
         overdue = OverdueTask(
             task=task,
             pool=route.pool,
