Settle renewals when no former owner can act

Cause: a renewal became settled only when the whole wait of its owner's own takeover was over (6.82 s or 16.82 s after the claim). An owner with a shorter term left it unsettled, so each successor allowed 10 s for a former owner although all of them had released the cell.

Change: ownership.unsettled_ms decides how long after a claim a former owner may still act: not at all if the former owner has ended and its last known renewal is settled, otherwise MAX_UNRENEWED_MS. The first renewal of a claim carries the result already. The conditions of a claim stay true once they hold, so this is also right for a claim that is applied late or whose response is lost; within an epoch a renewal never goes back to unsettled, so an old view of the row gives the longer wait.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -44,7 +44,6 @@
         now = self._clock.now()
         missing = self._missing_workers()
         if now >= self._term.takeover_deadline_ms:
-            self._term.is_takeover_wait_over = True
             self._remove_unreachable_workers(missing)
             self._complete('deadline', missing, now)
             return scheduling.FormerRuns()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -256,7 +256,8 @@
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
         self._election.on_claim(sent_ms)
-        claim = self._build_claim(reason, owner)
+        unsettled_ms = ownership.unsettled_ms(reason, former_renewal)
+        claim = self._build_claim(reason, owner, is_settled=unsettled_ms == 0)
         outcome = await _commits.try_commit(self.kernel, claim)
         version = _version_of_claim(outcome, claim)
         self._log.info(
@@ -284,6 +285,7 @@
             owner_version=version,
             renewed_ms=sent_ms,
             takeover_deadline_ms=now + takeover_wait_ms,
+            settled_ms=now + unsettled_ms,
         )
         try:
             await self._start_term(term)
@@ -293,7 +295,11 @@
             raise
 
     def _build_claim(
-        self, reason: ownership.ClaimReason, owner: ownership.Owner
+        self,
+        reason: ownership.ClaimReason,
+        owner: ownership.Owner,
+        *,
+        is_settled: bool,
     ) -> store.CommitRows:
         """Return the commit of the owner row and its first renewal."""
         checks = [
@@ -306,7 +312,7 @@
                 )
             )
         renewal = ownership.Renewal(
-            epoch=owner.epoch, count=0, is_settled=False
+            epoch=owner.epoch, count=0, is_settled=is_settled
         )
         return store.CommitRows(
             table=layout.TABLE,
@@ -410,7 +416,7 @@
             renewal = ownership.Renewal(
                 epoch=term.epoch,
                 count=count,
-                is_settled=term.is_takeover_wait_over,
+                is_settled=sent_ms >= term.settled_ms,
             )
             value = models.encode_renewal(renewal)
             outcome = await _owner_commits.commit_as_owner(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -35,16 +35,16 @@
     ``renewed_ms``: when the last successful renewal was sent.
     ``takeover_deadline_ms``: when the owner stops waiting for reports from
     the workers of its predecessor.
+    ``settled_ms``: from when on no former owner can still act.
     ``is_over``: whether the term has ended; all loops of the owner stop.
-    ``is_takeover_wait_over``: whether the deadline of the takeover has passed.
     """
 
     epoch: int
     owner_version: int
     renewed_ms: int
     takeover_deadline_ms: int
+    settled_ms: int
     is_over: bool = False
-    is_takeover_wait_over: bool = False
 
     def may_act(self, now_ms: int) -> bool:
         """Return whether the last renewal is recent enough to act as owner."""
--- a/packages/fleet/tests/test_takeover_waits.py
+++ b/packages/fleet/tests/test_takeover_waits.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins import fleet
 from oriolestand_standins.fleet import owner_of
@@ -146,3 +147,41 @@
     restart_owner(site, daemons, run_ms=4_000)
     first, second = runs_of(site, PLAIN)
     assert second.started_ms - first.ended_ms <= 1_000
+
+
+def test_silent_owner_before_a_released_one_is_waited_for(cell):
+    # Guards against a successor of a released owner that does not allow for
+    # the silent owner before, which still extends leases of a worker that
+    # only it reaches.
+    site, daemons = cell
+    site.submit(daemons[0], PLAIN, ONE_TASK, duration_ms=30_000)
+    site.run(1_000)
+    (run,) = runs_of(site, PLAIN)
+    silent = owner_of(daemons)
+    daemons.remove(silent)
+    silent.store.faults.is_unresponsive = True
+    silent.orders.faults.unreachable = set(site.workers) - {run.worker}
+    for daemon in daemons:
+        daemon.orders.faults.unreachable = {run.worker}
+    site.run_until(lambda: any(d.is_owner for d in daemons), 6_000)
+    site.run(500)
+    restart_owner(site, daemons, run_ms=500)
+    restart_owner(site, daemons, run_ms=25_000)
+    assert len(runs_of(site, PLAIN)) == 2
+    assert site.overlapping_runs() == []
+
+
+def test_successor_of_a_settled_owner_waits_for_leases_only(cell):
+    # Guards against a renewal that stays unsettled until the whole wait of
+    # its owner's takeover from a silent owner is over.
+    site, daemons = cell
+    silent = owner_of(daemons)
+    daemons.remove(silent)
+    silent.disconnect()
+    lose_worker(site, 'w0')
+    site.run_until(lambda: any(d.is_owner for d in daemons), 6_000)
+    site.run(ownership.MAX_UNRENEWED_MS + 2 * ownership.RENEW_INTERVAL_MS)
+    restart_owner(site, daemons)
+    claimed_ms = site.clock.now() - TERM_MS
+    term = owner_of(daemons).kernel.find('cell')._owner_term
+    assert term.term.takeover_deadline_ms - claimed_ms <= LEASE_LIMIT_MS
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -11,6 +11,7 @@
 from oriolestand_policy.ownership._election import Renewal
 from oriolestand_policy.ownership._election import claim_delay_ms
 from oriolestand_policy.ownership._election import takeover_wait_ms
+from oriolestand_policy.ownership._election import unsettled_ms
 
 __all__ = [
     'ClaimReason',
@@ -21,4 +22,5 @@
     'Renewal',
     'claim_delay_ms',
     'takeover_wait_ms',
+    'unsettled_ms',
 ]
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -90,7 +90,8 @@
 class Renewal:
     """Content of the renewal row.
 
-    ``is_settled`` is whether no former owner can still act.
+    ``is_settled`` is whether no owner of an earlier epoch can still act. It
+    stays true in all later renewals of the same owner.
     """
 
     epoch: int
@@ -230,30 +231,52 @@
     return delay_ms
 
 
+def unsettled_ms(reason: ClaimReason, former: Renewal | None) -> int:
+    """Return how long after a claim a former owner may still act.
+
+    The result is in milliseconds; 0 means that the first renewal of the claim
+    is settled. A former owner that released the cell, or whose process or
+    term has ended, does not act any more. One that is merely disconnected may
+    do so for up to ``MAX_UNRENEWED_MS``, and so may the owner before it
+    unless ``former``, the last known renewal of the former owner, is settled.
+    Once a renewal of an owner is settled, its later ones are too, so an old
+    view of them makes the result too long at worst. The same holds for the
+    renewal of a claim that its daemon believed to have failed.
+
+    >>> settled = Renewal(epoch=1, count=1, is_settled=True)
+    >>> unsettled_ms(ClaimReason.RELEASED, settled)
+    0
+    >>> unsettled_ms(ClaimReason.SILENT, settled)
+    10000
+    >>> unsettled_ms(ClaimReason.RELEASED, None)
+    10000
+    """
+    if reason is ClaimReason.NO_OWNER:
+        return 0
+    is_ended = reason is not ClaimReason.SILENT
+    if is_ended and former is not None and former.is_settled:
+        return 0
+    return MAX_UNRENEWED_MS
+
+
 def takeover_wait_ms(
     reason: ClaimReason, former: Renewal | None, lease_max_ms: int
 ) -> int:
     """Return how long tasks of a former owner may run on unreachable workers.
 
-    The result is in milliseconds. A former owner that released the cell, or
-    whose process or term has ended, requests no further leases. One that is
-    merely disconnected may do so for up to ``MAX_UNRENEWED_MS``, and so may
-    the owner before it unless ``former``, the last renewal of the former
-    owner, was settled. The renewal of an unanswered claim is not.
+    The result is in milliseconds after the claim: the time for which a former
+    owner may request leases, and the longest lease.
 
     >>> settled = Renewal(epoch=1, count=1, is_settled=True)
     >>> takeover_wait_ms(ClaimReason.RELEASED, settled, 6_000)
     6820
     >>> takeover_wait_ms(ClaimReason.SILENT, settled, 6_000)
     16820
-    >>> unanswered = Renewal(epoch=2, count=0, is_settled=False)
-    >>> takeover_wait_ms(ClaimReason.INACTIVE, unanswered, 6_000)
+    >>> unsettled = Renewal(epoch=2, count=0, is_settled=False)
+    >>> takeover_wait_ms(ClaimReason.INACTIVE, unsettled, 6_000)
     16820
     """
     if reason is ClaimReason.NO_OWNER:
         return 0
     lease = lease_max_ms * CLOCK_SLACK_PERCENT // 100 + SETTLE_MARGIN_MS
-    is_ended = reason is not ClaimReason.SILENT
-    if is_ended and former is not None and former.is_settled:
-        return lease
-    return lease + MAX_UNRENEWED_MS
+    return lease + unsettled_ms(reason, former)
--- a/packages/policy/tests/ownership/test_election.py
+++ b/packages/policy/tests/ownership/test_election.py
@@ -138,6 +138,58 @@
     assert ownership.takeover_wait_ms(reason, former, 6_000) == expected
 
 
+@pytest.mark.parametrize(
+    ('reason', 'former_is_settled', 'expected'),
+    [
+        (ownership.ClaimReason.NO_OWNER, None, 0),
+        (ownership.ClaimReason.RELEASED, True, 0),
+        (ownership.ClaimReason.SAME_INSTANCE, True, 0),
+        (ownership.ClaimReason.INACTIVE, True, 0),
+        (ownership.ClaimReason.SILENT, True, ownership.MAX_UNRENEWED_MS),
+        # The owner before an ended one may be disconnected and still act.
+        (ownership.ClaimReason.RELEASED, False, ownership.MAX_UNRENEWED_MS),
+        (
+            ownership.ClaimReason.SAME_INSTANCE,
+            False,
+            ownership.MAX_UNRENEWED_MS,
+        ),
+        (ownership.ClaimReason.INACTIVE, False, ownership.MAX_UNRENEWED_MS),
+        (ownership.ClaimReason.SILENT, False, ownership.MAX_UNRENEWED_MS),
+        # The renewals of the former owner are not known.
+        (ownership.ClaimReason.RELEASED, None, ownership.MAX_UNRENEWED_MS),
+        (ownership.ClaimReason.INACTIVE, None, ownership.MAX_UNRENEWED_MS),
+    ],
+)
+def test_renewal_is_settled_once_no_former_owner_can_act(
+    reason, former_is_settled, expected
+):
+    # Guards against a short wait of a successor while a former owner may
+    # still act, and against a long one after a chain of releases.
+    former = None
+    if former_is_settled is not None:
+        former = ownership.Renewal(
+            epoch=3, count=1, is_settled=former_is_settled
+        )
+    assert ownership.unsettled_ms(reason, former) == expected
+
+
+def test_claim_with_an_old_view_of_the_renewal_is_unsettled(election):
+    # Guards against a claim that takes the renewal of an earlier owner, or
+    # misses one, and counts as settled.
+    released = ownership.Owner(instance='', incarnation='', epoch=3)
+    election.on_owner(released, 0)
+    reason = ownership.ClaimReason.RELEASED
+    for renewal in (
+        None,
+        ownership.Renewal(epoch=2, count=9, is_settled=True),
+        ownership.Renewal(epoch=3, count=0, is_settled=False),
+    ):
+        election.on_renewal(renewal, 0)
+        former = election.renewal_of_owner
+        expected = ownership.MAX_UNRENEWED_MS
+        assert ownership.unsettled_ms(reason, former) == expected
+
+
 @pytest.mark.parametrize('store_latency_ms', [4, 80, None])
 def test_slower_daemons_claim_later(store_latency_ms):
     # Guards against an owner with little processor time beside a faster
