Restart service tasks that run nowhere without waiting for other workers

Cause: the record of a job did not say which of its service tasks may run.

Change: the record holds worker and run of each service task that may run (`placed`). The start order of a service task is sent once the store has confirmed a record with its placement, if the run is then still wanted; otherwise the run is released without a pause for the worker. Each end, restart, loss or refused start queues a write. A successor starts a service task that no record places at once, and a placed one when its worker has reported or is gone. A placement that is not confirmed stays in records that the successor writes. A record without `placed`, of an earlier version or with more than 1,000 placements, makes the service tasks wait for all workers as before. The limit is needed because a record with 2,000 placements has 66,963 bytes with 11-byte worker ids (1,000: 32,963), and a row takes 65,536. `RecordSaver._fire_waiters` replaces its list before it fires, as callbacks may now add waiters.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -7,6 +7,7 @@
 import oriolestand_core as core
 from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _record_saver
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
@@ -26,12 +27,14 @@
         kernel: core.Kernel,
         term: models.Term,
         scheduler: scheduling.Scheduler,
+        saver: _record_saver.RecordSaver,
         on_reply: Callable[[], None],
         on_fenced: Callable[[str], None],
     ) -> None:
         self._kernel = kernel
         self._term = term
         self._scheduler = scheduler
+        self._saver = saver
         self._on_reply = on_reply
         self._on_fenced = on_fenced
         self._log = core.get_logger(const.DOMAIN)
@@ -44,7 +47,10 @@
     ) -> None:
         """Send an order in the background."""
         if isinstance(effect, scheduling.StartTask):
-            defer.ensureDeferred(self._start_run(effect))
+            if effect.needs_record:
+                defer.ensureDeferred(self._start_recorded_run(effect))
+            else:
+                defer.ensureDeferred(self._start_run(effect))
         elif isinstance(effect, scheduling.StopTask):
             defer.ensureDeferred(self._stop_run(effect))
         else:
@@ -57,6 +63,24 @@
             return None
         return orders.Target(worker=worker_id, address=worker.info.address)
 
+    async def _start_recorded_run(self, effect: scheduling.StartTask) -> None:
+        """Start a run once the record that places its task is written.
+
+        A successor starts the task elsewhere unless the record places it.
+        """
+        await self._saver.when_saved({effect.key.job})
+        if self._term.is_over:
+            return
+        if self._scheduler.is_start_pending(
+            effect.worker, effect.key, effect.run
+        ):
+            await self._start_run(effect)
+            return
+        self._scheduler.withdraw_start(
+            effect.worker, effect.key, effect.run, self._kernel.clock.now()
+        )
+        self._on_reply()
+
     async def _start_run(self, effect: scheduling.StartTask) -> None:
         """Order a worker to start a run and tell the scheduler the outcome."""
         clock = self._kernel.clock
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -183,13 +183,17 @@
     def _fire_waiters(self) -> None:
         """Fire the Deferreds whose records are all written."""
         waiting = []
+        saved = []
         for unsaved, fut in self._waiters:
             remaining = {job for job in unsaved if self.is_unsaved(job)}
             if remaining:
                 waiting.append((remaining, fut))
             else:
-                fut.callback(None)
+                saved.append(fut)
+        # The callbacks may add waiters.
         self._waiters = waiting
+        for fut in saved:
+            fut.callback(None)
 
 
 def _encode(value: dict[str, Any]) -> bytes:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -87,6 +87,7 @@
             kernel,
             term,
             self._scheduler,
+            self._saver,
             self._on_worker_reply,
             on_ownership_lost,
         )
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -41,6 +41,7 @@
     ended: int = 0
     done: list[tuple[int, int, list[int]]] = []
     open: list[tuple[int, int, int, list[int], str | None]] = []
+    placed: list[tuple[int, int, int, str, int]] = []
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -15,6 +15,9 @@
     wait for a worker, and ``timed_job_ids`` the repeated jobs, which may
     have occurrences that are not due yet. ``stopping_worker_ids`` includes
     all workers with a run for which a stop order was sent and not answered.
+    ``former_placements`` are the tasks that a former owner placed on a worker
+    and whose run is neither adopted nor known to have ended, and
+    ``unplaced_job_ids`` the jobs with unknown placements.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -27,6 +30,8 @@
         self.ready = _ready.ReadyQueue()
         self.timed_job_ids: set[str] = set()
         self.stopping_worker_ids: set[str] = set()
+        self.former_placements: dict[_jobs.TaskKey, _jobs.Task] = {}
+        self.unplaced_job_ids: set[str] = set()
         self.effects: list[_effects.Effect] = []
 
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
@@ -85,6 +90,8 @@
         if task.worker != worker_id:
             return
         task.worker = ''
+        if task.spec.is_service:
+            self.save(job)
         self.make_ready(job, task, now_ms if has_run else task.ready_ms)
 
     def queue_ready_steps(
--- a/packages/policy/src/oriolestand_policy/scheduling/_effects.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_effects.py
@@ -7,13 +7,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StartTask:
-    """Start a run of a task on a worker."""
+    """Start a run of a task on a worker.
+
+    ``needs_record`` is whether the order may be sent only after the record
+    of the job is written, and only if ``Scheduler.is_start_pending`` then.
+    """
 
     worker: str
     key: _jobs.TaskKey
     run: int
     payload: str
     checkpoint: str
+    needs_record: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -1,5 +1,6 @@
 """In-memory state of jobs and tasks."""
 
+from collections.abc import Iterator
 import dataclasses
 import enum
 from typing import NamedTuple
@@ -57,6 +58,8 @@
     the numbers of the runs that failed, so that each counts once: the end of
     a run may be reported again to the next owner, and may arrive after the
     end of a newer run. ``avoid`` holds the workers on which the task failed.
+    ``former_worker`` and ``former_run`` are where a former owner placed the
+    task; the worker is empty once that run has ended or was adopted.
     """
 
     key: TaskKey
@@ -69,12 +72,21 @@
     started_ms: int = 0
     ready_ms: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
+    former_worker: str = ''
+    former_run: int = 0
 
     @property
     def is_idle(self) -> bool:
         """Return whether the task is neither done nor assigned."""
         return not self.is_done and not self.worker
 
+    def assign(self, worker: str, run: int, now_ms: int) -> None:
+        """Assign the task to a run on a worker."""
+        self.worker = worker
+        self.run = run
+        self.started_ms = now_ms
+        self.former_worker = ''
+
 
 def _task_at(steps: list[list[Task]], key: TaskKey) -> Task | None:
     """Return the task of an occurrence with a key, or None."""
@@ -90,7 +102,8 @@
 
     ``needs_probe`` is set if a former owner of the cell may have started the
     job on a worker that has not reported to this owner yet. ``completions``
-    counts the tasks that were marked as done.
+    counts the tasks that were marked as done. ``has_unknown_placements`` is
+    whether its service tasks may run on workers that its record does not name.
     """
 
     spec: _specs.JobSpec
@@ -101,10 +114,22 @@
     has_started: bool = False
     is_cancelled: bool = False
     needs_probe: bool = False
+    has_unknown_placements: bool = False
     ended_wall_ms: int = 0
     added_ms: int = 0
     completions: int = 0
 
+    @property
+    def has_services(self) -> bool:
+        """Return whether the job has service tasks."""
+        return any(step.is_service for step in self.spec.steps)
+
+    def gang_of(self, task: Task) -> list[Task]:
+        """Return the members of the gang of a task, or only the task."""
+        if not task.spec.is_gang:
+            return [task]
+        return self.occurrence(task.key.occurrence)[task.key.step]
+
     def mark_done(self, task: Task) -> None:
         """Mark a task as done."""
         task.is_done = True
@@ -127,6 +152,12 @@
             self.tasks[number] = found
         return found
 
+    def all_tasks(self) -> Iterator[Task]:
+        """Yield the tasks of the occurrences due so far."""
+        for steps in self.tasks.values():
+            for tasks in steps:
+                yield from tasks
+
     def find(self, key: TaskKey) -> Task | None:
         """Return the task with a key, or None if the job has no such task."""
         steps = self.tasks.get(key.occurrence)
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -1,10 +1,13 @@
 """Convert the progress of a job to a stored record and back.
 
 A record holds what the next owner cannot learn from the workers: which tasks
-are done, which of their runs failed, and their checkpoints. It does not hold
-which tasks are running, as workers report that.
+are done, which of their runs failed, and their checkpoints. It also holds
+where service tasks may run, so that one that runs nowhere can start before all
+workers have reported. Workers report where other tasks run.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 from typing import Any
 
@@ -13,6 +16,10 @@
 
 Progress = dict[str, Any]
 
+MAX_PLACEMENTS = 1_000
+"""More would not fit into a row of the store beside the rest of the record.
+Without them, the placements count as unknown."""
+
 
 def progress_of(job: _jobs.Job) -> Progress:
     """Return the progress of a job to store.
@@ -20,10 +27,14 @@
     Keys: ``outcome`` (text or None), ``started``, ``ended`` (Unix ms),
     ``done`` (rows of occurrence, step and indices of done tasks), ``open``
     (rows of occurrence, step, index, failed runs and checkpoint, only for
-    tasks that have one of these).
+    tasks that have one of these), ``placed`` (rows of occurrence, step, index,
+    worker and run of the service tasks that may run). There is no ``placed``
+    for jobs without service tasks, and if the placements are unknown or too
+    many.
     """
     done: list[list[Any]] = []
     unfinished: list[list[Any]] = []
+    placed: list[list[Any]] = []
     if job.outcome is None:
         for number, steps in job.tasks.items():
             for step, tasks in enumerate(steps):
@@ -42,13 +53,33 @@
                     if not task.is_done
                     and (task.failed_runs or task.checkpoint)
                 ]
-    return {
+                placed += _placements(tasks)
+    progress: Progress = {
         'outcome': job.outcome.value if job.outcome else None,
         'started': job.has_started,
         'ended': job.ended_wall_ms,
         'done': done,
         'open': unfinished,
     }
+    if (
+        job.has_services
+        and not job.has_unknown_placements
+        and len(placed) <= MAX_PLACEMENTS
+    ):
+        progress['placed'] = placed
+    return progress
+
+
+def _placements(tasks: Iterable[_jobs.Task]) -> Iterator[list[Any]]:
+    """Yield the rows of the service tasks that may run."""
+    for task in tasks:
+        if not task.spec.is_service or task.is_done:
+            continue
+        _, number, step, index = task.key
+        if task.worker:
+            yield [number, step, index, task.worker, task.run]
+        elif task.former_worker:
+            yield [number, step, index, task.former_worker, task.former_run]
 
 
 def restore(job: _jobs.Job, progress: Progress) -> None:
@@ -68,6 +99,16 @@
         if task is not None:
             task.failed_runs = list(failed_runs)
             task.checkpoint = checkpoint
+    placed = progress.get('placed')
+    # Earlier versions stored no placements.
+    job.has_unknown_placements = (
+        job.needs_probe and job.has_services and placed is None
+    )
+    for number, step, index, worker, run in placed or ():
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.former_worker = worker
+            task.former_run = run
 
 
 def job_to_dict(spec: _specs.JobSpec) -> dict[str, Any]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -157,6 +157,11 @@
             if not task.is_done:
                 self._apply_completion(worker, job, task, end, now_ms)
             return True
+        if task.former_worker == worker.info.id and (
+            task.former_run == end.number
+        ):
+            task.former_worker = ''
+            self._cell.save(job)
         if end.number in task.failed_runs:
             return True
         if end.checkpoint and not task.is_done:
@@ -283,9 +288,7 @@
                 worker.info.id, report.key, report.number, 'not wanted'
             )
             return run
-        task.worker = worker.info.id
-        task.run = report.number
-        task.started_ms = now_ms
+        task.assign(worker.info.id, report.number, now_ms)
         job.has_started = True
         self._cell.ready.discard(task.key)
         self._cell.log(
@@ -381,6 +384,24 @@
         worker.drop(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
 
+    def withdraw_start(
+        self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
+    ) -> None:
+        """Release a run whose start order was not sent."""
+        worker = self._cell.workers.get(worker_id)
+        run = worker.runs.get((key, number)) if worker is not None else None
+        if worker is None or run is None:
+            return
+        self._cell.log(
+            'start_withdrawn',
+            key.job,
+            task=str(key),
+            run=number,
+            worker=worker_id,
+        )
+        worker.drop(run)
+        self._cell.release(run, worker_id, now_ms, has_run=False)
+
     def on_stop_reply(
         self,
         worker_id: str,
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -96,6 +96,11 @@
             _record.restore(job, progress)
         if job.outcome is not None:
             return
+        if job.has_unknown_placements:
+            self._cell.unplaced_job_ids.add(spec.id)
+        for task in job.all_tasks():
+            if task.former_worker:
+                self._cell.former_placements[task.key] = task
         if is_cancelled:
             self.cancel_job(spec.id, now_ms)
             return
@@ -216,6 +221,34 @@
             worker_id, key, number, outcome, reason, now_ms
         )
 
+    def is_start_pending(
+        self, worker_id: str, key: _jobs.TaskKey, number: int
+    ) -> bool:
+        """Return whether a start order that was held back is still wanted.
+
+        Then the run has kept its task since it was decided, so that all
+        records of the job since then place the task on the worker.
+        """
+        worker = self._cell.workers.get(worker_id)
+        job = self._cell.jobs.get(key.job)
+        run = worker.runs.get((key, number)) if worker is not None else None
+        task = job.find(key) if job is not None else None
+        if job is None or task is None or run is None:
+            return False
+        return (
+            job.outcome is None
+            and run.phase is _fleet.RunPhase.STARTING
+            and run.stop_sent_ms < 0
+            and task.worker == worker_id
+            and task.run == number
+        )
+
+    def withdraw_start(
+        self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
+    ) -> None:
+        """Release a run whose start order was not sent."""
+        self._reply_handler.withdraw_start(worker_id, key, number, now_ms)
+
     def on_stop_reply(
         self,
         worker_id: str,
@@ -251,6 +284,7 @@
         self._resend_stops(now_ms)
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
+        self._settle_former_placements(former_runs)
         self._task_starter.run(now_ms, wall_ms, former_runs)
         self._wait_reporter.run(now_ms, former_runs)
 
@@ -303,6 +337,28 @@
             for run in worker.runs.values()
         )
 
+    def _settle_former_placements(
+        self, former_runs: _takeover.FormerRuns
+    ) -> None:
+        """Forget placements by former owners whose runs have ended."""
+        placements = self._cell.former_placements
+        for task in list(placements.values()):
+            if former_runs.may_include_placement(task, self._cell.workers):
+                continue
+            del placements[task.key]
+            job = self._cell.jobs.get(task.key.job)
+            if task.former_worker and job is not None:
+                task.former_worker = ''
+                self._cell.save(job)
+        if not former_runs.are_known:
+            return
+        for job_id in sorted(self._cell.unplaced_job_ids):
+            job = self._cell.jobs.get(job_id)
+            if job is not None:
+                job.has_unknown_placements = False
+                self._cell.save(job)
+        self._cell.unplaced_job_ids.clear()
+
     def _queue_due_occurrences(self, now_ms: int, wall_ms: int) -> None:
         """Queue the tasks of occurrences that have become due."""
         for job_id in list(self._cell.timed_job_ids):
--- a/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
@@ -1,7 +1,9 @@
 """Tell which tasks may run on workers of former owners."""
 
+from collections.abc import Mapping
 import dataclasses
 
+from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 
 
@@ -22,6 +24,40 @@
         """Return whether all runs of former owners are known."""
         return not self.worker_ids and not self.has_unknown_workers
 
-    def may_include(self, job: _jobs.Job) -> bool:
-        """Return whether tasks of a job may run without being known."""
-        return job.needs_probe and not self.are_known
+    def may_include(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        workers: Mapping[str, _fleet.Worker],
+    ) -> bool:
+        """Return whether a task or its gang may run without being known.
+
+        A former owner has started a service task only where the record of
+        its job places it. Records do not place other tasks.
+        """
+        if self.are_known:
+            return False
+        if not task.spec.is_service or job.has_unknown_placements:
+            return job.needs_probe
+        return any(
+            self.may_include_placement(member, workers)
+            for member in job.gang_of(task)
+        )
+
+    def may_include_placement(
+        self, task: _jobs.Task, workers: Mapping[str, _fleet.Worker]
+    ) -> bool:
+        """Return whether a task may run where a former owner placed it.
+
+        A worker without a row has no runs of former owners, but the row of
+        an unknown worker could not be read.
+        """
+        worker_id = task.former_worker
+        if not worker_id or self.are_known:
+            return False
+        if worker_id in self.worker_ids:
+            return True
+        worker = workers.get(worker_id)
+        return self.has_unknown_workers and (
+            worker is None or not worker.is_probed
+        )
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -82,7 +82,7 @@
         for overdue in _overdue.overdue_ended_services(self._cell, now_ms):
             task = overdue.task
             job = self._cell.jobs[task.key.job]
-            if former_runs.may_include(job):
+            if former_runs.may_include(job, task, self._cell.workers):
                 continue
             if task.key not in self._cell.ready:
                 # It was started with the rest of its gang.
@@ -118,7 +118,7 @@
             job = self._cell.jobs[overdue.task.key.job]
             if overdue.pool in served_pools:
                 continue
-            if former_runs.may_include(job):
+            if former_runs.may_include(job, overdue.task, self._cell.workers):
                 continue
             demand_class = _demand_class(overdue.task, overdue.pool)
             if demand_class in unplaceable:
@@ -137,8 +137,7 @@
         """
         tasks = [overdue.task]
         if overdue.task.spec.is_gang:
-            key = overdue.task.key
-            tasks = job.occurrence(key.occurrence)[key.step]
+            tasks = job.gang_of(overdue.task)
             if any(member.key not in self._cell.ready for member in tasks):
                 return False
         if tasks[0].key in self._reservations:
@@ -170,8 +169,16 @@
         started = 0
         for occurrence_key, step, tasks in self._by_urgency(wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
-            if former_runs.may_include(job):
-                continue
+            if not former_runs.are_known:
+                tasks = [
+                    task
+                    for task in tasks
+                    if not former_runs.may_include(
+                        job, task, self._cell.workers
+                    )
+                ]
+                if not tasks:
+                    continue
             route = self._cell.routes.get(job.spec.route)
             if route is None:
                 continue
@@ -251,7 +258,7 @@
         now_ms: int,
     ) -> int:
         """Start all members of a gang or none; return the number started."""
-        members = job.occurrence(task.key.occurrence)[task.key.step]
+        members = job.gang_of(task)
         if any(m.key not in self._cell.ready for m in members):
             return 0
         number = self._next_run_number()
@@ -320,10 +327,9 @@
         """Assign a task to a worker and queue the effect to start it."""
         worker.add(self._make_run(task, number, now_ms))
         self._cell.ready.discard(task.key)
-        task.worker = worker.info.id
-        task.run = number
-        task.started_ms = now_ms
-        if not job.has_started:
+        task.assign(worker.info.id, number, now_ms)
+        needs_record = task.spec.is_service
+        if needs_record or not job.has_started:
             job.has_started = True
             self._cell.save(job)
         self._cell.effects.append(
@@ -333,6 +339,7 @@
                 run=number,
                 payload=job.spec.payload,
                 checkpoint=task.checkpoint,
+                needs_record=needs_record,
             )
         )
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_waits.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_waits.py
@@ -136,7 +136,9 @@
             kind=task.spec.kind.value,
             waited_ms=now_ms - task.ready_ms,
             has_run=bool(task.run),
-            may_run_elsewhere=former_runs.may_include(job),
+            may_run_elsewhere=former_runs.may_include(
+                job, task, self._cell.workers
+            ),
             cpu=task.spec.cpu,
             memory_mb=task.spec.memory_mb,
             workers=dict(report.obstacles),
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -229,7 +229,7 @@
             if task.key not in self._cell.ready:
                 continue
             job = self._cell.jobs[task.key.job]
-            if former_runs.may_include(job):
+            if former_runs.may_include(job, task, self._cell.workers):
                 continue
             route = self._cell.routes.get(job.spec.route)
             if route is None:
--- a/packages/policy/tests/scheduling/test_waits.py
+++ b/packages/policy/tests/scheduling/test_waits.py
@@ -1,5 +1,7 @@
 """Tests of the reports on why tasks wait."""
 
+import dataclasses
+
 from oriolestand_policy import scheduling
 
 STEP = scheduling.StepSpec(count=1, cpu=4_000)
@@ -93,3 +95,24 @@
     (report,) = waits_of(harness, missing)
     assert report['workers'] == {'none': 2}
     assert report['may_run_elsewhere']
+
+
+def test_report_tells_a_service_task_that_runs_nowhere(harness):
+    # A service task whose record places it nowhere waits for no worker.
+    step = scheduling.StepSpec(count=1, cpu=99_000, is_service=True)
+    spec = scheduling.JobSpec(id='a', route='r', payload='', steps=(step,))
+    missing = scheduling.FormerRuns(worker_ids=frozenset({'left'}))
+    for job, placed in (('a', []), ('b', [[0, 0, 0, 'left', 7]])):
+        harness.scheduler.add_job(
+            dataclasses.replace(spec, id=job),
+            harness.now,
+            progress={'started': True, 'placed': placed},
+            needs_probe=True,
+        )
+        harness.now += 2_000
+        for worker in harness.infos:
+            harness.poll(worker)
+        (report,) = waits_of(harness, missing)
+        assert report['may_run_elsewhere'] is bool(placed)
+        harness.scheduler.cancel_job(job, harness.now)
+        harness.scheduler.take_effects()
