Remove the row of a leaving worker once it is empty

Cause: the row of a worker stayed until its lease was certainly over, so that each new owner waited for workers which had nothing left to run when they exited.

Change: FleetRecord removes the row of a leaving worker that has reported to this owner, has no runs (none in doubt either) and whose last report lists no ends: a report need not list all ends, so the cursor of the poller alone does not show it. The worker is marked as unrecorded before the removal is sent, so that it gets no task until its row is written again if it stays. A restarted worker has seen no epoch, so the row stays while a former owner may still act. A leaving worker without a row gets none from a successor. The poll that acknowledges the last ends of a leaving worker does not wait.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -17,7 +17,12 @@
 
     No task is started on a worker before its row is written, so that a
     successor finds every run of the former owner. A change writes only the
-    rows of the workers that changed.
+    rows of the workers that changed. The row of a leaving worker is removed
+    once nothing is left there that a successor must learn, so that it does
+    not wait for the lease of a worker that has exited.
+
+    :param are_ends_recorded: tells whether the records of all ends on a
+        worker are written.
     """
 
     def __init__(
@@ -26,11 +31,13 @@
         term: models.Term,
         scheduler: scheduling.Scheduler,
         snapshot: jobs.Snapshot,
+        are_ends_recorded: Callable[[str], bool],
         on_ownership_lost: Callable[[str], None],
     ) -> None:
         self._kernel = kernel
         self._term = term
         self._scheduler = scheduler
+        self._are_ends_recorded = are_ends_recorded
         self._on_ownership_lost = on_ownership_lost
         self._is_busy = False
         self._versions = {
@@ -78,23 +85,52 @@
             self._is_busy = False
 
     def _changed_workers(self) -> list[str]:
-        """Return the workers without a row and those that have left."""
-        workers = self._scheduler.workers
-        added = [w for w in workers if w not in self._recorded]
+        """Return the workers that lack a row and those that need none."""
+        added = [
+            worker_id
+            for worker_id in self._scheduler.workers
+            if worker_id not in self._recorded and self._needs_row(worker_id)
+        ]
         # A row whose removal was not answered may still exist.
-        left = [w for w in self._versions if w not in workers]
+        left = [w for w in self._versions if not self._needs_row(w)]
         return added + left
 
+    def _needs_row(self, worker_id: str) -> bool:
+        """Return whether a successor must know a worker.
+
+        A leaving worker gets no new tasks. Once it has reported to this
+        owner, it rejects the orders of former owners. If it restarts, it
+        does not, so that its row stays while a former owner may still act.
+        """
+        worker = self._scheduler.workers.get(worker_id)
+        if worker is None:
+            return False
+        if not worker.info.is_leaving or worker.runs:
+            return True
+        if (
+            worker_id not in self._versions
+            and worker_id not in self.former_worker_ids
+        ):
+            # Without a row, no owner has started a task there.
+            return False
+        return not (
+            worker.is_probed
+            and self._term.is_settled(self._kernel.clock.now())
+            and self._are_ends_recorded(worker_id)
+        )
+
     async def _write(self, worker_ids: list[str]) -> bool:
         """Commit the rows of workers; return whether they were applied."""
         puts = [self._put(worker_id) for worker_id in worker_ids]
         # A worker that returns while its removal is on its way gets no task
         # before its row is written again.
-        self._recorded.difference_update(
+        removed = [
             worker_id
             for worker_id, put in zip(worker_ids, puts, strict=True)
             if put.value is None
-        )
+        ]
+        self._recorded.difference_update(removed)
+        self._scheduler.mark_workers_unrecorded(removed)
         outcome = await _owner_commits.commit_as_owner(
             self._kernel,
             self._term,
@@ -135,8 +171,10 @@
 
     def _put(self, worker_id: str) -> store.Put:
         """Return the write, or the removal, of the row of a worker."""
-        worker = self._scheduler.workers.get(worker_id)
-        value = models.encode_worker(worker.info) if worker else None
+        value = None
+        if self._needs_row(worker_id):
+            worker = self._scheduler.workers[worker_id]
+            value = models.encode_worker(worker.info)
         return store.Put(
             key=layout.WORKER_PREFIX + worker_id,
             value=value,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -416,7 +416,7 @@
             renewal = ownership.Renewal(
                 epoch=term.epoch,
                 count=count,
-                is_settled=sent_ms >= term.settled_ms,
+                is_settled=term.is_settled(sent_ms),
             )
             value = models.encode_renewal(renewal)
             outcome = await _owner_commits.commit_as_owner(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -68,6 +68,7 @@
             term,
             self._scheduler,
             snapshot,
+            self._are_ends_recorded,
             on_ownership_lost,
         )
         self._takeover = _takeover.Takeover(
@@ -247,6 +248,11 @@
             self._pollers[worker_id] = poller
             _worker_poller.start_poller(poller, self._log)
 
+    def _are_ends_recorded(self, worker_id: str) -> bool:
+        """Return whether the records of all ends on a worker are written."""
+        poller = self._pollers.get(worker_id)
+        return poller is not None and poller.are_ends_recorded
+
     def _on_worker_reply(self) -> None:
         """Apply the effects of a reply or report and request a round."""
         self._apply_effects()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -65,10 +65,21 @@
         self._log = core.get_logger(const.DOMAIN)
         self._cursor = _Cursor()
         self._is_unreachable = False
+        self._has_listed_ends = True
         self.is_finished = False
         self.is_worker_replaced = False
         """Whether another incarnation of the worker responded."""
 
+    @property
+    def are_ends_recorded(self) -> bool:
+        """Return whether the records of all ends on the worker are written.
+
+        A report need not list all ends at once, but the worker forgets those
+        that are acknowledged. So a report without ends shows that there are
+        no others.
+        """
+        return not self._has_listed_ends
+
     async def run(self) -> None:
         """Poll until the worker is gone or the term is over."""
         try:
@@ -121,6 +132,9 @@
             wait_ms = const.MIXED_POLL_WAIT_MS
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
+        if self._has_listed_ends and worker.info.is_leaving:
+            # Acknowledges the ends at once; the worker may exit soon.
+            wait_ms = 0
         report: scheduling.WorkerReport = await self._kernel.ask(
             orders.SERVICE,
             orders.PollWorker(
@@ -144,6 +158,7 @@
             cursor = self._cursor = _Cursor(
                 process_start_ms=report.process_start_ms
             )
+        self._has_listed_ends = bool(report.ended)
         new_ends = tuple(
             e for e in report.ended if e.sequence > cursor.received
         )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -46,6 +46,10 @@
     settled_ms: int
     is_over: bool = False
 
+    def is_settled(self, now_ms: int) -> bool:
+        """Return whether no former owner can still act."""
+        return now_ms >= self.settled_ms
+
     def may_act(self, now_ms: int) -> bool:
         """Return whether the last renewal is recent enough to act as owner."""
         since_renewal_ms = now_ms - self.renewed_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -175,6 +175,13 @@
             if worker is not None:
                 worker.is_recorded = True
 
+    def mark_workers_unrecorded(self, worker_ids: Iterable[str]) -> None:
+        """Mark workers as missing in that list; they get no new tasks."""
+        for worker_id in worker_ids:
+            worker = self._cell.workers.get(worker_id)
+            if worker is not None:
+                worker.is_recorded = False
+
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
 
