Carry the end of the wait for a lost worker over

Cause: a worker that left or was lost stays recorded, and each new owner waited for it until a deadline measured from its own claim. With owners that change every 2 s nobody got to the deadline, and no task of an older job started.

Change: an owner that has not reached a former worker 0.4 s after it loaded the cell writes into the worker's row when all runs there have certainly ended: its own deadline, which allows for a silent owner, on the store's clock. A later owner uses it as the deadline of that worker alone; Takeover has a deadline for each worker. Without a time nothing is written.

While the row may hold the time, the scheduler requests no lease of that id, also after a restart of the worker, and the worker counts as unrecorded. When it reports, the row is written without the time first. An owner that has requested a lease never writes the time, and none is written on condition that the row is absent, as such a commit could be applied after a removal. Workers past their deadline are removed only once the registered ones are known. Polls without a lease pause for 250 ms.

--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -110,12 +110,14 @@
 class CommitResult:
     """The outcome of a commit; ``current`` holds the checked rows.
 
-    All rows written by an applied commit have ``version``.
+    All rows written by an applied commit have ``version``. ``now_ms`` is the
+    time of the store's steady clock, 0 if unknown.
     """
 
     is_applied: bool
     version: int
     current: tuple[Row, ...] = ()
+    now_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -1,6 +1,7 @@
 """Record the workers of a cell for the next owner."""
 
 from collections.abc import Callable
+import dataclasses
 
 import oriolestand_core as core
 from oriolestand_fleet import layout
@@ -12,6 +13,15 @@
 from oriolestand_policy import scheduling
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Change:
+    """A write or removal of a row; ``runs_end_ms`` is the end it holds."""
+
+    worker_id: str
+    put: store.Put
+    runs_end_ms: int | None
+
+
 class FleetRecord:
     """Maintain one row for each worker that may run tasks.
 
@@ -21,6 +31,12 @@
     once nothing is left there that a successor must learn, so that it does
     not wait for the lease of a worker that has exited.
 
+    The row of a former worker that this owner has not reached may hold the
+    time by which all runs there have ended, so that the wait for them does
+    not begin anew with each successor. While the row may hold it, no lease
+    of the worker is requested and no task is started there. When the worker
+    reports after all, its row is first written without the time.
+
     :param are_ends_recorded: tells whether the records of all ends on a
         worker are written.
     """
@@ -45,7 +61,6 @@
             for key, row in snapshot.rows.items()
             if key.startswith(layout.WORKER_PREFIX)
         }
-        self._recorded = set(self._versions)
         legacy = snapshot.rows.get(layout.FLEET_KEY)
         self._has_legacy_row = legacy is not None and legacy.value is not None
         former = models.decode_workers(snapshot.rows)
@@ -55,8 +70,23 @@
         self.former_worker_ids = frozenset(info.id for info in former.infos)
         self.is_complete = former.is_complete
         """Whether the ids of all workers of the former owner are known."""
+        self.former_runs_end_ms = former.runs_end_ms
+        """Times of the store's clock by which runs have ended, by worker."""
         for info in former.infos:
             scheduler.add_former_worker(info)
+        self._malformed_keys = frozenset(former.malformed)
+        self._ends = dict(former.runs_end_ms)
+        """Ends that rows hold, or may hold as a write is on its way."""
+        self._stored_ends = set(self._ends)
+        for worker_id in self._ends:
+            scheduler.hold_leases(worker_id)
+        self._recorded = self._versions.keys() - self._ends.keys()
+        """Workers with a row without an end, which may get tasks."""
+        self._carry_ms: int | None = (
+            kernel.clock.now()
+            + const.CARRY_DELAY_MS
+            + len(former.infos) // const.WORKERS_PER_MS_OF_CARRY_DELAY
+        )
         scheduler.mark_workers_recorded(self._recorded)
 
     @property
@@ -64,6 +94,37 @@
         """Return whether ``update`` has rows to write."""
         return not self._is_busy and bool(self._changed_workers())
 
+    def carry_waits(self) -> None:
+        """Record once when the runs end on workers that were not reached.
+
+        A worker for which this owner has requested a lease is left out, also
+        if it has restarted since.
+        """
+        clock = self._term.store_clock
+        if clock is None or self._carry_ms is None:
+            return
+        if self._kernel.clock.now() < self._carry_ms:
+            return
+        self._carry_ms = None
+        runs_end_ms = clock.to_store_ms(self._term.takeover_deadline_ms)
+        for worker_id in sorted(self.former_worker_ids):
+            if (
+                self._is_unreached(worker_id)
+                and worker_id in self._versions
+                and worker_id not in self._ends
+                and layout.WORKER_PREFIX + worker_id
+                not in self._malformed_keys
+                and self._scheduler.hold_leases(worker_id)
+            ):
+                self._ends[worker_id] = runs_end_ms
+                self._recorded.discard(worker_id)
+                self._scheduler.mark_workers_unrecorded([worker_id])
+
+    def _is_unreached(self, worker_id: str) -> bool:
+        """Return whether a worker has not reported to this owner."""
+        worker = self._scheduler.workers.get(worker_id)
+        return worker is not None and not worker.is_probed
+
     async def update(self) -> None:
         """Write rows until they match the workers of the scheduler."""
         self._scheduler.mark_workers_recorded(self._recorded)
@@ -89,12 +150,24 @@
         added = [
             worker_id
             for worker_id in self._scheduler.workers
-            if worker_id not in self._recorded and self._needs_row(worker_id)
+            if worker_id not in self._recorded and self._lacks_row(worker_id)
         ]
         # A row whose removal was not answered may still exist.
         left = [w for w in self._versions if not self._needs_row(w)]
         return added + left
 
+    def _lacks_row(self, worker_id: str) -> bool:
+        """Return whether to write the row of a worker that is unrecorded."""
+        if not self._needs_row(worker_id):
+            return False
+        if worker_id not in self._ends or not self._is_unreached(worker_id):
+            return True
+        # An end is never written on condition that the row is absent: such a
+        # commit could be applied late, after a removal of the row.
+        return (
+            worker_id not in self._stored_ends and worker_id in self._versions
+        )
+
     def _needs_row(self, worker_id: str) -> bool:
         """Return whether a successor must know a worker.
 
@@ -121,27 +194,23 @@
 
     async def _write(self, worker_ids: list[str]) -> bool:
         """Commit the rows of workers; return whether they were applied."""
-        puts = [self._put(worker_id) for worker_id in worker_ids]
+        changes = [self._change(worker_id) for worker_id in worker_ids]
         # A worker that returns while its removal is on its way gets no task
         # before its row is written again.
-        removed = [
-            worker_id
-            for worker_id, put in zip(worker_ids, puts, strict=True)
-            if put.value is None
-        ]
+        removed = [c.worker_id for c in changes if c.put.value is None]
         self._recorded.difference_update(removed)
         self._scheduler.mark_workers_unrecorded(removed)
         outcome = await _owner_commits.commit_as_owner(
             self._kernel,
             self._term,
-            puts,
+            [change.put for change in changes],
             [
                 store.Check(
-                    key=put.key,
-                    version=self._versions.get(worker_id, 0),
+                    key=change.put.key,
+                    version=self._versions.get(change.worker_id, 0),
                     table=layout.OWNER_TABLE,
                 )
-                for worker_id, put in zip(worker_ids, puts, strict=True)
+                for change in changes
             ],
         )
         result = outcome.result
@@ -150,15 +219,31 @@
         if not result.is_applied:
             self._refresh_versions(result, worker_ids)
             return False
-        for worker_id, put in zip(worker_ids, puts, strict=True):
-            if put.value is None:
-                del self._versions[worker_id]
-            else:
-                self._versions[worker_id] = result.version
-                self._recorded.add(worker_id)
+        for change in changes:
+            self._apply_change(change, result.version)
         self._scheduler.mark_workers_recorded(self._recorded)
         return True
 
+    def _apply_change(self, change: _Change, version: int) -> None:
+        """Apply a stored change of the row of a worker.
+
+        Earlier commits of the row cannot be applied any more, as they name
+        an older version of it.
+        """
+        worker_id = change.worker_id
+        if change.put.value is None:
+            del self._versions[worker_id]
+        else:
+            self._versions[worker_id] = version
+        if change.runs_end_ms is not None:
+            self._stored_ends.add(worker_id)
+            return
+        self._ends.pop(worker_id, None)
+        self._stored_ends.discard(worker_id)
+        self._scheduler.allow_leases(worker_id)
+        if change.put.value is not None:
+            self._recorded.add(worker_id)
+
     async def _remove_legacy_row(self) -> None:
         """Remove the list of an earlier version; its workers have rows now."""
         outcome = await _owner_commits.commit_as_owner(
@@ -169,16 +254,23 @@
         if outcome.result is not None and outcome.result.is_applied:
             self._has_legacy_row = False
 
-    def _put(self, worker_id: str) -> store.Put:
+    def _change(self, worker_id: str) -> _Change:
         """Return the write, or the removal, of the row of a worker."""
         value = None
+        runs_end_ms = None
         if self._needs_row(worker_id):
+            if self._is_unreached(worker_id):
+                runs_end_ms = self._ends.get(worker_id)
             worker = self._scheduler.workers[worker_id]
-            value = models.encode_worker(worker.info)
-        return store.Put(
-            key=layout.WORKER_PREFIX + worker_id,
-            value=value,
-            table=layout.OWNER_TABLE,
+            value = models.encode_worker(worker.info, runs_end_ms)
+        return _Change(
+            worker_id=worker_id,
+            put=store.Put(
+                key=layout.WORKER_PREFIX + worker_id,
+                value=value,
+                table=layout.OWNER_TABLE,
+            ),
+            runs_end_ms=runs_end_ms,
         )
 
     def _refresh_versions(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -1,5 +1,7 @@
 """Track what a new owner does not know yet about runs of former owners."""
 
+from collections.abc import Mapping
+
 import oriolestand_core as core
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
@@ -11,10 +13,13 @@
 
     Only then may their tasks be started again. This holds once all workers
     of the former owners have reported their runs or were removed, or once
-    the time to wait for them is over.
+    the time to wait for them is over. That time ends earlier for a worker
+    whose runs no owner has been able to extend since an earlier takeover.
 
     :param former_worker_ids: workers that may have runs of former owners.
     :param are_all_known: whether there are no other such workers.
+    :param runs_end_ms: times of the store's clock by which all runs have
+        ended on a worker, by its id, if known.
     """
 
     def __init__(
@@ -24,6 +29,7 @@
         scheduler: scheduling.Scheduler,
         former_worker_ids: frozenset[str],
         are_all_known: bool,
+        runs_end_ms: Mapping[str, int],
     ) -> None:
         self._clock = kernel.clock
         self._log = core.get_logger(const.DOMAIN)
@@ -31,10 +37,14 @@
         self._scheduler = scheduler
         self._former_worker_ids = former_worker_ids
         self._are_all_known = are_all_known
+        self._runs_end_ms = runs_end_ms
         self._began_ms = self._clock.now()
         self._next_report_ms = (
             self._began_ms + const.TAKEOVER_REPORT_INTERVAL_MS
         )
+        self._past_deadline_ids: set[str] = set()
+        self.are_workers_listed = False
+        """Whether the registered workers are known to the scheduler."""
         self._is_complete = False
 
     def update(self) -> scheduling.FormerRuns:
@@ -42,21 +52,24 @@
         if self._is_complete:
             return scheduling.FormerRuns()
         now = self._clock.now()
-        missing = self._missing_workers()
-        if now >= self._term.takeover_deadline_ms:
-            self._remove_unreachable_workers(missing)
-            self._complete('deadline', missing, now)
-            return scheduling.FormerRuns()
-        if self._are_all_known and not missing:
-            self._complete('reported', missing, now)
-            return scheduling.FormerRuns()
+        unreached = self._unreached_workers()
+        missing = [w for w in unreached if now < self._deadline_ms(w)]
+        past_deadline = [w for w in unreached if now >= self._deadline_ms(w)]
+        is_over = now >= self._term.takeover_deadline_ms
+        is_list_needed = bool(past_deadline) and not self.are_workers_listed
+        if is_over or not is_list_needed:
+            self._past_deadline_ids.update(past_deadline)
+            self._remove_unregistered_workers(past_deadline)
+            if is_over or (self._are_all_known and not missing):
+                self._complete(now)
+                return scheduling.FormerRuns()
         if now >= self._next_report_ms:
             self._next_report_ms = now + const.TAKEOVER_REPORT_INTERVAL_MS
             self._log.info(
                 'Takeover waits',
                 epoch=self._term.epoch,
                 waited_ms=now - self._began_ms,
-                remaining_ms=self._term.takeover_deadline_ms - now,
+                remaining_ms=self._last_deadline_ms(missing) - now,
                 are_workers_known=self._are_all_known,
                 missing=len(missing),
                 workers=missing[: const.MAX_LOGGED_WORKERS],
@@ -66,7 +79,25 @@
             has_unknown_workers=not self._are_all_known,
         )
 
-    def _missing_workers(self) -> list[str]:
+    def _deadline_ms(self, worker_id: str) -> int:
+        """Return when all runs on a worker that has not reported are over."""
+        deadline_ms = self._term.takeover_deadline_ms
+        store_clock = self._term.store_clock
+        end_ms = self._runs_end_ms.get(worker_id)
+        if end_ms is None or store_clock is None:
+            return deadline_ms
+        return min(deadline_ms, store_clock.to_local_ms(end_ms))
+
+    def _last_deadline_ms(self, missing: list[str]) -> int:
+        """Return when the wait for reports is over."""
+        if not self._are_all_known:
+            return self._term.takeover_deadline_ms
+        return max(
+            (self._deadline_ms(worker_id) for worker_id in missing),
+            default=self._clock.now(),
+        )
+
+    def _unreached_workers(self) -> list[str]:
         """Return the former workers that have not reported, sorted by id."""
         workers = self._scheduler.workers
         return sorted(
@@ -75,19 +106,20 @@
             if worker_id in workers and not workers[worker_id].is_probed
         )
 
-    def _remove_unreachable_workers(self, missing: list[str]) -> None:
-        """Remove unregistered workers that have not reported."""
-        for worker_id in missing:
+    def _remove_unregistered_workers(self, worker_ids: list[str]) -> None:
+        """Remove those of the workers that are not registered."""
+        for worker_id in worker_ids:
             if not self._scheduler.workers[worker_id].is_listed:
                 self._scheduler.remove_worker(worker_id, 'never answered')
 
-    def _complete(self, reason: str, missing: list[str], now_ms: int) -> None:
+    def _complete(self, now_ms: int) -> None:
         """Note that all runs of former owners are known or over."""
         self._is_complete = True
+        is_all_reported = self._are_all_known and not self._past_deadline_ids
         self._log.info(
             'Takeover completed',
             epoch=self._term.epoch,
-            reason=reason,
+            reason='reported' if is_all_reported else 'deadline',
             waited_ms=now_ms - self._began_ms,
-            missing=len(missing),
+            missing=len(self._past_deadline_ids),
         )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -427,6 +427,12 @@
             result = outcome.result
             if result is not None and result.is_applied:
                 term.renewed_ms = sent_ms
+                if term.store_clock is None and result.now_ms:
+                    term.store_clock = ownership.StoreClock(
+                        sent_ms=sent_ms,
+                        received_ms=clock.now(),
+                        store_ms=result.now_ms,
+                    )
             elif result is not None:
                 self._apply_rows(result.current)
                 self._end_term(term, 'the renewal was refused')
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -77,6 +77,7 @@
             self._scheduler,
             self._fleet.former_worker_ids,
             self._fleet.is_complete,
+            self._fleet.former_runs_end_ms,
         )
         self._interference_record = _interference_record.InterferenceRecord(
             kernel,
@@ -210,6 +211,7 @@
                 if k not in self._replaced_worker_ids
             }
         )
+        self._takeover.are_workers_listed = True
         self._sync_pollers()
         self._update_fleet_record()
 
@@ -270,6 +272,7 @@
             await self._kernel.sleep(const.TICK_MS)
             self._sync_pollers()
             self._run_round()
+            self._fleet.carry_waits()
             if self._fleet.is_outdated:
                 # Rounds remove workers whose leases are over.
                 self._update_fleet_record()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -176,6 +176,9 @@
         self._on_change()
         if cursor.recorded < cursor.received:
             await self._wait_for_records()
+        if self._scheduler.are_leases_held(self._worker):
+            # A poll without a lease does not wait at the worker.
+            await self._kernel.sleep(const.POLL_RETRY_MS)
 
     def _acknowledge(self, cursor: _Cursor, changed_jobs: set[str]) -> None:
         """Acknowledge ends once the records of their jobs are written."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 import json
+from typing import Annotated
 
 import pydantic
 
@@ -24,7 +25,12 @@
 
 _OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
 _RENEWAL_ROW = pydantic.TypeAdapter(ownership.Renewal)
-_WORKER_ROW = pydantic.TypeAdapter(tuple[str, str, str])
+_WORKER_ROW: pydantic.TypeAdapter[
+    tuple[str, str, str] | tuple[str, str, str, int]
+] = pydantic.TypeAdapter(
+    tuple[str, str, str]
+    | tuple[str, str, str, Annotated[int, pydantic.Field(strict=True, gt=0)]]
+)
 _FLEET_ROW = pydantic.TypeAdapter(list[tuple[str, str, str, str]])
 
 
@@ -36,6 +42,7 @@
     ``takeover_deadline_ms``: when the owner stops waiting for reports from
     the workers of its predecessor.
     ``settled_ms``: from when on no former owner can still act.
+    ``store_clock``: a time of the store's clock after the claim, if known.
     ``is_over``: whether the term has ended; all loops of the owner stop.
     """
 
@@ -44,6 +51,7 @@
     renewed_ms: int
     takeover_deadline_ms: int
     settled_ms: int
+    store_clock: ownership.StoreClock | None = None
     is_over: bool = False
 
     def is_settled(self, now_ms: int) -> bool:
@@ -88,9 +96,21 @@
     return _RENEWAL_ROW.validate_json(value, strict=True)
 
 
-def encode_worker(worker: scheduling.WorkerInfo) -> bytes:
-    """Encode the row that tells a successor that a worker may run tasks."""
-    row = [worker.address, worker.pool, worker.failure_domain]
+def encode_worker(
+    worker: scheduling.WorkerInfo, runs_end_ms: int | None = None
+) -> bytes:
+    """Encode the row that tells a successor that a worker may run tasks.
+
+    ``runs_end_ms`` is the time of the store's clock by which all runs of the
+    owners so far have certainly ended on the worker, None if unknown.
+    """
+    row: list[str | int] = [
+        worker.address,
+        worker.pool,
+        worker.failure_domain,
+    ]
+    if runs_end_ms is not None:
+        row.append(runs_end_ms)
     return json.dumps(row, separators=(',', ':')).encode()
 
 
@@ -101,11 +121,14 @@
     ``infos`` has no capacities, as the rows have none; a worker whose row is
     malformed has no address either. ``malformed`` holds an error by key.
     ``is_complete`` is whether the ids of all workers are known.
+    ``runs_end_ms`` is when all runs have ended, by id of the workers whose
+    rows hold that time of the store's clock.
     """
 
     infos: tuple[scheduling.WorkerInfo, ...]
     malformed: Mapping[str, str]
     is_complete: bool
+    runs_end_ms: Mapping[str, int]
 
 
 def decode_workers(rows: Mapping[str, store.Row]) -> FormerWorkers:
@@ -115,6 +138,7 @@
     """
     found: dict[str, tuple[str, str, str]] = {}
     malformed = {}
+    runs_end_ms: dict[str, int] = {}
     is_complete = True
     legacy = rows.get(layout.FLEET_KEY)
     if legacy is not None and legacy.value is not None:
@@ -128,10 +152,16 @@
         if key.startswith(layout.WORKER_PREFIX) and row.value is not None:
             worker = key.removeprefix(layout.WORKER_PREFIX)
             try:
-                found[worker] = _WORKER_ROW.validate_json(row.value)
+                address, pool, domain, *ends = _WORKER_ROW.validate_json(
+                    row.value
+                )
             except ValueError as exc:
                 malformed[key] = str(exc)
                 found[worker] = ('', '', '')
+                continue
+            found[worker] = (address, pool, domain)
+            if ends:
+                runs_end_ms[worker] = ends[0]
     infos = tuple(
         scheduling.WorkerInfo(
             id=worker,
@@ -144,7 +174,10 @@
         for worker, (address, pool, failure_domain) in found.items()
     )
     return FormerWorkers(
-        infos=infos, malformed=malformed, is_complete=is_complete
+        infos=infos,
+        malformed=malformed,
+        is_complete=is_complete,
+        runs_end_ms=runs_end_ms,
     )
 
 
--- a/packages/fleet/tests/services/cell/test_malformed_rows.py
+++ b/packages/fleet/tests/services/cell/test_malformed_rows.py
@@ -37,6 +37,7 @@
         (layout.OWNER_TABLE, 'worker/w0', b'["w0:1"]'),
         (layout.OWNER_TABLE, 'worker/w0', b'"abc"'),
         (layout.OWNER_TABLE, 'worker/w0', b'[1,2,3]'),
+        (layout.OWNER_TABLE, 'worker/w0', b'["w0:1","pool","d1","1"]'),
         (layout.TABLE, layout.FLEET_KEY, b'[["w0"]]'),
         (layout.TABLE, layout.FLEET_KEY, b'{'),
     ],
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -12,6 +12,7 @@
 from oriolestand_policy.ownership._election import claim_delay_ms
 from oriolestand_policy.ownership._election import takeover_wait_ms
 from oriolestand_policy.ownership._election import unsettled_ms
+from oriolestand_policy.ownership._store_clock import StoreClock
 
 __all__ = [
     'ClaimReason',
@@ -20,6 +21,7 @@
     'Owner',
     'RENEW_INTERVAL_MS',
     'Renewal',
+    'StoreClock',
     'claim_delay_ms',
     'takeover_wait_ms',
     'unsettled_ms',
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -18,6 +18,9 @@
     ``former_placements`` are the tasks that a former owner placed on a worker
     and whose run is neither adopted nor known to have ended, and
     ``unplaced_job_ids`` the jobs with unknown placements.
+    ``held_worker_ids`` are workers for which no lease may be requested, and
+    ``leased_worker_ids`` those for which one was requested. Both outlast
+    restarts of the workers.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -32,6 +35,8 @@
         self.stopping_worker_ids: set[str] = set()
         self.former_placements: dict[_jobs.TaskKey, _jobs.Task] = {}
         self.unplaced_job_ids: set[str] = set()
+        self.held_worker_ids: set[str] = set()
+        self.leased_worker_ids: set[str] = set()
         self.effects: list[_effects.Effect] = []
 
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
@@ -39,11 +44,14 @@
 
         The worker may hold its lease until the latest end requested, so that
         end is recorded. Return None if the worker has not reported its clock
-        yet.
+        yet or if its leases are held.
         """
         worker = self.workers.get(worker_id)
         if worker is None or worker.last_report_ms < 0:
             return None
+        if worker_id in self.held_worker_ids:
+            return None
+        self.leased_worker_ids.add(worker_id)
         end = worker.min_clock_ms(now_ms) + self.lease_max_ms
         worker.lease_end_ms = max(worker.lease_end_ms, end)
         return end
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -187,10 +187,28 @@
 
         The worker may hold its lease until the latest end requested, so that
         end is recorded. Return None if the worker has not reported its clock
-        yet.
+        yet or if its leases are held.
         """
         return self._cell.new_lease_end(worker_id, now_ms)
 
+    def hold_leases(self, worker_id: str) -> bool:
+        """Request no leases for a worker until ``allow_leases``.
+
+        Return False, without an effect, if one was requested before.
+        """
+        if worker_id in self._cell.leased_worker_ids:
+            return False
+        self._cell.held_worker_ids.add(worker_id)
+        return True
+
+    def allow_leases(self, worker_id: str) -> None:
+        """Allow requests for leases of a worker again."""
+        self._cell.held_worker_ids.discard(worker_id)
+
+    def are_leases_held(self, worker_id: str) -> bool:
+        """Return whether no leases of a worker may be requested."""
+        return worker_id in self._cell.held_worker_ids
+
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
         self._cell.remove_worker(worker_id, reason)
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -12,6 +12,9 @@
 from oriolestand_policy import scheduling
 
 LATENCY_MS = 4
+CLOCK_OFFSET_MS = 7_000_000
+"""Time of the store's steady clock when that of the daemons shows 0."""
+
 MAX_COMMIT_ENTRIES = 100
 """Checks and puts that the store accepts in one commit."""
 
@@ -39,7 +42,8 @@
     """Versioned rows, configuration and workers, with change feeds.
 
     ``rows`` maps table, part and key to a row. ``config_bytes`` is the size
-    that each version of the configuration counts as.
+    that each version of the configuration counts as. ``sends_time`` is
+    whether responses to commits hold the time of the store's clock.
     """
 
     def __init__(self, clock: core.ManualClock) -> None:
@@ -50,6 +54,7 @@
         self.config: contracts.FleetConfig | None = None
         self.config_versions: list[int] = []
         self.config_bytes = 0
+        self.sends_time = True
         self.workers: dict[str, scheduling.WorkerInfo] = {}
         self.worker_changes: list[tuple[int, str]] = []
         self.oldest_cursor = 0
@@ -74,6 +79,7 @@
                 is_applied=False,
                 version=self.version,
                 current=tuple(current),
+                now_ms=self._steady_ms(),
             )
         if len(msg.checks) + len(msg.puts) > MAX_COMMIT_ENTRIES:
             raise contracts.StoreError('the commit has too many entries')
@@ -95,7 +101,13 @@
                 self.rows[(table, msg.part, put.key)] = row
             self.changes.append((table, row))
         self._notify_followers()
-        return contracts.CommitResult(is_applied=True, version=self.version)
+        return contracts.CommitResult(
+            is_applied=True, version=self.version, now_ms=self._steady_ms()
+        )
+
+    def _steady_ms(self) -> int:
+        """Return the time of the store's own clock, 0 if it sends none."""
+        return self.clock.now() + CLOCK_OFFSET_MS if self.sends_time else 0
 
     def version_at(self, time_ms: int) -> int:
         """Return the newest version without commits after a time."""
