Count leaving workers without a row as leaving

Cause: a leaving worker whose row was removed showed as not recorded in worker_states and in 'Task waits', as after a failed write of its row.

Change: the state names the departure first. Neither state lets a task start.

--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -58,12 +58,12 @@
     """Return whether a worker may get new tasks, or why not."""
     if not worker.is_probed:
         return WorkerState.NOT_PROBED
-    if not worker.is_recorded:
-        return WorkerState.NOT_RECORDED
     if not worker.is_listed:
         return WorkerState.NOT_LISTED
     if worker.info.is_leaving:
         return WorkerState.LEAVING
+    if not worker.is_recorded:
+        return WorkerState.NOT_RECORDED
     if now_ms - worker.last_report_ms > MAX_REPORT_AGE_MS:
         return WorkerState.SILENT
     if now_ms < worker.backoff_until_ms:
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -1,5 +1,6 @@
 """Compare placement with a first-fit baseline on random workers."""
 
+import dataclasses
 import random
 
 import pytest
@@ -107,3 +108,14 @@
     harness.add('f', spec)
     workers = [start.worker for start in harness.decide()[0]]
     assert sorted(workers) == ['w0', 'w1']
+
+
+def test_leaving_worker_without_a_row_counts_as_leaving(harness):
+    # An operator must not look for a failed write of a row that was removed
+    # because the worker leaves.
+    info = dataclasses.replace(harness.infos['w0'], is_leaving=True)
+    harness.scheduler.set_workers({**harness.infos, 'w0': info})
+    harness.scheduler.mark_workers_unrecorded(['w0'])
+    counts = harness.scheduler.workers_by_state(harness.now)
+    assert counts[_placement.WorkerState.LEAVING] == 1
+    assert counts[_placement.WorkerState.NOT_RECORDED] == 0
