--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -391,3 +391,138 @@
     successor = wait_for_owner(site, rest)
     site.run(RESTART_LIMIT_MS)
     assert SERVICE not in scheduler_of(successor).jobs
+
+
+# Records that change often or are large.
+
+
+def slow_down_records(daemon, delay_ms):
+    """Delay each commit of the record of the service job."""
+    task = daemon.kernel.find('store')
+    real = task._commit
+
+    async def commit(msg):
+        if any(put.key == PROGRESS_KEY for put in msg.puts):
+            await daemon.kernel.sleep(delay_ms)
+        return await real(msg)
+
+    task._commit = commit
+
+
+@pytest.mark.parametrize('commit_ms', [20, 100, 300])
+def test_start_does_not_wait_for_later_changes_of_its_record(
+    site, daemons, commit_ms
+):
+    # Guards against a start that waits until the record does not change any
+    # more, although a stored record has placed the task for long. Plain tasks
+    # of the job end every 50 ms.
+    owner = owner_of(daemons)
+    slow_down_records(owner, commit_ms)
+    steps = (
+        scheduling.StepSpec(count=300, cpu=50),
+        scheduling.StepSpec(count=1, cpu=2_000, is_service=True),
+    )
+    site.submit(owner, SERVICE, steps, duration_ms=LONG_MS)
+    count = [0]
+
+    def end_one():
+        running = [
+            run
+            for run in site.history
+            if run.key.step == 0 and not run.outcome
+        ]
+        if running:
+            end_run(site, running[0], 'done')
+        count[0] += 1
+        if count[0] < 300:
+            site.clock.call_later(50, end_one)
+
+    site.clock.call_later(300, end_one)
+    site.run_until(lambda: SERVICE in scheduler_of(owner).jobs, 1_000)
+    job = scheduler_of(owner).jobs[SERVICE]
+    site.run_until(lambda: bool(job.occurrence(0)[1][0].worker), 5_000)
+    site.run(RESTART_LIMIT_MS + 4 * commit_ms)
+    assert [run for run in site.history if run.key.step == 1]
+
+
+@pytest.mark.parametrize('commit_ms', [20, 100, 300])
+def test_restart_does_not_wait_for_other_ends_of_its_job(
+    site, daemons, commit_ms
+):
+    # As above, for service tasks of one job that end one after another, as
+    # when a worker or a version of an image is replaced.
+    owner = owner_of(daemons)
+    slow_down_records(owner, commit_ms)
+    steps = (scheduling.StepSpec(count=40, cpu=500, is_service=True),)
+    site.submit(owner, SERVICE, steps, duration_ms=LONG_MS)
+    site.run(5_000)
+    first_runs = list(site.history)
+    assert len(first_runs) == 40
+    for number, run in enumerate(first_runs):
+        site.clock.call_later(
+            100 * number, lambda run=run: end_run(site, run, 'lapsed')
+        )
+    site.run(RESTART_LIMIT_MS + 4 * commit_ms)
+    assert len(site.history) > 40
+
+
+def test_records_of_large_service_jobs_fit_a_commit(site, daemons):
+    # Guards against a commit that the store refuses each time: it takes at
+    # most 1 MB, in which values are encoded as base64.
+    owner = owner_of(daemons)
+    term = owner.kernel.find('cell')._owner_term
+    term._takeover.update = lambda: scheduling.FormerRuns(
+        has_unknown_workers=True
+    )
+    sizes = []
+    task = owner.kernel.find('store')
+    real = task._commit
+
+    async def commit(msg):
+        if any(p.key.startswith(layout.PROGRESS_PREFIX) for p in msg.puts):
+            sizes.append(sum(len(p.value) * 4 // 3 for p in msg.puts))
+        return await real(msg)
+
+    task._commit = commit
+    steps = (scheduling.StepSpec(count=900, cpu=10, is_service=True),)
+    for number in range(40):
+        spec = scheduling.JobSpec(
+            id=f'{number:016x}', route='route', payload='p', steps=steps
+        )
+        placed = [
+            [0, 0, index, 'w-000000001', 12_000_000 + index]
+            for index in range(900)
+        ]
+        term._scheduler.add_job(
+            spec,
+            site.clock.now(),
+            progress={'started': True, 'placed': placed},
+            needs_probe=True,
+        )
+        term._saver.queue_record(spec.id)
+    site.run(1_000)
+    assert len(sizes) > 1
+    assert max(sizes) <= 1_000_000
+
+
+def test_refused_record_does_not_hold_up_the_start_of_another_job(
+    site, daemons
+):
+    # Guards against a batch that the store refuses each time because of one
+    # record, which may be larger than a row: no service task starts then.
+    owner = owner_of(daemons)
+    refused_key = layout.PROGRESS_PREFIX + 'c' * 16
+    task = owner.kernel.find('store')
+    real = task._commit
+
+    async def commit(msg):
+        if any(put.key == refused_key for put in msg.puts):
+            raise store.StoreError('refused', core.Verdict.DID_NOT_RUN)
+        return await real(msg)
+
+    task._commit = commit
+    site.submit(owner, 'c' * 16, ONE_SERVICE, duration_ms=LONG_MS)
+    site.run(1_000)
+    site.submit(owner, SERVICE, ONE_SERVICE, duration_ms=LONG_MS)
+    site.run(5_000)
+    assert len(runs_of(site)) == 1
--- a/packages/fleet/tests/test_takeover_waits.py
+++ b/packages/fleet/tests/test_takeover_waits.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from oriolestand_fleet import layout
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins import fleet
@@ -185,3 +186,63 @@
     claimed_ms = site.clock.now() - TERM_MS
     term = owner_of(daemons).kernel.find('cell')._owner_term
     assert term.term.takeover_deadline_ms - claimed_ms <= LEASE_LIMIT_MS
+
+
+def test_wait_for_a_silent_owner_does_not_begin_anew_with_each_owner(cell):
+    # Guards against a chain of short terms after a silent owner in which each
+    # owner allows 10 s for it anew, although it has been unable to act for
+    # long.
+    site, daemons = cell
+    silent = owner_of(daemons)
+    daemons.remove(silent)
+    silent.disconnect()
+    site.run_until(lambda: any(d.is_owner for d in daemons), 6_000)
+    settled_ms = site.clock.now() + ownership.MAX_UNRENEWED_MS
+    daemons += [site.add_daemon(f'front-{n}') for n in range(20, 28)]
+    site.run(TERM_MS)
+    while site.clock.now() < settled_ms + TERM_MS:
+        restart_owner(site, daemons)
+    lose_worker(site, 'w0')
+    restart_owner(site, daemons)
+    claimed_ms = site.clock.now() - TERM_MS
+    term = owner_of(daemons).kernel.find('cell')._owner_term
+    assert term.term.takeover_deadline_ms - claimed_ms <= LEASE_LIMIT_MS
+
+
+def test_row_of_an_empty_leaving_worker_is_removed_under_short_terms(cell):
+    # Guards against a row that no owner removes, as each one counts the time
+    # for which a silent owner may act from its own claim.
+    site, daemons = cell
+    silent = owner_of(daemons)
+    daemons.remove(silent)
+    silent.disconnect()
+    site.run_until(lambda: any(d.is_owner for d in daemons), 6_000)
+    settled_ms = site.clock.now() + ownership.MAX_UNRENEWED_MS
+    daemons += [site.add_daemon(f'front-{n}') for n in range(20, 28)]
+    leave(site, 'w0')
+    site.run(TERM_MS)
+    while site.clock.now() < settled_ms + TERM_MS:
+        restart_owner(site, daemons)
+    key = layout.WORKER_PREFIX + 'w0'
+    assert not any(key == row_key for *_, row_key in site.store.rows)
+
+
+def test_silent_owner_does_not_restart_tasks_that_its_successor_keeps(cell):
+    # Guards against a silent owner that releases the runs of a worker which
+    # it cannot reach, as the lease that it requested is over, and starts
+    # their tasks at another worker, while its successor extends that lease.
+    site, daemons = cell
+    site.submit(daemons[0], PLAIN, ONE_TASK, duration_ms=30_000)
+    site.run(1_000)
+    (run,) = runs_of(site, PLAIN)
+    near = idle_worker(site)
+    silent = owner_of(daemons)
+    daemons.remove(silent)
+    silent.store.faults.is_unresponsive = True
+    silent.orders.faults.unreachable = set(site.workers) - {near}
+    for daemon in daemons:
+        daemon.orders.faults.unreachable = {near}
+    site.run(20_000)
+    assert any(daemon.is_owner for daemon in daemons)
+    assert not run.outcome
+    assert site.overlapping_runs() == []
--- a/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
+++ b/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
@@ -227,3 +227,32 @@
         )
         restarted |= {start.key.index for start in harness.decide()[0]}
     assert restarted >= {0, 1, 2}
+
+
+def test_large_task_starts_beside_smaller_tasks_under_short_terms(cell_of):
+    # Guards against a wait that counts from the last takeover: capacity is
+    # never reserved for a large plain task, and smaller ones take it all.
+    cell = cell_of(1)
+    cell.fill()
+    cell.add('large', LARGE)
+    waited_ms = 0
+    while waited_ms < MAX_OTHER_WAIT_MS:
+        cell.take_over()
+        if cell.wait_of('large', TERM_MS) is not None:
+            break
+        waited_ms += TERM_MS
+    assert waited_ms < MAX_OTHER_WAIT_MS
+
+
+def test_gang_starts_beside_smaller_tasks_under_short_terms(cell_of):
+    # As above, for a gang, which needs capacity on two workers at once.
+    cell = cell_of(2)
+    cell.fill()
+    cell.add('gang', GANG)
+    waited_ms = 0
+    while waited_ms < MAX_OTHER_WAIT_MS:
+        cell.take_over()
+        if cell.wait_of('gang', TERM_MS) is not None:
+            break
+        waited_ms += TERM_MS
+    assert waited_ms < MAX_OTHER_WAIT_MS
