Queue each due occurrence of a timed job after a takeover

Found by the review: the number of known occurrences was taken as the first one that is not queued. A new owner that learned of a later occurrence first, from a report or from a placement in the record, never queued the earlier ones, and the job never completed.

Change: Job.next_occurrence counts the occurrences that were queued as due.

--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -98,18 +98,21 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Job:
-    """State of a job; ``tasks`` holds the occurrences due so far.
-
-    ``needs_probe`` is set if a former owner of the cell may have started the
-    job on a worker that has not reported to this owner yet. ``completions``
-    counts the tasks that were marked as done. ``has_unknown_placements`` is
-    whether its service tasks may run on workers that its record does not name.
+    """State of a job; ``tasks`` holds the occurrences that are known.
+
+    ``next_occurrence`` is the first one that was not queued as due; a new
+    owner may know a later one. ``needs_probe`` is set if a former owner of the
+    cell may have started the job on a worker that has not reported to this
+    owner yet. ``completions`` counts the tasks that were marked as done.
+    ``has_unknown_placements`` is whether its service tasks may run on workers
+    that its record does not name.
     """
 
     spec: _specs.JobSpec
     tasks: dict[int, list[list[Task]]] = dataclasses.field(
         default_factory=dict
     )
+    next_occurrence: int = 0
     outcome: Outcome | None = None
     has_started: bool = False
     is_cancelled: bool = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -391,12 +391,12 @@
             if job is None or job.outcome is not None:
                 self._cell.timed_job_ids.discard(job_id)
                 continue
-            number = len(job.tasks)
-            while number < job.spec.occurrence_count and (
-                wall_ms >= job.spec.due_ms(number) + TIMED_START_MARGIN_MS
+            while job.next_occurrence < job.spec.occurrence_count and (
+                wall_ms
+                >= job.spec.due_ms(job.next_occurrence) + TIMED_START_MARGIN_MS
             ):
-                self._cell.queue_ready_steps(job, number, now_ms)
-                number += 1
+                self._cell.queue_ready_steps(job, job.next_occurrence, now_ms)
+                job.next_occurrence += 1
 
     def _expire_workers(self, now_ms: int) -> None:
         """Release the runs of silent workers whose leases have expired."""
