Let only an undisputed owner restart tasks of lost workers

Change: leases and takeover deadlines count as over only at a time by which no other daemon can have claimed the cell: 2.6 s after the last renewal, or now. With regular renewals nothing is delayed. While the store is away, runs of lost workers wait; those of restarted ones do not.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -52,10 +52,12 @@
         if self._is_complete:
             return scheduling.FormerRuns()
         now = self._clock.now()
+        # A later owner may have extended leases that end after this time.
+        until = self._term.undisputed_until_ms(now)
         unreached = self._unreached_workers()
-        missing = [w for w in unreached if now < self._deadline_ms(w)]
-        past_deadline = [w for w in unreached if now >= self._deadline_ms(w)]
-        is_over = now >= self._term.takeover_deadline_ms
+        missing = [w for w in unreached if until < self._deadline_ms(w)]
+        past_deadline = [w for w in unreached if until >= self._deadline_ms(w)]
+        is_over = until >= self._term.takeover_deadline_ms
         is_list_needed = bool(past_deadline) and not self.are_workers_listed
         if is_over or not is_list_needed:
             self._past_deadline_ids.update(past_deadline)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -305,7 +305,12 @@
         now = clock.now()
         if not self.term.may_act(now):
             return
-        self._scheduler.decide(now, clock.wall(), self._takeover.update())
+        self._scheduler.decide(
+            now,
+            clock.wall(),
+            self._takeover.update(),
+            self.term.undisputed_until_ms(now),
+        )
         self._apply_effects()
 
     def _apply_effects(self) -> None:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -58,6 +58,13 @@
         """Return whether no former owner can still act."""
         return now_ms >= self.settled_ms
 
+    def undisputed_until_ms(self, now_ms: int) -> int:
+        """Return until when no other daemon can have claimed the cell.
+
+        Others claim it for silence only, some time after the last renewal.
+        """
+        return min(now_ms, self.renewed_ms + ownership.OWNER_TIMEOUT_MS)
+
     def may_act(self, now_ms: int) -> bool:
         """Return whether the last renewal is recent enough to act as owner."""
         since_renewal_ms = now_ms - self.renewed_ms
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from oriolestand_policy.ownership._election import MAX_UNRENEWED_MS
+from oriolestand_policy.ownership._election import OWNER_TIMEOUT_MS
 from oriolestand_policy.ownership._election import RENEW_INTERVAL_MS
 from oriolestand_policy.ownership._election import ClaimReason
 from oriolestand_policy.ownership._election import Election
@@ -18,6 +19,7 @@
     'ClaimReason',
     'Election',
     'MAX_UNRENEWED_MS',
+    'OWNER_TIMEOUT_MS',
     'Owner',
     'RENEW_INTERVAL_MS',
     'Renewal',
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -298,14 +298,19 @@
         now_ms: int,
         wall_ms: int,
         former_runs: _takeover.FormerRuns,
+        undisputed_until_ms: int | None = None,
     ) -> None:
         """Start ready tasks, resend stops, and release runs of lost workers.
 
         ``former_runs`` tells which runs of former owners may exist although
-        no worker has reported them.
+        no worker has reported them. There was no later owner of the cell by
+        ``undisputed_until_ms``, by default ``now_ms``; leases that end later
+        may have been extended by one.
         """
         self._queue_due_occurrences(now_ms, wall_ms)
-        self._expire_workers(now_ms)
+        if undisputed_until_ms is None:
+            undisputed_until_ms = now_ms
+        self._expire_workers(now_ms, undisputed_until_ms)
         self._resend_stops(now_ms)
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
@@ -398,14 +403,16 @@
                 self._cell.queue_ready_steps(job, job.next_occurrence, now_ms)
                 job.next_occurrence += 1
 
-    def _expire_workers(self, now_ms: int) -> None:
+    def _expire_workers(self, now_ms: int, undisputed_until_ms: int) -> None:
         """Release the runs of silent workers whose leases have expired."""
         for worker in list(self._cell.workers.values()):
             if not worker.is_probed:
                 continue
             if now_ms - worker.last_report_ms <= _placement.MAX_REPORT_AGE_MS:
                 continue
-            if not worker.is_lease_expired(now_ms, LEASE_MARGIN_MS):
+            if not worker.is_lease_expired(
+                undisputed_until_ms, LEASE_MARGIN_MS
+            ):
                 continue
             if not worker.is_listed:
                 self._cell.remove_worker(worker.info.id, 'lease over')
