Examine blocked service tasks once in a round

Cause: while former workers are missing, each round listed and sorted all service tasks of their jobs before it found that they may not start yet, and took the way for gangs for each of them.

Change: tasks that may run elsewhere are left out before they are sorted; a single task is looked up directly.

--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -4,6 +4,7 @@
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _takeover
 
 MAX_SERVICE_RESTART_WAIT_MS = 2_000
 """After this time an ended service task starts before all other tasks. In a
@@ -25,8 +26,10 @@
     is_ended_service: bool
 
 
-def overdue_ended_services(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
-    """Return the overdue service tasks that have run before.
+def overdue_ended_services(
+    cell: _cell.Cell, now_ms: int, former_runs: _takeover.FormerRuns
+) -> list[OverdueTask]:
+    """Return the overdue service tasks that have run before and have ended.
 
     One that this owner has neither started nor adopted is overdue at once: it
     may have ended long before the takeover, and terms may be shorter than the
@@ -43,6 +46,8 @@
         waited_ms = now_ms - task.ready_ms
         if task.run and waited_ms < MAX_SERVICE_RESTART_WAIT_MS:
             continue
+        if former_runs.may_include(job, task, cell.workers):
+            continue
         overdue = OverdueTask(
             task=task,
             pool=route.pool,
--- a/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
@@ -39,6 +39,8 @@
             return False
         if not task.spec.is_service or job.has_unknown_placements:
             return job.needs_probe
+        if not task.spec.is_gang:
+            return self.may_include_placement(task, workers)
         return any(
             self.may_include_placement(member, workers)
             for member in job.gang_of(task)
@@ -53,11 +55,11 @@
         an unknown worker could not be read.
         """
         worker_id = task.former_worker
-        if not worker_id or self.are_known:
+        if not worker_id:
             return False
         if worker_id in self.worker_ids:
             return True
+        if not self.has_unknown_workers:
+            return False
         worker = workers.get(worker_id)
-        return self.has_unknown_workers and (
-            worker is None or not worker.is_probed
-        )
+        return worker is None or not worker.is_probed
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -79,11 +79,11 @@
     ) -> None:
         """Start overdue ended services, or reserve capacity for them."""
         unplaceable: set[_DemandClass] = set()
-        for overdue in _overdue.overdue_ended_services(self._cell, now_ms):
+        for overdue in _overdue.overdue_ended_services(
+            self._cell, now_ms, former_runs
+        ):
             task = overdue.task
             job = self._cell.jobs[task.key.job]
-            if former_runs.may_include(job, task, self._cell.workers):
-                continue
             if task.key not in self._cell.ready:
                 # It was started with the rest of its gang.
                 continue
