Let the wait for a silent owner pass once in a chain of owners

Cause: a renewal told only whether a former owner may still act. After one claim from a silent owner, each successor with a term under 10 s allowed 10 s anew, so a chain of short terms never settled: takeovers waited 16.8 s, and rows of empty leaving workers stayed.

Change: the renewal row tells for how long, from when it is sent, a former owner may act at most (unsettled_ms). A claim after a release or an end takes that time, less the time since the daemon received the renewal; a claim from a silent owner, or without a known renewal, still allows 10 s. is_settled is written for earlier versions; a row without unsettled_ms counts as 0 or 10 s. The row has a model of its own, as its fields differ from the data class.

The time since the renewal was received is needed.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -256,8 +256,11 @@
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
         self._election.on_claim(sent_ms)
-        unsettled_ms = ownership.unsettled_ms(reason, former_renewal)
-        claim = self._build_claim(reason, owner, is_settled=unsettled_ms == 0)
+        renewal_age_ms = self._election.renewal_age_ms(sent_ms)
+        unsettled_ms = ownership.unsettled_ms(
+            reason, former_renewal, renewal_age_ms
+        )
+        claim = self._build_claim(reason, owner, unsettled_ms)
         outcome = await _commits.try_commit(self.kernel, claim)
         version = _version_of_claim(outcome, claim)
         self._log.info(
@@ -278,7 +281,10 @@
         self._apply_rows(_rows_of_claim(claim, version))
         now = self.kernel.clock.now()
         takeover_wait_ms = ownership.takeover_wait_ms(
-            reason, former_renewal, self._cfg.limits.lease_max_ms
+            reason,
+            former_renewal,
+            self._cfg.limits.lease_max_ms,
+            renewal_age_ms,
         )
         term = models.Term(
             epoch=owner.epoch,
@@ -298,8 +304,7 @@
         self,
         reason: ownership.ClaimReason,
         owner: ownership.Owner,
-        *,
-        is_settled: bool,
+        unsettled_ms: int,
     ) -> store.CommitRows:
         """Return the commit of the owner row and its first renewal."""
         checks = [
@@ -312,7 +317,7 @@
                 )
             )
         renewal = ownership.Renewal(
-            epoch=owner.epoch, count=0, is_settled=is_settled
+            epoch=owner.epoch, count=0, unsettled_ms=unsettled_ms
         )
         return store.CommitRows(
             table=layout.TABLE,
@@ -416,7 +421,7 @@
             renewal = ownership.Renewal(
                 epoch=term.epoch,
                 count=count,
-                is_settled=term.is_settled(sent_ms),
+                unsettled_ms=term.unsettled_ms(sent_ms),
             )
             value = models.encode_renewal(renewal)
             outcome = await _owner_commits.commit_as_owner(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 from typing import Annotated
+from typing import Any
 
 import pydantic
 
@@ -23,8 +24,28 @@
     period_ms: float | None
 
 
+def _default_unsettled_ms(row: Mapping[str, Any]) -> int:
+    """Return for how long a former owner may act, given no such time."""
+    return 0 if row['is_settled'] else ownership.MAX_UNRENEWED_MS
+
+
+class _RenewalRow(pydantic.BaseModel):
+    """Row of the last renewal of the owner.
+
+    Earlier versions read ``is_settled``, and write no ``unsettled_ms``.
+    """
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    epoch: int
+    count: int
+    is_settled: bool
+    unsettled_ms: int = pydantic.Field(
+        ge=0, default_factory=_default_unsettled_ms
+    )
+
+
 _OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
-_RENEWAL_ROW = pydantic.TypeAdapter(ownership.Renewal)
 _WORKER_ROW: pydantic.TypeAdapter[
     tuple[str, str, str] | tuple[str, str, str, int]
 ] = pydantic.TypeAdapter(
@@ -54,9 +75,13 @@
     store_clock: ownership.StoreClock | None = None
     is_over: bool = False
 
+    def unsettled_ms(self, now_ms: int) -> int:
+        """Return for how long at most a former owner may still act."""
+        return max(0, self.settled_ms - now_ms)
+
     def is_settled(self, now_ms: int) -> bool:
         """Return whether no former owner can still act."""
-        return now_ms >= self.settled_ms
+        return self.unsettled_ms(now_ms) == 0
 
     def undisputed_until_ms(self, now_ms: int) -> int:
         """Return until when no other daemon can have claimed the cell.
@@ -90,7 +115,13 @@
 
 def encode_renewal(renewal: ownership.Renewal) -> bytes:
     """Encode the value of the renewal row."""
-    return json.dumps(dataclasses.asdict(renewal)).encode()
+    row = _RenewalRow(
+        epoch=renewal.epoch,
+        count=renewal.count,
+        is_settled=renewal.is_settled,
+        unsettled_ms=renewal.unsettled_ms,
+    )
+    return row.model_dump_json().encode()
 
 
 def decode_renewal(value: bytes | None) -> ownership.Renewal | None:
@@ -100,7 +131,10 @@
     """
     if value is None:
         return None
-    return _RENEWAL_ROW.validate_json(value, strict=True)
+    row = _RenewalRow.model_validate_json(value)
+    return ownership.Renewal(
+        epoch=row.epoch, count=row.count, unsettled_ms=row.unsettled_ms
+    )
 
 
 def encode_worker(
--- a/packages/fleet/tests/test_takeover_waits.py
+++ b/packages/fleet/tests/test_takeover_waits.py
@@ -8,6 +8,7 @@
 import pytest
 
 from oriolestand_fleet import layout
+from oriolestand_fleet.services.cell import models
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins import fleet
@@ -246,3 +247,26 @@
     assert any(daemon.is_owner for daemon in daemons)
     assert not run.outcome
     assert site.overlapping_runs() == []
+
+
+def test_renewals_of_an_epoch_never_tell_a_longer_wait(cell):
+    # Guards against an old view of a renewal that gives a shorter wait than
+    # the last one, and against a claim that begins the wait anew.
+    site, daemons = cell
+    silent = owner_of(daemons)
+    daemons.remove(silent)
+    silent.disconnect()
+    site.run_until(lambda: any(d.is_owner for d in daemons), 6_000)
+    site.run(4_000)
+    restart_owner(site, daemons, run_ms=9_000)
+    renewals = {}
+    for _, row in site.store.changes:
+        if row.key == layout.RENEWAL_KEY and row.value is not None:
+            renewal = models.decode_renewal(row.value)
+            renewals.setdefault(renewal.epoch, []).append(renewal)
+    former, latter = list(renewals.values())[-2:]
+    waits = [renewal.unsettled_ms for renewal in former + latter]
+    assert waits == sorted(waits, reverse=True)
+    assert waits[0] == ownership.MAX_UNRENEWED_MS
+    assert former[-1].unsettled_ms > latter[0].unsettled_ms > 0
+    assert waits[-1] == 0
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -90,13 +90,19 @@
 class Renewal:
     """Content of the renewal row.
 
-    ``is_settled`` is whether no owner of an earlier epoch can still act. It
-    stays true in all later renewals of the same owner.
+    ``unsettled_ms`` is for how long at most, from when the renewal is sent,
+    an owner of an earlier epoch may still act; 0 means settled. It never
+    grows in later renewals of the same owner.
     """
 
     epoch: int
     count: int
-    is_settled: bool
+    unsettled_ms: int
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether no owner of an earlier epoch can still act."""
+        return self.unsettled_ms == 0
 
 
 class Election:
@@ -114,6 +120,7 @@
         self.delay_ms = delay_ms
         self.owner: Owner | None = None
         self.renewal: Renewal | None = None
+        self._renewal_received_ms = 0
         self._silent_since_ms: int | None = None
         self._claim_count = 0
         self._next_claim_ms = 0
@@ -134,6 +141,10 @@
             return None
         return self.renewal
 
+    def renewal_age_ms(self, now_ms: int) -> int:
+        """Return how long ago at least the known renewal was sent."""
+        return now_ms - self._renewal_received_ms
+
     def on_owner(self, owner: Owner | None, now_ms: int) -> None:
         """Apply a change of the owner row."""
         self.owner = owner
@@ -145,6 +156,7 @@
     def on_renewal(self, renewal: Renewal | None, now_ms: int) -> None:
         """Apply a change of the renewal row."""
         self.renewal = renewal
+        self._renewal_received_ms = now_ms
         self._silent_since_ms = now_ms
 
     def on_store_contact(self, is_reachable: bool, now_ms: int) -> None:
@@ -231,52 +243,62 @@
     return delay_ms
 
 
-def unsettled_ms(reason: ClaimReason, former: Renewal | None) -> int:
+def unsettled_ms(
+    reason: ClaimReason, former: Renewal | None, former_age_ms: int = 0
+) -> int:
     """Return how long after a claim a former owner may still act.
 
     The result is in milliseconds; 0 means that the first renewal of the claim
     is settled. A former owner that released the cell, or whose process or
     term has ended, does not act any more. One that is merely disconnected may
-    do so for up to ``MAX_UNRENEWED_MS``, and so may the owner before it
-    unless ``former``, the last known renewal of the former owner, is settled.
-    Once a renewal of an owner is settled, its later ones are too, so an old
-    view of them makes the result too long at worst. The same holds for the
-    renewal of a claim that its daemon believed to have failed.
-
-    >>> settled = Renewal(epoch=1, count=1, is_settled=True)
+    do so for up to ``MAX_UNRENEWED_MS``. An owner before it may act for as
+    long as ``former``, the last known renewal of the former owner, tells.
+    That renewal was sent at least ``former_age_ms`` before the claim, and
+    later ones never end later, so an old view of them makes the result too
+    long at worst. The same holds for the renewal of a claim that its daemon
+    believed to have failed.
+
+    >>> settled = Renewal(epoch=1, count=1, unsettled_ms=0)
     >>> unsettled_ms(ClaimReason.RELEASED, settled)
     0
     >>> unsettled_ms(ClaimReason.SILENT, settled)
     10000
     >>> unsettled_ms(ClaimReason.RELEASED, None)
     10000
+    >>> partly = Renewal(epoch=1, count=1, unsettled_ms=4_000)
+    >>> unsettled_ms(ClaimReason.RELEASED, partly)
+    4000
+    >>> unsettled_ms(ClaimReason.RELEASED, partly, former_age_ms=600)
+    3400
     """
     if reason is ClaimReason.NO_OWNER:
         return 0
-    is_ended = reason is not ClaimReason.SILENT
-    if is_ended and former is not None and former.is_settled:
-        return 0
-    return MAX_UNRENEWED_MS
+    if reason is ClaimReason.SILENT or former is None:
+        return MAX_UNRENEWED_MS
+    return max(0, min(former.unsettled_ms, MAX_UNRENEWED_MS) - former_age_ms)
 
 
 def takeover_wait_ms(
-    reason: ClaimReason, former: Renewal | None, lease_max_ms: int
+    reason: ClaimReason,
+    former: Renewal | None,
+    lease_max_ms: int,
+    former_age_ms: int = 0,
 ) -> int:
     """Return how long tasks of a former owner may run on unreachable workers.
 
     The result is in milliseconds after the claim: the time for which a former
     owner may request leases, and the longest lease.
 
-    >>> settled = Renewal(epoch=1, count=1, is_settled=True)
+    >>> settled = Renewal(epoch=1, count=1, unsettled_ms=0)
     >>> takeover_wait_ms(ClaimReason.RELEASED, settled, 6_000)
     6820
     >>> takeover_wait_ms(ClaimReason.SILENT, settled, 6_000)
     16820
-    >>> unsettled = Renewal(epoch=2, count=0, is_settled=False)
+    >>> unsettled = Renewal(epoch=2, count=0, unsettled_ms=10_000)
     >>> takeover_wait_ms(ClaimReason.INACTIVE, unsettled, 6_000)
     16820
     """
     if reason is ClaimReason.NO_OWNER:
         return 0
     lease = lease_max_ms * CLOCK_SLACK_PERCENT // 100 + SETTLE_MARGIN_MS
-    return lease + unsettled_ms(reason, former)
+    return lease + unsettled_ms(reason, former, former_age_ms)
