Start service tasks once the record that places them is written

Cause: RecordSaver.when_saved waited until a job was neither queued nor in flight. A job that changes during each of its commits is always queued, so neither its starts nor the acknowledgement of its ends got on.

Change: each queued change has a revision. when_saved waits for the revisions as of the call, and a confirmed commit reports those that it has read. An order still follows a confirmed record that places the run: is_start_pending holds only if the run has kept its task since. is_unsaved is unchanged. The records of a round are queued before the first commit, which had one record so far.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -5,6 +5,7 @@
 is written only when it changes.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import json
 from typing import Any
@@ -33,6 +34,10 @@
     arrives late can overwrite newer records. Progress rows therefore stay
     until the job expires.
 
+    Each change of a record has a revision, which is unique in the term. A
+    record is read when its commit is sent, so that the commit has all changes
+    up to the revision that was queued then.
+
     :param versions: versions of the progress rows by job id.
     """
 
@@ -49,10 +54,11 @@
         self._versions = versions
         self._written_states: dict[str, bytes] = {}
         self._log = core.get_logger(const.DOMAIN)
-        self._queued: dict[str, None] = {}
-        self._in_flight: set[str] = set()
+        self._last_revision = 0
+        self._queued: dict[str, int] = {}
+        self._in_flight: dict[str, int] = {}
         self._is_busy = False
-        self._waiters: list[tuple[set[str], defer.Deferred[None]]] = []
+        self._waiters: list[tuple[dict[str, int], defer.Deferred[None]]] = []
 
     @property
     def backlog(self) -> int:
@@ -61,15 +67,30 @@
 
     def queue_record(self, job: str) -> None:
         """Queue the record of a job to be written."""
-        self._queued[job] = None
+        self.queue_records([job])
+
+    def queue_records(self, jobs: Iterable[str]) -> None:
+        """Queue the records of jobs to be written, in the same commits."""
+        for job in jobs:
+            self._last_revision += 1
+            self._queued[job] = self._last_revision
+        if not self._queued:
+            return
         if not self._is_busy:
             self._is_busy = True
             defer.ensureDeferred(self._write_all())
 
     def when_saved(self, jobs: set[str]) -> 'defer.Deferred[None]':
-        """Return a Deferred that fires once the jobs' records are written."""
+        """Return a Deferred that fires once the jobs' records are written.
+
+        It waits for the records as of the call and not for later changes.
+        """
         fut: defer.Deferred[None] = defer.Deferred()
-        unsaved = {job for job in jobs if self.is_unsaved(job)}
+        unsaved = {
+            job: self._queued.get(job) or self._in_flight[job]
+            for job in jobs
+            if self.is_unsaved(job)
+        }
         if not unsaved:
             fut.callback(None)
         else:
@@ -94,8 +115,9 @@
         """Commit the records that were queued first."""
         batch = list(self._queued)[: const.SAVE_BATCH]
         states: dict[str, bytes] = {}
+        revisions = {job_id: self._queued[job_id] for job_id in batch}
         puts = [put for job in batch for put in self._take_record(job, states)]
-        self._in_flight = set(batch)
+        self._in_flight = revisions
         checks = [
             store.Check(
                 key=layout.PROGRESS_PREFIX + job_id,
@@ -108,7 +130,7 @@
         outcome = await _owner_commits.commit_as_owner(
             self._kernel, self._term, puts, checks
         )
-        self._in_flight = set()
+        self._in_flight = {}
         result = outcome.result
         label = 'failed' if result is None else 'answered'
         self._kernel.post(
@@ -123,10 +145,10 @@
             for job_id in batch:
                 self._versions[job_id] = result.version
             self._written_states.update(states)
-            self._fire_waiters()
+            self._fire_waiters(revisions)
             return
-        for job_id in batch:
-            self._queued[job_id] = None
+        for job_id, revision in revisions.items():
+            self._queued.setdefault(job_id, revision)
         if result is not None:
             self._refresh_versions(result, batch)
             return
@@ -180,12 +202,19 @@
             row = current.get(layout.PROGRESS_PREFIX + job_id)
             self._versions[job_id] = 0 if row is None else row.version
 
-    def _fire_waiters(self) -> None:
-        """Fire the Deferreds whose records are all written."""
+    def _fire_waiters(self, written: dict[str, int]) -> None:
+        """Fire the Deferreds whose records are all written.
+
+        :param written: the revisions of the records of a commit.
+        """
         waiting = []
         saved = []
         for unsaved, fut in self._waiters:
-            remaining = {job for job in unsaved if self.is_unsaved(job)}
+            remaining = {
+                job: revision
+                for job, revision in unsaved.items()
+                if written.get(job, 0) < revision
+            }
             if remaining:
                 waiting.append((remaining, fut))
             else:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -314,11 +314,21 @@
         self._apply_effects()
 
     def _apply_effects(self) -> None:
-        """Apply the pending effects of the scheduler in order."""
-        for effect in self._scheduler.take_effects():
+        """Apply the pending effects of the scheduler.
+
+        All records are queued first, so that one commit can have them and
+        orders that depend on a record wait for it.
+        """
+        effects = self._scheduler.take_effects()
+        self._saver.queue_records(
+            effect.job
+            for effect in effects
+            if isinstance(effect, scheduling.SaveJob)
+        )
+        for effect in effects:
             if isinstance(effect, scheduling.SaveJob):
-                self._saver.queue_record(effect.job)
-            elif isinstance(effect, scheduling.LogEvent):
+                continue
+            if isinstance(effect, scheduling.LogEvent):
                 self._log.info(
                     effect.event.replace('_', ' ').capitalize(),
                     job=effect.job,
--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -466,6 +466,58 @@
     assert len(site.history) > 40
 
 
+@pytest.mark.parametrize('commit_ms', [20, 100])
+def test_start_waits_for_a_record_that_was_read_after_its_decision(
+    site, daemons, commit_ms
+):
+    # Guards against a start that follows a commit which was under way when
+    # the start was decided, and which does not place the task.
+    owner = owner_of(daemons)
+    slow_down_records(owner, commit_ms)
+    steps = (scheduling.StepSpec(count=20, cpu=500, is_service=True),)
+    site.submit(owner, SERVICE, steps, duration_ms=LONG_MS)
+    run_checked(site, 1_000)
+    first_runs = list(site.history)
+    assert len(first_runs) == 20
+    for number, run in enumerate(first_runs):
+        site.clock.call_later(
+            30 * number, lambda run=run: end_run(site, run, 'lapsed')
+        )
+    run_checked(site, RESTART_LIMIT_MS + 4 * commit_ms)
+    assert len(site.history) > 20
+
+
+def test_records_of_a_round_are_written_together(site, daemons):
+    # Guards against a commit that is sent for the first record of a round
+    # alone, so that the start of each other task waits for two commits.
+    owner = owner_of(daemons)
+    batches = []
+    task = owner.kernel.find('store')
+    real = task._commit
+
+    async def commit(msg):
+        keys = [
+            put.key
+            for put in msg.puts
+            if put.key.startswith(layout.PROGRESS_PREFIX)
+        ]
+        if keys:
+            batches.append(len(keys))
+        return await real(msg)
+
+    task._commit = commit
+    scheduler = scheduler_of(owner)
+    for number in range(4):
+        spec = scheduling.JobSpec(
+            id=f'{number:016x}', route='route', payload='p', steps=ONE_SERVICE
+        )
+        scheduler.add_job(spec, site.clock.now())
+        site.durations[spec.id] = LONG_MS
+    owner.kernel.find('cell')._owner_term.request_round()
+    site.run(500)
+    assert batches[0] == 4
+
+
 def test_records_of_large_service_jobs_fit_a_commit(site, daemons):
     # Guards against a commit that the store refuses each time: it takes at
     # most 1 MB, in which values are encoded as base64.
