Limit the size of record commits and isolate refused records

Cause: a batch of records was limited by count only, so records with placements could exceed the 1 MB of a commit, and a record the 65,536 bytes of a row. A refused record kept its whole batch, and with it the starts of all service tasks in the batch, waiting.

Change: a batch has at most 700,000 bytes of values. Records of a commit that failed without a conflict go behind the others and into commits of half the size, until the refused one is alone. A record is back in full batches once it is written, and all are if more than 32 failed since the last success, as in an outage. RecordSaver leaves the placements out of a record that would not fit a row; they then count as unknown.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -5,6 +5,7 @@
 is written only when it changes.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 import json
@@ -38,7 +39,12 @@
     record is read when its commit is sent, so that the commit has all changes
     up to the revision that was queued then.
 
+    The store may refuse a commit because of one record. The records of a
+    failed commit are written again after the others and in commits of half
+    the size, so that a refused record soon is alone in its commit.
+
     :param versions: versions of the progress rows by job id.
+    :param row_bytes: the largest size of a row's value.
     """
 
     def __init__(
@@ -47,16 +53,20 @@
         term: models.Term,
         scheduler: scheduling.Scheduler,
         versions: dict[str, int],
+        row_bytes: int,
     ) -> None:
         self._kernel = kernel
         self._term = term
         self._scheduler = scheduler
         self._versions = versions
+        self._row_bytes = row_bytes
         self._written_states: dict[str, bytes] = {}
         self._log = core.get_logger(const.DOMAIN)
         self._last_revision = 0
         self._queued: dict[str, int] = {}
         self._in_flight: dict[str, int] = {}
+        self._batch_limits: dict[str, int] = {}
+        self._failed: set[str] = set()
         self._is_busy = False
         self._waiters: list[tuple[dict[str, int], defer.Deferred[None]]] = []
 
@@ -113,10 +123,22 @@
 
     async def _write_batch(self) -> None:
         """Commit the records that were queued first."""
-        batch = list(self._queued)[: const.SAVE_BATCH]
+        revisions: dict[str, int] = {}
         states: dict[str, bytes] = {}
-        revisions = {job_id: self._queued[job_id] for job_id in batch}
-        puts = [put for job in batch for put in self._take_record(job, states)]
+        puts: list[store.Put] = []
+        size = 0
+        for job_id in self._next_jobs():
+            record = list(self._record_puts(job_id))
+            size += sum(len(put.value or b'') for put in record)
+            if revisions and size > const.SAVE_BATCH_BYTES:
+                break
+            revisions[job_id] = self._queued.pop(job_id)
+            puts += record
+            states.update(
+                (job_id, put.value or b'')
+                for put in record
+                if put.key.startswith(layout.RECORD_PREFIX)
+            )
         self._in_flight = revisions
         checks = [
             store.Check(
@@ -124,7 +146,7 @@
                 version=self._versions.get(job_id, 0),
                 table=layout.OWNER_TABLE,
             )
-            for job_id in batch
+            for job_id in revisions
         ]
         started_ms = self._kernel.clock.now()
         outcome = await _owner_commits.commit_as_owner(
@@ -142,52 +164,85 @@
             ),
         )
         if result is not None and result.is_applied:
-            for job_id in batch:
+            for job_id in revisions:
                 self._versions[job_id] = result.version
             self._written_states.update(states)
+            self._restore_batch_limits(revisions)
             self._fire_waiters(revisions)
             return
         for job_id, revision in revisions.items():
+            # Behind the others. A change during the commit has queued the
+            # record with a later revision.
             self._queued.setdefault(job_id, revision)
         if result is not None:
-            self._refresh_versions(result, batch)
+            self._refresh_versions(result, revisions)
             return
+        self._lower_batch_limits(revisions)
         self._log.warning(
-            'Records not written', records=len(batch), why=outcome.error
+            'Records not written', records=len(revisions), why=outcome.error
         )
         await self._kernel.sleep(const.SAVE_RETRY_MS)
 
-    def _take_record(
-        self, job_id: str, states: dict[str, bytes]
-    ) -> Iterator[store.Put]:
-        """Remove a job from the queue and yield its rows if it exists.
+    def _next_jobs(self) -> list[str]:
+        """Return the jobs that were queued first and may share a commit."""
+        limit = const.SAVE_BATCH
+        jobs: list[str] = []
+        for job_id in self._queued:
+            limit = min(limit, self._batch_limits.get(job_id, limit))
+            if len(jobs) >= limit:
+                break
+            jobs.append(job_id)
+        return jobs
+
+    def _lower_batch_limits(self, jobs: Collection[str]) -> None:
+        """Halve the number of records in the next commit of these."""
+        limit = max(1, len(jobs) // 2)
+        self._batch_limits.update(dict.fromkeys(jobs, limit))
+        self._failed.update(jobs)
 
-        Add the state row to ``states`` if it has changed.
+    def _restore_batch_limits(self, jobs: Iterable[str]) -> None:
+        """Write records in full batches again after a success.
+
+        The refused record may be any of those that failed and are still not
+        written, so these keep their limits. If more records than those of one
+        batch failed since the last success, the store was at fault.
         """
-        del self._queued[job_id]
+        if len(self._failed) > const.SAVE_BATCH:
+            self._batch_limits.clear()
+        self._failed.clear()
+        for job_id in jobs:
+            self._batch_limits.pop(job_id, None)
+
+    def _record_puts(self, job_id: str) -> Iterator[store.Put]:
+        """Yield the rows of a job that are to be written if it exists."""
         job = self._scheduler.jobs.get(job_id)
         if job is None:
             return
         if job.outcome is not None and not job.ended_wall_ms:
             job.ended_wall_ms = self._kernel.clock.wall()
         progress = scheduling.progress_of(job)
+        value = _encode(progress)
+        if len(value) > self._row_bytes and 'placed' in progress:
+            # The placements then count as unknown.
+            del progress['placed']
+            value = _encode(progress)
         yield store.Put(
             key=layout.PROGRESS_PREFIX + job_id,
-            value=_encode(progress),
+            value=value,
             table=layout.OWNER_TABLE,
         )
         state = _encode({k: progress[k] for k in STATE_FIELDS})
         if self._written_states.get(job_id) != state:
-            states[job_id] = state
             yield store.Put(key=layout.RECORD_PREFIX + job_id, value=state)
 
     def forget(self, job_id: str) -> None:
         """Drop what is kept for a job whose rows were removed."""
         self._versions.pop(job_id, None)
         self._written_states.pop(job_id, None)
+        self._batch_limits.pop(job_id, None)
 
     def _refresh_versions(
-        self, result: store.CommitResult, batch: list[str]
+        self, result: store.CommitResult, jobs: Iterable[str]
     ) -> None:
         """Update record versions after a conflict.
 
@@ -198,7 +253,7 @@
         owner = current.get(layout.OWNER_KEY)
         if owner is None or owner.version != self._term.owner_version:
             raise errors.OwnershipLostError('another daemon owns the cell')
-        for job_id in batch:
+        for job_id in jobs:
             row = current.get(layout.PROGRESS_PREFIX + job_id)
             self._versions[job_id] = 0 if row is None else row.version
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -57,6 +57,7 @@
             term,
             self._scheduler,
             {job.id: job.progress_version for job in snapshot.jobs},
+            cfg.limits.row_bytes,
         )
         self._gauges = _gauges.Gauges(kernel, term, self._scheduler)
         self._pollers: dict[str, _worker_poller.WorkerPoller] = {}
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -51,6 +51,11 @@
 """Maximum number of records in one commit. Each takes up to three entries, the
 check of the owner takes one, and the store accepts 100."""
 
+SAVE_BATCH_BYTES = 700_000
+"""Maximum size of the values in one commit of records, in bytes. The store
+accepts commits of 1 MB, in which values are base64, which adds a third, and
+up to 97 entries have keys and versions."""
+
 WORKER_BATCH = 48
 """Maximum number of workers in one commit; each takes two entries."""
 
--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -19,6 +19,9 @@
 PROGRESS_KEY = layout.PROGRESS_PREFIX + SERVICE
 LONG_MS = 120_000
 CHECK_STEP_MS = 1
+ROW_BYTES = 65_536
+"""Largest row that the store of the users' platform takes."""
+
 RESTART_LIMIT_MS = 1_000
 """Allows for the first polls of a successor and the write of a record."""
 
@@ -578,3 +581,128 @@
     site.submit(owner, SERVICE, ONE_SERVICE, duration_ms=LONG_MS)
     site.run(5_000)
     assert len(runs_of(site)) == 1
+
+
+def add_service_jobs(site, owner, count, prefix='0'):
+    """Add jobs of one service task to the owner; return their ids."""
+    ids = [f'{prefix}{number:015x}' for number in range(count)]
+    for job in ids:
+        spec = scheduling.JobSpec(
+            id=job,
+            route='route',
+            payload='p',
+            steps=(scheduling.StepSpec(count=1, cpu=10, is_service=True),),
+        )
+        scheduler_of(owner).add_job(spec, site.clock.now())
+        site.durations[job] = LONG_MS
+    owner.kernel.find('cell')._owner_term.request_round()
+    return ids
+
+
+def refuse_records(daemon, is_refused):
+    """Refuse commits with a record of certain jobs; return their sizes."""
+    sizes = []
+    task = daemon.kernel.find('store')
+    real = task._commit
+
+    async def commit(msg):
+        jobs = [
+            put.key.removeprefix(layout.PROGRESS_PREFIX)
+            for put in msg.puts
+            if put.key.startswith(layout.PROGRESS_PREFIX)
+        ]
+        if jobs:
+            sizes.append(len(jobs))
+        if any(is_refused(job) for job in jobs):
+            raise store.StoreError('refused', core.Verdict.DID_NOT_RUN)
+        return await real(msg)
+
+    task._commit = commit
+    return sizes
+
+
+@pytest.mark.parametrize('refused', [0, 17, 31])
+@pytest.mark.parametrize('changing', [0, 1, 40])
+def test_refused_record_delays_the_others_of_its_batch_briefly(
+    site, daemons, refused, changing
+):
+    # Guards against records that stay together with a refused one, also if
+    # other records are written all the time.
+    owner = owner_of(daemons)
+    refused_job = f'{refused:016x}'
+    refuse_records(owner, lambda job: job == refused_job)
+    others = add_service_jobs(site, owner, changing, 'b')
+    site.run(1_000)
+    saver = owner.kernel.find('cell')._owner_term._saver
+
+    def change():
+        saver.queue_records(others)
+        site.clock.call_later(20, change)
+
+    change()
+    ids = add_service_jobs(site, owner, 32)
+    site.run(3_500)
+    started = {run.key.job for run in site.history}
+    assert set(ids) - started == {refused_job}
+
+
+def test_records_are_written_in_full_batches_after_an_outage(site, daemons):
+    # Guards against a backlog that is written in small commits, and starts
+    # that wait for it, because the store refused all commits for a while.
+    owner = owner_of(daemons)
+    is_down = True
+    sizes = refuse_records(owner, lambda _: is_down)
+    ids = add_service_jobs(site, owner, 96)
+    site.run(6_000)
+    assert site.history == []
+    is_down = False
+    sizes.clear()
+    site.run(1_000)
+    assert {run.key.job for run in site.history} == set(ids)
+    assert len(sizes) <= 5
+
+
+def test_record_that_outgrows_a_row_is_written_without_placements(
+    site, daemons
+):
+    # Guards against a record that the store refuses each time, so that no
+    # service task of its job starts.
+    owner = owner_of(daemons)
+    term = owner.kernel.find('cell')._owner_term
+    term._takeover.update = lambda: scheduling.FormerRuns(
+        has_unknown_workers=True
+    )
+    count = 900
+    checkpoint = '00000bb87a21d94b'
+    spec = scheduling.JobSpec(
+        id=SERVICE,
+        route='route',
+        payload='p',
+        steps=(
+            scheduling.StepSpec(count=count, cpu=10, is_service=True),
+            scheduling.StepSpec(count=count, cpu=10),
+        ),
+    )
+    site.durations[SERVICE] = LONG_MS
+    progress = {
+        'started': True,
+        'open': [
+            [0, step, index, [], checkpoint]
+            for step in range(2)
+            for index in range(count)
+        ],
+        'placed': [
+            [0, 0, index, 'w-000000001', 12_000_000 + index]
+            for index in range(1, count)
+        ],
+    }
+    term._scheduler.add_job(
+        spec, site.clock.now(), progress=progress, needs_probe=True
+    )
+    term.request_round()
+    site.run(RESTART_LIMIT_MS)
+    stored = stored_progress(site)
+    assert len(json.dumps(stored, separators=(',', ':'))) <= ROW_BYTES
+    assert len(stored['open']) == 2 * count
+    assert 'placed' not in stored
+    assert [run.key.index for run in site.history] == [0]
