Carry the wait only for workers that are not registered any more

Cause: the leases of all workers that had not answered 0.4 s after the load were held, and the end of their runs was written into their rows. Behind a slow link these are healthy workers, which then got no lease and no task until their row was written a second time.

Change: the end is written only for a former worker that is not registered any more, once the registered workers are known. This is checked at each tick of the term, as a lost worker stays registered for some seconds. An owner that has requested a lease of a worker still never writes its end. The delay of 0.4 s and its part by the number of workers are removed. For a worker that cannot be reached but stays registered, each owner waits from its own claim on.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -31,11 +31,12 @@
     once nothing is left there that a successor must learn, so that it does
     not wait for the lease of a worker that has exited.
 
-    The row of a former worker that this owner has not reached may hold the
-    time by which all runs there have ended, so that the wait for them does
-    not begin anew with each successor. While the row may hold it, no lease
-    of the worker is requested and no task is started there. When the worker
-    reports after all, its row is first written without the time.
+    The row of a former worker that is not registered any more and that this
+    owner has not reached may hold the time by which all runs there have
+    ended, so that the wait for them does not begin anew with each successor.
+    While the row may hold it, no lease of the worker is requested and no task
+    is started there. When the worker reports after all, its row is first
+    written without the time.
 
     :param are_ends_recorded: tells whether the records of all ends on a
         worker are written.
@@ -82,11 +83,6 @@
             scheduler.hold_leases(worker_id)
         self._recorded = self._versions.keys() - self._ends.keys()
         """Workers with a row without an end, which may get tasks."""
-        self._carry_ms: int | None = (
-            kernel.clock.now()
-            + const.CARRY_DELAY_MS
-            + len(former.infos) // const.WORKERS_PER_MS_OF_CARRY_DELAY
-        )
         scheduler.mark_workers_recorded(self._recorded)
 
     @property
@@ -95,21 +91,21 @@
         return not self._is_busy and bool(self._changed_workers())
 
     def carry_waits(self) -> None:
-        """Record once when the runs end on workers that were not reached.
+        """Record when the runs end on lost workers that were not reached.
 
-        A worker for which this owner has requested a lease is left out, also
-        if it has restarted since.
+        Call this only once the registered workers are known. A registered
+        worker may merely be slow to answer, and would get no lease and no
+        task until its row is written again. A worker for which this owner has
+        requested a lease is left out, also if it has restarted since.
         """
         clock = self._term.store_clock
-        if clock is None or self._carry_ms is None:
-            return
-        if self._kernel.clock.now() < self._carry_ms:
+        if clock is None:
             return
-        self._carry_ms = None
         runs_end_ms = clock.to_store_ms(self._term.takeover_deadline_ms)
         for worker_id in sorted(self.former_worker_ids):
             if (
                 self._is_unreached(worker_id)
+                and not self._scheduler.workers[worker_id].is_listed
                 and worker_id in self._versions
                 and worker_id not in self._ends
                 and layout.WORKER_PREFIX + worker_id
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -273,7 +273,8 @@
             await self._kernel.sleep(const.TICK_MS)
             self._sync_pollers()
             self._run_round()
-            self._fleet.carry_waits()
+            if self._takeover.are_workers_listed:
+                self._fleet.carry_waits()
             if self._fleet.is_outdated:
                 # Rounds remove workers whose leases are over.
                 self._update_fleet_record()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -13,14 +13,6 @@
 TICK_MS = 200
 GAUGE_INTERVAL_MS = 1_000
 TAKEOVER_REPORT_INTERVAL_MS = 1_000
-CARRY_DELAY_MS = 400
-"""Time for a former worker to answer a new owner before its row gets the time
-by which its runs have ended. A worker whose row holds that time gets no lease
-and no task until the row is written again. Shorter than most terms, so that
-the waits of short terms add up."""
-
-WORKERS_PER_MS_OF_CARRY_DELAY = 10
-"""A new owner of a large fleet needs longer to poll all workers once."""
 
 MAX_LOGGED_WORKERS = 10
 """Maximum number of worker ids in one log line."""
