Log the crashes of workers with the runs that were lost

A worker that crashed was logged as gone with the number of its runs only, so a log did not tell which tasks had just started there, nor how many workers were lost under each. The line 'Worker crashed' has both ages of the youngest runs (at the last report and at the first failed poll) and the losses of their tasks; worker_crashes_total counts them by reason. The scheduler is told of failed polls for it. No decision changes.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -11,6 +11,7 @@
 from oriolestand_fleet import settings
 from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import store
+from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.cell import _fleet_record
 from oriolestand_fleet.services.cell import _gauges
 from oriolestand_fleet.services.cell import _interference_record
@@ -304,10 +305,22 @@
             if isinstance(effect, scheduling.SaveJob):
                 self._saver.queue_record(effect.job)
             elif isinstance(effect, scheduling.LogEvent):
-                self._log.info(
-                    effect.event.replace('_', ' ').capitalize(),
-                    job=effect.job,
-                    **effect.values,
-                )
+                self._log_event(effect)
             else:
                 self._orders.send(effect)
+
+    def _log_event(self, effect: scheduling.LogEvent) -> None:
+        """Log an event of the scheduler, and count it if it has a counter."""
+        self._log.info(
+            effect.event.replace('_', ' ').capitalize(),
+            job=effect.job,
+            **effect.values,
+        )
+        counter = const.EVENT_COUNTERS.get(effect.event)
+        if counter is not None:
+            self._kernel.post(
+                telemetry.SERVICE,
+                telemetry.Count(
+                    name=counter, label=str(effect.values.get('reason', ''))
+                ),
+            )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -191,6 +191,7 @@
 
     def _on_poll_failed(self, exc: core.OriolestandError) -> None:
         """Count a failed poll; log the first of consecutive failures."""
+        self._scheduler.on_poll_failed(self._worker, self._kernel.clock.now())
         worker = self._scheduler.workers.get(self._worker)
         domain = worker.info.failure_domain if worker is not None else ''
         self._kernel.post(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -10,6 +10,9 @@
 for each group of this many workers, so that rounds do not use up a slow
 processor in a large fleet."""
 
+EVENT_COUNTERS = {'worker_crashed': 'worker_crashes'}
+"""Counters of events of the scheduler; their label is the reason."""
+
 TICK_MS = 200
 GAUGE_INTERVAL_MS = 1_000
 TAKEOVER_REPORT_INTERVAL_MS = 1_000
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -1,5 +1,6 @@
 """State of a cell and the updates that several scheduling steps share."""
 
+from oriolestand_policy.scheduling import _crashes
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -28,6 +29,7 @@
         self.timed_job_ids: set[str] = set()
         self.stopping_worker_ids: set[str] = set()
         self.effects: list[_effects.Effect] = []
+        self.crashes = _crashes.CrashLog(self.log)
 
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
@@ -55,6 +57,7 @@
             reason=reason,
             runs=len(worker.runs),
         )
+        self.crashes.on_worker_gone(worker, reason)
         self.release_all(worker, worker.last_report_ms)
 
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -84,7 +84,9 @@
     when. It is excluded until ``avoid_until_ms``, for failed or stalled runs,
     unless ``is_readmitted``, and until ``backoff_until_ms``, as it rejected a
     start order. The ``reserved`` amounts are kept free for waiting tasks.
-    ``version`` counts the changes that the selection of workers depends on.
+    ``unreachable_ms`` is when the first poll since the last report failed, -1
+    if none did. ``version`` counts the changes that the selection of workers
+    depends on.
     """
 
     info: WorkerInfo
@@ -112,6 +114,7 @@
     is_readmitted: bool = False
     backoff_until_ms: int = 0
     mitigated_ms: int = 0
+    unreachable_ms: int = -1
     version: int = 0
 
     @property
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -55,6 +55,7 @@
             )
             self._cell.log('worker_probed', '', worker=worker_id)
         worker.last_report_ms = now_ms
+        worker.unreachable_ms = -1
         worker.clock_ms = worker_report.clock_ms
         _exclusions.forget_old_failures(worker, now_ms)
         jobs_to_save: set[str] = set()
@@ -72,6 +73,12 @@
         worker.version += 1
         return jobs_to_save
 
+    def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
+        """Note when a worker that reported before could not be polled."""
+        worker = self._cell.workers.get(worker_id)
+        if worker is not None and worker.unreachable_ms < 0:
+            worker.unreachable_ms = now_ms
+
     def _mitigate_interference(
         self, worker: _fleet.Worker, now_ms: int
     ) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -202,6 +202,10 @@
             worker_id, worker_report, sent_ms, now_ms
         )
 
+    def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
+        """Apply a poll of a worker that failed."""
+        self._reply_handler.on_poll_failed(worker_id, now_ms)
+
     def on_start_reply(
         self,
         worker_id: str,
