--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -119,6 +119,8 @@
         wait_ms = const.POLL_WAIT_MS
         if worker.service_cpu and worker.filling_cpu:
             wait_ms = const.MIXED_POLL_WAIT_MS
+        if worker.is_on_probation:
+            wait_ms = const.PROBATION_POLL_WAIT_MS
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
         report: scheduling.WorkerReport = await self._kernel.ask(
@@ -206,6 +208,8 @@
                 failure_domain=domain,
                 why=str(exc),
             )
+            # The next owner must learn of the runs on the worker at once.
+            self._on_change()
 
 
 def start_poller(poller: WorkerPoller, log: Any) -> None:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -10,7 +10,12 @@
 for each group of this many workers, so that rounds do not use up a slow
 processor in a large fleet."""
 
-EVENT_COUNTERS = {'worker_crashed': 'worker_crashes'}
+EVENT_COUNTERS = {
+    'worker_crashed': 'worker_crashes',
+    'task_suspected': 'tasks_suspected',
+    'task_cleared': 'tasks_cleared',
+    'task_given_up': 'tasks_given_up',
+}
 """Counters of events of the scheduler; their label is the reason."""
 
 TICK_MS = 200
@@ -25,6 +30,10 @@
 """Interference by filling tasks slows a service task down for its users within
 a few seconds, so workers that run both are polled more often."""
 
+PROBATION_POLL_WAIT_MS = 250
+"""A worker that is kept for a suspect gets no other task until a report shows
+that it survives the suspect."""
+
 POLL_RETRY_MS = 250
 RECORD_WAIT_MS = 250
 """Longest delay of the next poll while the records of ended runs wait to be
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -41,6 +41,15 @@
     ended: int = 0
     done: list[tuple[int, int, list[int]]] = []
     open: list[tuple[int, int, int, list[int], str | None]] = []
+    crashes: list[
+        tuple[
+            int,
+            int,
+            int,
+            list[tuple[str, Literal['alone', 'shared', 'common']]],
+            tuple[int, str, str, bool] | None,
+        ]
+    ] = []
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -1,6 +1,7 @@
 """State of a cell and the updates that several scheduling steps share."""
 
-from oriolestand_policy.scheduling import _crashes
+from collections.abc import Callable
+
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -16,6 +17,8 @@
     wait for a worker, and ``timed_job_ids`` the repeated jobs, which may
     have occurrences that are not due yet. ``stopping_worker_ids`` includes
     all workers with a run for which a stop order was sent and not answered.
+    ``on_worker_gone`` is called with a removed worker, which still has its
+    runs, and the reason.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -29,7 +32,7 @@
         self.timed_job_ids: set[str] = set()
         self.stopping_worker_ids: set[str] = set()
         self.effects: list[_effects.Effect] = []
-        self.crashes = _crashes.CrashLog(self.log)
+        self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
 
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
@@ -57,7 +60,8 @@
             reason=reason,
             runs=len(worker.runs),
         )
-        self.crashes.on_worker_gone(worker, reason)
+        if self.on_worker_gone is not None:
+            self.on_worker_gone(worker, reason)
         self.release_all(worker, worker.last_report_ms)
 
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -0,0 +1,264 @@
+"""Count crashes of workers against the tasks that may have caused them."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crashes
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _losses
+
+MAX_LOGGED_RUNS = 8
+
+
+class CrashHandler:
+    """Keep the crashes of tasks, and give up the tasks that are guilty.
+
+    A run is watched if its worker may have crashed while the next owner
+    would find no trace of the run: from the start of a suspect, and from the
+    first failed poll of a worker for its newest runs.
+    """
+
+    def __init__(self, cell: _cell.Cell) -> None:
+        self._cell = cell
+        self._marked: dict[_jobs.TaskKey, _jobs.Task] = {}
+        self._watched: dict[str, dict[_jobs.TaskKey, _jobs.Task]] = {}
+        self._losses = _losses.LossTracker(cell.workers)
+        self._guilty: list[_jobs.Task] = []
+        cell.on_worker_gone = self.on_worker_gone
+
+    def marked(self) -> Iterator[_jobs.Task]:
+        """Yield the unfinished tasks with crashes; forget the others."""
+        for key, task in list(self._marked.items()):
+            job = self._cell.jobs.get(key.job)
+            if (
+                job is None
+                or job.outcome is not None
+                or job.find(key) is not task
+                or task.is_done
+                or not task.crashes
+            ):
+                del self._marked[key]
+            else:
+                yield task
+
+    def on_restored(self, tasks: Iterable[_jobs.Task]) -> None:
+        """Add tasks that a former owner suspected or watched."""
+        for task in tasks:
+            if task.crashes:
+                self._marked[task.key] = task
+                self._check_guilt(task)
+            if task.watch is not None:
+                watched = self._watched.setdefault(task.watch.worker, {})
+                watched[task.key] = task
+
+    def watch(self, task: _jobs.Task, worker: _fleet.Worker) -> None:
+        """Watch the run of a suspect that is started alone."""
+        self._watch(task, worker, is_alone=True)
+
+    def on_unreachable(self, worker: _fleet.Worker) -> None:
+        """Watch the newest runs of a worker whose poll failed."""
+        self._losses.on_unreachable(worker)
+        if not worker.is_probed:
+            return
+        runs = _crashes.unproven_runs(worker)
+        is_alone = _crashes.is_single_suspect(runs)
+        for task in self._tasks_of(worker, runs):
+            if task.watch is None or task.watch.run != task.run:
+                self._watch(task, worker, is_alone=is_alone)
+
+    def on_report(self, worker: _fleet.Worker) -> None:
+        """Stop watching the runs of a worker that has not crashed."""
+        self._losses.on_report(worker)
+        watched = self._watched.get(worker.info.id)
+        if not watched:
+            return
+        for task in list(watched.values()):
+            run = worker.runs.get((task.key, task.run))
+            if run is None or run.is_proven or not task.is_suspect:
+                self._unwatch(task)
+
+    def on_worker_gone(self, worker: _fleet.Worker, reason: str) -> None:
+        """Count the crash of a worker against the tasks that may be at fault.
+
+        Nothing counts if the worker left.
+        """
+        watched = list(self._watched.get(worker.info.id, {}).values())
+        is_crash = _is_crash(worker, reason)
+        runs = _crashes.unproven_runs(worker)
+        is_alone = _crashes.is_single_suspect(runs)
+        tasks = {task.key: is_alone for task in self._tasks_of(worker, runs)}
+        if not worker.is_probed:
+            # Its runs are those that the former owner watched.
+            tasks = {
+                task.key: task.watch.is_alone
+                for task in watched
+                if task.watch is not None and not task.worker
+            }
+        has_common_cause = is_crash and self._losses.add(worker)
+        if is_crash and (worker.runs or tasks):
+            self._log_crash(worker, reason, has_common_cause=has_common_cause)
+        for task in watched:
+            self._unwatch(task)
+        if not is_crash:
+            return
+        for key, is_alone in tasks.items():
+            kind = _jobs.CrashKind.SHARED
+            if has_common_cause:
+                kind = _jobs.CrashKind.COMMON
+            elif is_alone:
+                kind = _jobs.CrashKind.ALONE
+            self._add_crash(key, worker, kind)
+
+    def _tasks_of(
+        self, worker: _fleet.Worker, runs: Iterable[_fleet.Run]
+    ) -> list[_jobs.Task]:
+        """Return the unfinished tasks of which these are the current runs."""
+        found: list[_jobs.Task] = []
+        for run in runs:
+            job = self._cell.jobs.get(run.key.job)
+            if job is None or job.outcome is not None:
+                continue
+            task = job.find(run.key)
+            if task is None or task.is_done:
+                continue
+            if task.run == run.number and task.worker == worker.info.id:
+                found.append(task)
+        return found
+
+    def _add_crash(
+        self,
+        key: _jobs.TaskKey,
+        worker: _fleet.Worker,
+        kind: _jobs.CrashKind,
+    ) -> None:
+        """Count a crash against a task."""
+        job = self._cell.jobs.get(key.job)
+        task = job.find(key) if job is not None else None
+        if job is None or task is None or job.outcome is not None:
+            return
+        task.crashes.append(
+            _jobs.Crash(address=worker.info.address, kind=kind)
+        )
+        self._marked[task.key] = task
+        self._check_guilt(task)
+        self._cell.save(job)
+        if task.is_suspect:
+            self._cell.log(
+                'task_suspected',
+                key.job,
+                task=str(key),
+                run=task.run,
+                worker=worker.info.id,
+                crashes=[list(crash) for crash in task.crashes],
+            )
+
+    def _check_guilt(self, task: _jobs.Task) -> None:
+        """Note a task whose crashes are its own fault."""
+        if _crashes.is_guilty(task.crashes):
+            self._guilty.append(task)
+
+    def give_up_tasks(self, now_ms: int) -> None:
+        """End the jobs of guilty tasks as failed."""
+        guilty, self._guilty = self._guilty, []
+        for task in guilty:
+            job = self._cell.jobs.get(task.key.job)
+            if job is None or job.outcome is not None or task.is_done:
+                continue
+            self._cell.log(
+                'task_given_up',
+                job.spec.id,
+                task=str(task.key),
+                kind=task.spec.kind.value,
+                crashes=[list(crash) for crash in task.crashes],
+            )
+            self._cell.end_job(job, _jobs.Outcome.FAILED, now_ms)
+
+    def clear(self, task: _jobs.Task) -> None:
+        """Forget the crashes of a task whose worker survives it."""
+        if task.is_suspect:
+            self._cell.log(
+                'task_cleared',
+                task.key.job,
+                task=str(task.key),
+                run=task.run,
+                worker=task.worker,
+                crashes=len(task.crashes),
+            )
+        task.crashes.clear()
+        self._unwatch(task)
+        self._save(task)
+
+    def _watch(
+        self, task: _jobs.Task, worker: _fleet.Worker, *, is_alone: bool
+    ) -> None:
+        """Watch the current run of a task, and store that."""
+        self._unwatch(task)
+        task.watch = _jobs.Watch(
+            run=task.run,
+            worker=worker.info.id,
+            address=worker.info.address,
+            is_alone=is_alone,
+        )
+        self._watched.setdefault(worker.info.id, {})[task.key] = task
+        self._save(task)
+
+    def _unwatch(self, task: _jobs.Task) -> None:
+        """Stop watching a run of a task."""
+        if task.watch is None:
+            return
+        watched = self._watched.get(task.watch.worker, {})
+        watched.pop(task.key, None)
+        if not watched:
+            self._watched.pop(task.watch.worker, None)
+        task.watch = None
+        self._save(task)
+
+    def _save(self, task: _jobs.Task) -> None:
+        """Queue a write of the record of a task's job."""
+        job = self._cell.jobs.get(task.key.job)
+        if job is not None:
+            self._cell.save(job)
+
+    def _log_crash(
+        self, worker: _fleet.Worker, reason: str, *, has_common_cause: bool
+    ) -> None:
+        """Log a crashed worker and its runs, the youngest first.
+
+        A row holds the task, the run, its age at the last report and at the
+        first failed poll, and the crashes that count against the task so far.
+        """
+        rows: list[list[object]] = []
+        runs = sorted(worker.runs.values(), key=lambda r: -r.since_ms)
+        for run in runs[:MAX_LOGGED_RUNS]:
+            task = self._marked.get(run.key)
+            rows.append(
+                [
+                    str(run.key),
+                    run.number,
+                    max(-1, worker.last_report_ms - run.since_ms),
+                    max(-1, worker.unreachable_ms - run.since_ms),
+                    len(task.crashes) if task is not None else 0,
+                ]
+            )
+        self._cell.log(
+            'worker_crashed',
+            '',
+            worker=worker.info.id,
+            reason=reason,
+            has_common_cause=has_common_cause,
+            last_report_ms=worker.last_report_ms,
+            unreachable_ms=worker.unreachable_ms,
+            runs=len(runs),
+            youngest=rows,
+        )
+
+
+def _is_crash(worker: _fleet.Worker, reason: str) -> bool:
+    """Return whether a worker was lost without having announced it."""
+    if worker.info.is_leaving:
+        return False
+    if reason in _crashes.CRASH_REASONS:
+        return True
+    return reason in _crashes.LOSS_REASONS and not worker.is_listed
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -1,62 +1,59 @@
-"""Log the crashes of workers with the runs that were lost."""
+"""Decide which tasks a crash of a worker counts against.
 
-import collections
-from typing import Protocol
+Everything that ran on a crashed worker is lost with it, and most of it is
+innocent. A task that crashes its workers does so soon after its start, so
+only runs that no report has shown to run for longer are suspect.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
 
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 
+PROBATION_MS = 500
+"""Time that a run must be seen to survive. Tasks that crash their workers do
+so within tens of milliseconds; a slow worker or link makes it longer."""
+
 CRASH_REASONS = frozenset({'restarted', 'replaced'})
 """Why a worker was removed although it did not leave: another incarnation
 reports or registered in its place."""
 
-MAX_LOGGED_RUNS = 8
-
-
-class LogFunction(Protocol):
-    """Function that queues a log event of a job or, if empty, of a worker."""
-
-    def __call__(self, event: str, job: str, **values: object) -> None:
-        """Queue the event."""
-
-
-class CrashLog:
-    """Log lost workers, and count how many each unfinished task has lost."""
-
-    def __init__(self, log: LogFunction) -> None:
-        self._log = log
-        self._losses: collections.Counter[_jobs.TaskKey] = (
-            collections.Counter()
-        )
-
-    def on_worker_gone(self, worker: _fleet.Worker, reason: str) -> None:
-        """Log a worker that crashed with runs; the youngest come first.
-
-        A row holds the task, the run, its age at the last report and at the
-        first failed poll, and the number of workers lost under the task.
-        """
-        if reason not in CRASH_REASONS or not worker.runs:
-            return
-        rows: list[list[object]] = []
-        for run in sorted(worker.runs.values(), key=lambda r: -r.since_ms):
-            self._losses[run.key] += 1
-            rows.append(
-                [
-                    str(run.key),
-                    run.number,
-                    max(-1, worker.last_report_ms - run.since_ms),
-                    max(-1, worker.unreachable_ms - run.since_ms),
-                    self._losses[run.key],
-                ]
-            )
-        self._log(
-            'worker_crashed',
-            '',
-            worker=worker.info.id,
-            reason=reason,
-            is_leaving=worker.info.is_leaving,
-            last_report_ms=worker.last_report_ms,
-            unreachable_ms=worker.unreachable_ms,
-            runs=len(rows),
-            youngest=rows[:MAX_LOGGED_RUNS],
-        )
+LOSS_REASONS = frozenset({'lease over', 'never answered'})
+"""Why a worker was removed that nobody has heard of: its entry is gone, so
+that it reaches neither the owner nor the store."""
+
+MIN_CONVICTING_ADDRESSES = 2
+MIN_CONVICTING_CRASHES = 3
+"""A worker that keeps crashing by itself crashes under any task, so crashes at
+one address convict only if there are more of them."""
+
+
+def mark_proven(run: _fleet.Run, now_ms: int) -> None:
+    """Note that a report lists a run at ``now_ms``."""
+    if now_ms - run.since_ms >= PROBATION_MS:
+        run.is_proven = True
+
+
+def unproven_runs(worker: _fleet.Worker) -> list[_fleet.Run]:
+    """Return the runs that may be about to crash a worker."""
+    return [run for run in worker.runs.values() if not run.is_proven]
+
+
+def is_single_suspect(runs: Sequence[_fleet.Run]) -> bool:
+    """Return whether runs belong to one task, or to one gang."""
+    units = {run.key[:3] if run.spec.is_gang else run.key for run in runs}
+    return len(units) == 1
+
+
+def is_guilty(crashes: Iterable[_jobs.Crash]) -> bool:
+    """Return whether the crashes of a task can only be its own fault."""
+    addresses = [
+        crash.address
+        for crash in crashes
+        if crash.kind is _jobs.CrashKind.ALONE
+    ]
+    return (
+        len(set(addresses)) >= MIN_CONVICTING_ADDRESSES
+        or len(addresses) >= MIN_CONVICTING_CRASHES
+    )
--- a/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
@@ -84,7 +84,7 @@
     )
     for worker in workers:
         pool = worker.info.pool
-        if pool in pools and _placement.is_usable(worker, now_ms):
+        if pool in pools and _placement.is_sound(worker, now_ms):
             for label in ('', *(worker.info.labels & labels)):
                 groups[pool, label].append(worker)
     readmitted_ids: set[str] = set()
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -37,6 +37,8 @@
     ``over_since_ms`` is since when the tail latency has exceeded its target,
     -1 if it does not.
     ``missed_polls`` counts consecutive reports that omit the run.
+    ``is_proven`` is whether a report showed that the worker survived it for
+    longer than a task takes to crash a worker.
     """
 
     key: _jobs.TaskKey
@@ -53,6 +55,7 @@
     paced_ms: int = 0
     over_since_ms: int = -1
     missed_polls: int = 0
+    is_proven: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -85,8 +88,9 @@
     unless ``is_readmitted``, and until ``backoff_until_ms``, as it rejected a
     start order. The ``reserved`` amounts are kept free for waiting tasks.
     ``unreachable_ms`` is when the first poll since the last report failed, -1
-    if none did. ``version`` counts the changes that the selection of workers
-    depends on.
+    if none did. ``is_on_probation`` is whether it is kept for a suspect, so
+    that no other task starts beside it. ``version`` counts the changes that
+    the selection of workers depends on.
     """
 
     info: WorkerInfo
@@ -115,6 +119,7 @@
     backoff_until_ms: int = 0
     mitigated_ms: int = 0
     unreachable_ms: int = -1
+    is_on_probation: bool = False
     version: int = 0
 
     @property
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -49,6 +49,35 @@
     return TaskKey(job, int(occurrence), int(step), int(index))
 
 
+class CrashKind(enum.StrEnum):
+    """What speaks for a task as the cause of a crash.
+
+    ALONE: only this task, or its gang, had just started on the worker.
+    SHARED: others had as well. COMMON: so many workers crashed at the same
+    moment that no single task can be the cause.
+    """
+
+    ALONE = 'alone'
+    SHARED = 'shared'
+    COMMON = 'common'
+
+
+class Crash(NamedTuple):
+    """Crash of the worker at an address, on which a task had just started."""
+
+    address: str
+    kind: CrashKind
+
+
+class Watch(NamedTuple):
+    """Run of a task whose worker may have crashed or may crash."""
+
+    run: int
+    worker: str
+    address: str
+    is_alone: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Task:
     """State of one task; ``worker`` is empty while no worker runs it.
@@ -57,6 +86,8 @@
     the numbers of the runs that failed, so that each counts once: the end of
     a run may be reported again to the next owner, and may arrive after the
     end of a newer run. ``avoid`` holds the workers on which the task failed.
+    ``crashes`` are those that count against the task, and ``watch`` is a run
+    whose worker the next owner must know about, if it has crashed.
     """
 
     key: TaskKey
@@ -69,6 +100,19 @@
     started_ms: int = 0
     ready_ms: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
+    watch: Watch | None = None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the task may be the cause of crashes.
+
+        Tasks that crash their workers may do so at the same moment, so a
+        second crash counts although it seems to have a common cause.
+        """
+        return len(self.crashes) > 1 or any(
+            crash.kind is not CrashKind.COMMON for crash in self.crashes
+        )
 
     @property
     def is_idle(self) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -37,6 +37,10 @@
     ) -> _fleet.Worker | None:
         """Return the worker of a pool that should run a task, or None."""
 
+    @abc.abstractmethod
+    def can_host(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
+        """Return whether a worker could run a task now, usable or not."""
+
     @abc.abstractmethod
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Note that the capacity of a worker has changed in the round."""
@@ -52,6 +56,7 @@
     LEAVING = 'leaving'
     SILENT = 'silent'
     AVOIDED = 'avoided'
+    ON_PROBATION = 'on_probation'
 
 
 def worker_state(worker: _fleet.Worker, now_ms: int) -> WorkerState:
@@ -70,6 +75,8 @@
         return WorkerState.AVOIDED
     if now_ms < worker.avoid_until_ms and not worker.is_readmitted:
         return WorkerState.AVOIDED
+    if worker.is_on_probation:
+        return WorkerState.ON_PROBATION
     return WorkerState.USABLE
 
 
@@ -78,6 +85,12 @@
     return worker_state(worker, now_ms) is WorkerState.USABLE
 
 
+def is_sound(worker: _fleet.Worker, now_ms: int) -> bool:
+    """Return whether a worker may get new tasks, if only on probation."""
+    state = worker_state(worker, now_ms)
+    return state in (WorkerState.USABLE, WorkerState.ON_PROBATION)
+
+
 def can_run(worker: _fleet.Worker, task: _jobs.Task) -> bool:
     """Return whether a worker has capacity for a task and may run it."""
     return worker.fits(task.spec) and is_allowed(worker, task)
@@ -115,6 +128,10 @@
                 return worker
         return None
 
+    def can_host(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
+        """Return whether a worker has capacity for a task."""
+        return can_run(worker, task)
+
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Do nothing, as each selection examines the workers anew."""
 
@@ -221,6 +238,12 @@
         pool_round.changed.append(index)
         return best
 
+    def can_host(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
+        """Return whether a worker has capacity and may be slowed that far."""
+        if not self._is_prepared:
+            self._prepare()
+        return self._rank(worker, task) is not None
+
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Examine a worker again before further selections of the round."""
         if not self._is_prepared:
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -0,0 +1,373 @@
+"""Start suspects of crashes apart from each other and from other tasks.
+
+A suspect gets a worker on which no other run is new, and nothing else starts
+there until a report shows that the worker survives it. If the worker crashes,
+the suspect is the only one that can have done it.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
+from oriolestand_policy.scheduling import _crashes
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _reservations
+from oriolestand_policy.scheduling import _takeover
+
+MAX_PROBATION_SHARE = 0.25
+"""Share of a pool's workers that may be on probation at the same time. Most
+suspects are innocent, as only one of those of a crash caused it."""
+
+MAX_LIKELY_SHARE = 0.125
+"""As above, for suspects that were the only ones of a crash."""
+
+MAX_DOWN_SHARE = 0.25
+"""Share of a pool's workers that may be down under suspects."""
+
+MIN_PROBATIONS = 2
+"""Number of workers to which each of the shares comes at least."""
+
+MAX_HOLD_MS = 5_000
+"""Time after which another worker is selected, as the runs on the first one
+may take longer than expected."""
+
+RETRY_INTERVAL_MS = 200
+MAX_SELECTIONS_PER_ROUND = 2
+"""Limits of the selections of workers; each examines the whole pool."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Hold:
+    """Workers that are kept for a suspect, or for those of one gang.
+
+    ``tasks`` and ``workers`` are parallel.
+    """
+
+    tasks: tuple[_jobs.Task, ...]
+    workers: tuple[_fleet.Worker, ...]
+    since_ms: int
+
+    @property
+    def key(self) -> _jobs.TaskKey:
+        """Return the key of the first task."""
+        return self.tasks[0].key
+
+    def worker_of(self) -> Mapping[_jobs.TaskKey, _fleet.Worker]:
+        """Return the worker of each task."""
+        pairs = zip(self.tasks, self.workers, strict=True)
+        return {task.key: worker for task, worker in pairs}
+
+
+NO_HOLD: Mapping[_jobs.TaskKey, _fleet.Worker] = {}
+
+
+def worker_of_member(
+    placement: _placement.Placement,
+    member: _jobs.Task,
+    pool: str,
+    held: Mapping[_jobs.TaskKey, _fleet.Worker],
+) -> _fleet.Worker | None:
+    """Return the worker for a member of a gang, or None.
+
+    ``held`` are the workers that are kept for suspect members. Others may
+    start there as well, as a gang is tried as a whole.
+    """
+    candidates = list(held.values())
+    if member.key in held:
+        candidates = [held[member.key]]
+    else:
+        worker = placement.select_worker(member, pool)
+        if worker is not None:
+            return worker
+    fitting = (w for w in candidates if _placement.can_run(w, member))
+    return next(fitting, None)
+
+
+def is_needed(job: _jobs.Job, task: _jobs.Task) -> bool:
+    """Return whether a task, or one of its gang, may only be tried."""
+    if not task.spec.is_gang:
+        return task.is_suspect
+    members = job.occurrence(task.key.occurrence)[task.key.step]
+    return any(member.is_suspect for member in members)
+
+
+class Probations:
+    """Workers on which suspects run, or which are kept for them."""
+
+    def __init__(
+        self,
+        cell: _cell.Cell,
+        placement: _placement.Placement,
+        crash_handler: _crash_handler.CrashHandler,
+    ) -> None:
+        self._cell = cell
+        self._placement = placement
+        self._crash_handler = crash_handler
+        self._holds: dict[_jobs.TaskKey, Hold] = {}
+        self._on_probation: dict[str, _fleet.Worker] = {}
+        self._next_attempt_ms: dict[_jobs.TaskKey, int] = {}
+
+    def begin_round(
+        self, now_ms: int, former_runs: _takeover.FormerRuns
+    ) -> None:
+        """Clear suspects that passed, and keep workers for others."""
+        marked = list(self._crash_handler.marked())
+        if not (marked or self._on_probation):
+            return
+        kept = self._running(marked)
+        suspects = [task for task in marked if task.is_suspect]
+        self._drop_invalid_holds(now_ms)
+        for hold in self._holds.values():
+            kept.update((w.info.id, w) for w in hold.workers)
+        self._hold_workers(suspects, kept, now_ms, former_runs)
+        self._apply(kept, now_ms)
+
+    def _running(self, marked: list[_jobs.Task]) -> dict[str, _fleet.Worker]:
+        """Return the workers of running suspects; clear those that passed."""
+        kept: dict[str, _fleet.Worker] = {}
+        for task in marked:
+            worker = self._cell.workers.get(task.worker)
+            if worker is None:
+                continue
+            run = worker.runs.get((task.key, task.run))
+            if run is not None and run.is_proven:
+                self._crash_handler.clear(task)
+            elif run is not None and task.is_suspect:
+                kept[worker.info.id] = worker
+        return kept
+
+    def _drop_invalid_holds(self, now_ms: int) -> None:
+        """Drop holds that are not needed, not possible or too old."""
+        for key, hold in list(self._holds.items()):
+            if now_ms - hold.since_ms >= MAX_HOLD_MS:
+                self._next_attempt_ms[key] = now_ms + RETRY_INTERVAL_MS
+            elif self._is_valid(hold, now_ms):
+                continue
+            del self._holds[key]
+
+    def _is_valid(self, hold: Hold, now_ms: int) -> bool:
+        """Return whether a hold is needed and its workers may be used."""
+        return all(
+            task.is_suspect and task.key in self._cell.ready
+            for task in hold.tasks
+        ) and all(
+            self._cell.workers.get(worker.info.id) is worker
+            and _placement.is_sound(worker, now_ms)
+            for worker in hold.workers
+        )
+
+    def _hold_workers(
+        self,
+        suspects: list[_jobs.Task],
+        kept: dict[str, _fleet.Worker],
+        now_ms: int,
+        former_runs: _takeover.FormerRuns,
+    ) -> None:
+        """Keep workers for waiting suspects, within the limits of pools."""
+        held = {task.key for h in self._holds.values() for task in h.tasks}
+        waiting = [
+            task
+            for task in suspects
+            if task.key in self._cell.ready and task.key not in held
+        ]
+        waiting.sort(key=_order)
+        selections_left = MAX_SELECTIONS_PER_ROUND
+        for task in waiting:
+            job = self._cell.jobs[task.key.job]
+            route = self._cell.routes.get(job.spec.route)
+            if route is None or former_runs.may_include(job):
+                continue
+            if not selections_left:
+                break
+            if task.key in held or not self._is_attempt_due(task, now_ms):
+                continue
+            selections_left -= 1
+            hold = self._select(job, task, route.pool, kept, now_ms)
+            if hold is None:
+                continue
+            self._holds[hold.key] = hold
+            held.update(member.key for member in hold.tasks)
+            kept.update((w.info.id, w) for w in hold.workers)
+
+    def _is_attempt_due(self, task: _jobs.Task, now_ms: int) -> bool:
+        """Return whether to look for a worker for a task, and note that."""
+        if now_ms < self._next_attempt_ms.get(task.key, 0):
+            return False
+        self._next_attempt_ms = {
+            key: at_ms
+            for key, at_ms in self._next_attempt_ms.items()
+            if at_ms > now_ms
+        }
+        self._next_attempt_ms[task.key] = now_ms + RETRY_INTERVAL_MS
+        return True
+
+    def _select(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        pool: str,
+        kept: dict[str, _fleet.Worker],
+        now_ms: int,
+    ) -> Hold | None:
+        """Select workers for a suspect, or for all suspects of its gang."""
+        tasks = [task]
+        if task.spec.is_gang:
+            members = job.occurrence(task.key.occurrence)[task.key.step]
+            if any(member.key not in self._cell.ready for member in members):
+                return None
+            tasks = [member for member in members if member.is_suspect]
+        usable = [
+            worker
+            for worker in self._cell.workers.values()
+            if worker.info.pool == pool
+            and worker.info.id not in kept
+            and _placement.is_usable(worker, now_ms)
+        ]
+        active = [w for w in kept.values() if w.info.pool == pool]
+        if _is_limit_reached(tasks, active, len(usable)):
+            return None
+        workers = self._select_workers(tasks, usable, now_ms)
+        if workers is None:
+            return None
+        return Hold(
+            tasks=tuple(tasks), workers=tuple(workers), since_ms=now_ms
+        )
+
+    def _select_workers(
+        self,
+        tasks: list[_jobs.Task],
+        candidates: list[_fleet.Worker],
+        now_ms: int,
+    ) -> list[_fleet.Worker] | None:
+        """Return a worker for each suspect, or None if one finds none.
+
+        Suspects of a gang share a worker only if there are no others: none
+        of them is tried alone, and a crash counts against all of them.
+        """
+        demands: dict[str, _reservations.Demand] = {}
+        workers: list[_fleet.Worker] = []
+        for task in tasks:
+            hosts = [
+                worker
+                for worker in candidates
+                if worker.info.id not in demands
+                and self._placement.can_host(worker, task)
+            ]
+            if hosts:
+                best = _cheapest(hosts, task)
+            else:
+                found = self._find_later(candidates, demands, task, now_ms)
+                if found is None:
+                    return None
+                best = found
+            demand = demands.setdefault(best.info.id, _reservations.Demand())
+            demand.add(task.spec)
+            workers.append(best)
+        return workers
+
+    def _find_later(
+        self,
+        candidates: list[_fleet.Worker],
+        demands: dict[str, _reservations.Demand],
+        task: _jobs.Task,
+        now_ms: int,
+    ) -> _fleet.Worker | None:
+        """Return the worker that has room for a suspect first, or None.
+
+        The idle processors that a filling task uses cannot be kept for it.
+        """
+        if task.spec.is_filling:
+            return None
+        found = _reservations.select_worker(candidates, demands, task, now_ms)
+        return found[0] if found is not None else None
+
+    def _apply(self, kept: dict[str, _fleet.Worker], now_ms: int) -> None:
+        """Keep exactly these workers from other tasks."""
+        if kept.keys() == self._on_probation.keys() and all(
+            worker is self._on_probation[worker_id]
+            for worker_id, worker in kept.items()
+        ):
+            return
+        for worker in self._on_probation.values():
+            worker.is_on_probation = False
+        for worker in kept.values():
+            worker.is_on_probation = True
+        self._on_probation = kept
+        # Which workers are usable has changed.
+        self._placement.plan(self._cell.workers.values(), now_ms)
+
+    def due(self) -> Iterator[Hold]:
+        """Yield the holds whose tasks can start now."""
+        for hold in list(self._holds.values()):
+            if all(
+                not _crashes.unproven_runs(worker)
+                and self._placement.can_host(worker, task)
+                for task, worker in zip(hold.tasks, hold.workers, strict=True)
+            ):
+                yield hold
+
+    def on_started(self, hold: Hold) -> None:
+        """Drop a hold whose tasks were started."""
+        del self._holds[hold.key]
+
+
+def _is_likely(task: _jobs.Task) -> bool:
+    """Return whether a suspect was the only one of a crash."""
+    return any(c.kind is _jobs.CrashKind.ALONE for c in task.crashes)
+
+
+def _order(task: _jobs.Task) -> tuple[object, ...]:
+    """Return the sort key of waiting suspects; likely causes come last."""
+    return (
+        _is_likely(task),
+        not task.spec.is_service,
+        task.ready_ms,
+        task.key,
+    )
+
+
+def _is_limit_reached(
+    tasks: list[_jobs.Task], active: list[_fleet.Worker], usable: int
+) -> bool:
+    """Return whether suspects must wait for others of their pool.
+
+    A gang with more suspects than the limit has the pool to itself.
+    """
+    reached = sum(worker.unreachable_ms < 0 for worker in active)
+    down = len(active) - reached
+    share = MAX_PROBATION_SHARE
+    if any(_is_likely(task) for task in tasks):
+        share = MAX_LIKELY_SHARE
+    return down >= _limit(MAX_DOWN_SHARE, usable) or (
+        reached > 0 and reached + len(tasks) > _limit(share, usable)
+    )
+
+
+def _limit(share: float, usable: int) -> int:
+    """Return the number of workers that is a share of a pool."""
+    return max(MIN_PROBATIONS, int(share * usable))
+
+
+def _cheapest(workers: list[_fleet.Worker], task: _jobs.Task) -> _fleet.Worker:
+    """Return the worker whose crash costs least."""
+    return min(workers, key=lambda worker: _rank(worker, task))
+
+
+def _rank(worker: _fleet.Worker, task: _jobs.Task) -> tuple[object, ...]:
+    """Rank workers by where a crash costs least, the best first."""
+    addresses = {crash.address for crash in task.crashes}
+    services = sum(run.spec.is_service for run in worker.runs.values())
+    return (
+        worker.info.address in addresses,
+        worker.is_readmitted,
+        bool(task.spec.rack) and task.spec.rack != worker.info.rack,
+        bool(worker.reserved_cpu or worker.reserved_memory),
+        services,
+        bool(_crashes.unproven_runs(worker)),
+        len(worker.runs),
+        worker.info.id,
+    )
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -20,7 +20,8 @@
     Keys: ``outcome`` (text or None), ``started``, ``ended`` (Unix ms),
     ``done`` (rows of occurrence, step and indices of done tasks), ``open``
     (rows of occurrence, step, index, failed runs and checkpoint, only for
-    tasks that have one of these).
+    tasks that have one of these), ``crashes`` (only if there are any: rows
+    of occurrence, step, index, crashes and watch).
     """
     done: list[list[Any]] = []
     unfinished: list[list[Any]] = []
@@ -42,17 +43,37 @@
                     if not task.is_done
                     and (task.failed_runs or task.checkpoint)
                 ]
-    return {
+    progress = {
         'outcome': job.outcome.value if job.outcome else None,
         'started': job.has_started,
         'ended': job.ended_wall_ms,
         'done': done,
         'open': unfinished,
     }
+    crashes = _crash_rows(job)
+    if crashes:
+        progress['crashes'] = crashes
+    return progress
 
 
-def restore(job: _jobs.Job, progress: Progress) -> None:
-    """Apply a stored record to a job that was just added."""
+def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
+    """Return a row for each task with crashes or a watched run."""
+    if job.outcome is not None:
+        return []
+    return [
+        [*task.key[1:], task.crashes, task.watch]
+        for steps in job.tasks.values()
+        for tasks in steps
+        for task in tasks
+        if not task.is_done and (task.crashes or task.watch)
+    ]
+
+
+def restore(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
+    """Apply a stored record to a job that was just added.
+
+    Return the tasks with crashes or a watched run.
+    """
     if progress.get('outcome'):
         job.outcome = _jobs.Outcome(progress['outcome'])
     job.has_started = bool(progress.get('started'))
@@ -68,6 +89,23 @@
         if task is not None:
             task.failed_runs = list(failed_runs)
             task.checkpoint = checkpoint
+    return _restore_crashes(job, progress)
+
+
+def _restore_crashes(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
+    """Apply the rows of crashes and return their tasks."""
+    found: list[_jobs.Task] = []
+    for number, step, index, crashes, watch in progress.get('crashes', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is None or task.is_done:
+            continue
+        task.crashes = [
+            _jobs.Crash(address=address, kind=_jobs.CrashKind(kind))
+            for address, kind in crashes
+        ]
+        task.watch = _jobs.Watch(*watch) if watch else None
+        found.append(task)
+    return found
 
 
 def job_to_dict(spec: _specs.JobSpec) -> dict[str, Any]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
+from oriolestand_policy.scheduling import _crashes
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
@@ -22,8 +24,11 @@
 class ReplyHandler:
     """Update a cell from worker reports and from replies to orders."""
 
-    def __init__(self, cell: _cell.Cell) -> None:
+    def __init__(
+        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+    ) -> None:
         self._cell = cell
+        self._crash_handler = crash_handler
 
     def on_worker_report(
         self,
@@ -67,18 +72,13 @@
             listed.add((report.key, report.number))
             self._apply_run_report(worker, report, now_ms)
         self._drop_missing_runs(worker, listed, sent_ms, now_ms)
+        self._crash_handler.on_report(worker)
         self._stop_stalled_runs(worker, now_ms)
         self._cell.pressure.observe(worker, now_ms)
         self._mitigate_interference(worker, now_ms)
         worker.version += 1
         return jobs_to_save
 
-    def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
-        """Note when a worker that reported before could not be polled."""
-        worker = self._cell.workers.get(worker_id)
-        if worker is not None and worker.unreachable_ms < 0:
-            worker.unreachable_ms = now_ms
-
     def _mitigate_interference(
         self, worker: _fleet.Worker, now_ms: int
     ) -> None:
@@ -253,6 +253,7 @@
             run.phase = _fleet.RunPhase.RUNNING
             run.since_ms = now_ms
         run.missed_polls = 0
+        _crashes.mark_proven(run, now_ms)
         if report.percent != run.percent:
             run.percent = report.percent
             run.progress_changed_ms = now_ms
@@ -277,6 +278,7 @@
             spec=task.spec if task is not None else _specs.StepSpec(count=1),
             phase=_fleet.RunPhase.RUNNING,
             since_ms=now_ms,
+            is_proven=task is None or not task.is_suspect,
         )
         worker.add(run)
         is_needed = (
--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 
@@ -221,16 +222,16 @@
         candidates, allowed_count = self._candidates(pool, now_ms)
         if allowed_count <= 0:
             return None
-        demands: dict[str, _Demand] = {}
+        demands: dict[str, Demand] = {}
         workers: list[_fleet.Worker] = []
         longest_ms = 0
         for task in tasks:
-            found = _select_worker(candidates, demands, task, now_ms)
+            found = select_worker(candidates, demands, task, now_ms)
             if found is None:
                 return None
             worker, time_ms = found
             longest_ms = max(longest_ms, time_ms)
-            demand = demands.setdefault(worker.info.id, _Demand())
+            demand = demands.setdefault(worker.info.id, Demand())
             demand.add(task.spec)
             workers.append(worker)
         if len(demands) > allowed_count and longest_ms > MAX_WIDE_GANG_TIME_MS:
@@ -269,7 +270,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Demand:
+class Demand:
     """Capacity that the tasks of one reservation need on a worker."""
 
     cpu: int = 0
@@ -284,16 +285,16 @@
         self.accelerators += spec.accelerators
         self.tasks += 1
 
-    def plus(self, spec: _specs.StepSpec) -> '_Demand':
+    def plus(self, spec: _specs.StepSpec) -> 'Demand':
         """Return the demand with one more task."""
         total = dataclasses.replace(self)
         total.add(spec)
         return total
 
 
-def _select_worker(
+def select_worker(
     workers: Sequence[_fleet.Worker],
-    demands: dict[str, _Demand],
+    demands: Mapping[str, Demand],
     task: _jobs.Task,
     now_ms: int,
 ) -> tuple[_fleet.Worker, int] | None:
@@ -304,7 +305,7 @@
     best: tuple[_fleet.Worker, int] | None = None
     best_rank: tuple[object, ...] = ()
     for worker in workers:
-        demand = demands.get(worker.info.id, _Demand()).plus(task.spec)
+        demand = demands.get(worker.info.id, Demand()).plus(task.spec)
         if not _can_make_room(worker, task, demand):
             continue
         time_ms = _time_until_room_ms(worker, demand, now_ms)
@@ -322,7 +323,7 @@
 
 
 def _can_make_room(
-    worker: _fleet.Worker, task: _jobs.Task, demand: _Demand
+    worker: _fleet.Worker, task: _jobs.Task, demand: Demand
 ) -> bool:
     """Return whether a worker may run a task once its other runs have ended.
 
@@ -355,7 +356,7 @@
 
 
 def _time_until_room_ms(
-    worker: _fleet.Worker, demand: _Demand, now_ms: int
+    worker: _fleet.Worker, demand: Demand, now_ms: int
 ) -> int:
     """Return the estimated time until a worker has room for a demand."""
     info = worker.info
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
@@ -47,10 +48,14 @@
         make_placement: PlacementFactory = _placement.MixedPlacement,
     ) -> None:
         self._cell = _cell.Cell(epoch, lease_max_ms)
-        self._reply_handler = _reply_handler.ReplyHandler(self._cell)
+        self._crash_handler = _crash_handler.CrashHandler(self._cell)
+        self._reply_handler = _reply_handler.ReplyHandler(
+            self._cell, self._crash_handler
+        )
         self._task_starter = _task_starter.TaskStarter(
             self._cell,
             make_placement(self._cell.pressure),
+            self._crash_handler,
         )
         self._wait_reporter = _waits.WaitReporter(self._cell)
 
@@ -93,7 +98,7 @@
         job = _jobs.Job(spec=spec, needs_probe=needs_probe, added_ms=now_ms)
         self._cell.jobs[spec.id] = job
         if progress is not None:
-            _record.restore(job, progress)
+            self._crash_handler.on_restored(_record.restore(job, progress))
         if job.outcome is not None:
             return
         if is_cancelled:
@@ -204,7 +209,10 @@
 
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
-        self._reply_handler.on_poll_failed(worker_id, now_ms)
+        worker = self._cell.workers.get(worker_id)
+        if worker is not None and worker.unreachable_ms < 0:
+            worker.unreachable_ms = now_ms
+            self._crash_handler.on_unreachable(worker)
 
     def on_start_reply(
         self,
@@ -250,6 +258,7 @@
         ``former_runs`` tells which runs of former owners may exist although
         no worker has reported them.
         """
+        self._crash_handler.give_up_tasks(now_ms)
         self._queue_due_occurrences(now_ms, wall_ms)
         self._expire_workers(now_ms)
         self._resend_stops(now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -1,9 +1,11 @@
 """Start ready tasks on workers."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
@@ -11,6 +13,7 @@
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _placement_round
+from oriolestand_policy.scheduling import _probations
 from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _reservations
 from oriolestand_policy.scheduling import _specs
@@ -33,10 +36,17 @@
     """Select workers for ready tasks and queue the effects to start them."""
 
     def __init__(
-        self, cell: _cell.Cell, placement: _placement.Placement
+        self,
+        cell: _cell.Cell,
+        placement: _placement.Placement,
+        crash_handler: _crash_handler.CrashHandler,
     ) -> None:
         self._cell = cell
         self._placement = placement
+        self._crash_handler = crash_handler
+        self._probations = _probations.Probations(
+            cell, placement, crash_handler
+        )
         self._reservations = _reservations.Reservations(cell, placement)
         self._next_reservations_ms = 0
         self._fit_budget = _fit_budget.FitBudget()
@@ -51,6 +61,7 @@
         Tasks that may be among ``former_runs`` wait.
         """
         self._placement.plan(self._cell.workers.values(), now_ms)
+        self._start_probations(now_ms, former_runs)
         self._start_reserved(now_ms)
         self._start_ended_services(now_ms, former_runs)
         if now_ms >= self._next_reservations_ms:
@@ -60,6 +71,26 @@
         self._start_ready(now_ms, wall_ms, former_runs)
         self._fit_budget.end_round()
 
+    def _start_probations(
+        self, now_ms: int, former_runs: _takeover.FormerRuns
+    ) -> None:
+        """Start suspects of crashes on workers that are kept for them."""
+        self._probations.begin_round(now_ms, former_runs)
+        for hold in self._probations.due():
+            job = self._cell.jobs[hold.key.job]
+            if hold.tasks[0].spec.is_gang:
+                route = self._cell.routes[job.spec.route]
+                if not self._start_gang(
+                    job, hold.tasks[0], route, now_ms, hold.worker_of()
+                ):
+                    continue
+            else:
+                self._assign_all(job, hold.tasks, hold.workers, now_ms)
+            for task, worker in zip(hold.tasks, hold.workers, strict=True):
+                self._placement.mark_changed(worker)
+                self._crash_handler.watch(task, worker)
+            self._probations.on_started(hold)
+
     def _start_reserved(self, now_ms: int) -> None:
         """Start the tasks whose reservations are fulfilled."""
         self._reservations.begin_round(now_ms)
@@ -87,6 +118,8 @@
             if task.key not in self._cell.ready:
                 # It was started with the rest of its gang.
                 continue
+            if _probations.is_needed(job, task):
+                continue
             demand_class = _demand_class(task, overdue.pool)
             if demand_class in unplaceable:
                 continue
@@ -120,6 +153,8 @@
                 continue
             if former_runs.may_include(job):
                 continue
+            if _probations.is_needed(job, overdue.task):
+                continue
             demand_class = _demand_class(overdue.task, overdue.pool)
             if demand_class in unplaceable:
                 continue
@@ -200,6 +235,8 @@
                     return
                 if task.key not in self._cell.ready:
                     continue
+                if _probations.is_needed(job, task):
+                    continue
                 if spec.is_gang:
                     newly_started = self._start_gang(job, task, route, now_ms)
                 else:
@@ -249,15 +286,21 @@
         task: _jobs.Task,
         route: _specs.RoutePolicy,
         now_ms: int,
+        held: Mapping[_jobs.TaskKey, _fleet.Worker] = _probations.NO_HOLD,
     ) -> int:
-        """Start all members of a gang or none; return the number started."""
+        """Start all members of a gang or none; return the number started.
+
+        ``held`` are the workers that are kept for suspect members.
+        """
         members = job.occurrence(task.key.occurrence)[task.key.step]
         if any(m.key not in self._cell.ready for m in members):
             return 0
         number = self._next_run_number()
         placed: list[tuple[_fleet.Worker, _fleet.Run]] = []
         for member in members:
-            worker = self._placement.select_worker(member, route.pool)
+            worker = _probations.worker_of_member(
+                self._placement, member, route.pool, held
+            )
             if worker is None:
                 break
             # Reserve the capacity now, so that the selection for the next
--- /dev/null
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -0,0 +1,257 @@
+"""Tests of which crashes of workers count against which tasks."""
+
+import json
+
+import pytest
+
+from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _crashes
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _losses
+from oriolestand_policy.scheduling import _probations
+from oriolestand_policy.scheduling import _record
+
+ALONE = _jobs.CrashKind.ALONE
+SHARED = _jobs.CrashKind.SHARED
+COMMON = _jobs.CrashKind.COMMON
+
+
+def crashes(*entries):
+    return [_jobs.Crash(address=a, kind=kind) for a, kind in entries]
+
+
+@pytest.mark.parametrize(
+    ('entries', 'is_guilty'),
+    [
+        ([], False),
+        ([('a', ALONE)], False),
+        ([('a', ALONE), ('b', ALONE)], True),
+        # Only one of the tasks that had just started did it.
+        ([('a', SHARED), ('b', SHARED), ('c', SHARED)], False),
+        ([('a', SHARED), ('b', ALONE)], False),
+        ([('a', SHARED), ('b', ALONE), ('c', ALONE)], True),
+        # Racks that lose power.
+        ([('a', COMMON), ('b', COMMON), ('c', COMMON)], False),
+        ([('a', COMMON), ('b', ALONE)], False),
+        # A machine that crashes by itself.
+        ([('a', ALONE), ('a', ALONE)], False),
+        ([('a', ALONE), ('a', ALONE), ('a', ALONE)], True),
+    ],
+)
+def test_only_crashes_that_point_to_one_task_convict_it(entries, is_guilty):
+    # Guards against verdicts on tasks that ran beside the cause.
+    assert _crashes.is_guilty(crashes(*entries)) is is_guilty
+
+
+def loss(name, moment_ms=1_000, rack='r', **fields):
+    return _losses.Loss(
+        worker=name, pool='p', rack=rack, moment_ms=moment_ms, **fields
+    )
+
+
+@pytest.mark.parametrize(
+    ('others', 'is_common'),
+    [
+        ([], False),
+        # Half of the rack at the same moment, but not before.
+        ([loss('b'), loss('c')], False),
+        ([loss('b'), loss('c'), loss('d')], True),
+        ([loss('b'), loss('c'), loss('d', 3_000)], False),
+        # A tenth of the pool.
+        ([loss(f'x{n}', rack=f's{n}') for n in range(3)], False),
+        ([loss(f'x{n}', rack=f's{n}') for n in range(5)], True),
+        # Workers that were tried with suspects are no sign of it.
+        ([loss(n, is_explained=True) for n in 'bcdefg'], False),
+        # Nor are those that a former owner may have lost at any time.
+        ([loss(n, is_moment_known=False) for n in 'bcdefg'], False),
+    ],
+)
+def test_many_losses_at_the_same_moment_have_a_common_cause(others, is_common):
+    # Guards against suspects of a rack that lost power, and against harmful
+    # tasks that are never suspected, as several crash workers at a time.
+    assert (
+        _losses.has_common_cause(loss('a'), others, pool_size=60, rack_size=8)
+        is is_common
+    )
+
+
+def job_with(step=None):
+    step = step or scheduling.StepSpec(count=2)
+    spec = scheduling.JobSpec(id='j', route='r', payload='', steps=(step,))
+    job = scheduling.Job(spec=spec)
+    return job, job.occurrence(0)[0]
+
+
+def test_crashes_are_stored_with_the_progress_of_a_job():
+    # Guards against a successor that starts to count anew.
+    job, tasks = job_with()
+    tasks[1].crashes = crashes(('a', SHARED), ('b', ALONE))
+    tasks[1].watch = _jobs.Watch(run=7, worker='w', address='c', is_alone=True)
+    stored = json.loads(json.dumps(scheduling.progress_of(job)))
+    successor, restored = job_with()
+    found = _record.restore(successor, stored)
+    assert restored[1].crashes == tasks[1].crashes
+    assert restored[1].watch == tasks[1].watch
+    assert restored[1].is_suspect
+    assert found == [restored[1]]
+    assert not restored[0].crashes
+
+
+def test_progress_without_crashes_is_as_before():
+    # Guards against records that an earlier version cannot read, and against
+    # a record of such a version that is refused.
+    job, _ = job_with()
+    stored = scheduling.progress_of(job)
+    assert set(stored) == {'outcome', 'started', 'ended', 'done', 'open'}
+    assert _record.restore(job_with()[0], stored) == []
+
+
+def test_a_single_common_crash_makes_no_suspect():
+    # Guards against all new tasks of a lost rack waiting for trials.
+    _, tasks = job_with()
+    tasks[0].crashes = crashes(('a', COMMON))
+    assert not tasks[0].is_suspect
+    # Harmful tasks may crash workers at the same moment again and again.
+    tasks[0].crashes = crashes(('a', COMMON), ('b', COMMON))
+    assert tasks[0].is_suspect
+
+
+class Tried:
+    """A cell of idle workers with suspects, some in a full pool."""
+
+    def __init__(self, harness, make):
+        self.harness = harness
+        self.make = make
+
+    def suspects(self, count, kind='shared', **step):
+        """Add a job all of whose tasks are suspects."""
+        spec = scheduling.JobSpec(
+            id='s',
+            route='r',
+            payload='x',
+            steps=(scheduling.StepSpec(count=count, **step),),
+        )
+        self.harness.scheduler.add_job(
+            spec,
+            self.harness.now,
+            progress={
+                'crashes': [
+                    [0, 0, n, [['z', kind]], None] for n in range(count)
+                ]
+            },
+        )
+
+
+@pytest.fixture
+def tried(make):
+    """Return a cell of eight idle workers, to which suspects can be added."""
+    return Tried(make.Harness(workers=8), make)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'share'),
+    [
+        ('shared', _probations.MAX_PROBATION_SHARE),
+        ('alone', _probations.MAX_LIKELY_SHARE),
+    ],
+)
+def test_few_suspects_are_tried_at_a_time(make, kind, share):
+    # Guards against a pool that loses most of its workers to one round of
+    # starts.
+    tried = Tried(make.Harness(workers=32), make)
+    tried.suspects(40, kind, cpu=100)
+    started = []
+    for _ in range(40):
+        starts, _ = tried.harness.decide()
+        started += starts
+    assert len({start.worker for start in started}) == len(started)
+    assert 2 <= len(started) <= share * 32
+
+
+def test_nothing_starts_beside_a_suspect_until_it_has_passed(tried):
+    # Guards against a second suspect of the next crash.
+    harness = tried.harness
+    tried.suspects(1, cpu=100)
+    (start,), _ = harness.decide()
+    harness.answer(start)
+    harness.add('o', scheduling.StepSpec(count=70, cpu=1_000))
+    starts, _ = harness.decide()
+    assert len(starts) == 70
+    assert start.worker not in {s.worker for s in starts}
+    harness.now += _crashes.PROBATION_MS - 1
+    harness.poll(start.worker, [tried.make.report(start)])
+    harness.add('p', scheduling.StepSpec(count=1, cpu=5_000))
+    assert harness.decide() == ([], [])
+    harness.now += 1
+    harness.poll(start.worker, [tried.make.report(start)])
+    (after,), _ = harness.decide()
+    assert after.worker == start.worker
+    progress = scheduling.progress_of(harness.scheduler.jobs['s'])
+    assert 'crashes' not in progress
+
+
+def test_a_suspect_waits_until_the_other_runs_on_its_worker_are_old(make):
+    # Guards against a verdict on a task although another one, started just
+    # before it, may have crashed the worker.
+    harness = make.Harness(workers=1)
+    harness.add('o', scheduling.StepSpec(count=1, cpu=1_000))
+    (other,), _ = harness.decide()
+    harness.answer(other)
+    Tried(harness, make).suspects(1, cpu=100)
+    assert harness.decide() == ([], [])
+    harness.now += _crashes.PROBATION_MS
+    harness.poll('w0', [make.report(other)])
+    (start,), _ = harness.decide()
+    assert start.key.job == 's'
+
+
+def test_a_suspect_goes_where_a_crash_costs_least(tried):
+    # Guards against trials on workers with service tasks and many runs.
+    harness = tried.harness
+    harness.add(
+        'o',
+        scheduling.StepSpec(
+            count=7, cpu=1_000, is_service=True, max_per_worker=1
+        ),
+    )
+    starts, _ = harness.decide()
+    for start in starts:
+        harness.answer(start)
+    harness.now += _crashes.PROBATION_MS
+    for start in starts:
+        harness.poll(start.worker, [tried.make.report(start)])
+    tried.suspects(1, cpu=100)
+    (start,), _ = harness.decide()
+    assert start.worker not in {s.worker for s in starts}
+
+
+def test_room_is_made_for_a_suspect_in_a_full_pool(make):
+    # Guards against a suspect that never starts, as other tasks take each
+    # room that becomes free.
+    harness = make.Harness(workers=2)
+    harness.add('o', scheduling.StepSpec(count=40, cpu=1_000))
+    starts, _ = harness.decide()
+    for start in starts:
+        harness.answer(start)
+    Tried(harness, make).suspects(1, cpu=5_000)
+    runs = {start.worker: [] for start in starts}
+    for start in starts:
+        runs[start.worker].append(start)
+    sequence = 0
+    for _ in range(12):
+        harness.now += _crashes.PROBATION_MS
+        for worker in runs:
+            sequence += 1
+            ended, runs[worker] = runs[worker][:1], runs[worker][1:]
+            harness.poll(
+                worker,
+                [make.report(start) for start in runs[worker]],
+                [make.end(start, 'done', sequence) for start in ended],
+            )
+        started, _ = harness.decide()
+        for start in started:
+            harness.answer(start)
+            runs[start.worker].append(start)
+            if start.key.job == 's':
+                return
+    pytest.fail('the suspect was not started')
--- a/packages/policy/tests/scheduling/test_crashing_tasks.py
+++ b/packages/policy/tests/scheduling/test_crashing_tasks.py
@@ -13,6 +13,9 @@
 CRASH_MS = 10
 """How long a harmful task runs before its worker crashes."""
 
+NOTICE_MS = 150
+"""How long a poll takes to fail after a crash."""
+
 DOWN_MS = 3_300
 POLL_MS = 400
 STORE_MS = 30
@@ -38,6 +41,7 @@
     ended: list = dataclasses.field(default_factory=list)
     polled_ms: int = -POLL_MS
     sequence: int = 0
+    crashed_ms: int = 0
     back_ms: int = 0
     is_noticed: bool = False
 
@@ -220,6 +224,7 @@
                 if (key[:3], number) in gangs:
                     self.end(other, (key, number), 'broken')
         worker.ended.clear()
+        worker.crashed_ms = self.now
         worker.back_ms = self.now + down_ms
 
     def crash_rack(self, rack):
@@ -231,7 +236,9 @@
     def step_crashed(self, worker):
         """Let polls of a crashed worker fail until the next life answers."""
         name = worker.info.id
-        if not worker.is_noticed:
+        if not worker.is_noticed and self.now >= (
+            worker.crashed_ms + NOTICE_MS
+        ):
             worker.is_noticed = True
             self.scheduler.on_poll_failed(name, self.now)
             self.apply_effects()
@@ -357,6 +364,21 @@
     assert max(harmful_starts(cell).values()) <= MAX_STARTS
 
 
+@pytest.mark.parametrize('delay_ms', [60, 200, 3_200])
+def test_crash_of_a_trial_counts_although_the_owner_ends(delay_ms):
+    # Guards against a successor that does not know that a suspect had been
+    # started on a worker that crashed.
+    cell = Simulation()
+    cell.add('bad', harmful=[0], count=1)
+    while sum(cell.starts.values()) < 2:
+        cell.run(STEP_MS)
+    cell.run(delay_ms)
+    cell.take_over()
+    cell.run(30_000)
+    assert cell.given_up() == {'bad'}
+    assert sum(cell.starts.values()) == 2
+
+
 def test_a_verdict_that_was_not_carried_out_is_not_forgotten():
     # Guards against a guilty task that runs under the next owner.
     cell = Simulation()
@@ -428,19 +450,22 @@
 
 
 def test_a_worker_that_left_as_announced_has_not_crashed():
-    # Guards against suspects of replacements that were planned.
+    # Guards against suspects, and verdicts, of replacements that were
+    # planned.
     cell = Simulation()
-    cell.add('good', count=12, estimate_ms=5_000)
-    cell.run(100)
-    for worker in cell.workers.values():
+    for number in range(4):
+        cell.add(f'good{number}', count=1, estimate_ms=3_000)
+        cell.run(20)
+        worker = next(w for w in cell.workers.values() if w.runs)
         worker.info = dataclasses.replace(worker.info, is_leaving=True)
-    cell.update_workers()
-    cell.run(100)
-    for worker in list(cell.workers.values()):
+        cell.update_workers()
+        cell.run(50)
         cell.crash(worker, down_ms=200)
+        cell.run(1_000)
     cell.run(20_000)
     assert all(event != 'task_suspected' for event, _ in cell.events)
-    assert cell.outcome('good') is scheduling.Outcome.COMPLETED
+    for job in cell.specs:
+        assert cell.outcome(job) is scheduling.Outcome.COMPLETED
 
 
 def test_a_service_task_that_crashes_workers_is_given_up():
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -70,14 +70,22 @@
                 if not self._pressure.has_estimate(image, run.spec.image):
                     self._pairs_on_trial.add((image, run.spec.image))
 
+    def _rank_of(self, task):
+        if task.spec.is_filling:
+            return self._rank_filling
+        if task.spec.is_service:
+            return self._rank_service
+        return self._rank_batch
+
+    def can_host(self, worker, task):
+        if not _placement.can_run(worker, task):
+            return False
+        return self._rank_of(task)(worker, task) is not None
+
     def select_worker(self, task, pool):
         best = None
         best_rank = ()
-        rank_of = self._rank_service
-        if task.spec.is_filling:
-            rank_of = self._rank_filling
-        elif not task.spec.is_service:
-            rank_of = self._rank_batch
+        rank_of = self._rank_of(task)
         for worker in self._by_pool.get(pool, ()):
             if not _placement.can_run(worker, task):
                 continue
@@ -234,6 +242,8 @@
             route = self._cell.routes.get(job.spec.route)
             if route is None:
                 continue
+            if has_suspect(job, task):
+                continue
             spec = task.spec
             demand_class = (
                 route.pool,
@@ -285,6 +295,14 @@
         return sorted(self._cell.ready, key=sort_key)
 
 
+def has_suspect(job, task):
+    """Return whether a task, or one of its gang, is suspect of a crash."""
+    return any(
+        other.is_suspect and (other is task or task.spec.is_gang)
+        for other in job.occurrence(task.key.occurrence)[task.key.step]
+    )
+
+
 def reference_rank(job, occurrence, route, wall_ms):
     due = job.spec.due_ms(occurrence) or job.spec.accepted_ms
     if any(spec.is_service for spec in job.spec.steps):
@@ -356,7 +374,9 @@
         self._cell.pressure = ReferenceModel()
         self._cell.ready = ReferenceReady()
         self._task_starter = ReferenceStarter(
-            self._cell, ReferencePlacement(self._cell.pressure)
+            self._cell,
+            ReferencePlacement(self._cell.pressure),
+            self._crash_handler,
         )
 
     def _limit_exclusions(self, now_ms):
@@ -428,6 +448,7 @@
         self.failing = set()
         self.readmitted = 0
         self.removed = 0
+        self.events = set()
         self.call(
             'set_routes',
             [
@@ -581,6 +602,7 @@
                 self.paces.add(effect.percent)
             elif isinstance(effect, scheduling.LogEvent):
                 self.removed += effect.values.get('reason') == 'lease over'
+                self.events.add(effect.event)
 
     def start(self, effect):
         """Reply to a start order."""
@@ -644,6 +666,7 @@
         change = self.rng.randrange(6)
         if change == 0:
             self.runs[name].clear()
+            self.call('on_poll_failed', name, self.now)
             info = dataclasses.replace(info, process_start_ms=self.now)
         elif change == 1:
             info = dataclasses.replace(
@@ -765,6 +788,7 @@
     paces = set()
     removed = 0
     readmitted = 0
+    events = set()
     for seed in SEEDS[:8]:
         pair = Pair(seed)
         for _ in range(STEPS):
@@ -772,12 +796,14 @@
         reasons.update(pair.stops)
         paces.update(pair.paces)
         removed += pair.removed
+        events |= pair.events
         readmitted += pair.readmitted
     expected = {'harm', 'repeat', 'cancelled', 'worker leaves', 'in doubt'}
     assert expected <= reasons
     assert paces == {0, 100}
     assert removed
     assert readmitted
+    assert {'task_suspected', 'task_cleared'} <= events
 
 
 def make_worker(name, *specs):
