Count crashes whose record was lost, and weigh late ones less

The record of a crash is lost if the owner ends right after it has removed the worker; the successor found the watch of a worker that it does not know, and dropped it. Such a watch now counts. Trials that end while many workers crash seemed to have a common cause again and again; four or five crashes in a row, none survived, now convict. One cell convicted an innocent task by two chance crashes 0.5 s after its starts; crashes noticed over 0.3 s after the start now need three addresses.

The simulation broke gangs too rarely, so that a gang with a missing member completed; members now end with it.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -16,6 +16,8 @@
     'cancelled': messages.JobState.CANCELLED,
 }
 
+_CrashKind = Literal['alone', 'late', 'shared', 'common']
+
 
 class _JobRow(pydantic.BaseModel):
     """Row of a job; rows of earlier versions have the steps as well."""
@@ -46,8 +48,8 @@
             int,
             int,
             int,
-            list[tuple[str, Literal['alone', 'shared', 'common']]],
-            tuple[int, str, str, bool] | None,
+            list[tuple[str, _CrashKind]],
+            tuple[int, str, str, _CrashKind] | None,
         ]
     ] = []
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -44,18 +44,27 @@
                 yield task
 
     def on_restored(self, tasks: Iterable[_jobs.Task]) -> None:
-        """Add tasks that a former owner suspected or watched."""
+        """Add tasks that a former owner suspected or watched.
+
+        A former owner that has removed a worker, but has not stored what
+        became of a watched run, ended right after the crash.
+        """
         for task in tasks:
+            watch = task.watch
+            if watch is not None and watch.worker in self._cell.workers:
+                self._watched.setdefault(watch.worker, {})[task.key] = task
+            elif watch is not None:
+                task.watch = None
+                task.crashes.append(
+                    _jobs.Crash(address=watch.address, kind=watch.kind)
+                )
             if task.crashes:
                 self._marked[task.key] = task
                 self._check_guilt(task)
-            if task.watch is not None:
-                watched = self._watched.setdefault(task.watch.worker, {})
-                watched[task.key] = task
 
     def watch(self, task: _jobs.Task, worker: _fleet.Worker) -> None:
         """Watch the run of a suspect that is started alone."""
-        self._watch(task, worker, is_alone=True)
+        self._watch(task, worker, _jobs.CrashKind.ALONE)
 
     def on_unreachable(self, worker: _fleet.Worker) -> None:
         """Watch the newest runs of a worker whose poll failed."""
@@ -63,10 +72,9 @@
         if not worker.is_probed:
             return
         runs = _crashes.unproven_runs(worker)
-        is_alone = _crashes.is_single_suspect(runs)
+        kind = _kind_of(worker, runs)
         for task in self._tasks_of(worker, runs):
-            if task.watch is None or task.watch.run != task.run:
-                self._watch(task, worker, is_alone=is_alone)
+            self._watch(task, worker, kind)
 
     def on_report(self, worker: _fleet.Worker) -> None:
         """Stop watching the runs of a worker that has not crashed."""
@@ -87,12 +95,12 @@
         watched = list(self._watched.get(worker.info.id, {}).values())
         is_crash = _is_crash(worker, reason)
         runs = _crashes.unproven_runs(worker)
-        is_alone = _crashes.is_single_suspect(runs)
-        tasks = {task.key: is_alone for task in self._tasks_of(worker, runs)}
+        kind = _kind_of(worker, runs)
+        tasks = {task.key: kind for task in self._tasks_of(worker, runs)}
         if not worker.is_probed:
             # Its runs are those that the former owner watched.
             tasks = {
-                task.key: task.watch.is_alone
+                task.key: task.watch.kind
                 for task in watched
                 if task.watch is not None and not task.worker
             }
@@ -103,12 +111,9 @@
             self._unwatch(task)
         if not is_crash:
             return
-        for key, is_alone in tasks.items():
-            kind = _jobs.CrashKind.SHARED
+        for key, kind in tasks.items():
             if has_common_cause:
                 kind = _jobs.CrashKind.COMMON
-            elif is_alone:
-                kind = _jobs.CrashKind.ALONE
             self._add_crash(key, worker, kind)
 
     def _tasks_of(
@@ -191,7 +196,10 @@
         self._save(task)
 
     def _watch(
-        self, task: _jobs.Task, worker: _fleet.Worker, *, is_alone: bool
+        self,
+        task: _jobs.Task,
+        worker: _fleet.Worker,
+        kind: _jobs.CrashKind,
     ) -> None:
         """Watch the current run of a task, and store that."""
         self._unwatch(task)
@@ -199,7 +207,7 @@
             run=task.run,
             worker=worker.info.id,
             address=worker.info.address,
-            is_alone=is_alone,
+            kind=kind,
         )
         self._watched.setdefault(worker.info.id, {})[task.key] = task
         self._save(task)
@@ -262,3 +270,12 @@
     if reason in _crashes.CRASH_REASONS:
         return True
     return reason in _crashes.LOSS_REASONS and not worker.is_listed
+
+
+def _kind_of(worker: _fleet.Worker, runs: list[_fleet.Run]) -> _jobs.CrashKind:
+    """Return the kind of a crash of a worker with unproven runs."""
+    if not _crashes.is_single_suspect(runs):
+        return _jobs.CrashKind.SHARED
+    if not _crashes.is_prompt(worker, runs):
+        return _jobs.CrashKind.LATE
+    return _jobs.CrashKind.ALONE
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -15,6 +15,10 @@
 """Time that a run must be seen to survive. Tasks that crash their workers do
 so within tens of milliseconds; a slow worker or link makes it longer."""
 
+PROMPT_MS = 300
+"""Age of a run at the first failed poll up to which its task is the likely
+cause. Later, a crash of the worker by chance is about as likely."""
+
 CRASH_REASONS = frozenset({'restarted', 'replaced'})
 """Why a worker was removed although it did not leave: another incarnation
 reports or registered in its place."""
@@ -28,6 +32,17 @@
 """A worker that keeps crashing by itself crashes under any task, so crashes at
 one address convict only if there are more of them."""
 
+MIN_LATE_ADDRESSES = 3
+"""Crashes at more addresses convict although they were noticed late, as those
+of workers that do not refuse connections are."""
+
+MIN_CRASHES_IN_A_ROW = 4
+MAX_CRASHES_IN_A_ROW = 5
+MIN_ADDRESSES_IN_A_ROW = 3
+"""Crashes of any kind that convict a task that no worker has survived, the
+smaller number if the task was the only suspect of one. While many workers
+crash, trials seem to have a common cause again and again."""
+
 
 def mark_proven(run: _fleet.Run, now_ms: int) -> None:
     """Note that a report lists a run at ``now_ms``."""
@@ -46,14 +61,26 @@
     return len(units) == 1
 
 
-def is_guilty(crashes: Iterable[_jobs.Crash]) -> bool:
+def is_prompt(worker: _fleet.Worker, runs: Iterable[_fleet.Run]) -> bool:
+    """Return whether a worker was lost right after the start of runs."""
+    return all(
+        worker.unreachable_ms - run.since_ms <= PROMPT_MS for run in runs
+    )
+
+
+def is_guilty(crashes: Sequence[_jobs.Crash]) -> bool:
     """Return whether the crashes of a task can only be its own fault."""
-    addresses = [
-        crash.address
-        for crash in crashes
-        if crash.kind is _jobs.CrashKind.ALONE
-    ]
-    return (
-        len(set(addresses)) >= MIN_CONVICTING_ADDRESSES
-        or len(addresses) >= MIN_CONVICTING_CRASHES
+    prompt = [c.address for c in crashes if c.kind is _jobs.CrashKind.ALONE]
+    late = [c.address for c in crashes if c.kind is _jobs.CrashKind.LATE]
+    is_convicted_alone = (
+        len(set(prompt)) >= MIN_CONVICTING_ADDRESSES
+        or len(prompt) >= MIN_CONVICTING_CRASHES
+        or len({*prompt, *late}) >= MIN_LATE_ADDRESSES
     )
+    if is_convicted_alone:
+        return True
+    needed = MAX_CRASHES_IN_A_ROW
+    if prompt or late:
+        needed = MIN_CRASHES_IN_A_ROW
+    addresses = {crash.address for crash in crashes}
+    return len(crashes) >= needed and len(addresses) >= MIN_ADDRESSES_IN_A_ROW
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -52,12 +52,14 @@
 class CrashKind(enum.StrEnum):
     """What speaks for a task as the cause of a crash.
 
-    ALONE: only this task, or its gang, had just started on the worker.
-    SHARED: others had as well. COMMON: so many workers crashed at the same
-    moment that no single task can be the cause.
+    ALONE: only this task, or its gang, had just started on the worker. LATE:
+    as ALONE, but the crash was noticed later than those that tasks cause.
+    SHARED: others had just started as well. COMMON: so many workers crashed
+    at the same moment that no single task can be the cause.
     """
 
     ALONE = 'alone'
+    LATE = 'late'
     SHARED = 'shared'
     COMMON = 'common'
 
@@ -70,12 +72,15 @@
 
 
 class Watch(NamedTuple):
-    """Run of a task whose worker may have crashed or may crash."""
+    """Run of a task whose worker may have crashed or may crash.
+
+    ``kind`` is that of the crash.
+    """
 
     run: int
     worker: str
     address: str
-    is_alone: bool
+    kind: CrashKind
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -317,7 +317,8 @@
 
 def _is_likely(task: _jobs.Task) -> bool:
     """Return whether a suspect was the only one of a crash."""
-    return any(c.kind is _jobs.CrashKind.ALONE for c in task.crashes)
+    kinds = {crash.kind for crash in task.crashes}
+    return bool(kinds & {_jobs.CrashKind.ALONE, _jobs.CrashKind.LATE})
 
 
 def _order(task: _jobs.Task) -> tuple[object, ...]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -103,7 +103,14 @@
             _jobs.Crash(address=address, kind=_jobs.CrashKind(kind))
             for address, kind in crashes
         ]
-        task.watch = _jobs.Watch(*watch) if watch else None
+        if watch:
+            run, worker, address, kind = watch
+            task.watch = _jobs.Watch(
+                run=run,
+                worker=worker,
+                address=address,
+                kind=_jobs.CrashKind(kind),
+            )
         found.append(task)
     return found
 
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -14,6 +14,7 @@
 ALONE = _jobs.CrashKind.ALONE
 SHARED = _jobs.CrashKind.SHARED
 COMMON = _jobs.CrashKind.COMMON
+LATE = _jobs.CrashKind.LATE
 
 
 def crashes(*entries):
@@ -30,9 +31,21 @@
         ([('a', SHARED), ('b', SHARED), ('c', SHARED)], False),
         ([('a', SHARED), ('b', ALONE)], False),
         ([('a', SHARED), ('b', ALONE), ('c', ALONE)], True),
+        # Workers that crash by chance a while after the start.
+        ([('a', LATE), ('b', LATE)], False),
+        ([('a', LATE), ('b', ALONE)], False),
+        # Workers whose polls time out.
+        ([('a', LATE), ('b', LATE), ('c', LATE)], True),
         # Racks that lose power.
         ([('a', COMMON), ('b', COMMON), ('c', COMMON)], False),
         ([('a', COMMON), ('b', ALONE)], False),
+        # Crashes in a row that seem to have a common cause by chance.
+        ([('a', SHARED), ('b', COMMON), ('c', ALONE)], False),
+        ([('a', SHARED), ('b', COMMON), ('c', COMMON), ('d', ALONE)], True),
+        ([('a', SHARED), ('b', COMMON), ('c', COMMON), ('d', SHARED)], False),
+        ([('a', SHARED), ('b', COMMON), ('a', COMMON), ('b', ALONE)], False),
+        ([(address, COMMON) for address in 'abcd'], False),
+        ([(address, COMMON) for address in 'abcde'], True),
         # A machine that crashes by itself.
         ([('a', ALONE), ('a', ALONE)], False),
         ([('a', ALONE), ('a', ALONE), ('a', ALONE)], True),
@@ -43,6 +56,23 @@
     assert _crashes.is_guilty(crashes(*entries)) is is_guilty
 
 
+def test_crash_noticed_late_convicts_less(make):
+    # Guards against verdicts from workers that crash by chance, each some
+    # time after the start of the same task.
+    harness = make.Harness(workers=4)
+    harness.add('j', scheduling.StepSpec(count=1, cpu=1_000))
+    for number, delay_ms in enumerate((_crashes.PROMPT_MS, 400)):
+        (start,), _ = harness.decide()
+        harness.answer(start)
+        harness.now += delay_ms
+        harness.scheduler.on_poll_failed(start.worker, harness.now)
+        harness.scheduler.remove_worker(start.worker, 'replaced')
+        progress = scheduling.progress_of(harness.scheduler.jobs['j'])
+        kinds = [crash.kind for crash in progress['crashes'][0][3]]
+        assert kinds == [ALONE, LATE][: number + 1]
+    assert harness.scheduler.jobs['j'].outcome is None
+
+
 def loss(name, moment_ms=1_000, rack='r', **fields):
     return _losses.Loss(
         worker=name, pool='p', rack=rack, moment_ms=moment_ms, **fields
@@ -86,7 +116,7 @@
     # Guards against a successor that starts to count anew.
     job, tasks = job_with()
     tasks[1].crashes = crashes(('a', SHARED), ('b', ALONE))
-    tasks[1].watch = _jobs.Watch(run=7, worker='w', address='c', is_alone=True)
+    tasks[1].watch = _jobs.Watch(run=7, worker='w', address='c', kind=ALONE)
     stored = json.loads(json.dumps(scheduling.progress_of(job)))
     successor, restored = job_with()
     found = _record.restore(successor, stored)
@@ -97,6 +127,22 @@
     assert not restored[0].crashes
 
 
+@pytest.mark.parametrize('kind', [ALONE, SHARED])
+def test_a_watch_of_a_removed_worker_counts(make, kind):
+    # Guards against a crash that is forgotten as the owner ended after it had
+    # removed the worker and before it stored the crash.
+    harness = make.Harness()
+    spec = scheduling.JobSpec(
+        id='s', route='r', payload='', steps=(scheduling.StepSpec(count=1),)
+    )
+    watch = [7, 'removed', 'a', kind]
+    harness.scheduler.add_job(
+        spec, harness.now, progress={'crashes': [[0, 0, 0, [], watch]]}
+    )
+    progress = scheduling.progress_of(harness.scheduler.jobs['s'])
+    assert progress['crashes'] == [[0, 0, 0, crashes(('a', kind)), None]]
+
+
 def test_progress_without_crashes_is_as_before():
     # Guards against records that an earlier version cannot read, and against
     # a record of such a version that is refused.
--- a/packages/policy/tests/scheduling/test_crashing_tasks.py
+++ b/packages/policy/tests/scheduling/test_crashing_tasks.py
@@ -61,6 +61,7 @@
         self.writes = []
         self.events = []
         self.violations = []
+        self.broken_gangs = set()
         self.workers = {}
         for machine in range(machines):
             self.add_life(f'm{machine:02}', f'rack{machine % racks}')
@@ -219,14 +220,19 @@
             if self.specs[key.job].steps[0].is_gang
         }
         worker.runs.clear()
-        for other in self.workers.values():
-            for key, number in list(other.runs):
-                if (key[:3], number) in gangs:
-                    self.end(other, (key, number), 'broken')
+        self.break_gangs(gangs, 'broken')
         worker.ended.clear()
         worker.crashed_ms = self.now
         worker.back_ms = self.now + down_ms
 
+    def break_gangs(self, gangs, how):
+        """End the runs of gangs of which a member is missing."""
+        self.broken_gangs |= gangs
+        for worker in self.workers.values():
+            for key, number in list(worker.runs):
+                if (key[:3], number) in gangs:
+                    self.end(worker, (key, number), how)
+
     def crash_rack(self, rack):
         """Let all workers of a rack crash at the same moment."""
         for worker in self.workers.values():
@@ -289,6 +295,10 @@
                 end_ms += 10**9
             worker.runs[effect.key, effect.run] = (self.now, end_ms)
             self.starts[effect.key] = self.starts.get(effect.key, 0) + 1
+            if (effect.key[:3], effect.run) in self.broken_gangs:
+                self.end(worker, (effect.key, effect.run), 'alone')
+        elif self.specs[effect.key.job].steps[0].is_gang:
+            self.break_gangs({(effect.key[:3], effect.run)}, 'alone')
         self.scheduler.on_start_reply(
             effect.worker, effect.key, effect.run, outcome, '', self.now
         )
@@ -299,6 +309,8 @@
         is_answered = worker is not None and not worker.back_ms
         if is_answered and (effect.key, effect.run) in worker.runs:
             self.end(worker, (effect.key, effect.run), 'stopped')
+            if self.specs[effect.key.job].steps[0].is_gang:
+                self.break_gangs({(effect.key[:3], effect.run)}, 'broken')
         self.scheduler.on_stop_reply(
             effect.worker, effect.key, effect.run, is_answered, self.now
         )
