--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -130,6 +130,8 @@
         wait_ms = const.POLL_WAIT_MS
         if worker.service_cpu and worker.filling_cpu:
             wait_ms = const.MIXED_POLL_WAIT_MS
+        if worker.is_on_probation:
+            wait_ms = const.PROBATION_POLL_WAIT_MS
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
         if self._has_listed_ends and worker.info.is_leaving:
@@ -209,6 +211,7 @@
 
     def _on_poll_failed(self, exc: core.OriolestandError) -> None:
         """Count a failed poll; log the first of consecutive failures."""
+        self._scheduler.on_poll_failed(self._worker, self._kernel.clock.now())
         worker = self._scheduler.workers.get(self._worker)
         domain = worker.info.failure_domain if worker is not None else ''
         self._kernel.post(
@@ -223,6 +226,8 @@
                 failure_domain=domain,
                 why=str(exc),
             )
+            # The next owner must learn of the runs on the worker at once.
+            self._on_change()
 
 
 def start_poller(poller: WorkerPoller, log: Any) -> None:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -16,6 +16,8 @@
     'cancelled': messages.JobState.CANCELLED,
 }
 
+_CrashKind = Literal['alone', 'late', 'shared', 'common']
+
 
 class _JobRow(pydantic.BaseModel):
     """Row of a job; rows of earlier versions have the steps as well."""
@@ -42,6 +44,15 @@
     done: list[tuple[int, int, list[int]]] = []
     open: list[tuple[int, int, int, list[int], str | None]] = []
     placed: list[tuple[int, int, int, str, int]] = []
+    crashes: list[
+        tuple[
+            int,
+            int,
+            int,
+            list[tuple[str, _CrashKind]],
+            tuple[int, str, str, _CrashKind] | None,
+        ]
+    ] = []
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -1,5 +1,7 @@
 """State of a cell and the updates that several scheduling steps share."""
 
+from collections.abc import Callable
+
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -21,6 +23,8 @@
     ``held_worker_ids`` are workers for which no lease may be requested, and
     ``leased_worker_ids`` those for which one was requested. Both outlast
     restarts of the workers.
+    ``on_worker_gone`` is called with a removed worker, which still has its
+    runs, and the reason.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -38,6 +42,7 @@
         self.held_worker_ids: set[str] = set()
         self.leased_worker_ids: set[str] = set()
         self.effects: list[_effects.Effect] = []
+        self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
 
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
@@ -68,6 +73,8 @@
             reason=reason,
             runs=len(worker.runs),
         )
+        if self.on_worker_gone is not None:
+            self.on_worker_gone(worker, reason)
         self.release_all(worker, worker.last_report_ms)
 
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -0,0 +1,86 @@
+"""Decide which tasks a crash of a worker counts against.
+
+Everything that ran on a crashed worker is lost with it, and most of it is
+innocent. A task that crashes its workers does so soon after its start, so
+only runs that no report has shown to run for longer are suspect.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+
+PROBATION_MS = 500
+"""Time that a run must be seen to survive. Tasks that crash their workers do
+so within tens of milliseconds; a slow worker or link makes it longer."""
+
+PROMPT_MS = 300
+"""Age of a run at the first failed poll up to which its task is the likely
+cause. Later, a crash of the worker by chance is about as likely."""
+
+CRASH_REASONS = frozenset({'restarted', 'replaced'})
+"""Why a worker was removed although it did not leave: another incarnation
+reports or registered in its place."""
+
+LOSS_REASONS = frozenset({'lease over', 'never answered'})
+"""Why a worker was removed that nobody has heard of: its entry is gone, so
+that it reaches neither the owner nor the store."""
+
+MIN_CONVICTING_ADDRESSES = 2
+MIN_CONVICTING_CRASHES = 3
+"""A worker that keeps crashing by itself crashes under any task, so crashes at
+one address convict only if there are more of them."""
+
+MIN_LATE_ADDRESSES = 3
+"""Crashes at more addresses convict although they were noticed late, as those
+of workers that do not refuse connections are."""
+
+MIN_CRASHES_IN_A_ROW = 4
+MAX_CRASHES_IN_A_ROW = 5
+MIN_ADDRESSES_IN_A_ROW = 3
+"""Crashes of any kind that convict a task that no worker has survived, the
+smaller number if the task was the only suspect of one. While many workers
+crash, trials seem to have a common cause again and again."""
+
+
+def mark_proven(run: _fleet.Run, now_ms: int) -> None:
+    """Note that a report lists a run at ``now_ms``."""
+    if now_ms - run.since_ms >= PROBATION_MS:
+        run.is_proven = True
+
+
+def unproven_runs(worker: _fleet.Worker) -> list[_fleet.Run]:
+    """Return the runs that may be about to crash a worker."""
+    return [run for run in worker.runs.values() if not run.is_proven]
+
+
+def is_single_suspect(runs: Sequence[_fleet.Run]) -> bool:
+    """Return whether runs belong to one task, or to one gang."""
+    units = {run.key[:3] if run.spec.is_gang else run.key for run in runs}
+    return len(units) == 1
+
+
+def is_prompt(worker: _fleet.Worker, runs: Iterable[_fleet.Run]) -> bool:
+    """Return whether a worker was lost right after the start of runs."""
+    return all(
+        worker.unreachable_ms - run.since_ms <= PROMPT_MS for run in runs
+    )
+
+
+def is_guilty(crashes: Sequence[_jobs.Crash]) -> bool:
+    """Return whether the crashes of a task can only be its own fault."""
+    prompt = [c.address for c in crashes if c.kind is _jobs.CrashKind.ALONE]
+    late = [c.address for c in crashes if c.kind is _jobs.CrashKind.LATE]
+    is_convicted_alone = (
+        len(set(prompt)) >= MIN_CONVICTING_ADDRESSES
+        or len(prompt) >= MIN_CONVICTING_CRASHES
+        or len({*prompt, *late}) >= MIN_LATE_ADDRESSES
+    )
+    if is_convicted_alone:
+        return True
+    needed = MAX_CRASHES_IN_A_ROW
+    if prompt or late:
+        needed = MIN_CRASHES_IN_A_ROW
+    addresses = {crash.address for crash in crashes}
+    return len(crashes) >= needed and len(addresses) >= MIN_ADDRESSES_IN_A_ROW
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -28,9 +28,10 @@
     ``done`` (rows of occurrence, step and indices of done tasks), ``open``
     (rows of occurrence, step, index, failed runs and checkpoint, only for
     tasks that have one of these), ``placed`` (rows of occurrence, step, index,
-    worker and run of the service tasks that may run). There is no ``placed``
-    for jobs without service tasks, and if the placements are unknown or too
-    many.
+    worker and run of the service tasks that may run), ``crashes`` (rows of
+    occurrence, step, index, crashes and watch). There is no ``placed`` for
+    jobs without service tasks, and if the placements are unknown or too many,
+    and no ``crashes`` without any.
     """
     done: list[list[Any]] = []
     unfinished: list[list[Any]] = []
@@ -67,6 +68,9 @@
         and len(placed) <= MAX_PLACEMENTS
     ):
         progress['placed'] = placed
+    crashes = _crash_rows(job)
+    if crashes:
+        progress['crashes'] = crashes
     return progress
 
 
@@ -82,8 +86,24 @@
             yield [number, step, index, task.former_worker, task.former_run]
 
 
-def restore(job: _jobs.Job, progress: Progress) -> None:
-    """Apply a stored record to a job that was just added."""
+def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
+    """Return a row for each task with crashes or a watched run."""
+    if job.outcome is not None:
+        return []
+    return [
+        [*task.key[1:], task.crashes, task.watch]
+        for steps in job.tasks.values()
+        for tasks in steps
+        for task in tasks
+        if not task.is_done and (task.crashes or task.watch)
+    ]
+
+
+def restore(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
+    """Apply a stored record to a job that was just added.
+
+    Return the tasks with crashes or a watched run.
+    """
     if progress.get('outcome'):
         job.outcome = _jobs.Outcome(progress['outcome'])
     job.has_started = bool(progress.get('started'))
@@ -109,6 +129,30 @@
         if task is not None:
             task.former_worker = worker
             task.former_run = run
+    return _restore_crashes(job, progress)
+
+
+def _restore_crashes(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
+    """Apply the rows of crashes and return their tasks."""
+    found: list[_jobs.Task] = []
+    for number, step, index, crashes, watch in progress.get('crashes', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is None or task.is_done:
+            continue
+        task.crashes = [
+            _jobs.Crash(address=address, kind=_jobs.CrashKind(kind))
+            for address, kind in crashes
+        ]
+        if watch:
+            run, worker, address, kind = watch
+            task.watch = _jobs.Watch(
+                run=run,
+                worker=worker,
+                address=address,
+                kind=_jobs.CrashKind(kind),
+            )
+        found.append(task)
+    return found
 
 
 def job_to_dict(spec: _specs.JobSpec) -> dict[str, Any]:
