Add failing tests of the verdicts on crashing tasks

Successors learn neither the rack nor the start time of a former worker, service tasks that were never sent are suspects, crashes noticed late never convict in pools of one or two workers, and large suspects and gangs wait without end in full cells.

--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -205,6 +205,36 @@
     assert run.worker != first
 
 
+def test_start_that_was_not_sent_does_not_convict_its_task(site, daemons):
+    # Guards against a service task that is given up without a single start,
+    # as workers crash while its record waits for the store.
+    owner = owner_of(daemons)
+    is_refused = True
+
+    def refuse():
+        if is_refused:
+            raise store.StoreError('refused', core.Verdict.DID_NOT_RUN)
+
+    on_record_commits(owner, refuse)
+    site.submit(owner, SERVICE, ONE_SERVICE, duration_ms=LONG_MS)
+    site.run_until(lambda: SERVICE in scheduler_of(owner).jobs, 1_000)
+    for start_ms in range(2, 5):
+        if scheduler_of(owner).jobs[SERVICE].outcome is not None:
+            break
+        site.run_until(lambda: task_of(owner).worker, 10_000)
+        name = task_of(owner).worker
+        site.workers[name].crash()
+        site.run(3_000)
+        site.add_worker(name, process_start_ms=start_ms)
+        site.run(1_000)
+    assert runs_of(site) == []
+    assert task_of(owner).crashes == []
+    assert scheduler_of(owner).jobs[SERVICE].outcome is None
+    is_refused = False
+    run_checked(site, 3_000)
+    assert len(runs_of(site)) == 1
+
+
 # Changes of owner.
 
 
--- a/packages/fleet/tests/test_crashing_tasks.py
+++ b/packages/fleet/tests/test_crashing_tasks.py
@@ -49,3 +49,23 @@
     crash_workers_of_job(site, daemons, change_owner)
     assert site.state(owner_of(daemons), JOB) == 'failed'
     assert len(site.history) <= MAX_STARTS
+
+
+def test_crashes_count_although_the_worker_is_back_before_a_successor(
+    site, daemons
+):
+    # A successor finds a worker that has started again under its id between
+    # the two owners, and must not take it for the one that ran the task.
+    rest = list(daemons)
+    site.submit(daemons[0], JOB, ONE_TASK, duration_ms=3_000)
+
+    def change_owner(crashed):
+        site.run(600)
+        if crashed <= 2:
+            owner = owner_of(rest)
+            owner.disconnect()
+            rest.remove(owner)
+
+    crash_workers_of_job(site, daemons, change_owner)
+    assert site.state(rest[0], JOB) == 'failed'
+    assert len(site.history) <= 3
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -301,3 +301,26 @@
             if start.key.job == 's':
                 return
     pytest.fail('the suspect was not started')
+
+
+@pytest.mark.parametrize('crash_count', [0, 1, 2])
+def test_record_of_many_suspects_fits_into_a_row(crash_count):
+    # Guards against a record that the store never accepts, after a pool has
+    # lost power right after the start of a large step.
+    step = scheduling.StepSpec(count=1_000)
+    spec = scheduling.JobSpec(id='j', route='r', payload='', steps=(step,))
+    job = scheduling.Job(spec=spec)
+    for task in job.occurrence(0)[0]:
+        crash = _jobs.Crash(
+            address='10.200.100.17:8169', kind=_jobs.CrashKind.COMMON
+        )
+        task.crashes = [crash] * crash_count
+        if crash_count:
+            task.watch = _jobs.Watch(
+                run=1_000_001,
+                worker='i-0123456789',
+                address='10.200.100.18:8169',
+                kind=_jobs.CrashKind.SHARED,
+            )
+    record = json.dumps(scheduling.progress_of(job), separators=(',', ':'))
+    assert len(record) <= 65_536
--- a/packages/policy/tests/scheduling/test_crashing_tasks.py
+++ b/packages/policy/tests/scheduling/test_crashing_tasks.py
@@ -555,3 +555,130 @@
     for job, spec in cell.specs.items():
         if job not in harmful_jobs and not spec.steps[0].is_service:
             assert cell.outcome(job) is scheduling.Outcome.COMPLETED
+
+
+def stripped(info):
+    """Return what the row of a worker tells a successor."""
+    return dataclasses.replace(
+        info, rack='', is_leaving=False, process_start_ms=0
+    )
+
+
+class StoredSimulation(Simulation):
+    """A simulation whose successors know of workers only what rows hold."""
+
+    def take_over(self):
+        """Replace the owner; former workers lose what no row holds."""
+        if self.scheduler is not None:
+            for worker in self.scheduler.workers.values():
+                worker.info = stripped(worker.info)
+        super().take_over()
+
+
+class SameIdSimulation(StoredSimulation):
+    """A simulation of workers that start again under the id that they had."""
+
+    def step_crashed(self, worker):
+        """Let polls fail until the worker is back under its id."""
+        if self.now < worker.back_ms:
+            super().step_crashed(worker)
+            return
+        name = worker.info.id
+        self.workers[name] = SimulatedWorker(
+            info=dataclasses.replace(worker.info, process_start_ms=self.now)
+        )
+        self.update_workers()
+        self.apply_effects()
+
+
+def test_crashes_under_the_same_id_convict():
+    # Guards against crashes that are not noticed as the id stays the same.
+    cell = SameIdSimulation()
+    cell.add('bad', harmful=[0], count=1)
+    cell.run(20_000)
+    assert cell.given_up() == {'bad'}
+    assert max(harmful_starts(cell).values()) <= 3
+
+
+@pytest.mark.parametrize('changes', [1, 2, 3, 4])
+def test_crashes_under_the_same_id_count_across_owners(changes):
+    # Guards against a successor that takes a restarted worker for the one on
+    # which its predecessor had started a suspect.
+    cell = SameIdSimulation()
+    cell.add('bad', harmful=[0], count=1)
+    for _ in range(changes):
+        seen = sum(cell.starts.values())
+        while sum(cell.starts.values()) == seen and not cell.given_up():
+            cell.run(STEP_MS)
+        # The record of the watched run is stored; then nobody owns the cell
+        # until the worker is back.
+        cell.run(400)
+        cell.now += DOWN_MS + 200
+        cell.store_records()
+        for name, worker in list(cell.workers.items()):
+            if worker.back_ms:
+                cell.workers[name] = SimulatedWorker(
+                    info=dataclasses.replace(
+                        worker.info, process_start_ms=cell.now
+                    )
+                )
+        cell.take_over()
+    cell.run(30_000)
+    assert cell.given_up() == {'bad'}
+    assert max(harmful_starts(cell).values()) <= 3
+
+
+def test_crash_of_a_rack_between_two_owners_counts_against_no_task():
+    # Guards against verdicts on tasks of a rack that lost power as the owner
+    # ended; the successor learns of the workers from their rows only.
+    cell = StoredSimulation()
+    cell.add('good', count=60)
+    for _ in range(2):
+        cell.run(200)
+        cell.crash_rack('rack1')
+        cell.run(NOTICE_MS + 100)
+        cell.take_over()
+        cell.run(4_000)
+    cell.run(15_000)
+    events = [event for event, _ in cell.events]
+    assert 'worker_crashed' in events
+    assert 'task_suspected' not in events
+    assert not cell.given_up()
+
+
+def test_crash_counts_although_the_entry_outlasts_the_lease():
+    # Guards against a crash that is forgotten as the worker is still listed
+    # when its lease is over, and its runs are released before it is back.
+    cell = Simulation()
+    cell.listed = lambda: {n: w.info for n, w in cell.workers.items()}
+    crash = cell.crash
+    cell.crash = lambda worker: crash(worker, down_ms=9_000)
+    cell.add('bad', harmful=[0], count=1)
+    cell.run(90_000)
+    assert cell.given_up() == {'bad'}
+    assert max(harmful_starts(cell).values()) <= MAX_STARTS
+
+
+@pytest.mark.parametrize('machines', [1, 2, 3])
+@pytest.mark.parametrize('notice_ms', [150, 600])
+def test_harmful_task_of_a_small_pool_is_given_up(
+    monkeypatch, machines, notice_ms
+):
+    # Guards against a task that is started without end as the pool has too
+    # few addresses for a verdict on crashes that are noticed late.
+    monkeypatch.setitem(globals(), 'NOTICE_MS', notice_ms)
+    cell = Simulation(machines=machines, racks=machines)
+    cell.add('bad', harmful=[0], count=1)
+    cell.run(90_000)
+    assert cell.given_up() == {'bad'}
+    assert max(harmful_starts(cell).values()) <= MAX_STARTS
+
+
+@pytest.mark.parametrize('simulation', [StoredSimulation, SameIdSimulation])
+@pytest.mark.parametrize('seed', [5002, 5010, 5015])
+def test_only_harmful_tasks_are_given_up_by_successors(
+    monkeypatch, seed, simulation
+):
+    # Guards against faults that only what successors do not know shows.
+    monkeypatch.setitem(globals(), 'Simulation', simulation)
+    test_only_harmful_tasks_are_given_up(seed)
--- /dev/null
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -0,0 +1,187 @@
+"""Tests of how long suspects of crashes wait for a worker."""
+
+import pytest
+
+from oriolestand_policy import scheduling
+
+ROUND_MS = 50
+REPORT_MS = 250
+
+
+class FullCell:
+    """A cell whose free capacity small tasks take at once."""
+
+    def __init__(self, make, workers, run_ms):
+        self.make = make
+        self.harness = make.Harness(workers=workers)
+        self.run_ms = run_ms
+        self.ends_ms = {}
+        self.sequence = 0
+        self.jobs = 0
+        self.started = {}
+        for _ in range(workers * 10):
+            self.add_small()
+        self.run(run_ms)
+
+    def add_small(self):
+        """Add a job of one small task."""
+        self.jobs += 1
+        self.harness.add(
+            f'small{self.jobs:04}',
+            scheduling.StepSpec(count=1, cpu=1_000, estimate_ms=self.run_ms),
+        )
+
+    def run(self, milliseconds, until=None):
+        """Run rounds; stop early once the job ``until`` has started."""
+        harness = self.harness
+        end_ms = harness.now + milliseconds
+        while harness.now < end_ms and until not in self.started:
+            harness.now += ROUND_MS
+            if harness.now % REPORT_MS == 0:
+                self.report()
+            while len(harness.scheduler.ready_by_kind()) and (
+                sum(harness.scheduler.ready_by_kind().values()) < 20
+            ):
+                self.add_small()
+            starts, _ = harness.decide()
+            for start in starts:
+                harness.answer(start)
+                # The ends are spread over time.
+                spread_ms = len(self.ends_ms) % 10 * self.run_ms // 10
+                is_first = harness.now < 10_000 + self.run_ms
+                end = harness.now + (spread_ms if is_first else self.run_ms)
+                self.ends_ms[start] = end
+                self.started.setdefault(start.key.job, harness.now)
+
+    def report(self):
+        """Let each worker list its runs and those that have ended."""
+        for name in self.harness.infos:
+            here = [s for s in self.ends_ms if s.worker == name]
+            over = [s for s in here if self.ends_ms[s] <= self.harness.now]
+            ends = []
+            for start in over:
+                del self.ends_ms[start]
+                self.sequence += 1
+                ends.append(self.make.end(start, 'done', self.sequence))
+            running = [
+                self.make.report(s, percent=self.percent(s))
+                for s in here
+                if s not in over
+            ]
+            self.harness.poll(name, running, ends)
+
+    def percent(self, start):
+        """Return the progress of a run."""
+        left_ms = self.ends_ms[start] - self.harness.now
+        return max(0, 100 - 100 * left_ms // self.run_ms)
+
+    def add_job(self, crashes, **step):
+        """Add a job; ``crashes`` are the rows of its record."""
+        spec = scheduling.JobSpec(
+            id='s',
+            route='r',
+            payload='x',
+            steps=(scheduling.StepSpec(**step),),
+        )
+        progress = {'crashes': crashes}
+        self.harness.scheduler.add_job(
+            spec, self.harness.now, progress=progress
+        )
+
+    def wait_ms(self, limit_ms):
+        """Return how long the job waits for its start, or None."""
+        began_ms = self.harness.now
+        self.run(limit_ms, until='s')
+        started_ms = self.started.get('s')
+        return None if started_ms is None else started_ms - began_ms
+
+
+SUSPECT = [[0, 0, 0, [['z', 'shared']], None]]
+
+
+@pytest.mark.parametrize('crashes', [[], SUSPECT])
+@pytest.mark.parametrize('run_ms', [4_000, 20_000])
+@pytest.mark.parametrize('is_service', [False, True])
+def test_large_task_starts_in_a_full_cell(make, is_service, run_ms, crashes):
+    # Guards against a suspect whose worker is given to others before its runs
+    # have ended, so that it never starts.
+    cell = FullCell(make, workers=4, run_ms=run_ms)
+    cell.add_job(
+        crashes,
+        count=1,
+        cpu=10_000,
+        estimate_ms=1_000,
+        is_service=is_service,
+    )
+    assert cell.wait_ms(90_000) is not None
+
+
+@pytest.mark.parametrize('crashes', [[], SUSPECT])
+def test_gang_with_a_suspect_starts_in_a_full_cell(make, crashes):
+    # Guards against a gang for whose other members no room is made, as only
+    # the suspect has a worker that is kept for it.
+    cell = FullCell(make, workers=4, run_ms=4_000)
+    cell.add_job(crashes, count=4, cpu=10_000, estimate_ms=1_000, is_gang=True)
+    assert cell.wait_ms(90_000) is not None
+
+
+@pytest.mark.parametrize('others', [0, 8, 60])
+def test_suspects_of_another_pool_do_not_hold_up_a_suspect(make, others):
+    # Guards against waiting suspects that find no worker and use up all
+    # selections of a round each time.
+    harness = make.Harness(workers=4)
+    harness.scheduler.set_routes(
+        [scheduling.RoutePolicy(name='q', pool='empty', max_attempts=2)]
+    )
+    for job, route, count in (('a', 'q', others), ('b', 'r', 1)):
+        if not count:
+            continue
+        harness.scheduler.add_job(
+            scheduling.JobSpec(
+                id=job,
+                route=route,
+                payload='x',
+                steps=(scheduling.StepSpec(count=count, cpu=1_000),),
+            ),
+            harness.now,
+            progress={
+                'crashes': [
+                    [0, 0, n, [['z', 'shared']], None] for n in range(count)
+                ]
+            },
+        )
+    for _ in range(200):
+        harness.now += ROUND_MS
+        for name in harness.infos:
+            harness.poll(name)
+        starts, _ = harness.decide()
+        if starts:
+            return
+    pytest.fail('the suspect was not started within 10 s')
+
+
+def test_guilty_task_is_not_started_in_the_round_of_the_verdict(make):
+    # Guards against one more crashed worker after the verdict, if that
+    # follows from the end of a lease, which the round itself finds.
+    harness = make.Harness(workers=3)
+    spec = scheduling.JobSpec(
+        id='s',
+        route='r',
+        payload='x',
+        steps=(scheduling.StepSpec(count=1, cpu=1_000),),
+    )
+    progress = {'crashes': [[0, 0, 0, [['z', 'alone']], None]]}
+    harness.scheduler.add_job(spec, harness.now, progress=progress)
+    (start,), _ = harness.decide()
+    harness.answer(start)
+    harness.now += 50
+    harness.scheduler.on_poll_failed(start.worker, harness.now)
+    del harness.infos[start.worker]
+    harness.scheduler.set_workers(harness.infos)
+    while start.worker in harness.scheduler.workers:
+        harness.now += ROUND_MS
+        for name in harness.infos:
+            harness.poll(name)
+        assert harness.decide()[0] == []
+    harness.decide()
+    assert harness.scheduler.jobs['s'].outcome is scheduling.Outcome.FAILED
