Give up a task in the round in which its last crash is found

Found by the review: tasks were given up before the round removed workers whose leases are over, so that a task that this convicted was started once more.

Change: the round removes these workers first.

Result: test_guilty_task_is_not_started_in_the_round_of_the_verdict failed before and passes.

--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -319,11 +319,11 @@
         ``undisputed_until_ms``, by default ``now_ms``; leases that end later
         may have been extended by one.
         """
-        self._crash_handler.give_up_tasks(now_ms)
         self._queue_due_occurrences(now_ms, wall_ms)
         if undisputed_until_ms is None:
             undisputed_until_ms = now_ms
         self._expire_workers(now_ms, undisputed_until_ms)
+        self._crash_handler.give_up_tasks(now_ms)
         self._resend_stops(now_ms)
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
