Convict tasks of small pools by crashes that were noticed late

Found by the review: such crashes convicted at three addresses only, which a pool of one or two workers does not have: 26 and 28 starts in 90 s.

Change: five crashes under a task alone convict it at any address; the rule allows five starts.

--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -76,6 +76,7 @@
         len(set(prompt)) >= MIN_CONVICTING_ADDRESSES
         or len(prompt) >= MIN_CONVICTING_CRASHES
         or len({*prompt, *late}) >= MIN_LATE_ADDRESSES
+        or len(prompt) + len(late) >= MAX_CRASHES_IN_A_ROW
     )
     if is_convicted_alone:
         return True
