Tell successors which life and rack of a worker a watched run had

A service task whose start still waited for its record was taken for the cause of a crash, given up without a start (LOST), and its start was sent although the worker had shrunk.

Change: the stored watch has the start time and the rack, with which a successor completes what the row tells of the worker; runs on leaving workers are not watched. A start that is held back is no suspect, and is withdrawn if the worker is over its capacity. Runs released at the end of a lease count if the worker turns out replaced.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -74,6 +74,9 @@
         if self._scheduler.is_start_pending(
             effect.worker, effect.key, effect.run
         ):
+            self._scheduler.release_start(
+                effect.worker, effect.key, effect.run
+            )
             await self._start_run(effect)
             return
         self._scheduler.withdraw_start(
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -50,7 +50,7 @@
             int,
             int,
             list[tuple[str, _CrashKind]],
-            tuple[int, str, str, _CrashKind] | None,
+            tuple[int, str, str, _CrashKind, int, str] | None,
         ]
     ] = []
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crashes
@@ -53,6 +54,7 @@
             watch = task.watch
             if watch is not None and watch.worker in self._cell.workers:
                 self._watched.setdefault(watch.worker, {})[task.key] = task
+                self._complete_info(watch)
             elif watch is not None:
                 task.watch = None
                 task.crashes.append(
@@ -62,6 +64,20 @@
                 self._marked[task.key] = task
                 self._check_guilt(task)
 
+    def _complete_info(self, watch: _jobs.Watch) -> None:
+        """Add what a watch tells of a former worker, whose row does not.
+
+        Another incarnation under the same id then counts as a restart.
+        """
+        worker = self._cell.workers[watch.worker]
+        if worker.is_probed or worker.info.process_start_ms:
+            return
+        worker.info = dataclasses.replace(
+            worker.info,
+            process_start_ms=watch.process_start_ms,
+            rack=worker.info.rack or watch.rack,
+        )
+
     def watch(self, task: _jobs.Task, worker: _fleet.Worker) -> None:
         """Watch the run of a suspect that is started alone."""
         self._watch(task, worker, _jobs.CrashKind.ALONE)
@@ -69,9 +85,9 @@
     def on_unreachable(self, worker: _fleet.Worker) -> None:
         """Watch the newest runs of a worker whose poll failed."""
         self._losses.on_unreachable(worker)
-        if not worker.is_probed:
+        if not worker.is_probed or worker.info.is_leaving:
             return
-        runs = _crashes.unproven_runs(worker)
+        runs = _crashes.suspect_runs(worker)
         kind = _kind_of(worker, runs)
         for task in self._tasks_of(worker, runs):
             self._watch(task, worker, kind)
@@ -94,7 +110,7 @@
         """
         watched = list(self._watched.get(worker.info.id, {}).values())
         is_crash = _is_crash(worker, reason)
-        runs = _crashes.unproven_runs(worker)
+        runs = _crashes.suspect_runs(worker)
         kind = _kind_of(worker, runs)
         tasks = {task.key: kind for task in self._tasks_of(worker, runs)}
         if not worker.is_probed:
@@ -104,6 +120,14 @@
                 for task in watched
                 if task.watch is not None and not task.worker
             }
+        else:
+            # These were released when the lease of the worker was over.
+            tasks |= {
+                task.key: task.watch.kind
+                for task in watched
+                if task.watch is not None
+                and (task.key, task.watch.run) not in worker.runs
+            }
         has_common_cause = is_crash and self._losses.add(worker)
         if is_crash and (worker.runs or tasks):
             self._log_crash(worker, reason, has_common_cause=has_common_cause)
@@ -208,6 +232,8 @@
             worker=worker.info.id,
             address=worker.info.address,
             kind=kind,
+            process_start_ms=worker.info.process_start_ms,
+            rack=worker.info.rack,
         )
         self._watched.setdefault(worker.info.id, {})[task.key] = task
         self._save(task)
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -55,6 +55,11 @@
     return [run for run in worker.runs.values() if not run.is_proven]
 
 
+def suspect_runs(worker: _fleet.Worker) -> list[_fleet.Run]:
+    """Return the runs that may have crashed a worker."""
+    return [run for run in unproven_runs(worker) if not run.is_held_back]
+
+
 def is_single_suspect(runs: Sequence[_fleet.Run]) -> bool:
     """Return whether runs belong to one task, or to one gang."""
     units = {run.key[:3] if run.spec.is_gang else run.key for run in runs}
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -38,7 +38,8 @@
     -1 if it does not.
     ``missed_polls`` counts consecutive reports that omit the run.
     ``is_proven`` is whether a report showed that the worker survived it for
-    longer than a task takes to crash a worker.
+    longer than a task takes to crash a worker. ``is_held_back`` is whether the
+    start order waits for a record to be written.
     """
 
     key: _jobs.TaskKey
@@ -56,6 +57,7 @@
     over_since_ms: int = -1
     missed_polls: int = 0
     is_proven: bool = False
+    is_held_back: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -176,6 +178,15 @@
         self.reserved_memory += sign * spec.memory_mb
         self.reserved_accelerators += sign * spec.accelerators
 
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs need more than the present capacity."""
+        info = self.info
+        return (
+            self.used_cpu > info.cpu
+            or self.used_memory > info.memory_mb
+            or self.used_accelerators > info.accelerators
+        )
+
     def has_room_for_reserved(self) -> bool:
         """Return whether all of the reserved capacity has become free."""
         info = self.info
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -75,13 +75,16 @@
 class Watch(NamedTuple):
     """Run of a task whose worker may have crashed or may crash.
 
-    ``kind`` is that of the crash.
+    ``kind`` is that of the crash. ``process_start_ms`` is when the worker
+    process started, 0 if unknown, and ``rack`` may be empty.
     """
 
     run: int
     worker: str
     address: str
     kind: CrashKind
+    process_start_ms: int = 0
+    rack: str = ''
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -144,12 +144,14 @@
             for address, kind in crashes
         ]
         if watch:
-            run, worker, address, kind = watch
+            run, worker, address, kind, process_start_ms, rack = watch
             task.watch = _jobs.Watch(
                 run=run,
                 worker=worker,
                 address=address,
                 kind=_jobs.CrashKind(kind),
+                process_start_ms=process_start_ms,
+                rack=rack,
             )
         found.append(task)
     return found
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -357,6 +357,7 @@
         run = worker.runs.get((key, number))
         if run is None:
             return
+        run.is_held_back = False
         if outcome is _reports.StartOutcome.STARTED:
             if run.phase is _fleet.RunPhase.STARTING:
                 run.phase = _fleet.RunPhase.RUNNING
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -264,22 +264,33 @@
         """Return whether a start order that was held back is still wanted.
 
         Then the run has kept its task since it was decided, so that all
-        records of the job since then place the task on the worker.
+        records of the job since then place the task on the worker, and the
+        worker still has room for it.
         """
         worker = self._cell.workers.get(worker_id)
         job = self._cell.jobs.get(key.job)
         run = worker.runs.get((key, number)) if worker is not None else None
         task = job.find(key) if job is not None else None
-        if job is None or task is None or run is None:
+        if worker is None or job is None or task is None or run is None:
             return False
         return (
             job.outcome is None
+            and not worker.is_over_capacity()
             and run.phase is _fleet.RunPhase.STARTING
             and run.stop_sent_ms < 0
             and task.worker == worker_id
             and task.run == number
         )
 
+    def release_start(
+        self, worker_id: str, key: _jobs.TaskKey, number: int
+    ) -> None:
+        """Note that a start order that was held back is being sent."""
+        worker = self._cell.workers.get(worker_id)
+        run = worker.runs.get((key, number)) if worker is not None else None
+        if run is not None:
+            run.is_held_back = False
+
     def withdraw_start(
         self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
     ) -> None:
