Rename carried ends and the factor between clocks

In FleetRecord, _ends and _stored_ends meant the times by which all runs on a worker have ended, and read like the ends of runs that are recorded elsewhere. STORE_CLOCK_SLACK_PERCENT was 102, a factor and no slack. Names only, and a blank line in const.py.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -76,12 +76,12 @@
         for info in former.infos:
             scheduler.add_former_worker(info)
         self._malformed_keys = frozenset(former.malformed)
-        self._ends = dict(former.runs_end_ms)
+        self._runs_end_ms = dict(former.runs_end_ms)
         """Ends that rows hold, or may hold as a write is on its way."""
-        self._stored_ends = set(self._ends)
-        for worker_id in self._ends:
+        self._stored_runs_end = set(self._runs_end_ms)
+        for worker_id in self._runs_end_ms:
             scheduler.hold_leases(worker_id)
-        self._recorded = self._versions.keys() - self._ends.keys()
+        self._recorded = self._versions.keys() - self._runs_end_ms.keys()
         """Workers with a row without an end, which may get tasks."""
         scheduler.mark_workers_recorded(self._recorded)
 
@@ -107,12 +107,12 @@
                 self._is_unreached(worker_id)
                 and not self._scheduler.workers[worker_id].is_listed
                 and worker_id in self._versions
-                and worker_id not in self._ends
+                and worker_id not in self._runs_end_ms
                 and layout.WORKER_PREFIX + worker_id
                 not in self._malformed_keys
                 and self._scheduler.hold_leases(worker_id)
             ):
-                self._ends[worker_id] = runs_end_ms
+                self._runs_end_ms[worker_id] = runs_end_ms
                 self._recorded.discard(worker_id)
                 self._scheduler.mark_workers_unrecorded([worker_id])
 
@@ -156,12 +156,15 @@
         """Return whether to write the row of a worker that is unrecorded."""
         if not self._needs_row(worker_id):
             return False
-        if worker_id not in self._ends or not self._is_unreached(worker_id):
+        if worker_id not in self._runs_end_ms or not self._is_unreached(
+            worker_id
+        ):
             return True
         # An end is never written on condition that the row is absent: such a
         # commit could be applied late, after a removal of the row.
         return (
-            worker_id not in self._stored_ends and worker_id in self._versions
+            worker_id not in self._stored_runs_end
+            and worker_id in self._versions
         )
 
     def _needs_row(self, worker_id: str) -> bool:
@@ -232,10 +235,10 @@
         else:
             self._versions[worker_id] = version
         if change.runs_end_ms is not None:
-            self._stored_ends.add(worker_id)
+            self._stored_runs_end.add(worker_id)
             return
-        self._ends.pop(worker_id, None)
-        self._stored_ends.discard(worker_id)
+        self._runs_end_ms.pop(worker_id, None)
+        self._stored_runs_end.discard(worker_id)
         self._scheduler.allow_leases(worker_id)
         if change.put.value is not None:
             self._recorded.add(worker_id)
@@ -256,7 +259,7 @@
         runs_end_ms = None
         if self._needs_row(worker_id):
             if self._is_unreached(worker_id):
-                runs_end_ms = self._ends.get(worker_id)
+                runs_end_ms = self._runs_end_ms.get(worker_id)
             worker = self._scheduler.workers[worker_id]
             value = models.encode_worker(worker.info, runs_end_ms)
         return _Change(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -24,6 +24,7 @@
 
 MAX_LOGGED_WORKERS = 10
 """Maximum number of worker ids in one log line."""
+
 POLL_WAIT_MS = 1_000
 """Long enough to keep polls few, short enough for leases of seconds."""
 
--- a/packages/policy/src/oriolestand_policy/ownership/_store_clock.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_store_clock.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-STORE_CLOCK_SLACK_PERCENT = 102
+MAX_CLOCK_RATIO_PERCENT = 102
 """The clocks of the store and of a daemon may differ by 2% in rate."""
 
 
@@ -37,4 +37,4 @@
 
 def _stretch(duration_ms: int) -> int:
     """Return how long a duration takes at most on another clock."""
-    return -(-duration_ms * STORE_CLOCK_SLACK_PERCENT // 100)
+    return -(-duration_ms * MAX_CLOCK_RATIO_PERCENT // 100)
