--- a/packages/fleet/tests/test_carried_waits.py
+++ b/packages/fleet/tests/test_carried_waits.py
@@ -188,7 +188,7 @@
 
 
 @pytest.mark.parametrize('effect_delay_ms', [0, 700, 4_000])
-@pytest.mark.parametrize('return_ms', [300, 600, 1_000, 2_200])
+@pytest.mark.parametrize('return_ms', [300, 400, 600, 1_000, 2_200])
 @pytest.mark.parametrize('count', [1, 5])
 def test_late_commit_of_an_end_does_not_shorten_a_wait(
     effect_delay_ms, return_ms, count
