Name the causes of crashes in the usual terms

Cause: names and comments of the tasks that crash workers spoke of guilt and verdicts; 'verdict' is already the term for whether a request may have run.

No behaviour changes.

--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -205,7 +205,7 @@
     assert run.worker != first
 
 
-def test_start_that_was_not_sent_does_not_convict_its_task(site, daemons):
+def test_task_is_not_given_up_for_starts_that_were_not_sent(site, daemons):
     # Guards against a service task that is given up without a single start,
     # as workers crash while its record waits for the store.
     owner = owner_of(daemons)
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -14,7 +14,7 @@
 
 
 class CrashHandler:
-    """Keep the crashes of tasks, and give up the tasks that are guilty.
+    """Keep the crashes of tasks, and give up the tasks that cause them.
 
     A run is watched if its worker may have crashed while the next owner
     would find no trace of the run: from the start of a suspect, and from the
@@ -26,7 +26,7 @@
         self._marked: dict[_jobs.TaskKey, _jobs.Task] = {}
         self._watched: dict[str, dict[_jobs.TaskKey, _jobs.Task]] = {}
         self._losses = _losses.LossTracker(cell.workers)
-        self._guilty: list[_jobs.Task] = []
+        self._confirmed: list[_jobs.Task] = []
         cell.on_worker_gone = self.on_worker_gone
 
     def marked(self) -> Iterator[_jobs.Task]:
@@ -62,7 +62,7 @@
                 )
             if task.crashes:
                 self._marked[task.key] = task
-                self._check_guilt(task)
+                self._check_cause(task)
 
     def _complete_info(self, watch: _jobs.Watch) -> None:
         """Add what a watch tells of a former worker, whose row does not.
@@ -171,7 +171,7 @@
             _jobs.Crash(address=worker.info.address, kind=kind)
         )
         self._marked[task.key] = task
-        self._check_guilt(task)
+        self._check_cause(task)
         self._cell.save(job)
         if task.is_suspect:
             self._cell.log(
@@ -183,15 +183,15 @@
                 crashes=[list(crash) for crash in task.crashes],
             )
 
-    def _check_guilt(self, task: _jobs.Task) -> None:
+    def _check_cause(self, task: _jobs.Task) -> None:
         """Note a task whose crashes are its own fault."""
-        if _crashes.is_guilty(task.crashes):
-            self._guilty.append(task)
+        if _crashes.is_cause(task.crashes):
+            self._confirmed.append(task)
 
     def give_up_tasks(self, now_ms: int) -> None:
-        """End the jobs of guilty tasks as failed."""
-        guilty, self._guilty = self._guilty, []
-        for task in guilty:
+        """End the jobs of tasks that crash their workers as failed."""
+        confirmed, self._confirmed = self._confirmed, []
+        for task in confirmed:
             job = self._cell.jobs.get(task.key.job)
             if job is None or job.outcome is not None or task.is_done:
                 continue
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -1,7 +1,7 @@
 """Decide which tasks a crash of a worker counts against.
 
 Everything that ran on a crashed worker is lost with it, and most of it is
-innocent. A task that crashes its workers does so soon after its start, so
+harmless. A task that crashes its workers does so soon after its start, so
 only runs that no report has shown to run for longer are suspect.
 """
 
@@ -27,21 +27,26 @@
 """Why a worker was removed that nobody has heard of: its entry is gone, so
 that it reaches neither the owner nor the store."""
 
-MIN_CONVICTING_ADDRESSES = 2
-MIN_CONVICTING_CRASHES = 3
-"""A worker that keeps crashing by itself crashes under any task, so crashes at
-one address convict only if there are more of them."""
+MIN_ALONE_ADDRESSES = 2
+"""Number of addresses at which workers must crash under a task alone."""
+
+MIN_ALONE_CRASHES = 3
+"""Number of such crashes at a single address. A worker that keeps crashing by
+itself crashes under any task."""
 
 MIN_LATE_ADDRESSES = 3
-"""Crashes at more addresses convict although they were noticed late, as those
-of workers that do not refuse connections are."""
+"""As ``MIN_ALONE_ADDRESSES``, with crashes that were noticed late, as those of
+workers that do not refuse connections are."""
 
 MIN_CRASHES_IN_A_ROW = 4
+"""Number of crashes of any kind, without a run that a worker survived, if the
+task was the only suspect of one of them."""
+
 MAX_CRASHES_IN_A_ROW = 5
+"""As above, for any task. While many workers crash, each crash seems to have a
+common cause."""
+
 MIN_ADDRESSES_IN_A_ROW = 3
-"""Crashes of any kind that convict a task that no worker has survived, the
-smaller number if the task was the only suspect of one. While many workers
-crash, trials seem to have a common cause again and again."""
 
 
 def mark_proven(run: _fleet.Run, now_ms: int) -> None:
@@ -73,17 +78,17 @@
     )
 
 
-def is_guilty(crashes: Sequence[_jobs.Crash]) -> bool:
+def is_cause(crashes: Sequence[_jobs.Crash]) -> bool:
     """Return whether the crashes of a task can only be its own fault."""
     prompt = [c.address for c in crashes if c.kind is _jobs.CrashKind.ALONE]
     late = [c.address for c in crashes if c.kind is _jobs.CrashKind.LATE]
-    is_convicted_alone = (
-        len(set(prompt)) >= MIN_CONVICTING_ADDRESSES
-        or len(prompt) >= MIN_CONVICTING_CRASHES
+    is_cause_alone = (
+        len(set(prompt)) >= MIN_ALONE_ADDRESSES
+        or len(prompt) >= MIN_ALONE_CRASHES
         or len({*prompt, *late}) >= MIN_LATE_ADDRESSES
         or len(prompt) + len(late) >= MAX_CRASHES_IN_A_ROW
     )
-    if is_convicted_alone:
+    if is_cause_alone:
         return True
     needed = MAX_CRASHES_IN_A_ROW
     if prompt or late:
--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -20,7 +20,7 @@
 
 MAX_PROBATION_SHARE = 0.25
 """Share of a pool's workers that may be on probation at the same time. Most
-suspects are innocent, as only one of those of a crash caused it."""
+suspects are harmless, as only one of those of a crash caused it."""
 
 MAX_LIKELY_SHARE = 0.125
 """As above, for suspects that were the only ones of a crash."""
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -23,7 +23,7 @@
 
 
 @pytest.mark.parametrize(
-    ('entries', 'is_guilty'),
+    ('entries', 'is_cause'),
     [
         ([], False),
         ([('a', ALONE)], False),
@@ -52,14 +52,14 @@
         ([('a', ALONE), ('a', ALONE), ('a', ALONE)], True),
     ],
 )
-def test_only_crashes_that_point_to_one_task_convict_it(entries, is_guilty):
-    # Guards against verdicts on tasks that ran beside the cause.
-    assert _crashes.is_guilty(crashes(*entries)) is is_guilty
+def test_only_crashes_that_point_to_one_task_identify_it(entries, is_cause):
+    # Guards against giving up tasks that ran beside the cause.
+    assert _crashes.is_cause(crashes(*entries)) is is_cause
 
 
-def test_crash_noticed_late_convicts_less(make):
-    # Guards against verdicts from workers that crash by chance, each some
-    # time after the start of the same task.
+def test_crash_noticed_late_proves_less(make):
+    # Guards against giving up tasks for workers that crash by chance, each
+    # some time after the start of the same task.
     harness = make.Harness(workers=4)
     harness.add('j', scheduling.StepSpec(count=1, cpu=1_000))
     for number, delay_ms in enumerate((_crashes.PROMPT_MS, 400)):
@@ -189,7 +189,7 @@
 
 
 def test_a_single_common_crash_makes_no_suspect():
-    # Guards against all new tasks of a lost rack waiting for trials.
+    # Guards against all new tasks of a lost rack waiting for probation.
     _, tasks = job_with()
     tasks[0].crashes = crashes(('a', COMMON))
     assert not tasks[0].is_suspect
@@ -273,7 +273,7 @@
 
 
 def test_a_suspect_waits_until_the_other_runs_on_its_worker_are_old(make):
-    # Guards against a verdict on a task although another one, started just
+    # Guards against giving up a task although another one, started just
     # before it, may have crashed the worker.
     harness = make.Harness(workers=1)
     harness.add('o', scheduling.StepSpec(count=1, cpu=1_000))
@@ -288,7 +288,7 @@
 
 
 def test_a_suspect_goes_where_a_crash_costs_least(tried):
-    # Guards against trials on workers with service tasks and many runs.
+    # Guards against probations on workers with service tasks and many runs.
     harness = tried.harness
     harness.add(
         'o',
--- a/packages/policy/tests/scheduling/test_crashing_tasks.py
+++ b/packages/policy/tests/scheduling/test_crashing_tasks.py
@@ -391,8 +391,8 @@
     assert sum(cell.starts.values()) == 2
 
 
-def test_a_verdict_that_was_not_carried_out_is_not_forgotten():
-    # Guards against a guilty task that runs under the next owner.
+def test_a_task_that_was_not_given_up_yet_is_not_forgotten():
+    # Guards against a harmful task that runs under the next owner.
     cell = Simulation()
     cell.add('bad', harmful=[0], count=1)
     cell.run(20_000)
@@ -410,7 +410,7 @@
 
 
 def test_suspects_are_started_apart():
-    # Guards against innocent tasks that run beside the next crash again.
+    # Guards against harmless tasks that run beside the next crash again.
     cell = Simulation(machines=4)
     cell.add('bad', harmful=[0], count=1)
     cell.add('good', count=12)
@@ -426,7 +426,7 @@
 
 @pytest.mark.parametrize('crashes', [1, 2, 4])
 def test_crash_of_a_rack_counts_against_no_task(crashes):
-    # Guards against innocent tasks that wait for a trial, or fail, as they
+    # Guards against harmless tasks that wait for probation, or fail, as they
     # ran on machines that lost power.
     cell = Simulation()
     cell.add('good', count=60)
@@ -441,8 +441,8 @@
     assert 'worker_crashed' in events
 
 
-def test_a_machine_that_crashes_by_itself_convicts_no_task():
-    # Guards against a verdict from crashes of one bad machine.
+def test_no_task_is_given_up_for_a_machine_that_crashes_by_itself():
+    # Guards against giving up tasks for crashes of one bad machine.
     cell = Simulation(machines=4, racks=4)
 
     def crash_first_machine():
@@ -462,7 +462,7 @@
 
 
 def test_a_worker_that_left_as_announced_has_not_crashed():
-    # Guards against suspects, and verdicts, of replacements that were
+    # Guards against suspects, and failed jobs, of replacements that were
     # planned.
     cell = Simulation()
     for number in range(4):
@@ -514,8 +514,8 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_only_harmful_tasks_are_given_up(seed):
-    # Guards against too many starts of harmful tasks and verdicts against
-    # innocent ones, with crashes of workers and racks for other reasons and
+    # Guards against too many starts of harmful tasks and failed jobs of
+    # harmless ones, with crashes of workers and racks for other reasons and
     # two changes of the owner.
     cell = Simulation(seed, machines=14, racks=4)
     rng = cell.rng
@@ -591,7 +591,7 @@
         self.apply_effects()
 
 
-def test_crashes_under_the_same_id_convict():
+def test_task_is_given_up_for_crashes_under_the_same_id():
     # Guards against crashes that are not noticed as the id stays the same.
     cell = SameIdSimulation()
     cell.add('bad', harmful=[0], count=1)
@@ -629,7 +629,7 @@
 
 
 def test_crash_of_a_rack_between_two_owners_counts_against_no_task():
-    # Guards against verdicts on tasks of a rack that lost power as the owner
+    # Guards against giving up tasks of a rack that lost power as the owner
     # ended; the successor learns of the workers from their rows only.
     cell = StoredSimulation()
     cell.add('good', count=60)
@@ -665,7 +665,7 @@
     monkeypatch, machines, notice_ms
 ):
     # Guards against a task that is started without end as the pool has too
-    # few addresses for a verdict on crashes that are noticed late.
+    # few addresses to judge crashes that are noticed late.
     monkeypatch.setitem(globals(), 'NOTICE_MS', notice_ms)
     cell = Simulation(machines=machines, racks=machines)
     cell.add('bad', harmful=[0], count=1)
--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -160,9 +160,9 @@
     pytest.fail('the suspect was not started within 10 s')
 
 
-def test_guilty_task_is_not_started_in_the_round_of_the_verdict(make):
-    # Guards against one more crashed worker after the verdict, if that
-    # follows from the end of a lease, which the round itself finds.
+def test_task_is_not_started_in_the_round_that_gives_it_up(make):
+    # Guards against one more crashed worker after the task is given up, if
+    # that follows from the end of a lease, which the round itself finds.
     harness = make.Harness(workers=3)
     spec = scheduling.JobSpec(
         id='s',
