Log expired leases and late ends of their runs

'Lease over' now has its times, and 'Late ends' counts the ends of released runs by kind, both as warnings, which have a limit of lines of their own. The counter late_end_reports has the kind as its label.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -338,7 +338,10 @@
 
     def _log_event(self, effect: scheduling.LogEvent) -> None:
         """Log an event of the scheduler, and count it if it has a counter."""
-        self._log.info(
+        log = self._log.info
+        if effect.event in const.WARNING_EVENTS:
+            log = self._log.warning
+        log(
             effect.event.replace('_', ' ').capitalize(),
             job=effect.job,
             **effect.values,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -15,9 +15,14 @@
     'task_suspected': 'tasks_suspected',
     'task_cleared': 'tasks_cleared',
     'task_given_up': 'tasks_given_up',
+    'late_ends': 'late_end_reports',
 }
 """Counters of events of the scheduler; their label is the reason."""
 
+WARNING_EVENTS = frozenset({'lease_over', 'late_ends'})
+"""Events of the scheduler that are rare and explain why tasks start again, so
+the limit on log lines of single runs must not drop them."""
+
 TICK_MS = 200
 GAUGE_INTERVAL_MS = 1_000
 TAKEOVER_REPORT_INTERVAL_MS = 1_000
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -1,5 +1,6 @@
 """Apply worker reports and replies to orders to the state of a cell."""
 
+import collections
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
@@ -20,6 +21,9 @@
 MISSED_POLLS_LIMIT = 2
 """Consecutive polls whose reports omit a run before it counts as lost."""
 
+MAX_LOGGED_TASKS = 5
+"""Maximum number of task names in one log line."""
+
 
 class ReplyHandler:
     """Update a cell from worker reports and from replies to orders."""
@@ -63,6 +67,7 @@
         worker.unreachable_ms = -1
         worker.clock_ms = worker_report.clock_ms
         _exclusions.forget_old_failures(worker, now_ms)
+        self._log_late_ends(worker, worker_report.ended)
         jobs_to_save: set[str] = set()
         for end in worker_report.ended:
             if self._apply_end(worker, end, now_ms):
@@ -79,6 +84,39 @@
         worker.version += 1
         return jobs_to_save
 
+    def _log_late_ends(
+        self,
+        worker: _fleet.Worker,
+        ends: tuple[_reports.EndReport, ...],
+    ) -> None:
+        """Log the ends of runs that were released before they were reported.
+
+        How they ended tells whether the lease of the worker has lapsed, and
+        whether the tasks that were queued again had been done.
+        """
+        late_tasks: dict[_jobs.EndKind, list[str]] = collections.defaultdict(
+            list
+        )
+        for end in ends:
+            if (end.key, end.number) in worker.runs:
+                continue
+            job = self._cell.jobs.get(end.key.job)
+            task = job.find(end.key) if job is not None else None
+            if task is None or task.is_done or task.run < end.number:
+                continue
+            if task.run == end.number and task.worker:
+                continue
+            late_tasks[end.kind].append(str(end.key))
+        for kind, tasks in late_tasks.items():
+            self._cell.log(
+                'late_ends',
+                '',
+                worker=worker.info.id,
+                reason=kind.value,
+                ends=len(tasks),
+                tasks=tasks[:MAX_LOGGED_TASKS],
+            )
+
     def _mitigate_interference(
         self, worker: _fleet.Worker, now_ms: int
     ) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -441,7 +441,15 @@
             if not worker.is_listed:
                 self._cell.remove_worker(worker.info.id, 'lease over')
             elif worker.runs:
-                self._cell.log('lease_over', '', worker=worker.info.id)
+                self._cell.log(
+                    'lease_over',
+                    '',
+                    worker=worker.info.id,
+                    runs=len(worker.runs),
+                    silent_ms=now_ms - worker.last_report_ms,
+                    lease_end_ms=worker.lease_end_ms,
+                    min_clock_ms=worker.min_clock_ms(undisputed_until_ms),
+                )
                 self._cell.release_all(worker, now_ms)
 
     def _resend_stops(self, now_ms: int) -> None:
