--- /dev/null
+++ b/packages/fleet/tests/services/cell/test_withdrawn_starts.py
@@ -0,0 +1,63 @@
+"""Tests that no order is sent after its reason has gone."""
+
+import dataclasses
+
+import pytest
+
+from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import owner_of
+
+JOB = 'a' * 16
+SEND_DELAY_MS = 1_700
+"""As in the incident of 2026-12-05; orders wait for up to 2,200 ms."""
+
+
+@pytest.fixture
+def owner(daemons):
+    """Return the owner of the cell."""
+    return owner_of(daemons)
+
+
+def step(**spec):
+    return (scheduling.StepSpec(count=1, cpu=1_000, **spec),)
+
+
+def test_start_is_not_sent_after_a_late_end_of_an_earlier_run(site, owner):
+    # A worker that was cut off lists the end of the first run as done while
+    # the start of the second waits for a connection. It ran again (TWICE).
+    site.submit(owner, JOB, step(), duration_ms=2_000)
+    site.run(500)
+    (first,) = site.history
+    owner.orders.faults.unreachable = {first.worker}
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    scheduler = owner.kernel.find('cell')._owner_term._scheduler
+    task = scheduler.jobs[JOB].find(first.key)
+    site.run_until(lambda: task.run != first.number, 9_000)
+    owner.orders.faults.unreachable = set()
+    site.run(5_000)
+    assert site.repeated_runs() == []
+    assert site.history == [first]
+    assert not any(w.used_cpu for w in scheduler.workers.values())
+
+
+def test_start_of_a_cancelled_job_is_not_sent(site, owner):
+    # Guards against runs of cancelled jobs, and their use of capacity.
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    site.submit(owner, JOB, step())
+    site.run(500)
+    site.cancel(owner, JOB)
+    site.run(3_000)
+    assert site.history == []
+
+
+def test_start_on_a_worker_that_leaves_is_not_sent(site, owner):
+    # Guards against a service task that starts where it has to stop at once;
+    # it starts on another worker instead.
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    site.submit(owner, JOB, step(is_service=True), duration_ms=60_000)
+    site.run(500)
+    scheduler = owner.kernel.find('cell')._owner_term._scheduler
+    (leaving,) = [w.info for w in scheduler.workers.values() if w.runs]
+    site.store.register_worker(dataclasses.replace(leaving, is_leaving=True))
+    site.run(3_000)
+    assert [r.worker != leaving.id for r in site.history] == [True]
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -40,10 +40,12 @@
 
     ``unreachable``: workers that the daemon cannot reach.
     ``unanswered_starts``: number of starts that get no answer and are carried
-    out after ``effect_delay_ms``.
+    out after ``effect_delay_ms``. ``send_delay_ms``: how long orders wait for
+    a connection before they are sent.
     """
 
     unreachable: set[str] = dataclasses.field(default_factory=set)
+    send_delay_ms: int = 0
     unanswered_starts: int = 0
     effect_delay_ms: int = 0
 
@@ -258,6 +260,11 @@
         await self.kernel.sleep(LATENCY_MS)
         return worker
 
+    async def _wait_to_send(self) -> None:
+        """Wait for a connection."""
+        if self.faults.send_delay_ms:
+            await self.kernel.sleep(self.faults.send_delay_ms)
+
     @core.handles(contracts.StartRun)
     def _on_start(self, msg: contracts.StartRun) -> Any:
         """Handle an order to start a run."""
@@ -268,6 +275,7 @@
         in_doubt = contracts.StartReply(
             outcome=scheduling.StartOutcome.IN_DOUBT, reason='no answer'
         )
+        await self._wait_to_send()
         try:
             worker = await self._reach_worker(msg.target)
         except contracts.WorkerError:
@@ -289,13 +297,19 @@
 
     async def _stop(self, msg: contracts.StopRun) -> None:
         """Stop a run."""
+        await self._wait_to_send()
         worker = await self._reach_worker(msg.target)
         worker.stop(msg)
 
     @core.handles(contracts.PaceRun)
     def _on_pace(self, msg: contracts.PaceRun) -> Any:
         """Accept an order to pace a run; it has no effect in the stand-in."""
-        return defer.ensureDeferred(self._reach_worker(msg.target))
+        return defer.ensureDeferred(self._pace(msg))
+
+    async def _pace(self, msg: contracts.PaceRun) -> None:
+        """Reach the worker."""
+        await self._wait_to_send()
+        await self._reach_worker(msg.target)
 
     @core.handles(contracts.PollWorker)
     def _on_poll(self, msg: contracts.PollWorker) -> Any:
