Withdraw a start that is not sent yet when its run is stopped

Cause: a start that waits for a connection was sent although a stop of its run had come, up to 2.2 s after an earlier run was acknowledged as done.

Change: on StopRun the orders service withdraws an unsent StartRun of the run, queued or with its connection still opening. It is never sent, its reply is WITHDRAWN, and the StopRun is answered without an order, as the worker never got the start. The scheduler drops the run, in either order of the two replies, queues the task again if it still needs a run, and does not back off from the worker.

test_equivalence draws from all outcomes of a start; its list of weights has an entry for the new one.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -65,6 +65,8 @@
 class StopRun:
     """Stop a run, or prevent it from starting later.
 
+    A StartRun of the run that is not sent yet is withdrawn instead; it is
+    never sent, and its reply is ``WITHDRAWN``. Otherwise the worker answers.
     Fails with FencedError, WorkerReplacedError or WorkerError.
     """
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -351,6 +351,9 @@
         now_ms: int,
     ) -> None:
         """Apply the outcome of a start order."""
+        if outcome is _reports.StartOutcome.WITHDRAWN:
+            self.withdraw_start(worker_id, key, number, now_ms)
+            return
         worker = self._cell.workers.get(worker_id)
         if worker is None:
             return
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -7,13 +7,18 @@
 
 
 class StartOutcome(enum.Enum):
-    """Outcome of a start order; IN_DOUBT if it may still take effect."""
+    """Outcome of a start order.
+
+    IN_DOUBT: it may still take effect. WITHDRAWN: it was not sent, as a stop
+    order for its run came before.
+    """
 
     STARTED = 'started'
     NO_ROOM = 'no_room'
     REFUSED = 'refused'
     UNHEALTHY = 'unhealthy'
     IN_DOUBT = 'in_doubt'
+    WITHDRAWN = 'withdrawn'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -611,7 +611,7 @@
         count = self.starts_by_kind.get(spec.kind, 0)
         self.starts_by_kind[spec.kind] = count + 1
         outcome = self.rng.choices(
-            list(scheduling.StartOutcome), weights=[90, 2, 2, 1, 5]
+            list(scheduling.StartOutcome), weights=[90, 2, 2, 1, 5, 2]
         )[0]
         if outcome is scheduling.StartOutcome.STARTED:
             entry = (effect.key, effect.run, spec, False)
--- a/packages/policy/tests/scheduling/test_record.py
+++ b/packages/policy/tests/scheduling/test_record.py
@@ -158,6 +158,7 @@
         scheduling.StartOutcome.NO_ROOM,
         scheduling.StartOutcome.REFUSED,
         scheduling.StartOutcome.UNHEALTHY,
+        scheduling.StartOutcome.WITHDRAWN,
         None,
     ],
 )
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -237,6 +237,10 @@
         fut.callback(None)
 
 
+_RunId = tuple[str, scheduling.TaskKey, int]
+"""Worker, task and number of a run."""
+
+
 class OrdersTask(core.Task):
     """Orders service of one daemon, with faults towards the workers."""
 
@@ -245,6 +249,7 @@
     ) -> None:
         super().__init__(kernel, contracts.SERVICE)
         self._workers = workers
+        self._unsent_starts: dict[_RunId, defer.Deferred[None]] = {}
         self.faults = OrderFaults()
 
     async def _reach_worker(self, target: contracts.Target) -> FleetWorker:
@@ -265,6 +270,19 @@
         if self.faults.send_delay_ms:
             await self.kernel.sleep(self.faults.send_delay_ms)
 
+    async def _is_withdrawn(self, msg: contracts.StartRun) -> bool:
+        """Wait for a connection; return whether a stop came before."""
+        if not self.faults.send_delay_ms:
+            return False
+        run = (msg.target.worker, msg.key, msg.number)
+        fut: defer.Deferred[None] = defer.Deferred()
+        self._unsent_starts[run] = fut
+        self.kernel.clock.call_later(
+            self.faults.send_delay_ms, lambda: _fire_once(fut)
+        )
+        await fut
+        return self._unsent_starts.pop(run, None) is None
+
     @core.handles(contracts.StartRun)
     def _on_start(self, msg: contracts.StartRun) -> Any:
         """Handle an order to start a run."""
@@ -275,7 +293,10 @@
         in_doubt = contracts.StartReply(
             outcome=scheduling.StartOutcome.IN_DOUBT, reason='no answer'
         )
-        await self._wait_to_send()
+        if await self._is_withdrawn(msg):
+            return contracts.StartReply(
+                outcome=scheduling.StartOutcome.WITHDRAWN
+            )
         try:
             worker = await self._reach_worker(msg.target)
         except contracts.WorkerError:
@@ -296,7 +317,12 @@
         return defer.ensureDeferred(self._stop(msg))
 
     async def _stop(self, msg: contracts.StopRun) -> None:
-        """Stop a run."""
+        """Stop a run, or withdraw its start if that is not sent yet."""
+        run = (msg.target.worker, msg.key, msg.number)
+        unsent_start = self._unsent_starts.pop(run, None)
+        if unsent_start is not None:
+            _fire_once(unsent_start)
+            return
         await self._wait_to_send()
         worker = await self._reach_worker(msg.target)
         worker.stop(msg)
