Withdraw unsent orders when the term of the owner ends

Change: `Term.end` calls the order sender, which posts WithdrawOrders with its epoch to the orders service. The writer of records ends the term the same way when the store tells it of a newer owner, before the row of that owner arrives.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -1,8 +1,8 @@
 """Messages to the ``orders`` service, which an adapter provides.
 
-Every message is a request to one worker. ``lease_end_ms`` is a time on the
-worker's clock; ``epoch`` is the fencing token that lets the worker refuse
-requests of former owners of the cell.
+Every message but WithdrawOrders is a request to one worker. ``lease_end_ms``
+is a time on the worker's clock; ``epoch`` is the fencing token that lets the
+worker refuse requests of former owners of the cell.
 """
 
 import dataclasses
@@ -32,6 +32,12 @@
     code = 'fenced'
 
 
+class WithdrawnError(WorkerError):
+    """Raised when an order was withdrawn before it was sent."""
+
+    code = 'withdrawn'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Target:
     """One incarnation of a worker and its address, ``ip:port``."""
@@ -90,6 +96,17 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawOrders:
+    """Withdraw the unsent orders of an epoch and of earlier ones.
+
+    They are never sent: starts get the reply ``WITHDRAWN``, others fail with
+    WithdrawnError. There is no reply.
+    """
+
+    epoch: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PollWorker:
     """Poll a worker: extend the lease of all runs and list them.
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -38,6 +38,13 @@
         self._on_reply = on_reply
         self._on_fenced = on_fenced
         self._log = core.get_logger(const.DOMAIN)
+        term.on_end.append(self._withdraw_orders)
+
+    def _withdraw_orders(self) -> None:
+        """Withdraw the unsent orders, as the term is over."""
+        self._kernel.post(
+            orders.SERVICE, orders.WithdrawOrders(epoch=self._term.epoch)
+        )
 
     def send(
         self,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -117,7 +117,7 @@
             while self._queued and not self._term.is_over:
                 await self._write_batch()
         except errors.OwnershipLostError:
-            self._term.is_over = True
+            self._term.end()
         finally:
             self._is_busy = False
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -463,7 +463,7 @@
     def _end_term(self, term: models.Term, reason: str) -> None:
         """End a term; a late failure of a former one changes nothing."""
         # The writer of records may have marked the term as over already.
-        term.is_over = True
+        term.end()
         if self._loading_term is term:
             # At once, so that the jobs service stops to load the cell.
             self._loading_term = None
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -1,5 +1,6 @@
 """State of an owner's term and encoding of the rows of the cell."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import json
@@ -65,6 +66,7 @@
     ``settled_ms``: from when on no former owner can still act.
     ``store_clock``: a time of the store's clock after the claim, if known.
     ``is_over``: whether the term has ended; all loops of the owner stop.
+    ``on_end``: called once when the term ends.
     """
 
     epoch: int
@@ -74,6 +76,15 @@
     settled_ms: int
     store_clock: ownership.StoreClock | None = None
     is_over: bool = False
+    on_end: list[Callable[[], None]] = dataclasses.field(default_factory=list)
+
+    def end(self) -> None:
+        """End the term, unless it has ended."""
+        if self.is_over:
+            return
+        self.is_over = True
+        for callback in self.on_end:
+            callback()
 
     def unsettled_ms(self, now_ms: int) -> int:
         """Return for how long at most a former owner may still act."""
--- a/packages/fleet/tests/services/cell/test_withdrawn_starts.py
+++ b/packages/fleet/tests/services/cell/test_withdrawn_starts.py
@@ -50,6 +50,20 @@
     assert site.history == []
 
 
+def test_start_is_not_sent_after_the_term(site, daemons, owner):
+    # Guards against a former owner that starts a task which its successor
+    # starts as well. The successor cannot reach the workers, to fence it off.
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    for daemon in daemons:
+        if daemon is not owner:
+            daemon.disconnect()
+    site.submit(owner, JOB, step())
+    site.run(500)
+    site.shut_down(owner)
+    site.run(3_000)
+    assert site.history == []
+
+
 def test_start_on_a_worker_that_leaves_is_not_sent(site, owner):
     # Guards against a service task that starts where it has to stop at once;
     # it starts on another worker instead.
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -316,6 +316,13 @@
         """Handle an order to stop a run."""
         return defer.ensureDeferred(self._stop(msg))
 
+    @core.handles(contracts.WithdrawOrders)
+    def _on_withdraw(self, msg: contracts.WithdrawOrders) -> None:
+        """Withdraw all starts that are not sent; a daemon has one epoch."""
+        unsent_starts, self._unsent_starts = self._unsent_starts, {}
+        for fut in unsent_starts.values():
+            _fire_once(fut)
+
     async def _stop(self, msg: contracts.StopRun) -> None:
         """Stop a run, or withdraw its start if that is not sent yet."""
         run = (msg.target.worker, msg.key, msg.number)
