Withdraw unsent paces of a run when a newer one comes

Cause: the orders service has three connections to a worker, and a pace that waits for one was sent although a newer pace of the same run waited behind it. On two connections they can overtake each other, so that the older one holds.

A pace that may have been written stays, and can still be overtaken.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -86,6 +86,7 @@
 class PaceRun:
     """Limit a run to a percentage of its full speed.
 
+    Earlier PaceRuns of the run that are not sent yet fail with WithdrawnError.
     Fails with FencedError, WorkerReplacedError or WorkerError.
     """
 
