--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -40,10 +40,12 @@
 
     ``unreachable``: workers that the daemon cannot reach.
     ``unanswered_starts``: number of starts that get no answer and are carried
-    out after ``effect_delay_ms``.
+    out after ``effect_delay_ms``. ``send_delay_ms``: how long orders wait for
+    a connection before they are sent.
     """
 
     unreachable: set[str] = dataclasses.field(default_factory=set)
+    send_delay_ms: int = 0
     unanswered_starts: int = 0
     effect_delay_ms: int = 0
 
@@ -235,6 +237,10 @@
         fut.callback(None)
 
 
+_RunId = tuple[str, scheduling.TaskKey, int]
+"""Worker, task and number of a run."""
+
+
 class OrdersTask(core.Task):
     """Orders service of one daemon, with faults towards the workers."""
 
@@ -243,6 +249,7 @@
     ) -> None:
         super().__init__(kernel, contracts.SERVICE)
         self._workers = workers
+        self._unsent_starts: dict[_RunId, defer.Deferred[None]] = {}
         self.faults = OrderFaults()
 
     async def _reach_worker(self, target: contracts.Target) -> FleetWorker:
@@ -258,6 +265,24 @@
         await self.kernel.sleep(LATENCY_MS)
         return worker
 
+    async def _wait_to_send(self) -> None:
+        """Wait for a connection."""
+        if self.faults.send_delay_ms:
+            await self.kernel.sleep(self.faults.send_delay_ms)
+
+    async def _is_withdrawn(self, msg: contracts.StartRun) -> bool:
+        """Wait for a connection; return whether a stop came before."""
+        if not self.faults.send_delay_ms:
+            return False
+        run = (msg.target.worker, msg.key, msg.number)
+        fut: defer.Deferred[None] = defer.Deferred()
+        self._unsent_starts[run] = fut
+        self.kernel.clock.call_later(
+            self.faults.send_delay_ms, lambda: _fire_once(fut)
+        )
+        await fut
+        return self._unsent_starts.pop(run, None) is None
+
     @core.handles(contracts.StartRun)
     def _on_start(self, msg: contracts.StartRun) -> Any:
         """Handle an order to start a run."""
@@ -268,6 +293,10 @@
         in_doubt = contracts.StartReply(
             outcome=scheduling.StartOutcome.IN_DOUBT, reason='no answer'
         )
+        if await self._is_withdrawn(msg):
+            return contracts.StartReply(
+                outcome=scheduling.StartOutcome.WITHDRAWN
+            )
         try:
             worker = await self._reach_worker(msg.target)
         except contracts.WorkerError:
@@ -287,15 +316,33 @@
         """Handle an order to stop a run."""
         return defer.ensureDeferred(self._stop(msg))
 
+    @core.handles(contracts.WithdrawOrders)
+    def _on_withdraw(self, msg: contracts.WithdrawOrders) -> None:
+        """Withdraw all starts that are not sent; a daemon has one epoch."""
+        unsent_starts, self._unsent_starts = self._unsent_starts, {}
+        for fut in unsent_starts.values():
+            _fire_once(fut)
+
     async def _stop(self, msg: contracts.StopRun) -> None:
-        """Stop a run."""
+        """Stop a run, or withdraw its start if that is not sent yet."""
+        run = (msg.target.worker, msg.key, msg.number)
+        unsent_start = self._unsent_starts.pop(run, None)
+        if unsent_start is not None:
+            _fire_once(unsent_start)
+            return
+        await self._wait_to_send()
         worker = await self._reach_worker(msg.target)
         worker.stop(msg)
 
     @core.handles(contracts.PaceRun)
     def _on_pace(self, msg: contracts.PaceRun) -> Any:
         """Accept an order to pace a run; it has no effect in the stand-in."""
-        return defer.ensureDeferred(self._reach_worker(msg.target))
+        return defer.ensureDeferred(self._pace(msg))
+
+    async def _pace(self, msg: contracts.PaceRun) -> None:
+        """Reach the worker."""
+        await self._wait_to_send()
+        await self._reach_worker(msg.target)
 
     @core.handles(contracts.PollWorker)
     def _on_poll(self, msg: contracts.PollWorker) -> Any:
