Add failing tests of ends that are listed and lost

Five ways were found in which a worker lists an end in a response, or the end is acknowledged, while the owner starts the task again. The stand-in of the workers gets two faults for them: reports that are on their way for a time, and a limit of the ends that a report lists.

--- /dev/null
+++ b/packages/policy/tests/scheduling/test_late_ends.py
@@ -0,0 +1,79 @@
+"""Tests that a task whose end a worker has listed does not run again."""
+
+import dataclasses
+
+import pytest
+
+from oriolestand_policy import scheduling
+
+ONE_TASK = scheduling.StepSpec(count=1, cpu=1_000)
+
+
+@pytest.fixture
+def started(harness):
+    """Return the start of a task that runs on a worker."""
+    harness.add('j', ONE_TASK)
+    starts, _ = harness.decide()
+    harness.answer(starts[0])
+    return starts[0]
+
+
+def task_of(harness):
+    """Return the task of the job."""
+    return harness.scheduler.jobs['j'].tasks[0][0][0]
+
+
+def restart(harness, worker):
+    """Register a later incarnation of a worker."""
+    harness.infos[worker] = dataclasses.replace(
+        harness.infos[worker], process_start_ms=2
+    )
+    harness.scheduler.set_workers(harness.infos)
+
+
+def replace(harness, worker):
+    """Remove a worker at whose address another one answers."""
+    harness.scheduler.remove_worker(worker, 'replaced')
+
+
+@pytest.mark.parametrize('lose', [restart, replace])
+def test_done_end_of_a_former_incarnation_is_applied(
+    harness, make, started, lose
+):
+    # The end of a run stays valid when the worker is gone or has restarted
+    # while the report was on its way. The report was ignored, and the task
+    # started again.
+    lose(harness, started.worker)
+    assert harness.poll(started.worker, ended=[make.end(started, 'done')]) == {
+        'j'
+    }
+    assert task_of(harness).is_done
+    assert harness.decide() == ([], [])
+
+
+def test_done_end_of_a_former_incarnation_stops_the_next_run(
+    harness, make, started
+):
+    # The task may have started elsewhere meanwhile.
+    replace(harness, started.worker)
+    starts, _ = harness.decide()
+    harness.answer(starts[0])
+    assert starts[0].worker != started.worker
+    harness.poll(started.worker, ended=[make.end(started, 'done')])
+    _, stops = harness.effects()
+    assert [(s.worker, s.run) for s in stops] == [
+        (starts[0].worker, starts[0].run)
+    ]
+
+
+@pytest.mark.parametrize('how', ['stopped', 'failed', 'lapsed'])
+def test_other_ends_of_a_former_incarnation_are_ignored(
+    harness, make, started, how
+):
+    # They were released with the worker and must not release a later run.
+    replace(harness, started.worker)
+    starts, _ = harness.decide()
+    harness.answer(starts[0])
+    harness.poll(started.worker, ended=[make.end(started, how)])
+    assert task_of(harness).run == starts[0].run
+    assert harness.decide() == ([], [])
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -16,6 +16,7 @@
 LEASE_MAX_MS = 6_000
 LEASE_CHECK_MS = 50
 STALL_RETRY_MS = 100
+MAX_LISTED_ENDS = 500
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -40,12 +41,14 @@
 
     ``unreachable``: workers that the daemon cannot reach.
     ``unanswered_starts``: number of starts that get no answer and are carried
-    out after ``effect_delay_ms``.
+    out after ``effect_delay_ms``. ``report_delays_ms``: how long each
+    report of a worker is on its way, by worker.
     """
 
     unreachable: set[str] = dataclasses.field(default_factory=set)
     unanswered_starts: int = 0
     effect_delay_ms: int = 0
+    report_delays_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class FleetWorker:
@@ -54,6 +57,7 @@
     ``duration_of`` and ``outcome_of`` return the duration of a run in ms and
     its outcome. The worker enforces fencing epochs, run numbers and lease
     ends. While ``is_stalled`` is set, tasks make no progress and do not end.
+    A report lists at most ``max_listed_ends`` ends, the oldest ones.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self._pending_polls: list[defer.Deferred[None]] = []
         self.has_crashed = False
         self.is_stalled = False
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._check_lease()
 
     def _check_lease(self) -> None:
@@ -176,6 +181,7 @@
             self._pending_polls.append(fut)
             self._clock.call_later(msg.wait_ms, lambda: _fire_once(fut))
             await fut
+        listed_ends = self._ended[: self.max_listed_ends]
         return scheduling.WorkerReport(
             clock_ms=self._clock.now(),
             process_start_ms=self.info.process_start_ms,
@@ -196,7 +202,7 @@
                     kind=scheduling.EndKind(record.outcome),
                     checkpoint='',
                 )
-                for sequence, record in self._ended
+                for sequence, record in listed_ends
             ),
         )
 
@@ -306,11 +312,30 @@
         self, msg: contracts.PollWorker
     ) -> scheduling.WorkerReport:
         """Poll a worker; the report is lost if it becomes unreachable."""
+        sent_ms = self.kernel.clock.now()
         worker = await self._reach_worker(msg.target)
         report = await worker.poll(msg)
-        await self._reach_worker(msg.target)
+        if msg.target.worker in self.faults.report_delays_ms:
+            await self._delay_report(msg, sent_ms)
+        else:
+            await self._reach_worker(msg.target)
         return report
 
+    async def _delay_report(
+        self, msg: contracts.PollWorker, sent_ms: int
+    ) -> None:
+        """Wait until a report arrives, as long as its poll may take.
+
+        :raises WorkerError: if the report does not arrive in time.
+        """
+        timeout_ms = msg.wait_ms + ORDER_TIMEOUT_MS
+        passed_ms = self.kernel.clock.now() - sent_ms
+        delay_ms = self.faults.report_delays_ms[msg.target.worker]
+        if passed_ms + delay_ms > timeout_ms:
+            await self.kernel.sleep(timeout_ms - passed_ms)
+            raise contracts.WorkerError('no answer in time')
+        await self.kernel.sleep(delay_ms)
+
 
 def _start_without_answer(
     worker: FleetWorker, msg: contracts.StartRun
