Withdraw an unsent start when its worker has restarted or is lost

Cause: when a worker restarts under its id, or its lease is over, the scheduler drops its runs and starts their tasks elsewhere. A start that still waited for a connection was sent all the same. The new incarnation has the same id and accepts it, so that a task ran twice at the same time.

Change: for each dropped run whose start is not answered, the scheduler returns the effect WithdrawStart, and the orders service withdraws that start unless it may have been written.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -1,8 +1,9 @@
 """Messages to the ``orders`` service, which an adapter provides.
 
-Every message but WithdrawOrders is a request to one worker. ``lease_end_ms``
-is a time on the worker's clock; ``epoch`` is the fencing token that lets the
-worker refuse requests of former owners of the cell.
+Every message is a request to one worker, except WithdrawStart and
+WithdrawOrders, which concern unsent requests. ``lease_end_ms`` is a time on
+the worker's clock; ``epoch`` is the fencing token that lets the worker refuse
+requests of former owners of the cell.
 """
 
 import dataclasses
@@ -97,6 +98,18 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawStart:
+    """Withdraw the StartRun of a run, as by StopRun, if it is not sent yet.
+
+    There is no reply.
+    """
+
+    worker: str
+    key: scheduling.TaskKey
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WithdrawOrders:
     """Withdraw the unsent orders of an epoch and of earlier ones.
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -49,7 +49,10 @@
     def send(
         self,
         effect: (
-            scheduling.StartTask | scheduling.StopTask | scheduling.PaceTask
+            scheduling.StartTask
+            | scheduling.WithdrawStart
+            | scheduling.StopTask
+            | scheduling.PaceTask
         ),
     ) -> None:
         """Send an order in the background."""
@@ -58,6 +61,13 @@
                 defer.ensureDeferred(self._start_recorded_run(effect))
             else:
                 defer.ensureDeferred(self._start_run(effect))
+        elif isinstance(effect, scheduling.WithdrawStart):
+            self._kernel.post(
+                orders.SERVICE,
+                orders.WithdrawStart(
+                    worker=effect.worker, key=effect.key, number=effect.run
+                ),
+            )
         elif isinstance(effect, scheduling.StopTask):
             defer.ensureDeferred(self._stop_run(effect))
         else:
--- a/packages/fleet/tests/services/cell/test_withdrawn_starts.py
+++ b/packages/fleet/tests/services/cell/test_withdrawn_starts.py
@@ -64,6 +64,21 @@
     assert site.history == []
 
 
+def test_start_is_not_sent_to_the_next_incarnation(site, owner):
+    # A worker that restarted under its id while a start waited received it
+    # although the task had started elsewhere.
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    site.submit(owner, JOB, step(), duration_ms=5_000)
+    site.run(500)
+    scheduler = owner.kernel.find('cell')._owner_term._scheduler
+    (worker,) = [w.info.id for w in scheduler.workers.values() if w.runs]
+    site.workers[worker].crash()
+    site.add_worker(worker, process_start_ms=2)
+    site.run(8_000)
+    assert site.overlapping_runs() == []
+    assert [run.outcome for run in site.history] == ['done']
+
+
 def test_start_on_a_worker_that_leaves_is_not_sent(site, owner):
     # Guards against a service task that starts where it has to stop at once;
     # it starts on another worker instead.
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -11,6 +11,7 @@
 from oriolestand_policy.scheduling._effects import SaveJob
 from oriolestand_policy.scheduling._effects import StartTask
 from oriolestand_policy.scheduling._effects import StopTask
+from oriolestand_policy.scheduling._effects import WithdrawStart
 from oriolestand_policy.scheduling._fleet import Run
 from oriolestand_policy.scheduling._fleet import RunPhase
 from oriolestand_policy.scheduling._fleet import Worker
@@ -75,6 +76,7 @@
     'Task',
     'TaskKey',
     'TaskKind',
+    'WithdrawStart',
     'Worker',
     'WorkerInfo',
     'WorkerReport',
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -80,6 +80,12 @@
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Drop all runs of a worker and queue their tasks again."""
         for run in list(worker.runs.values()):
+            if run.phase is _fleet.RunPhase.STARTING:
+                self.effects.append(
+                    _effects.WithdrawStart(
+                        worker=worker.info.id, key=run.key, run=run.number
+                    )
+                )
             worker.drop(run)
             self.release(run, worker.info.id, now_ms)
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_effects.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_effects.py
@@ -21,6 +21,18 @@
     needs_record: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawStart:
+    """Do not send the order to start a run if that is not sent yet.
+
+    The run has been dropped, as its worker has restarted or is lost.
+    """
+
+    worker: str
+    key: _jobs.TaskKey
+    run: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopTask:
     """Stop a run of a task on a worker."""
@@ -57,4 +69,4 @@
     values: dict[str, object]
 
 
-Effect = StartTask | StopTask | PaceTask | SaveJob | LogEvent
+Effect = StartTask | WithdrawStart | StopTask | PaceTask | SaveJob | LogEvent
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -316,8 +316,20 @@
         """Handle an order to stop a run."""
         return defer.ensureDeferred(self._stop(msg))
 
+    def _withdraw(self, run: _RunId) -> bool:
+        """Withdraw a start; return False if none waits to be sent."""
+        unsent_start = self._unsent_starts.pop(run, None)
+        if unsent_start is not None:
+            _fire_once(unsent_start)
+        return unsent_start is not None
+
+    @core.handles(contracts.WithdrawStart)
+    def _on_withdraw_start(self, msg: contracts.WithdrawStart) -> None:
+        """Withdraw the start of a run if it is not sent yet."""
+        self._withdraw((msg.worker, msg.key, msg.number))
+
     @core.handles(contracts.WithdrawOrders)
-    def _on_withdraw(self, msg: contracts.WithdrawOrders) -> None:
+    def _on_withdraw_orders(self, msg: contracts.WithdrawOrders) -> None:
         """Withdraw all starts that are not sent; a daemon has one epoch."""
         unsent_starts, self._unsent_starts = self._unsent_starts, {}
         for fut in unsent_starts.values():
@@ -325,10 +337,7 @@
 
     async def _stop(self, msg: contracts.StopRun) -> None:
         """Stop a run, or withdraw its start if that is not sent yet."""
-        run = (msg.target.worker, msg.key, msg.number)
-        unsent_start = self._unsent_starts.pop(run, None)
-        if unsent_start is not None:
-            _fire_once(unsent_start)
+        if self._withdraw((msg.target.worker, msg.key, msg.number)):
             return
         await self._wait_to_send()
         worker = await self._reach_worker(msg.target)
