Withdraw a start that waits for its record when its run is stopped

Cause: the order sender sent a stop order for a run whose start it still held back, to a worker that had never received the run, and kept its capacity occupied until the record was written. While the store could not be reached, the stop was repeated every 0.5 s until answered.

Change: a stop of such a run withdraws the start at once, and no order is sent.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -12,6 +12,9 @@
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
 
+_RunId = tuple[str, scheduling.TaskKey, int]
+"""Worker, task and number of a run."""
+
 
 class OrderSender:
     """Send orders during one term and pass the replies to the scheduler.
@@ -38,6 +41,7 @@
         self._on_reply = on_reply
         self._on_fenced = on_fenced
         self._log = core.get_logger(const.DOMAIN)
+        self._held_starts: set[_RunId] = set()
         term.on_end.append(self._withdraw_orders)
 
     def _withdraw_orders(self) -> None:
@@ -85,9 +89,12 @@
 
         A successor starts the task elsewhere unless the record places it.
         """
+        run = _run_of(effect)
+        self._held_starts.add(run)
         await self._saver.when_saved({effect.key.job})
-        if self._term.is_over:
+        if self._term.is_over or run not in self._held_starts:
             return
+        self._held_starts.remove(run)
         if self._scheduler.is_start_pending(
             effect.worker, effect.key, effect.run
         ):
@@ -96,6 +103,12 @@
             )
             await self._start_run(effect)
             return
+        self._withdraw_start(effect)
+
+    def _withdraw_start(
+        self, effect: scheduling.StartTask | scheduling.StopTask
+    ) -> None:
+        """Tell the scheduler that a start is not sent."""
         self._scheduler.withdraw_start(
             effect.worker, effect.key, effect.run, self._kernel.clock.now()
         )
@@ -155,7 +168,14 @@
         self._on_reply()
 
     async def _stop_run(self, effect: scheduling.StopTask) -> None:
-        """Order a worker to stop a run and tell the scheduler the outcome."""
+        """Order a worker to stop a run and tell the scheduler the outcome.
+
+        A start that waits for its record is withdrawn instead.
+        """
+        if _run_of(effect) in self._held_starts:
+            self._held_starts.remove(_run_of(effect))
+            self._withdraw_start(effect)
+            return
         clock = self._kernel.clock
         started_ms = clock.now()
         target = self._target(effect.worker)
@@ -236,3 +256,8 @@
         self._kernel.post(
             telemetry.SERVICE, telemetry.Count(name=name, label=label)
         )
+
+
+def _run_of(effect: scheduling.StartTask | scheduling.StopTask) -> _RunId:
+    """Return the run that an order is for."""
+    return (effect.worker, effect.key, effect.run)
--- a/packages/fleet/tests/services/cell/test_withdrawn_starts.py
+++ b/packages/fleet/tests/services/cell/test_withdrawn_starts.py
@@ -50,6 +50,24 @@
     assert site.history == []
 
 
+def test_start_that_waits_for_its_record_needs_no_stop_order(site, owner):
+    # Guards against orders for runs that their worker never got, and against
+    # capacity that stays occupied while the store cannot be reached.
+    stops = []
+    for worker in site.workers.values():
+        worker.stop = stops.append
+    scheduler = owner.kernel.find('cell')._owner_term._scheduler
+    site.submit(owner, JOB, step(is_service=True), duration_ms=60_000)
+    site.run_until(lambda: any(w.runs for w in scheduler.workers.values()), 50)
+    owner.store.faults.is_down = True
+    scheduler.cancel_job(JOB, site.clock.now())
+    site.run(300)
+    assert not any(w.runs for w in scheduler.workers.values())
+    owner.store.faults.is_down = False
+    site.run(1_000)
+    assert stops == site.history == []
+
+
 def test_start_is_not_sent_after_the_term(site, daemons, owner):
     # Guards against a former owner that starts a task which its successor
     # starts as well. The successor cannot reach the workers, to fence it off.
