Expect runs to be missing only if all ends are listed

Callers saw tasks run again while the store did not take records. A worker lists 500 ends at a time, and none of them is acknowledged before its record is written. A run that ended after these is neither running nor listed as ended. After two such reports the owner counted it as lost and started its task elsewhere, although it had ended as done. A successor took the first such report for a complete one and started the tasks whose ends it had not received.

A report now tells whether there may be more ends. Runs count as missing only by reports without more, and a takeover waits for one from each worker, up to the deadline as before.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -100,12 +100,16 @@
         )
 
     def _unreached_workers(self) -> list[str]:
-        """Return the former workers that have not reported, sorted by id."""
+        """Return the former workers whose runs are not known, sorted by id.
+
+        A worker that has listed only a part of its ends may have ended others
+        that the records do not hold.
+        """
         workers = self._scheduler.workers
         return sorted(
             worker_id
             for worker_id in self._former_worker_ids
-            if worker_id in workers and not workers[worker_id].is_probed
+            if worker_id in workers and not workers[worker_id].are_runs_known
         )
 
     def _remove_unregistered_workers(self, worker_ids: list[str]) -> None:
--- a/packages/fleet/tests/test_late_ends.py
+++ b/packages/fleet/tests/test_late_ends.py
@@ -71,3 +71,20 @@
     site.run(3_000)
     assert acknowledged
     assert set(acknowledged) == {0}
+
+
+def test_successor_waits_until_a_worker_has_listed_all_ends(site, daemons):
+    # The successor took a run that was listed nowhere in the first report for
+    # one that does not exist, and started its task.
+    for worker in site.workers.values():
+        worker.max_listed_ends = 1
+    steps = (scheduling.StepSpec(count=6, cpu=1_000),)
+    site.submit(daemons[0], JOB, steps, duration_ms=1_000)
+    site.run_until(lambda: len(site.history) == 6, 2_000)
+    former = owner_of(daemons)
+    former.disconnect()
+    rest = [daemon for daemon in daemons if daemon is not former]
+    site.run_until(lambda: any(d.is_owner for d in rest), 8_000)
+    site.run(15_000)
+    assert len(site.history) == 6
+    assert site.state(rest[0], JOB) == 'completed'
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -81,7 +81,8 @@
 class Worker:
     """A worker; ``runs`` holds all runs that may occupy its capacity.
 
-    ``is_probed`` is whether the worker has reported to this owner, and
+    ``is_probed`` is whether the worker has reported to this owner,
+    ``are_runs_known`` whether one of its reports listed all ends, and
     ``is_listed`` whether it is registered. ``is_recorded`` is whether the
     store holds the worker in the list that the next owner reads. No task may
     be started on it before, as the next owner would not poll it.
@@ -100,6 +101,7 @@
         default_factory=dict
     )
     is_probed: bool = False
+    are_runs_known: bool = False
     is_recorded: bool = False
     is_listed: bool = True
     last_report_ms: int = -1
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -71,7 +71,10 @@
         for report in worker_report.running:
             listed.add((report.key, report.number))
             self._apply_run_report(worker, report, now_ms)
-        self._drop_missing_runs(worker, listed, sent_ms, now_ms)
+        if not worker_report.has_more_ends:
+            # Otherwise a run that is not listed may have ended.
+            worker.are_runs_known = True
+            self._drop_missing_runs(worker, listed, sent_ms, now_ms)
         self._crash_handler.on_report(worker)
         self._stop_stalled_runs(worker, now_ms)
         self._cell.pressure.observe(worker, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -48,10 +48,12 @@
     """Report of a worker in reply to a poll.
 
     ``clock_ms`` is the worker's clock. ``process_start_ms`` is when the
-    worker process started, 0 if not reported.
+    worker process started, 0 if not reported. ``has_more_ends`` is whether
+    there may be later ends that ``ended`` does not list.
     """
 
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
     process_start_ms: int = 0
+    has_more_ends: bool = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
@@ -12,7 +12,7 @@
     """What an owner does not know about the runs of former owners.
 
     ``worker_ids`` are the workers that may still have such runs and have not
-    reported to this owner. ``has_unknown_workers`` is whether there may be
+    listed them to this owner. ``has_unknown_workers`` is whether there may be
     others.
     """
 
@@ -62,4 +62,6 @@
         if not self.has_unknown_workers:
             return False
         worker = workers.get(worker_id)
-        return worker is None or not worker.is_probed
+        return worker is None or not (
+            worker.is_probed and worker.are_runs_known
+        )
--- a/packages/policy/tests/scheduling/test_late_ends.py
+++ b/packages/policy/tests/scheduling/test_late_ends.py
@@ -23,6 +23,40 @@
     return harness.scheduler.jobs['j'].tasks[0][0][0]
 
 
+def test_run_whose_end_is_not_listed_yet_is_not_missing(
+    harness, make, started
+):
+    # A worker lists a limited number of ends at a time. While they wait for
+    # their records, a run that ended after them is listed nowhere; its task
+    # was started again although it had ended as done.
+    for _ in range(4):
+        harness.now += 300
+        harness.scheduler.on_worker_report(
+            started.worker,
+            scheduling.WorkerReport(
+                clock_ms=harness.now,
+                process_start_ms=1,
+                running=(),
+                ended=(),
+                has_more_ends=True,
+            ),
+            harness.now,
+            harness.now,
+        )
+        assert harness.decide() == ([], [])
+    harness.poll(started.worker, ended=[make.end(started, 'done', 501)])
+    assert task_of(harness).is_done
+
+
+def test_missing_run_is_released_once_all_ends_are_listed(harness, started):
+    # A run that the worker has lost must not occupy its task forever.
+    for _ in range(2):
+        harness.now += 300
+        harness.poll(started.worker)
+    starts, _ = harness.decide()
+    assert [s.key for s in starts] == [started.key]
+
+
 def restart(harness, worker):
     """Register a later incarnation of a worker."""
     harness.infos[worker] = dataclasses.replace(
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -204,6 +204,7 @@
                 )
                 for sequence, record in listed_ends
             ),
+            has_more_ends=len(listed_ends) >= self.max_listed_ends,
         )
 
     def _advance_epoch(self, epoch: int) -> None:
