Apply done ends that arrive after their worker is gone

Callers saw a task run again although a worker had listed its end as done: the report arrived after the owner had removed the worker (another one answered at its address) or had learned that it restarted. The whole report was ignored, and yet the poller acknowledged its ends.

An end as done stays valid, so it is applied whatever became of the worker; a later run of the task is stopped, and the record of the job is written before the acknowledgement. Other ends of such a worker are ignored as before, since its runs were released with it.

--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -43,13 +43,11 @@
         ends in the report are acknowledged to the worker.
         """
         worker = self._cell.workers.get(worker_id)
-        if worker is None:
-            return set()
-        if (
+        if worker is None or (
             worker_report.process_start_ms
             and worker_report.process_start_ms < worker.info.process_start_ms
         ):
-            return set()
+            return self._apply_done_ends(worker_report, now_ms)
         if worker_report.process_start_ms > worker.info.process_start_ms:
             worker = self._apply_restart(worker, worker_report, now_ms)
         if not worker.is_probed:
@@ -82,6 +80,27 @@
         worker.version += 1
         return jobs_to_save
 
+    def _apply_done_ends(
+        self, worker_report: _reports.WorkerReport, now_ms: int
+    ) -> set[str]:
+        """Apply the ends as done in a report of a worker that is gone.
+
+        A task that is done stays done. Nothing else in the report tells about
+        the present. Return the ids of the jobs to save, as above.
+        """
+        jobs_to_save: set[str] = set()
+        for end in worker_report.ended:
+            if end.kind is not _jobs.EndKind.DONE:
+                continue
+            job = self._cell.jobs.get(end.key.job)
+            task = job.find(end.key) if job is not None else None
+            if job is None or task is None or task.spec.is_service:
+                continue
+            if job.outcome is None and not task.is_done:
+                self._apply_completion(job, task, end, now_ms)
+            jobs_to_save.add(end.key.job)
+        return jobs_to_save
+
     def _mitigate_interference(
         self, worker: _fleet.Worker, now_ms: int
     ) -> None:
@@ -165,7 +184,8 @@
             return True
         if end.kind is _jobs.EndKind.DONE and not task.spec.is_service:
             if not task.is_done:
-                self._apply_completion(worker, job, task, end, now_ms)
+                worker.failed_tasks.clear()
+                self._apply_completion(job, task, end, now_ms)
             return True
         if task.former_worker == worker.info.id and (
             task.former_run == end.number
@@ -196,14 +216,12 @@
 
     def _apply_completion(
         self,
-        worker: _fleet.Worker,
         job: _jobs.Job,
         task: _jobs.Task,
         end: _reports.EndReport,
         now_ms: int,
     ) -> None:
         """Mark a task as done and queue the steps that depended on it."""
-        worker.failed_tasks.clear()
         members = [task]
         if task.spec.is_gang:
             # The end of one member completes the whole gang.
