Send a cursor only to the incarnation that it belongs to

A worker that starts again under its id numbers its ends anew. The next poll still carried the cursor of the former incarnation and so acknowledged ends of the new one that the owner had never received, for example of a start order that reached the new incarnation late.

A poll now acknowledges nothing if a later incarnation is registered than the one that the cursor belongs to. A poll that is sent before the registration is known, or carried out late by the worker, still has the former cursor.

packages/fleet/tests/test_late_ends.py: the polls of the new incarnation acknowledged 1 before, and 0 now.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -126,6 +126,10 @@
             # may receive every extension although its responses are lost,
             # and the owner could never assume that its runs have ended.
             lease_end_ms = self._scheduler.new_lease_end(self._worker, sent_ms)
+        acknowledged = cursor.recorded
+        if worker.info.process_start_ms > cursor.process_start_ms:
+            # The ends of the registered incarnation are numbered anew.
+            acknowledged = 0
         has_unrecorded_ends = cursor.recorded < cursor.received
         wait_ms = const.POLL_WAIT_MS
         if worker.service_cpu and worker.filling_cpu:
@@ -144,7 +148,7 @@
                     worker=self._worker, address=worker.info.address
                 ),
                 lease_end_ms=lease_end_ms,
-                acknowledged=cursor.recorded,
+                acknowledged=acknowledged,
                 wait_ms=wait_ms,
                 epoch=self._term.epoch,
             ),
