Apply ends in reports that arrive after their poll has timed out

The connection had been aborted, the worker was not there for the next poll, and the owner started the task elsewhere once the lease was over.

A report that arrives is published; the owner of the same epoch applies its ends as done and nothing else. It does not acknowledge them, as the next poll does that.

A longer timeout of polls was ruled out: a worker that cannot be reached would be noticed later.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -95,7 +95,8 @@
     The reply is a scheduling.WorkerReport. A ``lease_end_ms`` of None leaves
     the lease unchanged. The worker discards ends up to ``acknowledged``. It
     answers when a run ends, or after ``wait_ms``. Fails with FencedError,
-    WorkerReplacedError or WorkerError.
+    WorkerReplacedError or WorkerError. If the report arrives after that, it
+    is published as a LateReport.
     """
 
     target: Target
@@ -103,3 +104,12 @@
     acknowledged: int
     wait_ms: int
     epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LateReport:
+    """Event: the report for a poll of an owner that has already failed."""
+
+    worker: str
+    epoch: int
+    report: scheduling.WorkerReport
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -14,6 +14,7 @@
 from oriolestand_fleet.messages import config as config_messages
 from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import lifecycle
+from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.cell import _owner_commits
@@ -54,6 +55,7 @@
             jobs.CellRowChanged,
             jobs.ReplicaSyncAttempted,
             lifecycle.ShutdownStarted,
+            orders.LateReport,
         ):
             self.kernel.subscribe(event, self)
         for loop in (self._watch(), self._watch_store_latency()):
@@ -144,6 +146,13 @@
         elif self._is_claiming:
             self._pending_events.append(msg)
 
+    @core.handles(orders.LateReport)
+    def _on_late_report(self, msg: orders.LateReport) -> None:
+        """Pass a late report to the term whose poll it answers."""
+        owner_term = self._owner_term
+        if owner_term is not None and owner_term.term.epoch == msg.epoch:
+            owner_term.apply_late_report(msg.report)
+
     @core.handles(jobs.CellRowChanged)
     def _on_row(self, msg: jobs.CellRowChanged) -> None:
         """Apply a changed owner or renewal row."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -161,6 +161,15 @@
         self._scheduler.cancel_job(job_id, self._kernel.clock.now())
         self.request_round()
 
+    def apply_late_report(self, report: scheduling.WorkerReport) -> None:
+        """Apply a report whose poll has failed.
+
+        Its ends are not acknowledged: the next poll lists them again if the
+        worker is still there.
+        """
+        self._scheduler.on_late_report(report, self._kernel.clock.now())
+        self._on_worker_reply()
+
     # Workers.
 
     async def _watch_workers(self) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -80,13 +80,23 @@
         worker.version += 1
         return jobs_to_save
 
+    def on_late_report(
+        self, worker_report: _reports.WorkerReport, now_ms: int
+    ) -> None:
+        """Apply the ends as done in a report whose poll has failed.
+
+        A later poll may have been answered meanwhile, so the rest of the
+        report is ignored.
+        """
+        self._apply_done_ends(worker_report, now_ms)
+
     def _apply_done_ends(
         self, worker_report: _reports.WorkerReport, now_ms: int
     ) -> set[str]:
-        """Apply the ends as done in a report of a worker that is gone.
+        """Apply the ends as done in a report that is otherwise outdated.
 
-        A task that is done stays done. Nothing else in the report tells about
-        the present. Return the ids of the jobs to save, as above.
+        A task that is done stays done. Return the ids of the jobs whose record
+        must be written before these ends are acknowledged.
         """
         jobs_to_save: set[str] = set()
         for end in worker_report.ended:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -237,6 +237,12 @@
             worker_id, worker_report, sent_ms, now_ms
         )
 
+    def on_late_report(
+        self, worker_report: _reports.WorkerReport, now_ms: int
+    ) -> None:
+        """Apply the ends as done in a report whose poll has failed."""
+        self._reply_handler.on_late_report(worker_report, now_ms)
+
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
         worker = self._cell.workers.get(worker_id)
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -317,22 +317,32 @@
         worker = await self._reach_worker(msg.target)
         report = await worker.poll(msg)
         if msg.target.worker in self.faults.report_delays_ms:
-            await self._delay_report(msg, sent_ms)
+            await self._delay_report(msg, sent_ms, report)
         else:
             await self._reach_worker(msg.target)
         return report
 
     async def _delay_report(
-        self, msg: contracts.PollWorker, sent_ms: int
+        self,
+        msg: contracts.PollWorker,
+        sent_ms: int,
+        report: scheduling.WorkerReport,
     ) -> None:
         """Wait until a report arrives, as long as its poll may take.
 
-        :raises WorkerError: if the report does not arrive in time.
+        :raises WorkerError: if the report does not arrive in time; it is
+            published when it arrives.
         """
         timeout_ms = msg.wait_ms + ORDER_TIMEOUT_MS
         passed_ms = self.kernel.clock.now() - sent_ms
         delay_ms = self.faults.report_delays_ms[msg.target.worker]
         if passed_ms + delay_ms > timeout_ms:
+            late_report = contracts.LateReport(
+                worker=msg.target.worker, epoch=msg.epoch, report=report
+            )
+            self.kernel.clock.call_later(
+                delay_ms, lambda: self.kernel.publish(late_report)
+            )
             await self.kernel.sleep(timeout_ms - passed_ms)
             raise contracts.WorkerError('no answer in time')
         await self.kernel.sleep(delay_ms)
