--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -47,13 +47,11 @@
         ends in the report are acknowledged to the worker.
         """
         worker = self._cell.workers.get(worker_id)
-        if worker is None:
-            return set()
-        if (
+        if worker is None or (
             worker_report.process_start_ms
             and worker_report.process_start_ms < worker.info.process_start_ms
         ):
-            return set()
+            return self._apply_done_ends(worker_report, now_ms)
         if worker_report.process_start_ms > worker.info.process_start_ms:
             worker = self._apply_restart(worker, worker_report, now_ms)
         if not worker.is_probed:
@@ -120,6 +118,37 @@
                 tasks=tasks[:MAX_LOGGED_TASKS],
             )
 
+    def on_late_report(
+        self, worker_report: _reports.WorkerReport, now_ms: int
+    ) -> None:
+        """Apply the ends as done in a report whose poll has failed.
+
+        A later poll may have been answered meanwhile, so the rest of the
+        report is ignored.
+        """
+        self._apply_done_ends(worker_report, now_ms)
+
+    def _apply_done_ends(
+        self, worker_report: _reports.WorkerReport, now_ms: int
+    ) -> set[str]:
+        """Apply the ends as done in a report that is otherwise outdated.
+
+        A task that is done stays done. Return the ids of the jobs whose record
+        must be written before these ends are acknowledged.
+        """
+        jobs_to_save: set[str] = set()
+        for end in worker_report.ended:
+            if end.kind is not _jobs.EndKind.DONE:
+                continue
+            job = self._cell.jobs.get(end.key.job)
+            task = job.find(end.key) if job is not None else None
+            if job is None or task is None or task.spec.is_service:
+                continue
+            if job.outcome is None and not task.is_done:
+                self._apply_completion(job, task, end, now_ms)
+            jobs_to_save.add(end.key.job)
+        return jobs_to_save
+
     def _mitigate_interference(
         self, worker: _fleet.Worker, now_ms: int
     ) -> None:
@@ -203,7 +232,8 @@
             return True
         if end.kind is _jobs.EndKind.DONE and not task.spec.is_service:
             if not task.is_done:
-                self._apply_completion(worker, job, task, end, now_ms)
+                worker.failed_tasks.clear()
+                self._apply_completion(job, task, end, now_ms)
             return True
         if task.former_worker == worker.info.id and (
             task.former_run == end.number
@@ -234,14 +264,12 @@
 
     def _apply_completion(
         self,
-        worker: _fleet.Worker,
         job: _jobs.Job,
         task: _jobs.Task,
         end: _reports.EndReport,
         now_ms: int,
     ) -> None:
         """Mark a task as done and queue the steps that depended on it."""
-        worker.failed_tasks.clear()
         members = [task]
         if task.spec.is_gang:
             # The end of one member completes the whole gang.
--- a/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
@@ -62,4 +62,6 @@
         if not self.has_unknown_workers:
             return False
         worker = workers.get(worker_id)
-        return worker is None or not worker.are_runs_known
+        return worker is None or not (
+            worker.is_probed and worker.are_runs_known
+        )
