Log how long a start order waited until it was sent

Cause: the log did not tell how long after its decision a start was sent, which the analysis of the incident of 2026-12-05 (second starts) needed.

Change: `Start ordered` has `waited_ms`, from the decision until the order is written to a connection, including the wait for a record; it is None if the order was not sent. StartReply carries the part in the orders service (`queued_ms`).

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -62,10 +62,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StartReply:
-    """The outcome of a StartRun request."""
+    """The outcome of a StartRun request.
+
+    ``queued_ms`` is how long the order waited until it was sent, None if it
+    was not sent.
+    """
 
     outcome: scheduling.StartOutcome
     reason: str = ''
+    queued_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -59,12 +59,15 @@
             | scheduling.PaceTask
         ),
     ) -> None:
-        """Send an order in the background."""
+        """Send an order, which was just decided, in the background."""
         if isinstance(effect, scheduling.StartTask):
+            decided_ms = self._kernel.clock.now()
             if effect.needs_record:
-                defer.ensureDeferred(self._start_recorded_run(effect))
+                defer.ensureDeferred(
+                    self._start_recorded_run(effect, decided_ms)
+                )
             else:
-                defer.ensureDeferred(self._start_run(effect))
+                defer.ensureDeferred(self._start_run(effect, decided_ms))
         elif isinstance(effect, scheduling.WithdrawStart):
             self._kernel.post(
                 orders.SERVICE,
@@ -84,7 +87,9 @@
             return None
         return orders.Target(worker=worker_id, address=worker.info.address)
 
-    async def _start_recorded_run(self, effect: scheduling.StartTask) -> None:
+    async def _start_recorded_run(
+        self, effect: scheduling.StartTask, decided_ms: int
+    ) -> None:
         """Start a run once the record that places its task is written.
 
         A successor starts the task elsewhere unless the record places it.
@@ -101,7 +106,7 @@
             self._scheduler.release_start(
                 effect.worker, effect.key, effect.run
             )
-            await self._start_run(effect)
+            await self._start_run(effect, decided_ms)
             return
         self._withdraw_start(effect)
 
@@ -114,7 +119,9 @@
         )
         self._on_reply()
 
-    async def _start_run(self, effect: scheduling.StartTask) -> None:
+    async def _start_run(
+        self, effect: scheduling.StartTask, decided_ms: int
+    ) -> None:
         """Order a worker to start a run and tell the scheduler the outcome."""
         clock = self._kernel.clock
         started_ms = clock.now()
@@ -147,6 +154,9 @@
         if self._term.is_over:
             return
         self._observe('start', reply.outcome.value, started_ms)
+        waited_ms = None
+        if reply.queued_ms is not None:
+            waited_ms = started_ms - decided_ms + reply.queued_ms
         self._scheduler.on_start_reply(
             effect.worker,
             effect.key,
@@ -164,6 +174,7 @@
             outcome=reply.outcome.value,
             reason=reply.reason,
             has_checkpoint=bool(effect.checkpoint),
+            waited_ms=waited_ms,
         )
         self._on_reply()
 
--- a/packages/fleet/tests/services/cell/test_withdrawn_starts.py
+++ b/packages/fleet/tests/services/cell/test_withdrawn_starts.py
@@ -1,6 +1,7 @@
 """Tests that no order is sent after its reason has gone."""
 
 import dataclasses
+import re
 
 import pytest
 
@@ -11,6 +12,10 @@
 SEND_DELAY_MS = 1_700
 """As in the incident of 2026-12-05; orders wait for up to 2,200 ms."""
 
+RECORD_MS = 400
+MARGIN_MS = 50
+"""Allows for the steps of the simulation and the latency of the store."""
+
 
 @pytest.fixture
 def owner(daemons):
@@ -22,6 +27,13 @@
     return (scheduling.StepSpec(count=1, cpu=1_000, **spec),)
 
 
+def logged_waits(capsys):
+    """Return the field ``waited_ms`` of the start orders in the log."""
+    return re.findall(
+        r'Start ordered .*waited_ms=(\w+)', capsys.readouterr().out
+    )
+
+
 def test_start_is_not_sent_after_a_late_end_of_an_earlier_run(site, owner):
     # A worker that was cut off lists the end of the first run as done while
     # the start of the second waits for a connection. It ran again (TWICE).
@@ -40,7 +52,7 @@
     assert not any(w.used_cpu for w in scheduler.workers.values())
 
 
-def test_start_of_a_cancelled_job_is_not_sent(site, owner):
+def test_start_of_a_cancelled_job_is_not_sent(site, owner, capsys):
     # Guards against runs of cancelled jobs, and their use of capacity.
     owner.orders.faults.send_delay_ms = SEND_DELAY_MS
     site.submit(owner, JOB, step())
@@ -48,6 +60,26 @@
     site.cancel(owner, JOB)
     site.run(3_000)
     assert site.history == []
+    assert logged_waits(capsys) == ['None']
+
+
+@pytest.mark.parametrize('is_service', [False, True])
+def test_wait_of_a_start_is_logged(site, owner, capsys, is_service):
+    # The log did not show how late a start was sent. The record of a service
+    # task is stored late here, and its order waits for that as well.
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    commit = owner.kernel.find('store')._commit
+
+    async def commit_late(msg):
+        await owner.kernel.sleep(RECORD_MS)
+        return await commit(msg)
+
+    site.submit(owner, JOB, step(is_service=is_service), duration_ms=60_000)
+    owner.kernel.find('store')._commit = commit_late
+    site.run(3_000)
+    (wait,) = logged_waits(capsys)
+    least_ms = SEND_DELAY_MS + (RECORD_MS if is_service else 0)
+    assert least_ms <= int(wait) <= least_ms + MARGIN_MS
 
 
 def test_start_that_waits_for_its_record_needs_no_stop_order(site, owner):
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -290,13 +290,16 @@
 
     async def _start(self, msg: contracts.StartRun) -> contracts.StartReply:
         """Start a run; with a fault the answer is lost and the start late."""
-        in_doubt = contracts.StartReply(
-            outcome=scheduling.StartOutcome.IN_DOUBT, reason='no answer'
-        )
         if await self._is_withdrawn(msg):
             return contracts.StartReply(
                 outcome=scheduling.StartOutcome.WITHDRAWN
             )
+        queued_ms = self.faults.send_delay_ms
+        in_doubt = contracts.StartReply(
+            outcome=scheduling.StartOutcome.IN_DOUBT,
+            reason='no answer',
+            queued_ms=queued_ms,
+        )
         try:
             worker = await self._reach_worker(msg.target)
         except contracts.WorkerError:
@@ -309,7 +312,7 @@
             )
             await self.kernel.sleep(ORDER_TIMEOUT_MS)
             return in_doubt
-        return worker.start(msg)
+        return dataclasses.replace(worker.start(msg), queued_ms=queued_ms)
 
     @core.handles(contracts.StopRun)
     def _on_stop(self, msg: contracts.StopRun) -> Any:
