Add a failing test of ends that are listed before their job is known

The specifications of jobs and the row of the owner are read from two tables. A former owner whose reads of the owner row are late can start a job that its successor does not know yet. The successor acknowledges and drops the end of that run, and starts the task again when the job arrives.

--- a/packages/policy/tests/scheduling/test_late_ends.py
+++ b/packages/policy/tests/scheduling/test_late_ends.py
@@ -111,3 +111,32 @@
     harness.poll(started.worker, ended=[make.end(started, how)])
     assert task_of(harness).run == starts[0].run
     assert harness.decide() == ([], [])
+
+
+def list_end_before_the_job(harness, make, how):
+    """List the end of a run of a job that the owner does not know yet."""
+    start = scheduling.StartTask(
+        worker='w0',
+        key=scheduling.TaskKey('j', 0, 0, 0),
+        run=7,
+        payload='x',
+        checkpoint='',
+        needs_record=False,
+    )
+    harness.poll('w0', ended=[make.end(start, how)])
+    harness.add('j', ONE_TASK)
+
+
+def test_end_that_is_listed_before_its_job_is_known(harness, make):
+    # A former owner started the task. The end was acknowledged and dropped,
+    # and the task started again when the job arrived.
+    list_end_before_the_job(harness, make, 'done')
+    assert harness.decide() == ([], [])
+    assert harness.scheduler.jobs['j'].outcome is not None
+
+
+def test_failed_end_that_is_listed_before_its_job_is_known(harness, make):
+    # Guards against a task that counts as done without a run that is.
+    list_end_before_the_job(harness, make, 'failed')
+    starts, _ = harness.decide()
+    assert len(starts) == 1
