Keep done ends that are listed before their job is known

Callers could see a task run again after a change of the owner: the end of a run of a job that the new owner did not know yet was acknowledged and dropped. Specifications and the owner row are read from two tables, so a former owner can start a job that its successor learns of later.

Ends as done are now kept until their job is added, for at most 1,000 jobs, and then applied. They are still acknowledged at once, since ends of removed jobs must be as well: if the owner ends before the job arrives, the next one starts the task again.

--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -7,8 +7,13 @@
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _ready
+from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
 
+MAX_UNKNOWN_JOBS = 1_000
+"""Most jobs for which ends are kept until the job is known. Ends of jobs that
+were removed are among them."""
+
 
 class Cell:
     """State of a cell: its jobs, workers, routes and queued effects.
@@ -23,6 +28,8 @@
     ``held_worker_ids`` are workers for which no lease may be requested, and
     ``leased_worker_ids`` those for which one was requested. Both outlast
     restarts of the workers.
+    ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
+    owners that were listed before their job was added.
     ``on_worker_gone`` is called with a removed worker, which still has its
     runs, and the reason.
     """
@@ -41,9 +48,17 @@
         self.unplaced_job_ids: set[str] = set()
         self.held_worker_ids: set[str] = set()
         self.leased_worker_ids: set[str] = set()
+        self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
         self.effects: list[_effects.Effect] = []
         self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
 
+    def keep_end(self, end: _reports.EndReport) -> None:
+        """Keep an end as done until its job is added."""
+        ends = self.ends_of_unknown_jobs
+        if end.key.job not in ends and len(ends) >= MAX_UNKNOWN_JOBS:
+            del ends[next(iter(ends))]
+        ends.setdefault(end.key.job, []).append(end)
+
     def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -1,5 +1,6 @@
 """Apply worker reports and replies to orders to the state of a cell."""
 
+from collections.abc import Iterable
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
@@ -47,7 +48,7 @@
             worker_report.process_start_ms
             and worker_report.process_start_ms < worker.info.process_start_ms
         ):
-            return self._apply_done_ends(worker_report, now_ms)
+            return self._apply_done_ends(worker_report.ended, now_ms)
         if worker_report.process_start_ms > worker.info.process_start_ms:
             worker = self._apply_restart(worker, worker_report, now_ms)
         if not worker.is_probed:
@@ -88,23 +89,31 @@
         A later poll may have been answered meanwhile, so the rest of the
         report is ignored.
         """
-        self._apply_done_ends(worker_report, now_ms)
+        self._apply_done_ends(worker_report.ended, now_ms)
+
+    def on_job_added(self, job_id: str, now_ms: int) -> None:
+        """Apply the ends that were listed before a job was added."""
+        ends = self._cell.ends_of_unknown_jobs.pop(job_id, [])
+        self._apply_done_ends(ends, now_ms)
 
     def _apply_done_ends(
-        self, worker_report: _reports.WorkerReport, now_ms: int
+        self, ends: Iterable[_reports.EndReport], now_ms: int
     ) -> set[str]:
-        """Apply the ends as done in a report that is otherwise outdated.
+        """Apply ends as done that are not from a current report.
 
         A task that is done stays done. Return the ids of the jobs whose record
         must be written before these ends are acknowledged.
         """
         jobs_to_save: set[str] = set()
-        for end in worker_report.ended:
+        for end in ends:
             if end.kind is not _jobs.EndKind.DONE:
                 continue
             job = self._cell.jobs.get(end.key.job)
-            task = job.find(end.key) if job is not None else None
-            if job is None or task is None or task.spec.is_service:
+            if job is None:
+                self._cell.keep_end(end)
+                continue
+            task = job.find(end.key)
+            if task is None or task.spec.is_service:
                 continue
             if job.outcome is None and not task.is_done:
                 self._apply_completion(job, task, end, now_ms)
@@ -187,6 +196,8 @@
             worker.drop(run)
         job = self._cell.jobs.get(end.key.job)
         task = job.find(end.key) if job is not None else None
+        if job is None and end.kind is _jobs.EndKind.DONE:
+            self._cell.keep_end(end)
         if job is None or task is None:
             return False
         if job.outcome is not None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -115,6 +115,7 @@
                 self._cell.queue_ready_steps(job, number, now_ms)
         else:
             self._cell.queue_ready_steps(job, 0, now_ms)
+        self._reply_handler.on_job_added(spec.id, now_ms)
         # A former owner may have crashed after it saved the last end of a
         # task and before it saved the outcome.
         self._cell.finish_if_complete(job)
