Keep workers that have reported when a takeover ends

Since a worker that answers, but has not listed all its ends by the deadline, counts as not reached. If it is not registered any more, it was removed as if it had never answered, with runs whose leases this owner extends; their tasks were started elsewhere beside them.

The new test failed before (two runs at once) and passes now.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -113,9 +113,13 @@
         )
 
     def _remove_unregistered_workers(self, worker_ids: list[str]) -> None:
-        """Remove those of the workers that are not registered."""
+        """Remove those that are neither registered nor have reported.
+
+        This owner extends the leases of those that have.
+        """
         for worker_id in worker_ids:
-            if not self._scheduler.workers[worker_id].is_listed:
+            worker = self._scheduler.workers[worker_id]
+            if not worker.is_listed and not worker.is_probed:
                 self._scheduler.remove_worker(worker_id, 'never answered')
 
     def _complete(self, now_ms: int) -> None:
