Check again before a batch start that waited for the clock

A daemon that adopted a task reads the clock of its worker before the first start there. If it handed the task over meanwhile, it sent the start all the same. The next daemon assumes that nothing is sent after its adoption, from which it counts the lease; a start that comes later can outlast that by the time of the reply.

Lifecycle.may_start is checked after the clock is read, as may_renew is for renewals.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
@@ -106,7 +106,7 @@
         row = lifecycle.row
         if row.worker not in self._clocks:
             await self._fetch_clock(lifecycle)
-        if lifecycle.is_stopped or lifecycle.row.token != row.token:
+        if not lifecycle.may_start() or lifecycle.row.token != row.token:
             return
         demand = row.demand
         # The start window and the lease count from this moment, so there must
--- a/packages/policy/src/oriolestand_policy/batch/_lifecycle.py
+++ b/packages/policy/src/oriolestand_policy/batch/_lifecycle.py
@@ -136,6 +136,16 @@
             return False
         return now - self._last_answer_at < self._timing.silence_ms
 
+    def may_start(self) -> bool:
+        """Return whether the attempt may be started now."""
+        return (
+            self._end_report is None
+            and not self._has_lost_control
+            and not self.is_writing
+            and self._is_controller()
+            and self.row.state is State.STARTING
+        )
+
     def record_lease_extension(self, now: core.Millis) -> None:
         """Record that a message that extends the lease is about to be sent."""
         self._lease_extended_at = max(self._lease_extended_at, now)
