Reproduce crashes that count against unsent starts

The scheduler does not know whether the start of a run was sent. When a worker crashes, a run whose start still waits for a connection counts as its only new run.

--- a/packages/fleet/tests/services/cell/test_released_starts.py
+++ b/packages/fleet/tests/services/cell/test_released_starts.py
@@ -41,3 +41,10 @@
     site.run(3_000)
     assert site.overlapping_runs() == []
     assert len(site.history) == 1
+
+
+def test_unsent_start_is_not_the_cause_of_a_crash(scheduler):
+    # The crash of a worker counted against a task that it never received,
+    # which then waited for a worker of its own or failed.
+    task = scheduler.jobs[JOB].tasks[0][0][0]
+    assert task.crashes == []
