Leave a worker unreported in the test of its placed task

The test set is_probed of a worker that had reported, to stand for one that had not.

The test now registers a worker without a report. It also expects the task to wait after a report that may have more ends, and to start after a complete one. It fails if the wait ends with is_probed.

--- a/packages/policy/tests/scheduling/test_record.py
+++ b/packages/policy/tests/scheduling/test_record.py
@@ -245,11 +245,22 @@
 def test_placed_task_waits_for_a_worker_that_has_not_reported(harness):
     # Guards against a task on a worker that a former owner used but whose row
     # could not be read: it is registered, but its runs are not known.
-    load(harness, row((0, 0, 0, 'w0', 7)), STEP)
-    harness.scheduler.workers['w0'].is_probed = False
+    load(harness, row((0, 0, 0, 'w2', 7)), STEP)
+    info = dataclasses.replace(harness.infos['w0'], id='w2', address='w2:1')
+    harness.scheduler.set_workers({**harness.infos, 'w2': info})
+    starts, _ = decide(harness, UNKNOWN)
+    assert starts == []
+    partial = scheduling.WorkerReport(
+        clock_ms=harness.now,
+        process_start_ms=1,
+        running=(),
+        ended=(),
+        has_more_ends=True,
+    )
+    harness.scheduler.on_worker_report('w2', partial, harness.now, harness.now)
     starts, _ = decide(harness, UNKNOWN)
     assert starts == []
-    harness.scheduler.workers['w0'].is_probed = True
+    harness.poll('w2')
     starts, _ = decide(harness, UNKNOWN)
     assert len(starts) == 1
 
