Reproduce takeovers that end before all ends are listed

A takeover waits for a report that lists all ends, up to the deadline by which former leases have lapsed. But the new owner extends the lease of a worker that answers.

--- a/packages/fleet/tests/services/cell/test_takeover_removals.py
+++ b/packages/fleet/tests/services/cell/test_takeover_ends.py
@@ -1,4 +1,4 @@
-"""Tests that a takeover removes no worker that answers."""
+"""Tests of workers that answer but cannot list all of their ends."""
 
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
@@ -50,3 +50,26 @@
     site.run_until(lambda: any(d.is_owner for d in daemons), 2_000)
     site.run(TAKEOVER_MS)
     assert site.overlapping_runs() == []
+
+
+def test_ends_that_a_worker_could_not_list_until_the_deadline(site, daemons):
+    # Guards against a second run of a task that is done (TWICE). The lease of
+    # a worker that answers goes on, so the deadline of the takeover does not
+    # show that its former runs have lapsed.
+    commit = site.store.commit
+    refuse_records(site)
+    for worker in site.workers.values():
+        worker.max_listed_ends = 1
+    steps = (scheduling.StepSpec(count=6, cpu=1_000),)
+    site.submit(daemons[0], LONG_JOB, steps, duration_ms=1_000)
+    site.run(2_000)
+    assert [run.outcome for run in site.history] == ['done'] * 6
+    owner = owner_of(daemons)
+    site.shut_down(owner)
+    daemons.remove(owner)
+    site.run_until(lambda: any(d.is_owner for d in daemons), 2_000)
+    site.run(TAKEOVER_MS)
+    site.store.commit = commit
+    site.run(5_000)
+    assert site.repeated_runs() == []
+    assert len(site.history) == 6
