Read received responses before commits time out

It now waits for one more turn of the reactor.

One turn reads up to 64 KB, so that a larger response to a refused commit may still be discarded.

--- a/packages/fleet/src/oriolestand_fleet/_commits.py
+++ b/packages/fleet/src/oriolestand_fleet/_commits.py
@@ -81,6 +81,11 @@
             fut.addCallbacks(on_result, on_error)
 
     def on_timeout() -> None:
+        # After a pause of the process, a response may have been received but
+        # not read yet. The reactor reads after it has called due timers.
+        timers.append(kernel.clock.call_later(0, on_expiry))
+
+    def on_expiry() -> None:
         if not done.called:
             outcome.is_in_doubt = True
             outcome.error = 'no answer in time'
