--- a/packages/fleet/tests/services/cell/test_withdrawn_starts.py
+++ b/packages/fleet/tests/services/cell/test_withdrawn_starts.py
@@ -129,6 +129,22 @@
     assert [run.outcome for run in site.history] == ['done']
 
 
+def test_start_that_was_not_sent_is_no_suspect_of_a_crash(site, owner):
+    # Guards against a task that is given up although no worker received it.
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    site.submit(owner, JOB, step())
+    site.run(500)
+    scheduler = owner.kernel.find('cell')._owner_term._scheduler
+    (worker,) = [w.info.id for w in scheduler.workers.values() if w.runs]
+    site.workers[worker].crash()
+    site.run(1_000)
+    site.add_worker(worker, process_start_ms=2)
+    site.run(1_000)
+    assert worker not in [run.worker for run in site.history]
+    (task,) = scheduler.jobs[JOB].all_tasks()
+    assert task.crashes == []
+
+
 def test_start_on_a_worker_that_leaves_is_not_sent(site, owner):
     # Guards against a service task that starts where it has to stop at once;
     # it starts on another worker instead.
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -9,8 +9,8 @@
 class StartOutcome(enum.Enum):
     """Outcome of a start order.
 
-    IN_DOUBT: it may still take effect. WITHDRAWN: it was not sent, as a stop
-    order for its run came before.
+    IN_DOUBT: it may still take effect. WITHDRAWN: it was not sent, as it was
+    not wanted any more.
     """
 
     STARTED = 'started'
