Name the obstacle that keeps a task from starting in the wait report

Placement and Worker now return an Obstacle instead of False or None where they decide, the starter keeps why a round passed over a step (Hold), and the report asks both; its own checks are gone. It also counts the younger tasks of the kind that started since the last report and the processors that filling tasks use. Decisions are unchanged: the reference of test_equivalence.py computes the same effects, now with obstacles and holds in the reports; its first runs failed on the hold of suspects and incomplete gangs, which was mended. The stand-in telemetry keeps counters.

stops_total and stopped_core_ms_total count stops by reason and the processor time of the runs that they end.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -144,6 +144,7 @@
         target = self._target(effect.worker)
         if target is None or not self._term.may_act(started_ms):
             return
+        self._count_stop(effect, started_ms)
         is_answered = True
         code = 'answered'
         try:
@@ -203,6 +204,22 @@
             code = exc.code
         self._count('pace', code)
 
+    def _count_stop(self, effect: scheduling.StopTask, now_ms: int) -> None:
+        """Count a stop and the processor time that its run has had."""
+        if effect.reason == scheduling.REPEATED_STOP:
+            return
+        self._count('stops', effect.reason)
+        worker = self._scheduler.workers.get(effect.worker)
+        run = (
+            worker.runs.get((effect.key, effect.run))
+            if worker is not None
+            else None
+        )
+        if run is None or run.phase is not scheduling.RunPhase.RUNNING:
+            return
+        core_ms = run.spec.cpu * (now_ms - run.since_ms) // 1_000
+        self._count('stopped_core_ms', effect.reason, core_ms)
+
     def _observe(self, name: str, label: str, started_ms: int) -> None:
         """Record the outcome and latency of an order."""
         self._kernel.post(
@@ -214,8 +231,9 @@
             ),
         )
 
-    def _count(self, name: str, label: str) -> None:
-        """Count an event."""
+    def _count(self, name: str, label: str, amount: int = 1) -> None:
+        """Add to a counter."""
         self._kernel.post(
-            telemetry.SERVICE, telemetry.Count(name=name, label=label)
+            telemetry.SERVICE,
+            telemetry.Count(name=name, label=label, amount=amount),
         )
--- a/packages/fleet/tests/services/cell/test_gauges.py
+++ b/packages/fleet/tests/services/cell/test_gauges.py
@@ -33,3 +33,15 @@
     assert gauges[('worker_states', 'not_listed')] == 1
     assert gauges[('worker_states', 'silent')] == 1
     assert 3_000 <= gauges[('oldest_ready_task_ms', 'service')] <= 5_000
+
+
+def test_stops_are_counted_with_the_work_that_they_end(site, daemons):
+    # Operators must see what the stops of a reason cost.
+    steps = (scheduling.StepSpec(count=1, cpu=8_000),)
+    site.submit(daemons[0], 'a' * 16, steps, duration_ms=60_000)
+    site.run(2_500)
+    site.cancel(daemons[0], 'a' * 16)
+    site.run(1_000)
+    counters = owner_of(daemons).kernel.find('telemetry').counters
+    assert counters[('stops', 'cancelled')] == 1
+    assert 8_000 < counters[('stopped_core_ms', 'cancelled')] < 28_000
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -5,6 +5,7 @@
 clock: times are passed in, and orders to workers are returned as effects.
 """
 
+from oriolestand_policy.scheduling._effects import REPEATED_STOP
 from oriolestand_policy.scheduling._effects import Effect
 from oriolestand_policy.scheduling._effects import LogEvent
 from oriolestand_policy.scheduling._effects import PaceTask
@@ -45,6 +46,7 @@
 from oriolestand_policy.scheduling._takeover import FormerRuns
 
 __all__ = [
+    'REPEATED_STOP',
     'Effect',
     'EndKind',
     'EndReport',
--- a/packages/policy/src/oriolestand_policy/scheduling/_effects.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_effects.py
@@ -21,6 +21,10 @@
     needs_record: bool = False
 
 
+REPEATED_STOP = 'repeat'
+"""Reason of a stop that was ordered before and not answered."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopTask:
     """Stop a run of a task on a worker."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -4,6 +4,7 @@
 import enum
 
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _specs
 
 CLOCK_RATE_NUM = 98
@@ -199,18 +200,31 @@
 
     def fits(self, spec: _specs.StepSpec) -> bool:
         """Return whether a task fits beside the runs and reservations."""
+        return self.shortage(spec) is None
+
+    def shortage(self, spec: _specs.StepSpec) -> _obstacles.Obstacle | None:
+        """Return what a task lacks beside the runs and reservations."""
         info = self.info
         cpu = self.used_cpu
+        reserved_cpu = 0
         if not spec.is_filling:
-            cpu += self.reserved_cpu + spec.cpu
-        memory = self.used_memory + self.reserved_memory + spec.memory_mb
-        accelerators = self.used_accelerators + self.reserved_accelerators
-        accelerators += spec.accelerators
-        return (
-            cpu <= info.cpu
-            and memory <= info.memory_mb
-            and accelerators <= info.accelerators
-        )
+            cpu += spec.cpu
+            reserved_cpu = self.reserved_cpu
+        if cpu > info.cpu:
+            return _obstacles.Obstacle.CPU
+        memory = self.used_memory + spec.memory_mb
+        if memory > info.memory_mb:
+            return _obstacles.Obstacle.MEMORY
+        accelerators = self.used_accelerators + spec.accelerators
+        if accelerators > info.accelerators:
+            return _obstacles.Obstacle.ACCELERATORS
+        if (
+            cpu + reserved_cpu > info.cpu
+            or memory + self.reserved_memory > info.memory_mb
+            or accelerators + self.reserved_accelerators > info.accelerators
+        ):
+            return _obstacles.Obstacle.RESERVED
+        return None
 
     def can_ever_run(self, spec: _specs.StepSpec) -> bool:
         """Return whether a task would fit if the worker were empty."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -8,6 +8,7 @@
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _specs
@@ -38,8 +39,14 @@
         """Return the worker of a pool that should run a task, or None."""
 
     @abc.abstractmethod
+    def obstacle(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> _obstacles.Obstacle | None:
+        """Return what keeps a task from a worker now, usable or not."""
+
     def can_host(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
         """Return whether a worker could run a task now, usable or not."""
+        return self.obstacle(worker, task) is None
 
     @abc.abstractmethod
     def mark_changed(self, worker: _fleet.Worker) -> None:
@@ -93,17 +100,33 @@
 
 def can_run(worker: _fleet.Worker, task: _jobs.Task) -> bool:
     """Return whether a worker has capacity for a task and may run it."""
-    return worker.fits(task.spec) and is_allowed(worker, task)
+    return capacity_obstacle(worker, task) is None
+
+
+def capacity_obstacle(
+    worker: _fleet.Worker, task: _jobs.Task
+) -> _obstacles.Obstacle | None:
+    """Return what a worker lacks for a task, or why it may not run it."""
+    return worker.shortage(task.spec) or _ban(worker, task)
 
 
 def is_allowed(worker: _fleet.Worker, task: _jobs.Task) -> bool:
     """Return whether a worker may run a task if it has the capacity."""
+    return _ban(worker, task) is None
+
+
+def _ban(
+    worker: _fleet.Worker, task: _jobs.Task
+) -> _obstacles.Obstacle | None:
+    """Return why a worker may not run a task, whatever its capacity."""
     spec = task.spec
     if spec.label and spec.label not in worker.info.labels:
-        return False
-    return not spec.max_per_worker or (
+        return _obstacles.Obstacle.LABEL
+    if not spec.max_per_worker or (
         count_of_step(worker, task.key) < spec.max_per_worker
-    )
+    ):
+        return None
+    return _obstacles.Obstacle.MAX_PER_WORKER
 
 
 class FirstFitPlacement(Placement):
@@ -128,9 +151,11 @@
                 return worker
         return None
 
-    def can_host(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
-        """Return whether a worker has capacity for a task."""
-        return can_run(worker, task)
+    def obstacle(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> _obstacles.Obstacle | None:
+        """Return what a worker lacks for a task."""
+        return capacity_obstacle(worker, task)
 
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Do nothing, as each selection examines the workers anew."""
@@ -238,11 +263,14 @@
         pool_round.changed.append(index)
         return best
 
-    def can_host(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
-        """Return whether a worker has capacity and may be slowed that far."""
+    def obstacle(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> _obstacles.Obstacle | None:
+        """Return what a worker lacks, or why it may not be slowed that far."""
         if not self._is_prepared:
             self._prepare()
-        return self._rank(worker, task) is not None
+        verdict = self._examine(worker, task)
+        return verdict if isinstance(verdict, _obstacles.Obstacle) else None
 
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Examine a worker again before further selections of the round."""
@@ -304,17 +332,22 @@
             pool_round.queues[demands] = queue
         return queue.find_best(lambda index: workers[index].info.id in avoid)
 
-    def _can_run(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
-        """Return whether a worker has capacity for a task and may run it."""
+    def _capacity_obstacle(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> _obstacles.Obstacle | None:
+        """Return what a worker lacks for a task, or why it may not run it."""
         spec = task.spec
-        if not worker.fits(spec):
-            return False
+        shortage = worker.shortage(spec)
+        if shortage is not None:
+            return shortage
         if spec.label and spec.label not in worker.info.labels:
-            return False
+            return _obstacles.Obstacle.LABEL
         if not spec.max_per_worker:
-            return True
+            return None
         count = self._view(worker).count_of_step(task.key[:3])
-        return count < spec.max_per_worker
+        if count < spec.max_per_worker:
+            return None
+        return _obstacles.Obstacle.MAX_PER_WORKER
 
     def _rank(
         self, worker: _fleet.Worker, task: _jobs.Task
@@ -323,8 +356,16 @@
 
         The rank leaves out whether the task avoids the worker.
         """
-        if not self._can_run(worker, task):
-            return None
+        verdict = self._examine(worker, task)
+        return None if isinstance(verdict, _obstacles.Obstacle) else verdict
+
+    def _examine(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> _candidates.Rank | _obstacles.Obstacle:
+        """Return the rank of a worker, or why it cannot run a task."""
+        obstacle = self._capacity_obstacle(worker, task)
+        if obstacle is not None:
+            return obstacle
         if task.spec.is_filling:
             return self._rank_filling(worker, task.spec)
         if task.spec.is_service:
@@ -338,7 +379,7 @@
 
         It assumes that the task adds no load to service tasks.
         """
-        if not self._can_run(worker, task):
+        if self._capacity_obstacle(worker, task) is not None:
             return None
         view = self._view(worker)
         if view.free_cpu < task.spec.cpu or self._is_tail_high(view):
@@ -348,12 +389,14 @@
 
     def _rank_filling(
         self, worker: _fleet.Worker, spec: _specs.StepSpec
-    ) -> _candidates.Rank | None:
-        """Rank by load added to service tasks; None if it exceeds headroom."""
+    ) -> _candidates.Rank | _obstacles.Obstacle:
+        """Rank by load added to service tasks, within their headroom."""
         info = worker.info
         capacity = self._filling_capacity(worker)
-        if capacity.free < spec.cpu or capacity.is_tail_high:
-            return None
+        if capacity.free < spec.cpu:
+            return _obstacles.Obstacle.BUSY_CPU
+        if capacity.is_tail_high:
+            return _obstacles.Obstacle.HIGH_TAIL
         share = spec.cpu / max(1, info.cpu)
         max_added = 0.0
         weights = self._forecast.planned_weights.setdefault(spec.image, {})
@@ -364,7 +407,7 @@
                 weights[image] = weight
             added = weight * share
             if added > headroom:
-                return None
+                return self._load_obstacle(image, spec.image, share, headroom)
             max_added = max(max_added, added)
         return (
             *_common_rank(worker, spec),
@@ -372,6 +415,16 @@
             -capacity.free / info.cpu,
         )
 
+    def _load_obstacle(
+        self, image: str, filling: str, share: float, headroom: float
+    ) -> _obstacles.Obstacle:
+        """Return why a filling task may not add load to a service."""
+        if headroom < 0:
+            return _obstacles.Obstacle.NO_HEADROOM
+        if self._pressure.weight(image, filling) * share <= headroom:
+            return _obstacles.Obstacle.TRIAL
+        return _obstacles.Obstacle.HEADROOM
+
     def _planned_weight(self, image: str, filling: str) -> float:
         """Return the weight of a pair for the placement of a task.
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -340,7 +340,7 @@
         self._limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
         self._task_starter.run(now_ms, wall_ms, former_runs)
-        self._wait_reporter.run(now_ms, former_runs)
+        self._wait_reporter.run(now_ms, former_runs, self._task_starter)
 
     def take_effects(self) -> list[_effects.Effect]:
         """Return the effects queued since the last call."""
@@ -460,7 +460,9 @@
                 still_stopping_ids.add(worker_id)
                 if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
                     run.stop_sent_ms = now_ms
-                    self._cell.queue_stop(worker_id, run, 'repeat')
+                    self._cell.queue_stop(
+                        worker_id, run, _effects.REPEATED_STOP
+                    )
         self._cell.stopping_worker_ids = still_stopping_ids
 
     def _drain_leaving_workers(self, now_ms: int) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -10,6 +10,7 @@
 from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _placement_round
@@ -52,6 +53,26 @@
         self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks()
         self._last_run_offset = 0
+        # Why the last round passed over steps and single tasks.
+        self._held_steps: dict[
+            tuple[_ready.OccurrenceKey, int], _obstacles.Hold
+        ] = {}
+        self._held_tasks: dict[_jobs.TaskKey, _obstacles.Hold] = {}
+
+    @property
+    def placement(self) -> _placement.Placement:
+        """Return the strategy that selects workers."""
+        return self._placement
+
+    def hold_of(self, task: _jobs.Task) -> _obstacles.Hold:
+        """Return why the last round did not start a ready task."""
+        key = task.key
+        if _probations.is_needed(self._cell.jobs[key.job], task):
+            return _obstacles.Hold.SUSPECT
+        hold = self._held_tasks.get(key)
+        if hold is None:
+            hold = self._held_steps.get((key[:2], key.step))
+        return _obstacles.Hold.NOT_REACHED if hold is None else hold
 
     def run(
         self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
@@ -202,20 +223,18 @@
         """Start ready tasks, within the limits per round."""
         unplaceable_classes: set[tuple[object, ...]] = set()
         started = 0
+        self._held_steps.clear()
+        self._held_tasks.clear()
         for occurrence_key, step, tasks in self._by_urgency(wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
             if not former_runs.are_known:
-                tasks = [
-                    task
-                    for task in tasks
-                    if not former_runs.may_include(
-                        job, task, self._cell.workers
-                    )
-                ]
+                tasks = self._without_former_runs(job, tasks, former_runs)
                 if not tasks:
                     continue
             route = self._cell.routes.get(job.spec.route)
+            step_key = (occurrence_key, step)
             if route is None:
+                self._held_steps[step_key] = _obstacles.Hold.NO_ROUTE
                 continue
             spec = job.spec.steps[step]
             # Once a task of a class cannot be placed, the round skips the rest
@@ -234,8 +253,10 @@
                 else None,
             )
             if demand_class in unplaceable_classes:
+                self._held_steps[step_key] = _obstacles.Hold.NO_WORKER
                 continue
             if spec.is_filling and not self._fit_budget.allows(demand_class):
+                self._held_steps[step_key] = _obstacles.Hold.FIT_BUDGET
                 continue
             for task in tasks:
                 if started >= MAX_STARTS_PER_ROUND:
@@ -250,11 +271,35 @@
                     newly_started = self._start_task(job, task, route, now_ms)
                 started += newly_started
                 if not newly_started:
+                    self._held_steps[step_key] = self._reason_of(job, task)
                     unplaceable_classes.add(demand_class)
                     if spec.is_filling:
                         self._fit_budget.on_failed(demand_class)
                     break
 
+    def _without_former_runs(
+        self,
+        job: _jobs.Job,
+        tasks: Sequence[_jobs.Task],
+        former_runs: _takeover.FormerRuns,
+    ) -> list[_jobs.Task]:
+        """Return the tasks that no former owner may have started."""
+        startable: list[_jobs.Task] = []
+        for task in tasks:
+            if former_runs.may_include(job, task, self._cell.workers):
+                self._held_tasks[task.key] = _obstacles.Hold.FORMER_RUNS
+            else:
+                startable.append(task)
+        return startable
+
+    def _reason_of(self, job: _jobs.Job, task: _jobs.Task) -> _obstacles.Hold:
+        """Return why a task or its gang could not be started."""
+        if task.spec.is_gang and any(
+            member.key not in self._cell.ready for member in job.gang_of(task)
+        ):
+            return _obstacles.Hold.INCOMPLETE
+        return _obstacles.Hold.NO_WORKER
+
     def _by_urgency(
         self, wall_ms: int
     ) -> Iterator[tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]]:
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -15,6 +15,7 @@
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _forecast
+from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _scheduler
@@ -77,10 +78,35 @@
             return self._rank_service
         return self._rank_batch
 
-    def can_host(self, worker, task):
-        if not _placement.can_run(worker, task):
-            return False
-        return self._rank_of(task)(worker, task) is not None
+    def obstacle(self, worker, task):
+        found = _placement.capacity_obstacle(worker, task)
+        if found is not None:
+            return found
+        if not task.spec.is_filling:
+            return None
+        return self._filling_obstacle(worker, task)
+
+    def _filling_obstacle(self, worker, task):
+        capacity = self._filling_capacity(worker)
+        if capacity.free < task.spec.cpu:
+            return _obstacles.Obstacle.BUSY_CPU
+        if capacity.is_tail_high:
+            return _obstacles.Obstacle.HIGH_TAIL
+        share = task.spec.cpu / max(1, worker.info.cpu)
+        for image, headroom in capacity.headrooms.items():
+            pair = (image, task.spec.image)
+            added = self._pressure.weight(*pair) * share
+            bound = added
+            if pair in self._pairs_on_trial:
+                bound = self._pressure.weight_bound(*pair) * share
+            if bound <= headroom:
+                continue
+            if headroom < 0:
+                return _obstacles.Obstacle.NO_HEADROOM
+            if added <= headroom:
+                return _obstacles.Obstacle.TRIAL
+            return _obstacles.Obstacle.HEADROOM
+        return None
 
     def select_worker(self, task, pool):
         best = None
@@ -229,8 +255,9 @@
     """Rank and sort all ready tasks in each round."""
 
     def _start_ready(self, now_ms, wall_ms, former_runs):
-        unplaceable_classes = set()
+        unplaceable_classes = {}
         started = 0
+        self._held_tasks.clear()
         for task in self._ready_by_urgency(wall_ms):
             if started >= _task_starter.MAX_STARTS_PER_ROUND:
                 return
@@ -238,9 +265,11 @@
                 continue
             job = self._cell.jobs[task.key.job]
             if former_runs.may_include(job, task, self._cell.workers):
+                self._held_tasks[task.key] = _obstacles.Hold.FORMER_RUNS
                 continue
             route = self._cell.routes.get(job.spec.route)
             if route is None:
+                self._held_tasks[task.key] = _obstacles.Hold.NO_ROUTE
                 continue
             if has_suspect(job, task):
                 continue
@@ -257,8 +286,10 @@
                 task.key[:3] if spec.max_per_worker or spec.is_gang else None,
             )
             if demand_class in unplaceable_classes:
+                self._held_tasks[task.key] = unplaceable_classes[demand_class]
                 continue
             if spec.is_filling and not self._fit_budget.allows(demand_class):
+                self._held_tasks[task.key] = _obstacles.Hold.FIT_BUDGET
                 continue
             if spec.is_gang:
                 newly_started = self._start_gang(job, task, route, now_ms)
@@ -266,7 +297,9 @@
                 newly_started = self._start_task(job, task, route, now_ms)
             started += newly_started
             if not newly_started:
-                unplaceable_classes.add(demand_class)
+                hold = self._reason_of(job, task)
+                self._held_tasks[task.key] = hold
+                unplaceable_classes[demand_class] = hold
                 if spec.is_filling:
                     self._fit_budget.on_failed(demand_class)
 
--- a/packages/policy/tests/scheduling/test_waits.py
+++ b/packages/policy/tests/scheduling/test_waits.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
+import pytest
+
 from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _pressure
 
 STEP = scheduling.StepSpec(count=1, cpu=4_000)
 ALL_KNOWN = scheduling.FormerRuns()
@@ -116,3 +119,121 @@
         assert report['may_run_elsewhere'] is bool(placed)
         harness.scheduler.cancel_job(job, harness.now)
         harness.scheduler.take_effects()
+
+
+SERVICE = scheduling.StepSpec(
+    count=2,
+    cpu=2_000,
+    is_service=True,
+    image='web',
+    target_ms=100,
+    max_per_worker=1,
+)
+FILLING = scheduling.StepSpec(
+    count=1, cpu=4_000, is_filling=True, image='loud'
+)
+
+
+def start_services(harness, make, measured):
+    """Start a service task on each worker and report its tail latency."""
+    harness.add('svc', SERVICE)
+    starts, _ = harness.decide()
+    for start in starts:
+        harness.answer(start)
+    for tail in (1, measured, measured):
+        harness.now += 1_000
+        for start in starts:
+            harness.poll(start.worker, [make.report(start, measured=tail)])
+
+
+def report_after_wait(harness, spec):
+    """Add a filling task; return the report on it after 2 s."""
+    harness.add('waiting', spec)
+    harness.now += 2_000
+    (report,) = waits_of(harness)
+    return report
+
+
+@pytest.mark.parametrize(
+    ('measured', 'weight', 'variance', 'obstacle'),
+    [
+        (90, 0.1, 0.01, 'high_tail'),
+        (2, 4.0, 0.01, 'headroom'),
+        (2, 0.1, 0.01, None),
+    ],
+)
+def test_report_names_the_obstacle_of_a_filling_task(
+    harness, make, measured, weight, variance, obstacle
+):
+    # Guards against reports that show room on workers where placement
+    # refuses a task because of the service tasks there.
+    start_services(harness, make, measured)
+    pair = ('web', 'loud')
+    weights = harness.scheduler.pressure._weights
+    weights[pair] = _pressure._Weight(weight, variance)
+    if obstacle is None:
+        harness.add('waiting', FILLING)
+        assert [s.key.job for s in harness.decide()[0]] == ['waiting']
+        return
+    report = report_after_wait(harness, FILLING)
+    assert report['workers'] == {obstacle: 2}
+    assert report['hold'] == 'no_worker'
+
+
+def test_report_names_services_without_headroom(harness, make):
+    # Guards against looking for a smaller task or for another worker where
+    # a service is at its limit by itself.
+    start_services(harness, make, 84)
+    report = report_after_wait(harness, FILLING)
+    assert report['workers'] == {'no_headroom': 2}
+
+
+def test_report_names_a_trial_of_the_same_images(harness, make):
+    # Guards against a wait for a trial that looks like one for headroom.
+    start_services(harness, make, 2)
+    spec = dataclasses.replace(FILLING, cpu=5_000)
+    weight = _pressure._Weight(0.5, 0.64)
+    harness.scheduler.pressure._weights[('web', 'loud')] = weight
+    harness.add('tried', spec)
+    assert len(harness.decide()[0]) == 1
+    report = report_after_wait(harness, spec)
+    assert report['workers']['trial'] == 1
+
+
+def test_report_counts_the_younger_tasks_that_start_first(harness):
+    # Guards against reports from which an operator can't tell a cell without
+    # room from an order in which others always come first.
+    fill(harness, 7_000)
+    harness.add('waiting', scheduling.StepSpec(count=1, cpu=9_000))
+    harness.now += 2_000
+    for worker in harness.infos:
+        harness.poll(worker)
+    harness.add('younger', scheduling.StepSpec(count=2, cpu=1_000))
+    (report,) = waits_of(harness)
+    assert report['task'].startswith('waiting')
+    assert report['hold'] == 'no_worker'
+    assert (report['overtaken_by'], report['overtaken_cpu']) == (2, 2_000)
+
+
+def test_report_names_what_holds_a_task_back_as_a_whole(harness):
+    # Guards against a search among the workers for a task that the round
+    # does not examine at all.
+    harness.scheduler.add_job(
+        scheduling.JobSpec(id='a', route='x', payload='', steps=(STEP,)),
+        harness.now,
+    )
+    harness.now += 2_000
+    for worker in harness.infos:
+        harness.poll(worker)
+    (report,) = waits_of(harness)
+    assert report['hold'] == 'no_route'
+    harness.scheduler.set_routes([scheduling.RoutePolicy(name='x', pool='p')])
+    missing = scheduling.FormerRuns(has_unknown_workers=True)
+    harness.scheduler.cancel_job('a', harness.now)
+    spec = scheduling.JobSpec(id='b', route='r', payload='', steps=(STEP,))
+    harness.scheduler.add_job(spec, harness.now, needs_probe=True)
+    harness.now += 2_000
+    for worker in harness.infos:
+        harness.poll(worker)
+    (report,) = waits_of(harness, missing)
+    assert report['hold'] == 'former_runs'
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -1,5 +1,6 @@
 """Several daemons that run against the stand-ins, without sockets."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 from typing import Any
@@ -24,16 +25,23 @@
 
 
 class _TelemetryTask(core.Task):
-    """Telemetry service that stores gauges and drops other metrics."""
+    """Telemetry service that stores counters and gauges, no latencies."""
 
     def __init__(self, kernel: core.Kernel) -> None:
         super().__init__(kernel, telemetry.SERVICE)
         self.gauges: dict[tuple[str, str], int] = {}
+        self.counters: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     @core.handles(telemetry.Count)
+    def _on_count(self, msg: telemetry.Count) -> None:
+        """Add to a counter."""
+        self.counters[(msg.name, msg.label)] += msg.amount
+
     @core.handles(telemetry.Observe)
-    def _on_metric(self, msg: object) -> None:
-        """Ignore a counter or an observation."""
+    def _on_observe(self, msg: object) -> None:
+        """Ignore an observation."""
 
     @core.handles(telemetry.SetGauge)
     def _on_gauge(self, msg: telemetry.SetGauge) -> None:
