Stop the other members of a gang whose start is withdrawn

Callers saw gangs start 3 s to 4 s later: when the start of one member was withdrawn, the others occupied their workers until they ended alone.

--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -171,10 +171,10 @@
                         self.stop_run(
                             task.worker, task.key, task.run, outcome.value
                         )
-                        self._mark_task_stop_sent(task, now_ms)
+                        self.mark_task_stop_sent(task, now_ms)
         self.save(job)
 
-    def _mark_task_stop_sent(self, task: _jobs.Task, now_ms: int) -> None:
+    def mark_task_stop_sent(self, task: _jobs.Task, now_ms: int) -> None:
         """Record when the stop order for a task's current run was sent."""
         worker = self.workers.get(task.worker)
         if worker is None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -494,6 +494,24 @@
         )
         worker.drop(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
+        if run.spec.is_gang:
+            self._stop_gang(run, now_ms)
+
+    def _stop_gang(self, run: _fleet.Run, now_ms: int) -> None:
+        """Stop the other members of a gang of which a run never starts.
+
+        They would occupy their workers until they end alone.
+        """
+        job = self._cell.jobs.get(run.key.job)
+        if job is None or job.outcome is not None:
+            return
+        for member in job.occurrence(run.key.occurrence)[run.key.step]:
+            if not member.worker or member.run != run.number:
+                continue
+            self._cell.stop_run(
+                member.worker, member.key, member.run, 'member withdrawn'
+            )
+            self._cell.mark_task_stop_sent(member, now_ms)
 
     def on_stop_reply(
         self,
