--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -0,0 +1,419 @@
+"""Apply worker reports to the state of a cell."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
+from oriolestand_policy.scheduling import _crashes
+from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _exclusions
+from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _pacing
+from oriolestand_policy.scheduling import _reports
+from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _stalls
+
+MISSED_POLLS_LIMIT = 2
+"""Consecutive polls whose reports omit a run before it counts as lost."""
+
+MAX_LOGGED_TASKS = 5
+"""Maximum number of task names in one log line."""
+
+
+class ReportHandler:
+    """Update a cell from worker reports."""
+
+    def __init__(
+        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+    ) -> None:
+        self._cell = cell
+        self._crash_handler = crash_handler
+
+    def on_worker_report(
+        self,
+        worker_id: str,
+        worker_report: _reports.WorkerReport,
+        sent_ms: int,
+        now_ms: int,
+    ) -> set[str]:
+        """Apply a worker report to the state of the cell.
+
+        Return the ids of the jobs whose record must be written before the
+        ends in the report are acknowledged to the worker.
+        """
+        worker = self._cell.workers.get(worker_id)
+        if worker is None or (
+            worker_report.process_start_ms
+            and worker_report.process_start_ms < worker.info.process_start_ms
+        ):
+            return self._apply_done_ends(worker_report.ended, now_ms)
+        if worker_report.process_start_ms > worker.info.process_start_ms:
+            worker = self._apply_restart(worker, worker_report, now_ms)
+        if not worker.is_probed:
+            worker.is_probed = True
+            # A former owner may have requested a lease of up to the maximum.
+            worker.lease_end_ms = (
+                worker_report.clock_ms + self._cell.lease_max_ms
+            )
+            self._cell.log('worker_probed', '', worker=worker_id)
+        worker.last_report_ms = now_ms
+        worker.unreachable_ms = -1
+        worker.clock_ms = worker_report.clock_ms
+        _exclusions.forget_old_failures(worker, now_ms)
+        self._log_late_ends(worker, worker_report.ended)
+        jobs_to_save: set[str] = set()
+        for end in worker_report.ended:
+            if self._apply_end(worker, end, now_ms):
+                jobs_to_save.add(end.key.job)
+        listed = set()
+        for report in worker_report.running:
+            listed.add((report.key, report.number))
+            self._apply_run_report(worker, report, now_ms)
+        if not worker_report.has_more_ends:
+            # Otherwise a run that is not listed may have ended.
+            worker.are_runs_known = True
+            self._drop_missing_runs(worker, listed, sent_ms, now_ms)
+        self._crash_handler.on_report(worker)
+        self._stop_stalled_runs(worker, now_ms)
+        self._cell.pressure.observe(worker, now_ms)
+        self._mitigate_interference(worker, now_ms)
+        worker.version += 1
+        return jobs_to_save
+
+    def _log_late_ends(
+        self,
+        worker: _fleet.Worker,
+        ends: tuple[_reports.EndReport, ...],
+    ) -> None:
+        """Log the ends of runs that were released before they were reported.
+
+        How they ended tells whether the lease of the worker has lapsed, and
+        whether the tasks that were queued again had been done.
+        """
+        late_tasks: dict[_jobs.EndKind, list[str]] = collections.defaultdict(
+            list
+        )
+        for end in ends:
+            if (end.key, end.number) in worker.runs:
+                continue
+            job = self._cell.jobs.get(end.key.job)
+            task = job.find(end.key) if job is not None else None
+            if task is None or task.is_done or task.run < end.number:
+                continue
+            if task.run == end.number and task.worker:
+                continue
+            late_tasks[end.kind].append(str(end.key))
+        for kind, tasks in late_tasks.items():
+            self._cell.log(
+                'late_ends',
+                '',
+                worker=worker.info.id,
+                reason=kind.value,
+                ends=len(tasks),
+                tasks=tasks[:MAX_LOGGED_TASKS],
+            )
+
+    def on_late_report(
+        self, worker_report: _reports.WorkerReport, now_ms: int
+    ) -> None:
+        """Apply the ends as done in a report whose poll has failed.
+
+        A later poll may have been answered meanwhile, so the rest of the
+        report is ignored.
+        """
+        self._apply_done_ends(worker_report.ended, now_ms)
+
+    def on_job_added(self, job_id: str, now_ms: int) -> None:
+        """Apply the ends that were listed before a job was added."""
+        ends = self._cell.ends_of_unknown_jobs.pop(job_id, [])
+        self._apply_done_ends(ends, now_ms)
+
+    def _apply_done_ends(
+        self, ends: Iterable[_reports.EndReport], now_ms: int
+    ) -> set[str]:
+        """Apply ends as done that are not from a current report.
+
+        A task that is done stays done. Return the ids of the jobs whose record
+        must be written before these ends are acknowledged.
+        """
+        jobs_to_save: set[str] = set()
+        for end in ends:
+            if end.kind is not _jobs.EndKind.DONE:
+                continue
+            job = self._cell.jobs.get(end.key.job)
+            if job is None:
+                self._cell.keep_end(end)
+                continue
+            task = job.find(end.key)
+            if task is None or task.spec.is_service:
+                continue
+            if job.outcome is None and not task.is_done:
+                self._apply_completion(job, task, end, now_ms)
+            jobs_to_save.add(end.key.job)
+        return jobs_to_save
+
+    def _mitigate_interference(
+        self, worker: _fleet.Worker, now_ms: int
+    ) -> None:
+        """Move or pause filling tasks that slow down service tasks."""
+        _pacing.track_tail_latency(worker, now_ms)
+        mitigations = list(
+            _pacing.plan_mitigations(worker, self._cell.pressure, now_ms)
+        )
+        for mitigation in mitigations:
+            run = mitigation.run
+            if mitigation.is_move:
+                self._cell.stop_run(
+                    worker.info.id, run.key, run.number, 'harm'
+                )
+                self._cell.mark_stop_sent(run, now_ms)
+                continue
+            run.pace = mitigation.pace
+            run.paced_ms = now_ms
+            self._cell.effects.append(
+                _effects.PaceTask(
+                    worker=worker.info.id,
+                    key=run.key,
+                    run=run.number,
+                    percent=mitigation.pace,
+                )
+            )
+
+    def _stop_stalled_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Stop stalled runs, so that their tasks start on other workers."""
+        stalled = _stalls.stalled_runs(worker, now_ms)
+        if not stalled:
+            return
+        if worker.avoid_until_ms <= now_ms:
+            self._cell.log(
+                'worker_stalled', '', worker=worker.info.id, runs=len(stalled)
+            )
+        _exclusions.record_stall(worker, now_ms)
+        for run in stalled:
+            self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
+            self._cell.mark_stop_sent(run, now_ms)
+
+    def _apply_restart(
+        self,
+        worker: _fleet.Worker,
+        worker_report: _reports.WorkerReport,
+        now_ms: int,
+    ) -> _fleet.Worker:
+        """Return the state of a worker that reports a later start time.
+
+        If its start time was known before, the worker has restarted, so its
+        former runs are released.
+        """
+        info = dataclasses.replace(
+            worker.info, process_start_ms=worker_report.process_start_ms
+        )
+        if not worker.info.process_start_ms:
+            worker.info = info
+            return worker
+        self._cell.remove_worker(info.id, 'restarted')
+        replacement = _fleet.Worker(
+            info=info,
+            is_listed=worker.is_listed,
+            is_recorded=worker.is_recorded,
+        )
+        self._cell.workers[info.id] = replacement
+        return replacement
+
+    def _apply_end(
+        self, worker: _fleet.Worker, end: _reports.EndReport, now_ms: int
+    ) -> bool:
+        """Apply the end of a run; return whether the record must be saved."""
+        run = worker.runs.get((end.key, end.number))
+        if run is not None:
+            worker.drop(run)
+        job = self._cell.jobs.get(end.key.job)
+        task = job.find(end.key) if job is not None else None
+        if job is None and end.kind is _jobs.EndKind.DONE:
+            self._cell.keep_end(end)
+        if job is None or task is None:
+            return False
+        if job.outcome is not None:
+            # The record that holds the outcome may not be written yet.
+            return True
+        if end.kind is _jobs.EndKind.DONE and not task.spec.is_service:
+            if not task.is_done:
+                worker.failed_tasks.clear()
+                self._apply_completion(job, task, end, now_ms)
+            return True
+        if task.former_worker == worker.info.id and (
+            task.former_run == end.number
+        ):
+            task.former_worker = ''
+            self._cell.save(job)
+        if end.number in task.failed_runs:
+            return True
+        if end.checkpoint and not task.is_done:
+            task.checkpoint = end.checkpoint
+        if end.kind is _jobs.EndKind.FAILED:
+            self._record_failure(worker, job, task, end.number, now_ms)
+        elif end.kind is not _jobs.EndKind.STOPPED:
+            self._cell.log(
+                'run_ended',
+                job.spec.id,
+                task=str(end.key),
+                run=end.number,
+                how=end.kind.value,
+                worker=worker.info.id,
+            )
+        if task.run == end.number and task.worker == worker.info.id:
+            task.worker = ''
+            if job.outcome is None and not task.is_done:
+                self._cell.make_ready(job, task, now_ms)
+        self._cell.save(job)
+        return True
+
+    def _apply_completion(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        end: _reports.EndReport,
+        now_ms: int,
+    ) -> None:
+        """Mark a task as done and queue the steps that depended on it."""
+        members = [task]
+        if task.spec.is_gang:
+            # The end of one member completes the whole gang.
+            members = job.occurrence(task.key.occurrence)[task.key.step]
+        for member in members:
+            if member.is_done:
+                continue
+            job.mark_done(member)
+            self._cell.ready.discard(member.key)
+            if member.worker and member.run != end.number:
+                self._cell.stop_run(
+                    member.worker, member.key, member.run, 'done'
+                )
+            member.worker = ''
+        self._cell.save(job)
+        if job.is_step_done(task.key.occurrence, task.key.step):
+            self._cell.queue_ready_steps(job, task.key.occurrence, now_ms)
+            self._cell.finish_if_complete(job)
+
+    def _record_failure(
+        self,
+        worker: _fleet.Worker,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        number: int,
+        now_ms: int,
+    ) -> None:
+        """Count a failed run against its task and its worker."""
+        if not task.spec.is_service:
+            task.failed_runs.append(number)
+        task.avoid.add(worker.info.id)
+        route = self._cell.routes.get(job.spec.route)
+        limit = route.max_attempts if route is not None else 1
+        self._cell.log(
+            'run_failed',
+            job.spec.id,
+            task=str(task.key),
+            failures=len(task.failed_runs),
+            limit=limit,
+            worker=worker.info.id,
+        )
+        if _exclusions.record_failure(worker, task.key, now_ms):
+            self._cell.log('worker_avoided', '', worker=worker.info.id)
+        if not task.spec.is_service and len(task.failed_runs) >= limit:
+            self._cell.end_job(job, _jobs.Outcome.FAILED, now_ms)
+
+    def _apply_run_report(
+        self, worker: _fleet.Worker, report: _reports.RunReport, now_ms: int
+    ) -> None:
+        """Update a run from its entry in a worker report."""
+        run = worker.runs.get((report.key, report.number))
+        if run is None:
+            run = self._adopt(worker, report, now_ms)
+        if run.phase in (_fleet.RunPhase.STARTING, _fleet.RunPhase.IN_DOUBT):
+            run.phase = _fleet.RunPhase.RUNNING
+            run.since_ms = now_ms
+        run.missed_polls = 0
+        _crashes.mark_proven(run, now_ms)
+        if report.percent != run.percent:
+            run.percent = report.percent
+            run.progress_changed_ms = now_ms
+        run.measured = report.measured
+        job = self._cell.jobs.get(report.key.job)
+        task = job.find(report.key) if job is not None else None
+        if task is not None and report.checkpoint and not task.is_done:
+            task.checkpoint = report.checkpoint
+
+    def _adopt(
+        self, worker: _fleet.Worker, report: _reports.RunReport, now_ms: int
+    ) -> _fleet.Run:
+        """Add a run that a former owner started.
+
+        Stop the run unless its task is still waiting for one.
+        """
+        job = self._cell.jobs.get(report.key.job)
+        task = job.find(report.key) if job is not None else None
+        run = _fleet.Run(
+            key=report.key,
+            number=report.number,
+            spec=task.spec if task is not None else _specs.StepSpec(count=1),
+            phase=_fleet.RunPhase.RUNNING,
+            since_ms=now_ms,
+            is_proven=task is None or not task.is_suspect,
+        )
+        worker.add(run)
+        is_needed = (
+            job is not None
+            and task is not None
+            and job.outcome is None
+            and task.is_idle
+        )
+        if not is_needed or job is None or task is None:
+            self._cell.stop_run(
+                worker.info.id, report.key, report.number, 'not wanted'
+            )
+            return run
+        task.assign(worker.info.id, report.number, now_ms)
+        job.has_started = True
+        self._cell.ready.discard(task.key)
+        self._cell.log(
+            'run_adopted',
+            job.spec.id,
+            task=str(task.key),
+            run=report.number,
+            worker=worker.info.id,
+        )
+        return run
+
+    def _drop_missing_runs(
+        self,
+        worker: _fleet.Worker,
+        listed: set[tuple[_jobs.TaskKey, int]],
+        sent_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Drop runs that a worker no longer lists and release their tasks."""
+        for run_key, run in list(worker.runs.items()):
+            if run_key in listed or run.phase is _fleet.RunPhase.STARTING:
+                continue
+            if run.since_ms >= sent_ms:
+                continue
+            if run.phase is _fleet.RunPhase.IN_DOUBT:
+                # A delayed start order may still take effect, unless the
+                # worker has since answered a stop order.
+                if not run.is_stop_settled or run.stop_sent_ms >= sent_ms:
+                    continue
+            run.missed_polls += 1
+            if run.missed_polls < MISSED_POLLS_LIMIT:
+                continue
+            worker.drop(run)
+            self._cell.log(
+                'run_missing',
+                run.key.job,
+                task=str(run.key),
+                run=run.number,
+                phase=run.phase.value,
+                worker=worker.info.id,
+            )
+            self._cell.release(run, worker.info.id, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -14,6 +14,7 @@
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _record
 from oriolestand_policy.scheduling import _reply_handler
+from oriolestand_policy.scheduling import _report_handler
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
@@ -49,7 +50,8 @@
     ) -> None:
         self._cell = _cell.Cell(epoch, lease_max_ms)
         self._crash_handler = _crash_handler.CrashHandler(self._cell)
-        self._reply_handler = _reply_handler.ReplyHandler(
+        self._reply_handler = _reply_handler.ReplyHandler(self._cell)
+        self._report_handler = _report_handler.ReportHandler(
             self._cell, self._crash_handler
         )
         self._task_starter = _task_starter.TaskStarter(
@@ -115,7 +117,7 @@
                 self._cell.queue_ready_steps(job, number, now_ms)
         else:
             self._cell.queue_ready_steps(job, 0, now_ms)
-        self._reply_handler.on_job_added(spec.id, now_ms)
+        self._report_handler.on_job_added(spec.id, now_ms)
         # A former owner may have crashed after it saved the last end of a
         # task and before it saved the outcome.
         self._cell.finish_if_complete(job)
@@ -234,7 +236,7 @@
         whose record must be written before the ends in the report are
         acknowledged to the worker.
         """
-        return self._reply_handler.on_worker_report(
+        return self._report_handler.on_worker_report(
             worker_id, worker_report, sent_ms, now_ms
         )
 
@@ -242,7 +244,7 @@
         self, worker_report: _reports.WorkerReport, now_ms: int
     ) -> None:
         """Apply the ends as done in a report whose poll has failed."""
-        self._reply_handler.on_late_report(worker_report, now_ms)
+        self._report_handler.on_late_report(worker_report, now_ms)
 
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
