Give a former owner the claim of its successor before later jobs

Cause: the owner follows claims in one table and new jobs in another. A former owner that received a job before the claim started its tasks beside its successor: 8 of 9 tasks ran twice at once. Change: a claim writes its owner row to the table of specifications in the same commit. The feed of that table is in the order of commits, so the former owner ends its term before it sees a job that was stored after the claim. When it reads all jobs again, it reads the claim after them.

--- a/packages/fleet/src/oriolestand_fleet/layout.py
+++ b/packages/fleet/src/oriolestand_fleet/layout.py
@@ -8,7 +8,9 @@
 rows are small and none of them grows with the fleet or with a job."""
 
 SPEC_TABLE = 'oriolestand-specs'
-"""Specifications of jobs, which only the owner of the cell follows."""
+"""Specifications of jobs, which only the owner of the cell follows. Each claim
+writes its owner row here as well: tables have feeds of their own, and a former
+owner must not receive a job that was stored after a claim before the claim."""
 
 OWNER_TABLE = 'oriolestand-owner'
 """Rows that the owner writes for its successor: progress of jobs, workers and
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -340,6 +340,11 @@
                     key=layout.RENEWAL_KEY,
                     value=models.encode_renewal(renewal),
                 ),
+                store.Put(
+                    key=layout.OWNER_KEY,
+                    value=models.encode_owner(owner),
+                    table=layout.SPEC_TABLE,
+                ),
             ),
         )
 
@@ -544,12 +549,13 @@
 
 
 def _rows_of_claim(claim: store.CommitRows, version: int) -> list[store.Row]:
-    """Return the rows that an applied claim has written."""
+    """Return the rows of the cell that an applied claim has written."""
     return [
         store.Row(
             part=claim.part, key=put.key, value=put.value, version=version
         )
         for put in claim.puts
+        if not put.table
     ]
 
 
@@ -566,7 +572,7 @@
         return None
     if result.is_applied:
         return result.version
-    values = {put.key: put.value for put in claim.puts}
+    values = {put.key: put.value for put in claim.puts if not put.table}
     for row in result.current:
         if row.key == layout.OWNER_KEY and row.value == values[row.key]:
             return row.version
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -21,13 +21,22 @@
     """Load all jobs for a new owner, then follow new jobs until closed.
 
     Daemons that do not own the cell hold no specifications, so that neither
-    their memory nor the links to the store carry them.
+    their memory nor the links to the store carry them. Jobs that were stored
+    after a newer claim belong to another owner and are not published.
+
+    :param claim_version: version of the claim of the owner.
     """
 
-    def __init__(self, kernel: core.Kernel, replica: _replica.Replica) -> None:
+    def __init__(
+        self,
+        kernel: core.Kernel,
+        replica: _replica.Replica,
+        claim_version: int,
+    ) -> None:
         self._kernel = kernel
         self._replica = replica
         self._log = core.get_logger(const.DOMAIN)
+        self._claim_version = claim_version
         self._cursor = 0
         self._retries = backoff.ExponentialBackoff(
             const.RETRY_MS,
@@ -244,20 +253,37 @@
         )
         if self.is_closed:
             return
-        self._publish(
-            {
-                _job_id(row): row.value
-                for row in page.rows
-                if row.value is not None
-            }
-        )
+        specs: dict[str, bytes] = {}
+        for row in page.rows:
+            if row.key == layout.OWNER_KEY:
+                self._check_claim(row)
+                if self.is_closed:
+                    break
+            elif row.value is not None:
+                specs[_job_id(row)] = row.value
+        self._publish(specs)
         self._cursor = max(self._cursor, page.version)
         if page.rows:
             await self._kernel.sleep(const.OWNER_PAUSE_MS)
 
+    def _check_claim(self, row: store.Row) -> None:
+        """Publish a newer claim, and follow no jobs after it."""
+        if row.version <= self._claim_version:
+            return
+        self._log.info(
+            'Newer claim received with new jobs', version=row.version
+        )
+        self._kernel.publish(messages.CellRowChanged(row=row))
+        self.close()
+
     async def _read_again(self) -> None:
         """Read all specifications and publish them; known jobs are ignored."""
         specs, version = await self._read_specs()
+        # The claim is read last: without a newer one, none came before a job.
+        claims = self._new_reader(layout.SPEC_TABLE, layout.CELL_PART)
+        await self._read_parts([claims])
+        for row in claims.rows:
+            self._check_claim(row)
         if self.is_closed:
             return
         self._publish(specs)
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -212,7 +212,7 @@
     async def _load_snapshot(self, version: int) -> messages.Snapshot:
         """Return a snapshot and start to follow specifications."""
         self._close_owner_view()
-        view = _owner_view.OwnerView(self.kernel, self._replica)
+        view = _owner_view.OwnerView(self.kernel, self._replica, version)
         self._owner_view = view
         await self._wait_for_sync(version)
         snapshot = await view.load()
