Send a pace again that a worker may not have received

Cause: the owner counted a run as paused or resumed once the order was decided. An order that was lost was not sent again, so a task stayed paused. Change: after a failed order the run's pace is in doubt, and the present pace is sent again when the worker lists the run. This also covers an order in doubt that takes effect after a newer one.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -254,6 +254,10 @@
         except orders.WorkerError as exc:
             code = exc.code
         self._count('pace', code)
+        if code != 'answered' and not self._term.is_over:
+            self._scheduler.on_pace_failed(
+                effect.worker, effect.key, effect.run
+            )
 
     def _count_stop(self, effect: scheduling.StopTask, now_ms: int) -> None:
         """Count a stop and the processor time that its run has had."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -36,7 +36,8 @@
     are the last values of ``RunReport``. ``progress_changed_ms`` and
     ``paced_ms`` are when the progress and the pace last changed.
     ``over_since_ms`` is since when the tail latency has exceeded its target,
-    -1 if it does not.
+    -1 if it does not. ``is_pace_in_doubt`` is whether the worker may not have
+    received the last pace, or may apply an earlier one after it.
     ``missed_polls`` counts consecutive reports that omit the run.
     ``is_proven`` is whether a report showed that the worker survived it for
     longer than a task takes to crash a worker. ``is_held_back`` is whether the
@@ -55,6 +56,7 @@
     measured: int = 0
     pace: int = 100
     paced_ms: int = 0
+    is_pace_in_doubt: bool = False
     over_since_ms: int = -1
     missed_polls: int = 0
     is_proven: bool = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -107,6 +107,19 @@
             )
             self._cell.mark_task_stop_sent(member, now_ms)
 
+    def on_pace_failed(
+        self, worker_id: str, key: _jobs.TaskKey, number: int
+    ) -> None:
+        """Note that a worker did not answer an order to pace a run.
+
+        The present pace is sent again once the worker lists the run, also if
+        it is newer: the order that failed may take effect after it.
+        """
+        worker = self._cell.workers.get(worker_id)
+        run = worker.runs.get((key, number)) if worker is not None else None
+        if run is not None:
+            run.is_pace_in_doubt = True
+
     def on_stop_reply(
         self,
         worker_id: str,
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -173,14 +173,19 @@
                 continue
             run.pace = mitigation.pace
             run.paced_ms = now_ms
-            self._cell.effects.append(
-                _effects.PaceTask(
-                    worker=worker.info.id,
-                    key=run.key,
-                    run=run.number,
-                    percent=mitigation.pace,
-                )
+            self._send_pace(worker, run)
+
+    def _send_pace(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
+        """Order a worker to run a task at its present pace."""
+        run.is_pace_in_doubt = False
+        self._cell.effects.append(
+            _effects.PaceTask(
+                worker=worker.info.id,
+                key=run.key,
+                run=run.number,
+                percent=run.pace,
             )
+        )
 
     def _stop_stalled_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Stop stalled runs, so that their tasks start on other workers."""
@@ -340,6 +345,9 @@
             run.percent = report.percent
             run.progress_changed_ms = now_ms
         run.measured = report.measured
+        if run.is_pace_in_doubt and run.stop_sent_ms < 0:
+            run.paced_ms = now_ms
+            self._send_pace(worker, run)
         job = self._cell.jobs.get(report.key.job)
         task = job.find(report.key) if job is not None else None
         if task is not None and report.checkpoint and not task.is_done:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -323,6 +323,12 @@
             worker_id, key, number, is_answered, now_ms
         )
 
+    def on_pace_failed(
+        self, worker_id: str, key: _jobs.TaskKey, number: int
+    ) -> None:
+        """Note that a worker did not answer an order to pace a run."""
+        self._reply_handler.on_pace_failed(worker_id, key, number)
+
     # Decisions.
 
     def decide(
