Resume filling tasks that a former owner has paused

Cause: a new owner took all runs that it adopted to be at full speed, so it never resumed those that its predecessor had paused. Change: an adopted filling run that uses no processor time counts as paused. It is resumed when its worker has headroom.

--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -370,6 +370,10 @@
             since_ms=now_ms,
             is_proven=task is None or not task.is_suspect,
         )
+        if run.spec.is_filling and not report.measured:
+            # The former owner may have paused it; nobody else would resume it.
+            run.pace = _pacing.PAUSED_PACE
+            run.paced_ms = now_ms
         worker.add(run)
         is_needed = (
             job is not None
--- a/packages/policy/tests/scheduling/test_lost_paces.py
+++ b/packages/policy/tests/scheduling/test_lost_paces.py
@@ -3,6 +3,7 @@
 from oriolestand_policy import scheduling
 
 FILLING = scheduling.StepSpec(count=1, cpu=1_000, is_filling=True)
+MITIGATION_INTERVAL_MS = 700
 
 
 def paces(scheduler):
@@ -45,3 +46,18 @@
     harness.now += 100
     harness.poll(start.worker)
     assert paces(harness.scheduler) == []
+
+
+def test_run_that_a_former_owner_has_paused_is_resumed(harness, make):
+    # A new owner took the runs of its predecessor to be at full speed, so a
+    # paused one stayed paused. One that uses its processors needs no order.
+    former = start_filling(harness, make)
+    for measured, expected in ((0, [100]), (1_000, [])):
+        successor = make.Harness()
+        successor.add('j', FILLING)
+        for _ in range(2):
+            running = [make.report(former, measured=measured)]
+            successor.poll(former.worker, running)
+            successor.now += MITIGATION_INTERVAL_MS
+        successor.poll(former.worker, running)
+        assert paces(successor.scheduler) == expected
