Count crashes against starts that were sent only

Cause: a start that waited for a connection, or for its record, counted as a run that may have crashed its worker. Its task then waited for a worker of its own or was given up. Change: the orders service publishes StartSent when it writes a start order. A run is suspect once it was sent, answered, in doubt or listed; this replaces the flag for starts that wait for their record.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -51,7 +51,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StartRun:
-    """Start a run; the reply is a StartReply. Fails with FencedError."""
+    """Start a run; the reply is a StartReply. Fails with FencedError.
+
+    A StartSent is published when it is sent.
+    """
 
     target: Target
     key: scheduling.TaskKey
@@ -76,6 +79,16 @@
     queued_ms: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartSent:
+    """Event: a StartRun was sent, so that the worker may have received it."""
+
+    worker: str
+    key: scheduling.TaskKey
+    number: int
+    epoch: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopRun:
     """Stop a run, or prevent it from starting later.
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -103,9 +103,6 @@
         if self._scheduler.is_start_pending(
             effect.worker, effect.key, effect.run
         ):
-            self._scheduler.release_start(
-                effect.worker, effect.key, effect.run
-            )
             await self._start_run(effect, decided_ms)
             return
         self._withdraw_start(effect)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -56,6 +56,7 @@
             jobs.ReplicaSyncAttempted,
             lifecycle.ShutdownStarted,
             orders.LateReport,
+            orders.StartSent,
         ):
             self.kernel.subscribe(event, self)
         for loop in (self._watch(), self._watch_store_latency()):
@@ -153,6 +154,13 @@
         if owner_term is not None and owner_term.term.epoch == msg.epoch:
             owner_term.apply_late_report(msg.report)
 
+    @core.handles(orders.StartSent)
+    def _on_start_sent(self, msg: orders.StartSent) -> None:
+        """Pass on that a start order of the current term was sent."""
+        owner_term = self._owner_term
+        if owner_term is not None and owner_term.term.epoch == msg.epoch:
+            owner_term.on_start_sent(msg)
+
     @core.handles(jobs.CellRowChanged)
     def _on_row(self, msg: jobs.CellRowChanged) -> None:
         """Apply a changed owner or renewal row."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -10,6 +10,7 @@
 from oriolestand_fleet import layout
 from oriolestand_fleet import settings
 from oriolestand_fleet.messages import jobs
+from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.cell import _fleet_record
@@ -170,6 +171,10 @@
         self._scheduler.on_late_report(report, self._kernel.clock.now())
         self._on_worker_reply()
 
+    def on_start_sent(self, msg: orders.StartSent) -> None:
+        """Note that a worker may have received a start order."""
+        self._scheduler.on_start_sent(msg.worker, msg.key, msg.number)
+
     # Workers.
 
     async def _watch_workers(self) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -61,8 +61,11 @@
 
 
 def suspect_runs(worker: _fleet.Worker) -> list[_fleet.Run]:
-    """Return the runs that may have crashed a worker."""
-    return [run for run in unproven_runs(worker) if not run.is_held_back]
+    """Return the runs that may have crashed a worker.
+
+    A run whose start order still waits to be sent cannot be the cause.
+    """
+    return [run for run in unproven_runs(worker) if run.is_sent]
 
 
 def is_single_suspect(runs: Sequence[_fleet.Run]) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -40,8 +40,9 @@
     received the last pace, or may apply an earlier one after it.
     ``missed_polls`` counts consecutive reports that omit the run.
     ``is_proven`` is whether a report showed that the worker survived it for
-    longer than a task takes to crash a worker. ``is_held_back`` is whether the
-    start order waits for a record to be written.
+    longer than a task takes to crash a worker. ``is_sent`` is whether the
+    worker may have received the start order, which can wait for a record to
+    be written and for a connection.
     """
 
     key: _jobs.TaskKey
@@ -60,7 +61,7 @@
     over_since_ms: int = -1
     missed_polls: int = 0
     is_proven: bool = False
-    is_held_back: bool = False
+    is_sent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -8,6 +8,11 @@
 REFUSAL_AVOID_MS = 300
 UNHEALTHY_AVOID_MS = 1_000
 
+_SENT_OUTCOMES = frozenset(
+    {_reports.StartOutcome.STARTED, _reports.StartOutcome.IN_DOUBT}
+)
+"""Outcomes with which a worker may have a run."""
+
 
 class ReplyHandler:
     """Update a cell from replies to orders."""
@@ -34,7 +39,7 @@
         run = worker.runs.get((key, number))
         if run is None:
             return
-        run.is_held_back = False
+        run.is_sent = outcome in _SENT_OUTCOMES
         if outcome is _reports.StartOutcome.STARTED:
             if run.phase is _fleet.RunPhase.STARTING:
                 run.phase = _fleet.RunPhase.RUNNING
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -340,6 +340,7 @@
             run.phase = _fleet.RunPhase.RUNNING
             run.since_ms = now_ms
         run.missed_polls = 0
+        run.is_sent = True
         _crashes.mark_proven(run, now_ms)
         if report.percent != run.percent:
             run.percent = report.percent
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -291,14 +291,14 @@
             and task.run == number
         )
 
-    def release_start(
+    def on_start_sent(
         self, worker_id: str, key: _jobs.TaskKey, number: int
     ) -> None:
-        """Note that a start order that was held back is being sent."""
+        """Note that a worker may have received a start order."""
         worker = self._cell.workers.get(worker_id)
         run = worker.runs.get((key, number)) if worker is not None else None
         if run is not None:
-            run.is_held_back = False
+            run.is_sent = True
 
     def withdraw_start(
         self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -402,7 +402,6 @@
             phase=_fleet.RunPhase.STARTING,
             since_ms=now_ms,
             progress_changed_ms=now_ms,
-            is_held_back=task.spec.is_service,
         )
 
     def _assign(
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -310,6 +310,14 @@
             return contracts.StartReply(
                 outcome=scheduling.StartOutcome.WITHDRAWN
             )
+        self.kernel.publish(
+            contracts.StartSent(
+                worker=msg.target.worker,
+                key=msg.key,
+                number=msg.number,
+                epoch=msg.epoch,
+            )
+        )
         queued_ms = self.faults.send_delay_ms
         in_doubt = contracts.StartReply(
             outcome=scheduling.StartOutcome.IN_DOUBT,
