Wait for all ends of workers that answer during a takeover

Cause: the takeover ended at its deadline also for a worker that reports but could not list all of its ends yet. Tasks whose ends were missing started again, although the lease of such a worker goes on. Change: the deadline holds for workers without a report only. One that has reported is waited for until it lists all ends or is removed.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -14,7 +14,9 @@
     Only then may their tasks be started again. This holds once all workers
     of the former owners have reported their runs or were removed, or once
     the time to wait for them is over. That time ends earlier for a worker
-    whose runs no owner has been able to extend since an earlier takeover.
+    whose runs no owner has been able to extend since an earlier takeover. It
+    does not end for a worker that has reported, as its leases go on: such a
+    worker may have more ends than one report lists.
 
     :param former_worker_ids: workers that may have runs of former owners.
     :param are_all_known: whether there are no other such workers.
@@ -55,14 +57,19 @@
         # A later owner may have extended leases that end after this time.
         until = self._term.undisputed_until_ms(now)
         unreached = self._unreached_workers()
-        missing = [w for w in unreached if until < self._deadline_ms(w)]
-        past_deadline = [w for w in unreached if until >= self._deadline_ms(w)]
+        missing = [
+            w
+            for w in unreached
+            if until < self._deadline_ms(w)
+            or self._scheduler.workers[w].is_probed
+        ]
+        past_deadline = [w for w in unreached if w not in missing]
         is_over = until >= self._term.takeover_deadline_ms
         is_list_needed = bool(past_deadline) and not self.are_workers_listed
         if is_over or not is_list_needed:
             self._past_deadline_ids.update(past_deadline)
             self._remove_unregistered_workers(past_deadline)
-            if is_over or (self._are_all_known and not missing):
+            if not missing and (is_over or self._are_all_known):
                 self._complete(now)
                 return scheduling.FormerRuns()
         if now >= self._next_report_ms:
@@ -78,7 +85,7 @@
             )
         return scheduling.FormerRuns(
             worker_ids=frozenset(missing),
-            has_unknown_workers=not self._are_all_known,
+            has_unknown_workers=not (is_over or self._are_all_known),
         )
 
     def _deadline_ms(self, worker_id: str) -> int:
@@ -113,13 +120,9 @@
         )
 
     def _remove_unregistered_workers(self, worker_ids: list[str]) -> None:
-        """Remove those that are neither registered nor have reported.
-
-        This owner extends the leases of those that have.
-        """
+        """Remove those that are not registered; none of them has reported."""
         for worker_id in worker_ids:
-            worker = self._scheduler.workers[worker_id]
-            if not worker.is_listed and not worker.is_probed:
+            if not self._scheduler.workers[worker_id].is_listed:
                 self._scheduler.remove_worker(worker_id, 'never answered')
 
     def _complete(self, now_ms: int) -> None:
