Send a throttle again that a worker did not answer (batch daemon)

Cause: the dispatcher counted a task as throttled or at full speed although the request was lost, and nothing sent it again. Change: the run driver keeps the last throttle of each run, and sends a lost one after the next renewal that the worker answers.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_runs.py
@@ -17,6 +17,9 @@
 
 ReportHandler = Callable[[str, platform.RunReport], None]
 
+_RunId = tuple[str, int, int]
+"""Task, attempt and epoch of a run."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _WorkerClock:
@@ -30,8 +33,8 @@
 class RunDriver:
     """Sends the requests of lifecycles to workers.
 
-    Renews all leases on a worker with one message.
-
+    Renews all leases on a worker with one message. A throttle that was not
+    answered is sent again after the next renewal that is.
 
     :param on_report: called with a worker's address and its report of a run.
     :param on_start_not_delivered: called when a start request certainly did
@@ -56,6 +59,8 @@
         self._clocks: dict[str, _WorkerClock] = {}
         self._last_renewal_at: dict[str, core.Millis] = {}
         self._renewing: set[str] = set()
+        self._throttle_percents: dict[_RunId, int] = {}
+        self._lost_throttles: set[_RunId] = set()
 
     def send(self, lifecycle: batch.Lifecycle, effect: batch.Effect) -> None:
         """Send the request for an effect to the task's worker."""
@@ -64,10 +69,35 @@
     def throttle(self, lifecycle: batch.Lifecycle, is_on: bool) -> None:
         """Throttle a run, or let it run at full speed again."""
         percent = const.THROTTLED_PERCENT if is_on else const.FULL_PERCENT
+        self._throttle_percents[_run_id(lifecycle.row)] = percent
+        self._run_in_background(self._send_throttle(lifecycle.row))
+
+    async def _send_throttle(self, row: batch.TaskRow) -> None:
+        """Send the last throttle of a run, which may have been lost."""
+        run = _run_id(row)
+        self._lost_throttles.discard(run)
         request = platform.ThrottleRequest(
-            run=_run_ref(lifecycle.row), percent=percent
+            run=_run_ref(row), percent=self._throttle_percents[run]
         )
-        self._run_in_background(self.call(lifecycle.row.worker, request))
+        try:
+            await self.call(row.worker, request)
+        except core.OriolestandError:
+            if run in self._throttle_percents:
+                self._lost_throttles.add(run)
+            raise
+
+    def _repeat_throttles(self, group: Iterable[batch.Lifecycle]) -> None:
+        """Send the lost throttles of runs on a worker that answers again."""
+        for lifecycle in group:
+            if _run_id(lifecycle.row) in self._lost_throttles:
+                self._run_in_background(self._send_throttle(lifecycle.row))
+
+    def _forget_throttles(self, runs: Iterable[_RunId]) -> None:
+        """Forget the throttles of all runs but the given ones."""
+        current = set(runs)
+        self._lost_throttles &= current
+        for run in self._throttle_percents.keys() - current:
+            del self._throttle_percents[run]
 
     def _run_in_background(self, coroutine: Any) -> None:
         """Run a coroutine in the background and log its failure.
@@ -153,6 +183,8 @@
     def renew(self, lifecycles: Iterable[batch.Lifecycle]) -> None:
         """Renew the leases that are due, with one message per worker."""
         now = self._kernel.clock.now()
+        lifecycles = tuple(lifecycles)
+        self._forget_throttles(_run_id(item.row) for item in lifecycles)
         lifecycles_by_worker = collections.defaultdict(list)
         for lifecycle in lifecycles:
             if lifecycle.may_renew(now):
@@ -191,6 +223,7 @@
                     **self._expiry(address),
                 ),
             )
+            self._repeat_throttles(group)
         finally:
             self._renewing.discard(address)
 
@@ -221,6 +254,11 @@
         return reply
 
 
+def _run_id(row: batch.TaskRow) -> _RunId:
+    """Return what identifies the row's attempt."""
+    return (row.name, row.attempt, row.epoch)
+
+
 def _run_ref(row: batch.TaskRow) -> platform.RunRef:
     """Return the reference that identifies the row's attempt to a worker."""
     return platform.RunRef(task=row.name, attempt=row.attempt, epoch=row.epoch)
