Count a crash that shows after the lease of its worker is over

Cause: when a listed worker was silent until its lease was over, its tasks started elsewhere and were watched there. The watch of the first run was lost, so that the later replacement of the worker counted against no task. Change: the watches of a worker are kept from the end of its lease until it is replaced or reports again. A task that another worker survives by then is not at fault.

--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -18,13 +18,16 @@
 
     A run is watched if its worker may have crashed while the next owner
     would find no trace of the run: from the start of a suspect, and from the
-    first failed poll of a worker for its newest runs.
+    first failed poll of a worker for its newest runs. The watch of a run whose
+    lease is over is kept until the worker is replaced or reports again, as its
+    task may be watched on another worker by then.
     """
 
     def __init__(self, cell: _cell.Cell) -> None:
         self._cell = cell
         self._marked: dict[_jobs.TaskKey, _jobs.Task] = {}
         self._watched: dict[str, dict[_jobs.TaskKey, _jobs.Task]] = {}
+        self._released: dict[str, dict[_jobs.TaskKey, _jobs.Watch]] = {}
         self._losses = _losses.LossTracker(cell.workers)
         self._confirmed: list[_jobs.Task] = []
         cell.on_worker_gone = self.on_worker_gone
@@ -92,9 +95,21 @@
         for task in self._tasks_of(worker, runs):
             self._watch(task, worker, kind)
 
+    def on_lease_over(self, worker: _fleet.Worker) -> None:
+        """Keep the watches of a worker whose tasks start elsewhere."""
+        watched = self._watched.get(worker.info.id, {})
+        released = {
+            key: task.watch
+            for key, task in watched.items()
+            if task.watch is not None
+        }
+        if released:
+            self._released.setdefault(worker.info.id, {}).update(released)
+
     def on_report(self, worker: _fleet.Worker) -> None:
         """Stop watching the runs of a worker that has not crashed."""
         self._losses.on_report(worker)
+        self._released.pop(worker.info.id, None)
         watched = self._watched.get(worker.info.id)
         if not watched:
             return
@@ -109,6 +124,7 @@
         Nothing counts if the worker left.
         """
         watched = list(self._watched.get(worker.info.id, {}).values())
+        released = self._released.pop(worker.info.id, {})
         is_crash = _is_crash(worker, reason)
         runs = _crashes.suspect_runs(worker)
         kind = _kind_of(worker, runs)
@@ -128,6 +144,9 @@
                 if task.watch is not None
                 and (task.key, task.watch.run) not in worker.runs
             }
+            tasks = {
+                key: watch.kind for key, watch in released.items()
+            } | tasks
         has_common_cause = is_crash and self._losses.add(worker)
         if is_crash and (worker.runs or tasks):
             self._log_crash(worker, reason, has_common_cause=has_common_cause)
@@ -167,6 +186,8 @@
         task = job.find(key) if job is not None else None
         if job is None or task is None or job.outcome is not None:
             return
+        if task.is_done or self._is_survived(task):
+            return
         task.crashes.append(
             _jobs.Crash(address=worker.info.address, kind=kind)
         )
@@ -183,6 +204,14 @@
                 crashes=[list(crash) for crash in task.crashes],
             )
 
+    def _is_survived(self, task: _jobs.Task) -> bool:
+        """Return whether another worker survives the current run of a task."""
+        worker = self._cell.workers.get(task.worker)
+        if worker is None:
+            return False
+        run = worker.runs.get((task.key, task.run))
+        return run is not None and run.is_proven
+
     def _check_cause(self, task: _jobs.Task) -> None:
         """Note a task whose crashes are its own fault."""
         if _crashes.is_cause(task.crashes):
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -465,6 +465,7 @@
                     lease_end_ms=worker.lease_end_ms,
                     min_clock_ms=worker.min_clock_ms(undisputed_until_ms),
                 )
+                self._crash_handler.on_lease_over(worker)
                 self._cell.release_all(worker, now_ms)
 
     def _resend_stops(self, now_ms: int) -> None:
