Limit the rows of crashes in the record of a job

Cause: after a pool lost power right after the start of a large step, the record of 1,000 suspects needed 98,964 bytes. A row of the store holds 65,536, so the record was never stored and no end of the job could be acknowledged. Change: the record keeps at most 20,000 bytes of crashes, those of the tasks with the most crashes first.

--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import json
 from typing import Any
 
 from oriolestand_policy.scheduling import _jobs
@@ -20,6 +21,11 @@
 """More would not fit into a row of the store beside the rest of the record.
 Without them, the placements count as unknown."""
 
+MAX_CRASH_BYTES = 20_000
+"""Size of the rows of crashes, which share a row of the store with the rest of
+the record. The store refuses a larger record each time, so that the ends of
+the job could never be acknowledged."""
+
 
 def progress_of(job: _jobs.Job) -> Progress:
     """Return the progress of a job to store.
@@ -31,7 +37,7 @@
     worker and run of the service tasks that may run), ``crashes`` (rows of
     occurrence, step, index, crashes and watch). There is no ``placed`` for
     jobs without service tasks, and if the placements are unknown or too many,
-    and no ``crashes`` without any.
+    and no ``crashes`` without any; it lacks tasks if they are too many.
     """
     done: list[list[Any]] = []
     unfinished: list[list[Any]] = []
@@ -70,7 +76,7 @@
         progress['placed'] = placed
     crashes = _crash_rows(job)
     if crashes:
-        progress['crashes'] = crashes
+        progress['crashes'] = _fitting_rows(crashes)
     return progress
 
 
@@ -99,6 +105,22 @@
     ]
 
 
+def _fitting_rows(rows: list[list[Any]]) -> list[list[Any]]:
+    """Return the rows that fit, of tasks with the most crashes first.
+
+    Hundreds of suspects are the new tasks of a pool that was lost, and the
+    task that crashes its workers has more crashes than they have.
+    """
+    fitting: list[list[Any]] = []
+    size = 0
+    for row in sorted(rows, key=lambda row: -len(row[3])):
+        size += len(json.dumps(row, separators=(',', ':'))) + 1
+        if size > MAX_CRASH_BYTES:
+            break
+        fitting.append(row)
+    return sorted(fitting)
+
+
 def restore(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
     """Apply a stored record to a job that was just added.
 
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -360,3 +360,21 @@
             )
     record = json.dumps(scheduling.progress_of(job), separators=(',', ':'))
     assert len(record) <= 65_536
+
+
+def test_record_keeps_the_task_with_the_most_crashes():
+    # Guards against a harmful task that is forgotten, as the record has no
+    # room for all tasks that were lost with a pool.
+    step = scheduling.StepSpec(count=1_000)
+    spec = scheduling.JobSpec(id='j', route='r', payload='', steps=(step,))
+    job = scheduling.Job(spec=spec)
+    crash = _jobs.Crash(
+        address='10.200.100.17:8169', kind=_jobs.CrashKind.COMMON
+    )
+    tasks = job.occurrence(0)[0]
+    for task in tasks:
+        task.crashes = [crash]
+    tasks[700].crashes = [crash, crash]
+    restored = scheduling.Job(spec=spec)
+    _record.restore(restored, scheduling.progress_of(job))
+    assert len(restored.occurrence(0)[0][700].crashes) == 2
