Pass over filling tasks that need more than one that fits nowhere

Cause: each job has tasks of its own size, so that under a burst every class of equal demands was examined on every worker. Change: a demand that needs at least as much as one that fits nowhere in this round is passed over unexamined, without use of the limit. Result: test_larger_filling_tasks_than_one_that_does_not_fit_cost_nothing fails without the change. The tests of the limit use descending sizes now, as ascending ones do not reach it any more; they check the same.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -19,6 +19,7 @@
 from oriolestand_policy.scheduling import _reservations
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
+from oriolestand_policy.scheduling import _unplaceable
 from oriolestand_policy.scheduling import _urgency
 
 RUNS_PER_EPOCH = 1_000_000
@@ -221,7 +222,7 @@
         self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Start ready tasks, within the limits per round."""
-        unplaceable_classes: set[tuple[object, ...]] = set()
+        unplaceable = _unplaceable.UnplaceableDemands()
         started = 0
         self._held_steps.clear()
         self._held_tasks.clear()
@@ -237,13 +238,8 @@
                 self._held_steps[step_key] = _obstacles.Hold.NO_ROUTE
                 continue
             spec = job.spec.steps[step]
-            # Once a task of a class cannot be placed, the round skips the rest
-            # of the class.
-            demand_class = (
+            group = (
                 route.pool,
-                spec.cpu,
-                spec.memory_mb,
-                spec.accelerators,
                 spec.image if spec.is_filling else None,
                 spec.is_filling,
                 spec.is_service,
@@ -252,7 +248,13 @@
                 if spec.max_per_worker or spec.is_gang
                 else None,
             )
-            if demand_class in unplaceable_classes:
+            amounts = _unplaceable.Amounts(
+                cpu=spec.cpu,
+                memory_mb=spec.memory_mb,
+                accelerators=spec.accelerators,
+            )
+            demand_class = (group, amounts)
+            if unplaceable.includes(group, amounts):
                 self._held_steps[step_key] = _obstacles.Hold.NO_WORKER
                 continue
             if spec.is_filling and not self._fit_budget.allows(demand_class):
@@ -272,7 +274,7 @@
                 started += newly_started
                 if not newly_started:
                     self._held_steps[step_key] = self._reason_of(job, task)
-                    unplaceable_classes.add(demand_class)
+                    unplaceable.add(group, amounts)
                     if spec.is_filling:
                         self._fit_budget.on_failed(demand_class)
                     break
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
@@ -0,0 +1,52 @@
+"""Remember in a round which demands no worker can meet.
+
+This answers bursts of jobs whose tasks differ in size: hundreds of them wait,
+and to examine each on every worker would take longer than a round may. A task
+that needs at least as much as one that fits nowhere is passed over unexamined.
+"""
+
+from collections.abc import Hashable
+from typing import NamedTuple
+
+
+class Amounts(NamedTuple):
+    """Resources that a task needs, ``cpu`` in thousandths of a core."""
+
+    cpu: int
+    memory_mb: int
+    accelerators: int
+
+
+class UnplaceableDemands:
+    """Demands that fit nowhere, by groups that differ in amounts only.
+
+    Capacity never becomes free within a round, so that what fits nowhere at
+    first fits nowhere later.
+    """
+
+    def __init__(self) -> None:
+        self._smallest: dict[Hashable, list[Amounts]] = {}
+
+    def add(self, group: Hashable, amounts: Amounts) -> None:
+        """Note that a demand fits nowhere."""
+        known = self._smallest.get(group, [])
+        self._smallest[group] = [
+            other for other in known if not _is_covered(amounts, other)
+        ]
+        self._smallest[group].append(amounts)
+
+    def includes(self, group: Hashable, amounts: Amounts) -> bool:
+        """Return whether a demand needs at least as much as a known one."""
+        return any(
+            _is_covered(other, amounts)
+            for other in self._smallest.get(group, ())
+        )
+
+
+def _is_covered(smaller: Amounts, larger: Amounts) -> bool:
+    """Return whether no amount is lower in the second demand."""
+    return (
+        smaller.cpu <= larger.cpu
+        and smaller.memory_mb <= larger.memory_mb
+        and smaller.accelerators <= larger.accelerators
+    )
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -87,8 +87,9 @@
     # jobs, and against a limit on these checks that delays plain tasks.
     monkeypatch.setattr(_fit_budget, 'MAX_FAILED_FIT_CHECKS_PER_ROUND', 4)
     for number in range(9):
+        # Each needs less than those before, so that none is covered by them.
         spec = scheduling.StepSpec(
-            count=1, cpu=11_000 + number, is_filling=True
+            count=1, cpu=11_000 - number, is_filling=True
         )
         harness.add(f'f{number}', spec)
     fitting = scheduling.StepSpec(count=1, cpu=1_000, is_filling=True)
@@ -101,6 +102,22 @@
     assert [start.key.job for start in harness.decide()[0]] == ['g']
 
 
+def test_larger_filling_tasks_than_one_that_does_not_fit_cost_nothing(
+    harness, monkeypatch
+):
+    # Guards against a burst of jobs of different sizes whose checks use up the
+    # limit of each round, so that a task that fits waits for seconds.
+    monkeypatch.setattr(_fit_budget, 'MAX_FAILED_FIT_CHECKS_PER_ROUND', 4)
+    for number in range(99):
+        spec = scheduling.StepSpec(
+            count=1, cpu=11_000 + number, is_filling=True
+        )
+        harness.add(f'f{number:02}', spec)
+    fitting = scheduling.StepSpec(count=1, cpu=1_000, is_filling=True)
+    harness.add('g', fitting)
+    assert [start.key.job for start in harness.decide()[0]] == ['g']
+
+
 def test_filling_tasks_of_one_round_share_free_capacity(harness):
     # Guards against a cached capacity that is not updated after a selection,
     # so that a round overcommits a worker.
--- a/packages/policy/tests/scheduling/test_scheduler.py
+++ b/packages/policy/tests/scheduling/test_scheduler.py
@@ -292,7 +292,7 @@
     limit = _fit_budget.MAX_FAILED_FIT_CHECKS_PER_ROUND // workers
     for number in range(limit + 2):
         large = scheduling.StepSpec(
-            count=1, cpu=10_001 + number, is_filling=True, image='i'
+            count=1, cpu=20_001 - number, is_filling=True, image='i'
         )
         harness.add(f'large{number:04}', large, accepted_ms=1)
     small = scheduling.StepSpec(count=1, cpu=1_000, is_filling=True, image='i')
