Refuse jobs whose numbers are out of range

Cause: a job with 10^9 occurrences and no period was accepted. All of them are due at once, so that the scheduling round of the owner never ended, and that of each successor neither. An estimate of 10^400 overflows in each round, and negative demands let a worker get more than its capacity. Found while looking for malformed messages that take a process down. Change: check_job refuses negative and very large numbers, more than 1,000 occurrences, and more than 20,000 tasks in all of them. The slope of learned run times stays between 0 and 1. Result: the tests of test_invalid_jobs.py fail without the checks. Fuzzed responses of workers and of the store, and fuzzed submissions, raise only the errors that callers handle (test_fuzzed_messages.py, 150 examples each).

--- a/packages/policy/src/oriolestand_policy/scheduling/_run_times.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_run_times.py
@@ -64,7 +64,14 @@
     def line(self) -> '_Line':
         """Return the expected run times at present."""
         prior = PRIOR_TASKS * PRIOR_VARIANCE
-        slope = (self.covariance_sum + prior) / (self.variance_sum + prior)
+        # Noise must not order jobs against their estimates, nor more strongly.
+        slope = min(
+            1.0,
+            max(
+                0.0,
+                (self.covariance_sum + prior) / (self.variance_sum + prior),
+            ),
+        )
         trust = self.count / (self.count + PRIOR_TASKS)
         offset = trust * (self.mean_time - self.mean_estimate)
         return _Line(self.mean_estimate, self.mean_estimate + offset, slope)
--- a/packages/policy/src/oriolestand_policy/scheduling/_specs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_specs.py
@@ -125,11 +125,21 @@
 """Limit on the tasks of one occurrence, so that the record of a job fits in
 a row."""
 
+MAX_OCCURRENCES = 1_000
+MAX_REPEATED_TASKS = 20_000
+"""Limit on the tasks of all occurrences, which may all be due at once. The
+owner of the cell holds each of them in memory."""
+
+MAX_AMOUNT = 10**15
+"""Limit on each number of a job. Larger ones exceed what floating-point
+numbers can represent, and an error in a scheduling round ends every owner."""
+
 
 def check_job(job: JobSpec) -> None:
     """Check the steps of a job.
 
-    Raise InvalidJobError if they are missing, empty, misordered or too large.
+    Raise InvalidJobError if they are missing, empty, misordered or too large,
+    or if a number is out of range.
 
     >>> check_job(JobSpec(id='1', route='r', payload='', steps=()))
     Traceback (most recent call last):
@@ -150,5 +160,46 @@
                 job=job.id,
                 step=number,
             )
-    if sum(step.count for step in job.steps) > MAX_TASKS:
+        _check_amounts(
+            job,
+            number,
+            cpu=step.cpu,
+            memory_mb=step.memory_mb,
+            accelerators=step.accelerators,
+            estimate_ms=step.estimate_ms,
+            max_per_worker=step.max_per_worker,
+            target_ms=step.target_ms,
+            max_unavailable=step.max_unavailable,
+        )
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
         raise InvalidJobError('the job has too many tasks', job=job.id)
+    _check_amounts(
+        job,
+        None,
+        repeat_count=job.repeat_count,
+        first_due_ms=job.first_due_ms,
+        period_ms=job.period_ms,
+    )
+    if (
+        job.repeat_count > MAX_OCCURRENCES
+        or job.repeat_count * tasks > MAX_REPEATED_TASKS
+    ):
+        raise InvalidJobError(
+            'the job is repeated too often',
+            job=job.id,
+            occurrences=job.repeat_count,
+            tasks=tasks,
+        )
+
+
+def _check_amounts(job: JobSpec, step: int | None, **amounts: int) -> None:
+    """Raise InvalidJobError if an amount is negative or too large."""
+    for name, amount in amounts.items():
+        if not 0 <= amount <= MAX_AMOUNT:
+            raise InvalidJobError(
+                'a number of the job is out of range',
+                job=job.id,
+                step=step,
+                field=name,
+            )
