Do not refuse a submission as not stored without the store

Cause: a daemon that could not consult the store answered 503, which says that the job never runs. If the answer of an earlier request for the same job was lost, the job may be stored and run. Change: submissions and cancellations are in doubt (504) unless the store has answered. They are answered as fast as before. JobNotStoredError is removed.

--- a/packages/fleet/src/oriolestand_fleet/_commits.py
+++ b/packages/fleet/src/oriolestand_fleet/_commits.py
@@ -113,9 +113,8 @@
 
     ``part`` is the partition of the table that holds the rows.
 
-    Raises JobNotStoredError if the store refused every attempt, and
-    JobInDoubtError if a response was lost and no retry could determine
-    whether the row was stored.
+    Raises JobInDoubtError if the store refused every attempt, or if a
+    response was lost and no retry could determine whether the row was stored.
     """
     message = store.CommitRows(
         table=table,
@@ -140,7 +139,7 @@
         retry_count += 1
     if is_in_doubt:
         raise jobs.JobInDoubtError('the store did not answer')
-    raise jobs.JobNotStoredError(
+    raise jobs.JobInDoubtError(
         'the store refused the write', why=outcome.error
     )
 
--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -20,15 +20,12 @@
     CANCELLED = 'cancelled'
 
 
-class JobNotStoredError(core.OriolestandError):
-    """Raised when a job was not stored and will not be."""
-
-    code = 'job_not_stored'
-    http_status = 503
-
-
 class JobInDoubtError(core.OriolestandError):
-    """Raised when a job may have been stored, or may yet be stored."""
+    """Raised when a job may have been stored, or may yet be stored.
+
+    This is so whenever the store cannot be consulted: another daemon may have
+    stored the job of an earlier request whose answer was lost.
+    """
 
     code = 'job_in_doubt'
     verdict = core.Verdict.MAY_HAVE_RUN
@@ -55,8 +52,8 @@
 class SubmitJob:
     """Request to store a job; the reply is False if it already existed.
 
-    Fails with InvalidJobError, JobNotStoredError or, shortly before
-    ``deadline_ms`` (on the daemon's clock) at the latest, JobInDoubtError.
+    Fails with InvalidJobError or, shortly before ``deadline_ms`` (on the
+    daemon's clock) at the latest, JobInDoubtError.
     """
 
     spec: scheduling.JobSpec
@@ -79,7 +76,7 @@
 class CancelJob:
     """Request to cancel a job; the reply tells whether it exists.
 
-    Fails with StateUnknownError, JobNotStoredError or JobInDoubtError.
+    Fails with StateUnknownError or JobInDoubtError.
     """
 
     job: str
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -312,9 +312,8 @@
                 limit=self._row_bytes,
             )
         if self._is_store_unreachable:
-            # If no write is sent, the job is certainly not stored, and the
-            # caller can retry at a daemon that reaches the store.
-            raise messages.JobNotStoredError('the store is out of reach')
+            # The caller can retry at once, at a daemon that reaches the store.
+            raise messages.JobInDoubtError('the store is out of reach')
         entry = store.Put(
             key=layout.JOB_PREFIX + job, value=models.encode_row(msg.spec)
         )
