Leave a job in doubt after an unexpected error

Cause: an unexpected error while a submission was served was answered with the verdict did_not_run, the default of errors, although the job may have been stored by then. Found by reading. Change: the answer has the verdict may_have_run; its status stays 500. Result: test_unexpected_error_leaves_a_job_in_doubt fails without the change.

--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -235,7 +235,10 @@
         exc = reason.value
         if not isinstance(exc, core.OriolestandError):
             self._log.error('Request failed', reason=reason.getTraceback())
-            exc = core.OriolestandError('internal error')
+            # The error may have come after a job was stored.
+            exc = core.OriolestandError(
+                'internal error', core.Verdict.MAY_HAVE_RUN
+            )
         self._log.info(
             'Request refused',
             method=req.method.decode('latin-1'),
--- a/packages/fleet/tests/services/frontend/test_requests.py
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -183,6 +183,15 @@
     assert _FrontendHarness().status(f'POST /j/{JOB}', b'{}') == 503
 
 
+def test_unexpected_error_leaves_a_job_in_doubt(front):
+    # A caller was told that its job had not run, although an unexpected error
+    # may come after the job was stored.
+    front.jobs.answer = defer.fail(RuntimeError('unexpected'))
+    _, transport = front.send(f'POST /j/{JOB}', b'{}')
+    assert int(transport.value().split(b' ')[1]) == 500
+    assert b'"verdict": "may_have_run"' in transport.value()
+
+
 @pytest.mark.parametrize(
     ('error', 'status'),
     [
