Limit repeated jobs to records that fit into a row

Cause: a repeated job of up to 20,000 tasks was accepted. The record of its done tasks exceeds a row of the store, so that its ends would never be acknowledged, and a takeover now waits for workers that cannot list all of their ends. Change: 1,000 steps and 8,000 tasks in all occurrences at most. Result: the records of the two longest repetitions fit into 65,536 bytes (test_record_of_the_longest_repetition_fits_into_a_row).

--- a/packages/policy/src/oriolestand_policy/scheduling/_specs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_specs.py
@@ -125,10 +125,11 @@
 """Limit on the tasks of one occurrence, so that the record of a job fits in
 a row."""
 
-MAX_OCCURRENCES = 1_000
-MAX_REPEATED_TASKS = 20_000
-"""Limit on the tasks of all occurrences, which may all be due at once. The
-owner of the cell holds each of them in memory."""
+MAX_REPEATED_STEPS = 1_000
+MAX_REPEATED_TASKS = 8_000
+"""Limits on the steps and tasks of all occurrences, which may all be due at
+once. The record of a job names each done task, and must fit in a row: ends are
+not acknowledged before it is stored."""
 
 MAX_AMOUNT = 10**15
 """Limit on each number of a job. Larger ones exceed what floating-point
@@ -182,7 +183,7 @@
         period_ms=job.period_ms,
     )
     if (
-        job.repeat_count > MAX_OCCURRENCES
+        job.repeat_count * len(job.steps) > MAX_REPEATED_STEPS
         or job.repeat_count * tasks > MAX_REPEATED_TASKS
     ):
         raise InvalidJobError(
--- a/packages/policy/tests/scheduling/test_invalid_jobs.py
+++ b/packages/policy/tests/scheduling/test_invalid_jobs.py
@@ -1,6 +1,7 @@
 """Tests that jobs with numbers out of range are refused."""
 
 import dataclasses
+import json
 
 import pytest
 
@@ -8,6 +9,7 @@
 from oriolestand_policy.scheduling import _specs
 
 STEP = scheduling.StepSpec(count=3, cpu=1_000, estimate_ms=500)
+ROW_BYTES = 65_536
 
 
 def job_of(step=STEP, **fields):
@@ -56,13 +58,21 @@
         scheduling.check_job(job_of(**fields))
 
 
-def test_repeated_tasks_fit_into_memory():
-    # Guards against an owner that is ended for its use of memory.
-    tasks = _specs.MAX_REPEATED_TASKS // 100
-    step = dataclasses.replace(STEP, count=tasks)
-    scheduling.check_job(job_of(step, repeat_count=100))
+@pytest.mark.parametrize(('count', 'times'), [(80, 100), (8, 1_000)])
+def test_record_of_the_longest_repetition_fits_into_a_row(count, times):
+    # Guards against a record that the store never accepts, so that no end of
+    # the job is acknowledged, and against tasks that do not fit into memory.
+    step = dataclasses.replace(STEP, count=count)
+    spec = job_of(step, repeat_count=times)
+    scheduling.check_job(spec)
+    job = scheduling.Job(spec=spec)
+    for number in range(times):
+        for task in job.occurrence(number)[0]:
+            job.mark_done(task)
+    record = json.dumps(scheduling.progress_of(job), separators=(',', ':'))
+    assert len(record) <= ROW_BYTES
     with pytest.raises(scheduling.InvalidJobError):
-        scheduling.check_job(job_of(step, repeat_count=101))
+        scheduling.check_job(dataclasses.replace(spec, repeat_count=times + 1))
 
 
 def test_usual_job_is_accepted():
