Show that a slow owner starts tasks again although their ends are received

The stand-in of the fleet gets a clock whose passes take time: as in Twisted, a pass first calls the due timers and then delivers what was received. Two causes show with it, both without any fault of the platform:

- the poller counts its sleeps as their nominal length, so that it stops to poll a worker for fifty passes while records wait, and the lease ends;
- a scheduling round is a timer and comes before the reads of its pass.

--- a/packages/core/src/oriolestand_core/__init__.py
+++ b/packages/core/src/oriolestand_core/__init__.py
@@ -4,6 +4,7 @@
 from oriolestand_core._clock import ManualClock
 from oriolestand_core._clock import Millis
 from oriolestand_core._clock import ReactorClock
+from oriolestand_core._clock import Timer
 from oriolestand_core._errors import InboxFullError
 from oriolestand_core._errors import NotReadyError
 from oriolestand_core._errors import OriolestandError
@@ -36,6 +37,7 @@
     'ReactorClock',
     'ServiceManifest',
     'Task',
+    'Timer',
     'UnknownMessageError',
     'UnknownServiceError',
     'Verdict',
--- /dev/null
+++ b/packages/fleet/tests/test_slow_owner.py
@@ -0,0 +1,77 @@
+"""Tests of an owner that is short of processor time, without any fault.
+
+Each pass of its reactor takes long, so that it notices everything late.
+"""
+
+import pytest
+
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
+from oriolestand_policy import scheduling
+
+LONG_JOB = 'a' * 16
+SHORT_JOB = 'b' * 16
+ONE_TASK = (scheduling.StepSpec(count=1, cpu=1_000),)
+LEASE_MS = 6_000
+PASS_MS = 500
+RECEIPT_MS = 5
+
+
+def add_slow_owner(site, pass_ms):
+    """Start a daemon that owns the cell."""
+    daemon = site.add_daemon('front-0', pass_ms=pass_ms)
+    site.run_until(lambda: daemon.is_owner, 20 * pass_ms + 5_000)
+    return daemon
+
+
+def refuse_records(site):
+    """Let the store refuse all records of jobs, but not those of owners."""
+    commit = site.store.commit
+
+    def commit_others(msg):
+        if any(put.key.startswith(layout.PROGRESS_PREFIX) for put in msg.puts):
+            raise store.StoreError('refused')
+        return commit(msg)
+
+    site.store.commit = commit_others
+
+
+@pytest.mark.parametrize('pass_ms', [300, 600, 1_200])
+def test_worker_is_polled_while_records_wait(site, pass_ms):
+    # Guards against second starts (TWICE). The poller counted its sleeps as
+    # their nominal length. Between two polls it slept fifty times, and each
+    # sleep took a pass of the reactor, so that the lease ran out.
+    owner = add_slow_owner(site, pass_ms)
+    site.submit(owner, LONG_JOB, ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: site.history, 10_000)
+    refuse_records(site)
+    (first,) = site.history
+    for name in site.workers:
+        if name != first.worker:
+            site.store.unregister_worker(name)
+    site.run(2_000)
+    site.submit(owner, SHORT_JOB, ONE_TASK, duration_ms=500)
+    site.run_until(lambda: len(site.history) == 2, 10_000)
+    site.run(3 * LEASE_MS)
+    assert first.outcome == ''
+    assert len(site.history) == 2
+
+
+@pytest.mark.parametrize('cut_ms', range(5_000, 8_000, 250))
+def test_round_follows_the_reports_that_are_received(site, cut_ms):
+    # Guards against second starts (TWICE). Rounds are timers, which a reactor
+    # calls before it reads. The lease of a worker was over in a round while
+    # the report with the end of the run was already received.
+    owner = add_slow_owner(site, PASS_MS)
+    site.submit(owner, LONG_JOB, ONE_TASK, duration_ms=4_000)
+    site.run_until(lambda: site.history, 10_000)
+    (first,) = site.history
+    site.run(1_000)
+    owner.orders.faults.unreachable.add(first.worker)
+    site.run(cut_ms)
+    owner.orders.faults.unreachable.clear()
+    site.run(15_000)
+    assert first.outcome == 'done'
+    # An order reaches the worker in the pass after the decision.
+    decisions = [run.started_ms - PASS_MS for run in site.history[1:]]
+    assert [ms for ms in decisions if ms > first.listed_ms + RECEIPT_MS] == []
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -15,6 +15,7 @@
 from oriolestand_fleet.messages import store as store_messages
 from oriolestand_fleet.messages import telemetry
 from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import _slow_clock
 from oriolestand_standins.fleet import _store
 from oriolestand_standins.fleet import _workers
 
@@ -133,10 +134,18 @@
         )
         self.store.register_worker(info)
 
-    def add_daemon(self, name: str, processors: float = 2.0) -> Daemon:
-        """Start a daemon with its own connections to store and workers."""
+    def add_daemon(
+        self, name: str, processors: float = 2.0, pass_ms: int = 0
+    ) -> Daemon:
+        """Start a daemon with its own connections to store and workers.
+
+        ``pass_ms``: how long each pass of its reactor takes, 0 if no time.
+        """
         self._seed += 1
-        kernel = core.Kernel(self.clock, core.IdSource(self._seed))
+        clock: core.Clock = self.clock
+        if pass_ms:
+            clock = _slow_clock.SlowClock(self.clock, pass_ms)
+        kernel = core.Kernel(clock, core.IdSource(self._seed))
         store = _store.StoreTask(kernel, self.store)
         orders = _workers.OrdersTask(kernel, self.workers)
         for task in (_TelemetryTask(kernel), store, orders):
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -9,6 +9,7 @@
 import oriolestand_core as core
 from oriolestand_fleet.messages import orders as contracts
 from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import _slow_clock
 
 LATENCY_MS = 2
 ORDER_TIMEOUT_MS = 1_200
@@ -21,7 +22,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RunRecord:
-    """Record of one run; ``outcome`` is empty while it runs."""
+    """Record of one run; ``outcome`` is empty while it runs.
+
+    ``listed_ms`` is when a report first listed its end, -1 if none has.
+    """
 
     worker: str
     key: scheduling.TaskKey
@@ -32,6 +36,7 @@
     percent: int = 0
     ended_ms: int = -1
     outcome: str = ''
+    listed_ms: int = -1
     is_acknowledged: bool = False
 
 
@@ -184,6 +189,9 @@
             self._clock.call_later(msg.wait_ms, lambda: _fire_once(fut))
             await fut
         listed_ends = self._ended[: self.max_listed_ends]
+        for _, record in listed_ends:
+            if record.listed_ms < 0:
+                record.listed_ms = self._clock.now()
         return scheduling.WorkerReport(
             clock_ms=self._clock.now(),
             process_start_ms=self.info.process_start_ms,
@@ -280,6 +288,18 @@
         await self.kernel.sleep(LATENCY_MS)
         return worker
 
+    async def _receive_from(self, target: contracts.Target) -> None:
+        """Wait until the response of a worker is read.
+
+        :raises WorkerError: after a time-out, if it cannot be reached.
+        """
+        worker = self._workers.get(target.worker)
+        is_unreachable = target.worker in self.faults.unreachable
+        if worker is None or worker.has_crashed or is_unreachable:
+            await self.kernel.sleep(ORDER_TIMEOUT_MS)
+            raise contracts.WorkerError('no answer')
+        await _slow_clock.receive(self.kernel, LATENCY_MS)
+
     async def _wait_to_send(self) -> None:
         """Wait for a connection."""
         if self.faults.send_delay_ms:
@@ -398,7 +418,7 @@
         if msg.target.worker in self.faults.report_delays_ms:
             await self._delay_report(msg, sent_ms, report)
         else:
-            await self._reach_worker(msg.target)
+            await self._receive_from(msg.target)
         return report
 
     async def _delay_report(
