Log late event loops and the polls before a lease is over

The log could not tell a worker that cannot be reached from an owner that does not poll it, or that runs too late to read the answers. 'Lease over' names the time since the last poll and the failed polls, and 'Event loop delayed' is logged when a timer is 500 ms late or more. The tests failed before, as the values and the line did not exist.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -123,6 +123,7 @@
         cursor = self._cursor
         clock = self._kernel.clock
         sent_ms = clock.now()
+        self._scheduler.on_poll_sent(self._worker, sent_ms)
         lease_end_ms = None
         if not self._is_unreachable:
             # The lease of an unreachable worker is not extended: the worker
--- a/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
@@ -45,13 +45,14 @@
         while not self.is_stopped:
             due_ms = clock.now() + const.LOOP_CHECK_INTERVAL_MS
             await self.kernel.sleep(const.LOOP_CHECK_INTERVAL_MS)
+            delay_ms = clock.now() - due_ms
             self._on_observe(
                 messages.Observe(
-                    name='loop_delay',
-                    label='',
-                    latency_ms=clock.now() - due_ms,
+                    name='loop_delay', label='', latency_ms=delay_ms
                 )
             )
+            if delay_ms >= const.LONG_LOOP_DELAY_MS:
+                self._log.warning('Event loop delayed', delay_ms=delay_ms)
 
     def stop(self) -> object:
         """Close the listener."""
--- a/packages/fleet/src/oriolestand_fleet/services/telemetry/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/const.py
@@ -11,3 +11,7 @@
 
 LOOP_CHECK_INTERVAL_MS = 500
 """How often the delay of the event loop is measured."""
+
+LONG_LOOP_DELAY_MS = 500
+"""A longer delay is logged: leases allow no more between their end and the
+release of the tasks."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -97,7 +97,8 @@
     unless ``is_readmitted``, and until ``backoff_until_ms``, as it rejected a
     start order. The ``reserved`` amounts are kept free for waiting tasks.
     ``unreachable_ms`` is when the first poll since the last report failed, -1
-    if none did. ``is_on_probation`` is whether it is kept for a suspect, so
+    if none did. ``failed_polls`` counts those polls, and ``polled_ms`` is when
+    the last poll was sent. ``is_on_probation`` is whether it is kept for a suspect, so
     that no other task starts beside it. ``version`` counts the changes that
     the selection of workers depends on.
     """
@@ -129,6 +130,8 @@
     backoff_until_ms: int = 0
     mitigated_ms: int = 0
     unreachable_ms: int = -1
+    failed_polls: int = 0
+    polled_ms: int = -1
     is_on_probation: bool = False
     version: int = 0
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -61,6 +61,7 @@
             self._cell.log('worker_probed', '', worker=worker_id)
         worker.last_report_ms = now_ms
         worker.unreachable_ms = -1
+        worker.failed_polls = 0
         worker.clock_ms = worker_report.clock_ms
         _exclusions.forget_old_failures(worker, now_ms)
         self._log_late_ends(worker, worker_report.ended)
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -246,10 +246,19 @@
         """Apply the ends as done in a report whose poll has failed."""
         self._report_handler.on_late_report(worker_report, now_ms)
 
+    def on_poll_sent(self, worker_id: str, now_ms: int) -> None:
+        """Note when a worker is polled."""
+        worker = self._cell.workers.get(worker_id)
+        if worker is not None:
+            worker.polled_ms = now_ms
+
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
         worker = self._cell.workers.get(worker_id)
-        if worker is not None and worker.unreachable_ms < 0:
+        if worker is None:
+            return
+        worker.failed_polls += 1
+        if worker.unreachable_ms < 0:
             worker.unreachable_ms = now_ms
             self._crash_handler.on_unreachable(worker)
 
@@ -450,9 +459,7 @@
                 continue
             if now_ms - worker.last_report_ms <= _placement.MAX_REPORT_AGE_MS:
                 continue
-            if not worker.is_lease_expired(
-                known_until_ms, LEASE_MARGIN_MS
-            ):
+            if not worker.is_lease_expired(known_until_ms, LEASE_MARGIN_MS):
                 continue
             if not worker.is_listed:
                 self._cell.remove_worker(worker.info.id, 'lease over')
@@ -463,6 +470,8 @@
                     worker=worker.info.id,
                     runs=len(worker.runs),
                     silent_ms=now_ms - worker.last_report_ms,
+                    polled_ms_ago=now_ms - worker.polled_ms,
+                    failed_polls=worker.failed_polls,
                     lease_end_ms=worker.lease_end_ms,
                     min_clock_ms=worker.min_clock_ms(known_until_ms),
                 )
--- a/packages/policy/tests/scheduling/test_late_end_log.py
+++ b/packages/policy/tests/scheduling/test_late_end_log.py
@@ -44,6 +44,21 @@
     assert values['min_clock_ms'] > values['lease_end_ms']
 
 
+@pytest.mark.parametrize('failed_polls', [0, 2])
+def test_expired_lease_is_logged_with_the_polls_before(released, failed_polls):
+    # Guards against a log that does not tell a worker that cannot be reached
+    # from an owner that does not poll it.
+    harness, start = released
+    sent_ms = harness.now - 3_000
+    harness.scheduler.on_poll_sent(start.worker, sent_ms)
+    for _ in range(failed_polls):
+        harness.scheduler.on_poll_failed(start.worker, sent_ms)
+    harness.scheduler.decide(harness.now, 0, scheduling.FormerRuns())
+    (values,) = events(harness, 'lease_over')
+    assert values['polled_ms_ago'] == 3_000
+    assert values['failed_polls'] == failed_polls
+
+
 @pytest.mark.parametrize('how', ['done', 'lapsed', 'failed'])
 @pytest.mark.parametrize('is_started', [False, True])
 def test_end_of_a_released_run_is_logged(released, make, how, is_started):
