--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -98,9 +98,9 @@
     start order. The ``reserved`` amounts are kept free for waiting tasks.
     ``unreachable_ms`` is when the first poll since the last report failed, -1
     if none did. ``failed_polls`` counts those polls, and ``polled_ms`` is when
-    the last poll was sent. ``is_on_probation`` is whether it is kept for a suspect, so
-    that no other task starts beside it. ``version`` counts the changes that
-    the selection of workers depends on.
+    the last poll was sent. ``is_on_probation`` is whether it is kept for a
+    suspect, so that no other task starts beside it. ``version`` counts the
+    changes that the selection of workers depends on.
     """
 
     info: WorkerInfo
