--- /dev/null
+++ b/packages/fleet/tests/test_shown_states.py
@@ -0,0 +1,64 @@
+"""Tests that all daemons show the state that workers have confirmed."""
+
+import pytest
+
+from oriolestand_fleet.messages import jobs
+from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import owner_of
+from oriolestand_standins.fleet import result_of
+
+JOBS = [f'{number:016x}' for number in range(6)]
+STEP = scheduling.StepSpec(count=1, cpu=1_000)
+SERVICE = scheduling.StepSpec(count=1, cpu=1_000, is_service=True)
+VISIBLE_MS = 3_000
+"""Bound of the users' interface for what all daemons show."""
+
+SEND_DELAY_MS = 1_700
+"""As in the incident of 2026-12-05; orders wait for up to 2,200 ms."""
+
+
+def waiting_at(daemon):
+    """Return the number of jobs that a daemon counts as waiting."""
+    fut = daemon.kernel.ask('jobs', jobs.CountWaiting(route='route'))
+    return result_of(fut)
+
+
+@pytest.mark.parametrize('step', [STEP, SERVICE], ids=['plain', 'service'])
+def test_jobs_without_a_run_wait_while_workers_are_cut_off(
+    site, daemons, step
+):
+    # Jobs counted as started once a start was decided. With all starts lost,
+    # no job was said to wait (MIXED).
+    owner = owner_of(daemons)
+    owner.orders.faults.unreachable = set(site.workers)
+    for job in JOBS:
+        site.submit(daemons[0], job, (step,), duration_ms=60_000)
+    site.run(VISIBLE_MS + 2_000)
+    assert site.history == []
+    assert [waiting_at(daemon) for daemon in daemons] == [len(JOBS)] * 3
+    assert {site.state(d, job) for d in daemons for job in JOBS} == {'queued'}
+    owner.orders.faults.unreachable = set()
+    site.run(25_000)
+    assert len({run.key for run in site.history}) == len(JOBS)
+    assert [waiting_at(daemon) for daemon in daemons] == [0] * 3
+    assert {site.state(d, job) for d in daemons for job in JOBS} == {'running'}
+
+
+@pytest.mark.parametrize('pass_ms', [300, 1_200])
+@pytest.mark.parametrize('step', [STEP, SERVICE], ids=['plain', 'service'])
+def test_jobs_wait_while_a_slow_owner_has_not_sent_starts(site, pass_ms, step):
+    # An owner that was short of processor time wrote the records of its
+    # decisions before it sent the starts (MIXED).
+    owner = site.add_daemon('front-0', pass_ms=pass_ms)
+    site.run_until(lambda: owner.is_owner, 20 * pass_ms + 5_000)
+    other = site.add_daemon('front-1')
+    site.run(2_000)
+    owner.orders.faults.send_delay_ms = SEND_DELAY_MS
+    for job in JOBS:
+        site.submit(other, job, (step,), duration_ms=60_000)
+    for _ in range(200):
+        site.run(100)
+        begun = {run.key.job for run in site.history}
+        for job in set(JOBS) - begun:
+            assert site.state(other, job) in (None, 'queued')
+    assert waiting_at(other) == len(JOBS) - len(begun)
