Show a job as started once a worker has confirmed a run

Cause: the record of a job said that it had started when a start was decided. A start that is refused, withdrawn, lost or not yet sent leaves the job shown as started on all daemons, for as long as its tasks wait.

Change: the first reply STARTED, listed run, listed end or adoption of a run of a job sets its state and queues its record. The decision is kept apart for the order of jobs and for ended service tasks of former owners, and is in the progress row until a run is confirmed. Plain jobs need no more writes than before, jobs with service tasks one more. A state row is not written before the state changes.

Tests: the four places that read has_started as the decision read is_start_decided. test_records_are_written_in_full_batches_after_an_outage counted all commits of 1 s, which now include the confirmations; it counts the commits until the backlog is written, with the same bound, and fails if the limits of batches stay after an outage.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -26,6 +26,9 @@
 STATE_FIELDS = ('outcome', 'started')
 """Fields of the progress that the state row holds as well."""
 
+INITIAL_STATE = {'outcome': None, 'started': False}
+"""State of a job without a state row."""
+
 
 class RecordSaver:
     """Write changed job records, one commit at a time.
@@ -231,9 +234,13 @@
             value=value,
             table=layout.OWNER_TABLE,
         )
-        state = _encode({k: progress[k] for k in STATE_FIELDS})
-        if self._written_states.get(job_id) != state:
-            yield store.Put(key=layout.RECORD_PREFIX + job_id, value=state)
+        state = {k: progress[k] for k in STATE_FIELDS}
+        if state == INITIAL_STATE:
+            # A stored state never returns to this one.
+            return
+        encoded = _encode(state)
+        if self._written_states.get(job_id) != encoded:
+            yield store.Put(key=layout.RECORD_PREFIX + job_id, value=encoded)
 
     def forget(self, job_id: str) -> None:
         """Drop what is kept for a job whose rows were removed."""
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -40,6 +40,7 @@
 class _ProgressRow(_StateRow):
     """Progress row of a job; see ``scheduling.progress_of``."""
 
+    decided: bool = False
     ended: int = 0
     done: list[tuple[int, int, list[int]]] = []
     open: list[tuple[int, int, int, list[int], str | None]] = []
--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -630,8 +630,8 @@
 
 
 def refuse_records(daemon, is_refused):
-    """Refuse commits with a record of certain jobs; return their sizes."""
-    sizes = []
+    """Refuse commits with a record of certain jobs; return their jobs."""
+    commits = []
     task = daemon.kernel.find('store')
     real = task._commit
 
@@ -642,13 +642,13 @@
             if put.key.startswith(layout.PROGRESS_PREFIX)
         ]
         if jobs:
-            sizes.append(len(jobs))
+            commits.append(jobs)
         if any(is_refused(job) for job in jobs):
             raise store.StoreError('refused', core.Verdict.DID_NOT_RUN)
         return await real(msg)
 
     task._commit = commit
-    return sizes
+    return commits
 
 
 @pytest.mark.parametrize('refused', [0, 17, 31])
@@ -681,15 +681,21 @@
     # that wait for it, because the store refused all commits for a while.
     owner = owner_of(daemons)
     is_down = True
-    sizes = refuse_records(owner, lambda _: is_down)
+    commits = refuse_records(owner, lambda _: is_down)
     ids = add_service_jobs(site, owner, 96)
     site.run(6_000)
     assert site.history == []
     is_down = False
-    sizes.clear()
+    commits.clear()
     site.run(1_000)
     assert {run.key.job for run in site.history} == set(ids)
-    assert len(sizes) <= 5
+    # Once the backlog is written, commits store that runs were confirmed.
+    unwritten = set(ids)
+    backlog = 0
+    while unwritten:
+        unwritten -= set(commits[backlog])
+        backlog += 1
+    assert backlog <= 5
 
 
 @pytest.mark.parametrize(
--- a/packages/fleet/tests/services/cell/test_released_starts.py
+++ b/packages/fleet/tests/services/cell/test_released_starts.py
@@ -22,7 +22,7 @@
     owner.orders.faults.send_delay_ms = SEND_DELAY_MS
     site.submit(owner, JOB, ONE_TASK, duration_ms=4_000)
     site.run_until(
-        lambda: JOB in scheduler.jobs and scheduler.jobs[JOB].has_started,
+        lambda: JOB in scheduler.jobs and scheduler.jobs[JOB].is_start_decided,
         2_000,
     )
     task = scheduler.jobs[JOB].tasks[0][0][0]
--- a/packages/fleet/tests/test_shown_states.py
+++ b/packages/fleet/tests/test_shown_states.py
@@ -35,6 +35,8 @@
         site.submit(daemons[0], job, (step,), duration_ms=60_000)
     site.run(VISIBLE_MS + 2_000)
     assert site.history == []
+    # Every daemon receives state rows, so there is none without a change.
+    assert not any(key.startswith('record/') for *_, key in site.store.rows)
     assert [waiting_at(daemon) for daemon in daemons] == [len(JOBS)] * 3
     assert {site.state(d, job) for d in daemons for job in JOBS} == {'queued'}
     owner.orders.faults.unreachable = set()
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -151,6 +151,18 @@
             task.ready_ms = now_ms
             self.ready.add(task)
 
+    def confirm_start(self, job: _jobs.Job) -> None:
+        """Note that a worker has a run of a job, or had one.
+
+        Callers are told so from then on. A start that was decided may be
+        refused, withdrawn or lost.
+        """
+        if job.has_started or job.outcome is not None:
+            return
+        job.is_start_decided = True
+        job.has_started = True
+        self.save(job)
+
     def finish_if_complete(self, job: _jobs.Job) -> None:
         """Mark a job as completed if all its tasks are done."""
         if job.outcome is None and job.is_complete():
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -153,11 +153,13 @@
     """State of a job; ``tasks`` holds the occurrences that are known.
 
     ``next_occurrence`` is the first one that was not queued as due; a new
-    owner may know a later one. ``needs_probe`` is set if a former owner of the
-    cell may have started the job on a worker that has not reported to this
-    owner yet. ``completions`` counts the tasks that were marked as done.
-    ``has_unknown_placements`` is whether its service tasks may run on workers
-    that its record does not name.
+    owner may know a later one. ``has_started`` is whether a worker has
+    confirmed a run of the job, and ``is_start_decided`` whether this owner or
+    a former one has decided to start one. ``needs_probe`` is set if a former
+    owner of the cell may have started the job on a worker that has not
+    reported to this owner yet. ``completions`` counts the tasks that were
+    marked as done. ``has_unknown_placements`` is whether its service tasks may
+    run on workers that its record does not name.
     """
 
     spec: _specs.JobSpec
@@ -166,6 +168,7 @@
     )
     next_occurrence: int = 0
     outcome: Outcome | None = None
+    is_start_decided: bool = False
     has_started: bool = False
     is_cancelled: bool = False
     needs_probe: bool = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -60,9 +60,10 @@
 def _may_have_run(job: _jobs.Job, task: _jobs.Task) -> bool:
     """Return whether this owner or a former one has started a task.
 
-    Records do not hold which tasks of a started job have run.
+    Records do not hold which tasks of a started job have run, nor whether a
+    start that the former owner decided took effect.
     """
-    return bool(task.run) or (job.needs_probe and job.has_started)
+    return bool(task.run) or (job.needs_probe and job.is_start_decided)
 
 
 def overdue_tasks(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -30,7 +30,9 @@
 def progress_of(job: _jobs.Job) -> Progress:
     """Return the progress of a job to store.
 
-    Keys: ``outcome`` (text or None), ``started``, ``ended`` (Unix ms),
+    Keys: ``outcome`` (text or None), ``started`` (whether a worker confirmed
+    a run), ``decided`` (only if starts were decided and none confirmed),
+    ``ended`` (Unix ms),
     ``done`` (rows of occurrence, step and indices of done tasks), ``open``
     (rows of occurrence, step, index, failed runs and checkpoint, only for
     tasks that have one of these), ``placed`` (rows of occurrence, step, index,
@@ -68,6 +70,8 @@
         'done': done,
         'open': unfinished,
     }
+    if job.is_start_decided and not job.has_started:
+        progress['decided'] = True
     if (
         job.has_services
         and not job.has_unknown_placements
@@ -129,6 +133,8 @@
     if progress.get('outcome'):
         job.outcome = _jobs.Outcome(progress['outcome'])
     job.has_started = bool(progress.get('started'))
+    # Earlier versions stored the decision as ``started``.
+    job.is_start_decided = job.has_started or bool(progress.get('decided'))
     job.ended_wall_ms = int(progress.get('ended', 0))
     for number, step, indices in progress.get('done', ()):
         for index in indices:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -33,6 +33,11 @@
         if outcome is _reports.StartOutcome.WITHDRAWN:
             self.withdraw_start(worker_id, key, number, now_ms)
             return
+        if outcome is _reports.StartOutcome.STARTED:
+            # The run may have been released before the reply was read.
+            job = self._cell.jobs.get(key.job)
+            if job is not None:
+                self._cell.confirm_start(job)
         worker = self._cell.workers.get(worker_id)
         if worker is None:
             return
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -148,7 +148,10 @@
                 self._cell.keep_end(end)
                 continue
             task = job.find(end.key)
-            if task is None or task.spec.is_service:
+            if task is None:
+                continue
+            self._cell.confirm_start(job)
+            if task.spec.is_service:
                 continue
             if job.outcome is None and not task.is_done:
                 self._apply_completion(job, task, end, now_ms)
@@ -245,6 +248,7 @@
         if job.outcome is not None:
             # The record that holds the outcome may not be written yet.
             return True
+        self._cell.confirm_start(job)
         if end.kind is _jobs.EndKind.DONE and not task.spec.is_service:
             if not task.is_done:
                 worker.failed_tasks.clear()
@@ -363,7 +367,10 @@
             self._send_pace(worker, run)
         job = self._cell.jobs.get(report.key.job)
         task = job.find(report.key) if job is not None else None
-        if task is not None and report.checkpoint and not task.is_done:
+        if job is None or task is None:
+            return
+        self._cell.confirm_start(job)
+        if report.checkpoint and not task.is_done:
             task.checkpoint = report.checkpoint
 
     def _adopt(
@@ -400,7 +407,6 @@
             )
             return run
         task.assign(worker.info.id, report.number, now_ms)
-        job.has_started = True
         self._cell.ready.discard(task.key)
         self._cell.log(
             'run_adopted',
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -419,9 +419,9 @@
         worker.add(self._make_run(task, number, now_ms))
         self._cell.ready.discard(task.key)
         task.assign(worker.info.id, number, now_ms)
+        job.is_start_decided = True
         needs_record = task.spec.is_service
-        if needs_record or not job.has_started:
-            job.has_started = True
+        if needs_record:
             self._cell.save(job)
         self._cell.effects.append(
             _effects.StartTask(
--- a/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
@@ -121,10 +121,12 @@
                 is_service=any(spec.is_service for spec in job.spec.steps),
             )
         self._times[key] = times
-        return _rank(times, job.has_started, wall_ms)
+        return _rank(times, job.is_start_decided, wall_ms)
 
 
-def _rank(times: _Times, has_started: bool, wall_ms: int) -> tuple[int, int]:
+def _rank(
+    times: _Times, is_start_decided: bool, wall_ms: int
+) -> tuple[int, int]:
     """Return the tier and the deadline of an occurrence."""
     due, objective = times.due_ms, times.objective_ms
     if times.is_service:
@@ -132,7 +134,7 @@
     finish = wall_ms + times.remaining_ms
     slack = due + objective - finish
     margin = START_MARGIN * (objective - times.remaining_ms)
-    if has_started:
+    if is_start_decided:
         margin = 0.0
     if slack >= max(0.0, margin):
         return (Tier.IN_TIME, due + objective)
--- a/packages/policy/tests/scheduling/test_confirmed_starts.py
+++ b/packages/policy/tests/scheduling/test_confirmed_starts.py
@@ -157,16 +157,36 @@
     assert len(saved) + len(saved_jobs(harness)) <= limit
 
 
+def successor_of(harness):
+    """Return the next owner's scheduler, with the job and its record."""
+    job = harness.scheduler.jobs['a']
+    successor = scheduling.Scheduler(2, 6_000)
+    successor.add_job(
+        job.spec,
+        harness.now,
+        progress=scheduling.progress_of(job),
+        needs_probe=True,
+    )
+    return successor
+
+
+@pytest.mark.parametrize('outcome', UNCONFIRMED, ids=lambda o: o.value)
+def test_next_owner_knows_that_a_start_was_decided(harness, outcome):
+    # Guards against an ended service task that the next owner starts like a
+    # new one, after others: its run may not have been confirmed in time.
+    harness.add('a', SERVICE)
+    ((start,), _) = harness.decide()
+    harness.answer(start, outcome)
+    harness.scheduler = successor_of(harness)
+    assert harness.scheduler.jobs['a'].is_start_decided
+    assert not is_shown_as_started(harness)
+
+
 @pytest.mark.parametrize('step', STEPS, ids=KINDS)
 def test_started_job_stays_so_under_the_next_owner(harness, step):
     # Guards against a state that goes back to waiting.
     harness.add('a', step)
     ((start,), _) = harness.decide()
     harness.answer(start)
-    job = harness.scheduler.jobs['a']
-    progress = scheduling.progress_of(job)
-    harness.scheduler = scheduling.Scheduler(2, 6_000)
-    harness.scheduler.add_job(
-        job.spec, harness.now, progress=progress, needs_probe=True
-    )
+    harness.scheduler = successor_of(harness)
     assert is_shown_as_started(harness)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -348,7 +348,7 @@
     slack = due + objective - finish
     margin = (
         0.0
-        if job.has_started
+        if job.is_start_decided
         else _urgency.START_MARGIN * (objective - remaining)
     )
     if slack >= max(0.0, margin):
--- a/packages/policy/tests/scheduling/test_urgency.py
+++ b/packages/policy/tests/scheduling/test_urgency.py
@@ -63,7 +63,7 @@
         [scheduling.RoutePolicy(name='r', pool='p', stretch=3.0)]
     )
     harness.add('old', BIG, accepted_ms=108_100)
-    harness.scheduler.jobs['old'].has_started = True
+    harness.scheduler.jobs['old'].is_start_decided = True
     harness.add('new', BIG, accepted_ms=109_900)
     harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 1_000
     starts, _ = harness.decide(wall=110_000)
--- a/packages/policy/tests/scheduling/test_waits_of_filling_tasks.py
+++ b/packages/policy/tests/scheduling/test_waits_of_filling_tasks.py
@@ -179,7 +179,7 @@
         waiting = sum(
             job.outcome is None
             and name.startswith('young')
-            and not job.has_started
+            and not job.is_start_decided
             for name, job in self.scheduler.jobs.items()
         )
         for _ in range(YOUNG_WAITING - waiting):
