Apply ends of runs whose rows can be read only in part

A done task could start again: a row of an end with a malformed field was ignored, and acknowledged with the next end. A row that is no array made the whole report count as malformed, so that the worker was unreachable.

A malformed kind still tells that the run has ended, neither as done nor as failed. An end as done needs no run number. A row without a readable task, or without a run number unless it is done, cannot be applied; it is acknowledged, as the worker would list it forever.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -180,8 +180,11 @@
         )
         for end in new_ends:
             self._count_end(end)
-        if new_ends:
-            cursor.received = max(end.sequence for end in new_ends)
+        last = max([report.last_sequence, *(e.sequence for e in new_ends)])
+        if last > cursor.received:
+            # Ends that could not be read are acknowledged as well: a worker
+            # answers polls at once while it lists ends, and lists 500 at most.
+            cursor.received = last
             self._acknowledge(cursor, changed_jobs)
         self._on_change()
         if cursor.recorded < cursor.received:
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -17,7 +17,10 @@
 
 
 class EndKind(enum.Enum):
-    """How a run of a task ended, as reported by its worker."""
+    """How a run of a task ended, as reported by its worker.
+
+    UNKNOWN: the worker reported a value that is none of the others.
+    """
 
     DONE = 'done'
     FAILED = 'failed'
@@ -25,6 +28,7 @@
     LAPSED = 'lapsed'
     BROKEN = 'broken'
     ALONE = 'alone'
+    UNKNOWN = 'unknown'
 
 
 class TaskKey(NamedTuple):
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -39,7 +39,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EndReport:
-    """End of a run; ``sequence`` numbers the ends reported by a worker."""
+    """End of a run; ``sequence`` numbers the ends reported by a worker.
+
+    ``number`` is 0, which no run has, if it could not be read.
+    """
 
     sequence: int
     key: _jobs.TaskKey
@@ -54,7 +57,9 @@
 
     ``clock_ms`` is the worker's clock. ``process_start_ms`` is when the
     worker process started, 0 if not reported. ``has_more_ends`` is whether
-    there may be later ends that ``ended`` does not list.
+    there may be later ends that ``ended`` does not list. ``last_sequence`` is
+    the number of the last end listed, if it is not in ``ended`` because it
+    could not be read.
     """
 
     clock_ms: int
@@ -62,3 +67,4 @@
     ended: tuple[EndReport, ...]
     process_start_ms: int = 0
     has_more_ends: bool = False
+    last_sequence: int = 0
