Keep runs whose rows can be read only in part

A running task could start a second time elsewhere: a running row with a malformed field was ignored, so that its run counted as missing after two polls. A row that is no array made the whole report count as malformed.

Change: a run needs a readable task and number only. Unknown progress does not count as a lack of it. While a row without these is listed, no run of the worker counts as missing, and its runs do not count as known.

--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -33,6 +33,7 @@
 from oriolestand_policy.scheduling._record import job_from_dict
 from oriolestand_policy.scheduling._record import job_to_dict
 from oriolestand_policy.scheduling._record import progress_of
+from oriolestand_policy.scheduling._reports import UNKNOWN_PERCENT
 from oriolestand_policy.scheduling._reports import EndReport
 from oriolestand_policy.scheduling._reports import RunReport
 from oriolestand_policy.scheduling._reports import StartOutcome
@@ -48,6 +49,7 @@
 
 __all__ = [
     'REPEATED_STOP',
+    'UNKNOWN_PERCENT',
     'Effect',
     'EndKind',
     'EndReport',
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -72,8 +72,10 @@
         for report in worker_report.running:
             listed.add((report.key, report.number))
             self._apply_run_report(worker, report, now_ms)
-        if not worker_report.has_more_ends:
-            # Otherwise a run that is not listed may have ended.
+        if not (
+            worker_report.has_more_ends or worker_report.has_unreadable_runs
+        ):
+            # Otherwise a run that is not listed may have ended or go on.
             worker.are_runs_known = True
             self._drop_missing_runs(worker, listed, sent_ms, now_ms)
         self._crash_handler.on_report(worker)
@@ -354,7 +356,9 @@
         run.missed_polls = 0
         run.is_sent = True
         _crashes.mark_proven(run, now_ms)
-        if report.percent != run.percent:
+        if report.percent == _reports.UNKNOWN_PERCENT:
+            run.progress_changed_ms = now_ms
+        elif report.percent != run.percent:
             run.percent = report.percent
             run.progress_changed_ms = now_ms
         run.measured = report.measured
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -5,6 +5,9 @@
 
 from oriolestand_policy.scheduling import _jobs
 
+UNKNOWN_PERCENT = -1
+"""Progress of a run whose progress could not be read."""
+
 
 class StartOutcome(enum.Enum):
     """Outcome of a start order.
@@ -25,9 +28,9 @@
 class RunReport:
     """State of a run that a worker lists.
 
-    ``percent`` is the progress. ``measured`` is the tail latency in
-    milliseconds for a service task, and otherwise the processor use in
-    thousandths of a core.
+    ``percent`` is the progress or ``UNKNOWN_PERCENT``. ``measured`` is the
+    tail latency in milliseconds for a service task, and otherwise the
+    processor use in thousandths of a core.
     """
 
     key: _jobs.TaskKey
@@ -59,7 +62,8 @@
     worker process started, 0 if not reported. ``has_more_ends`` is whether
     there may be later ends that ``ended`` does not list. ``last_sequence`` is
     the number of the last end listed, if it is not in ``ended`` because it
-    could not be read.
+    could not be read. ``has_unreadable_runs`` is whether there are runs that
+    ``running`` does not list, as they could not be read.
     """
 
     clock_ms: int
@@ -68,3 +72,4 @@
     process_start_ms: int = 0
     has_more_ends: bool = False
     last_sequence: int = 0
+    has_unreadable_runs: bool = False
