Judge leases of batch tasks by what was received

A batch task that had finished ran again. A tick is a timer, and after a pause of the process the reactor calls due timers before it reads from sockets: the lease counted as lapsed while the report with the end of the task was received, and the task was queued again.

Change: a tick waits for one more pass and judges leases by the time at which it was due; all that arrived until then is read. Both cases of test_pauses.py failed with two runs of the task and pass.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -1,6 +1,7 @@
 """Main task of the batch service."""
 
 from collections.abc import Coroutine
+import functools
 from typing import Any
 
 from twisted.internet import defer
@@ -148,11 +149,19 @@
     # Periodic work
 
     def _tick(self) -> None:
+        """Work once the reactor has read what was received until now."""
+        self._timer = self.kernel.clock.call_later(
+            const.NEXT_PASS_MS,
+            functools.partial(self._work, self.kernel.clock.now()),
+        )
+
+    def _work(self, received_until: core.Millis) -> None:
         """Advance lifecycles, renew leases, poll for tasks and place them."""
         if self.is_stopped:
             return
+        tick = batch.Tick(received_until=received_until)
         for lifecycle in list(self._lifecycles.values()):
-            self._deliver(lifecycle, batch.Tick())
+            self._deliver(lifecycle, tick)
         self._run_driver.renew(self._lifecycles.values())
         if not self._is_draining:
             now = self.kernel.clock.now()
--- a/packages/daemon/src/oriolestand_daemon/services/batch/const.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/const.py
@@ -16,6 +16,11 @@
 """Table with the distinct worker specs, by pool and failure domain."""
 
 TICK_INTERVAL_MS = 250
+NEXT_PASS_MS = 0
+"""A timer with this delay is called in the next pass of the reactor. Each pass
+calls the due timers before it reads from sockets, so that a tick directly on
+a timer would not know of reports that are received already."""
+
 POLL_INTERVAL_MS = 1_000
 SPEC_INTERVAL_MS = 60_000
 SPEC_RETRY_MS = 2_000
--- a/packages/policy/src/oriolestand_policy/batch/_lifecycle.py
+++ b/packages/policy/src/oriolestand_policy/batch/_lifecycle.py
@@ -200,8 +200,10 @@
                 self._stop_reason = _StopReason.CANCEL
             case _messages.HandOverRequested():
                 self._is_handing_over = True
-            case _messages.Tick():
-                return self._on_tick(now)
+            case _messages.Tick(received_until=received_until):
+                return self._on_tick(
+                    now, now if received_until is None else received_until
+                )
         return self._next_effects(now)
 
     def _is_reported_running(self) -> bool:
@@ -286,13 +288,19 @@
         self._end_report = end
         return [_effects.ReleaseSlots(row=self.row), *self._next_effects(now)]
 
-    def _on_tick(self, now: core.Millis) -> list[_effects.Effect]:
-        """Resend unanswered requests; detect a lapsed lease."""
+    def _on_tick(
+        self, now: core.Millis, received_until: core.Millis
+    ) -> list[_effects.Effect]:
+        """Resend unanswered requests; detect a lapsed lease.
+
+        A lease that lapsed after ``received_until`` does not count as lapsed:
+        a report that is not delivered yet may have the end of the task.
+        """
         if self._end_report is not None or not self.row.state.is_placed:
             return self._next_effects(now)
         if not self._is_controller():
             return []
-        if self._has_lapsed(now):
+        if self._has_lapsed(received_until):
             return self._on_end(
                 _make_stop_report(self.row, 'lease lapsed'), now
             )
--- a/packages/policy/src/oriolestand_policy/batch/_messages.py
+++ b/packages/policy/src/oriolestand_policy/batch/_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+import oriolestand_core as core
 from oriolestand_policy.batch import _row
 
 
@@ -93,4 +94,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick(Message):
-    """Periodic message that triggers retries and timeouts."""
+    """Periodic message that triggers retries and timeouts.
+
+    ``received_until`` is the time until which all reports that were received
+    are delivered; None stands for the present time.
+    """
+
+    received_until: core.Millis | None = None
