Read received answers of the platform before calls time out

After a pause of the process, or on a reactor whose passes take over a second, calls of the batch daemon to workers and to the store fail although their responses have been received: the reactor calls due timers before it reads from sockets. An end of a task in such a response was dropped, so that the lease of the task could count as lapsed (second part by reading).

Change: a call that times out gets one more pass of the reactor, and another one as long as each brings data.

--- a/packages/platform/src/oriolestand_platform/_transport.py
+++ b/packages/platform/src/oriolestand_platform/_transport.py
@@ -58,11 +58,47 @@
         """Do nothing; the whole body has been written."""
 
 
+class _Timeout:
+    """Cancel a request after a time, once received data is read.
+
+    The reactor calls due timers before it reads from sockets. After a pause
+    of the process the response may have been received in time, so the request
+    gets one more pass, and another one as long as each brings data.
+    """
+
+    def __init__(
+        self, reactor: Any, request: 'defer.Deferred[Any]', delay_s: float
+    ) -> None:
+        self._reactor = reactor
+        self._request = request
+        self.has_received = False
+        self._timer = reactor.callLater(delay_s, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        """Let the reactor read from its sockets once."""
+        self.has_received = False
+        self._timer = self._reactor.callLater(0, self._on_expiry)
+
+    def _on_expiry(self) -> None:
+        """Cancel the request unless the last pass brought data."""
+        if self.has_received:
+            self._on_timeout()
+        else:
+            self._request.cancel()
+
+    def stop(self, result: Any) -> Any:
+        """Stop the timer; return the result of the request unchanged."""
+        if self._timer.active():
+            self._timer.cancel()
+        return result
+
+
 class _BodyReader(protocol.Protocol):
     """Read the body of a response; ``done`` fails above ``limit`` bytes."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, timeout: _Timeout) -> None:
         self._limit = limit
+        self._timeout = timeout
         self._data = bytearray()
         self.done: defer.Deferred[bytes] = defer.Deferred(self._abort)
 
@@ -76,6 +112,7 @@
         """Buffer received data, or fail with ResponseTooLongError."""
         if self.done.called:
             return
+        self._timeout.has_received = True
         self._data += data
         if len(self._data) > self._limit:
             self.done.errback(ResponseTooLongError(self._limit))
@@ -150,15 +187,17 @@
             JSON_HEADERS,
             producer,
         )
-        fut.addCallback(self._read_body, limit)
-        fut.addTimeout(self._timeout, self._reactor)
+        timeout = _Timeout(self._reactor, fut, self._timeout)
+        fut.addCallback(self._read_body, limit, timeout)
+        fut.addBoth(timeout.stop)
         return fut
 
     def _read_body(
-        self, response: Any, limit: int
+        self, response: Any, limit: int, timeout: _Timeout
     ) -> 'defer.Deferred[HttpResponse]':
         """Read the complete body of a response."""
-        reader = _BodyReader(limit)
+        timeout.has_received = True
+        reader = _BodyReader(limit, timeout)
         response.deliverBody(reader)
         return reader.done.addCallback(
             lambda body: HttpResponse(status=response.code, body=body)
