Acknowledge ends of unknown jobs once the job is known

A done task started again after a change of the owner: the end as done of a job that the owner did not know yet was kept in memory and acknowledged. If its term ended before the job arrived, the next owner learned of the end from nobody.

Change: such an end, and those after it on the worker, are acknowledged once the job is known, the end is applied and the record is written, or after 5 s. Jobs arrive within that time even if two reads time out; ends of removed jobs must not stay listed. Meanwhile polls keep to the pause that they make while records wait to be written.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -16,6 +16,21 @@
 from oriolestand_policy import scheduling
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, eq=False)
+class _HeldEnds:
+    """Ends of a poll that wait until their jobs are known.
+
+    ``entry`` is the one in ``_Cursor.pending``. ``report`` has only the ends
+    as done of unknown jobs, and ``changed_jobs`` are those that the rest of
+    the report has changed. After ``until_ms`` jobs are not waited for.
+    """
+
+    entry: list[int]
+    report: scheduling.WorkerReport
+    changed_jobs: set[str]
+    until_ms: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Cursor:
     """Track which ends of one incarnation of a worker are recorded.
@@ -34,6 +49,7 @@
     pending: collections.deque[list[int]] = dataclasses.field(
         default_factory=collections.deque
     )
+    held: list[_HeldEnds] = dataclasses.field(default_factory=list)
 
     def mark_written(self, entry: list[int]) -> None:
         """Mark the records of a poll as written and advance the cursor."""
@@ -172,11 +188,9 @@
         new_ends = tuple(
             e for e in report.ended if e.sequence > cursor.received
         )
+        report = dataclasses.replace(report, ended=new_ends)
         changed_jobs = self._scheduler.on_worker_report(
-            self._worker,
-            dataclasses.replace(report, ended=new_ends),
-            sent_ms,
-            clock.now(),
+            self._worker, report, sent_ms, clock.now()
         )
         for end in new_ends:
             self._count_end(end)
@@ -185,7 +199,8 @@
             # Ends that could not be read are acknowledged as well: a worker
             # answers polls at once while it lists ends, and lists 500 at most.
             cursor.received = last
-            self._acknowledge(cursor, changed_jobs)
+            self._acknowledge(cursor, report, changed_jobs)
+        self._release_held_ends(cursor)
         self._on_change()
         if cursor.recorded < cursor.received:
             await self._wait_for_records()
@@ -193,10 +208,61 @@
             # A poll without a lease does not wait at the worker.
             await self._kernel.sleep(const.POLL_RETRY_MS)
 
-    def _acknowledge(self, cursor: _Cursor, changed_jobs: set[str]) -> None:
-        """Acknowledge ends once the records of their jobs are written."""
+    def _acknowledge(
+        self,
+        cursor: _Cursor,
+        report: scheduling.WorkerReport,
+        changed_jobs: set[str],
+    ) -> None:
+        """Acknowledge ends once they are applied and their records written."""
         entry = [cursor.received, False]
         cursor.pending.append(entry)
+        unknown_ends = tuple(
+            end
+            for end in report.ended
+            if end.kind is scheduling.EndKind.DONE
+            and end.key.job not in self._scheduler.jobs
+        )
+        if not unknown_ends:
+            self._mark_when_saved(cursor, entry, changed_jobs)
+            return
+        cursor.held.append(
+            _HeldEnds(
+                entry=entry,
+                report=dataclasses.replace(report, ended=unknown_ends),
+                changed_jobs=changed_jobs,
+                until_ms=self._kernel.clock.now() + const.UNKNOWN_JOB_WAIT_MS,
+            )
+        )
+
+    def _release_held_ends(self, cursor: _Cursor) -> None:
+        """Apply held ends whose jobs are known or not waited for any more."""
+        now = self._kernel.clock.now()
+        jobs = self._scheduler.jobs
+        for held in list(cursor.held):
+            known_ends = tuple(
+                end for end in held.report.ended if end.key.job in jobs
+            )
+            if len(known_ends) < len(held.report.ended):
+                if now < held.until_ms:
+                    continue
+                self._log.info(
+                    'Ends of unknown jobs acknowledged',
+                    worker=self._worker,
+                    ends=len(held.report.ended) - len(known_ends),
+                )
+            cursor.held.remove(held)
+            changed_jobs = self._scheduler.on_late_report(
+                dataclasses.replace(held.report, ended=known_ends), now
+            )
+            self._mark_when_saved(
+                cursor, held.entry, held.changed_jobs | changed_jobs
+            )
+
+    def _mark_when_saved(
+        self, cursor: _Cursor, entry: list[int], changed_jobs: set[str]
+    ) -> None:
+        """Mark a poll as written once the records of jobs are written."""
         # Changed records must be queued in the saver before waiting for them.
         self._on_change()
         fut = self._saver.when_saved(changed_jobs)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -51,6 +51,12 @@
 """Longest delay of the next poll while the records of ended runs wait to be
 written to the store."""
 
+UNKNOWN_JOB_WAIT_MS = 5_000
+"""How long ends as done of a job that the owner does not know are not
+acknowledged. New jobs arrive within it even if two reads of them time out,
+after 1.9 s each. Ends of removed jobs are acknowledged after it: a worker
+lists a limited number of ends, and later ones wait behind them."""
+
 FOLLOW_WAIT_MS = 1_000
 RETRY_MS = 150
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -120,13 +120,14 @@
 
     def on_late_report(
         self, worker_report: _reports.WorkerReport, now_ms: int
-    ) -> None:
+    ) -> set[str]:
         """Apply the ends as done in a report whose poll has failed.
 
         A later poll may have been answered meanwhile, so the rest of the
-        report is ignored.
+        report is ignored. Return the ids of the jobs whose record must be
+        written before these ends are acknowledged.
         """
-        self._apply_done_ends(worker_report.ended, now_ms)
+        return self._apply_done_ends(worker_report.ended, now_ms)
 
     def on_job_added(self, job_id: str, now_ms: int) -> None:
         """Apply the ends that were listed before a job was added."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -242,9 +242,13 @@
 
     def on_late_report(
         self, worker_report: _reports.WorkerReport, now_ms: int
-    ) -> None:
-        """Apply the ends as done in a report whose poll has failed."""
-        self._report_handler.on_late_report(worker_report, now_ms)
+    ) -> set[str]:
+        """Apply the ends as done in a report whose poll has failed.
+
+        Return the ids of the jobs whose record must be written before these
+        ends are acknowledged.
+        """
+        return self._report_handler.on_late_report(worker_report, now_ms)
 
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
