Answer requests that were received before a drain closes connections

A caller got no answer during a planned shutdown: after a pause of the process the drain, a timer, closed a connection as idle before the reactor had read the request in its buffer.

Change: the drain waits for one more pass and judges the idle time as of the time at which it was due. The new test failed and passes.

--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -298,9 +298,10 @@
             await defer.maybeDeferred(port.stopListening)
         self._ports = []
         while self._factory.channels:
-            now = self.kernel.clock.now()
+            due_ms = self.kernel.clock.now()
+            await self.kernel.sleep(const.NEXT_PASS_MS)
             for channel in list(self._factory.channels):
-                idle_ms = now - channel.idle_since
+                idle_ms = due_ms - channel.idle_since
                 if channel.is_idle and idle_ms >= const.DRAIN_IDLE_MS:
                     channel.close()
             await self.kernel.sleep(const.DRAIN_POLL_MS)
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/const.py
@@ -21,5 +21,10 @@
 """Connections that are idle for this long are closed while draining."""
 
 DRAIN_POLL_MS = 50
+NEXT_PASS_MS = 0
+"""A timer with this delay is called in the next pass of the reactor. Each pass
+calls the due timers before it reads from sockets, so that a connection may
+look idle although a request is received already."""
+
 JOB_ID_LENGTH = 16
 """Number of hexadecimal digits of a job id."""
--- a/packages/fleet/tests/services/frontend/test_requests.py
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -261,6 +261,29 @@
     assert done == [None]
 
 
+def test_shutdown_answers_requests_that_were_received_in_a_pause(front):
+    # After a pause of the process the reactor calls due timers before it
+    # reads from sockets: a connection was closed as idle with a request in
+    # its buffer, which got no answer.
+    front.jobs.answer = True
+    channel, transport = front.open()
+    front.kernel.publish(lifecycle.ShutdownStarted(), is_state=True)
+    front.kernel.ask('frontend', lifecycle.DrainConnections())
+    front.clock.advance(const.DRAIN_SERVE_MS - 10)
+    is_closed_before = []
+
+    def read():
+        is_closed_before.append(transport.disconnecting)
+        front.send(f'POST /j/{JOB}', b'{}', channel=(channel, transport))
+
+    front.clock._now += const.DRAIN_IDLE_MS
+    # Runs after the timers that became due during the pause.
+    front.clock.call_later(0, read)
+    front.clock.advance(0)
+    assert is_closed_before == [False]
+    assert b'200' in transport.value()
+
+
 def test_disconnected_caller_gets_no_answer(front):
     # Answering a request whose connection is closed must not fail.
     front.jobs.answer = defer.Deferred()
