--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -73,8 +73,10 @@
         for report in worker_report.running:
             listed.add((report.key, report.number))
             self._apply_run_report(worker, report, now_ms)
-        if not worker_report.has_more_ends:
-            # Otherwise a run that is not listed may have ended.
+        if not (
+            worker_report.has_more_ends or worker_report.has_unreadable_runs
+        ):
+            # Otherwise a run that is not listed may have ended or go on.
             worker.are_runs_known = True
             self._drop_missing_runs(worker, listed, sent_ms, now_ms)
         self._crash_handler.on_report(worker)
@@ -119,13 +121,14 @@
 
     def on_late_report(
         self, worker_report: _reports.WorkerReport, now_ms: int
-    ) -> None:
+    ) -> set[str]:
         """Apply the ends as done in a report whose poll has failed.
 
         A later poll may have been answered meanwhile, so the rest of the
-        report is ignored.
+        report is ignored. Return the ids of the jobs whose record must be
+        written before these ends are acknowledged.
         """
-        self._apply_done_ends(worker_report.ended, now_ms)
+        return self._apply_done_ends(worker_report.ended, now_ms)
 
     def on_job_added(self, job_id: str, now_ms: int) -> None:
         """Apply the ends that were listed before a job was added."""
@@ -359,7 +362,9 @@
         run.missed_polls = 0
         run.is_sent = True
         _crashes.mark_proven(run, now_ms)
-        if report.percent != run.percent:
+        if report.percent == _reports.UNKNOWN_PERCENT:
+            run.progress_changed_ms = now_ms
+        elif report.percent != run.percent:
             run.percent = report.percent
             run.progress_changed_ms = now_ms
         run.measured = report.measured
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -5,6 +5,9 @@
 
 from oriolestand_policy.scheduling import _jobs
 
+UNKNOWN_PERCENT = -1
+"""Progress of a run whose progress could not be read."""
+
 
 class StartOutcome(enum.Enum):
     """Outcome of a start order.
@@ -25,9 +28,9 @@
 class RunReport:
     """State of a run that a worker lists.
 
-    ``percent`` is the progress. ``measured`` is the tail latency in
-    milliseconds for a service task, and otherwise the processor use in
-    thousandths of a core.
+    ``percent`` is the progress or ``UNKNOWN_PERCENT``. ``measured`` is the
+    tail latency in milliseconds for a service task, and otherwise the
+    processor use in thousandths of a core.
     """
 
     key: _jobs.TaskKey
@@ -39,7 +42,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EndReport:
-    """End of a run; ``sequence`` numbers the ends reported by a worker."""
+    """End of a run; ``sequence`` numbers the ends reported by a worker.
+
+    ``number`` is 0, which no run has, if it could not be read.
+    """
 
     sequence: int
     key: _jobs.TaskKey
@@ -54,7 +60,10 @@
 
     ``clock_ms`` is the worker's clock. ``process_start_ms`` is when the
     worker process started, 0 if not reported. ``has_more_ends`` is whether
-    there may be later ends that ``ended`` does not list.
+    there may be later ends that ``ended`` does not list. ``last_sequence`` is
+    the number of the last end listed, if it is not in ``ended`` because it
+    could not be read. ``has_unreadable_runs`` is whether there are runs that
+    ``running`` does not list, as they could not be read.
     """
 
     clock_ms: int
@@ -62,3 +71,5 @@
     ended: tuple[EndReport, ...]
     process_start_ms: int = 0
     has_more_ends: bool = False
+    last_sequence: int = 0
+    has_unreadable_runs: bool = False
