--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -454,9 +454,7 @@
                 continue
             if now_ms - worker.last_report_ms <= _placement.MAX_REPORT_AGE_MS:
                 continue
-            if not worker.is_lease_expired(
-                known_until_ms, LEASE_MARGIN_MS
-            ):
+            if not worker.is_lease_expired(known_until_ms, LEASE_MARGIN_MS):
                 continue
             if not worker.is_listed:
                 self._cell.remove_worker(worker.info.id, 'lease over')
