Show that a slow owner decides about new jobs a pass late

Requested rounds wait for one more pass of the reactor, so that reports are read before leases are judged.

--- a/packages/fleet/tests/test_slow_owner.py
+++ b/packages/fleet/tests/test_slow_owner.py
@@ -79,3 +79,35 @@
     site.run(20 * pass_ms + 10_000)
     assert len(rounds) > 10
     assert [run.outcome for run in site.history] == ['done']
+
+
+@pytest.mark.parametrize('pass_ms', [100, 700, 1_600])
+def test_round_comes_in_the_pass_after_a_new_job(site, pass_ms):
+    # Guards against starts that a slow owner decides a pass late. A requested
+    # round waited for one pass more than its timer.
+    owner = add_slow_owner(site, pass_ms)
+    term = owner.kernel.find('cell')._owner_term
+    add_job = term.add_job
+    decide = term._scheduler.decide
+    pending_ms = []
+    delays_ms = []
+
+    def note_job(job):
+        pending_ms.append(site.clock.now())
+        add_job(job)
+
+    def note_round(*args):
+        now = site.clock.now()
+        delays_ms.extend(now - added_ms for added_ms in pending_ms)
+        pending_ms.clear()
+        decide(*args)
+
+    term.add_job = note_job
+    term._scheduler.decide = note_round
+    for number, letter in enumerate('abcdef', start=1):
+        site.submit(owner, letter * 16, ONE_TASK)
+        # The next job comes at another time between two periodic rounds.
+        site.run(number * pass_ms)
+    site.run(10 * pass_ms)
+    assert len(delays_ms) == 6
+    assert max(delays_ms) <= pass_ms
