Count waiting jobs only in a recent view

Change: the jobs service knows the age of its replica, from the time at which the last answered read was sent. Above 3 s (the bound visible_ms of the users' interface, a constant, as the fleet settings do not hold it) a request for the number of waiting jobs waits for the next read and, shortly before its deadline, fails with 503 and the code view_outdated. A slow daemon omits the pause between reads; with it, a daemon whose passes take 1.2 s could not answer in 3 s. The state of a single job is still told from an old view.

That such a view is the cause in the users' records is not shown.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -39,6 +39,13 @@
     http_status = 503
 
 
+class ViewOutdatedError(core.OriolestandError):
+    """Raised when the replica is too old, or missing, to answer from it."""
+
+    code = 'view_outdated'
+    http_status = 503
+
+
 class LoadEndedError(core.OriolestandError):
     """Raised when a load ended before all was read.
 
@@ -86,9 +93,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CountWaiting:
-    """Request the number of jobs of a route that have not started."""
+    """Request the number of jobs of a route that have not started.
+
+    Fails with ViewOutdatedError shortly before ``deadline_ms``.
+    """
 
     route: str
+    deadline_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -162,7 +162,7 @@
         route, job = match
         deadline = self.kernel.clock.now() + _timeout_ms(req)
         if not job:
-            return await self._count_waiting(req, route.policy.name)
+            return await self._count_waiting(req, route.policy.name, deadline)
         if not _is_job_id(job):
             raise errors.BadRequestError(
                 'the path does not contain a valid job id', path=path
@@ -218,13 +218,14 @@
         return 200, b''
 
     async def _count_waiting(
-        self, req: _channel.FrontendRequest, route: str
+        self, req: _channel.FrontendRequest, route: str, deadline: int
     ) -> tuple[int, bytes]:
         """Return the response with the number of waiting jobs of a route."""
         if req.method != b'GET':
             raise errors.BadRequestError('a job id is required')
         count = await self.kernel.ask(
-            jobs.SERVICE, jobs.CountWaiting(route=route)
+            jobs.SERVICE,
+            jobs.CountWaiting(route=route, deadline_ms=deadline),
         )
         return 200, self._codec.encode_waiting(count)
 
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -16,6 +16,7 @@
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.jobs import _owner_view
 from oriolestand_fleet.services.jobs import _replica
+from oriolestand_fleet.services.jobs import _view_age
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
 from oriolestand_policy import backoff
@@ -34,6 +35,7 @@
         self._replica = _replica.Replica()
         self._cursor: int | None = None
         self._synced_ms: int | None = None
+        self._view_age = _view_age.ViewAge(kernel)
         self._is_store_unreachable = False
         self._owner_view: _owner_view.OwnerView | None = None
         self._sync_waiters: list[tuple[int, defer.Deferred[None]]] = []
@@ -83,6 +85,7 @@
         Parts are read one after the other, so the changes are followed from
         the oldest version among the responses.
         """
+        sent_ms = self.kernel.clock.now()
         rows: list[store.Row] = []
         oldest_version: int | None = None
         for part in layout.all_parts():
@@ -105,10 +108,11 @@
                 'the store returned rows older than the replica'
             )
         self._publish(self._replica.replace(rows))
-        self._set_synced_version(oldest_version)
+        self._set_synced_version(oldest_version, sent_ms)
 
     async def _read_changes(self, cursor: int) -> None:
         """Wait for changes and apply them."""
+        sent_ms = self.kernel.clock.now()
         page: store.RowPage = await self.kernel.ask(
             store.SERVICE,
             store.FollowRows(
@@ -118,9 +122,9 @@
         self._count_rows(page.rows)
         for row in page.rows:
             self._publish(self._replica.apply(row))
-        self._set_synced_version(max(cursor, page.version))
-        if page.rows:
-            await self.kernel.sleep(const.FOLLOW_PAUSE_MS)
+        self._set_synced_version(max(cursor, page.version), sent_ms)
+        if page.rows and self._view_age.pause_ms:
+            await self.kernel.sleep(self._view_age.pause_ms)
 
     def _count_rows(self, rows: Sequence[store.Row]) -> None:
         """Count the bytes of the received rows by kind."""
@@ -133,8 +137,11 @@
                 telemetry.Count(name='replica_bytes', label=kind, amount=size),
             )
 
-    def _set_synced_version(self, version: int) -> None:
-        """Set the version up to which the replica is complete."""
+    def _set_synced_version(self, version: int, known_ms: int) -> None:
+        """Set the version up to which the replica is complete.
+
+        It has all changes that were stored before ``known_ms``.
+        """
         self._observe_sync()
         if self._is_store_unreachable:
             self._is_store_unreachable = False
@@ -148,6 +155,7 @@
             if min_version <= version:
                 self._sync_waiters.remove((min_version, fut))
                 fut.callback(None)
+        self._view_age.on_read(known_ms)
 
     def _observe_sync(self) -> None:
         """Record the time since the replica was last in sync."""
@@ -421,8 +429,15 @@
         return True
 
     @core.handles(messages.CountWaiting)
-    def _on_count(self, msg: messages.CountWaiting) -> int:
-        """Return the number of jobs of a route that have not started."""
+    def _on_count(self, msg: messages.CountWaiting) -> 'defer.Deferred[int]':
+        """Count the jobs of a route that have not started."""
+        return defer.ensureDeferred(self._count_waiting(msg))
+
+    async def _count_waiting(self, msg: messages.CountWaiting) -> int:
+        """Return the number of such jobs, according to a recent view."""
+        await self._view_age.wait_until_recent(
+            msg.deadline_ms - const.DEADLINE_MARGIN_MS
+        )
         return self._replica.count_waiting(msg.route)
 
     def _observe_write(self, name: str, kind: str, started_ms: int) -> None:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/const.py
@@ -22,5 +22,14 @@
 """Shorter pause for the owner of the cell, which must receive jobs before they
 can start."""
 
+MAX_VIEW_AGE_MS = 3_000
+"""Oldest view from which jobs are counted: the time after which the users'
+interface expects an accepted job to be visible (bound ``visible_ms``)."""
+
+SLOW_READ_MS = 1_500
+"""Age of a view on arrival from which the next read is sent without a pause,
+as half of the largest age is over. Such a read carries several changes
+anyway."""
+
 DEADLINE_MARGIN_MS = 150
 """Time reserved for the answer to reach the caller."""
--- a/packages/fleet/tests/test_path.py
+++ b/packages/fleet/tests/test_path.py
@@ -105,7 +105,10 @@
         site.submit(daemons[0], f'{number:016x}', steps, duration_ms=30_000)
     site.run(2_500)
     for daemon in daemons:
-        fut = daemon.kernel.ask('jobs', jobs.CountWaiting(route='route'))
+        request = jobs.CountWaiting(
+            route='route', deadline_ms=site.clock.now() + 1_000
+        )
+        fut = daemon.kernel.ask('jobs', request)
         assert result_of(fut) == 2
     assert owner_of(daemons)
 
--- a/packages/fleet/tests/test_shown_states.py
+++ b/packages/fleet/tests/test_shown_states.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-import oriolestand_core as core
 from oriolestand_fleet.messages import jobs
 from oriolestand_policy import scheduling
 from oriolestand_standins.fleet import owner_of
@@ -11,6 +10,7 @@
 JOBS = [f'{number:016x}' for number in range(6)]
 STEP = scheduling.StepSpec(count=1, cpu=1_000)
 SERVICE = scheduling.StepSpec(count=1, cpu=1_000, is_service=True)
+DEADLINE_MS = 3_000
 VISIBLE_MS = 3_000
 """Bound of the users' interface for what all daemons show."""
 
@@ -18,9 +18,16 @@
 """As in the incident of 2026-12-05; orders wait for up to 2,200 ms."""
 
 
-def waiting_at(daemon):
-    """Return the number of jobs that a daemon counts as waiting."""
-    fut = daemon.kernel.ask('jobs', jobs.CountWaiting(route='route'))
+def waiting_at(daemon, site=None):
+    """Return how many jobs a daemon counts as waiting, or its error.
+
+    With a site, wait for the answer until the deadline.
+    """
+    deadline_ms = daemon.kernel.clock.now() + DEADLINE_MS
+    request = jobs.CountWaiting(route='route', deadline_ms=deadline_ms)
+    fut = daemon.kernel.ask('jobs', request)
+    if site is not None:
+        site.run_until(lambda: fut.called, DEADLINE_MS)
     return result_of(fut)
 
 
@@ -77,7 +84,7 @@
     late = site.add_daemon('front-3')
     late.store.faults.is_unresponsive = True
     site.run(500)
-    assert isinstance(waiting_at(late), core.OriolestandError)
+    assert isinstance(waiting_at(late, site), jobs.ViewOutdatedError)
     late.store.faults.is_unresponsive = False
     site.run(15_000)
     assert waiting_at(late) == waiting_at(daemons[0])
@@ -97,7 +104,7 @@
     for job in JOBS[1:]:
         site.submit(owner, job, (STEP,))
     site.run(VISIBLE_MS)
-    assert isinstance(waiting_at(other), core.OriolestandError)
+    assert isinstance(waiting_at(other, site), jobs.ViewOutdatedError)
     assert waiting_at(owner) == len(JOBS)
 
 
@@ -109,4 +116,4 @@
     site.run(40 * pass_ms)
     for _ in range(100):
         site.run(100)
-        assert waiting_at(slow) == 0
+        assert waiting_at(slow, site) == 0
