--- a/packages/fleet/tests/test_shown_states.py
+++ b/packages/fleet/tests/test_shown_states.py
@@ -10,6 +10,7 @@
 JOBS = [f'{number:016x}' for number in range(6)]
 STEP = scheduling.StepSpec(count=1, cpu=1_000)
 SERVICE = scheduling.StepSpec(count=1, cpu=1_000, is_service=True)
+DEADLINE_MS = 3_000
 VISIBLE_MS = 3_000
 """Bound of the users' interface for what all daemons show."""
 
@@ -17,9 +18,16 @@
 """As in the incident of 2026-12-05; orders wait for up to 2,200 ms."""
 
 
-def waiting_at(daemon):
-    """Return the number of jobs that a daemon counts as waiting."""
-    fut = daemon.kernel.ask('jobs', jobs.CountWaiting(route='route'))
+def waiting_at(daemon, site=None):
+    """Return how many jobs a daemon counts as waiting, or its error.
+
+    With a site, wait for the answer until the deadline.
+    """
+    deadline_ms = daemon.kernel.clock.now() + DEADLINE_MS
+    request = jobs.CountWaiting(route='route', deadline_ms=deadline_ms)
+    fut = daemon.kernel.ask('jobs', request)
+    if site is not None:
+        site.run_until(lambda: fut.called, DEADLINE_MS)
     return result_of(fut)
 
 
@@ -64,3 +72,48 @@
         for job in set(JOBS) - begun:
             assert site.state(other, job) in (None, 'queued')
     assert waiting_at(other) == len(JOBS) - len(begun)
+
+
+def test_daemon_without_a_replica_gives_no_count(site, daemons):
+    # A daemon that had just started answered from an empty replica that no
+    # job waits (MIXED).
+    owner_of(daemons).orders.faults.unreachable = set(site.workers)
+    for job in JOBS:
+        site.submit(daemons[0], job, (STEP,))
+    site.run(VISIBLE_MS)
+    late = site.add_daemon('front-3')
+    late.store.faults.is_unresponsive = True
+    site.run(500)
+    assert isinstance(waiting_at(late, site), jobs.ViewOutdatedError)
+    late.store.faults.is_unresponsive = False
+    site.run(15_000)
+    assert waiting_at(late) == waiting_at(daemons[0])
+
+
+def test_daemon_with_an_old_replica_gives_no_count(site, daemons):
+    # A daemon whose reads of the store hang answered from a replica without
+    # the jobs that were accepted meanwhile (MIXED).
+    owner = owner_of(daemons)
+    other = next(daemon for daemon in daemons if daemon is not owner)
+    owner.orders.faults.unreachable = set(site.workers)
+    site.submit(owner, JOBS[0], (STEP,))
+    site.run(500)
+    other.store.faults.is_unresponsive = True
+    site.run(500)
+    assert waiting_at(other) == 1
+    for job in JOBS[1:]:
+        site.submit(owner, job, (STEP,))
+    site.run(VISIBLE_MS)
+    assert isinstance(waiting_at(other, site), jobs.ViewOutdatedError)
+    assert waiting_at(owner) == len(JOBS)
+
+
+@pytest.mark.parametrize('pass_ms', [300, 700, 1_200])
+def test_slow_daemon_that_follows_the_store_gives_counts(site, pass_ms):
+    # Guards against errors of daemons that are only slow.
+    site.add_daemon('front-0')
+    slow = site.add_daemon('front-1', pass_ms=pass_ms)
+    site.run(40 * pass_ms)
+    for _ in range(100):
+        site.run(100)
+        assert waiting_at(slow, site) == 0
