--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -67,7 +67,7 @@
         self._replaced_worker_ids: set[str] = set()
         self._registered_workers: dict[str, scheduling.WorkerInfo] = {}
         self._round_timer: Any = None
-        self._read_until_ms = kernel.clock.now()
+        self._read_until_ms: int = kernel.clock.now()
         """Everything received until this time has been read."""
         self._fleet = _fleet_record.FleetRecord(
             kernel,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -136,10 +136,32 @@
 
     async def _poll(self, worker: scheduling.Worker) -> None:
         """Extend the lease, apply the report and wait for its job records."""
-        cursor = self._cursor
-        clock = self._kernel.clock
-        sent_ms = clock.now()
+        sent_ms = self._kernel.clock.now()
         self._scheduler.on_poll_sent(self._worker, sent_ms)
+        report: scheduling.WorkerReport = await self._kernel.ask(
+            orders.SERVICE, self._make_poll(worker, sent_ms)
+        )
+        if self._term.is_over:
+            return
+        if self._is_unreachable:
+            self._is_unreachable = False
+            self._log.info('Worker is reachable again', worker=self._worker)
+        if report.process_start_ms < self._cursor.process_start_ms:
+            return
+        if report.process_start_ms > self._cursor.process_start_ms:
+            self._cursor = _Cursor(process_start_ms=report.process_start_ms)
+        self._apply_report(report, sent_ms)
+        if self._cursor.recorded < self._cursor.received:
+            await self._wait_for_records()
+        if self._scheduler.are_leases_held(self._worker):
+            # A poll without a lease does not wait at the worker.
+            await self._kernel.sleep(const.POLL_RETRY_MS)
+
+    def _make_poll(
+        self, worker: scheduling.Worker, sent_ms: int
+    ) -> orders.PollWorker:
+        """Return the next poll of a worker."""
+        cursor = self._cursor
         lease_end_ms = None
         if not self._is_unreachable:
             # The lease of an unreachable worker is not extended: the worker
@@ -161,37 +183,29 @@
         if self._has_listed_ends and worker.info.is_leaving:
             # Acknowledges the ends at once; the worker may exit soon.
             wait_ms = 0
-        report: scheduling.WorkerReport = await self._kernel.ask(
-            orders.SERVICE,
-            orders.PollWorker(
-                target=orders.Target(
-                    worker=self._worker, address=worker.info.address
-                ),
-                lease_end_ms=lease_end_ms,
-                acknowledged=acknowledged,
-                wait_ms=wait_ms,
-                epoch=self._term.epoch,
-                send_by_ms=self._term.acts_until_ms,
+        return orders.PollWorker(
+            target=orders.Target(
+                worker=self._worker, address=worker.info.address
             ),
+            lease_end_ms=lease_end_ms,
+            acknowledged=acknowledged,
+            wait_ms=wait_ms,
+            epoch=self._term.epoch,
+            send_by_ms=self._term.acts_until_ms,
         )
-        if self._term.is_over:
-            return
-        if self._is_unreachable:
-            self._is_unreachable = False
-            self._log.info('Worker is reachable again', worker=self._worker)
-        if report.process_start_ms != cursor.process_start_ms:
-            if report.process_start_ms < cursor.process_start_ms:
-                return
-            cursor = self._cursor = _Cursor(
-                process_start_ms=report.process_start_ms
-            )
+
+    def _apply_report(
+        self, report: scheduling.WorkerReport, sent_ms: int
+    ) -> None:
+        """Apply a report and acknowledge its ends with the next polls."""
+        cursor = self._cursor
         self._has_listed_ends = bool(report.ended)
         new_ends = tuple(
             e for e in report.ended if e.sequence > cursor.received
         )
         report = dataclasses.replace(report, ended=new_ends)
         changed_jobs = self._scheduler.on_worker_report(
-            self._worker, report, sent_ms, clock.now()
+            self._worker, report, sent_ms, self._kernel.clock.now()
         )
         for end in new_ends:
             self._count_end(end)
@@ -203,11 +217,6 @@
             self._acknowledge(cursor, report, changed_jobs)
         self._release_held_ends(cursor)
         self._on_change()
-        if cursor.recorded < cursor.received:
-            await self._wait_for_records()
-        if self._scheduler.are_leases_held(self._worker):
-            # A poll without a lease does not wait at the worker.
-            await self._kernel.sleep(const.POLL_RETRY_MS)
 
     def _acknowledge(
         self,
