--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -13,7 +13,6 @@
 
 LATENCY_MS = 2
 ORDER_TIMEOUT_MS = 1_200
-CONNECT_TIMEOUT_MS = 1_000
 STOP_MS = 100
 LEASE_MAX_MS = 6_000
 LEASE_CHECK_MS = 50
@@ -41,8 +40,7 @@
 class OrderFaults:
     """The faults between one daemon and the workers.
 
-    ``unreachable``: workers that the daemon cannot reach. ``unconnected``:
-    workers to which it can open no connection, so that polls are not sent.
+    ``unreachable``: workers that the daemon cannot reach.
     ``unanswered_starts``: number of starts that get no answer and are carried
     out after ``effect_delay_ms``. ``send_delay_ms``: how long orders wait for
     a connection before they are sent. ``report_delays_ms``: how long each
@@ -50,7 +48,6 @@
     """
 
     unreachable: set[str] = dataclasses.field(default_factory=set)
-    unconnected: set[str] = dataclasses.field(default_factory=set)
     send_delay_ms: int = 0
     unanswered_starts: int = 0
     effect_delay_ms: int = 0
@@ -421,9 +418,6 @@
         """Poll a worker; the report is lost if it becomes unreachable."""
         self._check_time(msg)
         sent_ms = self.kernel.clock.now()
-        if msg.target.worker in self.faults.unconnected:
-            await self.kernel.sleep(CONNECT_TIMEOUT_MS)
-            raise contracts.WorkerError('no connection')
         worker = await self._reach_worker(msg.target)
         report = await worker.poll(msg)
         if msg.target.worker in self.faults.report_delays_ms:
