--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,7 @@
-"""A submission runs although its cancelling was acknowledged."""
+"""Tasks that no worker can run keep a task that lasts from starting again."""
 
 import asyncio
-import json
 import pathlib
-import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,53 +9,64 @@
 sys.path.insert(0, str(HERE.parent / 'standins'))
 import deployment  # noqa: E402
 
-DAEMONS = 10
-FREEZE_S = 3.5
-BUDGET_MS = 3_000
-JOB = '1d94b36f85c07a00'
-PATH = '/pufi791/' + JOB
-STEP = {'count': 4, 'cpu': 2_000, 'mem_mb': 256, 'estimate_ms': 4_000}
-STEPS = [STEP, {**STEP, 'after': [0]}]
+BATCH = '5c0e7a21d94b36f8'
+LASTING = '94b36f85c07a1d00'
+STEPS_BATCH = [{'count': 60, 'cpu': 1_000, 'mem_mb': 500, 'estimate_ms': 3_000,
+            'requires': 'r9'}]
+STEPS_LASTING = [{'count': 1, 'cpu': 13_000, 'mem_mb': 26_000,
+                  'estimate_ms': 400, 'persistent': True}]
+AFTER_START_MS = 400
+DOWN_S = 3
 
 
 async def play(site, is_troubled):
-    await site.open(DAEMONS, [{'pool': 'blendhouse'}] * 8,
-                    [('r-batch', '/pufi791/', {'priority': 2})])
-    owner = await site.wait_for_owner()
-    first, second = [d for d in site.daemons if d is not owner][:2]
-    late = []
-    acknowledged = None
+    await site.open(
+        3, [{'pool': 'blendhouse'}] * 7 + [{'pool': 'blendhouse',
+                                            'rack': 'r9'}],
+        [('r-batch', '/pufi791/', {'priority': 2}),
+         ('r-ledger', '/pule252/', {})])
+    await site.wait_for_owner()
+    loop = asyncio.get_running_loop()
+    crashed = []
 
     def on_start(worker, run):
-        if acknowledged is not None:
-            after = deployment.now_ms() - acknowledged
-            if after > deployment.BOUNDS['cancel_ms']:
-                late.append((run['task'], after))
+        # Each of the two submissions loses its first worker.
+        job = run['task'].split('.')[0]
+        if not is_troubled or job in crashed:
+            return
+        crashed.append(job)
+        loop.call_later(AFTER_START_MS / 1000, worker.crash)
+        if job == LASTING:
+            loop.call_later(
+                AFTER_START_MS / 1000 + DOWN_S,
+                lambda: asyncio.ensure_future(worker.start()))
 
     for worker in site.workers:
         worker.on_start = on_start
-    await asyncio.sleep(1)
-    loop = asyncio.get_running_loop()
-    if is_troubled:
-        first.signal(signal.SIGSTOP)
-        loop.call_later(FREEZE_S, first.signal, signal.SIGCONT)
-    began = deployment.now_ms()
-    body = {'spec': json.dumps([4_000, 500]), 'steps': STEPS}
-    status, _ = await deployment.call(
-        first.front, 'POST', PATH, site.HOST, body, BUDGET_MS)
-    site.record.write('request', method='POST', path=PATH, daemon=first.name,
-                      status=status, took_ms=deployment.now_ms() - began)
-    # The requester leaves and cancels, at another daemon.
-    status, _ = await site.request('DELETE', PATH, daemon=second)
-    if not (200 <= status < 300 or status == 410):
-        raise deployment.CannotRun('the cancelling was not acknowledged')
-    acknowledged = deployment.now_ms()
-    await asyncio.sleep(14)
-    status, body = await site.request('GET', PATH, daemon=second)
-    site.record.write('starts later than cancel_ms after the ack', late=late)
-    return [f'UNASKED: {len(late)} starts, the last '
-            f'{late[-1][1]} ms after the ack of the cancelling, by a machine '
-            'in touch'] if late else []
+    if not await site.submit('/pufi791/' + BATCH, [3_000], STEPS_BATCH):
+        raise deployment.CannotRun('a submission was not accepted')
+    # The lease of the lost worker is over after 6 s.
+    await asyncio.sleep(10)
+    if not await site.submit('/pule252/' + LASTING, [None], STEPS_LASTING):
+        raise deployment.CannotRun('a submission was not accepted')
+    await asyncio.sleep(DOWN_S + 1)
+    if is_troubled and len(crashed) < 2:
+        raise deployment.CannotRun('a submission was not started')
+    # A task that lasts must run again 6 s after its last run; the 4 s before
+    # and the 3 s of the check are calm.
+    await asyncio.sleep(20)
+    runs = set()
+    end = deployment.now_ms() + 3_000
+    while deployment.now_ms() < end:
+        runs.update(site.runs_of(LASTING))
+        await asyncio.sleep(0.02)
+    up = sum(w.is_up for w in site.workers)
+    state = await site.state('/pule252/' + LASTING)
+    site.record.write('at the end', runs=sorted(runs), workers_up=up,
+                      state=state)
+    return [] if runs else [
+        f'LOST: the task that lasts has not run for 23 s, with {up} workers '
+        'up and free']
 
 
 deployment.main(play, HERE)
