--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -778,7 +778,8 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, TimeoutError) as exc:
+    except Exception as exc:
+        # An error of the case itself says nothing about the rule.
         record.write('could not run', why=repr(exc))
         print('could not run:', repr(exc))
         sys.exit(2)
