Examine workers again after a gang that did not fit

Cause: to place a gang, the scheduler adds its members to the workers one by one, and drops them again if one finds no worker. The placement keeps the free processors of a worker for filling tasks within a round, and was not told of the drop, so that later tasks of the round found the workers as full as with the gang. A gang that never fits is tried in each round, so such a task could wait for as long as the gang does.

Change: the workers are marked as changed after the drop.

Evidence: random events find it in the comparison with passes over all state.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -365,6 +365,7 @@
         all_placed = len(placed) == len(members)
         for worker, run in placed:
             worker.drop(run)
+            self._placement.mark_changed(worker)
         if not all_placed:
             return 0
         workers = [worker for worker, _ in placed]
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -767,7 +767,7 @@
         assert learned == self.reference.pressure.learned()
 
 
-SEEDS = range(24)
+SEEDS = [*range(24), 67, 111, 147, 198]
 
 
 def reference_find(job, key):
@@ -824,7 +824,7 @@
     removed = 0
     readmitted = 0
     events = set()
-    for seed in SEEDS[:8]:
+    for seed in SEEDS:
         pair = Pair(seed)
         for _ in range(STEPS):
             pair.step()
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -136,3 +136,17 @@
     counts = harness.scheduler.workers_by_state(harness.now)
     assert counts[_placement.WorkerState.LEAVING] == 1
     assert counts[_placement.WorkerState.NOT_RECORDED] == 0
+
+
+def test_gang_that_does_not_fit_takes_no_room_from_later_tasks(harness):
+    # Guards against a filling task that waits in each round because a more
+    # urgent gang was tried first and its members still seem to be placed.
+    gang = scheduling.StepSpec(
+        count=3, cpu=8_000, is_filling=True, is_gang=True, image='a'
+    )
+    harness.add('gang', gang)
+    harness.add(
+        'task', dataclasses.replace(gang, count=1, is_gang=False, image='b')
+    )
+    starts, _ = harness.decide()
+    assert [start.key.job for start in starts] == ['task']
