Keep starts that a restarted worker may have accepted

Cause: when a worker had started again under its id, the owner released all runs that it had placed there. Orders name a worker by its id, so the new incarnation may have accepted some of them: after a freeze of the owner, or in the time that the changed entry needs to arrive. A later start time tells that the former incarnation has ended, not what the new one runs.

Change: runs that no report of the former incarnation has listed stay on the new one. Its reports tell whether it has them; unsent starts are withdrawn, stops that the former incarnation answered are sent again, and the lease bounds the wait. The crash counts against such a run only once it is missing, and its watch is stored until then. Polls do not wait while a run is missing.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -69,6 +69,10 @@
             else:
                 defer.ensureDeferred(self._start_run(effect, decided_ms))
         elif isinstance(effect, scheduling.WithdrawStart):
+            if _run_of(effect) in self._held_starts:
+                self._held_starts.remove(_run_of(effect))
+                self._withdraw_start(effect)
+                return
             self._kernel.post(
                 orders.SERVICE,
                 orders.WithdrawStart(
@@ -108,7 +112,12 @@
         self._withdraw_start(effect)
 
     def _withdraw_start(
-        self, effect: scheduling.StartTask | scheduling.StopTask
+        self,
+        effect: (
+            scheduling.StartTask
+            | scheduling.WithdrawStart
+            | scheduling.StopTask
+        ),
     ) -> None:
         """Tell the scheduler that a start is not sent."""
         self._scheduler.withdraw_start(
@@ -291,6 +300,10 @@
         )
 
 
-def _run_of(effect: scheduling.StartTask | scheduling.StopTask) -> _RunId:
+def _run_of(
+    effect: (
+        scheduling.StartTask | scheduling.WithdrawStart | scheduling.StopTask
+    ),
+) -> _RunId:
     """Return the run that an order is for."""
     return (effect.worker, effect.key, effect.run)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -180,6 +180,9 @@
             wait_ms = const.PROBATION_POLL_WAIT_MS
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
+        if worker.has_missing_runs:
+            # Their tasks wait for the next report.
+            wait_ms = 0
         if self._has_listed_ends and worker.info.is_leaving:
             # Acknowledges the ends at once; the worker may exit soon.
             wait_ms = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from oriolestand_policy.scheduling import _crashes
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -80,29 +81,81 @@
 
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
-        worker = self.workers.pop(worker_id, None)
+        worker = self.workers.get(worker_id)
         if worker is None:
             return
+        self._drop_worker(worker, reason)
+        self.release_all(worker, max(worker.last_report_ms, worker.carried_ms))
+
+    def _drop_worker(self, worker: _fleet.Worker, reason: str) -> None:
+        """Remove a worker from the cell; it still has its runs."""
+        del self.workers[worker.info.id]
         self.log(
             'worker_gone',
             '',
-            worker=worker_id,
+            worker=worker.info.id,
             reason=reason,
             runs=len(worker.runs),
+            reported=sum(run.is_reported for run in worker.runs.values()),
         )
         if self.on_worker_gone is not None:
             self.on_worker_gone(worker, reason)
-        self.release_all(worker, worker.last_report_ms)
+
+    def replace_worker(
+        self,
+        worker: _fleet.Worker,
+        info: _fleet.WorkerInfo,
+        *,
+        is_listed: bool,
+    ) -> _fleet.Worker:
+        """Replace a worker that has restarted by its present incarnation.
+
+        Only the runs that the former incarnation has listed have certainly
+        ended. Orders name a worker by its id, so the present incarnation may
+        have accepted the others; its reports tell.
+        """
+        self._drop_worker(worker, _crashes.RESTARTED)
+        replacement = _fleet.Worker(
+            info=info, is_listed=is_listed, is_recorded=worker.is_recorded
+        )
+        self.workers[info.id] = replacement
+        for run in list(worker.runs.values()):
+            worker.drop(run)
+            if run.is_reported:
+                self.release(run, info.id, worker.last_report_ms)
+            else:
+                self._carry_over(run, replacement)
+        return replacement
+
+    def _carry_over(self, run: _fleet.Run, worker: _fleet.Worker) -> None:
+        """Add a run that a restarted worker may have accepted.
+
+        It knows nothing of the stops that its former incarnation answered.
+        """
+        run.missed_polls = 0
+        worker.add(run)
+        if run.stop_sent_ms >= 0:
+            if run.phase is _fleet.RunPhase.STOPPING:
+                run.phase = _fleet.RunPhase.IN_DOUBT
+            run.is_stop_settled = False
+            self.stopping_worker_ids.add(worker.info.id)
+            self.queue_stop(worker.info.id, run, _effects.REPEATED_STOP)
+        elif run.phase is _fleet.RunPhase.STARTING:
+            self._withdraw_start(run, worker.info.id)
+
+    def _withdraw_start(self, run: _fleet.Run, worker_id: str) -> None:
+        """Queue the withdrawal of a start order, if it is not sent yet."""
+        self.effects.append(
+            _effects.WithdrawStart(
+                worker=worker_id, key=run.key, run=run.number
+            )
+        )
 
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Drop all runs of a worker and queue their tasks again."""
         for run in list(worker.runs.values()):
             if run.phase is _fleet.RunPhase.STARTING:
-                self.effects.append(
-                    _effects.WithdrawStart(
-                        worker=worker.info.id, key=run.key, run=run.number
-                    )
-                )
+                self._withdraw_start(run, worker.info.id)
             worker.drop(run)
             self.release(run, worker.info.id, now_ms)
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -1,5 +1,6 @@
 """Count crashes of workers against the tasks that may have caused them."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -97,6 +98,7 @@
 
     def on_lease_over(self, worker: _fleet.Worker) -> None:
         """Keep the watches of a worker whose tasks start elsewhere."""
+        self._count_pending_crashes(worker)
         watched = self._watched.get(worker.info.id, {})
         released = {
             key: task.watch
@@ -115,13 +117,19 @@
             return
         for task in list(watched.values()):
             run = worker.runs.get((task.key, task.run))
+            if run is not None and run.pending_crash is not None:
+                continue
             if run is None or run.is_proven or not task.is_suspect:
                 self._unwatch(task)
+            elif task.watch is not None and _is_of_former(task.watch, worker):
+                self._watch(task, worker, task.watch.kind)
 
     def on_worker_gone(self, worker: _fleet.Worker, reason: str) -> None:
         """Count the crash of a worker against the tasks that may be at fault.
 
-        Nothing counts if the worker left.
+        Nothing counts if the worker left. If it has restarted, its present
+        incarnation may have the runs that the former one did not list, so the
+        crash counts against these once they are missing in its reports.
         """
         watched = list(self._watched.get(worker.info.id, {}).values())
         released = self._released.pop(worker.info.id, {})
@@ -154,10 +162,54 @@
             self._unwatch(task)
         if not is_crash:
             return
+        carried: dict[_jobs.TaskKey, _fleet.Run] = {}
+        if reason == _crashes.RESTARTED:
+            carried = {run.key: run for run in runs if not run.is_reported}
+        else:
+            self._count_pending_crashes(worker, tasks.keys())
         for key, kind in tasks.items():
             if has_common_cause:
                 kind = _jobs.CrashKind.COMMON
-            self._add_crash(key, worker, kind)
+            crash = _jobs.Crash(address=worker.info.address, kind=kind)
+            if key in carried:
+                self._defer_crash(carried[key], worker, crash)
+            else:
+                self._add_crash(key, crash, worker.info.id)
+
+    def _defer_crash(
+        self, run: _fleet.Run, worker: _fleet.Worker, crash: _jobs.Crash
+    ) -> None:
+        """Keep a crash until the next incarnation shows whether it counts.
+
+        The watch lets the next owner count it, if this one ends before.
+        """
+        run.pending_crash = crash
+        for task in self._tasks_of(worker, [run]):
+            self._watch(task, worker, crash.kind)
+
+    def _count_pending_crashes(
+        self,
+        worker: _fleet.Worker,
+        counted: Collection[_jobs.TaskKey] = (),
+    ) -> None:
+        """Count the crash of an earlier incarnation of a lost worker.
+
+        A run was on one incarnation only, so it does not count against the
+        tasks in ``counted``, against which the loss of this one counts.
+        """
+        for run in worker.runs.values():
+            if run.key not in counted:
+                self.count_pending_crash(run, worker.info.id)
+
+    def count_pending_crash(self, run: _fleet.Run, worker_id: str) -> None:
+        """Count the crash of a worker that must have had a run."""
+        crash, run.pending_crash = run.pending_crash, None
+        if crash is None:
+            return
+        task = self._watched.get(worker_id, {}).get(run.key)
+        if task is not None:
+            self._unwatch(task)
+        self._add_crash(run.key, crash, worker_id)
 
     def _tasks_of(
         self, worker: _fleet.Worker, runs: Iterable[_fleet.Run]
@@ -178,19 +230,17 @@
     def _add_crash(
         self,
         key: _jobs.TaskKey,
-        worker: _fleet.Worker,
-        kind: _jobs.CrashKind,
+        crash: _jobs.Crash,
+        worker_id: str,
     ) -> None:
-        """Count a crash against a task."""
+        """Count a crash of a worker against a task."""
         job = self._cell.jobs.get(key.job)
         task = job.find(key) if job is not None else None
         if job is None or task is None or job.outcome is not None:
             return
         if task.is_done or self._is_survived(task):
             return
-        task.crashes.append(
-            _jobs.Crash(address=worker.info.address, kind=kind)
-        )
+        task.crashes.append(crash)
         self._marked[task.key] = task
         self._check_cause(task)
         self._cell.save(job)
@@ -200,7 +250,7 @@
                 key.job,
                 task=str(key),
                 run=task.run,
-                worker=worker.info.id,
+                worker=worker_id,
                 crashes=[list(crash) for crash in task.crashes],
             )
 
@@ -327,6 +377,11 @@
     return reason in _crashes.LOSS_REASONS and not worker.is_listed
 
 
+def _is_of_former(watch: _jobs.Watch, worker: _fleet.Worker) -> bool:
+    """Return whether a watch names a former incarnation of a worker."""
+    return watch.process_start_ms < worker.info.process_start_ms
+
+
 def _kind_of(worker: _fleet.Worker, runs: list[_fleet.Run]) -> _jobs.CrashKind:
     """Return the kind of a crash of a worker with unproven runs."""
     if not _crashes.is_single_suspect(runs):
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -19,7 +19,8 @@
 """Age of a run at the first failed poll up to which its task is the likely
 cause. Later, a crash of the worker by chance is about as likely."""
 
-CRASH_REASONS = frozenset({'restarted', 'replaced'})
+RESTARTED = 'restarted'
+CRASH_REASONS = frozenset({RESTARTED, 'replaced'})
 """Why a worker was removed although it did not leave: another incarnation
 reports or registered in its place."""
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -44,6 +44,9 @@
     worker may have received the start order, which can wait for a record to
     be written and for a connection. ``is_whole`` is whether this owner has
     started the run without a checkpoint, so that it lasts as long as the task.
+    ``is_reported`` is whether the present incarnation of the worker has listed
+    the run. ``pending_crash`` is the crash of an earlier incarnation that
+    counts against the task unless the present one has the run.
     """
 
     key: _jobs.TaskKey
@@ -64,6 +67,8 @@
     is_proven: bool = False
     is_sent: bool = False
     is_whole: bool = False
+    is_reported: bool = False
+    pending_crash: _jobs.Crash | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,7 +105,9 @@
     if none did. ``failed_polls`` counts those polls, and ``polled_ms`` is when
     the last poll was sent. ``is_on_probation`` is whether it is kept for a
     suspect, so that no other task starts beside it. ``version`` counts the
-    changes that the selection of workers depends on.
+    changes that the selection of workers depends on. ``carried_ms`` is since
+    when the owner waits for the first report of a restarted worker that may
+    have accepted start orders, -1 if it does not.
     """
 
     info: WorkerInfo
@@ -134,12 +141,18 @@
     polled_ms: int = -1
     is_on_probation: bool = False
     version: int = 0
+    carried_ms: int = -1
 
     @property
     def recent_failures(self) -> int:
         """Return the number of tasks that failed on the worker recently."""
         return len(self.failed_tasks)
 
+    @property
+    def has_missing_runs(self) -> bool:
+        """Return whether the last report omits a run that may have ended."""
+        return any(run.missed_polls for run in self.runs.values())
+
     def min_clock_ms(self, now_ms: int) -> int:
         """Return a lower bound of the worker's clock at present."""
         if self.last_report_ms < 0:
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -216,8 +216,7 @@
     ) -> _fleet.Worker:
         """Return the state of a worker that reports a later start time.
 
-        If its start time was known before, the worker has restarted, so its
-        former runs are released.
+        If its start time was known before, the worker has restarted.
         """
         info = dataclasses.replace(
             worker.info, process_start_ms=worker_report.process_start_ms
@@ -225,14 +224,9 @@
         if not worker.info.process_start_ms:
             worker.info = info
             return worker
-        self._cell.remove_worker(info.id, 'restarted')
-        replacement = _fleet.Worker(
-            info=info,
-            is_listed=worker.is_listed,
-            is_recorded=worker.is_recorded,
+        return self._cell.replace_worker(
+            worker, info, is_listed=worker.is_listed
         )
-        self._cell.workers[info.id] = replacement
-        return replacement
 
     def _apply_end(
         self, worker: _fleet.Worker, end: _reports.EndReport, now_ms: int
@@ -361,6 +355,8 @@
             run.since_ms = now_ms
         run.missed_polls = 0
         run.is_sent = True
+        run.is_reported = True
+        run.pending_crash = None
         _crashes.mark_proven(run, now_ms)
         if report.percent == _reports.UNKNOWN_PERCENT:
             run.progress_changed_ms = now_ms
@@ -453,4 +449,5 @@
                 phase=run.phase.value,
                 worker=worker.info.id,
             )
+            self._crash_handler.count_pending_crash(run, worker.info.id)
             self._cell.release(run, worker.info.id, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -24,6 +24,9 @@
 LEASE_MARGIN_MS = 500
 """Time allowed for a worker to end its runs after its lease has expired."""
 
+LATE_ORDER_MS = 2_000
+"""Orders that were sent before a restart was known have arrived within it."""
+
 STOP_RETRY_MS = 500
 TIMED_START_MARGIN_MS = 100
 """Delay of the starts of repeated jobs, as the wall clocks of instances
@@ -146,7 +149,7 @@
                 worker.info.process_start_ms
                 and info.process_start_ms > worker.info.process_start_ms
             ):
-                self._replace_restarted(worker, info)
+                self._cell.replace_worker(worker, info, is_listed=True)
                 continue
             was_leaving = worker.info.is_leaving
             worker.info = info
@@ -158,15 +161,6 @@
                 worker.is_listed = False
                 self._cell.log('worker_unlisted', '', worker=worker_id)
 
-    def _replace_restarted(
-        self, worker: _fleet.Worker, info: _fleet.WorkerInfo
-    ) -> None:
-        """Replace a restarted worker by its new incarnation, without runs."""
-        self._cell.remove_worker(info.id, 'restarted')
-        self._cell.workers[info.id] = _fleet.Worker(
-            info=info, is_recorded=worker.is_recorded
-        )
-
     def add_former_worker(self, info: _fleet.WorkerInfo) -> None:
         """Add a worker that a former owner used, as it may have runs.
 
@@ -460,6 +454,7 @@
         """Release the runs of silent workers whose leases have expired."""
         for worker in list(self._cell.workers.values()):
             if not worker.is_probed:
+                self._expire_carried_runs(worker, now_ms, known_until_ms)
                 continue
             if now_ms - worker.last_report_ms <= _placement.MAX_REPORT_AGE_MS:
                 continue
@@ -482,6 +477,42 @@
                 self._crash_handler.on_lease_over(worker)
                 self._cell.release_all(worker, now_ms)
 
+    def _expire_carried_runs(
+        self, worker: _fleet.Worker, now_ms: int, known_until_ms: int
+    ) -> None:
+        """Release the runs of a restarted worker that never reports.
+
+        Polls extend no lease before its first report, so its runs end with
+        the lease of the last start order that it may have received.
+        """
+        if not worker.runs:
+            return
+        if worker.carried_ms < 0:
+            worker.carried_ms = now_ms
+        last_ms = max(run.since_ms for run in worker.runs.values())
+        lease_ms = (
+            self._cell.lease_max_ms
+            * _fleet.CLOCK_RATE_DEN
+            // _fleet.CLOCK_RATE_NUM
+        )
+        over_ms = max(worker.carried_ms, last_ms) + LATE_ORDER_MS + lease_ms
+        if known_until_ms <= over_ms + LEASE_MARGIN_MS:
+            return
+        self._cell.log(
+            'lease_over',
+            '',
+            worker=worker.info.id,
+            runs=len(worker.runs),
+            silent_ms=now_ms - worker.carried_ms,
+            polled_ms_ago=now_ms - worker.polled_ms,
+            failed_polls=worker.failed_polls,
+        )
+        self._crash_handler.on_lease_over(worker)
+        if worker.is_listed:
+            self._cell.release_all(worker, now_ms)
+        else:
+            self._cell.remove_worker(worker.info.id, 'lease over')
+
     def _resend_stops(self, now_ms: int) -> None:
         """Resend stop orders that were not answered."""
         stopping_ids = self._cell.stopping_worker_ids
--- /dev/null
+++ b/packages/policy/tests/scheduling/test_restarted_workers.py
@@ -0,0 +1,209 @@
+"""Tests of runs on workers that start again under their id."""
+
+import dataclasses
+
+import pytest
+
+from oriolestand_policy import scheduling
+
+STEP = scheduling.StepSpec(count=1, cpu=1_000, memory_mb=100)
+SERVICE = dataclasses.replace(STEP, is_service=True)
+LEASE_AND_MARGINS_MS = 10_000
+
+
+class Restarts:
+    """A cell of two workers, of which one starts again."""
+
+    def __init__(self, harness, make):
+        self.harness = harness
+        self.make = make
+        self.incarnation = dict.fromkeys(harness.infos, 1)
+
+    def start(self, *steps, outcome=scheduling.StartOutcome.STARTED):
+        """Start the only task of a job; return the start order.
+
+        Without an outcome the order is sent and not answered yet.
+        """
+        self.harness.add('a', *(steps or (STEP,)))
+        ((start,), _) = self.harness.decide()
+        self.harness.scheduler.on_start_sent(
+            start.worker, start.key, start.run
+        )
+        if outcome is not None:
+            self.harness.answer(start, outcome)
+        self.harness.scheduler.take_effects()
+        return start
+
+    def register(self, name):
+        """Register the next incarnation of a worker."""
+        self.incarnation[name] += 1
+        self.harness.infos[name] = dataclasses.replace(
+            self.harness.infos[name],
+            process_start_ms=self.incarnation[name],
+        )
+        self.harness.scheduler.set_workers(self.harness.infos)
+
+    def report_restart(self, name):
+        """Apply the first report of the next incarnation, without runs.
+
+        It was made before any start order arrived.
+        """
+        self.incarnation[name] += 1
+        self.report(name, sent=self.harness.now - 10)
+
+    def report(self, name, running=(), ended=(), sent=None):
+        """Apply a report of the present incarnation of a worker."""
+        self.harness.scheduler.on_worker_report(
+            name,
+            scheduling.WorkerReport(
+                clock_ms=self.harness.now,
+                process_start_ms=self.incarnation[name],
+                running=tuple(running),
+                ended=tuple(ended),
+            ),
+            self.harness.now if sent is None else sent,
+            self.harness.now,
+        )
+
+    def pass_time(self, milliseconds, silent=()):
+        """Run rounds; workers report without runs unless they are silent."""
+        starts = []
+        for _ in range(0, milliseconds, 100):
+            self.harness.now += 100
+            for name in self.harness.infos:
+                if name not in silent:
+                    self.report(name)
+            starts += self.harness.decide()[0]
+        return starts
+
+
+@pytest.fixture
+def restarts(harness, make):
+    """Return a cell with two workers."""
+    return Restarts(harness, make)
+
+
+@pytest.mark.parametrize('step', [STEP, SERVICE])
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        None,
+        scheduling.StartOutcome.STARTED,
+        scheduling.StartOutcome.IN_DOUBT,
+    ],
+)
+@pytest.mark.parametrize('learn', [Restarts.register, Restarts.report_restart])
+def test_start_that_the_next_incarnation_accepted_is_not_repeated(
+    restarts, learn, outcome, step
+):
+    # Guards against a task that runs twice: start orders name only the id of
+    # a worker, so its next incarnation may have accepted one before the owner
+    # learns of the restart.
+    start = restarts.start(step, outcome=outcome)
+    learn(restarts, start.worker)
+    assert restarts.harness.decide()[0] == []
+    assert (start.key, start.run) in (
+        restarts.harness.scheduler.workers[start.worker].runs
+    )
+    restarts.harness.now += 100
+    restarts.report(start.worker, running=[restarts.make.report(start)])
+    assert restarts.harness.decide()[0] == []
+    task = restarts.harness.scheduler.jobs['a'].find(start.key)
+    assert (task.worker, task.run) == (start.worker, start.run)
+
+
+def test_listed_run_of_the_former_incarnation_is_released_at_once(restarts):
+    # Guards against a task that waits for reports although it has certainly
+    # ended with the incarnation that listed it.
+    start = restarts.start()
+    restarts.harness.now += 100
+    restarts.report(start.worker, running=[restarts.make.report(start)])
+    restarts.register(start.worker)
+    ((again,), _) = restarts.harness.decide()
+    assert again.key == start.key
+    assert again.worker != start.worker
+
+
+@pytest.mark.parametrize('learn', [Restarts.register, Restarts.report_restart])
+def test_run_that_the_next_incarnation_lacks_is_released(restarts, learn):
+    # Guards against a task that is lost with the former incarnation and never
+    # starts again.
+    start = restarts.start()
+    learn(restarts, start.worker)
+    starts = restarts.pass_time(300)
+    assert [s.key for s in starts] == [start.key]
+
+
+def test_stop_answered_by_the_former_incarnation_is_sent_again(restarts):
+    # Guards against a start in doubt that the next incarnation carries out,
+    # as it knows nothing of the stop that the former one has answered.
+    start = restarts.start(outcome=scheduling.StartOutcome.IN_DOUBT)
+    restarts.harness.scheduler.on_stop_reply(
+        start.worker, start.key, start.run, True, restarts.harness.now
+    )
+    restarts.register(start.worker)
+    ((), (stop,)) = restarts.harness.decide()
+    assert (stop.worker, stop.run) == (start.worker, start.run)
+    assert restarts.pass_time(1_000) == []
+    restarts.harness.scheduler.on_stop_reply(
+        start.worker, start.key, start.run, True, restarts.harness.now
+    )
+    assert [s.key for s in restarts.pass_time(300)] == [start.key]
+
+
+def test_unsent_start_is_withdrawn_before_its_task_is_released(restarts):
+    # Guards against an order that is sent after its task was released, and
+    # against one for a worker that may have another size or label now.
+    start = restarts.start(outcome=None)
+    restarts.register(start.worker)
+    withdrawals = [
+        effect
+        for effect in restarts.harness.scheduler.take_effects()
+        if isinstance(effect, scheduling.WithdrawStart)
+    ]
+    assert [(w.worker, w.run) for w in withdrawals] == [
+        (start.worker, start.run)
+    ]
+    assert restarts.harness.decide()[0] == []
+    restarts.harness.answer(start, scheduling.StartOutcome.WITHDRAWN)
+    ((again,), _) = restarts.harness.decide()
+    assert again.key == start.key
+
+
+@pytest.mark.parametrize('is_listed', [True, False])
+def test_run_is_released_if_the_next_incarnation_never_reports(
+    restarts, is_listed
+):
+    # Guards against a task that waits for the reports of an incarnation that
+    # is lost as well. Its lease bounds the wait.
+    start = restarts.start()
+    restarts.register(start.worker)
+    if not is_listed:
+        del restarts.harness.infos[start.worker]
+        restarts.harness.scheduler.set_workers(restarts.harness.infos)
+    assert restarts.pass_time(6_000, silent=[start.worker]) == []
+    starts = restarts.pass_time(
+        LEASE_AND_MARGINS_MS - 6_000, silent=[start.worker]
+    )
+    assert [s.key for s in starts] == [start.key]
+
+
+@pytest.mark.parametrize('is_present', [True, False])
+def test_restart_counts_as_a_crash_of_tasks_that_are_lost_with_it(
+    restarts, is_present
+):
+    # Guards against a job that fails for crashes of workers that its task has
+    # survived, and against crashes that are not counted.
+    start = restarts.start()
+    restarts.harness.now += 10
+    restarts.harness.scheduler.on_poll_failed(
+        start.worker, restarts.harness.now
+    )
+    restarts.register(start.worker)
+    task = restarts.harness.scheduler.jobs['a'].find(start.key)
+    assert task.crashes == []
+    running = [restarts.make.report(start)] if is_present else []
+    for _ in range(2):
+        restarts.harness.now += 300
+        restarts.report(start.worker, running=running)
+    assert len(task.crashes) == (0 if is_present else 1)
