Rank workers without processors

Cause: the rank of a worker for a filling task divides by its processors. A worker may report that it has none, and a filling task may need none, so that the round raised ZeroDivisionError and the owner ended its term. So did each next owner: no task would have started any more.

Change: the rank divides by at least one thousandth of a core, as the other shares of the placement do.

--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -384,7 +384,7 @@
         view = self._view(worker)
         if view.free_cpu < task.spec.cpu or self._is_tail_high(view):
             return None
-        share = -view.free_cpu / worker.info.cpu
+        share = -view.free_cpu / max(1, worker.info.cpu)
         return (*_common_rank(worker, task.spec), 0, share)
 
     def _rank_filling(
@@ -412,7 +412,7 @@
         return (
             *_common_rank(worker, spec),
             int(max_added / ADDED_LOAD_STEP),
-            -capacity.free / info.cpu,
+            -capacity.free / max(1, info.cpu),
         )
 
     def _load_obstacle(
--- a/packages/policy/tests/scheduling/test_capacity.py
+++ b/packages/policy/tests/scheduling/test_capacity.py
@@ -122,3 +122,17 @@
     assert not harness.scheduler.is_start_pending(
         start.worker, start.key, start.run
     )
+
+
+def test_worker_without_processors_does_not_end_a_round(harness):
+    # Guards against a division by the processors of a worker, which ends the
+    # term of each owner. Capacities may shrink to nothing, and a filling task
+    # may need none.
+    for name, info in harness.infos.items():
+        harness.infos[name] = dataclasses.replace(info, cpu=0)
+    harness.scheduler.set_workers(harness.infos)
+    step = scheduling.StepSpec(count=1, is_filling=True, image='a')
+    harness.add('a', step)
+    harness.add('b', dataclasses.replace(step, is_gang=True))
+    starts, _ = harness.decide()
+    assert [start.key.job for start in starts] == ['a', 'b']
