Give each suspect of a crash its turn

Cause: a round looks for workers for two suspects at most, and always began with the same ones. Those that no worker can run are due again after 200 ms, so that a few dozen of them used up all selections.

Change: suspects that were tried last come last, and those that need at least as much as one that has found no worker since the last retry are passed over. The limit counts the workers examined, 1,000 a round, in place of two selections. What a task needs and with whom it shares that is defined once, for ready tasks and for suspects.

--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -17,6 +17,7 @@
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _reservations
 from oriolestand_policy.scheduling import _takeover
+from oriolestand_policy.scheduling import _unplaceable
 
 MAX_PROBATION_SHARE = 0.25
 """Share of a pool's workers that may be on probation at the same time. Most
@@ -36,8 +37,11 @@
 may take longer than expected."""
 
 RETRY_INTERVAL_MS = 200
-MAX_SELECTIONS_PER_ROUND = 2
-"""Limits of the selections of workers; each examines the whole pool."""
+"""Time after which a worker is looked for again for tasks that found none."""
+
+MAX_EXAMINED_PER_ROUND = 1_000
+"""Workers that a round may examine for suspects. Each selection examines the
+whole pool; there is always one selection."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,6 +66,64 @@
         return {task.key: worker for task, worker in pairs}
 
 
+class _Round:
+    """Workers that suspects may get in a round.
+
+    ``kept`` are those that other suspects have; the caller adds to it.
+    ``examined`` counts the workers that were examined.
+    """
+
+    def __init__(
+        self, cell: _cell.Cell, kept: Mapping[str, _fleet.Worker], now_ms: int
+    ) -> None:
+        self._cell = cell
+        self._kept = kept
+        self._candidates_of: dict[str, list[_fleet.Worker]] = {}
+        self._kept_count = len(kept)
+        self._full: set[tuple[str, bool]] = set()
+        self.now_ms = now_ms
+        self.examined = 0
+
+    def is_full(self, task: _jobs.Task, pool: str) -> bool:
+        """Return whether a pool has no worker left for suspects of a kind.
+
+        Workers are only added to those kept, so that this holds for the rest
+        of the round.
+        """
+        key = (pool, _is_likely(task))
+        if key not in self._full and self.is_limit_reached([task], pool):
+            self._full.add(key)
+        return key in self._full
+
+    def is_limit_reached(self, tasks: list[_jobs.Task], pool: str) -> bool:
+        """Return whether tasks must wait for other suspects of their pool."""
+        active = [w for w in self._kept.values() if w.info.pool == pool]
+        return _is_limit_reached(tasks, active, len(self._candidates(pool)))
+
+    def examine(self, pool: str) -> list[_fleet.Worker]:
+        """Return the workers that may be kept, and count them."""
+        candidates = self._candidates(pool)
+        self.examined += len(candidates)
+        return candidates
+
+    def _candidates(self, pool: str) -> list[_fleet.Worker]:
+        """Return the usable workers of a pool that are not kept."""
+        if len(self._kept) != self._kept_count:
+            self._kept_count = len(self._kept)
+            self._candidates_of.clear()
+        candidates = self._candidates_of.get(pool)
+        if candidates is None:
+            candidates = [
+                worker
+                for worker in self._cell.workers.values()
+                if worker.info.pool == pool
+                and worker.info.id not in self._kept
+                and _placement.is_usable(worker, self.now_ms)
+            ]
+            self._candidates_of[pool] = candidates
+        return candidates
+
+
 NO_HOLD: Mapping[_jobs.TaskKey, _fleet.Worker] = {}
 
 
@@ -109,7 +171,9 @@
         self._crash_handler = crash_handler
         self._holds: dict[_jobs.TaskKey, Hold] = {}
         self._on_probation: dict[str, _fleet.Worker] = {}
-        self._next_attempt_ms: dict[_jobs.TaskKey, int] = {}
+        self._attempted_ms: dict[_jobs.TaskKey, int] = {}
+        self._unplaceable = _unplaceable.UnplaceableDemands()
+        self._forget_unplaceable_ms = 0
 
     def begin_round(
         self, now_ms: int, former_runs: _takeover.FormerRuns
@@ -144,7 +208,7 @@
         """Drop holds that are not needed, not possible or too old."""
         for key, hold in list(self._holds.items()):
             if now_ms - hold.since_ms >= MAX_HOLD_MS:
-                self._next_attempt_ms[key] = now_ms + RETRY_INTERVAL_MS
+                self._attempted_ms[key] = now_ms
             elif self._is_valid(hold, now_ms):
                 continue
             del self._holds[key]
@@ -167,53 +231,87 @@
         now_ms: int,
         former_runs: _takeover.FormerRuns,
     ) -> None:
-        """Keep workers for waiting suspects, within the limits of pools."""
+        """Keep workers for waiting suspects, within the limits of pools.
+
+        Those that were tried last come last, so that each has its turn.
+        """
         held = {task.key for h in self._holds.values() for task in h.tasks}
         waiting = [
             task
             for task in suspects
             if task.key in self._cell.ready and task.key not in held
         ]
-        waiting.sort(key=_order)
-        selections_left = MAX_SELECTIONS_PER_ROUND
+        self._begin_attempts(waiting, now_ms)
+        waiting.sort(
+            key=lambda task: (
+                self._attempted_ms.get(task.key, -1),
+                *_order(task),
+            )
+        )
+        attempts = _Round(self._cell, kept, now_ms)
         for task in waiting:
+            if attempts.examined >= MAX_EXAMINED_PER_ROUND:
+                break
             job = self._cell.jobs[task.key.job]
             route = self._cell.routes.get(job.spec.route)
             if route is None or former_runs.may_include(
                 job, task, self._cell.workers
             ):
                 continue
-            if not selections_left:
-                break
             if task.key in held or not self._is_attempt_due(task, now_ms):
                 continue
-            selections_left -= 1
-            hold = self._select(job, task, route.pool, kept, now_ms)
+            hold = self._try_to_hold(job, task, route.pool, attempts)
             if hold is None:
                 continue
             self._holds[hold.key] = hold
             held.update(member.key for member in hold.tasks)
             kept.update((w.info.id, w) for w in hold.workers)
 
-    def _is_attempt_due(self, task: _jobs.Task, now_ms: int) -> bool:
-        """Return whether to look for a worker for a task, and note that."""
-        if now_ms < self._next_attempt_ms.get(task.key, 0):
-            return False
-        self._next_attempt_ms = {
+    def _try_to_hold(
+        self, job: _jobs.Job, task: _jobs.Task, pool: str, attempts: '_Round'
+    ) -> Hold | None:
+        """Select workers for a suspect, or for all suspects of its gang.
+
+        Does nothing if the limit of the pool is reached, or if a task that
+        needs no more has found no worker since the last retry.
+        """
+        group = (_unplaceable.group_of(task, pool), _is_likely(task))
+        amounts = _unplaceable.amounts_of(task.spec)
+        if self._unplaceable.includes(group, amounts):
+            return None
+        if attempts.is_full(task, pool):
+            return None
+        self._attempted_ms[task.key] = attempts.now_ms
+        hold = self._select(job, task, pool, attempts)
+        if hold is None:
+            self._unplaceable.add(group, amounts)
+        return hold
+
+    def _begin_attempts(self, waiting: list[_jobs.Task], now_ms: int) -> None:
+        """Forget the attempts of other tasks, and failures that are old."""
+        keys = {task.key for task in waiting}
+        self._attempted_ms = {
             key: at_ms
-            for key, at_ms in self._next_attempt_ms.items()
-            if at_ms > now_ms
+            for key, at_ms in self._attempted_ms.items()
+            if key in keys
         }
-        self._next_attempt_ms[task.key] = now_ms + RETRY_INTERVAL_MS
-        return True
+        if now_ms >= self._forget_unplaceable_ms:
+            self._forget_unplaceable_ms = now_ms + RETRY_INTERVAL_MS
+            self._unplaceable = _unplaceable.UnplaceableDemands()
+
+    def _is_attempt_due(self, task: _jobs.Task, now_ms: int) -> bool:
+        """Return whether to look for a worker for a task."""
+        attempted_ms = self._attempted_ms.get(task.key)
+        return (
+            attempted_ms is None or now_ms - attempted_ms >= RETRY_INTERVAL_MS
+        )
 
     def _select(
         self,
         job: _jobs.Job,
         task: _jobs.Task,
         pool: str,
-        kept: dict[str, _fleet.Worker],
-        now_ms: int,
+        attempts: '_Round',
     ) -> Hold | None:
         """Select workers for a suspect, or for all suspects of its gang."""
         tasks = [task]
@@ -222,21 +320,17 @@
             if any(member.key not in self._cell.ready for member in members):
                 return None
             tasks = [member for member in members if member.is_suspect]
-        usable = [
-            worker
-            for worker in self._cell.workers.values()
-            if worker.info.pool == pool
-            and worker.info.id not in kept
-            and _placement.is_usable(worker, now_ms)
-        ]
-        active = [w for w in kept.values() if w.info.pool == pool]
-        if _is_limit_reached(tasks, active, len(usable)):
+        if attempts.is_limit_reached(tasks, pool):
             return None
-        workers = self._select_workers(tasks, usable, now_ms)
+        workers = self._select_workers(
+            tasks, attempts.examine(pool), attempts.now_ms
+        )
         if workers is None:
             return None
         return Hold(
-            tasks=tuple(tasks), workers=tuple(workers), since_ms=now_ms
+            tasks=tuple(tasks),
+            workers=tuple(workers),
+            since_ms=attempts.now_ms,
         )
 
     def _select_workers(
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -238,21 +238,8 @@
                 self._held_steps[step_key] = _obstacles.Hold.NO_ROUTE
                 continue
             spec = job.spec.steps[step]
-            group = (
-                route.pool,
-                spec.image if spec.is_filling else None,
-                spec.is_filling,
-                spec.is_service,
-                spec.label,
-                (*occurrence_key, step)
-                if spec.max_per_worker or spec.is_gang
-                else None,
-            )
-            amounts = _unplaceable.Amounts(
-                cpu=spec.cpu,
-                memory_mb=spec.memory_mb,
-                accelerators=spec.accelerators,
-            )
+            group = _unplaceable.group_of(tasks[0], route.pool)
+            amounts = _unplaceable.amounts_of(spec)
             demand_class = (group, amounts)
             if unplaceable.includes(group, amounts):
                 self._held_steps[step_key] = _obstacles.Hold.NO_WORKER
--- a/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
@@ -8,6 +8,9 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
+from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _specs
+
 
 class Amounts(NamedTuple):
     """Resources that a task needs, ``cpu`` in thousandths of a core."""
@@ -17,6 +20,28 @@
     accelerators: int
 
 
+def amounts_of(spec: _specs.StepSpec) -> Amounts:
+    """Return the resources that each task of a step needs."""
+    return Amounts(
+        cpu=spec.cpu,
+        memory_mb=spec.memory_mb,
+        accelerators=spec.accelerators,
+    )
+
+
+def group_of(task: _jobs.Task, pool: str) -> Hashable:
+    """Return what tasks share whose demands differ in amounts only."""
+    spec = task.spec
+    return (
+        pool,
+        spec.image if spec.is_filling else None,
+        spec.is_filling,
+        spec.is_service,
+        spec.label,
+        task.key[:3] if spec.max_per_worker or spec.is_gang else None,
+    )
+
+
 class UnplaceableDemands:
     """Demands that fit nowhere, by groups that differ in amounts only.
 
--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -160,6 +160,68 @@
     pytest.fail('the suspect was not started within 10 s')
 
 
+def unplaceable_step(kind, number):
+    """Return the step of a task that no worker can run."""
+    if kind == 'label':
+        return {'cpu': 1_000, 'label': 'gone'}
+    if kind == 'labels':
+        return {'cpu': 1_000, 'label': f'gone{number}'}
+    if kind == 'sizes':
+        return {'cpu': 1_000 + number, 'label': 'gone'}
+    if kind == 'large':
+        return {'cpu': 20_000 + number}
+    return {'cpu': 1_000, 'is_filling': True, 'image': 'f', 'memory_mb': 10**6}
+
+
+@pytest.mark.parametrize('is_service', [False, True])
+@pytest.mark.parametrize('others', [1, 60])
+@pytest.mark.parametrize(
+    'kind', ['label', 'labels', 'sizes', 'large', 'filling']
+)
+def test_suspects_that_no_worker_can_run_do_not_hold_up_a_suspect(
+    make, kind, others, is_service
+):
+    # Guards against a service task that never starts again after a crash, as
+    # suspects of its pool that find no worker are tried first in each round.
+    harness = make.Harness(workers=4)
+    for number in range(others):
+        harness.scheduler.add_job(
+            scheduling.JobSpec(
+                id=f'a{number:02}',
+                route='r',
+                payload='x',
+                steps=(
+                    scheduling.StepSpec(
+                        count=1, **unplaceable_step(kind, number)
+                    ),
+                ),
+            ),
+            harness.now,
+            progress={'crashes': [[0, 0, 0, [['z', 'shared']], None]]},
+        )
+    harness.scheduler.add_job(
+        scheduling.JobSpec(
+            id='b',
+            route='r',
+            payload='x',
+            steps=(
+                scheduling.StepSpec(count=1, cpu=1_000, is_service=is_service),
+            ),
+        ),
+        harness.now,
+        progress={'crashes': [[0, 0, 0, [['z', 'alone']], None]]},
+    )
+    for _ in range(2_000 // ROUND_MS):
+        harness.now += ROUND_MS
+        for name in harness.infos:
+            harness.poll(name)
+        starts, _ = harness.decide()
+        if starts:
+            assert starts[0].key.job == 'b'
+            return
+    pytest.fail('the suspect was not started within 2 s')
+
+
 def test_task_is_not_started_in_the_round_that_gives_it_up(make):
     # Guards against one more crashed worker after the task is given up, if
     # that follows from the end of a lease, which the round itself finds.
