Count no crash for a worker that only fell silent

Cause: a worker whose lease was over and whose entry was gone counted as crashed under the tasks that had just started there. It may be cut off and run on. Two such losses fail a job, or five that seem to have a common cause.

Change: the tasks on a lost worker are remembered until another incarnation is registered under its id or at its address, which shows that it has ended. The watch stores that for the next owner. A loss makes no suspect.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -12,6 +12,7 @@
 
 EVENT_COUNTERS = {
     'worker_crashed': 'worker_crashes',
+    'worker_lost': 'worker_losses',
     'task_suspected': 'tasks_suspected',
     'task_cleared': 'tasks_cleared',
     'task_given_up': 'tasks_given_up',
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
@@ -10,6 +11,7 @@
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _losses
+from oriolestand_policy.scheduling import _lost_workers
 
 MAX_LOGGED_RUNS = 8
 
@@ -30,6 +32,7 @@
         self._watched: dict[str, dict[_jobs.TaskKey, _jobs.Task]] = {}
         self._released: dict[str, dict[_jobs.TaskKey, _jobs.Watch]] = {}
         self._losses = _losses.LossTracker(cell.workers)
+        self._lost = _lost_workers.LostWorkers()
         self._confirmed: list[_jobs.Task] = []
         cell.on_worker_gone = self.on_worker_gone
 
@@ -51,19 +54,17 @@
     def on_restored(self, tasks: Iterable[_jobs.Task]) -> None:
         """Add tasks that a former owner suspected or watched.
 
-        A former owner that has removed a worker, but has not stored what
-        became of a watched run, ended right after the crash.
+        A former owner that has removed the worker of a watched run has lost
+        it, or ended before it has stored that the worker crashed.
         """
         for task in tasks:
             watch = task.watch
-            if watch is not None and watch.worker in self._cell.workers:
+            if watch is not None:
                 self._watched.setdefault(watch.worker, {})[task.key] = task
-                self._complete_info(watch)
-            elif watch is not None:
-                task.watch = None
-                task.crashes.append(
-                    _jobs.Crash(address=watch.address, kind=watch.kind)
-                )
+                if watch.worker in self._cell.workers:
+                    self._complete_info(watch)
+                else:
+                    self._lost.add(_lost_by(watch, task.key))
             if task.crashes:
                 self._marked[task.key] = task
                 self._check_cause(task)
@@ -108,6 +109,17 @@
         if released:
             self._released.setdefault(worker.info.id, {}).update(released)
 
+    def on_registered(self, info: _fleet.WorkerInfo) -> None:
+        """Count the crashes of lost workers that a new worker tells of."""
+        for lost in self._lost.take(info):
+            has_ended = lost.has_ended_before(info)
+            for task in list(self._watched.get(lost.id, {}).values()):
+                self._unwatch(task)
+            if not has_ended:
+                continue
+            for key, crash in lost.crashes.items():
+                self._add_crash(key, crash, lost.id)
+
     def on_report(self, worker: _fleet.Worker) -> None:
         """Stop watching the runs of a worker that has not crashed."""
         self._losses.on_report(worker)
@@ -127,50 +139,124 @@
     def on_worker_gone(self, worker: _fleet.Worker, reason: str) -> None:
         """Count the crash of a worker against the tasks that may be at fault.
 
-        Nothing counts if the worker left. If it has restarted, its present
-        incarnation may have the runs that the former one did not list, so the
-        crash counts against these once they are missing in its reports.
+        Nothing counts if the worker left, nor yet if it was lost. If it has
+        restarted, its present incarnation may have the runs that the former
+        one did not list, so the crash counts against these once they are
+        missing in its reports.
         """
+        is_crash = _is_crash(worker, reason)
+        is_lost = not is_crash and _is_lost(worker, reason)
+        if is_lost and self._is_replaced(worker):
+            is_crash, is_lost = True, False
+        kinds = self._kinds_by_task(worker)
         watched = list(self._watched.get(worker.info.id, {}).values())
+        if not (is_crash or is_lost):
+            for task in watched:
+                self._unwatch(task)
+            return
+        has_common_cause = self._losses.add(worker)
+        if worker.runs or kinds:
+            self._log_gone(
+                worker,
+                reason,
+                is_lost=is_lost,
+                has_common_cause=has_common_cause,
+            )
+        crashes = {
+            key: _jobs.Crash(
+                address=worker.info.address,
+                kind=_jobs.CrashKind.COMMON if has_common_cause else kind,
+            )
+            for key, kind in kinds.items()
+        }
+        if is_lost:
+            self._keep_lost(worker, crashes)
+            return
+        for task in watched:
+            self._unwatch(task)
+        self._count_crashes(worker, crashes, reason)
+
+    def _kinds_by_task(
+        self, worker: _fleet.Worker
+    ) -> dict[_jobs.TaskKey, _jobs.CrashKind]:
+        """Return the tasks that may have crashed a worker, and how."""
         released = self._released.pop(worker.info.id, {})
-        is_crash = _is_crash(worker, reason)
-        runs = _crashes.suspect_runs(worker)
-        kind = _kind_of(worker, runs)
-        tasks = {task.key: kind for task in self._tasks_of(worker, runs)}
+        watched = [
+            (task, task.watch)
+            for task in self._watched.get(worker.info.id, {}).values()
+            if task.watch is not None
+        ]
         if not worker.is_probed:
             # Its runs are those that the former owner watched.
-            tasks = {
-                task.key: task.watch.kind
-                for task in watched
-                if task.watch is not None and not task.worker
+            return {
+                task.key: watch.kind
+                for task, watch in watched
+                if not task.worker
             }
-        else:
-            # These were released when the lease of the worker was over.
-            tasks |= {
-                task.key: task.watch.kind
-                for task in watched
-                if task.watch is not None
-                and (task.key, task.watch.run) not in worker.runs
-            }
-            tasks = {
-                key: watch.kind for key, watch in released.items()
-            } | tasks
-        has_common_cause = is_crash and self._losses.add(worker)
-        if is_crash and (worker.runs or tasks):
-            self._log_crash(worker, reason, has_common_cause=has_common_cause)
-        for task in watched:
-            self._unwatch(task)
-        if not is_crash:
-            return
+        runs = _crashes.suspect_runs(worker)
+        kind = _kind_of(worker, runs)
+        # The others were released when the lease of the worker was over.
+        return {
+            **{key: watch.kind for key, watch in released.items()},
+            **{task.key: kind for task in self._tasks_of(worker, runs)},
+            **{
+                task.key: watch.kind
+                for task, watch in watched
+                if (task.key, watch.run) not in worker.runs
+            },
+        }
+
+    def _is_replaced(self, worker: _fleet.Worker) -> bool:
+        """Return whether another worker is registered at the address."""
+        return any(
+            other.is_listed
+            and other.info.address == worker.info.address
+            and other is not worker
+            for other in self._cell.workers.values()
+        )
+
+    def _keep_lost(
+        self,
+        worker: _fleet.Worker,
+        crashes: Mapping[_jobs.TaskKey, _jobs.Crash],
+    ) -> None:
+        """Remember a lost worker until it is known how it ended.
+
+        The watches of its runs let the next owner do so.
+        """
+        self._count_pending_crashes(worker, crashes.keys())
+        for task in self._tasks_of(worker, worker.runs.values()):
+            if task.key in crashes and task.watch is None:
+                self._watch(task, worker, crashes[task.key].kind)
+        for task in list(self._watched.get(worker.info.id, {}).values()):
+            if task.key not in crashes:
+                self._unwatch(task)
+        self._lost.add(
+            _lost_workers.LostWorker(
+                id=worker.info.id,
+                address=worker.info.address,
+                process_start_ms=worker.info.process_start_ms,
+                crashes=crashes,
+            )
+        )
+
+    def _count_crashes(
+        self,
+        worker: _fleet.Worker,
+        crashes: Mapping[_jobs.TaskKey, _jobs.Crash],
+        reason: str,
+    ) -> None:
+        """Count the crash of a worker against tasks, if need be later."""
         carried: dict[_jobs.TaskKey, _fleet.Run] = {}
         if reason == _crashes.RESTARTED:
-            carried = {run.key: run for run in runs if not run.is_reported}
+            carried = {
+                run.key: run
+                for run in _crashes.suspect_runs(worker)
+                if not run.is_reported
+            }
         else:
-            self._count_pending_crashes(worker, tasks.keys())
-        for key, kind in tasks.items():
-            if has_common_cause:
-                kind = _jobs.CrashKind.COMMON
-            crash = _jobs.Crash(address=worker.info.address, kind=kind)
+            self._count_pending_crashes(worker, crashes.keys())
+        for key, crash in crashes.items():
             if key in carried:
                 self._defer_crash(carried[key], worker, crash)
             else:
@@ -334,10 +420,15 @@
         if job is not None:
             self._cell.save(job)
 
-    def _log_crash(
-        self, worker: _fleet.Worker, reason: str, *, has_common_cause: bool
+    def _log_gone(
+        self,
+        worker: _fleet.Worker,
+        reason: str,
+        *,
+        is_lost: bool,
+        has_common_cause: bool,
     ) -> None:
-        """Log a crashed worker and its runs, the youngest first.
+        """Log a crashed or lost worker and its runs, the youngest first.
 
         A row holds the task, the run, its age at the last report and at the
         first failed poll, and the crashes that count against the task so far.
@@ -356,7 +447,7 @@
                 ]
             )
         self._cell.log(
-            'worker_crashed',
+            'worker_lost' if is_lost else 'worker_crashed',
             '',
             worker=worker.info.id,
             reason=reason,
@@ -369,12 +460,28 @@
 
 
 def _is_crash(worker: _fleet.Worker, reason: str) -> bool:
-    """Return whether a worker was lost without having announced it."""
-    if worker.info.is_leaving:
+    """Return whether another incarnation shows that a worker has crashed."""
+    return not worker.info.is_leaving and reason in _crashes.CRASH_REASONS
+
+
+def _is_lost(worker: _fleet.Worker, reason: str) -> bool:
+    """Return whether a worker fell silent without having announced it."""
+    if worker.info.is_leaving or worker.is_listed:
         return False
-    if reason in _crashes.CRASH_REASONS:
-        return True
-    return reason in _crashes.LOSS_REASONS and not worker.is_listed
+    return reason in _crashes.LOSS_REASONS
+
+
+def _lost_by(
+    watch: _jobs.Watch, key: _jobs.TaskKey
+) -> _lost_workers.LostWorker:
+    """Return the lost worker of a watched run."""
+    crash = _jobs.Crash(address=watch.address, kind=watch.kind)
+    return _lost_workers.LostWorker(
+        id=watch.worker,
+        address=watch.address,
+        process_start_ms=watch.process_start_ms,
+        crashes={key: crash},
+    )
 
 
 def _is_of_former(watch: _jobs.Watch, worker: _fleet.Worker) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -26,7 +26,7 @@
 
 LOSS_REASONS = frozenset({'lease over', 'never answered'})
 """Why a worker was removed that nobody has heard of: its entry is gone, so
-that it reaches neither the owner nor the store."""
+that it reaches neither the owner nor the store. It may run on."""
 
 MIN_ALONE_ADDRESSES = 2
 """Number of addresses at which workers must crash under a task alone."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -144,6 +144,7 @@
             if worker is None:
                 self._cell.workers[worker_id] = _fleet.Worker(info=info)
                 self._cell.log('worker_added', '', worker=worker_id)
+                self._crash_handler.on_registered(info)
                 continue
             if (
                 worker.info.process_start_ms
