Make room for ended service tasks in full cells

Callers saw service tasks that did not run for tens of seconds after their worker had died (the users' runs with real processes, rule LOST).

Cause: a reservation keeps what becomes free on a worker, and nothing becomes free while the batch tasks there run. Also, one reservation in four workers is allowed, and an overdue batch task may hold it for 30 s.

Change: an ended service task takes over the reservation of another task. From 4 s after its last run, the batch runs in its room are stopped, those of the least urgent routes and with the least lost work first, and no more than are in the way. So are those on a worker that is kept for a suspect service task.

--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -60,6 +60,10 @@
         """Return the key of the first task."""
         return self.tasks[0].key
 
+    def demands(self) -> list[tuple[_fleet.Worker, _reservations.Demand]]:
+        """Return the capacity that the tasks need on each worker."""
+        return _reservations.demands_by_worker(self.tasks, self.workers)
+
     def worker_of(self) -> Mapping[_jobs.TaskKey, _fleet.Worker]:
         """Return the worker of each task."""
         pairs = zip(self.tasks, self.workers, strict=True)
@@ -396,6 +400,10 @@
         # Which workers are usable has changed.
         self._placement.plan(self._cell.workers.values(), now_ms)
 
+    def holds(self) -> list[Hold]:
+        """Return the workers that are kept for suspects."""
+        return list(self._holds.values())
+
     def due(self) -> Iterator[Hold]:
         """Yield the holds whose tasks can start now."""
         for hold in list(self._holds.values()):
--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -71,6 +71,10 @@
         """Return the key of the first task."""
         return self.tasks[0].key
 
+    def demands(self) -> list[tuple[_fleet.Worker, 'Demand']]:
+        """Return the capacity that is kept on each worker."""
+        return demands_by_worker(self.tasks, self.workers)
+
     def is_fulfilled(self) -> bool:
         """Return whether all workers have room for their tasks."""
         return all(worker.has_room_for_reserved() for worker in self.workers)
@@ -220,6 +224,9 @@
     ) -> Reservation | None:
         """Select workers and reserve their capacity, if possible."""
         candidates, allowed_count = self._candidates(pool, now_ms)
+        if allowed_count <= 0 and is_ended_service:
+            self._displace(pool, now_ms)
+            candidates, allowed_count = self._candidates(pool, now_ms)
         if allowed_count <= 0:
             return None
         demands: dict[str, Demand] = {}
@@ -251,6 +258,13 @@
             self._placement.mark_changed(worker)
         return reservation
 
+    def _displace(self, pool: str, now_ms: int) -> None:
+        """Release the newest reservation of a pool for no ended service."""
+        others = [r for r in self if r.pool == pool and not r.is_ended_service]
+        if others:
+            self._attempted_ms[others[-1].key] = now_ms
+            self.release(others[-1])
+
     def _candidates(
         self, pool: str, now_ms: int
     ) -> tuple[list[_fleet.Worker], int]:
@@ -292,6 +306,17 @@
         return total
 
 
+def demands_by_worker(
+    tasks: Sequence[_jobs.Task], workers: Sequence[_fleet.Worker]
+) -> list[tuple[_fleet.Worker, Demand]]:
+    """Return what tasks need on each of their workers, which are parallel."""
+    found: dict[str, tuple[_fleet.Worker, Demand]] = {}
+    for task, worker in zip(tasks, workers, strict=True):
+        entry = found.setdefault(worker.info.id, (worker, Demand()))
+        entry[1].add(task.spec)
+    return list(found.values())
+
+
 def select_worker(
     workers: Sequence[_fleet.Worker],
     demands: Mapping[str, Demand],
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -14,6 +14,7 @@
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _placement_round
+from oriolestand_policy.scheduling import _preemption
 from oriolestand_policy.scheduling import _probations
 from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _reservations
@@ -50,6 +51,7 @@
             cell, placement, crash_handler
         )
         self._reservations = _reservations.Reservations(cell, placement)
+        self._preemption = _preemption.Preemption(cell)
         self._next_reservations_ms = 0
         self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
@@ -86,6 +88,7 @@
         self._start_probations(now_ms, former_runs)
         self._start_reserved(now_ms)
         self._start_ended_services(now_ms, former_runs)
+        self._make_room_for_services(now_ms)
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, former_runs)
@@ -154,6 +157,19 @@
                 continue
             unplaceable.add(demand_class)
 
+    def _make_room_for_services(self, now_ms: int) -> None:
+        """Stop batch runs where room is kept for ended service tasks."""
+        for reservation in self._reservations:
+            if reservation.is_ended_service and self._preemption.is_due(
+                reservation.tasks, now_ms
+            ):
+                for worker, demand in reservation.demands():
+                    self._preemption.make_room(worker, demand, now_ms)
+        for hold in self._probations.holds():
+            if self._preemption.is_due(hold.tasks, now_ms):
+                for worker, demand in hold.demands():
+                    self._preemption.make_room(worker, demand, now_ms)
+
     def _reserve_for_overdue(
         self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -8,6 +8,7 @@
 
 ROUND_MS = 50
 REPORT_MS = 250
+STOP_MS = 300
 
 
 class FullCell:
@@ -18,6 +19,7 @@
         self.harness = make.Harness(workers=workers)
         self.run_ms = run_ms
         self.ends_ms = {}
+        self.stopped = set()
         self.sequence = 0
         self.jobs = 0
         self.started = {}
@@ -45,7 +47,9 @@
                 sum(harness.scheduler.ready_by_kind().values()) < 20
             ):
                 self.add_small()
-            starts, _ = harness.decide()
+            starts, stops = harness.decide()
+            for stop in stops:
+                self.stop(stop)
             for start in starts:
                 harness.answer(start)
                 # The ends are spread over time.
@@ -55,6 +59,17 @@
                 self.ends_ms[start] = end
                 self.started.setdefault(start.key.job, harness.now)
 
+    def stop(self, stop):
+        """Answer a stop order; the run ends some time later."""
+        harness = self.harness
+        harness.scheduler.on_stop_reply(
+            stop.worker, stop.key, stop.run, True, harness.now
+        )
+        for start, end_ms in self.ends_ms.items():
+            if (start.key, start.run) == (stop.key, stop.run):
+                self.ends_ms[start] = min(end_ms, harness.now + STOP_MS)
+                self.stopped.add(start)
+
     def report(self):
         """Let each worker list its runs and those that have ended."""
         for name in self.harness.infos:
@@ -64,7 +79,8 @@
             for start in over:
                 del self.ends_ms[start]
                 self.sequence += 1
-                ends.append(self.make.end(start, 'done', self.sequence))
+                how = 'stopped' if start in self.stopped else 'done'
+                ends.append(self.make.end(start, how, self.sequence))
             running = [
                 self.make.report(s, percent=self.percent(s))
                 for s in here
