End the trials of a gang that does not fit

Cause: a filling task whose interference with a service is not known starts as a trial, one at a time; others are placed by an upper bound meanwhile. The members of a gang count as trials when a worker is selected for them, also if the gang then does not fit. Such a gang is tried in each round, so that no other task of its image gets the trial.

Change: the trials of a gang that does not fit end with the attempt.

Evidence: found by looking for turns that go to work that cannot start, not seen by callers. test_gang_that_does_not_fit_takes_no_trial_from_later_tasks failed before.

--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -52,6 +52,14 @@
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Note that the capacity of a worker has changed in the round."""
 
+    @abc.abstractmethod
+    def begin_gang(self) -> None:
+        """Note that the next selections are for the members of one gang."""
+
+    @abc.abstractmethod
+    def abandon_gang(self) -> None:
+        """Forget the selections for a gang that does not fit."""
+
 
 class WorkerState(enum.Enum):
     """Whether a worker may get new tasks, and if not, the first reason."""
@@ -160,6 +168,12 @@
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Do nothing, as each selection examines the workers anew."""
 
+    def begin_gang(self) -> None:
+        """Do nothing, as selections leave nothing behind."""
+
+    def abandon_gang(self) -> None:
+        """Do nothing, as selections leave nothing behind."""
+
 
 class MixedPlacement(Placement):
     """Place filling tasks beside the service tasks that they slow least.
@@ -183,6 +197,7 @@
         self._capacities: dict[str, _placement_round.FillingCapacity] = {}
         self._high_tails: dict[str, bool] = {}
         self._pairs_on_trial: set[tuple[str, str]] = set()
+        self._pairs_of_gang: set[tuple[str, str]] = set()
         self._forecast = _placement_round.RoundForecast(pressure, 0, 0)
 
     def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
@@ -290,12 +305,28 @@
         }
         if pairs <= self._pairs_on_trial:
             return
+        self._pairs_of_gang |= pairs - self._pairs_on_trial
         self._pairs_on_trial |= pairs
         # Other tasks of the image are now placed by the upper bounds.
+        self._drop_plans(filling)
+
+    def _drop_plans(self, filling: str) -> None:
+        """Drop the weights and queues for filling tasks of an image."""
         self._forecast.planned_weights.pop(filling, None)
         for pool_round in self._by_pool.values():
             pool_round.drop_queues(filling)
 
+    def begin_gang(self) -> None:
+        """Note that the next selections are for the members of one gang."""
+        self._pairs_of_gang.clear()
+
+    def abandon_gang(self) -> None:
+        """End the trials of a gang that does not fit."""
+        self._pairs_on_trial -= self._pairs_of_gang
+        for filling in {filling for _, filling in self._pairs_of_gang}:
+            self._drop_plans(filling)
+        self._pairs_of_gang.clear()
+
     def _scan(
         self, task: _jobs.Task, pool_round: _placement_round.PoolRound
     ) -> int | None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -353,6 +353,7 @@
         if any(m.key not in self._cell.ready for m in members):
             return 0
         number = self._next_run_number()
+        self._placement.begin_gang()
         placed: list[tuple[_fleet.Worker, _fleet.Run]] = []
         for member in members:
             worker = _probations.worker_of_member(
@@ -370,6 +371,7 @@
             worker.drop(run)
             self._placement.mark_changed(worker)
         if not all_placed:
+            self._placement.abandon_gang()
             return 0
         workers = [worker for worker, _ in placed]
         self._assign_all(job, members, workers, now_ms)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -44,8 +44,15 @@
         self._by_pool = {}
         self._capacities = {}
         self._pairs_on_trial = set()
+        self._pairs_before_gang = set()
         self._now_ms = 0
 
+    def begin_gang(self):
+        self._pairs_before_gang = set(self._pairs_on_trial)
+
+    def abandon_gang(self):
+        self._pairs_on_trial = self._pairs_before_gang
+
     def plan(self, workers, now_ms):
         self._now_ms = now_ms
         self._capacities.clear()
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -150,3 +150,24 @@
     )
     starts, _ = harness.decide()
     assert [start.key.job for start in starts] == ['task']
+
+
+def test_gang_that_does_not_fit_takes_no_trial_from_later_tasks(make):
+    # Guards against filling tasks whose interference is unknown and which no
+    # round tries, as a gang that does not fit uses up the trial first.
+    harness = make.Harness(workers=1)
+    service = scheduling.StepSpec(
+        count=1, cpu=1_000, is_service=True, image='web', target_ms=18
+    )
+    harness.add('service', service)
+    ((start,), _) = harness.decide()
+    harness.answer(start)
+    harness.now += 100
+    harness.poll('w0', [make.report(start, measured=10)])
+    filling = scheduling.StepSpec(
+        count=1, cpu=4_000, is_filling=True, image='loud'
+    )
+    harness.add('gang', dataclasses.replace(filling, count=2, is_gang=True))
+    harness.add('task', filling)
+    starts, _ = harness.decide()
+    assert [start.key.job for start in starts] == ['task']
