Keep a worker for a large suspect until it has room

Cause: a worker that is kept for a suspect of a crash was given up after 5 s, although its runs may take longer. In a cell full of such runs a large suspect never started, while the same task without a crash got a reservation.

Change: the worker is kept for twice the estimated time until it has room, 5 s to 30 s. It counts against the limit of suspects of the pool for that time, so a suspect service task that finds the limit reached takes over such a worker.

--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -32,9 +32,10 @@
 MIN_PROBATIONS = 2
 """Number of workers to which each of the shares comes at least."""
 
-MAX_HOLD_MS = 5_000
-"""Time after which another worker is selected, as the runs on the first one
-may take longer than expected."""
+MIN_HOLD_MS = 5_000
+MAX_HOLD_MS = 30_000
+"""Limits of the time after which another worker is selected. Within them it is
+twice the estimated time until there is room, as runs may take longer."""
 
 RETRY_INTERVAL_MS = 200
 """Time after which a worker is looked for again for tasks that found none."""
@@ -48,12 +49,13 @@
 class Hold:
     """Workers that are kept for a suspect, or for those of one gang.
 
-    ``tasks`` and ``workers`` are parallel.
+    ``tasks`` and ``workers`` are parallel. After ``until_ms`` other workers
+    are selected.
     """
 
     tasks: tuple[_jobs.Task, ...]
     workers: tuple[_fleet.Worker, ...]
-    since_ms: int
+    until_ms: int
 
     @property
     def key(self) -> _jobs.TaskKey:
@@ -78,7 +80,7 @@
     """
 
     def __init__(
-        self, cell: _cell.Cell, kept: Mapping[str, _fleet.Worker], now_ms: int
+        self, cell: _cell.Cell, kept: dict[str, _fleet.Worker], now_ms: int
     ) -> None:
         self._cell = cell
         self._kept = kept
@@ -91,14 +93,19 @@
     def is_full(self, task: _jobs.Task, pool: str) -> bool:
         """Return whether a pool has no worker left for suspects of a kind.
 
-        Workers are only added to those kept, so that this holds for the rest
-        of the round.
+        This holds until a hold is released.
         """
         key = (pool, _is_likely(task))
         if key not in self._full and self.is_limit_reached([task], pool):
             self._full.add(key)
         return key in self._full
 
+    def release(self, hold: Hold) -> None:
+        """Return the workers of a hold to the others."""
+        for worker in hold.workers:
+            self._kept.pop(worker.info.id, None)
+        self._full.clear()
+
     def is_limit_reached(self, tasks: list[_jobs.Task], pool: str) -> bool:
         """Return whether tasks must wait for other suspects of their pool."""
         active = [w for w in self._kept.values() if w.info.pool == pool]
@@ -211,7 +218,7 @@
     def _drop_invalid_holds(self, now_ms: int) -> None:
         """Drop holds that are not needed, not possible or too old."""
         for key, hold in list(self._holds.items()):
-            if now_ms - hold.since_ms >= MAX_HOLD_MS:
+            if now_ms >= hold.until_ms:
                 self._attempted_ms[key] = now_ms
             elif self._is_valid(hold, now_ms):
                 continue
@@ -283,7 +290,9 @@
         amounts = _unplaceable.amounts_of(task.spec)
         if self._unplaceable.includes(group, amounts):
             return None
-        if attempts.is_full(task, pool):
+        if attempts.is_full(task, pool) and not (
+            task.spec.is_service and self._displace(task, pool, attempts)
+        ):
             return None
         self._attempted_ms[task.key] = attempts.now_ms
         hold = self._select(job, task, pool, attempts)
@@ -291,6 +300,24 @@
             self._unplaceable.add(group, amounts)
         return hold
 
+    def _displace(
+        self, task: _jobs.Task, pool: str, attempts: '_Round'
+    ) -> bool:
+        """Give up a hold of a pool for a service task; return whether it may.
+
+        A worker may be kept for long until it has room for another task.
+        """
+        for hold in reversed(self._holds.values()):
+            if hold.tasks[0].spec.is_service:
+                continue
+            if hold.workers[0].info.pool != pool:
+                continue
+            del self._holds[hold.key]
+            self._attempted_ms[hold.key] = attempts.now_ms
+            attempts.release(hold)
+            return not attempts.is_full(task, pool)
+        return False
+
     def _begin_attempts(self, waiting: list[_jobs.Task], now_ms: int) -> None:
         """Forget the attempts of other tasks, and failures that are old."""
         keys = {task.key for task in waiting}
@@ -326,15 +353,17 @@
             tasks = [member for member in members if member.is_suspect]
         if attempts.is_limit_reached(tasks, pool):
             return None
-        workers = self._select_workers(
+        found = self._select_workers(
             tasks, attempts.examine(pool), attempts.now_ms
         )
-        if workers is None:
+        if found is None:
             return None
+        workers, time_ms = found
+        hold_ms = max(MIN_HOLD_MS, min(MAX_HOLD_MS, 2 * time_ms))
         return Hold(
             tasks=tuple(tasks),
             workers=tuple(workers),
-            since_ms=attempts.now_ms,
+            until_ms=attempts.now_ms + hold_ms,
         )
 
     def _select_workers(
@@ -342,14 +371,17 @@
         tasks: list[_jobs.Task],
         candidates: list[_fleet.Worker],
         now_ms: int,
-    ) -> list[_fleet.Worker] | None:
+    ) -> tuple[list[_fleet.Worker], int] | None:
         """Return a worker for each suspect, or None if one finds none.
 
+        The second value is the estimated time until all have room.
+
         Suspects of a gang share a worker only if there are no others: none
         of them is tried alone, and a crash counts against all of them.
         """
         demands: dict[str, _reservations.Demand] = {}
         workers: list[_fleet.Worker] = []
+        longest_ms = 0
         for task in tasks:
             hosts = [
                 worker
@@ -363,11 +395,12 @@
                 found = self._find_later(candidates, demands, task, now_ms)
                 if found is None:
                     return None
-                best = found
+                best, time_ms = found
+                longest_ms = max(longest_ms, time_ms)
             demand = demands.setdefault(best.info.id, _reservations.Demand())
             demand.add(task.spec)
             workers.append(best)
-        return workers
+        return workers, longest_ms
 
     def _find_later(
         self,
@@ -375,15 +408,14 @@
         demands: dict[str, _reservations.Demand],
         task: _jobs.Task,
         now_ms: int,
-    ) -> _fleet.Worker | None:
-        """Return the worker that has room for a suspect first, or None.
+    ) -> tuple[_fleet.Worker, int] | None:
+        """Return the worker that has room for a suspect first, and when.
 
         The idle processors that a filling task uses cannot be kept for it.
         """
         if task.spec.is_filling:
             return None
-        found = _reservations.select_worker(candidates, demands, task, now_ms)
-        return found[0] if found is not None else None
+        return _reservations.select_worker(candidates, demands, task, now_ms)
 
     def _apply(self, kept: dict[str, _fleet.Worker], now_ms: int) -> None:
         """Keep exactly these workers from other tasks."""
--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -134,6 +134,29 @@
     assert cell.wait_ms(90_000) is not None
 
 
+def test_service_task_does_not_wait_for_large_suspects(make):
+    # Guards against a service task that is kept waiting for the limit of
+    # suspects, which tasks use up that wait for a worker to become empty.
+    cell = FullCell(make, workers=4, run_ms=20_000)
+    large = scheduling.StepSpec(count=3, cpu=10_000, estimate_ms=1_000)
+    cell.harness.scheduler.add_job(
+        scheduling.JobSpec(id='large', route='r', payload='x', steps=(large,)),
+        cell.harness.now,
+        progress={
+            'crashes': [
+                [0, 0, n, [['z', 'shared']], None] for n in range(large.count)
+            ]
+        },
+    )
+    cell.run(1_000)
+    cell.add_job(
+        SUSPECT, count=1, cpu=10_000, estimate_ms=1_000, is_service=True
+    )
+    waited_ms = cell.wait_ms(20_000)
+    assert waited_ms is not None
+    assert waited_ms <= 6_000
+
+
 @pytest.mark.parametrize('crashes', [[], SUSPECT])
 def test_gang_with_a_suspect_starts_in_a_full_cell(make, crashes):
     # Guards against a gang for whose other members no room is made, as only
