--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
-import dataclasses
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
@@ -15,23 +14,11 @@
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _probation_round
 from oriolestand_policy.scheduling import _reservations
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _unplaceable
 
-MAX_PROBATION_SHARE = 0.25
-"""Share of a pool's workers that may be on probation at the same time. Most
-suspects are harmless, as only one of those of a crash caused it."""
-
-MAX_LIKELY_SHARE = 0.125
-"""As above, for suspects that were the only ones of a crash."""
-
-MAX_DOWN_SHARE = 0.25
-"""Share of a pool's workers that may be down under suspects."""
-
-MIN_PROBATIONS = 2
-"""Number of workers to which each of the shares comes at least."""
-
 MIN_HOLD_MS = 5_000
 MAX_HOLD_MS = 30_000
 """Limits of the time after which another worker is selected. Within them it is
@@ -45,96 +32,6 @@
 whole pool; there is always one selection."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Hold:
-    """Workers that are kept for a suspect, or for those of one gang.
-
-    ``tasks`` and ``workers`` are parallel. After ``until_ms`` other workers
-    are selected.
-    """
-
-    tasks: tuple[_jobs.Task, ...]
-    workers: tuple[_fleet.Worker, ...]
-    until_ms: int
-
-    @property
-    def key(self) -> _jobs.TaskKey:
-        """Return the key of the first task."""
-        return self.tasks[0].key
-
-    def demands(self) -> list[tuple[_fleet.Worker, _reservations.Demand]]:
-        """Return the capacity that the tasks need on each worker."""
-        return _reservations.demands_by_worker(self.tasks, self.workers)
-
-    def worker_of(self) -> Mapping[_jobs.TaskKey, _fleet.Worker]:
-        """Return the worker of each task."""
-        pairs = zip(self.tasks, self.workers, strict=True)
-        return {task.key: worker for task, worker in pairs}
-
-
-class _Round:
-    """Workers that suspects may get in a round.
-
-    ``kept`` are those that other suspects have; the caller adds to it.
-    ``examined`` counts the workers that were examined.
-    """
-
-    def __init__(
-        self, cell: _cell.Cell, kept: dict[str, _fleet.Worker], now_ms: int
-    ) -> None:
-        self._cell = cell
-        self._kept = kept
-        self._candidates_of: dict[str, list[_fleet.Worker]] = {}
-        self._kept_count = len(kept)
-        self._full: set[tuple[str, bool]] = set()
-        self.now_ms = now_ms
-        self.examined = 0
-
-    def is_full(self, task: _jobs.Task, pool: str) -> bool:
-        """Return whether a pool has no worker left for suspects of a kind.
-
-        This holds until a hold is released.
-        """
-        key = (pool, _is_likely(task))
-        if key not in self._full and self.is_limit_reached([task], pool):
-            self._full.add(key)
-        return key in self._full
-
-    def release(self, hold: Hold) -> None:
-        """Return the workers of a hold to the others."""
-        for worker in hold.workers:
-            self._kept.pop(worker.info.id, None)
-        self._full.clear()
-
-    def is_limit_reached(self, tasks: list[_jobs.Task], pool: str) -> bool:
-        """Return whether tasks must wait for other suspects of their pool."""
-        active = [w for w in self._kept.values() if w.info.pool == pool]
-        return _is_limit_reached(tasks, active, len(self._candidates(pool)))
-
-    def examine(self, pool: str) -> list[_fleet.Worker]:
-        """Return the workers that may be kept, and count them."""
-        candidates = self._candidates(pool)
-        self.examined += len(candidates)
-        return candidates
-
-    def _candidates(self, pool: str) -> list[_fleet.Worker]:
-        """Return the usable workers of a pool that are not kept."""
-        if len(self._kept) != self._kept_count:
-            self._kept_count = len(self._kept)
-            self._candidates_of.clear()
-        candidates = self._candidates_of.get(pool)
-        if candidates is None:
-            candidates = [
-                worker
-                for worker in self._cell.workers.values()
-                if worker.info.pool == pool
-                and worker.info.id not in self._kept
-                and _placement.is_usable(worker, self.now_ms)
-            ]
-            self._candidates_of[pool] = candidates
-        return candidates
-
-
 NO_HOLD: Mapping[_jobs.TaskKey, _fleet.Worker] = {}
 
 
@@ -180,7 +77,7 @@
         self._cell = cell
         self._placement = placement
         self._crash_handler = crash_handler
-        self._holds: dict[_jobs.TaskKey, Hold] = {}
+        self._holds: dict[_jobs.TaskKey, _probation_round.Hold] = {}
         self._on_probation: dict[str, _fleet.Worker] = {}
         self._attempted_ms: dict[_jobs.TaskKey, int] = {}
         self._unplaceable = _unplaceable.UnplaceableDemands()
@@ -224,7 +121,7 @@
                 continue
             del self._holds[key]
 
-    def _is_valid(self, hold: Hold, now_ms: int) -> bool:
+    def _is_valid(self, hold: _probation_round.Hold, now_ms: int) -> bool:
         """Return whether a hold is needed and its workers may be used."""
         return all(
             task.is_suspect and task.key in self._cell.ready
@@ -259,7 +156,7 @@
                 *_order(task),
             )
         )
-        attempts = _Round(self._cell, kept, now_ms)
+        attempts = _probation_round.ProbationRound(self._cell, kept, now_ms)
         for task in waiting:
             if attempts.examined >= MAX_EXAMINED_PER_ROUND:
                 break
@@ -279,14 +176,21 @@
             kept.update((w.info.id, w) for w in hold.workers)
 
     def _try_to_hold(
-        self, job: _jobs.Job, task: _jobs.Task, pool: str, attempts: '_Round'
-    ) -> Hold | None:
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        pool: str,
+        attempts: _probation_round.ProbationRound,
+    ) -> _probation_round.Hold | None:
         """Select workers for a suspect, or for all suspects of its gang.
 
         Does nothing if the limit of the pool is reached, or if a task that
         needs no more has found no worker since the last retry.
         """
-        group = (_unplaceable.group_of(task, pool), _is_likely(task))
+        group = (
+            _unplaceable.group_of(task, pool),
+            _probation_round.is_likely(task),
+        )
         amounts = _unplaceable.amounts_of(task.spec)
         if self._unplaceable.includes(group, amounts):
             return None
@@ -301,7 +205,10 @@
         return hold
 
     def _displace(
-        self, task: _jobs.Task, pool: str, attempts: '_Round'
+        self,
+        task: _jobs.Task,
+        pool: str,
+        attempts: _probation_round.ProbationRound,
     ) -> bool:
         """Give up a hold of a pool for a service task; return whether it may.
 
@@ -342,8 +249,8 @@
         job: _jobs.Job,
         task: _jobs.Task,
         pool: str,
-        attempts: '_Round',
-    ) -> Hold | None:
+        attempts: _probation_round.ProbationRound,
+    ) -> _probation_round.Hold | None:
         """Select workers for a suspect, or for all suspects of its gang."""
         tasks = [task]
         if task.spec.is_gang:
@@ -360,7 +267,7 @@
             return None
         workers, time_ms = found
         hold_ms = max(MIN_HOLD_MS, min(MAX_HOLD_MS, 2 * time_ms))
-        return Hold(
+        return _probation_round.Hold(
             tasks=tuple(tasks),
             workers=tuple(workers),
             until_ms=attempts.now_ms + hold_ms,
@@ -432,11 +339,11 @@
         # Which workers are usable has changed.
         self._placement.plan(self._cell.workers.values(), now_ms)
 
-    def holds(self) -> list[Hold]:
+    def holds(self) -> list[_probation_round.Hold]:
         """Return the workers that are kept for suspects."""
         return list(self._holds.values())
 
-    def due(self) -> Iterator[Hold]:
+    def due(self) -> Iterator[_probation_round.Hold]:
         """Yield the holds whose tasks can start now."""
         for hold in list(self._holds.values()):
             if all(
@@ -446,49 +353,21 @@
             ):
                 yield hold
 
-    def on_started(self, hold: Hold) -> None:
+    def on_started(self, hold: _probation_round.Hold) -> None:
         """Drop a hold whose tasks were started."""
         del self._holds[hold.key]
 
 
-def _is_likely(task: _jobs.Task) -> bool:
-    """Return whether a suspect was the only one of a crash."""
-    kinds = {crash.kind for crash in task.crashes}
-    return bool(kinds & {_jobs.CrashKind.ALONE, _jobs.CrashKind.LATE})
-
-
 def _order(task: _jobs.Task) -> tuple[object, ...]:
     """Return the sort key of waiting suspects; likely causes come last."""
     return (
-        _is_likely(task),
+        _probation_round.is_likely(task),
         not task.spec.is_service,
         task.ready_ms,
         task.key,
     )
 
 
-def _is_limit_reached(
-    tasks: list[_jobs.Task], active: list[_fleet.Worker], usable: int
-) -> bool:
-    """Return whether suspects must wait for others of their pool.
-
-    A gang with more suspects than the limit has the pool to itself.
-    """
-    reached = sum(worker.unreachable_ms < 0 for worker in active)
-    down = len(active) - reached
-    share = MAX_PROBATION_SHARE
-    if any(_is_likely(task) for task in tasks):
-        share = MAX_LIKELY_SHARE
-    return down >= _limit(MAX_DOWN_SHARE, usable) or (
-        reached > 0 and reached + len(tasks) > _limit(share, usable)
-    )
-
-
-def _limit(share: float, usable: int) -> int:
-    """Return the number of workers that is a share of a pool."""
-    return max(MIN_PROBATIONS, int(share * usable))
-
-
 def _cheapest(workers: list[_fleet.Worker], task: _jobs.Task) -> _fleet.Worker:
     """Return the worker whose crash costs least."""
     return min(workers, key=lambda worker: _rank(worker, task))
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -9,7 +9,7 @@
 from oriolestand_policy.scheduling import _crashes
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _losses
-from oriolestand_policy.scheduling import _probations
+from oriolestand_policy.scheduling import _probation_round
 from oriolestand_policy.scheduling import _record
 
 ALONE = _jobs.CrashKind.ALONE
@@ -243,8 +243,8 @@
 @pytest.mark.parametrize(
     ('kind', 'share'),
     [
-        ('shared', _probations.MAX_PROBATION_SHARE),
-        ('alone', _probations.MAX_LIKELY_SHARE),
+        ('shared', _probation_round.MAX_PROBATION_SHARE),
+        ('alone', _probation_round.MAX_LIKELY_SHARE),
     ],
 )
 def test_few_suspects_are_tried_at_a_time(make, kind, share):
