Let suspects that were tried keep a turn before later ones

Cause: suspects that had been tried went behind all that had not been. While workers go on crashing, new suspects keep coming, so that a task that had lost the worker kept for it was not tried again before that ended. Before, likely causes went behind all others in the same way.

Change: a task that was tried goes behind those that wait by then, and before those that come later. Service tasks come first.

--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -141,7 +141,8 @@
     ) -> None:
         """Keep workers for waiting suspects, within the limits of pools.
 
-        Those that were tried last come last, so that each has its turn.
+        Service tasks come first. The others have turns: a task that was tried
+        goes behind those that wait by then, and before those that come later.
         """
         held = {task.key for h in self._holds.values() for task in h.tasks}
         waiting = [
@@ -152,8 +153,10 @@
         self._begin_attempts(waiting, now_ms)
         waiting.sort(
             key=lambda task: (
-                self._attempted_ms.get(task.key, -1),
-                *_order(task),
+                not task.spec.is_service,
+                self._attempted_ms.get(task.key, task.ready_ms),
+                _probation_round.is_likely(task),
+                task.key,
             )
         )
         attempts = _probation_round.ProbationRound(self._cell, kept, now_ms)
@@ -358,16 +361,6 @@
         del self._holds[hold.key]
 
 
-def _order(task: _jobs.Task) -> tuple[object, ...]:
-    """Return the sort key of waiting suspects; likely causes come last."""
-    return (
-        _probation_round.is_likely(task),
-        not task.spec.is_service,
-        task.ready_ms,
-        task.key,
-    )
-
-
 def _cheapest(workers: list[_fleet.Worker], task: _jobs.Task) -> _fleet.Worker:
     """Return the worker whose crash costs least."""
     return min(workers, key=lambda worker: _rank(worker, task))
--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -294,3 +294,65 @@
         assert harness.decide()[0] == []
     harness.decide()
     assert harness.scheduler.jobs['s'].outcome is scheduling.Outcome.FAILED
+
+
+@pytest.mark.parametrize('kind', ['shared', 'alone'])
+def test_suspect_is_not_overtaken_by_later_ones_for_ever(make, kind):
+    # Guards against a suspect that waits for as long as others come, after it
+    # lost the worker that was kept for it, or as it was alone in a crash.
+    harness = make.Harness(workers=8)
+    began_ms = {}
+    sequence = 0
+
+    def add(job, kinds):
+        crashes = [[f'z{n}', kind] for n, kind in enumerate(kinds)]
+        harness.scheduler.add_job(
+            scheduling.JobSpec(
+                id=job,
+                route='r',
+                payload='x',
+                steps=(scheduling.StepSpec(count=1, cpu=10_000),),
+            ),
+            harness.now,
+            progress={'crashes': [[0, 0, 0, crashes, None]]},
+        )
+
+    # All workers are busy, so that one is kept for the suspect.
+    busy = scheduling.StepSpec(count=8, cpu=10_000, estimate_ms=900)
+    harness.add('busy', busy)
+    for start in harness.decide()[0]:
+        harness.answer(start)
+        began_ms[start] = harness.now
+    add('first', [kind])
+    harness.decide()
+    (held,) = (
+        name
+        for name, worker in harness.scheduler.workers.items()
+        if worker.is_on_probation
+    )
+    info = harness.infos.pop(held)
+    harness.infos['new'] = dataclasses.replace(info, id='new')
+    began_ms = {s: ms for s, ms in began_ms.items() if s.worker != held}
+    harness.scheduler.set_workers(harness.infos)
+    harness.scheduler.mark_workers_recorded(harness.infos)
+    harness.scheduler.remove_worker(held, 'replaced')
+    for step in range(400):
+        harness.now += ROUND_MS
+        if step % 4 == 0:
+            add(f'later{step:03}', ['shared'])
+        for name in harness.infos:
+            here = [s for s in began_ms if s.worker == name]
+            over = [s for s in here if harness.now - began_ms[s] >= 1_000]
+            ends = []
+            for start in over:
+                del began_ms[start]
+                sequence += 1
+                ends.append(make.end(start, 'done', sequence))
+            running = [make.report(s) for s in here if s in began_ms]
+            harness.poll(name, running, ends)
+        for start in harness.decide()[0]:
+            harness.answer(start)
+            began_ms[start] = harness.now
+            if start.key.job == 'first':
+                return
+    pytest.fail('the suspect was not started within 20 s')
