Count no crash for a start that had no effect

Cause: the run of a suspect is watched from its start. The watch stayed when the start was refused or not sent, and counted as a crash when the worker was found to have started again.

Change: such a start ends the watch.

--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -87,6 +87,15 @@
         """Watch the run of a suspect that is started alone."""
         self._watch(task, worker, _jobs.CrashKind.ALONE)
 
+    def on_start_without_effect(self, run: _fleet.Run) -> None:
+        """Stop watching a run whose start order was refused or not sent."""
+        job = self._cell.jobs.get(run.key.job)
+        task = job.find(run.key) if job is not None else None
+        if task is None or task.watch is None:
+            return
+        if task.watch.run == run.number:
+            self._unwatch(task)
+
     def on_unreachable(self, worker: _fleet.Worker) -> None:
         """Watch the newest runs of a worker whose poll failed."""
         self._losses.on_unreachable(worker)
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -1,6 +1,7 @@
 """Apply replies to orders to the state of a cell."""
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _reports
@@ -17,8 +18,11 @@
 class ReplyHandler:
     """Update a cell from replies to orders."""
 
-    def __init__(self, cell: _cell.Cell) -> None:
+    def __init__(
+        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+    ) -> None:
         self._cell = cell
+        self._crash_handler = crash_handler
 
     def on_start_reply(
         self,
@@ -79,6 +83,7 @@
             pause = UNHEALTHY_AVOID_MS
         worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + pause)
         worker.drop(run)
+        self._crash_handler.on_start_without_effect(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
 
     def withdraw_start(
@@ -97,6 +102,7 @@
             worker=worker_id,
         )
         worker.drop(run)
+        self._crash_handler.on_start_without_effect(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
         if run.spec.is_gang:
             self._stop_gang(run, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -53,7 +53,9 @@
     ) -> None:
         self._cell = _cell.Cell(epoch, lease_max_ms)
         self._crash_handler = _crash_handler.CrashHandler(self._cell)
-        self._reply_handler = _reply_handler.ReplyHandler(self._cell)
+        self._reply_handler = _reply_handler.ReplyHandler(
+            self._cell, self._crash_handler
+        )
         self._report_handler = _report_handler.ReportHandler(
             self._cell, self._crash_handler
         )
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -388,3 +388,27 @@
     restored = scheduling.Job(spec=spec)
     _record.restore(restored, scheduling.progress_of(job))
     assert len(restored.occurrence(0)[0][700].crashes) == 2
+
+
+@pytest.mark.parametrize(
+    'outcome', [o for o in scheduling.StartOutcome if o.value != 'started']
+)
+def test_start_of_a_suspect_that_had_no_effect_is_no_crash(make, outcome):
+    # Guards against a job that fails for a worker that was down before it got
+    # the start order of a suspect: the order was refused, or not sent.
+    harness = make.Harness(workers=1)
+    spec = scheduling.JobSpec(
+        id='s', route='r', payload='', steps=(scheduling.StepSpec(count=1),)
+    )
+    progress = {'crashes': [[0, 0, 0, [['z', ALONE]], None]]}
+    harness.scheduler.add_job(spec, harness.now, progress=progress)
+    ((start,), _) = harness.decide()
+    harness.answer(start, outcome)
+    harness.infos['w0'] = dataclasses.replace(
+        harness.infos['w0'], process_start_ms=2
+    )
+    harness.scheduler.set_workers(harness.infos)
+    harness.decide()
+    job = harness.scheduler.jobs['s']
+    assert job.outcome is None
+    assert len(job.find(start.key).crashes) == 1
