Give each ended service task its turn for a reservation

Cause: an attempt to reserve capacity looks at a whole pool, so two are made in 100 ms. Ended service tasks were tried in a fixed order, and each again after 1 s, so that some twenty which no worker can make room for used up all attempts, and one behind them got none.

Change: a task that was tried goes behind those that wait by then. One that needs at least as much as one that found no worker in the last second uses up no attempt.

--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -15,6 +15,7 @@
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _unplaceable
 
 MAX_RESERVED_SHARE = 0.25
 """Share of a pool's workers that may hold reservations at the same time; one
@@ -98,6 +99,8 @@
         self._attempted_ms: dict[_jobs.TaskKey, int] = {}
         self._attempts_left = 0
         self._next_attempts_ms = 0
+        self._unplaceable = _unplaceable.UnplaceableDemands()
+        self._forget_unplaceable_ms = 0
 
     def __contains__(self, key: _jobs.TaskKey) -> bool:
         """Return whether capacity is reserved for a task and its gang."""
@@ -117,6 +120,9 @@
         if now_ms >= self._next_attempts_ms:
             self.allow_attempts()
             self._next_attempts_ms = now_ms + ATTEMPT_INTERVAL_MS
+        if now_ms >= self._forget_unplaceable_ms:
+            self._forget_unplaceable_ms = now_ms + RETRY_INTERVAL_MS
+            self._unplaceable = _unplaceable.UnplaceableDemands()
         if len(self._attempted_ms) > MAX_REMEMBERED_ATTEMPTS:
             self._attempted_ms = {
                 key: attempted_ms
@@ -194,13 +200,20 @@
         """Reserve capacity for a task or the members of a gang.
 
         Return None if no worker of the pool can make room for one of them, if
-        enough workers hold reservations already, or if no attempt is due.
+        enough workers hold reservations already, or if no attempt is due. A
+        task that needs at least as much as one that found no worker since the
+        last retry uses up no attempt.
         """
         key = tasks[0].key
         last_ms = self._attempted_ms.get(key)
         is_due = last_ms is None or now_ms - last_ms >= RETRY_INTERVAL_MS
         if not is_due or self._attempts_left <= 0:
             return None
+        if self._unplaceable.includes(
+            _unplaceable.group_of(tasks[0], pool),
+            _unplaceable.amounts_of(tasks[0].spec),
+        ):
+            return None
         self._attempts_left -= 1
         reservation = self._add(
             tasks,
@@ -235,6 +248,10 @@
         for task in tasks:
             found = select_worker(candidates, demands, task, now_ms)
             if found is None:
+                self._unplaceable.add(
+                    _unplaceable.group_of(task, pool),
+                    _unplaceable.amounts_of(task.spec),
+                )
                 return None
             worker, time_ms = found
             longest_ms = max(longest_ms, time_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -133,8 +133,13 @@
     def _start_ended_services(
         self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
-        """Start overdue ended services, or reserve capacity for them."""
+        """Start overdue ended services, or reserve capacity for them.
+
+        Reservations have turns: a task that was tried goes behind those that
+        wait by then, so that services that fit nowhere do not hold up others.
+        """
         unplaceable: set[_DemandClass] = set()
+        waiting: list[_overdue.OverdueTask] = []
         for overdue in _overdue.overdue_ended_services(
             self._cell, now_ms, former_runs
         ):
@@ -146,16 +151,26 @@
             if _probations.is_needed(job, task):
                 continue
             demand_class = _demand_class(task, overdue.pool)
-            if demand_class in unplaceable:
-                continue
-            route = self._cell.routes[job.spec.route]
-            if task.spec.is_gang:
-                is_started = self._start_gang(job, task, route, now_ms)
-            else:
-                is_started = self._start_task(job, task, route, now_ms)
-            if is_started or self._reserve(job, overdue, now_ms):
-                continue
-            unplaceable.add(demand_class)
+            if demand_class not in unplaceable:
+                route = self._cell.routes[job.spec.route]
+                if task.spec.is_gang:
+                    is_started = self._start_gang(job, task, route, now_ms)
+                else:
+                    is_started = self._start_task(job, task, route, now_ms)
+                if is_started:
+                    continue
+                unplaceable.add(demand_class)
+            waiting.append(overdue)
+        waiting.sort(
+            key=lambda overdue: max(
+                self._reservations.attempted_ms(overdue.task.key),
+                overdue.task.ready_ms,
+            )
+        )
+        for overdue in waiting:
+            if overdue.task.key in self._cell.ready:
+                job = self._cell.jobs[overdue.task.key.job]
+                self._reserve(job, overdue, now_ms)
 
     def _make_room_for_services(self, now_ms: int) -> None:
         """Stop batch runs where room is kept for ended service tasks."""
--- a/packages/policy/tests/scheduling/test_preemption.py
+++ b/packages/policy/tests/scheduling/test_preemption.py
@@ -205,3 +205,27 @@
     waited_ms = cell.wait_for_restart()
     assert waited_ms is not None
     assert waited_ms <= RESTART_LIMIT_MS
+
+
+@pytest.mark.parametrize('others', [0, 60, 300])
+def test_services_that_fit_nowhere_do_not_keep_another_waiting(make, others):
+    # Guards against a service task that gets no reservation, as those that no
+    # worker can make room for use up all attempts.
+    cell = FullCell(make, dataclasses.replace(SERVICE, cpu=4_000, count=4))
+    for number in range(others):
+        spec = dataclasses.replace(SERVICE, cpu=9_000 + number)
+        cell.harness.scheduler.add_job(
+            scheduling.JobSpec(
+                id=f'a{number:03}', route='r', payload='x', steps=(spec,)
+            ),
+            cell.harness.now,
+            progress={'started': True, 'placed': []},
+            needs_probe=True,
+        )
+    cell.run(500)
+    # One of the four ends; the others keep the large ones off their workers.
+    cell.service = cell.service[:1]
+    cell.fail_services()
+    waited_ms = cell.wait_for_restart()
+    assert waited_ms is not None
+    assert waited_ms <= RESTART_LIMIT_MS
