--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -263,6 +263,29 @@
     pytest.fail('the suspect was not started within 2 s')
 
 
+def test_suspects_of_one_step_use_up_one_attempt(make):
+    # Guards against a suspect that waits behind thousands of one step that no
+    # worker can run, each of which examines the whole pool.
+    harness = make.Harness(workers=40)
+    for job, count, fields in (('a', 3_000, {'label': 'gone'}), ('b', 1, {})):
+        step = scheduling.StepSpec(count=count, cpu=1_000, **fields)
+        harness.scheduler.add_job(
+            scheduling.JobSpec(id=job, route='r', payload='x', steps=(step,)),
+            harness.now,
+            progress={
+                'crashes': [
+                    [0, 0, n, [['z', 'shared']], None] for n in range(count)
+                ]
+            },
+        )
+        harness.now += 1
+    starts = []
+    for _ in range(2):
+        harness.now += ROUND_MS
+        starts += harness.decide()[0]
+    assert [start.key.job for start in starts] == ['b']
+
+
 def test_task_is_not_started_in_the_round_that_gives_it_up(make):
     # Guards against one more crashed worker after the task is given up, if
     # that follows from the end of a lease, which the round itself finds. The
