Send the orders that keep promises first, and leave time for reports

Callers of an owner that is short of processor time saw cancelled tasks run on (UNASKED) and service tasks stay away (LOST). Cause: all orders of a round were sent at once, in the order in which they were decided. A burst of 200 starts took up to half a second of an owner with 15% of a processor, and stops and reports waited behind it. Starts of service tasks waited behind the records of all other jobs, which are written 32 at a time.

Change: OrderQueue (policy) holds the orders that are not sent: stops, paces, starts of service tasks, other starts, in this order. It sends for 20 ms, the rest comes after a pass of the event loop. A start that is withdrawn or stopped meanwhile leaves the queue. Records that a start waits for are written first.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -1,6 +1,7 @@
 """Send the orders of the scheduler to workers."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from twisted.internet import defer
 
@@ -41,7 +42,12 @@
         self._on_reply = on_reply
         self._on_fenced = on_fenced
         self._log = core.get_logger(const.DOMAIN)
+        self._queue = scheduling.OrderQueue()
         self._held_starts: set[_RunId] = set()
+        self._decided_ms: dict[_RunId, int] = {}
+        """When the starts that are not sent yet were decided."""
+        self._timer: core.Timer | None = None
+        self._is_sending = False
         term.on_end.append(self._withdraw_orders)
 
     def _withdraw_orders(self) -> None:
@@ -50,66 +56,124 @@
             orders.SERVICE, orders.WithdrawOrders(epoch=self._term.epoch)
         )
 
-    def send(
-        self,
-        effect: (
-            scheduling.StartTask
-            | scheduling.WithdrawStart
-            | scheduling.StopTask
-            | scheduling.PaceTask
-        ),
-    ) -> None:
-        """Send an order, which was just decided, in the background."""
-        if isinstance(effect, scheduling.StartTask):
-            decided_ms = self._kernel.clock.now()
-            if effect.needs_record:
-                defer.ensureDeferred(
-                    self._start_recorded_run(effect, decided_ms)
-                )
-            else:
-                defer.ensureDeferred(self._start_run(effect, decided_ms))
-        elif isinstance(effect, scheduling.WithdrawStart):
-            if _run_of(effect) in self._held_starts:
-                self._held_starts.remove(_run_of(effect))
-                self._withdraw_start(effect)
-                return
-            self._kernel.post(
-                orders.SERVICE,
-                orders.WithdrawStart(
-                    worker=effect.worker, key=effect.key, number=effect.run
-                ),
+    @property
+    def unsent_start_count(self) -> int:
+        """Return the number of starts that are decided and not sent."""
+        return self._queue.start_count + len(self._held_starts)
+
+    def oldest_unsent_ms(self) -> int:
+        """Return how long the start that waits longest has waited."""
+        oldest_ms = min(self._decided_ms.values(), default=None)
+        if oldest_ms is None:
+            return 0
+        return self._kernel.clock.now() - oldest_ms
+
+    def send(self, effects: Iterable[scheduling.Effect]) -> None:
+        """Send orders that were just decided, in the background.
+
+        The most important ones are sent first. The rest waits for the next
+        pass of the event loop once these have taken their time, so that it
+        reads reports and renews leases in between.
+        """
+        now_ms = self._kernel.clock.now()
+        for effect in effects:
+            if isinstance(effect, scheduling.WithdrawStart):
+                self._drop_start(effect)
+            elif isinstance(effect, scheduling.StopTask):
+                if not self._withdraw_unsent(effect):
+                    self._queue.add(effect)
+            elif isinstance(effect, scheduling.StartTask):
+                self._decided_ms[_run_of(effect)] = now_ms
+                if effect.needs_record:
+                    self._hold_start(effect)
+                else:
+                    self._queue.add(effect)
+            elif isinstance(effect, scheduling.PaceTask):
+                self._queue.add(effect)
+        if self._timer is None:
+            self._send_some()
+
+    def _send_some(self) -> None:
+        """Send the first orders of the queue, and the rest later."""
+        self._timer = None
+        if self._is_sending or self._term.is_over:
+            return
+        self._is_sending = True
+        clock = self._kernel.clock
+        try:
+            is_rest = self._queue.send(
+                self._send_order, clock.now, const.SEND_BUDGET_MS
             )
-        elif isinstance(effect, scheduling.StopTask):
-            defer.ensureDeferred(self._stop_run(effect))
+        finally:
+            self._is_sending = False
+        if is_rest and not self._term.is_over:
+            self._timer = clock.call_later(const.NEXT_PASS_MS, self._send_some)
+
+    def _send_order(self, order: scheduling.Order) -> None:
+        """Send one order."""
+        if isinstance(order, scheduling.StopTask):
+            defer.ensureDeferred(self._stop_run(order))
+        elif isinstance(order, scheduling.PaceTask):
+            defer.ensureDeferred(self._pace_run(order))
+        elif self._scheduler.is_start_pending(
+            order.worker, order.key, order.run
+        ):
+            decided_ms = self._decided_ms.pop(
+                _run_of(order), self._kernel.clock.now()
+            )
+            defer.ensureDeferred(self._start_run(order, decided_ms))
         else:
-            defer.ensureDeferred(self._pace_run(effect))
+            self._withdraw_start(order)
 
-    def _target(self, worker_id: str) -> orders.Target | None:
-        """Return the target of a worker, or None if it is gone."""
-        worker = self._scheduler.workers.get(worker_id)
-        if worker is None:
-            return None
-        return orders.Target(worker=worker_id, address=worker.info.address)
+    def _withdraw_unsent(
+        self, effect: scheduling.WithdrawStart | scheduling.StopTask
+    ) -> bool:
+        """Withdraw the start of a run that waits here; return whether any."""
+        run = _run_of(effect)
+        if run in self._held_starts:
+            self._held_starts.remove(run)
+        elif not self._queue.withdraw(*run):
+            return False
+        self._withdraw_start(effect)
+        return True
 
-    async def _start_recorded_run(
-        self, effect: scheduling.StartTask, decided_ms: int
-    ) -> None:
-        """Start a run once the record that places its task is written.
+    def _drop_start(self, effect: scheduling.WithdrawStart) -> None:
+        """Withdraw a start, which the adapter may hold."""
+        if self._withdraw_unsent(effect):
+            return
+        self._kernel.post(
+            orders.SERVICE,
+            orders.WithdrawStart(
+                worker=effect.worker, key=effect.key, number=effect.run
+            ),
+        )
+
+    def _hold_start(self, effect: scheduling.StartTask) -> None:
+        """Queue a start once the record that places its task is written.
 
         A successor starts the task elsewhere unless the record places it.
         """
         run = _run_of(effect)
         self._held_starts.add(run)
-        await self._saver.when_saved({effect.key.job})
+        saved = self._saver.when_saved({effect.key.job}, is_urgent=True)
+        saved.addCallback(lambda _: self._release_start(effect))
+
+    def _release_start(self, effect: scheduling.StartTask) -> None:
+        """Queue a start whose record is written, unless it was withdrawn."""
+        run = _run_of(effect)
         if self._term.is_over or run not in self._held_starts:
             return
         self._held_starts.remove(run)
-        if self._scheduler.is_start_pending(
-            effect.worker, effect.key, effect.run
-        ):
-            await self._start_run(effect, decided_ms)
-            return
-        self._withdraw_start(effect)
+        self._queue.add(effect)
+        if self._timer is None:
+            self._send_some()
+
+    def _target(self, worker_id: str) -> orders.Target | None:
+        """Return the target of a worker, or None if it is gone."""
+        worker = self._scheduler.workers.get(worker_id)
+        if worker is None:
+            return None
+        return orders.Target(worker=worker_id, address=worker.info.address)
 
     def _withdraw_start(
         self,
@@ -120,6 +184,7 @@
         ),
     ) -> None:
         """Tell the scheduler that a start is not sent."""
+        self._decided_ms.pop(_run_of(effect), None)
         self._scheduler.withdraw_start(
             effect.worker, effect.key, effect.run, self._kernel.clock.now()
         )
@@ -186,14 +251,7 @@
         self._on_reply()
 
     async def _stop_run(self, effect: scheduling.StopTask) -> None:
-        """Order a worker to stop a run and tell the scheduler the outcome.
-
-        A start that waits for its record is withdrawn instead.
-        """
-        if _run_of(effect) in self._held_starts:
-            self._held_starts.remove(_run_of(effect))
-            self._withdraw_start(effect)
-            return
+        """Order a worker to stop a run and tell the scheduler the outcome."""
         clock = self._kernel.clock
         started_ms = clock.now()
         target = self._target(effect.worker)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
+import itertools
 import json
 from typing import Any
 
@@ -69,6 +70,7 @@
         self._queued: dict[str, int] = {}
         self._in_flight: dict[str, int] = {}
         self._batch_limits: dict[str, int] = {}
+        self._urgent: set[str] = set()
         self._failed: set[str] = set()
         self._is_busy = False
         self._waiters: list[tuple[dict[str, int], defer.Deferred[None]]] = []
@@ -93,10 +95,13 @@
             self._is_busy = True
             defer.ensureDeferred(self._write_all())
 
-    def when_saved(self, jobs: set[str]) -> 'defer.Deferred[None]':
+    def when_saved(
+        self, jobs: set[str], *, is_urgent: bool = False
+    ) -> 'defer.Deferred[None]':
         """Return a Deferred that fires once the jobs' records are written.
 
         It waits for the records as of the call and not for later changes.
+        Urgent records are written before the others.
         """
         fut: defer.Deferred[None] = defer.Deferred()
         unsaved = {
@@ -104,6 +109,8 @@
             for job in jobs
             if self.is_unsaved(job)
         }
+        if is_urgent:
+            self._urgent.update(unsaved)
         if not unsaved:
             fut.callback(None)
         else:
@@ -169,6 +176,8 @@
         if result is not None and result.is_applied:
             for job_id in revisions:
                 self._versions[job_id] = result.version
+                if job_id not in self._queued:
+                    self._urgent.discard(job_id)
             self._written_states.update(states)
             self._restore_batch_limits(revisions)
             self._fire_waiters(revisions)
@@ -187,10 +196,15 @@
         await self._kernel.sleep(const.SAVE_RETRY_MS)
 
     def _next_jobs(self) -> list[str]:
-        """Return the jobs that were queued first and may share a commit."""
+        """Return the jobs that come first and may share a commit.
+
+        Urgent ones come before the others, each in the order of the queue.
+        """
         limit = const.SAVE_BATCH
         jobs: list[str] = []
-        for job_id in self._queued:
+        urgent = [job for job in self._queued if job in self._urgent]
+        others = (job for job in self._queued if job not in self._urgent)
+        for job_id in itertools.chain(urgent, others):
             limit = min(limit, self._batch_limits.get(job_id, limit))
             if len(jobs) >= limit:
                 break
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -366,12 +366,9 @@
             if isinstance(effect, scheduling.SaveJob)
         )
         for effect in effects:
-            if isinstance(effect, scheduling.SaveJob):
-                continue
             if isinstance(effect, scheduling.LogEvent):
                 self._log_event(effect)
-            else:
-                self._orders.send(effect)
+        self._orders.send(effects)
 
     def _log_event(self, effect: scheduling.LogEvent) -> None:
         """Log an event of the scheduler, and count it if it has a counter."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -29,6 +29,9 @@
 calls the due timers before it reads from sockets, up to 64 KB from each. The
 report of a worker with 500 ends has about 33 KB, so that one pass reads it."""
 
+SEND_BUDGET_MS = 20
+"""Time for which orders are sent before the event loop reads reports again."""
+
 TICK_MS = 200
 GAUGE_INTERVAL_MS = 1_000
 TAKEOVER_REPORT_INTERVAL_MS = 1_000
--- a/packages/fleet/tests/services/cell/test_lost_paces.py
+++ b/packages/fleet/tests/services/cell/test_lost_paces.py
@@ -26,7 +26,7 @@
     effect = scheduling.PaceTask(
         worker=run.worker, key=run.key, run=run.number, percent=100
     )
-    owner.kernel.find('cell')._owner_term._orders.send(effect)
+    owner.kernel.find('cell')._owner_term._orders.send([effect])
     site.run(100)
     owner.orders.faults.unreachable = set()
     site.run(5_000)
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -23,6 +23,9 @@
 from oriolestand_policy.scheduling._jobs import Task
 from oriolestand_policy.scheduling._jobs import TaskKey
 from oriolestand_policy.scheduling._jobs import parse_key
+from oriolestand_policy.scheduling._order_queue import Order
+from oriolestand_policy.scheduling._order_queue import OrderPriority
+from oriolestand_policy.scheduling._order_queue import OrderQueue
 from oriolestand_policy.scheduling._placement import FirstFitPlacement
 from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._placement import Placement
@@ -62,6 +65,9 @@
     'LearnedPressure',
     'LogEvent',
     'MixedPlacement',
+    'Order',
+    'OrderPriority',
+    'OrderQueue',
     'Outcome',
     'PaceTask',
     'PairWeight',
