Fit the polls, rounds and starts of an owner to its processor

Callers saw service tasks stay away (LOST) and cancelled tasks run on (UNASKED) on daemons with 7% of their processors and no fault. Trace (trial): the owner of 246 workers had no idle time from its start on; a poll took 4.3 ms of it, so that polls of idle workers alone took a second of each second; rounds of 250 ms followed each other with 29 ms in between, and a pass of the event loop took a second. At 12.3 s it counted 180 of 246 workers as silent, because it had not read their reports.

Change: OwnerLoad (policy) measures how late the event loop calls timers. From 250 ms on, a poll lasts as long as leases and passes allow, at most twice as long as usual, and is followed by a pause; a worker is not silent before such a report is due. Workers with services beside filling tasks are polled each second at least, and at once while a service is too slow. A round comes at the earliest after twice the time that the last one took. A busy owner decides 16 starts a round at most, and none while as many wait. Gauges tell the delay, the length of a round, the age of the oldest report and of the oldest unsent start, and the number of unsent starts.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
@@ -2,6 +2,7 @@
 
 import oriolestand_core as core
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _order_sender
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
@@ -21,7 +22,12 @@
         self._scheduler = scheduler
         self._next_ms = 0
 
-    def report(self, record_backlog: int) -> None:
+    def report(
+        self,
+        record_backlog: int,
+        load: scheduling.OwnerLoad,
+        order_sender: _order_sender.OrderSender,
+    ) -> None:
         """Set the gauges if the interval has passed.
 
         ``record_backlog``: number of records that wait to be written.
@@ -47,6 +53,11 @@
         self._set('workers', len(scheduler.workers))
         self._set('record_backlog', record_backlog)
         self._set('owner_epoch', self._term.epoch)
+        self._set('owner_delay_ms', load.delay_ms(now))
+        self._set('round_ms', load.round_ms)
+        self._set('unsent_starts', order_sender.unsent_start_count)
+        self._set('oldest_unsent_start_ms', order_sender.oldest_unsent_ms())
+        self._set('oldest_report_ms', scheduler.oldest_report_ms(now))
 
     def _set(self, name: str, value: int, label: str = '') -> None:
         """Set one gauge."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -66,6 +66,7 @@
         self._pollers: dict[str, _worker_poller.WorkerPoller] = {}
         self._replaced_worker_ids: set[str] = set()
         self._registered_workers: dict[str, scheduling.WorkerInfo] = {}
+        self._load = scheduling.OwnerLoad(cfg.limits.lease_max_ms)
         self._round_timer: Any = None
         self._read_until_ms: int = kernel.clock.now()
         """Everything received until this time has been read."""
@@ -99,7 +100,7 @@
             self._on_worker_reply,
             on_ownership_lost,
         )
-        self._load(snapshot, config)
+        self._load_cell(snapshot, config)
         self._sweeper = _sweeper.Sweeper(
             kernel,
             term,
@@ -109,7 +110,7 @@
             cfg.limits.retention_ms,
         )
 
-    def _load(
+    def _load_cell(
         self, snapshot: jobs.Snapshot, config: store.FleetConfig
     ) -> None:
         """Load the configuration and all stored jobs into the scheduler."""
@@ -262,6 +263,7 @@
                 self.term,
                 self._scheduler,
                 self._saver,
+                self._load,
                 worker_id,
                 self._on_worker_reply,
                 self._on_ownership_lost,
@@ -288,19 +290,23 @@
         received until then has been read. After each round, report the
         gauges, store the interference model and remove expired jobs, if due.
         """
+        clock = self._kernel.clock
         while not self.term.is_over:
+            expected_ms = clock.now() + const.TICK_MS
             await self._kernel.sleep(const.TICK_MS)
-            due_ms = self._kernel.clock.now()
+            due_ms = clock.now()
+            self._load.on_tick(due_ms - expected_ms, due_ms)
             await self._kernel.sleep(const.NEXT_PASS_MS)
             self._note_read(due_ms)
             self._sync_pollers()
-            self._run_round()
+            if not self._load.round_delay_ms(0, clock.now()) > 0:
+                self._run_round()
             if self._takeover.are_workers_listed:
                 self._fleet.carry_waits()
             if self._fleet.is_outdated:
                 # Rounds remove workers whose leases are over.
                 self._update_fleet_record()
-            self._gauges.report(self._saver.backlog)
+            self._gauges.report(self._saver.backlog, self._load, self._orders)
             model_update = defer.ensureDeferred(
                 self._interference_record.update()
             )
@@ -312,9 +318,13 @@
         """Request a scheduling round after a short delay."""
         if self._round_timer is None and not self.term.is_over:
             worker_count = len(self._scheduler.workers)
-            self._round_timer = self._kernel.clock.call_later(
+            delay_ms = (
                 const.ROUND_DELAY_MS
-                + worker_count // const.WORKERS_PER_MS_OF_DELAY,
+                + worker_count // const.WORKERS_PER_MS_OF_DELAY
+            )
+            clock = self._kernel.clock
+            self._round_timer = clock.call_later(
+                self._load.round_delay_ms(delay_ms, clock.now()),
                 self._on_round_due,
             )
 
@@ -350,8 +360,11 @@
             clock.wall(),
             self._takeover.update(known_until_ms),
             known_until_ms,
+            self._load.batch_size(now, self._orders.unsent_start_count),
         )
         self._apply_effects()
+        end_ms = clock.now()
+        self._load.on_round(end_ms - now, end_ms)
 
     def _apply_effects(self) -> None:
         """Apply the pending effects of the scheduler.
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -67,6 +67,7 @@
         term: models.Term,
         scheduler: scheduling.Scheduler,
         saver: _record_saver.RecordSaver,
+        load: scheduling.OwnerLoad,
         worker: str,
         on_change: Callable[[], None],
         on_fenced: Callable[[str], None],
@@ -75,6 +76,7 @@
         self._term = term
         self._scheduler = scheduler
         self._saver = saver
+        self._load = load
         self._worker = worker
         self._on_change = on_change
         self._on_fenced = on_fenced
@@ -137,9 +139,17 @@
     async def _poll(self, worker: scheduling.Worker) -> None:
         """Extend the lease, apply the report and wait for its job records."""
         sent_ms = self._kernel.clock.now()
-        self._scheduler.on_poll_sent(self._worker, sent_ms)
+        poll = self._make_poll(worker, sent_ms)
+        late_ms = self._load.poll_pause_ms(sent_ms)
+        late_ms += self._load.delay_ms(sent_ms)
+        late_ms += max(0, poll.wait_ms - const.POLL_WAIT_MS)
+        self._scheduler.on_poll_sent(
+            self._worker,
+            sent_ms,
+            late_ms if self._load.is_busy(sent_ms) else 0,
+        )
         report: scheduling.WorkerReport = await self._kernel.ask(
-            orders.SERVICE, self._make_poll(worker, sent_ms)
+            orders.SERVICE, poll
         )
         if self._term.is_over:
             return
@@ -156,6 +166,20 @@
         if self._scheduler.are_leases_held(self._worker):
             # A poll without a lease does not wait at the worker.
             await self._kernel.sleep(const.POLL_RETRY_MS)
+        pause_ms = self._load.poll_pause_ms(self._kernel.clock.now())
+        if pause_ms and not (
+            worker.is_mixed or self._is_report_urgent(worker)
+        ):
+            await self._kernel.sleep(pause_ms)
+
+    def _is_report_urgent(self, worker: scheduling.Worker) -> bool:
+        """Return whether the next report must not wait for a busy owner."""
+        return (
+            worker.has_missing_runs
+            or worker.is_on_probation
+            or worker.info.is_leaving
+            or (worker.is_mixed and worker.has_slow_service)
+        )
 
     def _make_poll(
         self, worker: scheduling.Worker, sent_ms: int
@@ -174,10 +198,14 @@
             acknowledged = 0
         has_unrecorded_ends = cursor.recorded < cursor.received
         wait_ms = const.POLL_WAIT_MS
-        if worker.service_cpu and worker.filling_cpu:
+        if worker.is_mixed:
             wait_ms = const.MIXED_POLL_WAIT_MS
         if worker.is_on_probation:
             wait_ms = const.PROBATION_POLL_WAIT_MS
+        if not self._is_report_urgent(worker):
+            wait_ms = self._load.poll_wait_ms(wait_ms, sent_ms)
+            if worker.is_mixed:
+                wait_ms = min(wait_ms, const.POLL_WAIT_MS)
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
         if worker.has_missing_runs:
--- a/packages/fleet/tests/test_slow_owner.py
+++ b/packages/fleet/tests/test_slow_owner.py
@@ -65,7 +65,7 @@
     decide = scheduler.decide
     unread_counts = []
 
-    def count_unread(now_ms, wall_ms, former_runs, known_until_ms):
+    def count_unread(now_ms, wall_ms, former_runs, known_until_ms, max_starts):
         # An assertion here would only end the term if a loop runs the round.
         unread_counts.append(
             sum(
@@ -73,7 +73,7 @@
                 for receipt in owner.orders.receipts
             )
         )
-        decide(now_ms, wall_ms, former_runs, known_until_ms)
+        decide(now_ms, wall_ms, former_runs, known_until_ms, max_starts)
 
     scheduler.decide = count_unread
     site.submit(owner, LONG_JOB, ONE_TASK, duration_ms=4_000)
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -23,6 +23,7 @@
 from oriolestand_policy.scheduling._jobs import Task
 from oriolestand_policy.scheduling._jobs import TaskKey
 from oriolestand_policy.scheduling._jobs import parse_key
+from oriolestand_policy.scheduling._load import OwnerLoad
 from oriolestand_policy.scheduling._order_queue import Order
 from oriolestand_policy.scheduling._order_queue import OrderPriority
 from oriolestand_policy.scheduling._order_queue import OrderQueue
@@ -69,6 +70,7 @@
     'OrderPriority',
     'OrderQueue',
     'Outcome',
+    'OwnerLoad',
     'PaceTask',
     'PairWeight',
     'Placement',
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -12,6 +12,11 @@
 """Slowest rate of a worker's clock, as a fraction: up to 2% slow."""
 
 
+MAX_REPORT_AGE_MS = 2_500
+"""A worker whose last report is older than this gets no new tasks, unless
+the owner polls it later than usual."""
+
+
 class RunPhase(enum.Enum):
     """Phases of a run, as far as the owner can tell.
 
@@ -103,7 +108,8 @@
     start order. The ``reserved`` amounts are kept free for waiting tasks.
     ``unreachable_ms`` is when the first poll since the last report failed, -1
     if none did. ``failed_polls`` counts those polls, and ``polled_ms`` is when
-    the last poll was sent. ``is_on_probation`` is whether it is kept for a
+    the last poll was sent. A report older than ``max_report_age_ms`` shows
+    that the worker is silent. ``is_on_probation`` is whether it is kept for a
     suspect, so that no other task starts beside it. ``version`` counts the
     changes that the selection of workers depends on. ``carried_ms`` is since
     when the owner waits for the first report of a restarted worker that may
@@ -139,6 +145,7 @@
     unreachable_ms: int = -1
     failed_polls: int = 0
     polled_ms: int = -1
+    max_report_age_ms: int = MAX_REPORT_AGE_MS
     is_on_probation: bool = False
     version: int = 0
     carried_ms: int = -1
@@ -148,6 +155,16 @@
         """Return the number of tasks that failed on the worker recently."""
         return len(self.failed_tasks)
 
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether filling tasks may disturb service tasks here."""
+        return bool(self.service_cpu and self.filling_cpu)
+
+    @property
+    def has_slow_service(self) -> bool:
+        """Return whether a service task exceeds its target."""
+        return any(run.over_since_ms >= 0 for run in self.runs.values())
+
     @property
     def has_missing_runs(self) -> bool:
         """Return whether the last report omits a run that may have ended."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -13,9 +13,6 @@
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _specs
 
-MAX_REPORT_AGE_MS = 2_500
-"""A worker whose last report is older than this gets no new tasks."""
-
 FILLING_FORECAST_MS = 1_200
 """How far ahead the load of service tasks is forecast to place a filling task.
 Filling tasks run for about this long."""
@@ -84,7 +81,7 @@
         return WorkerState.LEAVING
     if not worker.is_recorded:
         return WorkerState.NOT_RECORDED
-    if now_ms - worker.last_report_ms > MAX_REPORT_AGE_MS:
+    if now_ms - worker.last_report_ms > worker.max_report_age_ms:
         return WorkerState.SILENT
     if now_ms < worker.backoff_until_ms:
         return WorkerState.AVOIDED
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -10,6 +10,7 @@
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _load
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _record
@@ -247,11 +248,18 @@
         """
         return self._report_handler.on_late_report(worker_report, now_ms)
 
-    def on_poll_sent(self, worker_id: str, now_ms: int) -> None:
-        """Note when a worker is polled."""
+    def on_poll_sent(
+        self, worker_id: str, now_ms: int, expected_ms: int = 0
+    ) -> None:
+        """Note when a worker is polled.
+
+        ``expected_ms`` is how much later than usual the next report may come
+        because the owner is busy; the worker is not silent until then.
+        """
         worker = self._cell.workers.get(worker_id)
         if worker is not None:
             worker.polled_ms = now_ms
+            worker.max_report_age_ms = _fleet.MAX_REPORT_AGE_MS + expected_ms
 
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
@@ -347,6 +355,7 @@
         wall_ms: int,
         former_runs: _takeover.FormerRuns,
         known_until_ms: int | None = None,
+        max_starts: int = _load.MAX_STARTS_PER_ROUND,
     ) -> None:
         """Start ready tasks, resend stops, and release runs of lost workers.
 
@@ -355,6 +364,7 @@
         ``now_ms``, there was no later owner of the cell, and the reports
         received by then are applied. Leases that end later do not count as
         over: they may have been extended, and a report may list ends.
+        ``max_starts`` limits the starts of tasks that are not overdue.
         """
         self._queue_due_occurrences(now_ms, wall_ms)
         if known_until_ms is None:
@@ -365,7 +375,7 @@
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
-        self._task_starter.run(now_ms, wall_ms, former_runs)
+        self._task_starter.run(now_ms, wall_ms, former_runs, max_starts)
         self._wait_reporter.run(now_ms, former_runs, self._task_starter)
 
     def take_effects(self) -> list[_effects.Effect]:
@@ -392,6 +402,17 @@
             oldest[kind] = max(oldest[kind], now_ms - task.ready_ms)
         return oldest
 
+    def oldest_report_ms(self, now_ms: int) -> int:
+        """Return the age of the oldest last report of a worker with runs."""
+        return max(
+            (
+                now_ms - worker.last_report_ms
+                for worker in self._cell.workers.values()
+                if worker.is_probed and worker.runs
+            ),
+            default=0,
+        )
+
     def workers_by_state(
         self, now_ms: int
     ) -> dict[_placement.WorkerState, int]:
@@ -459,7 +480,7 @@
             if not worker.is_probed:
                 self._expire_carried_runs(worker, now_ms, known_until_ms)
                 continue
-            if now_ms - worker.last_report_ms <= _placement.MAX_REPORT_AGE_MS:
+            if now_ms - worker.last_report_ms <= worker.max_report_age_ms:
                 continue
             if not worker.is_lease_expired(known_until_ms, LEASE_MARGIN_MS):
                 continue
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -27,8 +27,6 @@
 """Run numbers per epoch. The owner of epoch E uses the numbers from E times
 this value, so that run numbers of different owners never collide."""
 
-MAX_STARTS_PER_ROUND = 200
-
 RESERVATION_INTERVAL_MS = 1_000
 """Time between reservations for tasks other than ended services; each is for
 one task or gang of a pool. Under overload hundreds of late jobs are overdue,
@@ -78,11 +76,16 @@
         return _obstacles.Hold.NOT_REACHED if hold is None else hold
 
     def run(
-        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
+        self,
+        now_ms: int,
+        wall_ms: int,
+        former_runs: _takeover.FormerRuns,
+        max_starts: int,
     ) -> None:
         """Start overdue tasks, then others, the most urgent first.
 
-        Tasks that may be among ``former_runs`` wait.
+        Tasks that may be among ``former_runs`` wait. ``max_starts`` limits
+        the starts of tasks that are not overdue.
         """
         self._placement.plan(self._cell.workers.values(), now_ms)
         self._start_probations(now_ms, former_runs)
@@ -93,7 +96,7 @@
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, former_runs)
         self._fit_budget.begin_round(len(self._cell.workers))
-        self._start_ready(now_ms, wall_ms, former_runs)
+        self._start_ready(now_ms, wall_ms, former_runs, max_starts)
         self._fit_budget.end_round()
 
     def _start_probations(
@@ -250,7 +253,11 @@
         return True
 
     def _start_ready(
-        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
+        self,
+        now_ms: int,
+        wall_ms: int,
+        former_runs: _takeover.FormerRuns,
+        max_starts: int,
     ) -> None:
         """Start ready tasks, within the limits per round."""
         unplaceable = _unplaceable.UnplaceableDemands()
@@ -279,7 +286,7 @@
                 self._held_steps[step_key] = _obstacles.Hold.FIT_BUDGET
                 continue
             for task in tasks:
-                if started >= MAX_STARTS_PER_ROUND:
+                if started >= max_starts:
                     return
                 if task.key not in self._cell.ready:
                     continue
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -14,6 +14,7 @@
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _exclusions
+from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _forecast
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _placement
@@ -261,12 +262,12 @@
 class ReferenceStarter(_task_starter.TaskStarter):
     """Rank and sort all ready tasks in each round."""
 
-    def _start_ready(self, now_ms, wall_ms, former_runs):
+    def _start_ready(self, now_ms, wall_ms, former_runs, max_starts):
         unplaceable_classes = {}
         started = 0
         self._held_tasks.clear()
         for task in self._ready_by_urgency(wall_ms):
-            if started >= _task_starter.MAX_STARTS_PER_ROUND:
+            if started >= max_starts:
                 return
             if task.key not in self._cell.ready:
                 continue
@@ -464,7 +465,7 @@
         and worker.is_recorded
         and worker.is_listed
         and not worker.info.is_leaving
-        and age_ms <= _placement.MAX_REPORT_AGE_MS
+        and age_ms <= _fleet.MAX_REPORT_AGE_MS
         and worker.backoff_until_ms <= now_ms
     )
 
--- a/packages/standins/src/oriolestand_standins/fleet/_slow_clock.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_slow_clock.py
@@ -54,6 +54,10 @@
         """Call ``func`` when data that arrives after ``delay`` ms is read."""
         self._clock.call_later(self._to_next_pass(delay) + RECEIPT_MS, func)
 
+    def set_pass_ms(self, pass_ms: int) -> None:
+        """Change how long each pass takes; calls keep their times."""
+        self._pass_ms = pass_ms
+
     def _to_next_pass(self, delay: int) -> int:
         """Return the time until the first pass after a delay."""
         until_pass_ms = -(self._clock.now() + delay) % self._pass_ms
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -271,6 +271,7 @@
         self._unsent_starts: dict[_RunId, defer.Deferred[None]] = {}
         self.faults = OrderFaults()
         self.receipts: list[Receipt] = []
+        self.poll_count = 0
 
     def _check_time(self, msg: _Order) -> None:
         """Raise WithdrawnError if a request may not be sent any more."""
@@ -410,6 +411,7 @@
     @core.handles(contracts.PollWorker)
     def _on_poll(self, msg: contracts.PollWorker) -> Any:
         """Handle a poll of a worker."""
+        self.poll_count += 1
         return defer.ensureDeferred(self._poll(msg))
 
     async def _poll(
