Refuse jobs while the owner cannot do what it has promised

Cause: whatever the state of the owner, each daemon stored all jobs that came, and the owner fell behind what it had promised before.

Change: the renewal of the owner tells how late it works: the delay of its event loop, or the age of the oldest start that is not sent. From 1.5 s on all daemons refuse new jobs with 503, owner_overloaded, did_not_run and a Retry-After of that delay, until it is below 0.7 s. A report of an owner that may not act any more does not count. A repeated submission of a stored job is answered as before: the store is read before a job is refused. Earlier versions ignore the new field of the row, and count as not delayed.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -32,6 +32,20 @@
     http_status = 504
 
 
+class OwnerOverloadedError(core.OriolestandError):
+    """Raised when the owner has more to do than it can do in time.
+
+    ``retry_after_s`` is the time in seconds after which to try again.
+    """
+
+    code = 'owner_overloaded'
+    http_status = 503
+
+    def __init__(self, message: str, *, retry_after_s: int, job: str) -> None:
+        super().__init__(message, job=job, retry_after_s=retry_after_s)
+        self.retry_after_s = retry_after_s
+
+
 class StateUnknownError(core.OriolestandError):
     """Raised when it cannot be determined whether a job exists."""
 
@@ -59,8 +73,8 @@
 class SubmitJob:
     """Request to store a job; the reply is False if it already existed.
 
-    Fails with InvalidJobError or, shortly before ``deadline_ms`` (on the
-    daemon's clock) at the latest, JobInDoubtError.
+    Fails with InvalidJobError, OwnerOverloadedError or, shortly before
+    ``deadline_ms`` (on the daemon's clock) at the latest, JobInDoubtError.
     """
 
     spec: scheduling.JobSpec
@@ -173,6 +187,13 @@
     is_complete: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerDelayReported:
+    """Event: the owner of the cell has reported how late it works."""
+
+    delay_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OwnershipChanged:
     """Event: this daemon gained or lost ownership of the cell."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -231,6 +231,10 @@
             self._log_malformed(row, exc)
             return
         self._election.on_renewal(renewal, self.kernel.clock.now())
+        if renewal is not None:
+            self.kernel.publish(
+                jobs.OwnerDelayReported(delay_ms=renewal.delay_ms)
+            )
 
     @core.handles(jobs.ReplicaSyncAttempted)
     def _on_replica_sync(self, msg: jobs.ReplicaSyncAttempted) -> None:
@@ -444,6 +448,7 @@
                 epoch=term.epoch,
                 count=count,
                 unsettled_ms=term.unsettled_ms(sent_ms),
+                delay_ms=self._delay_ms(),
             )
             value = models.encode_renewal(renewal)
             outcome = await _owner_commits.commit_as_owner(
@@ -470,6 +475,12 @@
                 max(const.RETRY_MS, ownership.RENEW_INTERVAL_MS - elapsed_ms)
             )
 
+    def _delay_ms(self) -> int:
+        """Return how late this owner does its work, 0 while it loads."""
+        if self._owner_term is None:
+            return 0
+        return self._owner_term.delay_ms
+
     def _on_renewal_failed(self, term: models.Term, error: str) -> None:
         """Log a failed renewal; end the term if the last one is too old."""
         now = self.kernel.clock.now()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -132,6 +132,14 @@
             version=snapshot.version,
         )
 
+    @property
+    def delay_ms(self) -> int:
+        """Return how late this owner does its work."""
+        return max(
+            self._load.delay_ms(self._kernel.clock.now()),
+            self._orders.oldest_unsent_ms(),
+        )
+
     def start(self) -> None:
         """Start to poll workers and to schedule tasks."""
         for loop in (self._watch_workers(), self._run_rounds()):
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -44,6 +44,7 @@
     unsettled_ms: int = pydantic.Field(
         ge=0, default_factory=_default_unsettled_ms
     )
+    delay_ms: int = pydantic.Field(ge=0, default=0)
 
 
 _OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
@@ -133,6 +134,7 @@
         count=renewal.count,
         is_settled=renewal.is_settled,
         unsettled_ms=renewal.unsettled_ms,
+        delay_ms=renewal.delay_ms,
     )
     return row.model_dump_json().encode()
 
@@ -146,7 +148,10 @@
         return None
     row = _RenewalRow.model_validate_json(value)
     return ownership.Renewal(
-        epoch=row.epoch, count=row.count, unsettled_ms=row.unsettled_ms
+        epoch=row.epoch,
+        count=row.count,
+        unsettled_ms=row.unsettled_ms,
+        delay_ms=row.delay_ms,
     )
 
 
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -250,7 +250,10 @@
             why=str(exc),
         )
         if exc.http_status in (429, 503):
-            req.setHeader(b'retry-after', b'%d' % const.RETRY_AFTER_S)
+            retry_after_s = const.RETRY_AFTER_S
+            if isinstance(exc, jobs.OwnerOverloadedError):
+                retry_after_s = exc.retry_after_s
+            req.setHeader(b'retry-after', b'%d' % retry_after_s)
         body = self._codec.encode_error(
             exc.code, exc.message, exc.verdict.value
         )
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -20,6 +20,7 @@
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
 from oriolestand_policy import backoff
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
 
@@ -36,6 +37,7 @@
         self._cursor: int | None = None
         self._synced_ms: int | None = None
         self._view_age = _view_age.ViewAge(kernel)
+        self._admission = ownership.OwnerAdmission()
         self._is_store_unreachable = False
         self._owner_view: _owner_view.OwnerView | None = None
         self._sync_waiters: list[tuple[int, defer.Deferred[None]]] = []
@@ -43,6 +45,7 @@
     def start(self) -> None:
         """Start to follow the table."""
         self.kernel.subscribe(messages.OwnershipChanged, self)
+        self.kernel.subscribe(messages.OwnerDelayReported, self)
         self._run_replica()
 
     def _run_replica(self) -> None:
@@ -267,6 +270,34 @@
 
     # Requests of callers.
 
+    @core.handles(messages.OwnerDelayReported)
+    def _on_owner_delay(self, msg: messages.OwnerDelayReported) -> None:
+        """Note whether the owner can take more jobs."""
+        now = self.kernel.clock.now()
+        if self._admission.on_report(msg.delay_ms, now):
+            self._log.warning(
+                'Admission of jobs changed',
+                is_closed=self._admission.is_closed(now),
+                owner_delay_ms=msg.delay_ms,
+            )
+
+    async def _check_admission(self, spec: scheduling.JobSpec) -> bool:
+        """Return whether a job may be stored; False if it is stored already.
+
+        Raises OwnerOverloadedError. An earlier request may have stored the
+        job, so the store is read before this one is refused.
+        """
+        now = self.kernel.clock.now()
+        if not self._admission.is_closed(now):
+            return True
+        if await self._read_state(spec.id, spec.route) is not None:
+            return False
+        raise messages.OwnerOverloadedError(
+            'the owner of the cell is overloaded',
+            job=spec.id,
+            retry_after_s=self._admission.retry_after_s,
+        )
+
     @core.handles(messages.SubmitJob)
     def _on_submit(self, msg: messages.SubmitJob) -> 'defer.Deferred[bool]':
         """Store a job."""
@@ -282,7 +313,8 @@
             )
             return False
         try:
-            is_new = await self._insert(msg)
+            may_store = await self._check_admission(msg.spec)
+            is_new = may_store and await self._insert(msg)
         except core.OriolestandError as exc:
             self._observe_write('intake', exc.code, started_ms)
             self._log.warning(
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -3,6 +3,7 @@
 A daemon that owns a cell schedules its jobs; there is one owner at a time.
 """
 
+from oriolestand_policy.ownership._admission import OwnerAdmission
 from oriolestand_policy.ownership._election import MAX_UNRENEWED_MS
 from oriolestand_policy.ownership._election import OWNER_TIMEOUT_MS
 from oriolestand_policy.ownership._election import RENEW_INTERVAL_MS
@@ -21,6 +22,7 @@
     'MAX_UNRENEWED_MS',
     'OWNER_TIMEOUT_MS',
     'Owner',
+    'OwnerAdmission',
     'RENEW_INTERVAL_MS',
     'Renewal',
     'StoreClock',
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -92,12 +92,14 @@
 
     ``unsettled_ms`` is for how long at most, from when the renewal is sent,
     an owner of an earlier epoch may still act; 0 means settled. It never
-    grows in later renewals of the same owner.
+    grows in later renewals of the same owner. ``delay_ms`` is how late the
+    owner does its work.
     """
 
     epoch: int
     count: int
     unsettled_ms: int
+    delay_ms: int = 0
 
     @property
     def is_settled(self) -> bool:
--- /dev/null
+++ b/packages/policy/tests/ownership/test_admission.py
@@ -0,0 +1,37 @@
+"""Tests of the admission of jobs while the owner is overloaded."""
+
+from oriolestand_policy.ownership import _admission
+
+
+def test_jobs_are_accepted_without_a_report():
+    assert not _admission.OwnerAdmission().is_closed(10_000)
+
+
+def test_jobs_are_refused_until_the_owner_has_caught_up():
+    # Without two limits, admission would change with each renewal.
+    admission = _admission.OwnerAdmission()
+    reports = [
+        (_admission.REFUSE_DELAY_MS - 1, False),
+        (_admission.REFUSE_DELAY_MS, True),
+        (_admission.ACCEPT_DELAY_MS, True),
+        (_admission.ACCEPT_DELAY_MS - 1, False),
+        (_admission.ACCEPT_DELAY_MS, False),
+    ]
+    for now, (delay_ms, is_closed) in enumerate(reports):
+        admission.on_report(delay_ms, now)
+        assert admission.is_closed(now) is is_closed
+
+
+def test_old_report_does_not_close_admission():
+    # The owner that reported the delay may be gone.
+    admission = _admission.OwnerAdmission()
+    admission.on_report(9_000, now_ms=1_000)
+    assert admission.is_closed(1_000 + _admission.REPORT_AGE_MS)
+    assert not admission.is_closed(1_001 + _admission.REPORT_AGE_MS)
+
+
+def test_refused_callers_return_after_the_delay_of_the_owner():
+    admission = _admission.OwnerAdmission()
+    for delay_ms, after_s in ((1_500, 2), (2_000, 2), (60_000, 5), (0, 1)):
+        admission.on_report(delay_ms, now_ms=0)
+        assert admission.retry_after_s == after_s
