--- a/packages/fleet/tests/services/cell/test_placements.py
+++ b/packages/fleet/tests/services/cell/test_placements.py
@@ -744,3 +744,16 @@
     assert len(stored['open']) == services + plain
     assert 'placed' not in stored
     assert [run.key.index for run in site.history] == [0]
+
+
+def test_record_of_a_service_start_is_written_before_the_others(site, daemons):
+    # Guards against service tasks that wait behind the records of all other
+    # jobs, which a slow owner writes in one commit a second.
+    owner = owner_of(daemons)
+    commits = refuse_records(owner, lambda job: False)
+    saver = owner.kernel.find('cell')._owner_term._saver
+    ids = add_service_jobs(site, owner, 100, 'c')
+    saver.queue_records(ids)
+    saver.when_saved({ids[-1]}, is_urgent=True)
+    site.run(2_000)
+    assert ids[-1] in set().union(*commits[:2])
