Give the cell up to a faster daemon; do not count held starts

Callers saw the work of a slow owner break off although other daemons had time: it kept the cell until a renewal came too late, and a takeover for silence makes tasks wait for up to 10 s longer than one after a release.

Change: a daemon whose event loop keeps up offers to take the cell, in one row an epoch, once the owner has reported a delay of a second for three seconds. The owner releases the cell if there is an offer and its own event loop is that late, not within 15 s of its claim, nor within 60 s if its predecessor gave up for the same reason. Claims wait for the delay of the own event loop, a second at most, so that the daemon with the most time comes first. Without an offer the owner keeps the cell: runs would lapse. Delays are kept by DelayWindow, which OwnerLoad used to hold.

Starts that wait for a record do not count against the batch of a busy owner: with the store out of reach, no other task would start.

--- a/packages/fleet/src/oriolestand_fleet/layout.py
+++ b/packages/fleet/src/oriolestand_fleet/layout.py
@@ -33,6 +33,10 @@
 WORKER_PREFIX = 'worker/'
 OWNER_KEY = 'owner'
 RENEWAL_KEY = 'renewal'
+CANDIDATE_KEY = 'candidate'
+"""Row of ``TABLE`` in which a daemon offers to take the cell of an owner that
+is too slow."""
+
 FLEET_KEY = 'fleet'
 """Row of ``TABLE`` in which earlier versions listed all workers."""
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -56,6 +56,11 @@
             orders.SERVICE, orders.WithdrawOrders(epoch=self._term.epoch)
         )
 
+    @property
+    def queued_start_count(self) -> int:
+        """Return the number of starts that wait for the processor only."""
+        return self._queue.start_count
+
     @property
     def unsent_start_count(self) -> int:
         """Return the number of starts that are decided and not sent."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -21,6 +21,7 @@
 from oriolestand_fleet.services.cell import _term
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_policy import delays
 from oriolestand_policy import ownership
 
 
@@ -34,9 +35,13 @@
         self._cfg = cfg
         self._log = core.get_logger(const.DOMAIN)
         self._incarnation = str(kernel.incarnation)
+        self._claim_delay_ms = self._base_delay_ms(None)
         self._election = ownership.Election(
-            cfg.instance, self._incarnation, self._claim_delay_ms(None)
+            cfg.instance, self._incarnation, self._claim_delay_ms
         )
+        self._loop_delays = delays.DelayWindow(const.LOOP_DELAY_WINDOW_MS)
+        self._candidacy = ownership.Candidacy()
+        self._candidate_version = 0
         self._owner_version = 0
         self._renewal_version = 0
         self._config: store.FleetConfig | None = None
@@ -69,10 +74,18 @@
 
     async def _watch(self) -> None:
         """Check at a fixed interval whether to claim the cell."""
+        clock = self.kernel.clock
         while not self.is_stopped:
+            due_ms = clock.now() + const.TICK_MS // 2
             await self.kernel.sleep(const.TICK_MS // 2)
+            now = clock.now()
+            self._loop_delays.add(now - due_ms, now)
+            self._election.delay_ms = self._claim_delay_ms + min(
+                self._loop_delays.longest_ms(now), const.MAX_LOOP_DELAY_MS
+            )
             try:
                 await self._claim_if_due()
+                await self._offer_if_due()
             except Exception:
                 # The loop goes on, so that the daemon can claim again.
                 self._log.error(
@@ -85,9 +98,9 @@
         measurement_count = 0
         while not self.is_stopped:
             latency_ms = await self._measure_store_latency()
-            delay_ms = self._claim_delay_ms(latency_ms)
-            if delay_ms != self._election.delay_ms:
-                self._election.delay_ms = delay_ms
+            delay_ms = self._base_delay_ms(latency_ms)
+            if delay_ms != self._claim_delay_ms:
+                self._claim_delay_ms = delay_ms
                 self._log.info(
                     'Delay of claims changed',
                     delay_ms=delay_ms,
@@ -96,7 +109,7 @@
             await self.kernel.sleep(_latency_interval_ms(measurement_count))
             measurement_count += 1
 
-    def _claim_delay_ms(self, store_latency_ms: int | None) -> int:
+    def _base_delay_ms(self, store_latency_ms: int | None) -> int:
         """Return the delay of claims, given the latency of the store."""
         return ownership.claim_delay_ms(
             jitter_ms=int(self._incarnation, base=16) % const.CLAIM_JITTER_MS,
@@ -178,6 +191,9 @@
             elif row.key == layout.RENEWAL_KEY:
                 if row.version > self._renewal_version:
                     self._apply_renewal(row)
+            elif row.key == layout.CANDIDATE_KEY:
+                if row.version > self._candidate_version:
+                    self._apply_candidate(row)
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
@@ -236,6 +252,65 @@
                 jobs.OwnerDelayReported(delay_ms=renewal.delay_ms)
             )
 
+    def _apply_candidate(self, row: store.Row) -> None:
+        """Apply the row of a daemon that offers to take the cell."""
+        self._candidate_version = row.version
+        try:
+            candidate = models.decode_candidate(row.value)
+        except ValueError as exc:
+            self._log_malformed(row, exc)
+            return
+        if candidate is None:
+            return
+        self._candidacy.on_offer(candidate)
+        if self._owner_term is not None:
+            self._owner_term.term.hand_over.on_offer(candidate)
+
+    async def _offer_if_due(self) -> None:
+        """Offer to take the cell if its owner is too slow."""
+        owner = self._election.owner
+        renewal = self._election.renewal_of_owner
+        if owner is None or renewal is None or self._owner_term is not None:
+            return
+        if not owner.instance or self._is_shutting_down:
+            return
+        now = self.kernel.clock.now()
+        if not self._candidacy.is_due(
+            epoch=owner.epoch,
+            owner_delay_ms=renewal.delay_ms,
+            own_delay_ms=self._loop_delays.longest_ms(now),
+            wait_ms=self._election.delay_ms,
+            now_ms=now,
+        ):
+            return
+        candidate = ownership.Candidate(
+            epoch=owner.epoch, instance=self._cfg.instance
+        )
+        self._candidacy.on_offer(candidate)
+        offer = store.CommitRows(
+            table=layout.TABLE,
+            part=layout.CELL_PART,
+            checks=(
+                store.Check(
+                    key=layout.CANDIDATE_KEY, version=self._candidate_version
+                ),
+            ),
+            puts=(
+                store.Put(
+                    key=layout.CANDIDATE_KEY,
+                    value=models.encode_candidate(candidate),
+                ),
+            ),
+        )
+        outcome = await _commits.try_commit(self.kernel, offer)
+        self._log.info(
+            'Cell offered to be taken',
+            epoch=owner.epoch,
+            owner=owner.instance,
+            owner_delay_ms=renewal.delay_ms,
+            is_stored=outcome.result is not None and outcome.result.is_applied,
+        )
+
     @core.handles(jobs.ReplicaSyncAttempted)
     def _on_replica_sync(self, msg: jobs.ReplicaSyncAttempted) -> None:
         """Tell the election whether the replica is in sync with the store."""
@@ -313,6 +388,11 @@
             renewed_ms=sent_ms,
             takeover_deadline_ms=now + takeover_wait_ms,
             settled_ms=now + unsettled_ms,
+            hand_over=ownership.HandOver(
+                epoch=owner.epoch,
+                began_ms=now,
+                was_passed_on=_was_too_slow(reason, former_renewal),
+            ),
         )
         try:
             await self._start_term(term)
@@ -433,7 +513,7 @@
         except jobs.LoadEndedError as exc:
             if not term.is_over:
                 self._end_term(term, str(exc))
-                self._election.on_load_failed(self.kernel.clock.now())
+                self._election.on_given_up(self.kernel.clock.now())
             return None
         return snapshot
 
@@ -470,6 +550,9 @@
                 self._end_term(term, 'the renewal was refused')
             else:
                 self._on_renewal_failed(term, outcome.error)
+            if self._is_too_slow(term):
+                await self._give_up(term)
+                return
             elapsed_ms = clock.now() - sent_ms
             await self.kernel.sleep(
                 max(const.RETRY_MS, ownership.RENEW_INTERVAL_MS - elapsed_ms)
@@ -481,6 +564,22 @@
             return 0
         return self._owner_term.delay_ms
 
+    def _is_too_slow(self, term: models.Term) -> bool:
+        """Return whether to give a term up to a faster daemon."""
+        owner_term = self._owner_term
+        if owner_term is None or owner_term.term is not term:
+            return False
+        return term.hand_over.is_due(
+            owner_term.loop_delay_ms, self.kernel.clock.now()
+        )
+
+    async def _give_up(self, term: models.Term) -> None:
+        """Release the cell, and leave it to other daemons for a while."""
+        self._end_term(term, 'the daemon is too slow')
+        self._election.on_given_up(self.kernel.clock.now())
+        self._count('given_up_terms', '')
+        await self._write_release(term)
+
     def _on_renewal_failed(self, term: models.Term, error: str) -> None:
         """Log a failed renewal; end the term if the last one is too old."""
         now = self.kernel.clock.now()
@@ -550,6 +649,17 @@
         )
 
 
+def _was_too_slow(
+    reason: ownership.ClaimReason, former: ownership.Renewal | None
+) -> bool:
+    """Return whether the former owner has given the cell up as too slow."""
+    return (
+        reason is ownership.ClaimReason.RELEASED
+        and former is not None
+        and former.delay_ms >= ownership.GIVE_UP_DELAY_MS
+    )
+
+
 def _latency_interval_ms(measurement_count: int) -> int:
     """Return the time to the next measurement of the store latency."""
     last = len(const.LATENCY_INTERVALS_MS) - 1
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -132,13 +132,15 @@
             version=snapshot.version,
         )
 
+    @property
+    def loop_delay_ms(self) -> int:
+        """Return how late the event loop has recently called timers."""
+        return self._load.delay_ms(self._kernel.clock.now())
+
     @property
     def delay_ms(self) -> int:
         """Return how late this owner does its work."""
-        return max(
-            self._load.delay_ms(self._kernel.clock.now()),
-            self._orders.oldest_unsent_ms(),
-        )
+        return max(self.loop_delay_ms, self._orders.oldest_unsent_ms())
 
     def start(self) -> None:
         """Start to poll workers and to schedule tasks."""
@@ -368,7 +370,7 @@
             clock.wall(),
             self._takeover.update(known_until_ms),
             known_until_ms,
-            self._load.batch_size(now, self._orders.unsent_start_count),
+            self._load.batch_size(now, self._orders.queued_start_count),
         )
         self._apply_effects()
         end_ms = clock.now()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -68,6 +68,14 @@
 """Stands for the owner in a malformed row; no instance has this name."""
 
 CLAIM_JITTER_MS = 120
+
+LOOP_DELAY_WINDOW_MS = 3_000
+"""How long a delay of the event loop delays claims in favour of daemons that
+have more processor time."""
+
+MAX_LOOP_DELAY_MS = 1_000
+"""Longest such delay: a cell needs an owner even if all daemons are slow."""
+
 LATENCY_INTERVALS_MS = (5_000, 10_000, 30_000, 60_000)
 """Times between measurements of the store latency; the last one repeats. They
 are shorter after the start, when all daemons may load the network."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -47,6 +47,7 @@
     delay_ms: int = pydantic.Field(ge=0, default=0)
 
 
+_CANDIDATE_ROW = pydantic.TypeAdapter(ownership.Candidate)
 _OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
 _WORKER_ROW: pydantic.TypeAdapter[
     tuple[str, str, str] | tuple[str, str, str, int]
@@ -65,6 +66,7 @@
     ``takeover_deadline_ms``: when the owner stops waiting for reports from
     the workers of its predecessor.
     ``settled_ms``: from when on no former owner can still act.
+    ``hand_over``: decides whether the term is given up.
     ``store_clock``: a time of the store's clock after the claim, if known.
     ``is_over``: whether the term has ended; all loops of the owner stop.
     ``on_end``: called once when the term ends.
@@ -75,6 +77,7 @@
     renewed_ms: int
     takeover_deadline_ms: int
     settled_ms: int
+    hand_over: ownership.HandOver
     store_clock: ownership.StoreClock | None = None
     is_over: bool = False
     on_end: list[Callable[[], None]] = dataclasses.field(default_factory=list)
@@ -127,6 +130,21 @@
     return _OWNER_ROW.validate_json(value, strict=True)
 
 
+def encode_candidate(candidate: ownership.Candidate) -> bytes:
+    """Encode the value of the candidate row."""
+    return json.dumps(dataclasses.asdict(candidate)).encode()
+
+
+def decode_candidate(value: bytes | None) -> ownership.Candidate | None:
+    """Decode the candidate row; return None if there is no value.
+
+    Raise ValueError if the row is malformed.
+    """
+    if value is None:
+        return None
+    return _CANDIDATE_ROW.validate_json(value, strict=True)
+
+
 def encode_renewal(renewal: ownership.Renewal) -> bytes:
     """Encode the value of the renewal row."""
     row = _RenewalRow(
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -14,11 +14,19 @@
 from oriolestand_policy.ownership._election import claim_delay_ms
 from oriolestand_policy.ownership._election import takeover_wait_ms
 from oriolestand_policy.ownership._election import unsettled_ms
+from oriolestand_policy.ownership._handover import GIVE_UP_DELAY_MS
+from oriolestand_policy.ownership._handover import Candidacy
+from oriolestand_policy.ownership._handover import Candidate
+from oriolestand_policy.ownership._handover import HandOver
 from oriolestand_policy.ownership._store_clock import StoreClock
 
 __all__ = [
+    'Candidacy',
+    'Candidate',
     'ClaimReason',
     'Election',
+    'GIVE_UP_DELAY_MS',
+    'HandOver',
     'MAX_UNRENEWED_MS',
     'OWNER_TIMEOUT_MS',
     'Owner',
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -180,8 +180,11 @@
         self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[index]
         self._claim_count += 1
 
-    def on_load_failed(self, now_ms: int) -> None:
-        """Delay the next claim, so that another daemon can load the cell."""
+    def on_given_up(self, now_ms: int) -> None:
+        """Delay the next claim, so that another daemon can take the cell.
+
+        This one could not load it or is too slow for it.
+        """
         self._next_claim_ms = now_ms + CLAIM_BACKOFF_MS[-1]
 
     def silent_ms(self, now_ms: int) -> int:
--- a/packages/policy/src/oriolestand_policy/scheduling/_load.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_load.py
@@ -1,6 +1,6 @@
 """Fit the work of an owner to the processor time that it gets."""
 
-import collections
+from oriolestand_policy import delays
 
 WINDOW_MS = 2_000
 """A delay of the event loop counts for this long, as the passes of a busy
@@ -60,31 +60,17 @@
 
     def __init__(self, lease_max_ms: int) -> None:
         self._poll_interval_ms = lease_max_ms * LEASE_SHARE_PERCENT // 100
-        self._delays: collections.deque[tuple[int, int]] = collections.deque()
+        self._delays = delays.DelayWindow(WINDOW_MS)
         self._round_ms = 0
         self._round_end_ms: int | None = None
 
     def on_tick(self, late_ms: int, now_ms: int) -> None:
         """Note how much later than due the event loop called a timer."""
-        delays = self._delays
-        while delays and delays[-1][1] <= late_ms:
-            delays.pop()
-        delays.append((now_ms, late_ms))
-        self._forget_old(now_ms)
-
-    def _forget_old(self, now_ms: int) -> None:
-        """Drop the delays that do not count any more, but not the last.
-
-        The next one of a very slow owner comes after more than the window.
-        """
-        delays = self._delays
-        while len(delays) > 1 and delays[0][0] < now_ms - WINDOW_MS:
-            delays.popleft()
+        self._delays.add(late_ms, now_ms)
 
     def delay_ms(self, now_ms: int) -> int:
         """Return the longest recent delay of the event loop."""
-        self._forget_old(now_ms)
-        return max(0, self._delays[0][1]) if self._delays else 0
+        return self._delays.longest_ms(now_ms)
 
     def is_busy(self, now_ms: int) -> bool:
         """Return whether the owner has more to do than it can do in time."""
--- a/packages/policy/tests/ownership/test_election.py
+++ b/packages/policy/tests/ownership/test_election.py
@@ -241,7 +241,7 @@
     # cannot read it; another one claims after 3.7 s of silence.
     named = ownership.Owner(instance='a', incarnation='x', epoch=3)
     election.on_owner(named, 0)
-    election.on_load_failed(8_000)
+    election.on_given_up(8_000)
     assert election.claim_reason(8_000 + 3_700) is None
     reason = election.claim_reason(8_000 + 4_800)
     assert reason is ownership.ClaimReason.INACTIVE
