Measure processor time of a start, of requests and of idle time

Cause: instances with a few percent of a core serve nothing for half a minute after a start, and no benchmark shows what a start costs.

--- a/packages/bench/src/oriolestand_bench/_process.py
+++ b/packages/bench/src/oriolestand_bench/_process.py
@@ -2,9 +2,12 @@
 
 import os
 import pathlib
+import time
 
 KIB = 1024
 MIB = 1024 * 1024
+CPUCLOCK_SCHED = 2
+"""Kind of a process clock that counts time on processors."""
 
 
 def cpu_seconds(pid: int) -> float:
@@ -21,3 +24,19 @@
     text = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
     line = next(x for x in text.splitlines() if x.startswith('VmRSS:'))
     return int(line.split()[1]) * KIB / MIB
+
+
+def peak_resident_mib(pid: int) -> float:
+    """Return the peak resident memory of a process in MiB."""
+    text = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+    line = next(x for x in text.splitlines() if x.startswith('VmHWM:'))
+    return int(line.split()[1]) * KIB / MIB
+
+
+def cpu_ns(pid: int) -> int:
+    """Return the processor time of a process in nanoseconds.
+
+    Unlike ``/proc``, the clock of a process is not rounded to ticks. Linux
+    encodes the process in the id of the clock, see clock_getcpuclockid(3).
+    """
+    return time.clock_gettime_ns(~pid << 3 | CPUCLOCK_SCHED)
