Check rows and manifests with msgspec on the path of a start

Cause: the fleet daemon imported pydantic for the manifests of services and the rows of the store only, and importlib.resources for the manifests.

Change: the structures of the rows and ServiceManifest are those of msgspec, which the adapter uses already.

--- a/packages/core/src/oriolestand_core/_kernel.py
+++ b/packages/core/src/oriolestand_core/_kernel.py
@@ -5,11 +5,10 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import importlib
-import importlib.resources
-import json
+import pathlib
 from typing import Any
 
-import pydantic
+import msgspec
 from twisted.internet import defer
 
 from oriolestand_core import _clock
@@ -22,11 +21,11 @@
 SETUP_RETRY_MAX_MS = 5_000
 
 
-class ServiceManifest(pydantic.BaseModel):
+class ServiceManifest(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Describe a service: its name and the services it depends on."""
 
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
     name: str
     depends_on: tuple[str, ...] = ()
     requires: tuple[str, ...] = ()
@@ -201,6 +200,8 @@
 
 def read_manifest(package: str, name: str) -> ServiceManifest:
     """Return the manifest of a service without importing its code."""
-    folder = importlib.resources.files(package).joinpath(name)
-    text = folder.joinpath('manifest.json').read_text(encoding='utf-8')
-    return ServiceManifest.model_validate(json.loads(text))
+    # importlib.resources would read packages in archives too, but its import
+    # takes several milliseconds.
+    folder = pathlib.Path(importlib.import_module(package).__path__[0])
+    text = folder.joinpath(name, 'manifest.json').read_bytes()
+    return msgspec.json.decode(text, type=ServiceManifest)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -5,55 +5,60 @@
 import dataclasses
 import json
 from typing import Annotated
-from typing import Any
 
-import pydantic
+import msgspec
 
+from oriolestand_fleet import _rows
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
 
-class _PressureRow(pydantic.BaseModel):
+class _PressureRow(msgspec.Struct, frozen=True):
     """Row of the learned interference model."""
 
-    model_config = pydantic.ConfigDict(strict=True, allow_inf_nan=False)
-
     pairs: list[tuple[str, str, float, float]]
     bases: dict[str, int]
     period_ms: float | None
 
 
-def _default_unsettled_ms(row: Mapping[str, Any]) -> int:
-    """Return for how long a former owner may act, given no such time."""
-    return 0 if row['is_settled'] else ownership.MAX_UNRENEWED_MS
-
-
-class _RenewalRow(pydantic.BaseModel):
+class _RenewalRow(msgspec.Struct, frozen=True):
     """Row of the last renewal of the owner.
 
     Earlier versions read ``is_settled``, and write no ``unsettled_ms``.
     """
 
-    model_config = pydantic.ConfigDict(strict=True)
-
     epoch: int
     count: int
     is_settled: bool
-    unsettled_ms: int = pydantic.Field(
-        ge=0, default_factory=_default_unsettled_ms
+    unsettled_ms: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = (
+        msgspec.UNSET
     )
 
 
-_OWNER_ROW = pydantic.TypeAdapter(ownership.Owner)
-_WORKER_ROW: pydantic.TypeAdapter[
-    tuple[str, str, str] | tuple[str, str, str, int]
-] = pydantic.TypeAdapter(
-    tuple[str, str, str]
-    | tuple[str, str, str, Annotated[int, pydantic.Field(strict=True, gt=0)]]
+class _WorkerRow(
+    msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True
+):
+    """Row of a worker that may run tasks; see ``encode_worker``."""
+
+    address: str
+    pool: str
+    failure_domain: str
+    runs_end_ms: Annotated[int, msgspec.Meta(gt=0)] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
+
+
+_FleetRow = list[tuple[str, str, str, str]]
+
+_PRESSURE_ROW: _rows.RowDecoder[_PressureRow] = _rows.RowDecoder(_PressureRow)
+_RENEWAL_ROW: _rows.RowDecoder[_RenewalRow] = _rows.RowDecoder(_RenewalRow)
+_OWNER_ROW: _rows.RowDecoder[ownership.Owner] = _rows.RowDecoder(
+    ownership.Owner
 )
-_FLEET_ROW = pydantic.TypeAdapter(list[tuple[str, str, str, str]])
+_WORKER_ROW: _rows.RowDecoder[_WorkerRow] = _rows.RowDecoder(_WorkerRow)
+_FLEET_ROW: _rows.RowDecoder[_FleetRow] = _rows.RowDecoder(_FleetRow)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -123,7 +128,7 @@
     """
     if value is None:
         return None
-    return _OWNER_ROW.validate_json(value, strict=True)
+    return _OWNER_ROW.decode(value)
 
 
 def encode_renewal(renewal: ownership.Renewal) -> bytes:
@@ -134,7 +139,7 @@
         is_settled=renewal.is_settled,
         unsettled_ms=renewal.unsettled_ms,
     )
-    return row.model_dump_json().encode()
+    return msgspec.json.encode(row)
 
 
 def decode_renewal(value: bytes | None) -> ownership.Renewal | None:
@@ -144,9 +149,13 @@
     """
     if value is None:
         return None
-    row = _RenewalRow.model_validate_json(value)
+    row = _RENEWAL_ROW.decode(value)
+    unsettled_ms = row.unsettled_ms
+    if isinstance(unsettled_ms, msgspec.UnsetType):
+        # A former owner may act for the longest time.
+        unsettled_ms = 0 if row.is_settled else ownership.MAX_UNRENEWED_MS
     return ownership.Renewal(
-        epoch=row.epoch, count=row.count, unsettled_ms=row.unsettled_ms
+        epoch=row.epoch, count=row.count, unsettled_ms=unsettled_ms
     )
 
 
@@ -197,7 +206,7 @@
     legacy = rows.get(layout.FLEET_KEY)
     if legacy is not None and legacy.value is not None:
         try:
-            for worker, *fields in _FLEET_ROW.validate_json(legacy.value):
+            for worker, *fields in _FLEET_ROW.decode(legacy.value):
                 found[worker] = (fields[0], fields[1], fields[2])
         except ValueError as exc:
             malformed[layout.FLEET_KEY] = str(exc)
@@ -206,16 +215,14 @@
         if key.startswith(layout.WORKER_PREFIX) and row.value is not None:
             worker = key.removeprefix(layout.WORKER_PREFIX)
             try:
-                address, pool, domain, *ends = _WORKER_ROW.validate_json(
-                    row.value
-                )
+                entry = _WORKER_ROW.decode(row.value)
             except ValueError as exc:
                 malformed[key] = str(exc)
                 found[worker] = ('', '', '')
                 continue
-            found[worker] = (address, pool, domain)
-            if ends:
-                runs_end_ms[worker] = ends[0]
+            found[worker] = (entry.address, entry.pool, entry.failure_domain)
+            if not isinstance(entry.runs_end_ms, msgspec.UnsetType):
+                runs_end_ms[worker] = entry.runs_end_ms
     infos = tuple(
         scheduling.WorkerInfo(
             id=worker,
@@ -255,7 +262,7 @@
     """
     if value is None:
         return scheduling.LearnedPressure()
-    decoded = _PressureRow.model_validate_json(value)
+    decoded = _PRESSURE_ROW.decode(value)
     return scheduling.LearnedPressure(
         pairs=tuple(
             scheduling.PairWeight(
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -5,8 +5,9 @@
 from typing import Any
 from typing import Literal
 
-import pydantic
+import msgspec
 
+from oriolestand_fleet import _rows
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_policy import scheduling
 
@@ -19,25 +20,21 @@
 _CrashKind = Literal['alone', 'late', 'shared', 'common']
 
 
-class _JobRow(pydantic.BaseModel):
+class _JobRow(msgspec.Struct, frozen=True):
     """Row of a job; rows of earlier versions have the steps as well."""
 
-    model_config = pydantic.ConfigDict(strict=True)
-
     route: str
     steps: list[Any] | None = None
 
 
-class _StateRow(pydantic.BaseModel):
+class _StateRow(msgspec.Struct, frozen=True):
     """State row of a job."""
 
-    model_config = pydantic.ConfigDict(strict=True)
-
     outcome: Literal['completed', 'failed', 'cancelled'] | None = None
     started: bool = False
 
 
-class _ProgressRow(_StateRow):
+class _ProgressRow(_StateRow, frozen=True):
     """Progress row of a job; see ``scheduling.progress_of``."""
 
     decided: bool = False
@@ -56,6 +53,11 @@
     ] = []
 
 
+_JOB_ROW: _rows.RowDecoder[_JobRow] = _rows.RowDecoder(_JobRow)
+_STATE_ROW: _rows.RowDecoder[_StateRow] = _rows.RowDecoder(_StateRow)
+_PROGRESS_ROW: _rows.RowDecoder[_ProgressRow] = _rows.RowDecoder(_ProgressRow)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Entry:
     """What a daemon knows of one job to answer its callers.
@@ -82,7 +84,7 @@
 
     def set_row(self, value: bytes) -> None:
         """Apply the row of the job; raise ValueError if it is malformed."""
-        decoded = _JobRow.model_validate_json(value)
+        decoded = _JOB_ROW.decode(value)
         self.route = decoded.route
         if decoded.steps is not None:
             self.spec = value
@@ -102,7 +104,7 @@
         self.is_record_unreadable = record is not None
         state = _StateRow()
         if record is not None:
-            state = _StateRow.model_validate_json(record)
+            state = _STATE_ROW.decode(record)
         self.is_record_unreadable = False
         self.record = record
         self.record_version = version if record is not None else 0
@@ -133,13 +135,13 @@
 
 def decode_spec(value: bytes) -> scheduling.JobSpec:
     """Decode the specification of a job."""
-    return scheduling.job_from_dict(json.loads(value))
+    return scheduling.job_from_dict(_rows.load_json(value))
 
 
 def decode_progress(value: bytes) -> scheduling.Progress:
     """Decode the progress of a job; raise ValueError if it is malformed."""
-    _ProgressRow.model_validate_json(value)
-    progress: scheduling.Progress = json.loads(value)
+    _PROGRESS_ROW.decode(value)
+    progress: scheduling.Progress = _rows.load_json(value)
     return progress
 
 
