Serve metrics without twisted.web.server

Cause: twisted.web.server imports the remote object protocol, templates and hyperlink, for a listener with one kind of response. Site and the listeners of callers also set a timer each second for the time of an access log that is not written.

Change: metrics use twisted.web.http, which the frontend imports anyway; both factories share a base class without log and timer. Statuses, bodies, content type and length stay; the headers Server and Date and the text of 405 and 501 are no longer sent.

--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_channel.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_channel.py
@@ -7,6 +7,7 @@
 from twisted.web import http
 
 import oriolestand_core as core
+from oriolestand_fleet import _http
 
 TOO_LARGE = (
     b'HTTP/1.1 413 Request Entity Too Large\r\n'
@@ -65,11 +66,9 @@
         self.channel.factory.handle(self)
 
 
-class FrontendFactory(http.HTTPFactory):
+class FrontendFactory(_http.QuietFactory):
     """Create connections and track the open ones."""
 
-    noisy = False
-
     def __init__(
         self,
         clock: core.Clock,
@@ -92,9 +91,6 @@
         channel.callLater = self.reactor.callLater
         return channel
 
-    def log(self, request: Any) -> None:
-        """Write no access log, as the services log the requests."""
-
     def now(self) -> int:
         """Return the time of the daemon's clock in milliseconds."""
         return self._clock.now()
--- a/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/telemetry/_task.py
@@ -4,12 +4,11 @@
 
 from hdrh import histogram
 from twisted.internet import defer
-from twisted.web import resource
-from twisted.web import server
 
 import oriolestand_core as core
 from oriolestand_fleet import settings
 from oriolestand_fleet.messages import telemetry as messages
+from oriolestand_fleet.services.telemetry import _listener
 from oriolestand_fleet.services.telemetry import const
 
 SeriesKey = tuple[str, str]
@@ -32,10 +31,11 @@
 
     def start(self) -> None:
         """Listen on the metrics address."""
-        site = server.Site(_MetricsResource(self.render))
-        site.noisy = False
-        self._port = self.kernel.reactor.listenTCP(
-            self._address.port, site, interface=self._address.host
+        reactor = self.kernel.reactor
+        self._port = reactor.listenTCP(
+            self._address.port,
+            _listener.MetricsFactory(reactor, self.render),
+            interface=self._address.host,
         )
         defer.ensureDeferred(self._measure_loop_delay())
 
@@ -151,18 +151,3 @@
         labels.append(f'quantile="{quantile}"')
     suffix = '{' + ','.join(labels) + '}' if labels else ''
     return f'oriolestand_{name}{suffix}'
-
-
-class _MetricsResource(resource.Resource):
-    """Web resource that serves the metrics at any path."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, render: Any) -> None:
-        super().__init__()
-        self._render = render
-
-    def render_GET(self, request: Any) -> bytes:  # noqa: N802
-        """Respond with all metrics in the Prometheus text format."""
-        request.setHeader(b'content-type', b'text/plain; version=0.0.4')
-        return self._render().encode()
