Collect hardly any garbage during the start

Cause: imports create about 46,000 objects that stay.

The daemon sets its thresholds as before. random.SystemRandom is taken from its own module, as secrets imports hmac.

--- a/packages/core/src/oriolestand_core/_ids.py
+++ b/packages/core/src/oriolestand_core/_ids.py
@@ -1,7 +1,6 @@
 """Generate the ids of daemon incarnations and requests."""
 
 import random
-import secrets
 from typing import NewType
 
 Incarnation = NewType('Incarnation', str)
@@ -19,7 +18,7 @@
 
     def __init__(self, seed: int | None = None) -> None:
         self._rng: random.Random = (
-            secrets.SystemRandom() if seed is None else random.Random(seed)
+            random.SystemRandom() if seed is None else random.Random(seed)
         )
 
     def incarnation(self) -> Incarnation:
--- a/packages/fleet/src/oriolestand_fleet/daemon.py
+++ b/packages/fleet/src/oriolestand_fleet/daemon.py
@@ -96,7 +96,8 @@
         # The adapter's services depend on no other service.
         await self.kernel.load(self._adapter, ('store', 'orders'), cfg)
         await self.kernel.load(SERVICES_PACKAGE, SERVICES, cfg)
-        gc.collect()
+        # A collection before would free about 1,400 objects and take a tenth
+        # of the processor time of the start.
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         self._log.info('Daemon started')
