Write a refused urgent record behind the others

Callers could see no job of the cell go on: no end was acknowledged and no state was written. Cause: records that a service start waits for are written first. If the store refuses such a record each time, for example because it is larger than a row, it came first again after each failure, alone in its commit, and no other record was ever written.

Change: a record whose commit failed while it was alone in it is not urgent any more. Commits of several records still keep their order and get smaller until the refused one is alone.

Measured: test_refused_record_of_a_service_does_not_hold_up_others (new) fails before (the progress row of the other job is not in the store after 4 s) and passes after; the tests in packages/fleet/tests/services and test_failures.py pass.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -216,6 +216,9 @@
         limit = max(1, len(jobs) // 2)
         self._batch_limits.update(dict.fromkeys(jobs, limit))
         self._failed.update(jobs)
+        if len(jobs) == 1:
+            # The store may refuse it each time, and the others wait for it.
+            self._urgent.difference_update(jobs)
 
     def _restore_batch_limits(self, jobs: Iterable[str]) -> None:
         """Write records in full batches again after a success.
