Do not count starts behind refused records as work of the owner

Callers of all daemons had every new job refused with owner_overloaded, and no batch task was started, while the owner was idle. Cause: starts that wait for a record count as starts that the owner has yet to send. If the store refuses a record each time, its starts wait for good: their age closed the admission of the whole cell, and 200 of them (16 under a busy owner) used up the limit of starts of each round.

Change: starts whose record was refused do not count, neither for the reported delay nor for the limit. Records that wait for their turn still do.

Measured: test_refused_record_does_not_close_the_admission and test_starts_behind_a_refused_record_do_not_hold_up_others (new) fail before (the job is refused; no run is started) and pass after; the 58 tests of packages/fleet/tests/services/cell, test_overloaded_owner.py and test_busy_owner.py pass.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -58,16 +58,35 @@
 
     @property
     def unsent_start_count(self) -> int:
-        """Return the number of starts that are decided and not sent."""
-        return self._queue.start_count + len(self._held_starts)
+        """Return the number of starts that the owner has yet to send.
+
+        Those that wait for a record that the store has refused do not count,
+        as they do not wait for the owner.
+        """
+        held_count = sum(
+            not self._is_refused(run) for run in self._held_starts
+        )
+        return self._queue.start_count + held_count
 
     def oldest_unsent_ms(self) -> int:
-        """Return how long the start that waits longest has waited."""
-        oldest_ms = min(self._decided_ms.values(), default=None)
+        """Return how long the oldest of these starts has waited."""
+        oldest_ms = min(
+            (
+                decided_ms
+                for run, decided_ms in self._decided_ms.items()
+                if not self._is_refused(run)
+            ),
+            default=None,
+        )
         if oldest_ms is None:
             return 0
         return self._kernel.clock.now() - oldest_ms
 
+    def _is_refused(self, run: _RunId) -> bool:
+        """Return whether a start waits for a record that was not written."""
+        _, key, _ = run
+        return run in self._held_starts and self._saver.has_failed(key.job)
+
     def send(self, effects: Iterable[scheduling.Effect]) -> None:
         """Send orders that were just decided, in the background.
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -121,6 +121,10 @@
         """Return whether the record of a job is not yet written."""
         return job in self._queued or job in self._in_flight
 
+    def has_failed(self, job: str) -> bool:
+        """Return whether the last commit of an unsaved record has failed."""
+        return self.is_unsaved(job) and job in self._batch_limits
+
     async def _write_all(self) -> None:
         """Write batches until no changed record is left."""
         try:
--- a/packages/fleet/tests/services/cell/test_refused_records.py
+++ b/packages/fleet/tests/services/cell/test_refused_records.py
@@ -10,14 +10,16 @@
 
 REFUSED = 'c' * 16
 BATCH = 'b' * 16
-ONE_SERVICE = (scheduling.StepSpec(count=1, cpu=2_000, is_service=True),)
+SERVICES = (scheduling.StepSpec(count=200, cpu=10, is_service=True),)
+"""As many tasks as a round starts at most."""
+
 ONE_TASK = (scheduling.StepSpec(count=1, cpu=1_000),)
 LONG_MS = 120_000
 
 
 @pytest.fixture
 def owner(site, daemons):
-    """Return the owner; a service task waits for a refused record."""
+    """Return the owner; service tasks wait for a refused record."""
     owner = owner_of(daemons)
     task = owner.kernel.find('store')
     real = task._commit
@@ -28,7 +30,7 @@
         return await real(msg)
 
     task._commit = commit
-    site.submit(owner, REFUSED, ONE_SERVICE, duration_ms=LONG_MS)
+    site.submit(owner, REFUSED, SERVICES, duration_ms=LONG_MS)
     site.run(1_000)
     assert not site.history
     return owner
@@ -42,3 +44,20 @@
     key = (layout.OWNER_TABLE, layout.CELL_PART)
     assert (*key, layout.PROGRESS_PREFIX + BATCH) in site.store.rows
     assert site.state(owner, BATCH) == 'completed'
+
+
+def test_refused_record_does_not_close_the_admission(site, owner):
+    # A start that waits for a record that the store refuses made the owner
+    # count as overloaded, and all jobs were refused for as long.
+    site.run(3_000)
+    submitted = site.submit(owner, BATCH, ONE_TASK, duration_ms=500)
+    site.run(1_000)
+    assert submitted.result is True
+
+
+def test_starts_behind_a_refused_record_do_not_hold_up_others(site, owner):
+    # Starts that wait for a refused record used up the limit on unsent starts,
+    # so that no round decided any other start.
+    site.submit(owner, BATCH, ONE_TASK, duration_ms=500)
+    site.run(4_000)
+    assert [run.key.job for run in site.history] == [BATCH]
