Send the starts of a gang in one pass

Members of a gang could fail because the others had not started in time. Cause: orders are sent for 20 ms in each pass of the event loop. Members wait 3 s for each other, a start takes 4 ms of a busy owner and a pass of it a second, so that a gang of more than some 20 members was spread over more than 3 s. Found by reading.

Change: starts of one gang are marked, and once its first member is sent the others follow in the same pass, for up to 1 s. A longer time would cost leases.

Measured: test_members_of_a_gang_are_sent_together and test_orders_behind_a_gang_wait (new) fail before (3 of 12 and 3 of 8 members are sent in the first pass) and pass after; the tests of packages/policy/tests/scheduling pass. test_starts_of_a_gang_are_marked fails without the mark in the scheduler.

--- a/packages/policy/src/oriolestand_policy/scheduling/_effects.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_effects.py
@@ -11,6 +11,8 @@
 
     ``needs_record`` is whether the order may be sent only after the record
     of the job is written, and only if ``Scheduler.is_start_pending`` then.
+    ``is_gang`` is whether it is one of the starts of a gang, which have the
+    same run number and follow each other.
     """
 
     worker: str
@@ -19,6 +21,7 @@
     payload: str
     checkpoint: str
     needs_record: bool = False
+    is_gang: bool = False
 
 
 REPEATED_STOP = 'repeat'
--- a/packages/policy/src/oriolestand_policy/scheduling/_order_queue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_order_queue.py
@@ -7,6 +7,11 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _jobs
 
+MAX_GANG_MS = 1_000
+"""Longest time for which the starts of a gang are sent beyond the budget. Its
+members wait 3 s for each other, and a pass of a busy owner may take a second.
+Leases would end during a longer time without polls."""
+
 Order = _effects.StartTask | _effects.StopTask | _effects.PaceTask
 
 
@@ -80,15 +85,35 @@
     ) -> bool:
         """Send orders for up to ``budget_ms``; return whether some are left.
 
-        At least one order is sent, so that the queue always gets shorter.
+        At least one order is sent, so that the queue always gets shorter. The
+        starts of a gang are sent together for up to ``MAX_GANG_MS``.
         """
-        end_ms = now_ms() + budget_ms
+        started_ms = now_ms()
         while (order := self.take()) is not None:
             send_order(order)
-            if now_ms() >= end_ms and len(self):
+            limit_ms = budget_ms
+            if self._is_next_of_gang(order):
+                limit_ms = MAX_GANG_MS
+            if now_ms() >= started_ms + limit_ms and len(self):
                 return True
         return False
 
+    def _is_next_of_gang(self, order: Order) -> bool:
+        """Return whether the next order starts the same gang as this one."""
+        if not isinstance(order, _effects.StartTask) or not order.is_gang:
+            return False
+        following = next((q[0] for q in self._queues.values() if q), None)
+        return (
+            isinstance(following, _effects.StartTask)
+            and following.is_gang
+            and _gang_of(following) == _gang_of(order)
+        )
+
+
+def _gang_of(start: _effects.StartTask) -> tuple[object, ...]:
+    """Return what the starts of one gang have in common."""
+    return (*start.key[:3], start.run)
+
 
 def _priority_of(order: Order) -> OrderPriority:
     """Return the priority of an order."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -459,6 +459,7 @@
                 payload=job.spec.payload,
                 checkpoint=task.checkpoint,
                 needs_record=needs_record,
+                is_gang=task.spec.is_gang,
             )
         )
 
--- a/packages/policy/tests/scheduling/test_order_queue.py
+++ b/packages/policy/tests/scheduling/test_order_queue.py
@@ -5,6 +5,8 @@
 from oriolestand_policy import scheduling
 
 SERVICE = {'needs_record': True}
+MAX_GANG_MS = 1_000
+"""Leaves two thirds of a lease of 6 s for passes and polls."""
 
 
 class _Sender:
@@ -27,11 +29,11 @@
     return scheduling.TaskKey('5c0e', 0, 0, index)
 
 
-def make_start(index, **kwargs):
+def make_start(index, run=7, **kwargs):
     return scheduling.StartTask(
         worker='w',
         key=make_key(index),
-        run=7,
+        run=run,
         payload='',
         checkpoint='',
         **kwargs,
@@ -88,6 +90,52 @@
     assert [order.key.index for order in sender.sent[8:]] == [7, 8, 9]
 
 
+def test_members_of_a_gang_are_sent_together():
+    # Members wait up to 3 s for each other, and a pass of a busy owner may
+    # take a second.
+    queue = scheduling.OrderQueue()
+    for index in range(12):
+        queue.add(make_start(index, is_gang=index >= 2))
+    queue.add(make_start(12))
+    sender = _Sender(cost_ms=7)
+    assert queue.send(sender.send, sender.time, budget_ms=20)
+    assert [order.key.index for order in sender.sent] == list(range(12))
+
+
+def test_starts_of_a_gang_are_marked(harness):
+    # The queue would send the members in passes that are seconds apart.
+    steps = [
+        scheduling.StepSpec(count=3, cpu=1_000, is_gang=is_gang)
+        for is_gang in (True, False)
+    ]
+    harness.add('5c0e', *steps)
+    starts, _ = harness.decide()
+    assert [start.is_gang for start in starts] == [True] * 3 + [False] * 3
+    assert len({start.run for start in starts[:3]}) == 1
+
+
+def test_large_gang_leaves_time_for_polls():
+    # Leases would end while all members of a large gang are sent.
+    queue = scheduling.OrderQueue()
+    for index in range(2_000):
+        queue.add(make_start(index, is_gang=True))
+    sender = _Sender(cost_ms=4)
+    assert queue.send(sender.send, sender.time, budget_ms=20)
+    assert sender.now_ms <= MAX_GANG_MS + 4
+
+
+def test_orders_behind_a_gang_wait():
+    # Guards against a budget that counts for one order of a gang only.
+    queue = scheduling.OrderQueue()
+    gangs = [make_start(n, is_gang=True) for n in range(8)]
+    other = make_start(8, is_gang=True, run=8)
+    for order in [*gangs, other]:
+        queue.add(order)
+    sender = _Sender(cost_ms=7)
+    assert queue.send(sender.send, sender.time, budget_ms=20)
+    assert sender.sent == gangs
+
+
 def test_an_order_that_exceeds_the_budget_is_sent():
     queue = scheduling.OrderQueue()
     queue.add(make_start(0))
