Answer in doubt if a closed admission cannot read the store

Callers could be told that a job never runs although it was stored. Cause: while jobs are refused, the store is read before a repeated submission is. If that read failed, the answer was state_unknown, a 503 with did_not_run, which callers take for a job that never runs. docs/FAILURES.md has the same fault of a daemon without the store.

Change: the answer is job_in_doubt, as without the admission.

Measured: test_repeated_submission_is_in_doubt_without_the_store (2 cases, new) fails before (state_unknown) and passes after; test_overloaded_owner.py, test_failures.py and the tests of the services jobs and frontend pass.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -285,12 +285,19 @@
         """Return whether a job may be stored; False if it is stored already.
 
         Raises OwnerOverloadedError. An earlier request may have stored the
-        job, so the store is read before this one is refused.
+        job, so the store is read before this one is refused; JobInDoubtError
+        is raised if that is not possible.
         """
         now = self.kernel.clock.now()
         if not self._admission.is_closed(now):
             return True
-        if await self._read_state(spec.id, spec.route) is not None:
+        try:
+            state = await self._read_state(spec.id, spec.route)
+        except messages.StateUnknownError as exc:
+            raise messages.JobInDoubtError(
+                'the store could not be read', job=spec.id
+            ) from exc
+        if state is not None:
             return False
         raise messages.OwnerOverloadedError(
             'the owner of the cell is overloaded',
--- a/packages/fleet/tests/test_overloaded_owner.py
+++ b/packages/fleet/tests/test_overloaded_owner.py
@@ -73,6 +73,22 @@
     assert result_of(site, site.submit(other, job_id(1), ONE_TASK)) is False
 
 
+@pytest.mark.parametrize('fault', ['is_down', 'is_unresponsive'])
+def test_repeated_submission_is_in_doubt_without_the_store(site, fault):
+    # Callers take a 503 for a job that never runs, but an earlier request has
+    # stored it.
+    owner, other = add_overloaded_owner(site)
+    owner.kernel.clock.set_pass_ms(50)
+    site.run(8_000)
+    assert result_of(site, site.submit(other, job_id(1), ONE_TASK)) is True
+    other.kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    other.kernel.find('jobs')._replica.entries.clear()
+    setattr(other.store.faults, fault, True)
+    reason = result_of(site, site.submit(other, job_id(1), ONE_TASK))
+    assert reason.value.code == 'job_in_doubt'
+    assert reason.value.verdict is core.Verdict.MAY_HAVE_RUN
+
+
 def test_requests_for_jobs_are_served_while_jobs_are_refused(site):
     owner, other = add_overloaded_owner(site)
     owner.kernel.clock.set_pass_ms(50)
