--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -121,6 +121,10 @@
         """Return whether the record of a job is not yet written."""
         return job in self._queued or job in self._in_flight
 
+    def has_failed(self, job: str) -> bool:
+        """Return whether the last commit of an unsaved record has failed."""
+        return self.is_unsaved(job) and job in self._batch_limits
+
     async def _write_all(self) -> None:
         """Write batches until no changed record is left."""
         try:
@@ -216,6 +220,9 @@
         limit = max(1, len(jobs) // 2)
         self._batch_limits.update(dict.fromkeys(jobs, limit))
         self._failed.update(jobs)
+        if len(jobs) == 1:
+            # The store may refuse it each time, and the others wait for it.
+            self._urgent.difference_update(jobs)
 
     def _restore_batch_limits(self, jobs: Iterable[str]) -> None:
         """Write records in full batches again after a success.
