Follow the operator's evacuations of failure domains

Cause: a row evacuate/ZONE in the operator's table was read by nobody. Change: the config service follows these rows with the configuration and publishes the evacuated domains after each read as the state event EvacuationsRead, which tells as of when they are known. A complete read replaces the state, so that starts, dropped histories and faults of the store leave nothing behind; older pages are ignored. During bursts of large configurations the evacuations are read alone, every 250 ms. The owner waits an eighth of the bound for changes, as its state becomes up to two waits old. Without the bound in the settings file it waits 1 s as before.

Measured: pytest packages/fleet/tests/services/config (virtual time) and platform/tests pass. With the reads during bursts removed, test_evacuation_is_read_during_a_burst_of_configurations fails; without the comparison of cursors test_older_page_does_not_revert_the_state fails; without the use of complete pages so does the dropped history case.

--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -141,26 +141,50 @@
     idle_timeout_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Evacuation:
+    """Whether the operator requests the evacuation of a failure domain."""
+
+    failure_domain: str
+    is_requested: bool
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigPage:
     """The configuration, or None if it is missing or unchanged.
 
     ``size_bytes`` is the size of all versions that the response carried.
+    ``evacuations`` are changes in their order. If the page is complete, they
+    are all requested evacuations as of ``cursor``.
     """
 
     config: FleetConfig | None
     cursor: int
     size_bytes: int = 0
+    evacuations: tuple[Evacuation, ...] = ()
+    is_complete: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReadConfig:
-    """Read the configuration; the reply is a ConfigPage."""
+    """Read the configuration and all evacuations.
+
+    The reply is a complete ConfigPage.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReadEvacuations:
+    """Read all evacuations; the reply is a complete ConfigPage.
+
+    It has no configuration, which may be large.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FollowConfig:
-    """Wait for a change of the configuration after a cursor.
+    """Wait for a change of the configuration or evacuations after a cursor.
 
     The reply is a ConfigPage. Fails with HistoryLostError.
     """
--- a/packages/fleet/src/oriolestand_fleet/services/config/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_task.py
@@ -1,4 +1,4 @@
-"""Track the operator's configuration."""
+"""Track the operator's configuration and evacuated failure domains."""
 
 import random
 from typing import Any
@@ -6,19 +6,29 @@
 from twisted.internet import defer
 
 import oriolestand_core as core
+from oriolestand_fleet import settings
 from oriolestand_fleet.messages import config as messages
+from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.config import _evacuations
 from oriolestand_fleet.services.config import const
 from oriolestand_policy import backoff
 
 
 class ConfigTask(core.Task):
-    """Publish the newest configuration; older versions are ignored."""
+    """Publish the newest configuration; older versions are ignored.
 
-    def __init__(self, kernel: core.Kernel) -> None:
+    The evacuated failure domains are published after each read, as the owner
+    must know until when they are known.
+    """
+
+    def __init__(self, kernel: core.Kernel, limits: settings.Limits) -> None:
         super().__init__(kernel, const.DOMAIN)
         self._log = core.get_logger(const.DOMAIN)
+        self._evacuations = _evacuations.Evacuations(self._log)
+        self._owner_wait_ms = _owner_wait_ms(limits.evacuate_ms)
+        self._follow_wait_ms = const.FOLLOW_WAIT_MS
         self._config: store.FleetConfig | None = None
         self._cursor: int | None = None
         self._is_unreachable = False
@@ -27,8 +37,16 @@
 
     def start(self) -> None:
         """Start to follow the configuration."""
+        self.kernel.subscribe(jobs.OwnershipChanged, self)
         self._run_loop()
 
+    @core.handles(jobs.OwnershipChanged)
+    def _on_ownership(self, msg: jobs.OwnershipChanged) -> None:
+        """Read more often while this daemon starts tasks."""
+        self._follow_wait_ms = const.FOLLOW_WAIT_MS
+        if msg.is_owner:
+            self._follow_wait_ms = self._owner_wait_ms
+
     def _run_loop(self) -> None:
         """Follow the configuration; start again after an unexpected error."""
 
@@ -63,9 +81,9 @@
         message: object = store.ReadConfig()
         if self._cursor is not None and not self._is_burst:
             message = store.FollowConfig(
-                after=self._cursor, wait_ms=const.FOLLOW_WAIT_MS
+                after=self._cursor, wait_ms=self._follow_wait_ms
             )
-        page: store.ConfigPage = await self.kernel.ask(store.SERVICE, message)
+        page = await self._read(message)
         if self._is_unreachable:
             self._is_unreachable = False
             self._log.info('Configuration can be read again')
@@ -76,7 +94,35 @@
         self._cursor = max(self._cursor or 0, page.cursor)
         self._is_burst = is_new and self._starts_burst(page.size_bytes)
         if self._is_burst:
-            await self.kernel.sleep(_burst_pause_ms(page.size_bytes))
+            await self._pause(_burst_pause_ms(page.size_bytes))
+
+    async def _read(self, message: object) -> store.ConfigPage:
+        """Read a page, and publish the evacuated failure domains."""
+        sent_ms = self.kernel.clock.now()
+        page: store.ConfigPage = await self.kernel.ask(store.SERVICE, message)
+        self._evacuations.apply(page, self.kernel.clock.now())
+        event = self._evacuations.event(known_at_ms=sent_ms)
+        self.kernel.post(
+            telemetry.SERVICE,
+            telemetry.SetGauge(
+                name='evacuated_domains',
+                label='',
+                value=len(event.failure_domains),
+            ),
+        )
+        self.kernel.publish(event, is_state=True)
+        return page
+
+    async def _pause(self, pause_ms: int) -> None:
+        """Wait during a burst, and go on to read the evacuations.
+
+        The time within which an evacuation must take effect also holds while
+        many large configurations are written.
+        """
+        until_ms = self.kernel.clock.now() + pause_ms
+        while (left_ms := until_ms - self.kernel.clock.now()) > 0:
+            await self.kernel.sleep(min(left_ms, const.EVACUATION_READ_MS))
+            await self._read(store.ReadEvacuations())
 
     def _starts_burst(self, size_bytes: int) -> bool:
         """Return whether further changes are to be skipped after a change."""
@@ -127,3 +173,18 @@
     return max(
         const.MIN_BURST_PAUSE_MS, min(pause_ms, const.MAX_BURST_PAUSE_MS)
     )
+
+
+def _owner_wait_ms(evacuate_ms: int | None) -> int:
+    """Return how long the owner of the cell waits for a change.
+
+    A response tells that there was no evacuation when its request was sent.
+    Until the next response the state becomes up to two waits old, of which
+    the time in which an evacuation must take effect has to leave most.
+
+    >>> _owner_wait_ms(None), _owner_wait_ms(4_000), _owner_wait_ms(2_000)
+    (1000, 500, 250)
+    """
+    if evacuate_ms is None:
+        return const.FOLLOW_WAIT_MS
+    return min(const.FOLLOW_WAIT_MS, evacuate_ms // 8)
--- a/packages/fleet/src/oriolestand_fleet/services/config/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/const.py
@@ -5,6 +5,9 @@
 FOLLOW_WAIT_MS = 1_000
 """Well below the time within which a change must take effect everywhere."""
 
+EVACUATION_READ_MS = 250
+"""Time between reads of the evacuations while configurations are not read."""
+
 RETRY_MS = 150
 
 RESTART_MS = 1_000
--- a/packages/fleet/src/oriolestand_fleet/settings.py
+++ b/packages/fleet/src/oriolestand_fleet/settings.py
@@ -50,6 +50,8 @@
     ``shutdown_ms``: time between SIGTERM and SIGKILL.
     ``row_bytes``: the largest size of a row's value.
     ``processors``: processor time that the instance may use, in cores.
+    ``evacuate_ms``: time after the store has acknowledged the evacuation of a
+    failure domain from which no task may start there, None if not limited.
     """
 
     lease_max_ms: int
@@ -57,6 +59,7 @@
     shutdown_ms: int
     row_bytes: int
     processors: float = 1.0
+    evacuate_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -88,6 +88,7 @@
         self.history: list[_workers.RunRecord] = []
         self.durations: dict[str, int] = {}
         self.payload = 'p'
+        self.evacuate_ms: int | None = None
         self.outcome_of: Callable[[scheduling.TaskKey, int], str] = (
             lambda key, number: 'done'
         )
@@ -114,13 +115,18 @@
             )
         )
 
-    def add_worker(self, name: str, process_start_ms: int = 1) -> None:
+    def add_worker(
+        self,
+        name: str,
+        process_start_ms: int = 1,
+        failure_domain: str = 'd1',
+    ) -> None:
         """Start a worker and register it in the store."""
         info = scheduling.WorkerInfo(
             id=name,
             pool=POOL,
             address=f'{name}:1',
-            failure_domain='d1',
+            failure_domain=failure_domain,
             cpu=WORKER_CPU,
             memory_mb=16_000,
             process_start_ms=process_start_ms,
@@ -153,7 +159,9 @@
         names = [n for n in daemon.SERVICES if n in ('config', 'jobs', 'cell')]
         defer.ensureDeferred(
             kernel.load(
-                daemon.SERVICES_PACKAGE, names, _settings(name, processors)
+                daemon.SERVICES_PACKAGE,
+                names,
+                _settings(name, processors, self.evacuate_ms),
             )
         )
         return Daemon(kernel=kernel, store=store, orders=orders)
@@ -256,7 +264,9 @@
     return record.ended_ms if record.outcome else float('inf')
 
 
-def _settings(name: str, processors: float) -> settings.FleetSettings:
+def _settings(
+    name: str, processors: float, evacuate_ms: int | None
+) -> settings.FleetSettings:
     """Return settings of a daemon; no port of them is opened."""
     unused_address = settings.Address(host='127.0.0.1', port=0)
     codec: Any = None
@@ -272,6 +282,7 @@
             shutdown_ms=6_000,
             row_bytes=65_536,
             processors=processors,
+            evacuate_ms=evacuate_ms,
         ),
         log=settings.LogSettings(),
         codec=codec,
--- a/packages/standins/src/oriolestand_standins/fleet/_store.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_store.py
@@ -54,6 +54,7 @@
         self.config: contracts.FleetConfig | None = None
         self.config_versions: list[int] = []
         self.config_bytes = 0
+        self.evacuations: list[contracts.Evacuation] = []
         self.sends_time = True
         self.workers: dict[str, scheduling.WorkerInfo] = {}
         self.worker_changes: list[tuple[int, str]] = []
@@ -123,6 +124,33 @@
         self.config_versions.append(self.version)
         self._notify_followers()
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Request the evacuation of a failure domain."""
+        self._change_evacuation(failure_domain, is_requested=True)
+
+    def take_back(self, failure_domain: str) -> None:
+        """Remove the request to evacuate a failure domain."""
+        self._change_evacuation(failure_domain, is_requested=False)
+
+    def _change_evacuation(
+        self, failure_domain: str, is_requested: bool
+    ) -> None:
+        """Write or remove the row of an evacuation."""
+        self.version += 1
+        self.evacuations.append(
+            contracts.Evacuation(
+                failure_domain=failure_domain,
+                is_requested=is_requested,
+                version=self.version,
+            )
+        )
+        self._notify_followers()
+
+    def requested_evacuations(self) -> tuple[contracts.Evacuation, ...]:
+        """Return the evacuations that are requested at present."""
+        newest = {e.failure_domain: e for e in self.evacuations}
+        return tuple(e for e in newest.values() if e.is_requested)
+
     def register_worker(self, info: scheduling.WorkerInfo) -> None:
         """Add the entry of a worker or replace it."""
         self.version += 1
@@ -274,7 +302,26 @@
     async def _read_config(self) -> contracts.ConfigPage:
         """Return the configuration."""
         await self._simulate_network()
-        return self._to_config_page(1)
+        return dataclasses.replace(
+            self._to_config_page(1),
+            evacuations=self._store.requested_evacuations(),
+            is_complete=True,
+        )
+
+    @core.handles(contracts.ReadEvacuations)
+    def _on_read_evacuations(self, msg: contracts.ReadEvacuations) -> Any:
+        """Handle a read of the evacuations."""
+        return self._to_deferred(self._read_evacuations())
+
+    async def _read_evacuations(self) -> contracts.ConfigPage:
+        """Return the requested evacuations."""
+        await self._simulate_network()
+        return contracts.ConfigPage(
+            config=None,
+            cursor=self._store.version,
+            evacuations=self._store.requested_evacuations(),
+            is_complete=True,
+        )
 
     def _to_config_page(self, version_count: int) -> contracts.ConfigPage:
         """Return the newest of some versions and count the bytes of all."""
@@ -294,18 +341,29 @@
     async def _follow_config(
         self, msg: contracts.FollowConfig
     ) -> contracts.ConfigPage:
-        """Return the versions of the configuration after a cursor."""
+        """Return the changes of the operator's rows after a cursor."""
         await self._simulate_network()
+        if msg.after < self._store.oldest_cursor:
+            raise contracts.HistoryLostError('changes were dropped')
         end = self.kernel.clock.now() + msg.wait_ms
         store = self._store
 
         def count_new() -> int:
             return sum(v > msg.after for v in store.config_versions)
 
-        while not count_new() and self.kernel.clock.now() < end:
+        def new_evacuations() -> tuple[contracts.Evacuation, ...]:
+            return tuple(e for e in store.evacuations if e.version > msg.after)
+
+        while (
+            not count_new()
+            and not new_evacuations()
+            and self.kernel.clock.now() < end
+        ):
             await store.wait_for_change(end - self.kernel.clock.now())
         await self._simulate_network()
-        return self._to_config_page(count_new())
+        return dataclasses.replace(
+            self._to_config_page(count_new()), evacuations=new_evacuations()
+        )
 
     @core.handles(contracts.ReadWorkers)
     def _on_read_workers(self, msg: contracts.ReadWorkers) -> Any:
