Start nothing on workers of evacuated failure domains

Cause: an evacuated domain was known to the config service only. Change: worker_state has the reason EVACUATED, so that placement, reservations, gangs, probations and restarts leave these workers out. Starts that were decided before and are not sent are withdrawn. A daemon claims the cell only once it knows the domains. If the platform has the bound evacuate_ms, an owner decides and sends no start while its last read is older than the bound less 500 ms (LimitStarts, also for starts that wait for a connection), as it acts for up to 10 s without the store. Without the bound it goes on as before.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -1,9 +1,9 @@
 """Messages to the ``orders`` service, which an adapter provides.
 
-Every message is a request to one worker, except WithdrawStart and
-WithdrawOrders, which concern unsent requests. ``lease_end_ms`` is a time on
-the worker's clock; ``epoch`` is the fencing token that lets the worker refuse
-requests of former owners of the cell. ``send_by_ms`` is the time on the
+Every message is a request to one worker, except WithdrawStart, LimitStarts
+and WithdrawOrders, which concern unsent requests. ``lease_end_ms`` is a time
+on the worker's clock; ``epoch`` is the fencing token that lets the worker
+refuse requests of former owners of the cell. ``send_by_ms`` is the time on the
 daemon's clock until which the owner may act: a request that still waits for a
 connection then, or was held up by a pause of the process, is withdrawn.
 """
@@ -133,6 +133,17 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LimitStarts:
+    """Set the time on the daemon's clock until which starts may be sent.
+
+    It applies to unsent starts too, and replaces an earlier limit. Starts that
+    would be sent later get the reply ``WITHDRAWN``. There is no reply.
+    """
+
+    until_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WithdrawOrders:
     """Withdraw the unsent orders of an epoch and of earlier ones.
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -40,6 +40,7 @@
         self._owner_version = 0
         self._renewal_version = 0
         self._config: store.FleetConfig | None = None
+        self._evacuations: config_messages.EvacuationsRead | None = None
         self._owner_term: _term.OwnerTerm | None = None
         self._loading_term: models.Term | None = None
         self._pending_events: list[object] = []
@@ -50,6 +51,7 @@
         """Subscribe to events and start to watch the owner of the cell."""
         for event in (
             config_messages.ConfigChanged,
+            config_messages.EvacuationsRead,
             jobs.JobAdded,
             jobs.JobCancelled,
             jobs.CellRowChanged,
@@ -131,6 +133,13 @@
         if self._owner_term is not None:
             self._owner_term.set_config(msg.config)
 
+    @core.handles(config_messages.EvacuationsRead)
+    def _on_evacuations(self, msg: config_messages.EvacuationsRead) -> None:
+        """Store the evacuated domains and pass them to the current term."""
+        self._evacuations = msg
+        if self._owner_term is not None:
+            self._owner_term.set_evacuations(msg)
+
     @core.handles(jobs.JobAdded)
     def _on_job(self, msg: jobs.JobAdded) -> None:
         """Pass a new job to the term, or queue it while claiming the cell."""
@@ -249,7 +258,7 @@
         """Claim the cell if the election returns a reason to do so."""
         if self._owner_term is not None or self._is_shutting_down:
             return
-        if self._config is None:
+        if self._config is None or self._evacuations is None:
             return
         reason = self._election.claim_reason(self.kernel.clock.now())
         if reason is None:
@@ -402,12 +411,14 @@
                 await self._write_release(term)
             return
         assert self._config is not None
+        assert self._evacuations is not None
         self._owner_term = _term.OwnerTerm(
             self.kernel,
             self._cfg,
             term,
             snapshot,
             self._config,
+            self._evacuations,
             functools.partial(self._end_term, term),
         )
         self._loading_term = None
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -10,6 +10,7 @@
 import oriolestand_core as core
 from oriolestand_fleet import layout
 from oriolestand_fleet import settings
+from oriolestand_fleet.messages import config as config_messages
 from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
@@ -44,6 +45,7 @@
         term: models.Term,
         snapshot: jobs.Snapshot,
         config: store.FleetConfig,
+        evacuations: config_messages.EvacuationsRead,
         on_ownership_lost: Callable[[str], None],
     ) -> None:
         self._kernel = kernel
@@ -99,6 +101,8 @@
             self._on_worker_reply,
             on_ownership_lost,
         )
+        self._are_starts_held = False
+        self.set_evacuations(evacuations)
         self._load(snapshot, config)
         self._sweeper = _sweeper.Sweeper(
             kernel,
@@ -150,6 +154,25 @@
         self._scheduler.set_routes(r.policy for r in config.routes)
         self.request_round()
 
+    def set_evacuations(self, msg: config_messages.EvacuationsRead) -> None:
+        """Apply the evacuated failure domains, and until when they hold.
+
+        Starts that were decided before are withdrawn at once if not sent.
+        """
+        bound_ms = self._cfg.limits.evacuate_ms
+        if bound_ms is not None:
+            margin_ms = min(const.EVACUATION_MARGIN_MS, bound_ms // 4)
+            until_ms = msg.known_at_ms + bound_ms - margin_ms
+            self.term.evacuations_until_ms = until_ms
+            # Starts that wait for a connection are held back as well.
+            self._kernel.post(
+                orders.SERVICE, orders.LimitStarts(until_ms=until_ms)
+            )
+        self._scheduler.set_evacuated_domains(msg.failure_domains)
+        self._apply_effects()
+        if self._are_starts_held:
+            self.request_round()
+
     def add_job(self, job: jobs.StoredJob) -> None:
         """Add a job that was stored after this owner loaded the cell."""
         self._scheduler.add_job(
@@ -345,6 +368,7 @@
         known_until_ms = min(
             self._read_until_ms, self.term.undisputed_until_ms(now)
         )
+        self._hold_starts(not self.term.may_start(now))
         self._scheduler.decide(
             now,
             clock.wall(),
@@ -353,6 +377,19 @@
         )
         self._apply_effects()
 
+    def _hold_starts(self, are_held: bool) -> None:
+        """Start nothing while the known evacuations are too old."""
+        if are_held == self._are_starts_held:
+            return
+        self._are_starts_held = are_held
+        self._scheduler.hold_starts(are_held)
+        self._log.warning(
+            'Starts wait until the evacuated domains are known'
+            if are_held
+            else 'Starts go on',
+            epoch=self.term.epoch,
+        )
+
     def _apply_effects(self) -> None:
         """Apply the pending effects of the scheduler.
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -58,6 +58,10 @@
 after 1.9 s each. Ends of removed jobs are acknowledged after it: a worker
 lists a limited number of ends, and later ones wait behind them."""
 
+EVACUATION_MARGIN_MS = 500
+"""Part of the time within which an evacuation must take effect that is left
+for orders on their way to workers and for differences between clocks."""
+
 FOLLOW_WAIT_MS = 1_000
 RETRY_MS = 150
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -65,6 +65,8 @@
     the workers of its predecessor.
     ``settled_ms``: from when on no former owner can still act.
     ``store_clock``: a time of the store's clock after the claim, if known.
+    ``evacuations_until_ms``: when the known evacuations of failure domains
+    become too old to start tasks, None if they never do.
     ``is_over``: whether the term has ended; all loops of the owner stop.
     ``on_end``: called once when the term ends.
     """
@@ -75,6 +77,7 @@
     takeover_deadline_ms: int
     settled_ms: int
     store_clock: ownership.StoreClock | None = None
+    evacuations_until_ms: int | None = None
     is_over: bool = False
     on_end: list[Callable[[], None]] = dataclasses.field(default_factory=list)
 
@@ -106,6 +109,17 @@
         """Return when the last renewal becomes too old to act as owner."""
         return self.renewed_ms + ownership.MAX_UNRENEWED_MS
 
+    @property
+    def starts_until_ms(self) -> int:
+        """Return until when the owner may send orders to start tasks."""
+        if self.evacuations_until_ms is None:
+            return self.acts_until_ms
+        return min(self.acts_until_ms, self.evacuations_until_ms)
+
+    def may_start(self, now_ms: int) -> bool:
+        """Return whether the owner may start tasks."""
+        return not self.is_over and now_ms < self.starts_until_ms
+
     def may_act(self, now_ms: int) -> bool:
         """Return whether the last renewal is recent enough to act as owner."""
         return not self.is_over and now_ms < self.acts_until_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -30,6 +30,9 @@
     ``held_worker_ids`` are workers for which no lease may be requested, and
     ``leased_worker_ids`` those for which one was requested. Both outlast
     restarts of the workers.
+    ``evacuated_domains`` are the failure domains whose workers get no new
+    tasks; whoever adds a worker or changes its attributes calls
+    ``mark_evacuated``.
     ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
     owners that were listed before their job was added.
     ``on_worker_gone`` is called with a removed worker, which still has its
@@ -51,10 +54,26 @@
         self.unplaced_job_ids: set[str] = set()
         self.held_worker_ids: set[str] = set()
         self.leased_worker_ids: set[str] = set()
+        self.evacuated_domains: frozenset[str] = frozenset()
         self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
         self.effects: list[_effects.Effect] = []
         self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
 
+    def mark_evacuated(self, worker: _fleet.Worker) -> None:
+        """Mark a worker if its failure domain is evacuated.
+
+        Its starts that were decided before are withdrawn unless they are sent.
+        """
+        was_evacuated = worker.is_evacuated
+        domain = worker.info.failure_domain
+        worker.is_evacuated = domain in self.evacuated_domains
+        if not worker.is_evacuated or was_evacuated:
+            return
+        for run in worker.runs.values():
+            is_unsent = run.phase is _fleet.RunPhase.STARTING
+            if is_unsent and not run.is_sent and run.stop_sent_ms < 0:
+                self._withdraw_start(run, worker.info.id)
+
     def keep_end(self, end: _reports.EndReport) -> None:
         """Keep an end as done until its job is added."""
         ends = self.ends_of_unknown_jobs
@@ -125,6 +144,7 @@
                 self.release(run, info.id, worker.last_report_ms)
             else:
                 self._carry_over(run, replacement)
+        self.mark_evacuated(replacement)
         return replacement
 
     def _carry_over(self, run: _fleet.Run, worker: _fleet.Worker) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -107,7 +107,8 @@
     suspect, so that no other task starts beside it. ``version`` counts the
     changes that the selection of workers depends on. ``carried_ms`` is since
     when the owner waits for the first report of a restarted worker that may
-    have accepted start orders, -1 if it does not.
+    have accepted start orders, -1 if it does not. ``is_evacuated`` is whether
+    its failure domain is evacuated, so that it gets no new tasks.
     """
 
     info: WorkerInfo
@@ -142,6 +143,7 @@
     is_on_probation: bool = False
     version: int = 0
     carried_ms: int = -1
+    is_evacuated: bool = False
 
     @property
     def recent_failures(self) -> int:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -69,6 +69,7 @@
     NOT_RECORDED = 'not_recorded'
     NOT_LISTED = 'not_listed'
     LEAVING = 'leaving'
+    EVACUATED = 'evacuated'
     SILENT = 'silent'
     AVOIDED = 'avoided'
     ON_PROBATION = 'on_probation'
@@ -82,6 +83,8 @@
         return WorkerState.NOT_LISTED
     if worker.info.is_leaving:
         return WorkerState.LEAVING
+    if worker.is_evacuated:
+        return WorkerState.EVACUATED
     if not worker.is_recorded:
         return WorkerState.NOT_RECORDED
     if now_ms - worker.last_report_ms > MAX_REPORT_AGE_MS:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -1,5 +1,6 @@
 """Schedule the tasks of one cell."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -65,6 +66,7 @@
             self._crash_handler,
         )
         self._wait_reporter = _waits.WaitReporter(self._cell)
+        self._are_starts_held = False
 
     @property
     def jobs(self) -> Mapping[str, _jobs.Job]:
@@ -144,7 +146,9 @@
         for worker_id, info in infos.items():
             worker = self._cell.workers.get(worker_id)
             if worker is None:
-                self._cell.workers[worker_id] = _fleet.Worker(info=info)
+                worker = _fleet.Worker(info=info)
+                self._cell.workers[worker_id] = worker
+                self._cell.mark_evacuated(worker)
                 self._cell.log('worker_added', '', worker=worker_id)
                 self._crash_handler.on_registered(info)
                 continue
@@ -157,6 +161,7 @@
             was_leaving = worker.info.is_leaving
             worker.info = info
             worker.is_listed = True
+            self._cell.mark_evacuated(worker)
             if info.is_leaving and not was_leaving:
                 self._cell.log('worker_leaving', '', worker=worker_id)
         for worker_id, worker in self._cell.workers.items():
@@ -164,6 +169,32 @@
                 worker.is_listed = False
                 self._cell.log('worker_unlisted', '', worker=worker_id)
 
+    def set_evacuated_domains(self, failure_domains: frozenset[str]) -> None:
+        """Apply the failure domains whose workers get no new tasks."""
+        former = self._cell.evacuated_domains
+        if failure_domains == former:
+            return
+        self._cell.evacuated_domains = failure_domains
+        counts = collections.Counter(
+            worker.info.failure_domain
+            for worker in self._cell.workers.values()
+        )
+        for domain in sorted(failure_domains ^ former):
+            self._cell.log(
+                'domain_evacuated'
+                if domain in failure_domains
+                else 'domain_taken_back',
+                '',
+                failure_domain=domain,
+                workers=counts[domain],
+            )
+        for worker in self._cell.workers.values():
+            self._cell.mark_evacuated(worker)
+
+    def hold_starts(self, are_held: bool) -> None:
+        """Start nothing while the evacuated domains are not known."""
+        self._are_starts_held = are_held
+
     def add_former_worker(self, info: _fleet.WorkerInfo) -> None:
         """Add a worker that a former owner used, as it may have runs.
 
@@ -172,6 +203,7 @@
         if info.id not in self._cell.workers:
             worker = _fleet.Worker(info=info, is_listed=False)
             self._cell.workers[info.id] = worker
+            self._cell.mark_evacuated(worker)
 
     def mark_workers_recorded(self, worker_ids: Iterable[str]) -> None:
         """Mark workers as stored in the list that the next owner reads."""
@@ -294,6 +326,7 @@
             return False
         return (
             job.outcome is None
+            and not worker.is_evacuated
             and not worker.is_over_capacity()
             and run.phase is _fleet.RunPhase.STARTING
             and run.stop_sent_ms < 0
@@ -365,6 +398,8 @@
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
+        if self._are_starts_held:
+            return
         self._task_starter.run(now_ms, wall_ms, former_runs)
         self._wait_reporter.run(now_ms, former_runs, self._task_starter)
 
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -269,6 +269,7 @@
         super().__init__(kernel, contracts.SERVICE)
         self._workers = workers
         self._unsent_starts: dict[_RunId, defer.Deferred[None]] = {}
+        self._starts_until_ms = 2**53
         self.faults = OrderFaults()
         self.receipts: list[Receipt] = []
 
@@ -331,7 +332,8 @@
     async def _start(self, msg: contracts.StartRun) -> contracts.StartReply:
         """Start a run; with a fault the answer is lost and the start late."""
         is_withdrawn = await self._is_withdrawn(msg)
-        if is_withdrawn or self.kernel.clock.now() >= msg.send_by_ms:
+        send_by_ms = min(msg.send_by_ms, self._starts_until_ms)
+        if is_withdrawn or self.kernel.clock.now() >= send_by_ms:
             return contracts.StartReply(
                 outcome=scheduling.StartOutcome.WITHDRAWN
             )
@@ -380,6 +382,11 @@
         """Withdraw the start of a run if it is not sent yet."""
         self._withdraw((msg.worker, msg.key, msg.number))
 
+    @core.handles(contracts.LimitStarts)
+    def _on_limit_starts(self, msg: contracts.LimitStarts) -> None:
+        """Set the time until which starts are sent."""
+        self._starts_until_ms = msg.until_ms
+
     @core.handles(contracts.WithdrawOrders)
     def _on_withdraw_orders(self, msg: contracts.WithdrawOrders) -> None:
         """Withdraw all starts that are not sent; a daemon has one epoch."""
