Move service tasks off evacuated workers, capacity first

Cause: service tasks in an evacuated domain stayed there, as they do not end. Change: Evacuation keeps room on another worker before it stops a task, which starts there once its run has ended; if none has room, one worker a pool makes room while the task runs on. At most max_unavailable tasks of a step are unavailable, one if it has none. Batch tasks, gangs, suspects and tasks on silent workers stay.

--- a/packages/fleet/tests/test_evacuations.py
+++ b/packages/fleet/tests/test_evacuations.py
@@ -234,3 +234,41 @@
     assert len(zones.history) == 30
     assert {run.worker[0] for run in zones.history} == {'w', 'x'}
     assert 'Domain evacuated' in capsys.readouterr().out
+
+
+def test_services_move_without_a_gap_in_the_step(zones, owner):
+    # Guards against a service that is down as a whole during an evacuation,
+    # and against tasks that stay although there is room elsewhere.
+    zones.store.evacuate('d2')
+    step = scheduling.StepSpec(count=6, cpu=2_000, is_service=True)
+    zones.submit(owner, 'a' * 16, (step,), duration_ms=10**9)
+    zones.run(1_000)
+    assert len(zones.history) == 6
+    zones.store.take_back('d2')
+    zones.run(200)
+    evacuate(zones)
+    least = 6
+    for _ in range(200):
+        zones.run(50)
+        running = [run for run in zones.history if not run.outcome]
+        least = min(least, len(running))
+    assert {run.worker[0] for run in running} == {'x'}
+    assert least == 5
+    assert zones.overlapping_runs() == []
+
+
+def test_new_owner_continues_the_moves(zones, daemons, owner):
+    # Guards against services that stay, or are lost, with their owner.
+    zones.store.evacuate('d2')
+    step = scheduling.StepSpec(count=6, cpu=2_000, is_service=True)
+    zones.submit(owner, 'a' * 16, (step,), duration_ms=10**9)
+    zones.run(1_000)
+    zones.store.take_back('d2')
+    zones.run(200)
+    evacuate(zones)
+    zones.run(300)
+    zones.shut_down(owner)
+    zones.run(15_000)
+    running = [run for run in zones.history if not run.outcome]
+    assert [run.worker[0] for run in running] == ['x'] * 6
+    assert zones.overlapping_runs() == []
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -444,6 +445,12 @@
             for run in worker.runs.values()
         )
 
+    def evacuated_tasks(
+        self, now_ms: int
+    ) -> Mapping[tuple[_specs.TaskKind, _evacuation.Remaining], int]:
+        """Return the number of runs in evacuated domains, and their waits."""
+        return self._task_starter.evacuation.remaining(now_ms)
+
     def slow_service_count(self) -> int:
         """Return the number of service tasks that exceed their target."""
         return sum(
--- a/packages/policy/src/oriolestand_policy/scheduling/_specs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_specs.py
@@ -25,7 +25,8 @@
     racks. ``max_per_worker`` of 0 means no limit. A filling task uses
     processor time that other tasks leave idle, so its ``cpu`` reserves no
     capacity. A service task runs until its job is cancelled, and its tail
-    latency should stay below ``target_ms``.
+    latency should stay below ``target_ms``. ``max_unavailable`` is how many
+    tasks of the step may be unavailable while they are moved, 0 means one.
     """
 
     count: int
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -7,6 +7,7 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -52,6 +53,7 @@
         )
         self._reservations = _reservations.Reservations(cell, placement)
         self._preemption = _preemption.Preemption(cell)
+        self._evacuation = _evacuation.Evacuation(cell, placement)
         self._next_reservations_ms = 0
         self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
@@ -62,6 +64,11 @@
         ] = {}
         self._held_tasks: dict[_jobs.TaskKey, _obstacles.Hold] = {}
 
+    @property
+    def evacuation(self) -> _evacuation.Evacuation:
+        """Return the moves off evacuated workers."""
+        return self._evacuation
+
     @property
     def placement(self) -> _placement.Placement:
         """Return the strategy that selects workers."""
@@ -87,8 +94,10 @@
         self._placement.plan(self._cell.workers.values(), now_ms)
         self._start_probations(now_ms, former_runs)
         self._start_reserved(now_ms)
+        self._start_moved(now_ms)
         self._start_ended_services(now_ms, former_runs)
         self._make_room_for_services(now_ms)
+        self._evacuation.plan(now_ms)
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, former_runs)
@@ -130,6 +139,12 @@
             for worker in reservation.workers:
                 self._placement.mark_changed(worker)
 
+    def _start_moved(self, now_ms: int) -> None:
+        """Start service tasks that were stopped in an evacuated domain."""
+        for move in self._evacuation.due(now_ms):
+            self._assign_all(move.job, [move.task], [move.target], now_ms)
+            self._placement.mark_changed(move.target)
+
     def _start_ended_services(
         self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
