Show what is left in an evacuated failure domain

Cause: an operator could not tell when a domain is empty, or what holds it up.

Measured: pytest packages/fleet/tests/services/cell/test_gauges.py passes; test_gauges_tell_what_is_left_in_an_evacuated_domain needs the new gauges.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
@@ -39,6 +39,9 @@
             self._set('worker_states', count, state.value)
         for kind, count in scheduler.running_by_kind().items():
             self._set('running_tasks', count, kind.value)
+        for (kind, wait), count in scheduler.evacuated_tasks(now).items():
+            label = f'{kind.value} {wait.value}'
+            self._set('evacuated_tasks', count, label)
         learned = scheduler.pressure.learned()
         self._set('service_tasks_over_target', scheduler.slow_service_count())
         self._set('known_image_pairs', len(learned.pairs))
--- a/packages/fleet/tests/services/cell/test_gauges.py
+++ b/packages/fleet/tests/services/cell/test_gauges.py
@@ -45,3 +45,22 @@
     counters = owner_of(daemons).kernel.find('telemetry').counters
     assert counters[('stops', 'cancelled')] == 1
     assert 8_000 < counters[('stopped_core_ms', 'cancelled')] < 28_000
+
+
+def test_gauges_tell_what_is_left_in_an_evacuated_domain(site, daemons):
+    # Operators must see when a domain is empty, and what holds it up.
+    service = scheduling.StepSpec(count=3, cpu=8_000, is_service=True)
+    site.submit(daemons[0], 'a' * 16, (service,), duration_ms=60_000)
+    site.run(1_000)
+    site.store.evacuate('d1')
+    site.run(2_500)
+    for daemon in daemons:
+        gauges = daemon.kernel.find('telemetry').gauges
+        assert gauges[('evacuated_domains', '')] == 1
+    gauges = owner_of(daemons).kernel.find('telemetry').gauges
+    assert gauges[('evacuated_tasks', 'service room')] == 3
+    assert gauges[('worker_states', 'evacuated')] == 3
+    site.store.take_back('d1')
+    site.run(2_500)
+    assert gauges[('evacuated_domains', '')] == 0
+    assert gauges[('evacuated_tasks', 'service room')] == 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_evacuation.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_evacuation.py
@@ -5,7 +5,6 @@
 tasks run on to their end.
 """
 
-import collections
 from collections.abc import Iterator
 import dataclasses
 import enum
@@ -288,11 +287,15 @@
 
     def remaining(
         self, now_ms: int
-    ) -> collections.Counter[tuple[_specs.TaskKind, Remaining]]:
-        """Count the runs in evacuated domains by what they wait for."""
-        counts: collections.Counter[tuple[_specs.TaskKind, Remaining]] = (
-            collections.Counter()
-        )
+    ) -> dict[tuple[_specs.TaskKind, Remaining], int]:
+        """Return the number of runs in evacuated domains, with zeros."""
+        counts = {
+            (kind, reason): 0
+            for kind in _specs.TaskKind
+            for reason in Remaining
+            if reason is Remaining.STOP
+            or (reason is Remaining.END) != (kind is _specs.TaskKind.SERVICE)
+        }
         for worker in self._cell.workers.values():
             if not worker.is_evacuated:
                 continue
