Fill the workers of a domain that was taken back gradually

Cause: the workers of a returned domain are empty and may be cold, and all waiting tasks started there in the first round. Change: for 5 s, or as long as the entry of a worker says that it is cold (30 s at most), the starts on a worker grow with the square of the time since the return.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -168,7 +168,9 @@
             self._kernel.post(
                 orders.SERVICE, orders.LimitStarts(until_ms=until_ms)
             )
-        self._scheduler.set_evacuated_domains(msg.failure_domains)
+        self._scheduler.set_evacuated_domains(
+            msg.failure_domains, msg.returned_ms
+        )
         self._apply_effects()
         if self._are_starts_held:
             self.request_round()
--- a/packages/fleet/src/oriolestand_fleet/services/config/_evacuations.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_evacuations.py
@@ -4,6 +4,7 @@
 
 from oriolestand_fleet.messages import config as messages
 from oriolestand_fleet.messages import store
+from oriolestand_fleet.services.config import const
 
 
 class Evacuations:
@@ -30,6 +31,11 @@
             else:
                 self._take_back(change.failure_domain, change.version, now_ms)
         self._cursor = max(self._cursor, page.cursor)
+        self._returned_ms = {
+            failure_domain: returned_ms
+            for failure_domain, returned_ms in self._returned_ms.items()
+            if now_ms - returned_ms < const.RETURN_KEPT_MS
+        }
 
     def _evacuate(self, change: store.Evacuation) -> None:
         """Apply a request to evacuate a failure domain."""
--- a/packages/fleet/src/oriolestand_fleet/services/config/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/const.py
@@ -8,6 +8,10 @@
 EVACUATION_READ_MS = 250
 """Time between reads of the evacuations while configurations are not read."""
 
+RETURN_KEPT_MS = 60_000
+"""How long the return of a failure domain is published, also to a new owner.
+Its workers fill up within half of it."""
+
 RETRY_MS = 150
 
 RESTART_MS = 1_000
--- a/packages/fleet/tests/test_evacuations.py
+++ b/packages/fleet/tests/test_evacuations.py
@@ -272,3 +272,26 @@
     running = [run for run in zones.history if not run.outcome]
     assert [run.worker[0] for run in running] == ['x'] * 6
     assert zones.overlapping_runs() == []
+
+
+@pytest.mark.parametrize('changes_owner', [False, True])
+def test_domain_that_returns_fills_up_gradually(
+    zones, daemons, owner, changes_owner
+):
+    # Without a limit all waiting tasks start there in the first round.
+    evacuate(zones)
+    step = scheduling.StepSpec(count=300, cpu=500)
+    zones.submit(owner, 'a' * 16, (step,), duration_ms=20_000)
+    zones.run(2_000)
+    zones.store.take_back('d1')
+    returned_ms = zones.clock.now()
+    if changes_owner:
+        zones.shut_down(owner)
+    zones.run(1_000)
+    for name in ('w0', 'w1', 'w2'):
+        starts = [run for run in zones.history if run.worker == name]
+        assert 1 <= len(starts) <= 5
+        assert all(run.started_ms >= returned_ms for run in starts)
+    zones.run(5_000)
+    # Each of the workers has room for 16 tasks.
+    assert len([r for r in zones.history if r.worker == 'w0']) == 16
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -32,7 +32,7 @@
     restarts of the workers.
     ``evacuated_domains`` are the failure domains whose workers get no new
     tasks; whoever adds a worker or changes its attributes calls
-    ``mark_evacuated``.
+    ``mark_evacuated``. ``returned_ms`` is when others were taken back.
     ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
     owners that were listed before their job was added.
     ``on_worker_gone`` is called with a removed worker, which still has its
@@ -55,6 +55,7 @@
         self.held_worker_ids: set[str] = set()
         self.leased_worker_ids: set[str] = set()
         self.evacuated_domains: frozenset[str] = frozenset()
+        self.returned_ms: dict[str, int] = {}
         self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
         self.effects: list[_effects.Effect] = []
         self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -73,7 +73,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerInfo:
-    """Attributes that one incarnation of a worker reports of itself."""
+    """Attributes that one incarnation of a worker reports of itself.
+
+    ``cold_left_ms`` is for how long it expected to be slow after its start.
+    """
 
     id: str
     pool: str
@@ -86,6 +89,7 @@
     rack: str = ''
     is_leaving: bool = False
     process_start_ms: int = 0
+    cold_left_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -109,6 +113,9 @@
     when the owner waits for the first report of a restarted worker that may
     have accepted start orders, -1 if it does not. ``is_evacuated`` is whether
     its failure domain is evacuated, so that it gets no new tasks.
+    ``starts_left`` is how many starts it may get in the round, None if that is
+    not limited, and ``starts_since_return`` how many it has had since its
+    domain was taken back.
     """
 
     info: WorkerInfo
@@ -144,6 +151,8 @@
     version: int = 0
     carried_ms: int = -1
     is_evacuated: bool = False
+    starts_left: int | None = None
+    starts_since_return: int = 0
 
     @property
     def recent_failures(self) -> int:
@@ -189,6 +198,12 @@
         self.used_memory += sign * spec.memory_mb
         self.used_accelerators += sign * spec.accelerators
 
+    def count_start(self) -> None:
+        """Count a start, if starts are limited since a return."""
+        if self.starts_left is not None:
+            self.starts_left = max(0, self.starts_left - 1)
+            self.starts_since_return += 1
+
     def reserve(self, spec: _specs.StepSpec) -> None:
         """Keep capacity free for a waiting task."""
         self._adjust_reserved(spec, 1)
@@ -229,6 +244,8 @@
 
     def shortage(self, spec: _specs.StepSpec) -> _obstacles.Obstacle | None:
         """Return what a task lacks beside the runs and reservations."""
+        if self.starts_left is not None and self.starts_left <= 0:
+            return _obstacles.Obstacle.RETURNED
         info = self.info
         cpu = self.used_cpu
         reserved_cpu = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_obstacles.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_obstacles.py
@@ -9,6 +9,8 @@
     CPU, MEMORY, ACCELERATORS: the runs on the worker leave too little.
     RESERVED: what they leave is kept for another task. LABEL: the worker
     lacks a label. MAX_PER_WORKER: it runs the tasks of the step that it may.
+    RETURNED: its failure domain was taken back, and it has had the starts that
+    it may have had by now.
 
     For filling tasks: BUSY_CPU: too few processors are idle. HIGH_TAIL: a
     service task is near its latency target. NO_HEADROOM: nothing may be
@@ -23,6 +25,7 @@
     RESERVED = 'reserved'
     LABEL = 'label'
     MAX_PER_WORKER = 'max_per_worker'
+    RETURNED = 'returned'
     BUSY_CPU = 'busy_cpu'
     HIGH_TAIL = 'high_tail'
     NO_HEADROOM = 'no_headroom'
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -18,6 +18,7 @@
 from oriolestand_policy.scheduling import _reply_handler
 from oriolestand_policy.scheduling import _report_handler
 from oriolestand_policy.scheduling import _reports
+from oriolestand_policy.scheduling import _return_ramp
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
@@ -67,6 +68,7 @@
             self._crash_handler,
         )
         self._wait_reporter = _waits.WaitReporter(self._cell)
+        self._return_ramp = _return_ramp.ReturnRamp(self._cell)
         self._are_starts_held = False
 
     @property
@@ -170,8 +172,17 @@
                 worker.is_listed = False
                 self._cell.log('worker_unlisted', '', worker=worker_id)
 
-    def set_evacuated_domains(self, failure_domains: frozenset[str]) -> None:
-        """Apply the failure domains whose workers get no new tasks."""
+    def set_evacuated_domains(
+        self,
+        failure_domains: frozenset[str],
+        returned_ms: Mapping[str, int] | None = None,
+    ) -> None:
+        """Apply the failure domains whose workers get no new tasks.
+
+        ``returned_ms`` is when others were taken back. Their workers fill up
+        gradually.
+        """
+        self._cell.returned_ms = dict(returned_ms or {})
         former = self._cell.evacuated_domains
         if failure_domains == former:
             return
@@ -401,6 +412,7 @@
         self._settle_former_placements(former_runs)
         if self._are_starts_held:
             return
+        self._return_ramp.update(now_ms)
         self._task_starter.run(now_ms, wall_ms, former_runs)
         self._wait_reporter.run(now_ms, former_runs, self._task_starter)
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -453,6 +453,7 @@
     ) -> None:
         """Assign a task to a worker and queue the effect to start it."""
         worker.add(self._make_run(task, number, now_ms))
+        worker.count_start()
         self._cell.ready.discard(task.key)
         task.assign(worker.info.id, number, now_ms)
         job.is_start_decided = True
