--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -1,5 +1,6 @@
 """Schedule the tasks of one cell."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -7,6 +8,7 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -17,6 +19,7 @@
 from oriolestand_policy.scheduling import _reply_handler
 from oriolestand_policy.scheduling import _report_handler
 from oriolestand_policy.scheduling import _reports
+from oriolestand_policy.scheduling import _return_ramp
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
@@ -66,6 +69,8 @@
             self._crash_handler,
         )
         self._wait_reporter = _waits.WaitReporter(self._cell)
+        self._return_ramp = _return_ramp.ReturnRamp(self._cell)
+        self._are_starts_held = False
 
     @property
     def jobs(self) -> Mapping[str, _jobs.Job]:
@@ -145,7 +150,9 @@
         for worker_id, info in infos.items():
             worker = self._cell.workers.get(worker_id)
             if worker is None:
-                self._cell.workers[worker_id] = _fleet.Worker(info=info)
+                worker = _fleet.Worker(info=info)
+                self._cell.workers[worker_id] = worker
+                self._cell.mark_evacuated(worker)
                 self._cell.log('worker_added', '', worker=worker_id)
                 self._crash_handler.on_registered(info)
                 continue
@@ -158,6 +165,7 @@
             was_leaving = worker.info.is_leaving
             worker.info = info
             worker.is_listed = True
+            self._cell.mark_evacuated(worker)
             if info.is_leaving and not was_leaving:
                 self._cell.log('worker_leaving', '', worker=worker_id)
         for worker_id, worker in self._cell.workers.items():
@@ -165,6 +173,41 @@
                 worker.is_listed = False
                 self._cell.log('worker_unlisted', '', worker=worker_id)
 
+    def set_evacuated_domains(
+        self,
+        failure_domains: frozenset[str],
+        returned_ms: Mapping[str, int] | None = None,
+    ) -> None:
+        """Apply the failure domains whose workers get no new tasks.
+
+        ``returned_ms`` is when others were taken back. Their workers fill up
+        gradually.
+        """
+        self._cell.returned_ms = dict(returned_ms or {})
+        former = self._cell.evacuated_domains
+        if failure_domains == former:
+            return
+        self._cell.evacuated_domains = failure_domains
+        counts = collections.Counter(
+            worker.info.failure_domain
+            for worker in self._cell.workers.values()
+        )
+        for domain in sorted(failure_domains ^ former):
+            self._cell.log(
+                'domain_evacuated'
+                if domain in failure_domains
+                else 'domain_taken_back',
+                '',
+                failure_domain=domain,
+                workers=counts[domain],
+            )
+        for worker in self._cell.workers.values():
+            self._cell.mark_evacuated(worker)
+
+    def hold_starts(self, are_held: bool) -> None:
+        """Start nothing while the evacuated domains are not known."""
+        self._are_starts_held = are_held
+
     def add_former_worker(self, info: _fleet.WorkerInfo) -> None:
         """Add a worker that a former owner used, as it may have runs.
 
@@ -173,6 +216,7 @@
         if info.id not in self._cell.workers:
             worker = _fleet.Worker(info=info, is_listed=False)
             self._cell.workers[info.id] = worker
+            self._cell.mark_evacuated(worker)
 
     def mark_workers_recorded(self, worker_ids: Iterable[str]) -> None:
         """Mark workers as stored in the list that the next owner reads."""
@@ -302,6 +346,7 @@
             return False
         return (
             job.outcome is None
+            and not worker.is_evacuated
             and not worker.is_over_capacity()
             and run.phase is _fleet.RunPhase.STARTING
             and run.stop_sent_ms < 0
@@ -375,6 +420,9 @@
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
+        if self._are_starts_held:
+            return
+        self._return_ramp.update(now_ms)
         self._task_starter.run(now_ms, wall_ms, former_runs, max_starts)
         self._wait_reporter.run(now_ms, former_runs, self._task_starter)
 
@@ -430,6 +478,12 @@
             for run in worker.runs.values()
         )
 
+    def evacuated_tasks(
+        self, now_ms: int
+    ) -> Mapping[tuple[_specs.TaskKind, _evacuation.Remaining], int]:
+        """Return the number of runs in evacuated domains, and their waits."""
+        return self._task_starter.evacuation.remaining(now_ms)
+
     def slow_service_count(self) -> int:
         """Return the number of service tasks that exceed their target."""
         return sum(
