Fit the forecast of a load when it is read

Cause: each service job fitted a wave to its last 75 loads whenever a bin of 400 ms was complete, 2.5 times a second, although only the placement of filling tasks and the learning beside them read the forecast.

Change: the fit is made when the forecast is read, from the bins and with the period that were known when the latest bin began.

--- a/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_forecast.py
@@ -184,15 +184,21 @@
     """Recent loads of one service job, and a wave fitted to them.
 
     All tasks of a job have the same intrinsic load at a time, so each bin
-    keeps the lowest load reported, from the least disturbed task.
+    keeps the lowest load reported, from the least disturbed task. The wave is
+    fitted when it is read: without filling tasks nothing reads it, and a fit
+    for each bin would take most of the time of an owner of quiet workers.
     """
 
     def __init__(self) -> None:
         self.bins: collections.deque[tuple[int, float]] = collections.deque(
             maxlen=WINDOW_BINS
         )
-        self._wave: Wave | None = None
+        self._fitted: Wave | None = None
         self._offset = 0.0
+        self._is_outdated = False
+        self._period_ms: float | None = None
+        # The bin that the latest one has displaced; the fit includes it.
+        self._displaced: tuple[int, float] | None = None
 
     def add(self, load: float, now_ms: int, period_ms: float | None) -> None:
         """Add the load of one task; ``period_ms`` is None while unknown."""
@@ -201,26 +207,40 @@
             load = min(load, self.bins[-1][1])
             self.bins[-1] = (begin, load)
             return
-        self._fit(period_ms)
+        self._is_outdated = True
+        self._period_ms = period_ms
+        is_full = len(self.bins) == WINDOW_BINS
+        self._displaced = self.bins[0] if is_full else None
         self.bins.append((begin, load))
 
+    @property
+    def _wave(self) -> Wave | None:
+        """Return the wave of the completed bins, fitted if they changed."""
+        if self._is_outdated:
+            self._is_outdated = False
+            self._fit(self._period_ms)
+        return self._fitted
+
     def _fit(self, period_ms: float | None) -> None:
-        """Fit the wave again to the completed bins."""
-        self._wave = None
-        if self.has_few_bins:
+        """Fit the wave again to the bins before the latest one."""
+        self._fitted = None
+        bins = list(self.bins)[:-1]
+        if self._displaced is not None:
+            bins.insert(0, self._displaced)
+        if len(bins) < MIN_BINS:
             return
-        if is_steady(self.bins):
-            mean = statistics.fmean(load for _, load in self.bins)
+        if is_steady(bins):
+            mean = statistics.fmean(load for _, load in bins)
             wave = Wave(period_ms=LONGEST_PERIOD_MS, mean=mean)
         else:
-            span = self.bins[-1][0] - self.bins[0][0]
+            span = bins[-1][0] - bins[0][0]
             if period_ms is None or span < MIN_FIT_SPAN * period_ms:
                 return
-            wave = fit_wave(self.bins, period_ms)
+            wave = fit_wave(bins, period_ms)
         if wave.explained < MIN_EXPLAINED:
             return
-        self._wave = wave
-        recent = list(self.bins)[-RECENT_BINS:]
+        self._fitted = wave
+        recent = bins[-RECENT_BINS:]
         self._offset = statistics.fmean(
             load - wave.at(when) for when, load in recent
         )
@@ -241,11 +261,12 @@
 
     def peak(self, now_ms: int, ahead_ms: int) -> float:
         """Return the highest load expected within the next ``ahead_ms``."""
-        if self._wave is not None:
+        wave = self._wave
+        if wave is not None:
             # Bins are timed by their start, on average half a bin before the
             # reports in them.
             now_ms -= BIN_MS // 2
-            return self._offset + self._wave.peak(now_ms, now_ms + ahead_ms)
+            return self._offset + wave.peak(now_ms, now_ms + ahead_ms)
         if not self.bins:
             return 0.0
         if len(self.bins) == 1:
