Reserve the ports of test processes until they are used

Twice an error in the set-up of a test with real daemons ("e2 ready", 60 s) was seen beside load, and its logs were lost. Suspected cause, not shown: free_port() closed the port that it had chosen, from the range that the kernel gives to outgoing connections, so that another test run or any connection could take it before the daemon listened.

Change: ports come from below that range and are locked by a file until the process that chose them ends. A cluster prints the ends of all logs if it ends with an error.

Measured: test_two_processes_never_get_the_same_port; the tests of daemon/tests/failures/test_config.py pass. The 200 set-ups beside load were not run.

--- a/packages/standins/src/oriolestand_standins/_cluster.py
+++ b/packages/standins/src/oriolestand_standins/_cluster.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,10 +15,13 @@
 from types import TracebackType
 from typing import Any
 
+from oriolestand_standins import _ports
+
 HOST = '127.0.0.1'
 WAIT_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 30.0
+LOGGED_LINES = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,11 +60,8 @@
 
 
 def free_port() -> int:
-    """Return a port that no process listens on at the moment."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that is reserved until this process ends."""
+    return _ports.reserve_port(HOST)
 
 
 def wait_until(check: Callable[[], bool], description: str) -> None:
@@ -110,6 +109,13 @@
         """Resume a suspended process."""
         self.popen.send_signal(signal.SIGCONT)
 
+    def log_end(self) -> str:
+        """Return the last lines of the log under a header."""
+        lines = self.log.read_text(errors='replace').splitlines()
+        status = self.popen.poll()
+        header = f'--- {self.name}, port {self.port}, exit status {status}'
+        return '\n'.join([header, *lines[-LOGGED_LINES:], ''])
+
     def terminate(self) -> int:
         """Send SIGTERM, wait for the exit and return the exit status."""
         self.popen.terminate()
@@ -150,7 +156,13 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Kill all processes and remove their files."""
+        """Kill all processes and remove their files.
+
+        After an error the ends of their logs are printed.
+        """
+        if exc is not None:
+            for process in self._processes:
+                sys.stderr.write(process.log_end())
         for process in self._processes:
             if process.popen.poll() is None:
                 process.resume()
