Let placement see the limits of returned workers

Cause: placement keeps what it has calculated for a version of a worker, and the number of starts that a worker may get after its failure domain was taken back changed without a new version.

Change: a changed limit makes a new version. Measured: the tests of returns, of evacuations, of kept bounds and the equivalence test pass.

--- a/packages/policy/src/oriolestand_policy/scheduling/_return_ramp.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_return_ramp.py
@@ -46,8 +46,12 @@
             return
         self._are_starts_limited = False
         for worker in self._cell.workers.values():
-            worker.starts_left = self._starts_left(worker, now_ms)
-            if worker.starts_left is None:
+            starts_left = self._starts_left(worker, now_ms)
+            if starts_left != worker.starts_left:
+                worker.starts_left = starts_left
+                # Placement keeps what it has calculated for a version.
+                worker.version += 1
+            if starts_left is None:
                 worker.starts_since_return = 0
             else:
                 self._are_starts_limited = True
