Start overdue filling tasks first and keep room for them

Cause: filling tasks start in the order of what their jobs can still earn, and no capacity is kept for them. While younger tasks come, a late task never comes first, and a large one never finds enough idle processors or headroom at a time. Their wait began anew with each owner.

Change: the age of a step is kept in Unix time, in the record for steps that depend on others. Overdue filling tasks are examined before all others, the oldest first. Idle processors of a worker are kept for one that fits nowhere; it may start at the pace that services allow (docs/decisions/0026).

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -45,6 +45,7 @@
     done: list[tuple[int, int, list[int]]] = []
     open: list[tuple[int, int, int, list[int], str | None]] = []
     placed: list[tuple[int, int, int, str, int]] = []
+    ready: list[tuple[int, int, int]] = []
     crashes: list[
         tuple[
             int,
--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -55,6 +55,10 @@
             for run in self.services
         )
 
+    def target_images(self) -> set[str]:
+        """Return the images of the service tasks that have a target."""
+        return {run.spec.image for run in self.services}
+
     def count_of_step(self, step_key: StepKey) -> int:
         """Return the number of runs of a step on the worker."""
         if self.step_counts is None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -22,8 +22,10 @@
 
     Effects are queued until ``take_effects``. ``ready`` holds the tasks that
     wait for a worker, and ``timed_job_ids`` the repeated jobs, which may
-    have occurrences that are not due yet. ``stopping_worker_ids`` includes
-    all workers with a run for which a stop order was sent and not answered.
+    have occurrences that are not due yet. ``wall_offset_ms`` is Unix time less
+    the driver's clock, None before the first round. ``stopping_worker_ids``
+    includes all workers with a run for which a stop order was sent and not
+    answered.
     ``former_placements`` are the tasks that a former owner placed on a worker
     and whose run is neither adopted nor known to have ended, and
     ``unplaced_job_ids`` the jobs with unknown placements.
@@ -45,6 +47,7 @@
         self.pressure = _pressure.InterferenceModel()
         self.run_times = _run_times.RunTimeModel()
         self.ready = _ready.ReadyQueue()
+        self.wall_offset_ms: int | None = None
         self.timed_job_ids: set[str] = set()
         self.stopping_worker_ids: set[str] = set()
         self.former_placements: dict[_jobs.TaskKey, _jobs.Task] = {}
@@ -192,6 +195,10 @@
         for step, tasks in enumerate(job.occurrence(number)):
             if not job.is_step_ready(number, step):
                 continue
+            if job.spec.steps[step].after and self.wall_offset_ms is not None:
+                job.ready_wall_ms.setdefault(
+                    (number, step), now_ms + self.wall_offset_ms
+                )
             for task in tasks:
                 if task.is_idle:
                     self.make_ready(job, task, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -107,7 +107,9 @@
     suspect, so that no other task starts beside it. ``version`` counts the
     changes that the selection of workers depends on. ``carried_ms`` is since
     when the owner waits for the first report of a restarted worker that may
-    have accepted start orders, -1 if it does not.
+    have accepted start orders, -1 if it does not. ``kept_for`` is the filling
+    task that idle processors are kept for, and ``kept_cpu`` the capacity that
+    plain and gang tasks leave free for it.
     """
 
     info: WorkerInfo
@@ -142,6 +144,8 @@
     is_on_probation: bool = False
     version: int = 0
     carried_ms: int = -1
+    kept_for: _jobs.Task | None = None
+    kept_cpu: int = 0
 
     @property
     def recent_failures(self) -> int:
@@ -202,6 +206,25 @@
         self.reserved_memory += sign * spec.memory_mb
         self.reserved_accelerators += sign * spec.accelerators
 
+    @property
+    def is_reserved(self) -> bool:
+        """Return whether capacity is reserved on the worker."""
+        return bool(
+            self.reserved_cpu
+            or self.reserved_memory
+            or self.reserved_accelerators
+        )
+
+    def keep_for(self, task: _jobs.Task | None, cpu: int) -> None:
+        """Keep idle processors for a filling task, or for none.
+
+        ``cpu`` is the capacity that plain and gang tasks leave free for it.
+        """
+        if task is not self.kept_for or cpu != self.kept_cpu:
+            self.version += 1
+            self.kept_for = task
+            self.kept_cpu = cpu
+
     def is_over_capacity(self) -> bool:
         """Return whether the runs need more than the present capacity."""
         info = self.info
@@ -225,8 +248,13 @@
         """Return whether a task fits beside the runs and reservations."""
         return self.shortage(spec) is None
 
-    def shortage(self, spec: _specs.StepSpec) -> _obstacles.Obstacle | None:
-        """Return what a task lacks beside the runs and reservations."""
+    def shortage(
+        self, spec: _specs.StepSpec, *, is_kept: bool = False
+    ) -> _obstacles.Obstacle | None:
+        """Return what a task lacks beside the runs and reservations.
+
+        ``is_kept`` is whether idle processors are kept for this task.
+        """
         info = self.info
         cpu = self.used_cpu
         reserved_cpu = 0
@@ -241,10 +269,17 @@
         accelerators = self.used_accelerators + spec.accelerators
         if accelerators > info.accelerators:
             return _obstacles.Obstacle.ACCELERATORS
+        memory += self.reserved_memory
+        accelerators += self.reserved_accelerators
+        kept = self.kept_for
+        if kept is not None and not (is_kept or spec.is_service):
+            reserved_cpu += 0 if spec.is_filling else self.kept_cpu
+            memory += kept.spec.memory_mb
+            accelerators += kept.spec.accelerators
         if (
             cpu + reserved_cpu > info.cpu
-            or memory + self.reserved_memory > info.memory_mb
-            or accelerators + self.reserved_accelerators > info.accelerators
+            or memory > info.memory_mb
+            or accelerators > info.accelerators
         ):
             return _obstacles.Obstacle.RESERVED
         return None
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -101,6 +101,7 @@
     end of a newer run. ``avoid`` holds the workers on which the task failed.
     ``former_worker`` and ``former_run`` are where a former owner placed the
     task; the worker is empty once that run has ended or was adopted.
+    ``is_overdue`` is whether it is a filling task that has waited too long.
     ``crashes`` are those that count against the task, and ``watch`` is a run
     whose worker the next owner must know about, if it has crashed.
     """
@@ -117,6 +118,7 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     former_worker: str = ''
     former_run: int = 0
+    is_overdue: bool = False
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     watch: Watch | None = None
 
@@ -163,7 +165,9 @@
     owner of the cell may have started the job on a worker that has not
     reported to this owner yet. ``completions`` counts the tasks that were
     marked as done. ``has_unknown_placements`` is whether its service tasks may
-    run on workers that its record does not name.
+    run on workers that its record does not name. ``ready_wall_ms`` is the Unix
+    time at which steps became ready that depend on others, by occurrence and
+    step.
     """
 
     spec: _specs.JobSpec
@@ -180,6 +184,9 @@
     ended_wall_ms: int = 0
     added_ms: int = 0
     completions: int = 0
+    ready_wall_ms: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def has_services(self) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 
+from oriolestand_policy.scheduling import _ages
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _takeover
 
 MAX_SERVICE_RESTART_WAIT_MS = 2_000
@@ -11,7 +13,8 @@
 full cell these would take all room that becomes free."""
 
 MAX_TASK_WAIT_MS = 10_000
-"""After this time capacity is reserved for any other task."""
+"""After this time capacity is reserved for any other task. A filling task
+then starts before others, and idle processors are kept for it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,8 +73,7 @@
     """Return all other overdue tasks, the oldest first.
 
     They are ordered by age alone, so that each comes first at some time.
-    Filling tasks are left out, as the idle processors that they use cannot
-    be reserved.
+    Filling tasks are left out, as they use idle processors only.
     """
     found: list[tuple[tuple[int, _jobs.TaskKey], OverdueTask]] = []
     for task in cell.ready:
@@ -90,3 +92,43 @@
         )
         found.append(((task.ready_ms, task.key), overdue))
     return [overdue for _, overdue in sorted(found, key=lambda e: e[0])]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OverdueStep:
+    """Ready filling tasks of a step that have waited too long."""
+
+    occurrence: _ready.OccurrenceKey
+    step: int
+    pool: str
+    tasks: list[_jobs.Task]
+
+
+def overdue_filling_steps(
+    cell: _cell.Cell, now_ms: int, wall_ms: int
+) -> list[OverdueStep]:
+    """Return the steps with overdue filling tasks, the oldest first.
+
+    They are ordered by the age of the step, so that neither a change of owner
+    nor a stop moves a task behind younger ones.
+    """
+    found: list[tuple[int, _ready.OccurrenceKey, int, OverdueStep]] = []
+    for key, _ in cell.ready.occurrences():
+        job = cell.jobs[key[0]]
+        route = cell.routes.get(job.spec.route)
+        if route is None or not any(s.is_filling for s in job.spec.steps):
+            continue
+        for step in cell.ready.steps_of(key):
+            if not job.spec.steps[step].is_filling:
+                continue
+            tasks = cell.ready.tasks_of(key, step)
+            waited_ms = max(
+                _ages.waited_ms(job, task, now_ms, wall_ms) for task in tasks
+            )
+            if waited_ms < MAX_TASK_WAIT_MS:
+                continue
+            overdue = OverdueStep(
+                occurrence=key, step=step, pool=route.pool, tasks=tasks
+            )
+            found.append((-waited_ms, key, step, overdue))
+    return [entry[3] for entry in sorted(found, key=lambda e: e[:3])]
--- a/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
@@ -35,6 +35,10 @@
 """Maximum number of neighbours that yield in one interval."""
 
 
+MIN_FULL_SHARE = 0.9
+"""Share of its processors that a run at full pace uses at least."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Mitigation:
     """A change to a filling task: move it, or set its pace in percent."""
@@ -44,6 +48,21 @@
     is_move: bool = False
 
 
+def apparent_pace(measured: int, cpu: int) -> int:
+    """Return the pace in percent at which a run seems to work.
+
+    >>> apparent_pace(0, 4_000), apparent_pace(900, 4_000)
+    (0, 22)
+    >>> apparent_pace(3_900, 4_000)
+    100
+    """
+    if not measured:
+        return PAUSED_PACE
+    if measured >= MIN_FULL_SHARE * cpu:
+        return FULL_PACE
+    return max(1, FULL_PACE * measured // cpu)
+
+
 def track_tail_latency(worker: _fleet.Worker, now_ms: int) -> None:
     """Record since when tail latencies have exceeded their targets."""
     for run in worker.runs.values():
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -20,6 +20,10 @@
 """How far ahead the load of service tasks is forecast to place a filling task.
 Filling tasks run for about this long."""
 
+FULL_PACE = 100
+MIN_PACE = 10
+"""Lowest pace in percent at which an overdue filling task is started."""
+
 ADDED_LOAD_STEP = 0.04
 """Granularity of added load in rankings. Workers in the same step are ranked
 by free processors."""
@@ -48,6 +52,27 @@
         """Return whether a worker could run a task now, usable or not."""
         return self.obstacle(worker, task) is None
 
+    def select_kept(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
+        """Return whether a task can start on a worker that is kept for it."""
+        return self.can_host(worker, task)
+
+    def pace_of(self, task: _jobs.Task) -> int:
+        """Return the pace in percent for a task that was selected for."""
+        return FULL_PACE
+
+    def pace_without_filling(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> int:
+        """Return the pace for a task once no other filling task is left.
+
+        It is 0 if services leave too little.
+        """
+        return FULL_PACE
+
+    def idle_cpu(self, worker: _fleet.Worker) -> float:
+        """Return the thousandths of cores that no task uses."""
+        return worker.info.cpu - _candidates.busy_cpu(worker)
+
     @abc.abstractmethod
     def mark_changed(self, worker: _fleet.Worker) -> None:
         """Note that the capacity of a worker has changed in the round."""
@@ -115,7 +140,8 @@
     worker: _fleet.Worker, task: _jobs.Task
 ) -> _obstacles.Obstacle | None:
     """Return what a worker lacks for a task, or why it may not run it."""
-    return worker.shortage(task.spec) or _ban(worker, task)
+    is_kept = worker.kept_for is task
+    return worker.shortage(task.spec, is_kept=is_kept) or _ban(worker, task)
 
 
 def is_allowed(worker: _fleet.Worker, task: _jobs.Task) -> bool:
@@ -198,6 +224,7 @@
         self._high_tails: dict[str, bool] = {}
         self._pairs_on_trial: set[tuple[str, str]] = set()
         self._pairs_of_gang: set[tuple[str, str]] = set()
+        self._paces: dict[_jobs.TaskKey, int] = {}
         self._forecast = _placement_round.RoundForecast(pressure, 0, 0)
 
     def plan(self, workers: Iterable[_fleet.Worker], now_ms: int) -> None:
@@ -205,6 +232,7 @@
         self._workers = workers
         self._now_ms = now_ms
         self._is_prepared = False
+        self._paces.clear()
 
     def _prepare(self) -> None:
         """Group the usable workers by pool and find the pairs on trial."""
@@ -272,19 +300,63 @@
             return None
         best = pool_round.workers[index]
         if task.spec.is_filling:
-            self._start_trials(best, task.spec.image)
+            capacity = self._filling_capacity(best)
+            self._note_filling(best, task, capacity)
         # The task that is about to be added changes the worker.
         self._capacities.pop(best.info.id, None)
         pool_round.changed.append(index)
         return best
 
+    def select_kept(self, worker: _fleet.Worker, task: _jobs.Task) -> bool:
+        """Return whether a task can start on a worker that is kept for it."""
+        if not self.can_host(worker, task):
+            return False
+        self._note_filling(worker, task, self._capacity_beside(worker, None))
+        return True
+
+    def _note_filling(
+        self,
+        worker: _fleet.Worker,
+        task: _jobs.Task,
+        capacity: _placement_round.FillingCapacity,
+    ) -> None:
+        """Note the pace and the trials of a task that is about to start."""
+        pace, _ = self._pace(capacity, worker, task)
+        if pace < FULL_PACE:
+            self._paces[task.key] = pace
+        self._start_trials(worker, task.spec.image)
+
+    def pace_of(self, task: _jobs.Task) -> int:
+        """Return the pace in percent for a task that was selected for."""
+        return self._paces.get(task.key, FULL_PACE)
+
+    def pace_without_filling(
+        self, worker: _fleet.Worker, task: _jobs.Task
+    ) -> int:
+        """Return the pace for a task once no other filling task is left."""
+        if not self._is_prepared:
+            self._prepare()
+        view = self._view(worker)
+        capacity = _placement_round.FillingCapacity(
+            free=view.free_cpu,
+            is_tail_high=False,
+            headrooms=self._forecast.headrooms(view, ()),
+        )
+        pace, _ = self._pace(capacity, worker, task)
+        return pace if pace >= MIN_PACE else 0
+
+    def idle_cpu(self, worker: _fleet.Worker) -> float:
+        """Return the thousandths of cores that no task uses."""
+        return self._view(worker).free_cpu
+
     def obstacle(
         self, worker: _fleet.Worker, task: _jobs.Task
     ) -> _obstacles.Obstacle | None:
         """Return what a worker lacks, or why it may not be slowed that far."""
         if not self._is_prepared:
             self._prepare()
-        verdict = self._examine(worker, task)
+        is_kept = worker.kept_for is task
+        verdict = self._examine(worker, task, is_kept)
         return verdict if isinstance(verdict, _obstacles.Obstacle) else None
 
     def mark_changed(self, worker: _fleet.Worker) -> None:
@@ -300,7 +372,7 @@
         """Record the pairs that a new task tries without an estimate."""
         pairs = {
             (image, filling)
-            for image in self._filling_capacity(worker).headrooms
+            for image in self._view(worker).target_images()
             if not self._pressure.has_estimate(image, filling)
         }
         if pairs <= self._pairs_on_trial:
@@ -364,11 +436,11 @@
         return queue.find_best(lambda index: workers[index].info.id in avoid)
 
     def _capacity_obstacle(
-        self, worker: _fleet.Worker, task: _jobs.Task
+        self, worker: _fleet.Worker, task: _jobs.Task, is_kept: bool = False
     ) -> _obstacles.Obstacle | None:
         """Return what a worker lacks for a task, or why it may not run it."""
         spec = task.spec
-        shortage = worker.shortage(spec)
+        shortage = worker.shortage(spec, is_kept=is_kept)
         if shortage is not None:
             return shortage
         if spec.label and spec.label not in worker.info.labels:
@@ -391,14 +463,17 @@
         return None if isinstance(verdict, _obstacles.Obstacle) else verdict
 
     def _examine(
-        self, worker: _fleet.Worker, task: _jobs.Task
+        self, worker: _fleet.Worker, task: _jobs.Task, is_kept: bool = False
     ) -> _candidates.Rank | _obstacles.Obstacle:
-        """Return the rank of a worker, or why it cannot run a task."""
-        obstacle = self._capacity_obstacle(worker, task)
+        """Return the rank of a worker, or why it cannot run a task.
+
+        ``is_kept`` is whether idle processors of it are kept for this task.
+        """
+        obstacle = self._capacity_obstacle(worker, task, is_kept)
         if obstacle is not None:
             return obstacle
         if task.spec.is_filling:
-            return self._rank_filling(worker, task.spec)
+            return self._rank_filling(worker, task, is_kept)
         if task.spec.is_service:
             return self._rank_service(worker, task.spec)
         return self._rank_batch(worker, task.spec)
@@ -413,48 +488,78 @@
         if self._capacity_obstacle(worker, task) is not None:
             return None
         view = self._view(worker)
-        if view.free_cpu < task.spec.cpu or self._is_tail_high(view):
+        free = view.free_cpu
+        if worker.kept_for is not None:
+            free -= worker.kept_for.spec.cpu
+        if free < task.spec.cpu or self._is_tail_high(view):
             return None
-        share = -view.free_cpu / max(1, worker.info.cpu)
-        return (*_common_rank(worker, task.spec), 0, share)
+        share = -free / max(1, worker.info.cpu)
+        return (*_common_rank(worker, task.spec), 0, 0, share)
 
     def _rank_filling(
-        self, worker: _fleet.Worker, spec: _specs.StepSpec
+        self, worker: _fleet.Worker, task: _jobs.Task, is_kept: bool
     ) -> _candidates.Rank | _obstacles.Obstacle:
         """Rank by load added to service tasks, within their headroom."""
         info = worker.info
-        capacity = self._filling_capacity(worker)
-        if capacity.free < spec.cpu:
+        capacity = (
+            self._capacity_beside(worker, None)
+            if is_kept
+            else self._filling_capacity(worker)
+        )
+        if capacity.free < task.spec.cpu:
             return _obstacles.Obstacle.BUSY_CPU
         if capacity.is_tail_high:
             return _obstacles.Obstacle.HIGH_TAIL
-        share = spec.cpu / max(1, info.cpu)
-        max_added = 0.0
-        weights = self._forecast.planned_weights.setdefault(spec.image, {})
-        for image, headroom in capacity.headrooms.items():
-            weight = weights.get(image)
-            if weight is None:
-                weight = self._planned_weight(image, spec.image)
-                weights[image] = weight
-            added = weight * share
-            if added > headroom:
-                return self._load_obstacle(image, spec.image, share, headroom)
-            max_added = max(max_added, added)
+        pace, added = self._pace(capacity, worker, task)
+        if pace < (MIN_PACE if task.is_overdue else FULL_PACE):
+            return self._load_obstacle(capacity, worker, task)
         return (
-            *_common_rank(worker, spec),
-            int(max_added / ADDED_LOAD_STEP),
+            *_common_rank(worker, task.spec),
+            FULL_PACE - pace,
+            int(added / ADDED_LOAD_STEP),
             -capacity.free / max(1, info.cpu),
         )
 
+    def _pace(
+        self,
+        capacity: _placement_round.FillingCapacity,
+        worker: _fleet.Worker,
+        task: _jobs.Task,
+    ) -> tuple[int, float]:
+        """Return the pace that services allow, and the load that it adds."""
+        image = task.spec.image
+        share = task.spec.cpu / max(1, worker.info.cpu)
+        weights = self._forecast.planned_weights.setdefault(image, {})
+        pace, max_added = FULL_PACE, 0.0
+        for service, headroom in capacity.headrooms.items():
+            weight = weights.get(service)
+            if weight is None:
+                weight = self._planned_weight(service, image)
+                weights[service] = weight
+            added = weight * share
+            max_added = max(max_added, added)
+            if added > headroom:
+                limit = (
+                    int(FULL_PACE * headroom / added) if headroom > 0 else 0
+                )
+                pace = min(pace, limit)
+        return pace, max_added * pace / FULL_PACE
+
     def _load_obstacle(
-        self, image: str, filling: str, share: float, headroom: float
+        self,
+        capacity: _placement_round.FillingCapacity,
+        worker: _fleet.Worker,
+        task: _jobs.Task,
     ) -> _obstacles.Obstacle:
-        """Return why a filling task may not add load to a service."""
-        if headroom < 0:
-            return _obstacles.Obstacle.NO_HEADROOM
-        if self._pressure.weight(image, filling) * share <= headroom:
-            return _obstacles.Obstacle.TRIAL
-        return _obstacles.Obstacle.HEADROOM
+        """Return why a filling task may not add load to the services."""
+        image = task.spec.image
+        share = task.spec.cpu / max(1, worker.info.cpu)
+        for service, headroom in capacity.headrooms.items():
+            if headroom < 0:
+                return _obstacles.Obstacle.NO_HEADROOM
+            if self._pressure.weight(service, image) * share > headroom:
+                return _obstacles.Obstacle.HEADROOM
+        return _obstacles.Obstacle.TRIAL
 
     def _planned_weight(self, image: str, filling: str) -> float:
         """Return the weight of a pair for the placement of a task.
@@ -469,18 +574,32 @@
     def _filling_capacity(
         self, worker: _fleet.Worker
     ) -> _placement_round.FillingCapacity:
-        """Return the capacity of a worker for filling tasks, cached."""
+        """Return the capacity of a worker for filling tasks, cached.
+
+        It leaves out what is kept for one of them.
+        """
         capacity = self._capacities.get(worker.info.id)
         if capacity is None:
-            view = self._view(worker)
-            capacity = _placement_round.FillingCapacity(
-                free=view.free_cpu,
-                is_tail_high=self._is_tail_high(view),
-                headrooms=self._forecast.headrooms(view),
-            )
+            capacity = self._capacity_beside(worker, worker.kept_for)
             self._capacities[worker.info.id] = capacity
         return capacity
 
+    def _capacity_beside(
+        self, worker: _fleet.Worker, kept: _jobs.Task | None
+    ) -> _placement_round.FillingCapacity:
+        """Return the capacity for filling tasks beside a waiting one."""
+        view = self._view(worker)
+        filling, free = view.filling, view.free_cpu
+        if kept is not None:
+            share = kept.spec.cpu / max(1, worker.info.cpu)
+            filling += ((kept.spec.image, share),)
+            free -= kept.spec.cpu
+        return _placement_round.FillingCapacity(
+            free=free,
+            is_tail_high=self._is_tail_high(view),
+            headrooms=self._forecast.headrooms(view, filling),
+        )
+
     def _is_tail_high(self, view: _candidates.WorkerView) -> bool:
         """Return whether a tail latency is near its target, cached."""
         worker_id = view.info.id
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
@@ -1,5 +1,6 @@
 """State of placement that holds for one scheduling round."""
 
+from collections.abc import Iterable
 import dataclasses
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 
     ``step`` is set if the tasks of a step on a worker are limited. ``filling``
     is the image of a filling task, ``service`` that of a service task.
+    ``may_be_slowed`` is whether a filling task may run below full pace.
     """
 
     cpu: int
@@ -26,6 +28,7 @@
     is_service: bool
     service: str
     filling: str | None
+    may_be_slowed: bool = False
 
 
 def demands_of(task: _jobs.Task) -> Demands:
@@ -42,6 +45,7 @@
         is_service=spec.is_service,
         service=spec.image if spec.is_service else '',
         filling=spec.image if spec.is_filling else None,
+        may_be_slowed=task.is_overdue,
     )
 
 
@@ -115,8 +119,15 @@
             self._bounds[(image, filling)] = bound
         return bound
 
-    def headrooms(self, view: _candidates.WorkerView) -> dict[str, float]:
-        """Return the load that may be added to a worker's service images."""
+    def headrooms(
+        self,
+        view: _candidates.WorkerView,
+        filling: Iterable[tuple[str, float]],
+    ) -> dict[str, float]:
+        """Return the load that may be added to a worker's service images.
+
+        ``filling`` are the image and share of processors of filling tasks.
+        """
         headrooms: dict[str, float] = {}
         for run in view.services:
             image = run.spec.image
@@ -126,8 +137,8 @@
         return {
             image: headroom
             - sum(
-                self.weight_bound(image, filling) * share
-                for filling, share in view.filling
+                self.weight_bound(image, other) * share
+                for other, share in filling
             )
             for image, headroom in headrooms.items()
         }
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -21,6 +21,10 @@
 """More would not fit into a row of the store beside the rest of the record.
 Without them, the placements count as unknown."""
 
+MAX_READY_STEPS = 200
+"""Limit on the stored times at which steps became ready, for the same reason.
+The waits of the others begin anew with the next owner."""
+
 MAX_CRASH_BYTES = 20_000
 """Size of the rows of crashes, which share a row of the store with the rest of
 the record. The store refuses a larger record each time, so that the ends of
@@ -37,7 +41,9 @@
     (rows of occurrence, step, index, failed runs and checkpoint, only for
     tasks that have one of these), ``placed`` (rows of occurrence, step, index,
     worker and run of the service tasks that may run), ``crashes`` (rows of
-    occurrence, step, index, crashes and watch). There is no ``placed`` for
+    occurrence, step, index, crashes and watch), ``ready`` (rows of occurrence,
+    step and Unix ms at which an unfinished step that depends on others became
+    ready, if there are any). There is no ``placed`` for
     jobs without service tasks, and if the placements are unknown or too many,
     and no ``crashes`` without any; it lacks tasks if they are too many.
     """
@@ -78,6 +84,9 @@
         and len(placed) <= MAX_PLACEMENTS
     ):
         progress['placed'] = placed
+    ready = _ready_rows(job)
+    if ready:
+        progress['ready'] = ready
     crashes = _crash_rows(job)
     if crashes:
         progress['crashes'] = _fitting_rows(crashes)
@@ -96,6 +105,18 @@
             yield [number, step, index, task.former_worker, task.former_run]
 
 
+def _ready_rows(job: _jobs.Job) -> list[list[int]]:
+    """Return when the unfinished steps became ready."""
+    if job.outcome is not None:
+        return []
+    rows = [
+        [*key, wall_ms]
+        for key, wall_ms in job.ready_wall_ms.items()
+        if not job.is_step_done(*key)
+    ]
+    return rows[:MAX_READY_STEPS]
+
+
 def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
     """Return a row for each task with crashes or a watched run."""
     if job.outcome is not None:
@@ -157,6 +178,8 @@
         if task is not None:
             task.former_worker = worker
             task.former_run = run
+    for number, step, wall_ms in progress.get('ready', ()):
+        job.ready_wall_ms[number, step] = wall_ms
     return _restore_crashes(job, progress)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -392,10 +392,11 @@
             since_ms=now_ms,
             is_proven=task is None or not task.is_suspect,
         )
-        if run.spec.is_filling and not report.measured:
-            # The former owner may have paused it; nobody else would resume it.
-            run.pace = _pacing.PAUSED_PACE
-            run.paced_ms = now_ms
+        if run.spec.is_filling:
+            # The former owner may have paused or slowed it; nobody else would
+            # resume it.
+            run.pace = _pacing.apparent_pace(report.measured, run.spec.cpu)
+            run.paced_ms = now_ms if run.pace < _pacing.FULL_PACE else 0
         worker.add(run)
         is_needed = (
             job is not None
--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -242,6 +242,8 @@
             candidates, allowed_count = self._candidates(pool, now_ms)
         if allowed_count <= 0:
             return None
+        if not is_ended_service:
+            candidates = [w for w in candidates if w.kept_for is None]
         demands: dict[str, Demand] = {}
         workers: list[_fleet.Worker] = []
         longest_ms = 0
@@ -379,7 +381,7 @@
         count = _placement.count_of_step(worker, task.key)
         if count + demand.tasks > limit:
             return False
-    permanent = [run for run in worker.runs.values() if _is_permanent(run)]
+    permanent = [run for run in worker.runs.values() if is_permanent(run)]
     cpu = sum(run.spec.cpu for run in permanent if not run.spec.is_filling)
     memory = sum(run.spec.memory_mb for run in permanent)
     accelerators = sum(run.spec.accelerators for run in permanent)
@@ -390,7 +392,7 @@
     )
 
 
-def _is_permanent(run: _fleet.Run) -> bool:
+def is_permanent(run: _fleet.Run) -> bool:
     """Return whether a run will not end by itself."""
     if run.stop_sent_ms >= 0:
         return False
@@ -407,12 +409,7 @@
     accelerators = worker.used_accelerators + demand.accelerators
     accelerators -= info.accelerators
     passed_ms = 0
-    ends = sorted(
-        (_remaining_ms(run, now_ms), number, run)
-        for number, run in enumerate(worker.runs.values())
-        if not _is_permanent(run)
-    )
-    for remaining_ms, _, run in ends:
+    for remaining_ms, run in ends_of(worker, now_ms):
         if cpu <= 0 and memory <= 0 and accelerators <= 0:
             break
         passed_ms = remaining_ms
@@ -423,6 +420,18 @@
     return passed_ms
 
 
+def ends_of(
+    worker: _fleet.Worker, now_ms: int
+) -> list[tuple[int, _fleet.Run]]:
+    """Return the runs that will end, the first first, and in what time."""
+    ends = sorted(
+        (_remaining_ms(run, now_ms), number, run)
+        for number, run in enumerate(worker.runs.values())
+        if not is_permanent(run)
+    )
+    return [(remaining_ms, run) for remaining_ms, _, run in ends]
+
+
 def _remaining_ms(run: _fleet.Run, now_ms: int) -> int:
     """Return the estimated time until a run ends."""
     if run.stop_sent_ms >= 0:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -356,6 +356,7 @@
         received by then are applied. Leases that end later do not count as
         over: they may have been extended, and a report may list ends.
         """
+        self._cell.wall_offset_ms = wall_ms - now_ms
         self._queue_due_occurrences(now_ms, wall_ms)
         if known_until_ms is None:
             known_until_ms = now_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -9,6 +9,7 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _idle_reservations
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _overdue
@@ -35,6 +36,9 @@
 and jobs that can still be on time would wait for all of them."""
 
 
+_StepTasks = tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]
+
+
 class TaskStarter:
     """Select workers for ready tasks and queue the effects to start them."""
 
@@ -51,6 +55,9 @@
             cell, placement, crash_handler
         )
         self._reservations = _reservations.Reservations(cell, placement)
+        self._idle_reservations = _idle_reservations.IdleReservations(
+            cell, placement
+        )
         self._preemption = _preemption.Preemption(cell)
         self._next_reservations_ms = 0
         self._fit_budget = _fit_budget.FitBudget()
@@ -87,13 +94,18 @@
         self._placement.plan(self._cell.workers.values(), now_ms)
         self._start_probations(now_ms, former_runs)
         self._start_reserved(now_ms)
+        self._start_kept(now_ms)
         self._start_ended_services(now_ms, former_runs)
         self._make_room_for_services(now_ms)
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, former_runs)
+        overdue_steps = _overdue.overdue_filling_steps(
+            self._cell, now_ms, wall_ms
+        )
+        self._keep_idle(overdue_steps, now_ms, former_runs)
         self._fit_budget.begin_round(len(self._cell.workers))
-        self._start_ready(now_ms, wall_ms, former_runs)
+        self._start_ready(overdue_steps, now_ms, wall_ms, former_runs)
         self._fit_budget.end_round()
 
     def _start_probations(
@@ -130,6 +142,39 @@
             for worker in reservation.workers:
                 self._placement.mark_changed(worker)
 
+    def _start_kept(self, now_ms: int) -> None:
+        """Start the filling tasks whose workers have become idle enough."""
+        self._idle_reservations.begin_round(now_ms)
+        for reservation in self._idle_reservations:
+            task, worker = reservation.task, reservation.worker
+            if not self._placement.select_kept(worker, task):
+                continue
+            self._idle_reservations.release(reservation)
+            job = self._cell.jobs[task.key.job]
+            self._assign_all(job, [task], [worker], now_ms)
+            self._placement.mark_changed(worker)
+
+    def _keep_idle(
+        self,
+        overdue_steps: Sequence[_overdue.OverdueStep],
+        now_ms: int,
+        former_runs: _takeover.FormerRuns,
+    ) -> None:
+        """Keep idle processors for the oldest overdue filling tasks."""
+        for overdue in overdue_steps:
+            for task in overdue.tasks:
+                task.is_overdue = True
+                job = self._cell.jobs[task.key.job]
+                if task.spec.is_gang or task.key in self._idle_reservations:
+                    continue
+                if former_runs.may_include(job, task, self._cell.workers):
+                    continue
+                if _probations.is_needed(job, task):
+                    continue
+                found = self._idle_reservations.add(task, overdue.pool, now_ms)
+                if found is not None:
+                    self._log_reserved(job, task, 1, found.worker, now_ms)
+
     def _start_ended_services(
         self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
@@ -238,26 +283,45 @@
         )
         if reservation is None:
             return False
+        self._log_reserved(
+            job, overdue.task, len(tasks), reservation.workers[0], now_ms
+        )
+        return True
+
+    def _log_reserved(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        count: int,
+        worker: _fleet.Worker,
+        now_ms: int,
+    ) -> None:
+        """Log that capacity is reserved for a task or its gang."""
         self._cell.log(
             'capacity_reserved',
             job.spec.id,
-            task=str(reservation.key),
-            kind=overdue.task.spec.kind.value,
-            waited_ms=now_ms - overdue.task.ready_ms,
-            worker=reservation.workers[0].info.id,
-            tasks=len(tasks),
+            task=str(task.key),
+            kind=task.spec.kind.value,
+            waited_ms=now_ms - task.ready_ms,
+            worker=worker.info.id,
+            tasks=count,
         )
-        return True
 
     def _start_ready(
-        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
+        self,
+        overdue_steps: Sequence[_overdue.OverdueStep],
+        now_ms: int,
+        wall_ms: int,
+        former_runs: _takeover.FormerRuns,
     ) -> None:
         """Start ready tasks, within the limits per round."""
         unplaceable = _unplaceable.UnplaceableDemands()
         started = 0
         self._held_steps.clear()
         self._held_tasks.clear()
-        for occurrence_key, step, tasks in self._by_urgency(wall_ms):
+        for occurrence_key, step, tasks in self._in_order(
+            overdue_steps, wall_ms
+        ):
             job = self._cell.jobs[occurrence_key[0]]
             if not former_runs.are_known:
                 tasks = self._without_former_runs(job, tasks, former_runs)
@@ -320,9 +384,19 @@
             return _obstacles.Hold.INCOMPLETE
         return _obstacles.Hold.NO_WORKER
 
-    def _by_urgency(
-        self, wall_ms: int
-    ) -> Iterator[tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]]:
+    def _in_order(
+        self, overdue_steps: Sequence[_overdue.OverdueStep], wall_ms: int
+    ) -> Iterator[_StepTasks]:
+        """Yield ready tasks by step, overdue filling tasks first."""
+        overdue_keys = set()
+        for overdue in overdue_steps:
+            overdue_keys.add((overdue.occurrence, overdue.step))
+            yield overdue.occurrence, overdue.step, overdue.tasks
+        for key, step, tasks in self._by_urgency(wall_ms):
+            if (key, step) not in overdue_keys:
+                yield key, step, tasks
+
+    def _by_urgency(self, wall_ms: int) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, the most urgent first."""
         ranks: dict[_ready.OccurrenceKey, tuple[int, ...]] = {}
         self._urgency_ranks.begin_round()
@@ -418,6 +492,8 @@
         self, task: _jobs.Task, number: int, now_ms: int
     ) -> _fleet.Run:
         """Return a new run of a task, in its starting phase."""
+        pace = self._placement.pace_of(task)
+        is_slowed = pace < _placement.FULL_PACE
         return _fleet.Run(
             key=task.key,
             number=number,
@@ -426,6 +502,10 @@
             since_ms=now_ms,
             progress_changed_ms=now_ms,
             is_whole=not task.checkpoint,
+            pace=pace,
+            paced_ms=now_ms if is_slowed else 0,
+            # The worker learns the pace once it has listed the run.
+            is_pace_in_doubt=is_slowed,
         )
 
     def _assign(
