Slow filling tasks that were stopped for interference

Cause: a stop for interference left no trace on the task. It was placed again by the same estimates and stopped beside each service image that it slows (4 and 8 stops), and never started where only a lower pace has headroom.

Change: a task counts its stops, in its record as well. Beside services its pace is halved with each, by the upper bounds of the weights. Ready tasks of a step are now passed over by what they need, so that a stopped task that fits nowhere does not hold up the others of its step.

test_equivalence.py: the reference follows the new rules.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -46,6 +46,7 @@
     open: list[tuple[int, int, int, list[int], str | None]] = []
     placed: list[tuple[int, int, int, str, int]] = []
     ready: list[tuple[int, int, int]] = []
+    moved: list[tuple[int, int, int, int]] = []
     crashes: list[
         tuple[
             int,
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -9,6 +9,7 @@
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _obstacles
+from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _specs
@@ -20,10 +21,6 @@
 """How far ahead the load of service tasks is forecast to place a filling task.
 Filling tasks run for about this long."""
 
-FULL_PACE = 100
-MIN_PACE = 10
-"""Lowest pace in percent at which an overdue filling task is started."""
-
 ADDED_LOAD_STEP = 0.04
 """Granularity of added load in rankings. Workers in the same step are ranked
 by free processors."""
@@ -58,7 +55,7 @@
 
     def pace_of(self, task: _jobs.Task) -> int:
         """Return the pace in percent for a task that was selected for."""
-        return FULL_PACE
+        return _pacing.FULL_PACE
 
     def pace_without_filling(
         self, worker: _fleet.Worker, task: _jobs.Task
@@ -67,7 +64,7 @@
 
         It is 0 if services leave too little.
         """
-        return FULL_PACE
+        return _pacing.FULL_PACE
 
     def idle_cpu(self, worker: _fleet.Worker) -> float:
         """Return the thousandths of cores that no task uses."""
@@ -322,13 +319,13 @@
     ) -> None:
         """Note the pace and the trials of a task that is about to start."""
         pace, _ = self._pace(capacity, worker, task)
-        if pace < FULL_PACE:
+        if pace < _pacing.FULL_PACE:
             self._paces[task.key] = pace
         self._start_trials(worker, task.spec.image)
 
     def pace_of(self, task: _jobs.Task) -> int:
         """Return the pace in percent for a task that was selected for."""
-        return self._paces.get(task.key, FULL_PACE)
+        return self._paces.get(task.key, _pacing.FULL_PACE)
 
     def pace_without_filling(
         self, worker: _fleet.Worker, task: _jobs.Task
@@ -343,7 +340,7 @@
             headrooms=self._forecast.headrooms(view, ()),
         )
         pace, _ = self._pace(capacity, worker, task)
-        return pace if pace >= MIN_PACE else 0
+        return pace if pace >= _pacing.MIN_PACE else 0
 
     def idle_cpu(self, worker: _fleet.Worker) -> float:
         """Return the thousandths of cores that no task uses."""
@@ -511,11 +508,11 @@
         if capacity.is_tail_high:
             return _obstacles.Obstacle.HIGH_TAIL
         pace, added = self._pace(capacity, worker, task)
-        if pace < (MIN_PACE if task.is_overdue else FULL_PACE):
+        if pace < _min_pace(task):
             return self._load_obstacle(capacity, worker, task)
         return (
             *_common_rank(worker, task.spec),
-            FULL_PACE - pace,
+            _pacing.FULL_PACE - pace,
             int(added / ADDED_LOAD_STEP),
             -capacity.free / max(1, info.cpu),
         )
@@ -527,23 +524,20 @@
         task: _jobs.Task,
     ) -> tuple[int, float]:
         """Return the pace that services allow, and the load that it adds."""
-        image = task.spec.image
         share = task.spec.cpu / max(1, worker.info.cpu)
-        weights = self._forecast.planned_weights.setdefault(image, {})
-        pace, max_added = FULL_PACE, 0.0
+        pace, max_added = _pacing.FULL_PACE, 0.0
+        if capacity.headrooms:
+            pace = _pacing.max_pace(task)
         for service, headroom in capacity.headrooms.items():
-            weight = weights.get(service)
-            if weight is None:
-                weight = self._planned_weight(service, image)
-                weights[service] = weight
+            weight = self._weight_for(service, task)
             added = weight * share
             max_added = max(max_added, added)
             if added > headroom:
-                limit = (
-                    int(FULL_PACE * headroom / added) if headroom > 0 else 0
+                bound = share * self._forecast.weight_bound(
+                    service, task.spec.image
                 )
-                pace = min(pace, limit)
-        return pace, max_added * pace / FULL_PACE
+                pace = min(pace, _pacing.pace_within(headroom, bound))
+        return pace, max_added * pace / _pacing.FULL_PACE
 
     def _load_obstacle(
         self,
@@ -561,6 +555,20 @@
                 return _obstacles.Obstacle.HEADROOM
         return _obstacles.Obstacle.TRIAL
 
+    def _weight_for(self, service: str, task: _jobs.Task) -> float:
+        """Return the weight for the placement of a task, cached.
+
+        After a stop for interference, the upper bound is used.
+        """
+        image = task.spec.image
+        if task.harm_stops:
+            return self._forecast.weight_bound(service, image)
+        weights = self._forecast.planned_weights.setdefault(image, {})
+        weight = weights.get(service)
+        if weight is None:
+            weight = weights[service] = self._planned_weight(service, image)
+        return weight
+
     def _planned_weight(self, image: str, filling: str) -> float:
         """Return the weight of a pair for the placement of a task.
 
@@ -633,6 +641,13 @@
         return (*_common_rank(worker, spec), shortfall, free)
 
 
+def _min_pace(task: _jobs.Task) -> int:
+    """Return the lowest pace at which a filling task is started."""
+    if task.is_overdue or task.harm_stops:
+        return _pacing.MIN_PACE
+    return _pacing.FULL_PACE
+
+
 def _common_rank(
     worker: _fleet.Worker, spec: _specs.StepSpec
 ) -> _candidates.Rank:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -25,6 +25,10 @@
 """Limit on the stored times at which steps became ready, for the same reason.
 The waits of the others begin anew with the next owner."""
 
+MAX_MOVED_TASKS = 500
+"""Limit on the stored counts of stops for interference, for the same reason.
+The others count anew."""
+
 MAX_CRASH_BYTES = 20_000
 """Size of the rows of crashes, which share a row of the store with the rest of
 the record. The store refuses a larger record each time, so that the ends of
@@ -43,7 +47,9 @@
     worker and run of the service tasks that may run), ``crashes`` (rows of
     occurrence, step, index, crashes and watch), ``ready`` (rows of occurrence,
     step and Unix ms at which an unfinished step that depends on others became
-    ready, if there are any). There is no ``placed`` for
+    ready, if there are any), ``moved`` (rows of occurrence, step, index and
+    stops of the filling tasks that were stopped for interference, if there are
+    any). There is no ``placed`` for
     jobs without service tasks, and if the placements are unknown or too many,
     and no ``crashes`` without any; it lacks tasks if they are too many.
     """
@@ -87,6 +93,9 @@
     ready = _ready_rows(job)
     if ready:
         progress['ready'] = ready
+    moved = _moved_rows(job)
+    if moved:
+        progress['moved'] = moved
     crashes = _crash_rows(job)
     if crashes:
         progress['crashes'] = _fitting_rows(crashes)
@@ -117,6 +126,18 @@
     return rows[:MAX_READY_STEPS]
 
 
+def _moved_rows(job: _jobs.Job) -> list[list[int]]:
+    """Return how often unfinished tasks were stopped for interference."""
+    if job.outcome is not None:
+        return []
+    rows = [
+        [*task.key[1:], task.harm_stops]
+        for task in job.all_tasks()
+        if task.harm_stops and not task.is_done
+    ]
+    return rows[:MAX_MOVED_TASKS]
+
+
 def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
     """Return a row for each task with crashes or a watched run."""
     if job.outcome is not None:
@@ -180,6 +201,10 @@
             task.former_run = run
     for number, step, wall_ms in progress.get('ready', ()):
         job.ready_wall_ms[number, step] = wall_ms
+    for number, step, index, stops in progress.get('moved', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.harm_stops = stops
     return _restore_crashes(job, progress)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -1,5 +1,6 @@
 """Start ready tasks on workers."""
 
+from collections.abc import Hashable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -13,6 +14,7 @@
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _overdue
+from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _preemption
@@ -37,6 +39,7 @@
 
 
 _StepTasks = tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]
+_StepClass = tuple[str, int, int, bool, int]
 
 
 class TaskStarter:
@@ -64,9 +67,7 @@
         self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
         self._last_run_offset = 0
         # Why the last round passed over steps and single tasks.
-        self._held_steps: dict[
-            tuple[_ready.OccurrenceKey, int], _obstacles.Hold
-        ] = {}
+        self._held_steps: dict[_StepClass, _obstacles.Hold] = {}
         self._held_tasks: dict[_jobs.TaskKey, _obstacles.Hold] = {}
 
     @property
@@ -81,7 +82,7 @@
             return _obstacles.Hold.SUSPECT
         hold = self._held_tasks.get(key)
         if hold is None:
-            hold = self._held_steps.get((key[:2], key.step))
+            hold = self._held_steps.get(_class_of(task))
         return _obstacles.Hold.NOT_REACHED if hold is None else hold
 
     def run(
@@ -319,47 +320,88 @@
         started = 0
         self._held_steps.clear()
         self._held_tasks.clear()
-        for occurrence_key, step, tasks in self._in_order(
-            overdue_steps, wall_ms
-        ):
+        for occurrence_key, _, tasks in self._in_order(overdue_steps, wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
             if not former_runs.are_known:
                 tasks = self._without_former_runs(job, tasks, former_runs)
                 if not tasks:
                     continue
             route = self._cell.routes.get(job.spec.route)
-            step_key = (occurrence_key, step)
             if route is None:
-                self._held_steps[step_key] = _obstacles.Hold.NO_ROUTE
-                continue
-            spec = job.spec.steps[step]
-            group = _unplaceable.group_of(tasks[0], route.pool)
-            amounts = _unplaceable.amounts_of(spec)
-            demand_class = (group, amounts)
-            if unplaceable.includes(group, amounts):
-                self._held_steps[step_key] = _obstacles.Hold.NO_WORKER
+                for task in tasks:
+                    self._held_tasks[task.key] = _obstacles.Hold.NO_ROUTE
                 continue
-            if spec.is_filling and not self._fit_budget.allows(demand_class):
-                self._held_steps[step_key] = _obstacles.Hold.FIT_BUDGET
+            started += self._start_step(
+                job,
+                tasks,
+                route,
+                unplaceable,
+                MAX_STARTS_PER_ROUND - started,
+                now_ms,
+            )
+            if started >= MAX_STARTS_PER_ROUND:
+                return
+
+    def _start_step(
+        self,
+        job: _jobs.Job,
+        tasks: Sequence[_jobs.Task],
+        route: _specs.RoutePolicy,
+        unplaceable: _unplaceable.UnplaceableDemands,
+        max_starts: int,
+        now_ms: int,
+    ) -> int:
+        """Start ready tasks of a step; return the number started.
+
+        Its filling tasks may differ in what they need, see ``_class_of``.
+        """
+        started = 0
+        examined: set[_StepClass] = set()
+        for task in tasks:
+            if started >= max_starts:
+                break
+            step_class = _class_of(task)
+            if step_class in self._held_steps:
                 continue
-            for task in tasks:
-                if started >= MAX_STARTS_PER_ROUND:
-                    return
-                if task.key not in self._cell.ready:
-                    continue
-                if _probations.is_needed(job, task):
+            group = _unplaceable.group_of(task, route.pool)
+            amounts = _unplaceable.amounts_of(task.spec)
+            if step_class not in examined:
+                examined.add(step_class)
+                hold = self._hold_before(task, group, amounts, unplaceable)
+                if hold is not None:
+                    self._held_steps[step_class] = hold
                     continue
-                if spec.is_gang:
-                    newly_started = self._start_gang(job, task, route, now_ms)
-                else:
-                    newly_started = self._start_task(job, task, route, now_ms)
-                started += newly_started
-                if not newly_started:
-                    self._held_steps[step_key] = self._reason_of(job, task)
-                    unplaceable.add(group, amounts)
-                    if spec.is_filling:
-                        self._fit_budget.on_failed(demand_class)
-                    break
+            if task.key not in self._cell.ready:
+                continue
+            if _probations.is_needed(job, task):
+                continue
+            if task.spec.is_gang:
+                newly_started = self._start_gang(job, task, route, now_ms)
+            else:
+                newly_started = self._start_task(job, task, route, now_ms)
+            started += newly_started
+            if not newly_started:
+                self._held_steps[step_class] = self._reason_of(job, task)
+                unplaceable.add(group, amounts)
+                if task.spec.is_filling:
+                    self._fit_budget.on_failed((group, amounts))
+        return started
+
+    def _hold_before(
+        self,
+        task: _jobs.Task,
+        group: Hashable,
+        amounts: _unplaceable.Amounts,
+        unplaceable: _unplaceable.UnplaceableDemands,
+    ) -> _obstacles.Hold | None:
+        """Return why tasks of a class are not examined in this round."""
+        if unplaceable.includes(group, amounts):
+            return _obstacles.Hold.NO_WORKER
+        if task.spec.is_filling and (
+            not self._fit_budget.allows((group, amounts))
+        ):
+            return _obstacles.Hold.FIT_BUDGET
+        return None
 
     def _without_former_runs(
         self,
@@ -493,7 +535,7 @@
     ) -> _fleet.Run:
         """Return a new run of a task, in its starting phase."""
         pace = self._placement.pace_of(task)
-        is_slowed = pace < _placement.FULL_PACE
+        is_slowed = pace < _pacing.FULL_PACE
         return _fleet.Run(
             key=task.key,
             number=number,
@@ -517,7 +559,10 @@
         now_ms: int,
     ) -> None:
         """Assign a task to a worker and queue the effect to start it."""
-        worker.add(self._make_run(task, number, now_ms))
+        run = self._make_run(task, number, now_ms)
+        if task.spec.is_filling:
+            _pacing.limit_pace(run, worker, task)
+        worker.add(run)
         self._cell.ready.discard(task.key)
         task.assign(worker.info.id, number, now_ms)
         job.is_start_decided = True
@@ -541,6 +586,12 @@
 ]
 
 
+def _class_of(task: _jobs.Task) -> _StepClass:
+    """Return what tasks of a step share if none fits when one does not."""
+    key = task.key
+    return (*key[:3], task.is_overdue, task.harm_stops)
+
+
 def _demand_class(task: _jobs.Task, pool: str) -> _DemandClass:
     """Return what tasks share if none of them fits when one does not."""
     gang = task.key[:3] if task.spec.is_gang else None
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -170,7 +170,7 @@
             ),
         )
         pace, _ = self._pace(worker, task, capacity)
-        return pace if pace >= _placement.MIN_PACE else 0
+        return pace if pace >= 10 else 0
 
     def mark_changed(self, worker):
         self._capacities = {
@@ -199,17 +199,25 @@
         """Return the pace that all services allow, and the load it adds."""
         share = task.spec.cpu / max(1, worker.info.cpu)
         paces = [100]
+        if capacity.headrooms:
+            paces.append([100, 50, 25, 12, 10][min(task.harm_stops, 4)])
         max_added = 0.0
         for image, headroom in capacity.headrooms.items():
             # Only one task at a time runs as a trial of a pair without a
             # converged estimate; others are placed by the upper bound.
             weight_of = self._pressure.weight
-            if (image, task.spec.image) in self._pairs_on_trial:
+            if task.harm_stops or (
+                (image, task.spec.image) in self._pairs_on_trial
+            ):
                 weight_of = self._pressure.weight_bound
             added = weight_of(image, task.spec.image) * share
             max_added = max(max_added, added)
             if added > headroom:
-                paces.append(int(100 * max(0.0, headroom) / added))
+                bound = share * self._pressure.weight_bound(
+                    image, task.spec.image
+                )
+                pace = int(80 * headroom / bound) if headroom > 0 else 0
+                paces.append(pace)
         return min(paces), max_added * min(paces) / 100
 
     def _filling_capacity(self, worker, kept):
@@ -268,7 +276,7 @@
 
 
 def min_pace(task):
-    return _placement.MIN_PACE if task.is_overdue else 100
+    return 10 if task.is_overdue or task.harm_stops else 100
 
 
 def _common_rank(worker, task):
@@ -364,6 +372,7 @@
                 spec.is_filling,
                 spec.is_service,
                 task.is_overdue,
+                task.harm_stops,
                 spec.label,
                 task.key[:3] if spec.max_per_worker or spec.is_gang else None,
             )
