Count waits of plain tasks across changes of owner

Cause: capacity is reserved for a task after 10 s of waiting, which were counted from the takeover. With terms shorter than that, large plain tasks and gangs never got a reservation in a full cell.

Change: the wait of a task of a former owner that this one has not started counts from when its step became ready.

--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -69,15 +69,19 @@
     return bool(task.run) or (job.needs_probe and job.is_start_decided)
 
 
-def overdue_tasks(cell: _cell.Cell, now_ms: int) -> list[OverdueTask]:
+def overdue_tasks(
+    cell: _cell.Cell, now_ms: int, wall_ms: int
+) -> list[OverdueTask]:
     """Return all other overdue tasks, the oldest first.
 
-    They are ordered by age alone, so that each comes first at some time.
-    Filling tasks are left out, as they use idle processors only.
+    They are ordered by age alone, so that each comes first at some time. The
+    wait of a task of a former owner that this one has not started began with
+    its step, as terms may be shorter than the wait. Filling tasks are left
+    out, as they use idle processors only.
     """
     found: list[tuple[tuple[int, _jobs.TaskKey], OverdueTask]] = []
     for task in cell.ready:
-        if now_ms - task.ready_ms < MAX_TASK_WAIT_MS or task.spec.is_filling:
+        if task.spec.is_filling:
             continue
         job = cell.jobs[task.key.job]
         route = cell.routes.get(job.spec.route)
@@ -85,12 +89,17 @@
             continue
         if task.spec.is_service and _may_have_run(job, task):
             continue
+        waited_ms = now_ms - task.ready_ms
+        if job.needs_probe and not task.run:
+            waited_ms = _ages.waited_ms(job, task, now_ms, wall_ms)
+        if waited_ms < MAX_TASK_WAIT_MS:
+            continue
         overdue = OverdueTask(
             task=task,
             pool=route.pool,
             is_ended_service=False,
         )
-        found.append(((task.ready_ms, task.key), overdue))
+        found.append(((-waited_ms, task.key), overdue))
     return [overdue for _, overdue in sorted(found, key=lambda e: e[0])]
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -100,7 +100,7 @@
         self._make_room_for_services(now_ms)
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
-            self._reserve_for_overdue(now_ms, former_runs)
+            self._reserve_for_overdue(now_ms, wall_ms, former_runs)
         overdue_steps = _overdue.overdue_filling_steps(
             self._cell, now_ms, wall_ms
         )
@@ -232,7 +232,7 @@
                     self._preemption.make_room(worker, demand, now_ms)
 
     def _reserve_for_overdue(
-        self, now_ms: int, former_runs: _takeover.FormerRuns
+        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Reserve capacity for the oldest overdue task of each pool.
 
@@ -243,7 +243,7 @@
         served_pools = self._reservations.pools_of_other_tasks()
         unplaceable: set[_DemandClass] = set()
         overdue_tasks = sorted(
-            _overdue.overdue_tasks(self._cell, now_ms),
+            _overdue.overdue_tasks(self._cell, now_ms, wall_ms),
             key=lambda o: self._reservations.attempted_ms(o.task.key),
         )
         for overdue in overdue_tasks:
