Reserve room for the other members of a gang with a suspect

Cause: a gang with a suspect gets workers that are kept for its suspects only. No reservation was made for its other members, so that in a full cell smaller tasks took each piece of capacity and the gang never started.

Change: while workers are kept for the suspects, capacity is reserved for the other members as for any gang. The gang starts once both have room. A reservation for a part of a gang never starts by itself.

--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -342,6 +342,14 @@
         # Which workers are usable has changed.
         self._placement.plan(self._cell.workers.values(), now_ms)
 
+    def hold_of_gang(self, task: _jobs.Task) -> _probation_round.Hold | None:
+        """Return the hold of the suspects of a task's gang, if any."""
+        if not task.spec.is_gang:
+            return None
+        step_key = task.key[:3]
+        holds = self._holds.values()
+        return next((h for h in holds if h.key[:3] == step_key), None)
+
     def holds(self) -> list[_probation_round.Hold]:
         """Return the workers that are kept for suspects."""
         return list(self._holds.values())
--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -76,6 +76,11 @@
         """Return the capacity that is kept on each worker."""
         return demands_by_worker(self.tasks, self.workers)
 
+    def worker_of(self) -> Mapping[_jobs.TaskKey, _fleet.Worker]:
+        """Return the worker of each task."""
+        pairs = zip(self.tasks, self.workers, strict=True)
+        return {task.key: worker for task, worker in pairs}
+
     def is_fulfilled(self) -> bool:
         """Return whether all workers have room for their tasks."""
         return all(worker.has_room_for_reserved() for worker in self.workers)
@@ -110,6 +115,11 @@
         """Yield the reservations; they may be released meanwhile."""
         yield from list(self._by_key.values())
 
+    def of_gang(self, key: _jobs.TaskKey) -> Reservation | None:
+        """Return the reservation for members of the gang of a task."""
+        found = (r for r in self._by_key.values() if r.key[:3] == key[:3])
+        return next(found, None)
+
     def pools_of_other_tasks(self) -> set[str]:
         """Return the pools with a reservation that is for no ended service."""
         return {r.pool for r in self if not r.is_ended_service}
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -18,6 +18,7 @@
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _preemption
+from oriolestand_policy.scheduling import _probation_round
 from oriolestand_policy.scheduling import _probations
 from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _reservations
@@ -117,10 +118,7 @@
         for hold in self._probations.due():
             job = self._cell.jobs[hold.key.job]
             if hold.tasks[0].spec.is_gang:
-                route = self._cell.routes[job.spec.route]
-                if not self._start_gang(
-                    job, hold.tasks[0], route, now_ms, hold.worker_of()
-                ):
+                if not self._start_suspect_gang(job, hold, now_ms):
                     continue
             else:
                 self._assign_all(job, hold.tasks, hold.workers, now_ms)
@@ -129,14 +127,37 @@
                 self._crash_handler.watch(task, worker)
             self._probations.on_started(hold)
 
+    def _start_suspect_gang(
+        self, job: _jobs.Job, hold: _probation_round.Hold, now_ms: int
+    ) -> int:
+        """Start a gang with suspects; return the number started.
+
+        If capacity is reserved for its other members, it waits for that.
+        """
+        route = self._cell.routes[job.spec.route]
+        workers = dict(hold.worker_of())
+        reservation = self._reservations.of_gang(hold.key)
+        if reservation is not None:
+            if not reservation.is_fulfilled():
+                return 0
+            self._reservations.release(reservation)
+            workers = {**reservation.worker_of(), **workers}
+        return self._start_gang(job, hold.tasks[0], route, now_ms, workers)
+
     def _start_reserved(self, now_ms: int) -> None:
         """Start the tasks whose reservations are fulfilled."""
         self._reservations.begin_round(now_ms)
         for reservation in self._reservations:
             if not reservation.is_fulfilled():
                 continue
-            self._reservations.release(reservation)
             job = self._cell.jobs[reservation.key.job]
+            if _probations.is_needed(job, reservation.tasks[0]):
+                # The suspects of the gang start with these members.
+                continue
+            self._reservations.release(reservation)
+            if len(reservation.tasks) < len(job.gang_of(reservation.tasks[0])):
+                # The other members are no suspects any more.
+                continue
             self._assign_all(
                 job, reservation.tasks, reservation.workers, now_ms
             )
@@ -252,7 +273,9 @@
                 continue
             if former_runs.may_include(job, overdue.task, self._cell.workers):
                 continue
-            if _probations.is_needed(job, overdue.task):
+            if _probations.is_needed(job, overdue.task) and (
+                self._probations.hold_of_gang(overdue.task) is None
+            ):
                 continue
             demand_class = _demand_class(overdue.task, overdue.pool)
             if demand_class in unplaceable:
@@ -274,6 +297,12 @@
             tasks = job.gang_of(overdue.task)
             if any(member.key not in self._cell.ready for member in tasks):
                 return False
+            hold = self._probations.hold_of_gang(overdue.task)
+            if hold is not None:
+                # The workers of the suspects are kept for them already.
+                tasks = [member for member in tasks if not member.is_suspect]
+                if not tasks:
+                    return False
         if tasks[0].key in self._reservations:
             return True
         reservation = self._reservations.add(
