Carry the time without progress of a run over to the next owner

Cause: a run counts as stalled after 1.5 s or more without progress, counted from its adoption. With shorter terms a task on a worker that hangs was never stopped.

Change: the record holds how long the present run of a task has shown no progress, written at each quarter of the time after which it counts as stalled. The next owner goes on from there if the run and its progress are the same.

Terms shorter than such a quarter (1 s for an estimate of 40 s) are still too short for it.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -47,6 +47,7 @@
     placed: list[tuple[int, int, int, str, int]] = []
     ready: list[tuple[int, int, int]] = []
     moved: list[tuple[int, int, int, int]] = []
+    idle: list[tuple[int, int, int, int, int, int]] = []
     crashes: list[
         tuple[
             int,
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -91,6 +91,14 @@
     rack: str = ''
 
 
+class Idleness(NamedTuple):
+    """How long a run has shown no progress beyond a percentage."""
+
+    run: int
+    percent: int
+    idle_ms: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Task:
     """State of one task; ``worker`` is empty while no worker runs it.
@@ -105,6 +113,7 @@
     and ``harm_stops`` counts its stops because it slowed a service.
     ``crashes`` are those that count against the task, and ``watch`` is a run
     whose worker the next owner must know about, if it has crashed.
+    ``idleness`` is that of the last run that showed no progress for a while.
     """
 
     key: TaskKey
@@ -123,6 +132,7 @@
     harm_stops: int = 0
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     watch: Watch | None = None
+    idleness: Idleness | None = None
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -29,6 +29,9 @@
 """Limit on the stored counts of stops for interference, for the same reason.
 The others count anew."""
 
+MAX_IDLE_TASKS = 200
+"""Limit on the stored times without progress, for the same reason."""
+
 MAX_CRASH_BYTES = 20_000
 """Size of the rows of crashes, which share a row of the store with the rest of
 the record. The store refuses a larger record each time, so that the ends of
@@ -49,7 +52,9 @@
     step and Unix ms at which an unfinished step that depends on others became
     ready, if there are any), ``moved`` (rows of occurrence, step, index and
     stops of the filling tasks that were stopped for interference, if there are
-    any). There is no ``placed`` for
+    any), ``idle`` (rows of occurrence, step, index, run, percentage and ms
+    without progress beyond it of the tasks that showed none for a while, if
+    there are any). There is no ``placed`` for
     jobs without service tasks, and if the placements are unknown or too many,
     and no ``crashes`` without any; it lacks tasks if they are too many.
     """
@@ -96,6 +101,9 @@
     moved = _moved_rows(job)
     if moved:
         progress['moved'] = moved
+    idle = _idle_rows(job)
+    if idle:
+        progress['idle'] = idle
     crashes = _crash_rows(job)
     if crashes:
         progress['crashes'] = _fitting_rows(crashes)
@@ -138,6 +146,20 @@
     return rows[:MAX_MOVED_TASKS]
 
 
+def _idle_rows(job: _jobs.Job) -> list[list[int]]:
+    """Return how long the present runs have shown no progress."""
+    if job.outcome is not None:
+        return []
+    rows = [
+        [*task.key[1:], *task.idleness]
+        for task in job.all_tasks()
+        if task.idleness is not None
+        and not task.is_done
+        and task.run in (0, task.idleness.run)
+    ]
+    return rows[:MAX_IDLE_TASKS]
+
+
 def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
     """Return a row for each task with crashes or a watched run."""
     if job.outcome is not None:
@@ -205,6 +227,10 @@
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
             task.harm_stops = stops
+    for number, step, index, *idleness in progress.get('idle', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.idleness = _jobs.Idleness(*idleness)
     return _restore_crashes(job, progress)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -80,6 +80,7 @@
             worker.are_runs_known = True
             self._drop_missing_runs(worker, listed, sent_ms, now_ms)
         self._crash_handler.on_report(worker)
+        self._note_idle_runs(worker, now_ms)
         self._stop_stalled_runs(worker, now_ms)
         self._cell.pressure.observe(worker, now_ms)
         self._mitigate_interference(worker, now_ms)
@@ -213,6 +214,18 @@
             )
         )
 
+    def _note_idle_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Store how long runs have shown no progress, for the next owner."""
+        for run, idle_ms in _stalls.idle_runs(worker, now_ms):
+            job = self._cell.jobs.get(run.key.job)
+            task = job.find(run.key) if job is not None else None
+            if job is None or task is None or task.run != run.number:
+                continue
+            idleness = _jobs.Idleness(run.number, run.percent, idle_ms)
+            if task.idleness != idleness:
+                task.idleness = idleness
+                self._cell.save(job)
+
     def _stop_stalled_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Stop stalled runs, so that their tasks start on other workers."""
         stalled = _stalls.stalled_runs(worker, now_ms)
@@ -431,6 +444,7 @@
             )
             return run
         task.assign(worker.info.id, report.number, now_ms)
+        _stalls.resume(run, task.idleness, report.percent, now_ms)
         self._cell.ready.discard(task.key)
         self._cell.log(
             'run_adopted',
