--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -411,6 +411,7 @@
         over: they may have been extended, and a report may list ends.
         ``max_starts`` limits the starts of tasks that are not overdue.
         """
+        self._cell.wall_offset_ms = wall_ms - now_ms
         self._queue_due_occurrences(now_ms, wall_ms)
         if known_until_ms is None:
             known_until_ms = now_ms
