--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
@@ -42,6 +43,10 @@
 _StepClass = tuple[str, int, int, bool, int]
 
 
+FILLING_TURN_MS = 1_000
+"""Time between turns of overdue filling tasks, each for one task of a pool."""
+
+
 class TaskStarter:
     """Select workers for ready tasks and queue the effects to start them."""
 
@@ -64,6 +69,7 @@
         self._preemption = _preemption.Preemption(cell)
         self._evacuation = _evacuation.Evacuation(cell, placement)
         self._next_reservations_ms = 0
+        self._next_turn_ms = 0
         self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
         self._last_run_offset = 0
@@ -114,9 +120,7 @@
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, wall_ms, former_runs)
-        overdue_steps = _overdue.overdue_filling_steps(
-            self._cell, now_ms, wall_ms
-        )
+        overdue_steps = self._turns_of_filling(now_ms, wall_ms)
         self._keep_idle(overdue_steps, now_ms, former_runs)
         self._fit_budget.begin_round(len(self._cell.workers))
         self._start_ready(
@@ -196,6 +200,34 @@
             self._assign_all(job, [task], [worker], now_ms)
             self._placement.mark_changed(worker)
 
+    def _turns_of_filling(
+        self, now_ms: int, wall_ms: int
+    ) -> list[_overdue.OverdueStep]:
+        """Return the overdue filling task of each pool whose turn it is.
+
+        Under overload hundreds are overdue, and all jobs would be late if
+        they came first.
+        """
+        if now_ms < self._next_turn_ms:
+            return []
+        self._next_turn_ms = now_ms + FILLING_TURN_MS
+        turns: dict[str, _overdue.OverdueStep] = {}
+        for overdue in _overdue.overdue_filling_steps(
+            self._cell, now_ms, wall_ms
+        ):
+            if overdue.pool in turns:
+                continue
+            tasks = [
+                task
+                for task in overdue.tasks
+                if task.key not in self._idle_reservations
+            ]
+            if tasks:
+                turns[overdue.pool] = dataclasses.replace(
+                    overdue, tasks=tasks[:1]
+                )
+        return list(turns.values())
+
     def _keep_idle(
         self,
         overdue_steps: Sequence[_overdue.OverdueStep],
@@ -480,13 +512,9 @@
         self, overdue_steps: Sequence[_overdue.OverdueStep], wall_ms: int
     ) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, overdue filling tasks first."""
-        overdue_keys = set()
         for overdue in overdue_steps:
-            overdue_keys.add((overdue.occurrence, overdue.step))
             yield overdue.occurrence, overdue.step, overdue.tasks
-        for key, step, tasks in self._by_urgency(wall_ms):
-            if (key, step) not in overdue_keys:
-                yield key, step, tasks
+        yield from self._by_urgency(wall_ms)
 
     def _by_urgency(self, wall_ms: int) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, the most urgent first."""
