--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -42,6 +42,9 @@
     done: list[tuple[int, int, list[int]]] = []
     open: list[tuple[int, int, int, list[int], str | None]] = []
     placed: list[tuple[int, int, int, str, int]] = []
+    ready: list[tuple[int, int, int]] = []
+    moved: list[tuple[int, int, int, int]] = []
+    idle: list[tuple[int, int, int, int, int, int]] = []
     crashes: list[
         tuple[
             int,
--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -67,6 +67,10 @@
                 return True
         return False
 
+    def target_images(self) -> set[str]:
+        """Return the images of the service tasks that have a target."""
+        return {run.spec.image for run in self.services}
+
     def count_of_step(self, step_key: StepKey) -> int:
         """Return the number of runs of a step on the worker."""
         if self.step_counts is None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -51,7 +51,9 @@
     started the run without a checkpoint, so that it lasts as long as the task.
     ``is_reported`` is whether the present incarnation of the worker has listed
     the run. ``pending_crash`` is the crash of an earlier incarnation that
-    counts against the task unless the present one has the run.
+    counts against the task unless the present one has the run. ``max_pace`` is
+    the highest pace for it beside the services of the worker, and
+    ``is_movable`` is whether it may be stopped if it slows one.
     """
 
     key: _jobs.TaskKey
@@ -74,6 +76,8 @@
     is_whole: bool = False
     is_reported: bool = False
     pending_crash: _jobs.Crash | None = None
+    max_pace: int = 100
+    is_movable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,7 +125,9 @@
     its failure domain is evacuated, so that it gets no new tasks.
     ``starts_left`` is how many starts it may get in the round, None if that is
     not limited, and ``starts_since_return`` how many it has had since its
-    domain was taken back.
+    domain was taken back. ``kept_for`` is the
+    filling task that idle processors are kept for, and ``kept_cpu`` the
+    capacity that plain and gang tasks leave free for it.
     """
 
     info: WorkerInfo
@@ -160,6 +166,8 @@
     is_evacuated: bool = False
     starts_left: int | None = None
     starts_since_return: int = 0
+    kept_for: _jobs.Task | None = None
+    kept_cpu: int = 0
 
     @property
     def recent_failures(self) -> int:
@@ -236,6 +244,25 @@
         self.reserved_memory += sign * spec.memory_mb
         self.reserved_accelerators += sign * spec.accelerators
 
+    @property
+    def is_reserved(self) -> bool:
+        """Return whether capacity is reserved on the worker."""
+        return bool(
+            self.reserved_cpu
+            or self.reserved_memory
+            or self.reserved_accelerators
+        )
+
+    def keep_for(self, task: _jobs.Task | None, cpu: int) -> None:
+        """Keep idle processors for a filling task, or for none.
+
+        ``cpu`` is the capacity that plain and gang tasks leave free for it.
+        """
+        if task is not self.kept_for or cpu != self.kept_cpu:
+            self.version += 1
+            self.kept_for = task
+            self.kept_cpu = cpu
+
     def is_over_capacity(self) -> bool:
         """Return whether the runs need more than the present capacity."""
         info = self.info
@@ -259,8 +286,13 @@
         """Return whether a task fits beside the runs and reservations."""
         return self.shortage(spec) is None
 
-    def shortage(self, spec: _specs.StepSpec) -> _obstacles.Obstacle | None:
-        """Return what a task lacks beside the runs and reservations."""
+    def shortage(
+        self, spec: _specs.StepSpec, *, is_kept: bool = False
+    ) -> _obstacles.Obstacle | None:
+        """Return what a task lacks beside the runs and reservations.
+
+        ``is_kept`` is whether idle processors are kept for this task.
+        """
         if self.starts_left is not None and self.starts_left <= 0:
             return _obstacles.Obstacle.RETURNED
         info = self.info
@@ -277,10 +309,17 @@
         accelerators = self.used_accelerators + spec.accelerators
         if accelerators > info.accelerators:
             return _obstacles.Obstacle.ACCELERATORS
+        memory += self.reserved_memory
+        accelerators += self.reserved_accelerators
+        kept = self.kept_for
+        if kept is not None and not (is_kept or spec.is_service):
+            reserved_cpu += 0 if spec.is_filling else self.kept_cpu
+            memory += kept.spec.memory_mb
+            accelerators += kept.spec.accelerators
         if (
             cpu + reserved_cpu > info.cpu
-            or memory + self.reserved_memory > info.memory_mb
-            or accelerators + self.reserved_accelerators > info.accelerators
+            or memory > info.memory_mb
+            or accelerators > info.accelerators
         ):
             return _obstacles.Obstacle.RESERVED
         return None
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -91,6 +91,14 @@
     rack: str = ''
 
 
+class Idleness(NamedTuple):
+    """How long a run has shown no progress beyond a percentage."""
+
+    run: int
+    percent: int
+    idle_ms: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Task:
     """State of one task; ``worker`` is empty while no worker runs it.
@@ -101,8 +109,11 @@
     end of a newer run. ``avoid`` holds the workers on which the task failed.
     ``former_worker`` and ``former_run`` are where a former owner placed the
     task; the worker is empty once that run has ended or was adopted.
+    ``is_overdue`` is whether it is a filling task that has waited too long,
+    and ``harm_stops`` counts its stops because it slowed a service.
     ``crashes`` are those that count against the task, and ``watch`` is a run
     whose worker the next owner must know about, if it has crashed.
+    ``idleness`` is that of the last run that showed no progress for a while.
     """
 
     key: TaskKey
@@ -117,8 +128,11 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     former_worker: str = ''
     former_run: int = 0
+    is_overdue: bool = False
+    harm_stops: int = 0
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     watch: Watch | None = None
+    idleness: Idleness | None = None
 
     @property
     def is_suspect(self) -> bool:
@@ -163,7 +177,9 @@
     owner of the cell may have started the job on a worker that has not
     reported to this owner yet. ``completions`` counts the tasks that were
     marked as done. ``has_unknown_placements`` is whether its service tasks may
-    run on workers that its record does not name.
+    run on workers that its record does not name. ``ready_wall_ms`` is the Unix
+    time at which steps became ready that depend on others, by occurrence and
+    step.
     """
 
     spec: _specs.JobSpec
@@ -180,6 +196,9 @@
     ended_wall_ms: int = 0
     added_ms: int = 0
     completions: int = 0
+    ready_wall_ms: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def has_services(self) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -21,6 +21,17 @@
 """More would not fit into a row of the store beside the rest of the record.
 Without them, the placements count as unknown."""
 
+MAX_READY_STEPS = 200
+"""Limit on the stored times at which steps became ready, for the same reason.
+The waits of the others begin anew with the next owner."""
+
+MAX_MOVED_TASKS = 500
+"""Limit on the stored counts of stops for interference, for the same reason.
+The others count anew."""
+
+MAX_IDLE_TASKS = 200
+"""Limit on the stored times without progress, for the same reason."""
+
 MAX_CRASH_BYTES = 20_000
 """Size of the rows of crashes, which share a row of the store with the rest of
 the record. The store refuses a larger record each time, so that the ends of
@@ -43,7 +54,13 @@
     (rows of occurrence, step, index, failed runs and checkpoint, only for
     tasks that have one of these), ``placed`` (rows of occurrence, step, index,
     worker and run of the service tasks that may run), ``crashes`` (rows of
-    occurrence, step, index, crashes and watch). There is no ``placed`` for
+    occurrence, step, index, crashes and watch), ``ready`` (rows of occurrence,
+    step and Unix ms at which an unfinished step that depends on others became
+    ready, if there are any), ``moved`` (rows of occurrence, step, index and
+    stops of the filling tasks that were stopped for interference, if there are
+    any), ``idle`` (rows of occurrence, step, index, run, percentage and ms
+    without progress beyond it of the tasks that showed none for a while, if
+    there are any). There is no ``placed`` for
     jobs without service tasks, and if the placements are unknown or too many,
     and no ``crashes`` without any; it lacks tasks if they are too many.
     """
@@ -84,6 +101,15 @@
         and len(placed) <= MAX_PLACEMENTS
     ):
         progress['placed'] = placed
+    ready = _ready_rows(job)
+    if ready:
+        progress['ready'] = ready
+    moved = _moved_rows(job)
+    if moved:
+        progress['moved'] = moved
+    idle = _idle_rows(job)
+    if idle:
+        progress['idle'] = idle
     crashes = _crash_rows(job)
     if crashes:
         progress['crashes'] = _fitting_rows(crashes)
@@ -102,6 +128,44 @@
             yield [number, step, index, task.former_worker, task.former_run]
 
 
+def _ready_rows(job: _jobs.Job) -> list[list[int]]:
+    """Return when the unfinished steps became ready."""
+    if job.outcome is not None:
+        return []
+    rows = [
+        [*key, wall_ms]
+        for key, wall_ms in job.ready_wall_ms.items()
+        if not job.is_step_done(*key)
+    ]
+    return rows[:MAX_READY_STEPS]
+
+
+def _moved_rows(job: _jobs.Job) -> list[list[int]]:
+    """Return how often unfinished tasks were stopped for interference."""
+    if job.outcome is not None:
+        return []
+    rows = [
+        [*task.key[1:], task.harm_stops]
+        for task in job.all_tasks()
+        if task.harm_stops and not task.is_done
+    ]
+    return rows[:MAX_MOVED_TASKS]
+
+
+def _idle_rows(job: _jobs.Job) -> list[list[int]]:
+    """Return how long the present runs have shown no progress."""
+    if job.outcome is not None:
+        return []
+    rows = [
+        [*task.key[1:], *task.idleness]
+        for task in job.all_tasks()
+        if task.idleness is not None
+        and not task.is_done
+        and task.run in (0, task.idleness.run)
+    ]
+    return rows[:MAX_IDLE_TASKS]
+
+
 def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
     """Return a row for each task with crashes or a watched run."""
     if job.outcome is not None:
@@ -163,6 +227,16 @@
         if task is not None:
             task.former_worker = worker
             task.former_run = run
+    for number, step, wall_ms in progress.get('ready', ()):
+        job.ready_wall_ms[number, step] = wall_ms
+    for number, step, index, stops in progress.get('moved', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.harm_stops = stops
+    for number, step, index, *idleness in progress.get('idle', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.idleness = _jobs.Idleness(*idleness)
     return _restore_crashes(job, progress)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -80,6 +80,7 @@
             worker.are_runs_known = True
             self._drop_missing_runs(worker, listed, sent_ms, now_ms)
         self._crash_handler.on_report(worker)
+        self._note_idle_runs(worker, now_ms)
         self._stop_stalled_runs(worker, now_ms)
         self._cell.pressure.observe(worker, now_ms)
         self._mitigate_interference(worker, now_ms)
@@ -172,15 +173,34 @@
         for mitigation in mitigations:
             run = mitigation.run
             if mitigation.is_move:
-                self._cell.stop_run(
-                    worker.info.id, run.key, run.number, 'harm'
-                )
-                self._cell.mark_stop_sent(run, now_ms)
+                self._count_harm_stop(run)
+                self._stop_filling(worker, run, 'harm', now_ms)
                 continue
+            if not run.is_movable and not mitigation.pace:
+                run.max_pace = max(_pacing.MIN_PACE, run.max_pace // 2)
             run.pace = mitigation.pace
             worker.version += 1
             run.paced_ms = now_ms
             self._send_pace(worker, run)
+        for run in list(_pacing.paused_too_long(worker, now_ms)):
+            self._stop_filling(worker, run, 'paused', now_ms)
+
+    def _stop_filling(
+        self, worker: _fleet.Worker, run: _fleet.Run, reason: str, now_ms: int
+    ) -> None:
+        """Stop a filling task, so that it starts on another worker."""
+        self._cell.stop_run(worker.info.id, run.key, run.number, reason)
+        self._cell.mark_stop_sent(run, now_ms)
+
+    def _count_harm_stop(self, run: _fleet.Run) -> None:
+        """Count a stop for interference against the task of a run.
+
+        The record is saved with the end of the run.
+        """
+        job = self._cell.jobs.get(run.key.job)
+        task = job.find(run.key) if job is not None else None
+        if task is not None and task.run == run.number:
+            task.harm_stops += 1
 
     def _send_pace(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
         """Order a worker to run a task at its present pace."""
@@ -194,6 +214,18 @@
             )
         )
 
+    def _note_idle_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Store how long runs have shown no progress, for the next owner."""
+        for run, idle_ms in _stalls.idle_runs(worker, now_ms):
+            job = self._cell.jobs.get(run.key.job)
+            task = job.find(run.key) if job is not None else None
+            if job is None or task is None or task.run != run.number:
+                continue
+            idleness = _jobs.Idleness(run.number, run.percent, idle_ms)
+            if task.idleness != idleness:
+                task.idleness = idleness
+                self._cell.save(job)
+
     def _stop_stalled_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Stop stalled runs, so that their tasks start on other workers."""
         stalled = _stalls.stalled_runs(worker, now_ms)
@@ -392,10 +424,13 @@
             since_ms=now_ms,
             is_proven=task is None or not task.is_suspect,
         )
-        if run.spec.is_filling and not report.measured:
-            # The former owner may have paused it; nobody else would resume it.
-            run.pace = _pacing.PAUSED_PACE
-            run.paced_ms = now_ms
+        if run.spec.is_filling:
+            # The former owner may have paused or slowed it; nobody else would
+            # resume it.
+            run.pace = _pacing.apparent_pace(report.measured, run.spec.cpu)
+            run.paced_ms = now_ms if run.pace < _pacing.FULL_PACE else 0
+            if task is not None:
+                _pacing.limit_pace(run, worker, task)
         worker.add(run)
         is_needed = (
             job is not None
@@ -409,6 +444,7 @@
             )
             return run
         task.assign(worker.info.id, report.number, now_ms)
+        _stalls.resume(run, task.idleness, report.percent, now_ms)
         self._cell.ready.discard(task.key)
         self._cell.log(
             'run_adopted',
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -1,8 +1,10 @@
 """Start ready tasks on workers."""
 
+from collections.abc import Hashable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
@@ -10,12 +12,15 @@
 from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _idle_reservations
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _overdue
+from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _placement_round
 from oriolestand_policy.scheduling import _preemption
+from oriolestand_policy.scheduling import _probation_round
 from oriolestand_policy.scheduling import _probations
 from oriolestand_policy.scheduling import _ready
 from oriolestand_policy.scheduling import _reservations
@@ -34,6 +39,14 @@
 and jobs that can still be on time would wait for all of them."""
 
 
+_StepTasks = tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]
+_StepClass = tuple[str, int, int, bool, int]
+
+
+FILLING_TURN_MS = 1_000
+"""Time between turns of overdue filling tasks, each for one task of a pool."""
+
+
 class TaskStarter:
     """Select workers for ready tasks and queue the effects to start them."""
 
@@ -50,16 +63,18 @@
             cell, placement, crash_handler
         )
         self._reservations = _reservations.Reservations(cell, placement)
+        self._idle_reservations = _idle_reservations.IdleReservations(
+            cell, placement
+        )
         self._preemption = _preemption.Preemption(cell)
         self._evacuation = _evacuation.Evacuation(cell, placement)
         self._next_reservations_ms = 0
+        self._next_turn_ms = 0
         self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
         self._last_run_offset = 0
         # Why the last round passed over steps and single tasks.
-        self._held_steps: dict[
-            tuple[_ready.OccurrenceKey, int], _obstacles.Hold
-        ] = {}
+        self._held_steps: dict[_StepClass, _obstacles.Hold] = {}
         self._held_tasks: dict[_jobs.TaskKey, _obstacles.Hold] = {}
 
     @property
@@ -79,7 +94,7 @@
             return _obstacles.Hold.SUSPECT
         hold = self._held_tasks.get(key)
         if hold is None:
-            hold = self._held_steps.get((key[:2], key.step))
+            hold = self._held_steps.get(_class_of(task))
         return _obstacles.Hold.NOT_REACHED if hold is None else hold
 
     def run(
@@ -98,14 +113,19 @@
         self._start_probations(now_ms, former_runs)
         self._start_reserved(now_ms)
         self._start_moved(now_ms)
+        self._start_kept(now_ms)
         self._start_ended_services(now_ms, former_runs)
         self._make_room_for_services(now_ms)
         self._evacuation.plan(now_ms)
         if now_ms >= self._next_reservations_ms:
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
-            self._reserve_for_overdue(now_ms, former_runs)
+            self._reserve_for_overdue(now_ms, wall_ms, former_runs)
+        overdue_steps = self._turns_of_filling(now_ms, wall_ms)
+        self._keep_idle(overdue_steps, now_ms, former_runs)
         self._fit_budget.begin_round(len(self._cell.workers))
-        self._start_ready(now_ms, wall_ms, former_runs, max_starts)
+        self._start_ready(
+            overdue_steps, now_ms, wall_ms, former_runs, max_starts
+        )
         self._fit_budget.end_round()
 
     def _start_probations(
@@ -116,10 +136,7 @@
         for hold in self._probations.due():
             job = self._cell.jobs[hold.key.job]
             if hold.tasks[0].spec.is_gang:
-                route = self._cell.routes[job.spec.route]
-                if not self._start_gang(
-                    job, hold.tasks[0], route, now_ms, hold.worker_of()
-                ):
+                if not self._start_suspect_gang(job, hold, now_ms):
                     continue
             else:
                 self._assign_all(job, hold.tasks, hold.workers, now_ms)
@@ -128,14 +145,37 @@
                 self._crash_handler.watch(task, worker)
             self._probations.on_started(hold)
 
+    def _start_suspect_gang(
+        self, job: _jobs.Job, hold: _probation_round.Hold, now_ms: int
+    ) -> int:
+        """Start a gang with suspects; return the number started.
+
+        If capacity is reserved for its other members, it waits for that.
+        """
+        route = self._cell.routes[job.spec.route]
+        workers = dict(hold.worker_of())
+        reservation = self._reservations.of_gang(hold.key)
+        if reservation is not None:
+            if not reservation.is_fulfilled():
+                return 0
+            self._reservations.release(reservation)
+            workers = {**reservation.worker_of(), **workers}
+        return self._start_gang(job, hold.tasks[0], route, now_ms, workers)
+
     def _start_reserved(self, now_ms: int) -> None:
         """Start the tasks whose reservations are fulfilled."""
         self._reservations.begin_round(now_ms)
         for reservation in self._reservations:
             if not reservation.is_fulfilled():
                 continue
-            self._reservations.release(reservation)
             job = self._cell.jobs[reservation.key.job]
+            if _probations.is_needed(job, reservation.tasks[0]):
+                # The suspects of the gang start with these members.
+                continue
+            self._reservations.release(reservation)
+            if len(reservation.tasks) < len(job.gang_of(reservation.tasks[0])):
+                # The other members are no suspects any more.
+                continue
             self._assign_all(
                 job, reservation.tasks, reservation.workers, now_ms
             )
@@ -148,6 +188,67 @@
             self._assign_all(move.job, [move.task], [move.target], now_ms)
             self._placement.mark_changed(move.target)
 
+    def _start_kept(self, now_ms: int) -> None:
+        """Start the filling tasks whose workers have become idle enough."""
+        self._idle_reservations.begin_round(now_ms)
+        for reservation in self._idle_reservations:
+            task, worker = reservation.task, reservation.worker
+            if not self._placement.select_kept(worker, task):
+                continue
+            self._idle_reservations.release(reservation)
+            job = self._cell.jobs[task.key.job]
+            self._assign_all(job, [task], [worker], now_ms)
+            self._placement.mark_changed(worker)
+
+    def _turns_of_filling(
+        self, now_ms: int, wall_ms: int
+    ) -> list[_overdue.OverdueStep]:
+        """Return the overdue filling task of each pool whose turn it is.
+
+        Under overload hundreds are overdue, and all jobs would be late if
+        they came first.
+        """
+        if now_ms < self._next_turn_ms:
+            return []
+        self._next_turn_ms = now_ms + FILLING_TURN_MS
+        turns: dict[str, _overdue.OverdueStep] = {}
+        for overdue in _overdue.overdue_filling_steps(
+            self._cell, now_ms, wall_ms
+        ):
+            if overdue.pool in turns:
+                continue
+            tasks = [
+                task
+                for task in overdue.tasks
+                if task.key not in self._idle_reservations
+            ]
+            if tasks:
+                turns[overdue.pool] = dataclasses.replace(
+                    overdue, tasks=tasks[:1]
+                )
+        return list(turns.values())
+
+    def _keep_idle(
+        self,
+        overdue_steps: Sequence[_overdue.OverdueStep],
+        now_ms: int,
+        former_runs: _takeover.FormerRuns,
+    ) -> None:
+        """Keep idle processors for the oldest overdue filling tasks."""
+        for overdue in overdue_steps:
+            for task in overdue.tasks:
+                task.is_overdue = True
+                job = self._cell.jobs[task.key.job]
+                if task.spec.is_gang or task.key in self._idle_reservations:
+                    continue
+                if former_runs.may_include(job, task, self._cell.workers):
+                    continue
+                if _probations.is_needed(job, task):
+                    continue
+                found = self._idle_reservations.add(task, overdue.pool, now_ms)
+                if found is not None:
+                    self._log_reserved(job, task, 1, found.worker, now_ms)
+
     def _start_ended_services(
         self, now_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
@@ -204,7 +305,7 @@
                     self._preemption.make_room(worker, demand, now_ms)
 
     def _reserve_for_overdue(
-        self, now_ms: int, former_runs: _takeover.FormerRuns
+        self, now_ms: int, wall_ms: int, former_runs: _takeover.FormerRuns
     ) -> None:
         """Reserve capacity for the oldest overdue task of each pool.
 
@@ -215,7 +316,7 @@
         served_pools = self._reservations.pools_of_other_tasks()
         unplaceable: set[_DemandClass] = set()
         overdue_tasks = sorted(
-            _overdue.overdue_tasks(self._cell, now_ms),
+            _overdue.overdue_tasks(self._cell, now_ms, wall_ms),
             key=lambda o: self._reservations.attempted_ms(o.task.key),
         )
         for overdue in overdue_tasks:
@@ -224,7 +325,9 @@
                 continue
             if former_runs.may_include(job, overdue.task, self._cell.workers):
                 continue
-            if _probations.is_needed(job, overdue.task):
+            if _probations.is_needed(job, overdue.task) and (
+                self._probations.hold_of_gang(overdue.task) is None
+            ):
                 continue
             demand_class = _demand_class(overdue.task, overdue.pool)
             if demand_class in unplaceable:
@@ -246,6 +349,12 @@
             tasks = job.gang_of(overdue.task)
             if any(member.key not in self._cell.ready for member in tasks):
                 return False
+            hold = self._probations.hold_of_gang(overdue.task)
+            if hold is not None:
+                # The workers of the suspects are kept for them already.
+                tasks = [member for member in tasks if not member.is_suspect]
+                if not tasks:
+                    return False
         if tasks[0].key in self._reservations:
             return True
         reservation = self._reservations.add(
@@ -256,19 +365,33 @@
         )
         if reservation is None:
             return False
+        self._log_reserved(
+            job, overdue.task, len(tasks), reservation.workers[0], now_ms
+        )
+        return True
+
+    def _log_reserved(
+        self,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        count: int,
+        worker: _fleet.Worker,
+        now_ms: int,
+    ) -> None:
+        """Log that capacity is reserved for a task or its gang."""
         self._cell.log(
             'capacity_reserved',
             job.spec.id,
-            task=str(reservation.key),
-            kind=overdue.task.spec.kind.value,
-            waited_ms=now_ms - overdue.task.ready_ms,
-            worker=reservation.workers[0].info.id,
-            tasks=len(tasks),
+            task=str(task.key),
+            kind=task.spec.kind.value,
+            waited_ms=now_ms - task.ready_ms,
+            worker=worker.info.id,
+            tasks=count,
         )
-        return True
 
     def _start_ready(
         self,
+        overdue_steps: Sequence[_overdue.OverdueStep],
         now_ms: int,
         wall_ms: int,
         former_runs: _takeover.FormerRuns,
@@ -279,45 +402,88 @@
         started = 0
         self._held_steps.clear()
         self._held_tasks.clear()
-        for occurrence_key, step, tasks in self._by_urgency(wall_ms):
+        for occurrence_key, _, tasks in self._in_order(overdue_steps, wall_ms):
             job = self._cell.jobs[occurrence_key[0]]
             if not former_runs.are_known:
                 tasks = self._without_former_runs(job, tasks, former_runs)
                 if not tasks:
                     continue
             route = self._cell.routes.get(job.spec.route)
-            step_key = (occurrence_key, step)
             if route is None:
-                self._held_steps[step_key] = _obstacles.Hold.NO_ROUTE
-                continue
-            spec = job.spec.steps[step]
-            group = _unplaceable.group_of(tasks[0], route.pool)
-            amounts = _unplaceable.amounts_of(spec)
-            demand_class = (group, amounts)
-            if unplaceable.includes(group, amounts):
-                self._held_steps[step_key] = _obstacles.Hold.NO_WORKER
+                for task in tasks:
+                    self._held_tasks[task.key] = _obstacles.Hold.NO_ROUTE
                 continue
-            if spec.is_filling and not self._fit_budget.allows(demand_class):
-                self._held_steps[step_key] = _obstacles.Hold.FIT_BUDGET
+            started += self._start_step(
+                job,
+                tasks,
+                route,
+                unplaceable,
+                max_starts - started,
+                now_ms,
+            )
+            if started >= max_starts:
+                return
+
+    def _start_step(
+        self,
+        job: _jobs.Job,
+        tasks: Sequence[_jobs.Task],
+        route: _specs.RoutePolicy,
+        unplaceable: _unplaceable.UnplaceableDemands,
+        max_starts: int,
+        now_ms: int,
+    ) -> int:
+        """Start ready tasks of a step; return the number started.
+
+        Its filling tasks may differ in what they need, see ``_class_of``.
+        """
+        started = 0
+        examined: set[_StepClass] = set()
+        for task in tasks:
+            if started >= max_starts:
+                break
+            step_class = _class_of(task)
+            if step_class in self._held_steps:
                 continue
-            for task in tasks:
-                if started >= max_starts:
-                    return
-                if task.key not in self._cell.ready:
+            group = _unplaceable.group_of(task, route.pool)
+            amounts = _unplaceable.amounts_of(task.spec)
+            if step_class not in examined:
+                examined.add(step_class)
+                hold = self._hold_before(task, group, amounts, unplaceable)
+                if hold is not None:
+                    self._held_steps[step_class] = hold
                     continue
-                if _probations.is_needed(job, task):
-                    continue
-                if spec.is_gang:
-                    newly_started = self._start_gang(job, task, route, now_ms)
-                else:
-                    newly_started = self._start_task(job, task, route, now_ms)
-                started += newly_started
-                if not newly_started:
-                    self._held_steps[step_key] = self._reason_of(job, task)
-                    unplaceable.add(group, amounts)
-                    if spec.is_filling:
-                        self._fit_budget.on_failed(demand_class)
-                    break
+            if task.key not in self._cell.ready:
+                continue
+            if _probations.is_needed(job, task):
+                continue
+            if task.spec.is_gang:
+                newly_started = self._start_gang(job, task, route, now_ms)
+            else:
+                newly_started = self._start_task(job, task, route, now_ms)
+            started += newly_started
+            if not newly_started:
+                self._held_steps[step_class] = self._reason_of(job, task)
+                unplaceable.add(group, amounts)
+                if task.spec.is_filling:
+                    self._fit_budget.on_failed((group, amounts))
+        return started
+
+    def _hold_before(
+        self,
+        task: _jobs.Task,
+        group: Hashable,
+        amounts: _unplaceable.Amounts,
+        unplaceable: _unplaceable.UnplaceableDemands,
+    ) -> _obstacles.Hold | None:
+        """Return why tasks of a class are not examined in this round."""
+        if unplaceable.includes(group, amounts):
+            return _obstacles.Hold.NO_WORKER
+        if task.spec.is_filling and (
+            not self._fit_budget.allows((group, amounts))
+        ):
+            return _obstacles.Hold.FIT_BUDGET
+        return None
 
     def _without_former_runs(
         self,
@@ -342,9 +508,15 @@
             return _obstacles.Hold.INCOMPLETE
         return _obstacles.Hold.NO_WORKER
 
-    def _by_urgency(
-        self, wall_ms: int
-    ) -> Iterator[tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]]:
+    def _in_order(
+        self, overdue_steps: Sequence[_overdue.OverdueStep], wall_ms: int
+    ) -> Iterator[_StepTasks]:
+        """Yield ready tasks by step, overdue filling tasks first."""
+        for overdue in overdue_steps:
+            yield overdue.occurrence, overdue.step, overdue.tasks
+        yield from self._by_urgency(wall_ms)
+
+    def _by_urgency(self, wall_ms: int) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, the most urgent first."""
         ranks: dict[_ready.OccurrenceKey, tuple[int, ...]] = {}
         self._urgency_ranks.begin_round()
@@ -440,6 +612,8 @@
         self, task: _jobs.Task, number: int, now_ms: int
     ) -> _fleet.Run:
         """Return a new run of a task, in its starting phase."""
+        pace = self._placement.pace_of(task)
+        is_slowed = pace < _pacing.FULL_PACE
         return _fleet.Run(
             key=task.key,
             number=number,
@@ -448,6 +622,10 @@
             since_ms=now_ms,
             progress_changed_ms=now_ms,
             is_whole=not task.checkpoint,
+            pace=pace,
+            paced_ms=now_ms if is_slowed else 0,
+            # The worker learns the pace once it has listed the run.
+            is_pace_in_doubt=is_slowed,
         )
 
     def _assign(
@@ -459,7 +637,10 @@
         now_ms: int,
     ) -> None:
         """Assign a task to a worker and queue the effect to start it."""
-        worker.add(self._make_run(task, number, now_ms))
+        run = self._make_run(task, number, now_ms)
+        if task.spec.is_filling:
+            _pacing.limit_pace(run, worker, task)
+        worker.add(run)
         worker.count_start()
         self._cell.ready.discard(task.key)
         task.assign(worker.info.id, number, now_ms)
@@ -485,6 +666,12 @@
 ]
 
 
+def _class_of(task: _jobs.Task) -> _StepClass:
+    """Return what tasks of a step share if none fits when one does not."""
+    key = task.key
+    return (*key[:3], task.is_overdue, task.harm_stops)
+
+
 def _demand_class(task: _jobs.Task, pool: str) -> _DemandClass:
     """Return what tasks share if none of them fits when one does not."""
     gang = task.key[:3] if task.spec.is_gang else None
