Store the path and the policy of a job with it

Cause: the policy of a route was only in the configuration and in the memory of the owner, and daemons compared the name of a route. After a route had left the configuration and the owner had changed, accepted jobs never went on, and a failed run ended them at once. After a change of the name, all daemons answered 410 for accepted jobs.

Change: the row job/ID has the host and prefix that the job was submitted under and the policy of its route. Owners use the configured policy if there is one, otherwise the stored one (Cell.policy_of). Requests find a job by host, prefix and id. The version before ignores both fields; rows of that version are found by the name of the route, and answered 503 while the configuration lacks that name. If an owner receives a specification before the row, the policy follows as an event, for such jobs only.

Ruled out: a field of spec/ID, which the version before refuses; a row of its own, which it takes for a specification and never removes.

Existing tests: GetState, CancelJob, CountWaiting and Replica.find take a route instead of its name. test_path.py, test_shown_states.py and test_replica.py pass one; their checks are unchanged.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -59,11 +59,13 @@
 class SubmitJob:
     """Request to store a job; the reply is False if it already existed.
 
-    Fails with InvalidJobError or, shortly before ``deadline_ms`` (on the
-    daemon's clock) at the latest, JobInDoubtError.
+    ``route`` is the one that the request was matched to. Fails with
+    InvalidJobError or, shortly before ``deadline_ms`` (on the daemon's clock)
+    at the latest, JobInDoubtError.
     """
 
     spec: scheduling.JobSpec
+    route: store.Route
     deadline_ms: int
 
 
@@ -71,11 +73,12 @@
 class GetState:
     """Request the state of a job; the reply is a JobState or None.
 
-    None means that the job does not exist. Fails with StateUnknownError.
+    None means that no job with this id was submitted under the path of the
+    route. Fails with StateUnknownError.
     """
 
     job: str
-    route: str
+    route: store.Route
     deadline_ms: int
 
 
@@ -87,7 +90,7 @@
     """
 
     job: str
-    route: str
+    route: store.Route
     deadline_ms: int
 
 
@@ -98,16 +101,21 @@
     Fails with ViewOutdatedError shortly before ``deadline_ms``.
     """
 
-    route: str
+    route: store.Route
     deadline_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoredJob:
-    """A job as stored; a ``progress_version`` of 0 means no progress row."""
+    """A job as stored; a ``progress_version`` of 0 means no progress row.
+
+    ``policy`` is the one that the job was accepted under. It is None if the
+    row of the job has none or has not been received yet.
+    """
 
     id: str
     spec: scheduling.JobSpec
+    policy: scheduling.RoutePolicy | None = None
     progress: scheduling.Progress | None = None
     progress_version: int = 0
     is_cancelled: bool = False
@@ -148,6 +156,14 @@
     job: StoredJob
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JobPolicyReceived:
+    """Event: the policy of a job that was added without it was received."""
+
+    id: str
+    policy: scheduling.RoutePolicy
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class JobCancelled:
     """Event: a caller cancelled a job."""
--- a/packages/fleet/src/oriolestand_fleet/messages/store.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/store.py
@@ -128,6 +128,11 @@
     prefix: str
     policy: scheduling.RoutePolicy
 
+    @property
+    def path(self) -> str:
+        """Return the host and the path prefix, which identify a place."""
+        return self.host + self.prefix
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetConfig:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -51,6 +51,7 @@
         for event in (
             config_messages.ConfigChanged,
             jobs.JobAdded,
+            jobs.JobPolicyReceived,
             jobs.JobCancelled,
             jobs.CellRowChanged,
             jobs.ReplicaSyncAttempted,
@@ -139,6 +140,14 @@
         elif self._is_claiming:
             self._pending_events.append(msg)
 
+    @core.handles(jobs.JobPolicyReceived)
+    def _on_policy(self, msg: jobs.JobPolicyReceived) -> None:
+        """Pass a policy to the term, or queue it while claiming."""
+        if self._owner_term is not None:
+            self._owner_term.set_job_policy(msg.id, msg.policy)
+        elif self._is_claiming:
+            self._pending_events.append(msg)
+
     @core.handles(jobs.JobCancelled)
     def _on_cancelled(self, msg: jobs.JobCancelled) -> None:
         """Pass a cancellation to the term, or queue it while claiming."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -122,6 +122,7 @@
                 progress=job.progress,
                 is_cancelled=job.is_cancelled,
                 needs_probe=True,
+                policy=job.policy,
             )
         self._log.info(
             'Cell loaded',
@@ -157,9 +158,17 @@
             self._kernel.clock.now(),
             progress=job.progress,
             is_cancelled=job.is_cancelled,
+            policy=job.policy,
         )
         self.request_round()
 
+    def set_job_policy(
+        self, job_id: str, policy: scheduling.RoutePolicy
+    ) -> None:
+        """Pass on the policy that a job was accepted under."""
+        if self._scheduler.set_job_policy(job_id, policy):
+            self.request_round()
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job in the scheduler."""
         self._scheduler.cancel_job(job_id, self._kernel.clock.now())
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -9,6 +9,7 @@
 from oriolestand_fleet.messages import config as config_messages
 from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import lifecycle
+from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.frontend import _channel
 from oriolestand_fleet.services.frontend import _routes
@@ -162,39 +163,40 @@
         route, job = match
         deadline = self.kernel.clock.now() + _timeout_ms(req)
         if not job:
-            return await self._count_waiting(req, route.policy.name, deadline)
+            return await self._count_waiting(req, route, deadline)
         if not _is_job_id(job):
             raise errors.BadRequestError(
                 'the path does not contain a valid job id', path=path
             )
         if req.method == b'POST':
-            return await self._submit(req, job, route.policy.name, deadline)
+            return await self._submit(req, job, route, deadline)
         if req.method == b'GET':
-            return await self._get_state(job, route.policy.name, deadline)
+            return await self._get_state(job, route, deadline)
         if req.method == b'DELETE':
-            return await self._cancel(job, route.policy.name, deadline)
+            return await self._cancel(job, route, deadline)
         raise errors.BadRequestError('the method is not supported', path=path)
 
     async def _submit(
         self,
         req: _channel.FrontendRequest,
         job: str,
-        route: str,
+        route: store.Route,
         deadline: int,
     ) -> tuple[int, bytes]:
         """Decode and store a job."""
         assert req.content is not None
         body = req.content.read()
         spec = self._codec.decode_job(
-            body, job, route, self.kernel.clock.wall()
+            body, job, route.policy.name, self.kernel.clock.wall()
         )
         await self.kernel.ask(
-            jobs.SERVICE, jobs.SubmitJob(spec=spec, deadline_ms=deadline)
+            jobs.SERVICE,
+            jobs.SubmitJob(spec=spec, route=route, deadline_ms=deadline),
         )
         return 200, b''
 
     async def _get_state(
-        self, job: str, route: str, deadline: int
+        self, job: str, route: store.Route, deadline: int
     ) -> tuple[int, bytes]:
         """Return the response with the state of a job."""
         state = await self.kernel.ask(
@@ -206,7 +208,7 @@
         return 200, self._codec.encode_state(state.value)
 
     async def _cancel(
-        self, job: str, route: str, deadline: int
+        self, job: str, route: store.Route, deadline: int
     ) -> tuple[int, bytes]:
         """Cancel a job."""
         is_known = await self.kernel.ask(
@@ -218,7 +220,7 @@
         return 200, b''
 
     async def _count_waiting(
-        self, req: _channel.FrontendRequest, route: str, deadline: int
+        self, req: _channel.FrontendRequest, route: store.Route, deadline: int
     ) -> tuple[int, bytes]:
         """Return the response with the number of waiting jobs of a route."""
         if req.method != b'GET':
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -44,6 +44,8 @@
         )
         self.is_closed = False
         self._withheld_ids: set[str] = set()
+        # Jobs whose specification was received before their row.
+        self._rowless_ids: set[str] = set()
         self._has_time_limit = False
         self._page_ms = kernel.clock.now()
 
@@ -213,6 +215,7 @@
         return messages.StoredJob(
             id=spec.id,
             spec=spec,
+            policy=self._policy_of(spec.id),
             progress=progress,
             progress_version=row.version if row is not None else 0,
             is_cancelled=entry is not None and entry.is_cancelled,
@@ -289,6 +292,32 @@
         self._publish(specs)
         self._cursor = version
 
+    def _policy_of(self, job: str) -> scheduling.RoutePolicy | None:
+        """Return the policy in the row of a job, or None if there is none.
+
+        If the row is missing, its policy is published once it is received.
+        """
+        entry = self._replica.entries.get(job)
+        if entry is None or not entry.is_stored:
+            self._rowless_ids.add(job)
+            return None
+        return entry.policy
+
+    def publish_policies(self) -> None:
+        """Publish policies that were missing when their job was passed on.
+
+        The rows and the specifications of jobs come on feeds of their own.
+        """
+        for job in list(self._rowless_ids):
+            entry = self._replica.entries.get(job)
+            if entry is None or not entry.is_stored:
+                continue
+            self._rowless_ids.remove(job)
+            if entry.policy is not None:
+                self._kernel.publish(
+                    messages.JobPolicyReceived(id=job, policy=entry.policy)
+                )
+
     def _publish(self, specs: dict[str, bytes]) -> None:
         """Publish jobs; a cancellation may have been received before one."""
         for spec in self._decode_specs(specs):
@@ -298,6 +327,7 @@
             stored = messages.StoredJob(
                 id=spec.id,
                 spec=spec,
+                policy=self._policy_of(spec.id),
                 is_cancelled=entry is not None and entry.is_cancelled,
             )
             self._kernel.publish(messages.JobAdded(job=stored))
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_replica.py
@@ -75,6 +75,8 @@
             self._drop_if_empty(entry)
         elif not entry.is_stored:
             entry.set_row(row.value)
+            if entry.is_policy_unreadable:
+                self._log.error('Malformed policy ignored', key=row.key)
         return []
 
     def _apply_cancel(self, job: str, row: store.Row) -> list[object]:
@@ -102,19 +104,20 @@
             if not entry.is_cancelled:
                 self.entries.pop(entry.id, None)
 
-    def find(self, job: str, route: str) -> models.Entry | None:
+    def find(self, job: str, route: store.Route) -> models.Entry | None:
         """Return the entry of a stored job if it belongs to the route."""
         entry = self.entries.get(job)
-        if entry is None or entry.route != route:
+        if entry is None or not entry.belongs_to(route):
             return None
         return entry
 
-    def count_waiting(self, route: str) -> int:
+    def count_waiting(self, route: store.Route) -> int:
         """Return the number of jobs of a route that have not started."""
         return sum(
             1
             for entry in self.entries.values()
-            if entry.route == route and entry.state is messages.JobState.QUEUED
+            if entry.belongs_to(route)
+            and entry.state is messages.JobState.QUEUED
         )
 
     def replace(self, rows: Iterable[store.Row]) -> list[object]:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -11,11 +11,13 @@
 from oriolestand_fleet import _commits
 from oriolestand_fleet import layout
 from oriolestand_fleet import settings
+from oriolestand_fleet.messages import config as config_messages
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
 from oriolestand_fleet.services.jobs import _owner_view
 from oriolestand_fleet.services.jobs import _replica
+from oriolestand_fleet.services.jobs import _state_reader
 from oriolestand_fleet.services.jobs import _view_age
 from oriolestand_fleet.services.jobs import const
 from oriolestand_fleet.services.jobs import models
@@ -38,10 +40,12 @@
         self._view_age = _view_age.ViewAge(kernel)
         self._is_store_unreachable = False
         self._owner_view: _owner_view.OwnerView | None = None
+        self._state_reader = _state_reader.StateReader(kernel, self._replica)
         self._sync_waiters: list[tuple[int, defer.Deferred[None]]] = []
 
     def start(self) -> None:
         """Start to follow the table."""
+        self.kernel.subscribe(config_messages.ConfigChanged, self)
         self.kernel.subscribe(messages.OwnershipChanged, self)
         self._run_replica()
 
@@ -148,6 +152,8 @@
             self._log.info('Store is reached again', version=version)
         self._cursor = version
         self._replica.version = version
+        if self._owner_view is not None:
+            self._owner_view.publish_policies()
         self.kernel.publish(
             messages.ReplicaSyncAttempted(is_reachable=True, is_complete=True)
         )
@@ -267,6 +273,13 @@
 
     # Requests of callers.
 
+    @core.handles(config_messages.ConfigChanged)
+    def _on_config(self, msg: config_messages.ConfigChanged) -> None:
+        """Note which routes are configured."""
+        self._state_reader.route_names = frozenset(
+            route.policy.name for route in msg.config.routes
+        )
+
     @core.handles(messages.SubmitJob)
     def _on_submit(self, msg: messages.SubmitJob) -> 'defer.Deferred[bool]':
         """Store a job."""
@@ -276,7 +289,7 @@
         """Insert the row of a job unless it exists."""
         job = msg.spec.id
         started_ms = self.kernel.clock.now()
-        if self._replica.find(job, msg.spec.route) is not None:
+        if self._replica.find(job, msg.route) is not None:
             self._log.info(
                 'Job is already stored', job=job, route=msg.spec.route
             )
@@ -323,7 +336,8 @@
             # The caller can retry at once, at a daemon that reaches the store.
             raise messages.JobInDoubtError('the store is out of reach')
         entry = store.Put(
-            key=layout.JOB_PREFIX + job, value=models.encode_row(msg.spec)
+            key=layout.JOB_PREFIX + job,
+            value=models.encode_row(msg.spec, msg.route),
         )
         spec = store.Put(
             key=layout.SPEC_PREFIX + job, value=body, table=layout.SPEC_TABLE
@@ -344,51 +358,9 @@
         entry = self._replica.find(msg.job, msg.route)
         if entry is not None:
             return entry.state
-        return defer.ensureDeferred(self._read_state(msg.job, msg.route))
-
-    async def _read_state(
-        self, job: str, route: str
-    ) -> messages.JobState | None:
-        """Read the state of a job that is not in the replica.
-
-        Return None if the job does not exist.
-        """
-        key = layout.JOB_PREFIX + job
-        try:
-            page: store.RowPage = await self.kernel.ask(
-                store.SERVICE,
-                store.ReadRows(
-                    table=layout.TABLE,
-                    part=layout.part_for_job(job),
-                    start=key,
-                    end=key + '\0',
-                ),
-            )
-        except core.OriolestandError as exc:
-            self._log.warning(
-                'Job state could not be read', job=job, why=str(exc)
-            )
-            raise messages.StateUnknownError(
-                'the job cannot be read from the store', job=job
-            ) from exc
-        if not page.rows and page.version < self._replica.version:
-            raise messages.StateUnknownError(
-                'the store returned an outdated answer', job=job
-            )
-        for row in page.rows:
-            entry = models.Entry(id=job)
-            if row.value is not None:
-                try:
-                    entry.set_row(row.value)
-                except ValueError as exc:
-                    raise messages.StateUnknownError(
-                        'the row of the job is malformed', job=job
-                    ) from exc
-            if entry.route == route:
-                replicated = self._replica.find(job, route)
-                return replicated.state if replicated else entry.state
-        self._log.info('Job does not exist', job=job, version=page.version)
-        return None
+        return defer.ensureDeferred(
+            self._state_reader.read(msg.job, msg.route)
+        )
 
     @core.handles(messages.CancelJob)
     def _on_cancel(self, msg: messages.CancelJob) -> 'defer.Deferred[bool]':
@@ -400,7 +372,7 @@
         started_ms = self.kernel.clock.now()
         entry = self._replica.find(msg.job, msg.route)
         if entry is None:
-            state = await self._read_state(msg.job, msg.route)
+            state = await self._state_reader.read(msg.job, msg.route)
             if state is None:
                 return False
         elif entry.is_cancelled or entry.outcome is not None:
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from oriolestand_fleet.messages import jobs as messages
+from oriolestand_fleet.messages import store
 from oriolestand_policy import scheduling
 
 ENDED_STATES = {
@@ -19,12 +20,37 @@
 _CrashKind = Literal['alone', 'late', 'shared', 'common']
 
 
+class _PolicyRow(pydantic.BaseModel):
+    """Policy of the route that a job was accepted under.
+
+    It is stored as a list in the order of the fields, without the last ones
+    that have their default value, as every daemon receives it. Later versions
+    may add fields at the end.
+    """
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    pool: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_ms: int = 0
+    needs_tickets: bool = False
+
+
 class _JobRow(pydantic.BaseModel):
-    """Row of a job; rows of earlier versions have the steps as well."""
+    """Row of a job; rows of earlier versions have the steps as well.
+
+    ``path`` is the host and the path prefix that the job was submitted under.
+    Rows of earlier versions have neither it nor the policy, and those
+    versions ignore both.
+    """
 
     model_config = pydantic.ConfigDict(strict=True)
 
     route: str
+    path: str | None = None
+    policy: Any = None
     steps: list[Any] | None = None
 
 
@@ -60,13 +86,18 @@
 class Entry:
     """What a daemon knows of one job to answer its callers.
 
-    ``route`` is None until the row of the job has been received. ``spec`` is
-    set only for rows of earlier versions, which held the specification.
-    ``is_record_unreadable`` is whether the last state row was malformed.
+    ``route`` is None until the row of the job has been received. ``path`` and
+    ``policy`` are None for rows of earlier versions. ``spec`` is set only for
+    older rows, which held the specification.
+    ``is_policy_unreadable`` is whether the policy in the row is malformed, and
+    ``is_record_unreadable`` whether the last state row was.
     """
 
     id: str
     route: str | None = None
+    path: str | None = None
+    policy: scheduling.RoutePolicy | None = None
+    is_policy_unreadable: bool = False
     spec: bytes | None = None
     record: bytes | None = None
     record_version: int = 0
@@ -80,16 +111,38 @@
         """Return whether the row of the job has been received."""
         return self.route is not None
 
+    def belongs_to(self, route: store.Route) -> bool:
+        """Return whether the job was submitted under the path of a route.
+
+        The name of the route decides only for rows without a path: a route
+        may get another name while its path stays, and the reverse.
+        """
+        if self.path is not None:
+            return self.path == route.path
+        return self.route == route.policy.name
+
     def set_row(self, value: bytes) -> None:
-        """Apply the row of the job; raise ValueError if it is malformed."""
+        """Apply the row of the job; raise ValueError if it is malformed.
+
+        A malformed policy is left out: the job can still be reported, and can
+        run while the configuration has its route.
+        """
         decoded = _JobRow.model_validate_json(value)
         self.route = decoded.route
+        self.path = decoded.path
+        try:
+            self.policy = _to_policy(decoded)
+        except ValueError:
+            self.is_policy_unreadable = True
         if decoded.steps is not None:
             self.spec = value
 
     def clear_row(self) -> None:
         """Apply the removal of the row of the job."""
         self.route = None
+        self.path = None
+        self.policy = None
+        self.is_policy_unreadable = False
         self.spec = None
 
     def set_record(self, record: bytes | None, version: int) -> None:
@@ -121,9 +174,44 @@
         return messages.JobState.QUEUED
 
 
-def encode_row(spec: scheduling.JobSpec) -> bytes:
-    """Encode the row of a job, which every daemon receives."""
-    return _encode({'route': spec.route})
+def _to_policy(row: _JobRow) -> scheduling.RoutePolicy | None:
+    """Return the policy in the row of a job, or None if it has none.
+
+    Raise ValueError if it is malformed.
+    """
+    if row.policy is None:
+        return None
+    if not isinstance(row.policy, list):
+        raise ValueError('the policy is no list')
+    fields = dict(zip(_PolicyRow.model_fields, row.policy, strict=False))
+    decoded = _PolicyRow.model_validate(fields)
+    return scheduling.RoutePolicy(name=row.route, **decoded.model_dump())
+
+
+def _encode_policy(policy: scheduling.RoutePolicy) -> list[Any]:
+    """Return the list of a policy that is stored in the row of a job."""
+    fields = _PolicyRow.model_fields
+    values = [getattr(policy, name) for name in fields]
+    defaults = [field.default for field in fields.values()]
+    # The first field has no default value.
+    while values[-1] == defaults[len(values) - 1]:
+        values.pop()
+    return values
+
+
+def encode_row(spec: scheduling.JobSpec, route: store.Route) -> bytes:
+    """Encode the row of a job, which every daemon receives.
+
+    It holds what must outlast the route in the configuration: any daemon may
+    be asked for the job, or become the owner that runs it.
+    """
+    return _encode(
+        {
+            'route': spec.route,
+            'path': route.path,
+            'policy': _encode_policy(route.policy),
+        }
+    )
 
 
 def encode_spec(spec: scheduling.JobSpec) -> bytes:
--- a/packages/fleet/tests/services/frontend/test_requests.py
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -161,6 +161,17 @@
     assert front.jobs.received[0].spec.route == 'long'
 
 
+@pytest.mark.parametrize(
+    'line', [f'{m} /j/long/{JOB}' for m in ('POST', 'GET', 'DELETE')]
+)
+def test_requests_carry_the_path_of_their_route(front, line):
+    # With the name of the route alone, a job of a renamed route was answered
+    # 410, and one could be found under the path of another route.
+    front.send(line, b'{}')
+    (request,) = front.jobs.received
+    assert request.route.path == 'jobs.test/j/long/'
+
+
 @pytest.mark.parametrize(
     ('line', 'body', 'expected'),
     [
--- a/packages/fleet/tests/services/jobs/test_replica.py
+++ b/packages/fleet/tests/services/jobs/test_replica.py
@@ -6,6 +6,7 @@
 from oriolestand_fleet.messages import jobs
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.services.jobs import _replica
+from oriolestand_standins.fleet import make_route
 
 JOB = 'a' * 16
 
@@ -34,7 +35,7 @@
     for _ in range(2):
         assert replica.apply(make_row(other, value, 2)) == []
         assert replica.apply(make_row(prefix + JOB, value, 2)) == []
-    entry = replica.find(JOB, 'r')
+    entry = replica.find(JOB, make_route('r'))
     assert entry.state is jobs.JobState.QUEUED
     lines = capsys.readouterr().out.splitlines()
     assert sum(other in line for line in lines) == 1
--- a/packages/fleet/tests/test_path.py
+++ b/packages/fleet/tests/test_path.py
@@ -3,6 +3,7 @@
 from oriolestand_fleet.messages import jobs
 from oriolestand_policy import scheduling
 from oriolestand_standins.fleet import follower_of
+from oriolestand_standins.fleet import make_route
 from oriolestand_standins.fleet import owner_of
 from oriolestand_standins.fleet import result_of
 
@@ -106,7 +107,7 @@
     site.run(2_500)
     for daemon in daemons:
         request = jobs.CountWaiting(
-            route='route', deadline_ms=site.clock.now() + 1_000
+            route=make_route(), deadline_ms=site.clock.now() + 1_000
         )
         fut = daemon.kernel.ask('jobs', request)
         assert result_of(fut) == 2
--- a/packages/fleet/tests/test_shown_states.py
+++ b/packages/fleet/tests/test_shown_states.py
@@ -4,6 +4,7 @@
 
 from oriolestand_fleet.messages import jobs
 from oriolestand_policy import scheduling
+from oriolestand_standins.fleet import make_route
 from oriolestand_standins.fleet import owner_of
 from oriolestand_standins.fleet import result_of
 
@@ -24,7 +25,7 @@
     With a site, wait for the answer until the deadline.
     """
     deadline_ms = daemon.kernel.clock.now() + DEADLINE_MS
-    request = jobs.CountWaiting(route='route', deadline_ms=deadline_ms)
+    request = jobs.CountWaiting(route=make_route(), deadline_ms=deadline_ms)
     fut = daemon.kernel.ask('jobs', request)
     if site is not None:
         site.run_until(lambda: fut.called, DEADLINE_MS)
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -20,7 +20,9 @@
 class Cell:
     """State of a cell: its jobs, workers, routes and queued effects.
 
-    Effects are queued until ``take_effects``. ``ready`` holds the tasks that
+    Effects are queued until ``take_effects``. ``routes`` holds the last known
+    policy of each route by name, also of those that have left the
+    configuration. ``ready`` holds the tasks that
     wait for a worker, and ``timed_job_ids`` the repeated jobs, which may
     have occurrences that are not due yet. ``stopping_worker_ids`` includes
     all workers with a run for which a stop order was sent and not answered.
@@ -55,6 +57,15 @@
         self.effects: list[_effects.Effect] = []
         self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
 
+    def policy_of(self, job: _jobs.Job) -> _specs.RoutePolicy | None:
+        """Return the policy of a job, or None if it is not known.
+
+        The configuration goes first, so that a change of a route also applies
+        to its accepted jobs. The policy stored with the job is that of its
+        acceptance, and may be older.
+        """
+        return self.routes.get(job.spec.route, job.policy)
+
     def keep_end(self, end: _reports.EndReport) -> None:
         """Keep an end as done until its job is added."""
         ends = self.ends_of_unknown_jobs
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -163,10 +163,12 @@
     owner of the cell may have started the job on a worker that has not
     reported to this owner yet. ``completions`` counts the tasks that were
     marked as done. ``has_unknown_placements`` is whether its service tasks may
-    run on workers that its record does not name.
+    run on workers that its record does not name. ``policy`` is the one that
+    the job was accepted under, or None if it is not known.
     """
 
     spec: _specs.JobSpec
+    policy: _specs.RoutePolicy | None = None
     tasks: dict[int, list[list[Task]]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/policy/src/oriolestand_policy/scheduling/_obstacles.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_obstacles.py
@@ -34,7 +34,7 @@
     """Why a round did not start a task.
 
     NOT_REACHED: the round started as many tasks as it may before. NO_ROUTE:
-    the route of its job is not known. FORMER_RUNS: it may run on a worker of
+    the policy of its job is not known. FORMER_RUNS: it may run on a worker of
     a former owner. SUSPECT: it may have crashed a worker and is tried apart.
     FIT_BUDGET: the round had examined enough filling tasks. NO_WORKER: each
     worker has an obstacle for it or for a task with the same demands; a gang
--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -40,7 +40,7 @@
         if not task.spec.is_service:
             continue
         job = cell.jobs[task.key.job]
-        route = cell.routes.get(job.spec.route)
+        route = cell.policy_of(job)
         if route is None or not _may_have_run(job, task):
             continue
         waited_ms = now_ms - task.ready_ms
@@ -78,7 +78,7 @@
         if now_ms - task.ready_ms < MAX_TASK_WAIT_MS or task.spec.is_filling:
             continue
         job = cell.jobs[task.key.job]
-        route = cell.routes.get(job.spec.route)
+        route = cell.policy_of(job)
         if route is None:
             continue
         if task.spec.is_service and _may_have_run(job, task):
--- a/packages/policy/src/oriolestand_policy/scheduling/_preemption.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_preemption.py
@@ -51,7 +51,7 @@
 
         def rank(run: _fleet.Run) -> tuple[int, int]:
             job = self._cell.jobs.get(run.key.job)
-            route = self._cell.routes.get(job.spec.route) if job else None
+            route = self._cell.policy_of(job) if job else None
             priority = route.priority if route is not None else 0
             if run.spec.has_checkpoints:
                 return (-priority, 0)
--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -164,7 +164,7 @@
             if attempts.examined >= MAX_EXAMINED_PER_ROUND:
                 break
             job = self._cell.jobs[task.key.job]
-            route = self._cell.routes.get(job.spec.route)
+            route = self._cell.policy_of(job)
             if route is None or former_runs.may_include(
                 job, task, self._cell.workers
             ):
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -328,7 +328,7 @@
         if not task.spec.is_service:
             task.failed_runs.append(number)
         task.avoid.add(worker.info.id)
-        route = self._cell.routes.get(job.spec.route)
+        route = self._cell.policy_of(job)
         limit = route.max_attempts if route is not None else 1
         self._cell.log(
             'run_failed',
--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -164,7 +164,7 @@
     def _is_valid(self, reservation: Reservation, now_ms: int) -> bool:
         """Return whether a reservation is needed and can be fulfilled."""
         job = self._cell.jobs.get(reservation.key.job)
-        route = self._cell.routes.get(job.spec.route) if job else None
+        route = self._cell.policy_of(job) if job else None
         if job is None or route is None or route.pool != reservation.pool:
             return False
         return all(
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -84,7 +84,11 @@
     # Input: configuration, jobs and workers.
 
     def set_routes(self, routes: Iterable[_specs.RoutePolicy]) -> None:
-        """Add or update routes; others stay, as jobs may still use them."""
+        """Add or update routes.
+
+        Others stay: jobs that were accepted under them use their last known
+        policy, or the one that is stored with the job.
+        """
         for route in routes:
             self._cell.routes[route.name] = route
 
@@ -95,14 +99,18 @@
         progress: _record.Progress | None = None,
         is_cancelled: bool = False,
         needs_probe: bool = False,
+        policy: _specs.RoutePolicy | None = None,
     ) -> None:
         """Add a job, unless it is already known.
 
-        ``progress`` is its stored record. For ``needs_probe`` see ``Job``.
+        ``progress`` is its stored record. For ``needs_probe`` and ``policy``
+        see ``Job``.
         """
         if spec.id in self._cell.jobs:
             return
-        job = _jobs.Job(spec=spec, needs_probe=needs_probe, added_ms=now_ms)
+        job = _jobs.Job(
+            spec=spec, policy=policy, needs_probe=needs_probe, added_ms=now_ms
+        )
         self._cell.jobs[spec.id] = job
         if progress is not None:
             self._crash_handler.on_restored(_record.restore(job, progress))
@@ -127,6 +135,18 @@
         # task and before it saved the outcome.
         self._cell.finish_if_complete(job)
 
+    def set_job_policy(self, job_id: str, policy: _specs.RoutePolicy) -> bool:
+        """Set the policy that a job was accepted under, if it is missing.
+
+        Return whether the job had to wait for it.
+        """
+        job = self._cell.jobs.get(job_id)
+        if job is None or job.policy is not None:
+            return False
+        is_awaited = self._cell.policy_of(job) is None
+        job.policy = policy
+        return is_awaited
+
     def cancel_job(self, job_id: str, now_ms: int) -> None:
         """Cancel a job and stop its runs."""
         job = self._cell.jobs.get(job_id)
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -104,8 +104,8 @@
         for hold in self._probations.due():
             job = self._cell.jobs[hold.key.job]
             if hold.tasks[0].spec.is_gang:
-                route = self._cell.routes[job.spec.route]
-                if not self._start_gang(
+                route = self._cell.policy_of(job)
+                if route is None or not self._start_gang(
                     job, hold.tasks[0], route, now_ms, hold.worker_of()
                 ):
                     continue
@@ -152,7 +152,9 @@
                 continue
             demand_class = _demand_class(task, overdue.pool)
             if demand_class not in unplaceable:
-                route = self._cell.routes[job.spec.route]
+                route = self._cell.policy_of(job)
+                if route is None:
+                    continue
                 if task.spec.is_gang:
                     is_started = self._start_gang(job, task, route, now_ms)
                 else:
@@ -263,7 +265,7 @@
                 tasks = self._without_former_runs(job, tasks, former_runs)
                 if not tasks:
                     continue
-            route = self._cell.routes.get(job.spec.route)
+            route = self._cell.policy_of(job)
             step_key = (occurrence_key, step)
             if route is None:
                 self._held_steps[step_key] = _obstacles.Hold.NO_ROUTE
@@ -328,7 +330,7 @@
         self._urgency_ranks.begin_round()
         for key, task in self._cell.ready.occurrences():
             job = self._cell.jobs[key[0]]
-            route = self._cell.routes.get(job.spec.route)
+            route = self._cell.policy_of(job)
             if route is None:
                 ranks[key] = (0,)
                 continue
--- a/packages/policy/src/oriolestand_policy/scheduling/_waits.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_waits.py
@@ -157,7 +157,7 @@
     ) -> None:
         """Queue the log event for one task."""
         job = self._cell.jobs[task.key.job]
-        route = self._cell.routes.get(job.spec.route)
+        route = self._cell.policy_of(job)
         pool = route.pool if route is not None else ''
         report = explain_wait(
             self._cell.workers.values(),
--- a/packages/standins/src/oriolestand_standins/fleet/__init__.py
+++ b/packages/standins/src/oriolestand_standins/fleet/__init__.py
@@ -10,6 +10,7 @@
 from oriolestand_standins.fleet._helpers import result_of
 from oriolestand_standins.fleet._site import Daemon
 from oriolestand_standins.fleet._site import FleetSimulation
+from oriolestand_standins.fleet._site import make_route
 from oriolestand_standins.fleet._store import RowStore
 from oriolestand_standins.fleet._store import StoreFaults
 from oriolestand_standins.fleet._workers import FleetWorker
@@ -25,6 +26,7 @@
     'RunRecord',
     'StoreFaults',
     'follower_of',
+    'make_route',
     'owner_of',
     'result_of',
 ]
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 from typing import Any
 
@@ -96,17 +97,16 @@
 
     def set_config(self, version: int, max_attempts: int = 2) -> None:
         """Store a configuration with one route."""
-        policy = scheduling.RoutePolicy(
-            name=ROUTE, pool=POOL, max_attempts=max_attempts
-        )
+        self.set_routes(version, [make_route(max_attempts=max_attempts)])
+
+    def set_routes(
+        self, version: int, routes: Iterable[store_messages.Route]
+    ) -> None:
+        """Store a configuration."""
         self.store.set_config(
             store_messages.FleetConfig(
                 version=version,
-                routes=(
-                    store_messages.Route(
-                        host='jobs.test', prefix='/j/', policy=policy
-                    ),
-                ),
+                routes=tuple(routes),
                 header_bytes=16_384,
                 body_bytes=262_144,
                 header_timeout_ms=3_000,
@@ -181,12 +181,14 @@
         steps: tuple[scheduling.StepSpec, ...] | None = None,
         duration_ms: int = 1_000,
         deadline_ms: int = 3_000,
+        route: store_messages.Route | None = None,
     ) -> 'defer.Deferred[Any]':
         """Submit a job to a daemon; the Deferred fires with the answer."""
         self.durations[job] = duration_ms
+        route = route or make_route()
         spec = scheduling.JobSpec(
             id=job,
-            route=ROUTE,
+            route=route.policy.name,
             payload=self.payload,
             steps=steps or (scheduling.StepSpec(count=2, cpu=1_000),),
             accepted_ms=self.clock.wall(),
@@ -194,25 +196,41 @@
         return target.kernel.ask(
             jobs.SERVICE,
             jobs.SubmitJob(
-                spec=spec, deadline_ms=self.clock.now() + deadline_ms
+                spec=spec,
+                route=route,
+                deadline_ms=self.clock.now() + deadline_ms,
             ),
         )
 
-    def cancel(self, target: Daemon, job: str) -> 'defer.Deferred[Any]':
+    def cancel(
+        self,
+        target: Daemon,
+        job: str,
+        route: store_messages.Route | None = None,
+    ) -> 'defer.Deferred[Any]':
         """Send a request to a daemon to cancel a job."""
         return target.kernel.ask(
             jobs.SERVICE,
             jobs.CancelJob(
-                job=job, route=ROUTE, deadline_ms=self.clock.now() + 3_000
+                job=job,
+                route=route or make_route(),
+                deadline_ms=self.clock.now() + 3_000,
             ),
         )
 
-    def state(self, target: Daemon, job: str) -> str | None:
+    def state(
+        self,
+        target: Daemon,
+        job: str,
+        route: store_messages.Route | None = None,
+    ) -> str | None:
         """Return the state of a job as a daemon reports it, or None."""
         fut = target.kernel.ask(
             jobs.SERVICE,
             jobs.GetState(
-                job=job, route=ROUTE, deadline_ms=self.clock.now() + 3_000
+                job=job,
+                route=route or make_route(),
+                deadline_ms=self.clock.now() + 3_000,
             ),
         )
         results: list[Any] = []
@@ -251,6 +269,22 @@
         ]
 
 
+def make_route(
+    name: str = ROUTE,
+    prefix: str = '/j/',
+    pool: str = POOL,
+    max_attempts: int = 2,
+) -> store_messages.Route:
+    """Return a route; the default values are those of ``set_config``."""
+    return store_messages.Route(
+        host='jobs.test',
+        prefix=prefix,
+        policy=scheduling.RoutePolicy(
+            name=name, pool=pool, max_attempts=max_attempts
+        ),
+    )
+
+
 def _end_ms(record: _workers.RunRecord) -> float:
     """Return the time at which a run ended; infinity while it runs."""
     return record.ended_ms if record.outcome else float('inf')
