--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -58,6 +58,7 @@
             config_messages.ConfigChanged,
             config_messages.EvacuationsRead,
             jobs.JobAdded,
+            jobs.JobPolicyReceived,
             jobs.JobCancelled,
             jobs.CellRowChanged,
             jobs.ReplicaSyncAttempted,
@@ -161,6 +162,14 @@
         elif self._is_claiming:
             self._pending_events.append(msg)
 
+    @core.handles(jobs.JobPolicyReceived)
+    def _on_policy(self, msg: jobs.JobPolicyReceived) -> None:
+        """Pass a policy to the term, or queue it while claiming."""
+        if self._owner_term is not None:
+            self._owner_term.set_job_policy(msg.id, msg.policy)
+        elif self._is_claiming:
+            self._pending_events.append(msg)
+
     @core.handles(jobs.JobCancelled)
     def _on_cancelled(self, msg: jobs.JobCancelled) -> None:
         """Pass a cancellation to the term, or queue it while claiming."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_evacuation.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_evacuation.py
@@ -197,7 +197,7 @@
         """Return a run as a candidate for a move, or None if it stays."""
         job = self._cell.jobs.get(run.key.job)
         task = job.find(run.key) if job is not None else None
-        route = self._cell.routes.get(job.spec.route) if job else None
+        route = self._cell.policy_of(job) if job else None
         if job is None or task is None or route is None:
             return None
         if job.outcome is not None or task.run != run.number:
--- a/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
@@ -112,7 +112,7 @@
         """Return whether a reservation is needed and its worker usable."""
         task, worker = reservation.task, reservation.worker
         job = self._cell.jobs.get(task.key.job)
-        route = self._cell.routes.get(job.spec.route) if job else None
+        route = self._cell.policy_of(job) if job else None
         if job is None or route is None or route.pool != reservation.pool:
             return False
         return (
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -179,10 +179,12 @@
     marked as done. ``has_unknown_placements`` is whether its service tasks may
     run on workers that its record does not name. ``ready_wall_ms`` is the Unix
     time at which steps became ready that depend on others, by occurrence and
-    step.
+    step. ``policy`` is the one that the job was accepted under, or None
+    if it is not known.
     """
 
     spec: _specs.JobSpec
+    policy: _specs.RoutePolicy | None = None
     tasks: dict[int, list[list[Task]]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -43,7 +43,7 @@
         if not task.spec.is_service:
             continue
         job = cell.jobs[task.key.job]
-        route = cell.routes.get(job.spec.route)
+        route = cell.policy_of(job)
         if route is None or not _may_have_run(job, task):
             continue
         waited_ms = now_ms - task.ready_ms
@@ -84,7 +84,7 @@
         if task.spec.is_filling:
             continue
         job = cell.jobs[task.key.job]
-        route = cell.routes.get(job.spec.route)
+        route = cell.policy_of(job)
         if route is None:
             continue
         if task.spec.is_service and _may_have_run(job, task):
@@ -124,7 +124,7 @@
     found: list[tuple[int, _ready.OccurrenceKey, int, OverdueStep]] = []
     for key, _ in cell.ready.occurrences():
         job = cell.jobs[key[0]]
-        route = cell.routes.get(job.spec.route)
+        route = cell.policy_of(job)
         if route is None or not any(s.is_filling for s in job.spec.steps):
             continue
         for step in cell.ready.steps_of(key):
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -152,7 +152,9 @@
 
         If capacity is reserved for its other members, it waits for that.
         """
-        route = self._cell.routes[job.spec.route]
+        route = self._cell.policy_of(job)
+        if route is None:
+            return 0
         workers = dict(hold.worker_of())
         reservation = self._reservations.of_gang(hold.key)
         if reservation is not None:
@@ -271,7 +273,9 @@
                 continue
             demand_class = _demand_class(task, overdue.pool)
             if demand_class not in unplaceable:
-                route = self._cell.routes[job.spec.route]
+                route = self._cell.policy_of(job)
+                if route is None:
+                    continue
                 if task.spec.is_gang:
                     is_started = self._start_gang(job, task, route, now_ms)
                 else:
@@ -408,7 +412,7 @@
                 tasks = self._without_former_runs(job, tasks, former_runs)
                 if not tasks:
                     continue
-            route = self._cell.routes.get(job.spec.route)
+            route = self._cell.policy_of(job)
             if route is None:
                 for task in tasks:
                     self._held_tasks[task.key] = _obstacles.Hold.NO_ROUTE
@@ -522,7 +526,7 @@
         self._urgency_ranks.begin_round()
         for key, task in self._cell.ready.occurrences():
             job = self._cell.jobs[key[0]]
-            route = self._cell.routes.get(job.spec.route)
+            route = self._cell.policy_of(job)
             if route is None:
                 ranks[key] = (0,)
                 continue
