Bound the cost of reservations for filling tasks

Each selection asked all workers for their headroom, also for tasks that the same round could start.

Change: reservations are made after the round has started what fits, two in 100 ms at most, and only the workers that have room first are asked for their headroom. The record of a job is made in one pass over its tasks.

--- a/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
@@ -34,7 +34,7 @@
 """Shortest time between two attempts for tasks with the same demands."""
 
 ATTEMPT_INTERVAL_MS = 100
-MAX_ATTEMPTS = 4
+MAX_ATTEMPTS = 2
 """Maximum number of attempts in ``ATTEMPT_INTERVAL_MS``. Each examines the
 runs of all workers of the pool."""
 
@@ -78,6 +78,11 @@
         """Yield the reservations; they may be released meanwhile."""
         yield from list(self._by_key.values())
 
+    @property
+    def has_attempts(self) -> bool:
+        """Return whether processors may be kept for another task now."""
+        return self._attempts_left > 0
+
     def begin_round(self, now_ms: int) -> None:
         """Release reservations that are over, and allow attempts if due."""
         self._usable.clear()
@@ -192,41 +197,43 @@
     def _select(
         self, task: _jobs.Task, pool: str, now_ms: int
     ) -> _fleet.Worker | None:
-        """Return the worker on which a task is expected to start first."""
-        best: _fleet.Worker | None = None
-        best_rank: tuple[object, ...] = ()
+        """Return the worker on which a task is expected to start first.
+
+        Whether services leave enough headroom takes longest to find out, so
+        the workers are asked for it one by one.
+        """
+        ranked: list[tuple[tuple[object, ...], _fleet.Worker]] = []
         for worker in self._usable_workers(pool, now_ms):
             if worker.kept_for is not None or worker.is_reserved:
                 continue
             if not _can_make_room(worker, task):
                 continue
-            pace = self._placement.pace_without_filling(worker, task)
-            if not pace:
-                continue
             time_ms = self._time_until_room_ms(worker, task, now_ms)
             rank = (
+                task.harm_stops > 0 and worker.service_cpu > 0,
                 time_ms // _reservations.TIME_STEP_MS,
                 worker.info.id in task.avoid,
                 worker.is_readmitted,
                 bool(task.spec.rack) and task.spec.rack != worker.info.rack,
-                -pace,
                 time_ms,
                 worker.info.id,
             )
-            if best is None or rank < best_rank:
-                best, best_rank = worker, rank
-        return best
+            ranked.append((rank, worker))
+        ranked.sort(key=lambda entry: entry[0])
+        for _, worker in ranked:
+            if self._placement.pace_without_filling(worker, task):
+                return worker
+        return None
 
     def _time_until_room_ms(
         self, worker: _fleet.Worker, task: _jobs.Task, now_ms: int
     ) -> int:
         """Return the estimated time until a task can start on a worker."""
-        if self._placement.can_host(worker, task):
-            return 0
         needed = task.spec.cpu - self._placement.idle_cpu(worker)
         memory = worker.used_memory + task.spec.memory_mb
         memory -= worker.info.memory_mb
-        # Which runs leave enough headroom is not known, so all of them.
+        # With enough room, the headroom is too low. Which runs leave enough
+        # is not known, so all of them.
         needs_all = needed <= 0 and memory <= 0
         passed_ms = 0
         for remaining_ms, run in _reservations.ends_of(worker, now_ms):
--- a/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_overdue.py
@@ -131,9 +131,8 @@
             if not job.spec.steps[step].is_filling:
                 continue
             tasks = cell.ready.tasks_of(key, step)
-            waited_ms = max(
-                _ages.waited_ms(job, task, now_ms, wall_ms) for task in tasks
-            )
+            oldest = min(tasks, key=lambda task: task.ready_ms)
+            waited_ms = _ages.waited_ms(job, oldest, now_ms, wall_ms)
             if waited_ms < MAX_TASK_WAIT_MS:
                 continue
             overdue = OverdueStep(
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -38,6 +38,17 @@
 the job could never be acknowledged."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Rows:
+    """Rows of a record by its keys; ``unfinished`` is ``open``."""
+
+    done: list[list[Any]] = dataclasses.field(default_factory=list)
+    unfinished: list[list[Any]] = dataclasses.field(default_factory=list)
+    placed: list[list[Any]] = dataclasses.field(default_factory=list)
+    moved: list[list[int]] = dataclasses.field(default_factory=list)
+    idle: list[list[int]] = dataclasses.field(default_factory=list)
+
+
 def progress_of(job: _jobs.Job) -> Progress:
     """Return the progress of a job to store.
 
@@ -58,58 +69,62 @@
     jobs without service tasks, and if the placements are unknown or too many,
     and no ``crashes`` without any; it lacks tasks if they are too many.
     """
-    done: list[list[Any]] = []
-    unfinished: list[list[Any]] = []
-    placed: list[list[Any]] = []
-    if job.outcome is None:
-        for number, steps in job.tasks.items():
-            for step, tasks in enumerate(steps):
-                indices = [t.key.index for t in tasks if t.is_done]
-                if indices:
-                    done.append([number, step, indices])
-                unfinished += [
-                    [
-                        number,
-                        step,
-                        task.key.index,
-                        task.failed_runs,
-                        task.checkpoint,
-                    ]
-                    for task in tasks
-                    if not task.is_done
-                    and (task.failed_runs or task.checkpoint)
-                ]
-                placed += _placements(tasks)
+    rows = _rows_of(job)
     progress: Progress = {
         'outcome': job.outcome.value if job.outcome else None,
         'started': job.has_started,
         'ended': job.ended_wall_ms,
-        'done': done,
-        'open': unfinished,
+        'done': rows.done,
+        'open': rows.unfinished,
     }
     if job.is_start_decided and not job.has_started:
         progress['decided'] = True
     if (
         job.has_services
         and not job.has_unknown_placements
-        and len(placed) <= MAX_PLACEMENTS
+        and len(rows.placed) <= MAX_PLACEMENTS
     ):
-        progress['placed'] = placed
+        progress['placed'] = rows.placed
     ready = _ready_rows(job)
     if ready:
         progress['ready'] = ready
-    moved = _moved_rows(job)
-    if moved:
-        progress['moved'] = moved
-    idle = _idle_rows(job)
-    if idle:
-        progress['idle'] = idle
+    if rows.moved:
+        progress['moved'] = rows.moved[:MAX_MOVED_TASKS]
+    if rows.idle:
+        progress['idle'] = rows.idle[:MAX_IDLE_TASKS]
     crashes = _crash_rows(job)
     if crashes:
         progress['crashes'] = _fitting_rows(crashes)
     return progress
 
 
+def _rows_of(job: _jobs.Job) -> _Rows:
+    """Return the rows of the tasks of a job that has not ended."""
+    rows = _Rows()
+    if job.outcome is not None:
+        return rows
+    for number, steps in job.tasks.items():
+        for step, tasks in enumerate(steps):
+            indices = [t.key.index for t in tasks if t.is_done]
+            if indices:
+                rows.done.append([number, step, indices])
+            rows.unfinished += [
+                [
+                    number,
+                    step,
+                    task.key.index,
+                    task.failed_runs,
+                    task.checkpoint,
+                ]
+                for task in tasks
+                if not task.is_done and (task.failed_runs or task.checkpoint)
+            ]
+            rows.placed += _placements(tasks)
+            rows.moved += _moved_rows(tasks)
+            rows.idle += _idle_rows(tasks)
+    return rows
+
+
 def _placements(tasks: Iterable[_jobs.Task]) -> Iterator[list[Any]]:
     """Yield the rows of the service tasks that may run."""
     for task in tasks:
@@ -122,6 +137,23 @@
             yield [number, step, index, task.former_worker, task.former_run]
 
 
+def _moved_rows(tasks: Iterable[_jobs.Task]) -> Iterator[list[int]]:
+    """Yield how often unfinished tasks were stopped for interference."""
+    for task in tasks:
+        if task.harm_stops and not task.is_done:
+            yield [*task.key[1:], task.harm_stops]
+
+
+def _idle_rows(tasks: Iterable[_jobs.Task]) -> Iterator[list[int]]:
+    """Yield how long the present runs have shown no progress."""
+    for task in tasks:
+        idleness = task.idleness
+        if idleness is None or task.is_done:
+            continue
+        if task.run in (0, idleness.run):
+            yield [*task.key[1:], *idleness]
+
+
 def _ready_rows(job: _jobs.Job) -> list[list[int]]:
     """Return when the unfinished steps became ready."""
     if job.outcome is not None:
@@ -134,32 +166,6 @@
     return rows[:MAX_READY_STEPS]
 
 
-def _moved_rows(job: _jobs.Job) -> list[list[int]]:
-    """Return how often unfinished tasks were stopped for interference."""
-    if job.outcome is not None:
-        return []
-    rows = [
-        [*task.key[1:], task.harm_stops]
-        for task in job.all_tasks()
-        if task.harm_stops and not task.is_done
-    ]
-    return rows[:MAX_MOVED_TASKS]
-
-
-def _idle_rows(job: _jobs.Job) -> list[list[int]]:
-    """Return how long the present runs have shown no progress."""
-    if job.outcome is not None:
-        return []
-    rows = [
-        [*task.key[1:], *task.idleness]
-        for task in job.all_tasks()
-        if task.idleness is not None
-        and not task.is_done
-        and task.run in (0, task.idleness.run)
-    ]
-    return rows[:MAX_IDLE_TASKS]
-
-
 def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
     """Return a row for each task with crashes or a watched run."""
     if job.outcome is not None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -105,10 +105,13 @@
         overdue_steps = _overdue.overdue_filling_steps(
             self._cell, now_ms, wall_ms
         )
-        self._keep_idle(overdue_steps, now_ms, former_runs)
+        for overdue in overdue_steps:
+            for task in overdue.tasks:
+                task.is_overdue = True
         self._fit_budget.begin_round(len(self._cell.workers))
         self._start_ready(overdue_steps, now_ms, wall_ms, former_runs)
         self._fit_budget.end_round()
+        self._keep_idle(overdue_steps, now_ms, former_runs)
 
     def _start_probations(
         self, now_ms: int, former_runs: _takeover.FormerRuns
@@ -185,10 +188,13 @@
         """Keep idle processors for the oldest overdue filling tasks."""
         for overdue in overdue_steps:
             for task in overdue.tasks:
-                task.is_overdue = True
-                job = self._cell.jobs[task.key.job]
+                if not self._idle_reservations.has_attempts:
+                    return
+                if task.key not in self._cell.ready:
+                    continue
                 if task.spec.is_gang or task.key in self._idle_reservations:
                     continue
+                job = self._cell.jobs[task.key.job]
                 if former_runs.may_include(job, task, self._cell.workers):
                     continue
                 if _probations.is_needed(job, task):
@@ -385,20 +391,23 @@
         Its filling tasks may differ in what they need, see ``_class_of``.
         """
         started = 0
-        examined: set[_StepClass] = set()
+        groups: dict[tuple[bool, int], Hashable] = {}
+        held: set[tuple[bool, int]] = set()
+        amounts = _unplaceable.amounts_of(tasks[0].spec)
         for task in tasks:
             if started >= max_starts:
                 break
-            step_class = _class_of(task)
-            if step_class in self._held_steps:
+            needs = (task.is_overdue, task.harm_stops)
+            if needs in held:
                 continue
-            group = _unplaceable.group_of(task, route.pool)
-            amounts = _unplaceable.amounts_of(task.spec)
-            if step_class not in examined:
-                examined.add(step_class)
+            group = groups.get(needs)
+            if group is None:
+                group = _unplaceable.group_of(task, route.pool)
+                groups[needs] = group
                 hold = self._hold_before(task, group, amounts, unplaceable)
                 if hold is not None:
-                    self._held_steps[step_class] = hold
+                    self._held_steps[_class_of(task)] = hold
+                    held.add(needs)
                     continue
             if task.key not in self._cell.ready:
                 continue
@@ -410,7 +419,8 @@
                 newly_started = self._start_task(job, task, route, now_ms)
             started += newly_started
             if not newly_started:
-                self._held_steps[step_class] = self._reason_of(job, task)
+                held.add(needs)
+                self._held_steps[_class_of(task)] = self._reason_of(job, task)
                 unplaceable.add(group, amounts)
                 if task.spec.is_filling:
                     self._fit_budget.on_failed((group, amounts))
