Test the turns of overdue filling tasks

Guards against plain tasks that leave nothing idle, against room that is kept for tasks that can never start, and against a wait of a later step that begins anew with each owner.

--- /dev/null
+++ b/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
@@ -0,0 +1,148 @@
+"""Test which tasks an overdue filling task goes before."""
+
+import pytest
+
+from oriolestand_policy import scheduling
+
+POLL_MS = 100
+RUN_MS = 1_000
+MIN_WAITING = 6
+MAX_WAIT_MS = 10_000 + 2 * RUN_MS
+"""The bound of a filling task and the time in which a worker becomes idle."""
+
+
+ROUTES = (
+    scheduling.RoutePolicy(name='r', pool='p', priority=1, max_attempts=2),
+    scheduling.RoutePolicy(name='urgent', pool='p', max_attempts=2),
+)
+
+
+class BusyCell:
+    """A harness whose workers are kept busy by a stream of tasks."""
+
+    def __init__(self, make, **step):
+        self.make = make
+        self.harness = make.Harness(2)
+        self.step_fields = step
+        self.harness.scheduler.set_routes(ROUTES)
+        self.ends_ms = {}
+        self.sequence = 0
+        self.added = 0
+        self.run(RUN_MS)
+
+    def add(self, job, route='r', **step):
+        """Add a job of one step."""
+        fields = {'count': 1, 'estimate_ms': RUN_MS} | step
+        self.harness.scheduler.add_job(
+            scheduling.JobSpec(
+                id=job,
+                route=route,
+                payload='',
+                steps=(scheduling.StepSpec(**fields),),
+                accepted_ms=self.harness.now,
+            ),
+            self.harness.now,
+        )
+
+    def run(self, milliseconds, until=''):
+        """Run rounds until a job has started; return when, or None."""
+        end_ms = self.harness.now + milliseconds
+        while self.harness.now < end_ms:
+            self.harness.now += POLL_MS
+            while self._waiting() < MIN_WAITING:
+                self.added += 1
+                name = f'young{self.added:04}'
+                self.add(name, 'urgent', **self.step_fields)
+            for worker in self.harness.infos:
+                self._poll(worker)
+            starts, _ = self.harness.decide(wall=self.harness.now)
+            for start in starts:
+                self.harness.answer(start)
+                self.ends_ms[start] = self.harness.now + RUN_MS
+            if any(start.key.job == until for start in starts):
+                return self.harness.now
+        return None
+
+    def _waiting(self):
+        """Return the number of younger tasks that wait."""
+        return sum(
+            name.startswith('young') and not job.is_start_decided
+            for name, job in self.harness.scheduler.jobs.items()
+        )
+
+    def _poll(self, worker):
+        """Report the runs of a worker and their ends."""
+        here = [s for s in self.ends_ms if s.worker == worker]
+        over = [s for s in here if self.ends_ms[s] <= self.harness.now]
+        ends = []
+        for start in over:
+            del self.ends_ms[start]
+            self.sequence += 1
+            ends.append(self.make.end(start, 'done', self.sequence))
+        running = [
+            self.make.report(s, percent=self._percent(s), measured=1_000)
+            for s in here
+            if s not in over
+        ]
+        self.harness.poll(worker, running, ends)
+
+    def _percent(self, start):
+        """Return the progress of a run."""
+        left_ms = self.ends_ms[start] - self.harness.now
+        return 100 - 100 * left_ms // RUN_MS
+
+
+@pytest.mark.parametrize('cpu', [2_000, 9_000])
+def test_filling_task_starts_beside_a_stream_of_plain_tasks(make, cpu):
+    # Guards against plain tasks, which reserve what they use, and so leave
+    # nothing idle for a filling task that is older than they are.
+    cell = BusyCell(make, cpu=5_000)
+    cell.add('old', cpu=cpu, is_filling=True)
+    began_ms = cell.harness.now
+    started_ms = cell.run(30_000, until='old')
+    assert started_ms is not None
+    assert started_ms - began_ms <= MAX_WAIT_MS
+
+
+@pytest.mark.parametrize(
+    'obstacle', [{'label': 'gone'}, {'cpu': 50_000}, {'memory_mb': 50_000}]
+)
+def test_task_that_fits_nowhere_does_not_take_the_turn(make, obstacle):
+    # Guards against room that is kept for older tasks that can never start.
+    cell = BusyCell(make, cpu=2_000, is_filling=True)
+    for number in range(8):
+        fields = {'cpu': 8_000, 'is_filling': True} | obstacle
+        cell.add(f'stuck{number}', **fields)
+    cell.run(RUN_MS)
+    cell.add('old', cpu=8_000, is_filling=True)
+    began_ms = cell.harness.now
+    started_ms = cell.run(30_000, until='old')
+    assert started_ms is not None
+    assert started_ms - began_ms <= MAX_WAIT_MS
+
+
+def test_turn_of_a_later_step_outlasts_its_owner(make):
+    # Guards against a wait that counts from the takeover for a step that
+    # became ready long after its job was accepted.
+    harness = make.Harness(2)
+    first = scheduling.StepSpec(count=1, cpu=1_000)
+    second = scheduling.StepSpec(
+        count=1, cpu=1_000, is_filling=True, after=(0,), label='gone'
+    )
+    harness.add('a', first, second, accepted_ms=1_000)
+    ((start,), _) = harness.decide(wall=5_000)
+    harness.answer(start)
+    harness.poll(start.worker, [], [make.end(start, 'done')])
+    job = harness.scheduler.jobs['a']
+    progress = scheduling.progress_of(job)
+    assert progress['ready'] == [[0, 1, 5_000]]
+    successor = make.Harness(2)
+    successor.scheduler.add_job(
+        job.spec, successor.now, progress=progress, needs_probe=True
+    )
+    successor.decide(wall=14_900)
+    task = successor.scheduler.jobs['a'].tasks[0][1][0]
+    assert not task.is_overdue
+    successor.now += POLL_MS
+    successor.decide(wall=15_000)
+    assert task.is_overdue
