Ignore rows of records that fit no step

Cause: a stored time at which a step became ready was used for steps that the job does not have, so that each write of its record failed, for each owner; a negative count of stops gave a negative shift.

Change: such rows are ignored.

Result: two cases of test_rows_that_fit_no_task_do_not_end_the_owner failed before (IndexError); the others are checks of the new rows.

--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -228,11 +228,12 @@
             task.former_worker = worker
             task.former_run = run
     for number, step, wall_ms in progress.get('ready', ()):
-        job.ready_wall_ms[number, step] = wall_ms
+        if job.find(_jobs.TaskKey(job.spec.id, number, step, 0)) is not None:
+            job.ready_wall_ms[number, step] = wall_ms
     for number, step, index, stops in progress.get('moved', ()):
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
-            task.harm_stops = stops
+            task.harm_stops = max(0, stops)
     for number, step, index, *idleness in progress.get('idle', ()):
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
--- a/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
+++ b/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
@@ -146,3 +146,49 @@
     successor.now += POLL_MS
     successor.decide(wall=15_000)
     assert task.is_overdue
+
+
+@pytest.mark.parametrize(
+    'rows',
+    [
+        {'ready': [[9, 1, 5]]},
+        {'ready': [[0, -3, 5]]},
+        {'moved': [[0, 0, 0, -1], [0, 7, 0, 1]]},
+        {'idle': [[0, 0, 9, 1, 1, 1], [0, 0, 0, 1, 1, -9]]},
+    ],
+)
+def test_rows_that_fit_no_task_do_not_end_the_owner(make, rows):
+    # Guards against an error in each round of each owner, caused by a row of
+    # another version.
+    harness = make.Harness(2)
+    spec = scheduling.JobSpec(
+        id='a',
+        route='r',
+        payload='',
+        steps=(scheduling.StepSpec(count=1, cpu=1_000, is_filling=True),),
+    )
+    harness.scheduler.add_job(spec, harness.now, progress=rows)
+    starts, _ = harness.decide(wall=harness.now)
+    assert len(starts) == 1
+    scheduling.progress_of(harness.scheduler.jobs['a'])
+
+
+def test_stops_for_interference_outlast_their_owner(make):
+    # Guards against a task that is tried at full pace beside one service
+    # after another, as each owner has only seen its first stop.
+    harness = make.Harness(1)
+    spec = scheduling.JobSpec(
+        id='a',
+        route='r',
+        payload='',
+        steps=(
+            scheduling.StepSpec(
+                count=2, cpu=1_000, is_filling=True, image='loud'
+            ),
+        ),
+    )
+    harness.scheduler.add_job(
+        spec, harness.now, progress={'moved': [[0, 0, 1, 2]]}
+    )
+    progress = scheduling.progress_of(harness.scheduler.jobs['a'])
+    assert progress['moved'] == [[0, 0, 1, 2]]
