Merge the cost of reservations for filling tasks; pass unused turns on

A turn of an overdue filling task that neither starts nor gets a worker goes to the next task at once, so that tasks that fit nowhere do not use up turns; they have another after 2 s.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -46,6 +46,9 @@
 FILLING_TURN_MS = 1_000
 """Time between turns of overdue filling tasks, each for one task of a pool."""
 
+FILLING_RETRY_MS = 2_000
+"""Time until a task that passed its turn on may have another."""
+
 
 class TaskStarter:
     """Select workers for ready tasks and queue the effects to start them."""
@@ -69,7 +72,8 @@
         self._preemption = _preemption.Preemption(cell)
         self._evacuation = _evacuation.Evacuation(cell, placement)
         self._next_reservations_ms = 0
-        self._next_turn_ms = 0
+        self._next_turn_ms: dict[str, int] = {}
+        self._next_try_ms: dict[_jobs.TaskKey, int] = {}
         self._fit_budget = _fit_budget.FitBudget()
         self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
         self._last_run_offset = 0
@@ -121,12 +125,13 @@
             self._next_reservations_ms = now_ms + RESERVATION_INTERVAL_MS
             self._reserve_for_overdue(now_ms, wall_ms, former_runs)
         overdue_steps = self._turns_of_filling(now_ms, wall_ms)
-        self._keep_idle(overdue_steps, now_ms, former_runs)
         self._fit_budget.begin_round(len(self._cell.workers))
         self._start_ready(
             overdue_steps, now_ms, wall_ms, former_runs, max_starts
         )
         self._fit_budget.end_round()
+        self._keep_idle(overdue_steps, now_ms, former_runs)
+        self._end_turns(overdue_steps, now_ms)
 
     def _start_probations(
         self, now_ms: int, former_runs: _takeover.FormerRuns
@@ -208,28 +213,41 @@
         """Return the overdue filling task of each pool whose turn it is.
 
         Under overload hundreds are overdue, and all jobs would be late if
-        they came first.
+        they came first. A task that neither started nor got a worker in its
+        turn passes it on to the next.
         """
-        if now_ms < self._next_turn_ms:
-            return []
-        self._next_turn_ms = now_ms + FILLING_TURN_MS
         turns: dict[str, _overdue.OverdueStep] = {}
         for overdue in _overdue.overdue_filling_steps(
             self._cell, now_ms, wall_ms
         ):
-            if overdue.pool in turns:
+            pool = overdue.pool
+            if pool in turns or now_ms < self._next_turn_ms.get(pool, 0):
                 continue
             tasks = [
                 task
                 for task in overdue.tasks
                 if task.key not in self._idle_reservations
+                and now_ms >= self._next_try_ms.get(task.key, 0)
             ]
             if tasks:
-                turns[overdue.pool] = dataclasses.replace(
-                    overdue, tasks=tasks[:1]
-                )
+                turns[pool] = dataclasses.replace(overdue, tasks=tasks[:1])
+                tasks[0].is_overdue = True
         return list(turns.values())
 
+    def _end_turns(
+        self, turns: Sequence[_overdue.OverdueStep], now_ms: int
+    ) -> None:
+        """Note which tasks have used their turns."""
+        for key in [k for k in self._next_try_ms if k not in self._cell.ready]:
+            del self._next_try_ms[key]
+        for overdue in turns:
+            (task,) = overdue.tasks
+            is_ready = task.key in self._cell.ready
+            if is_ready and task.key not in self._idle_reservations:
+                self._next_try_ms[task.key] = now_ms + FILLING_RETRY_MS
+            else:
+                self._next_turn_ms[overdue.pool] = now_ms + FILLING_TURN_MS
+
     def _keep_idle(
         self,
         overdue_steps: Sequence[_overdue.OverdueStep],
@@ -239,10 +257,13 @@
         """Keep idle processors for the oldest overdue filling tasks."""
         for overdue in overdue_steps:
             for task in overdue.tasks:
-                task.is_overdue = True
-                job = self._cell.jobs[task.key.job]
+                if not self._idle_reservations.has_attempts:
+                    return
+                if task.key not in self._cell.ready:
+                    continue
                 if task.spec.is_gang or task.key in self._idle_reservations:
                     continue
+                job = self._cell.jobs[task.key.job]
                 if former_runs.may_include(job, task, self._cell.workers):
                     continue
                 if _probations.is_needed(job, task):
@@ -442,20 +463,23 @@
         Its filling tasks may differ in what they need, see ``_class_of``.
         """
         started = 0
-        examined: set[_StepClass] = set()
+        groups: dict[tuple[bool, int], Hashable] = {}
+        held: set[tuple[bool, int]] = set()
+        amounts = _unplaceable.amounts_of(tasks[0].spec)
         for task in tasks:
             if started >= max_starts:
                 break
-            step_class = _class_of(task)
-            if step_class in self._held_steps:
+            needs = (task.is_overdue, task.harm_stops)
+            if needs in held:
                 continue
-            group = _unplaceable.group_of(task, route.pool)
-            amounts = _unplaceable.amounts_of(task.spec)
-            if step_class not in examined:
-                examined.add(step_class)
+            group = groups.get(needs)
+            if group is None:
+                group = _unplaceable.group_of(task, route.pool)
+                groups[needs] = group
                 hold = self._hold_before(task, group, amounts, unplaceable)
                 if hold is not None:
-                    self._held_steps[step_class] = hold
+                    self._held_steps.setdefault(_class_of(task), hold)
+                    held.add(needs)
                     continue
             if task.key not in self._cell.ready:
                 continue
@@ -467,7 +491,8 @@
                 newly_started = self._start_task(job, task, route, now_ms)
             started += newly_started
             if not newly_started:
-                self._held_steps[step_class] = self._reason_of(job, task)
+                held.add(needs)
+                self._held_steps[_class_of(task)] = self._reason_of(job, task)
                 unplaceable.add(group, amounts)
                 if task.spec.is_filling:
                     self._fit_budget.on_failed((group, amounts))
@@ -516,9 +541,14 @@
         self, overdue_steps: Sequence[_overdue.OverdueStep], wall_ms: int
     ) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, overdue filling tasks first."""
+        turns = set()
         for overdue in overdue_steps:
+            turns.update(task.key for task in overdue.tasks)
             yield overdue.occurrence, overdue.step, overdue.tasks
-        yield from self._by_urgency(wall_ms)
+        for key, step, tasks in self._by_urgency(wall_ms):
+            others = [task for task in tasks if task.key not in turns]
+            if others:
+                yield key, step, others
 
     def _by_urgency(self, wall_ms: int) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, the most urgent first."""
