Test evacuations with slow stores and late responses

Cause: no test had a store that answers slowly, or a response that arrives long after its state was read.

Measured: pytest packages/fleet/tests/test_evacuations.py passes. With the state counted from the arrival of the response test_slow_response_counts_from_its_request fails.

--- a/packages/fleet/tests/test_evacuations.py
+++ b/packages/fleet/tests/test_evacuations.py
@@ -182,6 +182,55 @@
     assert 0 < last_ms <= acknowledged_ms + EVACUATE_MS
 
 
+def test_slow_response_counts_from_its_request(zones, owner):
+    # A response that arrives late does not include later requests. Counted
+    # from its arrival, the state would hold for too long.
+    store = owner.kernel.find('store')
+    follow = store._follow_config
+
+    async def follow_late(msg):
+        page = await follow(msg)
+        await owner.kernel.sleep(1_300)
+        return page
+
+    zones.run(1_000)
+    store._follow_config = follow_late
+    acknowledged_ms = 0
+    for number in range(60):
+        step = scheduling.StepSpec(count=6, cpu=500)
+        zones.submit(owner, f'{number:016}', (step,), duration_ms=100)
+        zones.run(100)
+        if number == 7:
+            # The state of the response under way was read before.
+            cut_off_configuration(owner)
+            zones.store.evacuate('d2')
+            acknowledged_ms = evacuate(zones)
+    last_ms = max(run.started_ms for run in zones.history)
+    assert 0 < last_ms <= acknowledged_ms + EVACUATE_MS
+
+
+@pytest.mark.parametrize('latency_ms', [100, 400])
+def test_owner_of_a_slow_store_starts_tasks(site, latency_ms):
+    # Guards against a bound that holds back starts although each read takes
+    # a small part of it only.
+    site.evacuate_ms = 2 * EVACUATE_MS
+    site.add_worker('x0', failure_domain='d2')
+    owner = site.add_daemon('slow')
+    store = owner.kernel.find('store')
+
+    async def be_slow():
+        await owner.kernel.sleep(latency_ms)
+
+    store._simulate_network = be_slow
+    site.run_until(lambda: owner.is_owner, 20_000)
+    site.submit(owner, 'a' * 16, BATCH, duration_ms=500)
+    site.run(2_000)
+    acknowledged_ms = evacuate(site)
+    site.run(20_000)
+    assert len(site.history) == 30
+    assert late_starts(site, acknowledged_ms, 2 * EVACUATE_MS) == []
+
+
 def test_starts_go_on_when_the_store_is_back(zones, owner, capsys):
     # Guards against an owner that stops to start tasks for good.
     zones.submit(owner, 'a' * 16, BATCH, duration_ms=1_000)
