Shorten the wait for evacuations by what reads take

Cause: the known evacuations become as old as two reads take. An owner whose passes of the reactor take 500 ms never knew them for long enough under a bound of 2 s, and started no task at all. Change: the owner waits for changes for an eighth of the bound, less what the last read took beside its wait.

--- a/packages/fleet/src/oriolestand_fleet/services/config/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/config/_task.py
@@ -27,8 +27,9 @@
         super().__init__(kernel, const.DOMAIN)
         self._log = core.get_logger(const.DOMAIN)
         self._evacuations = _evacuations.Evacuations(self._log)
-        self._owner_wait_ms = _owner_wait_ms(limits.evacuate_ms)
-        self._follow_wait_ms = const.FOLLOW_WAIT_MS
+        self._evacuate_ms = limits.evacuate_ms
+        self._is_owner = False
+        self._read_delay_ms = 0
         self._config: store.FleetConfig | None = None
         self._cursor: int | None = None
         self._is_unreachable = False
@@ -43,9 +44,7 @@
     @core.handles(jobs.OwnershipChanged)
     def _on_ownership(self, msg: jobs.OwnershipChanged) -> None:
         """Read more often while this daemon starts tasks."""
-        self._follow_wait_ms = const.FOLLOW_WAIT_MS
-        if msg.is_owner:
-            self._follow_wait_ms = self._owner_wait_ms
+        self._is_owner = msg.is_owner
 
     def _run_loop(self) -> None:
         """Follow the configuration; start again after an unexpected error."""
@@ -79,11 +78,18 @@
     async def _read_next(self) -> None:
         """Read the configuration or its next change and advance the cursor."""
         message: object = store.ReadConfig()
+        wait_ms = 0
         if self._cursor is not None and not self._is_burst:
-            message = store.FollowConfig(
-                after=self._cursor, wait_ms=self._follow_wait_ms
-            )
+            wait_ms = const.FOLLOW_WAIT_MS
+            if self._is_owner and self._evacuate_ms is not None:
+                wait_ms = _owner_wait_ms(
+                    self._evacuate_ms, self._read_delay_ms
+                )
+            message = store.FollowConfig(after=self._cursor, wait_ms=wait_ms)
+        sent_ms = self.kernel.clock.now()
         page = await self._read(message)
+        elapsed_ms = self.kernel.clock.now() - sent_ms
+        self._read_delay_ms = max(0, elapsed_ms - wait_ms)
         if self._is_unreachable:
             self._is_unreachable = False
             self._log.info('Configuration can be read again')
@@ -175,16 +181,18 @@
     )
 
 
-def _owner_wait_ms(evacuate_ms: int | None) -> int:
+def _owner_wait_ms(evacuate_ms: int, read_delay_ms: int) -> int:
     """Return how long the owner of the cell waits for a change.
 
     A response tells that there was no evacuation when its request was sent.
-    Until the next response the state becomes up to two waits old, of which
-    the time in which an evacuation must take effect has to leave most.
-
-    >>> _owner_wait_ms(None), _owner_wait_ms(4_000), _owner_wait_ms(2_000)
-    (1000, 500, 250)
+    Until the next response the state becomes as old as two reads take, of
+    which the time in which an evacuation must take effect has to leave most.
+    So the wait is shorter by what the last read took beside its wait.
+
+    >>> _owner_wait_ms(4_000, 10), _owner_wait_ms(2_000, 10)
+    (490, 240)
+    >>> _owner_wait_ms(2_000, 1_000)
+    0
     """
-    if evacuate_ms is None:
-        return const.FOLLOW_WAIT_MS
-    return min(const.FOLLOW_WAIT_MS, evacuate_ms // 8)
+    wait_ms = min(const.FOLLOW_WAIT_MS, evacuate_ms // 8)
+    return max(0, wait_ms - read_delay_ms)
--- a/packages/fleet/tests/test_evacuations.py
+++ b/packages/fleet/tests/test_evacuations.py
@@ -17,6 +17,8 @@
 BATCH = (scheduling.StepSpec(count=30, cpu=4_000),)
 """More tasks than workers have room for, so that starts go on for seconds."""
 
+BATCH_OF_ONE = (scheduling.StepSpec(count=1, cpu=500),)
+
 
 @pytest.fixture
 def zones(site):
@@ -344,3 +346,18 @@
     zones.run(5_000)
     # Each of the workers has room for 16 tasks.
     assert len([r for r in zones.history if r.worker == 'w0']) == 16
+
+
+@pytest.mark.parametrize('pass_ms', [100, 300, 500])
+def test_owner_with_little_processor_time_starts_tasks(site, pass_ms):
+    # A daemon whose passes take 500 ms never knew the state for long enough,
+    # and started nothing at all.
+    site.evacuate_ms = EVACUATE_MS
+    owner = site.add_daemon('slow', pass_ms=pass_ms)
+    site.run_until(lambda: owner.is_owner, 20_000)
+    site.run(3_000)
+    for number in range(20):
+        site.submit(owner, f'{number:016}', BATCH_OF_ONE, duration_ms=200)
+        site.run(250)
+    site.run(5_000)
+    assert len(site.history) == 20
