Change only the outdated entries of a kept heap of workers

Cause: when the bound of one worker changed, the heap of all bounds for a demand was made again.

Change: the heap stays, with the new bound beside the outdated one, whose version is lower, as in the queue of a round. It is cleared of outdated entries when these are half of it.

--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -133,9 +133,9 @@
 
     def __init__(self, workers: Sequence[_fleet.Worker]) -> None:
         self.workers = workers
-        self._bounds: list[Rank | None] = [None] * len(workers)
         self._seen: list[WorkerView | None] = [None] * len(workers)
         self._seen_tails: list[bool] = [False] * len(workers)
+        self._versions = [0] * len(workers)
         self._heap: list[Entry] = []
 
     def heap(
@@ -143,8 +143,11 @@
         views: Sequence[WorkerView],
         high_tails: Sequence[bool],
         bound_of: Callable[[int], Rank | None],
-    ) -> list[Entry]:
-        """Return a heap of the present bounds.
+    ) -> tuple[list[Entry], list[int]]:
+        """Return a heap of the bounds, and their present versions by index.
+
+        Entries with another version are outdated; the heap has at most as many
+        of them as there are workers.
 
         :param high_tails: whether a tail latency is high, by index; empty if
             the bounds do not depend on it.
@@ -165,17 +168,21 @@
                 if tail != seen
             ]
             self._seen_tails = list(high_tails)
-        if changed:
-            for index in changed:
-                self._seen[index] = views[index]
-                self._bounds[index] = bound_of(index)
+        for index in changed:
+            self._seen[index] = views[index]
+            self._versions[index] += 1
+            bound = bound_of(index)
+            if bound is not None:
+                entry = (bound, index, self._versions[index], False)
+                heapq.heappush(self._heap, entry)
+        if len(self._heap) > 2 * len(self.workers):
             self._heap = [
-                (bound, index, 0, False)
-                for index, bound in enumerate(self._bounds)
-                if bound is not None
+                entry
+                for entry in self._heap
+                if entry[2] == self._versions[entry[1]]
             ]
             heapq.heapify(self._heap)
-        return list(self._heap)
+        return list(self._heap), list(self._versions)
 
 
 class CandidateQueue:
@@ -187,6 +194,8 @@
 
     :param heap: a heap of the lower bounds of all workers that can run the
         tasks, which the queue changes.
+    :param versions: the present version of each worker's bound, which the
+        queue changes.
     :param bound_of: returns a lower bound of the rank of the worker at an
         index, or None if it cannot run the tasks.
     :param rank_of: returns the rank, or None if it cannot run them.
@@ -195,8 +204,8 @@
 
     def __init__(
         self,
-        size: int,
         heap: list[Entry],
+        versions: list[int],
         bound_of: Callable[[int], Rank | None],
         rank_of: Callable[[int], Rank | None],
         changed: Sequence[int],
@@ -205,7 +214,7 @@
         self._rank_of = rank_of
         self._changed = changed
         self._seen_changes = len(changed)
-        self._versions = [0] * size
+        self._versions = versions
         self._queue = heap
 
     def find_best(self, is_avoided: Callable[[int], bool]) -> int | None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -373,13 +373,14 @@
             bound_of = self._rank
             if task.spec.is_filling:
                 bound_of = self._bound_filling
+            heap, versions = self._bounds_of((pool, demands), pool_round).heap(
+                pool_round.views,
+                pool_round.high_tails,
+                lambda index: bound_of(workers[index], task),
+            )
             queue = _candidates.CandidateQueue(
-                len(workers),
-                self._bounds_of((pool, demands), pool_round).heap(
-                    pool_round.views,
-                    pool_round.high_tails,
-                    lambda index: bound_of(workers[index], task),
-                ),
+                heap,
+                versions,
                 lambda index: bound_of(workers[index], task),
                 lambda index: self._rank(workers[index], task),
                 pool_round.changed,
