Make the view of a worker in one pass over its runs

Cause: placement makes a new view of each worker whose runs have changed, with several passes, generators and a Counter, which is slow to create.

Tests: test_equivalence, test_placement and test_kept_bounds pass unchanged.

--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -16,6 +16,8 @@
 """Share of its target that the tail latency of a service task may reach before
 its worker gets no more filling tasks."""
 
+NO_PAIRS: frozenset[tuple[str, str]] = frozenset()
+
 Rank = tuple[float, ...]
 StepKey = tuple[str, int, int]
 Entry = tuple[Rank, int, int, bool]
@@ -38,7 +40,7 @@
     version: int
     free_cpu: float
     service_count: int
-    service_images: collections.Counter[str]
+    service_images: dict[str, int]
     services: tuple[_fleet.Run, ...]
     filling: tuple[tuple[str, float], ...]
     image_pairs: frozenset[tuple[str, str]]
@@ -78,18 +80,27 @@
 
 def view_of(worker: _fleet.Worker) -> WorkerView:
     """Return the view of a worker's present state."""
-    services = [run for run in worker.runs.values() if run.spec.is_service]
-    filling = [run for run in worker.runs.values() if run.spec.is_filling]
-    service_images = collections.Counter(run.spec.image for run in services)
-    image_pairs: frozenset[tuple[str, str]] = frozenset()
-    if worker.filling_cpu:
-        filling_images = {run.spec.image for run in filling}
+    services: list[_fleet.Run] = []
+    filling: list[tuple[str, float]] = []
+    service_images: dict[str, int] = {}
+    for run in worker.runs.values():
+        spec = run.spec
+        if spec.is_service:
+            services.append(run)
+            image = spec.image
+            service_images[image] = service_images.get(image, 0) + 1
+        if spec.is_filling:
+            share = _pressure.planned_share(run, worker)
+            filling.append((spec.image, share))
+    image_pairs = NO_PAIRS
+    if worker.filling_cpu and service_images:
+        filling_images = {image for image, _ in filling}
         image_pairs = frozenset(
             (image, other)
             for image in service_images
             for other in filling_images
         )
-    with_target = tuple(run for run in services if run.spec.target_ms)
+    with_target = [run for run in services if run.spec.target_ms]
     return WorkerView(
         worker=worker,
         info=worker.info,
@@ -97,16 +108,16 @@
         free_cpu=worker.info.cpu - busy_cpu(worker),
         service_count=len(services),
         service_images=service_images,
-        services=with_target,
-        filling=tuple(
-            (run.spec.image, _pressure.planned_share(run, worker))
-            for run in filling
-        ),
+        services=tuple(with_target),
+        filling=tuple(filling),
         image_pairs=image_pairs,
         is_readmitted=worker.is_readmitted,
         recent_failures=worker.recent_failures,
         tail_limits=tuple(
-            (run, run.spec.target_ms * HIGH_TAIL_SHARE) for run in with_target
+            [
+                (run, run.spec.target_ms * HIGH_TAIL_SHARE)
+                for run in with_target
+            ]
         ),
     )
 
@@ -115,9 +126,11 @@
     """Return the thousandths of cores in use when service tasks are busy."""
     idle = worker.service_cpu * (1.0 - SERVICE_CPU_UTILIZATION)
     slowed = sum(
-        run.spec.cpu * (100 - run.pace) / 100
-        for run in worker.runs.values()
-        if run.pace < 100
+        [
+            run.spec.cpu * (100 - run.pace) / 100
+            for run in worker.runs.values()
+            if run.pace < 100
+        ]
     )
     return worker.used_cpu + worker.filling_cpu - idle - slowed
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -555,7 +555,7 @@
         return (
             *_common_rank(worker, spec),
             worker.filling_cpu > 0 and not worker.service_cpu,
-            view.service_count - view.service_images[spec.image],
+            view.service_count - view.service_images.get(spec.image, 0),
             worker.info.cpu - worker.used_cpu,
         )
 
