Encode jobs without a general deep copy

Cause: dataclasses.asdict copies each value of a job and its steps recursively; then the fields of each step were compared with its default values.

Change: the fields are read by name, and only those that differ from their default are taken.

--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -185,19 +185,25 @@
     return found
 
 
+_JOB_FIELDS = tuple(f.name for f in dataclasses.fields(_specs.JobSpec))
+_STEP_DEFAULTS = tuple(
+    (f.name, f.default) for f in dataclasses.fields(_specs.StepSpec)
+)
+
+
 def job_to_dict(spec: _specs.JobSpec) -> dict[str, Any]:
     """Return a job as a JSON-compatible mapping.
 
     Fields of steps that have their default value are left out.
     """
-    mapping = dataclasses.asdict(spec)
-    defaults = {
-        field.name: field.default
-        for field in dataclasses.fields(_specs.StepSpec)
-    }
+    mapping = {name: getattr(spec, name) for name in _JOB_FIELDS}
     mapping['steps'] = [
-        {k: v for k, v in step.items() if v != defaults[k]}
-        for step in mapping['steps']
+        {
+            name: value
+            for name, default in _STEP_DEFAULTS
+            if (value := getattr(step, name)) != default
+        }
+        for step in spec.steps
     ]
     return mapping
 
