--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -16,6 +16,8 @@
 """Share of its target that the tail latency of a service task may reach before
 its worker gets no more filling tasks."""
 
+NO_PAIRS: frozenset[tuple[str, str]] = frozenset()
+
 Rank = tuple[float, ...]
 StepKey = tuple[str, int, int]
 Entry = tuple[Rank, int, int, bool]
@@ -38,7 +40,7 @@
     version: int
     free_cpu: float
     service_count: int
-    service_images: collections.Counter[str]
+    service_images: dict[str, int]
     services: tuple[_fleet.Run, ...]
     filling: tuple[tuple[str, float], ...]
     image_pairs: frozenset[tuple[str, str]]
@@ -82,18 +84,27 @@
 
 def view_of(worker: _fleet.Worker) -> WorkerView:
     """Return the view of a worker's present state."""
-    services = [run for run in worker.runs.values() if run.spec.is_service]
-    filling = [run for run in worker.runs.values() if run.spec.is_filling]
-    service_images = collections.Counter(run.spec.image for run in services)
-    image_pairs: frozenset[tuple[str, str]] = frozenset()
-    if worker.filling_cpu:
-        filling_images = {run.spec.image for run in filling}
+    services: list[_fleet.Run] = []
+    filling: list[tuple[str, float]] = []
+    service_images: dict[str, int] = {}
+    for run in worker.runs.values():
+        spec = run.spec
+        if spec.is_service:
+            services.append(run)
+            image = spec.image
+            service_images[image] = service_images.get(image, 0) + 1
+        if spec.is_filling:
+            share = _pressure.planned_share(run, worker)
+            filling.append((spec.image, share))
+    image_pairs = NO_PAIRS
+    if worker.filling_cpu and service_images:
+        filling_images = {image for image, _ in filling}
         image_pairs = frozenset(
             (image, other)
             for image in service_images
             for other in filling_images
         )
-    with_target = tuple(run for run in services if run.spec.target_ms)
+    with_target = [run for run in services if run.spec.target_ms]
     return WorkerView(
         worker=worker,
         info=worker.info,
@@ -101,16 +112,16 @@
         free_cpu=worker.info.cpu - busy_cpu(worker),
         service_count=len(services),
         service_images=service_images,
-        services=with_target,
-        filling=tuple(
-            (run.spec.image, _pressure.planned_share(run, worker))
-            for run in filling
-        ),
+        services=tuple(with_target),
+        filling=tuple(filling),
         image_pairs=image_pairs,
         is_readmitted=worker.is_readmitted,
         recent_failures=worker.recent_failures,
         tail_limits=tuple(
-            (run, run.spec.target_ms * HIGH_TAIL_SHARE) for run in with_target
+            [
+                (run, run.spec.target_ms * HIGH_TAIL_SHARE)
+                for run in with_target
+            ]
         ),
     )
 
@@ -119,9 +130,11 @@
     """Return the thousandths of cores in use when service tasks are busy."""
     idle = worker.service_cpu * (1.0 - SERVICE_CPU_UTILIZATION)
     slowed = sum(
-        run.spec.cpu * (100 - run.pace) / 100
-        for run in worker.runs.values()
-        if run.pace < 100
+        [
+            run.spec.cpu * (100 - run.pace) / 100
+            for run in worker.runs.values()
+            if run.pace < 100
+        ]
     )
     return worker.used_cpu + worker.filling_cpu - idle - slowed
 
@@ -137,9 +150,9 @@
 
     def __init__(self, workers: Sequence[_fleet.Worker]) -> None:
         self.workers = workers
-        self._bounds: list[Rank | None] = [None] * len(workers)
         self._seen: list[WorkerView | None] = [None] * len(workers)
         self._seen_tails: list[bool] = [False] * len(workers)
+        self._versions = [0] * len(workers)
         self._heap: list[Entry] = []
 
     def heap(
@@ -147,8 +160,11 @@
         views: Sequence[WorkerView],
         high_tails: Sequence[bool],
         bound_of: Callable[[int], Rank | None],
-    ) -> list[Entry]:
-        """Return a heap of the present bounds.
+    ) -> tuple[list[Entry], list[int]]:
+        """Return a heap of the bounds, and their present versions by index.
+
+        Entries with another version are outdated; the heap has at most as many
+        of them as there are workers.
 
         :param high_tails: whether a tail latency is high, by index; empty if
             the bounds do not depend on it.
@@ -169,17 +185,21 @@
                 if tail != seen
             ]
             self._seen_tails = list(high_tails)
-        if changed:
-            for index in changed:
-                self._seen[index] = views[index]
-                self._bounds[index] = bound_of(index)
+        for index in changed:
+            self._seen[index] = views[index]
+            self._versions[index] += 1
+            bound = bound_of(index)
+            if bound is not None:
+                entry = (bound, index, self._versions[index], False)
+                heapq.heappush(self._heap, entry)
+        if len(self._heap) > 2 * len(self.workers):
             self._heap = [
-                (bound, index, 0, False)
-                for index, bound in enumerate(self._bounds)
-                if bound is not None
+                entry
+                for entry in self._heap
+                if entry[2] == self._versions[entry[1]]
             ]
             heapq.heapify(self._heap)
-        return list(self._heap)
+        return list(self._heap), list(self._versions)
 
 
 class CandidateQueue:
@@ -191,6 +211,8 @@
 
     :param heap: a heap of the lower bounds of all workers that can run the
         tasks, which the queue changes.
+    :param versions: the present version of each worker's bound, which the
+        queue changes.
     :param bound_of: returns a lower bound of the rank of the worker at an
         index, or None if it cannot run the tasks.
     :param rank_of: returns the rank, or None if it cannot run them.
@@ -199,8 +221,8 @@
 
     def __init__(
         self,
-        size: int,
         heap: list[Entry],
+        versions: list[int],
         bound_of: Callable[[int], Rank | None],
         rank_of: Callable[[int], Rank | None],
         changed: Sequence[int],
@@ -209,7 +231,7 @@
         self._rank_of = rank_of
         self._changed = changed
         self._seen_changes = len(changed)
-        self._versions = [0] * size
+        self._versions = versions
         self._queue = heap
 
     def find_best(self, is_avoided: Callable[[int], bool]) -> int | None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -442,13 +442,14 @@
             bound_of = self._rank
             if task.spec.is_filling:
                 bound_of = self._bound_filling
+            heap, versions = self._bounds_of((pool, demands), pool_round).heap(
+                pool_round.views,
+                pool_round.high_tails,
+                lambda index: bound_of(workers[index], task),
+            )
             queue = _candidates.CandidateQueue(
-                len(workers),
-                self._bounds_of((pool, demands), pool_round).heap(
-                    pool_round.views,
-                    pool_round.high_tails,
-                    lambda index: bound_of(workers[index], task),
-                ),
+                heap,
+                versions,
                 lambda index: bound_of(workers[index], task),
                 lambda index: self._rank(workers[index], task),
                 pool_round.changed,
@@ -681,7 +682,7 @@
         return (
             *_common_rank(worker, spec),
             worker.filling_cpu > 0 and not worker.service_cpu,
-            view.service_count - view.service_images[spec.image],
+            view.service_count - view.service_images.get(spec.image, 0),
             worker.info.cpu - worker.used_cpu,
         )
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -541,7 +541,7 @@
         self, overdue_steps: Sequence[_overdue.OverdueStep], wall_ms: int
     ) -> Iterator[_StepTasks]:
         """Yield ready tasks by step, overdue filling tasks first."""
-        turns = set()
+        turns: set[_jobs.TaskKey] = set()
         for overdue in overdue_steps:
             turns.update(task.key for task in overdue.tasks)
             yield overdue.occurrence, overdue.step, overdue.tasks
