Test what an owner does less of while it is busy

Parts of the work on busy owners could be removed without a failing test: the rest of a burst of orders, the age of a start that was withdrawn, the limits of polls, reports, rounds and starts, and the Retry-After of a refused job.

No code is changed.

--- a/packages/fleet/tests/services/cell/test_refused_records.py
+++ b/packages/fleet/tests/services/cell/test_refused_records.py
@@ -61,3 +61,12 @@
     site.submit(owner, BATCH, ONE_TASK, duration_ms=500)
     site.run(4_000)
     assert [run.key.job for run in site.history] == [BATCH]
+
+
+def test_withdrawn_start_does_not_close_the_admission(site, owner):
+    # A start that is not sent any more must not count as one that waits.
+    site.cancel(owner, REFUSED)
+    site.run(4_000)
+    submitted = site.submit(owner, BATCH, ONE_TASK, duration_ms=500)
+    site.run(1_000)
+    assert submitted.result is True
--- a/packages/fleet/tests/services/frontend/test_requests.py
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -208,6 +208,17 @@
     assert has_hint == (status == 503)
 
 
+def test_refused_caller_is_told_when_the_owner_may_have_caught_up(front):
+    # A caller that returns earlier adds to the work of the daemons.
+    front.jobs.answer = defer.fail(
+        jobs.OwnerOverloadedError('?', retry_after_s=4, job=JOB)
+    )
+    _, transport = front.send(f'POST /j/{JOB}', b'{}')
+    assert int(transport.value().split(b' ')[1]) == 503
+    assert b'retry-after: 4\r\n' in transport.value().lower()
+    assert b'"verdict": "did_not_run"' in transport.value()
+
+
 def test_state_and_count_are_returned(front):
     # The answers must be in the format that callers expect.
     front.jobs.answer = defer.succeed(jobs.JobState.RUNNING)
