Show that a job runs whose submission was refused as overloaded

The store is read before a job is refused, but the write of an earlier request for the same job may not be applied yet, for example one that a caller gave up at another daemon. The job then runs after a 503 with did_not_run. Without the admission, the second request would have written the same row.

A fix needs a decision: a refusal that binds the store costs a write for each refused job, and an answer in doubt tells callers less.

--- a/packages/fleet/tests/test_overloaded_owner.py
+++ b/packages/fleet/tests/test_overloaded_owner.py
@@ -89,6 +89,27 @@
     assert reason.value.verdict is core.Verdict.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize('effect_delay_ms', [300, 900, 3_000])
+def test_refused_job_of_an_unfinished_submission_does_not_run(
+    site, effect_delay_ms
+):
+    # Callers take a 503 for a job that never runs, but the write of an earlier
+    # request may be applied after the store was read for the refusal.
+    daemons = [site.add_daemon(f'front-{n}') for n in range(2)]
+    site.run(6_000)
+    daemons[0].store.faults.unanswered_commits = 2
+    daemons[0].store.faults.effect_delay_ms = effect_delay_ms
+    site.submit(daemons[0], job_id(1), ONE_TASK).addErrback(lambda _: None)
+    site.run(200)
+    daemons[1].kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    answer = result_of(site, site.submit(daemons[1], job_id(1), ONE_TASK))
+    site.run(8_000)
+    is_refused = answer is not True and (
+        answer.value.verdict is core.Verdict.DID_NOT_RUN
+    )
+    assert not (is_refused and site.history)
+
+
 def test_requests_for_jobs_are_served_while_jobs_are_refused(site):
     owner, other = add_overloaded_owner(site)
     owner.kernel.clock.set_pass_ms(50)
