Judge progress by the clock of the worker as well

Callers could see healthy tasks stopped and started again, on an owner that is short of processor time. Cause: an owner took its own delay for the silence of others. A run counts as stalled if 1.5 s pass between the reads of two reports with the same progress. A worker answers a poll at once while it lists ends; if the owner reads that answer one long pass later, both reports were made at nearly the same time. Its worker was then avoided as well. Found by reading.

Change: a run is stalled only if the clocks in the reports show the same time without progress.

Measured: test_report_that_is_read_late_does_not_stop_a_run (2 cases, new) fails before and passes after; test_run_without_progress_on_its_worker_is_stopped (new) passes before and after; the tests of packages/policy/tests/scheduling pass, with the expected failures as before.

--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -39,7 +39,9 @@
     whether the worker answered a stop order, and ``stop_sent_ms`` is when one
     was last sent, -1 if never. ``percent`` (the progress) and ``measured``
     are the last values of ``RunReport``. ``progress_changed_ms`` and
-    ``paced_ms`` are when the progress and the pace last changed.
+    ``paced_ms`` are when the progress and the pace last changed, and
+    ``progress_clock_ms`` is the worker's clock in the first report with the
+    present progress.
     ``over_since_ms`` is since when the tail latency has exceeded its target,
     -1 if it does not. ``is_pace_in_doubt`` is whether the worker may not have
     received the last pace, or may apply an earlier one after it.
@@ -63,6 +65,7 @@
     stop_sent_ms: int = -1
     percent: int = 0
     progress_changed_ms: int = 0
+    progress_clock_ms: int = 0
     measured: int = 0
     pace: int = 100
     paced_ms: int = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -355,6 +355,8 @@
             run.since_ms = now_ms
         run.missed_polls = 0
         run.is_sent = True
+        if not run.is_reported or report.percent != run.percent:
+            run.progress_clock_ms = worker.clock_ms
         run.is_reported = True
         run.pending_crash = None
         _crashes.mark_proven(run, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_stalls.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_stalls.py
@@ -4,7 +4,8 @@
 
 STALL_MS = 1_500
 """Time without progress after which a run counts as stalled. A restart from a
-checkpoint takes up to 0.6 s, and polls are at most a second apart."""
+checkpoint takes up to 0.6 s, and polls are a second apart unless the owner is
+busy."""
 
 STALL_SHARE = 0.1
 """Share of its estimated time for which a run may show no progress. Progress
@@ -31,7 +32,9 @@
         and run.pace == 100
     ]
     eligible = [run for run in candidates if _age_ms(run, now_ms) >= STALL_MS]
-    stalled = [run for run in eligible if _is_stalled(run, now_ms)]
+    stalled = [
+        run for run in eligible if _is_stalled(run, worker.clock_ms, now_ms)
+    ]
     if not stalled or any(_has_progressed(run, now_ms) for run in candidates):
         return []
     is_filling_only = all(run.spec.is_filling for run in stalled)
@@ -45,9 +48,15 @@
     return now_ms - max(run.since_ms, run.paced_ms)
 
 
-def _is_stalled(run: _fleet.Run, now_ms: int) -> bool:
-    """Return whether a run has shown no progress for too long."""
+def _is_stalled(run: _fleet.Run, clock_ms: int, now_ms: int) -> bool:
+    """Return whether a run has shown no progress for too long.
+
+    The clock of the worker has to show it as well: a busy owner may read the
+    reports later than they were made, by more than the limit.
+    """
     limit = max(STALL_MS, int(STALL_SHARE * run.spec.estimate_ms))
+    if clock_ms - run.progress_clock_ms < limit:
+        return False
     return (
         now_ms - max(run.progress_changed_ms, run.since_ms, run.paced_ms)
         >= limit
