--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -446,7 +446,12 @@
             )
             return run
         task.assign(worker.info.id, report.number, now_ms)
-        _stalls.resume(run, task.idleness, report.percent, now_ms)
+        # Adopted runs are listed, so that the clock of progress is kept.
+        run.is_reported = True
+        run.progress_clock_ms = worker.clock_ms
+        _stalls.resume(
+            run, task.idleness, report.percent, worker.clock_ms, now_ms
+        )
         self._cell.ready.discard(task.key)
         self._cell.log(
             'run_adopted',
--- a/packages/policy/src/oriolestand_policy/scheduling/_stalls.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_stalls.py
@@ -68,9 +68,16 @@
 
 
 def resume(
-    run: _fleet.Run, idleness: _jobs.Idleness | None, percent: int, now_ms: int
+    run: _fleet.Run,
+    idleness: _jobs.Idleness | None,
+    percent: int,
+    clock_ms: int,
+    now_ms: int,
 ) -> None:
-    """Count the time without progress that a former owner has stored."""
+    """Count the time without progress that a former owner has stored.
+
+    ``clock_ms`` is the present time of the worker's clock.
+    """
     if (
         idleness is None
         or idleness.run != run.number
@@ -79,6 +86,7 @@
         return
     run.percent = percent
     run.since_ms = run.progress_changed_ms = now_ms - idleness.idle_ms
+    run.progress_clock_ms = clock_ms - idleness.idle_ms
 
 
 def _limit_ms(run: _fleet.Run) -> int:
