Let a busy owner decide starts of service tasks first

Callers could see service tasks stay away for up to 10 s under a stream of plain tasks of the same priority, on an owner that is short of processor time. Cause: a busy owner decides 16 starts a round at most, and rounds rank service tasks behind all other tasks of a priority. With the usual 200 starts a round, all of them had their turn. The queue of orders sends starts of services first, but these were not decided.

Change: rounds that may decide 16 starts or fewer rank service tasks first within their priority. All other rounds keep the order.

Not played on a site with few processors.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -10,6 +10,7 @@
 from oriolestand_policy.scheduling import _fit_budget
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _load
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
@@ -264,7 +265,9 @@
         started = 0
         self._held_steps.clear()
         self._held_tasks.clear()
-        for occurrence_key, step, tasks in self._by_urgency(wall_ms):
+        # With few starts, a service task would wait behind all others.
+        is_busy = max_starts <= _load.MAX_STARTS_WHEN_BUSY
+        for occurrence_key, step, tasks in self._by_urgency(wall_ms, is_busy):
             job = self._cell.jobs[occurrence_key[0]]
             if not former_runs.are_known:
                 tasks = self._without_former_runs(job, tasks, former_runs)
@@ -328,9 +331,12 @@
         return _obstacles.Hold.NO_WORKER
 
     def _by_urgency(
-        self, wall_ms: int
+        self, wall_ms: int, are_services_first: bool
     ) -> Iterator[tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]]:
-        """Yield ready tasks by step, the most urgent first."""
+        """Yield ready tasks by step, the most urgent first.
+
+        Within a priority, services come last unless ``are_services_first``.
+        """
         ranks: dict[_ready.OccurrenceKey, tuple[int, ...]] = {}
         self._urgency_ranks.begin_round()
         for key, task in self._cell.ready.occurrences():
@@ -340,7 +346,8 @@
                 ranks[key] = (0,)
                 continue
             urgency = self._urgency_ranks.rank(job, key[1], route, wall_ms)
-            ranks[key] = (route.priority, task.spec.is_service, *urgency)
+            is_later = task.spec.is_service is not are_services_first
+            ranks[key] = (route.priority, is_later, *urgency)
         for key in sorted(ranks, key=lambda k: (ranks[k], k)):
             for step in self._cell.ready.steps_of(key):
                 yield key, step, self._cell.ready.tasks_of(key, step)
