Leave time for another poll after a failed one of a busy owner

Change: the time until a poll of a worker with runs is 40% of a lease less three passes; workers without runs have no lease to lose and keep 66%. A pass counts as longer than the delay by the interval of the timer that measures it.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -140,7 +140,7 @@
         """Extend the lease, apply the report and wait for its job records."""
         sent_ms = self._kernel.clock.now()
         poll = self._make_poll(worker, sent_ms)
-        late_ms = self._load.poll_pause_ms(sent_ms)
+        late_ms = self._load.poll_pause_ms(sent_ms, has_runs=bool(worker.runs))
         late_ms += self._load.delay_ms(sent_ms)
         late_ms += max(0, poll.wait_ms - const.POLL_WAIT_MS)
         self._scheduler.on_poll_sent(
@@ -166,7 +166,9 @@
         if self._scheduler.are_leases_held(self._worker):
             # A poll without a lease does not wait at the worker.
             await self._kernel.sleep(const.POLL_RETRY_MS)
-        pause_ms = self._load.poll_pause_ms(self._kernel.clock.now())
+        pause_ms = self._load.poll_pause_ms(
+            self._kernel.clock.now(), has_runs=bool(worker.runs)
+        )
         if pause_ms and not (
             worker.is_mixed or self._is_report_urgent(worker)
         ):
@@ -203,7 +205,9 @@
         if worker.is_on_probation:
             wait_ms = const.PROBATION_POLL_WAIT_MS
         if not self._is_report_urgent(worker):
-            wait_ms = self._load.poll_wait_ms(wait_ms, sent_ms)
+            wait_ms = self._load.poll_wait_ms(
+                wait_ms, sent_ms, has_runs=bool(worker.runs)
+            )
             if worker.is_mixed:
                 wait_ms = min(wait_ms, const.POLL_WAIT_MS)
         if has_unrecorded_ends or lease_end_ms is None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_load.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_load.py
@@ -20,8 +20,15 @@
 MAX_POLL_WAIT_MS = 2_000
 """Longest time for which workers delay the answer to a poll."""
 
-LEASE_SHARE_PERCENT = 66
-"""Share of a lease after which a busy owner renews it at the latest."""
+LEASED_SHARE_PERCENT = 40
+"""Share of a lease after which a busy owner renews it at the latest, so that
+there is time for another after one that takes its whole timeout."""
+
+IDLE_SHARE_PERCENT = 66
+"""The same for workers without runs, which have no lease to lose."""
+
+TICK_MS = 200
+"""Delay of the timer that measures the event loop."""
 
 PASSES_PER_POLL = 3
 """Passes of the event loop from one poll to the next: the poll is written in
@@ -49,17 +56,19 @@
 
     >>> load = OwnerLoad(lease_max_ms=6_000)
     >>> load.on_tick(late_ms=20, now_ms=200)
-    >>> load.poll_wait_ms(1_000, now_ms=200)
+    >>> load.poll_wait_ms(1_000, now_ms=200, has_runs=False)
     1000
-    >>> load.on_tick(late_ms=500, now_ms=1_100)
-    >>> load.poll_wait_ms(1_000, now_ms=1_100)
+    >>> load.on_tick(late_ms=300, now_ms=1_100)
+    >>> load.poll_wait_ms(1_000, now_ms=1_100, has_runs=False)
     2000
-    >>> load.poll_pause_ms(now_ms=1_100)
+    >>> load.poll_pause_ms(now_ms=1_100, has_runs=False)
     460
+    >>> load.poll_wait_ms(1_000, now_ms=1_100, has_runs=True)
+    900
     """
 
     def __init__(self, lease_max_ms: int) -> None:
-        self._poll_interval_ms = lease_max_ms * LEASE_SHARE_PERCENT // 100
+        self._lease_max_ms = lease_max_ms
         self._delays = delays.DelayWindow(WINDOW_MS)
         self._round_ms = 0
         self._round_end_ms: int | None = None
@@ -110,10 +119,13 @@
 
     # Polls.
 
-    def poll_wait_ms(self, wait_ms: int, now_ms: int) -> int:
+    def poll_wait_ms(
+        self, wait_ms: int, now_ms: int, *, has_runs: bool
+    ) -> int:
         """Return for how long a worker may delay its answer to a poll.
 
-        ``wait_ms`` is the time for an owner that is not busy.
+        ``wait_ms`` is the time for an owner that is not busy, and ``has_runs``
+        whether the poll renews a lease that runs depend on.
         """
         if not self.is_busy(now_ms):
             return wait_ms
@@ -122,16 +134,20 @@
         shortest_ms = min(wait_ms, self.delay_ms(now_ms))
         return min(
             MAX_POLL_WAIT_MS,
-            max(shortest_ms, self._time_between_polls(now_ms)),
+            max(shortest_ms, self._time_between_polls(now_ms, has_runs)),
         )
 
-    def poll_pause_ms(self, now_ms: int) -> int:
+    def poll_pause_ms(self, now_ms: int, *, has_runs: bool) -> int:
         """Return the pause between a report and the next poll."""
         if not self.is_busy(now_ms):
             return 0
-        return max(0, self._time_between_polls(now_ms) - MAX_POLL_WAIT_MS)
+        time_ms = self._time_between_polls(now_ms, has_runs)
+        return max(0, time_ms - MAX_POLL_WAIT_MS)
 
-    def _time_between_polls(self, now_ms: int) -> int:
+    def _time_between_polls(self, now_ms: int, has_runs: bool) -> int:
         """Return how long a poll and the pause after it may last."""
-        passes_ms = PASSES_PER_POLL * self.delay_ms(now_ms)
-        return max(0, self._poll_interval_ms - passes_ms)
+        # A timer that is late by less than a pass was due within that pass.
+        pass_ms = self.delay_ms(now_ms) + TICK_MS
+        passes_ms = PASSES_PER_POLL * pass_ms
+        percent = LEASED_SHARE_PERCENT if has_runs else IDLE_SHARE_PERCENT
+        return max(0, self._lease_max_ms * percent // 100 - passes_ms)
--- a/packages/policy/tests/scheduling/test_load.py
+++ b/packages/policy/tests/scheduling/test_load.py
@@ -15,21 +15,23 @@
 
 def test_owner_that_is_not_busy_changes_nothing():
     load = make_load(_load.BUSY_DELAY_MS - 1)
-    assert load.poll_wait_ms(500, 1_000) == 500
-    assert load.poll_pause_ms(1_000) == 0
+    assert load.poll_wait_ms(500, 1_000, has_runs=False) == 500
+    assert load.poll_pause_ms(1_000, has_runs=False) == 0
     assert load.batch_size(1_000, 0) == _load.MAX_STARTS_PER_ROUND
 
 
 @pytest.mark.parametrize('lease_max_ms', LEASES_MS)
 @pytest.mark.parametrize('delay_ms', range(250, 1_900, 150))
+@pytest.mark.parametrize('has_runs', [False, True])
 def test_poll_of_a_busy_owner_comes_before_its_lease_is_over(
-    delay_ms, lease_max_ms
+    has_runs, delay_ms, lease_max_ms
 ):
     # Guards against tasks that end because their owner renews too late.
     load = make_load(delay_ms, lease_max_ms)
     # The answer is read at the end of a pass.
-    answer_ms = max(load.poll_wait_ms(1_000, 1_000), delay_ms)
-    pause_ms = load.poll_pause_ms(1_000)
+    wait_ms = load.poll_wait_ms(1_000, 1_000, has_runs=has_runs)
+    answer_ms = max(wait_ms, delay_ms)
+    pause_ms = load.poll_pause_ms(1_000, has_runs=has_runs)
     passes_ms = (_load.PASSES_PER_POLL - 1) * delay_ms
     assert answer_ms + pause_ms + passes_ms < lease_max_ms
 
@@ -38,7 +40,8 @@
 def test_busy_owner_polls_less_often(lease_max_ms):
     # Polls of idle workers used up the processor of an owner.
     load = make_load(400, lease_max_ms)
-    time_ms = load.poll_wait_ms(1_000, 1_000) + load.poll_pause_ms(1_000)
+    time_ms = load.poll_wait_ms(1_000, 1_000, has_runs=False)
+    time_ms += load.poll_pause_ms(1_000, has_runs=False)
     assert time_ms >= 2_000
 
 
