Split the offers to take a cell from its election

Names the time until a worker is warm in the terms of the scheduler, and the field of the platform in the adapter alone. No behaviour changes.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -17,6 +17,7 @@
 from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _offers
 from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import _term
 from oriolestand_fleet.services.cell import const
@@ -40,8 +41,7 @@
             cfg.instance, self._incarnation, self._claim_delay_ms
         )
         self._loop_delays = delays.DelayWindow(const.LOOP_DELAY_WINDOW_MS)
-        self._candidacy = ownership.Candidacy()
-        self._candidate_version = 0
+        self._offers = _offers.CellOffers(kernel, cfg.instance, self._election)
         self._owner_version = 0
         self._renewal_version = 0
         self._config: store.FleetConfig | None = None
@@ -210,8 +210,7 @@
                 if row.version > self._renewal_version:
                     self._apply_renewal(row)
             elif row.key == layout.CANDIDATE_KEY:
-                if row.version > self._candidate_version:
-                    self._apply_candidate(row)
+                self._apply_candidate(row)
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
@@ -272,61 +271,20 @@
 
     def _apply_candidate(self, row: store.Row) -> None:
         """Apply the row of a daemon that offers to take the cell."""
-        self._candidate_version = row.version
         try:
-            candidate = models.decode_candidate(row.value)
+            candidate = self._offers.apply(row)
         except ValueError as exc:
             self._log_malformed(row, exc)
             return
-        if candidate is None:
-            return
-        self._candidacy.on_offer(candidate)
-        if self._owner_term is not None:
+        if candidate is not None and self._owner_term is not None:
             self._owner_term.term.hand_over.on_offer(candidate)
 
     async def _offer_if_due(self) -> None:
-        """Offer to take the cell if its owner is too slow."""
-        owner = self._election.owner
-        renewal = self._election.renewal_of_owner
-        if owner is None or renewal is None or self._owner_term is not None:
-            return
-        if not owner.instance or self._is_shutting_down:
-            return
-        now = self.kernel.clock.now()
-        if not self._candidacy.is_due(
-            epoch=owner.epoch,
-            owner_delay_ms=renewal.delay_ms,
-            own_delay_ms=self._loop_delays.longest_ms(now),
-            wait_ms=self._election.delay_ms,
-            now_ms=now,
-        ):
+        """Offer to take the cell unless this daemon owns it or stops."""
+        if self._owner_term is not None or self._is_shutting_down:
             return
-        candidate = ownership.Candidate(
-            epoch=owner.epoch, instance=self._cfg.instance
-        )
-        self._candidacy.on_offer(candidate)
-        offer = store.CommitRows(
-            table=layout.TABLE,
-            part=layout.CELL_PART,
-            checks=(
-                store.Check(
-                    key=layout.CANDIDATE_KEY, version=self._candidate_version
-                ),
-            ),
-            puts=(
-                store.Put(
-                    key=layout.CANDIDATE_KEY,
-                    value=models.encode_candidate(candidate),
-                ),
-            ),
-        )
-        outcome = await _commits.try_commit(self.kernel, offer)
-        self._log.info(
-            'Cell offered to be taken',
-            epoch=owner.epoch,
-            owner=owner.instance,
-            owner_delay_ms=renewal.delay_ms,
-            is_stored=outcome.result is not None and outcome.result.is_applied,
+        await self._offers.offer_if_due(
+            self._loop_delays.longest_ms(self.kernel.clock.now())
         )
 
     @core.handles(jobs.ReplicaSyncAttempted)
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -87,7 +87,7 @@
 class WorkerInfo:
     """Attributes that one incarnation of a worker reports of itself.
 
-    ``cold_left_ms`` is for how long it expected to be slow after its start.
+    ``warm_up_ms`` is for how long it expected to be slow after its start.
     """
 
     id: str
@@ -101,7 +101,7 @@
     rack: str = ''
     is_leaving: bool = False
     process_start_ms: int = 0
-    cold_left_ms: int = 0
+    warm_up_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_return_ramp.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_return_ramp.py
@@ -21,7 +21,7 @@
 
 def ramp_ms(info: _fleet.WorkerInfo) -> int:
     """Return for how long after the return the starts are limited."""
-    return min(MAX_RAMP_MS, max(MIN_RAMP_MS, info.cold_left_ms))
+    return min(MAX_RAMP_MS, max(MIN_RAMP_MS, info.warm_up_ms))
 
 
 def allowed_starts(elapsed_ms: int, length_ms: int) -> int:
--- a/packages/policy/tests/scheduling/test_return_ramp.py
+++ b/packages/policy/tests/scheduling/test_return_ramp.py
@@ -17,11 +17,11 @@
     The worker that stays has no room.
     """
 
-    def __init__(self, make, cold_left_ms=0):
+    def __init__(self, make, warm_up_ms=0):
         self.harness = make.Harness(2)
         infos = self.harness.infos
         infos['w0'] = dataclasses.replace(
-            infos['w0'], failure_domain='a', cold_left_ms=cold_left_ms
+            infos['w0'], failure_domain='a', warm_up_ms=warm_up_ms
         )
         infos['w1'] = dataclasses.replace(infos['w1'], cpu=1)
         self.scheduler = self.harness.scheduler
@@ -70,7 +70,7 @@
 
 def test_cold_worker_fills_up_more_slowly(make):
     # Guards against a worker that is loaded while its work is slow.
-    site = Site(make, cold_left_ms=20_000)
+    site = Site(make, warm_up_ms=20_000)
     site.harness.add('a', scheduling.StepSpec(count=100, **SMALL))
     site.take_back()
     assert site.starts(5_000) <= 7
@@ -78,7 +78,7 @@
 
 def test_entry_cannot_keep_a_worker_empty(make):
     # Guards against an entry that claims to be cold for ever.
-    site = Site(make, cold_left_ms=10**9)
+    site = Site(make, warm_up_ms=10**9)
     site.harness.add('a', scheduling.StepSpec(count=100, **SMALL))
     site.take_back()
     assert site.starts(_return_ramp.MAX_RAMP_MS + 1_000) == 100
