Stop slowing filling tasks that were stopped for interference

Change: the count of stops, its rows in the record, the lower highest pace and the stop reason `paused` are removed. Rows `moved` that a former owner wrote are ignored.

--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -53,9 +53,7 @@
     started the run without a checkpoint, so that it lasts as long as the task.
     ``is_reported`` is whether the present incarnation of the worker has listed
     the run. ``pending_crash`` is the crash of an earlier incarnation that
-    counts against the task unless the present one has the run. ``max_pace`` is
-    the highest pace for it beside the services of the worker, and
-    ``is_movable`` is whether it may be stopped if it slows one.
+    counts against the task unless the present one has the run.
     """
 
     key: _jobs.TaskKey
@@ -79,8 +77,6 @@
     is_whole: bool = False
     is_reported: bool = False
     pending_crash: _jobs.Crash | None = None
-    max_pace: int = 100
-    is_movable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
@@ -210,7 +210,6 @@
                 continue
             time_ms = self._time_until_room_ms(worker, task, now_ms)
             rank = (
-                task.harm_stops > 0 and worker.service_cpu > 0,
                 time_ms // _reservations.TIME_STEP_MS,
                 worker.info.id in task.avoid,
                 worker.is_readmitted,
--- a/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
@@ -4,25 +4,18 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _fleet
-from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _pressure
 
 FULL_PACE = 100
 PAUSED_PACE = 0
 
 MIN_PACE = 10
-"""Lowest pace in percent at which a filling task is started."""
+"""Lowest pace in percent at which an overdue filling task is started."""
 
 SLOWED_HEADROOM_SHARE = 0.8
 """Share of a service's headroom that a slowed task may use. It runs for longer
 than the forecast that the headroom follows from."""
 
-MAX_HARM_STOPS = 3
-"""Stops of a task for interference after which it is paused instead."""
-
-MAX_PAUSE_MS = 5_000
-"""Time after which a paused task that could be moved is tried elsewhere."""
-
 YIELD_DELAY_MS = 500
 """How long a tail latency may exceed its target before neighbours yield."""
 
@@ -62,15 +55,6 @@
     is_move: bool = False
 
 
-def max_pace(task: _jobs.Task) -> int:
-    """Return the highest pace for a task beside services.
-
-    It is halved with each stop for interference, as the estimate for another
-    service is often too low until it was tried.
-    """
-    return max(MIN_PACE, FULL_PACE >> task.harm_stops)
-
-
 def pace_within(headroom: float, added: float) -> int:
     """Return the pace of a task that would add too much load at full pace.
 
@@ -82,15 +66,6 @@
     return int(FULL_PACE * SLOWED_HEADROOM_SHARE * headroom / added)
 
 
-def limit_pace(
-    run: _fleet.Run, worker: _fleet.Worker, task: _jobs.Task
-) -> None:
-    """Set what a new run may do by the stops of its task."""
-    run.is_movable = task.harm_stops < MAX_HARM_STOPS
-    if worker.service_cpu:
-        run.max_pace = max_pace(task)
-
-
 def apparent_pace(measured: int, cpu: int) -> int:
     """Return the pace in percent at which a run seems to work.
 
@@ -124,8 +99,8 @@
 
     When a tail latency exceeds its target, or is forecast to, the filling
     tasks that add the most load to the service task yield. A task with
-    checkpoints is moved to another worker, unless it was moved too often; any
-    other is paused, and resumed when the forecast leaves enough headroom.
+    checkpoints is moved to another worker; any other is paused, and resumed
+    when the forecast leaves enough headroom.
     """
     filling = [
         run
@@ -183,7 +158,7 @@
         yielding = working
     for run in yielding:
         worker.mitigated_ms = now_ms
-        is_move = run.spec.has_checkpoints and run.is_movable
+        is_move = run.spec.has_checkpoints
         yield Mitigation(run=run, pace=PAUSED_PACE, is_move=is_move)
 
 
@@ -196,10 +171,10 @@
 ) -> Iterator[Mitigation]:
     """Yield the resumptions of paused tasks for which there is headroom."""
     for run in filling:
-        if run.pace >= run.max_pace or not _is_pace_settled(run, now_ms):
+        if run.pace >= FULL_PACE or not _is_pace_settled(run, now_ms):
             continue
         share = run.spec.cpu / max(1, worker.info.cpu)
-        share *= (run.max_pace - run.pace) / FULL_PACE
+        share *= (FULL_PACE - run.pace) / FULL_PACE
         after = {
             image: shortfall + share * pressure.weight(image, run.spec.image)
             for image, shortfall in shortfalls.items()
@@ -207,28 +182,9 @@
         if max(after.values(), default=0.0) > 0.0:
             continue
         shortfalls = after
-        yield Mitigation(run=run, pace=run.max_pace)
+        yield Mitigation(run=run, pace=FULL_PACE)
 
 
 def _is_pace_settled(run: _fleet.Run, now_ms: int) -> bool:
     """Return whether reports show the effect of the last pace change."""
     return now_ms - run.paced_ms >= MITIGATION_INTERVAL_MS
-
-
-def paused_too_long(
-    worker: _fleet.Worker, now_ms: int
-) -> Iterator[_fleet.Run]:
-    """Yield the paused runs that should be tried on another worker.
-
-    The others are moved before they are paused, or cannot be moved.
-    """
-    for run in worker.runs.values():
-        if (
-            not run.is_movable
-            and run.spec.has_checkpoints
-            and run.phase is _fleet.RunPhase.RUNNING
-            and run.stop_sent_ms < 0
-            and run.pace == PAUSED_PACE
-            and now_ms - run.paced_ms >= MAX_PAUSE_MS
-        ):
-            yield run
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -580,8 +580,6 @@
         """Return the pace that services allow, and the load that it adds."""
         share = task.spec.cpu / max(1, worker.info.cpu)
         pace, max_added = _pacing.FULL_PACE, 0.0
-        if capacity.headrooms:
-            pace = _pacing.max_pace(task)
         for service, headroom in capacity.headrooms.items():
             weight = self._weight_for(service, task)
             added = weight * share
@@ -610,13 +608,8 @@
         return _obstacles.Obstacle.TRIAL
 
     def _weight_for(self, service: str, task: _jobs.Task) -> float:
-        """Return the weight for the placement of a task, cached.
-
-        After a stop for interference, the upper bound is used.
-        """
+        """Return the weight for the placement of a task, cached."""
         image = task.spec.image
-        if task.harm_stops:
-            return self._forecast.weight_bound(service, image)
         weights = self._forecast.planned_weights.setdefault(image, {})
         weight = weights.get(service)
         if weight is None:
@@ -697,7 +690,7 @@
 
 def _min_pace(task: _jobs.Task) -> int:
     """Return the lowest pace at which a filling task is started."""
-    if task.is_overdue or task.harm_stops:
+    if task.is_overdue:
         return _pacing.MIN_PACE
     return _pacing.FULL_PACE
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
@@ -15,8 +15,7 @@
 
     ``step`` is set if the tasks of a step on a worker are limited. ``filling``
     is the image of a filling task, ``service`` that of a service task.
-    ``may_be_slowed`` is whether a filling task may run below full pace, and
-    ``harm_stops`` how often it was stopped for interference.
+    ``may_be_slowed`` is whether a filling task may run below full pace.
     """
 
     cpu: int
@@ -30,7 +29,6 @@
     service: str
     filling: str | None
     may_be_slowed: bool = False
-    harm_stops: int = 0
 
 
 def demands_of(task: _jobs.Task) -> Demands:
@@ -48,7 +46,6 @@
         service=spec.image if spec.is_service else '',
         filling=spec.image if spec.is_filling else None,
         may_be_slowed=task.is_overdue,
-        harm_stops=task.harm_stops,
     )
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -25,10 +25,6 @@
 """Limit on the stored times at which steps became ready, for the same reason.
 The waits of the others begin anew with the next owner."""
 
-MAX_MOVED_TASKS = 500
-"""Limit on the stored counts of stops for interference, for the same reason.
-The others count anew."""
-
 MAX_IDLE_TASKS = 200
 """Limit on the stored times without progress, for the same reason."""
 
@@ -51,7 +47,6 @@
     done: list[list[Any]] = dataclasses.field(default_factory=list)
     unfinished: list[list[Any]] = dataclasses.field(default_factory=list)
     placed: list[list[Any]] = dataclasses.field(default_factory=list)
-    moved: list[list[int]] = dataclasses.field(default_factory=list)
     idle: list[list[int]] = dataclasses.field(default_factory=list)
 
 
@@ -67,11 +62,9 @@
     worker and run of the service tasks that may run), ``crashes`` (rows of
     occurrence, step, index, crashes and watch), ``ready`` (rows of occurrence,
     step and Unix ms at which an unfinished step that depends on others became
-    ready, if there are any), ``moved`` (rows of occurrence, step, index and
-    stops of the filling tasks that were stopped for interference, if there are
-    any), ``idle`` (rows of occurrence, step, index, run, percentage and ms
-    without progress beyond it of the tasks that showed none for a while, if
-    there are any). There is no ``placed`` for
+    ready, if there are any), ``idle`` (rows of occurrence, step, index, run,
+    percentage and ms without progress beyond it of the tasks that showed none
+    for a while, if there are any). There is no ``placed`` for
     jobs without service tasks, and if the placements are unknown or too many,
     and no ``crashes`` without any; it lacks tasks if they are too many.
     """
@@ -94,8 +87,6 @@
     ready = _ready_rows(job)
     if ready:
         progress['ready'] = ready
-    if rows.moved:
-        progress['moved'] = rows.moved[:MAX_MOVED_TASKS]
     if rows.idle:
         progress['idle'] = rows.idle[:MAX_IDLE_TASKS]
     crashes = _crash_rows(job)
@@ -126,7 +117,6 @@
                 if not task.is_done and (task.failed_runs or task.checkpoint)
             ]
             rows.placed += _placements(tasks)
-            rows.moved += _moved_rows(tasks)
             rows.idle += _idle_rows(tasks)
     return rows
 
@@ -143,13 +133,6 @@
             yield [number, step, index, task.former_worker, task.former_run]
 
 
-def _moved_rows(tasks: Iterable[_jobs.Task]) -> Iterator[list[int]]:
-    """Yield how often unfinished tasks were stopped for interference."""
-    for task in tasks:
-        if task.harm_stops and not task.is_done:
-            yield [*task.key[1:], task.harm_stops]
-
-
 def _idle_rows(tasks: Iterable[_jobs.Task]) -> Iterator[list[int]]:
     """Yield how long the present runs have shown no progress."""
     for task in tasks:
@@ -236,10 +219,6 @@
     for number, step, wall_ms in progress.get('ready', ()):
         if job.find(_jobs.TaskKey(job.spec.id, number, step, 0)) is not None:
             job.ready_wall_ms[number, step] = wall_ms
-    for number, step, index, stops in progress.get('moved', ()):
-        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
-        if task is not None:
-            task.harm_stops = max(0, stops)
     for number, step, index, *idleness in progress.get('idle', ()):
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -173,34 +173,15 @@
         for mitigation in mitigations:
             run = mitigation.run
             if mitigation.is_move:
-                self._count_harm_stop(run)
-                self._stop_filling(worker, run, 'harm', now_ms)
+                self._cell.stop_run(
+                    worker.info.id, run.key, run.number, 'harm'
+                )
+                self._cell.mark_stop_sent(run, now_ms)
                 continue
-            if not run.is_movable and not mitigation.pace:
-                run.max_pace = max(_pacing.MIN_PACE, run.max_pace // 2)
             run.pace = mitigation.pace
             worker.version += 1
             run.paced_ms = now_ms
             self._send_pace(worker, run)
-        for run in list(_pacing.paused_too_long(worker, now_ms)):
-            self._stop_filling(worker, run, 'paused', now_ms)
-
-    def _stop_filling(
-        self, worker: _fleet.Worker, run: _fleet.Run, reason: str, now_ms: int
-    ) -> None:
-        """Stop a filling task, so that it starts on another worker."""
-        self._cell.stop_run(worker.info.id, run.key, run.number, reason)
-        self._cell.mark_stop_sent(run, now_ms)
-
-    def _count_harm_stop(self, run: _fleet.Run) -> None:
-        """Count a stop for interference against the task of a run.
-
-        The record is saved with the end of the run.
-        """
-        job = self._cell.jobs.get(run.key.job)
-        task = job.find(run.key) if job is not None else None
-        if task is not None and task.run == run.number:
-            task.harm_stops += 1
 
     def _send_pace(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
         """Order a worker to run a task at its present pace."""
@@ -431,8 +412,6 @@
             # resume it.
             run.pace = _pacing.apparent_pace(report.measured, run.spec.cpu)
             run.paced_ms = now_ms if run.pace < _pacing.FULL_PACE else 0
-            if task is not None:
-                _pacing.limit_pace(run, worker, task)
         worker.add(run)
         is_needed = (
             job is not None
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -40,7 +40,7 @@
 
 
 _StepTasks = tuple[_ready.OccurrenceKey, int, list[_jobs.Task]]
-_StepClass = tuple[str, int, int, bool, int]
+_StepClass = tuple[str, int, int, bool]
 
 
 FILLING_TURN_MS = 1_000
@@ -463,23 +463,22 @@
         Its filling tasks may differ in what they need, see ``_class_of``.
         """
         started = 0
-        groups: dict[tuple[bool, int], Hashable] = {}
-        held: set[tuple[bool, int]] = set()
+        groups: dict[bool, Hashable] = {}
+        held: set[bool] = set()
         amounts = _unplaceable.amounts_of(tasks[0].spec)
         for task in tasks:
             if started >= max_starts:
                 break
-            needs = (task.is_overdue, task.harm_stops)
-            if needs in held:
+            if task.is_overdue in held:
                 continue
-            group = groups.get(needs)
+            group = groups.get(task.is_overdue)
             if group is None:
                 group = _unplaceable.group_of(task, route.pool)
-                groups[needs] = group
+                groups[task.is_overdue] = group
                 hold = self._hold_before(task, group, amounts, unplaceable)
                 if hold is not None:
                     self._held_steps.setdefault(_class_of(task), hold)
-                    held.add(needs)
+                    held.add(task.is_overdue)
                     continue
             if task.key not in self._cell.ready:
                 continue
@@ -491,7 +490,7 @@
                 newly_started = self._start_task(job, task, route, now_ms)
             started += newly_started
             if not newly_started:
-                held.add(needs)
+                held.add(task.is_overdue)
                 self._held_steps[_class_of(task)] = self._reason_of(job, task)
                 unplaceable.add(group, amounts)
                 if task.spec.is_filling:
@@ -671,10 +670,7 @@
         now_ms: int,
     ) -> None:
         """Assign a task to a worker and queue the effect to start it."""
-        run = self._make_run(task, number, now_ms)
-        if task.spec.is_filling:
-            _pacing.limit_pace(run, worker, task)
-        worker.add(run)
+        worker.add(self._make_run(task, number, now_ms))
         worker.count_start()
         self._cell.ready.discard(task.key)
         task.assign(worker.info.id, number, now_ms)
@@ -703,7 +699,7 @@
 def _class_of(task: _jobs.Task) -> _StepClass:
     """Return what tasks of a step share if none fits when one does not."""
     key = task.key
-    return (*key[:3], task.is_overdue, task.harm_stops)
+    return (*key[:3], task.is_overdue)
 
 
 def _demand_class(task: _jobs.Task, pool: str) -> _DemandClass:
--- a/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
@@ -38,7 +38,6 @@
         spec.is_filling,
         spec.is_service,
         task.is_overdue,
-        task.harm_stops,
         spec.label,
         task.key[:3] if spec.max_per_worker or spec.is_gang else None,
     )
