Delay the turn of a filling task that was stopped for interference

Cause: an overdue filling task goes before others each second. One that slows services was stopped each time, 60 and 69 times in 40 s, as its estimate of harm is too low for the next service.

Change: after such a stop it has no turn for 10 s, and is placed as other filling tasks are.

--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -19,6 +19,11 @@
 MISSED_POLLS_LIMIT = 2
 """Consecutive polls whose reports omit a run before it counts as lost."""
 
+HARM_TURN_DELAY_MS = 10_000
+"""Time for which a filling task that was stopped for interference does not go
+before others. It would be placed beside the next service at once, as long as
+the estimate of its harm is too low, and stopped there as well."""
+
 MAX_LOGGED_TASKS = 5
 """Maximum number of task names in one log line."""
 
@@ -177,12 +182,21 @@
                     worker.info.id, run.key, run.number, 'harm'
                 )
                 self._cell.mark_stop_sent(run, now_ms)
+                self._delay_turn(run, now_ms)
                 continue
             run.pace = mitigation.pace
             worker.version += 1
             run.paced_ms = now_ms
             self._send_pace(worker, run)
 
+    def _delay_turn(self, run: _fleet.Run, now_ms: int) -> None:
+        """Let a task that was stopped for interference wait for its turn."""
+        job = self._cell.jobs.get(run.key.job)
+        task = job.find(run.key) if job is not None else None
+        if task is not None and task.run == run.number:
+            task.is_overdue = False
+            task.turn_after_ms = now_ms + HARM_TURN_DELAY_MS
+
     def _send_pace(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
         """Order a worker to run a task at its present pace."""
         run.is_pace_in_doubt = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -228,6 +228,7 @@
                 task
                 for task in overdue.tasks
                 if task.key not in self._idle_reservations
+                and now_ms >= task.turn_after_ms
                 and now_ms >= self._next_try_ms.get(task.key, 0)
             ]
             if tasks:
--- a/packages/policy/tests/scheduling/test_waits_of_filling_tasks.py
+++ b/packages/policy/tests/scheduling/test_waits_of_filling_tasks.py
@@ -394,6 +394,16 @@
     assert cell.stops['loud'] <= MAX_STOPS
 
 
+@pytest.mark.parametrize('services', [[2] * 4, [1] * 8])
+def test_task_is_not_stopped_in_each_of_its_turns(services):
+    # Guards against an overdue task that goes before others each second, and
+    # is stopped for interference each time. A turn comes every 10 s after a
+    # stop, beside the tries of other tasks, one at each service.
+    cell = Cell(8, services, 0.6, {'loud': 2.0})
+    loud_task_beside(cell)
+    assert cell.stops['loud'] <= 40 // 10 + 8
+
+
 def test_calm_tasks_run_beside_services():
     # Guards against keeping workers idle, and against a simulation in which
     # no task could start.
