--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -68,7 +68,8 @@
     ``duration_of`` and ``outcome_of`` return the duration of a run in ms and
     its outcome. The worker enforces fencing epochs, run numbers and lease
     ends. While ``is_stalled`` is set, tasks make no progress and do not end.
-    A report lists at most ``max_listed_ends`` ends, the oldest ones.
+    A report lists at most ``max_listed_ends`` ends, the oldest ones. While
+    ``is_refusing`` is set, the machine refuses connections at once.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self._sequence = 0
         self._pending_polls: list[defer.Deferred[None]] = []
         self.has_crashed = False
+        self.is_refusing = False
         self.is_stalled = False
         self.max_listed_ends = MAX_LISTED_ENDS
         self._check_lease()
@@ -105,13 +107,20 @@
                 self._end_run(record, 'lapsed')
         self._clock.call_later(LEASE_CHECK_MS, self._check_lease)
 
-    def crash(self) -> None:
-        """Simulate a crash of the process: all runs are lost."""
+    def crash(self, *, is_refusing: bool = False) -> None:
+        """Simulate a crash of the process: all runs are lost.
+
+        If ``is_refusing``, the machine goes on and resets its connections.
+        Otherwise nothing answers any more.
+        """
         self.has_crashed = True
+        self.is_refusing = is_refusing
         for record in self._running.values():
             record.ended_ms = self._clock.now()
             record.outcome = 'lost'
         self._running.clear()
+        if is_refusing:
+            self._answer_polls()
 
     def start(self, msg: contracts.StartRun) -> contracts.StartReply:
         """Start a run; refuse an old number, an expired lease or a second run.
@@ -242,6 +251,10 @@
         self._highest_numbers[record.key] = max(highest, record.number)
         self._sequence += 1
         self._ended.append((self._sequence, record))
+        self._answer_polls()
+
+    def _answer_polls(self) -> None:
+        """End the wait of all polls."""
         pending_polls, self._pending_polls = self._pending_polls, []
         for fut in pending_polls:
             _fire_once(fut)
@@ -260,6 +273,10 @@
 """Requests that fail with an error if they are withdrawn."""
 
 
+class RefusedError(contracts.WorkerError):
+    """Raised when a machine refuses a connection, so nothing was sent."""
+
+
 class OrdersTask(core.Task):
     """Orders service of one daemon, with faults towards the workers."""
 
@@ -282,26 +299,34 @@
     async def _reach_worker(self, target: contracts.Target) -> FleetWorker:
         """Return a worker after the latency.
 
-        :raises WorkerError: after a time-out, if it cannot be reached.
+        :raises WorkerError: after a time-out, if it cannot be reached, or at
+            once, if it refuses the connection.
+        """
+        worker = await self._check_reachable(target)
+        await self.kernel.sleep(LATENCY_MS)
+        return worker
+
+    async def _check_reachable(self, target: contracts.Target) -> FleetWorker:
+        """Return a worker if it can be reached.
+
+        :raises WorkerError: as ``_reach_worker``.
         """
         worker = self._workers.get(target.worker)
         is_unreachable = target.worker in self.faults.unreachable
+        if worker is not None and worker.is_refusing and not is_unreachable:
+            await self.kernel.sleep(LATENCY_MS)
+            raise RefusedError('connection refused')
         if worker is None or worker.has_crashed or is_unreachable:
             await self.kernel.sleep(ORDER_TIMEOUT_MS)
             raise contracts.WorkerError('no answer')
-        await self.kernel.sleep(LATENCY_MS)
         return worker
 
     async def _receive_from(self, target: contracts.Target) -> None:
         """Wait until the response of a worker is read.
 
-        :raises WorkerError: after a time-out, if it cannot be reached.
+        :raises WorkerError: as ``_reach_worker``.
         """
-        worker = self._workers.get(target.worker)
-        is_unreachable = target.worker in self.faults.unreachable
-        if worker is None or worker.has_crashed or is_unreachable:
-            await self.kernel.sleep(ORDER_TIMEOUT_MS)
-            raise contracts.WorkerError('no answer')
+        await self._check_reachable(target)
         receipt = Receipt(arrival_ms=self.kernel.clock.now() + LATENCY_MS)
         self.receipts.append(receipt)
         await _slow_clock.receive(self.kernel, LATENCY_MS)
@@ -354,6 +379,10 @@
         )
         try:
             worker = await self._reach_worker(msg.target)
+        except RefusedError as exc:
+            return contracts.StartReply(
+                outcome=scheduling.StartOutcome.UNHEALTHY, reason=str(exc)
+            )
         except contracts.WorkerError:
             return in_doubt
         if self.faults.unanswered_starts > 0:
