--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -111,8 +111,27 @@
         self.leased_worker_ids.add(worker_id)
         end = worker.min_clock_ms(now_ms) + self.lease_max_ms
         worker.lease_end_ms = max(worker.lease_end_ms, end)
+        worker.leased_ms = now_ms
         return end
 
+    def lease_end_for_start(self, worker_id: str, now_ms: int) -> int | None:
+        """Return the end of the lease to request with a start order.
+
+        It is the one that was requested last, as polls extend it in time
+        unless the owner is busy. A start that the worker does not receive
+        must not prolong the time until its runs have certainly ended.
+        """
+        worker = self.workers.get(worker_id)
+        if (
+            worker is None
+            or worker.leased_ms < 0
+            or now_ms - worker.leased_ms > _fleet.MAX_REPORT_AGE_MS
+            or worker.max_report_age_ms > _fleet.MAX_REPORT_AGE_MS
+            or worker_id in self.held_worker_ids
+        ):
+            return self.new_lease_end(worker_id, now_ms)
+        return worker.lease_end_ms
+
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
         worker = self.workers.get(worker_id)
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -277,6 +277,13 @@
         """
         return self._cell.new_lease_end(worker_id, now_ms)
 
+    def lease_end_for_start(self, worker_id: str, now_ms: int) -> int | None:
+        """Return the end of the lease to request with a start order.
+
+        As ``new_lease_end``, but a recent lease is not extended.
+        """
+        return self._cell.lease_end_for_start(worker_id, now_ms)
+
     def hold_leases(self, worker_id: str) -> bool:
         """Request no leases for a worker until ``allow_leases``.
 
