--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -31,12 +31,11 @@
     once nothing is left there that a successor must learn, so that it does
     not wait for the lease of a worker that has exited.
 
-    The row of a former worker that is not registered any more and that this
-    owner has not reached may hold the time by which all runs there have
-    ended, so that the wait for them does not begin anew with each successor.
-    While the row may hold it, no lease of the worker is requested and no task
-    is started there. When the worker reports after all, its row is first
-    written without the time.
+    The row of a worker that this owner cannot reach may hold the time by
+    which all runs there have ended, so that the wait for them does not begin
+    anew with each successor. While the row may hold it, no lease of the
+    worker is requested and no task is started there. When the worker reports
+    after all, its row is first written without the time.
 
     :param are_ends_recorded: tells whether the records of all ends on a
         worker are written.
@@ -90,36 +89,77 @@
         """Return whether ``update`` has rows to write."""
         return not self._is_busy and bool(self._changed_workers())
 
-    def carry_waits(self) -> None:
-        """Record when the runs end on lost workers that were not reached.
+    def carry_waits(self, delay_ms: int) -> None:
+        """Record when the runs end on workers that cannot be reached.
 
-        Call this only once the registered workers are known. A registered
-        worker may merely be slow to answer, and would get no lease and no
-        task until its row is written again. A worker for which this owner has
-        requested a lease is left out, also if it has restarted since.
+        Call this only once the registered workers are known. ``delay_ms`` is
+        how late the event loop calls timers.
         """
-        clock = self._term.store_clock
-        if clock is None:
+        if self._term.store_clock is None:
             return
-        runs_end_ms = clock.to_store_ms(self._term.takeover_deadline_ms)
         for worker_id in sorted(self.former_worker_ids):
-            if (
-                self._is_unreached(worker_id)
-                and not self._scheduler.workers[worker_id].is_listed
-                and worker_id in self._versions
-                and worker_id not in self._runs_end_ms
-                and layout.WORKER_PREFIX + worker_id
-                not in self._malformed_keys
-                and self._scheduler.hold_leases(worker_id)
+            worker = self._scheduler.workers.get(worker_id)
+            if worker is not None and not (
+                worker.is_probed or worker.is_listed
             ):
-                self._runs_end_ms[worker_id] = runs_end_ms
-                self._recorded.discard(worker_id)
-                self._scheduler.mark_workers_unrecorded([worker_id])
+                self._carry_wait(worker)
+        for worker in self._silent_workers(delay_ms):
+            if len(self._runs_end_ms) >= const.MAX_CARRIED_WAITS:
+                break
+            self._carry_wait(worker)
+
+    def _silent_workers(self, delay_ms: int) -> list[scheduling.Worker]:
+        """Return the workers that have not answered for some time.
+
+        A registered one may merely be slow to answer, and gets no lease and
+        no task until its row is written again. So there are none while the
+        store may be away, or while this owner polls them too late.
+        """
+        now = self._kernel.clock.now()
+        if now - self._term.renewed_ms > const.CARRY_RENEWAL_AGE_MS:
+            return []
+        silent_since_ms = (
+            now - const.CARRY_DELAY_MS - const.PASSES_PER_POLL * delay_ms
+        )
+        return [
+            worker
+            for worker in self._scheduler.workers.values()
+            if 0 <= worker.unreachable_ms <= silent_since_ms
+            and not worker.is_polled_late
+        ]
+
+    def _carry_wait(self, worker: scheduling.Worker) -> None:
+        """Let the row of a worker hold when all runs there have ended.
+
+        A worker that has restarted since this owner requested its lease is
+        left out until it has reported: it may have received late orders.
+        """
+        worker_id = worker.info.id
+        if (
+            worker_id not in self._versions
+            or worker_id in self._runs_end_ms
+            or layout.WORKER_PREFIX + worker_id in self._malformed_keys
+        ):
+            return
+        # Former owners request no leases that end later.
+        runs_end_ms = self._term.takeover_deadline_ms
+        if worker.is_probed:
+            lease_over_ms = self._scheduler.hold_leases_of_silent(worker_id)
+            runs_end_ms = max(runs_end_ms, lease_over_ms or 0)
+        elif not self._scheduler.hold_leases(worker_id):
+            return
+        clock = self._term.store_clock
+        if clock is not None:
+            self._runs_end_ms[worker_id] = clock.to_store_ms(runs_end_ms)
+            self._recorded.discard(worker_id)
+            self._scheduler.mark_workers_unrecorded([worker_id])
 
-    def _is_unreached(self, worker_id: str) -> bool:
-        """Return whether a worker has not reported to this owner."""
+    def _is_silent(self, worker_id: str) -> bool:
+        """Return whether a worker has not reported, or does not any more."""
         worker = self._scheduler.workers.get(worker_id)
-        return worker is not None and not worker.is_probed
+        return worker is not None and (
+            not worker.is_probed or worker.unreachable_ms >= 0
+        )
 
     async def update(self) -> None:
         """Write rows until they match the workers of the scheduler."""
@@ -156,7 +196,7 @@
         """Return whether to write the row of a worker that is unrecorded."""
         if not self._needs_row(worker_id):
             return False
-        if worker_id not in self._runs_end_ms or not self._is_unreached(
+        if worker_id not in self._runs_end_ms or not self._is_silent(
             worker_id
         ):
             return True
@@ -258,7 +298,7 @@
         value = None
         runs_end_ms = None
         if self._needs_row(worker_id):
-            if self._is_unreached(worker_id):
+            if self._is_silent(worker_id):
                 runs_end_ms = self._runs_end_ms.get(worker_id)
             worker = self._scheduler.workers[worker_id]
             value = models.encode_worker(worker.info, runs_end_ms)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -359,7 +359,7 @@
             if not self._load.round_delay_ms(0, clock.now()) > 0:
                 self._run_round()
             if self._takeover.are_workers_listed:
-                self._fleet.carry_waits()
+                self._fleet.carry_waits(self.loop_delay_ms)
             if self._fleet.is_outdated:
                 # Rounds remove workers whose leases are over.
                 self._update_fleet_record()
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -51,6 +51,23 @@
 that it survives the suspect."""
 
 POLL_RETRY_MS = 250
+CARRY_DELAY_MS = 500
+"""How long a registered worker must not have answered before the end of its
+runs is carried to the next owner. Connections that were reset are open again
+within it."""
+
+PASSES_PER_POLL = 4
+"""Passes of the event loop in which a poll is repeated and answered: its
+pause, a connection, the request and the response."""
+
+CARRY_RENEWAL_AGE_MS = 1_500
+"""Age of the last renewal up to which such an end is written. A worker whose
+row holds one gets no lease until the store has accepted its row again."""
+
+MAX_CARRIED_WAITS = 480
+"""Most workers for which such ends are written at the same time. Their rows
+take ten commits, so that all are written again well within a lease."""
+
 RECORD_WAIT_MS = 250
 """Longest delay of the next poll while the records of ended runs wait to be
 written to the store."""
--- a/packages/fleet/tests/test_leases_of_lost_workers.py
+++ b/packages/fleet/tests/test_leases_of_lost_workers.py
@@ -140,3 +140,44 @@
         site.run(-before_ms)
         crashed_ms = crash_worker(site)
     assert_is_back(site, crashed_ms, SERVICE_LIMIT_MS)
+
+
+def set_reachable(site, daemons, worker, is_reachable):
+    """Connect a registered worker to all daemons, or cut it off from them."""
+    for daemon in daemons:
+        daemon.orders.faults.unreachable = set() if is_reachable else {worker}
+
+
+@pytest.mark.parametrize('return_ms', range(300, 14_000, 700))
+def test_registered_worker_that_returns_runs_no_task_twice(cell, return_ms):
+    # Guards against a lease that is extended while the row of the worker
+    # holds an earlier end of its runs.
+    site, daemons = cell
+    worker = service_runs(site)[0].worker
+    set_reachable(site, daemons, worker, False)
+    site.clock.call_later(
+        return_ms, lambda: set_reachable(site, daemons, worker, True)
+    )
+    site.run(2_500)
+    while len(daemons) > 2:
+        owner = owner_of(daemons)
+        site.shut_down(owner)
+        daemons.remove(owner)
+        site.run_until(lambda: any(d.is_owner for d in daemons), 2_000)
+        site.run(2_500)
+    site.run(10_000)
+    assert site.overlapping_runs() == []
+    assert [run.outcome for run in service_runs(site)].count('') == 1
+
+
+@pytest.mark.parametrize('cut_ms', [400, 900, 1_600, 2_300, 3_000])
+def test_short_cut_of_a_registered_worker_ends_no_run(cell, cut_ms):
+    # Guards against a lease that is not extended in time, as the row of the
+    # worker still holds the end of its runs.
+    site, daemons = cell
+    worker = service_runs(site)[0].worker
+    set_reachable(site, daemons, worker, False)
+    site.run(cut_ms)
+    set_reachable(site, daemons, worker, True)
+    site.run(20_000)
+    assert [run.outcome for run in service_runs(site)] == ['']
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -126,7 +126,7 @@
             worker is None
             or worker.leased_ms < 0
             or now_ms - worker.leased_ms > _fleet.MAX_REPORT_AGE_MS
-            or worker.max_report_age_ms > _fleet.MAX_REPORT_AGE_MS
+            or worker.is_polled_late
             or worker_id in self.held_worker_ids
         ):
             return self.new_lease_end(worker_id, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -195,6 +195,11 @@
         """Return whether the last report omits a run that may have ended."""
         return any(run.missed_polls for run in self.runs.values())
 
+    @property
+    def is_polled_late(self) -> bool:
+        """Return whether a busy owner polls the worker later than usual."""
+        return self.max_report_age_ms > MAX_REPORT_AGE_MS
+
     def min_clock_ms(self, now_ms: int) -> int:
         """Return a lower bound of the worker's clock at present."""
         if self.last_report_ms < 0:
@@ -206,6 +211,13 @@
         """Return whether the lease and all runs have certainly ended."""
         return self.min_clock_ms(now_ms) > self.lease_end_ms + margin_ms
 
+    def lease_over_ms(self, margin_ms: int) -> int:
+        """Return from when on ``is_lease_expired`` holds without reports."""
+        left_ms = self.lease_end_ms + margin_ms - self.clock_ms
+        return self.last_report_ms + max(
+            0, -(-(left_ms + 1) * CLOCK_RATE_DEN // CLOCK_RATE_NUM)
+        )
+
     def update_info(self, info: WorkerInfo) -> None:
         """Set the attributes that the worker reports of itself."""
         self.info = info
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -114,12 +114,12 @@
         return WorkerState.LEAVING
     if worker.is_evacuated:
         return WorkerState.EVACUATED
-    if not worker.is_recorded:
-        return WorkerState.NOT_RECORDED
     if worker.unreachable_ms >= 0:
         return WorkerState.SILENT
     if now_ms - worker.last_report_ms > worker.max_report_age_ms:
         return WorkerState.SILENT
+    if not worker.is_recorded:
+        return WorkerState.NOT_RECORDED
     if now_ms < worker.backoff_until_ms:
         return WorkerState.AVOIDED
     if now_ms < worker.avoid_until_ms and not worker.is_readmitted:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -294,6 +294,18 @@
         self._cell.held_worker_ids.add(worker_id)
         return True
 
+    def hold_leases_of_silent(self, worker_id: str) -> int | None:
+        """Request no leases for a silent worker until ``allow_leases``.
+
+        Return when those that were requested are certainly over, or None,
+        without an effect, if the worker has not reported to this owner.
+        """
+        worker = self._cell.workers.get(worker_id)
+        if worker is None or not worker.is_probed:
+            return None
+        self._cell.held_worker_ids.add(worker_id)
+        return worker.lease_over_ms(LEASE_MARGIN_MS)
+
     def allow_leases(self, worker_id: str) -> None:
         """Allow requests for leases of a worker again."""
         self._cell.held_worker_ids.discard(worker_id)
