--- a/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
@@ -21,8 +21,11 @@
 """Longest time between turns of a pool, however little has passed."""
 
 OVERDUE_SHARE = 0.1
-"""Share of the processor time of started filling tasks that goes to turns.
-Only tasks in their turn may start at a lower pace."""
+"""Share of the processor time of started filling tasks that goes to turns."""
+
+SLOW_START_INTERVAL_MS = 1_000
+"""Time between tasks of a pool that may start at a lower pace in their turn.
+They occupy capacity for longer than others and use up what services leave."""
 
 RETRY_MS = 2_000
 """Time until a task that could not start in its turn may have another."""
@@ -35,10 +38,14 @@
     ``passed`` is the processor time that overdue tasks are owed, as others
     went before them. It is negative once they have had more.
     ``next_turn_ms`` is when there is a turn even if nothing has passed.
+    ``slow_task`` is the one that may start at a lower pace, and
+    ``next_slow_ms`` when another one may.
     """
 
     passed: float = 0.0
     next_turn_ms: int = 0
+    slow_task: _jobs.Task | None = None
+    next_slow_ms: int = 0
 
 
 class FillingTurns:
@@ -74,6 +81,9 @@
                 tasks = tasks[:1] if is_first_pass else tasks[1:]
                 chosen = self._choose(overdue, tasks, left, now_ms)
                 if chosen:
+                    self._let_one_be_slowed(
+                        self._pools[overdue.pool], chosen[0], now_ms, kept
+                    )
                     found.append(dataclasses.replace(overdue, tasks=chosen))
         return found
 
@@ -144,6 +154,26 @@
             self._turns[task.key] = name
         return chosen
 
+    def _let_one_be_slowed(
+        self,
+        pool: _Pool,
+        task: _jobs.Task,
+        now_ms: int,
+        kept: Container[_jobs.TaskKey],
+    ) -> None:
+        """Let a task start at a lower pace, in place of the last one.
+
+        One that a worker is kept for goes on to wait for it.
+        """
+        if now_ms < pool.next_slow_ms:
+            return
+        former = pool.slow_task
+        if former is not None and former.key not in kept:
+            former.may_be_slowed = False
+        task.may_be_slowed = True
+        pool.slow_task = task
+        pool.next_slow_ms = now_ms + SLOW_START_INTERVAL_MS
+
     def _cost(self, task: _jobs.Task) -> float:
         """Return the processor time that a task is expected to use."""
         route = self._cell.jobs[task.key.job].spec.route
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -123,7 +123,8 @@
     ``former_worker`` and ``former_run`` are where a former owner placed the
     task; the worker is empty once that run has ended or was adopted.
     ``is_overdue`` is whether it is a filling task that has waited too long,
-    and ``turn_after_ms`` the time until which it does not go before others.
+    ``may_be_slowed`` whether it may start at a lower pace therefore, and
+    ``turn_after_ms`` the time until which it does not go before others.
     ``crashes`` are those that count against the task, and ``watch`` is a run
     whose worker the next owner must know about, if it has crashed.
     ``idleness`` is that of the last run that showed no progress for a while.
@@ -142,6 +143,7 @@
     former_worker: str = ''
     former_run: int = 0
     is_overdue: bool = False
+    may_be_slowed: bool = False
     turn_after_ms: int = 0
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     watch: Watch | None = None
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -464,7 +464,7 @@
         if spec.max_per_worker:
             count = self._view(worker).count_of_step(task.key[:3])
             room = min(room, spec.max_per_worker - count)
-        if spec.is_filling and spec.cpu and not task.is_overdue:
+        if spec.is_filling and spec.cpu and not task.may_be_slowed:
             free = self._view(worker).free_cpu
             if worker.kept_for is not None:
                 free -= worker.kept_for.spec.cpu
@@ -752,7 +752,7 @@
 
 def _min_pace(task: _jobs.Task) -> int:
     """Return the lowest pace at which a filling task is started."""
-    if task.is_overdue:
+    if task.may_be_slowed:
         return _pacing.MIN_PACE
     return _pacing.FULL_PACE
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement_round.py
@@ -46,7 +46,7 @@
         is_service=spec.is_service,
         service=spec.image if spec.is_service else '',
         filling=spec.image if spec.is_filling else None,
-        may_be_slowed=task.is_overdue,
+        may_be_slowed=task.may_be_slowed,
     )
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -201,6 +201,7 @@
         task = job.find(run.key) if job is not None else None
         if task is not None and task.run == run.number:
             task.is_overdue = False
+            task.may_be_slowed = False
             task.turn_after_ms = now_ms + HARM_TURN_DELAY_MS
 
     def _send_pace(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -435,16 +435,16 @@
         for task in tasks:
             if started >= max_starts:
                 break
-            if task.is_overdue in held:
+            if task.may_be_slowed in held:
                 continue
-            group = groups.get(task.is_overdue)
+            group = groups.get(task.may_be_slowed)
             if group is None:
                 group = _unplaceable.group_of(task, route.pool)
-                groups[task.is_overdue] = group
+                groups[task.may_be_slowed] = group
                 hold = self._hold_before(task, group, amounts, unplaceable)
                 if hold is not None:
                     self._held_steps.setdefault(_class_of(task), hold)
-                    held.add(task.is_overdue)
+                    held.add(task.may_be_slowed)
                     continue
             if task.key not in self._cell.ready:
                 continue
@@ -456,7 +456,7 @@
                 newly_started = self._start_task(job, task, route, now_ms)
             started += newly_started
             if not newly_started:
-                held.add(task.is_overdue)
+                held.add(task.may_be_slowed)
                 self._held_steps[_class_of(task)] = self._reason_of(job, task)
                 unplaceable.add(group, amounts)
                 if task.spec.is_filling:
@@ -717,7 +717,7 @@
 def _class_of(task: _jobs.Task) -> _StepClass:
     """Return what tasks of a step share if none fits when one does not."""
     key = task.key
-    return (*key[:3], task.is_overdue)
+    return (*key[:3], task.may_be_slowed)
 
 
 def _demand_class(task: _jobs.Task, pool: str) -> _DemandClass:
--- a/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unplaceable.py
@@ -22,7 +22,7 @@
         spec.image if spec.is_filling else None,
         spec.is_filling,
         spec.is_service,
-        task.is_overdue,
+        task.may_be_slowed,
         spec.label,
         task.key[:3] if spec.max_per_worker or spec.is_gang else None,
     )
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -276,7 +276,7 @@
 
 
 def min_pace(task):
-    return 10 if task.is_overdue else 100
+    return 10 if task.may_be_slowed else 100
 
 
 def _common_rank(worker, task):
@@ -386,7 +386,7 @@
                 spec.image if spec.is_filling else None,
                 spec.is_filling,
                 spec.is_service,
-                task.is_overdue,
+                task.may_be_slowed,
                 spec.label,
                 task.key[:3] if spec.max_per_worker or spec.is_gang else None,
             )
