--- a/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
@@ -55,6 +55,9 @@
         self._cell = cell
         self._pools: dict[str, _Pool] = {}
         self._last_start_ms: dict[_ready.OccurrenceKey, int] = {}
+        self._last_run_ms: dict[_ready.OccurrenceKey, int] = {}
+        """When a job in rotation was last seen to have a run."""
+        self._now_ms = 0
         self._next_try_ms: dict[_jobs.TaskKey, int] = {}
         self._overdue: list[_overdue.OverdueStep] = []
         self._turns: dict[_jobs.TaskKey, str] = {}
@@ -67,6 +70,7 @@
 
         ``kept`` are the tasks that wait for a worker that is kept for them.
         """
+        self._now_ms = now_ms
         self._overdue = self._in_turn(
             _overdue.overdue_filling_steps(self._cell, now_ms, wall_ms)
         )
@@ -96,12 +100,26 @@
         """
         return sorted(
             steps,
-            key=lambda overdue: (
-                self.has_run(overdue.occurrence),
-                self._served_ms(overdue.occurrence, overdue.tasks[0]),
+            key=lambda overdue: self._turn_rank(
+                overdue.occurrence, overdue.tasks[0]
             ),
         )
 
+    def _turn_rank(
+        self, key: _ready.OccurrenceKey, task: _jobs.Task
+    ) -> tuple[bool, int]:
+        """Return the sort key of an occurrence among the overdue ones."""
+        has_run = self._note_run(key)
+        waiting_ms = self._served_ms if has_run else self._idle_since_ms
+        return has_run, waiting_ms(key, task)
+
+    def _note_run(self, key: _ready.OccurrenceKey) -> bool:
+        """Return whether an occurrence has a run; note when it had one."""
+        has_run = self.has_run(key)
+        if has_run:
+            self._last_run_ms[key] = self._now_ms
+        return has_run
+
     def has_run(self, key: _ready.OccurrenceKey) -> bool:
         """Return whether a task of an occurrence is on a worker."""
         job_id, number = key
@@ -184,17 +202,32 @@
         """Return whether filling tasks of an occurrence are overdue."""
         return key in self._overdue_keys
 
-    def rotation_rank(
+    def rotation_ranks(
         self, job: _jobs.Job, task: _jobs.Task
-    ) -> tuple[int, int]:
-        """Return the sort key of an occurrence among those in rotation.
+    ) -> tuple[tuple[int, int], tuple[int, int]]:
+        """Return the sort keys of an occurrence among those in rotation.
+
+        The first one is among those without a run, since when it has none,
+        the other among all, since when it waits for a start. Equals are in
+        order of their age. ``task`` is one of its ready tasks.
+        """
+        key = task.key[:2]
+        self._note_run(key)
+        age_ms = job.spec.due_ms(key[1]) or job.spec.accepted_ms
+        return (
+            (self._idle_since_ms(key, task), age_ms),
+            (self._served_ms(key, task), age_ms),
+        )
 
-        It is since when the occurrence waits, then its age. ``task`` is one
-        of its ready tasks.
+    def _idle_since_ms(
+        self, key: _ready.OccurrenceKey, task: _jobs.Task
+    ) -> int:
+        """Return since when an occurrence has had no run.
+
+        A job with short runs does not wait for as long as the runs of the
+        others take.
         """
-        occurrence = task.key.occurrence
-        served_ms = self._served_ms(task.key[:2], task)
-        return served_ms, job.spec.due_ms(occurrence) or job.spec.accepted_ms
+        return max(self._last_run_ms.get(key, 0), self._served_ms(key, task))
 
     def _served_ms(self, key: _ready.OccurrenceKey, task: _jobs.Task) -> int:
         """Return when an occurrence had its last start, or became ready.
@@ -221,13 +254,8 @@
         ready = self._cell.ready
         for task_key in [k for k in self._next_try_ms if k not in ready]:
             del self._next_try_ms[task_key]
-        jobs = self._cell.jobs
-        for key in [
-            key
-            for key in self._last_start_ms
-            if key[0] not in jobs or jobs[key[0]].outcome is not None
-        ]:
-            del self._last_start_ms[key]
+        for times in (self._last_start_ms, self._last_run_ms):
+            self._forget_ended(times)
         for task_key, name in self._turns.items():
             if task_key in kept:
                 self._pools[name].next_turn_ms = now_ms + TURN_INTERVAL_MS
@@ -235,6 +263,16 @@
                 self._next_try_ms[task_key] = now_ms + RETRY_MS
         self._limit_accounts()
 
+    def _forget_ended(self, times: dict[_ready.OccurrenceKey, int]) -> None:
+        """Forget the times of jobs that have ended."""
+        jobs = self._cell.jobs
+        for key in [
+            key
+            for key in times
+            if key[0] not in jobs or jobs[key[0]].outcome is not None
+        ]:
+            del times[key]
+
     def _limit_accounts(self) -> None:
         """Forget what has passed beyond what overdue tasks can still use."""
         usable: dict[str, float] = dict.fromkeys(self._pools, 0.0)
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -546,9 +546,9 @@
                 )
             ):
                 rank += (_urgency.Tier.OVERDUE,)
-                rotation = self._filling_turns.rotation_rank(job, task)
-                entries.append(((*rank, 0, *rotation), key, True))
-                rank += (1, *rotation)
+                first, later = self._filling_turns.rotation_ranks(job, task)
+                entries.append(((*rank, 0, *first), key, True))
+                rank += (1, *later)
             else:
                 rank += urgency
             entries.append((rank, key, False))
--- a/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
+++ b/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
@@ -28,6 +28,7 @@
         self.step_fields = step
         self.harness.scheduler.set_routes(ROUTES)
         self.ends_ms = {}
+        self.run_ms = {}
         self.sequence = 0
         self.added = 0
         self.run(RUN_MS)
@@ -60,7 +61,7 @@
             starts, _ = self.harness.decide(wall=self.harness.now)
             for start in starts:
                 self.harness.answer(start)
-                self.ends_ms[start] = self.harness.now + RUN_MS
+                self.ends_ms[start] = self.harness.now + self._run_ms(start)
             if any(start.key.job == until for start in starts):
                 return self.harness.now
         return None
@@ -88,10 +89,14 @@
         ]
         self.harness.poll(worker, running, ends)
 
+    def _run_ms(self, start):
+        """Return how long a run takes."""
+        return self.run_ms.get(start.key.job, RUN_MS)
+
     def _percent(self, start):
         """Return the progress of a run."""
         left_ms = self.ends_ms[start] - self.harness.now
-        return 100 - 100 * left_ms // RUN_MS
+        return 100 - 100 * left_ms // self._run_ms(start)
 
 
 @pytest.mark.parametrize('cpu', [2_000, 9_000])
@@ -161,6 +166,30 @@
         assert max(gaps) <= limit_ms
 
 
+def test_jobs_with_short_runs_wait_no_longer_than_others(make):
+    # Guards against a rotation by the last starts, in which a job waits for
+    # as long as the runs of all other jobs take, although its own was short.
+    cell = BusyCell(make, min_waiting=0)
+    names = [f'old{number:02}' for number in range(12)]
+    for number, name in enumerate(names):
+        cell.run_ms[name] = 200 if number % 2 else 3_000
+        cell.add(name, 'urgent', cpu=4_000, count=60, is_filling=True)
+    cell.run(MAX_WAIT_MS)
+    jobs = cell.harness.scheduler.jobs
+    idle = dict.fromkeys(names, 0)
+    longest = dict.fromkeys(names, 0)
+    for _ in range(150):
+        cell.run(POLL_MS)
+        for name in names:
+            has_run = any(task.worker for task in jobs[name].all_tasks())
+            idle[name] = 0 if has_run else idle[name] + POLL_MS
+            longest[name] = max(longest[name], idle[name])
+    with_short_runs = max(longest[name] for name in names[1::2])
+    assert (
+        with_short_runs <= max(longest[name] for name in names[::2]) + RUN_MS
+    )
+
+
 def test_turn_of_a_later_step_outlasts_its_owner(make):
     # Guards against a wait that counts from the takeover for a step that
     # became ready long after its job was accepted.
