--- a/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
@@ -27,6 +27,10 @@
 """Time between tasks of a pool that may start at a lower pace in their turn.
 They occupy capacity for longer than others and use up what services leave."""
 
+ROTATION_MS = 2_000
+"""Time for which a job in rotation goes on before those without a run. Most
+tasks take about as long; jobs with shorter ones start several in that time."""
+
 RETRY_MS = 2_000
 """Time until a task that could not start in its turn may have another."""
 
@@ -57,6 +61,7 @@
         self._last_start_ms: dict[_ready.OccurrenceKey, int] = {}
         self._last_run_ms: dict[_ready.OccurrenceKey, int] = {}
         """When a job in rotation was last seen to have a run."""
+        self._rotation_began_ms: dict[_ready.OccurrenceKey, int] = {}
         self._now_ms = 0
         self._next_try_ms: dict[_jobs.TaskKey, int] = {}
         self._overdue: list[_overdue.OverdueStep] = []
@@ -107,11 +112,11 @@
 
     def _turn_rank(
         self, key: _ready.OccurrenceKey, task: _jobs.Task
-    ) -> tuple[bool, int]:
+    ) -> tuple[int, ...]:
         """Return the sort key of an occurrence among the overdue ones."""
-        has_run = self._note_run(key)
-        waiting_ms = self._served_ms if has_run else self._idle_since_ms
-        return has_run, waiting_ms(key, task)
+        if self._note_run(key):
+            return 1, self._served_ms(key, task)
+        return 0, *self._idle_rank(key, task)
 
     def _note_run(self, key: _ready.OccurrenceKey) -> bool:
         """Return whether an occurrence has a run; note when it had one."""
@@ -204,30 +209,35 @@
 
     def rotation_ranks(
         self, job: _jobs.Job, task: _jobs.Task
-    ) -> tuple[tuple[int, int], tuple[int, int]]:
+    ) -> tuple[tuple[int, ...], tuple[int, ...]]:
         """Return the sort keys of an occurrence among those in rotation.
 
-        The first one is among those without a run, since when it has none,
-        the other among all, since when it waits for a start. Equals are in
-        order of their age. ``task`` is one of its ready tasks.
+        The first one is among those without a run, the other among all, since
+        when it waits for a start. Equals are in order of their age. ``task``
+        is one of its ready tasks.
         """
         key = task.key[:2]
         self._note_run(key)
         age_ms = job.spec.due_ms(key[1]) or job.spec.accepted_ms
         return (
-            (self._idle_since_ms(key, task), age_ms),
+            (*self._idle_rank(key, task), age_ms),
             (self._served_ms(key, task), age_ms),
         )
 
-    def _idle_since_ms(
+    def _idle_rank(
         self, key: _ready.OccurrenceKey, task: _jobs.Task
-    ) -> int:
-        """Return since when an occurrence has had no run.
+    ) -> tuple[bool, int]:
+        """Return the sort key of an occurrence among those without a run.
 
-        A job with short runs does not wait for as long as the runs of the
-        others take.
+        It goes on for a while, and then behind those that have had no run
+        for longer. So a job with short runs does not wait for as long as the
+        runs of the others take.
         """
-        return max(self._last_run_ms.get(key, 0), self._served_ms(key, task))
+        began_ms = self._rotation_began_ms.get(key)
+        if began_ms is not None and self._now_ms - began_ms < ROTATION_MS:
+            return False, began_ms
+        last_run_ms = self._last_run_ms.get(key, 0)
+        return True, max(last_run_ms, self._served_ms(key, task))
 
     def _served_ms(self, key: _ready.OccurrenceKey, task: _jobs.Task) -> int:
         """Return when an occurrence had its last start, or became ready.
@@ -239,7 +249,10 @@
     def on_started(self, task: _jobs.Task, pool: str, now_ms: int) -> None:
         """Enter a started filling task into the account of its pool."""
         found = self._pools.setdefault(pool, _Pool())
-        self._last_start_ms[task.key[:2]] = now_ms
+        key = task.key[:2]
+        self._last_start_ms[key] = now_ms
+        if now_ms - self._rotation_began_ms.get(key, 0) >= ROTATION_MS:
+            self._rotation_began_ms[key] = now_ms
         if task.is_overdue:
             cost = self._cost(task)
             found.passed = max(-cost, found.passed - cost)
@@ -254,7 +267,11 @@
         ready = self._cell.ready
         for task_key in [k for k in self._next_try_ms if k not in ready]:
             del self._next_try_ms[task_key]
-        for times in (self._last_start_ms, self._last_run_ms):
+        for times in (
+            self._last_start_ms,
+            self._last_run_ms,
+            self._rotation_began_ms,
+        ):
             self._forget_ended(times)
         for task_key, name in self._turns.items():
             if task_key in kept:
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -16,6 +16,7 @@
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _capacity
 from oriolestand_policy.scheduling import _exclusions
+from oriolestand_policy.scheduling import _filling_turns
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _forecast
 from oriolestand_policy.scheduling import _obstacles
@@ -477,6 +478,9 @@
                 )
             ):
                 last_start_ms = self._filling_turns._last_start_ms
+                if has_run(self._cell, task):
+                    now_ms = self._filling_turns._now_ms
+                    self._filling_turns._last_run_ms[occurrence_key] = now_ms
                 urgency = (
                     _urgency.Tier.OVERDUE,
                     1,
@@ -509,10 +513,20 @@
                 if other.key[:2] == task.key[:2]
             ]
             if task.key == min(all_keys):
-                rank = (*rank[:3], 0, *rank[4:])
+                first_rank = self._first_rank(task, rank[-2])
+                rank = (*rank[:3], 0, *first_rank, rank[-1])
                 entries.append(((1, rank, task.key), task, True))
         return [entry[1:] for entry in sorted(entries, key=lambda e: e[0])]
 
+    def _first_rank(self, task, served_ms):
+        """Return the rank of a job in rotation among those without a run."""
+        key = task.key[:2]
+        turns = self._filling_turns
+        began_ms = turns._rotation_began_ms.get(key, -(10**9))
+        if turns._now_ms < began_ms + _filling_turns.ROTATION_MS:
+            return False, began_ms
+        return True, max(turns._last_run_ms.get(key, 0), served_ms)
+
     def _age_ms(self, task, now_ms, wall_ms):
         job = self._cell.jobs[task.key.job]
         begins = [job.spec.due_ms(task.key.occurrence) or job.spec.accepted_ms]
