--- a/packages/fleet/src/oriolestand_fleet/services/cell/_failure_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_failure_record.py
@@ -75,7 +75,7 @@
         """Write the row; if that fails, the next update does it."""
         newest = sorted(
             failures,
-            key=lambda worker: (-failures[worker].failed_ms[-1], worker),
+            key=lambda worker: (-failures[worker].latest_ms, worker),
         )
         value = models.encode_failures(
             {w: failures[w] for w in newest[: const.MAX_STORED_FAILURES]},
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -134,5 +134,5 @@
 """Shortest time between writes of the recent failures of workers."""
 
 MAX_STORED_FAILURES = 200
-"""Workers whose recent failures are stored, the last to fail first. With names
-of the longest kind these are about 50 KB of the 64 KB of a row."""
+"""Workers whose recent failures are stored, the latest first. With names of
+the longest kind these are about 50 KB of the 64 KB of a row."""
--- a/packages/fleet/tests/test_exclusions_across_owners.py
+++ b/packages/fleet/tests/test_exclusions_across_owners.py
@@ -95,3 +95,25 @@
     restart_owner(site, daemons)
     submit_tasks(site, daemons[-1], 6)
     assert failures(site) == 3
+
+
+def first_worker(daemons):
+    """Return what the owner knows of the first worker."""
+    term = owner_of(daemons).kernel.find('cell')._owner_term
+    return term._scheduler.workers['w0']
+
+
+def test_exclusion_without_a_failure_does_not_end_the_owner(site, daemons):
+    # Guards against an error in each owner while a worker is excluded whose
+    # runs have stalled, as no failure of it is stored.
+    site.submit(daemons[0], 'a' * 16, TASKS, duration_ms=9_000)
+    site.run(1_000)
+    term = owner_of(daemons).kernel.find('cell')._owner_term
+    site.workers['w0'].is_stalled = True
+    site.run_until(lambda: first_worker(daemons).avoid_until_ms, 9_000)
+    site.run(1_000)
+    assert owner_of(daemons).kernel.find('cell')._owner_term is term
+    assert not first_worker(daemons).failed_tasks
+    restart_owner(site, daemons)
+    site.run(200)
+    assert first_worker(daemons).avoid_until_ms > site.clock.now()
--- a/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
@@ -73,6 +73,14 @@
     failed_ms: tuple[int, ...]
     avoid_until_ms: int = 0
 
+    @property
+    def latest_ms(self) -> int:
+        """Return the end of the exclusion, or when the last task failed.
+
+        A worker that is excluded for stalled runs need not have failures.
+        """
+        return max((self.avoid_until_ms, *self.failed_ms))
+
 
 class FormerFailures:
     """Failures that a former owner has seen and this one does not know.
