--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -172,6 +172,10 @@
         self._log.error('Owner failed', reason=reason.getTraceback())
         self._on_ownership_lost('fault')
 
+    def _on_record_error(self, reason: Any) -> None:
+        """Log an unexpected error in a record that no promise depends on."""
+        self._log.error('Record not written', reason=reason.getTraceback())
+
     # Input from other services.
 
     def set_config(self, config: store.FleetConfig) -> None:
@@ -368,9 +372,7 @@
                 self._interference_record.update(),
                 self._failure_record.update(),
             ):
-                defer.ensureDeferred(update).addErrback(
-                    self._on_unexpected_error
-                )
+                defer.ensureDeferred(update).addErrback(self._on_record_error)
             if self._sweeper.is_due:
                 await self._sweeper.sweep()
 
--- a/packages/fleet/tests/test_exclusions_across_owners.py
+++ b/packages/fleet/tests/test_exclusions_across_owners.py
@@ -117,3 +117,19 @@
     restart_owner(site, daemons)
     site.run(200)
     assert first_worker(daemons).avoid_until_ms > site.clock.now()
+
+
+@pytest.mark.parametrize('record', ['_failure_record', '_interference_record'])
+def test_error_in_a_learned_record_does_not_end_the_owner(
+    site, daemons, record
+):
+    # Guards against an owner that ends, and its successors, for a row that
+    # only makes a takeover faster.
+    term = owner_of(daemons).kernel.find('cell')._owner_term
+
+    async def fail():
+        raise IndexError
+
+    getattr(term, record).update = fail
+    site.run(2_000)
+    assert owner_of(daemons).kernel.find('cell')._owner_term is term
