--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -10,6 +10,7 @@
 from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
 
@@ -95,18 +96,19 @@
         Call this only once the registered workers are known. ``delay_ms`` is
         how late the event loop calls timers.
         """
-        if self._term.store_clock is None:
+        clock = self._term.store_clock
+        if clock is None:
             return
         for worker_id in sorted(self.former_worker_ids):
             worker = self._scheduler.workers.get(worker_id)
             if worker is not None and not (
                 worker.is_probed or worker.is_listed
             ):
-                self._carry_wait(worker)
+                self._carry_wait(worker, clock)
         for worker in self._silent_workers(delay_ms):
             if len(self._runs_end_ms) >= const.MAX_CARRIED_WAITS:
                 break
-            self._carry_wait(worker)
+            self._carry_wait(worker, clock)
 
     def _silent_workers(self, delay_ms: int) -> list[scheduling.Worker]:
         """Return the workers that have not answered for some time.
@@ -128,7 +130,9 @@
             and not worker.is_polled_late
         ]
 
-    def _carry_wait(self, worker: scheduling.Worker) -> None:
+    def _carry_wait(
+        self, worker: scheduling.Worker, clock: ownership.StoreClock
+    ) -> None:
         """Let the row of a worker hold when all runs there have ended.
 
         A worker that has restarted since this owner requested its lease is
@@ -148,11 +152,9 @@
             runs_end_ms = max(runs_end_ms, lease_over_ms or 0)
         elif not self._scheduler.hold_leases(worker_id):
             return
-        clock = self._term.store_clock
-        if clock is not None:
-            self._runs_end_ms[worker_id] = clock.to_store_ms(runs_end_ms)
-            self._recorded.discard(worker_id)
-            self._scheduler.mark_workers_unrecorded([worker_id])
+        self._runs_end_ms[worker_id] = clock.to_store_ms(runs_end_ms)
+        self._recorded.discard(worker_id)
+        self._scheduler.mark_workers_unrecorded([worker_id])
 
     def _is_silent(self, worker_id: str) -> bool:
         """Return whether a worker has not reported, or does not any more."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -51,6 +51,7 @@
 that it survives the suspect."""
 
 POLL_RETRY_MS = 250
+
 CARRY_DELAY_MS = 500
 """How long a registered worker must not have answered before the end of its
 runs is carried to the next owner. Connections that were reset are open again
