--- a/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
+++ b/packages/policy/tests/scheduling/test_turns_of_filling_tasks.py
@@ -240,3 +240,42 @@
     starts, _ = harness.decide(wall=harness.now)
     assert len(starts) == 1
     scheduling.progress_of(harness.scheduler.jobs['a'])
+
+
+def test_job_with_short_runs_goes_on_in_its_part_of_the_rotation(make):
+    # Guards against a job whose short runs each wait for all other jobs, so
+    # that it has a run for a small part of the time only.
+    cell = BusyCell(make, min_waiting=0)
+    names = [f'old{number:02}' for number in range(12)]
+    for name in names:
+        cell.run_ms[name] = 300
+        cell.add(name, 'urgent', cpu=4_000, count=200, is_filling=True)
+    cell.run(MAX_WAIT_MS)
+    jobs = cell.harness.scheduler.jobs
+    had_run = dict.fromkeys(names, False)
+    parts = busy_rounds = 0
+    for _ in range(200):
+        cell.run(POLL_MS)
+        for name in names:
+            has_run = any(task.worker for task in jobs[name].all_tasks())
+            parts += has_run and not had_run[name]
+            busy_rounds += has_run
+            had_run[name] = has_run
+    assert busy_rounds * POLL_MS / parts >= 1_000
+
+
+def test_one_task_a_second_may_be_slowed_in_its_turn(make):
+    # Guards against turns that fill the workers with slowed tasks.
+    cell = BusyCell(make, min_waiting=50, cpu=500, is_filling=True)
+    old = [f'old{number:03}' for number in range(200)]
+    for name in old:
+        cell.add(name, 'urgent', cpu=500, is_filling=True)
+    cell.run(MAX_WAIT_MS)
+    jobs = cell.harness.scheduler.jobs
+    tasks = [task for name in old for task in jobs[name].all_tasks()]
+    slowed = set()
+    for _ in range(10 * RUN_MS // POLL_MS):
+        cell.run(POLL_MS)
+        slowed.update(task.key for task in tasks if task.may_be_slowed)
+    # One a second, the one of the second before, and one on the edge.
+    assert 1 < len(slowed) <= 12
