--- a/packages/fleet/tests/test_leases_of_lost_workers.py
+++ b/packages/fleet/tests/test_leases_of_lost_workers.py
@@ -4,8 +4,12 @@
 registration expires only after missed heartbeats.
 """
 
+import json
+
 import pytest
 
+from oriolestand_fleet import layout
+from oriolestand_fleet.messages import store
 from oriolestand_policy import scheduling
 from oriolestand_standins import fleet
 from oriolestand_standins.fleet import owner_of
@@ -181,3 +185,39 @@
     set_reachable(site, daemons, worker, True)
     site.run(20_000)
     assert [run.outcome for run in service_runs(site)] == ['']
+
+
+def holds_end(site, worker):
+    """Return whether the row of a worker holds the end of its runs."""
+    key = layout.WORKER_PREFIX + worker
+    row = site.store.rows[layout.OWNER_TABLE, layout.CELL_PART, key]
+    return len(json.loads(row.value)) == 4
+
+
+@pytest.mark.parametrize('reachable_ms', [1_000, 2_500, 4_000])
+def test_owner_that_cannot_clear_an_end_extends_no_lease(cell, reachable_ms):
+    # Guards against a successor that starts a task at the carried end while
+    # the owner before has extended the lease of its worker.
+    site, daemons = cell
+    worker = service_runs(site)[0].worker
+    set_reachable(site, daemons, worker, False)
+    site.run_until(lambda: holds_end(site, worker), 4_000)
+    owner = owner_of(daemons)
+    task = owner.kernel.find('store')
+    real = task._commit
+
+    async def refuse_worker_rows(msg):
+        if any(put.key.startswith(layout.WORKER_PREFIX) for put in msg.puts):
+            raise store.StoreError('refused')
+        return await real(msg)
+
+    task._commit = refuse_worker_rows
+    set_reachable(site, daemons, worker, True)
+    site.run(reachable_ms)
+    set_reachable(site, daemons, worker, False)
+    site.shut_down(owner)
+    daemons.remove(owner)
+    site.run_until(lambda: any(d.is_owner for d in daemons), 2_000)
+    site.run(20_000)
+    assert len(service_runs(site)) > 1
+    assert site.overlapping_runs() == []
