Finish begun jobs before others are begun

What callers saw: under overload most filling jobs came late or not at all, the larger the more, and worth fell with load. With a burst of 2.5 and no fault the largest tenth was served less than half as often as the kind.

Cause: jobs that can be in time went by their deadline alone. Each job got a part of its tasks started, fell behind and then came after all newcomers.

Change: the share of a job's work that is left to start decides among jobs that can be in time. A late job counts its work by what it still earns, so that one that lacks a single task goes before new ones. Size plays no part.

Two of the three new tests fail without the change; the third guards the limit for late jobs. test_equivalence: its reference follows the new rank. Its placement looked at the workers at the beginning of a round, that of the scheduler at the first question, so that a service task which started from a reservation in between counted as a trial in one of them only; the new order met this case, the reference now looks at the same moment. No check is dropped.

--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -69,7 +69,7 @@
         self._filling_turns = _filling_turns.FillingTurns(cell)
         self._fit_budget = _fit_budget.FitBudget()
         self._gang_budget = _gang_fit.GangBudget()
-        self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times)
+        self._urgency_ranks = _urgency.UrgencyRanks(cell.run_times, cell.ready)
         self.run_numbers = _run_numbers.RunNumbers(cell.epoch)
         # Why the last round passed over steps and single tasks.
         self._held_steps: dict[_StepClass, _obstacles.Hold] = {}
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -52,8 +52,10 @@
         self._pairs_before_gang = set()
         self._paces = {}
         self._now_ms = 0
+        self._workers = None
 
     def begin_gang(self):
+        self._prepare()
         self._pairs_before_gang = set(self._pairs_on_trial)
 
     def abandon_gang(self):
@@ -62,11 +64,21 @@
     def plan(self, workers, now_ms):
         self._now_ms = now_ms
         self._capacities.clear()
-        self._pairs_on_trial.clear()
         self._paces.clear()
+        self._workers = workers
+
+    def _prepare(self):
+        """Look at the workers once, at the first question of a round.
+
+        Services that have started in the round by then count.
+        """
+        if self._workers is None:
+            return
+        workers, self._workers = self._workers, None
+        self._pairs_on_trial.clear()
         by_pool = {}
         for worker in workers:
-            if _placement.is_usable(worker, now_ms):
+            if _placement.is_usable(worker, self._now_ms):
                 by_pool.setdefault(worker.info.pool, []).append(worker)
             if worker.capacity.filling_cpu:
                 self._record_trials(worker)
@@ -93,6 +105,7 @@
         return self._rank_batch
 
     def obstacle(self, worker, task):
+        self._prepare()
         found = _placement.capacity_obstacle(worker, task)
         if found is not None:
             return found
@@ -128,6 +141,7 @@
         return None
 
     def select_worker(self, task, pool):
+        self._prepare()
         best = None
         best_rank = ()
         rank_of = self._rank_of(task)
@@ -166,6 +180,7 @@
         return self._paces.get(task.key, 100)
 
     def pace_without_filling(self, worker, task):
+        self._prepare()
         capacity = ReferenceCapacity(
             free=0,
             is_tail_high=False,
@@ -468,7 +483,7 @@
                 ranks[occurrence_key] = (0,)
                 continue
             urgency = reference_rank(
-                job, key.occurrence, route, self._cell.run_times, wall_ms
+                job, key.occurrence, route, self._cell, wall_ms
             )
             if task.spec.is_filling and (
                 urgency[0] == _urgency.Tier.LOST
@@ -553,10 +568,11 @@
     )
 
 
-def reference_rank(job, occurrence, route, run_times, wall_ms):
+def reference_rank(job, occurrence, route, cell, wall_ms):
+    run_times = cell.run_times
     due = job.spec.due_ms(occurrence) or job.spec.accepted_ms
     if any(spec.is_service for spec in job.spec.steps):
-        return (_urgency.Tier.IN_TIME, due)
+        return (_urgency.Tier.IN_TIME, 1_000, due)
     objective = _urgency.objective_ms(job, route, run_times)
     remaining = _urgency.remaining_ms(job, occurrence, run_times)
     finish = wall_ms + remaining
@@ -566,16 +582,32 @@
         if job.is_start_decided
         else _urgency.START_MARGIN * (objective - remaining)
     )
+    left = reference_left(job, occurrence, cell)
     if slack >= max(0.0, margin):
-        return (_urgency.Tier.IN_TIME, due + objective)
+        return (_urgency.Tier.IN_TIME, left, due + objective)
     if slack >= 0:
-        return (_urgency.Tier.AT_RISK, due + objective)
-    if finish <= due + _urgency.LATE_FACTOR * objective:
-        return (
-            _urgency.Tier.LATE,
-            due + _urgency.LATE_FACTOR * objective,
+        return (_urgency.Tier.AT_RISK, left, due + objective)
+    late_due = due + _urgency.LATE_FACTOR * objective
+    if finish > late_due:
+        return (_urgency.Tier.LOST, left, due)
+    if left * 100 // 15 < 1_000:
+        return (_urgency.Tier.IN_TIME, left * 100 // 15, late_due)
+    return (_urgency.Tier.LATE, left, late_due)
+
+
+def reference_left(job, occurrence, cell):
+    """Return the work that is not started or done, in thousandths."""
+    left = total = 0
+    for number, tasks in enumerate(job.occurrence(occurrence)):
+        spec = job.spec.steps[number]
+        expected_ms = cell.run_times.expected_ms(job.spec.route, spec)
+        work = max(1, spec.cpu) * max(1, expected_ms)
+        is_later = not job.is_step_ready(occurrence, number)
+        total += work * len(tasks)
+        left += work * sum(
+            is_later or task.key in cell.ready for task in tasks
         )
-    return (_urgency.Tier.LOST, due)
+    return 1_000 * left // total
 
 
 class ReferenceModel(scheduling.InterferenceModel):
--- a/packages/policy/tests/scheduling/test_urgency.py
+++ b/packages/policy/tests/scheduling/test_urgency.py
@@ -70,6 +70,58 @@
     assert [s.key.job for s in starts] == ['old']
 
 
+def test_begun_job_is_finished_before_one_that_is_due_earlier(harness, make):
+    # Under overload each job was begun and then left for others that were due
+    # earlier, so that most of the work earned nothing.
+    harness.scheduler.set_routes(
+        [scheduling.RoutePolicy(name='r', pool='p', stretch=3.0)]
+    )
+    harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 10_000
+    long = dataclasses.replace(BIG, count=2, estimate_ms=2_000)
+    harness.add('begun', long, accepted_ms=109_900)
+    first = harness.decide(wall=110_000)[0][0]
+    harness.answer(first)
+    harness.add('new', BIG, accepted_ms=110_000)
+    harness.poll('w0', ended=[make.end(first, 'done')])
+    starts, _ = harness.decide(wall=110_100)
+    # It is due at 115.9 s, the new one at 113 s.
+    assert [s.key.job for s in starts] == ['begun']
+
+
+def test_job_without_its_last_task_goes_before_a_new_one(harness, make):
+    # A run that failed when the job could no longer be in time was repeated
+    # after tens of seconds, although it was all that the job lacked.
+    harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 100_000
+    step = scheduling.StepSpec(count=8, cpu=1_000, estimate_ms=1_000)
+    harness.add('old', step, accepted_ms=109_900)
+    runs = harness.decide(wall=110_000)[0]
+    for run in runs:
+        harness.answer(run)
+    harness.now += 1_000
+    harness.add('new', BIG, accepted_ms=110_900)
+    ends = [make.end(run, 'done') for run in runs[:-1]]
+    harness.poll('w0', ended=[*ends, make.end(runs[-1], 'failed')])
+    harness.scheduler.workers['w0'].avoid_until_ms = 0
+    starts, _ = harness.decide(wall=111_000)
+    assert [s.key.job for s in starts] == ['old']
+
+
+def test_late_job_with_much_work_left_comes_after_a_new_one(harness, make):
+    # Guards against work for a value that is mostly gone.
+    harness.scheduler.set_routes(
+        [scheduling.RoutePolicy(name='r', pool='p', stretch=2.0)]
+    )
+    harness.scheduler.workers['w1'].avoid_until_ms = harness.now + 100_000
+    harness.add('old', dataclasses.replace(BIG, count=2), accepted_ms=108_000)
+    first = harness.decide(wall=108_100)[0][0]
+    harness.answer(first)
+    harness.now += 2_900
+    harness.add('new', BIG, accepted_ms=110_900)
+    harness.poll('w0', ended=[make.end(first, 'done')])
+    starts, _ = harness.decide(wall=111_000)
+    assert [s.key.job for s in starts] == ['new']
+
+
 def test_ended_service_task_starts_before_later_services(harness, make):
     # A service is past its objective once it has run for some time. Every
     # service submitted later then started before its ended tasks.
