Let the kernel know tasks by an abstract base class

The kernel and its run queue named core.Task, and core.Task names the kernel. Both now use Actor, which has the methods that they call; core.Task implements it. Rewiring only.

--- a/packages/core/src/oriolestand_core/__init__.py
+++ b/packages/core/src/oriolestand_core/__init__.py
@@ -1,5 +1,6 @@
 """Provide the service kernel, tasks, clocks, errors and logging."""
 
+from oriolestand_core._actor import Actor
 from oriolestand_core._clock import Clock
 from oriolestand_core._clock import ManualClock
 from oriolestand_core._clock import Millis
@@ -23,6 +24,7 @@
 from oriolestand_core._verdict import Verdict
 
 __all__ = [
+    'Actor',
     'Clock',
     'IdSource',
     'Inbox',
--- a/packages/core/src/oriolestand_core/_kernel.py
+++ b/packages/core/src/oriolestand_core/_kernel.py
@@ -11,6 +11,7 @@
 import msgspec
 from twisted.internet import defer
 
+from oriolestand_core import _actor
 from oriolestand_core import _clock
 from oriolestand_core import _errors
 from oriolestand_core import _ids
@@ -85,16 +86,16 @@
         self.incarnation = self.ids.incarnation()
         self.run_queue = _task.RunQueue()
         self.log = _logs.get_logger('kernel')
-        self._tasks: dict[str, _task.Task] = {}
-        self._subscribers: dict[type, list[_task.Task]] = {}
+        self._tasks: dict[str, _actor.Actor] = {}
+        self._subscribers: dict[type, list[_actor.Actor]] = {}
         self._latest_state_events: dict[type, object] = {}
 
     @property
-    def services(self) -> Mapping[str, _task.Task]:
+    def services(self) -> Mapping[str, _actor.Actor]:
         """Return the tasks by service name, in order of set-up."""
         return self._tasks
 
-    def register(self, name: str, task: _task.Task) -> None:
+    def register(self, name: str, task: _actor.Actor) -> None:
         """Register a task; raise UnknownServiceError if the name is in use."""
         if name in self._tasks:
             raise _errors.UnknownServiceError(
@@ -102,7 +103,7 @@
             )
         self._tasks[name] = task
 
-    def find(self, name: str) -> _task.Task:
+    def find(self, name: str) -> _actor.Actor:
         """Return the task of a service, or raise UnknownServiceError."""
         try:
             return self._tasks[name]
@@ -122,7 +123,7 @@
         except _errors.UnknownServiceError:
             return defer.fail()
 
-    def subscribe(self, event_type: type, task: _task.Task) -> None:
+    def subscribe(self, event_type: type, task: _actor.Actor) -> None:
         """Deliver events of a type to a task.
 
         If a state event of the type was published before, the latest one is
--- a/packages/core/src/oriolestand_core/_task.py
+++ b/packages/core/src/oriolestand_core/_task.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import defer
 
+from oriolestand_core import _actor
 from oriolestand_core import _errors
 from oriolestand_core import _inbox
 
@@ -40,10 +41,10 @@
     """
 
     def __init__(self) -> None:
-        self._ready: collections.deque[Task] = collections.deque()
+        self._ready: collections.deque[_actor.Actor] = collections.deque()
         self._is_draining = False
 
-    def schedule(self, task: 'Task') -> None:
+    def schedule(self, task: _actor.Actor) -> None:
         """Schedule one message of a task, and run the queue if idle."""
         ready = self._ready
         ready.append(task)
@@ -70,7 +71,7 @@
         self.reply = reply
 
 
-class Task:
+class Task(_actor.Actor):
     """Base class of actors, which handle typed messages from an inbox.
 
     A task owns its state and sockets. Subclasses decorate handlers with
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
@@ -36,7 +36,7 @@
         self._next_xid = 0
         self._port: Any = None
         self._sampler = telemetry.Sampler(cfg.telemetry.sample_rate)
-        self._telemetry: core.Task | None = None
+        self._telemetry: core.Actor | None = None
         self.channels: set[_channel.CallerChannel] = set()
         self.is_leaving = False
         self._all_closed: defer.Deferred[None] | None = None
