--- a/packages/core/src/oriolestand_core/_actor.py
+++ b/packages/core/src/oriolestand_core/_actor.py
@@ -1,6 +1,7 @@
-"""Provide the interface of tasks that the kernel and its queue use."""
+"""Provide the interface of tasks and the queue that runs them."""
 
 import abc
+import collections
 from typing import Any
 
 from twisted.internet import defer
@@ -28,3 +29,29 @@
     @abc.abstractmethod
     def stop(self) -> object:
         """Release all sockets and timers; may return a Deferred."""
+
+
+class RunQueue:
+    """Run the message handlers of all tasks of a process one at a time.
+
+    Handlers never nest: a message that a handler posts stays queued until
+    that handler has returned.
+    """
+
+    def __init__(self) -> None:
+        self._ready: collections.deque[Actor] = collections.deque()
+        self._is_draining = False
+
+    def schedule(self, task: Actor) -> None:
+        """Schedule one message of a task, and run the queue if idle."""
+        ready = self._ready
+        ready.append(task)
+        if self._is_draining:
+            return
+        self._is_draining = True
+        take = ready.popleft
+        try:
+            while ready:
+                take().handle_next()
+        finally:
+            self._is_draining = False
--- a/packages/core/src/oriolestand_core/_kernel.py
+++ b/packages/core/src/oriolestand_core/_kernel.py
@@ -16,7 +16,6 @@
 from oriolestand_core import _errors
 from oriolestand_core import _ids
 from oriolestand_core import _logs
-from oriolestand_core import _task
 
 SETUP_RETRY_MIN_MS = 100
 SETUP_RETRY_MAX_MS = 5_000
@@ -84,7 +83,7 @@
         self.reactor = reactor
         self.ids = ids or _ids.IdSource()
         self.incarnation = self.ids.incarnation()
-        self.run_queue = _task.RunQueue()
+        self.run_queue = _actor.RunQueue()
         self.log = _logs.get_logger('kernel')
         self._tasks: dict[str, _actor.Actor] = {}
         self._subscribers: dict[type, list[_actor.Actor]] = {}
--- a/packages/core/src/oriolestand_core/_task.py
+++ b/packages/core/src/oriolestand_core/_task.py
@@ -1,6 +1,5 @@
 """Provide tasks: actors that handle messages one at a time."""
 
-import collections
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
@@ -33,32 +32,6 @@
     return decorate
 
 
-class RunQueue:
-    """Run the message handlers of all tasks of a process one at a time.
-
-    Handlers never nest: a message that a handler posts stays queued until
-    that handler has returned.
-    """
-
-    def __init__(self) -> None:
-        self._ready: collections.deque[_actor.Actor] = collections.deque()
-        self._is_draining = False
-
-    def schedule(self, task: _actor.Actor) -> None:
-        """Schedule one message of a task, and run the queue if idle."""
-        ready = self._ready
-        ready.append(task)
-        if self._is_draining:
-            return
-        self._is_draining = True
-        take = ready.popleft
-        try:
-            while ready:
-                take().handle_next()
-        finally:
-            self._is_draining = False
-
-
 class Envelope(Generic[T]):
     """Pair a request with the Deferred that receives its reply."""
 
