--- a/packages/core/src/oriolestand_core/_task.py
+++ b/packages/core/src/oriolestand_core/_task.py
@@ -1,7 +1,6 @@
 """Provide tasks: actors that handle messages one at a time."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
 from typing import Generic
@@ -12,9 +11,7 @@
 from oriolestand_core import _actor
 from oriolestand_core import _errors
 from oriolestand_core import _inbox
-
-if TYPE_CHECKING:
-    from oriolestand_core._kernel import Kernel
+from oriolestand_core import _kernel
 
 T = TypeVar('T')
 Handler = TypeVar('Handler', bound=Callable[..., Any])
@@ -64,7 +61,7 @@
                 handlers[message_type] = name
         cls._handlers = handlers
 
-    def __init__(self, kernel: 'Kernel', name: str) -> None:
+    def __init__(self, kernel: _kernel.Kernel, name: str) -> None:
         self.kernel = kernel
         self.name = name
         self.is_stopped = False
