Let an attempt know its task and its bodies by abstract base classes

The modules _attempt, _body and _task of the service upstreams imported each other. The task now implements AttemptOwner, which is what an attempt uses of it, and an attempt implements BodyOwner for the streams of its bodies. The calls and their order are the same. Rewiring only.

--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/_attempt.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_attempt.py
@@ -1,6 +1,5 @@
 """Send a request over a connection to an upstream."""
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.python import failure
@@ -13,18 +12,15 @@
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.upstreams import _body
+from oriolestand_daemon.services.upstreams import _body_owner
+from oriolestand_daemon.services.upstreams import _connection
 from oriolestand_daemon.services.upstreams import _headers
+from oriolestand_daemon.services.upstreams import _owner
 from oriolestand_daemon.services.upstreams import _wire_request
 from oriolestand_daemon.services.upstreams import const
 from oriolestand_daemon.services.upstreams import errors
 from oriolestand_policy import dispatching
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.upstreams._connection import (
-        UpstreamConnection,
-    )
-    from oriolestand_daemon.services.upstreams._task import UpstreamsTask
-
 NO_BODY_STATUSES = frozenset({http.NO_CONTENT, http.NOT_MODIFIED})
 SERVICE_UNAVAILABLE = http.SERVICE_UNAVAILABLE
 
@@ -37,12 +33,12 @@
 _REQUEST_NOT_SENT = client.RequestNotSent
 
 
-class Attempt:
+class Attempt(_body_owner.BodyOwner):
     """One attempt to serve a request at one upstream."""
 
     def __init__(
         self,
-        owner: 'UpstreamsTask',
+        owner: _owner.AttemptOwner,
         xid: int,
         start: exchange.StartExchange,
     ) -> None:
@@ -53,7 +49,7 @@
         self._target = start.target
         self._head = start.head
         self._caller = start.caller
-        self._conn: UpstreamConnection | None = None
+        self._conn: _connection.UpstreamConnection | None = None
         self._body: _body.RequestBody | None = None
         self._reader: _body.ResponseReader | None = None
         self._is_sent = False
@@ -90,7 +86,7 @@
             )
         )
 
-    def _send(self, conn: 'UpstreamConnection') -> None:
+    def _send(self, conn: _connection.UpstreamConnection) -> None:
         """Send the head of the request; the body is streamed afterwards."""
         if self._has_ended:
             self._owner.pool.release(self._target, conn)
--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/_body.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_body.py
@@ -1,6 +1,5 @@
 """Stream bodies between an exchange and a connection to an upstream."""
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet import defer
@@ -10,15 +9,16 @@
 from twisted.web import iweb
 import zope.interface
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.upstreams._attempt import Attempt
+from oriolestand_daemon.services.upstreams import _body_owner
 
 
 @zope.interface.implementer(iweb.IBodyProducer)
 class RequestBody:
     """Writes the body of a request as its chunks arrive."""
 
-    def __init__(self, attempt: 'Attempt', length: int | None) -> None:
+    def __init__(
+        self, attempt: _body_owner.BodyOwner, length: int | None
+    ) -> None:
         self.length: Any = iweb.UNKNOWN_LENGTH if length is None else length
         self.is_ended = False
         self._attempt = attempt
@@ -61,7 +61,7 @@
 class ResponseReader(protocol.Protocol):
     """Passes the body of a response to its attempt."""
 
-    def __init__(self, attempt: 'Attempt') -> None:
+    def __init__(self, attempt: _body_owner.BodyOwner) -> None:
         self._attempt = attempt
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/packages/daemon/src/oriolestand_daemon/services/upstreams/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/upstreams/_task.py
@@ -6,11 +6,12 @@
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.upstreams import _attempt
+from oriolestand_daemon.services.upstreams import _owner
 from oriolestand_daemon.services.upstreams import _pool
 from oriolestand_daemon.services.upstreams import const
 
 
-class UpstreamsTask(core.Task):
+class UpstreamsTask(_owner.AttemptOwner):
     """Run attempts to serve requests over pooled connections."""
 
     inbox_limit = 65_536
