Let the connections of callers know their task by abstract base classes

The modules _channel, _request and _task of the service frontend imported each other. The task now implements ChannelOwner, and a connection RequestChannel, which is what a request uses of it. The owners are generic in the classes of requests and connections, so that they name no part of the task. The calls and their order are the same. Rewiring only.

--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_channel.py
@@ -1,38 +1,36 @@
 """Read requests from the connection of a caller."""
 
 import select
-from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
-from twisted.web import http
 
 import oriolestand_core as core
 from oriolestand_daemon.services.frontend import _head
+from oriolestand_daemon.services.frontend import _owner
 from oriolestand_daemon.services.frontend import _refusal
 from oriolestand_daemon.services.frontend import _request
+from oriolestand_daemon.services.frontend import _request_channel
 from oriolestand_daemon.services.frontend import _response
 from oriolestand_daemon.services.frontend import const
 from oriolestand_daemon.services.frontend import errors
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.frontend._task import FrontendTask
-
-
 _FRAMING_HEADERS = {
     'content-length': b'Content-Length',
     'transfer-encoding': b'Transfer-Encoding',
 }
 """Headers that define the body length, in the spelling of the base class."""
 
+Owner = _owner.ChannelOwner[_request.CallerRequest, 'CallerChannel']
+
 
 def _discard(_: bytes) -> None:
     """Discard bytes received after the final response."""
 
 
-class CallerChannel(http.HTTPChannel):
+class CallerChannel(_request_channel.RequestChannel):
     """The connection of a caller.
 
     Enforces limits on heads and idle time, and closes without losing a
@@ -40,7 +38,7 @@
     class are accessed through ``channel``, an alias of type Any.
     """
 
-    def __init__(self, owner: 'FrontendTask') -> None:
+    def __init__(self, owner: Owner) -> None:
         super().__init__()
         channel: Any = self
         limit = owner.cfg.limits.max_header_bytes
@@ -288,7 +286,7 @@
 
     noisy = False
 
-    def __init__(self, owner: 'FrontendTask') -> None:
+    def __init__(self, owner: Owner) -> None:
         self._owner = owner
 
     def buildProtocol(self, addr: Any) -> CallerChannel:  # noqa: N802
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_request.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_request.py
@@ -1,7 +1,6 @@
 """Read one caller's request and write its response."""
 
 import collections
-from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.python import failure
@@ -11,16 +10,14 @@
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.frontend import _head
+from oriolestand_daemon.services.frontend import _owner
 from oriolestand_daemon.services.frontend import _refusal
+from oriolestand_daemon.services.frontend import _request_channel
 from oriolestand_daemon.services.frontend import _response
 from oriolestand_daemon.services.frontend import const
 from oriolestand_daemon.services.frontend import errors
 from oriolestand_policy import tables
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.frontend._channel import CallerChannel
-    from oriolestand_daemon.services.frontend._task import FrontendTask
-
 CREDIT_STEP_BYTES = exchange.CREDIT_BYTES // 4
 """Credit is returned in steps of this size, which saves messages."""
 
@@ -34,7 +31,9 @@
     """
 
     def __init__(
-        self, channel: 'CallerChannel', owner: 'FrontendTask'
+        self,
+        channel: _request_channel.RequestChannel,
+        owner: '_owner.RequestOwner[CallerRequest]',
     ) -> None:
         # The base constructor is not called: it reads both addresses from
         # the transport, which costs more than all assignments below.
--- a/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/frontend/_task.py
@@ -12,6 +12,7 @@
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.frontend import _channel
 from oriolestand_daemon.services.frontend import _head
+from oriolestand_daemon.services.frontend import _owner
 from oriolestand_daemon.services.frontend import _request
 from oriolestand_daemon.services.frontend import _tls
 from oriolestand_daemon.services.frontend import const
@@ -21,7 +22,9 @@
 from oriolestand_policy import tables
 
 
-class FrontendTask(core.Task):
+class FrontendTask(
+    _owner.ChannelOwner[_request.CallerRequest, _channel.CallerChannel]
+):
     """Route requests of callers and send them the responses."""
 
     inbox_limit = 65_536
