Let the links to peers know their task by abstract base classes

The modules _dialer, _forwarded, _link, _served and _task of the service peers imported each other. The task now implements LinkOwner, which is generic in the class of links, and a link ExchangeLink, which is what the exchanges on it use. ServedExchanges asked the owner of its link for a route; it now asks the link, which passes the question on. The calls and their order are the same otherwise. Rewiring only.

--- a/packages/daemon/src/oriolestand_daemon/services/peers/_dialer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_dialer.py
@@ -2,19 +2,16 @@
 
 import dataclasses
 import re
-from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet import endpoints
 from twisted.internet import protocol
 
 from oriolestand_daemon.services.peers import _link
+from oriolestand_daemon.services.peers import _owner
 from oriolestand_daemon.services.peers import _tls
 from oriolestand_daemon.services.peers import const
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.peers._task import PeersTask
-
 MILLIS_PER_SECOND = 1000
 
 _ADDRESS = re.compile(r'[0-9A-Za-z.:\[\]_-]{1,255}:[0-9]{1,5}')
@@ -37,7 +34,9 @@
 class Dialer:
     """Connects and reconnects to each added address until it is removed."""
 
-    def __init__(self, owner: 'PeersTask', tls_options: Any) -> None:
+    def __init__(
+        self, owner: _owner.LinkOwner[_link.Link], tls_options: Any
+    ) -> None:
         self._owner = owner
         self._tls_options = tls_options
         self._targets: dict[str, _DialTarget] = {}
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_forwarded.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_forwarded.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING
 from typing import Any
 
 import oriolestand_core as core
@@ -10,15 +9,13 @@
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import telemetry
 from oriolestand_daemon.services.peers import _checks
+from oriolestand_daemon.services.peers import _exchange_link
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
 from oriolestand_policy import dispatching
 from oriolestand_policy import tables
 import oriolestand_wire as wire
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.peers._link import Link
-
 
 def report_attempt(
     kernel: core.Kernel,
@@ -92,7 +89,9 @@
     are never reused, so a late message cannot match another exchange.
     """
 
-    def __init__(self, link: 'Link', first_xid: int) -> None:
+    def __init__(
+        self, link: _exchange_link.ExchangeLink, first_xid: int
+    ) -> None:
         self._link = link
         self._next_xid = first_xid
         self._exchanges: dict[int, _ForwardedExchange] = {}
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_link.py
@@ -1,7 +1,6 @@
 """Implement the protocol between daemons on one connection."""
 
 import enum
-from typing import TYPE_CHECKING
 from typing import Any
 
 from OpenSSL import SSL
@@ -13,17 +12,17 @@
 from oriolestand_daemon.messages import config
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.messages import membership
+from oriolestand_daemon.services.peers import _exchange_link
 from oriolestand_daemon.services.peers import _forwarded
+from oriolestand_daemon.services.peers import _owner
 from oriolestand_daemon.services.peers import _served
 from oriolestand_daemon.services.peers import _tls
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
 from oriolestand_policy import pacing
+from oriolestand_policy import tables
 import oriolestand_wire as wire
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.peers._task import PeersTask
-
 
 class LinkState(enum.Enum):
     """The state of a link.
@@ -39,13 +38,15 @@
     CLOSED = 'closed'
 
 
-class Link(protocol.Protocol, core.Task):
+class Link(protocol.Protocol, _exchange_link.ExchangeLink):
     """A connection to a peer and the exchanges on it."""
 
     inbox_limit = 65_536
 
     def __init__(
-        self, owner: 'PeersTask', dialed_address: str | None = None
+        self,
+        owner: '_owner.LinkOwner[Link]',
+        dialed_address: str | None = None,
     ) -> None:
         core.Task.__init__(self, owner.kernel, const.DOMAIN)
         self.dialed_address = dialed_address
@@ -172,6 +173,10 @@
             return
         self.kernel.clock.call_later(delay_ms, lambda: receiver.post(credit))
 
+    def get_route(self, generation: int, name: str) -> tables.Route:
+        """Return a route by name, or raise UnknownGenerationError."""
+        return self.owner.get_route(generation, name)
+
     def drop(self, error: core.OriolestandError | None = None) -> None:
         """Abort the connection and fail all exchanges on it."""
         if self.state is LinkState.CLOSED:
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_served.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_served.py
@@ -1,20 +1,17 @@
 """Track the requests that the peer forwarded over a link."""
 
 import dataclasses
-from typing import TYPE_CHECKING
 
 import oriolestand_core as core
 from oriolestand_daemon.messages import exchange
 from oriolestand_daemon.services.peers import _checks
+from oriolestand_daemon.services.peers import _exchange_link
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
 from oriolestand_policy import admission
 from oriolestand_policy import tables
 import oriolestand_wire as wire
 
-if TYPE_CHECKING:
-    from oriolestand_daemon.services.peers._link import Link
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _ServedExchange:
@@ -35,7 +32,9 @@
 class ServedExchanges:
     """Submits requests of the peer to dispatch and returns the responses."""
 
-    def __init__(self, link: 'Link', max_body_bytes: int) -> None:
+    def __init__(
+        self, link: _exchange_link.ExchangeLink, max_body_bytes: int
+    ) -> None:
         self._link = link
         self._max_body_bytes = max_body_bytes
         self._last_xid = 0
@@ -112,9 +111,7 @@
         self._last_xid = message.xid
         try:
             _checks.check_request_head(message, self._max_body_bytes)
-            route = self._link.owner.get_route(
-                message.generation, message.route
-            )
+            route = self._link.get_route(message.generation, message.route)
             self._submit(message, route)
         except core.OriolestandError as exc:
             self._exchanges.pop(message.xid, None)
--- a/packages/daemon/src/oriolestand_daemon/services/peers/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/peers/_task.py
@@ -16,6 +16,7 @@
 from oriolestand_daemon.services.peers import _dialer
 from oriolestand_daemon.services.peers import _forwarded
 from oriolestand_daemon.services.peers import _link
+from oriolestand_daemon.services.peers import _owner
 from oriolestand_daemon.services.peers import _tls
 from oriolestand_daemon.services.peers import const
 from oriolestand_daemon.services.peers import errors
@@ -25,7 +26,7 @@
 import oriolestand_wire as wire
 
 
-class PeersTask(core.Task):
+class PeersTask(_owner.LinkOwner[_link.Link]):
     """Maintain links to peers and exchange messages over them."""
 
     inbox_limit = 65_536
