--- a/packages/core/src/oriolestand_core/_task.py
+++ b/packages/core/src/oriolestand_core/_task.py
@@ -1,8 +1,6 @@
 """Provide tasks: actors that handle messages one at a time."""
 
-import collections
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
 from typing import Generic
@@ -10,11 +8,10 @@
 
 from twisted.internet import defer
 
+from oriolestand_core import _actor
 from oriolestand_core import _errors
 from oriolestand_core import _inbox
-
-if TYPE_CHECKING:
-    from oriolestand_core._kernel import Kernel
+from oriolestand_core import _kernel
 
 T = TypeVar('T')
 Handler = TypeVar('Handler', bound=Callable[..., Any])
@@ -32,32 +29,6 @@
     return decorate
 
 
-class RunQueue:
-    """Run the message handlers of all tasks of a process one at a time.
-
-    Handlers never nest: a message that a handler posts stays queued until
-    that handler has returned.
-    """
-
-    def __init__(self) -> None:
-        self._ready: collections.deque[Task] = collections.deque()
-        self._is_draining = False
-
-    def schedule(self, task: 'Task') -> None:
-        """Schedule one message of a task, and run the queue if idle."""
-        ready = self._ready
-        ready.append(task)
-        if self._is_draining:
-            return
-        self._is_draining = True
-        take = ready.popleft
-        try:
-            while ready:
-                take().handle_next()
-        finally:
-            self._is_draining = False
-
-
 class Envelope(Generic[T]):
     """Pair a request with the Deferred that receives its reply."""
 
@@ -70,7 +41,7 @@
         self.reply = reply
 
 
-class Task:
+class Task(_actor.Actor):
     """Base class of actors, which handle typed messages from an inbox.
 
     A task owns its state and sockets. Subclasses decorate handlers with
@@ -90,7 +61,7 @@
                 handlers[message_type] = name
         cls._handlers = handlers
 
-    def __init__(self, kernel: 'Kernel', name: str) -> None:
+    def __init__(self, kernel: _kernel.Kernel, name: str) -> None:
         self.kernel = kernel
         self.name = name
         self.is_stopped = False
