Acknowledge no end of a worker that it has not listed

A far too high sequence number in the last row of a report was acknowledged.

Ruled out: a bound on the step between two numbers, as it is not known whether workers leave numbers out; a second reading alone, as a number that is always wrong is then believed.

The n-th end listed has at least the acknowledged number plus n, so that much is acknowledged, whatever was read, also by a new owner, who begins at 0. A worker that leaves numbers out lists the end again, and the number that it repeats is believed. Ends are told apart by their run, not by their number.

Cost: none for workers that leave no numbers out; otherwise, and for the first ends after a change of owner, one poll more.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -10,6 +10,7 @@
 import oriolestand_core as core
 from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _end_reader
 from oriolestand_fleet.services.cell import _record_saver
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
@@ -36,7 +37,8 @@
     """Track which ends of one incarnation of a worker are recorded.
 
     ``received`` and ``recorded`` are sequence numbers of ends: the last one
-    received and the last one whose job records are written. ``pending`` has
+    that may be acknowledged once its job records are written, and the last
+    one whose records are. ``pending`` has
     an entry for each poll that is not yet acknowledged: the last end it
     returned, and whether the job records that it changed are written. Ends
     are acknowledged in the order of the polls: an end without a record must
@@ -50,6 +52,9 @@
         default_factory=collections.deque
     )
     held: list[_HeldEnds] = dataclasses.field(default_factory=list)
+    reader: _end_reader.EndReader = dataclasses.field(
+        default_factory=_end_reader.EndReader
+    )
 
     def mark_written(self, entry: list[int]) -> None:
         """Mark the records of a poll as written and advance the cursor."""
@@ -158,11 +163,18 @@
             self._log.info('Worker is reachable again', worker=self._worker)
         if report.process_start_ms < self._cursor.process_start_ms:
             return
+        acknowledged = poll.acknowledged
         if report.process_start_ms > self._cursor.process_start_ms:
             self._cursor = _Cursor(process_start_ms=report.process_start_ms)
-        self._apply_report(report, sent_ms)
+            # That was a number of the former incarnation.
+            acknowledged = 0
+        reading = self._cursor.reader.read(report, acknowledged)
+        self._apply_report(report, reading, sent_ms)
         if self._cursor.recorded < self._cursor.received:
             await self._wait_for_records()
+        elif reading.is_stalled:
+            # The worker answers polls at once while it lists ends.
+            await self._kernel.sleep(const.RECORD_WAIT_MS)
         if self._scheduler.are_leases_held(self._worker):
             # A poll without a lease does not wait at the worker.
             await self._kernel.sleep(const.POLL_RETRY_MS)
@@ -230,25 +242,24 @@
         )
 
     def _apply_report(
-        self, report: scheduling.WorkerReport, sent_ms: int
+        self,
+        report: scheduling.WorkerReport,
+        reading: _end_reader.Reading,
+        sent_ms: int,
     ) -> None:
         """Apply a report and acknowledge its ends with the next polls."""
         cursor = self._cursor
         self._has_listed_ends = bool(report.ended)
-        new_ends = tuple(
-            e for e in report.ended if e.sequence > cursor.received
-        )
-        report = dataclasses.replace(report, ended=new_ends)
+        report = dataclasses.replace(report, ended=reading.new_ends)
         changed_jobs = self._scheduler.on_worker_report(
             self._worker, report, sent_ms, self._kernel.clock.now()
         )
-        for end in new_ends:
+        for end in reading.new_ends:
             self._count_end(end)
-        last = max([report.last_sequence, *(e.sequence for e in new_ends)])
-        if last > cursor.received:
+        if reading.last_sequence > cursor.received or reading.new_ends:
             # Ends that could not be read are acknowledged as well: a worker
             # answers polls at once while it lists ends, and lists 500 at most.
-            cursor.received = last
+            cursor.received = max(cursor.received, reading.last_sequence)
             self._acknowledge(cursor, report, changed_jobs)
         self._release_held_ends(cursor)
         self._on_change()
--- a/packages/fleet/tests/test_malformed_ends.py
+++ b/packages/fleet/tests/test_malformed_ends.py
@@ -27,7 +27,10 @@
         report = await poll(msg)
         last_sequence = max((e.sequence for e in report.ended), default=0)
         return dataclasses.replace(
-            report, ended=(), last_sequence=last_sequence
+            report,
+            ended=(),
+            last_sequence=last_sequence,
+            unreadable_ends=len(report.ended),
         )
 
     worker.poll = poll_without_ends
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -62,7 +62,8 @@
     worker process started, 0 if not reported. ``has_more_ends`` is whether
     there may be later ends that ``ended`` does not list. ``last_sequence`` is
     the number of the last end listed, if it is not in ``ended`` because it
-    could not be read. ``has_unreadable_runs`` is whether there are runs that
+    could not be read. ``unreadable_ends`` is how many such ends are listed.
+    ``has_unreadable_runs`` is whether there are runs that
     ``running`` does not list, as they could not be read.
     """
 
@@ -72,4 +73,5 @@
     process_start_ms: int = 0
     has_more_ends: bool = False
     last_sequence: int = 0
+    unreadable_ends: int = 0
     has_unreadable_runs: bool = False
