End the wait of a takeover for runs that cannot be read

A worker that listed a running row which could not be read, and that had no end, kept the takeover waiting for good: the row may be a run of a former owner, and each poll extended its lease. Failed or lost tasks of older jobs did not start again.

Ruled out: taking the row for a foreign one after the deadline of the takeover, as the run may go on with a lease of this owner (rule TWICE). Such a row outlives a lease of its worker instead: while a task waits for it, no lease is requested, and what is still listed when the lease is over is none of an owner's.

Later on, rows that were told foreign do not keep other runs from being missed.

WorkerReport.has_unreadable_runs is now the number unreadable_runs; the existing tests of it check the number (0, 1) in place of the truth value.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -20,7 +20,7 @@
 }
 """Counters of events of the scheduler; their label is the reason."""
 
-WARNING_EVENTS = frozenset({'lease_over', 'late_ends'})
+WARNING_EVENTS = frozenset({'lease_over', 'lease_lapses', 'late_ends'})
 """Events of the scheduler that are rare and explain why tasks start again, so
 the limit on log lines of single runs must not drop them."""
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -106,7 +106,7 @@
         worker = self.workers.get(worker_id)
         if worker is None or worker.last_report_ms < 0:
             return None
-        if worker_id in self.held_worker_ids:
+        if worker_id in self.held_worker_ids or worker.is_lapsing:
             return None
         self.leased_worker_ids.add(worker_id)
         end = worker.min_clock_ms(now_ms) + self.lease_max_ms
@@ -128,6 +128,7 @@
             or now_ms - worker.leased_ms > _fleet.MAX_REPORT_AGE_MS
             or worker.is_polled_late
             or worker_id in self.held_worker_ids
+            or worker.is_lapsing
         ):
             return self.new_lease_end(worker_id, now_ms)
         return worker.lease_end_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -10,6 +10,9 @@
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _specs
 
+LEASE_MARGIN_MS = 500
+"""Time allowed for a worker to end its runs after its lease has expired."""
+
 CLOCK_RATE_NUM = 98
 CLOCK_RATE_DEN = 100
 """Slowest rate of a worker's clock, as a fraction: up to 2% slow."""
@@ -132,6 +135,9 @@
     not limited, and ``starts_since_return`` how many it has had since its
     domain was taken back. ``kept_for`` is the
     filling task that idle processors are kept for.
+    ``hidden_runs`` is how many runs the last report lists that cannot be read
+    and may be an owner's, and ``foreign_runs`` how many that are none, as they
+    outlived a lease. While ``is_lapsing``, no lease is requested.
     """
 
     info: WorkerInfo
@@ -164,6 +170,9 @@
     starts_left: int | None = None
     starts_since_return: int = 0
     kept_for: _jobs.Task | None = None
+    hidden_runs: int = 0
+    foreign_runs: int = 0
+    is_lapsing: bool = False
     capacity: _capacity.Capacity = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -97,6 +97,7 @@
     NOT_PROBED = 'not_probed'
     NOT_RECORDED = 'not_recorded'
     NOT_LISTED = 'not_listed'
+    LAPSING = 'lapsing'
     LEAVING = 'leaving'
     EVACUATED = 'evacuated'
     SILENT = 'silent'
@@ -120,6 +121,8 @@
         return WorkerState.SILENT
     if not worker.is_recorded:
         return WorkerState.NOT_RECORDED
+    if worker.is_lapsing:
+        return WorkerState.LAPSING
     if now_ms < worker.backoff_until_ms:
         return WorkerState.AVOIDED
     if now_ms < worker.avoid_until_ms and not worker.is_readmitted:
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -11,6 +11,7 @@
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
@@ -67,6 +68,7 @@
                 worker_report.clock_ms + self._cell.lease_max_ms
             )
             self._cell.log('worker_probed', '', worker=worker_id)
+        _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
         worker.unreachable_ms = -1
         worker.failed_polls = 0
@@ -85,9 +87,7 @@
             if run is None:
                 run = self._adopt(worker, report, now_ms)
             self._apply_run_report(worker, run, report, now_ms)
-        if not (
-            worker_report.has_more_ends or worker_report.has_unreadable_runs
-        ):
+        if not (worker_report.has_more_ends or worker.hidden_runs):
             # Otherwise a run that is not listed may have ended or go on.
             worker.are_runs_known = True
             self._drop_missing_runs(worker, listed, sent_ms, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_reports.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reports.py
@@ -63,8 +63,8 @@
     there may be later ends that ``ended`` does not list. ``last_sequence`` is
     the number of the last end listed, if it is not in ``ended`` because it
     could not be read. ``unreadable_ends`` is how many such ends are listed.
-    ``has_unreadable_runs`` is whether there are runs that
-    ``running`` does not list, as they could not be read.
+    ``unreadable_runs`` is how many runs are not in ``running``, as they could
+    not be read.
     """
 
     clock_ms: int
@@ -74,4 +74,4 @@
     has_more_ends: bool = False
     last_sequence: int = 0
     unreadable_ends: int = 0
-    has_unreadable_runs: bool = False
+    unreadable_runs: int = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -12,6 +12,7 @@
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _load
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
@@ -26,9 +27,6 @@
 from oriolestand_policy.scheduling import _wait_ages
 from oriolestand_policy.scheduling import _waits
 
-LEASE_MARGIN_MS = 500
-"""Time allowed for a worker to end its runs after its lease has expired."""
-
 LATE_ORDER_MS = 2_000
 """Orders that were sent before a restart was known have arrived within it."""
 
@@ -71,6 +69,7 @@
         )
         self._wait_reporter = _waits.WaitReporter(self._cell)
         self._return_ramp = _return_ramp.ReturnRamp(self._cell)
+        self._lapses = _lapses.Lapses(self._cell)
         self._former_failures = _exclusions.FormerFailures()
         self._are_starts_held = False
 
@@ -304,7 +303,7 @@
         if worker is None or not worker.is_probed:
             return None
         self._cell.held_worker_ids.add(worker_id)
-        return worker.lease_over_ms(LEASE_MARGIN_MS)
+        return worker.lease_over_ms(_fleet.LEASE_MARGIN_MS)
 
     def allow_leases(self, worker_id: str) -> None:
         """Allow requests for leases of a worker again."""
@@ -312,7 +311,9 @@
 
     def are_leases_held(self, worker_id: str) -> bool:
         """Return whether no leases of a worker may be requested."""
-        return worker_id in self._cell.held_worker_ids
+        worker = self._cell.workers.get(worker_id)
+        is_lapsing = worker is not None and worker.is_lapsing
+        return is_lapsing or worker_id in self._cell.held_worker_ids
 
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
@@ -479,6 +480,7 @@
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
+        self._lapses.update(former_runs, now_ms)
         if (
             self._are_starts_held
             or not self._task_starter.run_numbers.may_start
@@ -628,7 +630,9 @@
                 continue
             if now_ms - worker.last_report_ms <= worker.max_report_age_ms:
                 continue
-            if not worker.is_lease_expired(known_until_ms, LEASE_MARGIN_MS):
+            if not worker.is_lease_expired(
+                known_until_ms, _fleet.LEASE_MARGIN_MS
+            ):
                 continue
             if not worker.is_listed:
                 self._cell.remove_worker(worker.info.id, 'lease over')
@@ -666,7 +670,7 @@
             // _fleet.CLOCK_RATE_NUM
         )
         over_ms = max(worker.carried_ms, last_ms) + LATE_ORDER_MS + lease_ms
-        if known_until_ms <= over_ms + LEASE_MARGIN_MS:
+        if known_until_ms <= over_ms + _fleet.LEASE_MARGIN_MS:
             return
         self._cell.log(
             'lease_over',
--- a/packages/policy/tests/scheduling/test_malformed_runs.py
+++ b/packages/policy/tests/scheduling/test_malformed_runs.py
@@ -26,7 +26,7 @@
             process_start_ms=1,
             running=(),
             ended=(),
-            has_unreadable_runs=True,
+            unreadable_runs=1,
         ),
         harness.now,
         harness.now,
