Let polls decide which incarnation of a worker runs

A valid entry of another writer under the id of a worker, with a later start time, replaced the worker: its listed runs were released at once, so that their tasks ran twice, and its reports were ignored for good. A later address in an entry was polled in place of the known one, and another worker that answers there released the runs. An entry with an earlier start time made each report a restart, and so a crash under the tasks. A worker whose start time went back was never read again.

Now an entry with a later start time or another address only marks the worker, which gets no tasks. A poll that was sent after the entry was read and is answered with the known start time refutes the entry; it is kept, so that the next read does not mark the worker again, and considered again when the worker does not answer. While it is in doubt, failed polls go to both addresses. A report with another start time, earlier or later, is a restart, unless it lists a run that was listed before: then the start time is what was wrong. Stops and unsent starts of runs that were not listed are repeated and withdrawn when the worker is marked, as before.

The reference of test_equivalence.py has the new states in which a worker gets no tasks.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -128,6 +128,7 @@
             for worker in self._scheduler.workers.values()
             if 0 <= worker.unreachable_ms <= silent_since_ms
             and not worker.is_polled_late
+            and worker.announced is None
         ]
 
     def _carry_wait(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -127,6 +127,11 @@
                 self._on_fenced(str(exc))
                 break
             except orders.WorkerReplacedError as exc:
+                if worker.announced is not None:
+                    # The entry may name the address of another worker.
+                    self._on_poll_failed(exc)
+                    await self._kernel.sleep(const.POLL_RETRY_MS)
+                    continue
                 self.is_worker_replaced = True
                 self._log.info(
                     'Worker was replaced', worker=self._worker, why=str(exc)
@@ -161,10 +166,8 @@
         if self._is_unreachable:
             self._is_unreachable = False
             self._log.info('Worker is reachable again', worker=self._worker)
-        if report.process_start_ms < self._cursor.process_start_ms:
-            return
         acknowledged = poll.acknowledged
-        if report.process_start_ms > self._cursor.process_start_ms:
+        if report.process_start_ms != self._cursor.process_start_ms:
             self._cursor = _Cursor(process_start_ms=report.process_start_ms)
             # That was a number of the former incarnation.
             acknowledged = 0
@@ -207,8 +210,11 @@
             # and the owner could never assume that its runs have ended.
             lease_end_ms = self._scheduler.new_lease_end(self._worker, sent_ms)
         acknowledged = cursor.recorded
-        if worker.info.process_start_ms > cursor.process_start_ms:
-            # The ends of the registered incarnation are numbered anew.
+        if (
+            worker.announced is not None
+            or worker.info.process_start_ms != cursor.process_start_ms
+        ):
+            # The ends of another incarnation are numbered anew.
             acknowledged = 0
         has_unrecorded_ends = cursor.recorded < cursor.received
         wait_ms = const.POLL_WAIT_MS
@@ -232,7 +238,7 @@
             wait_ms = 0
         return orders.PollWorker(
             target=orders.Target(
-                worker=self._worker, address=worker.info.address
+                worker=self._worker, address=worker.poll_address
             ),
             lease_end_ms=lease_end_ms,
             acknowledged=acknowledged,
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -189,6 +189,10 @@
         """
         run.missed_polls = 0
         worker.add(run)
+        self.repeat_orders(worker, run)
+
+    def repeat_orders(self, worker: _fleet.Worker, run: _fleet.Run) -> None:
+        """Stop a run again, or withdraw its start, after a restart."""
         if run.stop_sent_ms >= 0:
             if run.phase is _fleet.RunPhase.STOPPING:
                 run.phase = _fleet.RunPhase.IN_DOUBT
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -138,6 +138,10 @@
     ``hidden_runs`` is how many runs the last report lists that cannot be read
     and may be an owner's, and ``foreign_runs`` how many that are none, as they
     outlived a lease. While ``is_lapsing``, no lease is requested.
+    ``announced`` is the entry of another incarnation that no report has shown
+    yet, and ``refuted`` one that a report has shown to be wrong. The last poll
+    before ``announced`` was read was sent at ``announced_after_ms``.
+    ``polled_address`` is where the last poll was sent to.
     """
 
     info: WorkerInfo
@@ -173,6 +177,10 @@
     hidden_runs: int = 0
     foreign_runs: int = 0
     is_lapsing: bool = False
+    announced: WorkerInfo | None = None
+    announced_after_ms: int = -1
+    refuted: WorkerInfo | None = None
+    polled_address: str = ''
     capacity: _capacity.Capacity = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -209,6 +217,16 @@
         """Return whether a busy owner polls the worker later than usual."""
         return self.max_report_age_ms > MAX_REPORT_AGE_MS
 
+    @property
+    def poll_address(self) -> str:
+        """Return where to send the next poll.
+
+        While an entry is in doubt, polls that fail go to both addresses.
+        """
+        if self.announced is not None and self.failed_polls % 2:
+            return self.announced.address
+        return self.info.address
+
     def min_clock_ms(self, now_ms: int) -> int:
         """Return a lower bound of the worker's clock at present."""
         if self.last_report_ms < 0:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -107,7 +107,7 @@
 
 def worker_state(worker: _fleet.Worker, now_ms: int) -> WorkerState:
     """Return whether a worker may get new tasks, or why not."""
-    if not worker.is_probed:
+    if not worker.is_probed or worker.announced is not None:
         return WorkerState.NOT_PROBED
     if not worker.is_listed:
         return WorkerState.NOT_LISTED
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
@@ -10,6 +9,7 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _incarnations
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _pacing
@@ -36,10 +36,14 @@
     """Update a cell from worker reports."""
 
     def __init__(
-        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+        self,
+        cell: _cell.Cell,
+        crash_handler: _crash_handler.CrashHandler,
+        incarnations: _incarnations.Incarnations,
     ) -> None:
         self._cell = cell
         self._crash_handler = crash_handler
+        self._incarnations = incarnations
 
     def on_worker_report(
         self,
@@ -54,13 +58,12 @@
         ends in the report are acknowledged to the worker.
         """
         worker = self._cell.workers.get(worker_id)
-        if worker is None or (
-            worker_report.process_start_ms
-            and worker_report.process_start_ms < worker.info.process_start_ms
-        ):
+        if worker is not None:
+            worker = self._incarnations.apply_report(
+                worker, worker_report, sent_ms
+            )
+        if worker is None:
             return self._apply_done_ends(worker_report.ended, now_ms)
-        if worker_report.process_start_ms > worker.info.process_start_ms:
-            worker = self._apply_restart(worker, worker_report, now_ms)
         if not worker.is_probed:
             worker.is_probed = True
             # A former owner may have requested a lease of up to the maximum.
@@ -248,26 +251,6 @@
             self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
             self._cell.mark_stop_sent(run, now_ms)
 
-    def _apply_restart(
-        self,
-        worker: _fleet.Worker,
-        worker_report: _reports.WorkerReport,
-        now_ms: int,
-    ) -> _fleet.Worker:
-        """Return the state of a worker that reports a later start time.
-
-        If its start time was known before, the worker has restarted.
-        """
-        info = dataclasses.replace(
-            worker.info, process_start_ms=worker_report.process_start_ms
-        )
-        if not worker.info.process_start_ms:
-            worker.update_info(info)
-            return worker
-        return self._cell.replace_worker(
-            worker, info, is_listed=worker.is_listed
-        )
-
     def _apply_end(
         self, worker: _fleet.Worker, end: _reports.EndReport, now_ms: int
     ) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -11,6 +11,7 @@
 from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _incarnations
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _load
@@ -59,8 +60,9 @@
         self._reply_handler = _reply_handler.ReplyHandler(
             self._cell, self._crash_handler
         )
+        self._incarnations = _incarnations.Incarnations(self._cell)
         self._report_handler = _report_handler.ReportHandler(
-            self._cell, self._crash_handler
+            self._cell, self._crash_handler, self._incarnations
         )
         self._task_starter = _task_starter.TaskStarter(
             self._cell,
@@ -177,17 +179,12 @@
                 self._cell.log('worker_added', '', worker=worker_id)
                 self._crash_handler.on_registered(info)
                 continue
-            if (
-                worker.info.process_start_ms
-                and info.process_start_ms > worker.info.process_start_ms
-            ):
-                self._cell.replace_worker(worker, info, is_listed=True)
-                continue
             was_leaving = worker.info.is_leaving
-            worker.update_info(info)
             worker.is_listed = True
+            self._incarnations.apply_entry(worker, info)
+            worker = self._cell.workers[worker_id]
             self._cell.mark_evacuated(worker)
-            if info.is_leaving and not was_leaving:
+            if worker.info.is_leaving and not was_leaving:
                 self._cell.log('worker_leaving', '', worker=worker_id)
         for worker_id, worker in self._cell.workers.items():
             if worker_id not in infos and worker.is_listed:
@@ -362,6 +359,7 @@
         worker = self._cell.workers.get(worker_id)
         if worker is not None:
             worker.polled_ms = now_ms
+            worker.polled_address = worker.poll_address
             worker.max_report_age_ms = _fleet.MAX_REPORT_AGE_MS + expected_ms
 
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
@@ -370,6 +368,7 @@
         if worker is None:
             return
         worker.failed_polls += 1
+        self._incarnations.on_poll_failed(worker)
         if worker.unreachable_ms < 0:
             worker.unreachable_ms = now_ms
             self._crash_handler.on_unreachable(worker)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -692,6 +692,8 @@
     age_ms = now_ms - worker.last_report_ms
     return (
         worker.is_probed
+        and worker.announced is None
+        and not worker.is_lapsing
         and worker.is_recorded
         and worker.is_listed
         and not worker.info.is_leaving
--- a/packages/policy/tests/scheduling/test_evacuations.py
+++ b/packages/policy/tests/scheduling/test_evacuations.py
@@ -163,6 +163,13 @@
     } == {'w0': True, 'w1': False, 'w9': True, 'w8': True}
     moved = dataclasses.replace(info, failure_domain='far')
     site.scheduler.set_workers({**site.harness.infos, 'w0': moved})
+    # The entry alone may be that of another writer.
+    assert site.scheduler.workers['w0'].is_evacuated
+    report = scheduling.WorkerReport(
+        clock_ms=site.harness.now, process_start_ms=2, running=(), ended=()
+    )
+    now = site.harness.now
+    site.scheduler.on_worker_report('w0', report, now, now)
     assert not site.scheduler.workers['w0'].is_evacuated
 
 
--- a/packages/policy/tests/scheduling/test_record.py
+++ b/packages/policy/tests/scheduling/test_record.py
@@ -101,6 +101,8 @@
 def _restart_registered(harness, make, start):
     info = dataclasses.replace(harness.infos[start.worker], process_start_ms=2)
     harness.scheduler.set_workers({**harness.infos, start.worker: info})
+    # The entry alone may be that of another writer.
+    _restart_reported(harness, make, start)
 
 
 def _removed(harness, make, start):
