Answer repeated submissions without a configuration

A daemon that had not read the configuration yet answered each POST with 503, also for a job that another daemon had accepted. The rows of jobs hold their host and path, so an accepted id is found without the configuration, in a view of any age or else in the store, and the answer is 200. All else stays 503.

--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -112,6 +112,18 @@
     deadline_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FindJob:
+    """Request whether a job was accepted under the path of a route.
+
+    The name and the policy of the route do not count, as they are not known
+    without a configuration. Fails with StateUnknownError.
+    """
+
+    job: str
+    route: store.Route
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CancelJob:
     """Request to cancel a job; the reply tells whether it exists.
--- a/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/frontend/_task.py
@@ -149,10 +149,12 @@
 
     async def _serve(self, req: _channel.FrontendRequest) -> tuple[int, bytes]:
         """Return the status and body of the response."""
-        if self._routes is None:
-            raise errors.NoConfigError('no configuration has been loaded')
         host = (req.getHeader(b'host') or b'').decode('latin-1')
         path = req.path.decode('latin-1')
+        if self._routes is None:
+            if await self._is_repeat(req, host, path):
+                return 200, b''
+            raise errors.NoConfigError('no configuration has been loaded')
         match = self._routes.find(host, path)
         if match is None:
             raise errors.NoRouteError(
@@ -177,6 +179,26 @@
             return await self._cancel(job, route, deadline)
         raise errors.BadRequestError('the method is not supported', path=path)
 
+    async def _is_repeat(
+        self, req: _channel.FrontendRequest, host: str, path: str
+    ) -> bool:
+        """Return whether a request repeats an accepted submission.
+
+        This needs no configuration. A caller that is told that its job did
+        not run would submit it again elsewhere under another id.
+        """
+        job = path[-const.JOB_ID_LENGTH :]
+        if req.method != b'POST' or not _is_job_id(job):
+            return False
+        route = _routes.route_of_job(host, path, job)
+        try:
+            is_stored: bool = await self.kernel.ask(
+                jobs.SERVICE, jobs.FindJob(job=job, route=route)
+            )
+        except jobs.StateUnknownError:
+            return False
+        return is_stored
+
     async def _submit(
         self,
         req: _channel.FrontendRequest,
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -435,6 +435,15 @@
             self._state_reader.read(msg.job, msg.route)
         )
 
+    @core.handles(messages.FindJob)
+    def _on_find(self, msg: messages.FindJob) -> 'bool | defer.Deferred[bool]':
+        """Return whether a job exists, by a view of any age if it does."""
+        if self._replica.find(msg.job, msg.route) is not None:
+            return True
+        return defer.ensureDeferred(
+            self._state_reader.is_stored(msg.job, msg.route)
+        )
+
     @core.handles(messages.CancelJob)
     def _on_cancel(self, msg: messages.CancelJob) -> 'defer.Deferred[bool]':
         """Cancel a job."""
--- a/packages/fleet/tests/services/frontend/test_requests.py
+++ b/packages/fleet/tests/services/frontend/test_requests.py
@@ -19,6 +19,7 @@
 from oriolestand_standins import fleet
 
 JOB = '5c0e7a21d94b36f8'
+UNKNOWN_JOB = 'f' * 16
 
 
 class _Codec(settings.JobCodec):
@@ -57,6 +58,13 @@
         super().__init__(kernel, 'jobs')
         self.received = []
         self.answer = defer.succeed(True)
+        self.places = {}
+
+    @core.handles(jobs.FindJob)
+    def _on_find(self, msg):
+        if msg.job == UNKNOWN_JOB:
+            raise jobs.StateUnknownError('the store is out of reach')
+        return self.places.get(msg.job) == msg.route.path
 
     @core.handles(jobs.SubmitJob)
     @core.handles(jobs.GetState)
@@ -196,6 +204,26 @@
     assert _FrontendHarness().status(f'POST /j/{JOB}', b'{}') == 503
 
 
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [
+        (f'POST /j/{JOB}', 200),
+        (f'GET /j/{JOB}', 503),
+        (f'DELETE /j/{JOB}', 503),
+        (f'POST /other/{JOB}', 503),
+        (f'POST /j/x{JOB}', 503),
+        (f'POST /j/{JOB[1:]}', 503),
+        (f'POST /j/{UNKNOWN_JOB}', 503),
+    ],
+)
+def test_repeated_submission_without_a_configuration(line, expected):
+    # A caller was told that its job did not run, although another daemon had
+    # accepted it.
+    front = _FrontendHarness()
+    front.jobs.places[JOB] = 'jobs.test/j/'
+    assert front.status(line, b'{}') == expected
+
+
 def test_unexpected_error_leaves_a_job_in_doubt(front):
     # A caller was told that its job had not run, although an unexpected error
     # may come after the job was stored.
