Judge no lease before the rest of a report has arrived

A pass of the reactor reads 64 KB from a socket.

The first part of a response is announced (`ReportBegun`), and the lease, or the deadline of a takeover, waits until the poll is answered or fails. A worker that never sends the rest is waited for once until its next report. Responses that are read at once, that is nearly all, are not announced.

Ruled out: larger reads, as each would allocate a buffer of that size, and more passes before the judgement, as no number of them is enough on a slow link.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -174,6 +174,18 @@
     send_by_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReportBegun:
+    """Event: a first part of the report for a poll has arrived.
+
+    A pass of the reactor reads 64 KB at most. It is not published for a report
+    that arrives at once.
+    """
+
+    worker: str
+    epoch: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LateReport:
     """Event: the report for a poll of an owner that has already failed."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -16,7 +16,8 @@
     the time to wait for them is over. That time ends earlier for a worker
     whose runs no owner has been able to extend since an earlier takeover. It
     does not end for a worker that has reported, as its leases go on: such a
-    worker may have more ends than one report lists.
+    worker may have more ends than one report lists. For a report that has
+    begun to arrive it is longer, once.
 
     :param former_worker_ids: workers that may have runs of former owners.
     :param are_all_known: whether there are no other such workers.
@@ -65,6 +66,7 @@
             for w in unreached
             if known_until_ms < self._deadline_ms(w)
             or self._scheduler.workers[w].is_probed
+            or self._scheduler.workers[w].is_report_arriving
         ]
         past_deadline = [w for w in unreached if w not in missing]
         is_over = known_until_ms >= self._term.takeover_deadline_ms
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -65,6 +65,7 @@
             jobs.ReplicaSyncAttempted,
             lifecycle.ShutdownStarted,
             orders.LateReport,
+            orders.ReportBegun,
             orders.StartSent,
         ):
             self.kernel.subscribe(event, self)
@@ -186,6 +187,13 @@
         if owner_term is not None and owner_term.term.epoch == msg.epoch:
             owner_term.apply_late_report(msg.report)
 
+    @core.handles(orders.ReportBegun)
+    def _on_report_begun(self, msg: orders.ReportBegun) -> None:
+        """Pass on that a report for the current term has begun to arrive."""
+        owner_term = self._owner_term
+        if owner_term is not None and owner_term.term.epoch == msg.epoch:
+            owner_term.on_report_begun(msg)
+
     @core.handles(orders.StartSent)
     def _on_start_sent(self, msg: orders.StartSent) -> None:
         """Pass on that a start order of the current term was sent."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -236,6 +236,10 @@
         self._scheduler.on_late_report(report, self._kernel.clock.now())
         self._on_worker_reply()
 
+    def on_report_begun(self, msg: orders.ReportBegun) -> None:
+        """Note that a report has begun to arrive."""
+        self._scheduler.on_report_begun(msg.worker)
+
     def on_start_sent(self, msg: orders.StartSent) -> None:
         """Note that a worker may have received a start order."""
         self._scheduler.on_start_sent(msg.worker, msg.key, msg.number)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -27,7 +27,8 @@
 NEXT_PASS_MS = 0
 """A timer with this delay is called in the next pass of the reactor. Each pass
 calls the due timers before it reads from sockets, up to 64 KB from each. The
-report of a worker with 500 ends has about 33 KB, so that one pass reads it."""
+report of a worker with 500 ends has about 33 KB, so that one pass reads it;
+for larger ones see ``ReportBegun``."""
 
 SEND_BUDGET_MS = 20
 """Time for which orders are sent before the event loop reads reports again."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -142,6 +142,9 @@
     yet, and ``refuted`` one that a report has shown to be wrong. The last poll
     before ``announced`` was read was sent at ``announced_after_ms``.
     ``polled_address`` is where the last poll was sent to.
+    ``is_report_arriving`` is whether the first part of a report has arrived,
+    and ``has_awaited_report`` whether one that had begun has not come in full
+    since the last report.
     """
 
     info: WorkerInfo
@@ -181,6 +184,8 @@
     announced_after_ms: int = -1
     refuted: WorkerInfo | None = None
     polled_address: str = ''
+    is_report_arriving: bool = False
+    has_awaited_report: bool = False
     capacity: _capacity.Capacity = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -73,6 +73,8 @@
             self._cell.log('worker_probed', '', worker=worker_id)
         _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
+        worker.is_report_arriving = False
+        worker.has_awaited_report = False
         worker.unreachable_ms = -1
         worker.failed_polls = 0
         worker.clock_ms = worker_report.clock_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -362,12 +362,24 @@
             worker.polled_address = worker.poll_address
             worker.max_report_age_ms = _fleet.MAX_REPORT_AGE_MS + expected_ms
 
+    def on_report_begun(self, worker_id: str) -> None:
+        """Note that a report has begun to arrive.
+
+        It may list ends, so the lease is not judged before the rest. A worker
+        that never sends it is waited for only once.
+        """
+        worker = self._cell.workers.get(worker_id)
+        if worker is not None and not worker.has_awaited_report:
+            worker.is_report_arriving = True
+            worker.has_awaited_report = True
+
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
         worker = self._cell.workers.get(worker_id)
         if worker is None:
             return
         worker.failed_polls += 1
+        worker.is_report_arriving = False
         self._incarnations.on_poll_failed(worker)
         if worker.unreachable_ms < 0:
             worker.unreachable_ms = now_ms
@@ -624,6 +636,8 @@
     def _expire_workers(self, now_ms: int, known_until_ms: int) -> None:
         """Release the runs of silent workers whose leases have expired."""
         for worker in list(self._cell.workers.values()):
+            if worker.is_report_arriving:
+                continue
             if not worker.is_probed:
                 self._expire_carried_runs(worker, now_ms, known_until_ms)
                 continue
