Poll a former worker where its row says before its entry

A new owner took the address of a former worker from its entry alone. If that was the address of another worker, the answer of that one released the runs (rule TWICE), and the id was not polled again until its entry went. The address in the row goes first now, as for workers that have reported, and an id is polled again once its entry changes.

policy/tests/scheduling/test_wrong_entries.py: the new case failed before (the poll went to the address in the entry), 13 hold.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -281,8 +281,11 @@
             if info is None:
                 self._registered_workers.pop(worker_id, None)
                 self._replaced_worker_ids.discard(worker_id)
-            else:
-                self._registered_workers[worker_id] = info
+                continue
+            if info != self._registered_workers.get(worker_id):
+                # Its entry may have named the address of another worker.
+                self._replaced_worker_ids.discard(worker_id)
+            self._registered_workers[worker_id] = info
         if page.workers or cursor is None:
             self._apply_workers()
         return max(cursor or 0, page.cursor)
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -26,7 +26,7 @@
         """
         known_ms = worker.info.process_start_ms
         is_later = 0 < known_ms < info.process_start_ms
-        has_moved = worker.is_probed and info.address != worker.info.address
+        has_moved = info.address != worker.info.address
         if not worker.info.address:
             # Its row is malformed, so it has not been polled.
             worker.update_info(info)
--- a/packages/policy/tests/scheduling/test_wrong_entries.py
+++ b/packages/policy/tests/scheduling/test_wrong_entries.py
@@ -166,6 +166,27 @@
     assert addresses == [address, 'other:1'] * 2
 
 
+def test_address_in_a_wrong_entry_at_a_change_of_owner(make):
+    # Guards against an owner that takes the runs on a former worker for ended,
+    # as another one answers at the address in its entry.
+    harness = make.Harness(workers=0)
+    info = scheduling.WorkerInfo(
+        id='w',
+        pool='p',
+        address='w:1',
+        failure_domain='d',
+        cpu=1,
+        memory_mb=1,
+    )
+    harness.scheduler.add_former_worker(info)
+    wrong = dataclasses.replace(info, address='other:1')
+    harness.scheduler.set_workers({'w': wrong})
+    worker = harness.scheduler.workers['w']
+    assert worker.poll_address == 'w:1'
+    harness.scheduler.on_poll_failed('w', harness.now)
+    assert worker.poll_address == 'other:1'
+
+
 def test_worker_at_another_address(cell):
     # Guards against a worker that is not read any more once it has moved.
     cell.write(address='new:1')
