--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -236,6 +236,10 @@
         self._scheduler.on_late_report(report, self._kernel.clock.now())
         self._on_worker_reply()
 
+    def on_report_begun(self, msg: orders.ReportBegun) -> None:
+        """Note that a report has begun to arrive."""
+        self._scheduler.on_report_begun(msg.worker)
+
     def on_start_sent(self, msg: orders.StartSent) -> None:
         """Note that a worker may have received a start order."""
         self._scheduler.on_start_sent(msg.worker, msg.key, msg.number)
@@ -277,8 +281,11 @@
             if info is None:
                 self._registered_workers.pop(worker_id, None)
                 self._replaced_worker_ids.discard(worker_id)
-            else:
-                self._registered_workers[worker_id] = info
+                continue
+            if info != self._registered_workers.get(worker_id):
+                # Its entry may have named the address of another worker.
+                self._replaced_worker_ids.discard(worker_id)
+            self._registered_workers[worker_id] = info
         if page.workers or cursor is None:
             self._apply_workers()
         return max(cursor or 0, page.cursor)
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -10,6 +10,9 @@
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _specs
 
+LEASE_MARGIN_MS = 500
+"""Time allowed for a worker to end its runs after its lease has expired."""
+
 CLOCK_RATE_NUM = 98
 CLOCK_RATE_DEN = 100
 """Slowest rate of a worker's clock, as a fraction: up to 2% slow."""
@@ -132,6 +135,16 @@
     not limited, and ``starts_since_return`` how many it has had since its
     domain was taken back. ``kept_for`` is the
     filling task that idle processors are kept for.
+    ``hidden_runs`` is how many runs the last report lists that cannot be read
+    and may be an owner's, and ``foreign_runs`` how many that are none, as they
+    outlived a lease. While ``is_lapsing``, no lease is requested.
+    ``announced`` is the entry of another incarnation that no report has shown
+    yet, and ``refuted`` one that a report has shown to be wrong. The last poll
+    before ``announced`` was read was sent at ``announced_after_ms``.
+    ``polled_address`` is where the last poll was sent to.
+    ``is_report_arriving`` is whether the first part of a report has arrived,
+    and ``has_awaited_report`` whether one that had begun has not come in full
+    since the last report.
     """
 
     info: WorkerInfo
@@ -164,6 +177,15 @@
     starts_left: int | None = None
     starts_since_return: int = 0
     kept_for: _jobs.Task | None = None
+    hidden_runs: int = 0
+    foreign_runs: int = 0
+    is_lapsing: bool = False
+    announced: WorkerInfo | None = None
+    announced_after_ms: int = -1
+    refuted: WorkerInfo | None = None
+    polled_address: str = ''
+    is_report_arriving: bool = False
+    has_awaited_report: bool = False
     capacity: _capacity.Capacity = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -200,6 +222,16 @@
         """Return whether a busy owner polls the worker later than usual."""
         return self.max_report_age_ms > MAX_REPORT_AGE_MS
 
+    @property
+    def poll_address(self) -> str:
+        """Return where to send the next poll.
+
+        While an entry is in doubt, polls that fail go to both addresses.
+        """
+        if self.announced is not None and self.failed_polls % 2:
+            return self.announced.address
+        return self.info.address
+
     def min_clock_ms(self, now_ms: int) -> int:
         """Return a lower bound of the worker's clock at present."""
         if self.last_report_ms < 0:
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -97,6 +97,7 @@
     NOT_PROBED = 'not_probed'
     NOT_RECORDED = 'not_recorded'
     NOT_LISTED = 'not_listed'
+    LAPSING = 'lapsing'
     LEAVING = 'leaving'
     EVACUATED = 'evacuated'
     SILENT = 'silent'
@@ -106,7 +107,7 @@
 
 def worker_state(worker: _fleet.Worker, now_ms: int) -> WorkerState:
     """Return whether a worker may get new tasks, or why not."""
-    if not worker.is_probed:
+    if not worker.is_probed or worker.announced is not None:
         return WorkerState.NOT_PROBED
     if not worker.is_listed:
         return WorkerState.NOT_LISTED
@@ -120,6 +121,8 @@
         return WorkerState.SILENT
     if not worker.is_recorded:
         return WorkerState.NOT_RECORDED
+    if worker.is_lapsing:
+        return WorkerState.LAPSING
     if now_ms < worker.backoff_until_ms:
         return WorkerState.AVOIDED
     if now_ms < worker.avoid_until_ms and not worker.is_readmitted:
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
@@ -10,7 +9,9 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _incarnations
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _pacing
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _specs
@@ -35,10 +36,14 @@
     """Update a cell from worker reports."""
 
     def __init__(
-        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+        self,
+        cell: _cell.Cell,
+        crash_handler: _crash_handler.CrashHandler,
+        incarnations: _incarnations.Incarnations,
     ) -> None:
         self._cell = cell
         self._crash_handler = crash_handler
+        self._incarnations = incarnations
 
     def on_worker_report(
         self,
@@ -53,13 +58,12 @@
         ends in the report are acknowledged to the worker.
         """
         worker = self._cell.workers.get(worker_id)
-        if worker is None or (
-            worker_report.process_start_ms
-            and worker_report.process_start_ms < worker.info.process_start_ms
-        ):
+        if worker is not None:
+            worker = self._incarnations.apply_report(
+                worker, worker_report, sent_ms
+            )
+        if worker is None:
             return self._apply_done_ends(worker_report.ended, now_ms)
-        if worker_report.process_start_ms > worker.info.process_start_ms:
-            worker = self._apply_restart(worker, worker_report, now_ms)
         if not worker.is_probed:
             worker.is_probed = True
             # A former owner may have requested a lease of up to the maximum.
@@ -67,7 +71,10 @@
                 worker_report.clock_ms + self._cell.lease_max_ms
             )
             self._cell.log('worker_probed', '', worker=worker_id)
+        _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
+        worker.is_report_arriving = False
+        worker.has_awaited_report = False
         worker.unreachable_ms = -1
         worker.failed_polls = 0
         worker.clock_ms = worker_report.clock_ms
@@ -85,9 +92,7 @@
             if run is None:
                 run = self._adopt(worker, report, now_ms)
             self._apply_run_report(worker, run, report, now_ms)
-        if not (
-            worker_report.has_more_ends or worker_report.has_unreadable_runs
-        ):
+        if not (worker_report.has_more_ends or worker.hidden_runs):
             # Otherwise a run that is not listed may have ended or go on.
             worker.are_runs_known = True
             self._drop_missing_runs(worker, listed, sent_ms, now_ms)
@@ -248,26 +253,6 @@
             self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
             self._cell.mark_stop_sent(run, now_ms)
 
-    def _apply_restart(
-        self,
-        worker: _fleet.Worker,
-        worker_report: _reports.WorkerReport,
-        now_ms: int,
-    ) -> _fleet.Worker:
-        """Return the state of a worker that reports a later start time.
-
-        If its start time was known before, the worker has restarted.
-        """
-        info = dataclasses.replace(
-            worker.info, process_start_ms=worker_report.process_start_ms
-        )
-        if not worker.info.process_start_ms:
-            worker.update_info(info)
-            return worker
-        return self._cell.replace_worker(
-            worker, info, is_listed=worker.is_listed
-        )
-
     def _apply_end(
         self, worker: _fleet.Worker, end: _reports.EndReport, now_ms: int
     ) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -11,7 +11,9 @@
 from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _incarnations
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _load
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
@@ -26,9 +28,6 @@
 from oriolestand_policy.scheduling import _wait_ages
 from oriolestand_policy.scheduling import _waits
 
-LEASE_MARGIN_MS = 500
-"""Time allowed for a worker to end its runs after its lease has expired."""
-
 LATE_ORDER_MS = 2_000
 """Orders that were sent before a restart was known have arrived within it."""
 
@@ -61,8 +60,9 @@
         self._reply_handler = _reply_handler.ReplyHandler(
             self._cell, self._crash_handler
         )
+        self._incarnations = _incarnations.Incarnations(self._cell)
         self._report_handler = _report_handler.ReportHandler(
-            self._cell, self._crash_handler
+            self._cell, self._crash_handler, self._incarnations
         )
         self._task_starter = _task_starter.TaskStarter(
             self._cell,
@@ -71,6 +71,7 @@
         )
         self._wait_reporter = _waits.WaitReporter(self._cell)
         self._return_ramp = _return_ramp.ReturnRamp(self._cell)
+        self._lapses = _lapses.Lapses(self._cell)
         self._former_failures = _exclusions.FormerFailures()
         self._are_starts_held = False
 
@@ -178,17 +179,12 @@
                 self._cell.log('worker_added', '', worker=worker_id)
                 self._crash_handler.on_registered(info)
                 continue
-            if (
-                worker.info.process_start_ms
-                and info.process_start_ms > worker.info.process_start_ms
-            ):
-                self._cell.replace_worker(worker, info, is_listed=True)
-                continue
             was_leaving = worker.info.is_leaving
-            worker.update_info(info)
             worker.is_listed = True
+            self._incarnations.apply_entry(worker, info)
+            worker = self._cell.workers[worker_id]
             self._cell.mark_evacuated(worker)
-            if info.is_leaving and not was_leaving:
+            if worker.info.is_leaving and not was_leaving:
                 self._cell.log('worker_leaving', '', worker=worker_id)
         for worker_id, worker in self._cell.workers.items():
             if worker_id not in infos and worker.is_listed:
@@ -304,7 +300,7 @@
         if worker is None or not worker.is_probed:
             return None
         self._cell.held_worker_ids.add(worker_id)
-        return worker.lease_over_ms(LEASE_MARGIN_MS)
+        return worker.lease_over_ms(_fleet.LEASE_MARGIN_MS)
 
     def allow_leases(self, worker_id: str) -> None:
         """Allow requests for leases of a worker again."""
@@ -312,7 +308,9 @@
 
     def are_leases_held(self, worker_id: str) -> bool:
         """Return whether no leases of a worker may be requested."""
-        return worker_id in self._cell.held_worker_ids
+        worker = self._cell.workers.get(worker_id)
+        is_lapsing = worker is not None and worker.is_lapsing
+        return is_lapsing or worker_id in self._cell.held_worker_ids
 
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
@@ -361,14 +359,28 @@
         worker = self._cell.workers.get(worker_id)
         if worker is not None:
             worker.polled_ms = now_ms
+            worker.polled_address = worker.poll_address
             worker.max_report_age_ms = _fleet.MAX_REPORT_AGE_MS + expected_ms
 
+    def on_report_begun(self, worker_id: str) -> None:
+        """Note that a report has begun to arrive.
+
+        It may list ends, so the lease is not judged before the rest. A worker
+        that never sends it is waited for only once.
+        """
+        worker = self._cell.workers.get(worker_id)
+        if worker is not None and not worker.has_awaited_report:
+            worker.is_report_arriving = True
+            worker.has_awaited_report = True
+
     def on_poll_failed(self, worker_id: str, now_ms: int) -> None:
         """Apply a poll of a worker that failed."""
         worker = self._cell.workers.get(worker_id)
         if worker is None:
             return
         worker.failed_polls += 1
+        worker.is_report_arriving = False
+        self._incarnations.on_poll_failed(worker)
         if worker.unreachable_ms < 0:
             worker.unreachable_ms = now_ms
             self._crash_handler.on_unreachable(worker)
@@ -479,6 +491,7 @@
         self._drain_leaving_workers(now_ms)
         self._limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
+        self._lapses.update(former_runs, now_ms)
         if (
             self._are_starts_held
             or not self._task_starter.run_numbers.may_start
@@ -623,12 +636,16 @@
     def _expire_workers(self, now_ms: int, known_until_ms: int) -> None:
         """Release the runs of silent workers whose leases have expired."""
         for worker in list(self._cell.workers.values()):
+            if worker.is_report_arriving:
+                continue
             if not worker.is_probed:
                 self._expire_carried_runs(worker, now_ms, known_until_ms)
                 continue
             if now_ms - worker.last_report_ms <= worker.max_report_age_ms:
                 continue
-            if not worker.is_lease_expired(known_until_ms, LEASE_MARGIN_MS):
+            if not worker.is_lease_expired(
+                known_until_ms, _fleet.LEASE_MARGIN_MS
+            ):
                 continue
             if not worker.is_listed:
                 self._cell.remove_worker(worker.info.id, 'lease over')
@@ -666,7 +683,7 @@
             // _fleet.CLOCK_RATE_NUM
         )
         over_ms = max(worker.carried_ms, last_ms) + LATE_ORDER_MS + lease_ms
-        if known_until_ms <= over_ms + LEASE_MARGIN_MS:
+        if known_until_ms <= over_ms + _fleet.LEASE_MARGIN_MS:
             return
         self._cell.log(
             'lease_over',
