Bound the leases of an owner without the store

Service tasks of a worker that was lost within about 3 s of its owner started again 17 s to 21 s later (9 s allowed). The successor allowed 10 s from its claim on in which the former owner may request leases, as that one may go on through an outage of the store.

Once its last renewal is older than 1.5 s, an owner now extends leases only while more than half of the workers with a row have answered polls of the last 2 s, and by 3 s at most. A worker that has answered a successor rejects it. A claim for silence knows the last renewal, so its owner waits until 7.5 s after that and 5 s after most workers have answered, x 1.02 + 0.7 s. Answers of processes that the owner did not know before a renewal do not count, as a restarted worker has forgotten its fence. A row tells whether the owner of an epoch keeps to this; each of its writes depends on its version. An owner whose event loop is 200 ms late does not: with fixed limits, tests with passes of 600 ms to 1,600 ms lost their leases.

A shorter time without renewals was ruled out, as it ends all leases in an outage of the store, and a bound from the claim alone, as it comes 1 s too late for a worker that is lost 0.3 s before its owner.

--- a/packages/bench/src/oriolestand_bench/models/_placements.py
+++ b/packages/bench/src/oriolestand_bench/models/_placements.py
@@ -220,7 +220,8 @@
     def _wait_for_lapse(self, s: State, owner_id: str, number: int) -> State:
         """Wait for the lease of an unreachable worker, then treat it as idle.
 
-        Former owners cannot act any more then.
+        Former owners can extend its lease no more then. They take no further
+        steps here; those that they may take are in the model of the owners.
         """
         owner: Owner = getattr(s, owner_id)
         if owner.at and owner.at != number:
--- a/packages/fleet/src/oriolestand_fleet/layout.py
+++ b/packages/fleet/src/oriolestand_fleet/layout.py
@@ -37,6 +37,9 @@
 """Row of ``TABLE`` in which a daemon offers to take the cell of an owner that
 is too slow."""
 
+LIMITS_KEY = 'lease-limits'
+"""Row of ``TABLE`` that tells whether the owner limits its leases."""
+
 FLEET_KEY = 'fleet'
 """Row of ``TABLE`` in which earlier versions listed all workers."""
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -62,6 +62,12 @@
             for key, row in snapshot.rows.items()
             if key.startswith(layout.WORKER_PREFIX)
         }
+        self._unsure: set[str] = {
+            key.removeprefix(layout.WORKER_PREFIX)
+            for key, row in snapshot.rows.items()
+            if key.startswith(layout.WORKER_PREFIX) and row.value is None
+        }
+        """Workers that may have a row or none."""
         legacy = snapshot.rows.get(layout.FLEET_KEY)
         self._has_legacy_row = legacy is not None and legacy.value is not None
         former = models.decode_workers(snapshot.rows)
@@ -69,6 +75,12 @@
         for key, why in former.malformed.items():
             log.error('Malformed row of workers', key=key, why=why)
         self.former_worker_ids = frozenset(info.id for info in former.infos)
+        self.voter_ids = frozenset(self._versions.keys() - self._unsure)
+        """Workers whose answers limit the leases of the former owner; empty
+        if a row is malformed or an earlier version has listed them."""
+        if self._has_legacy_row or former.malformed:
+            self.voter_ids = frozenset()
+        self._set_voters()
         self.is_complete = former.is_complete
         """Whether the ids of all workers of the former owner are known."""
         self.former_runs_end_ms = former.runs_end_ms
@@ -233,6 +245,16 @@
             and self._are_ends_recorded(worker_id)
         )
 
+    def _set_voters(self) -> None:
+        """Set the workers whose answers extend leases.
+
+        A successor counts those with a row when it claims the cell.
+        """
+        self._term.votes.set_voters(
+            self._versions.keys() - self._unsure,
+            len(self._versions.keys() | self._unsure),
+        )
+
     async def _write(self, worker_ids: list[str]) -> bool:
         """Commit the rows of workers; return whether they were applied."""
         changes = [self._change(worker_id) for worker_id in worker_ids]
@@ -241,6 +263,10 @@
         removed = [c.worker_id for c in changes if c.put.value is None]
         self._recorded.difference_update(removed)
         self._scheduler.mark_workers_unrecorded(removed)
+        # The commit may be applied late, whatever its response is, until a
+        # later one of the same rows is.
+        self._unsure.update(worker_ids)
+        self._set_voters()
         outcome = await _owner_commits.commit_as_owner(
             self._kernel,
             self._term,
@@ -262,6 +288,8 @@
             return False
         for change in changes:
             self._apply_change(change, result.version)
+        self._unsure.difference_update(worker_ids)
+        self._set_voters()
         self._scheduler.mark_workers_recorded(self._recorded)
         return True
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -221,7 +221,9 @@
         clock = self._kernel.clock
         started_ms = clock.now()
         target = self._target(effect.worker)
-        lease = self._scheduler.lease_end_for_start(effect.worker, started_ms)
+        lease = self._scheduler.lease_end_for_start(
+            effect.worker, started_ms, self._term.lease_limit_ms(started_ms)
+        )
         if (
             target is None
             or lease is None
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_takeover.py
@@ -5,6 +5,7 @@
 import oriolestand_core as core
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
 
@@ -22,6 +23,8 @@
     :param are_all_known: whether there are no other such workers.
     :param runs_end_ms: times of the store's clock by which all runs have
         ended on a worker, by its id, if known.
+    :param voter_ids: workers whose answers limit the leases of the former
+        owner, empty if not known.
     """
 
     def __init__(
@@ -32,6 +35,8 @@
         former_worker_ids: frozenset[str],
         are_all_known: bool,
         runs_end_ms: Mapping[str, int],
+        voter_ids: frozenset[str],
+        lease_max_ms: int,
     ) -> None:
         self._clock = kernel.clock
         self._log = core.get_logger(const.DOMAIN)
@@ -40,6 +45,8 @@
         self._former_worker_ids = former_worker_ids
         self._are_all_known = are_all_known
         self._runs_end_ms = runs_end_ms
+        self._voter_ids = voter_ids
+        self._lease_max_ms = lease_max_ms
         self._began_ms = self._clock.now()
         self._next_report_ms = (
             self._began_ms + const.TAKEOVER_REPORT_INTERVAL_MS
@@ -59,6 +66,7 @@
         if self._is_complete:
             return scheduling.FormerRuns()
         now = self._clock.now()
+        self._limit_wait(now)
         unreached = self._unreached_workers()
         missing = [
             w
@@ -91,6 +99,24 @@
             has_unknown_workers=not (is_over or self._are_all_known),
         )
 
+    def _limit_wait(self, now_ms: int) -> None:
+        """Shorten the wait once most workers reject the former owner."""
+        former = self._term.former_leases
+        if former is None or not self._voter_ids:
+            return
+        workers = self._scheduler.workers
+        answer_count = sum(
+            worker_id in workers and workers[worker_id].is_probed
+            for worker_id in self._voter_ids
+        )
+        if answer_count < ownership.majority(len(self._voter_ids)):
+            return
+        self._term.former_leases = None
+        self._term.takeover_deadline_ms = min(
+            self._term.takeover_deadline_ms,
+            former.end_ms(now_ms, self._lease_max_ms),
+        )
+
     def _deadline_ms(self, worker_id: str) -> int:
         """Return when all runs on a worker that has not reported are over."""
         deadline_ms = self._term.takeover_deadline_ms
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -18,6 +18,7 @@
 from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _lease_limits
 from oriolestand_fleet.services.cell import _offers
 from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import _term
@@ -45,6 +46,8 @@
         self._offers = _offers.CellOffers(kernel, cfg.instance, self._election)
         self._owner_version = 0
         self._renewal_version = 0
+        self._is_renewal_malformed = False
+        self._limits = _lease_limits.LeaseLimits(kernel)
         self._config: store.FleetConfig | None = None
         self._evacuations: config_messages.EvacuationsRead | None = None
         self._owner_term: _term.OwnerTerm | None = None
@@ -88,6 +91,7 @@
                 self._loop_delays.longest_ms(now), const.MAX_LOOP_DELAY_MS
             )
             try:
+                self._update_limits()
                 await self._claim_if_due()
                 await self._offer_if_due()
             except Exception:
@@ -212,6 +216,8 @@
                     self._apply_renewal(row)
             elif row.key == layout.CANDIDATE_KEY:
                 self._apply_candidate(row)
+            elif row.key == layout.LIMITS_KEY:
+                self._apply_limits(row)
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
@@ -264,8 +270,10 @@
         try:
             renewal = models.decode_renewal(row.value)
         except _rows.MalformedRowError as exc:
+            self._is_renewal_malformed = True
             self._log_malformed(row, exc)
             return
+        self._is_renewal_malformed = False
         self._election.on_renewal(renewal, self.kernel.clock.now())
         if renewal is not None:
             self.kernel.publish(
@@ -282,6 +290,28 @@
         if candidate is not None and self._owner_term is not None:
             self._owner_term.term.hand_over.on_offer(candidate)
 
+    def _apply_limits(self, row: store.Row) -> None:
+        """Apply the row that tells whether the owner limits its leases."""
+        try:
+            self._limits.apply(row)
+        except _rows.MalformedRowError as exc:
+            self._log_malformed(row, exc)
+
+    def _may_limit_leases(self) -> bool:
+        """Return whether this daemon has time to limit its leases."""
+        delay_ms = self._loop_delays.longest_ms(self.kernel.clock.now())
+        return delay_ms < ownership.MAX_LIMITED_DELAY_MS
+
+    def _update_limits(self) -> None:
+        """Limit the leases of the present term while there is time to."""
+        term = self._loading_term
+        if self._owner_term is not None:
+            term = self._owner_term.term
+        if term is None or term.is_over:
+            return
+        update = self._limits.update(term, are_set=self._may_limit_leases())
+        defer.ensureDeferred(update).addErrback(self._on_unexpected_error)
+
     async def _offer_if_due(self) -> None:
         """Offer to take the cell unless this daemon owns it or stops."""
         if self._owner_term is not None or self._is_shutting_down:
@@ -335,7 +365,9 @@
         unsettled_ms = ownership.unsettled_ms(
             reason, former_renewal, renewal_age_ms
         )
-        claim = self._build_claim(reason, owner, unsettled_ms)
+        former_leases = self._former_leases(reason, sent_ms - renewal_age_ms)
+        limits_leases = self._may_limit_leases()
+        claim = self._build_claim(reason, owner, unsettled_ms, limits_leases)
         outcome = await _commits.try_commit(self.kernel, claim)
         version = _version_of_claim(outcome, claim)
         self._log.info(
@@ -367,6 +399,8 @@
             renewed_ms=sent_ms,
             takeover_deadline_ms=now + takeover_wait_ms,
             settled_ms=now + unsettled_ms,
+            former_leases=former_leases,
+            limits_leases=limits_leases,
             hand_over=ownership.HandOver(
                 epoch=owner.epoch,
                 began_ms=now,
@@ -380,11 +414,35 @@
             self._end_term(term, 'the cell could not be loaded')
             raise
 
+    def _former_leases(
+        self, reason: ownership.ClaimReason, received_ms: int
+    ) -> ownership.FormerLeases | None:
+        """Return the bounds of the leases of the former owner, if any.
+
+        :param received_ms: when its last renewal was received.
+        """
+        former = self._election.owner
+        renewal = self._election.renewal_of_owner
+        if (
+            reason is not ownership.ClaimReason.SILENT
+            or former is None
+            or renewal is None
+            or former.instance == const.UNKNOWN_INSTANCE
+            or self._is_renewal_malformed
+            or not self._limits.are_set_by(former.epoch)
+        ):
+            return None
+        # The claim is void unless this renewal is the last one.
+        return ownership.FormerLeases(
+            renewed_ms=received_ms, unsettled_ms=renewal.unsettled_ms
+        )
+
     def _build_claim(
         self,
         reason: ownership.ClaimReason,
         owner: ownership.Owner,
         unsettled_ms: int,
+        limits_leases: bool,
     ) -> store.CommitRows:
         """Return the commit of the owner row and its first renewal."""
         checks = [
@@ -396,8 +454,12 @@
                     key=layout.RENEWAL_KEY, version=self._renewal_version
                 )
             )
+            checks.append(self._limits.check)
+        limits = models.LeaseLimits(epoch=owner.epoch, are_set=limits_leases)
         renewal = ownership.Renewal(
-            epoch=owner.epoch, count=0, unsettled_ms=unsettled_ms
+            epoch=owner.epoch,
+            count=0,
+            unsettled_ms=unsettled_ms,
         )
         return store.CommitRows(
             table=layout.TABLE,
@@ -411,6 +473,7 @@
                     key=layout.RENEWAL_KEY,
                     value=models.encode_renewal(renewal),
                 ),
+                _lease_limits.put(limits),
                 store.Put(
                     key=layout.OWNER_KEY,
                     value=models.encode_owner(owner),
@@ -520,6 +583,7 @@
             result = outcome.result
             if result is not None and result.is_applied:
                 term.renewed_ms = sent_ms
+                term.votes.on_renewed(sent_ms)
                 if term.store_clock is None and result.now_ms:
                     term.store_clock = ownership.StoreClock(
                         sent_ms=sent_ms,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -89,6 +89,8 @@
             self._fleet.former_worker_ids,
             self._fleet.is_complete,
             self._fleet.former_runs_end_ms,
+            self._fleet.voter_ids,
+            cfg.limits.lease_max_ms,
         )
         self._interference_record = _interference_record.InterferenceRecord(
             kernel,
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -13,6 +13,7 @@
 from oriolestand_fleet.services.cell import _record_saver
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
 
@@ -153,6 +154,12 @@
         )
         if self._term.is_over:
             return
+        self._term.votes.on_answer(
+            self._worker,
+            report.process_start_ms,
+            sent_ms=sent_ms,
+            received_ms=self._kernel.clock.now(),
+        )
         if self._is_unreachable:
             self._is_unreachable = False
             self._log.info('Worker is reachable again', worker=self._worker)
@@ -163,14 +170,19 @@
         self._apply_report(report, sent_ms)
         if self._cursor.recorded < self._cursor.received:
             await self._wait_for_records()
-        if self._scheduler.are_leases_held(self._worker):
+        if (
+            self._scheduler.are_leases_held(self._worker)
+            or self._term.lease_limit_ms(self._kernel.clock.now()) == 0
+        ):
             # A poll without a lease does not wait at the worker.
             await self._kernel.sleep(const.POLL_RETRY_MS)
         pause_ms = self._load.poll_pause_ms(
             self._kernel.clock.now(), has_runs=bool(worker.runs)
         )
         if pause_ms and not (
-            worker.is_mixed or self._is_report_urgent(worker)
+            worker.is_mixed
+            or self._is_report_urgent(worker)
+            or self._term.lease_limit_ms(self._kernel.clock.now()) is not None
         ):
             await self._kernel.sleep(pause_ms)
 
@@ -188,12 +200,15 @@
     ) -> orders.PollWorker:
         """Return the next poll of a worker."""
         cursor = self._cursor
+        lease_limit_ms = self._term.lease_limit_ms(sent_ms)
         lease_end_ms = None
         if not self._is_unreachable:
             # The lease of an unreachable worker is not extended: the worker
             # may receive every extension although its responses are lost,
             # and the owner could never assume that its runs have ended.
-            lease_end_ms = self._scheduler.new_lease_end(self._worker, sent_ms)
+            lease_end_ms = self._scheduler.new_lease_end(
+                self._worker, sent_ms, lease_limit_ms
+            )
         acknowledged = cursor.recorded
         if worker.info.process_start_ms > cursor.process_start_ms:
             # The ends of the registered incarnation are numbered anew.
@@ -210,6 +225,8 @@
             )
             if worker.is_mixed:
                 wait_ms = min(wait_ms, const.POLL_WAIT_MS)
+        if lease_limit_ms is not None:
+            wait_ms = min(wait_ms, ownership.VOTE_POLL_WAIT_MS)
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
         if worker.has_missing_runs:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -59,6 +59,13 @@
     delay_ms: _rows.Count = 0
 
 
+class _LimitsRow(msgspec.Struct, frozen=True):
+    """Row of the limits of leases; see ``LeaseLimits``."""
+
+    epoch: _rows.Count
+    are_set: bool
+
+
 class _StateFields(msgspec.Struct, frozen=True):
     """Fields of a progress row that the state row of the job holds as well."""
 
@@ -82,6 +89,7 @@
 _PRESSURE_ROW: _rows.RowDecoder[_PressureRow] = _rows.RowDecoder(_PressureRow)
 _FAILURES_ROW: _rows.RowDecoder[_FailuresRow] = _rows.RowDecoder(_FailuresRow)
 _RENEWAL_ROW: _rows.RowDecoder[_RenewalRow] = _rows.RowDecoder(_RenewalRow)
+_LIMITS_ROW: _rows.RowDecoder[_LimitsRow] = _rows.RowDecoder(_LimitsRow)
 _STATE_FIELDS: _rows.RowDecoder[_StateFields] = _rows.RowDecoder(_StateFields)
 _OWNER_ROW: _rows.RowDecoder[_OwnerRow] = _rows.RowDecoder(_OwnerRow)
 _CANDIDATE_ROW: _rows.RowDecoder[_CandidateRow] = _rows.RowDecoder(
@@ -91,6 +99,14 @@
 _FLEET_ROW: _rows.RowDecoder[_FleetRow] = _rows.RowDecoder(_FleetRow)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseLimits:
+    """Whether the owner of an epoch keeps to the bounds of ``LeaseVotes``."""
+
+    epoch: int
+    are_set: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Term:
     """One period in which this daemon owns the cell.
@@ -98,6 +114,10 @@
     ``renewed_ms``: when the last successful renewal was sent.
     ``takeover_deadline_ms``: when the owner stops waiting for reports from
     the workers of its predecessor.
+    ``former_leases``: bounds of the leases that its predecessor may request,
+    if it keeps to any.
+    ``limits_leases``: whether a successor may rely on such bounds.
+    ``votes``: counts the workers that answer this owner.
     ``settled_ms``: from when on no former owner can still act.
     ``hand_over``: decides whether the term is given up.
     ``store_clock``: a time of the store's clock after the claim, if known.
@@ -113,6 +133,11 @@
     takeover_deadline_ms: int
     settled_ms: int
     hand_over: ownership.HandOver
+    former_leases: ownership.FormerLeases | None = None
+    limits_leases: bool = False
+    votes: ownership.LeaseVotes = dataclasses.field(
+        default_factory=ownership.LeaseVotes
+    )
     store_clock: ownership.StoreClock | None = None
     evacuations_until_ms: int | None = None
     is_over: bool = False
@@ -134,6 +159,19 @@
         """Return whether no former owner can still act."""
         return self.unsettled_ms(now_ms) == 0
 
+    def lease_limit_ms(self, now_ms: int) -> int | None:
+        """Return the longest lease that may be requested, None for any.
+
+        Without a recent renewal, leases may be extended only while most
+        workers answer this owner.
+        """
+        is_renewed = now_ms < self.renewed_ms + ownership.UNVOTED_MS
+        if is_renewed or not self.limits_leases:
+            return None
+        if self.votes.hold(now_ms):
+            return ownership.VOTED_LEASE_MS
+        return 0
+
     def undisputed_until_ms(self, now_ms: int) -> int:
         """Return until when no other daemon can have claimed the cell.
 
@@ -228,6 +266,22 @@
     )
 
 
+def encode_lease_limits(limits: LeaseLimits) -> bytes:
+    """Encode the value of the row of the limits of leases."""
+    return json.dumps(dataclasses.asdict(limits)).encode()
+
+
+def decode_lease_limits(value: bytes | None) -> LeaseLimits | None:
+    """Decode the limits of leases; return None if there is no value.
+
+    Raise MalformedRowError if the row is malformed.
+    """
+    if value is None:
+        return None
+    row = _LIMITS_ROW.decode(value)
+    return LeaseLimits(epoch=row.epoch, are_set=row.are_set)
+
+
 def encode_worker(
     worker: scheduling.WorkerInfo, runs_end_ms: int | None = None
 ) -> bytes:
--- a/packages/policy/src/oriolestand_policy/ownership/__init__.py
+++ b/packages/policy/src/oriolestand_policy/ownership/__init__.py
@@ -18,6 +18,13 @@
 from oriolestand_policy.ownership._handover import Candidacy
 from oriolestand_policy.ownership._handover import Candidate
 from oriolestand_policy.ownership._handover import HandOver
+from oriolestand_policy.ownership._lease_votes import MAX_LIMITED_DELAY_MS
+from oriolestand_policy.ownership._lease_votes import UNVOTED_MS
+from oriolestand_policy.ownership._lease_votes import VOTE_POLL_WAIT_MS
+from oriolestand_policy.ownership._lease_votes import VOTED_LEASE_MS
+from oriolestand_policy.ownership._lease_votes import FormerLeases
+from oriolestand_policy.ownership._lease_votes import LeaseVotes
+from oriolestand_policy.ownership._lease_votes import majority
 from oriolestand_policy.ownership._store_clock import StoreClock
 
 __all__ = [
@@ -25,8 +32,11 @@
     'Candidate',
     'ClaimReason',
     'Election',
+    'FormerLeases',
     'GIVE_UP_DELAY_MS',
     'HandOver',
+    'LeaseVotes',
+    'MAX_LIMITED_DELAY_MS',
     'MAX_UNRENEWED_MS',
     'OWNER_TIMEOUT_MS',
     'Owner',
@@ -34,7 +44,11 @@
     'RENEW_INTERVAL_MS',
     'Renewal',
     'StoreClock',
+    'UNVOTED_MS',
+    'VOTED_LEASE_MS',
+    'VOTE_POLL_WAIT_MS',
     'claim_delay_ms',
+    'majority',
     'takeover_wait_ms',
     'unsettled_ms',
 ]
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -96,25 +96,36 @@
             del ends[next(iter(ends))]
         ends.setdefault(end.key.job, []).append(end)
 
-    def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
+    def new_lease_end(
+        self, worker_id: str, now_ms: int, limit_ms: int | None = None
+    ) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
 
         The worker may hold its lease until the latest end requested, so that
         end is recorded. Return None if the worker has not reported its clock
-        yet or if its leases are held.
+        yet or if its leases are held. ``limit_ms`` is the longest lease that
+        may be requested, None for any and 0 for none.
         """
         worker = self.workers.get(worker_id)
         if worker is None or worker.last_report_ms < 0:
             return None
-        if worker_id in self.held_worker_ids:
+        if worker_id in self.held_worker_ids or limit_ms == 0:
             return None
         self.leased_worker_ids.add(worker_id)
-        end = worker.min_clock_ms(now_ms) + self.lease_max_ms
+        lease_ms = self.lease_max_ms
+        if limit_ms is not None:
+            lease_ms = min(lease_ms, limit_ms)
+        end = max(
+            worker.requested_end_ms, worker.min_clock_ms(now_ms) + lease_ms
+        )
+        worker.requested_end_ms = end
         worker.lease_end_ms = max(worker.lease_end_ms, end)
         worker.leased_ms = now_ms
         return end
 
-    def lease_end_for_start(self, worker_id: str, now_ms: int) -> int | None:
+    def lease_end_for_start(
+        self, worker_id: str, now_ms: int, limit_ms: int | None = None
+    ) -> int | None:
         """Return the end of the lease to request with a start order.
 
         It is the one that was requested last, as polls extend it in time
@@ -129,8 +140,8 @@
             or worker.is_polled_late
             or worker_id in self.held_worker_ids
         ):
-            return self.new_lease_end(worker_id, now_ms)
-        return worker.lease_end_ms
+            return self.new_lease_end(worker_id, now_ms, limit_ms)
+        return worker.requested_end_ms
 
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -118,7 +118,9 @@
     start order. ``capacity`` is the account of its size and of what runs and
     waiting tasks take of it; ``update_info`` and the methods that change runs
     keep it up to date.
-    ``leased_ms`` is when a lease was last requested, -1 if none was.
+    ``lease_end_ms`` is when its lease ends at the latest, and
+    ``requested_end_ms`` the latest end that this owner has requested, 0 if
+    none. ``leased_ms`` is when a lease was last requested, -1 if none was.
     ``unreachable_ms`` is when the first poll since the last report failed, -1
     if none did. ``failed_polls`` counts those polls, and ``polled_ms`` is when
     the last poll was sent. A report older than ``max_report_age_ms`` shows
@@ -145,6 +147,7 @@
     last_report_ms: int = -1
     clock_ms: int = 0
     lease_end_ms: int = 0
+    requested_end_ms: int = 0
     leased_ms: int = -1
     failed_tasks: dict[_jobs.TaskKey, int] = dataclasses.field(
         default_factory=dict
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -268,21 +268,26 @@
             if worker is not None:
                 worker.is_recorded = False
 
-    def new_lease_end(self, worker_id: str, now_ms: int) -> int | None:
+    def new_lease_end(
+        self, worker_id: str, now_ms: int, limit_ms: int | None = None
+    ) -> int | None:
         """Return the end of the lease to request, on the worker's clock.
 
         The worker may hold its lease until the latest end requested, so that
         end is recorded. Return None if the worker has not reported its clock
-        yet or if its leases are held.
+        yet or if its leases are held. ``limit_ms`` is the longest lease that
+        may be requested, None for any and 0 for none.
         """
-        return self._cell.new_lease_end(worker_id, now_ms)
+        return self._cell.new_lease_end(worker_id, now_ms, limit_ms)
 
-    def lease_end_for_start(self, worker_id: str, now_ms: int) -> int | None:
+    def lease_end_for_start(
+        self, worker_id: str, now_ms: int, limit_ms: int | None = None
+    ) -> int | None:
         """Return the end of the lease to request with a start order.
 
         As ``new_lease_end``, but a recent lease is not extended.
         """
-        return self._cell.lease_end_for_start(worker_id, now_ms)
+        return self._cell.lease_end_for_start(worker_id, now_ms, limit_ms)
 
     def hold_leases(self, worker_id: str) -> bool:
         """Request no leases for a worker until ``allow_leases``.
