--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -18,6 +18,7 @@
 from oriolestand_fleet.messages import orders
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _lease_limits
 from oriolestand_fleet.services.cell import _offers
 from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import _term
@@ -25,6 +26,7 @@
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import delays
 from oriolestand_policy import ownership
+from oriolestand_policy import scheduling
 
 
 class CellTask(core.Task):
@@ -45,7 +47,10 @@
         self._offers = _offers.CellOffers(kernel, cfg.instance, self._election)
         self._owner_version = 0
         self._renewal_version = 0
+        self._is_renewal_malformed = False
+        self._limits = _lease_limits.LeaseLimits(kernel)
         self._config: store.FleetConfig | None = None
+        self._known_routes = scheduling.KnownRoutes()
         self._evacuations: config_messages.EvacuationsRead | None = None
         self._owner_term: _term.OwnerTerm | None = None
         self._loading_term: models.Term | None = None
@@ -89,6 +94,7 @@
                 self._loop_delays.longest_ms(now), const.MAX_LOOP_DELAY_MS
             )
             try:
+                self._update_limits()
                 await self._claim_if_due()
                 await self._offer_if_due()
             except Exception:
@@ -146,6 +152,7 @@
     def _on_config(self, msg: config_messages.ConfigChanged) -> None:
         """Store the configuration and pass it to the current term."""
         self._config = msg.config
+        self._known_routes.update(r.policy for r in msg.config.routes)
         if self._owner_term is not None:
             self._owner_term.set_config(msg.config)
 
@@ -220,6 +227,8 @@
                     self._apply_renewal(row)
             elif row.key == layout.CANDIDATE_KEY:
                 self._apply_candidate(row)
+            elif row.key == layout.LIMITS_KEY:
+                self._apply_limits(row)
 
     def _apply_owner(self, row: store.Row) -> None:
         """Apply the owner row; end the term if there is a newer owner."""
@@ -272,8 +281,10 @@
         try:
             renewal = models.decode_renewal(row.value)
         except _rows.MalformedRowError as exc:
+            self._is_renewal_malformed = True
             self._log_malformed(row, exc)
             return
+        self._is_renewal_malformed = False
         self._election.on_renewal(renewal, self.kernel.clock.now())
         if renewal is not None:
             self.kernel.publish(
@@ -290,6 +301,28 @@
         if candidate is not None and self._owner_term is not None:
             self._owner_term.term.hand_over.on_offer(candidate)
 
+    def _apply_limits(self, row: store.Row) -> None:
+        """Apply the row that tells whether the owner limits its leases."""
+        try:
+            self._limits.apply(row)
+        except _rows.MalformedRowError as exc:
+            self._log_malformed(row, exc)
+
+    def _may_limit_leases(self) -> bool:
+        """Return whether this daemon has time to limit its leases."""
+        delay_ms = self._loop_delays.longest_ms(self.kernel.clock.now())
+        return delay_ms < ownership.MAX_LIMITED_DELAY_MS
+
+    def _update_limits(self) -> None:
+        """Limit the leases of the present term while there is time to."""
+        term = self._loading_term
+        if self._owner_term is not None:
+            term = self._owner_term.term
+        if term is None or term.is_over:
+            return
+        update = self._limits.update(term, are_set=self._may_limit_leases())
+        defer.ensureDeferred(update).addErrback(self._on_unexpected_error)
+
     async def _offer_if_due(self) -> None:
         """Offer to take the cell unless this daemon owns it or stops."""
         if self._owner_term is not None or self._is_shutting_down:
@@ -343,7 +376,9 @@
         unsettled_ms = ownership.unsettled_ms(
             reason, former_renewal, renewal_age_ms
         )
-        claim = self._build_claim(reason, owner, unsettled_ms)
+        former_leases = self._former_leases(reason, sent_ms - renewal_age_ms)
+        limits_leases = self._may_limit_leases()
+        claim = self._build_claim(reason, owner, unsettled_ms, limits_leases)
         outcome = await _commits.try_commit(self.kernel, claim)
         version = _version_of_claim(outcome, claim)
         self._log.info(
@@ -375,6 +410,8 @@
             renewed_ms=sent_ms,
             takeover_deadline_ms=now + takeover_wait_ms,
             settled_ms=now + unsettled_ms,
+            former_leases=former_leases,
+            limits_leases=limits_leases,
             hand_over=ownership.HandOver(
                 epoch=owner.epoch,
                 began_ms=now,
@@ -388,11 +425,35 @@
             self._end_term(term, 'the cell could not be loaded')
             raise
 
+    def _former_leases(
+        self, reason: ownership.ClaimReason, received_ms: int
+    ) -> ownership.FormerLeases | None:
+        """Return the bounds of the leases of the former owner, if any.
+
+        :param received_ms: when its last renewal was received.
+        """
+        former = self._election.owner
+        renewal = self._election.renewal_of_owner
+        if (
+            reason is not ownership.ClaimReason.SILENT
+            or former is None
+            or renewal is None
+            or former.instance == const.UNKNOWN_INSTANCE
+            or self._is_renewal_malformed
+            or not self._limits.are_set_by(former.epoch)
+        ):
+            return None
+        # The claim is void unless this renewal is the last one.
+        return ownership.FormerLeases(
+            renewed_ms=received_ms, unsettled_ms=renewal.unsettled_ms
+        )
+
     def _build_claim(
         self,
         reason: ownership.ClaimReason,
         owner: ownership.Owner,
         unsettled_ms: int,
+        limits_leases: bool,
     ) -> store.CommitRows:
         """Return the commit of the owner row and its first renewal."""
         checks = [
@@ -404,8 +465,12 @@
                     key=layout.RENEWAL_KEY, version=self._renewal_version
                 )
             )
+            checks.append(self._limits.check)
+        limits = models.LeaseLimits(epoch=owner.epoch, are_set=limits_leases)
         renewal = ownership.Renewal(
-            epoch=owner.epoch, count=0, unsettled_ms=unsettled_ms
+            epoch=owner.epoch,
+            count=0,
+            unsettled_ms=unsettled_ms,
         )
         return store.CommitRows(
             table=layout.TABLE,
@@ -419,6 +484,7 @@
                     key=layout.RENEWAL_KEY,
                     value=models.encode_renewal(renewal),
                 ),
+                _lease_limits.put(limits),
                 store.Put(
                     key=layout.OWNER_KEY,
                     value=models.encode_owner(owner),
@@ -472,14 +538,13 @@
             if self._is_shutting_down:
                 await self._write_release(term)
             return
-        assert self._config is not None
         assert self._evacuations is not None
         self._owner_term = _term.OwnerTerm(
             self.kernel,
             self._cfg,
             term,
             snapshot,
-            self._config,
+            self._known_routes.policies(),
             self._evacuations,
             functools.partial(self._end_term, term),
         )
@@ -528,6 +593,7 @@
             result = outcome.result
             if result is not None and result.is_applied:
                 term.renewed_ms = sent_ms
+                term.votes.on_renewed(sent_ms)
                 if term.store_clock is None and result.now_ms:
                     term.store_clock = ownership.StoreClock(
                         sent_ms=sent_ms,
