--- a/packages/bench/src/oriolestand_bench/_measured_daemon.py
+++ b/packages/bench/src/oriolestand_bench/_measured_daemon.py
@@ -61,6 +61,10 @@
         """Return the processor time so far in milliseconds."""
         return _process.cpu_ns(self._process.pid) / 1e6
 
+    def resident_mib(self) -> float:
+        """Return the resident memory in MiB."""
+        return _process.resident_mib(self._process.pid)
+
     def peak_mib(self) -> float:
         """Return the peak resident memory so far in MiB."""
         return _process.peak_resident_mib(self._process.pid)
--- a/packages/bench/src/oriolestand_bench/_process.py
+++ b/packages/bench/src/oriolestand_bench/_process.py
@@ -21,15 +21,31 @@
 
 def resident_mib(pid: int) -> float:
     """Return the resident memory of a process in MiB."""
-    text = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
-    line = next(x for x in text.splitlines() if x.startswith('VmRSS:'))
-    return int(line.split()[1]) * KIB / MIB
+    return parse_resident_mib(_read_status(pid))
 
 
 def peak_resident_mib(pid: int) -> float:
     """Return the peak resident memory of a process in MiB."""
-    text = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
-    line = next(x for x in text.splitlines() if x.startswith('VmHWM:'))
+    return _parse_mib(_read_status(pid), 'VmHWM')
+
+
+def parse_resident_mib(status: str) -> float:
+    """Return the resident memory in MiB in a status file of ``/proc``.
+
+    >>> parse_resident_mib('VmRSS:    1024 kB')
+    1.0
+    """
+    return _parse_mib(status, 'VmRSS')
+
+
+def _read_status(pid: int) -> str:
+    """Return the status file of a process."""
+    return pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+
+
+def _parse_mib(status: str, name: str) -> float:
+    """Return a field of a status file in MiB."""
+    line = next(x for x in status.splitlines() if x.startswith(f'{name}:'))
     return int(line.split()[1]) * KIB / MIB
 
 
