Share the path and the policy of the jobs of a route

Each row of a job that a daemon receives was kept with its own copies of the name, the path and the policy of its route.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -1,7 +1,9 @@
 """In-memory state of jobs and encoding of their rows."""
 
 import dataclasses
+import functools
 import json
+import sys
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -19,6 +21,9 @@
     'cancelled': messages.JobState.CANCELLED,
 }
 
+MAX_SHARED_POLICIES = 256
+"""Limits the cache of policies; further routes only share less memory."""
+
 _Count = _rows.Count
 _Percent = Annotated[
     int, msgspec.Meta(ge=scheduling.UNKNOWN_PERCENT, le=_rows.MAX_INTEGER)
@@ -186,8 +191,9 @@
                 )
             return
         self.refusal = None
-        self.route = decoded.route
-        self.path = decoded.path
+        # Jobs of a route share these; each row would have its own otherwise.
+        self.route = sys.intern(decoded.route)
+        self.path = decoded.path and sys.intern(decoded.path)
         try:
             self.policy = _to_policy(decoded)
         except _rows.MalformedRowError:
@@ -259,9 +265,13 @@
         raise _rows.MalformedRowError(
             'the policy is malformed', why=str(exc)
         ) from exc
-    return scheduling.RoutePolicy(
-        name=row.route, **msgspec.structs.asdict(decoded)
-    )
+    return _shared_policy(row.route, decoded)
+
+
+@functools.lru_cache(maxsize=MAX_SHARED_POLICIES)
+def _shared_policy(route: str, row: _PolicyRow) -> scheduling.RoutePolicy:
+    """Return a policy, the same object for rows that are equal."""
+    return scheduling.RoutePolicy(name=route, **msgspec.structs.asdict(row))
 
 
 def _encode_policy(policy: scheduling.RoutePolicy) -> list[Any]:
--- a/packages/fleet/tests/services/jobs/test_job_rows.py
+++ b/packages/fleet/tests/services/jobs/test_job_rows.py
@@ -62,6 +62,18 @@
     return entry
 
 
+def test_jobs_of_a_route_share_its_policy_and_path():
+    # Guards against memory that each waiting job takes for copies of them.
+    row = models.encode_row(SPEC, ROUTE)
+    first, second = entry_of(row), entry_of(row)
+    assert first.policy is second.policy
+    assert first.path is second.path
+    assert first.route is second.route
+    other = dataclasses.replace(POLICY, priority=1)
+    route = dataclasses.replace(ROUTE, policy=other)
+    assert entry_of(models.encode_row(SPEC, route)).policy == other
+
+
 @pytest.mark.parametrize(
     'policy',
     [
