Let other benches replace parts of the simulated fleet

Simulated workers have a module of their own now, take_over is in OwnerSimulation, and the parts that differ are methods.

--- a/packages/bench/src/oriolestand_bench/drain.py
+++ b/packages/bench/src/oriolestand_bench/drain.py
@@ -10,6 +10,7 @@
 
 import click
 
+from oriolestand_bench import _workers
 from oriolestand_bench import owner
 from oriolestand_policy import scheduling
 
@@ -64,12 +65,11 @@
         is_taken_over: bool = False,
         are_images_calm: bool = False,
     ) -> None:
-        self._epoch = 1
         self._traffic = 0.0
         self._jobs_per_s = (
             USUAL_LOAD
             * workers
-            * owner.WORKER_CPU
+            * _workers.WORKER_CPU
             * 1_000
             / (STEPS * TASKS_PER_STEP * TASK_CPU * TASK_MS)
         )
@@ -121,30 +121,6 @@
         self._accepted_ms[job] = self.now
         self._busy_ms[job] = self.now
 
-    def take_over(self) -> None:
-        """Replace the scheduler by that of a new owner of the cell."""
-        former = self.scheduler
-        self._epoch += 1
-        self.scheduler = scheduling.Scheduler(self._epoch, owner.LEASE_MS)
-        self._add_fleet()
-        for job in former.jobs.values():
-            if job.outcome is None:
-                self.scheduler.add_job(
-                    job.spec,
-                    self.now,
-                    progress=scheduling.progress_of(job),
-                    needs_probe=True,
-                )
-        for worker in self.workers.values():
-            worker.poll_number += 1
-            self.scheduler.on_worker_report(
-                worker.id,
-                worker.report(self.now, self._weights),
-                self.now,
-                self.now,
-            )
-            self._at(0, self._poll_later(worker))
-
     def _sample(self) -> None:
         """Note which jobs have a run."""
         busy = {
--- a/packages/bench/src/oriolestand_bench/owner.py
+++ b/packages/bench/src/oriolestand_bench/owner.py
@@ -12,7 +12,6 @@
 import hashlib
 import heapq
 import itertools
-import math
 import pstats
 import random
 import time
@@ -21,10 +20,10 @@
 import click
 
 from oriolestand_bench import _results
+from oriolestand_bench import _workers
 from oriolestand_policy import scheduling
 
 WORKERS = 246
-WORKER_CPU = 64_000
 WORKER_MEMORY_MB = 250_000
 WORKERS_PER_RACK = 11
 SERVICE_JOBS = 170
@@ -50,87 +49,10 @@
 STOP_MS = 100
 ROUND_DELAY_MS = 29
 TICK_MS = 200
-LOAD_PERIOD_MS = 10_000
 MAX_CORES = 0.25
 """Half of the processor time of the smallest instance, 0.516 of a core."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _SimulatedRun:
-    """Run on a simulated worker."""
-
-    key: scheduling.TaskKey
-    number: int
-    spec: scheduling.StepSpec
-    started_ms: int
-    duration_ms: int
-    pace: int = 100
-
-
-class _SimulatedWorker:
-    """Worker that runs tasks and reports them."""
-
-    def __init__(self, worker_id: str) -> None:
-        self.id = worker_id
-        self.runs: dict[scheduling.TaskKey, _SimulatedRun] = {}
-        self.ended: list[scheduling.EndReport] = []
-        self.sequence = 0
-        self.poll_number = 0
-
-    def report(
-        self, now_ms: int, weights: dict[tuple[str, str], float]
-    ) -> scheduling.WorkerReport:
-        """Return the report of all runs and of the ends since the last."""
-        ended, self.ended = tuple(self.ended), []
-        running = tuple(
-            scheduling.RunReport(
-                key=run.key,
-                number=run.number,
-                checkpoint='',
-                percent=self._percent(run, now_ms),
-                measured=self._measured(run, now_ms, weights),
-            )
-            for run in self.runs.values()
-        )
-        return scheduling.WorkerReport(
-            clock_ms=now_ms,
-            running=running,
-            ended=ended,
-            process_start_ms=1,
-        )
-
-    def _percent(self, run: _SimulatedRun, now_ms: int) -> int:
-        """Return the progress of a run."""
-        if run.spec.is_service:
-            return 100
-        elapsed_ms = now_ms - run.started_ms
-        return min(99, 100 * elapsed_ms // run.duration_ms)
-
-    def _measured(
-        self,
-        run: _SimulatedRun,
-        now_ms: int,
-        weights: dict[tuple[str, str], float],
-    ) -> int:
-        """Return the tail latency or the processor use of a run."""
-        if not run.spec.is_service:
-            return run.spec.cpu * run.pace // 100
-        phase = hash_of(run.key.job)
-        angle = 2 * math.pi * (now_ms / LOAD_PERIOD_MS + phase)
-        load = 0.45 + 0.2 * math.sin(angle)
-        for other in self.runs.values():
-            if other.spec.is_filling:
-                weight = weights[(run.spec.image, other.spec.image)]
-                share = other.spec.cpu * other.pace / 100 / WORKER_CPU
-                load += weight * share
-        return round(20 / (1.0 - min(0.95, load)))
-
-
-def hash_of(text: str) -> float:
-    """Return a number from 0 to 1 that depends on a text only."""
-    return int(hashlib.sha256(text.encode()).hexdigest()[:8], 16) / 2**32
-
-
 class OwnerSimulation:
     """Drive a scheduler with reports of a simulated fleet."""
 
@@ -142,7 +64,8 @@
         service_jobs: int = SERVICE_JOBS,
     ) -> None:
         self.now = 10_000
-        self.scheduler = scheduling.Scheduler(1, LEASE_MS)
+        self._epoch = 1
+        self.scheduler = self._new_scheduler()
         self.spent_ns: dict[str, int] = {}
         self.digest = hashlib.sha256()
         self.ends = 0
@@ -154,40 +77,53 @@
         self._event_numbers = itertools.count()
         self._job_numbers = itertools.count()
         self._is_round_due = False
-        self._weights = {
+        self._weights = self._make_weights()
+        self.workers = {
+            f'w{number:03}': self._new_worker(f'w{number:03}')
+            for number in range(workers)
+        }
+        self._set_up(service_jobs)
+
+    def _new_scheduler(self) -> scheduling.Scheduler:
+        """Return a scheduler for the present epoch."""
+        return scheduling.Scheduler(self._epoch, LEASE_MS)
+
+    def _new_worker(self, worker_id: str) -> _workers.SimulatedWorker:
+        """Return a worker of the fleet."""
+        return _workers.SimulatedWorker(worker_id)
+
+    def _make_weights(self) -> dict[tuple[str, str], float]:
+        """Return the load that filling images add to service images."""
+        return {
             (f's{service}', f'f{filling}'): (
                 1.2 if self._random.random() < 0.25 else 0.12
             )
             for service in range(SERVICE_IMAGES)
             for filling in range(FILLING_IMAGES)
         }
-        self.workers = {
-            f'w{number:03}': _SimulatedWorker(f'w{number:03}')
-            for number in range(workers)
-        }
-        self._set_up(service_jobs)
 
     def _set_up(self, service_jobs: int) -> None:
         """Add the fleet and its services, and schedule the first events."""
         self._add_fleet()
         for number in range(service_jobs):
-            self._submit(
-                'service',
-                scheduling.StepSpec(
-                    count=SERVICE_TASKS,
-                    cpu=self._random.choice((5_000, 6_000, 7_000)),
-                    memory_mb=4_000,
-                    is_service=True,
-                    image=f's{number % SERVICE_IMAGES}',
-                    target_ms=100,
-                    max_per_worker=2,
-                ),
-            )
+            self._submit('service', self._service_step(number))
         for worker in self.workers.values():
             self._at(self._random.randrange(300), self._poll_later(worker))
         self._start_load()
         self._at(0, self._tick)
 
+    def _service_step(self, number: int) -> scheduling.StepSpec:
+        """Return the step of a service job."""
+        return scheduling.StepSpec(
+            count=SERVICE_TASKS,
+            cpu=self._random.choice((5_000, 6_000, 7_000)),
+            memory_mb=4_000,
+            is_service=True,
+            image=f's{number % SERVICE_IMAGES}',
+            target_ms=100,
+            max_per_worker=2,
+        )
+
     def _start_load(self) -> None:
         """Schedule the first jobs that are no services."""
         self._at(0, self._submit_quick)
@@ -195,7 +131,12 @@
 
     def _add_fleet(self) -> None:
         """Add the routes and the workers to the scheduler."""
-        self.scheduler.set_routes(
+        self.scheduler.set_routes(self._routes())
+        self._list_workers()
+
+    def _routes(self) -> list[scheduling.RoutePolicy]:
+        """Return the policies of all routes."""
+        return [
             scheduling.RoutePolicy(
                 name=name,
                 pool='p',
@@ -205,19 +146,22 @@
                 target_ms=TARGET_MS,
             )
             for priority, name in enumerate(('service', 'quick', 'batch'))
-        )
+        ]
+
+    def _list_workers(self) -> None:
+        """Pass the list of registered workers to the scheduler."""
         infos = {
-            worker_id: scheduling.WorkerInfo(
-                id=worker_id,
+            worker.id: scheduling.WorkerInfo(
+                id=worker.id,
                 pool='p',
-                address=f'{worker_id}:1',
+                address=f'{worker.id}:1',
                 failure_domain='d',
-                cpu=WORKER_CPU,
+                cpu=_workers.WORKER_CPU,
                 memory_mb=WORKER_MEMORY_MB,
                 rack=f'r{number // WORKERS_PER_RACK}',
-                process_start_ms=1,
+                process_start_ms=worker.process_start_ms,
             )
-            for number, worker_id in enumerate(self.workers)
+            for number, worker in enumerate(self.workers.values())
         }
         self.scheduler.set_workers(infos)
         self.scheduler.mark_workers_recorded(infos)
@@ -246,6 +190,30 @@
         self.spent_ns[name] = self.spent_ns.get(name, 0) + spent_ns
         return result
 
+    def take_over(self) -> None:
+        """Replace the scheduler by that of a new owner of the cell."""
+        former = self.scheduler
+        self._epoch += 1
+        self.scheduler = self._new_scheduler()
+        self._add_fleet()
+        for job in former.jobs.values():
+            if job.outcome is None:
+                self.scheduler.add_job(
+                    job.spec,
+                    self.now,
+                    progress=scheduling.progress_of(job),
+                    needs_probe=True,
+                )
+        for worker in self.workers.values():
+            worker.poll_number += 1
+            self.scheduler.on_worker_report(
+                worker.id,
+                worker.report(self.now, self._weights),
+                self.now,
+                self.now,
+            )
+            self._at(0, self._poll_later(worker))
+
     # Jobs.
 
     def _submit(self, route: str, *steps: scheduling.StepSpec) -> str:
@@ -290,11 +258,13 @@
 
     # Workers.
 
-    def _poll_later(self, worker: _SimulatedWorker) -> Callable[[], None]:
+    def _poll_later(
+        self, worker: _workers.SimulatedWorker
+    ) -> Callable[[], None]:
         """Return a function that starts to poll a worker."""
         return lambda: self._start_poll(worker)
 
-    def _start_poll(self, worker: _SimulatedWorker) -> None:
+    def _start_poll(self, worker: _workers.SimulatedWorker) -> None:
         """Send a poll; the report comes at an end or after the wait."""
         self._measure(self.scheduler.new_lease_end, worker.id, self.now)
         worker.poll_number += 1
@@ -307,7 +277,7 @@
         self._at(wait_ms, lambda: self._end_poll(worker, number, sent_ms))
 
     def _end_poll(
-        self, worker: _SimulatedWorker, number: int, sent_ms: int
+        self, worker: _workers.SimulatedWorker, number: int, sent_ms: int
     ) -> None:
         """Apply a report, unless an end has completed the poll before."""
         if worker.poll_number != number:
@@ -331,8 +301,8 @@
 
     def _end_run(
         self,
-        worker: _SimulatedWorker,
-        run: _SimulatedRun,
+        worker: _workers.SimulatedWorker,
+        run: _workers.SimulatedRun,
         kind: scheduling.EndKind,
     ) -> None:
         """End a run and complete the pending poll."""
@@ -384,14 +354,22 @@
         """Carry out the orders of the scheduler."""
         for effect in self._measure(self.scheduler.take_effects):
             self.digest.update(repr((self.now, effect)).encode())
-            if isinstance(effect, scheduling.StartTask):
-                self._start_run(effect)
-            elif isinstance(effect, scheduling.StopTask):
-                self._stop_run(effect)
-            elif isinstance(effect, scheduling.PaceTask):
-                run = self.workers[effect.worker].runs.get(effect.key)
-                if run is not None:
-                    run.pace = effect.percent
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: scheduling.Effect) -> None:
+        """Carry out one effect of the scheduler."""
+        if isinstance(effect, scheduling.StartTask):
+            self._start_run(effect)
+        elif isinstance(effect, scheduling.StopTask):
+            self._stop_run(effect)
+        elif isinstance(effect, scheduling.PaceTask):
+            self._pace_run(effect)
+
+    def _pace_run(self, effect: scheduling.PaceTask) -> None:
+        """Change the pace of a run."""
+        run = self.workers[effect.worker].runs.get(effect.key)
+        if run is not None:
+            run.pace = effect.percent
 
     def _start_run(self, effect: scheduling.StartTask) -> None:
         """Start a run on a worker and reply to the order."""
@@ -399,7 +377,7 @@
         key = effect.key
         spec = self.scheduler.jobs[key.job].spec.steps[key.step]
         duration_ms = self._batch_ms if spec.is_filling else QUICK_MS
-        run = _SimulatedRun(
+        run = _workers.SimulatedRun(
             key=key,
             number=effect.run,
             spec=spec,
