Add a bench of goodput against offered load

A simulated fleet runs quick and filling jobs like those of the users at multiples of the processors that services leave idle. It prints the work of jobs in time, shares by kind, size and failure domain, what starts are spent on, and two references that know all jobs in advance.

--- a/packages/bench/src/oriolestand_bench/_workers.py
+++ b/packages/bench/src/oriolestand_bench/_workers.py
@@ -47,7 +47,7 @@
             scheduling.RunReport(
                 key=run.key,
                 number=run.number,
-                checkpoint=self._checkpoint(run),
+                checkpoint=self.checkpoint_of(run),
                 percent=self._percent(run, now_ms),
                 measured=self._measured(run, now_ms, weights),
             )
@@ -60,8 +60,8 @@
             process_start_ms=self.process_start_ms,
         )
 
-    def _checkpoint(self, run: SimulatedRun) -> str:
-        """Return the last checkpoint of a run."""
+    def checkpoint_of(self, run: SimulatedRun) -> str:
+        """Return the checkpoint of a run at this moment."""
         return ''
 
     def _percent(self, run: SimulatedRun, now_ms: int) -> int:
--- /dev/null
+++ b/packages/bench/src/oriolestand_bench/goodput/__main__.py
@@ -0,0 +1,82 @@
+"""Draw goodput against offered load."""
+
+import dataclasses
+import json
+import pathlib
+
+import click
+
+from oriolestand_bench.goodput import _figures
+from oriolestand_bench.goodput import _plots
+from oriolestand_bench.goodput import _simulation
+from oriolestand_bench.goodput import _tables
+
+WORKERS = (20,)
+LOADS = (0.5, 0.75, 1.0, 1.5, 2.5, 4.0)
+SETTINGS = tuple(setting.value for setting in _simulation.Setting)
+OUT = pathlib.Path('out/goodput')
+
+
+@click.command()
+@click.option('--workers', multiple=True, type=int, default=WORKERS)
+@click.option('--load', 'loads', multiple=True, type=float, default=LOADS)
+@click.option(
+    '--setting',
+    'settings',
+    multiple=True,
+    type=click.Choice(SETTINGS),
+    default=SETTINGS,
+)
+@click.option('--seed', default=1, help='Seed of the random numbers.')
+@click.option(
+    '--load-seconds',
+    default=_simulation.LOAD_MS // 1_000,
+    help='Simulated time for which the load lasts.',
+)
+@click.option('--spent', is_flag=True, help='Print what starts are used for.')
+@click.option(
+    '--output',
+    default=OUT,
+    type=click.Path(path_type=pathlib.Path),
+    help='Path of the results, without the suffixes .json and .png.',
+)
+def main(
+    workers: tuple[int, ...],
+    loads: tuple[float, ...],
+    settings: tuple[str, ...],
+    seed: int,
+    load_seconds: int,
+    spent: bool,
+    output: pathlib.Path,
+) -> None:
+    """Print goodput against offered load; write the figures and a plot."""
+    found: list[_figures.Figures] = []
+    click.echo(_tables.header(_tables.HEADER))
+    for count in workers:
+        for setting in settings:
+            for load in loads:
+                case = _simulation.Case(
+                    workers=count,
+                    load=load,
+                    setting=_simulation.Setting(setting),
+                    seed=seed,
+                    load_ms=1_000 * load_seconds,
+                )
+                simulation = _simulation.GoodputSimulation(
+                    case, are_waits_explained=spent
+                )
+                records = simulation.play()
+                found.append(_figures.figures_of(simulation, records))
+                click.echo(_tables.line(found[-1]))
+                if spent:
+                    click.echo(_tables.spent(records))
+    output.parent.mkdir(parents=True, exist_ok=True)
+    rows = [dataclasses.asdict(figures) for figures in found]
+    output.with_suffix('.json').write_text(
+        json.dumps(rows, indent=2) + '\n', encoding='utf-8'
+    )
+    _plots.draw(found, output.with_suffix('.png'))
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/bench/src/oriolestand_bench/owner.py
+++ b/packages/bench/src/oriolestand_bench/owner.py
@@ -316,7 +316,7 @@
                 key=run.key,
                 number=run.number,
                 kind=kind,
-                checkpoint='',
+                checkpoint=worker.checkpoint_of(run),
             )
         )
         number, sent_ms = worker.poll_number, self.now - LATENCY_MS
