--- a/packages/bench/src/oriolestand_bench/goodput/_simulation.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_simulation.py
@@ -195,6 +195,10 @@
         assert isinstance(worker, _goodput_workers.Worker)
         return worker
 
+    def _restore(self, former: scheduling.Scheduler) -> None:
+        """Load the learned weights, as a daemon does."""
+        self.scheduler.pressure.restore(former.pressure.learned())
+
     # The run.
 
     def play(self) -> list[_jobs.JobRecord]:
--- a/packages/bench/src/oriolestand_bench/owner.py
+++ b/packages/bench/src/oriolestand_bench/owner.py
@@ -195,6 +195,7 @@
         former = self.scheduler
         self._epoch += 1
         self.scheduler = self._new_scheduler()
+        self._restore(former)
         self._add_fleet()
         for job in former.jobs.values():
             if job.outcome is None:
@@ -214,6 +215,9 @@
             )
             self._at(0, self._poll_later(worker))
 
+    def _restore(self, former: scheduling.Scheduler) -> None:
+        """Load what a former owner stored besides jobs; by default nothing."""
+
     # Jobs.
 
     def _submit(self, route: str, *steps: scheduling.StepSpec) -> str:
