Explain waits at the end of a round

Between reports and the next round, the weights that a placement has kept do not fit those of the model: with 270 workers at load 1.5 the look-up divided by a bound of zero. In a round both are read once, so that the scheduler itself does not come there.

--- a/packages/bench/src/oriolestand_bench/goodput/_simulation.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_simulation.py
@@ -117,7 +117,7 @@
         self.services = ServiceRecord()
         self.records: dict[str, _jobs.JobRecord] = {}
         self._are_waits_explained = are_waits_explained
-        self._is_counting = False
+        self._is_sample_due = False
         self._placement: scheduling.Placement | None = None
         # Starts by task, so that each run of a task has its own fate.
         self._run_counts: dict[scheduling.TaskKey, int] = {}
@@ -208,7 +208,6 @@
         self._submit_later(case.plan('warm-up', WARM_UP_LOAD, WARM_UP_MS))
         self.run(WARM_UP_MS)
         before = len(self.records)
-        self._is_counting = True
         self._at(0, self._sample)
         self._submit_later(case.plan('load', case.load, case.load_ms))
         self.run(case.load_ms // 2)
@@ -242,16 +241,27 @@
             self.services.within_target += sum(
                 tail <= SERVICE_TARGET_MS for tail in tails
             )
-        if self._are_waits_explained and self._placement is not None:
-            _obstacles.note_waits(
-                self.records,
-                self.scheduler,
-                self._placement,
-                SAMPLE_MS,
-                random.Random(self.now),
-            )
+        self._is_sample_due = self._are_waits_explained
         self._at(SAMPLE_MS, self._sample)
 
+    def _run_round(self) -> None:
+        """Run a scheduling round, and explain the waits that it leaves.
+
+        The state of a placement is that of its last round. Between reports
+        and the next round it does not fit the weights that they change.
+        """
+        super()._run_round()
+        if not self._is_sample_due or self._placement is None:
+            return
+        self._is_sample_due = False
+        _obstacles.note_waits(
+            self.records,
+            self.scheduler,
+            self._placement,
+            SAMPLE_MS,
+            random.Random(self.now),
+        )
+
     # Crashes.
 
     def _crash_workers(self) -> None:
