--- a/packages/bench/src/oriolestand_bench/goodput/__main__.py
+++ b/packages/bench/src/oriolestand_bench/goodput/__main__.py
@@ -33,6 +33,11 @@
     default=_simulation.LOAD_MS // 1_000,
     help='Simulated time for which the load lasts.',
 )
+@click.option(
+    '--calm-images',
+    is_flag=True,
+    help='Let no image slow service tasks strongly.',
+)
 @click.option('--spent', is_flag=True, help='Print what starts are used for.')
 @click.option(
     '--output',
@@ -46,6 +51,7 @@
     settings: tuple[str, ...],
     seed: int,
     load_seconds: int,
+    calm_images: bool,
     spent: bool,
     output: pathlib.Path,
 ) -> None:
@@ -61,6 +67,7 @@
                     setting=_simulation.Setting(setting),
                     seed=seed,
                     load_ms=1_000 * load_seconds,
+                    are_images_calm=calm_images,
                 )
                 simulation = _simulation.GoodputSimulation(
                     case, are_waits_explained=spent
--- a/packages/bench/src/oriolestand_bench/goodput/_simulation.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_simulation.py
@@ -60,13 +60,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Case:
-    """What a run simulates; ``load`` is a multiple of the room."""
+    """What a run simulates; ``load`` is a multiple of the room.
+
+    With ``are_images_calm`` no filling image slows service tasks strongly.
+    """
 
     workers: int
     load: float
     setting: Setting = Setting.CALM
     seed: int = 1
     load_ms: int = LOAD_MS
+    are_images_calm: bool = False
 
     @property
     def width_factor(self) -> int:
@@ -148,7 +152,8 @@
         """Return the load that filling images add to service images."""
         images = list(range(_traffic.FILLING_IMAGES))
         self._random.shuffle(images)
-        strong = set(images[: round(STRONG_SHARE * len(images))])
+        share = 0.0 if self.case.are_images_calm else STRONG_SHARE
+        strong = set(images[: round(share * len(images))])
         return {
             (f's{service}', f'f{filling}'): (
                 STRONG_WEIGHT if filling in strong else CALM_WEIGHT
