--- a/packages/bench/src/oriolestand_bench/memory.py
+++ b/packages/bench/src/oriolestand_bench/memory.py
@@ -148,15 +148,20 @@
 class _Burst:
     """Submits jobs to a daemon on several connections at once."""
 
-    def __init__(self, daemon: _measured_daemon.MeasuredDaemon) -> None:
+    def __init__(
+        self, daemon: _measured_daemon.MeasuredDaemon, submissions: int
+    ) -> None:
         self._daemon = daemon
+        self._submissions = submissions
         self.accepted = 0
 
     async def run(self) -> None:
         """Submit all jobs; return after the last response."""
         await defer.gatherResults(
             [
-                defer.ensureDeferred(self._submit(SUBMISSIONS // CONNECTIONS))
+                defer.ensureDeferred(
+                    self._submit(self._submissions // CONNECTIONS)
+                )
                 for _ in range(CONNECTIONS)
             ]
         )
@@ -177,6 +182,7 @@
 async def _measure_burst(
     owner: _measured_daemon.MeasuredDaemon,
     daemon: _measured_daemon.MeasuredDaemon,
+    submissions: int,
 ) -> Figures:
     """Return the figures of running daemons by name; see ``UNITS``."""
     await daemon.wait_ready()
@@ -186,7 +192,7 @@
         'rest_peak': daemon.peak_mib() * MB_PER_MIB,
         'owner_rest': owner.resident_mib() * MB_PER_MIB,
     }
-    burst = _Burst(daemon)
+    burst = _Burst(daemon, submissions)
     began_s = time.monotonic()
     await burst.run()
     figures['burst_time'] = time.monotonic() - began_s
@@ -197,7 +203,9 @@
     return figures
 
 
-async def _measure(reactor: Any, tree: pathlib.Path) -> Figures:
+async def _measure(
+    reactor: Any, tree: pathlib.Path, submissions: int
+) -> Figures:
     """Return all figures of a new owner and a new daemon of a tree."""
     figures = {
         'interpreter': _resident_after(tree, ''),
@@ -217,7 +225,9 @@
                 await daemon.wait_ready()
                 while not site.has_owner:
                     await daemon.sleep(_measured_daemon.POLL_S)
-            figures |= await _measure_burst(*daemons)
+            figures |= await _measure_burst(
+                daemons[0], daemons[1], submissions
+            )
         finally:
             for daemon in reversed(daemons):
                 await daemon.stop()
@@ -259,13 +269,16 @@
 
 
 async def _run(
-    reactor: Any, trees: dict[str, pathlib.Path], rounds: int
+    reactor: Any,
+    trees: dict[str, pathlib.Path],
+    rounds: int,
+    submissions: int,
 ) -> None:
     """Measure all trees in turn and print the results."""
     found: dict[str, list[Figures]] = {name: [] for name in trees}
     for _ in range(rounds):
         for name, tree in trees.items():
-            found[name].append(await _measure(reactor, tree))
+            found[name].append(await _measure(reactor, tree, submissions))
     click.echo(_results.to_table(list(_to_results(found))))
     sizes = {name: _sizes_by_package(tree) for name, tree in trees.items()}
     click.echo(_results.to_table(list(_to_package_results(sizes))))
@@ -278,7 +291,8 @@
     help='Another checkout to measure in the same run.',
 )
 @click.option('--rounds', default=ROUNDS, help='Starts of each checkout.')
-def main(base: pathlib.Path | None, rounds: int) -> None:
+@click.option('--submissions', default=SUBMISSIONS, help='Jobs of the burst.')
+def main(base: pathlib.Path | None, rounds: int, submissions: int) -> None:
     """Print the memory of a daemon of this checkout and of a base."""
     with tempfile.TemporaryDirectory() as name:
         checkouts = {'this': ROOT}
@@ -290,7 +304,9 @@
             _trees.deploy(checkout, trees[tree])
 
         def run(reactor: Any) -> 'defer.Deferred[None]':
-            return defer.ensureDeferred(_run(reactor, trees, rounds))
+            return defer.ensureDeferred(
+                _run(reactor, trees, rounds, submissions)
+            )
 
         task.react(run)
 
