Weigh the work left by the objective of the job

The share of work left now counts with the objective of the job, which grows with its steps but not with the width of a step.

--- a/packages/policy/src/oriolestand_policy/scheduling/_ready.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_ready.py
@@ -82,6 +82,13 @@
         found = self._occurrences.get(key)
         return [] if found is None else sorted(found.steps)
 
+    def counts_of(self, key: OccurrenceKey) -> list[tuple[int, int]]:
+        """Return the steps with ready tasks, and the number of these."""
+        found = self._occurrences.get(key)
+        if found is None:
+            return []
+        return [(step, len(tasks)) for step, tasks in found.steps.items()]
+
     def count_of(self, key: OccurrenceKey, step: int) -> int:
         """Return the number of ready tasks of a step."""
         found = self._occurrences.get(key)
--- a/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
@@ -150,6 +150,10 @@
     ) -> _Times:
         """Return the times of an occurrence at present."""
         steps = job.spec.steps
+        # Once for each step, as several may depend on the same large one.
+        is_done = [
+            job.is_step_done(occurrence, step) for step in range(len(steps))
+        ]
         task_work = tuple(
             max(1, spec.cpu)
             * max(1, self._run_times.expected_ms(job.spec.route, spec))
@@ -172,41 +176,44 @@
             total_work=sum(work),
             later_work=sum(
                 of_step
-                for step, of_step in enumerate(work)
-                if not job.is_step_ready(occurrence, step)
+                for spec, of_step in zip(steps, work, strict=True)
+                if not all(is_done[step] for step in spec.after)
             ),
         )
 
     def _left(self, key: _ready.OccurrenceKey, times: _Times) -> int:
         """Return how much work is left to start, in thousandths of all."""
-        left = times.later_work + sum(
-            self._ready.count_of(key, step) * times.task_work[step]
-            for step in self._ready.steps_of(key)
-        )
+        left = times.later_work
+        for step, count in self._ready.counts_of(key):
+            left += count * times.task_work[step]
         return ALL_LEFT * left // times.total_work
 
 
 def _rank(
     times: _Times, is_start_decided: bool, wall_ms: int, left: int
 ) -> tuple[int, ...]:
-    """Return the tier, the work left and the deadline of an occurrence."""
+    """Return the tier, the time for the work left, and the deadline.
+
+    That time is the objective for all of the work: by the share alone, a begun
+    job of many steps would pass all short ones for as long as it takes.
+    """
     due, objective = times.due_ms, times.objective_ms
     if times.is_service:
-        return (Tier.IN_TIME, ALL_LEFT, due)
+        return (Tier.IN_TIME, 0, due)
     finish = wall_ms + times.remaining_ms
     slack = due + objective - finish
     margin = START_MARGIN * (objective - times.remaining_ms)
     if is_start_decided:
         margin = 0.0
     if slack >= max(0.0, margin):
-        return (Tier.IN_TIME, left, due + objective)
+        return (Tier.IN_TIME, left * objective, due + objective)
     if slack >= 0:
-        return (Tier.AT_RISK, left, due + objective)
+        return (Tier.AT_RISK, left * objective, due + objective)
     late_due = due + LATE_FACTOR * objective
     if finish > late_due:
-        return (Tier.LOST, left, due)
+        return (Tier.LOST, due)
     # Work that earns less counts as more of it.
     left_for_value = left * 100 // LATE_VALUE_PERCENT
     if left_for_value < ALL_LEFT:
-        return (Tier.IN_TIME, left_for_value, late_due)
-    return (Tier.LATE, left, late_due)
+        return (Tier.IN_TIME, left_for_value * objective, late_due)
+    return (Tier.LATE, left * objective, late_due)
