Keep the last policies of removed routes in each daemon

Each daemon now keeps the last policy of the routes that it has seen, also while it does not own the cell, and gives them to the scheduler when it takes over. No row is written; a row for each removed route was weighed, and is only needed for daemons that start after the removal.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -1,6 +1,7 @@
 """Schedule the tasks of a cell while this daemon owns it."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import functools
 import random
 from typing import Any
@@ -35,6 +36,8 @@
 
     This runs the scheduler and applies its decisions until ``term`` is over.
 
+    :param policies: of the configured routes, and the last known ones of
+        others.
     :param on_ownership_lost: called with a reason when the term must end
         because there is a newer owner or after an unexpected error.
     """
@@ -45,7 +48,7 @@
         cfg: settings.FleetSettings,
         term: models.Term,
         snapshot: jobs.Snapshot,
-        config: store.FleetConfig,
+        policies: Iterable[scheduling.RoutePolicy],
         evacuations: config_messages.EvacuationsRead,
         on_ownership_lost: Callable[[str], None],
     ) -> None:
@@ -114,7 +117,7 @@
         )
         self._are_starts_held = False
         self.set_evacuations(evacuations)
-        self._load_cell(snapshot, config)
+        self._load_cell(snapshot, policies)
         self._sweeper = _sweeper.Sweeper(
             kernel,
             term,
@@ -125,11 +128,13 @@
         )
 
     def _load_cell(
-        self, snapshot: jobs.Snapshot, config: store.FleetConfig
+        self,
+        snapshot: jobs.Snapshot,
+        policies: Iterable[scheduling.RoutePolicy],
     ) -> None:
-        """Load the configuration and all stored jobs into the scheduler."""
+        """Load the known routes and all stored jobs into the scheduler."""
         now = self._kernel.clock.now()
-        self.set_config(config)
+        self._scheduler.set_routes(policies)
         for job in snapshot.jobs:
             self._scheduler.add_job(
                 job.spec,
--- a/packages/fleet/tests/test_removed_routes.py
+++ b/packages/fleet/tests/test_removed_routes.py
@@ -99,6 +99,30 @@
     assert {site.state(daemon, JOB) for daemon in rest} == {'completed'}
 
 
+@pytest.mark.parametrize('is_planned', [True, False])
+def test_job_of_a_route_that_was_moved_and_removed_goes_on(
+    site, daemons, is_planned
+):
+    # The pool at acceptance may have no workers left, so that the job waited
+    # under a new owner although it had seen the last pool of the route.
+    old_route = make_route('moved', '/moved/', pool='old')
+    new_route = make_route('moved', '/moved/')
+    site.set_routes(2, [OTHER, old_route])
+    site.run(CONFIG_MS)
+    submit(site, daemons[0], route=old_route)
+    site.set_routes(3, [OTHER, new_route])
+    site.run(CONFIG_MS)
+    assert runs_by_step(site) == [2, 0]
+    site.set_routes(4, [OTHER])
+    site.run(100)
+    rest = replace_owner(site, daemons, is_planned)
+    site.run(TAKEOVER_MS)
+    assert {site.state(daemon, JOB, old_route) for daemon in rest} == {
+        'completed'
+    }
+    assert runs_by_step(site) == [2, 1]
+
+
 def test_job_of_a_renamed_route_is_found_at_each_daemon(site, daemons):
     # All daemons answered 410 for accepted jobs, as the names differed.
     submit(site, daemons[0], duration_ms=60_000)
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -26,6 +26,7 @@
 from oriolestand_policy.scheduling._jobs import Task
 from oriolestand_policy.scheduling._jobs import TaskKey
 from oriolestand_policy.scheduling._jobs import parse_key
+from oriolestand_policy.scheduling._known_routes import KnownRoutes
 from oriolestand_policy.scheduling._load import OwnerLoad
 from oriolestand_policy.scheduling._order_queue import Order
 from oriolestand_policy.scheduling._order_queue import OrderPriority
@@ -67,6 +68,7 @@
     'InvalidJobError',
     'Job',
     'JobSpec',
+    'KnownRoutes',
     'LearnedPressure',
     'LogEvent',
     'MixedPlacement',
