Send no starts while leases may not be extended

An owner without the store and most workers asked with a start for the lease that it had requested last, up to 2.5 s before. A worker that has restarted under its id since then takes that end on its own clock, and may begin a lease after the successor has taken all to be over. Found by reading.

Such an owner now starts nothing until most workers have answered or its renewal was accepted. test_owner_without_most_workers_sends_no_starts fails without the change and passes.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -437,17 +437,17 @@
         self._load.on_round(end_ms - now, end_ms)
 
     def _hold_starts(self, are_held: bool) -> None:
-        """Start nothing while the known evacuations are too old."""
+        """Start nothing while the term does not allow it."""
         if are_held == self._are_starts_held:
             return
         self._are_starts_held = are_held
         self._scheduler.hold_starts(are_held)
-        self._log.warning(
-            'Starts wait until the evacuated domains are known'
-            if are_held
-            else 'Starts go on',
-            epoch=self.term.epoch,
-        )
+        event = 'Starts go on'
+        if are_held:
+            event = 'Starts wait until the evacuated domains are known'
+            if self.term.lease_limit_ms(self._kernel.clock.now()) == 0:
+                event = 'Starts wait until most workers have answered'
+        self._log.warning(event, epoch=self.term.epoch)
 
     def _apply_effects(self) -> None:
         """Apply the pending effects of the scheduler.
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -192,8 +192,14 @@
         return min(self.acts_until_ms, self.evacuations_until_ms)
 
     def may_start(self, now_ms: int) -> bool:
-        """Return whether the owner may start tasks."""
-        return not self.is_over and now_ms < self.starts_until_ms
+        """Return whether the owner may start tasks.
+
+        A start that reaches a worker which has just restarted may begin a
+        lease there, so none is sent while leases may not be extended.
+        """
+        if self.is_over or self.lease_limit_ms(now_ms) == 0:
+            return False
+        return now_ms < self.starts_until_ms
 
     def may_act(self, now_ms: int) -> bool:
         """Return whether the last renewal is recent enough to act as owner."""
--- a/packages/fleet/tests/test_leases_of_former_owners.py
+++ b/packages/fleet/tests/test_leases_of_former_owners.py
@@ -12,6 +12,7 @@
 
 SERVICE = 'a' * 16
 ONE_SERVICE = (scheduling.StepSpec(count=1, cpu=1_000, is_service=True),)
+MANY_TASKS = (scheduling.StepSpec(count=1_000, cpu=1_000),)
 WORKER_COUNT = 5
 SERVICE_LIMIT_MS = 9_000
 """A service task must run again within 6 s, and capacity must have been free
@@ -86,3 +87,24 @@
         daemon.store.faults.is_unresponsive = False
     site.run(10_000)
     assert [run.outcome for run in site.history] == ['']
+
+
+def test_owner_without_most_workers_sends_no_starts(cell):
+    # Guards against a start that reaches a worker which has just restarted:
+    # it accepts an end on the clock of its former process.
+    site, daemons = cell
+    owner = owner_of(daemons)
+    site.submit(owner, 'b' * 16, MANY_TASKS, duration_ms=500)
+    site.run(2_000)
+    sent = []
+    task = owner.kernel.find('orders')
+    real = task._start
+    task._start = lambda msg: sent.append(msg) or real(msg)
+    split(site, daemons, 2)
+    term = owner.kernel.find('cell')._owner_term.term
+    site.run_until(lambda: term.lease_limit_ms(site.clock.now()) == 0, 5_000)
+    assert sent
+    sent.clear()
+    site.run(4_000)
+    assert term.may_act(site.clock.now())
+    assert not sent
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -133,6 +133,8 @@
         must not prolong the time until its runs have certainly ended.
         """
         worker = self.workers.get(worker_id)
+        if limit_ms == 0:
+            return None
         if (
             worker is None
             or worker.leased_ms < 0
