--- a/packages/bench/src/oriolestand_bench/goodput/__main__.py
+++ b/packages/bench/src/oriolestand_bench/goodput/__main__.py
@@ -6,6 +6,7 @@
 
 import click
 
+from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _figures
 from oriolestand_bench.goodput import _plots
 from oriolestand_bench.goodput import _simulation
@@ -13,7 +14,7 @@
 
 WORKERS = (20,)
 LOADS = (0.5, 0.75, 1.0, 1.5, 2.5, 4.0)
-SETTINGS = tuple(setting.value for setting in _simulation.Setting)
+SETTINGS = tuple(setting.value for setting in _case.Setting)
 OUT = pathlib.Path('out/goodput')
 
 
@@ -30,7 +31,7 @@
 @click.option('--seed', default=1, help='Seed of the random numbers.')
 @click.option(
     '--load-seconds',
-    default=_simulation.LOAD_MS // 1_000,
+    default=_case.LOAD_MS // 1_000,
     help='Simulated time for which the load lasts.',
 )
 @click.option(
@@ -61,10 +62,10 @@
     for count in workers:
         for setting in settings:
             for load in loads:
-                case = _simulation.Case(
+                case = _case.Case(
                     workers=count,
                     load=load,
-                    setting=_simulation.Setting(setting),
+                    setting=_case.Setting(setting),
                     seed=seed,
                     load_ms=1_000 * load_seconds,
                     are_images_calm=calm_images,
--- a/packages/bench/src/oriolestand_bench/goodput/_goodput_workers.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_goodput_workers.py
@@ -9,6 +9,9 @@
 MEAN_SERVICE_LOAD = 0.5625
 """Services that request 0.8 of a worker use 0.45 of it."""
 
+END_TOLERANCE_MS = 0.5
+"""Ends are at whole milliseconds of the simulated clock."""
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Run(_workers.SimulatedRun):
@@ -142,10 +145,6 @@
     return run.left_ms <= END_TOLERANCE_MS
 
 
-END_TOLERANCE_MS = 0.5
-"""Ends are at whole milliseconds of the simulated clock."""
-
-
 def end_kind(run: Run) -> scheduling.EndKind:
     """Return how a run that has reached its end has ended."""
     if run.fails_at_ms >= 0:
--- a/packages/bench/src/oriolestand_bench/goodput/_jobs.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_jobs.py
@@ -6,6 +6,9 @@
 
 from oriolestand_bench.goodput import _traffic
 
+OVERDUE_MS = 10_000
+"""Age of a step from which the scheduler counts its tasks as overdue."""
+
 
 class Result(enum.StrEnum):
     """What a job has earned; one that is open at the end earns nothing."""
@@ -71,10 +74,6 @@
             self.overdue_starts += 1
 
 
-OVERDUE_MS = 10_000
-"""Age of a step from which the scheduler counts its tasks as overdue."""
-
-
 def new_record(planned: _traffic.PlannedJob, now_ms: int) -> JobRecord:
     """Return the record of a job that is submitted now."""
     steps = len(planned.steps)
--- a/packages/bench/src/oriolestand_bench/goodput/_offline.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_offline.py
@@ -9,20 +9,20 @@
 import heapq
 import math
 
-from oriolestand_bench.goodput import _simulation
+from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _traffic
 
 BIN_MS = 100
 
 
-def capacity(case: _simulation.Case) -> list[float]:
+def capacity(case: _case.Case) -> list[float]:
     """Return the idle cores of each interval of ``BIN_MS``."""
-    count = (case.load_ms + _simulation.COUNTED_AFTER_MS) // BIN_MS
+    count = (case.load_ms + _case.COUNTED_AFTER_MS) // BIN_MS
     cores = [case.room] * count
-    if case.setting is _simulation.Setting.GONE:
+    if case.setting is _case.Setting.GONE:
         first = case.load_ms // 2 // BIN_MS
-        for number in range(first, first + _simulation.GONE_MS // BIN_MS):
-            cores[number] *= 1.0 - _simulation.GONE_SHARE
+        for number in range(first, first + _case.GONE_MS // BIN_MS):
+            cores[number] *= 1.0 - _case.GONE_SHARE
     return cores
 
 
--- a/packages/bench/src/oriolestand_bench/goodput/_simulation.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_simulation.py
@@ -1,24 +1,19 @@
 """Fleet that runs planned jobs and notes what each of them receives."""
 
 import dataclasses
-import enum
 import functools
 import math
 import random
 
 from oriolestand_bench import _workers
 from oriolestand_bench import owner
+from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _goodput_workers
 from oriolestand_bench.goodput import _jobs
 from oriolestand_bench.goodput import _obstacles
 from oriolestand_bench.goodput import _traffic
 from oriolestand_policy import scheduling
 
-SERVICE_CLAIM = 0.8
-"""Share of all processors that services request."""
-
-SERVICE_CPU = 13_000
-SERVICE_TASKS = 6
 SERVICE_MEMORY_MB = 4_000
 SERVICE_TARGET_MS = 100
 STRONG_SHARE = 0.65
@@ -28,78 +23,17 @@
 CALM_WEIGHT = 0.12
 FAILURE_PROBABILITY = 0.05
 MAX_ATTEMPTS = 3
-
 SETTLE_MS = 5_000
 """Time until the services run, before there is any other traffic."""
 
 WARM_UP_MS = 20_000
 WARM_UP_LOAD = 0.5
-LOAD_MS = 40_000
-COUNTED_AFTER_MS = 30_000
-GONE_SHARE = 0.25
-GONE_MS = 9_000
 START_TIMEOUT_MS = 1_000
 FAILED_POLL_WAIT_MS = 500
 SAMPLE_MS = 500
-WIDE_FLEET = 200
-WIDE_FACTOR = 5
-"""Factor of the width of steps in fleets of at least ``WIDE_FLEET``."""
-
-
-class Setting(enum.StrEnum):
-    """What happens in the middle of the load.
-
-    CALM: nothing. GONE: a quarter of the workers crash, and start again after
-    ``GONE_MS``. NEW_OWNER: another daemon takes over the cell.
-    """
-
-    CALM = 'calm'
-    GONE = 'workers gone'
-    NEW_OWNER = 'new owner'
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Case:
-    """What a run simulates; ``load`` is a multiple of the room.
-
-    With ``are_images_calm`` no filling image slows service tasks strongly.
-    """
-
-    workers: int
-    load: float
-    setting: Setting = Setting.CALM
-    seed: int = 1
-    load_ms: int = LOAD_MS
-    are_images_calm: bool = False
-
-    @property
-    def width_factor(self) -> int:
-        """Return the factor of the width of steps."""
-        return WIDE_FACTOR if self.workers >= WIDE_FLEET else 1
-
-    @property
-    def service_jobs(self) -> int:
-        """Return the number of service jobs."""
-        cpu = SERVICE_CLAIM * self.workers * _workers.WORKER_CPU
-        return round(cpu / (SERVICE_TASKS * SERVICE_CPU))
-
-    @property
-    def room(self) -> float:
-        """Return the cores that services leave idle on average."""
-        claimed = self.service_jobs * SERVICE_TASKS * SERVICE_CPU
-        load = claimed * _goodput_workers.MEAN_SERVICE_LOAD
-        return (self.workers * _workers.WORKER_CPU - load) / 1_000
-
-    def plan(
-        self, part: str, load: float, duration_ms: int
-    ) -> list[_traffic.PlannedJob]:
-        """Return the jobs of a part of the run."""
-        return _traffic.plan(
-            f'{self.seed}/{part}',
-            load * self.room,
-            duration_ms,
-            self.width_factor,
-        )
+
+HARM = 'harm'
+"""Reason of stops for interference."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -115,7 +49,7 @@
     """Simulate one case; ``play`` returns the jobs of its load."""
 
     def __init__(
-        self, case: Case, *, are_waits_explained: bool = True
+        self, case: _case.Case, *, are_waits_explained: bool = True
     ) -> None:
         self.case = case
         self.services = ServiceRecord()
@@ -182,8 +116,8 @@
     def _service_step(self, number: int) -> scheduling.StepSpec:
         """Return the step of a service job."""
         return scheduling.StepSpec(
-            count=SERVICE_TASKS,
-            cpu=SERVICE_CPU,
+            count=_case.SERVICE_TASKS,
+            cpu=_case.SERVICE_CPU,
             memory_mb=SERVICE_MEMORY_MB,
             is_service=True,
             image=f's{number % owner.SERVICE_IMAGES}',
@@ -216,11 +150,11 @@
         self._at(0, self._sample)
         self._submit_later(case.plan('load', case.load, case.load_ms))
         self.run(case.load_ms // 2)
-        if case.setting is Setting.GONE:
+        if case.setting is _case.Setting.GONE:
             self._crash_workers()
-        elif case.setting is Setting.NEW_OWNER:
+        elif case.setting is _case.Setting.NEW_OWNER:
             self.take_over()
-        self.run(case.load_ms - case.load_ms // 2 + COUNTED_AFTER_MS)
+        self.run(case.load_ms - case.load_ms // 2 + _case.COUNTED_AFTER_MS)
         return list(self.records.values())[before:]
 
     def _submit_later(self, jobs: list[_traffic.PlannedJob]) -> None:
@@ -238,7 +172,7 @@
 
     def _sample(self) -> None:
         """Note which services are at work, and why tasks wait."""
-        self.services.all_tasks += self.case.service_jobs * SERVICE_TASKS
+        self.services.all_tasks += self.case.service_jobs * _case.SERVICE_TASKS
         for worker_id in self.workers:
             worker = self._worker(worker_id)
             tails = worker.tails(self.now, self._weights)
@@ -271,7 +205,7 @@
 
     def _crash_workers(self) -> None:
         """End a share of the workers, and start them again later."""
-        count = round(GONE_SHARE * len(self.workers))
+        count = round(_case.GONE_SHARE * len(self.workers))
         gone = random.Random(self.case.seed).sample(
             sorted(self.workers), count
         )
@@ -281,7 +215,7 @@
             for run in worker.crash():
                 self._note_use(run)
             worker.version += 1
-        self._at(GONE_MS, lambda: self._restart_workers(gone))
+        self._at(_case.GONE_MS, lambda: self._restart_workers(gone))
 
     def _restart_workers(self, worker_ids: list[str]) -> None:
         """Start workers again, and list them with their new start time."""
@@ -458,7 +392,3 @@
             return
         record.ended_ms = self.now
         record.is_completed = outcome is scheduling.Outcome.COMPLETED
-
-
-HARM = 'harm'
-"""Reason of stops for interference."""
--- a/packages/bench/tests/test_goodput.py
+++ b/packages/bench/tests/test_goodput.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _figures
 from oriolestand_bench.goodput import _offline
 from oriolestand_bench.goodput import _simulation
@@ -19,7 +20,7 @@
     def figures_at(load):
         if load not in played:
             simulation = _simulation.GoodputSimulation(
-                _simulation.Case(workers=WORKERS, load=load),
+                _case.Case(workers=WORKERS, load=load),
                 are_waits_explained=False,
             )
             played[load] = _figures.figures_of(simulation, simulation.play())
@@ -51,7 +52,7 @@
 @pytest.mark.parametrize('load', [0.5, 4.0])
 def test_traffic_offers_the_work_of_its_load(load):
     # Guards against loads that are other multiples of the room than stated.
-    case = _simulation.Case(workers=50, load=load)
+    case = _case.Case(workers=50, load=load)
     jobs = case.plan('load', load, case.load_ms)
     offered = sum(job.work for job in jobs) * 1_000 / case.load_ms
     assert offered == pytest.approx(load * case.room, rel=0.05)
@@ -59,7 +60,7 @@
 
 def test_jobs_are_the_same_at_all_loads():
     # Guards against curves whose points differ by chance of the sizes.
-    case = _simulation.Case(workers=20, load=1.0)
+    case = _case.Case(workers=20, load=1.0)
     few = case.plan('load', 1.0, case.load_ms)
     many = case.plan('load', 2.0, case.load_ms)
     assert {job.steps for job in few} < {job.steps for job in many}
