Drop outdated bounds of workers before each round

Cause: a bound cache kept up to one outdated entry for each worker, and each queue of a round got a copy of them.

Change: outdated entries are removed when bounds have changed. The order of the entries is total, so the decisions are the same.

--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -151,9 +151,6 @@
     ) -> tuple[list[Entry], list[int]]:
         """Return a heap of the bounds, and their present versions by index.
 
-        Entries with another version are outdated; the heap has at most as many
-        of them as there are workers.
-
         :param high_tails: whether a tail latency is high, by index; empty if
             the bounds do not depend on it.
         """
@@ -179,8 +176,9 @@
             bound = bound_of(index)
             if bound is not None:
                 entry = (bound, index, self._versions[index], False)
-                heapq.heappush(self._heap, entry)
-        if len(self._heap) > 2 * len(self.workers):
+                self._heap.append(entry)
+        if changed:
+            # Queues that find no worker take out all entries, each round.
             self._heap = [
                 entry
                 for entry in self._heap
--- a/packages/policy/tests/scheduling/test_kept_bounds.py
+++ b/packages/policy/tests/scheduling/test_kept_bounds.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
@@ -124,3 +125,20 @@
                 fleet.add(expected, task)
                 placed += 1
     assert placed > ROUNDS
+
+
+def test_heap_holds_no_outdated_bounds():
+    # Guards against queues that take out the bounds of earlier rounds again
+    # in each round in which they find no worker.
+    fleet = Fleet(0)
+    cache = _candidates.BoundCache(fleet.workers)
+    for number in range(ROUNDS):
+        worker = fleet.workers[number % WORKERS]
+        fleet.add(worker, fleet.next_task())
+        views = [_candidates.view_of(worker) for worker in fleet.workers]
+        heap, versions = cache.heap(
+            views, [], lambda index: None if index % 2 else (index,)
+        )
+        assert sorted(entry[1:3] for entry in heap) == [
+            (index, versions[index]) for index in range(0, WORKERS, 2)
+        ]
