Keep the service and the filling tasks of a worker apart

Cause: each report and each new view of a worker went through all its runs several times to find the service tasks or the filling tasks, and a view listed the service tasks and their limits again although only batch runs had come and gone.

Change: a worker keeps both kinds beside its runs, in the same order, and counts the changes of its service tasks. A new view takes over what the former one holds of service tasks unless they have changed.

account_errors compares both kinds with the runs. Without the removal of filling tasks in Worker.drop, test_capacity_account.py failed.

--- a/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_candidates.py
@@ -28,7 +28,8 @@
 
     ``free_cpu`` is what no run uses while service tasks are busy, and
     ``unkept_cpu`` the part of it that is not kept for a filling task.
-    ``services`` are the service tasks that have a target. ``filling`` are the
+    ``services`` are the service tasks that have a target, for
+    ``services_version`` of the worker. ``filling`` are the
     image and share of processors of each filling task. ``tail_limits`` are the
     ``services`` and the tail latency above which each is near its target.
     """
@@ -36,9 +37,9 @@
     worker: _fleet.Worker
     info: _fleet.WorkerInfo
     version: int
+    services_version: int
     free_cpu: float
     unkept_cpu: float
-    service_count: int
     service_images: dict[str, int]
     services: tuple[_fleet.Run, ...]
     filling: tuple[tuple[str, float], ...]
@@ -81,21 +82,39 @@
         return self.step_counts[step_key]
 
 
-def view_of(worker: _fleet.Worker) -> WorkerView:
-    """Return the view of a worker's present state."""
+def view_of(
+    worker: _fleet.Worker, former: WorkerView | None = None
+) -> WorkerView:
+    """Return the view of a worker's present state.
+
+    ``former`` is an earlier view; what it holds of service tasks is used
+    again unless these have changed.
+    """
     capacity = worker.capacity
-    services: list[_fleet.Run] = []
-    filling: list[tuple[str, float]] = []
-    service_images: dict[str, int] = {}
-    for run in worker.runs.values():
-        spec = run.spec
-        if spec.is_service:
-            services.append(run)
-            image = spec.image
-            service_images[image] = service_images.get(image, 0) + 1
-        if spec.is_filling:
-            share = _pressure.planned_share(run, worker)
-            filling.append((spec.image, share))
+    if (
+        former is not None
+        and former.worker is worker
+        and former.services_version == worker.services_version
+    ):
+        services = former.services
+        service_images = former.service_images
+        tail_limits = former.tail_limits
+    else:
+        service_images = collections.Counter(
+            [run.spec.image for run in worker.services.values()]
+        )
+        services = tuple(
+            [run for run in worker.services.values() if run.spec.target_ms]
+        )
+        tail_limits = tuple(
+            [(run, run.spec.target_ms * HIGH_TAIL_SHARE) for run in services]
+        )
+    filling = tuple(
+        [
+            (run.spec.image, _pressure.planned_share(run, worker))
+            for run in worker.filling.values()
+        ]
+    )
     image_pairs = NO_PAIRS
     if capacity.filling_cpu and service_images:
         filling_images = {image for image, _ in filling}
@@ -104,26 +123,20 @@
             for image in service_images
             for other in filling_images
         )
-    with_target = [run for run in services if run.spec.target_ms]
     return WorkerView(
         worker=worker,
         info=worker.info,
         version=worker.version,
+        services_version=worker.services_version,
         free_cpu=capacity.idle_cpu(),
         unkept_cpu=capacity.unkept_cpu(),
-        service_count=len(services),
         service_images=service_images,
-        services=tuple(with_target),
-        filling=tuple(filling),
+        services=services,
+        filling=filling,
         image_pairs=image_pairs,
         is_readmitted=worker.is_readmitted,
         recent_failures=worker.recent_failures,
-        tail_limits=tuple(
-            [
-                (run, run.spec.target_ms * HIGH_TAIL_SHARE)
-                for run in with_target
-            ]
-        ),
+        tail_limits=tail_limits,
     )
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -107,6 +107,9 @@
 class Worker:
     """A worker; ``runs`` holds all runs that may occupy its capacity.
 
+    ``services`` and ``filling`` are the service tasks and the filling tasks
+    among the runs, in the same order. ``services_version`` counts the changes
+    of ``services``. Only ``add`` and ``drop`` change them.
     ``is_probed`` is whether the worker has reported to this owner,
     ``are_runs_known`` whether one of its reports listed all ends, and
     ``is_listed`` whether it is registered. ``is_recorded`` is whether the
@@ -138,6 +141,13 @@
     runs: dict[tuple[_jobs.TaskKey, int], Run] = dataclasses.field(
         default_factory=dict
     )
+    services: dict[tuple[_jobs.TaskKey, int], Run] = dataclasses.field(
+        init=False, default_factory=dict
+    )
+    filling: dict[tuple[_jobs.TaskKey, int], Run] = dataclasses.field(
+        init=False, default_factory=dict
+    )
+    services_version: int = dataclasses.field(init=False, default=0)
     is_probed: bool = False
     are_runs_known: bool = False
     is_recorded: bool = False
@@ -225,15 +235,26 @@
 
     def add(self, run: Run) -> None:
         """Add a run and its use of capacity."""
-        self.runs[(run.key, run.number)] = run
+        run_key = (run.key, run.number)
+        self.runs[run_key] = run
+        if run.spec.is_service:
+            self.services[run_key] = run
+            self.services_version += 1
+        if run.spec.is_filling:
+            self.filling[run_key] = run
         self.capacity.add(run.spec, run.pace)
         self.version += 1
 
     def drop(self, run: Run) -> None:
         """Remove a run and its use of capacity."""
-        if self.runs.pop((run.key, run.number), None) is not None:
-            self.capacity.add(run.spec, run.pace, sign=-1)
-            self.version += 1
+        run_key = (run.key, run.number)
+        if self.runs.pop(run_key, None) is None:
+            return
+        if self.services.pop(run_key, None) is not None:
+            self.services_version += 1
+        self.filling.pop(run_key, None)
+        self.capacity.add(run.spec, run.pace, sign=-1)
+        self.version += 1
 
     def set_pace(self, run: Run, pace: int) -> None:
         """Set the pace in percent of a run on the worker."""
@@ -297,4 +318,13 @@
         size = _amounts.Amounts(info.cpu, info.memory_mb, info.accelerators)
         if self.capacity.size != size:
             errors.append(f'the size is {self.capacity.size}, not {size}')
+        runs = self.runs.values()
+        if [run for run in runs if run.spec.is_service] != list(
+            self.services.values()
+        ):
+            errors.append('the service tasks are not those of the runs')
+        if [run for run in runs if run.spec.is_filling] != list(
+            self.filling.values()
+        ):
+            errors.append('the filling tasks are not those of the runs')
         return errors
--- a/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pacing.py
@@ -84,8 +84,8 @@
 
 def track_tail_latency(worker: _fleet.Worker, now_ms: int) -> None:
     """Record since when tail latencies have exceeded their targets."""
-    for run in worker.runs.values():
-        if not run.spec.is_service or not run.spec.target_ms:
+    for run in worker.services.values():
+        if not run.spec.target_ms:
             continue
         if run.measured <= run.spec.target_ms:
             run.over_since_ms = -1
@@ -105,16 +105,14 @@
     """
     filling = [
         run
-        for run in worker.runs.values()
-        if run.spec.is_filling
-        and run.phase is _fleet.RunPhase.RUNNING
-        and run.stop_sent_ms < 0
+        for run in worker.filling.values()
+        if run.phase is _fleet.RunPhase.RUNNING and run.stop_sent_ms < 0
     ]
     if not filling:
         return
     over_target = [
         run
-        for run in worker.runs.values()
+        for run in worker.services.values()
         if run.over_since_ms >= 0
         and now_ms - run.over_since_ms >= YIELD_DELAY_MS
     ]
--- a/packages/policy/src/oriolestand_policy/scheduling/_placement.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_placement.py
@@ -292,7 +292,7 @@
         if view is not None and view.is_current(worker):
             return view
         self._drop_view(worker_id)
-        view = self._views[worker_id] = _candidates.view_of(worker)
+        view = self._views[worker_id] = _candidates.view_of(worker, view)
         self._pair_counts.update(view.image_pairs)
         return view
 
@@ -728,7 +728,7 @@
         return (
             *_common_rank(worker, spec),
             capacity.filling_cpu > 0 and not capacity.service_cpu,
-            view.service_count - view.service_images.get(spec.image, 0),
+            len(worker.services) - view.service_images.get(spec.image, 0),
             capacity.free_cpu,
         )
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_pressure.py
@@ -126,15 +126,15 @@
         """Update the estimates from the latest report of a worker."""
         self._search.run(self._histories.values(), now_ms)
         shares: dict[str, float] = {}
-        for run in worker.runs.values():
-            if run.spec.is_filling and run.phase is _fleet.RunPhase.RUNNING:
+        for run in worker.filling.values():
+            if run.phase is _fleet.RunPhase.RUNNING:
                 image = run.spec.image
                 shares[image] = shares.get(image, 0.0) + _used_share(
                     run, worker
                 )
         period_ms = self._search.period_ms
         filling = list(shares.items())
-        for run in worker.runs.values():
+        for run in worker.services.values():
             if _is_serving(run):
                 self._observe_run(run, filling, period_ms, now_ms)
 
@@ -270,8 +270,8 @@
         within ``ahead_ms`` leaves below the limit.
         """
         headrooms: dict[str, float] = {}
-        for run in worker.runs.values():
-            if not run.spec.is_service or not run.spec.target_ms:
+        for run in worker.services.values():
+            if not run.spec.target_ms:
                 continue
             intrinsic = self.intrinsic_load(run.key[:3], now_ms, ahead_ms)
             image = run.spec.image
@@ -283,8 +283,7 @@
         """Return the estimated load that filling tasks add, at their pace."""
         return sum(
             self.weight(image, run.spec.image) * planned_share(run, worker)
-            for run in worker.runs.values()
-            if run.spec.is_filling
+            for run in worker.filling.values()
         )
 
     def learned(self) -> LearnedPressure:
@@ -322,10 +321,9 @@
 
 
 def _is_serving(run: _fleet.Run) -> bool:
-    """Return whether a run is a service task that serves requests."""
+    """Return whether a service task serves requests."""
     return (
-        run.spec.is_service
-        and run.phase is _fleet.RunPhase.RUNNING
+        run.phase is _fleet.RunPhase.RUNNING
         and run.percent == 100
         and run.measured > 0
     )
