--- a/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_urgency.py
@@ -30,6 +30,11 @@
 """Value of a job that completes late, relative to one in time. It is that of
 the routes of both users."""
 
+AMPLE_SLACK_MS = 10_000
+"""Slack above which a begun job can wait, as one that was not begun. A job of
+many steps would otherwise take all room from short jobs for minutes, and so
+would one with far too long an estimate."""
+
 ALL_LEFT = 1_000
 """Work left to start of a job that was not begun, in thousandths."""
 
@@ -192,11 +197,7 @@
 def _rank(
     times: _Times, is_start_decided: bool, wall_ms: int, left: int
 ) -> tuple[int, ...]:
-    """Return the tier, the time for the work left, and the deadline.
-
-    That time is the objective for all of the work: by the share alone, a begun
-    job of many steps would pass all short ones for as long as it takes.
-    """
+    """Return the tier, the work left and the deadline of an occurrence."""
     due, objective = times.due_ms, times.objective_ms
     if times.is_service:
         return (Tier.IN_TIME, 0, due)
@@ -205,15 +206,17 @@
     margin = START_MARGIN * (objective - times.remaining_ms)
     if is_start_decided:
         margin = 0.0
+    if slack > AMPLE_SLACK_MS:
+        return (Tier.IN_TIME, ALL_LEFT, due + objective)
     if slack >= max(0.0, margin):
-        return (Tier.IN_TIME, left * objective, due + objective)
+        return (Tier.IN_TIME, left, due + objective)
     if slack >= 0:
-        return (Tier.AT_RISK, left * objective, due + objective)
+        return (Tier.AT_RISK, left, due + objective)
     late_due = due + LATE_FACTOR * objective
     if finish > late_due:
         return (Tier.LOST, due)
     # Work that earns less counts as more of it.
     left_for_value = left * 100 // LATE_VALUE_PERCENT
     if left_for_value < ALL_LEFT:
-        return (Tier.IN_TIME, left_for_value * objective, late_due)
-    return (Tier.LATE, left * objective, late_due)
+        return (Tier.IN_TIME, left_for_value, late_due)
+    return (Tier.LATE, left, late_due)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -582,7 +582,9 @@
         if job.is_start_decided
         else _urgency.START_MARGIN * (objective - remaining)
     )
-    left = reference_left(job, occurrence, cell) * objective
+    left = reference_left(job, occurrence, cell)
+    if slack > 10_000:
+        left = 1_000
     if slack >= max(0.0, margin):
         return (_urgency.Tier.IN_TIME, left, due + objective)
     if slack >= 0:
@@ -590,9 +592,8 @@
     late_due = due + _urgency.LATE_FACTOR * objective
     if finish > late_due:
         return (_urgency.Tier.LOST, due)
-    for_value = reference_left(job, occurrence, cell) * 100 // 15
-    if for_value < 1_000:
-        return (_urgency.Tier.IN_TIME, for_value * objective, late_due)
+    if left * 100 // 15 < 1_000:
+        return (_urgency.Tier.IN_TIME, left * 100 // 15, late_due)
     return (_urgency.Tier.LATE, left, late_due)
 
 
