--- a/packages/policy/tests/scheduling/test_capacity_account.py
+++ b/packages/policy/tests/scheduling/test_capacity_account.py
@@ -15,7 +15,7 @@
     {'is_filling': True, 'image': 'loud'},
     {'is_filling': True, 'image': 'mild', 'has_checkpoints': True},
 )
-STEPS = 250
+STEPS = 400
 
 
 def reserved_on(scheduler, worker):
