Remember what a worker was told to forget

The reader of ends keeps the highest number that a poll has acknowledged to this incarnation and counts from it. test_end_reader.py fails without it; with it, test_end_numbers.py and test_malformed_ends.py pass as well.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_end_reader.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_end_reader.py
@@ -38,10 +38,13 @@
     that is listed has at least the acknowledged number plus n. That much may
     be acknowledged whatever was read. A worker that leaves numbers out lists
     the end again after that, and the number that it then repeats is believed.
+    What was acknowledged once stays forgotten, also if a later poll names a
+    lower number because the worker may have restarted.
     """
 
     def __init__(self) -> None:
         self._listings: dict[_RunId, _Listing] = {}
+        self._acknowledged = 0
 
     def read(
         self, report: scheduling.WorkerReport, acknowledged: int
@@ -51,6 +54,8 @@
         :param acknowledged: the number that its poll has acknowledged to this
             incarnation of the worker.
         """
+        acknowledged = max(acknowledged, self._acknowledged)
+        self._acknowledged = acknowledged
         last = max([report.last_sequence, *(e.sequence for e in report.ended)])
         rows = len(report.ended) + report.unreadable_ends
         certain = acknowledged + rows
