Split the placement of tasks by the question that each file answers

Change: pure moves. _eligibility.py tells which workers may run a task, _placement.py has the abstract base class and the baseline, and _mixed_placement.py the placement in use. Tests name the new modules.

Policy tests of scheduling and the check for import cycles pass.

--- a/packages/fleet/tests/services/cell/test_work_of_a_busy_owner.py
+++ b/packages/fleet/tests/services/cell/test_work_of_a_busy_owner.py
@@ -7,7 +7,7 @@
 
 from oriolestand_fleet.services.cell import const
 from oriolestand_policy import scheduling
-from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _eligibility
 
 PASS_MS = 500
 """A delay from which on an owner saves work."""
@@ -36,7 +36,7 @@
 def silent_count(site, term):
     """Return how many workers count as silent."""
     states = term._scheduler.workers_by_state(site.clock.now())
-    return states.get(_placement.WorkerState.SILENT, 0)
+    return states.get(_eligibility.WorkerState.SILENT, 0)
 
 
 def test_burst_of_starts_is_sent_in_parts_without_a_break(site):
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -28,11 +28,11 @@
 from oriolestand_policy.scheduling._jobs import parse_key
 from oriolestand_policy.scheduling._known_routes import KnownRoutes
 from oriolestand_policy.scheduling._load import OwnerLoad
+from oriolestand_policy.scheduling._mixed_placement import MixedPlacement
 from oriolestand_policy.scheduling._order_queue import Order
 from oriolestand_policy.scheduling._order_queue import OrderPriority
 from oriolestand_policy.scheduling._order_queue import OrderQueue
 from oriolestand_policy.scheduling._placement import FirstFitPlacement
-from oriolestand_policy.scheduling._placement import MixedPlacement
 from oriolestand_policy.scheduling._placement import Placement
 from oriolestand_policy.scheduling._pressure import InterferenceModel
 from oriolestand_policy.scheduling._pressure import LearnedPressure
--- a/packages/policy/src/oriolestand_policy/scheduling/_evacuation.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_evacuation.py
@@ -10,6 +10,7 @@
 import enum
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
@@ -129,8 +130,8 @@
         target = move.target
         return (
             self._cell.workers.get(target.info.id) is target
-            and _placement.is_usable(target, now_ms)
-            and _placement.is_allowed(target, move.task)
+            and _eligibility.is_usable(target, now_ms)
+            and _eligibility.is_allowed(target, move.task)
         )
 
     def _drop(self, move: Move) -> None:
@@ -254,7 +255,7 @@
             for worker in self._cell.workers.values()
             if worker.info.pool == pool
             and not worker.capacity.is_reserved
-            and _placement.is_usable(worker, now_ms)
+            and _eligibility.is_usable(worker, now_ms)
         ]
         found = _room_selection.select_worker(workers, {}, task, now_ms)
         return found[0] if found is not None else None
--- a/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_exclusions.py
@@ -12,9 +12,9 @@
 from collections.abc import Set
 import dataclasses
 
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
-from oriolestand_policy.scheduling import _placement
 
 FAILURES_TO_AVOID = 3
 """Number of tasks that must fail on a worker within ``FAILURE_WINDOW_MS``,
@@ -174,7 +174,7 @@
     )
     for worker in workers:
         pool = worker.info.pool
-        if pool in pools and _placement.is_sound(worker, now_ms):
+        if pool in pools and _eligibility.is_sound(worker, now_ms):
             for label in ('', *(worker.info.labels & labels)):
                 groups[pool, label].append(worker)
     readmitted_ids: set[str] = set()
--- a/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_idle_reservations.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
@@ -124,8 +125,8 @@
             and job.find(task.key) is task
             and self._cell.workers.get(worker.info.id) is worker
             and worker.info.pool == reservation.pool
-            and _placement.is_usable(worker, now_ms)
-            and _placement.is_allowed(worker, task)
+            and _eligibility.is_usable(worker, now_ms)
+            and _eligibility.is_allowed(worker, task)
         )
 
     def release(self, reservation: IdleReservation) -> None:
@@ -189,7 +190,7 @@
                 worker
                 for worker in self._cell.workers.values()
                 if worker.info.pool == pool
-                and _placement.is_usable(worker, now_ms)
+                and _eligibility.is_usable(worker, now_ms)
             ]
         return usable
 
@@ -231,7 +232,7 @@
 
     Service tasks and paused tasks do not end.
     """
-    if not _placement.is_allowed(worker, task):
+    if not _eligibility.is_allowed(worker, task):
         return False
     permanent = [
         run.spec
--- a/packages/policy/src/oriolestand_policy/scheduling/_probation_round.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probation_round.py
@@ -8,9 +8,9 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
-from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _room_selection
 
 MAX_PROBATION_SHARE = 0.25
@@ -113,7 +113,7 @@
                 for worker in self._cell.workers.values()
                 if worker.info.pool == pool
                 and worker.info.id not in self._kept
-                and _placement.is_usable(worker, self.now_ms)
+                and _eligibility.is_usable(worker, self.now_ms)
             ]
             self._candidates_of[pool] = candidates
         return candidates
--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -11,6 +11,7 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _crashes
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
@@ -53,7 +54,7 @@
         worker = placement.select_worker(member, pool)
         if worker is not None:
             return worker
-    fitting = (w for w in candidates if _placement.can_run(w, member))
+    fitting = (w for w in candidates if _eligibility.can_run(w, member))
     return next(fitting, None)
 
 
@@ -127,7 +128,7 @@
             for task in hold.tasks
         ) and all(
             self._cell.workers.get(worker.info.id) is worker
-            and _placement.is_sound(worker, now_ms)
+            and _eligibility.is_sound(worker, now_ms)
             for worker in hold.workers
         )
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reservations.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _placement
@@ -181,8 +182,8 @@
         return all(
             self._cell.workers.get(worker.info.id) is worker
             and worker.info.pool == reservation.pool
-            and _placement.is_usable(worker, now_ms)
-            and _placement.is_allowed(worker, first)
+            and _eligibility.is_usable(worker, now_ms)
+            and _eligibility.is_allowed(worker, first)
             for worker in reservation.distinct_workers
         ) and all(
             task.key in self._cell.ready and job.find(task.key) is task
@@ -304,7 +305,7 @@
                 worker
                 for worker in self._cell.workers.values()
                 if worker.info.pool == pool
-                and _placement.is_usable(worker, now_ms)
+                and _eligibility.is_usable(worker, now_ms)
             ]
         free = [w for w in usable if w.info.id not in self._reserved_ids]
         reserved_count = len(usable) - len(free)
--- a/packages/policy/src/oriolestand_policy/scheduling/_room_selection.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_room_selection.py
@@ -12,9 +12,9 @@
 
 from oriolestand_policy.scheduling import _amounts
 from oriolestand_policy.scheduling import _capacity
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
-from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _specs
 
 MIN_PERCENT_FOR_FORECAST = 5
@@ -94,11 +94,11 @@
 
     Service tasks do not end, so they are counted as permanent.
     """
-    if not _placement.is_allowed(worker, task):
+    if not _eligibility.is_allowed(worker, task):
         return False
     limit = task.spec.max_per_worker
     if limit:
-        count = _placement.count_of_step(worker, task.key)
+        count = _eligibility.count_of_step(worker, task.key)
         if count + demand.tasks > limit:
             return False
     return worker.capacity.has_room_beside(_permanent(worker), demand.amounts)
@@ -258,7 +258,7 @@
     Service tasks do not end, so they are counted as permanent.
     """
     spec = task.spec
-    if not _placement.is_allowed(worker, task):
+    if not _eligibility.is_allowed(worker, task):
         return 0
     claims = _amounts.total(map(_amounts.claim_of, _permanent(worker)))
     left = worker.capacity.size.minus(claims)
@@ -269,6 +269,6 @@
         if demand:
             room = min(room, amount // demand)
     if spec.max_per_worker:
-        used = _placement.count_of_step(worker, task.key)
+        used = _eligibility.count_of_step(worker, task.key)
         room = min(room, spec.max_per_worker - used)
     return room
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
@@ -15,6 +16,7 @@
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _load
+from oriolestand_policy.scheduling import _mixed_placement
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _record
@@ -53,7 +55,7 @@
         self,
         epoch: int,
         lease_max_ms: int,
-        make_placement: PlacementFactory = _placement.MixedPlacement,
+        make_placement: PlacementFactory = _mixed_placement.MixedPlacement,
     ) -> None:
         self._cell = _cell.Cell(epoch, lease_max_ms)
         self._crash_handler = _crash_handler.CrashHandler(self._cell)
@@ -560,11 +562,11 @@
 
     def workers_by_state(
         self, now_ms: int
-    ) -> dict[_placement.WorkerState, int]:
+    ) -> dict[_eligibility.WorkerState, int]:
         """Return the number of workers that may get tasks, or why not."""
-        counts = dict.fromkeys(_placement.WorkerState, 0)
+        counts = dict.fromkeys(_eligibility.WorkerState, 0)
         for worker in self._cell.workers.values():
-            counts[_placement.worker_state(worker, now_ms)] += 1
+            counts[_eligibility.worker_state(worker, now_ms)] += 1
         return counts
 
     def running_by_kind(self) -> dict[_specs.TaskKind, int]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_waits.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_waits.py
@@ -9,11 +9,11 @@
 from oriolestand_policy.scheduling import _capacity
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _figures
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _obstacles
-from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
@@ -48,7 +48,7 @@
 
     def add(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Add what uses a worker."""
-        is_usable = _placement.is_usable(worker, now_ms)
+        is_usable = _eligibility.is_usable(worker, now_ms)
         if is_usable:
             worker.capacity.add_to(self.figures)
         else:
@@ -94,7 +94,7 @@
     task: _jobs.Task,
     pool: str,
     now_ms: int,
-    obstacle_of: ObstacleOf = _placement.capacity_obstacle,
+    obstacle_of: ObstacleOf = _eligibility.capacity_obstacle,
 ) -> WaitReport:
     """Return why the workers of a pool do not run a task.
 
@@ -104,8 +104,8 @@
     for worker in workers:
         if worker.info.pool != pool:
             continue
-        state = _placement.worker_state(worker, now_ms)
-        if state is not _placement.WorkerState.USABLE:
+        state = _eligibility.worker_state(worker, now_ms)
+        if state is not _eligibility.WorkerState.USABLE:
             report.obstacles[state.value] += 1
             continue
         obstacle = obstacle_of(worker, task)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -15,10 +15,12 @@
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _capacity
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _filling_turns
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _forecast
+from oriolestand_policy.scheduling import _mixed_placement
 from oriolestand_policy.scheduling import _obstacles
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
@@ -78,7 +80,7 @@
         self._pairs_on_trial.clear()
         by_pool = {}
         for worker in workers:
-            if _placement.is_usable(worker, self._now_ms):
+            if _eligibility.is_usable(worker, self._now_ms):
                 by_pool.setdefault(worker.info.pool, []).append(worker)
             if worker.capacity.filling_cpu:
                 self._record_trials(worker)
@@ -106,7 +108,7 @@
 
     def obstacle(self, worker, task):
         self._prepare()
-        found = _placement.capacity_obstacle(worker, task)
+        found = _eligibility.capacity_obstacle(worker, task)
         if found is not None:
             return found
         if not task.spec.is_filling:
@@ -147,7 +149,7 @@
         rank_of = self._rank_of(task)
         for worker in self._by_pool.get(pool, ()):
             if worker.shortage(task.spec) is not None or (
-                not _placement.is_allowed(worker, task)
+                not _eligibility.is_allowed(worker, task)
             ):
                 continue
             rank = rank_of(worker, task)
@@ -185,7 +187,7 @@
             free=0,
             is_tail_high=False,
             headrooms=self._pressure.headrooms(
-                worker, self._now_ms, _placement.FILLING_FORECAST_MS
+                worker, self._now_ms, _mixed_placement.FILLING_FORECAST_MS
             ),
         )
         pace, _ = self._pace(worker, task, capacity)
@@ -210,7 +212,7 @@
         return (
             *_common_rank(worker, task),
             -pace,
-            int(added / _placement.ADDED_LOAD_STEP),
+            int(added / _mixed_placement.ADDED_LOAD_STEP),
             -capacity.free / info.cpu,
         )
 
@@ -241,7 +243,7 @@
         capacity = self._capacities.get(key)
         if capacity is None:
             headrooms = self._pressure.headrooms(
-                worker, self._now_ms, _placement.FILLING_FORECAST_MS
+                worker, self._now_ms, _mixed_placement.FILLING_FORECAST_MS
             )
             capacity = ReferenceCapacity(
                 free=worker.info.cpu
@@ -1015,7 +1017,7 @@
         self.apply_effects()
         self.call('workers_by_state', self.now)
         self.readmitted += sum(
-            worker.is_readmitted and _placement.is_usable(worker, self.now)
+            worker.is_readmitted and _eligibility.is_usable(worker, self.now)
             for worker in self.subject.workers.values()
         )
 
@@ -1151,7 +1153,7 @@
 FILLING = scheduling.StepSpec(
     count=9, cpu=4_000, is_filling=True, image='loud'
 )
-PLACEMENTS = [_placement.MixedPlacement, ReferencePlacement]
+PLACEMENTS = [_mixed_placement.MixedPlacement, ReferencePlacement]
 
 
 def filling_task(index):
--- a/packages/policy/tests/scheduling/test_exclusions.py
+++ b/packages/policy/tests/scheduling/test_exclusions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oriolestand_policy import scheduling
-from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _eligibility
 
 SERVICE = scheduling.StepSpec(count=1, cpu=1_000, is_service=True)
 BATCH = scheduling.StepSpec(count=1, cpu=1_000, estimate_ms=2_000)
@@ -24,8 +24,8 @@
     return {
         name
         for name, worker in harness.scheduler.workers.items()
-        if _placement.worker_state(worker, harness.now)
-        is _placement.WorkerState.AVOIDED
+        if _eligibility.worker_state(worker, harness.now)
+        is _eligibility.WorkerState.AVOIDED
     }
 
 
--- a/packages/policy/tests/scheduling/test_kept_bounds.py
+++ b/packages/policy/tests/scheduling/test_kept_bounds.py
@@ -11,7 +11,7 @@
 from oriolestand_policy.scheduling import _candidates
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
-from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _mixed_placement
 from oriolestand_policy.scheduling import _pressure
 from oriolestand_policy.scheduling import _specs
 
@@ -110,11 +110,11 @@
 def test_kept_bounds_do_not_change_decisions(seed):
     fleet = Fleet(seed)
     pressure = _pressure.InterferenceModel()
-    kept = _placement.MixedPlacement(pressure)
+    kept = _mixed_placement.MixedPlacement(pressure)
     placed = 0
     for _ in range(ROUNDS):
         fleet.change()
-        fresh = _placement.MixedPlacement(pressure)
+        fresh = _mixed_placement.MixedPlacement(pressure)
         for placement in (kept, fresh):
             placement.plan(fleet.workers, fleet.now_ms)
         for _ in range(3):
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -6,7 +6,9 @@
 import pytest
 
 from oriolestand_policy import scheduling
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _fit_budget
+from oriolestand_policy.scheduling import _mixed_placement
 from oriolestand_policy.scheduling import _placement
 
 
@@ -45,7 +47,7 @@
         for n in range(4)
     ]
     first_fit = _placement.FirstFitPlacement()
-    mixed = _placement.MixedPlacement(pressure)
+    mixed = _mixed_placement.MixedPlacement(pressure)
     for number in range(60):
         spec = random_spec(rng)
         key = scheduling.TaskKey(f'j{number // 4}', 0, 0, number)
@@ -134,8 +136,8 @@
     harness.scheduler.set_workers({**harness.infos, 'w0': info})
     harness.scheduler.mark_workers_unrecorded(['w0'])
     counts = harness.scheduler.workers_by_state(harness.now)
-    assert counts[_placement.WorkerState.LEAVING] == 1
-    assert counts[_placement.WorkerState.NOT_RECORDED] == 0
+    assert counts[_eligibility.WorkerState.LEAVING] == 1
+    assert counts[_eligibility.WorkerState.NOT_RECORDED] == 0
 
 
 def test_gang_that_does_not_fit_takes_no_room_from_later_tasks(harness):
--- a/packages/policy/tests/scheduling/test_waiting_gangs.py
+++ b/packages/policy/tests/scheduling/test_waiting_gangs.py
@@ -9,7 +9,7 @@
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _gang_fit
 from oriolestand_policy.scheduling import _jobs
-from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _mixed_placement
 from oriolestand_policy.scheduling import _room_selection
 
 
@@ -25,7 +25,7 @@
     """Count the selections of workers and the estimates of ends."""
     calls = {'select_worker': 0, 'ends_of': 0}
     for owner, name in (
-        (_placement.MixedPlacement, 'select_worker'),
+        (_mixed_placement.MixedPlacement, 'select_worker'),
         (_room_selection, 'ends_of'),
     ):
         original = getattr(owner, name)
@@ -204,7 +204,9 @@
         if rng.random() < 0.2:
             worker.starts_left = rng.randrange(2)
     members = random_members(rng, [w.info.id for w in workers])
-    placement = _placement.MixedPlacement(scheduling.Scheduler(1, 1).pressure)
+    placement = _mixed_placement.MixedPlacement(
+        scheduling.Scheduler(1, 1).pressure
+    )
     placement.plan(workers, 0)
     fit = placement.fit_of_gang(members[0], 'p')
     placed = 0
@@ -284,7 +286,9 @@
         worker.is_probed = worker.is_recorded = True
         worker.last_report_ms = 0
         worker.update_info(dataclasses.replace(worker.info, cpu=100_000))
-    placement = _placement.MixedPlacement(scheduling.Scheduler(1, 1).pressure)
+    placement = _mixed_placement.MixedPlacement(
+        scheduling.Scheduler(1, 1).pressure
+    )
     placement.plan(workers, 0)
     for count in (2, 100):
         spec = gang(count, 1_000, image='x')
--- a/packages/policy/tests/scheduling/test_wrong_entries.py
+++ b/packages/policy/tests/scheduling/test_wrong_entries.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oriolestand_policy import scheduling
-from oriolestand_policy.scheduling import _placement
+from oriolestand_policy.scheduling import _eligibility
 
 STEP = scheduling.StepSpec(count=1, cpu=1_000, memory_mb=100)
 START_MS = 50
@@ -42,7 +42,7 @@
     @property
     def is_usable(self):
         """Return whether the worker may get tasks."""
-        return _placement.is_usable(self.worker, self.harness.now)
+        return _eligibility.is_usable(self.worker, self.harness.now)
 
     def write(self, **fields):
         """Write an entry under the id of the worker."""
