Limit the filling jobs that a full pool accepts

Cause: accepted work had no limit.

Change: the owner counts, by pool, the overdue filling jobs and those that will be overdue before they start, by the work that is left and the mean room of the last 10 s. Where they are more than the tasks that run at once, its renewals name the pool and a Retry-After, and daemons refuse further filling jobs (pool_full, 503, stored as a refusal), but for what can start within 3 s. Jobs that no worker can run do not count, a huge job counts for a tenth at most, and a pool where nothing runs is never full. Owners and daemons of the version before ignore the field.

--- a/packages/bench/src/oriolestand_bench/drain.py
+++ b/packages/bench/src/oriolestand_bench/drain.py
@@ -5,6 +5,7 @@
 may take over, and the traffic ends. ``OwnerSimulation`` has the fleet.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import random
 
@@ -12,8 +13,10 @@
 
 from oriolestand_bench import _workers
 from oriolestand_bench import owner
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
+POOL = 'p'
 TASK_CPU = 7_000
 TASK_MS = 2_200
 TASKS_PER_STEP = 8
@@ -45,6 +48,8 @@
     in order. ``longest_wait_ms`` is the longest time without a run of any
     job with a ready task. ``drained_ms`` is the time from the end of the burst
     until no job waits for longer than ``OVERDUE_MS``, -1 if that is never.
+    ``jobs`` were accepted, and ``refused`` is the number of submissions that
+    the full pool did not accept.
     """
 
     stuck_jobs: tuple[str, ...]
@@ -52,6 +57,7 @@
     drained_ms: int
     jobs: int
     in_time: int
+    refused: int
 
 
 class DrainSimulation(owner.OwnerSimulation):
@@ -76,6 +82,8 @@
         self._accepted_ms: dict[str, int] = {}
         self._busy_ms: dict[str, int] = {}
         self._in_time = 0
+        self._refused = 0
+        self._full_pools: Mapping[str, int] = {}
         # Apart from run times, so that all codes get the same jobs.
         self._traffic_random = random.Random(seed)
         self._longest_wait_ms = 0
@@ -94,8 +102,14 @@
     def _start_load(self) -> None:
         """Start the traffic of filling jobs."""
         self._at(0, self._submit_batch)
+        self._at(0, self._renew)
         self._at(SAMPLE_MS, self._sample)
 
+    def _renew(self) -> None:
+        """Publish which pools are full, as an owner does."""
+        self._full_pools = self.scheduler.full_pools(self.now)
+        self._at(ownership.RENEW_INTERVAL_MS, self._renew)
+
     def _submit_batch(self) -> None:
         """Submit a filling job of two steps, if there is traffic."""
         if self._traffic:
@@ -116,6 +130,9 @@
             has_checkpoints=True,
             image=f'f{image}',
         )
+        if POOL in self._full_pools:
+            self._refused += 1
+            return
         second = dataclasses.replace(first, after=(0,))
         job = self._submit('batch', first, second)
         self._accepted_ms[job] = self.now
@@ -176,6 +193,7 @@
             drained_ms=drained_ms,
             jobs=len(self._accepted_ms),
             in_time=self._in_time,
+            refused=self._refused,
         )
 
 
@@ -192,7 +210,7 @@
             click.echo(
                 f'{count} workers, '
                 f'{"a" if is_taken_over else "no"} change of owner: '
-                f'{found.jobs} jobs, '
+                f'{found.jobs} jobs, {found.refused} refused, '
                 f'{found.in_time} in time, '
                 f'longest wait {found.longest_wait_ms} ms, '
                 f'drained after {found.drained_ms} ms, '
--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -1,5 +1,6 @@
 """Messages of the ``jobs`` service."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -51,6 +52,12 @@
         self.retry_after_s = retry_after_s
 
 
+class PoolFullError(OwnerOverloadedError):
+    """Raised when a pool has more filling jobs than it can run in turn."""
+
+    code = 'pool_full'
+
+
 class JobRefusedError(core.OriolestandError):
     """Raised when a submission came before a refusal of the same id.
 
@@ -89,8 +96,9 @@
     """Request to store a job; the reply is False if it already existed.
 
     ``route`` is the one that the request was matched to. Fails with
-    InvalidJobError, OwnerOverloadedError, JobRefusedError or, shortly before
-    ``deadline_ms`` (on the daemon's clock) at the latest, JobInDoubtError.
+    InvalidJobError, OwnerOverloadedError, PoolFullError, JobRefusedError or,
+    shortly before ``deadline_ms`` (on the daemon's clock) at the latest,
+    JobInDoubtError.
     """
 
     spec: scheduling.JobSpec
@@ -232,10 +240,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class OwnerDelayReported:
-    """Event: the owner of the cell has reported how late it works."""
+class OwnerLoadReported:
+    """Event: the owner of the cell has reported what it can take.
+
+    ``delay_ms`` is how late it works. ``full_pools`` are the pools that accept
+    no filling jobs, and after how many seconds to try again.
+    """
 
     delay_ms: int
+    full_pools: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -1,6 +1,7 @@
 """Claim, renew and release ownership of the cell."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import functools
 import traceback
 from typing import Any
@@ -288,7 +289,9 @@
         self._election.on_renewal(renewal, self.kernel.clock.now())
         if renewal is not None:
             self.kernel.publish(
-                jobs.OwnerDelayReported(delay_ms=renewal.delay_ms)
+                jobs.OwnerLoadReported(
+                    delay_ms=renewal.delay_ms, full_pools=renewal.full_pools
+                )
             )
 
     def _apply_candidate(self, row: store.Row) -> None:
@@ -583,6 +586,7 @@
                 count=count,
                 unsettled_ms=term.unsettled_ms(sent_ms),
                 delay_ms=self._delay_ms(),
+                full_pools=self._full_pools(),
             )
             value = models.encode_renewal(renewal)
             outcome = await _owner_commits.commit_as_owner(
@@ -623,6 +627,12 @@
             return 0
         return self._owner_term.delay_ms
 
+    def _full_pools(self) -> Mapping[str, int]:
+        """Return the pools that accept no filling jobs, none on loading."""
+        if self._owner_term is None:
+            return {}
+        return self._owner_term.full_pools()
+
     def _is_too_slow(self, term: models.Term) -> bool:
         """Return whether to give a term up to a faster daemon."""
         owner_term = self._owner_term
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import functools
 import random
 from typing import Any
@@ -116,6 +117,7 @@
             on_ownership_lost,
         )
         self._are_starts_held = False
+        self._full_pools: Mapping[str, int] = {}
         self.set_evacuations(evacuations)
         self._load_cell(snapshot, policies)
         self._sweeper = _sweeper.Sweeper(
@@ -162,6 +164,19 @@
         """Return how late this owner does its work."""
         return max(self.loop_delay_ms, self._orders.oldest_unsent_ms())
 
+    def full_pools(self) -> Mapping[str, int]:
+        """Return the pools that accept no filling jobs at present.
+
+        The values are after how many seconds to try again.
+        """
+        full = self._scheduler.full_pools(self._kernel.clock.now())
+        if full.keys() != self._full_pools.keys():
+            self._log.info(
+                'Pools that accept no filling jobs', pools=sorted(full)
+            )
+        self._full_pools = full
+        return full
+
     @property
     def may_keep_cell(self) -> bool:
         """Return whether this epoch has run numbers left for its starts."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -57,6 +57,7 @@
     is_settled: bool
     unsettled_ms: _rows.Count | msgspec.UnsetType = msgspec.UNSET
     delay_ms: _rows.Count = 0
+    full_pools: dict[str, _rows.Count] = {}
 
 
 class _LimitsRow(msgspec.Struct, frozen=True):
@@ -248,6 +249,7 @@
         is_settled=renewal.is_settled,
         unsettled_ms=renewal.unsettled_ms,
         delay_ms=renewal.delay_ms,
+        full_pools=dict(renewal.full_pools),
     )
     return msgspec.json.encode(row)
 
@@ -269,6 +271,7 @@
         count=row.count,
         unsettled_ms=unsettled_ms,
         delay_ms=row.delay_ms,
+        full_pools=row.full_pools,
     )
 
 
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -52,7 +52,7 @@
         """Start to follow the table."""
         self.kernel.subscribe(config_messages.ConfigChanged, self)
         self.kernel.subscribe(messages.OwnershipChanged, self)
-        self.kernel.subscribe(messages.OwnerDelayReported, self)
+        self.kernel.subscribe(messages.OwnerLoadReported, self)
         self._run_replica()
         self._run_refusal_sweeps()
 
@@ -305,10 +305,11 @@
             route.policy.name for route in msg.config.routes
         )
 
-    @core.handles(messages.OwnerDelayReported)
-    def _on_owner_delay(self, msg: messages.OwnerDelayReported) -> None:
+    @core.handles(messages.OwnerLoadReported)
+    def _on_owner_load(self, msg: messages.OwnerLoadReported) -> None:
         """Note whether the owner can take more jobs."""
         now = self.kernel.clock.now()
+        self._admission.set_full_pools(msg.full_pools)
         if self._admission.on_report(msg.delay_ms, now):
             self._log.warning(
                 'Admission of jobs changed',
@@ -319,19 +320,39 @@
     async def _check_admission(self, msg: messages.SubmitJob) -> bool:
         """Return whether a job may be stored; False if it is stored already.
 
-        Raises OwnerOverloadedError. An earlier request may have stored the
-        job, or may yet do so, so the refusal is stored in its place;
-        JobInDoubtError is raised if that is not possible.
+        Raises OwnerOverloadedError or PoolFullError. An earlier request may
+        have stored the job, or may yet do so, so the refusal is stored in its
+        place; JobInDoubtError is raised if that is not possible.
         """
-        now = self.kernel.clock.now()
-        if not self._admission.is_closed(now):
+        exc = self._admission_error(msg)
+        if exc is None:
             return True
         if not await self._refusals.refuse(msg.spec.id, msg.deadline_ms):
             return False
-        raise messages.OwnerOverloadedError(
-            'the owner of the cell is overloaded',
+        raise exc
+
+    def _admission_error(
+        self, msg: messages.SubmitJob
+    ) -> messages.OwnerOverloadedError | None:
+        """Return why a job is refused, or None if it may be stored."""
+        now = self.kernel.clock.now()
+        if self._admission.is_closed(now):
+            return messages.OwnerOverloadedError(
+                'the owner of the cell is overloaded',
+                job=msg.spec.id,
+                retry_after_s=self._admission.retry_after_s,
+            )
+        if not any(step.is_filling for step in msg.spec.steps):
+            return None
+        retry_after_s = self._admission.full_pool_retry_s(
+            msg.route.policy.pool, now
+        )
+        if not retry_after_s:
+            return None
+        return messages.PoolFullError(
+            'the pool has more filling jobs than it can run in turn',
             job=msg.spec.id,
-            retry_after_s=self._admission.retry_after_s,
+            retry_after_s=retry_after_s,
         )
 
     @core.handles(messages.SubmitJob)
--- a/packages/fleet/tests/test_overloaded_owner.py
+++ b/packages/fleet/tests/test_overloaded_owner.py
@@ -67,7 +67,7 @@
     owner.kernel.clock.set_pass_ms(50)
     site.run(8_000)
     assert result_of(site, site.submit(other, job_id(1), ONE_TASK)) is True
-    other.kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    other.kernel.publish(jobs.OwnerLoadReported(delay_ms=9_000))
     # Its view of the store lacks the job.
     other.kernel.find('jobs')._replica.entries.clear()
     assert result_of(site, site.submit(other, job_id(1), ONE_TASK)) is False
@@ -81,7 +81,7 @@
     owner.kernel.clock.set_pass_ms(50)
     site.run(8_000)
     assert result_of(site, site.submit(other, job_id(1), ONE_TASK)) is True
-    other.kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    other.kernel.publish(jobs.OwnerLoadReported(delay_ms=9_000))
     other.kernel.find('jobs')._replica.entries.clear()
     setattr(other.store.faults, fault, True)
     reason = result_of(site, site.submit(other, job_id(1), ONE_TASK))
@@ -101,7 +101,7 @@
     daemons[0].store.faults.effect_delay_ms = effect_delay_ms
     site.submit(daemons[0], job_id(1), ONE_TASK).addErrback(lambda _: None)
     site.run(200)
-    daemons[1].kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    daemons[1].kernel.publish(jobs.OwnerLoadReported(delay_ms=9_000))
     answer = result_of(site, site.submit(daemons[1], job_id(1), ONE_TASK))
     site.run(8_000)
     is_refused = answer is not True and (
@@ -115,7 +115,7 @@
     owner.kernel.clock.set_pass_ms(50)
     site.run(8_000)
     assert result_of(site, site.submit(other, job_id(1), ONE_TASK)) is True
-    other.kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    other.kernel.publish(jobs.OwnerLoadReported(delay_ms=9_000))
     assert site.state(other, job_id(1)) in ('queued', 'running')
     assert result_of(site, site.cancel(other, job_id(1))) is True
 
--- a/packages/fleet/tests/test_refusals.py
+++ b/packages/fleet/tests/test_refusals.py
@@ -26,9 +26,9 @@
 
 def refuse(site, daemon):
     """Submit the job to a daemon while it refuses jobs."""
-    daemon.kernel.publish(jobs.OwnerDelayReported(delay_ms=9_000))
+    daemon.kernel.publish(jobs.OwnerLoadReported(delay_ms=9_000))
     answer = result_of(site, site.submit(daemon, JOB, STEPS))
-    daemon.kernel.publish(jobs.OwnerDelayReported(delay_ms=0))
+    daemon.kernel.publish(jobs.OwnerLoadReported(delay_ms=0))
     return answer
 
 
--- a/packages/policy/src/oriolestand_policy/ownership/_admission.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_admission.py
@@ -1,5 +1,7 @@
 """Decide whether the owner of a cell can take more jobs."""
 
+from collections.abc import Mapping
+
 from oriolestand_policy.ownership import _election
 
 REFUSE_DELAY_MS = 1_500
@@ -42,6 +44,7 @@
         self._delay_ms = 0
         self._reported_ms: int | None = None
         self._is_closed = False
+        self._full_pools: Mapping[str, int] = {}
 
     def on_report(self, delay_ms: int, now_ms: int) -> bool:
         """Apply a reported delay; return whether the decision changes."""
@@ -52,13 +55,32 @@
         self._is_closed = delay_ms >= limit_ms
         return self._is_closed != was_closed
 
+    def set_full_pools(self, full_pools: Mapping[str, int]) -> None:
+        """Set the reported pools that accept no filling jobs.
+
+        The values are after how many seconds to try again.
+        """
+        self._full_pools = full_pools
+
     def is_closed(self, now_ms: int) -> bool:
         """Return whether new jobs are to be refused."""
-        if self._reported_ms is None:
-            return False
-        if now_ms - self._reported_ms > REPORT_AGE_MS:
-            return False
-        return self._is_closed
+        return self._is_closed and self._is_recent(now_ms)
+
+    def full_pool_retry_s(self, pool: str, now_ms: int) -> int:
+        """Return after how many seconds a filling job should come again.
+
+        It is 0 if the pool accepts such jobs.
+        """
+        if not self._is_recent(now_ms):
+            return 0
+        return self._full_pools.get(pool, 0)
+
+    def _is_recent(self, now_ms: int) -> bool:
+        """Return whether the last report counts."""
+        return (
+            self._reported_ms is not None
+            and now_ms - self._reported_ms <= REPORT_AGE_MS
+        )
 
     @property
     def retry_after_s(self) -> int:
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -9,6 +9,7 @@
 claim for the last reason is conditional on the renewal row too.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -93,13 +94,15 @@
     ``unsettled_ms`` is for how long at most, from when the renewal is sent,
     an owner of an earlier epoch may still act; 0 means settled. It never
     grows in later renewals of the same owner. ``delay_ms`` is how late the
-    owner does its work.
+    owner does its work. ``full_pools`` are the pools that accept no filling
+    jobs, and after how many seconds to try again.
     """
 
     epoch: int
     count: int
     unsettled_ms: int
     delay_ms: int = 0
+    full_pools: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def is_settled(self) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_filling_turns.py
@@ -203,6 +203,11 @@
         expected_ms = self._cell.run_times.expected_ms(route, task.spec)
         return float(max(1, task.spec.cpu) * max(1, expected_ms))
 
+    @property
+    def overdue_steps(self) -> Sequence[_overdue.OverdueStep]:
+        """Return the steps that the last round has found overdue."""
+        return self._overdue
+
     def is_overdue(self, key: _ready.OccurrenceKey) -> bool:
         """Return whether filling tasks of an occurrence are overdue."""
         return key in self._overdue_keys
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from oriolestand_policy.scheduling import _backlog
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
@@ -71,6 +72,7 @@
             make_placement(self._cell.pressure),
             self._crash_handler,
         )
+        self._backlog = _backlog.Backlog(self._cell)
         self._wait_reporter = _waits.WaitReporter(self._cell)
         self._return_ramp = _return_ramp.ReturnRamp(self._cell)
         self._lapses = _lapses.Lapses(self._cell)
@@ -520,6 +522,14 @@
         """Return the effects queued since the last call."""
         return self._cell.take_effects()
 
+    def full_pools(self, now_ms: int) -> Mapping[str, int]:
+        """Return the pools that accept no filling jobs at present.
+
+        The values are after how many seconds to try again. Call this about
+        once a second.
+        """
+        return self._backlog.update(now_ms, self._task_starter.overdue_steps)
+
     def waiting_jobs(self) -> int:
         """Return the number of unfinished jobs without a started task."""
         return sum(
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -80,6 +80,11 @@
         """Return the moves off evacuated workers."""
         return self._evacuation
 
+    @property
+    def overdue_steps(self) -> Sequence[_overdue.OverdueStep]:
+        """Return the filling steps that the last round has found overdue."""
+        return self._filling_turns.overdue_steps
+
     @property
     def placement(self) -> _placement.Placement:
         """Return the strategy that selects workers."""
--- a/packages/policy/tests/ownership/test_admission.py
+++ b/packages/policy/tests/ownership/test_admission.py
@@ -35,3 +35,17 @@
     for delay_ms, after_s in ((1_500, 2), (2_000, 2), (60_000, 5), (0, 1)):
         admission.on_report(delay_ms, now_ms=0)
         assert admission.retry_after_s == after_s
+
+
+def test_full_pool_refuses_until_a_report_says_otherwise():
+    # Guards against refusals by an owner that may be gone.
+    admission = _admission.OwnerAdmission()
+    assert admission.full_pool_retry_s('p', 0) == 0
+    admission.on_report(0, now_ms=1_000)
+    admission.set_full_pools({'p': 4})
+    last_ms = 1_000 + _admission.REPORT_AGE_MS
+    assert admission.full_pool_retry_s('p', last_ms) == 4
+    assert admission.full_pool_retry_s('q', last_ms) == 0
+    assert admission.full_pool_retry_s('p', last_ms + 1) == 0
+    admission.set_full_pools({})
+    assert admission.full_pool_retry_s('p', last_ms) == 0
