--- a/packages/policy/tests/scheduling/test_backlog.py
+++ b/packages/policy/tests/scheduling/test_backlog.py
@@ -76,6 +76,13 @@
     assert 1 <= full['p'] <= _backlog.MAX_RETRY_AFTER_S
 
 
+def test_pool_is_full_before_too_many_jobs_are_overdue(cell):
+    # Guards against a burst whose jobs are all accepted, as none has waited
+    # for long yet.
+    cell.add(3 * FRESH_JOBS)
+    assert list(cell.run(1_000)) == ['p']
+
+
 def test_pool_with_fewer_overdue_jobs_than_places_accepts_jobs(cell):
     # Guards against refusals of jobs that would start before the others.
     cell.add(PLACES - 1)
