Move figures and the upkeep of workers out of the scheduler

Change: pure moves. Scheduler.figures has what metrics show, _upkeep.py releases runs of lost workers, resends stops and limits exclusions. The reference of test_equivalence overrides the same methods, now those of WorkerUpkeep.

--- a/packages/bench/src/oriolestand_bench/owner.py
+++ b/packages/bench/src/oriolestand_bench/owner.py
@@ -446,7 +446,7 @@
     seconds = MEASURED_MS / 1_000
     for func, spent_ns in simulation.spent_ns.items():
         click.echo(f'{name}/{func}: {spent_ns / 1e9 / seconds:.4f} cores')
-    ready = sum(simulation.scheduler.ready_by_kind().values())
+    ready = sum(simulation.scheduler.figures.ready_by_kind().values())
     click.echo(
         f'{name}: {simulation.starts / seconds:g} starts/s, '
         f'{simulation.ends / seconds:g} ends/s, {ready} ready tasks, '
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
@@ -40,24 +40,25 @@
             return
         self._next_ms = now + const.GAUGE_INTERVAL_MS
         scheduler = self._scheduler
-        for kind, count in scheduler.ready_by_kind().items():
+        figures = scheduler.figures
+        for kind, count in figures.ready_by_kind().items():
             self._set('ready_tasks', count, kind.value)
-        for kind, age_ms in scheduler.oldest_ready_ms(now).items():
+        for kind, age_ms in figures.oldest_ready_ms(now).items():
             self._set('oldest_ready_task_ms', age_ms, kind.value)
         self._report_waits(now)
-        for state, count in scheduler.workers_by_state(now).items():
+        for state, count in figures.workers_by_state(now).items():
             self._set('worker_states', count, state.value)
-        for kind, count in scheduler.running_by_kind().items():
+        for kind, count in figures.running_by_kind().items():
             self._set('running_tasks', count, kind.value)
         for (kind, wait), count in scheduler.evacuated_tasks(now).items():
             label = f'{kind.value} {wait.value}'
             self._set('evacuated_tasks', count, label)
         self._report_domains(now)
         learned = scheduler.pressure.learned()
-        self._set('service_tasks_over_target', scheduler.slow_service_count())
+        self._set('service_tasks_over_target', figures.slow_service_count())
         self._set('known_image_pairs', len(learned.pairs))
         self._set('load_period_ms', int(learned.period_ms or 0))
-        self._set('waiting_jobs', scheduler.waiting_jobs())
+        self._set('waiting_jobs', figures.waiting_jobs())
         self._set('workers', len(scheduler.workers))
         self._set('record_backlog', record_backlog)
         self._set('owner_epoch', self._term.epoch)
@@ -65,7 +66,7 @@
         self._set('round_ms', load.round_ms)
         self._set('unsent_starts', order_sender.unsent_start_count)
         self._set('oldest_unsent_start_ms', order_sender.oldest_unsent_ms())
-        self._set('oldest_report_ms', scheduler.oldest_report_ms(now))
+        self._set('oldest_report_ms', figures.oldest_report_ms(now))
 
     def _report_waits(self, now_ms: int) -> None:
         """Set the ages of tasks that have not run; 0 where none waits."""
@@ -80,7 +81,9 @@
 
     def _report_domains(self, now: int) -> None:
         """Set the gauges of each failure domain; 0 where nothing is left."""
-        self._set_all('domain_workers', self._scheduler.workers_by_domain())
+        self._set_all(
+            'domain_workers', self._scheduler.figures.workers_by_domain()
+        )
         tasks = self._scheduler.evacuated_tasks_by_domain(now)
         self._set_all(
             'domain_evacuated_tasks',
--- a/packages/fleet/tests/services/cell/test_work_of_a_busy_owner.py
+++ b/packages/fleet/tests/services/cell/test_work_of_a_busy_owner.py
@@ -35,7 +35,7 @@
 
 def silent_count(site, term):
     """Return how many workers count as silent."""
-    states = term._scheduler.workers_by_state(site.clock.now())
+    states = term._scheduler.figures.workers_by_state(site.clock.now())
     return states.get(_eligibility.WorkerState.SILENT, 0)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -7,9 +7,9 @@
 
 from oriolestand_policy.scheduling import _backlog
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _cell_figures
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
-from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
@@ -28,13 +28,10 @@
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
+from oriolestand_policy.scheduling import _upkeep
 from oriolestand_policy.scheduling import _wait_ages
 from oriolestand_policy.scheduling import _waits
 
-LATE_ORDER_MS = 2_000
-"""Orders that were sent before a restart was known have arrived within it."""
-
-STOP_RETRY_MS = 500
 TIMED_START_MARGIN_MS = 100
 """Delay of the starts of repeated jobs, as the wall clocks of instances
 differ."""
@@ -67,6 +64,7 @@
         self._report_handler = _report_handler.ReportHandler(
             self._cell, self._crash_handler, self._incarnations
         )
+        self._upkeep = _upkeep.WorkerUpkeep(self._cell, self._crash_handler)
         self._task_starter = _task_starter.TaskStarter(
             self._cell,
             make_placement(self._cell.pressure),
@@ -77,6 +75,7 @@
         self._return_ramp = _return_ramp.ReturnRamp(self._cell)
         self._lapses = _lapses.Lapses(self._cell)
         self._former_failures = _exclusions.FormerFailures()
+        self.figures = _cell_figures.CellFigures(self._cell)
         self._are_starts_held = False
 
     @property
@@ -494,11 +493,11 @@
         self._queue_due_occurrences(now_ms, wall_ms)
         if known_until_ms is None:
             known_until_ms = now_ms
-        self._expire_workers(now_ms, known_until_ms)
+        self._upkeep.expire_workers(now_ms, known_until_ms)
         self._crash_handler.give_up_tasks(now_ms)
-        self._resend_stops(now_ms)
-        self._drain_leaving_workers(now_ms)
-        self._limit_exclusions(now_ms)
+        self._upkeep.resend_stops(now_ms)
+        self._upkeep.drain_leaving_workers(now_ms)
+        self._upkeep.limit_exclusions(now_ms)
         self._settle_former_placements(former_runs)
         self._lapses.update(former_runs, now_ms)
         if (
@@ -530,26 +529,6 @@
         """
         return self._backlog.update(now_ms, self._task_starter.overdue_steps)
 
-    def waiting_jobs(self) -> int:
-        """Return the number of unfinished jobs without a started task."""
-        return sum(
-            1
-            for job in self._cell.jobs.values()
-            if job.outcome is None and not job.has_started
-        )
-
-    def ready_by_kind(self) -> dict[_specs.TaskKind, int]:
-        """Return the number of tasks that wait for a worker, by kind."""
-        return _count_by_kind(task.spec for task in self._cell.ready)
-
-    def oldest_ready_ms(self, now_ms: int) -> dict[_specs.TaskKind, int]:
-        """Return how long the oldest ready task has waited, by kind."""
-        oldest = dict.fromkeys(_specs.TaskKind, 0)
-        for task in self._cell.ready:
-            kind = task.spec.kind
-            oldest[kind] = max(oldest[kind], now_ms - task.ready_ms)
-        return oldest
-
     def oldest_not_run_ms(self, now_ms: int) -> Mapping[tuple[str, str], int]:
         """Return the age of the oldest task that has not run.
 
@@ -559,34 +538,6 @@
             self._cell, self._task_starter, now_ms
         )
 
-    def oldest_report_ms(self, now_ms: int) -> int:
-        """Return the age of the oldest last report of a worker with runs."""
-        return max(
-            (
-                now_ms - worker.last_report_ms
-                for worker in self._cell.workers.values()
-                if worker.is_probed and worker.runs
-            ),
-            default=0,
-        )
-
-    def workers_by_state(
-        self, now_ms: int
-    ) -> dict[_eligibility.WorkerState, int]:
-        """Return the number of workers that may get tasks, or why not."""
-        counts = dict.fromkeys(_eligibility.WorkerState, 0)
-        for worker in self._cell.workers.values():
-            counts[_eligibility.worker_state(worker, now_ms)] += 1
-        return counts
-
-    def running_by_kind(self) -> dict[_specs.TaskKind, int]:
-        """Return the number of runs that occupy workers, by kind."""
-        return _count_by_kind(
-            run.spec
-            for worker in self._cell.workers.values()
-            for run in worker.runs.values()
-        )
-
     def evacuated_tasks(
         self, now_ms: int
     ) -> Mapping[tuple[_specs.TaskKind, _evacuation.Remaining], int]:
@@ -599,21 +550,6 @@
         """Return the number of runs in each evacuated domain, by wait."""
         return self._task_starter.evacuation.by_domain(now_ms)
 
-    def workers_by_domain(self) -> Mapping[str, int]:
-        """Return the number of workers of each failure domain."""
-        return collections.Counter(
-            worker.info.failure_domain
-            for worker in self._cell.workers.values()
-        )
-
-    def slow_service_count(self) -> int:
-        """Return the number of service tasks that exceed their target."""
-        return sum(
-            run.over_since_ms >= 0
-            for worker in self._cell.workers.values()
-            for run in worker.runs.values()
-        )
-
     def _settle_former_placements(
         self, former_runs: _takeover.FormerRuns
     ) -> None:
@@ -649,118 +585,3 @@
             ):
                 self._cell.queue_ready_steps(job, job.next_occurrence, now_ms)
                 job.next_occurrence += 1
-
-    def _expire_workers(self, now_ms: int, known_until_ms: int) -> None:
-        """Release the runs of silent workers whose leases have expired."""
-        for worker in list(self._cell.workers.values()):
-            if worker.is_report_arriving:
-                continue
-            if not worker.is_probed:
-                self._expire_carried_runs(worker, now_ms, known_until_ms)
-                continue
-            if now_ms - worker.last_report_ms <= worker.max_report_age_ms:
-                continue
-            if not worker.is_lease_expired(
-                known_until_ms, _fleet.LEASE_MARGIN_MS
-            ):
-                continue
-            if not worker.is_listed:
-                self._cell.remove_worker(worker.info.id, 'lease over')
-            elif worker.runs:
-                self._cell.log(
-                    'lease_over',
-                    '',
-                    worker=worker.info.id,
-                    runs=len(worker.runs),
-                    silent_ms=now_ms - worker.last_report_ms,
-                    polled_ms_ago=now_ms - worker.polled_ms,
-                    failed_polls=worker.failed_polls,
-                    lease_end_ms=worker.lease_end_ms,
-                    min_clock_ms=worker.min_clock_ms(known_until_ms),
-                )
-                self._crash_handler.on_lease_over(worker)
-                self._cell.release_all(worker, now_ms)
-
-    def _expire_carried_runs(
-        self, worker: _fleet.Worker, now_ms: int, known_until_ms: int
-    ) -> None:
-        """Release the runs of a restarted worker that never reports.
-
-        Polls extend no lease before its first report, so its runs end with
-        the lease of the last start order that it may have received.
-        """
-        if not worker.runs:
-            return
-        if worker.carried_ms < 0:
-            worker.carried_ms = now_ms
-        last_ms = max(run.since_ms for run in worker.runs.values())
-        lease_ms = (
-            self._cell.lease_max_ms
-            * _fleet.CLOCK_RATE_DEN
-            // _fleet.CLOCK_RATE_NUM
-        )
-        over_ms = max(worker.carried_ms, last_ms) + LATE_ORDER_MS + lease_ms
-        if known_until_ms <= over_ms + _fleet.LEASE_MARGIN_MS:
-            return
-        self._cell.log(
-            'lease_over',
-            '',
-            worker=worker.info.id,
-            runs=len(worker.runs),
-            silent_ms=now_ms - worker.carried_ms,
-            polled_ms_ago=now_ms - worker.polled_ms,
-            failed_polls=worker.failed_polls,
-        )
-        self._crash_handler.on_lease_over(worker)
-        if worker.is_listed:
-            self._cell.release_all(worker, now_ms)
-        else:
-            self._cell.remove_worker(worker.info.id, 'lease over')
-
-    def _resend_stops(self, now_ms: int) -> None:
-        """Resend stop orders that were not answered."""
-        stopping_ids = self._cell.stopping_worker_ids
-        if not stopping_ids:
-            return
-        still_stopping_ids = set()
-        # The order of the workers decides the order of the stop orders.
-        for worker_id, worker in self._cell.workers.items():
-            if worker_id not in stopping_ids:
-                continue
-            for run in worker.runs.values():
-                if run.stop_sent_ms < 0 or run.is_stop_settled:
-                    continue
-                still_stopping_ids.add(worker_id)
-                if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
-                    run.stop_sent_ms = now_ms
-                    self._cell.queue_stop(
-                        worker_id, run, _effects.REPEATED_STOP
-                    )
-        self._cell.stopping_worker_ids = still_stopping_ids
-
-    def _drain_leaving_workers(self, now_ms: int) -> None:
-        """Stop service tasks on leaving workers, so that they move."""
-        for worker in self._cell.workers.values():
-            if not worker.info.is_leaving:
-                continue
-            for run in list(worker.runs.values()):
-                if run.spec.is_service and run.stop_sent_ms < 0:
-                    self._cell.stop_run(
-                        worker.info.id, run.key, run.number, 'worker leaves'
-                    )
-                    self._cell.mark_stop_sent(run, now_ms)
-
-    def _limit_exclusions(self, now_ms: int) -> None:
-        """Readmit workers of groups of which too many are excluded."""
-        labels = self._cell.ready.labels()
-        _exclusions.limit(self._cell.workers.values(), labels, now_ms)
-
-
-def _count_by_kind(
-    specs: Iterable[_specs.StepSpec],
-) -> dict[_specs.TaskKind, int]:
-    """Return the number of tasks of each kind."""
-    counts = dict.fromkeys(_specs.TaskKind, 0)
-    for spec in specs:
-        counts[spec.kind] += 1
-    return counts
--- /dev/null
+++ b/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
@@ -0,0 +1,127 @@
+"""Apply to workers what follows from the time that has passed."""
+
+from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _crash_handler
+from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _exclusions
+from oriolestand_policy.scheduling import _fleet
+
+LATE_ORDER_MS = 2_000
+"""Orders that were sent before a restart was known have arrived within it."""
+
+STOP_RETRY_MS = 500
+
+
+class WorkerUpkeep:
+    """Release runs of lost workers, resend stops and limit exclusions."""
+
+    def __init__(
+        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+    ) -> None:
+        self._cell = cell
+        self._crash_handler = crash_handler
+
+    def expire_workers(self, now_ms: int, known_until_ms: int) -> None:
+        """Release the runs of silent workers whose leases have expired."""
+        for worker in list(self._cell.workers.values()):
+            if worker.is_report_arriving:
+                continue
+            if not worker.is_probed:
+                self._expire_carried_runs(worker, now_ms, known_until_ms)
+                continue
+            if now_ms - worker.last_report_ms <= worker.max_report_age_ms:
+                continue
+            if not worker.is_lease_expired(
+                known_until_ms, _fleet.LEASE_MARGIN_MS
+            ):
+                continue
+            if not worker.is_listed:
+                self._cell.remove_worker(worker.info.id, 'lease over')
+            elif worker.runs:
+                self._cell.log(
+                    'lease_over',
+                    '',
+                    worker=worker.info.id,
+                    runs=len(worker.runs),
+                    silent_ms=now_ms - worker.last_report_ms,
+                    polled_ms_ago=now_ms - worker.polled_ms,
+                    failed_polls=worker.failed_polls,
+                    lease_end_ms=worker.lease_end_ms,
+                    min_clock_ms=worker.min_clock_ms(known_until_ms),
+                )
+                self._crash_handler.on_lease_over(worker)
+                self._cell.release_all(worker, now_ms)
+
+    def _expire_carried_runs(
+        self, worker: _fleet.Worker, now_ms: int, known_until_ms: int
+    ) -> None:
+        """Release the runs of a restarted worker that never reports.
+
+        Polls extend no lease before its first report, so its runs end with
+        the lease of the last start order that it may have received.
+        """
+        if not worker.runs:
+            return
+        if worker.carried_ms < 0:
+            worker.carried_ms = now_ms
+        last_ms = max(run.since_ms for run in worker.runs.values())
+        lease_ms = (
+            self._cell.lease_max_ms
+            * _fleet.CLOCK_RATE_DEN
+            // _fleet.CLOCK_RATE_NUM
+        )
+        over_ms = max(worker.carried_ms, last_ms) + LATE_ORDER_MS + lease_ms
+        if known_until_ms <= over_ms + _fleet.LEASE_MARGIN_MS:
+            return
+        self._cell.log(
+            'lease_over',
+            '',
+            worker=worker.info.id,
+            runs=len(worker.runs),
+            silent_ms=now_ms - worker.carried_ms,
+            polled_ms_ago=now_ms - worker.polled_ms,
+            failed_polls=worker.failed_polls,
+        )
+        self._crash_handler.on_lease_over(worker)
+        if worker.is_listed:
+            self._cell.release_all(worker, now_ms)
+        else:
+            self._cell.remove_worker(worker.info.id, 'lease over')
+
+    def resend_stops(self, now_ms: int) -> None:
+        """Resend stop orders that were not answered."""
+        stopping_ids = self._cell.stopping_worker_ids
+        if not stopping_ids:
+            return
+        still_stopping_ids = set()
+        # The order of the workers decides the order of the stop orders.
+        for worker_id, worker in self._cell.workers.items():
+            if worker_id not in stopping_ids:
+                continue
+            for run in worker.runs.values():
+                if run.stop_sent_ms < 0 or run.is_stop_settled:
+                    continue
+                still_stopping_ids.add(worker_id)
+                if now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
+                    run.stop_sent_ms = now_ms
+                    self._cell.queue_stop(
+                        worker_id, run, _effects.REPEATED_STOP
+                    )
+        self._cell.stopping_worker_ids = still_stopping_ids
+
+    def drain_leaving_workers(self, now_ms: int) -> None:
+        """Stop service tasks on leaving workers, so that they move."""
+        for worker in self._cell.workers.values():
+            if not worker.info.is_leaving:
+                continue
+            for run in list(worker.runs.values()):
+                if run.spec.is_service and run.stop_sent_ms < 0:
+                    self._cell.stop_run(
+                        worker.info.id, run.key, run.number, 'worker leaves'
+                    )
+                    self._cell.mark_stop_sent(run, now_ms)
+
+    def limit_exclusions(self, now_ms: int) -> None:
+        """Readmit workers of groups of which too many are excluded."""
+        labels = self._cell.ready.labels()
+        _exclusions.limit(self._cell.workers.values(), labels, now_ms)
--- a/packages/policy/tests/scheduling/test_confirmed_starts.py
+++ b/packages/policy/tests/scheduling/test_confirmed_starts.py
@@ -16,7 +16,7 @@
     """Return whether the record says so; the count must agree with it."""
     record = scheduling.progress_of(harness.scheduler.jobs[job])
     started = record['started']
-    assert harness.scheduler.waiting_jobs() == (0 if started else 1)
+    assert harness.scheduler.figures.waiting_jobs() == (0 if started else 1)
     return started
 
 
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -25,8 +25,8 @@
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _placement
 from oriolestand_policy.scheduling import _pressure
-from oriolestand_policy.scheduling import _scheduler
 from oriolestand_policy.scheduling import _task_starter
+from oriolestand_policy.scheduling import _upkeep
 from oriolestand_policy.scheduling import _urgency
 
 LEASE_MS = 6_000
@@ -675,20 +675,10 @@
             weight.variance += _pressure.PROCESS_NOISE
 
 
-class ReferenceScheduler(scheduling.Scheduler):
-    """Scheduler that visits all of its state in each round."""
-
-    def __init__(self):
-        super().__init__(1, LEASE_MS)
-        self._cell.pressure = ReferenceModel()
-        self._cell.ready = ReferenceReady()
-        self._task_starter = ReferenceStarter(
-            self._cell,
-            ReferencePlacement(self._cell.pressure),
-            self._crash_handler,
-        )
+class ReferenceUpkeep(_upkeep.WorkerUpkeep):
+    """Upkeep that visits all workers and runs."""
 
-    def _limit_exclusions(self, now_ms):
+    def limit_exclusions(self, now_ms):
         required = {task.spec.label for task in self._cell.ready}
         for worker in self._cell.workers.values():
             labels = [''] + [x for x in worker.info.labels if x in required]
@@ -714,16 +704,31 @@
         most = int(len(others) * _exclusions.MAX_AVOIDED_SHARE)
         return len(ends_later) >= most
 
-    def _resend_stops(self, now_ms):
+    def resend_stops(self, now_ms):
         for worker in self._cell.workers.values():
             for run in worker.runs.values():
                 if run.stop_sent_ms < 0 or run.is_stop_settled:
                     continue
-                if now_ms - run.stop_sent_ms >= _scheduler.STOP_RETRY_MS:
+                if now_ms - run.stop_sent_ms >= _upkeep.STOP_RETRY_MS:
                     run.stop_sent_ms = now_ms
                     self._cell.queue_stop(worker.info.id, run, 'repeat')
 
 
+class ReferenceScheduler(scheduling.Scheduler):
+    """Scheduler that visits all of its state in each round."""
+
+    def __init__(self):
+        super().__init__(1, LEASE_MS)
+        self._cell.pressure = ReferenceModel()
+        self._cell.ready = ReferenceReady()
+        self._task_starter = ReferenceStarter(
+            self._cell,
+            ReferencePlacement(self._cell.pressure),
+            self._crash_handler,
+        )
+        self._upkeep = ReferenceUpkeep(self._cell, self._crash_handler)
+
+
 def is_usable_unless_avoided(worker, now_ms):
     age_ms = now_ms - worker.last_report_ms
     return (
@@ -1015,7 +1020,8 @@
         )
         self.call('decide', self.now, self.now, former_runs)
         self.apply_effects()
-        self.call('workers_by_state', self.now)
+        states = self.subject.figures.workers_by_state(self.now)
+        assert states == self.reference.figures.workers_by_state(self.now)
         self.readmitted += sum(
             worker.is_readmitted and _eligibility.is_usable(worker, self.now)
             for worker in self.subject.workers.values()
@@ -1038,7 +1044,10 @@
             self.poll(rng.choice(sorted(set(self.infos) - self.silent)))
         if rng.random() < 0.6:
             self.decide()
-        assert self.subject.ready_by_kind() == self.reference.ready_by_kind()
+        assert (
+            self.subject.figures.ready_by_kind()
+            == self.reference.figures.ready_by_kind()
+        )
         learned = self.subject.pressure.learned()
         assert learned == self.reference.pressure.learned()
 
--- a/packages/policy/tests/scheduling/test_placement.py
+++ b/packages/policy/tests/scheduling/test_placement.py
@@ -135,7 +135,7 @@
     info = dataclasses.replace(harness.infos['w0'], is_leaving=True)
     harness.scheduler.set_workers({**harness.infos, 'w0': info})
     harness.scheduler.mark_workers_unrecorded(['w0'])
-    counts = harness.scheduler.workers_by_state(harness.now)
+    counts = harness.scheduler.figures.workers_by_state(harness.now)
     assert counts[_eligibility.WorkerState.LEAVING] == 1
     assert counts[_eligibility.WorkerState.NOT_RECORDED] == 0
 
--- a/packages/policy/tests/scheduling/test_probations.py
+++ b/packages/policy/tests/scheduling/test_probations.py
@@ -43,8 +43,8 @@
             harness.now += ROUND_MS
             if harness.now % REPORT_MS == 0:
                 self.report()
-            while len(harness.scheduler.ready_by_kind()) and (
-                sum(harness.scheduler.ready_by_kind().values()) < 20
+            while len(harness.scheduler.figures.ready_by_kind()) and (
+                sum(harness.scheduler.figures.ready_by_kind().values()) < 20
             ):
                 self.add_small()
             starts, stops = harness.decide()
--- a/packages/policy/tests/scheduling/test_reservations.py
+++ b/packages/policy/tests/scheduling/test_reservations.py
@@ -74,7 +74,7 @@
 
     def step(self, spec=SMALL, waiting=8):
         """Keep small tasks waiting, poll and start; return started jobs."""
-        while self.harness.scheduler.waiting_jobs() < waiting:
+        while self.harness.scheduler.figures.waiting_jobs() < waiting:
             self.count += 1
             self.add(f'small{self.count:05}', spec)
         self.poll()
--- a/packages/policy/tests/scheduling/test_wait_ages.py
+++ b/packages/policy/tests/scheduling/test_wait_ages.py
@@ -63,7 +63,7 @@
     for worker in harness.scheduler.workers.values():
         worker.backoff_until_ms = harness.now + 10_000
     wait(harness, 3_000)
-    assert harness.scheduler.oldest_ready_ms(harness.now)[
+    assert harness.scheduler.figures.oldest_ready_ms(harness.now)[
         scheduling.TaskKind.PLAIN
     ]
     assert harness.scheduler.oldest_not_run_ms(harness.now) == {}
--- a/packages/policy/tests/scheduling/test_waits_in_full_cells.py
+++ b/packages/policy/tests/scheduling/test_waits_in_full_cells.py
@@ -209,7 +209,7 @@
 
     def _top_up(self):
         """Add plain and filling tasks until the wanted numbers wait."""
-        ready = self.scheduler.ready_by_kind()
+        ready = self.scheduler.figures.ready_by_kind()
         missing = self.backlogs['plain'] - ready[scheduling.TaskKind.PLAIN]
         for _ in range(missing):
             cores = 1 + round(13 * self.rng.betavariate(1, 2.6))
--- a/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
+++ b/packages/policy/tests/scheduling/test_waits_of_ended_tasks.py
@@ -74,7 +74,7 @@
         Return the ids of the jobs that are started then.
         """
         self.harness.now += POLL_MS
-        while self.harness.scheduler.waiting_jobs() < MIN_WAITING:
+        while self.harness.scheduler.figures.waiting_jobs() < MIN_WAITING:
             self.small_count += 1
             self.add(f'small{self.small_count:04}', SMALL)
         for worker in self.harness.infos:
