Judge full pools by tasks that wait while nothing more can start

A pool stayed closed for good because of jobs whose first step had no worker, or while few workers with a label were busy and the others idle; impossible jobs counted for 10 s, and the occurrences of one job as many jobs; jobs without an estimate and large jobs had no limit; 5,000 jobs that fit no worker cost 7.3 s of processor time with 1,000 workers; an error, or a malformed field of the renewal, ended one owner after the other.

Change: only ready filling tasks that an empty worker could run count, and only samples that were taken while such a task had waited for a second. Timed jobs and tasks for some workers neither count nor are refused. A pool with two overdue jobs for each place accepts none. Sizes of workers are examined once for each demand. Errors and malformed fields name no pool full. Retry-After is spread by the id of the job.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -631,7 +631,7 @@
         """Return the pools that accept no filling jobs, none on loading."""
         if self._owner_term is None:
             return {}
-        return self._owner_term.full_pools()
+        return self._owner_term.full_pools
 
     def _is_too_slow(self, term: models.Term) -> bool:
         """Return whether to give a term up to a faster daemon."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -117,7 +117,9 @@
             on_ownership_lost,
         )
         self._are_starts_held = False
-        self._full_pools: Mapping[str, int] = {}
+        self.full_pools: Mapping[str, int] = {}
+        """Pools that accept no filling jobs, and when to try again in s."""
+        self._full_pools_ms = 0
         self.set_evacuations(evacuations)
         self._load_cell(snapshot, policies)
         self._sweeper = _sweeper.Sweeper(
@@ -164,19 +166,6 @@
         """Return how late this owner does its work."""
         return max(self.loop_delay_ms, self._orders.oldest_unsent_ms())
 
-    def full_pools(self) -> Mapping[str, int]:
-        """Return the pools that accept no filling jobs at present.
-
-        The values are after how many seconds to try again.
-        """
-        full = self._scheduler.full_pools(self._kernel.clock.now())
-        if full.keys() != self._full_pools.keys():
-            self._log.info(
-                'Pools that accept no filling jobs', pools=sorted(full)
-            )
-        self._full_pools = full
-        return full
-
     @property
     def may_keep_cell(self) -> bool:
         """Return whether this epoch has run numbers left for its starts."""
@@ -396,6 +385,7 @@
             if self._fleet.is_outdated:
                 # Rounds remove workers whose leases are over.
                 self._update_fleet_record()
+            self._update_full_pools()
             self._gauges.report(self._saver.backlog, self._load, self._orders)
             for update in (
                 self._interference_record.update(),
@@ -405,6 +395,27 @@
             if self._sweeper.is_due:
                 await self._sweeper.sweep()
 
+    def _update_full_pools(self) -> None:
+        """Find out which pools accept no filling jobs, if due.
+
+        They limit what is accepted, and no promise depends on them. So an
+        error here must not end the term.
+        """
+        now = self._kernel.clock.now()
+        if now < self._full_pools_ms:
+            return
+        self._full_pools_ms = now + const.FULL_POOLS_INTERVAL_MS
+        try:
+            full = self._scheduler.full_pools(now)
+        except Exception:
+            self._log.exception('Full pools not found')
+            full = {}
+        if full.keys() != self.full_pools.keys():
+            self._log.info(
+                'Pools that accept no filling jobs', pools=sorted(full)
+            )
+        self.full_pools = full
+
     def request_round(self) -> None:
         """Request a scheduling round after a short delay."""
         if self._round_timer is None and not self.term.is_over:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -34,6 +34,9 @@
 """Time for which orders are sent before the event loop reads reports again."""
 
 TICK_MS = 200
+FULL_POOLS_INTERVAL_MS = 1_000
+"""As often as the owner publishes them with its renewals."""
+
 GAUGE_INTERVAL_MS = 1_000
 TAKEOVER_REPORT_INTERVAL_MS = 1_000
 
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 from typing import Annotated
+from typing import Any
 
 import msgspec
 
@@ -57,7 +58,7 @@
     is_settled: bool
     unsettled_ms: _rows.Count | msgspec.UnsetType = msgspec.UNSET
     delay_ms: _rows.Count = 0
-    full_pools: dict[str, _rows.Count] = {}
+    full_pools: Any = None
 
 
 class _LimitsRow(msgspec.Struct, frozen=True):
@@ -271,10 +272,21 @@
         count=row.count,
         unsettled_ms=unsettled_ms,
         delay_ms=row.delay_ms,
-        full_pools=row.full_pools,
+        full_pools=_decode_full_pools(row.full_pools),
     )
 
 
+def _decode_full_pools(value: Any) -> Mapping[str, int]:
+    """Decode the full pools of a renewal; a malformed value names none.
+
+    The renewal itself counts in any case, as the owner lives.
+    """
+    try:
+        return msgspec.convert(value or {}, dict[str, _rows.Count])
+    except msgspec.ValidationError:
+        return {}
+
+
 def encode_lease_limits(limits: LeaseLimits) -> bytes:
     """Encode the value of the row of the limits of leases."""
     return json.dumps(dataclasses.asdict(limits)).encode()
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_task.py
@@ -342,10 +342,10 @@
                 job=msg.spec.id,
                 retry_after_s=self._admission.retry_after_s,
             )
-        if not any(step.is_filling for step in msg.spec.steps):
+        if not scheduling.counts_for_pool(msg.spec):
             return None
         retry_after_s = self._admission.full_pool_retry_s(
-            msg.route.policy.pool, now
+            msg.route.policy.pool, msg.spec.id, now
         )
         if not retry_after_s:
             return None
--- a/packages/fleet/tests/test_full_pools.py
+++ b/packages/fleet/tests/test_full_pools.py
@@ -1,7 +1,10 @@
 """Test that a pool accepts no more filling jobs than it can run in turn."""
 
+import pytest
+
 import oriolestand_core as core
 from oriolestand_fleet.messages import jobs
+from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
 
 WORKERS = 2
@@ -54,11 +57,40 @@
     assert refused not in {run.key.job for run in site.history}
 
 
+def close_pool(daemon):
+    """Tell a daemon that the pool is full."""
+    daemon.kernel.publish(
+        jobs.OwnerLoadReported(delay_ms=0, full_pools={'pool': 3})
+    )
+
+
 def test_repeated_submission_to_a_full_pool_is_not_refused(site, daemons):
     # An earlier request has stored the job, so that it will run.
     assert submit(site, daemons[1], 1, FILLING) is True
-    daemons[1].kernel.publish(
-        jobs.OwnerLoadReported(delay_ms=0, full_pools={'pool': 3})
-    )
+    close_pool(daemons[1])
+    assert submit(site, daemons[1], 2, FILLING).value.code == 'pool_full'
+    close_pool(daemons[1])
     daemons[1].kernel.find('jobs')._replica.entries.clear()
     assert submit(site, daemons[1], 1, FILLING) is False
+
+
+def test_owner_keeps_the_cell_when_full_pools_cannot_be_found(
+    site, daemons, monkeypatch
+):
+    # Guards against a figure that no promise depends on and that ends owners.
+    def fail(*_):
+        raise KeyError('no such job')
+
+    monkeypatch.setattr(scheduling.Scheduler, 'full_pools', fail)
+    owner = next(daemon for daemon in daemons if daemon.is_owner)
+    site.run(12_000)
+    assert owner.is_owner
+    assert submit(site, owner, 1, FILLING) is True
+
+
+@pytest.mark.parametrize('value', ['[]', '{"p": 1.5}', '{"p": -1}', '7'])
+def test_renewal_with_malformed_full_pools_counts(value):
+    # Guards against an owner that is replaced for such a field.
+    row = b'{"epoch":1,"count":2,"is_settled":true,"full_pools":%s}'
+    renewal = models.decode_renewal(row % value.encode())
+    assert (renewal.epoch, renewal.full_pools) == (1, {})
--- a/packages/policy/src/oriolestand_policy/ownership/_admission.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_admission.py
@@ -1,6 +1,7 @@
 """Decide whether the owner of a cell can take more jobs."""
 
 from collections.abc import Mapping
+import zlib
 
 from oriolestand_policy.ownership import _election
 
@@ -66,14 +67,16 @@
         """Return whether new jobs are to be refused."""
         return self._is_closed and self._is_recent(now_ms)
 
-    def full_pool_retry_s(self, pool: str, now_ms: int) -> int:
+    def full_pool_retry_s(self, pool: str, job: str, now_ms: int) -> int:
         """Return after how many seconds a filling job should come again.
 
-        It is 0 if the pool accepts such jobs.
+        It is 0 if the pool accepts such jobs. Callers are spread over the time
+        that the owner has reported, so that they do not come at once.
         """
-        if not self._is_recent(now_ms):
+        longest_s = self._full_pools.get(pool, 0)
+        if not longest_s or not self._is_recent(now_ms):
             return 0
-        return self._full_pools.get(pool, 0)
+        return 1 + zlib.crc32(job.encode()) % longest_s
 
     def _is_recent(self, now_ms: int) -> bool:
         """Return whether the last report counts."""
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -5,6 +5,7 @@
 clock: times are passed in, and orders to workers are returned as effects.
 """
 
+from oriolestand_policy.scheduling._backlog import counts_for_pool
 from oriolestand_policy.scheduling._effects import REPEATED_STOP
 from oriolestand_policy.scheduling._effects import Effect
 from oriolestand_policy.scheduling._effects import LogEvent
@@ -100,6 +101,7 @@
     'WorkerInfo',
     'WorkerReport',
     'check_job',
+    'counts_for_pool',
     'job_from_dict',
     'job_to_dict',
     'parse_key',
--- a/packages/policy/src/oriolestand_policy/scheduling/_backlog.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_backlog.py
@@ -12,13 +12,26 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _amounts
+from oriolestand_policy.scheduling import _capacity
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _overdue
 from oriolestand_policy.scheduling import _ready
+from oriolestand_policy.scheduling import _specs
 
 WINDOW_MS = 10_000
-"""Time over which the mean number of tasks at once is what a pool can run.
-Jobs are overdue only after this time, and the pool has been full since."""
+"""Time over which the mean of what runs is what a pool can run."""
+
+SETTLED_MS = 1_000
+"""Wait of a task from which on a pool counts as occupied: with room for it,
+one of the rounds since would have started it."""
+
+MIN_SAMPLES = 5
+"""Samples of an occupied pool that a decision needs. A new owner, or a pool
+that was idle until now, does not know its room."""
+
+MIN_PLACES = 4.0
+"""Tasks at once that each pool counts as having."""
 
 MAX_WAIT_MS = 3_000
 """Time that the work of jobs that are not overdue may need in a full pool.
@@ -28,6 +41,13 @@
 """Share of that work that one job counts for at most, so that a huge job does
 not decide about the others."""
 
+MAX_OVERDUE_PER_PLACE = 2.0
+"""Overdue jobs for each task that runs at once beyond which none is accepted.
+Tasks run for about two seconds, so with more not all have a run in 3 s."""
+
+ASSUMED_MS = 1_000
+"""Run time of a task without an estimate, until one has ended."""
+
 MAX_RETRY_AFTER_S = 5
 MAX_POOLS = 16
 """Limits the size of the row that the owner publishes them in."""
@@ -35,26 +55,67 @@
 MILLIS_PER_SECOND = 1_000
 
 
+def counts_for_pool(spec: _specs.JobSpec) -> bool:
+    """Return whether a job may fill its pool, and be refused by a full one.
+
+    Jobs that are due later, and tasks that may run on some workers only, say
+    nothing about the pool, as most of it may be free for others.
+
+    >>> step = _specs.StepSpec(count=1, is_filling=True)
+    >>> job = _specs.JobSpec(id='5c', route='r', payload='', steps=(step,))
+    >>> counts_for_pool(job)
+    True
+    """
+    return not spec.is_timed and any(map(_is_counted, spec.steps))
+
+
+def _is_counted(step: _specs.StepSpec) -> bool:
+    """Return whether the tasks of a step use the filling room of a pool."""
+    return step.kind is _specs.TaskKind.FILLING and not (
+        step.label or step.max_per_worker
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Use:
+class _Sample:
     """Filling tasks that run in a pool, and their thousandths of a core."""
 
     now_ms: int
     tasks: int
-    cpu: int
+    cpu: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Waiting:
-    """Jobs that wait in a pool.
+    """Jobs that wait in a pool, by id.
 
-    ``overdue`` is the number of overdue ones. ``work`` holds the work that is
-    left to start of each of the others, in thousandths of a core times
-    milliseconds.
+    ``fresh`` are those that are not overdue. ``is_occupied`` is whether a task
+    has waited for so long that the pool has no room for it.
     """
 
-    overdue: int = 0
-    work: list[int] = dataclasses.field(default_factory=list)
+    overdue: set[str] = dataclasses.field(default_factory=set)
+    fresh: set[str] = dataclasses.field(default_factory=set)
+    is_occupied: bool = False
+
+
+class _Fits:
+    """Tell whether a worker of a pool is large enough for tasks."""
+
+    def __init__(self, cell: _cell.Cell) -> None:
+        self._sizes: dict[str, set[_amounts.Amounts]] = {}
+        for worker in cell.workers.values():
+            sizes = self._sizes.setdefault(worker.info.pool, set())
+            sizes.add(worker.capacity.size)
+        self._known: dict[tuple[str, _amounts.Amounts], bool] = {}
+
+    def may_run(self, pool: str, spec: _specs.StepSpec) -> bool:
+        """Return whether an empty worker of a pool could run a task."""
+        amounts = _amounts.amounts_of(spec)
+        fits = self._known.get((pool, amounts))
+        if fits is None:
+            fits = any(map(amounts.is_within, self._sizes.get(pool, ())))
+            self._known[pool, amounts] = fits
+        return fits
 
 
 class Backlog:
@@ -62,7 +123,9 @@
 
     def __init__(self, cell: _cell.Cell) -> None:
         self._cell = cell
-        self._uses: dict[str, collections.deque[_Use]] = {}
+        self._samples: dict[str, collections.deque[_Sample]] = (
+            collections.defaultdict(collections.deque)
+        )
 
     def update(
         self, now_ms: int, overdue: Iterable[_overdue.OverdueStep]
@@ -72,96 +135,125 @@
         The values are after how many seconds to try again. Call this about
         once a second with the ``overdue`` steps of the last round.
         """
-        self._note_uses(now_ms)
+        waiting = self._waiting(now_ms, overdue)
+        self._take_samples(now_ms, waiting)
         full: dict[str, int] = {}
-        for pool, waiting in sorted(self._waiting(overdue).items()):
-            retry_after_s = self._retry_after_s(pool, waiting)
+        for pool in sorted(
+            waiting, key=lambda name: (-len(waiting[name].overdue), name)
+        ):
+            retry_after_s = self._retry_after_s(pool, waiting[pool])
             if retry_after_s and len(full) < MAX_POOLS:
                 full[pool] = retry_after_s
         return full
 
-    def _note_uses(self, now_ms: int) -> None:
-        """Note what runs in each pool, and forget what is too old."""
-        tasks: collections.Counter[str] = collections.Counter()
-        cpu: collections.Counter[str] = collections.Counter()
-        for worker in self._cell.workers.values():
-            pool = worker.info.pool
-            tasks[pool] += len(worker.filling)
-            cpu[pool] += worker.capacity.filling_cpu
-        for pool in tasks.keys() | self._uses.keys():
-            uses = self._uses.setdefault(pool, collections.deque())
-            uses.append(_Use(now_ms=now_ms, tasks=tasks[pool], cpu=cpu[pool]))
-            while uses[0].now_ms < now_ms - WINDOW_MS:
-                uses.popleft()
-            if not any(use.tasks for use in uses):
-                del self._uses[pool]
-
     def _waiting(
-        self, overdue: Iterable[_overdue.OverdueStep]
+        self, now_ms: int, overdue: Iterable[_overdue.OverdueStep]
     ) -> dict[str, _Waiting]:
-        """Return the filling jobs that wait in each pool."""
-        overdue_keys: set[_ready.OccurrenceKey] = set()
+        """Return the jobs that wait for the filling room of each pool.
+
+        Jobs that no worker can run, or that wait for a task of another kind,
+        are left out.
+        """
+        overdue_ids = {step.occurrence[0] for step in overdue}
+        fits = _Fits(self._cell)
         found: dict[str, _Waiting] = collections.defaultdict(_Waiting)
-        for step in overdue:
-            if step.occurrence in overdue_keys:
-                continue
-            if self._may_run(step):
-                found[step.pool].overdue += 1
-            overdue_keys.add(step.occurrence)
         for key, _ in self._cell.ready.occurrences():
-            if key in overdue_keys:
-                continue
             job = self._cell.jobs[key[0]]
             route = self._cell.policy_of(job)
-            work = self._work_left(key)
-            if route is not None and work:
-                found[route.pool].work.append(work)
+            if route is None or not counts_for_pool(job.spec):
+                continue
+            task = self._first_counted(key, job, route.pool, fits)
+            if task is None:
+                continue
+            waiting = found[route.pool]
+            is_overdue = key[0] in overdue_ids
+            (waiting.overdue if is_overdue else waiting.fresh).add(key[0])
+            if is_overdue or now_ms - task.ready_ms >= SETTLED_MS:
+                waiting.is_occupied = True
         return found
 
-    def _may_run(self, step: _overdue.OverdueStep) -> bool:
-        """Return whether a worker of the pool is large enough for a step.
+    def _first_counted(
+        self,
+        key: _ready.OccurrenceKey,
+        job: _jobs.Job,
+        pool: str,
+        fits: _Fits,
+    ) -> _jobs.Task | None:
+        """Return a ready filling task that the pool could run, or None."""
+        for step, _ in self._cell.ready.counts_of(key):
+            spec = job.spec.steps[step]
+            if _is_counted(spec) and fits.may_run(pool, spec):
+                return self._cell.ready.tasks_of(key, step)[0]
+        return None
 
-        Jobs that none can run do not keep others from being accepted.
-        """
-        spec = step.tasks[0].spec
-        return any(
-            worker.info.pool == step.pool
-            and (not spec.label or spec.label in worker.info.labels)
-            and _amounts.amounts_of(spec).is_within(worker.capacity.size)
-            for worker in self._cell.workers.values()
-        )
+    def _take_samples(
+        self, now_ms: int, waiting: Mapping[str, _Waiting]
+    ) -> None:
+        """Note what runs in the occupied pools, and forget old samples."""
+        tasks: collections.Counter[str] = collections.Counter()
+        cpu: collections.Counter[str] = collections.Counter()
+        for worker in self._cell.workers.values():
+            for run in worker.filling.values():
+                if not run.spec.is_service:
+                    tasks[worker.info.pool] += 1
+                    cpu[worker.info.pool] += round(
+                        _capacity.paced_cpu(run.spec.cpu, run.pace)
+                    )
+        for pool, jobs in waiting.items():
+            if jobs.is_occupied:
+                self._samples[pool].append(
+                    _Sample(now_ms=now_ms, tasks=tasks[pool], cpu=cpu[pool])
+                )
+        for pool, samples in list(self._samples.items()):
+            while samples and samples[0].now_ms < now_ms - WINDOW_MS:
+                samples.popleft()
+            if not samples:
+                del self._samples[pool]
+
+    def _work_left(self, job: _jobs.Job, most: float) -> float:
+        """Return the filling work of a job that is left to start.
 
-    def _work_left(self, key: _ready.OccurrenceKey) -> int:
-        """Return the work of filling tasks that is left to start."""
-        job = self._cell.jobs[key[0]]
+        It is in thousandths of a core times milliseconds, ``most`` at most.
+        """
+        key = (job.spec.id, 0)
         counts = dict(self._cell.ready.counts_of(key))
-        work = 0
+        work = 0.0
         for number, spec in enumerate(job.spec.steps):
             if not spec.is_filling:
                 continue
             count = counts.get(number, 0)
-            if not job.is_step_ready(key[1], number):
+            if not count and not job.is_step_ready(0, number):
                 count = spec.count
-            expected_ms = self._cell.run_times.expected_ms(
-                job.spec.route, spec
+            expected_ms = (
+                self._cell.run_times.expected_ms(job.spec.route, spec)
+                or ASSUMED_MS
             )
-            work += count * max(1, spec.cpu) * max(1, expected_ms)
+            work += count * max(1, spec.cpu) * expected_ms
+            if work >= most:
+                return most
         return work
 
     def _retry_after_s(self, pool: str, waiting: _Waiting) -> int:
         """Return after how many seconds to try again, 0 if not full."""
-        uses = self._uses.get(pool)
-        if uses is None:
-            # Nothing has run, so nothing is known about what could.
+        samples = self._samples.get(pool, ())
+        if len(samples) < MIN_SAMPLES:
             return 0
-        room = max(1, sum(use.cpu for use in uses) // len(uses))
-        most = int(MAX_JOB_SHARE * MAX_WAIT_MS * room)
-        wait_ms = sum(min(work, most) for work in waiting.work) // room
+        mean_tasks = sum(sample.tasks for sample in samples) / len(samples)
+        places = max(MIN_PLACES, mean_tasks)
+        overdue = len(waiting.overdue)
+        if overdue >= MAX_OVERDUE_PER_PLACE * places:
+            return MAX_RETRY_AFTER_S
+        room = max(1.0, sum(sample.cpu for sample in samples) / len(samples))
+        most = MAX_JOB_SHARE * MAX_WAIT_MS * room
+        work = sum(
+            self._work_left(self._cell.jobs[job_id], most)
+            for job_id in waiting.fresh
+        )
+        wait_ms = work / room
         if wait_ms < MAX_WAIT_MS:
             return 0
         # Jobs behind this much work will be overdue before they start.
-        beyond_ms = max(0, wait_ms - _overdue.MAX_TASK_WAIT_MS)
-        expected = waiting.overdue + len(waiting.work) * beyond_ms / wait_ms
-        if expected < sum(use.tasks for use in uses) / len(uses):
+        beyond_ms = max(0.0, wait_ms - _overdue.MAX_TASK_WAIT_MS)
+        if overdue + len(waiting.fresh) * beyond_ms / wait_ms < places:
             return 0
-        return min(max(1, wait_ms // MILLIS_PER_SECOND), MAX_RETRY_AFTER_S)
+        return min(int(wait_ms) // MILLIS_PER_SECOND, MAX_RETRY_AFTER_S)
--- a/packages/policy/tests/ownership/test_admission.py
+++ b/packages/policy/tests/ownership/test_admission.py
@@ -40,12 +40,21 @@
 def test_full_pool_refuses_until_a_report_says_otherwise():
     # Guards against refusals by an owner that may be gone.
     admission = _admission.OwnerAdmission()
-    assert admission.full_pool_retry_s('p', 0) == 0
+    assert admission.full_pool_retry_s('p', 'job', 0) == 0
     admission.on_report(0, now_ms=1_000)
-    admission.set_full_pools({'p': 4})
+    admission.set_full_pools({'p': 1})
     last_ms = 1_000 + _admission.REPORT_AGE_MS
-    assert admission.full_pool_retry_s('p', last_ms) == 4
-    assert admission.full_pool_retry_s('q', last_ms) == 0
-    assert admission.full_pool_retry_s('p', last_ms + 1) == 0
+    assert admission.full_pool_retry_s('p', 'job', last_ms) == 1
+    assert admission.full_pool_retry_s('q', 'job', last_ms) == 0
+    assert admission.full_pool_retry_s('p', 'job', last_ms + 1) == 0
     admission.set_full_pools({})
-    assert admission.full_pool_retry_s('p', last_ms) == 0
+    assert admission.full_pool_retry_s('p', 'job', last_ms) == 0
+
+
+def test_callers_of_a_full_pool_are_spread():
+    # Guards against refused callers that all return at once.
+    admission = _admission.OwnerAdmission()
+    admission.on_report(0, now_ms=0)
+    admission.set_full_pools({'p': 4})
+    found = {admission.full_pool_retry_s('p', f'{n:x}', 0) for n in range(64)}
+    assert found == {1, 2, 3, 4}
