Log a renewal whose full pools cannot be read

Cause: a malformed field was taken as no full pool without a trace.

Change: the cell service logs it with the version of the row; the renewal still counts.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -287,12 +287,17 @@
             return
         self._is_renewal_malformed = False
         self._election.on_renewal(renewal, self.kernel.clock.now())
-        if renewal is not None:
-            self.kernel.publish(
-                jobs.OwnerLoadReported(
-                    delay_ms=renewal.delay_ms, full_pools=renewal.full_pools
-                )
+        if renewal is None:
+            return
+        if renewal.full_pools is None:
+            self._log.error(
+                'Malformed full pools ignored', version=row.version
             )
+        self.kernel.publish(
+            jobs.OwnerLoadReported(
+                delay_ms=renewal.delay_ms, full_pools=renewal.full_pools or {}
+            )
+        )
 
     def _apply_candidate(self, row: store.Row) -> None:
         """Apply the row of a daemon that offers to take the cell."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -250,7 +250,7 @@
         is_settled=renewal.is_settled,
         unsettled_ms=renewal.unsettled_ms,
         delay_ms=renewal.delay_ms,
-        full_pools=dict(renewal.full_pools),
+        full_pools=dict(renewal.full_pools or {}),
     )
     return msgspec.json.encode(row)
 
@@ -276,15 +276,17 @@
     )
 
 
-def _decode_full_pools(value: Any) -> Mapping[str, int]:
-    """Decode the full pools of a renewal; a malformed value names none.
+def _decode_full_pools(value: Any) -> Mapping[str, int] | None:
+    """Decode the full pools of a renewal; return None if malformed.
 
     The renewal itself counts in any case, as the owner lives.
     """
+    if value is None:
+        return {}
     try:
-        return msgspec.convert(value or {}, dict[str, _rows.Count])
+        return msgspec.convert(value, dict[str, _rows.Count])
     except msgspec.ValidationError:
-        return {}
+        return None
 
 
 def encode_lease_limits(limits: LeaseLimits) -> bytes:
--- a/packages/fleet/tests/test_full_pools.py
+++ b/packages/fleet/tests/test_full_pools.py
@@ -93,4 +93,4 @@
     # Guards against an owner that is replaced for such a field.
     row = b'{"epoch":1,"count":2,"is_settled":true,"full_pools":%s}'
     renewal = models.decode_renewal(row % value.encode())
-    assert (renewal.epoch, renewal.full_pools) == (1, {})
+    assert (renewal.epoch, renewal.full_pools) == (1, None)
--- a/packages/policy/src/oriolestand_policy/ownership/_election.py
+++ b/packages/policy/src/oriolestand_policy/ownership/_election.py
@@ -95,14 +95,17 @@
     an owner of an earlier epoch may still act; 0 means settled. It never
     grows in later renewals of the same owner. ``delay_ms`` is how late the
     owner does its work. ``full_pools`` are the pools that accept no filling
-    jobs, and after how many seconds to try again.
+    jobs, and after how many seconds to try again; None if they could not be
+    read.
     """
 
     epoch: int
     count: int
     unsettled_ms: int
     delay_ms: int = 0
-    full_pools: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    full_pools: Mapping[str, int] | None = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def is_settled(self) -> bool:
