Let late orders reach the next incarnation in the stand-ins; add failing tests

Cause: a worker that starts again under its id carries out orders that were meant for its former incarnation, as the users' pages say now. No stand-in did: the soak dropped a late order with its incarnation, and the simulated workers had one clock.

--- /dev/null
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -0,0 +1,147 @@
+"""Orders that are carried out by another incarnation than they were for.
+
+A worker that starts again under its id cannot tell that an order was meant
+for its former incarnation. Its clock and the numbers of its ends start anew.
+"""
+
+import dataclasses
+
+import pytest
+
+from oriolestand_policy import scheduling
+from oriolestand_standins import fleet
+
+ONE_TASK = (scheduling.StepSpec(count=1, cpu=1_000),)
+FORMER_CLOCK_MS = 900_000
+LATE_MS = 4_000
+CUT_MS = 9_000
+
+
+@pytest.fixture
+def site():
+    """Return a site with one worker, whose clock is ahead."""
+    site = fleet.FleetSimulation()
+    site.add_worker('w0', clock_ms=FORMER_CLOCK_MS)
+    return site
+
+
+@pytest.fixture
+def daemon(site):
+    """Return the only daemon, which owns the cell and has run a job."""
+    daemon = site.add_daemon('front-0')
+    site.run_until(lambda: daemon.is_owner, 5_000)
+    site.submit(daemon, 'first', duration_ms=100)
+    site.run(1_500)
+    assert [run.is_acknowledged for run in site.history] == [True, True]
+    return daemon
+
+
+def hold_up(site, daemon, **orders):
+    """Let the next orders to w0 be carried out late, without an answer."""
+    daemon.orders.faults.effect_delay_ms = LATE_MS
+    for name, value in orders.items():
+        setattr(daemon.orders.faults, name, value)
+
+
+def wait_for_poll(site, daemon):
+    """Wait until a poll is held up."""
+    polls = daemon.orders.faults.unanswered_polls
+    site.run_until(lambda: polls['w0'] == 0, 3_000)
+
+
+def restart(site):
+    """Crash w0 and start it again under its id, with another clock."""
+    site.workers['w0'].crash(is_refusing=True)
+    site.add_worker('w0', process_start_ms=2, clock_ms=10_000)
+
+
+def test_late_poll_does_not_acknowledge_ends_of_the_next_incarnation(
+    site, daemon
+):
+    # Guards against a task that starts again after its acknowledged end: the
+    # number in the poll is that of an end of the former incarnation.
+    hold_up(site, daemon, unanswered_polls={'w0': 1})
+    wait_for_poll(site, daemon)
+    restart(site)
+    site.run(1_500)
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=300)
+    site.run_until(lambda: len(site.history) == 3, 2_000)
+    daemon.orders.faults.unreachable.add('w0')
+    site.run(CUT_MS)
+    daemon.orders.faults.unreachable.clear()
+    site.run(3_000)
+    assert site.history[2].outcome == 'done'
+    assert site.repeated_runs() == []
+    assert site.state(daemon, 'second') == 'completed'
+
+
+def test_late_poll_does_not_extend_leases_of_the_next_incarnation(
+    site, daemon
+):
+    # Guards against a task that runs twice at the same time: on the clock of
+    # the next incarnation the lease that the poll asks for has no end, so it
+    # lasts for the longest time from when the poll is carried out.
+    hold_up(site, daemon, unanswered_polls={'w0': 1})
+    wait_for_poll(site, daemon)
+    restart(site)
+    site.run(1_000)
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: len(site.history) == 3, 2_000)
+    daemon.orders.faults.unreachable.add('w0')
+    site.add_worker('w1')
+    site.run(CUT_MS)
+    assert len(site.history) == 4
+    assert site.overlapping_runs() == []
+
+
+def run_elsewhere(site, daemon):
+    """Run a task on w1 after its start on w0 was held up.
+
+    Return when the start is carried out.
+    """
+    hold_up(site, daemon, unanswered_starts=1)
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
+    late_ms = site.clock.now() + LATE_MS
+    site.add_worker('w1')
+    # The task would start on w0 again, which refuses the older run then.
+    info = dataclasses.replace(site.workers['w0'].info, cpu=100)
+    site.store.register_worker(info)
+    site.run_until(lambda: len(site.history) == 3, 3_500)
+    assert site.history[2].worker == 'w1'
+    return late_ms
+
+
+def test_late_start_does_not_run_on_an_incarnation_that_was_polled(
+    site, daemon
+):
+    # Guards against a task that runs twice: the former incarnation answered
+    # the stop of the start in doubt, which does not bind the next one.
+    late_ms = run_elsewhere(site, daemon)
+    restart(site)
+    site.run(late_ms - site.clock.now() + 500)
+    assert len(site.history) == 3
+
+
+def test_late_start_does_not_run_on_an_incarnation_before_it_is_polled(
+    site, daemon
+):
+    # As above, but the next incarnation has received no other order yet.
+    late_ms = run_elsewhere(site, daemon)
+    site.run(late_ms - site.clock.now() - 10)
+    restart(site)
+    site.run(500)
+    assert len(site.history) == 3
+
+
+def test_refusal_for_a_former_incarnation_does_not_end_the_owner(site, daemon):
+    # Guards against an owner that takes the refusal for a newer owner: a
+    # start that was on its way when the worker was polled anew.
+    owner_term = daemon.kernel.find('cell')._owner_term
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=500)
+    daemon.orders.faults.send_delay_ms = 1_000
+    site.run(200)
+    restart(site)
+    site.run(5_000)
+    assert daemon.kernel.find('cell')._owner_term is owner_term
+    assert site.state(daemon, 'second') == 'completed'
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -120,8 +120,12 @@
         name: str,
         process_start_ms: int = 1,
         failure_domain: str = 'd1',
+        clock_ms: int | None = None,
     ) -> None:
-        """Start a worker and register it in the store."""
+        """Start a worker and register it in the store.
+
+        ``clock_ms``: what its clock shows, by default that of the site.
+        """
         info = scheduling.WorkerInfo(
             id=name,
             pool=POOL,
@@ -137,6 +141,7 @@
             self.history,
             lambda key: self.durations.get(key.job, 1_000),
             lambda key, number: self.outcome_of(key, number),
+            clock_ms,
         )
         self.store.register_worker(info)
 
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -1,6 +1,7 @@
 """Stand-in for workers that run tasks under leases."""
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -42,14 +43,16 @@
 
     ``unreachable``: workers that the daemon cannot reach.
     ``unanswered_starts``: number of starts that get no answer and are carried
-    out after ``effect_delay_ms``. ``send_delay_ms``: how long orders wait for
-    a connection before they are sent. ``report_delays_ms``: how long each
-    report of a worker is on its way, by worker.
+    out after ``effect_delay_ms``. ``unanswered_polls``: the same for polls, by
+    worker. ``send_delay_ms``: how long orders wait for a connection before
+    they are sent. ``report_delays_ms``: how long each report of a worker is on
+    its way, by worker.
     """
 
     unreachable: set[str] = dataclasses.field(default_factory=set)
     send_delay_ms: int = 0
     unanswered_starts: int = 0
+    unanswered_polls: dict[str, int] = dataclasses.field(default_factory=dict)
     effect_delay_ms: int = 0
     report_delays_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -67,7 +70,8 @@
 
     ``duration_of`` and ``outcome_of`` return the duration of a run in ms and
     its outcome. The worker enforces fencing epochs, run numbers and lease
-    ends. While ``is_stalled`` is set, tasks make no progress and do not end.
+    ends, which are times on its own clock: ``clock_ms`` is what that shows at
+    the start. While ``is_stalled`` is set, tasks make no progress and do not end.
     A report lists at most ``max_listed_ends`` ends, the oldest ones. While
     ``is_refusing`` is set, the machine refuses connections at once.
     """
@@ -79,8 +83,11 @@
         history: list[RunRecord],
         duration_of: Callable[[scheduling.TaskKey], int],
         outcome_of: Callable[[scheduling.TaskKey, int], str],
+        clock_ms: int | None = None,
     ) -> None:
         self._clock = clock
+        now = clock.now()
+        self._clock_offset_ms = 0 if clock_ms is None else clock_ms - now
         self.info = info
         self._history = history
         self._duration_of = duration_of
@@ -98,11 +105,15 @@
         self.max_listed_ends = MAX_LISTED_ENDS
         self._check_lease()
 
+    def _worker_now(self) -> int:
+        """Return the time on the worker's clock."""
+        return self._clock.now() + self._clock_offset_ms
+
     def _check_lease(self) -> None:
         """End all runs once the lease has expired; check periodically."""
         if self.has_crashed:
             return
-        if self._clock.now() >= self._lease_end:
+        if self._worker_now() >= self._lease_end:
             for record in list(self._running.values()):
                 self._end_run(record, 'lapsed')
         self._clock.call_later(LEASE_CHECK_MS, self._check_lease)
@@ -136,7 +147,7 @@
             return contracts.StartReply(outcome=outcome.STARTED)
         if msg.number <= self._highest_numbers.get(msg.key, 0) or running:
             return contracts.StartReply(outcome=outcome.REFUSED, reason='old')
-        if msg.lease_end_ms <= self._clock.now():
+        if msg.lease_end_ms <= self._worker_now():
             return contracts.StartReply(outcome=outcome.REFUSED, reason='late')
         self._extend_lease(msg.lease_end_ms)
         record = RunRecord(
@@ -203,7 +214,7 @@
             await fut
         listed_ends = self._ended[: self.max_listed_ends]
         return scheduling.WorkerReport(
-            clock_ms=self._clock.now(),
+            clock_ms=self._worker_now(),
             process_start_ms=self.info.process_start_ms,
             running=tuple(
                 scheduling.RunReport(
@@ -237,7 +248,7 @@
 
     def _extend_lease(self, lease_end_ms: int) -> None:
         """Extend the lease, to at most LEASE_MAX_MS from now."""
-        latest_end = self._clock.now() + LEASE_MAX_MS
+        latest_end = self._worker_now() + LEASE_MAX_MS
         self._lease_end = max(self._lease_end, min(lease_end_ms, latest_end))
 
     def _end_run(self, record: RunRecord, outcome: str) -> None:
@@ -389,7 +400,7 @@
             self.faults.unanswered_starts -= 1
             self.kernel.clock.call_later(
                 self.faults.effect_delay_ms,
-                lambda: _start_without_answer(worker, msg),
+                lambda: self._start_without_answer(msg),
             )
             await self.kernel.sleep(ORDER_TIMEOUT_MS)
             return in_doubt
@@ -457,6 +468,15 @@
         self._check_time(msg)
         sent_ms = self.kernel.clock.now()
         worker = await self._reach_worker(msg.target)
+        unanswered_polls = self.faults.unanswered_polls
+        if unanswered_polls.get(msg.target.worker, 0) > 0:
+            unanswered_polls[msg.target.worker] -= 1
+            self.kernel.clock.call_later(
+                self.faults.effect_delay_ms,
+                lambda: self._poll_without_answer(msg),
+            )
+            await self.kernel.sleep(ORDER_TIMEOUT_MS)
+            raise contracts.WorkerError('no answer')
         report = await worker.poll(msg)
         if msg.target.worker in self.faults.report_delays_ms:
             await self._delay_report(msg, sent_ms, report)
@@ -464,6 +484,30 @@
             await self._receive_from(msg.target)
         return report
 
+    def _present_worker(self, target: contracts.Target) -> FleetWorker | None:
+        """Return the worker that runs now under the id of a target.
+
+        Another incarnation cannot tell that an order was for a former one.
+        """
+        worker = self._workers.get(target.worker)
+        return None if worker is None or worker.has_crashed else worker
+
+    def _start_without_answer(self, msg: contracts.StartRun) -> None:
+        """Carry out a start whose answer is lost."""
+        worker = self._present_worker(msg.target)
+        if worker is None:
+            return
+        with contextlib.suppress(contracts.FencedError):
+            worker.start(msg)
+
+    def _poll_without_answer(self, msg: contracts.PollWorker) -> None:
+        """Carry out a poll whose answer is lost."""
+        worker = self._present_worker(msg.target)
+        if worker is None:
+            return
+        fut = defer.ensureDeferred(worker.poll(msg))
+        fut.addErrback(lambda reason: reason.trap(contracts.FencedError))
+
     async def _delay_report(
         self,
         msg: contracts.PollWorker,
@@ -488,16 +532,3 @@
             await self.kernel.sleep(timeout_ms - passed_ms)
             raise contracts.WorkerError('no answer in time')
         await self.kernel.sleep(delay_ms)
-
-
-def _start_without_answer(
-    worker: FleetWorker, msg: contracts.StartRun
-) -> None:
-    """Carry out a start whose answer is lost."""
-    if worker.has_crashed:
-        return
-    try:
-        worker.start(msg)
-    except contracts.FencedError:
-        # The worker has seen a newer owner, so the start has no effect.
-        return
