Give orders for each incarnation of a worker a fencing token of its own

Cause: an order does not say for which incarnation it is. Polls that were sent before a restart and carried out after it acknowledged ends that the owner had not read, as ends are numbered anew, and began leases that the owner did not count, as clocks start anew. Class: a name that outlives what it names (docs/decisions/0033).

Why this works: a worker refuses lower tokens than the highest one it has seen. Epochs are 16 apart now, and the token of an order is the epoch plus the number of incarnations that have ended. The answer to the first poll with the higher token bounds the lease.

Without the check for outdated refusals, and without the bound of the lease, one new test fails each. Tests that named the second epoch use fencing.next_epoch.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -2,15 +2,13 @@
 
 Every message is a request to one worker, except WithdrawStart, LimitStarts
 and WithdrawOrders, which concern unsent requests. ``lease_end_ms`` is a time
-on the worker's clock; ``epoch`` is the fencing token that lets the worker
-refuse requests of former owners of the cell. ``send_by_ms`` is the time on the
-daemon's clock until which the owner may act: a request that still waits for a
-connection then, or was held up by a pause of the process, is withdrawn.
+on the worker's clock.
 """
 
 import dataclasses
 
 import oriolestand_core as core
+from oriolestand_policy import fencing
 from oriolestand_policy import scheduling
 
 SERVICE = 'orders'
@@ -30,7 +28,11 @@
 
 
 class FencedError(WorkerError):
-    """Raised when the worker has accepted a higher epoch."""
+    """Raised when the worker has accepted a higher fencing token.
+
+    That is the token of a newer owner, or of orders of the same owner for a
+    later incarnation.
+    """
 
     code = 'fenced'
 
@@ -43,27 +45,48 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Target:
-    """One incarnation of a worker and its address, ``ip:port``."""
+    """One incarnation of a worker and its address, ``ip:port``.
+
+    ``generation`` counts the incarnations under the id that the owner knows
+    to have ended during its term.
+    """
 
     worker: str
     address: str
+    generation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerRequest:
+    """A request to one worker.
+
+    ``epoch`` is that of the owner. ``send_by_ms`` is the time on the daemon's
+    clock until which the owner may act: a request that still waits for a
+    connection then, or was held up by a pause of the process, is withdrawn.
+    """
+
+    target: Target
+    epoch: int
+    send_by_ms: int
+
+    @property
+    def fence(self) -> int:
+        """Return the token by which workers refuse outdated requests."""
+        return fencing.token(self.epoch, self.target.generation)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class StartRun:
+class StartRun(WorkerRequest):
     """Start a run; the reply is a StartReply. Fails with FencedError.
 
     A StartSent is published when it is sent.
     """
 
-    target: Target
     key: scheduling.TaskKey
     number: int
     payload: str
     checkpoint: str
     lease_end_ms: int
-    epoch: int
-    send_by_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,7 +113,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class StopRun:
+class StopRun(WorkerRequest):
     """Stop a run, or prevent it from starting later.
 
     A StartRun of the run that is not sent yet is withdrawn instead; it is
@@ -98,27 +121,21 @@
     Fails with FencedError, WorkerReplacedError or WorkerError.
     """
 
-    target: Target
     key: scheduling.TaskKey
     number: int
-    epoch: int
-    send_by_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PaceRun:
+class PaceRun(WorkerRequest):
     """Limit a run to a percentage of its full speed.
 
     Earlier PaceRuns of the run that are not sent yet fail with WithdrawnError.
     Fails with FencedError, WorkerReplacedError or WorkerError.
     """
 
-    target: Target
     key: scheduling.TaskKey
     number: int
     percent: int
-    epoch: int
-    send_by_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -156,7 +173,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PollWorker:
+class PollWorker(WorkerRequest):
     """Poll a worker: extend the lease of all runs and list them.
 
     The reply is a scheduling.WorkerReport. A ``lease_end_ms`` of None leaves
@@ -166,12 +183,9 @@
     after that, it is published as a LateReport.
     """
 
-    target: Target
     lease_end_ms: int | None
     acknowledged: int
     wait_ms: int
-    epoch: int
-    send_by_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -13,6 +13,9 @@
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import scheduling
 
+OUTDATED = 'outdated'
+"""Outcome of an order that a later incarnation of the worker refused."""
+
 _RunId = tuple[str, scheduling.TaskKey, int]
 """Worker, task and number of a run."""
 
@@ -23,7 +26,7 @@
     :param on_reply: called after each reply to a start or stop, as the
         scheduler may have new effects.
     :param on_fenced: called with a reason when a worker refuses an order
-        because it has accepted the epoch of a newer owner.
+        because it has accepted one of a newer owner.
     """
 
     def __init__(
@@ -197,7 +200,16 @@
         worker = self._scheduler.workers.get(worker_id)
         if worker is None:
             return None
-        return orders.Target(worker=worker_id, address=worker.info.address)
+        return orders.Target(
+            worker=worker_id,
+            address=worker.info.address,
+            generation=self._scheduler.generation_of(worker_id),
+        )
+
+    def _is_outdated(self, target: orders.Target) -> bool:
+        """Return whether an order was for a former incarnation."""
+        generation = self._scheduler.generation_of(target.worker)
+        return target.generation < generation
 
     def _withdraw_start(
         self,
@@ -247,8 +259,13 @@
                     ),
                 )
             except orders.FencedError as exc:
-                self._on_fenced(str(exc))
-                return
+                if not self._is_outdated(target):
+                    self._on_fenced(str(exc))
+                    return
+                reply = orders.StartReply(
+                    outcome=scheduling.StartOutcome.REFUSED,
+                    reason='for a former incarnation',
+                )
         if self._term.is_over:
             return
         self._observe('start', reply.outcome.value, started_ms)
@@ -298,8 +315,11 @@
                 ),
             )
         except orders.FencedError as exc:
-            self._on_fenced(str(exc))
-            return
+            if not self._is_outdated(target):
+                self._on_fenced(str(exc))
+                return
+            is_answered = False
+            code = OUTDATED
         except orders.WorkerError as exc:
             is_answered = False
             code = exc.code
@@ -339,8 +359,10 @@
                 ),
             )
         except orders.FencedError as exc:
-            self._on_fenced(str(exc))
-            return
+            if not self._is_outdated(target):
+                self._on_fenced(str(exc))
+                return
+            code = OUTDATED
         except orders.WorkerError as exc:
             code = exc.code
         self._count('pace', code)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -26,6 +26,7 @@
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
 from oriolestand_policy import delays
+from oriolestand_policy import fencing
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
@@ -375,7 +376,7 @@
         owner = ownership.Owner(
             instance=self._cfg.instance,
             incarnation=self._incarnation,
-            epoch=self._election.last_epoch + 1,
+            epoch=fencing.next_epoch(self._election.last_epoch),
         )
         sent_ms = self.kernel.clock.now()
         view_age_ms = self._election.silent_ms(sent_ms)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -90,6 +90,8 @@
         self._cursor = _Cursor()
         self._is_unreachable = False
         self._has_listed_ends = True
+        self._generation = 0
+        """That of the last poll."""
         self.is_finished = False
         self.is_worker_replaced = False
         """Whether another incarnation of the worker responded."""
@@ -125,6 +127,10 @@
             try:
                 await self._poll(worker)
             except orders.FencedError as exc:
+                generation = self._scheduler.generation_of(self._worker)
+                if self._generation < generation:
+                    await self._kernel.sleep(const.POLL_RETRY_MS)
+                    continue
                 self._on_fenced(str(exc))
                 break
             except orders.WorkerReplacedError as exc:
@@ -253,9 +259,12 @@
         if self._has_listed_ends and worker.info.is_leaving:
             # Acknowledges the ends at once; the worker may exit soon.
             wait_ms = 0
+        self._generation = self._scheduler.generation_of(self._worker)
         return orders.PollWorker(
             target=orders.Target(
-                worker=self._worker, address=worker.poll_address
+                worker=self._worker,
+                address=worker.poll_address,
+                generation=self._generation,
             ),
             lease_end_ms=lease_end_ms,
             acknowledged=acknowledged,
--- a/packages/fleet/tests/services/cell/test_malformed_rows.py
+++ b/packages/fleet/tests/services/cell/test_malformed_rows.py
@@ -4,6 +4,7 @@
 
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
+from oriolestand_policy import fencing
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins.fleet import owner_of
@@ -105,7 +106,7 @@
     site.run(8_000)
     successor = owner_of(daemons)
     term = successor.kernel.find('cell')._owner_term.term
-    assert term.epoch == epoch + 1
+    assert term.epoch == fencing.next_epoch(epoch)
     # The former owner may act until its renewals are too old.
     wait_ms = term.takeover_deadline_ms - term.renewed_ms
     assert wait_ms >= ownership.MAX_UNRENEWED_MS
--- a/packages/fleet/tests/test_elections.py
+++ b/packages/fleet/tests/test_elections.py
@@ -11,6 +11,7 @@
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import models
 from oriolestand_fleet.services.jobs import _owner_view
+from oriolestand_policy import fencing
 from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 from oriolestand_standins import fleet
@@ -19,6 +20,7 @@
 from oriolestand_standins.fleet import result_of
 
 ONE_TASK = (scheduling.StepSpec(count=1, cpu=1_000),)
+SECOND_EPOCH = fencing.next_epoch(1)
 
 
 def stored_owner(site):
@@ -75,7 +77,7 @@
     site.run(10_000)
     assert lost.is_owner
     lost.disconnect()
-    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 8_000)
+    site.run_until(lambda: stored_owner(site)['epoch'] == SECOND_EPOCH, 8_000)
 
 
 def test_new_owner_renews_while_it_loads_the_cell(site, daemons):
@@ -84,11 +86,11 @@
     lost = owner_of(daemons)
     rest = [daemon for daemon in daemons if daemon is not lost]
     lost.disconnect()
-    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 8_000)
+    site.run_until(lambda: stored_owner(site)['epoch'] == SECOND_EPOCH, 8_000)
     for daemon in rest:
         daemon.store.faults.change_delay_ms = 5_000
     site.run_until(lambda: bool(acting_owners(rest)), 7_000)
-    assert stored_owner(site)['epoch'] == 2
+    assert stored_owner(site)['epoch'] == SECOND_EPOCH
 
 
 def test_owner_that_cannot_load_the_cell_gives_it_up(site, daemons):
@@ -96,7 +98,7 @@
     lost = owner_of(daemons)
     rest = [daemon for daemon in daemons if daemon is not lost]
     lost.disconnect()
-    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 8_000)
+    site.run_until(lambda: stored_owner(site)['epoch'] == SECOND_EPOCH, 8_000)
     name = stored_owner(site)['instance']
     first = next(
         d for d in rest if d.kernel.find('cell')._cfg.instance == name
@@ -165,7 +167,7 @@
         daemon.store.faults.unanswered_commits = unanswered_commits
         daemon.store.faults.effect_delay_ms = effect_delay_ms
     lost.disconnect()
-    site.run_until(lambda: stored_owner(site)['epoch'] == 2, 10_000)
+    site.run_until(lambda: stored_owner(site)['epoch'] == SECOND_EPOCH, 10_000)
     site.run_until(lambda: acting_owners(rest) != [], 2_000)
     for daemon in rest:
         daemon.store.faults.unanswered_commits = 0
@@ -365,7 +367,7 @@
     term = cell._owner_term.term
     site.run(2_000)
     assert not term.is_over
-    assert stored_owner(site)['epoch'] == term.epoch == 2
+    assert stored_owner(site)['epoch'] == term.epoch == SECOND_EPOCH
 
 
 def test_late_fence_of_a_former_term_does_not_end_the_next(site, daemons):
@@ -380,7 +382,7 @@
     former._on_ownership_lost('fenced')
     site.run(2_000)
     assert not term.is_over
-    assert stored_owner(site)['epoch'] == term.epoch == 2
+    assert stored_owner(site)['epoch'] == term.epoch == SECOND_EPOCH
 
 
 def set_random_faults(daemon, workers, rng):
--- a/packages/fleet/tests/test_orders_for_former_incarnations.py
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -139,8 +139,9 @@
     # start that was on its way when the worker was polled anew.
     owner_term = daemon.kernel.find('cell')._owner_term
     site.submit(daemon, 'second', ONE_TASK, duration_ms=500)
-    daemon.orders.faults.send_delay_ms = 1_000
+    daemon.orders.faults.transit_ms = 1_000
     site.run(200)
+    daemon.orders.faults.transit_ms = 0
     restart(site)
     site.run(5_000)
     assert daemon.kernel.find('cell')._owner_term is owner_term
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -39,6 +39,8 @@
     ``mark_evacuated``. ``returned_ms`` is when others were taken back.
     ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
     owners that were listed before their job was added.
+    ``generations`` counts, by worker id, the incarnations that have ended or
+    been given up. It outlasts restarts and removals of the workers.
     ``on_worker_gone`` is called with a removed worker, which still has its
     runs, and the reason.
     """
@@ -59,6 +61,7 @@
         self.unplaced_job_ids: set[str] = set()
         self.held_worker_ids: set[str] = set()
         self.leased_worker_ids: set[str] = set()
+        self.generations: dict[str, int] = {}
         self.evacuated_domains: frozenset[str] = frozenset()
         self.returned_ms: dict[str, int] = {}
         self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
@@ -158,7 +161,9 @@
 
     def _drop_worker(self, worker: _fleet.Worker, reason: str) -> None:
         """Remove a worker from the cell; it still has its runs."""
-        del self.workers[worker.info.id]
+        worker_id = worker.info.id
+        del self.workers[worker_id]
+        self.generations[worker_id] = self.generations.get(worker_id, 0) + 1
         self.log(
             'worker_gone',
             '',
@@ -176,16 +181,21 @@
         info: _fleet.WorkerInfo,
         *,
         is_listed: bool,
+        found_ms: int,
     ) -> _fleet.Worker:
         """Replace a worker that has restarted by its present incarnation.
 
         Only the runs that the former incarnation has listed have certainly
         ended. Orders name a worker by its id, so the present incarnation may
-        have accepted the others; its reports tell.
+        have accepted the others; its reports tell. It refuses orders for the
+        former one from the first poll on that is sent after ``found_ms``.
         """
         self._drop_worker(worker, _crashes.RESTARTED)
         replacement = _fleet.Worker(
-            info=info, is_listed=is_listed, is_recorded=worker.is_recorded
+            info=info,
+            is_listed=is_listed,
+            is_recorded=worker.is_recorded,
+            fenced_after_ms=found_ms,
         )
         self.workers[info.id] = replacement
         for run in list(worker.runs.values()):
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -147,6 +147,9 @@
     yet, and ``refuted`` one that a report has shown to be wrong. The last poll
     before ``announced`` was read was sent at ``announced_after_ms``.
     ``polled_address`` is where the last poll was sent to.
+    Polls that are sent after ``fenced_after_ms`` make the worker refuse orders
+    for its former incarnation; it is -1 if there was none or if such a poll
+    has been answered.
     ``is_report_arriving`` is whether the first part of a report has arrived,
     and ``has_awaited_report`` whether one that had begun has not come in full
     since the last report.
@@ -197,6 +200,7 @@
     announced_after_ms: int = -1
     refuted: WorkerInfo | None = None
     polled_address: str = ''
+    fenced_after_ms: int = -1
     is_report_arriving: bool = False
     has_awaited_report: bool = False
     capacity: _capacity.Capacity = dataclasses.field(init=False)
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -65,7 +65,7 @@
             start_ms = entry.process_start_ms
         if start_ms != known_ms:
             if not self._is_same(worker, report):
-                return self._apply_restart(worker, start_ms)
+                return self._apply_restart(worker, start_ms, sent_ms)
             worker.update_info(
                 dataclasses.replace(
                     worker.info,
@@ -88,6 +88,14 @@
             worker.announced_after_ms = worker.polled_ms
         worker.announced = info
         worker.refuted = None
+        self._cell.log(
+            'entry_announced',
+            '',
+            worker=worker.info.id,
+            process_start_ms=worker.info.process_start_ms,
+            entry_start_ms=info.process_start_ms,
+            entry_address=info.address,
+        )
         for run in worker.runs.values():
             if not run.is_reported:
                 self._cell.repeat_orders(worker, run)
@@ -113,7 +121,7 @@
         )
 
     def _apply_restart(
-        self, worker: _fleet.Worker, start_ms: int
+        self, worker: _fleet.Worker, start_ms: int, sent_ms: int
     ) -> _fleet.Worker:
         """Return the state of a worker that reports another start time.
 
@@ -135,7 +143,7 @@
             worker.update_info(info)
             return worker
         return self._cell.replace_worker(
-            worker, info, is_listed=worker.is_listed
+            worker, info, is_listed=worker.is_listed, found_ms=sent_ms
         )
 
     @staticmethod
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -66,11 +66,11 @@
             return self._apply_done_ends(worker_report.ended, now_ms)
         if not worker.is_probed:
             worker.is_probed = True
-            # A former owner may have requested a lease of up to the maximum.
-            worker.lease_end_ms = (
-                worker_report.clock_ms + self._cell.lease_max_ms
-            )
+            self._bound_lease(worker, worker_report.clock_ms)
             self._cell.log('worker_probed', '', worker=worker_id)
+        elif 0 <= worker.fenced_after_ms < sent_ms:
+            worker.fenced_after_ms = -1
+            self._bound_lease(worker, worker_report.clock_ms)
         _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
         worker.is_report_arriving = False
@@ -103,6 +103,16 @@
         self._mitigate_interference(worker, now_ms)
         return jobs_to_save
 
+    def _bound_lease(self, worker: _fleet.Worker, clock_ms: int) -> None:
+        """Allow for the longest lease that may have been requested by now.
+
+        A former owner may have requested it, or an order for the former
+        incarnation, whose clock showed another time.
+        """
+        worker.lease_end_ms = max(
+            worker.lease_end_ms, clock_ms + self._cell.lease_max_ms
+        )
+
     def _log_late_ends(
         self,
         worker: _fleet.Worker,
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -320,6 +320,10 @@
         is_lapsing = worker is not None and worker.is_lapsing
         return is_lapsing or worker_id in self._cell.held_worker_ids
 
+    def generation_of(self, worker_id: str) -> int:
+        """Return how many incarnations under an id have ended or are lost."""
+        return self._cell.generations.get(worker_id, 0)
+
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker, all of whose runs have certainly ended."""
         self._cell.remove_worker(worker_id, reason)
--- a/packages/policy/tests/scheduling/test_restarted_workers.py
+++ b/packages/policy/tests/scheduling/test_restarted_workers.py
@@ -209,3 +209,22 @@
         restarts.harness.now += 300
         restarts.report(start.worker, running=running)
     assert len(task.crashes) == (0 if is_present else 1)
+
+
+def test_lease_counts_from_the_first_report_to_a_fenced_poll(restarts):
+    # Guards against a task that runs twice: an order for the former
+    # incarnation may begin the longest lease until a poll with a higher token
+    # has arrived, which is after the report that showed the restart.
+    start = restarts.start()
+    name = start.worker
+    restarts.report_restart(name)
+    restarts.harness.now += 1_000
+    restarts.report(
+        name,
+        running=[restarts.make.report(start)],
+        sent=restarts.harness.now - 10,
+    )
+    silent = restarts.pass_time(6_000, silent=[name])
+    assert silent == []
+    (again,) = restarts.pass_time(1_000, silent=[name])
+    assert again.key == start.key
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -45,12 +45,14 @@
     ``unanswered_starts``: number of starts that get no answer and are carried
     out after ``effect_delay_ms``. ``unanswered_polls``: the same for polls, by
     worker. ``send_delay_ms``: how long orders wait for a connection before
-    they are sent. ``report_delays_ms``: how long each report of a worker is on
+    they are sent, and ``transit_ms`` how long starts are on their way then.
+    ``report_delays_ms``: how long each report of a worker is on
     its way, by worker.
     """
 
     unreachable: set[str] = dataclasses.field(default_factory=set)
     send_delay_ms: int = 0
+    transit_ms: int = 0
     unanswered_starts: int = 0
     unanswered_polls: dict[str, int] = dataclasses.field(default_factory=dict)
     effect_delay_ms: int = 0
@@ -71,9 +73,9 @@
     ``duration_of`` and ``outcome_of`` return the duration of a run in ms and
     its outcome. The worker enforces fencing epochs, run numbers and lease
     ends, which are times on its own clock: ``clock_ms`` is what that shows at
-    the start. While ``is_stalled`` is set, tasks make no progress and do not end.
-    A report lists at most ``max_listed_ends`` ends, the oldest ones. While
-    ``is_refusing`` is set, the machine refuses connections at once.
+    the start. While ``is_stalled`` is set, tasks make no progress and do not
+    end. A report lists at most ``max_listed_ends`` ends, the oldest ones.
+    While ``is_refusing`` is set, the machine refuses connections at once.
     """
 
     def __init__(
@@ -92,7 +94,7 @@
         self._history = history
         self._duration_of = duration_of
         self._outcome_of = outcome_of
-        self._epoch = 0
+        self._fence = 0
         self._lease_end = 0
         self._running: dict[scheduling.TaskKey, RunRecord] = {}
         self._highest_numbers: dict[scheduling.TaskKey, int] = {}
@@ -141,7 +143,7 @@
         :raises FencedError: if a newer owner is known.
         """
         outcome = scheduling.StartOutcome
-        self._advance_epoch(msg.epoch)
+        self._advance_fence(msg.fence)
         running = self._running.get(msg.key)
         if running is not None and running.number == msg.number:
             return contracts.StartReply(outcome=outcome.STARTED)
@@ -185,7 +187,7 @@
 
     def stop(self, msg: contracts.StopRun) -> None:
         """Stop a run, or prevent its start if it has not started."""
-        self._advance_epoch(msg.epoch)
+        self._advance_fence(msg.fence)
         highest = self._highest_numbers.get(msg.key, 0)
         self._highest_numbers[msg.key] = max(highest, msg.number)
         record = self._running.get(msg.key)
@@ -200,7 +202,7 @@
         Ends up to the acknowledged one are dropped first. With a wait and
         no ends left, the report comes when a run ends.
         """
-        self._advance_epoch(msg.epoch)
+        self._advance_fence(msg.fence)
         if msg.lease_end_ms is not None:
             self._extend_lease(msg.lease_end_ms)
         for sequence, record in self._ended:
@@ -238,13 +240,13 @@
             has_more_ends=len(listed_ends) >= self.max_listed_ends,
         )
 
-    def _advance_epoch(self, epoch: int) -> None:
-        """Record the highest epoch; raise FencedError for a lower one."""
-        if epoch < self._epoch:
+    def _advance_fence(self, fence: int) -> None:
+        """Record the highest token; raise FencedError for a lower one."""
+        if fence < self._fence:
             raise contracts.FencedError(
-                'the worker has seen a newer owner epoch'
+                'the worker has seen a higher fencing token'
             )
-        self._epoch = epoch
+        self._fence = fence
 
     def _extend_lease(self, lease_end_ms: int) -> None:
         """Extend the lease, to at most LEASE_MAX_MS from now."""
@@ -388,6 +390,8 @@
             reason='no answer',
             queued_ms=queued_ms,
         )
+        if self.faults.transit_ms:
+            await self.kernel.sleep(self.faults.transit_ms)
         try:
             worker = await self._reach_worker(msg.target)
         except RefusedError as exc:
