Learn at once that a worker has restarted under its id

Cause: the owner waits for the answer of an open poll, which the former incarnation never gives, for up to 2.2 s. If the owner is lost in that time and the worker is cut off, its successor waits for a lease from its claim on. After that, a run that had just started was held until two further reports.

Change: an entry with a later start makes the owner poll again at once, on the second connection, with a higher token, without a lease and without a wait at the worker. The first report to that poll also tells which runs are over, as the worker refuses the orders from before. The wait of restarted workers that never report (8.6 s) could not be reached any more, as only a report replaces a worker; it is removed, and a test shows that such a worker is waited for no longer than a lost one.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -497,8 +497,16 @@
         for effect in effects:
             if isinstance(effect, scheduling.LogEvent):
                 self._log_event(effect)
+            elif isinstance(effect, scheduling.PollWorkerAgain):
+                self._poll_again(effect.worker)
         self._orders.send(effects)
 
+    def _poll_again(self, worker_id: str) -> None:
+        """Poll a worker at once."""
+        poller = self._pollers.get(worker_id)
+        if poller is not None:
+            poller.poll_again()
+
     def _log_event(self, effect: scheduling.LogEvent) -> None:
         """Log an event of the scheduler, and count it if it has a counter."""
         log = self._log.info
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -18,6 +18,10 @@
 from oriolestand_policy import scheduling
 
 
+class _SupersededError(Exception):
+    """Raised when a poll is not waited for any longer."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, eq=False)
 class _HeldEnds:
     """Ends of a poll that wait until their jobs are known.
@@ -92,6 +96,8 @@
         self._has_listed_ends = True
         self._generation = 0
         """That of the last poll."""
+        self._open_poll: defer.Deferred[scheduling.WorkerReport] | None = None
+        self._has_superseded_poll = False
         self.is_finished = False
         self.is_worker_replaced = False
         """Whether another incarnation of the worker responded."""
@@ -106,6 +112,34 @@
         """
         return not self._has_listed_ends
 
+    def poll_again(self) -> None:
+        """Send the next poll at once instead of waiting for an open one.
+
+        There is one connection more than the open poll needs. The answer to
+        that poll is ignored: the next one lists the same ends.
+        """
+        fut, self._open_poll = self._open_poll, None
+        if fut is not None and not self._has_superseded_poll:
+            self._has_superseded_poll = True
+            fut.errback(_SupersededError())
+
+    def _ask(
+        self, poll: orders.PollWorker
+    ) -> 'defer.Deferred[scheduling.WorkerReport]':
+        """Send a poll; the Deferred fires with the report."""
+        fut: defer.Deferred[scheduling.WorkerReport] = defer.Deferred()
+        self._open_poll = fut
+
+        def on_answer(result: Any) -> None:
+            if fut.called:
+                self._has_superseded_poll = False
+                return
+            self._open_poll = None
+            fut.callback(result)
+
+        self._kernel.ask(orders.SERVICE, poll).addBoth(on_answer)
+        return fut
+
     async def run(self) -> None:
         """Poll until the worker is gone or the term is over."""
         try:
@@ -133,6 +167,8 @@
                     continue
                 self._on_fenced(str(exc))
                 break
+            except _SupersededError:
+                continue
             except orders.WorkerReplacedError as exc:
                 if worker.announced is not None:
                     # The entry may name the address of another worker.
@@ -165,9 +201,7 @@
             sent_ms,
             late_ms if self._load.is_busy(sent_ms) else 0,
         )
-        report: scheduling.WorkerReport = await self._kernel.ask(
-            orders.SERVICE, poll
-        )
+        report = await self._ask(poll)
         if self._term.is_over:
             return
         self._term.votes.on_answer(
@@ -223,10 +257,11 @@
         cursor = self._cursor
         lease_limit_ms = self._term.lease_limit_ms(sent_ms)
         lease_end_ms = None
-        if not self._is_unreachable:
+        if not self._is_unreachable and worker.announced is None:
             # The lease of an unreachable worker is not extended: the worker
             # may receive every extension although its responses are lost,
-            # and the owner could never assume that its runs have ended.
+            # and the owner could never assume that its runs have ended. The
+            # clock of a worker that has restarted is not known.
             lease_end_ms = self._scheduler.new_lease_end(
                 self._worker, sent_ms, lease_limit_ms
             )
@@ -253,8 +288,8 @@
             wait_ms = min(wait_ms, ownership.VOTE_POLL_WAIT_MS)
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
-        if worker.has_missing_runs:
-            # Their tasks wait for the next report.
+        if worker.has_missing_runs or worker.announced is not None:
+            # Tasks wait for the next report.
             wait_ms = 0
         if self._has_listed_ends and worker.info.is_leaving:
             # Acknowledges the ends at once; the worker may exit soon.
--- a/packages/fleet/tests/test_leases_of_lost_workers.py
+++ b/packages/fleet/tests/test_leases_of_lost_workers.py
@@ -221,3 +221,58 @@
     site.run(20_000)
     assert len(service_runs(site)) > 1
     assert site.overlapping_runs() == []
+
+
+RESTART_MS = 600
+CUT_MS = 2_600
+
+
+@pytest.mark.parametrize('phase_ms', range(0, 1_000, 100))
+@pytest.mark.parametrize('lost_ms', [1_400, 2_000])
+def test_restart_is_learned_although_a_poll_of_the_former_life_is_open(
+    cell, lost_ms, phase_ms
+):
+    # Guards against a service task that waits for a lease after a change of
+    # owner: the worker is back under its id for 2 s before it is cut off, but
+    # the owner waits that long for the answer of the former incarnation.
+    site, daemons = cell
+    worker = service_runs(site)[0].worker
+    owner = owner_of(daemons)
+    site.run(phase_ms)
+    crashed_ms = site.clock.now()
+    site.workers[worker].crash()
+    site.run(RESTART_MS)
+    site.add_worker(worker, process_start_ms=2)
+    site.run(lost_ms - RESTART_MS)
+    owner.disconnect()
+    site.run(CUT_MS - lost_ms)
+    for daemon in daemons:
+        daemon.orders.faults.unreachable.add(worker)
+    assert_is_back(site, crashed_ms, SERVICE_LIMIT_MS)
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_restarted_worker_that_never_reports_does_not_hold_up_tasks(
+    cell, is_listed
+):
+    # Guards against a service task that waits longer for a worker which is
+    # back under its id behind a cut than for one that is lost. A run that has
+    # just started is not listed by the former incarnation.
+    site, daemons = cell
+    second = 'b' * 16
+    site.submit(daemons[-1], second, ONE_SERVICE, duration_ms=120_000)
+    site.run_until(lambda: site.history[-1].key.job == second, 2_000)
+    worker = site.history[-1].worker
+    if is_listed:
+        site.run(1_100)
+    crashed_ms = site.clock.now()
+    site.workers[worker].crash()
+    for daemon in daemons:
+        daemon.orders.faults.unreachable.add(worker)
+    site.run(RESTART_MS)
+    site.add_worker(worker, process_start_ms=2)
+    site.run_until(
+        lambda: [r.key.job for r in site.history].count(second) > 1, 30_000
+    )
+    assert site.history[-1].started_ms - crashed_ms <= LEASE_LIMIT_MS
+    assert site.overlapping_runs() == []
--- a/packages/policy/src/oriolestand_policy/fencing.py
+++ b/packages/policy/src/oriolestand_policy/fencing.py
@@ -7,17 +7,19 @@
 incarnation have a higher token as well.
 """
 
-TOKENS_PER_EPOCH = 16
+TOKENS_PER_EPOCH = 32
 """Tokens of one owner. An owner of an earlier version uses its epoch alone and
 claims the next one, so workers that restarted more than once refuse it until
 it has claimed the cell some times."""
 
+MAX_GENERATION = TOKENS_PER_EPOCH - 1
+
 
 def next_epoch(last_epoch: int) -> int:
     """Return the epoch of the owner after that of ``last_epoch``, 0 if none.
 
     >>> next_epoch(0), next_epoch(1)
-    (1, 17)
+    (1, 33)
     """
     return last_epoch + TOKENS_PER_EPOCH if last_epoch else 1
 
@@ -25,10 +27,11 @@
 def token(epoch: int, generation: int) -> int:
     """Return the token of orders for an incarnation of a worker.
 
-    ``generation`` counts the incarnations that ended during the epoch. From
-    the last token on, orders for a former one are not told apart any more.
+    ``generation`` counts the reasons to outdate earlier orders during the
+    epoch, two for most restarts. From the last token on, orders for a former
+    incarnation are not told apart any more.
 
-    >>> token(17, 0), token(17, 1), token(17, 99)
-    (17, 18, 32)
+    >>> token(33, 0), token(33, 1), token(33, 99)
+    (33, 34, 64)
     """
-    return epoch + min(generation, TOKENS_PER_EPOCH - 1)
+    return epoch + min(generation, MAX_GENERATION)
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -10,6 +10,7 @@
 from oriolestand_policy.scheduling._effects import Effect
 from oriolestand_policy.scheduling._effects import LogEvent
 from oriolestand_policy.scheduling._effects import PaceTask
+from oriolestand_policy.scheduling._effects import PollWorkerAgain
 from oriolestand_policy.scheduling._effects import SaveJob
 from oriolestand_policy.scheduling._effects import StartTask
 from oriolestand_policy.scheduling._effects import StopTask
@@ -79,6 +80,7 @@
     'Outcome',
     'OwnerLoad',
     'PaceTask',
+    'PollWorkerAgain',
     'PairWeight',
     'Placement',
     'Progress',
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from oriolestand_policy import fencing
 from oriolestand_policy.scheduling import _crashes
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
@@ -40,7 +41,8 @@
     ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
     owners that were listed before their job was added.
     ``generations`` counts, by worker id, the incarnations that have ended or
-    been given up. It outlasts restarts and removals of the workers.
+    been given up, and entries that show a restart. It outlasts restarts and
+    removals of the workers.
     ``on_worker_gone`` is called with a removed worker, which still has its
     runs, and the reason.
     """
@@ -157,13 +159,25 @@
         if worker is None:
             return
         self._drop_worker(worker, reason)
-        self.release_all(worker, max(worker.last_report_ms, worker.carried_ms))
+        self.release_all(worker, worker.last_report_ms)
 
-    def _drop_worker(self, worker: _fleet.Worker, reason: str) -> None:
-        """Remove a worker from the cell; it still has its runs."""
+    def raise_generation(self, worker_id: str) -> bool:
+        """Let the next orders to a worker outdate all earlier ones.
+
+        Return False if no token is left for that.
+        """
+        generation = self.generations.get(worker_id, 0) + 1
+        self.generations[worker_id] = generation
+        return generation <= fencing.MAX_GENERATION
+
+    def _drop_worker(self, worker: _fleet.Worker, reason: str) -> bool:
+        """Remove a worker from the cell; it still has its runs.
+
+        Return whether orders to its successor outdate those for it.
+        """
         worker_id = worker.info.id
         del self.workers[worker_id]
-        self.generations[worker_id] = self.generations.get(worker_id, 0) + 1
+        is_raised = self.raise_generation(worker_id)
         self.log(
             'worker_gone',
             '',
@@ -174,6 +188,7 @@
         )
         if self.on_worker_gone is not None:
             self.on_worker_gone(worker, reason)
+        return is_raised
 
     def replace_worker(
         self,
@@ -181,21 +196,22 @@
         info: _fleet.WorkerInfo,
         *,
         is_listed: bool,
-        found_ms: int,
+        fenced_after_ms: int,
     ) -> _fleet.Worker:
         """Replace a worker that has restarted by its present incarnation.
 
         Only the runs that the former incarnation has listed have certainly
         ended. Orders name a worker by its id, so the present incarnation may
-        have accepted the others; its reports tell. It refuses orders for the
-        former one from the first poll on that is sent after ``found_ms``.
+        have accepted the others; its reports tell. For ``fenced_after_ms`` see
+        ``Worker``.
         """
-        self._drop_worker(worker, _crashes.RESTARTED)
+        if not self._drop_worker(worker, _crashes.RESTARTED):
+            fenced_after_ms = -1
         replacement = _fleet.Worker(
             info=info,
             is_listed=is_listed,
             is_recorded=worker.is_recorded,
-            fenced_after_ms=found_ms,
+            fenced_after_ms=fenced_after_ms,
         )
         self.workers[info.id] = replacement
         for run in list(worker.runs.values()):
--- a/packages/policy/src/oriolestand_policy/scheduling/_effects.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_effects.py
@@ -60,6 +60,16 @@
     percent: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PollWorkerAgain:
+    """Poll a worker at once, although a poll of it may be open.
+
+    Its entry shows a restart, and the former incarnation answers no poll.
+    """
+
+    worker: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SaveJob:
     """Write the progress of a job to the store."""
@@ -76,4 +86,12 @@
     values: dict[str, object]
 
 
-Effect = StartTask | WithdrawStart | StopTask | PaceTask | SaveJob | LogEvent
+Effect = (
+    StartTask
+    | WithdrawStart
+    | StopTask
+    | PaceTask
+    | PollWorkerAgain
+    | SaveJob
+    | LogEvent
+)
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -132,10 +132,8 @@
     the last poll was sent. A report older than ``max_report_age_ms`` shows
     that the worker is silent. ``is_on_probation`` is whether it is kept for a
     suspect, so that no other task starts beside it. ``version`` counts the
-    changes that the selection of workers depends on. ``carried_ms`` is since
-    when the owner waits for the first report of a restarted worker that may
-    have accepted start orders, -1 if it does not. ``is_evacuated`` is whether
-    its failure domain is evacuated, so that it gets no new tasks.
+    changes that the selection of workers depends on. ``is_evacuated`` is
+    whether its failure domain is evacuated, so that it gets no new tasks.
     ``starts_left`` is how many starts it may get in the round, None if that is
     not limited, and ``starts_since_return`` how many it has had since its
     domain was taken back. ``kept_for`` is the
@@ -148,8 +146,8 @@
     before ``announced`` was read was sent at ``announced_after_ms``.
     ``polled_address`` is where the last poll was sent to.
     Polls that are sent after ``fenced_after_ms`` make the worker refuse orders
-    for its former incarnation; it is -1 if there was none or if such a poll
-    has been answered.
+    that were sent before, which may be for its former incarnation; it is -1 if
+    there are none or if such a poll has been answered.
     ``is_report_arriving`` is whether the first part of a report has arrived,
     and ``has_awaited_report`` whether one that had begun has not come in full
     since the last report.
@@ -188,7 +186,6 @@
     max_report_age_ms: int = MAX_REPORT_AGE_MS
     is_on_probation: bool = False
     version: int = 0
-    carried_ms: int = -1
     is_evacuated: bool = False
     starts_left: int | None = None
     starts_since_return: int = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from oriolestand_policy.scheduling import _cell
+from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _reports
 
@@ -32,6 +33,8 @@
             worker.update_info(info)
         elif is_later or has_moved:
             if info not in (worker.announced, worker.refuted):
+                if is_later:
+                    self._poll_again(worker)
                 self._announce(worker, info)
         else:
             worker.announced = None
@@ -76,6 +79,17 @@
             self._settle(worker, entry)
         return worker
 
+    def _poll_again(self, worker: _fleet.Worker) -> None:
+        """Learn soon whether a worker has restarted.
+
+        The token of this poll outdates earlier orders, which the present
+        incarnation may receive late.
+        """
+        worker_id = worker.info.id
+        if self._cell.raise_generation(worker_id):
+            worker.fenced_after_ms = worker.polled_ms
+        self._cell.effects.append(_effects.PollWorkerAgain(worker=worker_id))
+
     def _announce(
         self, worker: _fleet.Worker, info: _fleet.WorkerInfo
     ) -> None:
@@ -142,8 +156,12 @@
             # Only its entry has told a start time, which was wrong.
             worker.update_info(info)
             return worker
+        fenced_ms = worker.fenced_after_ms
         return self._cell.replace_worker(
-            worker, info, is_listed=worker.is_listed, found_ms=sent_ms
+            worker,
+            info,
+            is_listed=worker.is_listed,
+            fenced_after_ms=fenced_ms if 0 <= fenced_ms < sent_ms else sent_ms,
         )
 
     @staticmethod
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -64,12 +64,14 @@
             )
         if worker is None:
             return self._apply_done_ends(worker_report.ended, now_ms)
-        if not worker.is_probed:
+        is_first = not worker.is_probed
+        if is_first:
             worker.is_probed = True
-            self._bound_lease(worker, worker_report.clock_ms)
             self._cell.log('worker_probed', '', worker=worker_id)
-        elif 0 <= worker.fenced_after_ms < sent_ms:
-            worker.fenced_after_ms = -1
+        fenced_ms = -1
+        if 0 <= worker.fenced_after_ms < sent_ms:
+            fenced_ms, worker.fenced_after_ms = worker.fenced_after_ms, -1
+        if is_first or fenced_ms >= 0:
             self._bound_lease(worker, worker_report.clock_ms)
         _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
@@ -95,7 +97,7 @@
         if not (worker_report.has_more_ends or worker.hidden_runs):
             # Otherwise a run that is not listed may have ended or go on.
             worker.are_runs_known = True
-            self._drop_missing_runs(worker, listed, sent_ms, now_ms)
+            self._drop_missing_runs(worker, listed, sent_ms, fenced_ms, now_ms)
         self._crash_handler.on_report(worker)
         if self._note_idle_runs(worker, now_ms):
             self._stop_stalled_runs(worker, now_ms)
@@ -472,9 +474,13 @@
         worker: _fleet.Worker,
         listed: set[tuple[_jobs.TaskKey, int]],
         sent_ms: int,
+        fenced_ms: int,
         now_ms: int,
     ) -> None:
-        """Drop runs that a worker no longer lists and release their tasks."""
+        """Drop runs that a worker no longer lists and release their tasks.
+
+        The worker refuses orders that were sent before ``fenced_ms``.
+        """
         if len(listed) == len(worker.runs):
             # Runs that are listed and unknown have been adopted.
             return
@@ -483,13 +489,14 @@
                 continue
             if run.since_ms >= sent_ms:
                 continue
-            if run.phase is _fleet.RunPhase.IN_DOUBT:
+            is_outdated = run.since_ms < fenced_ms
+            if not is_outdated and run.phase is _fleet.RunPhase.IN_DOUBT:
                 # A delayed start order may still take effect, unless the
                 # worker has since answered a stop order.
                 if not run.is_stop_settled or run.stop_sent_ms >= sent_ms:
                     continue
             run.missed_polls += 1
-            if run.missed_polls < MISSED_POLLS_LIMIT:
+            if not is_outdated and run.missed_polls < MISSED_POLLS_LIMIT:
                 continue
             worker.drop(run)
             self._cell.log(
--- a/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
@@ -6,9 +6,6 @@
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
 
-LATE_ORDER_MS = 2_000
-"""Orders that were sent before a restart was known have arrived within it."""
-
 STOP_RETRY_MS = 500
 
 
@@ -27,7 +24,7 @@
             if worker.is_report_arriving:
                 continue
             if not worker.is_probed:
-                self._expire_carried_runs(worker, now_ms, known_until_ms)
+                # It has no runs: they are added by reports or starts.
                 continue
             if now_ms - worker.last_report_ms <= worker.max_report_age_ms:
                 continue
@@ -52,42 +49,6 @@
                 self._crash_handler.on_lease_over(worker)
                 self._cell.release_all(worker, now_ms)
 
-    def _expire_carried_runs(
-        self, worker: _fleet.Worker, now_ms: int, known_until_ms: int
-    ) -> None:
-        """Release the runs of a restarted worker that never reports.
-
-        Polls extend no lease before its first report, so its runs end with
-        the lease of the last start order that it may have received.
-        """
-        if not worker.runs:
-            return
-        if worker.carried_ms < 0:
-            worker.carried_ms = now_ms
-        last_ms = max(run.since_ms for run in worker.runs.values())
-        lease_ms = (
-            self._cell.lease_max_ms
-            * _fleet.CLOCK_RATE_DEN
-            // _fleet.CLOCK_RATE_NUM
-        )
-        over_ms = max(worker.carried_ms, last_ms) + LATE_ORDER_MS + lease_ms
-        if known_until_ms <= over_ms + _fleet.LEASE_MARGIN_MS:
-            return
-        self._cell.log(
-            'lease_over',
-            '',
-            worker=worker.info.id,
-            runs=len(worker.runs),
-            silent_ms=now_ms - worker.carried_ms,
-            polled_ms_ago=now_ms - worker.polled_ms,
-            failed_polls=worker.failed_polls,
-        )
-        self._crash_handler.on_lease_over(worker)
-        if worker.is_listed:
-            self._cell.release_all(worker, now_ms)
-        else:
-            self._cell.remove_worker(worker.info.id, 'lease over')
-
     def resend_stops(self, now_ms: int) -> None:
         """Resend stop orders that were not answered."""
         stopping_ids = self._cell.stopping_worker_ids
--- a/packages/policy/tests/scheduling/test_restarted_workers.py
+++ b/packages/policy/tests/scheduling/test_restarted_workers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oriolestand_policy import fencing
 from oriolestand_policy import scheduling
 
 STEP = scheduling.StepSpec(count=1, cpu=1_000, memory_mb=100)
@@ -66,6 +67,14 @@
             self.harness.now,
         )
 
+    def use_up_tokens(self):
+        """Restart the workers until no token is left for a further one."""
+        for _ in range(fencing.TOKENS_PER_EPOCH):
+            for name in self.harness.infos:
+                self.register(name)
+                self.report(name)
+        self.harness.scheduler.take_effects()
+
     def pass_time(self, milliseconds, silent=()):
         """Run rounds; workers report without runs unless they are silent."""
         starts = []
@@ -137,9 +146,27 @@
     assert [s.key for s in starts] == [start.key]
 
 
+def test_start_in_doubt_waits_for_a_fenced_report_of_the_next_incarnation(
+    restarts,
+):
+    # Guards against a start in doubt that the next incarnation carries out
+    # between the report that shows the restart and the next poll.
+    start = restarts.start(outcome=scheduling.StartOutcome.IN_DOUBT)
+    restarts.harness.scheduler.on_stop_reply(
+        start.worker, start.key, start.run, True, restarts.harness.now
+    )
+    restarts.harness.now += 100
+    restarts.report_restart(start.worker)
+    ((), (stop,)) = restarts.harness.decide()
+    assert (stop.worker, stop.run) == (start.worker, start.run)
+    assert [s.key for s in restarts.pass_time(100)] == [start.key]
+
+
 def test_stop_answered_by_the_former_incarnation_is_sent_again(restarts):
     # Guards against a start in doubt that the next incarnation carries out,
-    # as it knows nothing of the stop that the former one has answered.
+    # as it knows nothing of the stop that the former one has answered. No
+    # token is left that would let it refuse the start.
+    restarts.use_up_tokens()
     start = restarts.start(outcome=scheduling.StartOutcome.IN_DOUBT)
     restarts.harness.scheduler.on_stop_reply(
         start.worker, start.key, start.run, True, restarts.harness.now
@@ -227,3 +254,33 @@
     )
     worker = restarts.harness.scheduler.workers[name]
     assert worker.lease_end_ms == restarts.harness.now + LEASE_MS
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [scheduling.StartOutcome.STARTED, scheduling.StartOutcome.IN_DOUBT],
+)
+def test_run_is_released_by_the_first_report_to_a_fenced_poll(
+    restarts, outcome
+):
+    # Guards against a task that is lost although the worker is cut off again
+    # soon after its first report: it refuses earlier orders from then on, so
+    # that it cannot begin the run later.
+    start = restarts.start(outcome=outcome)
+    scheduler = restarts.harness.scheduler
+    restarts.harness.now += 100
+    scheduler.on_poll_sent(start.worker, restarts.harness.now)
+    restarts.register(start.worker)
+    restarts.harness.now += 10
+    restarts.report(start.worker)
+    ((again,), _) = restarts.harness.decide()
+    assert again.key == start.key
+
+
+def test_entries_use_up_no_more_than_the_tokens_of_the_epoch(restarts):
+    # Guards against tokens of the next owner.
+    restarts.use_up_tokens()
+    for name in restarts.harness.infos:
+        generation = restarts.harness.scheduler.generation_of(name)
+        assert generation > fencing.MAX_GENERATION
+        assert fencing.token(1, generation) < fencing.next_epoch(1)
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -482,6 +482,10 @@
             await self.kernel.sleep(ORDER_TIMEOUT_MS)
             raise contracts.WorkerError('no answer')
         report = await worker.poll(msg)
+        if worker.has_crashed and not worker.is_refusing:
+            # Another incarnation does not answer polls of this one.
+            await self.kernel.sleep(ORDER_TIMEOUT_MS)
+            raise contracts.WorkerError('no answer')
         if msg.target.worker in self.faults.report_delays_ms:
             await self._delay_report(msg, sent_ms, report)
         else:
