Count the packages that an import runs in the test of import cycles

Their test left one kind of cycle out: importing a.y.const runs a.y/__init__ first, so packages that import parts of each other are a cycle even if no module imports itself by name.

The test now counts the packages that contain an imported module, except those that contain the importer. The sources have no such cycle: no module is changed.

--- a/packages/core/tests/test_import_cycles.py
+++ b/packages/core/tests/test_import_cycles.py
@@ -31,8 +31,18 @@
     return files
 
 
-def imports_of(source, modules):
-    """Return the modules that a source imports, in functions as well."""
+def packages_above(name):
+    """Return the names of the packages that contain a module."""
+    parts = name.split('.')
+    return {'.'.join(parts[:size]) for size in range(1, len(parts))}
+
+
+def imports_of(importer, source, modules):
+    """Return the modules that a source imports, in functions as well.
+
+    An import runs the packages that contain the module first, so they count,
+    except those that contain the importer and are being imported already.
+    """
     names = set()
     for node in ast.walk(ast.parse(source)):
         if isinstance(node, ast.Import):
@@ -42,7 +52,9 @@
             for alias in node.names:
                 full = f'{node.module}.{alias.name}'
                 names.add(full if full in modules else node.module)
-    return names & set(modules)
+    above = set().union(*(packages_above(name) for name in names))
+    above -= packages_above(importer) | {importer}
+    return (names | above) & set(modules)
 
 
 def reachable(graph, start):
@@ -69,7 +81,7 @@
 def test_modules_of_a_package_import_each_other_without_cycles(package):
     files = modules_of(package)
     graph = {
-        name: imports_of(path.read_bytes(), files)
+        name: imports_of(name, path.read_bytes(), files)
         for name, path in files.items()
     }
     cycles = [', '.join(group) for group in cycles_of(graph)]
@@ -96,7 +108,41 @@
     modules = {'a', 'a.b', 'a.c'}
     graph = {
         'a': set(),
-        'a.b': imports_of('from a import c', modules),
-        'a.c': imports_of(source, modules),
+        'a.b': imports_of('a.b', 'from a import c', modules),
+        'a.c': imports_of('a.c', source, modules),
     }
     assert cycles_of(graph) == [('a.b', 'a.c')]
+
+
+def test_packages_that_import_parts_of_each_other_are_a_cycle():
+    # a.x._m and a.y._n import no module that imports them, but importing
+    # either package runs the other one.
+    sources = {
+        'a': '',
+        'a.x': 'from a.x import _m',
+        'a.x._m': 'from a.y import const',
+        'a.x.const': '',
+        'a.y': 'from a.y import _n',
+        'a.y._n': 'from a.x import const',
+        'a.y.const': '',
+    }
+    graph = {
+        name: imports_of(name, source, sources)
+        for name, source in sources.items()
+    }
+    assert cycles_of(graph) == [('a.x', 'a.x._m', 'a.y', 'a.y._n')]
+
+
+def test_a_package_may_import_its_own_modules():
+    sources = {
+        'a': 'from a.x import name',
+        'a.x': 'from a.x import _m\nfrom a import b',
+        'a.x._m': 'import a.x.const',
+        'a.x.const': '',
+        'a.b': '',
+    }
+    graph = {
+        name: imports_of(name, source, sources)
+        for name, source in sources.items()
+    }
+    assert cycles_of(graph) == []
