Report what the processors of each pool are used for

Cause: operators can't see why processors are idle while accepted work waits.

Change: the owner sets the gauge pool_cpu by pool and use, and logs `Processors idle while tasks wait` every 5 s for pools with over a quarter idle. No promise depends on the account, so an error in it is logged and sets the gauges to 0. The owner keeps its term.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_gauges.py
@@ -22,7 +22,9 @@
         self._kernel = kernel
         self._term = term
         self._scheduler = scheduler
+        self._log = core.get_logger(const.DOMAIN)
         self._next_ms = 0
+        self._next_idle_log_ms = 0
         self._former_labels: dict[str, set[str]] = {}
 
     def report(
@@ -54,6 +56,7 @@
             label = f'{kind.value} {wait.value}'
             self._set('evacuated_tasks', count, label)
         self._report_domains(now)
+        self._report_cpu(now)
         learned = scheduler.pressure.learned()
         self._set('service_tasks_over_target', figures.slow_service_count())
         self._set('known_image_pairs', len(learned.pairs))
@@ -93,6 +96,48 @@
             },
         )
 
+    def _report_cpu(self, now_ms: int) -> None:
+        """Set the gauges of what the processors of each pool are used for.
+
+        No promise depends on them. So an error here must not end the term.
+        """
+        try:
+            accounts = self._scheduler.idle_account(now_ms)
+        except Exception:
+            self._log.exception('Processors not accounted for')
+            accounts = {}
+        self._set_all(
+            'pool_cpu',
+            {
+                f'{pool} {use.value}': cpu
+                for pool, account in accounts.items()
+                for use, cpu in account.uses.items()
+            },
+        )
+        if now_ms >= self._next_idle_log_ms:
+            self._next_idle_log_ms = now_ms + const.IDLE_LOG_INTERVAL_MS
+            self._log_idle(accounts)
+
+    def _log_idle(
+        self, accounts: Mapping[str, scheduling.IdleAccount]
+    ) -> None:
+        """Log the use of pools in which much is idle while tasks wait."""
+        for pool, account in sorted(accounts.items()):
+            idle_share = account.idle_cpu / (account.size_cpu or 1)
+            if account.waiting and idle_share > const.LOGGED_IDLE_SHARE:
+                self._log.info(
+                    'Processors idle while tasks wait',
+                    pool=pool,
+                    waiting=account.waiting,
+                    size_cpu=account.size_cpu,
+                    idle_cpu=account.idle_cpu,
+                    uses={
+                        use.value: cpu
+                        for use, cpu in account.uses.items()
+                        if cpu
+                    },
+                )
+
     def _set_all(self, name: str, counts: Mapping[str, int]) -> None:
         """Set the gauges of a name, and those that were set before to 0."""
         labels = self._former_labels.setdefault(name, set())
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -38,6 +38,11 @@
 """As often as the owner publishes them with its renewals."""
 
 GAUGE_INTERVAL_MS = 1_000
+IDLE_LOG_INTERVAL_MS = 5_000
+LOGGED_IDLE_SHARE = 0.25
+"""Share of a pool's processors above which it is logged that they are idle
+while tasks wait."""
+
 TAKEOVER_REPORT_INTERVAL_MS = 1_000
 
 MAX_LOGGED_WORKERS = 10
--- a/packages/fleet/tests/services/cell/test_gauges.py
+++ b/packages/fleet/tests/services/cell/test_gauges.py
@@ -88,3 +88,64 @@
     site.cancel(daemons[0], '0' * 15 + '3')
     site.run(2_500)
     assert gauges[('oldest_not_run_ms', label)] == 0
+
+
+def cpu_uses(daemons):
+    """Return the gauges of the use of processors, without zeros."""
+    gauges = owner_of(daemons).kernel.find('telemetry').gauges
+    return {
+        label: value
+        for (name, label), value in gauges.items()
+        if name == 'pool_cpu' and value
+    }
+
+
+def test_gauges_tell_what_processors_are_used_for(site, daemons, capsys):
+    # Operators must see why processors are idle while tasks wait, and not
+    # for a reason that no longer holds.
+    steps = (scheduling.StepSpec(count=3, cpu=5_000),)
+    site.submit(daemons[0], 'a' * 16, steps, duration_ms=60_000)
+    site.run(3_500)
+    assert cpu_uses(daemons) == {'pool plain': 15_000, 'pool no_task': 9_000}
+    capsys.readouterr()
+    site.submit(daemons[0], 'b' * 16, steps, duration_ms=60_000)
+    site.run(3_500)
+    assert cpu_uses(daemons) == {
+        'pool plain': 15_000,
+        'pool too_small': 9_000,
+    }
+    site.run(9_000)
+    lines = capsys.readouterr().out.splitlines()
+    logged = [line for line in lines if 'idle while tasks wait' in line]
+    assert 2 <= len(logged) <= 3
+    assert "'too_small': 9000" in logged[0]
+    site.cancel(daemons[0], 'b' * 16)
+    site.run(3_500)
+    assert cpu_uses(daemons) == {'pool plain': 15_000, 'pool no_task': 9_000}
+
+
+def test_processors_of_a_busy_or_idle_pool_are_not_logged(
+    site, daemons, capsys
+):
+    # Guards against lines that tell of no fault.
+    steps = (scheduling.StepSpec(count=3, cpu=7_500),)
+    site.run(6_000)
+    for job in ('a' * 16, 'b' * 16):
+        site.submit(daemons[0], job, steps, duration_ms=60_000)
+    site.run(12_500)
+    assert 'idle while tasks wait' not in capsys.readouterr().out
+
+
+def test_owner_keeps_the_cell_without_an_account(
+    site, daemons, monkeypatch, capsys
+):
+    # Guards against a figure that no promise depends on and that ends owners.
+    def fail(*_):
+        raise KeyError('no such job')
+
+    monkeypatch.setattr(scheduling.Scheduler, 'idle_account', fail)
+    owner = owner_of(daemons)
+    site.run(12_000)
+    assert owner.is_owner
+    assert owner.kernel.find('telemetry').gauges[('workers', '')] == 3
+    assert 'Processors not accounted for' in capsys.readouterr().out
