Print what processors are used for in the goodput bench

Cause: the bench tells goodput and the waits of tasks, not how many processors are idle.

A play with accounts has the same digest of all effects as one without (3 workers, load 2.5).

--- a/packages/bench/src/oriolestand_bench/goodput/__main__.py
+++ b/packages/bench/src/oriolestand_bench/goodput/__main__.py
@@ -40,6 +40,7 @@
     help='Let no image slow service tasks strongly.',
 )
 @click.option('--spent', is_flag=True, help='Print what starts are used for.')
+@click.option('--idle', is_flag=True, help='Print the use of processors.')
 @click.option(
     '--output',
     default=OUT,
@@ -54,6 +55,7 @@
     load_seconds: int,
     calm_images: bool,
     spent: bool,
+    idle: bool,
     output: pathlib.Path,
 ) -> None:
     """Print goodput against offered load; write the figures and a plot."""
@@ -71,13 +73,15 @@
                     are_images_calm=calm_images,
                 )
                 simulation = _simulation.GoodputSimulation(
-                    case, are_waits_explained=spent
+                    case, are_waits_explained=spent, is_cpu_accounted=idle
                 )
                 records = simulation.play()
                 found.append(_figures.figures_of(simulation, records))
                 click.echo(_tables.line(found[-1]))
                 if spent:
                     click.echo(_tables.spent(records))
+                if idle:
+                    click.echo(_tables.cpu_uses(simulation.cpu_record))
     output.parent.mkdir(parents=True, exist_ok=True)
     rows = [dataclasses.asdict(figures) for figures in found]
     output.with_suffix('.json').write_text(
--- a/packages/bench/src/oriolestand_bench/goodput/_simulation.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_simulation.py
@@ -9,6 +9,7 @@
 from oriolestand_bench import owner
 from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _goodput_workers
+from oriolestand_bench.goodput import _idle
 from oriolestand_bench.goodput import _jobs
 from oriolestand_bench.goodput import _obstacles
 from oriolestand_bench.goodput import _traffic
@@ -49,10 +50,17 @@
     """Simulate one case; ``play`` returns the jobs of its load."""
 
     def __init__(
-        self, case: _case.Case, *, are_waits_explained: bool = True
+        self,
+        case: _case.Case,
+        *,
+        are_waits_explained: bool = True,
+        is_cpu_accounted: bool = False,
     ) -> None:
         self.case = case
         self.services = ServiceRecord()
+        self.cpu_record = _idle.CpuRecord()
+        self._is_cpu_accounted = is_cpu_accounted
+        self._load_ms = range(0)
         self.records: dict[str, _jobs.JobRecord] = {}
         self._are_waits_explained = are_waits_explained
         self._is_sample_due = False
@@ -149,6 +157,7 @@
         before = len(self.records)
         self._at(0, self._sample)
         self._submit_later(case.plan('load', case.load, case.load_ms))
+        self._load_ms = range(self.now, self.now + case.load_ms)
         self.run(case.load_ms // 2)
         if case.setting is _case.Setting.GONE:
             self._crash_workers()
@@ -184,12 +193,14 @@
         self._at(SAMPLE_MS, self._sample)
 
     def _run_round(self) -> None:
-        """Run a scheduling round, and explain the waits that it leaves.
+        """Run a scheduling round, and explain what it leaves waiting or idle.
 
         The state of a placement is that of its last round. Between reports
         and the next round it does not fit the weights that they change.
         """
         super()._run_round()
+        if self._is_cpu_accounted and self.now in self._load_ms:
+            self.cpu_record.note(self.scheduler.idle_account(self.now))
         if not self._is_sample_due or self._placement is None:
             return
         self._is_sample_due = False
--- a/packages/bench/src/oriolestand_bench/goodput/_tables.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_tables.py
@@ -5,8 +5,10 @@
 from collections.abc import Sequence
 
 from oriolestand_bench.goodput import _figures
+from oriolestand_bench.goodput import _idle
 from oriolestand_bench.goodput import _jobs
 from oriolestand_bench.goodput import _traffic
+from oriolestand_policy import scheduling
 
 SIZES = 5
 """Parts into which the filling jobs are divided by size."""
@@ -40,6 +42,8 @@
     'failed jobs: waits of tasks',
 )
 
+CPU_HEADER = ('use', 'thousandths of a core times s', 'share')
+
 
 def _row(cells: Iterable[str]) -> str:
     """Return a row of a table in Markdown."""
@@ -88,6 +92,17 @@
     return '\n'.join([header(SPENT_HEADER), *rows])
 
 
+def cpu_uses(record: _idle.CpuRecord) -> str:
+    """Return the table of what processors were used for over the load."""
+    total = record.uses.total() or 1
+    rows = [
+        _row((use.value, f'{record.uses[use]:,}', f'{share:.3f}'))
+        for use in scheduling.CpuUse
+        if (share := record.uses[use] / total)
+    ]
+    return '\n'.join([header(CPU_HEADER), *rows])
+
+
 def _spent_row(name: str, records: Sequence[_jobs.JobRecord]) -> str:
     """Return the row of the jobs of one size."""
     groups = [
--- a/packages/bench/tests/test_goodput.py
+++ b/packages/bench/tests/test_goodput.py
@@ -2,11 +2,15 @@
 
 import pytest
 
+from oriolestand_bench import _workers
 from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _figures
+from oriolestand_bench.goodput import _idle
 from oriolestand_bench.goodput import _offline
 from oriolestand_bench.goodput import _simulation
+from oriolestand_bench.goodput import _tables
 from oriolestand_bench.goodput import _traffic
+from oriolestand_policy import scheduling
 
 WORKERS = 20
 OVERLOAD = 2.5
@@ -96,3 +100,39 @@
     cores = [0.0] * 30 + [1.0] * 70
     assert _offline.best_order(jobs, cores) == 0.0
     assert _offline.fluid_bound(jobs, cores) == 0.0
+
+
+def test_account_of_processors_covers_the_load_and_decides_nothing():
+    # Guards against a table that leaves processors out, and against a bench
+    # whose goodput depends on whether it is printed.
+    digests = []
+    for is_accounted in (False, True):
+        simulation = _simulation.GoodputSimulation(
+            _case.Case(workers=3, load=OVERLOAD, load_ms=9_000),
+            are_waits_explained=False,
+            is_cpu_accounted=is_accounted,
+        )
+        simulation.play()
+        digests.append(simulation.digest.hexdigest())
+    assert digests[0] == digests[1]
+    uses = simulation.cpu_record.uses
+    # The first account stands for no time, and the last one may be 2 s old.
+    size = 3 * _workers.WORKER_CPU
+    assert 5 * size < uses.total() <= 9 * size
+    assert uses[scheduling.CpuUse.SERVICE] and uses[scheduling.CpuUse.FILLING]
+    assert '| service | ' in _tables.cpu_uses(simulation.cpu_record)
+
+
+def test_account_counts_for_the_time_since_the_last_one():
+    # Guards against accounts that count twice, as they are asked for more
+    # often than they are made.
+    record = _idle.CpuRecord()
+    for now_ms, cpu in ((1_000, 7), (1_000, 7), (3_000, 40), (3_000, 40)):
+        account = scheduling.IdleAccount(
+            now_ms=now_ms,
+            size_cpu=cpu,
+            waiting=0,
+            uses={scheduling.CpuUse.PLAIN: cpu},
+        )
+        record.note({'p': account})
+    assert record.uses == {scheduling.CpuUse.PLAIN: 80}
