Report no outdated account of processors after an error

Cause: the time of the next account was set before it was calculated. After an error the next call returned the former account, so that pool_cpu alternated between 0 and old values.

Change: the time is set after the calculation.

--- a/packages/policy/src/oriolestand_policy/scheduling/_idle_account.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_idle_account.py
@@ -210,8 +210,8 @@
         Call this after a round, whose state placement still has.
         """
         if now_ms >= self._next_ms:
-            self._next_ms = now_ms + INTERVAL_MS
             self._accounts = self._calculate(now_ms)
+            self._next_ms = now_ms + INTERVAL_MS
         return self._accounts
 
     def _calculate(self, now_ms: int) -> dict[str, IdleAccount]:
--- a/packages/policy/tests/scheduling/test_idle_account.py
+++ b/packages/policy/tests/scheduling/test_idle_account.py
@@ -212,18 +212,33 @@
     assert set(_obstacles.Obstacle) < set(_idle_account._USE_OF_OBSTACLE)
 
 
-def test_nearest_reason_of_several_kinds_counts(harness, make):
+@pytest.mark.parametrize('cpu', [1_000, 5_000])
+def test_nearest_reason_of_several_kinds_counts(harness, make, cpu):
     # Guards against the obstacle of a task that is far from a start where
-    # another one only lacks headroom.
+    # another one only lacks headroom, whichever is judged first.
     start_services(harness, make, 2)
     weights = harness.scheduler.pressure._weights
     weights['web', 'loud'] = _pressure._Weight(4.0, 0.01)
-    harness.add('large', dataclasses.replace(PLAIN, cpu=9_000))
+    large = dataclasses.replace(FILLING, image='large', memory_mb=99_000)
+    harness.add('large', dataclasses.replace(large, cpu=cpu))
     uses = wait(harness, FILLING)
     assert uses == {'service': 2_200, 'headroom': 17_800}
     assert harness.scheduler.idle_account(harness.now)['p'].waiting == 2
 
 
+def test_failed_account_is_not_replaced_by_an_outdated_one(
+    harness, monkeypatch
+):
+    # Guards against figures of a former time that look like present ones.
+    assert uses_of(harness)
+    harness.now += _idle_account.INTERVAL_MS
+    accounts = harness.scheduler._idle_accounts
+    monkeypatch.setattr(accounts, '_calculate', lambda _: 1 // 0)
+    for _ in range(2):
+        with pytest.raises(ZeroDivisionError):
+            harness.scheduler.idle_account(harness.now)
+
+
 def test_account_is_bounded(harness, monkeypatch):
     # Guards against accounts that take longer the more tasks or images wait,
     # or the more often they are asked for, and against images never judged.
