Count a crash only if the next incarnation started soon after the run

Callers saw a job as failed although none of its runs had failed (rule LOST): its workers were cut off right after the start, ran on until their leases were over, and were restarted later.

Cause: a later incarnation shows that the former one has ended, which was taken for a crash under the tasks that had just started there, however late it came. Evidence, on: test_late_restart_of_a_worker_that_was_cut_off_is_no_crash[False] fails, the job is given up after three crashes `late`; so do the cases of 30 s of test_loss_counts_if_the_next_worker_has_started_soon_after.

The start time of the next incarnation (Unix ms, in its entry and reports) bounds when the former one was gone, however late the owner reads it. A crash counts only if that is at most 10 s after the run began; crashed workers are back after 3.0 s to 3.4 s. Watches hold when the run began, for the next owner, in a row that the version before ignores. A 421 does not tell the start time, so a late one counts once the worker is registered.

Each mechanism taken out once: without the limit, the tests above fail; without the stored begin, the cases of the successor; without the start time passed on by replace_worker (_cell.py), test_crash_counts_although_the_restart_is_noticed_late; without waiting for the entry after a late 421, test_replaced_worker_counts_by_the_start_of_the_next_one[9000-1].

The tests of silent workers now let the wall clock advance with the rounds.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -91,6 +91,7 @@
             tuple[_Count, str, str, _CrashKind, _Count, str] | None,
         ]
     ] = []
+    began: list[tuple[_Count, _Count, _Count, _Count]] = []
 
 
 _JOB_ROW: _rows.RowDecoder[_JobRow] = _rows.RowDecoder(_JobRow)
--- a/packages/fleet/tests/test_crashing_tasks.py
+++ b/packages/fleet/tests/test_crashing_tasks.py
@@ -69,3 +69,75 @@
     crash_workers_of_job(site, daemons, change_owner)
     assert site.state(rest[0], JOB) == 'failed'
     assert len(site.history) <= 3
+
+
+class CutWorkers:
+    """A site in which workers are cut off right after the start of a job.
+
+    They are reached again after ``cut_ms``. ``restart_ms`` after the cut the
+    process has started again under its id; until then it runs on, or it has
+    crashed at the cut.
+    """
+
+    def __init__(self, site, daemons, cut_ms, restart_ms, *, is_crash):
+        self.site = site
+        self.daemons = daemons
+        self.cut_ms = cut_ms
+        self.restart_ms = restart_ms
+        self.is_crash = is_crash
+
+    def cut_next(self, count):
+        """Wait for a run of the job and cut its worker off."""
+        site = self.site
+        site.run_until(lambda: len(site.history) == count, 25_000)
+        name = site.history[-1].worker
+        site.run(50)
+        for daemon in self.daemons:
+            daemon.orders.faults.unreachable.add(name)
+        if self.is_crash:
+            site.workers[name].crash()
+        site.clock.call_later(self.restart_ms, lambda: self.restart(name))
+        site.clock.call_later(self.cut_ms, lambda: self.reconnect(name))
+
+    def restart(self, name):
+        """Start a worker again under its id."""
+        self.site.workers[name].crash()
+        self.site.add_worker(name, process_start_ms=self.site.clock.wall())
+
+    def reconnect(self, name):
+        """Let all daemons reach a worker again."""
+        for daemon in self.daemons:
+            daemon.orders.faults.unreachable.discard(name)
+
+
+@pytest.mark.parametrize('has_new_owner', [False, True])
+def test_late_restart_of_a_worker_that_was_cut_off_is_no_crash(
+    site, daemons, has_new_owner
+):
+    # Guards against a job that fails although no run has failed (LOST): its
+    # workers were cut off, ran on, and started again long after.
+    for name in ('w3', 'w4', 'w5'):
+        site.add_worker(name)
+    cell = CutWorkers(site, daemons, 12_000, 12_000, is_crash=False)
+    site.submit(daemons[0], JOB, ONE_TASK, duration_ms=60_000)
+    for count in range(1, 6):
+        cell.cut_next(count)
+        if has_new_owner and count == 2:
+            site.run(3_000)
+            site.shut_down(owner_of(daemons))
+    site.run(20_000)
+    assert [run.outcome for run in site.history] == [*['lapsed'] * 5, '']
+    assert site.state(owner_of(daemons), JOB) == 'running'
+
+
+def test_crash_counts_although_the_restart_is_noticed_late(site, daemons):
+    # Guards against a task that crashes its workers without end, as they are
+    # back soon but cut off until long after.
+    for name in ('w3', 'w4', 'w5'):
+        site.add_worker(name)
+    cell = CutWorkers(site, daemons, 12_000, 3_000, is_crash=True)
+    site.submit(daemons[0], JOB, ONE_TASK, duration_ms=60_000)
+    for count in range(1, 6):
+        cell.cut_next(count)
+    site.run(20_000)
+    assert site.state(owner_of(daemons), JOB) == 'failed'
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -16,6 +16,8 @@
 """Most jobs for which ends are kept until the job is known. Ends of jobs that
 were removed are among them."""
 
+_WorkerGone = Callable[[_fleet.Worker, str, _fleet.WorkerInfo | None], None]
+
 
 class Cell:
     """State of a cell: its jobs, workers, routes and queued effects.
@@ -42,7 +44,7 @@
     ``generations`` counts, by worker id, the incarnations that have ended or
     been given up. It outlasts restarts and removals of the workers.
     ``on_worker_gone`` is called with a removed worker, which still has its
-    runs, and the reason.
+    runs, the reason, and the next incarnation if it is known.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -66,7 +68,7 @@
         self.returned_ms: dict[str, int] = {}
         self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
         self.effects: list[_effects.Effect] = []
-        self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
+        self.on_worker_gone: _WorkerGone | None = None
 
     def mark_evacuated(self, worker: _fleet.Worker) -> None:
         """Mark a worker if its failure domain is evacuated.
@@ -159,8 +161,16 @@
         self._drop_worker(worker, reason)
         self.release_all(worker, max(worker.last_report_ms, worker.carried_ms))
 
-    def _drop_worker(self, worker: _fleet.Worker, reason: str) -> None:
-        """Remove a worker from the cell; it still has its runs."""
+    def _drop_worker(
+        self,
+        worker: _fleet.Worker,
+        reason: str,
+        successor: _fleet.WorkerInfo | None = None,
+    ) -> None:
+        """Remove a worker from the cell; it still has its runs.
+
+        ``successor`` is the next incarnation, if it is known.
+        """
         worker_id = worker.info.id
         del self.workers[worker_id]
         self.generations[worker_id] = self.generations.get(worker_id, 0) + 1
@@ -173,7 +183,7 @@
             reported=sum(run.is_reported for run in worker.runs.values()),
         )
         if self.on_worker_gone is not None:
-            self.on_worker_gone(worker, reason)
+            self.on_worker_gone(worker, reason, successor)
 
     def replace_worker(
         self,
@@ -190,7 +200,7 @@
         have accepted the others; its reports tell. It refuses orders for the
         former one from the first poll on that is sent after ``found_ms``.
         """
-        self._drop_worker(worker, _crashes.RESTARTED)
+        self._drop_worker(worker, _crashes.RESTARTED, info)
         replacement = _fleet.Worker(
             info=info,
             is_listed=is_listed,
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+from typing import NamedTuple
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crashes
@@ -16,6 +17,16 @@
 MAX_LOGGED_RUNS = 8
 
 
+class _Suspect(NamedTuple):
+    """Kind of the crash of a worker under a task.
+
+    ``began_ms`` is when the run began in Unix time, 0 if unknown.
+    """
+
+    kind: _jobs.CrashKind
+    began_ms: int
+
+
 class CrashHandler:
     """Keep the crashes of tasks, and give up the tasks that cause them.
 
@@ -34,6 +45,7 @@
         self._losses = _losses.LossTracker(cell.workers)
         self._lost = _lost_workers.LostWorkers()
         self._confirmed: list[_jobs.Task] = []
+        self._round_ms = 0
         cell.on_worker_gone = self.on_worker_gone
 
     def marked(self) -> Iterator[_jobs.Task]:
@@ -128,8 +140,11 @@
                 self._unwatch(task)
             if not has_ended:
                 continue
+            gone_ms = self._gone_ms(info)
             for key, crash in lost.crashes.items():
-                self._add_crash(key, crash, lost.id)
+                began_ms = lost.began_ms.get(key, 0)
+                if _crashes.may_have_crashed(began_ms, gone_ms):
+                    self._add_crash(key, crash, lost.id)
 
     def on_report(self, worker: _fleet.Worker) -> None:
         """Stop watching the runs of a worker that has not crashed."""
@@ -147,26 +162,45 @@
             elif task.watch is not None and _is_of_former(task.watch, worker):
                 self._watch(task, worker, task.watch.kind)
 
-    def on_worker_gone(self, worker: _fleet.Worker, reason: str) -> None:
+    def on_worker_gone(
+        self,
+        worker: _fleet.Worker,
+        reason: str,
+        successor: _fleet.WorkerInfo | None,
+    ) -> None:
         """Count the crash of a worker against the tasks that may be at fault.
 
         Nothing counts if the worker left, nor yet if it was lost. If it has
         restarted, its present incarnation may have the runs that the former
         one did not list, so the crash counts against these once they are
-        missing in its reports.
+        missing in its reports. Nothing counts against tasks that had started
+        long before that incarnation did.
         """
+        successor = successor or self._registered_successor(worker)
         is_crash = _is_crash(worker, reason)
         is_lost = not is_crash and _is_lost(worker, reason)
-        if is_lost and self._is_replaced(worker):
+        if is_lost and successor is not None:
             is_crash, is_lost = True, False
-        kinds = self._kinds_by_task(worker)
+        suspects = self._suspects_by_task(worker)
+        if is_crash:
+            gone_ms = self._gone_ms(successor)
+            possible = {
+                key: suspect
+                for key, suspect in suspects.items()
+                if _crashes.may_have_crashed(suspect.began_ms, gone_ms)
+            }
+            if successor is None and len(possible) < len(suspects):
+                # Its entry will tell when the next incarnation started.
+                is_crash, is_lost = False, True
+            else:
+                suspects = possible
         watched = list(self._watched.get(worker.info.id, {}).values())
         if not (is_crash or is_lost):
             for task in watched:
                 self._unwatch(task)
             return
         has_common_cause = self._losses.add(worker)
-        if worker.runs or kinds:
+        if worker.runs or suspects:
             self._log_gone(
                 worker,
                 reason,
@@ -176,20 +210,25 @@
         crashes = {
             key: _jobs.Crash(
                 address=worker.info.address,
-                kind=_jobs.CrashKind.COMMON if has_common_cause else kind,
+                kind=(
+                    _jobs.CrashKind.COMMON
+                    if has_common_cause
+                    else suspect.kind
+                ),
             )
-            for key, kind in kinds.items()
+            for key, suspect in suspects.items()
         }
         if is_lost:
-            self._keep_lost(worker, crashes)
+            began_ms = {key: s.began_ms for key, s in suspects.items()}
+            self._keep_lost(worker, crashes, began_ms)
             return
         for task in watched:
             self._unwatch(task)
         self._count_crashes(worker, crashes, reason)
 
-    def _kinds_by_task(
+    def _suspects_by_task(
         self, worker: _fleet.Worker
-    ) -> dict[_jobs.TaskKey, _jobs.CrashKind]:
+    ) -> dict[_jobs.TaskKey, _Suspect]:
         """Return the tasks that may have crashed a worker, and how."""
         released = self._released.pop(worker.info.id, {})
         watched = [
@@ -200,7 +239,7 @@
         if not worker.is_probed:
             # Its runs are those that the former owner watched.
             return {
-                task.key: watch.kind
+                task.key: _Suspect(watch.kind, watch.began_ms)
                 for task, watch in watched
                 if not task.worker
             }
@@ -208,28 +247,59 @@
         kind = _kind_of(worker, runs)
         # The others were released when the lease of the worker was over.
         return {
-            **{key: watch.kind for key, watch in released.items()},
-            **{task.key: kind for task in self._tasks_of(worker, runs)},
             **{
-                task.key: watch.kind
+                key: _Suspect(watch.kind, watch.began_ms)
+                for key, watch in released.items()
+            },
+            **{
+                task.key: _Suspect(kind, self._began_ms(task, worker))
+                for task in self._tasks_of(worker, runs)
+            },
+            **{
+                task.key: _Suspect(watch.kind, watch.began_ms)
                 for task, watch in watched
                 if (task.key, watch.run) not in worker.runs
             },
         }
 
-    def _is_replaced(self, worker: _fleet.Worker) -> bool:
-        """Return whether another worker is registered at the address."""
-        return any(
-            other.is_listed
-            and other.info.address == worker.info.address
-            and other is not worker
-            for other in self._cell.workers.values()
-        )
+    def _began_ms(self, task: _jobs.Task, worker: _fleet.Worker) -> int:
+        """Return when the current run of a task began, in Unix time."""
+        run = worker.runs.get((task.key, task.run))
+        return self._unix_ms(run.since_ms if run else task.started_ms)
+
+    def _unix_ms(self, time_ms: int) -> int:
+        """Return a time of the owner as Unix time, 0 before a round."""
+        offset_ms = self._cell.wall_offset_ms
+        return 0 if offset_ms is None else time_ms + offset_ms
+
+    def _gone_ms(self, successor: _fleet.WorkerInfo | None) -> int:
+        """Return when a worker was gone at the latest, in Unix time.
+
+        That is the start of the next incarnation, or the latest round if
+        nothing tells it.
+        """
+        if successor is not None and successor.process_start_ms:
+            return successor.process_start_ms
+        return self._unix_ms(self._round_ms)
+
+    def _registered_successor(
+        self, worker: _fleet.Worker
+    ) -> _fleet.WorkerInfo | None:
+        """Return another worker that is registered at the address."""
+        for other in self._cell.workers.values():
+            if (
+                other.is_listed
+                and other.info.address == worker.info.address
+                and other is not worker
+            ):
+                return other.info
+        return None
 
     def _keep_lost(
         self,
         worker: _fleet.Worker,
         crashes: Mapping[_jobs.TaskKey, _jobs.Crash],
+        began_ms: Mapping[_jobs.TaskKey, int],
     ) -> None:
         """Remember a lost worker until it is known how it ended.
 
@@ -248,6 +318,7 @@
                 address=worker.info.address,
                 process_start_ms=worker.info.process_start_ms,
                 crashes=crashes,
+                began_ms=began_ms,
             )
         )
 
@@ -367,6 +438,7 @@
 
     def give_up_tasks(self, now_ms: int) -> None:
         """End the jobs of tasks that crash their workers as failed."""
+        self._round_ms = now_ms
         confirmed, self._confirmed = self._confirmed, []
         for task in confirmed:
             job = self._cell.jobs.get(task.key.job)
@@ -403,6 +475,7 @@
         kind: _jobs.CrashKind,
     ) -> None:
         """Watch the current run of a task, and store that."""
+        began_ms = self._began_ms(task, worker)
         self._unwatch(task)
         task.watch = _jobs.Watch(
             run=task.run,
@@ -411,6 +484,7 @@
             kind=kind,
             process_start_ms=worker.info.process_start_ms,
             rack=worker.info.rack,
+            began_ms=began_ms,
         )
         self._watched.setdefault(worker.info.id, {})[task.key] = task
         self._save(task)
@@ -493,6 +567,7 @@
         address=watch.address,
         process_start_ms=watch.process_start_ms,
         crashes={key: crash},
+        began_ms={key: watch.began_ms},
     )
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -49,6 +49,12 @@
 
 MIN_ADDRESSES_IN_A_ROW = 3
 
+MAX_RESTART_MS = 10_000
+"""Longest time from the start of a run to the start of the next incarnation
+of its worker, if the run crashed the worker. Crashed workers are back after
+3.0 s to 3.4 s. Later, the worker may have run on until its lease was over, and
+ended for another reason."""
+
 
 def mark_proven(run: _fleet.Run, now_ms: int) -> None:
     """Note that a report lists a run at ``now_ms``."""
@@ -82,6 +88,17 @@
     )
 
 
+def may_have_crashed(began_ms: int, gone_ms: int) -> bool:
+    """Return whether a run may have crashed a worker that is gone.
+
+    The run began at ``began_ms``, and the worker was gone at ``gone_ms`` at
+    the latest: Unix times, 0 if unknown.
+    """
+    if began_ms <= 0 or gone_ms <= 0:
+        return True
+    return gone_ms - began_ms <= MAX_RESTART_MS
+
+
 def is_cause(crashes: Sequence[_jobs.Crash]) -> bool:
     """Return whether the crashes of a task can only be its own fault."""
     prompt = [c.address for c in crashes if c.kind is _jobs.CrashKind.ALONE]
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -93,7 +93,8 @@
     """Run of a task whose worker may have crashed or may crash.
 
     ``kind`` is that of the crash. ``process_start_ms`` is when the worker
-    process started, 0 if unknown, and ``rack`` may be empty.
+    process started, 0 if unknown, and ``rack`` may be empty. ``began_ms`` is
+    when the run began in Unix time, 0 if unknown.
     """
 
     run: int
@@ -102,6 +103,7 @@
     kind: CrashKind
     process_start_ms: int = 0
     rack: str = ''
+    began_ms: int = 0
 
 
 class Idleness(NamedTuple):
--- a/packages/policy/src/oriolestand_policy/scheduling/_lost_workers.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_lost_workers.py
@@ -19,13 +19,15 @@
 class LostWorker:
     """A worker that was given up, and the crashes that its end would be.
 
-    ``process_start_ms`` is when its process started, 0 if unknown.
+    ``process_start_ms`` is when its process started, 0 if unknown, and
+    ``began_ms`` is when the runs of the tasks began, in Unix time.
     """
 
     id: str
     address: str
     process_start_ms: int
     crashes: Mapping[_jobs.TaskKey, _jobs.Crash]
+    began_ms: Mapping[_jobs.TaskKey, int]
 
     def has_ended_before(self, info: _fleet.WorkerInfo) -> bool:
         """Return whether a worker shows that this one has ended."""
@@ -45,7 +47,9 @@
         known = self._by_id.pop(lost.id, None)
         if known is not None:
             lost = dataclasses.replace(
-                lost, crashes={**known.crashes, **lost.crashes}
+                lost,
+                crashes={**known.crashes, **lost.crashes},
+                began_ms={**known.began_ms, **lost.began_ms},
             )
         self._by_id[lost.id] = lost
         if len(self._by_id) > MAX_LOST_WORKERS:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -34,6 +34,10 @@
 the job could never be acknowledged."""
 
 
+WATCH_FIELDS = 6
+"""Number of fields of a watch in the rows of crashes."""
+
+
 _JOB_FIELDS = tuple(field.name for field in dataclasses.fields(_specs.JobSpec))
 _STEP_DEFAULTS = {
     field.name: field.default for field in dataclasses.fields(_specs.StepSpec)
@@ -60,13 +64,15 @@
     (rows of occurrence, step, index, failed runs and checkpoint, only for
     tasks that have one of these), ``placed`` (rows of occurrence, step, index,
     worker and run of the service tasks that may run), ``crashes`` (rows of
-    occurrence, step, index, crashes and watch), ``ready`` (rows of occurrence,
-    step and Unix ms at which an unfinished step that depends on others became
-    ready, if there are any), ``idle`` (rows of occurrence, step, index, run,
-    percentage and ms without progress beyond it of the tasks that showed none
-    for a while, if there are any). There is no ``placed`` for
-    jobs without service tasks, and if the placements are unknown or too many,
-    and no ``crashes`` without any; it lacks tasks if they are too many.
+    occurrence, step, index, crashes and watch), ``began`` (rows of occurrence,
+    step, index and Unix ms at which the watched run began, if there are any),
+    ``ready`` (rows of occurrence, step and Unix ms at which an unfinished step
+    that depends on others became ready, if there are any), ``idle`` (rows of
+    occurrence, step, index, run, percentage and ms without progress beyond it
+    of the tasks that showed none for a while, if there are any). There is no
+    ``placed`` for jobs without service tasks, and if the placements are
+    unknown or too many, and no ``crashes`` without any; it lacks tasks if they
+    are too many.
     """
     rows = _rows_of(job)
     progress: Progress = {
@@ -89,9 +95,20 @@
         progress['ready'] = ready
     if rows.idle:
         progress['idle'] = rows.idle[:MAX_IDLE_TASKS]
-    crashes = _crash_rows(job)
-    if crashes:
-        progress['crashes'] = _fitting_rows(crashes)
+    rows_of_crashes = _fitting_rows(_crash_rows(job))
+    if rows_of_crashes:
+        progress['crashes'] = [
+            # The version before cannot read a longer watch.
+            [*row[:-1], row[-1] and row[-1][:WATCH_FIELDS]]
+            for row in rows_of_crashes
+        ]
+    began = [
+        [*key, watch.began_ms]
+        for *key, _, watch in rows_of_crashes
+        if watch is not None and watch.began_ms > 0
+    ]
+    if began:
+        progress['began'] = began
     return progress
 
 
@@ -249,6 +266,10 @@
                 rack=rack,
             )
         found.append(task)
+    for number, step, index, began_ms in progress.get('began', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None and task.watch is not None:
+            task.watch = task.watch._replace(began_ms=began_ms)
     return found
 
 
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -117,7 +117,9 @@
     # Guards against a successor that starts to count anew.
     job, tasks = job_with()
     tasks[1].crashes = crashes(('a', SHARED), ('b', ALONE))
-    tasks[1].watch = _jobs.Watch(run=7, worker='w', address='c', kind=ALONE)
+    tasks[1].watch = _jobs.Watch(
+        run=7, worker='w', address='c', kind=ALONE, began_ms=9
+    )
     stored = json.loads(json.dumps(scheduling.progress_of(job)))
     successor, restored = job_with()
     found = _record.restore(successor, stored)
@@ -367,6 +369,7 @@
                 worker='i-0123456789',
                 address='10.200.100.18:8169',
                 kind=_jobs.CrashKind.SHARED,
+                began_ms=1_796_000_000_000,
             )
     record = json.dumps(scheduling.progress_of(job), separators=(',', ':'))
     assert len(record) <= 65_536
--- a/packages/policy/tests/scheduling/test_silent_workers.py
+++ b/packages/policy/tests/scheduling/test_silent_workers.py
@@ -39,7 +39,7 @@
             self.harness.now += 100
             for name in self.harness.infos:
                 self.harness.poll(name)
-            found += self.harness.decide()[0]
+            found += self.harness.decide(wall=self.harness.now)[0]
         return found
 
     def lose_a_worker(self):
@@ -47,7 +47,7 @@
 
         Its polls fail, its entry goes, and its lease passes.
         """
-        ((start,), _) = self.harness.decide()
+        ((start,), _) = self.harness.decide(wall=self.harness.now)
         self.harness.scheduler.on_start_sent(
             start.worker, start.key, start.run
         )
@@ -63,7 +63,7 @@
                 self.harness.poll(name)
             self.harness.scheduler.decide(
                 self.harness.now,
-                0,
+                self.harness.now,
                 scheduling.FormerRuns(has_unknown_workers=True),
             )
         # The round that releases the run starts the task again.
@@ -168,3 +168,60 @@
     assert [crash.address for crash in task.crashes] == (
         [lost.address] if is_replaced else []
     )
+
+
+def late_life(info, unix_ms):
+    """Return the next incarnation of a worker, with a real start time."""
+    return dataclasses.replace(info, process_start_ms=unix_ms)
+
+
+def late_worker(info, unix_ms):
+    """Return a worker of another id at the same address."""
+    return dataclasses.replace(next_worker(info), process_start_ms=unix_ms)
+
+
+@pytest.mark.parametrize('follow', [late_life, late_worker])
+@pytest.mark.parametrize('is_same_owner', [True, False])
+@pytest.mark.parametrize(('restart_ms', 'is_crash'), [(9_000, 1), (30_000, 0)])
+def test_loss_counts_if_the_next_worker_has_started_soon_after(
+    make, follow, is_same_owner, restart_ms, is_crash
+):
+    # Guards against a job that fails (LOST) for workers that were cut off and
+    # have ended for another reason long after, and against a task that is
+    # never given up, as restarts are noticed late.
+    cell = SilentWorkers(make)
+    began_ms = cell.harness.now
+    start = cell.lose_a_worker()
+    info = cell.lost[start.worker]
+    cell.harness.now = began_ms + 60_000
+    if is_same_owner:
+        cell.register(follow(info, began_ms + restart_ms))
+        assert len(cell.task.crashes) == is_crash
+        return
+    record = scheduling.progress_of(cell.job)
+    scheduler = make.Harness(workers=0).scheduler
+    scheduler.add_job(cell.job.spec, 1, progress=record, needs_probe=True)
+    next_info = follow(info, began_ms + restart_ms)
+    scheduler.set_workers({next_info.id: next_info})
+    task = scheduler.jobs['a'].find(start.key)
+    assert len(task.crashes) == is_crash
+
+
+@pytest.mark.parametrize(('restart_ms', 'is_crash'), [(9_000, 1), (30_000, 0)])
+def test_replaced_worker_counts_by_the_start_of_the_next_one(
+    make, restart_ms, is_crash
+):
+    # Guards against the same faults if a poll shows another worker at the
+    # address before that one is registered.
+    cell = SilentWorkers(make)
+    ((start,), _) = cell.harness.decide(wall=cell.harness.now)
+    cell.harness.answer(start)
+    began_ms = cell.harness.now
+    cell.harness.scheduler.on_poll_failed(start.worker, began_ms + 50)
+    info = cell.harness.infos.pop(start.worker)
+    cell.harness.now += 40_000
+    cell.harness.decide(wall=cell.harness.now)
+    cell.harness.scheduler.remove_worker(start.worker, 'replaced')
+    assert cell.task.crashes == []
+    cell.register(late_worker(info, began_ms + restart_ms))
+    assert len(cell.task.crashes) == is_crash
