Do not take a run for proven by a report that is read late

Callers saw a task that crashes its workers start again without end (rule BUDGET) under an owner short of processor time.

Cause: a run counted as proven if a report that lists it was read 500 ms after the run began. A slow owner reads a report long after it was made, so the crash that followed counted against no task.

The delay that the owner measured as it sent the poll is deducted. It is 0 unless the owner is busy.

One line of _report_handler.py passes the worker.

--- a/packages/fleet/tests/test_crashing_tasks.py
+++ b/packages/fleet/tests/test_crashing_tasks.py
@@ -141,3 +141,50 @@
         cell.cut_next(count)
     site.run(20_000)
     assert site.state(owner_of(daemons), JOB) == 'failed'
+
+
+def add_slow_owner(site, pass_ms):
+    """Start a daemon that owns the cell, and workers polled in turn."""
+    daemon = site.add_daemon('front-0', pass_ms=pass_ms)
+    site.run_until(lambda: daemon.is_owner, 20 * pass_ms + 5_000)
+    for number in range(3, 12):
+        site.add_worker(f'w{number}')
+        site.run(85)
+    site.run(3_000)
+    return daemon
+
+
+@pytest.mark.parametrize(
+    ('pass_ms', 'crash_ms', 'is_refusing'),
+    [
+        (0, 200, False),
+        (600, 10, True),
+        (600, 200, False),
+        (600, 400, False),
+        (1_200, 400, True),
+    ],
+)
+def test_task_that_crashes_workers_of_a_slow_owner_is_given_up(
+    site, pass_ms, crash_ms, is_refusing
+):
+    # Guards against a task that is started without end: a slow owner read
+    # that it ran long after that was reported, and took it for proven.
+    owner = add_slow_owner(site, pass_ms)
+    site.submit(owner, JOB, ONE_TASK, duration_ms=20_000)
+
+    def restart(name):
+        site.add_worker(name, process_start_ms=site.clock.wall())
+
+    for count in range(1, MAX_STARTS + 1):
+        began_ms = site.clock.now()
+        while len(site.history) < count:
+            site.run(5)
+            if site.clock.now() - began_ms > 15_000:
+                break
+        else:
+            name = site.history[-1].worker
+            site.run(crash_ms)
+            site.workers[name].crash(is_refusing=is_refusing)
+            site.clock.call_later(3_000, lambda name=name: restart(name))
+    assert site.state(owner, JOB) == 'failed'
+    assert len(site.history) < MAX_STARTS
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -56,9 +56,14 @@
 ended for another reason."""
 
 
-def mark_proven(run: _fleet.Run, now_ms: int) -> None:
-    """Note that a report lists a run at ``now_ms``."""
-    if now_ms - run.since_ms >= PROBATION_MS:
+def mark_proven(run: _fleet.Run, worker: _fleet.Worker, now_ms: int) -> None:
+    """Note that a report that is read at ``now_ms`` lists a run.
+
+    The report of a worker that a slow owner polls late may have been made as
+    much earlier, just after the run began.
+    """
+    late_ms = worker.max_report_age_ms - _fleet.MAX_REPORT_AGE_MS
+    if now_ms - late_ms - run.since_ms >= PROBATION_MS:
         run.is_proven = True
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -396,7 +396,7 @@
         run.is_reported = True
         run.pending_crash = None
         if not run.is_proven:
-            _crashes.mark_proven(run, now_ms)
+            _crashes.mark_proven(run, worker, now_ms)
         if report.percent == _reports.UNKNOWN_PERCENT:
             run.progress_changed_ms = now_ms
         elif report.percent != run.percent:
