Judge by overlapping times whether workers were lost together

Callers saw harmless tasks tried apart, and after a second loss their job as failed, although a power loss had taken many workers at one moment.

Cause: losses counted as of one moment if the owner read the first failed polls within 200 ms. Polls that time out fail as far apart as they were sent, and a slow owner reads the failures of one moment in different passes.

A worker was lost between its last report, or its last reply to a start, and its first failed poll. Workers that were lost together have overlapping times, whenever the owner reads them. The reply to a start keeps the times of workers that tasks crash short.

A crash that a slow owner notices late still counts as `late`, which needs three addresses: one start more.

--- a/packages/fleet/tests/test_crashing_tasks.py
+++ b/packages/fleet/tests/test_crashing_tasks.py
@@ -188,3 +188,35 @@
             site.clock.call_later(3_000, lambda name=name: restart(name))
     assert site.state(owner, JOB) == 'failed'
     assert len(site.history) < MAX_STARTS
+
+
+@pytest.mark.parametrize(
+    ('pass_ms', 'is_refusing'),
+    [(0, True), (0, False), (100, False), (300, True), (300, False)],
+)
+def test_crashes_at_one_moment_have_a_common_cause(site, pass_ms, is_refusing):
+    # Guards against suspects of workers that lost power together. Polls that
+    # time out fail one after the other, as do those of a slow owner.
+    owner = add_slow_owner(site, pass_ms)
+    jobs = [f'{number:x}' * 16 for number in range(12)]
+    large = (scheduling.StepSpec(count=1, cpu=5_000),)
+    for job in jobs:
+        site.submit(owner, job, large, duration_ms=30_000)
+        site.run(15)
+    site.run_until(lambda: len(site.history) == len(jobs), 20_000)
+    site.run(50)
+    names = [run.worker for run in site.history[-6:]]
+    for name in names:
+        site.workers[name].crash(is_refusing=is_refusing)
+    site.run(3_000)
+    for name in names:
+        site.add_worker(name, process_start_ms=site.clock.wall())
+    scheduler = owner.kernel.find('cell')._owner_term._scheduler
+    kinds = set()
+    for _ in range(80):
+        site.run(100)
+        for job in scheduler.jobs.values():
+            kinds.update(
+                c.kind.value for t in job.all_tasks() for c in t.crashes
+            )
+    assert kinds == {'common'}
--- a/packages/policy/src/oriolestand_policy/scheduling/_losses.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_losses.py
@@ -12,7 +12,8 @@
 from oriolestand_policy.scheduling import _fleet
 
 COMMON_CAUSE_WINDOW_MS = 200
-"""Failed polls show crashes of the same moment within this time."""
+"""Failed polls show crashes of the same moment within this time, if they fail
+at once. Those that time out, and those of a slow owner, fail later."""
 
 MIN_COMMON_LOSSES = 4
 COMMON_LOSS_SHARE = 0.1
@@ -35,7 +36,9 @@
 class Loss:
     """A worker that was lost or cannot be reached, and since when.
 
-    The moment is not known if the worker never reported to this owner.
+    The worker was lost after ``alive_ms``, when it last showed that it was up,
+    and before ``moment_ms``; without ``alive_ms`` right before that. The
+    moment is not known if the worker never reported to this owner.
     ``is_explained`` is whether the worker was tried with a suspect.
     """
 
@@ -43,23 +46,43 @@
     pool: str
     rack: str
     moment_ms: int
+    alive_ms: int | None = None
     is_moment_known: bool = True
     is_explained: bool = False
 
 
-def loss_of(worker: _fleet.Worker) -> Loss:
-    """Return the loss of a worker, at the first failed poll if any."""
+def loss_of(worker: _fleet.Worker, alive_ms: int | None) -> Loss:
+    """Return the loss of a worker, at the first failed poll if any.
+
+    ``alive_ms`` is as in ``Loss``.
+    """
     moment_ms = worker.unreachable_ms
     return Loss(
         worker=worker.info.id,
         pool=worker.info.pool,
         rack=worker.info.rack,
         moment_ms=moment_ms if moment_ms >= 0 else worker.last_report_ms,
+        alive_ms=alive_ms,
         is_moment_known=worker.is_probed,
         is_explained=worker.is_on_probation,
     )
 
 
+def last_sign_ms(worker: _fleet.Worker) -> int | None:
+    """Return when a worker last showed that it was up, None if never.
+
+    That is its last report or its last reply to the start of a run.
+    """
+    if not worker.is_probed:
+        return None
+    started_ms = (
+        run.since_ms
+        for run in worker.runs.values()
+        if run.phase is _fleet.RunPhase.RUNNING
+    )
+    return max([worker.last_report_ms, *started_ms])
+
+
 def has_common_cause(
     loss: Loss, others: Iterable[Loss], pool_size: int, rack_size: int
 ) -> bool:
@@ -88,16 +111,24 @@
         other.pool == loss.pool
         and not other.is_explained
         and other.is_moment_known is loss.is_moment_known
-        and abs(other.moment_ms - loss.moment_ms) <= COMMON_CAUSE_WINDOW_MS
+        and max(_earliest_ms(loss), _earliest_ms(other))
+        <= min(loss.moment_ms, other.moment_ms) + COMMON_CAUSE_WINDOW_MS
     )
 
 
+def _earliest_ms(loss: Loss) -> int:
+    """Return when a worker may have been lost at the earliest."""
+    if loss.alive_ms is None:
+        return loss.moment_ms
+    return min(loss.alive_ms, loss.moment_ms)
+
+
 class LossTracker:
     """Recent losses of workers, and the workers that cannot be reached."""
 
     def __init__(self, workers: Mapping[str, _fleet.Worker]) -> None:
         self._workers = workers
-        self._unreachable: dict[str, _fleet.Worker] = {}
+        self._unreachable: dict[str, tuple[_fleet.Worker, int | None]] = {}
         self._losses: list[Loss] = []
         self._sizes: collections.Counter[tuple[str, str | None]] = (
             collections.Counter()
@@ -106,7 +137,7 @@
 
     def on_unreachable(self, worker: _fleet.Worker) -> None:
         """Note that a worker cannot be reached."""
-        self._unreachable[worker.info.id] = worker
+        self._unreachable[worker.info.id] = (worker, last_sign_ms(worker))
 
     def on_report(self, worker: _fleet.Worker) -> None:
         """Note that a worker has been reached."""
@@ -114,16 +145,18 @@
 
     def add(self, worker: _fleet.Worker) -> bool:
         """Record a loss; return whether it has a cause other than a task."""
-        loss = loss_of(worker)
+        # Its runs may have been released since it could not be reached.
+        known = self._unreachable.pop(worker.info.id, None)
+        alive_ms = known[1] if known is not None else last_sign_ms(worker)
+        loss = loss_of(worker, alive_ms)
         self._count_workers(loss.moment_ms)
-        self._unreachable.pop(loss.worker, None)
         self._losses = [
             other
             for other in self._losses
             if loss.moment_ms - other.moment_ms <= LOSSES_KEPT_MS
         ]
         self._losses.append(loss)
-        unreachable = [loss_of(w) for w in self._unreachable.values()]
+        unreachable = [loss_of(*entry) for entry in self._unreachable.values()]
         return has_common_cause(
             loss,
             [*self._losses, *unreachable],
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -7,6 +7,7 @@
 
 from oriolestand_policy import scheduling
 from oriolestand_policy.scheduling import _crashes
+from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _losses
 from oriolestand_policy.scheduling import _probation_round
@@ -91,6 +92,10 @@
         # A tenth of the pool.
         ([loss(f'x{n}', rack=f's{n}') for n in range(3)], False),
         ([loss(f'x{n}', rack=f's{n}') for n in range(5)], True),
+        # Polls that fail later, of workers that may have been lost then.
+        ([loss(n, 3_000, alive_ms=900) for n in 'bcd'], True),
+        ([loss(n, 3_000, alive_ms=1_300) for n in 'bcd'], False),
+        ([loss(n, 500, alive_ms=100) for n in 'bcd'], False),
         # Workers that were tried with suspects are no sign of it.
         ([loss(n, is_explained=True) for n in 'bcdefg'], False),
         # Nor are those that a former owner may have lost at any time.
@@ -106,6 +111,41 @@
     )
 
 
+@pytest.mark.parametrize('is_released', [True, False])
+@pytest.mark.parametrize(
+    ('replied_ms', 'is_common'), [(1_200, True), (2_900, False)]
+)
+def test_reply_to_a_start_shows_that_a_worker_was_not_lost_before(
+    make, replied_ms, is_common, is_released
+):
+    # Guards against harmful tasks that are never suspected, as the workers
+    # that they crash one after the other seem to be lost together: a report
+    # comes once a second only.
+    workers = make.Harness(workers=5).scheduler.workers
+    tracker = _losses.LossTracker(workers)
+    first, *others = workers.values()
+    for worker in workers.values():
+        worker.last_report_ms = 1_000
+        worker.unreachable_ms = 1_300 if worker is first else 3_000
+        worker.add(
+            _fleet.Run(
+                key=scheduling.TaskKey('j', 0, 0, 0),
+                number=1,
+                spec=scheduling.StepSpec(count=1),
+                phase=_fleet.RunPhase.RUNNING,
+                since_ms=1_200 if worker is first else replied_ms,
+            )
+        )
+        tracker.on_unreachable(worker)
+        if is_released:
+            for run in list(worker.runs.values()):
+                worker.drop(run)
+    for worker in others:
+        # The others have a common cause with each other.
+        assert tracker.add(worker)
+    assert tracker.add(first) is is_common
+
+
 def job_with(step=None):
     step = step or scheduling.StepSpec(count=2)
     spec = scheduling.JobSpec(id='j', route='r', payload='', steps=(step,))
