Merge crash counts by the start of the next incarnation

The owner's records of a crash tell when the run began and when the next incarnation started. In Cell the number of a worker id rises as before.

--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -17,6 +17,8 @@
 """Most jobs for which ends are kept until the job is known. Ends of jobs that
 were removed are among them."""
 
+_WorkerGone = Callable[[_fleet.Worker, str, _fleet.WorkerInfo | None], None]
+
 
 class Cell:
     """State of a cell: its jobs, workers, routes and queued effects.
@@ -44,7 +46,7 @@
     been given up, and entries that show a restart. It outlasts restarts and
     removals of the workers.
     ``on_worker_gone`` is called with a removed worker, which still has its
-    runs, and the reason.
+    runs, the reason, and the next incarnation if it is known.
     """
 
     def __init__(self, epoch: int, lease_max_ms: int) -> None:
@@ -68,7 +70,7 @@
         self.returned_ms: dict[str, int] = {}
         self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
         self.effects: list[_effects.Effect] = []
-        self.on_worker_gone: Callable[[_fleet.Worker, str], None] | None = None
+        self.on_worker_gone: _WorkerGone | None = None
 
     def mark_evacuated(self, worker: _fleet.Worker) -> None:
         """Mark a worker if its failure domain is evacuated.
@@ -170,10 +172,16 @@
         self.generations[worker_id] = generation
         return generation <= fencing.MAX_GENERATION
 
-    def _drop_worker(self, worker: _fleet.Worker, reason: str) -> bool:
+    def _drop_worker(
+        self,
+        worker: _fleet.Worker,
+        reason: str,
+        successor: _fleet.WorkerInfo | None = None,
+    ) -> bool:
         """Remove a worker from the cell; it still has its runs.
 
-        Return whether orders to its successor outdate those for it.
+        ``successor`` is the next incarnation, if it is known. Return whether
+        orders to it outdate those for this one.
         """
         worker_id = worker.info.id
         del self.workers[worker_id]
@@ -187,7 +195,7 @@
             reported=sum(run.is_reported for run in worker.runs.values()),
         )
         if self.on_worker_gone is not None:
-            self.on_worker_gone(worker, reason)
+            self.on_worker_gone(worker, reason, successor)
         return is_raised
 
     def replace_worker(
@@ -205,7 +213,7 @@
         have accepted the others; its reports tell. For ``fenced_after_ms`` see
         ``Worker``.
         """
-        if not self._drop_worker(worker, _crashes.RESTARTED):
+        if not self._drop_worker(worker, _crashes.RESTARTED, info):
             fenced_after_ms = -1
         replacement = _fleet.Worker(
             info=info,
