Keep leases and ends when entries of others announce restarts

Cause: each later entry superseded the open poll, so that no report was ever applied; the answer to a superseded poll was dropped, although it can be the last one of the former incarnation; each entry used a token up, and could unset the bound of a lease.

Change: only the first entry until a poll is answered supersedes a poll; an answer that comes later counts for ends as done; only a report or a removal raises the token. A worker whose tokens are used up is logged. New tests have orders after the fence and removed workers.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -115,8 +115,8 @@
     def poll_again(self) -> None:
         """Send the next poll at once instead of waiting for an open one.
 
-        There is one connection more than the open poll needs. The answer to
-        that poll is ignored: the next one lists the same ends.
+        There is one connection more than the open poll needs. A late answer
+        to that poll may be the last one of the former incarnation.
         """
         fut, self._open_poll = self._open_poll, None
         if fut is not None and not self._has_superseded_poll:
@@ -133,6 +133,7 @@
         def on_answer(result: Any) -> None:
             if fut.called:
                 self._has_superseded_poll = False
+                self._publish_late(result)
                 return
             self._open_poll = None
             fut.callback(result)
@@ -140,6 +141,15 @@
         self._kernel.ask(orders.SERVICE, poll).addBoth(on_answer)
         return fut
 
+    def _publish_late(self, result: Any) -> None:
+        """Publish the answer to a superseded poll, if there is one."""
+        if isinstance(result, scheduling.WorkerReport):
+            self._kernel.publish(
+                orders.LateReport(
+                    worker=self._worker, epoch=self._term.epoch, report=result
+                )
+            )
+
     async def run(self) -> None:
         """Poll until the worker is gone or the term is over."""
         try:
--- a/packages/fleet/tests/test_orders_for_former_incarnations.py
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -146,3 +146,66 @@
     site.run(5_000)
     assert daemon.kernel.find('cell')._owner_term is owner_term
     assert site.state(daemon, 'second') == 'completed'
+
+
+@pytest.mark.parametrize(
+    ('every_ms', 'delay_ms'), [(10, 100), (100, 100), (200, 300)]
+)
+def test_stream_of_entries_of_others_costs_no_lease(every_ms, delay_ms):
+    # Guards against a worker that loses its runs, as each later entry lets
+    # the owner give up the poll that would show the entry to be wrong.
+    site = fleet.FleetSimulation()
+    site.add_worker('w0', clock_ms=FORMER_CLOCK_MS)
+    daemon = site.add_daemon('front-0')
+    site.run_until(lambda: daemon.is_owner, 5_000)
+    site.submit(daemon, 'long', ONE_TASK, duration_ms=60_000)
+    site.run(1_000)
+    daemon.orders.faults.report_delays_ms['w0'] = delay_ms
+    site.run(2_000)
+    info = site.workers['w0'].info
+    for number, at_ms in enumerate(range(0, 20_000, every_ms)):
+        site.store.register_worker(
+            dataclasses.replace(info, process_start_ms=10 + number)
+        )
+        if at_ms % 500 == 0:
+            site.submit(daemon, f'{at_ms:016x}', ONE_TASK, duration_ms=200)
+        site.run(every_ms)
+    (long,) = [run for run in site.history if run.key.job == 'long']
+    assert long.outcome == ''
+
+
+@pytest.mark.parametrize('delay_ms', [100, 300, 600])
+def test_end_in_the_answer_to_a_superseded_poll_counts(site, daemon, delay_ms):
+    # Guards against a task that runs again although the answer that tells of
+    # its end was on its way when the next incarnation was registered.
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: len(site.history) == 3, 4_000)
+    site.run(2_000)
+    worker = site.workers['w0']
+    daemon.orders.faults.report_delays_ms['w0'] = delay_ms
+    site.run_until(lambda: bool(worker._pending_polls), 4_000)
+    site.run(30)
+    worker._end_run(site.history[2], 'done')
+    site.run(30)
+    restart(site)
+    site.run(6_000)
+    assert len(site.history) == 3
+
+
+@pytest.mark.parametrize('late_ms', [1_500, 3_000, 4_000, 5_000])
+def test_late_start_on_an_incarnation_cut_off_before_its_first_poll(
+    site, daemon, late_ms
+):
+    # Guards against a task that runs twice: the next incarnation begins the
+    # longest lease with the late start, and no report ever bounds it.
+    daemon.orders.faults.effect_delay_ms = late_ms
+    daemon.orders.faults.unanswered_starts = 1
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
+    site.workers['w0'].crash()
+    daemon.orders.faults.unreachable.add('w0')
+    site.run(600)
+    site.add_worker('w0', process_start_ms=2, clock_ms=10_000)
+    site.add_worker('w1')
+    site.run(15_000)
+    assert site.overlapping_runs() == []
--- a/packages/policy/src/oriolestand_policy/fencing.py
+++ b/packages/policy/src/oriolestand_policy/fencing.py
@@ -27,9 +27,8 @@
 def token(epoch: int, generation: int) -> int:
     """Return the token of orders for an incarnation of a worker.
 
-    ``generation`` counts the reasons to outdate earlier orders during the
-    epoch, two for most restarts. From the last token on, orders for a former
-    incarnation are not told apart any more.
+    ``generation`` counts the incarnations that ended during the epoch. From
+    the last token on, orders for a former one are not told apart any more.
 
     >>> token(33, 0), token(33, 1), token(33, 99)
     (33, 34, 64)
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -43,8 +43,7 @@
     ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
     owners that were listed before their job was added.
     ``generations`` counts, by worker id, the incarnations that have ended or
-    been given up, and entries that show a restart. It outlasts restarts and
-    removals of the workers.
+    been given up. It outlasts restarts and removals of the workers.
     ``on_worker_gone`` is called with a removed worker, which still has its
     runs, the reason, and the next incarnation if it is known.
     """
@@ -163,13 +162,15 @@
         self._drop_worker(worker, reason)
         self.release_all(worker, worker.last_report_ms)
 
-    def raise_generation(self, worker_id: str) -> bool:
+    def _raise_generation(self, worker_id: str) -> bool:
         """Let the next orders to a worker outdate all earlier ones.
 
         Return False if no token is left for that.
         """
         generation = self.generations.get(worker_id, 0) + 1
         self.generations[worker_id] = generation
+        if generation == fencing.MAX_GENERATION + 1:
+            self.log('tokens_used_up', '', worker=worker_id)
         return generation <= fencing.MAX_GENERATION
 
     def _drop_worker(
@@ -185,7 +186,7 @@
         """
         worker_id = worker.info.id
         del self.workers[worker_id]
-        is_raised = self.raise_generation(worker_id)
+        is_raised = self._raise_generation(worker_id)
         self.log(
             'worker_gone',
             '',
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -33,7 +33,8 @@
             worker.update_info(info)
         elif is_later or has_moved:
             if info not in (worker.announced, worker.refuted):
-                if is_later:
+                if is_later and worker.announced is None:
+                    # Otherwise a stream of entries would supersede each poll.
                     self._poll_again(worker)
                 self._announce(worker, info)
         else:
@@ -80,15 +81,10 @@
         return worker
 
     def _poll_again(self, worker: _fleet.Worker) -> None:
-        """Learn soon whether a worker has restarted.
-
-        The token of this poll outdates earlier orders, which the present
-        incarnation may receive late.
-        """
-        worker_id = worker.info.id
-        if self._cell.raise_generation(worker_id):
-            worker.fenced_after_ms = worker.polled_ms
-        self._cell.effects.append(_effects.PollWorkerAgain(worker=worker_id))
+        """Learn soon whether a worker has restarted."""
+        self._cell.effects.append(
+            _effects.PollWorkerAgain(worker=worker.info.id)
+        )
 
     def _announce(
         self, worker: _fleet.Worker, info: _fleet.WorkerInfo
@@ -156,12 +152,11 @@
             # Only its entry has told a start time, which was wrong.
             worker.update_info(info)
             return worker
-        fenced_ms = worker.fenced_after_ms
         return self._cell.replace_worker(
             worker,
             info,
             is_listed=worker.is_listed,
-            fenced_after_ms=fenced_ms if 0 <= fenced_ms < sent_ms else sent_ms,
+            fenced_after_ms=sent_ms,
         )
 
     @staticmethod
--- a/packages/policy/tests/scheduling/test_restarted_workers.py
+++ b/packages/policy/tests/scheduling/test_restarted_workers.py
@@ -264,19 +264,41 @@
     restarts, outcome
 ):
     # Guards against a task that is lost although the worker is cut off again
-    # soon after its first report: it refuses earlier orders from then on, so
-    # that it cannot begin the run later.
+    # soon after: it refuses earlier orders from this report on, so that it
+    # cannot begin the run later, whether or not it has answered a stop.
     start = restarts.start(outcome=outcome)
-    scheduler = restarts.harness.scheduler
     restarts.harness.now += 100
-    scheduler.on_poll_sent(start.worker, restarts.harness.now)
-    restarts.register(start.worker)
+    restarts.report_restart(start.worker)
+    assert restarts.harness.decide()[0] == []
     restarts.harness.now += 10
     restarts.report(start.worker)
     ((again,), _) = restarts.harness.decide()
     assert again.key == start.key
 
 
+def test_run_that_was_ordered_after_the_fence_needs_two_reports(restarts):
+    # Guards against a run that is released although the worker has it: its
+    # order has the higher token, so that nothing refuses it.
+    start = restarts.start()
+    restarts.harness.now += 100
+    restarts.report_restart(start.worker)
+    worker = restarts.harness.scheduler.workers[start.worker]
+    run = worker.runs[(start.key, start.run)]
+    run.since_ms = worker.fenced_after_ms
+    run.missed_polls = 0
+    restarts.harness.now += 10
+    restarts.report(start.worker)
+    assert (start.key, start.run) in worker.runs
+
+
+def test_worker_that_was_removed_has_a_higher_token(restarts):
+    # Guards against a late order for a worker that is back under its id.
+    name = next(iter(restarts.harness.infos))
+    restarts.harness.scheduler.remove_worker(name, 'lease over')
+    restarts.register(name)
+    assert restarts.harness.scheduler.generation_of(name) == 1
+
+
 def test_entries_use_up_no_more_than_the_tokens_of_the_epoch(restarts):
     # Guards against tokens of the next owner.
     restarts.use_up_tokens()
