Move the specs of batch workers out of the placer

Change: reading, publishing and assessing worker specs are in _worker_specs.py. No change of behaviour.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -13,15 +13,15 @@
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.services.batch import _lifecycles
-from oriolestand_daemon.services.batch import _placer
 from oriolestand_daemon.services.batch import _runs
 from oriolestand_daemon.services.batch import _scanner
+from oriolestand_daemon.services.batch import _worker_specs
 from oriolestand_daemon.services.batch import const
 from oriolestand_daemon.services.batch import models
 import oriolestand_platform as platform
 from oriolestand_policy import batch
 
-Assessments = dict[tuple[str, batch.Demand], _placer.Assessment]
+Assessments = dict[tuple[str, batch.Demand], _worker_specs.Assessment]
 
 
 class BatchTask(_lifecycles.LifecycleRunner):
@@ -192,7 +192,7 @@
 
     async def _refresh_specs(self) -> None:
         """Read the worker specs whose next read is due."""
-        await self._placer.refresh_specs(
+        await self._placer.specs.refresh(
             lambda address: self._run_driver.call(
                 address, platform.StatusRequest()
             )
@@ -219,7 +219,7 @@
         queue = self._placer.queue
         assessments: Assessments = {}
         for pool, demand in queue.classes():
-            assessment = await self._placer.assess(pool, demand)
+            assessment = await self._placer.specs.assess(pool, demand)
             assessments[pool, demand] = assessment
             if assessment.may_run_here:
                 continue
@@ -237,7 +237,7 @@
             return
         key = (entry.pool, entry.demand)
         if key not in assessments:
-            assessments[key] = await self._placer.assess(*key)
+            assessments[key] = await self._placer.specs.assess(*key)
         if assessments[key].may_run_here:
             self._placer.queue.put(entry)
         elif assessments[key].unplaceable_reason:
