Keep room for overdue batch tasks

Cause: TaskQueue gave each slot that became free to whichever task fitted it, so a task of two slots never started beside a stream of tasks of one. Within a team it tried the classes (pool and demand) in the order in which they had become non-empty, so that one that was never empty held up others.

Change: a team starts its oldest task that fits. A task is overdue after MAX_OVERTAKES (16) starts of younger tasks of its pool. Room is kept for the oldest overdue one of a team, priority and pool on the worker that lacks the least for it; tasks of its priority and below leave it free. It is given back when the task is removed, starts, exceeds its quota or fits no worker, and moves when its worker leaves. Room counts as in use by the team; a team with slots in use gets none while one that comes first waits, and holds back its younger tasks. A task that is refused by the dispatcher goes back to its place and overtakes nobody. The placer counts free slots as the dispatcher does while room is kept or wanted, excludes gone, leaving and unlisted workers, and reads the row of a task with room once a second, as another daemon may have started or cancelled it. The stub of the dispatcher in the tests now reports the slots in use.

--- a/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_placer.py
@@ -5,6 +5,7 @@
 import oriolestand_core as core
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import grants
+from oriolestand_daemon.services.batch import _pool_workers
 from oriolestand_daemon.services.batch import _store
 from oriolestand_daemon.services.batch import _worker_specs
 from oriolestand_daemon.services.batch import const
@@ -45,6 +46,8 @@
         self._indexes: dict[str, batch.WorkerIndex] = {}
         self._allocations: dict[str, Allocation] = {}
         self._domain_by_address: dict[str, str] = {}
+        self._listed: dict[str, frozenset[str]] = {}
+        self._departed: frozenset[str] = frozenset()
         self.queue = batch.TaskQueue()
         self.specs = _worker_specs.WorkerSpecs(
             kernel, task_store, failure_domain, self._indexes
@@ -62,8 +65,23 @@
             self._indexes.setdefault(pool.name, batch.WorkerIndex())
             for up in pool.upstreams:
                 self._domain_by_address[up.address] = up.failure_domain
+            self._listed[pool.name] = frozenset(
+                up.address for up in pool.upstreams
+            )
             for team, weight in pool.team_weights:
                 self.queue.set_team(team, weight)
+        self._exclude_workers()
+
+    def set_departed(self, addresses: frozenset[str]) -> None:
+        """Set the workers that are gone or leave and get no more tasks."""
+        self._departed = addresses
+        self._exclude_workers()
+
+    def _exclude_workers(self) -> None:
+        """Exclude departed workers and those that left their pool."""
+        for name, index in self._indexes.items():
+            unlisted = index.addresses - self._listed[name]
+            index.set_excluded(unlisted | self._departed)
 
     async def pools_to_scan(self) -> dict[str, bool]:
         """Return the pools to scan, each with whether it has free slots here.
@@ -88,23 +106,31 @@
 
         Returns the task's queue entry and its worker's address, or None.
         """
-        refused: set[tuple[str, str, int]] = set()
+        workers = _pool_workers.PoolWorkers(
+            self._indexes, self._kernel.clock.now()
+        )
+        if self.queue.rooms:
+            await self._read_slots(workers)
         while True:
-            found = self.queue.take(lambda e: self._choose_worker(e, refused))
+            found = self.queue.take(workers)
+            if found is None and workers.needs_slots:
+                await self._read_slots(workers)
+                continue
             if found is None:
                 return None
             entry, candidate = found
             key = f'{entry.name}@{self._kernel.ids.request_id()[:8]}'
-            address = await self._reserve_worker(entry, key, candidate)
+            address = await self._reserve_worker(
+                entry, key, candidate, workers
+            )
             if address and not await self._ensure_grant_covers(
                 address, entry.lease_ms
             ):
                 self._unreserve(key)
                 address = ''
             if not address:
-                refused.add((entry.pool, entry.team, entry.demand.slots))
-                self.queue.release_slots(entry.team, entry.demand.slots)
-                self.queue.put(entry)
+                workers.record_refusal(entry)
+                self.queue.put_back(entry)
                 continue
             self._indexes[entry.pool].take(address, entry.demand)
             self._allocations[entry.name] = Allocation(
@@ -131,37 +157,31 @@
         )
         return covered
 
-    def _choose_worker(
-        self, entry: batch.QueuedTask, refused: set[tuple[str, str, int]]
-    ) -> str | None:
-        """Return a worker with the accelerators and memory that a task needs.
-
-        Returns None if there is none, or if an equal request for slots was
-        refused.
-        """
-        index = self._indexes.get(entry.pool)
-        slot_request = (entry.pool, entry.team, entry.demand.slots)
-        if index is None or slot_request in refused:
-            return None
-        now = self._kernel.clock.now()
-        return index.choose(entry.demand, now, entry.avoid)
+    async def _read_slots(self, workers: _pool_workers.PoolWorkers) -> None:
+        """Read the granted slots of the workers from the dispatcher."""
+        workers.set_dispatch_status(
+            await self._kernel.ask('dispatch', dispatch.GetDispatchStatus())
+        )
 
     async def _reserve_worker(
-        self, entry: batch.QueuedTask, key: str, candidate: str
+        self,
+        entry: batch.QueuedTask,
+        key: str,
+        candidate: str,
+        workers: _pool_workers.PoolWorkers,
     ) -> str:
         """Reserve slots on a suitable worker; return its address or ''.
 
         The dispatcher chooses first, because it knows the load. Its choice may
-        lack memory or accelerators, or may just have failed the task; then the
-        candidate is tried instead.
+        lack memory or accelerators, be kept for another task, or may just have
+        failed the task; then the candidate is tried instead.
         """
         address = await self._reserve(
             key, entry.pool, entry.team, entry.demand, entry.priority
         )
         if not address:
             return ''
-        now = self._kernel.clock.now()
-        fits = self._indexes[entry.pool].accepts(address, entry.demand, now)
+        fits = workers.accepts(entry, address, self.queue.rooms_beside(entry))
         if fits and (address != entry.avoid or address == candidate):
             return address
         self._unreserve(key)
@@ -228,7 +248,7 @@
         )
         if former is None:
             self._allocations[row.name] = allocation
-            self.queue.take_slots(row.team, row.demand.slots)
+            self.queue.take_slots(row.team, row.demand.slots, row.pool)
             if row.pool in self._indexes:
                 self._indexes[row.pool].take(row.worker, row.demand)
         address = await self._reserve(
@@ -258,7 +278,9 @@
         allocation = self._allocations.pop(name, None)
         if allocation is None:
             return
-        self.queue.release_slots(allocation.team, allocation.demand.slots)
+        self.queue.release_slots(
+            allocation.team, allocation.demand.slots, allocation.pool
+        )
         if allocation.pool in self._indexes:
             self._indexes[allocation.pool].release(
                 allocation.address, allocation.demand
--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -74,6 +74,7 @@
         states = platform.InstanceState
         gone = _runs.workers_in_state(states.GONE, msg.instances)
         leaving = _runs.workers_in_state(states.LEAVING, msg.instances)
+        self._placer.set_departed(frozenset(gone | leaving))
         for lifecycle in list(self._lifecycles.values()):
             if lifecycle.row.worker in gone:
                 self._deliver(lifecycle, batch.WorkerGone())
@@ -169,6 +170,7 @@
             if last is None or now - last >= const.POLL_INTERVAL_MS:
                 self._last_poll_at = now
                 self._run_step('poll', self._poll())
+                self._run_step('rooms', self._check_rooms())
                 self._run_step('specs', self._refresh_specs())
             self._run_step('place', self._place())
             self._run_step('slots', self._reserve_all_adopted())
@@ -211,6 +213,20 @@
         for entry in found.entries:
             await self._admit(entry, assessments)
 
+    async def _check_rooms(self) -> None:
+        """Remove tasks for which room is kept that are no longer queued.
+
+        Tasks started by another daemon or cancelled would keep it for good.
+        """
+        for room in self._placer.queue.rooms:
+            name = room.task.name
+            stored = await self._store.read(name)
+            if (
+                stored is None
+                or stored.row.state is not batch.TaskState.QUEUED
+            ):
+                self._placer.queue.remove(name)
+
     async def _prune_queue(self) -> Assessments:
         """Remove queued tasks that no worker of this domain can run.
 
--- a/packages/daemon/tests/services/batch/conftest.py
+++ b/packages/daemon/tests/services/batch/conftest.py
@@ -75,8 +75,14 @@
 
     @core.handles(dispatch.GetDispatchStatus)
     def _on_status(self, msg):
+        in_use = collections.Counter()
+        for reservation in self.reserved.values():
+            in_use[reservation.address] += reservation.slots
         ups = {
-            address: {'limit': free, 'in_use': 0}
+            address: {
+                'limit': free + in_use[address],
+                'in_use': in_use[address],
+            }
             for address, free in self.free.items()
         }
         return {'main': {'free': sum(self.free.values()), 'upstreams': ups}}
--- a/packages/policy/src/oriolestand_policy/batch/__init__.py
+++ b/packages/policy/src/oriolestand_policy/batch/__init__.py
@@ -21,8 +21,13 @@
 from oriolestand_policy.batch._messages import Tick
 from oriolestand_policy.batch._messages import WorkerGone
 from oriolestand_policy.batch._messages import WorkerReported
-from oriolestand_policy.batch._queue import QueuedTask
+from oriolestand_policy.batch._queue import MAX_OVERTAKES
 from oriolestand_policy.batch._queue import TaskQueue
+from oriolestand_policy.batch._rooms import QueuedTask
+from oriolestand_policy.batch._rooms import Room
+from oriolestand_policy.batch._rooms import Rooms
+from oriolestand_policy.batch._rooms import SingleWorker
+from oriolestand_policy.batch._rooms import Workers
 from oriolestand_policy.batch._row import QUEUE_SHARDS
 from oriolestand_policy.batch._row import Demand
 from oriolestand_policy.batch._row import TaskRow
@@ -42,14 +47,18 @@
     'EvictRequested',
     'HandOverRequested',
     'Lifecycle',
+    'MAX_OVERTAKES',
     'Message',
     'QUEUE_SHARDS',
     'QueryRun',
     'QueuedTask',
     'ReleaseSlots',
+    'Room',
+    'Rooms',
     'RowConflicted',
     'RowWritten',
     'RunStatus',
+    'SingleWorker',
     'StartRun',
     'StopRun',
     'TaskQueue',
@@ -61,6 +70,7 @@
     'WorkerIndex',
     'WorkerReported',
     'WorkerSpec',
+    'Workers',
     'WriteRow',
     'adopt',
     'index_key',
