Let teams with the same load start batch tasks in turn

Cause: of two teams with the same load the first by name started. A team whose tasks end before the next decision has a load of 0 at each decision, so that another team without slots in use waited without end. Change: among teams with the same load, the one whose last start is the longest ago comes first. Result: test_teams_without_slots_in_use_take_turns fails without the change and passes with it, as do the other tests of packages/policy/tests/batch and packages/daemon/tests/services/batch.

--- a/packages/policy/src/oriolestand_policy/batch/_queue.py
+++ b/packages/policy/src/oriolestand_policy/batch/_queue.py
@@ -78,6 +78,8 @@
         self._last_taken = ('', 0)
         self._started: dict[str, list[int]] = {}
         self._rooms: dict[_Holder, _rooms.Room] = {}
+        self._starts = 0
+        self._last_starts: dict[str, int] = {}
         self._kept: collections.Counter[str] = collections.Counter()
         self._in_use: collections.Counter[str] = collections.Counter()
         self._in_pool: collections.Counter[tuple[str, str]] = (
@@ -233,10 +235,15 @@
         decision = _Decision(workers=workers)
         for priority in reversed(self._priorities):
             level = self._levels[priority]
-            by_load = [(self._load(team), team) for team in level]
+            # Among teams with the same load, a team with short tasks would
+            # always come first without turns.
+            by_load = [
+                (self._load(team), self._last_starts.get(team, 0), team)
+                for team in level
+            ]
             heapq.heapify(by_load)
             while by_load:
-                _, team = heapq.heappop(by_load)
+                _, _, team = heapq.heappop(by_load)
                 found = self._first_fitting(team, level[team], decision)
                 if found is not None:
                     self._record_start(found[0])
@@ -248,6 +255,8 @@
         number = self._numbers[entry.name]
         self.remove(entry.name)
         self._last_taken = (entry.name, number)
+        self._starts += 1
+        self._last_starts[entry.team] = self._starts
         self.take_slots(entry.team, entry.demand.slots, entry.pool)
         started = self._started.setdefault(entry.pool, [])
         bisect.insort(started, number)
--- a/packages/policy/tests/batch/test_rooms.py
+++ b/packages/policy/tests/batch/test_rooms.py
@@ -450,6 +450,21 @@
     assert len(calls) == 1
 
 
+def test_teams_without_slots_in_use_take_turns():
+    """A team whose tasks end before the next one starts has a load of 0."""
+    queue = batch.TaskQueue()
+    cell = Cell()
+    cell.queue = queue
+    cell.put('b', team='b')
+    for number in range(3):
+        cell.put(f'a{number}', team='a')
+        entry, _ = queue.take(lambda task: 'w')
+        queue.release_slots(entry.team, 1, 'p')
+        if entry.name == 'b':
+            return
+    raise AssertionError('the task of the other team never started')
+
+
 def test_task_that_is_put_back_keeps_its_place_and_overtook_nobody():
     """Refused requests for slots must neither make tasks overdue nor young."""
     cell = Cell()
