--- a/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
+++ b/packages/daemon/src/oriolestand_daemon/services/batch/_task.py
@@ -13,15 +13,15 @@
 from oriolestand_daemon.messages import dispatch
 from oriolestand_daemon.messages import membership
 from oriolestand_daemon.services.batch import _lifecycles
-from oriolestand_daemon.services.batch import _placer
 from oriolestand_daemon.services.batch import _runs
 from oriolestand_daemon.services.batch import _scanner
+from oriolestand_daemon.services.batch import _worker_specs
 from oriolestand_daemon.services.batch import const
 from oriolestand_daemon.services.batch import models
 import oriolestand_platform as platform
 from oriolestand_policy import batch
 
-Assessments = dict[tuple[str, batch.Demand], _placer.Assessment]
+Assessments = dict[tuple[str, batch.Demand], _worker_specs.Assessment]
 
 
 class BatchTask(_lifecycles.LifecycleRunner):
@@ -74,6 +74,7 @@
         states = platform.InstanceState
         gone = _runs.workers_in_state(states.GONE, msg.instances)
         leaving = _runs.workers_in_state(states.LEAVING, msg.instances)
+        self._placer.set_departed(frozenset(gone | leaving))
         for lifecycle in list(self._lifecycles.values()):
             if lifecycle.row.worker in gone:
                 self._deliver(lifecycle, batch.WorkerGone())
@@ -169,6 +170,7 @@
             if last is None or now - last >= const.POLL_INTERVAL_MS:
                 self._last_poll_at = now
                 self._run_step('poll', self._poll())
+                self._run_step('rooms', self._check_rooms())
                 self._run_step('specs', self._refresh_specs())
             self._run_step('place', self._place())
             self._run_step('slots', self._reserve_all_adopted())
@@ -192,7 +194,7 @@
 
     async def _refresh_specs(self) -> None:
         """Read the worker specs whose next read is due."""
-        await self._placer.refresh_specs(
+        await self._placer.specs.refresh(
             lambda address: self._run_driver.call(
                 address, platform.StatusRequest()
             )
@@ -211,6 +213,20 @@
         for entry in found.entries:
             await self._admit(entry, assessments)
 
+    async def _check_rooms(self) -> None:
+        """Remove tasks for which room is kept that are no longer queued.
+
+        Tasks started by another daemon or cancelled would keep it for good.
+        """
+        for room in self._placer.queue.rooms:
+            name = room.task.name
+            stored = await self._store.read(name)
+            if (
+                stored is None
+                or stored.row.state is not batch.TaskState.QUEUED
+            ):
+                self._placer.queue.remove(name)
+
     async def _prune_queue(self) -> Assessments:
         """Remove queued tasks that no worker of this domain can run.
 
@@ -219,7 +235,7 @@
         queue = self._placer.queue
         assessments: Assessments = {}
         for pool, demand in queue.classes():
-            assessment = await self._placer.assess(pool, demand)
+            assessment = await self._placer.specs.assess(pool, demand)
             assessments[pool, demand] = assessment
             if assessment.may_run_here:
                 continue
@@ -237,7 +253,7 @@
             return
         key = (entry.pool, entry.demand)
         if key not in assessments:
-            assessments[key] = await self._placer.assess(*key)
+            assessments[key] = await self._placer.specs.assess(*key)
         if assessments[key].may_run_here:
             self._placer.queue.put(entry)
         elif assessments[key].unplaceable_reason:
