--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -80,8 +80,10 @@
         self._handler = handler
         self._server = None
         self._writers = set()
+        self._lost = set()
         self.host = ''
         self.port = 0
+        self.cut_until_ms = 0
 
     async def listen(self, host, port=0):
         """Listen on a port, a free one if it is 0."""
@@ -104,6 +106,20 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def lose_connections(self):
+        """Let the open connections deliver nothing any more."""
+        self._lost.update(self._writers)
+
+    async def _is_delivered(self, writer):
+        """Wait until a cut is over; return whether the connection is open.
+
+        What is held up by a cut is lost if its sender has reset the
+        connection.
+        """
+        while now_ms() < self.cut_until_ms:
+            await asyncio.sleep(0.01)
+        return not (writer in self._lost or writer.transport.is_closing())
+
     async def _serve(self, reader, writer):
         """Serve the requests of a connection."""
         self._writers.add(writer)
@@ -112,9 +128,13 @@
                 request = await read_message(reader)
                 if request is None:
                     return
+                if not await self._is_delivered(writer):
+                    return
                 first, headers, body = request
                 method, target, _ = first.split(' ', 2)
                 reply = await self._handler(method, target, headers, body)
+                if not await self._is_delivered(writer):
+                    return
                 if reply is SILENT:
                     await reader.read()
                     return
@@ -133,6 +153,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._lost.discard(writer)
             writer.close()
 
 
@@ -381,11 +402,11 @@
         self._lease_end = 0
         self._lease_timer = None
         self._born_wall = int(time.time() * 1000)
-        self._offset = random.randrange(10_000, 900_000) - now_ms()
+        self._offset = -now_ms()
         self._seq = 0
 
     def clock(self):
-        """Return the worker's own clock."""
+        """Return the worker's own clock, which starts with each life."""
         return now_ms() + self._offset
 
     async def start(self, keeps_id=False):
@@ -393,9 +414,10 @@
         self.life += 1
         self._ids += not keeps_id
         self._reset()
-        self._server = HttpServer(self._handle)
-        await self._server.listen('127.0.0.1', self._port)
-        self._port = self._server.port
+        if self._server is None:
+            self._server = HttpServer(self._handle)
+            await self._server.listen('127.0.0.1', self._port)
+            self._port = self._server.port
         self.is_up = True
         self._record(f'worker {self.id} is up')
         self._beat = asyncio.ensure_future(self._heartbeat())
@@ -443,7 +465,11 @@
         if self._lease_timer is not None:
             self._lease_timer.cancel()
         self._beat.cancel()
-        self._server.close()
+        if now_ms() < self._server.cut_until_ms:
+            self._server.lose_connections()
+        else:
+            self._server.close()
+            self._server = None
         old = self.id
 
         def expire():
@@ -454,17 +480,25 @@
             3 * HEARTBEAT_MS / 1000, expire
         )
 
+    def cut(self, duration_s):
+        """Cut the machine off from the daemons, silently."""
+        self._record(f'worker {self.id} is cut off for {duration_s} s')
+        self._server.cut_until_ms = now_ms() + int(duration_s * 1000)
+
     def close(self):
         """Stop for good."""
         if self.is_up:
             self.is_up = False
             self._beat.cancel()
+        if self._server is not None:
             self._server.close()
 
     # Calls.
 
     async def _handle(self, method, target, headers, body):
         """Serve a call."""
+        if not self.is_up:
+            return SILENT
         life = self.life
         expected = headers.get('x-expect-instance', '')
         if expected and expected != self.id:
