--- a/packages/fleet/tests/test_orders_for_former_incarnations.py
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -15,6 +15,7 @@
 FORMER_CLOCK_MS = 900_000
 LATE_MS = 4_000
 CUT_MS = 9_000
+HEARTBEAT_MS = 1_500
 
 
 @pytest.fixture
@@ -209,3 +210,35 @@
     site.add_worker('w1')
     site.run(15_000)
     assert site.overlapping_runs() == []
+
+
+@pytest.mark.parametrize('up_ms', [100, 500, 1_000, 1_300])
+@pytest.mark.parametrize('count', [1, 3])
+def test_starts_answered_by_an_incarnation_that_is_cut_off_before_a_poll(
+    site, daemon, up_ms, count
+):
+    # Guards against tasks that run twice: the next incarnation answers their
+    # starts and holds the longest lease from then on, but the owner counts
+    # that of the former one, as no poll has shown the restart.
+    site.run(300)
+    site.workers['w0'].crash()
+    site.run(600)
+    site.add_worker(
+        'w0',
+        process_start_ms=2,
+        clock_ms=10_000,
+        register_after_ms=HEARTBEAT_MS,
+    )
+    site.submit(
+        daemon,
+        'second',
+        (scheduling.StepSpec(count=count, cpu=1_000),),
+        duration_ms=60_000,
+    )
+    site.run(up_ms)
+    assert len(site.history) == 2 + count
+    daemon.orders.faults.unreachable.add('w0')
+    site.add_worker('w1')
+    site.run(15_000)
+    assert site.overlapping_runs() == []
+    assert len(site.history) == 2 + 2 * count
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -121,10 +121,13 @@
         process_start_ms: int = 1,
         failure_domain: str = 'd1',
         clock_ms: int | None = None,
+        register_after_ms: int = 0,
     ) -> None:
         """Start a worker and register it in the store.
 
         ``clock_ms``: what its clock shows, by default that of the site.
+        ``register_after_ms``: when it writes its first entry; a worker that
+        restarts under its id may do so with its next heartbeat.
         """
         info = scheduling.WorkerInfo(
             id=name,
@@ -143,7 +146,12 @@
             lambda key, number: self.outcome_of(key, number),
             clock_ms,
         )
-        self.store.register_worker(info)
+        if register_after_ms:
+            self.clock.call_later(
+                register_after_ms, lambda: self.store.register_worker(info)
+            )
+        else:
+            self.store.register_worker(info)
 
     def add_daemon(
         self, name: str, processors: float = 2.0, pass_ms: int = 0
