Log the clock in answers to starts, and what a lost worker had listed

Change: the adapter decodes 'clock_ms' of answers to starts; 'Start ordered' shows it, 'Lease over' shows 'reported' and the start time of the process.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -94,12 +94,15 @@
     """The outcome of a StartRun request.
 
     ``queued_ms`` is how long the order waited until it was sent, None if it
-    was not sent.
+    was not sent. ``clock_ms`` is what the clock of the worker showed when it
+    answered, None if it has not told. A worker that has restarted answers for
+    its former incarnation as well, with another clock.
     """
 
     outcome: scheduling.StartOutcome
     reason: str = ''
     queued_ms: int | None = None
+    clock_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -290,6 +290,7 @@
             reason=reply.reason,
             has_checkpoint=bool(effect.checkpoint),
             waited_ms=waited_ms,
+            clock_ms=reply.clock_ms,
         )
         self._on_reply()
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
@@ -40,6 +40,8 @@
                     '',
                     worker=worker.info.id,
                     runs=len(worker.runs),
+                    reported=sum(x.is_reported for x in worker.runs.values()),
+                    process_start_ms=worker.info.process_start_ms,
                     silent_ms=now_ms - worker.last_report_ms,
                     polled_ms_ago=now_ms - worker.polled_ms,
                     failed_polls=worker.failed_polls,
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -168,6 +168,12 @@
         )
         return contracts.StartReply(outcome=outcome.STARTED)
 
+    def answer_start(self, msg: contracts.StartRun) -> contracts.StartReply:
+        """Start a run as ``start`` does; the reply shows the clock."""
+        return dataclasses.replace(
+            self.start(msg), clock_ms=self._worker_now()
+        )
+
     def _finish(self, record: RunRecord) -> None:
         """End a run that is complete; postpone that while tasks stall."""
         if self.is_stalled:
@@ -408,7 +414,9 @@
             )
             await self.kernel.sleep(ORDER_TIMEOUT_MS)
             return in_doubt
-        return dataclasses.replace(worker.start(msg), queued_ms=queued_ms)
+        return dataclasses.replace(
+            worker.answer_start(msg), queued_ms=queued_ms
+        )
 
     @core.handles(contracts.StopRun)
     def _on_stop(self, msg: contracts.StopRun) -> Any:
