Count the lease that another incarnation begins with a start

Cause: a start names the lease end that was requested last, on the clock of the incarnation that the owner knows. A worker that has restarted answers it like the former one and holds the longest lease from then on. If it is cut off before it answers a poll, all of its runs were released when the lease of the former incarnation was over. The open poll is never answered and the entry comes with a heartbeat, so that 2 s may pass. Change: the clock in the answer to a start tells the incarnations apart. If it is not that of the known one, the worker is polled at once, gets no start and no lease before it has answered, and its unlisted runs last for a lease from the answer. A start without an answer on a registered worker is held until it cannot be carried out any more (12 s) and a lease after that. Runs that the known incarnation has listed or confirmed by its clock end with its lease as before, so that lost workers cost no more time.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_fleet_record.py
@@ -140,7 +140,7 @@
             for worker in self._scheduler.workers.values()
             if 0 <= worker.unreachable_ms <= silent_since_ms
             and not worker.is_polled_late
-            and worker.announced is None
+            and not worker.is_in_doubt
         ]
 
     def _carry_wait(
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -279,6 +279,11 @@
             reply.outcome,
             reply.reason,
             clock.now(),
+            scheduling.Answer(
+                clock_ms=reply.clock_ms,
+                sent_ms=started_ms,
+                received_ms=clock.now(),
+            ),
         )
         self._log.info(
             'Start ordered',
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -267,7 +267,7 @@
         cursor = self._cursor
         lease_limit_ms = self._term.lease_limit_ms(sent_ms)
         lease_end_ms = None
-        if not self._is_unreachable and worker.announced is None:
+        if not self._is_unreachable and not worker.is_in_doubt:
             # The lease of an unreachable worker is not extended: the worker
             # may receive every extension although its responses are lost,
             # and the owner could never assume that its runs have ended. The
@@ -277,7 +277,7 @@
             )
         acknowledged = cursor.recorded
         if (
-            worker.announced is not None
+            worker.is_in_doubt
             or worker.info.process_start_ms != cursor.process_start_ms
         ):
             # The ends of another incarnation are numbered anew.
@@ -298,7 +298,7 @@
             wait_ms = min(wait_ms, ownership.VOTE_POLL_WAIT_MS)
         if has_unrecorded_ends or lease_end_ms is None:
             wait_ms = 0
-        if worker.has_missing_runs or worker.announced is not None:
+        if worker.has_missing_runs or worker.is_in_doubt:
             # Tasks wait for the next report.
             wait_ms = 0
         if self._has_listed_ends and worker.info.is_leaving:
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -58,8 +58,10 @@
 from oriolestand_policy.scheduling._specs import TaskKind
 from oriolestand_policy.scheduling._specs import check_job
 from oriolestand_policy.scheduling._takeover import FormerRuns
+from oriolestand_policy.scheduling._unconfirmed_runs import Answer
 
 __all__ = [
+    'Answer',
     'FAILURE_AVOID_MS',
     'REPEATED_STOP',
     'UNKNOWN_PERCENT',
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -1,6 +1,7 @@
 """State of a cell and the updates that several scheduling steps share."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from oriolestand_policy import fencing
 from oriolestand_policy.scheduling import _crashes
@@ -117,7 +118,8 @@
             return None
         if worker_id in self.held_worker_ids or worker.is_lapsing:
             return None
-        if limit_ms == 0:
+        if limit_ms == 0 or worker.is_in_doubt:
+            # The clock of another incarnation is not known.
             return None
         self.leased_worker_ids.add(worker_id)
         lease_ms = self.lease_max_ms
@@ -150,6 +152,7 @@
             or worker.is_polled_late
             or worker_id in self.held_worker_ids
             or worker.is_lapsing
+            or worker.is_in_doubt
         ):
             return self.new_lease_end(worker_id, now_ms, limit_ms)
         return worker.requested_end_ms
@@ -262,7 +265,16 @@
 
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Drop all runs of a worker and queue their tasks again."""
-        for run in list(worker.runs.values()):
+        self.release_runs(worker, list(worker.runs.values()), now_ms)
+
+    def release_runs(
+        self,
+        worker: _fleet.Worker,
+        runs: Iterable[_fleet.Run],
+        now_ms: int,
+    ) -> None:
+        """Drop runs of a worker and queue their tasks again."""
+        for run in runs:
             if run.phase is _fleet.RunPhase.STARTING:
                 self._withdraw_start(run, worker.info.id)
             worker.drop(run)
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -120,9 +120,15 @@
         for task in self._tasks_of(worker, runs):
             self._watch(task, worker, kind)
 
-    def on_lease_over(self, worker: _fleet.Worker) -> None:
-        """Keep the watches of a worker whose tasks start elsewhere."""
-        self._count_pending_crashes(worker)
+    def on_lease_over(
+        self, worker: _fleet.Worker, runs: Iterable[_fleet.Run]
+    ) -> None:
+        """Keep the watches of a worker whose tasks start elsewhere.
+
+        These are the tasks of ``runs``, which are over.
+        """
+        for run in runs:
+            self.count_pending_crash(run, worker.info.id)
         watched = self._watched.get(worker.info.id, {})
         released = {
             key: task.watch
--- a/packages/policy/src/oriolestand_policy/scheduling/_eligibility.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_eligibility.py
@@ -24,7 +24,7 @@
 
 def worker_state(worker: _fleet.Worker, now_ms: int) -> WorkerState:
     """Return whether a worker may get new tasks, or why not."""
-    if not worker.is_probed or worker.announced is not None:
+    if not worker.is_probed or worker.is_in_doubt:
         return WorkerState.NOT_PROBED
     if not worker.is_listed:
         return WorkerState.NOT_LISTED
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -58,8 +58,10 @@
     be written and for a connection. ``is_whole`` is whether this owner has
     started the run without a checkpoint, so that it lasts as long as the task.
     ``is_reported`` is whether the present incarnation of the worker has listed
-    the run. ``pending_crash`` is the crash of an earlier incarnation that
-    counts against the task unless the present one has the run.
+    the run, and ``is_confirmed`` whether that, or its clock in the answer to
+    the start, shows that the run is not on the next one. ``pending_crash`` is
+    the crash of an earlier incarnation that counts against the task unless the
+    present one has the run.
     """
 
     key: _jobs.TaskKey
@@ -82,6 +84,7 @@
     is_sent: bool = False
     is_whole: bool = False
     is_reported: bool = False
+    is_confirmed: bool = False
     pending_crash: _jobs.Crash | None = None
 
 
@@ -148,6 +151,11 @@
     Polls that are sent after ``fenced_after_ms`` make the worker refuse orders
     that were sent before, which may be for its former incarnation; it is -1 if
     there are none or if such a poll has been answered.
+    ``report_sent_ms`` is when the poll of the last report was sent.
+    ``other_lease_over_ms`` is when the lease is over that another incarnation
+    may have begun with a start that it answered, on the owner's clock, and
+    ``doubted_ms`` when the clock in such an answer last showed that there is
+    one; they are -1 if there is no such answer.
     ``is_report_arriving`` is whether the first part of a report has arrived,
     and ``has_awaited_report`` whether one that had begun has not come in full
     since the last report.
@@ -198,6 +206,9 @@
     refuted: WorkerInfo | None = None
     polled_address: str = ''
     fenced_after_ms: int = -1
+    report_sent_ms: int = -1
+    other_lease_over_ms: int = -1
+    doubted_ms: int = -1
     is_report_arriving: bool = False
     has_awaited_report: bool = False
     capacity: _capacity.Capacity = dataclasses.field(init=False)
@@ -236,6 +247,11 @@
         """Return whether a busy owner polls the worker later than usual."""
         return self.max_report_age_ms > MAX_REPORT_AGE_MS
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Return whether another incarnation may have replaced this one."""
+        return self.announced is not None or self.doubted_ms >= 0
+
     @property
     def poll_address(self) -> str:
         """Return where to send the next poll.
@@ -251,8 +267,15 @@
         if self.last_report_ms < 0:
             return 0
         passed = now_ms - self.last_report_ms
+        if passed < 0:
+            return self.clock_ms + passed
         return self.clock_ms + passed * CLOCK_RATE_NUM // CLOCK_RATE_DEN
 
+    def max_clock_ms(self, now_ms: int) -> int:
+        """Return an upper bound of the worker's clock at present."""
+        passed = now_ms - self.report_sent_ms
+        return self.clock_ms + passed * CLOCK_RATE_DEN // CLOCK_RATE_NUM
+
     def is_lease_expired(self, now_ms: int, margin_ms: int) -> bool:
         """Return whether the lease and all runs have certainly ended."""
         return self.min_clock_ms(now_ms) > self.lease_end_ms + margin_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -10,6 +10,7 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _reports
+from oriolestand_policy.scheduling import _unconfirmed_runs
 
 
 class Incarnations:
@@ -45,6 +46,23 @@
                 info = dataclasses.replace(info, process_start_ms=known_ms)
             worker.update_info(info)
 
+    def on_other_clock(
+        self, worker: _fleet.Worker, answer: _unconfirmed_runs.Answer
+    ) -> None:
+        """Learn soon which incarnation has answered a start."""
+        if worker.doubted_ms < 0:
+            self._poll_again(worker)
+            self._cell.log(
+                'other_incarnation_answered',
+                '',
+                worker=worker.info.id,
+                process_start_ms=worker.info.process_start_ms,
+                clock_ms=answer.clock_ms,
+                min_clock_ms=worker.min_clock_ms(answer.sent_ms),
+                max_clock_ms=worker.max_clock_ms(answer.received_ms),
+            )
+        worker.doubted_ms = answer.received_ms
+
     def on_poll_failed(self, worker: _fleet.Worker) -> None:
         """Consider an entry again that was wrong while the worker answered."""
         if worker.refuted is not None:
@@ -78,6 +96,8 @@
             )
         if entry is not None:
             self._settle(worker, entry)
+        if worker.doubted_ms < sent_ms:
+            worker.doubted_ms = -1
         return worker
 
     def _poll_again(self, worker: _fleet.Worker) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -3,8 +3,10 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _incarnations
 from oriolestand_policy.scheduling import _jobs
 from oriolestand_policy.scheduling import _reports
+from oriolestand_policy.scheduling import _unconfirmed_runs
 
 REFUSAL_AVOID_MS = 300
 UNHEALTHY_AVOID_MS = 1_000
@@ -15,14 +17,28 @@
 """Outcomes with which a worker may have a run."""
 
 
+_LEASE_OUTCOMES = frozenset(
+    {
+        _reports.StartOutcome.STARTED,
+        _reports.StartOutcome.REFUSED,
+        _reports.StartOutcome.NO_ROOM,
+    }
+)
+"""Outcomes with which a worker may have extended its lease."""
+
+
 class ReplyHandler:
     """Update a cell from replies to orders."""
 
     def __init__(
-        self, cell: _cell.Cell, crash_handler: _crash_handler.CrashHandler
+        self,
+        cell: _cell.Cell,
+        crash_handler: _crash_handler.CrashHandler,
+        incarnations: _incarnations.Incarnations,
     ) -> None:
         self._cell = cell
         self._crash_handler = crash_handler
+        self._incarnations = incarnations
 
     def on_start_reply(
         self,
@@ -32,8 +48,13 @@
         outcome: _reports.StartOutcome,
         reason: str,
         now_ms: int,
+        answer: _unconfirmed_runs.Answer | None = None,
     ) -> None:
-        """Apply the outcome of a start order."""
+        """Apply the outcome of a start order.
+
+        ``answer`` is None if there is none, or if the worker has not told its
+        clock.
+        """
         if outcome is _reports.StartOutcome.WITHDRAWN:
             self.withdraw_start(worker_id, key, number, now_ms)
             return
@@ -49,6 +70,8 @@
         if run is None:
             return
         run.is_sent = outcome in _SENT_OUTCOMES
+        if outcome in _LEASE_OUTCOMES:
+            self._apply_answer(worker, run, answer, now_ms)
         if outcome is _reports.StartOutcome.STARTED:
             if run.phase is _fleet.RunPhase.STARTING:
                 run.phase = _fleet.RunPhase.RUNNING
@@ -86,6 +109,23 @@
         self._crash_handler.on_start_without_effect(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
 
+    def _apply_answer(
+        self,
+        worker: _fleet.Worker,
+        run: _fleet.Run,
+        answer: _unconfirmed_runs.Answer | None,
+        now_ms: int,
+    ) -> None:
+        """Note which incarnation has answered a start, and its lease."""
+        if answer is not None and answer.clock_ms is not None:
+            if not _unconfirmed_runs.is_from_other(worker, answer):
+                run.is_confirmed = True
+                return
+            self._incarnations.on_other_clock(worker, answer)
+        worker.other_lease_over_ms = now_ms + (
+            _unconfirmed_runs.longest_lease_ms(self._cell.lease_max_ms)
+        )
+
     def withdraw_start(
         self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
     ) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -75,6 +75,7 @@
             self._bound_lease(worker, worker_report.clock_ms)
         _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
+        worker.report_sent_ms = sent_ms
         worker.is_report_arriving = False
         worker.has_awaited_report = False
         worker.unreachable_ms = -1
@@ -395,7 +396,7 @@
         run.is_sent = True
         if not run.is_reported or report.percent != run.percent:
             run.progress_clock_ms = worker.clock_ms
-        run.is_reported = True
+        run.is_reported = run.is_confirmed = True
         run.pending_crash = None
         if not run.is_proven:
             _crashes.mark_proven(run, worker, now_ms)
@@ -454,7 +455,7 @@
             return run
         task.assign(worker.info.id, report.number, now_ms)
         # Adopted runs are listed, so that the clock of progress is kept.
-        run.is_reported = True
+        run.is_reported = run.is_confirmed = True
         run.progress_clock_ms = worker.clock_ms
         _stalls.resume(
             run, task.idleness, report.percent, worker.clock_ms, now_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -29,6 +29,7 @@
 from oriolestand_policy.scheduling import _specs
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
+from oriolestand_policy.scheduling import _unconfirmed_runs
 from oriolestand_policy.scheduling import _upkeep
 from oriolestand_policy.scheduling import _wait_ages
 from oriolestand_policy.scheduling import _waits
@@ -58,10 +59,10 @@
     ) -> None:
         self._cell = _cell.Cell(epoch, lease_max_ms)
         self._crash_handler = _crash_handler.CrashHandler(self._cell)
+        self._incarnations = _incarnations.Incarnations(self._cell)
         self._reply_handler = _reply_handler.ReplyHandler(
-            self._cell, self._crash_handler
+            self._cell, self._crash_handler, self._incarnations
         )
-        self._incarnations = _incarnations.Incarnations(self._cell)
         self._report_handler = _report_handler.ReportHandler(
             self._cell, self._crash_handler, self._incarnations
         )
@@ -312,7 +313,10 @@
         if worker is None or not worker.is_probed:
             return None
         self._cell.held_worker_ids.add(worker_id)
-        return worker.lease_over_ms(_fleet.LEASE_MARGIN_MS)
+        return max(
+            worker.lease_over_ms(_fleet.LEASE_MARGIN_MS),
+            _unconfirmed_runs.over_ms(worker, self._cell.lease_max_ms),
+        )
 
     def allow_leases(self, worker_id: str) -> None:
         """Allow requests for leases of a worker again."""
@@ -409,10 +413,15 @@
         outcome: _reports.StartOutcome,
         reason: str,
         now_ms: int,
+        answer: _unconfirmed_runs.Answer | None = None,
     ) -> None:
-        """Apply the outcome of a start order."""
+        """Apply the outcome of a start order, and its answer if any.
+
+        Without the clock of the worker in an answer, another incarnation may
+        have given it.
+        """
         self._reply_handler.on_start_reply(
-            worker_id, key, number, outcome, reason, now_ms
+            worker_id, key, number, outcome, reason, now_ms, answer
         )
 
     def is_start_pending(
--- a/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
@@ -5,6 +5,7 @@
 from oriolestand_policy.scheduling import _effects
 from oriolestand_policy.scheduling import _exclusions
 from oriolestand_policy.scheduling import _fleet
+from oriolestand_policy.scheduling import _unconfirmed_runs
 
 STOP_RETRY_MS = 500
 
@@ -33,14 +34,18 @@
             ):
                 continue
             if not worker.is_listed:
-                self._cell.remove_worker(worker.info.id, 'lease over')
-            elif worker.runs:
+                if known_until_ms > worker.other_lease_over_ms:
+                    self._cell.remove_worker(worker.info.id, 'lease over')
+                continue
+            runs = self._ended_runs(worker, known_until_ms)
+            if runs:
                 self._cell.log(
                     'lease_over',
                     '',
                     worker=worker.info.id,
-                    runs=len(worker.runs),
-                    reported=sum(x.is_reported for x in worker.runs.values()),
+                    runs=len(runs),
+                    reported=sum(run.is_reported for run in runs),
+                    unconfirmed=len(worker.runs) - len(runs),
                     process_start_ms=worker.info.process_start_ms,
                     silent_ms=now_ms - worker.last_report_ms,
                     polled_ms_ago=now_ms - worker.polled_ms,
@@ -48,8 +53,22 @@
                     lease_end_ms=worker.lease_end_ms,
                     min_clock_ms=worker.min_clock_ms(known_until_ms),
                 )
-                self._crash_handler.on_lease_over(worker)
-                self._cell.release_all(worker, now_ms)
+                self._crash_handler.on_lease_over(worker, runs)
+                self._cell.release_runs(worker, runs, now_ms)
+
+    def _ended_runs(
+        self, worker: _fleet.Worker, known_until_ms: int
+    ) -> list[_fleet.Run]:
+        """Return the runs of a worker, whose lease is over, that have ended.
+
+        Another incarnation may have the unconfirmed ones for longer.
+        """
+        over_ms = _unconfirmed_runs.over_ms(worker, self._cell.lease_max_ms)
+        return [
+            run
+            for run in worker.runs.values()
+            if run.is_confirmed or known_until_ms > over_ms
+        ]
 
     def resend_stops(self, now_ms: int) -> None:
         """Resend stop orders that were not answered."""
