Bound the leases of unlisted runs by the clock in each answer

Two runs of a task for 2.7 s without a late order, when the end of the runs was carried to a successor while a start waited for a connection, and for 0.3 s to 1.6 s when two incarnations of a worker began closer together than a start takes. Cause: the carried end left out starts that were not sent; an answer counted as one of the known incarnation if its clock was not too low for the time at which the order was decided; late polls were not counted; the answer to a stop began the wait for a late start anew, so that entries of others could prolong it for ever. Change: whichever incarnation answers, its lease lasts for at most the end that the start named less the clock in the answer. Starts count from when they were given up, polls while a worker is in doubt or has not answered one with its present token.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -281,7 +281,8 @@
             clock.now(),
             scheduling.Answer(
                 clock_ms=reply.clock_ms,
-                sent_ms=started_ms,
+                lease_end_ms=lease,
+                sent_ms=started_ms + (reply.queued_ms or 0),
                 received_ms=clock.now(),
             ),
         )
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -59,8 +59,9 @@
     started the run without a checkpoint, so that it lasts as long as the task.
     ``is_reported`` is whether the present incarnation of the worker has listed
     the run, and ``is_confirmed`` whether that, or its clock in the answer to
-    the start, shows that the run is not on the next one. ``pending_crash`` is
-    the crash of an earlier incarnation that counts against the task unless the
+    the start, shows that it has begun the run. ``doubt_ms`` is when the start
+    was given up without an answer, -1 if it was not. ``pending_crash`` is the
+    crash of an earlier incarnation that counts against the task unless the
     present one has the run.
     """
 
@@ -85,6 +86,7 @@
     is_whole: bool = False
     is_reported: bool = False
     is_confirmed: bool = False
+    doubt_ms: int = -1
     pending_crash: _jobs.Crash | None = None
 
 
@@ -152,10 +154,10 @@
     that were sent before, which may be for its former incarnation; it is -1 if
     there are none or if such a poll has been answered.
     ``report_sent_ms`` is when the poll of the last report was sent.
-    ``other_lease_over_ms`` is when the lease is over that another incarnation
-    may have begun with a start that it answered, on the owner's clock, and
-    ``doubted_ms`` when the clock in such an answer last showed that there is
-    one; they are -1 if there is no such answer.
+    ``other_lease_over_ms`` is when the lease is over that was begun with an
+    answered start, by whichever incarnation, on the owner's clock, and
+    ``doubted_ms`` when the clock in such an answer last showed that it is not
+    the known one; they are -1 if there is no such answer.
     ``is_report_arriving`` is whether the first part of a report has arrived,
     and ``has_awaited_report`` whether one that had begun has not come in full
     since the last report.
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -80,7 +80,7 @@
         if outcome is _reports.StartOutcome.IN_DOUBT:
             if run.phase is _fleet.RunPhase.STARTING:
                 run.phase = _fleet.RunPhase.IN_DOUBT
-                run.since_ms = now_ms
+                run.since_ms = run.doubt_ms = now_ms
                 self._cell.log(
                     'start_in_doubt',
                     key.job,
@@ -117,14 +117,23 @@
         now_ms: int,
     ) -> None:
         """Note which incarnation has answered a start, and its lease."""
-        if answer is not None and answer.clock_ms is not None:
-            if not _unconfirmed_runs.is_from_other(worker, answer):
-                run.is_confirmed = True
-                return
-            self._incarnations.on_other_clock(worker, answer)
-        worker.other_lease_over_ms = now_ms + (
-            _unconfirmed_runs.longest_lease_ms(self._cell.lease_max_ms)
+        if answer is None:
+            answer = _unconfirmed_runs.Answer(
+                clock_ms=None,
+                lease_end_ms=None,
+                sent_ms=now_ms,
+                received_ms=now_ms,
+            )
+        worker.other_lease_over_ms = max(
+            worker.other_lease_over_ms,
+            _unconfirmed_runs.lease_over_ms(answer, self._cell.lease_max_ms),
         )
+        if answer.clock_ms is None:
+            return
+        if _unconfirmed_runs.is_from_other(worker, answer):
+            self._incarnations.on_other_clock(worker, answer)
+        elif run.is_sent:
+            run.is_confirmed = True
 
     def withdraw_start(
         self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -315,7 +315,10 @@
         self._cell.held_worker_ids.add(worker_id)
         return max(
             worker.lease_over_ms(_fleet.LEASE_MARGIN_MS),
-            _unconfirmed_runs.over_ms(worker, self._cell.lease_max_ms),
+            _unconfirmed_runs.unlisted_over_ms(
+                worker, self._cell.lease_max_ms
+            ),
+            _unconfirmed_runs.listed_over_ms(worker, self._cell.lease_max_ms),
         )
 
     def allow_leases(self, worker_id: str) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
@@ -2,9 +2,10 @@
 
 A worker that has restarted under its id carries out starts that were meant
 for its former incarnation. The end of the lease that a start names means
-nothing on its clock, so it holds the longest lease from then on. Until a
-report shows the restart, only the clock in the answer to a start tells the
-incarnations apart, and a start without an answer may still be carried out.
+something else on its clock, so it may hold the longest lease from then on.
+Until a report shows the restart, only the clock in the answer to a start
+tells the incarnations apart, and an order without an answer may still be
+carried out.
 """
 
 import dataclasses
@@ -24,11 +25,13 @@
     """An answer to a start order.
 
     ``clock_ms`` is what the clock of the worker showed then, None if it has
-    not told. The order was sent at ``sent_ms`` or later and the answer
-    received at ``received_ms``, on the clock of the owner.
+    not told, and ``lease_end_ms`` the end of the lease that the order named,
+    on the same clock. The order was sent at ``sent_ms`` or later and the
+    answer received at ``received_ms``, on the clock of the owner.
     """
 
     clock_ms: int | None
+    lease_end_ms: int | None
     sent_ms: int
     received_ms: int
 
@@ -42,31 +45,66 @@
     return not earliest_ms <= answer.clock_ms <= latest_ms
 
 
-def longest_lease_ms(lease_max_ms: int) -> int:
+def lease_over_ms(answer: Answer, lease_max_ms: int) -> int:
+    """Return when the lease is over that an answered order has begun.
+
+    That is a time of the owner's clock, whichever incarnation has answered.
+
+    >>> answer = Answer(
+    ...     clock_ms=10_000, lease_end_ms=13_000, sent_ms=95, received_ms=100
+    ... )
+    >>> lease_over_ms(answer, 6_000)
+    3662
+    >>> lease_over_ms(dataclasses.replace(answer, clock_ms=20), 6_000)
+    6723
+    >>> lease_over_ms(dataclasses.replace(answer, clock_ms=None), 6_000)
+    6723
+    """
+    remaining_ms = lease_max_ms
+    if answer.clock_ms is not None and answer.lease_end_ms is not None:
+        remaining_ms = min(
+            lease_max_ms, max(0, answer.lease_end_ms - answer.clock_ms)
+        )
+    return answer.received_ms + with_margin_ms(remaining_ms)
+
+
+def with_margin_ms(lease_ms: int) -> int:
     """Return how long a lease may last, with the time to end its runs."""
     rate_num, rate_den = _fleet.CLOCK_RATE_NUM, _fleet.CLOCK_RATE_DEN
-    return _fleet.LEASE_MARGIN_MS - (-lease_max_ms * rate_den // rate_num)
+    return _fleet.LEASE_MARGIN_MS - (-lease_ms * rate_den // rate_num)
 
 
-def over_ms(worker: _fleet.Worker, lease_max_ms: int) -> int:
-    """Return when the unconfirmed runs of a worker are certainly over.
+def unlisted_over_ms(worker: _fleet.Worker, lease_max_ms: int) -> int:
+    """Return when the runs that a worker has not listed are certainly over.
 
-    That is a time of the owner's clock, -1 if there are no such runs. A start
-    that is carried out also extends the lease of all others there.
+    That is a time of the owner's clock, -1 if there are no such runs. An
+    order that is carried out also extends the lease of all others there.
     """
-    unconfirmed = [x for x in worker.runs.values() if not x.is_confirmed]
-    if not unconfirmed:
+    unlisted = [x for x in worker.runs.values() if not x.is_reported]
+    if not unlisted:
         return -1
-    late_ms = MAX_ORDER_DELAY_MS + longest_lease_ms(lease_max_ms)
-    return max(
-        worker.other_lease_over_ms,
-        *(x.since_ms + late_ms for x in unconfirmed if _is_open(x)),
-        -1,
+    late_ms = MAX_ORDER_DELAY_MS + with_margin_ms(lease_max_ms)
+    over_ms = max(worker.other_lease_over_ms, -1)
+    for run in unlisted:
+        if run.phase is _fleet.RunPhase.STARTING:
+            over_ms = max(over_ms, run.since_ms + late_ms)
+        elif run.phase is _fleet.RunPhase.IN_DOUBT and run.doubt_ms >= 0:
+            over_ms = max(over_ms, run.doubt_ms + late_ms)
+    if worker.doubted_ms >= 0 and worker.leased_ms >= 0:
+        # A poll for the former incarnation may extend the lease as well.
+        over_ms = max(over_ms, worker.leased_ms + late_ms)
+    return over_ms
+
+
+def listed_over_ms(worker: _fleet.Worker, lease_max_ms: int) -> int:
+    """Return when orders for a former incarnation extend no lease any more.
+
+    That is a time of the owner's clock, -1 if the worker refuses them.
+    """
+    if worker.fenced_after_ms < 0:
+        return -1
+    return (
+        max(worker.fenced_after_ms, worker.last_report_ms)
+        + MAX_ORDER_DELAY_MS
+        + with_margin_ms(lease_max_ms)
     )
-
-
-def _is_open(run: _fleet.Run) -> bool:
-    """Return whether the start of a run may still be carried out."""
-    if run.phase is _fleet.RunPhase.STARTING:
-        return run.is_sent
-    return run.phase is _fleet.RunPhase.IN_DOUBT
--- a/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_upkeep.py
@@ -45,7 +45,7 @@
                     worker=worker.info.id,
                     runs=len(runs),
                     reported=sum(run.is_reported for run in runs),
-                    unconfirmed=len(worker.runs) - len(runs),
+                    held=len(worker.runs) - len(runs),
                     process_start_ms=worker.info.process_start_ms,
                     silent_ms=now_ms - worker.last_report_ms,
                     polled_ms_ago=now_ms - worker.polled_ms,
@@ -61,13 +61,15 @@
     ) -> list[_fleet.Run]:
         """Return the runs of a worker, whose lease is over, that have ended.
 
-        Another incarnation may have the unconfirmed ones for longer.
+        Another incarnation may have those that are not listed for longer.
         """
-        over_ms = _unconfirmed_runs.over_ms(worker, self._cell.lease_max_ms)
+        lease_max_ms = self._cell.lease_max_ms
+        unlisted_ms = _unconfirmed_runs.unlisted_over_ms(worker, lease_max_ms)
+        listed_ms = _unconfirmed_runs.listed_over_ms(worker, lease_max_ms)
         return [
             run
             for run in worker.runs.values()
-            if run.is_confirmed or known_until_ms > over_ms
+            if known_until_ms > (listed_ms if run.is_reported else unlisted_ms)
         ]
 
     def resend_stops(self, now_ms: int) -> None:
