Let tasks wait for restarted workers that may start them late

The former incarnation had answered the stop, so the run was released; the next one carried the start out before its first poll with a higher token. Cause: the owner forgot the start with the run, and started the task elsewhere although it knew that the worker had restarted.

--- a/packages/fleet/tests/test_orders_for_former_incarnations.py
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -245,3 +245,41 @@
     site.run(LATEST_ORDER_MS + LEASE_MS)
     assert site.overlapping_runs() == []
     assert len(site.history) == 2 + 2 * count
+
+
+def test_task_waits_for_a_restarted_worker_that_may_start_it_late(
+    site, daemon
+):
+    # Guards against a second run beside a late start that the next
+    # incarnation carries out before its first poll with a higher token.
+    hold_up(site, daemon, unanswered_starts=1)
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
+    # The task fits nowhere once the former incarnation has refused it.
+    info = dataclasses.replace(site.workers['w0'].info, cpu=100)
+    site.store.register_worker(info)
+    site.run(LATE_MS - 10)
+    assert len(site.history) == 2
+    daemon.orders.faults.report_delays_ms['w0'] = 500
+    restart(site)
+    site.add_worker('w1')
+    site.run(5_000)
+    assert len(site.history) == 3
+    assert site.history[2].worker == 'w0'
+    assert site.history[2].outcome == ''
+
+
+def test_task_that_may_start_late_on_a_worker_that_is_gone_does_not_wait(
+    site, daemon
+):
+    # Guards against a task that waits for a worker which never comes back.
+    hold_up(site, daemon, unanswered_starts=1)
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
+    info = dataclasses.replace(site.workers['w0'].info, cpu=100)
+    site.store.register_worker(info)
+    site.run(3_500)
+    site.workers['w0'].crash()
+    site.add_worker('w1')
+    site.run(1_000)
+    assert [run.worker for run in site.history[2:]] == ['w1']
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -13,6 +13,7 @@
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _run_times
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _unconfirmed_runs
 
 MAX_UNKNOWN_JOBS = 1_000
 """Most jobs for which ends are kept until the job is known. Ends of jobs that
@@ -43,6 +44,8 @@
     ``mark_evacuated``. ``returned_ms`` is when others were taken back.
     ``ends_of_unknown_jobs`` are ends as done, by job id, of runs of former
     owners that were listed before their job was added.
+    ``late_tasks`` are tasks whose start the next incarnation of a worker may
+    carry out.
     ``generations`` counts, by worker id, the incarnations that have ended or
     been given up. It outlasts restarts and removals of the workers.
     ``on_worker_gone`` is called with a removed worker, which still has its
@@ -69,6 +72,7 @@
         self.evacuated_domains: frozenset[str] = frozenset()
         self.returned_ms: dict[str, int] = {}
         self.ends_of_unknown_jobs: dict[str, list[_reports.EndReport]] = {}
+        self.late_tasks: dict[_jobs.TaskKey, _jobs.Task] = {}
         self.effects: list[_effects.Effect] = []
         self.on_worker_gone: _WorkerGone | None = None
 
@@ -263,6 +267,28 @@
             )
         )
 
+    def note_late_start(self, run: _fleet.Run, worker_id: str) -> None:
+        """Note a start that the next incarnation may carry out.
+
+        The present one has answered a stop, which does not bind the next.
+        """
+        job = self.jobs.get(run.key.job)
+        task = job.find(run.key) if job is not None else None
+        if task is None:
+            return
+        task.late_worker = worker_id
+        task.late_until_ms = run.doubt_ms + (
+            _unconfirmed_runs.MAX_ORDER_DELAY_MS
+        )
+        self.late_tasks[task.key] = task
+
+    def forget_late_starts(self, now_ms: int) -> None:
+        """Forget starts that cannot be carried out any more."""
+        for key, task in list(self.late_tasks.items()):
+            if now_ms > task.late_until_ms:
+                task.late_worker = ''
+                del self.late_tasks[key]
+
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Drop all runs of a worker and queue their tasks again."""
         self.release_runs(worker, list(worker.runs.values()), now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -500,6 +500,8 @@
             if not is_outdated and run.missed_polls < MISSED_POLLS_LIMIT:
                 continue
             worker.drop(run)
+            if run.phase is _fleet.RunPhase.IN_DOUBT and not is_outdated:
+                self._cell.note_late_start(run, worker.info.id)
             self._cell.log(
                 'run_missing',
                 run.key.job,
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -514,6 +514,7 @@
         if known_until_ms is None:
             known_until_ms = now_ms
         self._upkeep.expire_workers(now_ms, known_until_ms)
+        self._cell.forget_late_starts(now_ms)
         self._crash_handler.give_up_tasks(now_ms)
         self._upkeep.resend_stops(now_ms)
         self._upkeep.drain_leaving_workers(now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
@@ -32,9 +32,13 @@
     ) -> bool:
         """Return whether a task or its gang may run without being known.
 
-        A former owner has started a service task only where the record of
+        The next incarnation of a worker may carry out a start that the former
+        one did not answer, until the first poll with a higher token. A former
+        owner has started a service task only where the record of
         its job places it. Records do not place other tasks.
         """
+        if task.late_worker and _is_unfenced(workers.get(task.late_worker)):
+            return True
         if self.are_known:
             return False
         if not task.spec.is_service or job.has_unknown_placements:
@@ -65,3 +69,15 @@
         return worker is None or not (
             worker.is_probed and worker.are_runs_known
         )
+
+
+def _is_unfenced(worker: _fleet.Worker | None) -> bool:
+    """Return whether a worker may carry out orders for a former incarnation.
+
+    A worker that is gone carries out none.
+    """
+    return worker is not None and (
+        not worker.is_probed
+        or worker.is_in_doubt
+        or worker.fenced_after_ms >= 0
+    )
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -114,9 +114,9 @@
         """
         self._placement.plan(self._cell.workers.values(), now_ms)
         self._start_probations(now_ms, former_runs)
-        self._start_reserved(now_ms)
+        self._start_reserved(now_ms, former_runs)
         self._start_moved(now_ms)
-        self._start_kept(now_ms)
+        self._start_kept(now_ms, former_runs)
         self._start_ended_services(now_ms, former_runs)
         self._make_room_for_services(now_ms)
         self._evacuation.plan(now_ms)
@@ -170,13 +170,17 @@
             workers = {**reservation.worker_of(), **workers}
         return self._start_gang(job, hold.tasks[0], route, now_ms, workers)
 
-    def _start_reserved(self, now_ms: int) -> None:
+    def _start_reserved(
+        self, now_ms: int, former_runs: _takeover.FormerRuns
+    ) -> None:
         """Start the tasks whose reservations are fulfilled."""
         self._reservations.begin_round(now_ms)
         for reservation in self._reservations:
             if not reservation.is_fulfilled():
                 continue
             job = self._cell.jobs[reservation.key.job]
+            if self._may_run(job, reservation.tasks, former_runs):
+                continue
             if _probations.is_needed(job, reservation.tasks[0]):
                 # The suspects of the gang start with these members.
                 continue
@@ -196,11 +200,17 @@
             self._assign_all(move.job, [move.task], [move.target], now_ms)
             self._placement.mark_changed(move.target)
 
-    def _start_kept(self, now_ms: int) -> None:
+    def _start_kept(
+        self, now_ms: int, former_runs: _takeover.FormerRuns
+    ) -> None:
         """Start the filling tasks whose workers have become idle enough."""
         self._idle_reservations.begin_round(now_ms)
         for reservation in self._idle_reservations:
             task, worker = reservation.task, reservation.worker
+            if self._may_run(
+                self._cell.jobs[task.key.job], [task], former_runs
+            ):
+                continue
             if not self._placement.select_kept(worker, task):
                 continue
             self._idle_reservations.release(reservation)
@@ -400,7 +410,7 @@
             overdue_steps, wall_ms, is_busy
         ):
             job = self._cell.jobs[occurrence_key[0]]
-            if not former_runs.are_known:
+            if not former_runs.are_known or self._cell.late_tasks:
                 tasks = self._without_former_runs(job, tasks, former_runs)
                 if not tasks:
                     continue
@@ -484,13 +494,25 @@
             return _obstacles.Hold.FIT_BUDGET
         return None
 
+    def _may_run(
+        self,
+        job: _jobs.Job,
+        tasks: Sequence[_jobs.Task],
+        former_runs: _takeover.FormerRuns,
+    ) -> bool:
+        """Return whether one of some tasks may run without being known."""
+        return any(
+            former_runs.may_include(job, task, self._cell.workers)
+            for task in tasks
+        )
+
     def _without_former_runs(
         self,
         job: _jobs.Job,
         tasks: Sequence[_jobs.Task],
         former_runs: _takeover.FormerRuns,
     ) -> list[_jobs.Task]:
-        """Return the tasks that no former owner may have started."""
+        """Return the tasks that cannot run without being known."""
         startable: list[_jobs.Task] = []
         for task in tasks:
             if former_runs.may_include(job, task, self._cell.workers):
