Place nothing on a worker by the description of another incarnation

Change: a worker that tells its start time gets no task before an entry with that time has been read, before its first report or after it (state not_described). Rows of former owners and entries with another start time describe nothing. Runs go on, are adopted, polled and stopped, and leases are extended; held starts for the former incarnation are withdrawn. Workers that tell no start time are used as before.

The reference in test_equivalence.py has the new condition.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -74,6 +74,8 @@
         self._pollers: dict[str, _worker_poller.WorkerPoller] = {}
         self._replaced_worker_ids: set[str] = set()
         self._registered_workers: dict[str, scheduling.WorkerInfo] = {}
+        self._entries_since_ms: int | None = None
+        """When the first read of entries was sent since one failed."""
         self._load = scheduling.OwnerLoad(cfg.limits.lease_max_ms)
         self._round_timer: Any = None
         self._read_until_ms: int = kernel.clock.now()
@@ -269,6 +271,7 @@
             except store.HistoryLostError:
                 cursor = None
             except core.OriolestandError as exc:
+                self._entries_since_ms = None
                 self._log.warning(
                     'Worker list could not be read', why=str(exc)
                 )
@@ -281,6 +284,7 @@
             message = store.FollowWorkers(
                 after=cursor, wait_ms=const.FOLLOW_WAIT_MS
             )
+        sent_ms = self._kernel.clock.now()
         page: store.WorkersPage = await self._kernel.ask(
             store.SERVICE, message
         )
@@ -299,6 +303,10 @@
             self._registered_workers[worker_id] = info
         if page.workers or cursor is None:
             self._apply_workers()
+        if self._entries_since_ms is None:
+            self._entries_since_ms = sent_ms
+        if self._scheduler.on_entries_read(self._entries_since_ms, sent_ms):
+            self.request_round()
         return max(cursor or 0, page.cursor)
 
     def _apply_workers(self) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -207,6 +207,7 @@
         worker: _fleet.Worker,
         info: _fleet.WorkerInfo,
         *,
+        described_ms: int | None,
         is_listed: bool,
         fenced_after_ms: int,
     ) -> _fleet.Worker:
@@ -214,13 +215,15 @@
 
         Only the runs that the former incarnation has listed have certainly
         ended. Orders name a worker by its id, so the present incarnation may
-        have accepted the others; its reports tell. For ``fenced_after_ms`` see
-        ``Worker``.
+        have accepted the others; its reports tell. For ``described_ms`` and
+        ``fenced_after_ms`` see ``Worker``.
         """
         if not self._drop_worker(worker, _crashes.RESTARTED, info):
             fenced_after_ms = -1
         replacement = _fleet.Worker(
             info=info,
+            entry=worker.entry,
+            described_ms=described_ms,
             is_listed=is_listed,
             is_recorded=worker.is_recorded,
             fenced_after_ms=fenced_after_ms,
--- a/packages/policy/src/oriolestand_policy/scheduling/_eligibility.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_eligibility.py
@@ -14,6 +14,7 @@
     NOT_PROBED = 'not_probed'
     NOT_RECORDED = 'not_recorded'
     NOT_LISTED = 'not_listed'
+    NOT_DESCRIBED = 'not_described'
     LAPSING = 'lapsing'
     LEAVING = 'leaving'
     EVACUATED = 'evacuated'
@@ -28,6 +29,8 @@
         return WorkerState.NOT_PROBED
     if not worker.is_listed:
         return WorkerState.NOT_LISTED
+    if not worker.is_described:
+        return WorkerState.NOT_DESCRIBED
     if worker.info.is_leaving:
         return WorkerState.LEAVING
     if worker.is_evacuated:
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -23,6 +23,10 @@
 the owner polls it later than usual."""
 
 
+NOTHING_DESCRIBED = -1
+"""Start time in place of that of an entry if none has been read."""
+
+
 class RunPhase(enum.Enum):
     """Phases of a run, as far as the owner can tell.
 
@@ -148,6 +152,12 @@
     yet, and ``refuted`` one that a report has shown to be wrong. The last poll
     before ``announced`` was read was sent at ``announced_after_ms``.
     ``polled_address`` is where the last poll was sent to.
+    ``entry`` is the last entry that was read, and ``described_ms`` the start
+    time in the one that ``info`` is from, ``NOTHING_DESCRIBED`` if there is
+    none. ``tells_start`` is whether the reports of this incarnation have a
+    start time, and ``is_entry_trusted`` whether entries with another one
+    describe it all the same. ``undescribed_ms`` is when a poll showed that it
+    is not described, -1 if it is.
     Polls that are sent after ``fenced_after_ms`` make the worker refuse orders
     that were sent before, which may be for its former incarnation; it is -1 if
     there are none or if such a poll has been answered.
@@ -205,6 +215,11 @@
     announced_after_ms: int = -1
     refuted: WorkerInfo | None = None
     polled_address: str = ''
+    entry: WorkerInfo | None = None
+    described_ms: int | None = None
+    tells_start: bool = False
+    is_entry_trusted: bool = False
+    undescribed_ms: int = -1
     fenced_after_ms: int = -1
     report_sent_ms: int = -1
     other_lease_over_ms: int = -1
@@ -216,6 +231,9 @@
     def __post_init__(self) -> None:
         """Start an account of the worker's size."""
         info = self.info
+        if self.described_ms is None:
+            self.described_ms = info.process_start_ms
+            self.entry = info
         self.capacity = _capacity.Capacity(
             cpu=info.cpu,
             memory_mb=info.memory_mb,
@@ -252,6 +270,18 @@
         """Return whether another incarnation may have replaced this one."""
         return self.announced is not None or self.doubted_ms >= 0
 
+    @property
+    def is_described(self) -> bool:
+        """Return whether ``info`` is the description of this incarnation.
+
+        Another one may have had other labels, or another size or pool.
+        """
+        return (
+            not self.tells_start
+            or self.is_entry_trusted
+            or self.described_ms == self.info.process_start_ms
+        )
+
     @property
     def poll_address(self) -> str:
         """Return where to send the next poll.
--- a/packages/policy/src/oriolestand_policy/scheduling/_idle_account.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_idle_account.py
@@ -66,6 +66,7 @@
     NOT_PROBED = 'not_probed'
     NOT_RECORDED = 'not_recorded'
     NOT_LISTED = 'not_listed'
+    NOT_DESCRIBED = 'not_described'
     LAPSING = 'lapsing'
     LEAVING = 'leaving'
     EVACUATED = 'evacuated'
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -199,6 +199,14 @@
                 worker.is_listed = False
                 self._cell.log('worker_unlisted', '', worker=worker_id)
 
+    def on_entries_read(self, since_ms: int, sent_ms: int) -> bool:
+        """Note that the entries of workers can be read.
+
+        ``since_ms`` and ``sent_ms`` are when the first and the last read were
+        sent since one failed. Return whether a worker may get tasks now.
+        """
+        return self._incarnations.on_entries_read(since_ms, sent_ms)
+
     def set_evacuated_domains(
         self,
         failure_domains: frozenset[str],
@@ -240,7 +248,11 @@
         It counts as unlisted until ``set_workers`` includes it.
         """
         if info.id not in self._cell.workers:
-            worker = _fleet.Worker(info=info, is_listed=False)
+            worker = _fleet.Worker(
+                info=info,
+                described_ms=_fleet.NOTHING_DESCRIBED,
+                is_listed=False,
+            )
             self._cell.workers[info.id] = worker
             self._cell.mark_evacuated(worker)
 
@@ -442,6 +454,7 @@
         return (
             job.outcome is None
             and not worker.is_evacuated
+            and worker.is_described
             and not worker.capacity.is_over()
             and run.phase is _fleet.RunPhase.STARTING
             and run.stop_sent_ms < 0
--- a/packages/policy/tests/scheduling/test_crashes.py
+++ b/packages/policy/tests/scheduling/test_crashes.py
@@ -205,6 +205,7 @@
     worker.info = dataclasses.replace(
         worker.info, process_start_ms=7, rack='rack1'
     )
+    worker.described_ms = 7
     harness.add('s', scheduling.StepSpec(count=2, cpu=6_000))
     for start in harness.decide()[0]:
         harness.answer(start)
--- a/packages/policy/tests/scheduling/test_equivalence.py
+++ b/packages/policy/tests/scheduling/test_equivalence.py
@@ -734,6 +734,7 @@
     return (
         worker.is_probed
         and worker.announced is None
+        and worker.is_described
         and not worker.is_lapsing
         and worker.is_recorded
         and worker.is_listed
--- a/packages/standins/src/oriolestand_standins/fleet/_site.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_site.py
@@ -122,6 +122,7 @@
         failure_domain: str = 'd1',
         clock_ms: int | None = None,
         register_after_ms: int = 0,
+        labels: frozenset[str] = frozenset(),
     ) -> None:
         """Start a worker and register it in the store.
 
@@ -137,6 +138,7 @@
             cpu=WORKER_CPU,
             memory_mb=16_000,
             process_start_ms=process_start_ms,
+            labels=labels,
         )
         self.workers[name] = _workers.FleetWorker(
             self.clock,
