Wait longer for the reports of workers in doubt

A worker in doubt is polled without a wait, so that its reports had 1.2 s in place of 2.2 s. If they take 1.5 s, none arrived, no lease was requested, and its runs lapsed. Change: after a failed poll a worker in doubt gets the time of a poll that waits.

--- a/packages/fleet/src/oriolestand_fleet/messages/orders.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/orders.py
@@ -181,7 +181,8 @@
 
     The reply is a scheduling.WorkerReport. A ``lease_end_ms`` of None leaves
     the lease unchanged. The worker discards ends up to ``acknowledged``. It
-    answers when a run ends, or after ``wait_ms``. Fails with FencedError,
+    answers when a run ends, or after ``wait_ms``. The report may take
+    ``extra_timeout_ms`` longer than usual. Fails with FencedError,
     WorkerReplacedError, WithdrawnError or WorkerError. If the report arrives
     after that, it is published as a LateReport.
     """
@@ -189,6 +190,7 @@
     lease_end_ms: int | None
     acknowledged: int
     wait_ms: int
+    extra_timeout_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -304,6 +304,11 @@
         if self._has_listed_ends and worker.info.is_leaving:
             # Acknowledges the ends at once; the worker may exit soon.
             wait_ms = 0
+        extra_timeout_ms = 0
+        if worker.is_in_doubt and worker.failed_polls:
+            # Its reports may take as long as those of polls that wait. Without
+            # a report it gets no lease.
+            extra_timeout_ms = const.POLL_WAIT_MS
         self._generation = self._scheduler.generation_of(self._worker)
         return orders.PollWorker(
             target=orders.Target(
@@ -314,6 +319,7 @@
             lease_end_ms=lease_end_ms,
             acknowledged=acknowledged,
             wait_ms=wait_ms,
+            extra_timeout_ms=extra_timeout_ms,
             epoch=self._term.epoch,
             send_by_ms=self._term.acts_until_ms,
         )
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -535,7 +535,7 @@
         :raises WorkerError: if the report does not arrive in time; it is
             published when it arrives.
         """
-        timeout_ms = msg.wait_ms + ORDER_TIMEOUT_MS
+        timeout_ms = msg.wait_ms + msg.extra_timeout_ms + ORDER_TIMEOUT_MS
         passed_ms = self.kernel.clock.now() - sent_ms
         delay_ms = self.faults.report_delays_ms[msg.target.worker]
         if passed_ms + delay_ms > timeout_ms:
