Start tasks again on the worker that may start them late

Cause: the task had started on another worker once the former incarnation had answered the stop, which does not bind the next one. Change: the task starts on the same worker again if that has room. The present incarnation refuses the older start; if the next one carries it out, the newer run has ended with the present one, and the task waits until the next one has answered a poll with its token, or could not run it any more. Evidence: test_task_whose_start_may_be_late_starts_on_the_same_worker (two cases) fails without it, as the task starts on the other worker.

--- a/packages/fleet/tests/test_orders_for_former_incarnations.py
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -269,6 +269,29 @@
     assert site.history[2].outcome == ''
 
 
+@pytest.mark.parametrize('is_cut', [False, True])
+def test_task_whose_start_may_be_late_starts_on_the_same_worker(
+    site, daemon, is_cut
+):
+    # Guards against a second run beside a late start that the next
+    # incarnation carries out before the owner hears of the restart.
+    hold_up(site, daemon, unanswered_starts=1)
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
+    late_ms = site.clock.now() + LATE_MS
+    site.add_worker('w1')
+    site.run_until(lambda: len(site.history) == 3, 3_500)
+    assert site.history[2].worker == 'w0'
+    site.run(late_ms - site.clock.now() - 10)
+    restart(site)
+    if is_cut:
+        daemon.orders.faults.unreachable.add('w0')
+    site.run(LATEST_ORDER_MS + 2 * LEASE_MS)
+    assert site.overlapping_runs() == []
+    assert len(site.history) > 3
+    assert site.history[-1].outcome == ''
+
+
 def test_task_that_may_start_late_on_a_worker_that_is_gone_does_not_wait(
     site, daemon
 ):
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -280,13 +280,15 @@
         if task is None:
             return
         task.late_worker = worker_id
-        task.late_until_ms = run.doubt_ms + (
-            _unconfirmed_runs.MAX_ORDER_DELAY_MS
+        task.late_until_ms = (
+            run.doubt_ms
+            + _unconfirmed_runs.MAX_ORDER_DELAY_MS
+            + _unconfirmed_runs.with_margin_ms(self.lease_max_ms)
         )
         self.late_tasks[task.key] = task
 
     def forget_late_starts(self, now_ms: int) -> None:
-        """Forget starts that cannot be carried out any more."""
+        """Forget starts whose runs are over, if they were carried out."""
         for key, task in list(self.late_tasks.items()):
             if now_ms > task.late_until_ms:
                 task.late_worker = ''
--- a/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_takeover.py
@@ -79,5 +79,6 @@
     return worker is not None and (
         not worker.is_probed
         or worker.is_in_doubt
+        or worker.unreachable_ms >= 0
         or worker.fenced_after_ms >= 0
     )
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -8,6 +8,7 @@
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crash_handler
 from oriolestand_policy.scheduling import _effects
+from oriolestand_policy.scheduling import _eligibility
 from oriolestand_policy.scheduling import _evacuation
 from oriolestand_policy.scheduling import _filling_turns
 from oriolestand_policy.scheduling import _fit_budget
@@ -604,12 +605,34 @@
         now_ms: int,
     ) -> int:
         """Start a task; return 1, or 0 if no worker can run it."""
-        worker = self._placement.select_worker(task, route.pool)
+        worker = self._worker_of_late_start(task, route.pool, now_ms)
+        if worker is None:
+            worker = self._placement.select_worker(task, route.pool)
         if worker is None:
             return 0
         self._assign_all(job, [task], [worker], now_ms)
         return 1
 
+    def _worker_of_late_start(
+        self, task: _jobs.Task, pool: str, now_ms: int
+    ) -> _fleet.Worker | None:
+        """Return where a start of a task may be late, if it can run there.
+
+        The present incarnation refuses that start. If the next one carries it
+        out, the run that starts now has ended with the present one.
+        """
+        worker = self._cell.workers.get(task.late_worker)
+        if worker is None or worker.info.pool != pool:
+            return None
+        if worker.info.id in task.avoid:
+            return None
+        if not _eligibility.is_usable(worker, now_ms):
+            return None
+        if not self._placement.select_kept(worker, task):
+            return None
+        self._placement.mark_changed(worker)
+        return worker
+
     def _start_gang(
         self,
         job: _jobs.Job,
