Show the two rules on late starts red

Now the other worker is the better fit. A second test covers the wait for a worker that cannot be reached. Measured: without the choice of the same worker both cases of the first test fail ('w1' == 'w0'); without the wait the second one fails; with both rules all hold.

--- a/packages/fleet/tests/test_orders_for_former_incarnations.py
+++ b/packages/fleet/tests/test_orders_for_former_incarnations.py
@@ -280,10 +280,19 @@
     site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
     late_ms = site.clock.now() + LATE_MS
     site.add_worker('w1')
+    # The smaller worker is the better fit.
+    info = dataclasses.replace(site.workers['w1'].info, cpu=1_500)
+    site.store.register_worker(info)
     site.run_until(lambda: len(site.history) == 3, 3_500)
     assert site.history[2].worker == 'w0'
     site.run(late_ms - site.clock.now() - 10)
-    restart(site)
+    site.workers['w0'].crash(is_refusing=True)
+    site.add_worker(
+        'w0',
+        process_start_ms=2,
+        clock_ms=10_000,
+        register_after_ms=60_000 if is_cut else 0,
+    )
     if is_cut:
         daemon.orders.faults.unreachable.add('w0')
     site.run(LATEST_ORDER_MS + 2 * LEASE_MS)
@@ -292,6 +301,26 @@
     assert site.history[-1].outcome == ''
 
 
+def test_task_waits_for_a_late_start_on_a_worker_that_is_cut_off(site, daemon):
+    # Guards against a second run beside a late start that the next
+    # incarnation carries out while the owner cannot reach it.
+    daemon.orders.faults.effect_delay_ms = 9_000
+    daemon.orders.faults.unanswered_starts = 1
+    site.submit(daemon, 'second', ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not daemon.orders.faults.unanswered_starts, 2_000)
+    site.run(4_000)
+    assert len(site.history) == 3
+    daemon.orders.faults.unreachable.add('w0')
+    site.workers['w0'].crash()
+    site.add_worker(
+        'w0', process_start_ms=2, clock_ms=10_000, register_after_ms=60_000
+    )
+    site.add_worker('w1')
+    site.run(LATEST_ORDER_MS + 2 * LEASE_MS)
+    assert len(site.history) == 5
+    assert site.overlapping_runs() == []
+
+
 def test_task_that_may_start_late_on_a_worker_that_is_gone_does_not_wait(
     site, daemon
 ):
