--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -619,11 +619,14 @@
         """Return where a start of a task may be late, if it can run there.
 
         The present incarnation refuses that start. If the next one carries it
-        out, the run that starts now has ended with the present one.
+        out, the run that starts now has ended with the present one. Filling
+        tasks go by the load of the services beside them instead.
         """
         worker = self._cell.workers.get(task.late_worker)
         if worker is None or worker.info.pool != pool:
             return None
+        if task.spec.is_filling:
+            return None
         if worker.info.id in task.avoid:
             return None
         if not _eligibility.is_usable(worker, now_ms):
