Count crashes only under runs that a worker had begun

Cause: a crash counted against each new run whose order had been sent, also if nobody had answered it. A silent crash goes unnoticed for up to two seconds, and orders go to the dead worker meanwhile. Three of them at three addresses showed the "cause". Change: a run has begun once a worker has answered its start or listed it. Crashes under other runs are doubtful: they make the task a suspect, which is tried apart, and from the third on it waits 10 s to 60 s before its next start. They show no cause. Only if workers at two addresses have crashed under the task after it had begun, they use up the five starts that a task may have. Doubtful crashes, and whether a watched run had begun, are stored under a new key, which earlier versions ignore; records without it are read as before. Ruled out: more crashes until a job fails, as no number of unread orders is evidence.

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -92,6 +92,9 @@
         ]
     ] = []
     began: list[tuple[_Count, _Count, _Count, _Count]] = []
+    doubtful: list[
+        tuple[_Count, _Count, _Count, list[tuple[str, _CrashKind]], bool]
+    ] = []
 
 
 _JOB_ROW: _rows.RowDecoder[_JobRow] = _rows.RowDecoder(_JobRow)
--- a/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crash_handler.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
-from typing import NamedTuple
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _crashes
@@ -17,16 +16,6 @@
 MAX_LOGGED_RUNS = 8
 
 
-class _Suspect(NamedTuple):
-    """Kind of the crash of a worker under a task.
-
-    ``began_ms`` is when the run began in Unix time, 0 if unknown.
-    """
-
-    kind: _jobs.CrashKind
-    began_ms: int
-
-
 class CrashHandler:
     """Keep the crashes of tasks, and give up the tasks that cause them.
 
@@ -57,7 +46,7 @@
                 or job.outcome is not None
                 or job.find(key) is not task
                 or task.is_done
-                or not task.crashes
+                or not task.all_crashes
             ):
                 del self._marked[key]
             else:
@@ -77,7 +66,7 @@
                     self._complete_info(watch)
                 else:
                     self._lost.add(_lost_by(watch, task.key))
-            if task.crashes:
+            if task.all_crashes:
                 self._marked[task.key] = task
                 self._check_cause(task)
 
@@ -110,6 +99,13 @@
         if task.watch.run == run.number:
             self._unwatch(task)
 
+    def on_begun(self, run: _fleet.Run) -> None:
+        """Note that a worker has answered the start of a watched run."""
+        job = self._cell.jobs.get(run.key.job)
+        task = job.find(run.key) if job is not None else None
+        if task is not None:
+            self._mark_begun(task, run)
+
     def on_unreachable(self, worker: _fleet.Worker) -> None:
         """Watch the newest runs of a worker whose poll failed."""
         self._losses.on_unreachable(worker)
@@ -147,10 +143,12 @@
             if not has_ended:
                 continue
             gone_ms = self._gone_ms(info)
-            for key, crash in lost.crashes.items():
-                began_ms = lost.began_ms.get(key, 0)
-                if _crashes.may_have_crashed(began_ms, gone_ms):
-                    self._add_crash(key, crash, lost.id)
+            for key, suspect in lost.suspects.items():
+                if _crashes.may_have_crashed(suspect.began_ms, gone_ms):
+                    crash = _jobs.Crash(lost.address, suspect.kind)
+                    self._add_crash(
+                        key, crash, lost.id, has_begun=suspect.has_begun
+                    )
 
     def on_report(self, worker: _fleet.Worker) -> None:
         """Stop watching the runs of a worker that has not crashed."""
@@ -167,6 +165,8 @@
                 self._unwatch(task)
             elif task.watch is not None and _is_of_former(task.watch, worker):
                 self._watch(task, worker, task.watch.kind)
+            else:
+                self._mark_begun(task, run)
 
     def on_worker_gone(
         self,
@@ -213,28 +213,21 @@
                 is_lost=is_lost,
                 has_common_cause=has_common_cause,
             )
-        crashes = {
-            key: _jobs.Crash(
-                address=worker.info.address,
-                kind=(
-                    _jobs.CrashKind.COMMON
-                    if has_common_cause
-                    else suspect.kind
-                ),
-            )
-            for key, suspect in suspects.items()
-        }
+        if has_common_cause:
+            suspects = {
+                key: suspect._replace(kind=_jobs.CrashKind.COMMON)
+                for key, suspect in suspects.items()
+            }
         if is_lost:
-            began_ms = {key: s.began_ms for key, s in suspects.items()}
-            self._keep_lost(worker, crashes, began_ms)
+            self._keep_lost(worker, suspects)
             return
         for task in watched:
             self._unwatch(task)
-        self._count_crashes(worker, crashes, reason)
+        self._count_crashes(worker, suspects, reason)
 
     def _suspects_by_task(
         self, worker: _fleet.Worker
-    ) -> dict[_jobs.TaskKey, _Suspect]:
+    ) -> dict[_jobs.TaskKey, _crashes.Suspect]:
         """Return the tasks that may have crashed a worker, and how."""
         released = self._released.pop(worker.info.id, {})
         watched = [
@@ -245,7 +238,7 @@
         if not worker.is_probed:
             # Its runs are those that the former owner watched.
             return {
-                task.key: _Suspect(watch.kind, watch.began_ms)
+                task.key: _suspect_of(watch)
                 for task, watch in watched
                 if not task.worker
             }
@@ -253,16 +246,17 @@
         kind = _kind_of(worker, runs)
         # The others were released when the lease of the worker was over.
         return {
+            **{key: _suspect_of(watch) for key, watch in released.items()},
             **{
-                key: _Suspect(watch.kind, watch.began_ms)
-                for key, watch in released.items()
-            },
-            **{
-                task.key: _Suspect(kind, self._began_ms(task, worker))
+                task.key: _crashes.Suspect(
+                    kind=kind,
+                    began_ms=self._began_ms(task, worker),
+                    has_begun=worker.runs[task.key, task.run].has_begun,
+                )
                 for task in self._tasks_of(worker, runs)
             },
             **{
-                task.key: _Suspect(watch.kind, watch.began_ms)
+                task.key: _suspect_of(watch)
                 for task, watch in watched
                 if (task.key, watch.run) not in worker.runs
             },
@@ -304,34 +298,32 @@
     def _keep_lost(
         self,
         worker: _fleet.Worker,
-        crashes: Mapping[_jobs.TaskKey, _jobs.Crash],
-        began_ms: Mapping[_jobs.TaskKey, int],
+        suspects: Mapping[_jobs.TaskKey, _crashes.Suspect],
     ) -> None:
         """Remember a lost worker until it is known how it ended.
 
         The watches of its runs let the next owner do so.
         """
-        self._count_pending_crashes(worker, crashes.keys())
+        self._count_pending_crashes(worker, suspects.keys())
         for task in self._tasks_of(worker, worker.runs.values()):
-            if task.key in crashes and task.watch is None:
-                self._watch(task, worker, crashes[task.key].kind)
+            if task.key in suspects and task.watch is None:
+                self._watch(task, worker, suspects[task.key].kind)
         for task in list(self._watched.get(worker.info.id, {}).values()):
-            if task.key not in crashes:
+            if task.key not in suspects:
                 self._unwatch(task)
         self._lost.add(
             _lost_workers.LostWorker(
                 id=worker.info.id,
                 address=worker.info.address,
                 process_start_ms=worker.info.process_start_ms,
-                crashes=crashes,
-                began_ms=began_ms,
+                suspects=suspects,
             )
         )
 
     def _count_crashes(
         self,
         worker: _fleet.Worker,
-        crashes: Mapping[_jobs.TaskKey, _jobs.Crash],
+        suspects: Mapping[_jobs.TaskKey, _crashes.Suspect],
         reason: str,
     ) -> None:
         """Count the crash of a worker against tasks, if need be later."""
@@ -343,12 +335,15 @@
                 if not run.is_reported
             }
         else:
-            self._count_pending_crashes(worker, crashes.keys())
-        for key, crash in crashes.items():
+            self._count_pending_crashes(worker, suspects.keys())
+        for key, suspect in suspects.items():
+            crash = _jobs.Crash(worker.info.address, suspect.kind)
             if key in carried:
                 self._defer_crash(carried[key], worker, crash)
             else:
-                self._add_crash(key, crash, worker.info.id)
+                self._add_crash(
+                    key, crash, worker.info.id, has_begun=suspect.has_begun
+                )
 
     def _defer_crash(
         self, run: _fleet.Run, worker: _fleet.Worker, crash: _jobs.Crash
@@ -383,7 +378,7 @@
         task = self._watched.get(worker_id, {}).get(run.key)
         if task is not None:
             self._unwatch(task)
-        self._add_crash(run.key, crash, worker_id)
+        self._add_crash(run.key, crash, worker_id, has_begun=run.has_begun)
 
     def _tasks_of(
         self, worker: _fleet.Worker, runs: Iterable[_fleet.Run]
@@ -406,15 +401,23 @@
         key: _jobs.TaskKey,
         crash: _jobs.Crash,
         worker_id: str,
+        *,
+        has_begun: bool,
     ) -> None:
-        """Count a crash of a worker against a task."""
+        """Count a crash of a worker against a task.
+
+        A worker that has not shown that it had begun the run may have been
+        dead before it could read the order. Such a crash makes the task a
+        suspect, but is no evidence that it is the cause.
+        """
         job = self._cell.jobs.get(key.job)
         task = job.find(key) if job is not None else None
         if job is None or task is None or job.outcome is not None:
             return
         if task.is_done or self._is_survived(task):
             return
-        task.crashes.append(crash)
+        counted = task.crashes if has_begun else task.doubtful_crashes
+        counted.append(crash)
         job.crashed_keys.add(key)
         self._marked[task.key] = task
         self._check_cause(task)
@@ -427,6 +430,7 @@
                 run=task.run,
                 worker=worker_id,
                 crashes=[list(crash) for crash in task.crashes],
+                doubtful=[list(crash) for crash in task.doubtful_crashes],
             )
 
     def _is_survived(self, task: _jobs.Task) -> bool:
@@ -439,7 +443,7 @@
 
     def _check_cause(self, task: _jobs.Task) -> None:
         """Note a task whose crashes are its own fault."""
-        if _crashes.is_cause(task.crashes):
+        if _crashes.is_cause(task.crashes, task.doubtful_crashes):
             self._confirmed.append(task)
 
     def give_up_tasks(self, now_ms: int) -> None:
@@ -468,9 +472,10 @@
                 task=str(task.key),
                 run=task.run,
                 worker=task.worker,
-                crashes=len(task.crashes),
+                crashes=len(task.all_crashes),
             )
         task.crashes.clear()
+        task.doubtful_crashes.clear()
         self._unwatch(task)
         self._save(task)
 
@@ -482,6 +487,7 @@
     ) -> None:
         """Watch the current run of a task, and store that."""
         began_ms = self._began_ms(task, worker)
+        run = worker.runs.get((task.key, task.run))
         self._unwatch(task)
         task.watch = _jobs.Watch(
             run=task.run,
@@ -491,10 +497,19 @@
             process_start_ms=worker.info.process_start_ms,
             rack=worker.info.rack,
             began_ms=began_ms,
+            has_begun=run is not None and run.has_begun,
         )
         self._watched.setdefault(worker.info.id, {})[task.key] = task
         self._save(task)
 
+    def _mark_begun(self, task: _jobs.Task, run: _fleet.Run) -> None:
+        """Store that a worker has begun a watched run."""
+        watch = task.watch
+        if watch is None or watch.has_begun or watch.run != run.number:
+            return
+        task.watch = watch._replace(has_begun=True)
+        self._save(task)
+
     def _unwatch(self, task: _jobs.Task) -> None:
         """Stop watching a run of a task."""
         if task.watch is None:
@@ -535,7 +550,7 @@
                     run.number,
                     max(-1, worker.last_report_ms - run.since_ms),
                     max(-1, worker.unreachable_ms - run.since_ms),
-                    len(task.crashes) if task is not None else 0,
+                    len(task.all_crashes) if task is not None else 0,
                 ]
             )
         self._cell.log(
@@ -567,16 +582,19 @@
     watch: _jobs.Watch, key: _jobs.TaskKey
 ) -> _lost_workers.LostWorker:
     """Return the lost worker of a watched run."""
-    crash = _jobs.Crash(address=watch.address, kind=watch.kind)
     return _lost_workers.LostWorker(
         id=watch.worker,
         address=watch.address,
         process_start_ms=watch.process_start_ms,
-        crashes={key: crash},
-        began_ms={key: watch.began_ms},
+        suspects={key: _suspect_of(watch)},
     )
 
 
+def _suspect_of(watch: _jobs.Watch) -> _crashes.Suspect:
+    """Return how a crash counts by the watch of a run."""
+    return _crashes.Suspect(watch.kind, watch.began_ms, watch.has_begun)
+
+
 def _is_of_former(watch: _jobs.Watch, worker: _fleet.Worker) -> bool:
     """Return whether a watch names a former incarnation of a worker."""
     return watch.process_start_ms < worker.info.process_start_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_crashes.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
@@ -49,6 +50,12 @@
 
 MIN_ADDRESSES_IN_A_ROW = 3
 
+MIN_BEGUN_ADDRESSES = 2
+"""Number of addresses at which workers must crash under a task that has begun,
+before doubtful crashes are counted beside them up to
+``MAX_CRASHES_IN_A_ROW``. Callers are told that a task may be given up after
+two crashes, and that it is not started three times more after three."""
+
 MAX_RESTART_MS = 10_000
 """Longest time from the start of a run to the start of the next incarnation
 of its worker, if the run crashed the worker. Crashed workers are back after
@@ -56,6 +63,31 @@
 ended for another reason."""
 
 
+FREE_DOUBTFUL_CRASHES = 2
+"""Number of crashes of workers that may never have read the start, after which
+a task starts again as soon as it has a worker of its own. Few workers die by
+chance in the second in which a silent crash is not noticed yet."""
+
+DOUBTFUL_PAUSE_MS = 10_000
+MAX_DOUBTFUL_PAUSE_MS = 60_000
+"""Time from a further such crash to the next start; it doubles with each one.
+A task that crashes its workers before they can answer starts five times within
+87 s, and then costs a worker some 3.4 s in each minute. A harmless one is
+delayed by it only if three workers in a row die as they get its start."""
+
+
+class Suspect(NamedTuple):
+    """How the crash of a worker counts against a task.
+
+    ``began_ms`` is when the run began in Unix time, 0 if unknown.
+    ``has_begun`` is as in ``Run``.
+    """
+
+    kind: _jobs.CrashKind
+    began_ms: int
+    has_begun: bool
+
+
 def mark_proven(run: _fleet.Run, worker: _fleet.Worker, now_ms: int) -> None:
     """Note that a report that is read at ``now_ms`` lists a run.
 
@@ -93,6 +125,16 @@
     )
 
 
+def pause_ms(crashes: Sequence[_jobs.Crash]) -> int:
+    """Return how long a task waits after the last of its doubtful crashes."""
+    further = len(crashes) - FREE_DOUBTFUL_CRASHES
+    if further <= 0:
+        return 0
+    # The limit is reached long before the power is large.
+    power = min(further - 1, 10)
+    return min(DOUBTFUL_PAUSE_MS << power, MAX_DOUBTFUL_PAUSE_MS)
+
+
 def may_have_crashed(began_ms: int, gone_ms: int) -> bool:
     """Return whether a run may have crashed a worker that is gone.
 
@@ -104,8 +146,14 @@
     return gone_ms - began_ms <= MAX_RESTART_MS
 
 
-def is_cause(crashes: Sequence[_jobs.Crash]) -> bool:
-    """Return whether the crashes of a task can only be its own fault."""
+def is_cause(
+    crashes: Sequence[_jobs.Crash], doubtful: Sequence[_jobs.Crash] = ()
+) -> bool:
+    """Return whether the crashes of a task can only be its own fault.
+
+    Doubtful ones do not show that. But once workers have crashed under it at
+    ``MIN_BEGUN_ADDRESSES``, they use up the starts that it may have.
+    """
     prompt = [c.address for c in crashes if c.kind is _jobs.CrashKind.ALONE]
     late = [c.address for c in crashes if c.kind is _jobs.CrashKind.LATE]
     is_cause_alone = (
@@ -120,4 +168,8 @@
     if prompt or late:
         needed = MIN_CRASHES_IN_A_ROW
     addresses = {crash.address for crash in crashes}
-    return len(crashes) >= needed and len(addresses) >= MIN_ADDRESSES_IN_A_ROW
+    if len(crashes) >= needed and len(addresses) >= MIN_ADDRESSES_IN_A_ROW:
+        return True
+    if not doubtful or len(addresses) < MIN_BEGUN_ADDRESSES:
+        return False
+    return len(crashes) + len(doubtful) >= MAX_CRASHES_IN_A_ROW
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -55,7 +55,9 @@
     ``is_proven`` is whether a report showed that the worker survived it for
     longer than a task takes to crash a worker. ``is_sent`` is whether the
     worker may have received the start order, which can wait for a record to
-    be written and for a connection. ``is_whole`` is whether this owner has
+    be written and for a connection. ``has_begun`` is whether a worker has
+    answered the start or listed the run, so that it has certainly read the
+    order. ``is_whole`` is whether this owner has
     started the run without a checkpoint, so that it lasts as long as the task.
     ``is_reported`` is whether the present incarnation of the worker has listed
     the run, and ``is_confirmed`` whether that, or its clock in the answer to
@@ -82,6 +84,7 @@
     missed_polls: int = 0
     is_proven: bool = False
     is_sent: bool = False
+    has_begun: bool = False
     is_whole: bool = False
     is_reported: bool = False
     is_confirmed: bool = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -94,7 +94,8 @@
 
     ``kind`` is that of the crash. ``process_start_ms`` is when the worker
     process started, 0 if unknown, and ``rack`` may be empty. ``began_ms`` is
-    when the run began in Unix time, 0 if unknown.
+    when the run began in Unix time, 0 if unknown. ``has_begun`` is as in
+    ``Run``.
     """
 
     run: int
@@ -104,6 +105,7 @@
     process_start_ms: int = 0
     rack: str = ''
     began_ms: int = 0
+    has_begun: bool = True
 
 
 class Idleness(NamedTuple):
@@ -127,8 +129,10 @@
     ``is_overdue`` is whether it is a filling task that has waited too long,
     ``may_be_slowed`` whether it may start at a lower pace therefore, and
     ``turn_after_ms`` the time until which it does not go before others.
-    ``crashes`` are those that count against the task, and ``watch`` is a run
-    whose worker the next owner must know about, if it has crashed.
+    ``crashes`` are those that count against the task. ``doubtful_crashes`` are
+    those of workers that may never have read the order to start it.
+    ``watch`` is a run whose worker the next owner must know about, if it has
+    crashed.
     ``idleness`` is that of the last run that showed no progress for a while.
     """
 
@@ -148,9 +152,15 @@
     may_be_slowed: bool = False
     turn_after_ms: int = 0
     crashes: list[Crash] = dataclasses.field(default_factory=list)
+    doubtful_crashes: list[Crash] = dataclasses.field(default_factory=list)
     watch: Watch | None = None
     idleness: Idleness | None = None
 
+    @property
+    def all_crashes(self) -> list[Crash]:
+        """Return the crashes that the task may have caused."""
+        return [*self.crashes, *self.doubtful_crashes]
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the task may be the cause of crashes.
@@ -158,8 +168,11 @@
         Tasks that crash their workers may do so at the same moment, so a
         second crash counts although it seems to have a common cause.
         """
-        return len(self.crashes) > 1 or any(
-            crash.kind is not CrashKind.COMMON for crash in self.crashes
+        if not (self.crashes or self.doubtful_crashes):
+            return False
+        crashes = self.all_crashes
+        return len(crashes) > 1 or any(
+            crash.kind is not CrashKind.COMMON for crash in crashes
         )
 
     @property
--- a/packages/policy/src/oriolestand_policy/scheduling/_lost_workers.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_lost_workers.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 import dataclasses
 
+from oriolestand_policy.scheduling import _crashes
 from oriolestand_policy.scheduling import _fleet
 from oriolestand_policy.scheduling import _jobs
 
@@ -17,17 +18,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LostWorker:
-    """A worker that was given up, and the crashes that its end would be.
+    """A worker that was given up, and the tasks that its end counts against.
 
-    ``process_start_ms`` is when its process started, 0 if unknown, and
-    ``began_ms`` is when the runs of the tasks began, in Unix time.
+    ``process_start_ms`` is when its process started, 0 if unknown.
     """
 
     id: str
     address: str
     process_start_ms: int
-    crashes: Mapping[_jobs.TaskKey, _jobs.Crash]
-    began_ms: Mapping[_jobs.TaskKey, int]
+    suspects: Mapping[_jobs.TaskKey, _crashes.Suspect]
 
     def has_ended_before(self, info: _fleet.WorkerInfo) -> bool:
         """Return whether a worker shows that this one has ended."""
@@ -48,8 +47,7 @@
         if known is not None:
             lost = dataclasses.replace(
                 lost,
-                crashes={**known.crashes, **lost.crashes},
-                began_ms={**known.began_ms, **lost.began_ms},
+                suspects={**known.suspects, **lost.suspects},
             )
         self._by_id[lost.id] = lost
         if len(self._by_id) > MAX_LOST_WORKERS:
--- a/packages/policy/src/oriolestand_policy/scheduling/_probation_round.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probation_round.py
@@ -121,7 +121,7 @@
 
 def is_likely(task: _jobs.Task) -> bool:
     """Return whether a suspect was the only one of a crash."""
-    kinds = {crash.kind for crash in task.crashes}
+    kinds = {crash.kind for crash in task.all_crashes}
     return bool(kinds & {_jobs.CrashKind.ALONE, _jobs.CrashKind.LATE})
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_probations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_probations.py
@@ -148,7 +148,9 @@
         waiting = [
             task
             for task in suspects
-            if task.key in self._cell.ready and task.key not in held
+            if task.key in self._cell.ready
+            and task.key not in held
+            and not _is_paused(task, now_ms)
         ]
         self._begin_attempts(waiting, now_ms)
         waiting.sort(
@@ -369,6 +371,15 @@
         del self._holds[hold.key]
 
 
+def _is_paused(task: _jobs.Task, now_ms: int) -> bool:
+    """Return whether a suspect waits, as its workers died unheard.
+
+    The owner knows no earlier time than that since which the task is ready.
+    """
+    pause_ms = _crashes.pause_ms(task.doubtful_crashes)
+    return now_ms - task.ready_ms < pause_ms
+
+
 def _cheapest(workers: list[_fleet.Worker], task: _jobs.Task) -> _fleet.Worker:
     """Return the worker whose crash costs least."""
     return min(workers, key=lambda worker: _rank(worker, task))
@@ -376,7 +387,7 @@
 
 def _rank(worker: _fleet.Worker, task: _jobs.Task) -> tuple[object, ...]:
     """Rank workers by where a crash costs least, the best first."""
-    addresses = {crash.address for crash in task.crashes}
+    addresses = {crash.address for crash in task.all_crashes}
     services = sum(run.spec.is_service for run in worker.runs.values())
     return (
         worker.info.address in addresses,
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -6,6 +6,7 @@
 workers have reported. Workers report where other tasks run.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -66,6 +67,8 @@
     worker and run of the service tasks that may run), ``crashes`` (rows of
     occurrence, step, index, crashes and watch), ``began`` (rows of occurrence,
     step, index and Unix ms at which the watched run began, if there are any),
+    ``doubtful`` (rows of occurrence, step, index, doubtful crashes and whether
+    the watched run may not have begun, if there are any),
     ``ready`` (rows of occurrence, step and Unix ms at which an unfinished step
     that depends on others became ready, if there are any), ``idle`` (rows of
     occurrence, step, index, run, percentage and ms without progress beyond it
@@ -95,20 +98,12 @@
         progress['ready'] = ready
     if rows.idle:
         progress['idle'] = rows.idle[:MAX_IDLE_TASKS]
-    rows_of_crashes = _fitting_rows(_crash_rows(job))
-    if rows_of_crashes:
-        progress['crashes'] = [
-            # The version before cannot read a longer watch.
-            [*row[:-1], row[-1] and row[-1][:WATCH_FIELDS]]
-            for row in rows_of_crashes
-        ]
-    began = [
-        [*key, watch.began_ms]
-        for *key, _, watch in rows_of_crashes
-        if watch is not None and watch.began_ms > 0
-    ]
-    if began:
-        progress['began'] = began
+    # Earlier versions cannot read longer rows of crashes.
+    tasks = _fitting_tasks(job)
+    for name, row_of in _CRASH_ROWS.items():
+        rows_of_crashes = [row for task in tasks if (row := row_of(task))]
+        if rows_of_crashes:
+            progress[name] = rows_of_crashes
     return progress
 
 
@@ -172,33 +167,60 @@
     return rows[:MAX_READY_STEPS]
 
 
-def _crash_rows(job: _jobs.Job) -> list[list[Any]]:
-    """Return a row for each task with crashes or a watched run."""
-    if job.outcome is not None:
+def _crash_row(task: _jobs.Task) -> list[Any]:
+    """Return the row of the crashes and the watch of a task, or nothing."""
+    if not (task.crashes or task.watch):
         return []
-    return [
-        [*task.key[1:], task.crashes, task.watch]
-        for steps in job.tasks.values()
-        for tasks in steps
-        for task in tasks
-        if not task.is_done and (task.crashes or task.watch)
-    ]
+    watch = task.watch and task.watch[:WATCH_FIELDS]
+    return [*task.key[1:], task.crashes, watch]
+
+
+def _began_row(task: _jobs.Task) -> list[Any]:
+    """Return when the watched run of a task began, or nothing."""
+    if task.watch is None or task.watch.began_ms <= 0:
+        return []
+    return [*task.key[1:], task.watch.began_ms]
+
+
+def _doubtful_row(task: _jobs.Task) -> list[Any]:
+    """Return what may not have reached the workers of a task, or nothing."""
+    is_doubtful = task.watch is not None and not task.watch.has_begun
+    if not (task.doubtful_crashes or is_doubtful):
+        return []
+    return [*task.key[1:], task.doubtful_crashes, is_doubtful]
+
+
+_CRASH_ROWS: dict[str, Callable[[_jobs.Task], list[Any]]] = {
+    'crashes': _crash_row,
+    'began': _began_row,
+    'doubtful': _doubtful_row,
+}
 
 
-def _fitting_rows(rows: list[list[Any]]) -> list[list[Any]]:
-    """Return the rows that fit, of tasks with the most crashes first.
+def _fitting_tasks(job: _jobs.Job) -> list[_jobs.Task]:
+    """Return the tasks whose crashes fit, those with the most first.
 
     Hundreds of suspects are the new tasks of a pool that was lost, and the
     task that crashes its workers has more crashes than they have.
     """
-    fitting: list[list[Any]] = []
+    if job.outcome is not None:
+        return []
+    found = [
+        task
+        for task in job.all_tasks()
+        if not task.is_done and (task.all_crashes or task.watch)
+    ]
+    fitting: list[_jobs.Task] = []
     size = 0
-    for row in sorted(rows, key=lambda row: -len(row[3])):
-        size += len(json.dumps(row, separators=(',', ':'))) + 1
+    for task in sorted(found, key=lambda task: -len(task.all_crashes)):
+        rows = [
+            row for row_of in _CRASH_ROWS.values() if (row := row_of(task))
+        ]
+        size += len(json.dumps(rows, separators=(',', ':')))
         if size > MAX_CRASH_BYTES:
             break
-        fitting.append(row)
-    return sorted(fitting)
+        fitting.append(task)
+    return sorted(fitting, key=lambda task: task.key)
 
 
 def restore(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
@@ -245,16 +267,12 @@
 
 def _restore_crashes(job: _jobs.Job, progress: Progress) -> list[_jobs.Task]:
     """Apply the rows of crashes and return their tasks."""
-    found: list[_jobs.Task] = []
+    found: dict[_jobs.TaskKey, _jobs.Task] = {}
     for number, step, index, crashes, watch in progress.get('crashes', ()):
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is None or task.is_done:
             continue
-        job.crashed_keys.add(task.key)
-        task.crashes = [
-            _jobs.Crash(address=address, kind=_jobs.CrashKind(kind))
-            for address, kind in crashes
-        ]
+        task.crashes = _crashes_of(crashes)
         if watch:
             run, worker, address, kind, process_start_ms, rack = watch
             task.watch = _jobs.Watch(
@@ -265,12 +283,30 @@
                 process_start_ms=process_start_ms,
                 rack=rack,
             )
-        found.append(task)
+        found[task.key] = task
     for number, step, index, began_ms in progress.get('began', ()):
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None and task.watch is not None:
             task.watch = task.watch._replace(began_ms=began_ms)
-    return found
+    for row in progress.get('doubtful', ()):
+        number, step, index, crashes, is_watch_doubtful = row
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is None or task.is_done:
+            continue
+        task.doubtful_crashes = _crashes_of(crashes)
+        if task.watch is not None and is_watch_doubtful:
+            task.watch = task.watch._replace(has_begun=False)
+        found[task.key] = task
+    job.crashed_keys.update(found)
+    return list(found.values())
+
+
+def _crashes_of(rows: Iterable[Any]) -> list[_jobs.Crash]:
+    """Return crashes from their address and kind."""
+    return [
+        _jobs.Crash(address=address, kind=_jobs.CrashKind(kind))
+        for address, kind in rows
+    ]
 
 
 def job_to_dict(spec: _specs.JobSpec) -> dict[str, Any]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -73,6 +73,8 @@
         if outcome in _LEASE_OUTCOMES:
             self._apply_answer(worker, run, answer, now_ms)
         if outcome is _reports.StartOutcome.STARTED:
+            run.has_begun = True
+            self._crash_handler.on_begun(run)
             if run.phase is _fleet.RunPhase.STARTING:
                 run.phase = _fleet.RunPhase.RUNNING
                 run.since_ms = now_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -393,7 +393,7 @@
             run.phase = _fleet.RunPhase.RUNNING
             run.since_ms = now_ms
         run.missed_polls = 0
-        run.is_sent = True
+        run.is_sent = run.has_begun = True
         if not run.is_reported or report.percent != run.percent:
             run.progress_clock_ms = worker.clock_ms
         run.is_reported = run.is_confirmed = True
@@ -455,7 +455,7 @@
             return run
         task.assign(worker.info.id, report.number, now_ms)
         # Adopted runs are listed, so that the clock of progress is kept.
-        run.is_reported = run.is_confirmed = True
+        run.is_reported = run.is_confirmed = run.has_begun = True
         run.progress_clock_ms = worker.clock_ms
         _stalls.resume(
             run, task.idleness, report.percent, worker.clock_ms, now_ms
