Bound the time without progress by the length that a run has shown

Cause: progress comes in whole percent, and the limit followed from the estimate only, with 1.5 s without one. Every task of over 150 s without an estimate exceeds that at each percent, and a restart starts anew with the same limit. Change: the limit is a tenth of the length of the task, by its estimate or by the speed that the run has shown, whichever is longer; 30 s if neither is known. The 1.5 s stay as the least limit, for which their reason (restarts and polls) holds. A run that stands still beside others that progress is stopped after ten times its limit, the whole length of its task, and its worker is not excluded for it; before, it was never found. A run counts as progressing for twice the time of its percents, 10 s at most, so that slow ones show that a worker is sound. Ruled out: the limit of 30 s for all runs, as hung workers would be found as late. A percent of half an hour without an estimate ends after eight runs at most, 400 s with an estimate of 2 s after three. A worker that hangs under a new run without an estimate is found after 30 s (1.5 s before), one under a run of 20 s that has shown 25% after 2 s. The limit of 20 doublings only keeps a stored number from making a huge one (no test).

--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -82,6 +82,7 @@
     placed: list[tuple[_Count, _Count, _Count, str, _Count]] = []
     ready: list[tuple[_Count, _Count, _Count]] = []
     idle: list[tuple[_Count, _Count, _Count, _Count, _Percent, _Count]] = []
+    stalls: list[tuple[_Count, _Count, _Count, _Count]] = []
     crashes: list[
         tuple[
             _Count,
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -47,7 +47,9 @@
     are the last values of ``RunReport``. ``progress_changed_ms`` and
     ``paced_ms`` are when the progress and the pace last changed, and
     ``progress_clock_ms`` is the worker's clock in the first report with the
-    present progress.
+    present progress. ``first_percent`` is the progress that it began with, -1
+    if none was reported, and ``stalls`` counts the runs of the task before it
+    that were stopped as stalled.
     ``over_since_ms`` is since when the tail latency has exceeded its target,
     -1 if it does not. ``is_pace_in_doubt`` is whether the worker may not have
     received the last pace, or may apply an earlier one after it.
@@ -76,6 +78,8 @@
     percent: int = 0
     progress_changed_ms: int = 0
     progress_clock_ms: int = 0
+    first_percent: int = -1
+    stalls: int = 0
     measured: int = 0
     pace: int = _capacity.FULL_PACE
     paced_ms: int = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -133,7 +133,8 @@
     those of workers that may never have read the order to start it.
     ``watch`` is a run whose worker the next owner must know about, if it has
     crashed.
-    ``idleness`` is that of the last run that showed no progress for a while.
+    ``idleness`` is that of the last run that showed no progress for a while,
+    and ``stalls`` counts the runs that were stopped as stalled.
     """
 
     key: TaskKey
@@ -155,6 +156,7 @@
     doubtful_crashes: list[Crash] = dataclasses.field(default_factory=list)
     watch: Watch | None = None
     idleness: Idleness | None = None
+    stalls: int = 0
 
     @property
     def all_crashes(self) -> list[Crash]:
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -27,7 +27,8 @@
 The waits of the others begin anew with the next owner."""
 
 MAX_IDLE_TASKS = 200
-"""Limit on the stored times without progress, for the same reason."""
+"""Limit on the stored times without progress, and on the stored numbers of
+stalled runs, for the same reason."""
 
 MAX_CRASH_BYTES = 20_000
 """Size of the rows of crashes, which share a row of the store with the rest of
@@ -53,6 +54,7 @@
     unfinished: list[list[Any]] = dataclasses.field(default_factory=list)
     placed: list[list[Any]] = dataclasses.field(default_factory=list)
     idle: list[list[int]] = dataclasses.field(default_factory=list)
+    stalls: list[list[int]] = dataclasses.field(default_factory=list)
 
 
 def progress_of(job: _jobs.Job) -> Progress:
@@ -72,7 +74,9 @@
     ``ready`` (rows of occurrence, step and Unix ms at which an unfinished step
     that depends on others became ready, if there are any), ``idle`` (rows of
     occurrence, step, index, run, percentage and ms without progress beyond it
-    of the tasks that showed none for a while, if there are any). There is no
+    of the tasks that showed none for a while, if there are any), ``stalls``
+    (rows of occurrence, step, index and number of the tasks of which runs were
+    stopped as stalled, if there are any). There is no
     ``placed`` for jobs without service tasks, and if the placements are
     unknown or too many, and no ``crashes`` without any; it lacks tasks if they
     are too many.
@@ -98,6 +102,8 @@
         progress['ready'] = ready
     if rows.idle:
         progress['idle'] = rows.idle[:MAX_IDLE_TASKS]
+    if rows.stalls:
+        progress['stalls'] = rows.stalls[:MAX_IDLE_TASKS]
     # Earlier versions cannot read longer rows of crashes.
     tasks = _fitting_tasks(job)
     for name, row_of in _CRASH_ROWS.items():
@@ -130,6 +136,11 @@
             ]
             rows.placed += _placements(tasks)
             rows.idle += _idle_rows(tasks)
+            rows.stalls += [
+                [*task.key[1:], task.stalls]
+                for task in tasks
+                if task.stalls and not task.is_done
+            ]
     return rows
 
 
@@ -262,6 +273,10 @@
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
             task.idleness = _jobs.Idleness(*idleness)
+    for number, step, index, stalls in progress.get('stalls', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None:
+            task.stalls = stalls
     return _restore_crashes(job, progress)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -255,6 +255,9 @@
     def _stop_stalled_runs(self, worker: _fleet.Worker, now_ms: int) -> None:
         """Stop stalled runs, so that their tasks start on other workers."""
         stalled = _stalls.stalled_runs(worker, now_ms)
+        if not stalled:
+            for run in _stalls.lone_stalled_runs(worker, now_ms):
+                self._stop_stalled_run(worker, run, now_ms)
         if not stalled:
             return
         if worker.avoid_until_ms <= now_ms:
@@ -263,8 +266,19 @@
             )
         _exclusions.record_stall(worker, now_ms)
         for run in stalled:
-            self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
-            self._cell.mark_stop_sent(run, now_ms)
+            self._stop_stalled_run(worker, run, now_ms)
+
+    def _stop_stalled_run(
+        self, worker: _fleet.Worker, run: _fleet.Run, now_ms: int
+    ) -> None:
+        """Stop a stalled run; the next one of its task has more time."""
+        self._cell.stop_run(worker.info.id, run.key, run.number, 'stalled')
+        self._cell.mark_stop_sent(run, now_ms)
+        job = self._cell.jobs.get(run.key.job)
+        task = job.find(run.key) if job is not None else None
+        if task is not None:
+            # The record that holds the end of the run has it as well.
+            task.stalls += 1
 
     def _apply_end(
         self, worker: _fleet.Worker, end: _reports.EndReport, now_ms: int
@@ -402,9 +416,11 @@
             _crashes.mark_proven(run, worker, now_ms)
         if report.percent == _reports.UNKNOWN_PERCENT:
             run.progress_changed_ms = now_ms
-        elif report.percent != run.percent:
-            run.percent = report.percent
-            run.progress_changed_ms = now_ms
+        else:
+            _stalls.note_first_percent(run, report.percent)
+            if report.percent != run.percent:
+                run.percent = report.percent
+                run.progress_changed_ms = now_ms
         run.measured = report.measured
         if run.is_pace_in_doubt and run.stop_sent_ms < 0:
             run.paced_ms = now_ms
@@ -435,6 +451,7 @@
             phase=_fleet.RunPhase.RUNNING,
             since_ms=now_ms,
             is_proven=task is None or not task.is_suspect,
+            stalls=task.stalls if task is not None else 0,
         )
         if run.spec.is_filling:
             # The former owner may have paused or slowed it; nobody else would
--- a/packages/policy/src/oriolestand_policy/scheduling/_stalls.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_stalls.py
@@ -7,13 +7,34 @@
 from oriolestand_policy.scheduling import _jobs
 
 STALL_MS = 1_500
-"""Time without progress after which a run counts as stalled. A restart from a
-checkpoint takes up to 0.6 s, and polls are a second apart unless the owner is
-busy."""
+"""Least time without progress after which a run counts as stalled, for tasks
+that are so short that a percent takes less. A restart from a checkpoint takes
+up to 0.6 s, and polls are a second apart unless the owner is busy."""
 
 STALL_SHARE = 0.1
-"""Share of its estimated time for which a run may show no progress. Progress
-is reported in whole percent, and estimates are rough."""
+"""Share of its length for which a run may show no progress. Progress is
+reported in whole percent, and estimates are rough."""
+
+FIRST_PERCENT_MS = 30_000
+"""Time without progress after which a run of unknown length counts as stalled.
+A percent of a task of 50 minutes takes as long. Longer tasks are started again
+before they show one, each time with twice the time, so that each ends after a
+few runs. A worker that hangs under such runs is found after this time."""
+
+MAX_DOUBLINGS = 20
+"""How often the time may double for a task whose restarts did not help. By
+then it is over two weeks for any task."""
+
+LONE_FACTOR = 10
+"""Factor of the time without progress for a run beside others that progress,
+whose worker does not hang. It makes that time the whole length of the task."""
+
+PERCENTS_IN_TIME = 2
+"""Time, in percents of a run, after which its next percent is overdue."""
+
+MAX_RECENT_MS = 10_000
+"""Longest time for which the progress of a run shows that its worker is sound,
+as a worker that hangs gets new tasks until it is excluded."""
 
 NOTES_PER_STALL = 4
 """How often the time without progress is stored until a run counts as stalled,
@@ -26,10 +47,11 @@
 
 
 def stalled_runs(worker: _fleet.Worker, now_ms: int) -> list[_fleet.Run]:
-    """Return the stalled runs of a worker, or none if any run has progressed.
+    """Return the stalled runs of a worker that seems to hang.
 
-    Service tasks, which report no progress, gang members, which wait for
-    each other, and runs below full pace are not considered.
+    There are none if any run has progressed. Service tasks, which report no
+    progress, gang members, which wait for each other, and runs below full pace
+    are not considered.
     """
     candidates = _candidates(worker)
     eligible = [run for run in candidates if _age_ms(run, now_ms) >= STALL_MS]
@@ -44,6 +66,29 @@
     return stalled
 
 
+def lone_stalled_runs(worker: _fleet.Worker, now_ms: int) -> list[_fleet.Run]:
+    """Return the runs that have stalled whether or not others progress.
+
+    Filling tasks are not considered, as they may wait for processors that the
+    runs beside them use.
+    """
+    return [
+        run
+        for run in _candidates(worker)
+        if not run.spec.is_filling
+        and _is_stalled(run, worker.clock_ms, now_ms, LONE_FACTOR)
+    ]
+
+
+def note_first_percent(run: _fleet.Run, percent: int) -> None:
+    """Note from which progress on the speed of a run is known.
+
+    A run that was resumed or adopted has not made its first progress itself.
+    """
+    if run.first_percent < 0:
+        run.first_percent = 0 if run.is_whole else percent
+
+
 def _candidates(worker: _fleet.Worker) -> list[_fleet.Run]:
     """Return the runs that should show progress."""
     return [
@@ -92,7 +137,17 @@
 
 def _limit_ms(run: _fleet.Run) -> int:
     """Return the time without progress after which a run has stalled."""
-    return max(STALL_MS, int(STALL_SHARE * run.spec.estimate_ms))
+    length_ms = max(run.spec.estimate_ms, _shown_length_ms(run))
+    limit_ms = int(STALL_SHARE * length_ms) or FIRST_PERCENT_MS
+    return max(STALL_MS, limit_ms) << min(run.stalls, MAX_DOUBLINGS)
+
+
+def _shown_length_ms(run: _fleet.Run) -> int:
+    """Return the length of a task by the speed of its run, 0 if unknown."""
+    gained = run.percent - run.first_percent
+    if run.first_percent < 0 or gained <= 0:
+        return 0
+    return 100 * (run.progress_changed_ms - run.since_ms) // gained
 
 
 def _idle_ms(run: _fleet.Run, now_ms: int) -> int:
@@ -105,20 +160,27 @@
     return now_ms - max(run.since_ms, run.paced_ms)
 
 
-def _is_stalled(run: _fleet.Run, clock_ms: int, now_ms: int) -> bool:
+def _is_stalled(
+    run: _fleet.Run, clock_ms: int, now_ms: int, factor: int = 1
+) -> bool:
     """Return whether a run has shown no progress for too long.
 
     The clock of the worker has to show it as well: a busy owner may read the
     reports later than they were made, by more than the limit.
     """
-    limit_ms = _limit_ms(run)
+    limit_ms = factor * _limit_ms(run)
     if clock_ms - run.progress_clock_ms < limit_ms:
         return False
     return _idle_ms(run, now_ms) >= limit_ms
 
 
 def _has_progressed(run: _fleet.Run, now_ms: int) -> bool:
-    """Return whether a run has shown progress recently."""
+    """Return whether a run has shown progress recently.
+
+    The next percent of a run is due after the time that one has taken so far.
+    """
+    recent_ms = PERCENTS_IN_TIME * _shown_length_ms(run) // 100
+    recent_ms = max(STALL_MS, min(MAX_RECENT_MS, recent_ms))
     return run.progress_changed_ms > run.since_ms and (
-        now_ms - run.progress_changed_ms < STALL_MS
+        now_ms - run.progress_changed_ms < recent_ms
     )
--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -676,6 +676,7 @@
             since_ms=now_ms,
             progress_changed_ms=now_ms,
             is_whole=not task.checkpoint,
+            stalls=task.stalls,
             pace=pace,
             paced_ms=now_ms if is_slowed else 0,
             # The worker learns the pace once it has listed the run.
