--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -51,7 +51,9 @@
     are the last values of ``RunReport``. ``progress_changed_ms`` and
     ``paced_ms`` are when the progress and the pace last changed, and
     ``progress_clock_ms`` is the worker's clock in the first report with the
-    present progress.
+    present progress. ``first_percent`` is the progress that it began with, -1
+    if none was reported, and ``stalls`` counts the runs of the task before it
+    that were stopped as stalled.
     ``over_since_ms`` is since when the tail latency has exceeded its target,
     -1 if it does not. ``is_pace_in_doubt`` is whether the worker may not have
     received the last pace, or may apply an earlier one after it.
@@ -59,7 +61,9 @@
     ``is_proven`` is whether a report showed that the worker survived it for
     longer than a task takes to crash a worker. ``is_sent`` is whether the
     worker may have received the start order, which can wait for a record to
-    be written and for a connection. ``is_whole`` is whether this owner has
+    be written and for a connection. ``has_begun`` is whether a worker has
+    answered the start or listed the run, so that it has certainly read the
+    order. ``is_whole`` is whether this owner has
     started the run without a checkpoint, so that it lasts as long as the task.
     ``is_reported`` is whether the present incarnation of the worker has listed
     the run, and ``is_confirmed`` whether that, or its clock in the answer to
@@ -79,6 +83,8 @@
     percent: int = 0
     progress_changed_ms: int = 0
     progress_clock_ms: int = 0
+    first_percent: int = -1
+    stalls: int = 0
     measured: int = 0
     pace: int = _capacity.FULL_PACE
     paced_ms: int = 0
@@ -87,6 +93,7 @@
     missed_polls: int = 0
     is_proven: bool = False
     is_sent: bool = False
+    has_begun: bool = False
     is_whole: bool = False
     is_reported: bool = False
     is_confirmed: bool = False
