Store the last policies of routes for owners that never saw them

Cause: the row of a job has the policy of its acceptance, and only daemons that were running knew a later one. Change: the owner stores the last policy of a route in a row of its own (table oriolestand-owner), as soon as an accepted job has another one or none, and removes it with the last such job. The row lists the policies that it replaces, as an owner of a version before does not keep it up, and the version of the configuration, so that of it and of what a daemon has seen the later one holds. A malformed row is logged and left out. Jobs whose row is not received yet do not count, so nothing is written while the configuration does not change. Tests changed: the stand-in for the version before in test_rolls.py writes no rows of routes, as that version does not, and its submit() takes a duration; test_rows.py and test_exclusions_across_owners.py cover the new row as well.

--- a/packages/fleet/src/oriolestand_fleet/layout.py
+++ b/packages/fleet/src/oriolestand_fleet/layout.py
@@ -1,5 +1,6 @@
 """Tables, parts and keys that the fleet daemon uses in the store."""
 
+from urllib import parse
 import zlib
 
 TABLE = 'oriolestand'
@@ -48,6 +49,12 @@
 
 PRESSURE_KEY = 'pressure'
 
+ROUTE_PREFIX = 'route/'
+"""The last policy of a route whose accepted jobs have another one or none."""
+
+MAX_ROUTE_CHARS = 180
+"""Longest name of a route in a key; the store accepts keys of 200 bytes."""
+
 
 def part_for_job(job: str) -> str:
     """Return the part that holds the rows of a job.
@@ -58,6 +65,23 @@
     return f'jobs-{zlib.crc32(job.encode()) % JOB_PARTS}'
 
 
+def route_key(route: str) -> str:
+    """Return the key of the row of a route.
+
+    Names of routes may have any characters and any length.
+
+    >>> route_key('queue/é')
+    'route/queue%2F%C3%A9'
+    >>> len(route_key('a' * 1_000))
+    195
+    """
+    name = parse.quote(route, safe='', errors='surrogatepass')
+    if len(name) > MAX_ROUTE_CHARS:
+        digest = zlib.crc32(name.encode())
+        name = f'{name[:MAX_ROUTE_CHARS]}~{digest:08x}'
+    return ROUTE_PREFIX + name
+
+
 def job_parts() -> list[str]:
     """Return the names of the parts that hold accepted jobs."""
     return [f'jobs-{number}' for number in range(JOB_PARTS)]
--- a/packages/fleet/src/oriolestand_fleet/messages/jobs.py
+++ b/packages/fleet/src/oriolestand_fleet/messages/jobs.py
@@ -160,12 +160,14 @@
     """A job as stored; a ``progress_version`` of 0 means no progress row.
 
     ``policy`` is the one that the job was accepted under. It is None if the
-    row of the job has none or has not been received yet.
+    row of the job has none, or while ``is_policy_awaited``: the row has not
+    been received yet.
     """
 
     id: str
     spec: scheduling.JobSpec
     policy: scheduling.RoutePolicy | None = None
+    is_policy_awaited: bool = False
     progress: scheduling.Progress | None = None
     progress_version: int = 0
     is_cancelled: bool = False
@@ -177,14 +179,17 @@
 
     ``jobs`` holds every job that has not ended. ``ended`` holds the Unix time
     in milliseconds at which ended jobs did so, by id. ``rows`` holds by key
-    the rows of the workers and of the interference model that the former
-    owner wrote.
+    the rows of the workers, of routes and of the interference model that the
+    former owner wrote. ``unreadable_routes`` are the names of the routes of
+    further jobs, which this version cannot run as a row of theirs is
+    malformed.
     """
 
     jobs: tuple[StoredJob, ...]
     ended: dict[str, int]
     rows: dict[str, store.Row]
     version: int
+    unreadable_routes: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -208,10 +213,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class JobPolicyReceived:
-    """Event: the policy of a job that was added without it was received."""
+    """Event: the row of a job that was added without its policy was received.
+
+    ``policy`` is None if the row has none.
+    """
 
     id: str
-    policy: scheduling.RoutePolicy
+    policy: scheduling.RoutePolicy | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_sweeper.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_sweeper.py
@@ -84,6 +84,7 @@
         if not await self._commit(part, _removals(batch, has_entry=False)):
             return False
         self._with_spec.difference_update(batch)
+        self._scheduler.mark_unloadable(batch)
         return True
 
     async def _remove_jobs(self, part: str, batch: list[str]) -> bool:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_task.py
@@ -154,7 +154,9 @@
     def _on_config(self, msg: config_messages.ConfigChanged) -> None:
         """Store the configuration and pass it to the current term."""
         self._config = msg.config
-        self._known_routes.update(r.policy for r in msg.config.routes)
+        self._known_routes.update(
+            (r.policy for r in msg.config.routes), msg.config.version
+        )
         if self._owner_term is not None:
             self._owner_term.set_config(msg.config)
 
@@ -553,7 +555,7 @@
             self._cfg,
             term,
             snapshot,
-            self._known_routes.policies(),
+            self._known_routes,
             self._evacuations,
             functools.partial(self._end_term, term),
         )
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -1,7 +1,6 @@
 """Schedule the tasks of a cell while this daemon owns it."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
 import random
@@ -23,6 +22,7 @@
 from oriolestand_fleet.services.cell import _interference_record
 from oriolestand_fleet.services.cell import _order_sender
 from oriolestand_fleet.services.cell import _record_saver
+from oriolestand_fleet.services.cell import _route_record
 from oriolestand_fleet.services.cell import _sweeper
 from oriolestand_fleet.services.cell import _takeover
 from oriolestand_fleet.services.cell import _worker_poller
@@ -37,8 +37,8 @@
 
     This runs the scheduler and applies its decisions until ``term`` is over.
 
-    :param policies: of the configured routes, and the last known ones of
-        others.
+    :param known_routes: the last policies of routes that this daemon knows;
+        it is updated before each ``set_config``.
     :param on_ownership_lost: called with a reason when the term must end
         because there is a newer owner or after an unexpected error.
     """
@@ -49,7 +49,7 @@
         cfg: settings.FleetSettings,
         term: models.Term,
         snapshot: jobs.Snapshot,
-        policies: Iterable[scheduling.RoutePolicy],
+        known_routes: scheduling.KnownRoutes,
         evacuations: config_messages.EvacuationsRead,
         on_ownership_lost: Callable[[str], None],
     ) -> None:
@@ -108,6 +108,14 @@
             self._scheduler,
             snapshot.rows.get(layout.FAILURES_KEY),
         )
+        self._route_record = _route_record.RouteRecord(
+            kernel,
+            term,
+            self._scheduler,
+            known_routes,
+            snapshot,
+            cfg.limits.row_bytes,
+        )
         self._orders = _order_sender.OrderSender(
             kernel,
             term,
@@ -121,7 +129,7 @@
         """Pools that accept no filling jobs, and when to try again in s."""
         self._full_pools_ms = 0
         self.set_evacuations(evacuations)
-        self._load_cell(snapshot, policies)
+        self._load_cell(snapshot)
         self._sweeper = _sweeper.Sweeper(
             kernel,
             term,
@@ -131,14 +139,10 @@
             cfg.limits.retention_ms,
         )
 
-    def _load_cell(
-        self,
-        snapshot: jobs.Snapshot,
-        policies: Iterable[scheduling.RoutePolicy],
-    ) -> None:
+    def _load_cell(self, snapshot: jobs.Snapshot) -> None:
         """Load the known routes and all stored jobs into the scheduler."""
         now = self._kernel.clock.now()
-        self._scheduler.set_routes(policies)
+        self._scheduler.set_routes(self._route_record.policies())
         for job in snapshot.jobs:
             self._scheduler.add_job(
                 job.spec,
@@ -147,6 +151,7 @@
                 is_cancelled=job.is_cancelled,
                 needs_probe=True,
                 policy=job.policy,
+                is_policy_awaited=job.is_policy_awaited,
             )
         self._log.info(
             'Cell loaded',
@@ -184,7 +189,10 @@
         self._on_ownership_lost('fault')
 
     def _on_record_error(self, reason: Any) -> None:
-        """Log an unexpected error in a record that no promise depends on."""
+        """Log an unexpected error in a record that need not end the term.
+
+        A promise depends on that of routes only if all daemons restart.
+        """
         self._log.error('Record not written', reason=reason.getTraceback())
 
     # Input from other services.
@@ -223,13 +231,14 @@
             progress=job.progress,
             is_cancelled=job.is_cancelled,
             policy=job.policy,
+            is_policy_awaited=job.is_policy_awaited,
         )
         self.request_round()
 
     def set_job_policy(
-        self, job_id: str, policy: scheduling.RoutePolicy
+        self, job_id: str, policy: scheduling.RoutePolicy | None
     ) -> None:
-        """Pass on the policy that a job was accepted under."""
+        """Pass on the policy that a job was accepted under, if any."""
         if self._scheduler.set_job_policy(job_id, policy):
             self.request_round()
 
@@ -367,7 +376,8 @@
 
         Each comes one pass of the reactor after its timer, so that everything
         received until then has been read. After each round, report the
-        gauges, store the interference model and remove expired jobs, if due.
+        gauges, store the learned records and the policies of routes, and
+        remove expired jobs, if due.
         """
         clock = self._kernel.clock
         while not self.term.is_over:
@@ -390,6 +400,7 @@
             for update in (
                 self._interference_record.update(),
                 self._failure_record.update(),
+                self._route_record.update(),
             ):
                 defer.ensureDeferred(update).addErrback(self._on_record_error)
             if self._sweeper.is_due:
--- a/packages/fleet/src/oriolestand_fleet/services/cell/const.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/const.py
@@ -143,6 +143,13 @@
 FAILURES_INTERVAL_MS = 500
 """Shortest time between writes of the recent failures of workers."""
 
+ROUTES_INTERVAL_MS = 500
+"""Time between comparisons of the known policies of routes with the stored
+ones. A policy that is replaced within it is not stored."""
+
+ROUTE_BATCH = 48
+"""Maximum number of routes in one commit; each takes two entries."""
+
 MAX_STORED_FAILURES = 200
 """Workers whose recent failures are stored, the latest first. With names of
 the longest kind these are about 50 KB of the 64 KB of a row."""
--- a/packages/fleet/src/oriolestand_fleet/services/cell/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/models.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from oriolestand_fleet import _policies
 from oriolestand_fleet import _rows
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
@@ -86,6 +87,17 @@
     runs_end_ms: _StoreTime | msgspec.UnsetType = msgspec.UNSET
 
 
+class _RouteRow(msgspec.Struct, frozen=True):
+    """Row of the last policy of a route; see ``encode_route``."""
+
+    name: str
+    version: _rows.Count
+    policy: _policies.PolicyRow
+    replaces: list[_policies.PolicyRow | None] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
+
+
 _FleetRow = list[tuple[str, str, str, str]]
 
 _PRESSURE_ROW: _rows.RowDecoder[_PressureRow] = _rows.RowDecoder(_PressureRow)
@@ -98,6 +110,7 @@
     _CandidateRow
 )
 _WORKER_ROW: _rows.RowDecoder[_WorkerRow] = _rows.RowDecoder(_WorkerRow)
+_ROUTE_ROW: _rows.RowDecoder[_RouteRow] = _rows.RowDecoder(_RouteRow)
 _FLEET_ROW: _rows.RowDecoder[_FleetRow] = _rows.RowDecoder(_FleetRow)
 
 
@@ -479,3 +492,41 @@
             until_ms,
         ) in _FAILURES_ROW.decode(value).items()
     }
+
+
+def encode_route(route: str, stored: scheduling.StoredPolicy) -> bytes:
+    """Encode the row of the last policy of a route.
+
+    ``replaces`` lists the policies that it replaces, null for none; without
+    the field it replaces any. Earlier versions ignore the row.
+    """
+    row: dict[str, Any] = {
+        'name': route,
+        'version': stored.version,
+        'policy': _policies.encode_policy(stored.policy),
+    }
+    if stored.replaces is not None:
+        row['replaces'] = [
+            policy and _policies.encode_policy(policy)
+            for policy in stored.replaces
+        ]
+    return json.dumps(row, separators=(',', ':')).encode()
+
+
+def decode_route(value: bytes) -> tuple[str, scheduling.StoredPolicy]:
+    """Decode the name of a route and its stored policy.
+
+    Raise MalformedRowError if the row is malformed.
+    """
+    row = _ROUTE_ROW.decode(value)
+    replaces = None
+    if not isinstance(row.replaces, msgspec.UnsetType):
+        replaces = frozenset(
+            None if policy is None else _policies.to_policy(row.name, policy)
+            for policy in row.replaces
+        )
+    return row.name, scheduling.StoredPolicy(
+        policy=_policies.to_policy(row.name, row.policy),
+        version=row.version,
+        replaces=replaces,
+    )
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/_owner_view.py
@@ -78,16 +78,17 @@
         progress = self._decode_progress(rows)
         ended = _ended_jobs(progress)
         self._add_legacy_progress(specs, progress)
+        found = tuple(
+            self._to_job(
+                spec,
+                by_key.get(layout.PROGRESS_PREFIX + spec.id),
+                progress.get(spec.id),
+            )
+            for spec in self._decode_specs(specs)
+            if spec.id not in self._withheld_ids
+        )
         return messages.Snapshot(
-            jobs=tuple(
-                self._to_job(
-                    spec,
-                    by_key.get(layout.PROGRESS_PREFIX + spec.id),
-                    progress.get(spec.id),
-                )
-                for spec in self._decode_specs(specs)
-                if spec.id not in self._withheld_ids
-            ),
+            jobs=found,
             ended=ended,
             rows={
                 key: row
@@ -95,6 +96,18 @@
                 if not key.startswith(layout.PROGRESS_PREFIX)
             },
             version=version,
+            unreadable_routes=self._routes_of(
+                specs.keys() - {job.id for job in found}
+            ),
+        )
+
+    def _routes_of(self, jobs: Iterable[str]) -> frozenset[str]:
+        """Return the names of the routes in the rows of jobs."""
+        entries = (self._replica.entries.get(job) for job in jobs)
+        return frozenset(
+            entry.route
+            for entry in entries
+            if entry is not None and entry.route is not None
         )
 
     async def _read_specs(self) -> tuple[dict[str, bytes], int]:
@@ -222,6 +235,7 @@
             id=spec.id,
             spec=spec,
             policy=self._policy_of(spec.id),
+            is_policy_awaited=spec.id in self._rowless_ids,
             progress=progress,
             progress_version=row.version if row is not None else 0,
             is_cancelled=entry is not None and entry.is_cancelled,
@@ -301,7 +315,7 @@
     def _policy_of(self, job: str) -> scheduling.RoutePolicy | None:
         """Return the policy in the row of a job, or None if there is none.
 
-        If the row is missing, its policy is published once it is received.
+        If the row is missing, its policy, if any, is published once received.
         """
         entry = self._replica.entries.get(job)
         if entry is None or not entry.is_stored:
@@ -319,10 +333,9 @@
             if entry is None or not entry.is_stored:
                 continue
             self._rowless_ids.remove(job)
-            if entry.policy is not None:
-                self._kernel.publish(
-                    messages.JobPolicyReceived(id=job, policy=entry.policy)
-                )
+            self._kernel.publish(
+                messages.JobPolicyReceived(id=job, policy=entry.policy)
+            )
 
     def _publish(self, specs: dict[str, bytes]) -> None:
         """Publish jobs; a cancellation may have been received before one."""
@@ -334,6 +347,7 @@
                 id=spec.id,
                 spec=spec,
                 policy=self._policy_of(spec.id),
+                is_policy_awaited=spec.id in self._rowless_ids,
                 is_cancelled=entry is not None and entry.is_cancelled,
             )
             self._kernel.publish(messages.JobAdded(job=stored))
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -1,7 +1,6 @@
 """In-memory state of jobs and encoding of their rows."""
 
 import dataclasses
-import functools
 import json
 import sys
 from typing import Annotated
@@ -10,6 +9,7 @@
 
 import msgspec
 
+from oriolestand_fleet import _policies
 from oriolestand_fleet import _rows
 from oriolestand_fleet.messages import jobs as messages
 from oriolestand_fleet.messages import store
@@ -21,9 +21,6 @@
     'cancelled': messages.JobState.CANCELLED,
 }
 
-MAX_SHARED_POLICIES = 256
-"""Limits the cache of policies; further routes only share less memory."""
-
 _Count = _rows.Count
 _Percent = Annotated[
     int, msgspec.Meta(ge=scheduling.UNKNOWN_PERCENT, le=_rows.MAX_INTEGER)
@@ -31,22 +28,6 @@
 _CrashKind = Literal['alone', 'late', 'shared', 'common']
 
 
-class _PolicyRow(msgspec.Struct, frozen=True, array_like=True):
-    """Policy of the route that a job was accepted under.
-
-    It is stored as a list in the order of the fields, without the last ones
-    that have their default value, as every daemon receives it. Later versions
-    may add fields at the end.
-    """
-
-    pool: str
-    priority: _rows.Count = 0
-    max_attempts: _rows.Count = 1
-    stretch: _rows.Amount = 1.0
-    target_ms: _rows.Count = 0
-    needs_tickets: bool = False
-
-
 class _JobRow(msgspec.Struct, frozen=True):
     """Row of a job; rows of earlier versions have the steps as well.
 
@@ -261,28 +242,12 @@
     if not isinstance(row.policy, list):
         raise _rows.MalformedRowError('the policy is no list')
     try:
-        decoded = msgspec.convert(row.policy, _PolicyRow)
+        decoded = msgspec.convert(row.policy, _policies.PolicyRow)
     except msgspec.ValidationError as exc:
         raise _rows.MalformedRowError(
             'the policy is malformed', why=str(exc)
         ) from exc
-    return _shared_policy(row.route, decoded)
-
-
-@functools.lru_cache(maxsize=MAX_SHARED_POLICIES)
-def _shared_policy(route: str, row: _PolicyRow) -> scheduling.RoutePolicy:
-    """Return a policy, the same object for rows that are equal."""
-    return scheduling.RoutePolicy(name=route, **msgspec.structs.asdict(row))
-
-
-def _encode_policy(policy: scheduling.RoutePolicy) -> list[Any]:
-    """Return the list of a policy that is stored in the row of a job."""
-    fields = msgspec.structs.fields(_PolicyRow)
-    values = [getattr(policy, field.name) for field in fields]
-    # The first field has no default value.
-    while values[-1] == fields[len(values) - 1].default:
-        values.pop()
-    return values
+    return _policies.to_policy(row.route, decoded)
 
 
 def encode_row(spec: scheduling.JobSpec, route: store.Route) -> bytes:
@@ -295,7 +260,7 @@
         {
             'route': spec.route,
             'path': route.path,
-            'policy': _encode_policy(route.policy),
+            'policy': _policies.encode_policy(route.policy),
         }
     )
 
--- a/packages/fleet/tests/test_exclusions_across_owners.py
+++ b/packages/fleet/tests/test_exclusions_across_owners.py
@@ -119,7 +119,9 @@
     assert first_worker(daemons).avoid_until_ms > site.clock.now()
 
 
-@pytest.mark.parametrize('record', ['_failure_record', '_interference_record'])
+@pytest.mark.parametrize(
+    'record', ['_failure_record', '_interference_record', '_route_record']
+)
 def test_error_in_a_learned_record_does_not_end_the_owner(
     site, daemons, record
 ):
--- a/packages/fleet/tests/test_rolls.py
+++ b/packages/fleet/tests/test_rolls.py
@@ -1,7 +1,7 @@
 """Tests of daemons of this version beside daemons of the version before.
 
 The stand-in for a daemon of the version before writes rows of jobs without
-path and policy, and reads neither.
+path and policy, and reads neither. It writes no policies of routes.
 """
 
 import dataclasses
@@ -56,6 +56,7 @@
         puts = tuple(
             dataclasses.replace(put, value=former_value(put))
             for put in msg.puts
+            if not put.key.startswith(layout.ROUTE_PREFIX)
         )
         return commit(dataclasses.replace(msg, puts=puts))
 
@@ -63,9 +64,9 @@
     daemon.store._commit = commit_former
 
 
-def submit(site, daemon):
+def submit(site, daemon, duration_ms=4_000):
     """Submit the job and wait until it is accepted."""
-    fut = site.submit(daemon, JOB, STEPS, duration_ms=4_000)
+    fut = site.submit(daemon, JOB, STEPS, duration_ms)
     site.run(500)
     assert result_of(fut) is True
 
@@ -172,3 +173,45 @@
     fut = site.cancel(rest[1], JOB, renamed)
     site.run(500)
     assert isinstance(result_of(fut), jobs.StateUnknownError)
+
+
+def restart_all(site, daemons):
+    """End all daemons at the same time; return one that starts then."""
+    for daemon in daemons:
+        daemon.disconnect()
+    late = site.add_daemon('front-late')
+    site.run_until(lambda: late.is_owner, TAKEOVER_MS)
+    return late
+
+
+def test_job_of_a_daemon_before_outlives_its_route(site, daemons, owner, rest):
+    # Its row has no policy, so that it waited for ever once its route had
+    # been removed and all daemons had restarted.
+    make_former(rest[0])
+    submit(site, rest[0], duration_ms=20_000)
+    site.run(2_000)
+    site.set_routes(2, [OTHER])
+    site.run(CONFIG_MS)
+    late = restart_all(site, daemons)
+    site.run(3 * TAKEOVER_MS)
+    assert site.state(late, JOB) == 'completed'
+    assert len(site.history) == 3
+
+
+def test_job_is_migrated_by_the_first_owner_of_this_version(
+    site, daemons, owner, rest
+):
+    # The owner before stores nothing of routes.
+    for daemon in (owner, rest[0]):
+        make_former(daemon)
+    submit(site, rest[0], duration_ms=20_000)
+    for daemon in (rest[0], owner):
+        site.shut_down(daemon)
+    site.run_until(lambda: rest[1].is_owner, TAKEOVER_MS)
+    site.run(2_000)
+    site.set_routes(2, [OTHER])
+    site.run(CONFIG_MS)
+    late = restart_all(site, daemons)
+    site.run(3 * TAKEOVER_MS)
+    assert site.state(late, JOB) == 'completed'
+    assert len(site.history) == 3
--- a/packages/fleet/tests/test_rows.py
+++ b/packages/fleet/tests/test_rows.py
@@ -26,6 +26,7 @@
         cell_models.decode_owner,
         cell_models.decode_renewal,
         cell_models.decode_pressure,
+        cell_models.decode_route,
     ],
 )
 @pytest.mark.parametrize(
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -57,6 +57,7 @@
 from oriolestand_policy.scheduling._specs import StepSpec
 from oriolestand_policy.scheduling._specs import TaskKind
 from oriolestand_policy.scheduling._specs import check_job
+from oriolestand_policy.scheduling._stored_policies import StoredPolicy
 from oriolestand_policy.scheduling._takeover import FormerRuns
 from oriolestand_policy.scheduling._unconfirmed_runs import Answer
 
@@ -100,6 +101,7 @@
     'StartTask',
     'StepSpec',
     'StopTask',
+    'StoredPolicy',
     'Task',
     'TaskKey',
     'TaskKind',
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -13,6 +13,7 @@
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _run_times
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _stored_policies
 
 MAX_UNKNOWN_JOBS = 1_000
 """Most jobs for which ends are kept until the job is known. Ends of jobs that
@@ -26,8 +27,9 @@
 
     Effects are queued until ``take_effects``. ``routes`` holds the last known
     policy of each route by name, also of those that have left the
-    configuration. ``ready`` holds the tasks that
-    wait for a worker, and ``timed_job_ids`` the repeated jobs, which may
+    configuration. ``stored_policies`` are the last ones that a former owner
+    has stored, by route. ``ready`` holds the tasks that wait for a worker, and
+    ``timed_job_ids`` the repeated jobs, which may
     have occurrences that are not due yet. ``wall_offset_ms`` is Unix time less
     the driver's clock, None before the first round. ``stopping_worker_ids``
     includes all workers with a run for which a stop order was sent and not
@@ -55,6 +57,7 @@
         self.jobs: dict[str, _jobs.Job] = {}
         self.workers: dict[str, _fleet.Worker] = {}
         self.routes: dict[str, _specs.RoutePolicy] = {}
+        self.stored_policies: dict[str, _stored_policies.StoredPolicy] = {}
         self.pressure = _pressure.InterferenceModel()
         self.run_times = _run_times.RunTimeModel()
         self.ready = _ready.ReadyQueue()
@@ -92,9 +95,19 @@
 
         The configuration goes first, so that a change of a route also applies
         to its accepted jobs. The policy stored with the job is that of its
-        acceptance, and may be older.
+        acceptance; a former owner may have stored a later one of its route.
         """
-        return self.routes.get(job.spec.route, job.policy)
+        route = self.routes.get(job.spec.route)
+        if route is not None:
+            return route
+        stored = self.stored_policies.get(job.spec.route)
+        if (
+            stored is not None
+            and not job.is_policy_awaited
+            and stored.holds_for(job.policy)
+        ):
+            return stored.policy
+        return job.policy
 
     def keep_end(self, end: _reports.EndReport) -> None:
         """Keep an end as done until its job is added."""
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -198,11 +198,15 @@
     time at which steps became ready that depend on others, by occurrence and
     step. ``crashed_keys`` are the tasks that have had crashes; those of others
     need not be looked for. ``policy`` is the one that the job was accepted
-    under, or None if it is not known.
+    under, or None if it is not known. ``is_policy_awaited`` is whether the row
+    that may hold it has not been received. ``is_loadable`` is whether a later
+    owner may load the job.
     """
 
     spec: _specs.JobSpec
     policy: _specs.RoutePolicy | None = None
+    is_policy_awaited: bool = False
+    is_loadable: bool = True
     tasks: dict[int, list[list[Task]]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -16,6 +16,7 @@
 from oriolestand_policy.scheduling import _idle_account
 from oriolestand_policy.scheduling import _incarnations
 from oriolestand_policy.scheduling import _jobs
+from oriolestand_policy.scheduling import _known_routes
 from oriolestand_policy.scheduling import _lapses
 from oriolestand_policy.scheduling import _load
 from oriolestand_policy.scheduling import _mixed_placement
@@ -27,6 +28,7 @@
 from oriolestand_policy.scheduling import _reports
 from oriolestand_policy.scheduling import _return_ramp
 from oriolestand_policy.scheduling import _specs
+from oriolestand_policy.scheduling import _stored_policies
 from oriolestand_policy.scheduling import _takeover
 from oriolestand_policy.scheduling import _task_starter
 from oriolestand_policy.scheduling import _unconfirmed_runs
@@ -80,6 +82,7 @@
         self._return_ramp = _return_ramp.ReturnRamp(self._cell)
         self._lapses = _lapses.Lapses(self._cell)
         self._former_failures = _exclusions.FormerFailures()
+        self._accepted = _stored_policies.AcceptedPolicies()
         self.figures = _cell_figures.CellFigures(self._cell)
         self._are_starts_held = False
 
@@ -109,6 +112,27 @@
         for route in routes:
             self._cell.routes[route.name] = route
 
+    def restore_policies(
+        self, stored: Mapping[str, _stored_policies.StoredPolicy]
+    ) -> None:
+        """Set the last policies of routes that a former owner has stored."""
+        self._cell.stored_policies = dict(stored)
+
+    @property
+    def loadable_routes(self) -> Iterable[str]:
+        """Return the names of the routes of jobs that an owner may load."""
+        return self._accepted
+
+    def policies_to_store(
+        self,
+        known: _known_routes.KnownRoutes,
+        stored: Mapping[str, _stored_policies.StoredPolicy],
+    ) -> dict[str, _stored_policies.StoredPolicy]:
+        """Return the policies by route that are missing in the store."""
+        return _stored_policies.policies_to_store(
+            self._accepted, known, stored
+        )
+
     def add_job(
         self,
         spec: _specs.JobSpec,
@@ -117,18 +141,23 @@
         is_cancelled: bool = False,
         needs_probe: bool = False,
         policy: _specs.RoutePolicy | None = None,
+        is_policy_awaited: bool = False,
     ) -> None:
         """Add a job, unless it is already known.
 
-        ``progress`` is its stored record. For ``needs_probe`` and ``policy``
-        see ``Job``.
+        ``progress`` is its stored record. For the other values see ``Job``.
         """
         if spec.id in self._cell.jobs:
             return
         job = _jobs.Job(
-            spec=spec, policy=policy, needs_probe=needs_probe, added_ms=now_ms
+            spec=spec,
+            policy=policy,
+            is_policy_awaited=is_policy_awaited,
+            needs_probe=needs_probe,
+            added_ms=now_ms,
         )
         self._cell.jobs[spec.id] = job
+        self._accepted.add(job)
         if progress is not None:
             self._crash_handler.on_restored(_record.restore(job, progress))
         if job.outcome is not None:
@@ -152,17 +181,25 @@
         # task and before it saved the outcome.
         self._cell.finish_if_complete(job)
 
-    def set_job_policy(self, job_id: str, policy: _specs.RoutePolicy) -> bool:
+    def set_job_policy(
+        self, job_id: str, policy: _specs.RoutePolicy | None
+    ) -> bool:
         """Set the policy that a job was accepted under, if it is missing.
 
-        Return whether the job had to wait for it.
+        Without one, the row of the job has none. Return whether the job had
+        to wait for it.
         """
         job = self._cell.jobs.get(job_id)
         if job is None or job.policy is not None:
             return False
-        is_awaited = self._cell.policy_of(job) is None
+        was_waiting = self._cell.policy_of(job) is None
+        if job.is_loadable:
+            self._accepted.discard(job)
         job.policy = policy
-        return is_awaited
+        job.is_policy_awaited = False
+        if job.is_loadable:
+            self._accepted.add(job)
+        return was_waiting and self._cell.policy_of(job) is not None
 
     def cancel_job(self, job_id: str, now_ms: int) -> None:
         """Cancel a job and stop its runs."""
@@ -172,8 +209,17 @@
         job.is_cancelled = True
         self._cell.end_job(job, _jobs.Outcome.CANCELLED, now_ms)
 
+    def mark_unloadable(self, job_ids: Iterable[str]) -> None:
+        """Mark ended jobs whose specifications were removed from the store."""
+        for job_id in job_ids:
+            job = self._cell.jobs.get(job_id)
+            if job is not None and job.is_loadable:
+                job.is_loadable = False
+                self._accepted.discard(job)
+
     def remove_job(self, job_id: str) -> None:
         """Remove a job whose record has been deleted from the store."""
+        self.mark_unloadable([job_id])
         self._cell.jobs.pop(job_id, None)
 
     def set_workers(self, infos: Mapping[str, _fleet.WorkerInfo]) -> None:
