--- a/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_task_starter.py
@@ -631,7 +631,7 @@
             return None
         if not _eligibility.is_usable(worker, now_ms):
             return None
-        if not self._placement.select_kept(worker, task):
+        if not self._placement.can_host(worker, task):
             return None
         self._placement.mark_changed(worker)
         return worker
