Let a task go whose start is in doubt beside a run that cannot be read

Cause: a run that a worker lists and that cannot be read may be any run that it omits, so none counts as missing.

Change: no lease of such a worker is requested while a task waits for a start in doubt, as is done in takeovers. What outlives the lease is none of an owner's, and what is omitted then has ended. The lease is requested again if the start is listed, or the job has ended.

--- a/packages/fleet/tests/test_unreadable_runs.py
+++ b/packages/fleet/tests/test_unreadable_runs.py
@@ -54,6 +54,22 @@
     worker.poll = poll_changed
 
 
+def list_unreadable_runs_of(worker, job):
+    """Let a worker list runs of a job as ones that cannot be read."""
+    poll = worker.poll
+
+    async def poll_changed(msg):
+        report = await poll(msg)
+        running = tuple(run for run in report.running if run.key.job != job)
+        return dataclasses.replace(
+            report,
+            running=running,
+            unreadable_runs=len(report.running) - len(running),
+        )
+
+    worker.poll = poll_changed
+
+
 def runs_of(site, job):
     """Return the runs of a job, the oldest first."""
     return [run for run in site.history if run.key.job == job]
@@ -132,3 +148,53 @@
     replace_owner(site, daemons)
     site.run(2 * TAKEOVER_LIMIT_MS)
     assert [run.outcome for run in runs_of(site, LONG)] == ['']
+
+
+@pytest.mark.parametrize('steps', [ONE_TASK, ONE_SERVICE])
+def test_start_in_doubt_beside_a_foreign_run(site, daemons, steps):
+    # Guards against a task that waits for as long as its worker lists a run
+    # that cannot be read: the row might be that of the start in doubt.
+    for worker in site.workers.values():
+        list_unreadable_run(worker)
+    site.run(1_000)
+    faults = owner_of(daemons).orders.faults
+    faults.unanswered_starts = 1
+    faults.effect_delay_ms = 60_000
+    site.submit(daemons[0], LONG, steps, duration_ms=60_000)
+    site.run_until(lambda: not faults.unanswered_starts, 2_000)
+    site.run(TAKEOVER_LIMIT_MS)
+    assert [run.outcome for run in runs_of(site, LONG)] == ['']
+
+
+def test_unreadable_run_in_doubt_ends_before_its_task_starts_again(
+    site, daemons
+):
+    # Guards against two runs of a task at once: the row that cannot be read
+    # is that of the start in doubt, which goes on after its stop was answered.
+    for worker in site.workers.values():
+        list_unreadable_runs_of(worker, LONG)
+        worker.stop = lambda msg: None
+    site.run(1_000)
+    faults = owner_of(daemons).orders.faults
+    faults.unanswered_starts = 1
+    site.submit(daemons[0], LONG, ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not faults.unanswered_starts, 2_000)
+    site.run(2 * TAKEOVER_LIMIT_MS)
+    assert [run.outcome for run in runs_of(site, LONG)] == ['lapsed', '']
+    assert site.overlapping_runs() == []
+
+
+def test_runs_go_on_beside_a_start_in_doubt_that_is_not_needed(site, daemons):
+    # Guards against a worker whose runs end for a job that was cancelled.
+    for worker in site.workers.values():
+        list_unreadable_run(worker)
+    site.submit(daemons[0], FAILING, ONE_SERVICE, duration_ms=60_000)
+    site.run(1_000)
+    faults = owner_of(daemons).orders.faults
+    faults.unanswered_starts = 1
+    faults.effect_delay_ms = 60_000
+    site.submit(daemons[0], LONG, ONE_TASK, duration_ms=60_000)
+    site.run_until(lambda: not faults.unanswered_starts, 2_000)
+    site.cancel(daemons[0], LONG)
+    site.run(2 * TAKEOVER_LIMIT_MS)
+    assert [run.outcome for run in runs_of(site, FAILING)] == ['']
--- a/packages/policy/src/oriolestand_policy/scheduling/_lapses.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_lapses.py
@@ -1,4 +1,6 @@
-"""Find out which unreadable runs are none of a former owner."""
+"""Find out which unreadable runs are none that a task waits for."""
+
+from collections.abc import Collection
 
 from oriolestand_policy.scheduling import _cell
 from oriolestand_policy.scheduling import _fleet
@@ -16,12 +18,12 @@
 class Lapses:
     """Let leases of workers lapse that list runs which cannot be read.
 
-    Such a run may be one that a former owner has started, so tasks wait for it
-    in a takeover, and each poll that extends the lease of the worker would
-    prolong it. A run that goes on without a lease is none of an owner's. This
-    ends the other runs on the worker too, so it is done only while a task
-    waits. A run that can be read again, or ends, in the time of a lease saves
-    the others.
+    Such a run may be one that a former owner has started, or one whose start
+    is in doubt, so tasks wait for it, and each poll that extends the lease of
+    the worker would prolong it. A run that goes on without a lease is none of
+    an owner's. This ends the other runs on the worker too, so it is done only
+    while a task waits. A run that can be read again, or ends, in the time of
+    a lease saves the others.
     """
 
     def __init__(self, cell: _cell.Cell) -> None:
@@ -33,21 +35,25 @@
 
         :param former_runs: what is not known about the runs of former owners.
         """
-        if former_runs.are_known or now_ms < self._next_check_ms:
+        if now_ms < self._next_check_ms:
             return
-        workers = [
-            self._cell.workers[worker_id]
-            for worker_id in sorted(former_runs.worker_ids)
-            if worker_id in self._cell.workers
-        ]
-        hiding = [w for w in workers if w.hidden_runs]
+        hiding = [w for w in self._cell.workers.values() if w.hidden_runs]
         if not hiding:
             return
         self._next_check_ms = now_ms + CHECK_INTERVAL_MS
-        if not self._is_task_waiting(former_runs):
-            return
+        former_ids: Collection[str] = ()
+        if not former_runs.are_known and self._is_task_waiting(former_runs):
+            former_ids = former_runs.worker_ids
+        waited_for = []
+        for worker in sorted(hiding, key=lambda w: w.info.id):
+            if worker.info.id in former_ids or self._is_in_doubt(worker):
+                if not worker.is_lapsing:
+                    waited_for.append(worker)
+            elif former_runs.are_known:
+                # The start that was in doubt has been listed.
+                worker.is_lapsing = False
         free = MAX_LAPSING_WORKERS - sum(w.is_lapsing for w in hiding)
-        for worker in [w for w in hiding if not w.is_lapsing][: max(0, free)]:
+        for worker in waited_for[: max(0, free)]:
             worker.is_lapsing = True
             self._cell.log(
                 'lease_lapses',
@@ -57,6 +63,23 @@
                 unreadable=worker.hidden_runs,
             )
 
+    def _is_in_doubt(self, worker: _fleet.Worker) -> bool:
+        """Return whether a task waits for a start that may be unreadable.
+
+        Runs that have been listed or answered are left: what cannot be read
+        is most likely their row, and their end is listed.
+        """
+        for run in worker.runs.values():
+            if run.phase is not _fleet.RunPhase.IN_DOUBT:
+                continue
+            job = self._cell.jobs.get(run.key.job)
+            task = job.find(run.key) if job is not None else None
+            if job is None or task is None or job.outcome is not None:
+                continue
+            if not task.is_done and task.run == run.number:
+                return True
+        return False
+
     def _is_task_waiting(self, former_runs: _takeover.FormerRuns) -> bool:
         """Return whether a ready task waits for runs of former owners."""
         for task in self._cell.ready:
@@ -70,11 +93,11 @@
 
 def count_hidden_runs(
     worker: _fleet.Worker, report: _reports.WorkerReport, sent_ms: int
-) -> None:
+) -> bool:
     """Count the unreadable runs in a report that may be an owner's.
 
     Call this before the report is applied, with the time of its poll: what
-    runs on after the lease needs none.
+    runs on after the lease needs none. Return whether the lease was over.
     """
     is_over = worker.is_lapsing and worker.is_lease_expired(
         sent_ms, _fleet.LEASE_MARGIN_MS
@@ -86,3 +109,4 @@
     worker.hidden_runs = report.unreadable_runs - worker.foreign_runs
     if not worker.hidden_runs:
         worker.is_lapsing = False
+    return is_over
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -73,7 +73,7 @@
             fenced_ms, worker.fenced_after_ms = worker.fenced_after_ms, -1
         if is_first or fenced_ms >= 0:
             self._bound_lease(worker, worker_report.clock_ms)
-        _lapses.count_hidden_runs(worker, worker_report, sent_ms)
+        is_over = _lapses.count_hidden_runs(worker, worker_report, sent_ms)
         worker.last_report_ms = now_ms
         worker.report_sent_ms = sent_ms
         worker.is_report_arriving = False
@@ -98,7 +98,11 @@
         if not (worker_report.has_more_ends or worker.hidden_runs):
             # Otherwise a run that is not listed may have ended or go on.
             worker.are_runs_known = True
-            self._drop_missing_runs(worker, listed, sent_ms, fenced_ms, now_ms)
+            # What a worker without a lease does not list has certainly ended.
+            limit = 1 if is_over else MISSED_POLLS_LIMIT
+            self._drop_missing_runs(
+                worker, listed, sent_ms, fenced_ms, now_ms, limit
+            )
         self._crash_handler.on_report(worker)
         if self._note_idle_runs(worker, now_ms):
             self._stop_stalled_runs(worker, now_ms)
@@ -494,10 +498,12 @@
         sent_ms: int,
         fenced_ms: int,
         now_ms: int,
+        limit: int,
     ) -> None:
         """Drop runs that a worker no longer lists and release their tasks.
 
-        The worker refuses orders that were sent before ``fenced_ms``.
+        The worker refuses orders that were sent before ``fenced_ms``. A run
+        has to be omitted ``limit`` times.
         """
         if len(listed) == len(worker.runs):
             # Runs that are listed and unknown have been adopted.
@@ -514,7 +520,7 @@
                 if not run.is_stop_settled or run.stop_sent_ms >= sent_ms:
                     continue
             run.missed_polls += 1
-            if not is_outdated and run.missed_polls < MISSED_POLLS_LIMIT:
+            if not is_outdated and run.missed_polls < limit:
                 continue
             worker.drop(run)
             if run.phase is _fleet.RunPhase.IN_DOUBT and not is_outdated:
