Stop runs of another incarnation while leases are limited

Cause: an owner that was cut off from the store, from most workers and from a worker that restarts at that time writes a start which has waited for a connection for 2.2 s. By then it may request no lease, but the next incarnation begins the longest one with the start. The successor waits for the leases that the owner may have requested: until 8.74 s after the last renewal in the test, while the run ends at 9.06 s (10.16 s with a transit of 1.1 s).

Change: the clock in the answer already tells that another incarnation has begun the run.

No start waits longer in calm times, and no successor waits longer.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_order_sender.py
@@ -272,18 +272,22 @@
         waited_ms = None
         if reply.queued_ms is not None:
             waited_ms = started_ms - decided_ms + reply.queued_ms
+        received_ms = clock.now()
         self._scheduler.on_start_reply(
             effect.worker,
             effect.key,
             effect.run,
             reply.outcome,
             reply.reason,
-            clock.now(),
+            received_ms,
             scheduling.Answer(
                 clock_ms=reply.clock_ms,
                 lease_end_ms=lease,
                 sent_ms=started_ms + (reply.queued_ms or 0),
-                received_ms=clock.now(),
+                received_ms=received_ms,
+                are_leases_limited=(
+                    self._term.lease_limit_ms(received_ms) is not None
+                ),
             ),
         )
         self._log.info(
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -134,9 +134,25 @@
             return
         if _unconfirmed_runs.is_from_other(worker, answer):
             self._incarnations.on_other_clock(worker, answer)
+            if answer.are_leases_limited:
+                self._stop_unlisted(worker, now_ms)
         elif run.is_sent:
             run.is_confirmed = True
 
+    def _stop_unlisted(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Stop the runs that another incarnation of a worker has begun.
+
+        It holds the longest lease, which outlasts the wait of a successor
+        while this owner may only request shorter ones or none.
+        """
+        for run in list(worker.runs.values()):
+            if run.is_reported or run.stop_sent_ms >= 0:
+                continue
+            self._cell.stop_run(
+                worker.info.id, run.key, run.number, 'other incarnation'
+            )
+            self._cell.mark_stop_sent(run, now_ms)
+
     def withdraw_start(
         self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
     ) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
@@ -28,12 +28,15 @@
     not told, and ``lease_end_ms`` the end of the lease that the order named,
     on the same clock. The order was sent at ``sent_ms`` or later and the
     answer received at ``received_ms``, on the clock of the owner.
+    ``are_leases_limited`` is whether the owner might not request the longest
+    lease then, so that a successor does not wait for it.
     """
 
     clock_ms: int | None
     lease_end_ms: int | None
     sent_ms: int
     received_ms: int
+    are_leases_limited: bool = False
 
 
 def is_from_other(worker: _fleet.Worker, answer: Answer) -> bool:
--- a/packages/policy/tests/scheduling/test_unconfirmed_runs.py
+++ b/packages/policy/tests/scheduling/test_unconfirmed_runs.py
@@ -21,7 +21,9 @@
     return cell
 
 
-def reply(cell, start, outcome=STARTED, clock_ms=None, reason=''):
+def reply(
+    cell, start, outcome=STARTED, clock_ms=None, reason='', is_limited=False
+):
     """Apply the reply to a start that was sent now."""
     cell.scheduler.on_start_reply(
         start.worker,
@@ -35,6 +37,7 @@
             lease_end_ms=cell.scheduler.workers['w0'].requested_end_ms,
             sent_ms=cell.now,
             received_ms=cell.now,
+            are_leases_limited=is_limited,
         ),
     )
 
@@ -137,6 +140,39 @@
     assert [x.key.job for x in starts] == ['k']
 
 
+@pytest.mark.parametrize(
+    ('clock_ms', 'is_limited', 'is_stopped'),
+    [
+        (3, True, True),
+        (3, False, False),
+        (None, True, False),
+        (10_000, True, False),
+    ],
+)
+def test_runs_of_another_incarnation_end_while_leases_are_limited(
+    cell, clock_ms, is_limited, is_stopped
+):
+    # Guards against a second run under a successor: the next incarnation
+    # holds the longest lease, but the successor of an owner that may request
+    # shorter ones or none waits for those only.
+    (start,), _ = cell.decide()
+    reply(cell, start, clock_ms=cell.now)
+    listed = scheduling.RunReport(
+        key=start.key, number=start.run, checkpoint='', percent=1
+    )
+    cell.poll('w0', running=[listed])
+    cell.add('k', scheduling.StepSpec(count=2, cpu=1_000))
+    (first, second), _ = cell.decide()
+    reply(cell, first, clock_ms=clock_ms, is_limited=is_limited)
+    _, stops = cell.effects()
+    stopped = {(x.key, x.run) for x in stops}
+    expected = {(x.key, x.run) for x in (first, second)}
+    assert stopped == (expected if is_stopped else set())
+    # The answer to the next start shows the same clock.
+    reply(cell, second, clock_ms=clock_ms, is_limited=is_limited)
+    assert cell.effects() == ([], [])
+
+
 def test_start_in_doubt_on_a_listed_worker_is_held_until_it_is_too_late(cell):
     # Guards against a second run beside one whose start was carried out late
     # by the next incarnation.
