Tell successors of starts that may be carried out late

Its successor waited for the leases that the owner may have requested, and started the task on another worker; the next incarnation of a worker that it cannot reach then carried the first start out.

Change: when a start is given up, the record of its job gets a row with the worker, the run and the time of the store's clock by which the run is over (key late, ignored by earlier versions). A successor does not start the task until then, unless the worker has answered its poll or is gone, as an owner does already for stopped starts (Task.late_worker). The row is dropped once the run or its end is listed. Other tasks do not wait.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_record_saver.py
@@ -19,6 +19,7 @@
 from oriolestand_fleet import layout
 from oriolestand_fleet.messages import store
 from oriolestand_fleet.messages import telemetry
+from oriolestand_fleet.services.cell import _late_starts
 from oriolestand_fleet.services.cell import _owner_commits
 from oriolestand_fleet.services.cell import const
 from oriolestand_fleet.services.cell import errors
@@ -252,11 +253,13 @@
         if job.outcome is not None and not job.ended_wall_ms:
             job.ended_wall_ms = self._kernel.clock.wall()
         progress = scheduling.progress_of(job)
+        _late_starts.to_stored(progress, self._term.store_clock)
         value = _encode(progress)
-        if len(value) > self._row_bytes and 'placed' in progress:
-            # The placements then count as unknown.
-            del progress['placed']
-            value = _encode(progress)
+        # Without placements, they count as unknown.
+        for name in ('placed', 'late'):
+            if len(value) > self._row_bytes and name in progress:
+                del progress[name]
+                value = _encode(progress)
         if len(value) > self._row_bytes:
             _drop_long_checkpoints(progress, len(value) - self._row_bytes)
             value = _encode(progress)
--- a/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_term.py
@@ -20,6 +20,7 @@
 from oriolestand_fleet.services.cell import _fleet_record
 from oriolestand_fleet.services.cell import _gauges
 from oriolestand_fleet.services.cell import _interference_record
+from oriolestand_fleet.services.cell import _late_starts
 from oriolestand_fleet.services.cell import _order_sender
 from oriolestand_fleet.services.cell import _record_saver
 from oriolestand_fleet.services.cell import _route_record
@@ -149,7 +150,9 @@
             self._scheduler.add_job(
                 job.spec,
                 now,
-                progress=job.progress,
+                progress=_late_starts.from_stored(
+                    job.progress, self.term.store_clock
+                ),
                 is_cancelled=job.is_cancelled,
                 needs_probe=True,
                 policy=job.policy,
--- a/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
+++ b/packages/fleet/src/oriolestand_fleet/services/jobs/models.py
@@ -64,6 +64,7 @@
     ready: list[tuple[_Count, _Count, _Count]] = []
     idle: list[tuple[_Count, _Count, _Count, _Count, _Percent, _Count]] = []
     stalls: list[tuple[_Count, _Count, _Count, _Count]] = []
+    late: list[tuple[_Count, _Count, _Count, str, _Count, _Count]] = []
     crashes: list[
         tuple[
             _Count,
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -284,22 +284,43 @@
         )
 
     def note_late_start(self, run: _fleet.Run, worker_id: str) -> None:
-        """Note a start that the next incarnation may carry out.
+        """Note a start without an answer, which may be carried out late.
 
-        The present one has answered a stop, which does not bind the next.
+        The answer to a stop does not bind the next incarnation.
         """
         job = self.jobs.get(run.key.job)
         task = job.find(run.key) if job is not None else None
         if task is None:
             return
         task.late_worker = worker_id
-        task.late_until_ms = (
-            run.doubt_ms
-            + _unconfirmed_runs.MAX_ORDER_DELAY_MS
-            + _unconfirmed_runs.with_margin_ms(self.lease_max_ms)
+        task.late_run = run.number
+        task.late_until_ms = run.doubt_ms + _unconfirmed_runs.late_ms(
+            self.lease_max_ms
         )
         self.late_tasks[task.key] = task
 
+    def restore_late_starts(self, job: _jobs.Job, now_ms: int) -> None:
+        """Note the starts of former owners that may be carried out late.
+
+        If it is not known until when, they count as given up just now.
+        """
+        latest_ms = now_ms + _unconfirmed_runs.late_ms(self.lease_max_ms)
+        for task in job.all_tasks():
+            if not task.late_worker:
+                continue
+            if task.late_until_ms <= 0:
+                task.late_until_ms = latest_ms
+            task.late_until_ms = min(task.late_until_ms, latest_ms)
+            self.late_tasks[task.key] = task
+
+    def settle_late_start(self, key: _jobs.TaskKey, number: int) -> None:
+        """Note that the start of a run cannot be carried out late any more."""
+        job = self.jobs.get(key.job)
+        task = job.find(key) if job is not None else None
+        if task is not None and task.late_run == number:
+            task.late_worker = ''
+            self.late_tasks.pop(task.key, None)
+
     def forget_late_starts(self, now_ms: int) -> None:
         """Forget starts whose runs are over, if they were carried out."""
         for key, task in list(self.late_tasks.items()):
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -30,6 +30,10 @@
 """Limit on the stored times without progress, and on the stored numbers of
 stalled runs, for the same reason."""
 
+MAX_LATE_STARTS = 100
+"""Limit on the stored starts that may be carried out late, for the same
+reason. A successor does not wait for the others."""
+
 MAX_CRASH_BYTES = 20_000
 """Size of the rows of crashes, which share a row of the store with the rest of
 the record. The store refuses a larger record each time, so that the ends of
@@ -55,6 +59,7 @@
     placed: list[list[Any]] = dataclasses.field(default_factory=list)
     idle: list[list[int]] = dataclasses.field(default_factory=list)
     stalls: list[list[int]] = dataclasses.field(default_factory=list)
+    late: list[list[Any]] = dataclasses.field(default_factory=list)
 
 
 def progress_of(job: _jobs.Job) -> Progress:
@@ -76,7 +81,10 @@
     occurrence, step, index, run, percentage and ms without progress beyond it
     of the tasks that showed none for a while, if there are any), ``stalls``
     (rows of occurrence, step, index and number of the tasks of which runs were
-    stopped as stalled, if there are any). There is no
+    stopped as stalled, if there are any), ``late`` (rows of occurrence, step,
+    index, worker, run and time of the starts that may be carried out late, if
+    there are any, with the time of the owner's clock by which their runs are
+    over, 0 if not known). There is no
     ``placed`` for jobs without service tasks, and if the placements are
     unknown or too many, and no ``crashes`` without any; it lacks tasks if they
     are too many.
@@ -104,6 +112,8 @@
         progress['idle'] = rows.idle[:MAX_IDLE_TASKS]
     if rows.stalls:
         progress['stalls'] = rows.stalls[:MAX_IDLE_TASKS]
+    if rows.late:
+        progress['late'] = rows.late[:MAX_LATE_STARTS]
     # Earlier versions cannot read longer rows of crashes.
     tasks = _fitting_tasks(job)
     for name, row_of in _CRASH_ROWS.items():
@@ -141,6 +151,7 @@
                 for task in tasks
                 if task.stalls and not task.is_done
             ]
+            rows.late += _late_rows(tasks)
     return rows
 
 
@@ -166,6 +177,18 @@
             yield [*task.key[1:], *idleness]
 
 
+def _late_rows(tasks: Iterable[_jobs.Task]) -> Iterator[list[Any]]:
+    """Yield the rows of the starts that may be carried out late."""
+    for task in tasks:
+        if task.late_worker and not task.is_done:
+            yield [
+                *task.key[1:],
+                task.late_worker,
+                task.late_run,
+                task.late_until_ms,
+            ]
+
+
 def _ready_rows(job: _jobs.Job) -> list[list[int]]:
     """Return when the unfinished steps became ready."""
     if job.outcome is not None:
@@ -277,6 +300,12 @@
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None:
             task.stalls = stalls
+    for number, step, index, worker, run, until_ms in progress.get('late', ()):
+        task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
+        if task is not None and not task.is_done:
+            task.late_worker = worker
+            task.late_run = run
+            task.late_until_ms = until_ms
     return _restore_crashes(job, progress)
 
 
--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -92,6 +92,7 @@
                     reason=reason,
                 )
                 self._cell.stop_run(worker_id, key, number, 'in doubt')
+                self._note_doubt(run, worker_id)
             return
         self._cell.log(
             'start_refused',
@@ -111,6 +112,13 @@
         self._crash_handler.on_start_without_effect(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
 
+    def _note_doubt(self, run: _fleet.Run, worker_id: str) -> None:
+        """Store that a start may be carried out late, for a successor."""
+        self._cell.note_late_start(run, worker_id)
+        job = self._cell.jobs.get(run.key.job)
+        if job is not None and job.outcome is None:
+            self._cell.save(job)
+
     def _apply_answer(
         self,
         worker: _fleet.Worker,
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -293,6 +293,8 @@
             self._cell.keep_end(end)
         if job is None or task is None:
             return False
+        if task.late_worker:
+            self._cell.settle_late_start(end.key, end.number)
         if run is not None and end.kind is _jobs.EndKind.DONE:
             self._observe_run_time(job, run, now_ms)
         if job.outcome is not None:
@@ -410,6 +412,8 @@
         run.is_sent = run.has_begun = True
         if not run.is_reported or report.percent != run.percent:
             run.progress_clock_ms = worker.clock_ms
+        if run.doubt_ms >= 0 and not run.is_reported:
+            self._cell.settle_late_start(run.key, run.number)
         run.is_reported = run.is_confirmed = True
         run.pending_crash = None
         if not run.is_proven:
@@ -459,6 +463,7 @@
             run.pace = _pacing.apparent_pace(report.measured, run.spec.cpu)
             run.paced_ms = now_ms if run.pace < _pacing.FULL_PACE else 0
         worker.add(run)
+        self._cell.settle_late_start(run.key, run.number)
         is_needed = (
             job is not None
             and task is not None
@@ -517,7 +522,9 @@
             if not is_outdated and run.missed_polls < MISSED_POLLS_LIMIT:
                 continue
             worker.drop(run)
-            if run.phase is _fleet.RunPhase.IN_DOUBT and not is_outdated:
+            if is_outdated:
+                self._cell.settle_late_start(run.key, run.number)
+            elif run.phase is _fleet.RunPhase.IN_DOUBT:
                 self._cell.note_late_start(run, worker.info.id)
             self._cell.log(
                 'run_missing',
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -167,6 +167,7 @@
         for task in job.all_tasks():
             if task.former_worker:
                 self._cell.former_placements[task.key] = task
+        self._cell.restore_late_starts(job, now_ms)
         if is_cancelled:
             self.cancel_job(spec.id, now_ms)
             return
--- a/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
@@ -77,6 +77,11 @@
     return _fleet.LEASE_MARGIN_MS - (-lease_ms * rate_den // rate_num)
 
 
+def late_ms(lease_max_ms: int) -> int:
+    """Return for how long a run may last whose start has been given up."""
+    return MAX_ORDER_DELAY_MS + with_margin_ms(lease_max_ms)
+
+
 def unlisted_over_ms(worker: _fleet.Worker, lease_max_ms: int) -> int:
     """Return when the runs that a worker has not listed are certainly over.
 
@@ -86,16 +91,16 @@
     unlisted = [x for x in worker.runs.values() if not x.is_reported]
     if not unlisted:
         return -1
-    late_ms = MAX_ORDER_DELAY_MS + with_margin_ms(lease_max_ms)
+    delay_ms = late_ms(lease_max_ms)
     over_ms = max(worker.other_lease_over_ms, -1)
     for run in unlisted:
         if run.phase is _fleet.RunPhase.STARTING:
-            over_ms = max(over_ms, run.since_ms + late_ms)
+            over_ms = max(over_ms, run.since_ms + delay_ms)
         elif run.phase is _fleet.RunPhase.IN_DOUBT and run.doubt_ms >= 0:
-            over_ms = max(over_ms, run.doubt_ms + late_ms)
+            over_ms = max(over_ms, run.doubt_ms + delay_ms)
     if worker.doubted_ms >= 0 and worker.leased_ms >= 0:
         # A poll for the former incarnation may extend the lease as well.
-        over_ms = max(over_ms, worker.leased_ms + late_ms)
+        over_ms = max(over_ms, worker.leased_ms + delay_ms)
     return over_ms
 
 
@@ -106,8 +111,6 @@
     """
     if worker.fenced_after_ms < 0:
         return -1
-    return (
-        max(worker.fenced_after_ms, worker.last_report_ms)
-        + MAX_ORDER_DELAY_MS
-        + with_margin_ms(lease_max_ms)
+    return max(worker.fenced_after_ms, worker.last_report_ms) + late_ms(
+        lease_max_ms
     )
