--- a/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_reply_handler.py
@@ -92,6 +92,7 @@
                     reason=reason,
                 )
                 self._cell.stop_run(worker_id, key, number, 'in doubt')
+                self._note_doubt(run, worker_id)
             return
         self._cell.log(
             'start_refused',
@@ -111,6 +112,13 @@
         self._crash_handler.on_start_without_effect(run)
         self._cell.release(run, worker_id, now_ms, has_run=False)
 
+    def _note_doubt(self, run: _fleet.Run, worker_id: str) -> None:
+        """Store that a start may be carried out late, for a successor."""
+        self._cell.note_late_start(run, worker_id)
+        job = self._cell.jobs.get(run.key.job)
+        if job is not None and job.outcome is None:
+            self._cell.save(job)
+
     def _apply_answer(
         self,
         worker: _fleet.Worker,
@@ -134,9 +142,25 @@
             return
         if _unconfirmed_runs.is_from_other(worker, answer):
             self._incarnations.on_other_clock(worker, answer)
+            if answer.are_leases_limited:
+                self._stop_unlisted(worker, now_ms)
         elif run.is_sent:
             run.is_confirmed = True
 
+    def _stop_unlisted(self, worker: _fleet.Worker, now_ms: int) -> None:
+        """Stop the runs that another incarnation of a worker has begun.
+
+        It holds the longest lease, which outlasts the wait of a successor
+        while this owner may only request shorter ones or none.
+        """
+        for run in list(worker.runs.values()):
+            if run.is_reported or run.stop_sent_ms >= 0:
+                continue
+            self._cell.stop_run(
+                worker.info.id, run.key, run.number, 'other incarnation'
+            )
+            self._cell.mark_stop_sent(run, now_ms)
+
     def withdraw_start(
         self, worker_id: str, key: _jobs.TaskKey, number: int, now_ms: int
     ) -> None:
