--- a/packages/bench/src/oriolestand_bench/models/_incarnations.py
+++ b/packages/bench/src/oriolestand_bench/models/_incarnations.py
@@ -51,7 +51,7 @@
 
 Each excludes steps that the rules as built do not cover (0035).
 ``delay_bound``: no order is carried out after ``DELAY``.
-``entry_stays``: the entry of a worker does not lapse while runs are held there.
+``entry_stays``: the entry of a worker does not lapse while it holds runs.
 ``successor_orders``: no order of the former owner is carried out by another
 incarnation after the claim.
 ``room``: a worker on which a start may be late has room for the task, and the
