--- a/packages/fleet/tests/test_cases_of_the_model.py
+++ b/packages/fleet/tests/test_cases_of_the_model.py
@@ -134,3 +134,22 @@
     start_again(site)
     site.run(10_000)
     assert len(site.history) == 3
+
+
+@pytest.mark.parametrize('late_ms', [400, 1_000])
+def test_poll_acknowledges_an_end_of_an_unknown_incarnation(
+    site, daemon, late_ms
+):
+    # Guards against a task that runs again after its end: the next poll of a
+    # worker that did not answer has the number of an end of the former
+    # incarnation, and the entry of the next one has not been read.
+    faults = daemon.orders.faults
+    faults.effect_delay_ms = late_ms
+    faults.unanswered_starts = 1
+    site.submit(daemon, 'second', steps(1), duration_ms=100)
+    site.run_until(lambda: not faults.unanswered_starts, 2_000)
+    site.workers['w0'].crash()
+    site.run(300)
+    start_again(site, register_after_ms=60_000)
+    site.run(15_000)
+    assert [run.outcome for run in site.history[2:]] == ['done']
