Trial: hold unlisted runs from the last lease and while a worker is unfenced

Change: unlisted_over_ms counts the bound of listed runs too, and the last requested lease while a start is in doubt.

--- a/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
@@ -90,8 +90,11 @@
             over_ms = max(over_ms, run.since_ms + late_ms)
         elif run.phase is _fleet.RunPhase.IN_DOUBT and run.doubt_ms >= 0:
             over_ms = max(over_ms, run.doubt_ms + late_ms)
-    if worker.doubted_ms >= 0 and worker.leased_ms >= 0:
-        # A poll for the former incarnation may extend the lease as well.
+    # Orders for a former incarnation extend the lease of these as well.
+    over_ms = max(over_ms, listed_over_ms(worker, lease_max_ms))
+    has_doubt = any(x.phase is _fleet.RunPhase.IN_DOUBT for x in unlisted)
+    if (worker.doubted_ms >= 0 or has_doubt) and worker.leased_ms >= 0:
+        # So may a poll that was sent after the start was given up.
         over_ms = max(over_ms, worker.leased_ms + late_ms)
     return over_ms
 
