--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -278,6 +278,7 @@
         acknowledged = cursor.recorded
         if (
             worker.is_in_doubt
+            or worker.failed_polls
             or worker.info.process_start_ms != cursor.process_start_ms
         ):
             # The ends of another incarnation are numbered anew.
