Let the goodput bench refuse filling jobs, and note the room beside it

Cause: the simulation accepted all jobs, so that nothing showed what the limit of decision 0032 costs, nor whether it refuses jobs beside room they could use.

The first step of each refused job is judged on each worker after the next round, and every 500 ms while it could be in time. Figures have refused, accepted, done and late filling jobs and those without a run 14 s after the load. Without the option a run has the same orders as before. scheduling exports is_usable.

--- a/packages/bench/src/oriolestand_bench/goodput/__main__.py
+++ b/packages/bench/src/oriolestand_bench/goodput/__main__.py
@@ -41,6 +41,11 @@
 )
 @click.option('--spent', is_flag=True, help='Print what starts are used for.')
 @click.option('--idle', is_flag=True, help='Print the use of processors.')
+@click.option(
+    '--refuse',
+    is_flag=True,
+    help='Let full pools refuse filling jobs, and print the room beside it.',
+)
 @click.option(
     '--output',
     default=OUT,
@@ -56,6 +61,7 @@
     calm_images: bool,
     spent: bool,
     idle: bool,
+    refuse: bool,
     output: pathlib.Path,
 ) -> None:
     """Print goodput against offered load; write the figures and a plot."""
@@ -73,7 +79,10 @@
                     are_images_calm=calm_images,
                 )
                 simulation = _simulation.GoodputSimulation(
-                    case, are_waits_explained=spent, is_cpu_accounted=idle
+                    case,
+                    are_waits_explained=spent,
+                    is_cpu_accounted=idle,
+                    are_jobs_refused=refuse,
                 )
                 records = simulation.play()
                 found.append(_figures.figures_of(simulation, records))
@@ -82,6 +91,8 @@
                     click.echo(_tables.spent(records))
                 if idle:
                     click.echo(_tables.cpu_uses(simulation.cpu_record))
+                if refuse:
+                    click.echo(_tables.refused(simulation.refusals, found[-1]))
     output.parent.mkdir(parents=True, exist_ok=True)
     rows = [dataclasses.asdict(figures) for figures in found]
     output.with_suffix('.json').write_text(
--- a/packages/bench/src/oriolestand_bench/goodput/_figures.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_figures.py
@@ -20,7 +20,8 @@
     ``fluid`` and ``offline`` are the references of ``_offline``. The others
     are shares from 0 to 1; those of jobs count jobs, not work. ``deciles``
     are those of filling jobs, the smallest first; ``domains`` those of the
-    failure domain of the caller.
+    failure domain of the caller. The last ones count filling jobs: ``refused``
+    each time, ``accepted``, done in time and late, and ``stuck`` at the end.
     """
 
     workers: int
@@ -42,6 +43,11 @@
     services_in_target: float
     harm_stops: int
     starts: int
+    refused: int
+    accepted: int
+    filling_done: int
+    filling_late: int
+    stuck: int
 
     @property
     def share(self) -> float:
@@ -57,6 +63,11 @@
     return results.count(_jobs.Result.IN_TIME) / len(results)
 
 
+def _count(records: Iterable[_jobs.JobRecord], result: _jobs.Result) -> int:
+    """Return how many jobs have a result."""
+    return sum(record.result is result for record in records)
+
+
 def of_kind(
     records: Iterable[_jobs.JobRecord], kind: _traffic.Kind
 ) -> list[_jobs.JobRecord]:
@@ -119,4 +130,9 @@
         services_in_target=services.within_target / services.all_tasks,
         harm_stops=sum(record.harm_stops for record in records),
         starts=sum(record.starts for record in records),
+        refused=sum(record.accepted_ms < 0 for record in filling),
+        accepted=sum(record.accepted_ms >= 0 for record in filling),
+        filling_done=_count(filling, _jobs.Result.IN_TIME),
+        filling_late=_count(filling, _jobs.Result.LATE),
+        stuck=simulation.stuck,
     )
--- a/packages/bench/src/oriolestand_bench/goodput/_jobs.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_jobs.py
@@ -22,6 +22,8 @@
 class JobRecord:
     """Submitted job and what it has received until now.
 
+    ``submitted_ms`` is when its caller first tried, and ``accepted_ms`` when
+    it was accepted, -1 if it was refused each time.
     ``done`` holds the indices of the done tasks of each step, and
     ``ready_ms`` when each step became ready, -1 if it is not. Starts are of
     tasks whose step had been ready for at most, or for longer than
@@ -33,6 +35,7 @@
     submitted_ms: int
     done: list[set[int]]
     ready_ms: list[int]
+    accepted_ms: int = -1
     ended_ms: int = -1
     is_completed: bool = False
     starts: int = 0
--- a/packages/bench/src/oriolestand_bench/goodput/_simulation.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_simulation.py
@@ -12,7 +12,9 @@
 from oriolestand_bench.goodput import _idle
 from oriolestand_bench.goodput import _jobs
 from oriolestand_bench.goodput import _obstacles
+from oriolestand_bench.goodput import _refusals
 from oriolestand_bench.goodput import _traffic
+from oriolestand_policy import ownership
 from oriolestand_policy import scheduling
 
 SERVICE_MEMORY_MB = 4_000
@@ -32,6 +34,12 @@
 START_TIMEOUT_MS = 1_000
 FAILED_POLL_WAIT_MS = 500
 SAMPLE_MS = 500
+STUCK_SAMPLE_MS = 100
+QUIET_MS = 14_000
+"""Time after the load at which each open job should have had a run in the
+last ``RUN_WITHIN_MS``, as in the drain bench."""
+
+RUN_WITHIN_MS = 3_000
 
 HARM = 'harm'
 """Reason of stops for interference."""
@@ -47,7 +55,13 @@
 
 
 class GoodputSimulation(owner.OwnerSimulation):
-    """Simulate one case; ``play`` returns the jobs of its load."""
+    """Simulate one case; ``play`` returns the jobs of its load.
+
+    With ``are_jobs_refused`` full pools refuse filling jobs, whose callers
+    come back after the stated time, at most ``_refusals.RETURN_MS`` after
+    their first try. ``stuck`` is the number of accepted filling jobs that are
+    open ``QUIET_MS`` after the load and had no run for ``RUN_WITHIN_MS``.
+    """
 
     def __init__(
         self,
@@ -55,8 +69,15 @@
         *,
         are_waits_explained: bool = True,
         is_cpu_accounted: bool = False,
+        are_jobs_refused: bool = False,
     ) -> None:
         self.case = case
+        self.refusals = _refusals.RefusalRecord()
+        self.stuck = 0
+        self._are_jobs_refused = are_jobs_refused
+        self._admission = ownership.OwnerAdmission()
+        self._is_room_sample_due = False
+        self._submitted: list[_jobs.JobRecord] = []
         self.services = ServiceRecord()
         self.cpu_record = _idle.CpuRecord()
         self._is_cpu_accounted = is_cpu_accounted
@@ -96,6 +117,7 @@
         self._random.shuffle(images)
         share = 0.0 if self.case.are_images_calm else STRONG_SHARE
         strong = set(images[: round(share * len(images))])
+        self._strong_images = {f'f{image}' for image in strong}
         return {
             (f's{service}', f'f{filling}'): (
                 STRONG_WEIGHT if filling in strong else CALM_WEIGHT
@@ -154,8 +176,10 @@
         self.run(SETTLE_MS)
         self._submit_later(case.plan('warm-up', WARM_UP_LOAD, WARM_UP_MS))
         self.run(WARM_UP_MS)
-        before = len(self.records)
+        before = len(self._submitted)
         self._at(0, self._sample)
+        if self._are_jobs_refused:
+            self._at(0, self._renew)
         self._submit_later(case.plan('load', case.load, case.load_ms))
         self._load_ms = range(self.now, self.now + case.load_ms)
         self.run(case.load_ms // 2)
@@ -163,8 +187,37 @@
             self._crash_workers()
         elif case.setting is _case.Setting.NEW_OWNER:
             self.take_over()
-        self.run(case.load_ms - case.load_ms // 2 + _case.COUNTED_AFTER_MS)
-        return list(self.records.values())[before:]
+        self.run(case.load_ms - case.load_ms // 2 + QUIET_MS - RUN_WITHIN_MS)
+        self._count_stuck()
+        self.run(_case.COUNTED_AFTER_MS - QUIET_MS)
+        return self._submitted[before:]
+
+    def _count_stuck(self) -> None:
+        """Count the open filling jobs that have no run for a while."""
+        waiting = {
+            job_id
+            for job_id, record in self.records.items()
+            if record.planned.kind is _traffic.Kind.FILLING
+        }
+        for _ in range(RUN_WITHIN_MS // STUCK_SAMPLE_MS):
+            waiting -= {
+                key.job
+                for worker in self.workers.values()
+                for key in worker.runs
+            }
+            self.run(STUCK_SAMPLE_MS)
+        jobs = self.scheduler.jobs
+        self.stuck = sum(jobs[job_id].outcome is None for job_id in waiting)
+
+    def _renew(self) -> None:
+        """Publish which pools are full, as an owner does."""
+        full = self.scheduler.full_pools(self.now)
+        self._admission.on_report(0, self.now)
+        self._admission.set_full_pools(full)
+        if self.now in self._load_ms:
+            self.refusals.renewals += 1
+            self.refusals.full += bool(full)
+        self._at(ownership.RENEW_INTERVAL_MS, self._renew)
 
     def _submit_later(self, jobs: list[_traffic.PlannedJob]) -> None:
         """Submit jobs at the times of their arrival."""
@@ -176,8 +229,37 @@
 
     def _submit_planned(self, planned: _traffic.PlannedJob) -> None:
         """Submit a job."""
+        record = _jobs.new_record(planned, self.now)
+        self._submitted.append(record)
+        self._submit_or_refuse(record)
+
+    def _submit_or_refuse(self, record: _jobs.JobRecord) -> None:
+        """Submit a job, unless its pool refuses it."""
+        planned = record.planned
+        if planned.kind is _traffic.Kind.FILLING:
+            self.refusals.submissions += 1
+            number = self.refusals.submissions
+            retry_s = self._admission.full_pool_retry_s(
+                _refusals.POOL, f'r{number:06}', self.now
+            )
+            if retry_s:
+                self._refuse(record, 1_000 * retry_s)
+                return
+        record.accepted_ms = record.ready_ms[0] = self.now
         job = self._submit(planned.kind.value, *planned.specs())
-        self.records[job] = _jobs.new_record(planned, self.now)
+        self.records[job] = record
+
+    def _refuse(self, record: _jobs.JobRecord, retry_ms: int) -> None:
+        """Note a refusal; the caller comes back if it may wait so long."""
+        self.refusals.add(
+            record.planned,
+            is_strong=record.planned.image in self._strong_images,
+            first_ms=record.submitted_ms,
+        )
+        if self.now + retry_ms <= record.submitted_ms + _refusals.RETURN_MS:
+            self._at(
+                retry_ms, functools.partial(self._submit_or_refuse, record)
+            )
 
     def _sample(self) -> None:
         """Note which services are at work, and why tasks wait."""
@@ -190,6 +272,7 @@
                 tail <= SERVICE_TARGET_MS for tail in tails
             )
         self._is_sample_due = self._are_waits_explained
+        self._is_room_sample_due = True
         self._at(SAMPLE_MS, self._sample)
 
     def _run_round(self) -> None:
@@ -201,6 +284,14 @@
         super()._run_round()
         if self._is_cpu_accounted and self.now in self._load_ms:
             self.cpu_record.note(self.scheduler.idle_account(self.now))
+        if self._are_jobs_refused and self._placement is not None:
+            self.refusals.judge(
+                self.scheduler,
+                self._placement,
+                self.now,
+                is_sample=self._is_room_sample_due,
+            )
+            self._is_room_sample_due = False
         if not self._is_sample_due or self._placement is None:
             return
         self._is_sample_due = False
--- a/packages/bench/src/oriolestand_bench/goodput/_tables.py
+++ b/packages/bench/src/oriolestand_bench/goodput/_tables.py
@@ -3,10 +3,12 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
+import operator
 
 from oriolestand_bench.goodput import _figures
 from oriolestand_bench.goodput import _idle
 from oriolestand_bench.goodput import _jobs
+from oriolestand_bench.goodput import _refusals
 from oriolestand_bench.goodput import _traffic
 from oriolestand_policy import scheduling
 
@@ -42,6 +44,16 @@
     'failed jobs: waits of tasks',
 )
 
+REFUSED_HEADER = (
+    'images',
+    'refusals',
+    'room for a task after the next round',
+    'for the whole step',
+    'room for a task within the objective',
+    'for the whole step',
+    'idle cores after the next round, by what keeps a task from them',
+)
+
 CPU_HEADER = ('use', 'thousandths of a core times s', 'share')
 
 
@@ -103,6 +115,49 @@
     return '\n'.join([header(CPU_HEADER), *rows])
 
 
+def refused(record: _refusals.RefusalRecord, found: _figures.Figures) -> str:
+    """Return what was refused over the load, and the room beside it."""
+    summary = (
+        f'{record.submissions} submissions of filling jobs, '
+        f'{len(record.refusals)} refused; {found.refused} jobs refused for '
+        f'good; pool full in {record.full} of {record.renewals} renewals; '
+        f'filling jobs accepted {found.accepted}, in time '
+        f'{found.filling_done}, late {found.filling_late}; without a run at '
+        f'the end {found.stuck}'
+    )
+    groups = {
+        'all': record.refusals,
+        'strong': [r for r in record.refusals if r.is_strong],
+        'others': [r for r in record.refusals if not r.is_strong],
+    }
+    rows = [_refused_row(name, part) for name, part in groups.items() if part]
+    return '\n'.join([summary, header(REFUSED_HEADER), *rows])
+
+
+def _refused_row(name: str, refusals: Sequence[_refusals.Refusal]) -> str:
+    """Return the row of the refusals of some images."""
+    idle: collections.Counter[str] = collections.Counter()
+    for refusal in refusals:
+        idle.update(refusal.idle)
+    widths = [len(refusal.planned.steps[0].run_ms) for refusal in refusals]
+    now = [refusal.fitting for refusal in refusals]
+    later = [refusal.fitting_in_time for refusal in refusals]
+    return _row(
+        (
+            name,
+            f'{len(refusals)}',
+            f'{sum(count > 0 for count in now)}',
+            f'{sum(map(operator.ge, now, widths))}',
+            f'{sum(count > 0 for count in later)}',
+            f'{sum(map(operator.ge, later, widths))}',
+            ', '.join(
+                f'{use} {cpu / len(refusals) / 1_000:.0f}'
+                for use, cpu in idle.most_common()
+            ),
+        )
+    )
+
+
 def _spent_row(name: str, records: Sequence[_jobs.JobRecord]) -> str:
     """Return the row of the jobs of one size."""
     groups = [
--- a/packages/bench/tests/test_goodput.py
+++ b/packages/bench/tests/test_goodput.py
@@ -1,12 +1,16 @@
 """Test goodput under overload, and the parts of its bench."""
 
+import types
+
 import pytest
 
 from oriolestand_bench import _workers
 from oriolestand_bench.goodput import _case
 from oriolestand_bench.goodput import _figures
 from oriolestand_bench.goodput import _idle
+from oriolestand_bench.goodput import _jobs
 from oriolestand_bench.goodput import _offline
+from oriolestand_bench.goodput import _refusals
 from oriolestand_bench.goodput import _simulation
 from oriolestand_bench.goodput import _tables
 from oriolestand_bench.goodput import _traffic
@@ -14,6 +18,8 @@
 
 WORKERS = 20
 OVERLOAD = 2.5
+REFUSING_CASE = _case.Case(workers=4, load=4.0, load_ms=25_000)
+"""Load for so long that overdue jobs fill the pool."""
 
 
 @pytest.fixture(scope='module')
@@ -136,3 +142,135 @@
         )
         record.note({'p': account})
     assert record.uses == {scheduling.CpuUse.PLAIN: 80}
+
+
+@pytest.fixture(scope='module')
+def refusing():
+    """Return a simulation whose pool was full, and the records of its jobs."""
+    simulation = _simulation.GoodputSimulation(
+        REFUSING_CASE, are_waits_explained=False, are_jobs_refused=True
+    )
+    return simulation, simulation.play()
+
+
+def test_full_pool_refuses_filling_jobs_only(refusing):
+    # Guards against a bench that accepts what daemons refuse, or counts a
+    # refused job as one that has run.
+    simulation, records = refusing
+    found = _figures.figures_of(simulation, records)
+    refused = [record for record in records if record.accepted_ms < 0]
+    assert 0 < len(refused) == found.refused
+    assert found.refused + found.accepted == len(
+        _figures.of_kind(records, _traffic.Kind.FILLING)
+    )
+    for record in refused:
+        assert record.planned.kind is _traffic.Kind.FILLING
+        assert record.result is _jobs.Result.NOTHING and not record.starts
+
+
+@pytest.mark.parametrize('open_after_ms', [500, 1_500])
+def test_refused_callers_come_back_in_the_time_they_have(open_after_ms):
+    # Guards against refused jobs that are lost at once, or whose objective
+    # begins again when they return.
+    simulation = _simulation.GoodputSimulation(
+        REFUSING_CASE, are_waits_explained=False, are_jobs_refused=True
+    )
+    simulation._admission.on_report(0, simulation.now)
+    simulation._admission.set_full_pools({_refusals.POOL: 1})
+    first_ms = simulation.now
+    simulation._submit_planned(_job(2, 2_000))
+    (record,) = simulation._submitted
+    assert record.accepted_ms < 0
+    simulation.run(open_after_ms)
+    simulation._admission.set_full_pools({})
+    simulation.run(10_000)
+    # Each return is one second later, as the pool says.
+    expected_ms = first_ms + -(-open_after_ms // 1_000) * 1_000
+    assert record.accepted_ms == record.ready_ms[0] == expected_ms
+    assert record.submitted_ms == first_ms
+    assert len(simulation.refusals.refusals) == -(-open_after_ms // 1_000)
+
+
+def test_refused_callers_without_time_do_not_come_back():
+    # Guards against callers that wait longer than those of the users.
+    simulation = _simulation.GoodputSimulation(
+        REFUSING_CASE, are_waits_explained=False, are_jobs_refused=True
+    )
+    simulation._admission.set_full_pools({_refusals.POOL: 1})
+    for _ in range(8):
+        simulation._admission.on_report(0, simulation.now)
+        if not simulation._submitted:
+            simulation._submit_planned(_job(2, 2_000))
+        simulation.run(1_000)
+    (record,) = simulation._submitted
+    assert record.accepted_ms < 0
+    assert len(simulation.refusals.refusals) == 4
+
+
+def test_room_beside_refusals_is_noted_and_decides_nothing(
+    refusing, monkeypatch
+):
+    # Guards against a bench whose goodput depends on what it notes.
+    simulation, _ = refusing
+    assert all(found.fitting >= 0 for found in simulation.refusals.refusals)
+    table = _tables.refused(
+        simulation.refusals, _figures.figures_of(*refusing)
+    )
+    assert '| all | ' in table
+    monkeypatch.setattr(
+        _refusals.RefusalRecord, 'judge', lambda *args, **kwargs: None
+    )
+    blind = _simulation.GoodputSimulation(
+        REFUSING_CASE, are_waits_explained=False, are_jobs_refused=True
+    )
+    blind.play()
+    assert blind.digest.hexdigest() == simulation.digest.hexdigest()
+
+
+def test_open_jobs_without_a_run_at_the_end_are_counted(refusing):
+    # Guards against a count of jobs that were refused, have ended or have
+    # runs.
+    simulation, records = refusing
+    accepted = [record for record in records if record.accepted_ms >= 0]
+    assert 0 < simulation.stuck < len(accepted)
+    calm = _simulation.GoodputSimulation(
+        _case.Case(workers=3, load=0.5, load_ms=5_000),
+        are_waits_explained=False,
+    )
+    calm.play()
+    assert calm.stuck == 0
+
+
+class _Room:
+    """Stand-in for a placement: a worker's obstacle is its own attribute."""
+
+    def obstacle(self, worker, task):
+        return worker.obstacle
+
+
+def _worker(idle, obstacle):
+    """Return a worker with idle processors and an obstacle."""
+    capacity = types.SimpleNamespace(unkept_cpu=lambda: idle)
+    return types.SimpleNamespace(capacity=capacity, obstacle=obstacle)
+
+
+def test_room_of_a_refusal_counts_tasks_that_fit(monkeypatch):
+    # Guards against idle processors that no task of the job may use counted
+    # as room, and against room after the job can be in time.
+    monkeypatch.setattr(scheduling, 'is_usable', lambda worker, now_ms: True)
+    record = _refusals.RefusalRecord()
+    job = _job(2, 2_000)
+    record.add(job, is_strong=False, first_ms=0)
+    closed = types.SimpleNamespace(value='no_headroom')
+    fleet = types.SimpleNamespace(workers={'a': _worker(9_000, closed)})
+    record.judge(fleet, _Room(), 0, is_sample=False)
+    found = record.refusals[0]
+    assert (found.fitting, found.idle) == (0, {'no_headroom': 9_000})
+    fleet.workers['b'] = _worker(5_000, None)
+    record.judge(fleet, _Room(), 500, is_sample=False)
+    assert found.fitting_in_time == 0
+    record.judge(fleet, _Room(), found.usable_ms + 1, is_sample=True)
+    assert found.fitting_in_time == 0
+    record.judge(fleet, _Room(), found.usable_ms, is_sample=True)
+    assert (found.fitting, found.fitting_in_time) == (0, 2)
+    assert found.idle == {'no_headroom': 9_000}
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -15,6 +15,7 @@
 from oriolestand_policy.scheduling._effects import StartTask
 from oriolestand_policy.scheduling._effects import StopTask
 from oriolestand_policy.scheduling._effects import WithdrawStart
+from oriolestand_policy.scheduling._eligibility import is_usable
 from oriolestand_policy.scheduling._exclusions import FAILURE_AVOID_MS
 from oriolestand_policy.scheduling._exclusions import WorkerFailures
 from oriolestand_policy.scheduling._exclusions import recent as recent_failures
@@ -112,6 +113,7 @@
     'WorkerReport',
     'check_job',
     'counts_for_pool',
+    'is_usable',
     'job_from_dict',
     'job_to_dict',
     'parse_key',
