Acknowledge ends of workers whose reports have no start time

Cause: the owner kept the numbers of ends by the start time in the reports, and compared it with the one in the entry. If reports had none, no end was ever acknowledged, so that a worker would list 500 at most and later ones wait; if every other report had none, each change began the numbers anew and polls were answered at once (3,162 polls of one worker in 16.6 s). A restart that only the clock of a worker shows left its lease on the former clock. Change: a report without a start time is from the known incarnation unless its clock cannot be; then the worker has restarted. `start_time_missing` is logged once for each incarnation. Stand-in workers may have an address of their own.

--- a/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
+++ b/packages/fleet/src/oriolestand_fleet/services/cell/_worker_poller.py
@@ -224,10 +224,12 @@
             self._is_unreachable = False
             self._log.info('Worker is reachable again', worker=self._worker)
         acknowledged = poll.acknowledged
-        if report.process_start_ms != self._cursor.process_start_ms:
+        if self._is_other_incarnation(worker, report, sent_ms):
             self._cursor = _Cursor(process_start_ms=report.process_start_ms)
             # That was a number of the former incarnation.
             acknowledged = 0
+        elif report.process_start_ms:
+            self._cursor.process_start_ms = report.process_start_ms
         reading = self._cursor.reader.read(report, acknowledged)
         self._apply_report(report, reading, sent_ms)
         if self._cursor.recorded < self._cursor.received:
@@ -251,6 +253,23 @@
         ):
             await self._kernel.sleep(pause_ms)
 
+    def _is_other_incarnation(
+        self,
+        worker: scheduling.Worker,
+        report: scheduling.WorkerReport,
+        sent_ms: int,
+    ) -> bool:
+        """Return whether the ends in a report are numbered anew.
+
+        Without a start time only the clock tells, which starts anew as well.
+        """
+        known_ms = self._cursor.process_start_ms
+        if report.process_start_ms and known_ms:
+            return report.process_start_ms != known_ms
+        return scheduling.is_clock_of_other(
+            worker, report.clock_ms, sent_ms, self._kernel.clock.now()
+        )
+
     def _is_report_urgent(self, worker: scheduling.Worker) -> bool:
         """Return whether the next report must not wait for a busy owner."""
         return (
@@ -278,7 +297,7 @@
         acknowledged = cursor.recorded
         if (
             worker.is_in_doubt
-            or worker.info.process_start_ms != cursor.process_start_ms
+            or 0 < cursor.process_start_ms != worker.info.process_start_ms
         ):
             # The ends of another incarnation are numbered anew.
             acknowledged = 0
--- a/packages/policy/src/oriolestand_policy/scheduling/__init__.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/__init__.py
@@ -60,6 +60,7 @@
 from oriolestand_policy.scheduling._stored_policies import StoredPolicy
 from oriolestand_policy.scheduling._takeover import FormerRuns
 from oriolestand_policy.scheduling._unconfirmed_runs import Answer
+from oriolestand_policy.scheduling._unconfirmed_runs import is_clock_of_other
 
 __all__ = [
     'Answer',
@@ -112,6 +113,7 @@
     'WorkerReport',
     'check_job',
     'counts_for_pool',
+    'is_clock_of_other',
     'job_from_dict',
     'job_to_dict',
     'parse_key',
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -227,6 +227,7 @@
     entry: WorkerInfo | None = None
     described_ms: int | None = None
     tells_start: bool = False
+    is_start_missing: bool = False
     is_entry_trusted: bool = False
     undescribed_ms: int = -1
     fenced_after_ms: int = -1
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -89,8 +89,13 @@
         worker: _fleet.Worker,
         report: _reports.WorkerReport,
         sent_ms: int,
+        now_ms: int,
     ) -> _fleet.Worker | None:
-        """Return the incarnation that a report is from, None if it is gone."""
+        """Return the incarnation that a report is from, None if it is gone.
+
+        Without a start time or an entry that tells it, the clock shows that
+        a worker has restarted.
+        """
         known_ms = worker.info.process_start_ms
         start_ms = report.process_start_ms or known_ms
         is_stale = worker.is_probed and sent_ms < worker.last_report_ms
@@ -101,15 +106,27 @@
             entry = None
         if entry is not None and not report.process_start_ms:
             start_ms = entry.process_start_ms
-        if start_ms != known_ms:
+        is_clock_new = (
+            worker.is_probed
+            and not report.process_start_ms
+            and _unconfirmed_runs.is_clock_of_other(
+                worker, report.clock_ms, sent_ms, now_ms
+            )
+        )
+        if start_ms != known_ms or is_clock_new:
             if not self._is_same(worker, report):
-                worker = self._apply_restart(worker, start_ms, sent_ms)
+                worker = self._apply_restart(
+                    worker, start_ms, sent_ms, is_certain=is_clock_new
+                )
                 worker.tells_start = report.process_start_ms > 0
                 self._note_description(worker, sent_ms)
                 return worker
             self._correct_start(worker, report.process_start_ms or known_ms)
         if report.process_start_ms:
             worker.tells_start = True
+        elif not worker.is_start_missing:
+            worker.is_start_missing = True
+            self._log_entry('start_time_missing', worker, worker.entry)
         if entry is not None:
             self._settle(worker, entry)
         self._note_description(worker, sent_ms)
@@ -240,11 +257,17 @@
         self._log_entry('entry_refuted', worker, info)
 
     def _apply_restart(
-        self, worker: _fleet.Worker, start_ms: int, sent_ms: int
+        self,
+        worker: _fleet.Worker,
+        start_ms: int,
+        sent_ms: int,
+        *,
+        is_certain: bool,
     ) -> _fleet.Worker:
         """Return the state of a worker that reports another start time.
 
         If its start time was known before, the worker has restarted.
+        ``is_certain`` is whether it has in any case.
         """
         info = worker.info
         described_ms = worker.described_ms
@@ -258,7 +281,8 @@
             process_start_ms=start_ms,
         )
         known_ms = worker.info.process_start_ms
-        if not known_ms or (start_ms < known_ms and not worker.is_probed):
+        is_known = known_ms > 0 and (worker.is_probed or start_ms >= known_ms)
+        if not (is_known or is_certain):
             # Only its entry has told a start time, which was wrong.
             worker.update_info(info)
             worker.described_ms = described_ms
--- a/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_report_handler.py
@@ -60,7 +60,7 @@
         worker = self._cell.workers.get(worker_id)
         if worker is not None:
             worker = self._incarnations.apply_report(
-                worker, worker_report, sent_ms
+                worker, worker_report, sent_ms, now_ms
             )
         if worker is None:
             return self._apply_done_ends(worker_report.ended, now_ms)
--- a/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_unconfirmed_runs.py
@@ -38,11 +38,21 @@
 
 def is_from_other(worker: _fleet.Worker, answer: Answer) -> bool:
     """Return whether the clock in an answer is that of another incarnation."""
-    if answer.clock_ms is None:
-        return False
-    earliest_ms = worker.min_clock_ms(answer.sent_ms) - CLOCK_TOLERANCE_MS
-    latest_ms = worker.max_clock_ms(answer.received_ms) + CLOCK_TOLERANCE_MS
-    return not earliest_ms <= answer.clock_ms <= latest_ms
+    return answer.clock_ms is not None and is_clock_of_other(
+        worker, answer.clock_ms, answer.sent_ms, answer.received_ms
+    )
+
+
+def is_clock_of_other(
+    worker: _fleet.Worker, clock_ms: int, sent_ms: int, received_ms: int
+) -> bool:
+    """Return whether a clock cannot be that of the known incarnation.
+
+    It was read between ``sent_ms`` and ``received_ms``.
+    """
+    earliest_ms = worker.min_clock_ms(sent_ms) - CLOCK_TOLERANCE_MS
+    latest_ms = worker.max_clock_ms(received_ms) + CLOCK_TOLERANCE_MS
+    return not earliest_ms <= clock_ms <= latest_ms
 
 
 def lease_over_ms(answer: Answer, lease_max_ms: int) -> int:
--- a/packages/standins/src/oriolestand_standins/fleet/_workers.py
+++ b/packages/standins/src/oriolestand_standins/fleet/_workers.py
@@ -330,7 +330,9 @@
 
         :raises WorkerError: as ``_reach_worker``.
         """
-        worker = self._workers.get(target.worker)
+        worker = self._workers.get(target.address) or self._workers.get(
+            target.worker
+        )
         is_unreachable = target.worker in self.faults.unreachable
         if worker is not None and worker.is_refusing and not is_unreachable:
             await self.kernel.sleep(LATENCY_MS)
@@ -505,7 +507,9 @@
 
         Another incarnation cannot tell that an order was for a former one.
         """
-        worker = self._workers.get(target.worker)
+        worker = self._workers.get(target.address) or self._workers.get(
+            target.worker
+        )
         return None if worker is None or worker.has_crashed else worker
 
     def _start_without_answer(self, msg: contracts.StartRun) -> None:
