Use neither of two processes that answer for one worker in turn

Cause: each change between two processes that answer under the id and address of one worker counted as a restart, so that what the other one ran started again at once, up to 16 overlapping runs in 12 s; with the same start time the change was not noticed. Change: a process that answers again after another one has answered shows that there are two. Neither gets leases or tasks until one has not answered for longer than a lease; `id_claimed_twice` is logged. A clock that cannot be that of the known process tells a restart also if the start time is the same.

--- a/packages/fleet/tests/test_claimed_ids.py
+++ b/packages/fleet/tests/test_claimed_ids.py
@@ -74,15 +74,20 @@
 
 def check_work(site, daemons, lines, jobs=(JOB, LATER)):
     """Check that all tasks have run once, and that nobody was kept busy."""
-    assert [site.state(daemons[-1], job) for job in jobs] == [
-        'completed' for _ in jobs
-    ]
+    check_done(site, daemons, jobs)
     assert site.overlapping_runs() == []
     done = [run.key for run in site.history if run.outcome == 'done']
     assert len(done) == len(set(done))
     check_load(site, daemons, lines)
 
 
+def check_done(site, daemons, jobs):
+    """Check that jobs are shown as completed."""
+    assert [site.state(daemons[-1], job) for job in jobs] == [
+        'completed' for _ in jobs
+    ]
+
+
 def check_load(site, daemons, lines):
     """Check that there is an owner that neither spins nor fills the log."""
     assert owner_of(daemons).is_owner
@@ -359,3 +364,114 @@
     site.run(10_000)
     check_work(site, daemons, lines, accepted)
     assert len(accepted) >= 7
+
+
+CHANGE_MS = 4_000
+TWICE = 'Id claimed twice'
+
+
+def answer_in_turn(
+    site, daemons, lines, other_ms, every_ms, has_new_owner=False
+):
+    """Let another worker answer orders to w0 in turn with it, for 12 s.
+
+    Return the jobs that were accepted, and the times of the first log line of
+    each owner that the id is claimed twice.
+    """
+    own = site.workers['w0']
+    other = claim_id(site, own.info.address, other_ms)
+    site.submit(daemons[0], JOB, ONE_TASK, duration_ms=RUN_MS)
+    site.run(1_000)
+    accepted = [JOB]
+    known_ms = []
+    counts = [0]
+    for number, at_ms in enumerate(range(0, 12_000, every_ms)):
+        site.workers['w0'] = other if number % 2 == 0 else own
+        if at_ms // 1_500 != (at_ms - every_ms) // 1_500:
+            site.store.register_worker(site.workers['w0'].info)
+            submit(site, daemons[-1], f'{at_ms:016x}', 2_000, accepted)
+        if has_new_owner and at_ms - every_ms < CHANGE_MS <= at_ms:
+            counts.append(count_of(lines, TWICE))
+            change_owner(site, daemons)
+        for _ in range(0, every_ms, 50):
+            site.run(50)
+            if len(known_ms) < len(counts) and (
+                count_of(lines, TWICE) > counts[-1]
+            ):
+                known_ms.append(site.clock.now())
+    # One of them is left.
+    site.workers['w0'] = own
+    site.store.register_worker(own.info)
+    site.run(20_000)
+    return accepted, known_ms
+
+
+@pytest.mark.parametrize('has_sound_worker', [True, False])
+@pytest.mark.parametrize('other_ms', [START_MS, OTHER_MS, START_MS - 1, 0])
+@pytest.mark.parametrize('every_ms', [150, 700, 2_000])
+def test_two_workers_that_answer_in_turn(
+    cell, lines, every_ms, other_ms, has_sound_worker
+):
+    # Guards against a task that runs on both, or on none, once an answer has
+    # shown that there are two. The first one looks like a restart.
+    site, daemons = cell
+    if has_sound_worker:
+        site.add_worker('w1')
+    accepted, known_ms = answer_in_turn(
+        site, daemons, lines, other_ms, every_ms
+    )
+    check_done(site, daemons, accepted)
+    check_load(site, daemons, lines)
+    assert len(accepted) >= 7
+    assert len(known_ms) == 1
+    assert [
+        pair
+        for pair in site.overlapping_runs()
+        if pair[1].started_ms >= known_ms[0]
+    ] == []
+
+
+@pytest.mark.parametrize('has_sound_worker', [True, False])
+@pytest.mark.parametrize('other_ms', [START_MS, OTHER_MS, START_MS - 1, 0])
+@pytest.mark.parametrize('every_ms', [150, 700, 2_000])
+def test_new_owner_while_two_workers_answer_in_turn(
+    cell, lines, every_ms, other_ms, has_sound_worker
+):
+    # Guards against work that is lost with what the former owner has known.
+    site, daemons = cell
+    if has_sound_worker:
+        site.add_worker('w1')
+    accepted, known_ms = answer_in_turn(
+        site, daemons, lines, other_ms, every_ms, has_new_owner=True
+    )
+    check_done(site, daemons, accepted)
+    check_load(site, daemons, lines)
+    assert len(accepted) >= 6
+    assert len(known_ms) == 2
+    assert [
+        pair
+        for pair in site.overlapping_runs()
+        if pair[1].started_ms >= known_ms[1]
+    ] == []
+
+
+@pytest.mark.parametrize('has_new_owner', [False, True])
+def test_first_answer_of_a_second_worker(cell, lines, has_new_owner):
+    # Guards against a second run beside one that goes on: the first answer of
+    # the other process cannot be told from a restart.
+    site, daemons = cell
+    site.add_worker('w1')
+    answer_in_turn(site, daemons, lines, OTHER_MS, 700, has_new_owner)
+    assert site.overlapping_runs() == []
+
+
+def test_worker_that_restarts_again_and_again_claims_no_id(cell, lines):
+    # Guards against a worker that gets no tasks as it has restarted twice.
+    site, daemons = cell
+    for number in range(3):
+        site.workers['w0'].crash(is_refusing=True)
+        site.add_worker('w0', 60 + number, clock_ms=10_000 * (number + 1))
+        site.submit(daemons[0], f'{number:016x}', ONE_TASK, duration_ms=300)
+        site.run(2_500)
+        assert site.history[-1].outcome == 'done'
+    assert count_of(lines, TWICE) == 0
--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -244,7 +244,9 @@
             is_listed=is_listed,
             is_recorded=worker.is_recorded,
             fenced_after_ms=fenced_after_ms,
+            former=worker,
         )
+        worker.former = None
         self.workers[info.id] = replacement
         for run in list(worker.runs.values()):
             worker.drop(run)
--- a/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_fleet.py
@@ -175,6 +175,9 @@
     answered start, by whichever incarnation, on the owner's clock, and
     ``doubted_ms`` when the clock in such an answer last showed that it is not
     the known one; they are -1 if there is no such answer.
+    ``former`` is the incarnation before, ``answered_ms`` when this one last
+    answered a poll, and ``claimed_ms`` when the former one did so after it, -1
+    if it did not or is gone.
     ``is_report_arriving`` is whether the first part of a report has arrived,
     and ``has_awaited_report`` whether one that had begun has not come in full
     since the last report.
@@ -234,6 +237,9 @@
     report_sent_ms: int = -1
     other_lease_over_ms: int = -1
     doubted_ms: int = -1
+    former: 'Worker | None' = None
+    answered_ms: int = -1
+    claimed_ms: int = -1
     is_report_arriving: bool = False
     has_awaited_report: bool = False
     capacity: _capacity.Capacity = dataclasses.field(init=False)
@@ -277,8 +283,12 @@
 
     @property
     def is_in_doubt(self) -> bool:
-        """Return whether another incarnation may have replaced this one."""
-        return self.announced is not None or self.doubted_ms >= 0
+        """Return whether another incarnation may answer for this one."""
+        return (
+            self.announced is not None
+            or self.doubted_ms >= 0
+            or self.claimed_ms >= 0
+        )
 
     @property
     def is_described(self) -> bool:
--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -93,9 +93,11 @@
     ) -> _fleet.Worker | None:
         """Return the incarnation that a report is from, None if it is gone.
 
-        Without a start time or an entry that tells it, the clock shows that
-        a worker has restarted.
+        Without another start time, the clock shows that a worker has
+        restarted.
         """
+        if self._is_claimed(worker, report, sent_ms, now_ms):
+            return None
         known_ms = worker.info.process_start_ms
         start_ms = report.process_start_ms or known_ms
         is_stale = worker.is_probed and sent_ms < worker.last_report_ms
@@ -108,7 +110,7 @@
             start_ms = entry.process_start_ms
         is_clock_new = (
             worker.is_probed
-            and not report.process_start_ms
+            and start_ms == known_ms
             and _unconfirmed_runs.is_clock_of_other(
                 worker, report.clock_ms, sent_ms, now_ms
             )
@@ -134,6 +136,58 @@
             worker.doubted_ms = -1
         return worker
 
+    def _is_claimed(
+        self,
+        worker: _fleet.Worker,
+        report: _reports.WorkerReport,
+        sent_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Return whether two processes answer polls of a worker in turn.
+
+        Then neither gets leases or tasks, until one has not answered for
+        longer than its lease. What the other one runs has ended by then.
+        """
+        wait_ms = _unconfirmed_runs.with_margin_ms(self._cell.lease_max_ms)
+        former = worker.former
+        # A process that tells another start time in between keeps its clock.
+        is_own = not _unconfirmed_runs.is_clock_of_other(
+            worker, report.clock_ms, sent_ms, now_ms
+        )
+        if is_own:
+            worker.answered_ms = now_ms
+        if (
+            is_own
+            or former is None
+            or not _is_from(former, report, sent_ms, now_ms)
+        ):
+            if worker.claimed_ms < 0:
+                return False
+            if now_ms - worker.claimed_ms <= wait_ms:
+                return True
+            worker.claimed_ms = -1
+            self._log_entry('id_claimed_once', worker, worker.entry)
+            return False
+        former.clock_ms = report.clock_ms
+        former.last_report_ms = now_ms
+        former.report_sent_ms = sent_ms
+        if now_ms - worker.answered_ms > wait_ms:
+            worker.claimed_ms = -1
+            self._log_entry('id_claimed_once', worker, worker.entry)
+            return False
+        if worker.claimed_ms < 0:
+            self._cell.log(
+                'id_claimed_twice',
+                '',
+                worker=worker.info.id,
+                address=worker.polled_address,
+                process_start_ms=worker.info.process_start_ms,
+                other_start_ms=report.process_start_ms,
+                runs=len(worker.runs),
+            )
+        worker.claimed_ms = now_ms
+        return True
+
     def on_entries_read(self, since_ms: int, sent_ms: int) -> bool:
         """Accept entries that are wrong, as no others are written.
 
@@ -316,6 +370,21 @@
         )
 
 
+def _is_from(
+    worker: _fleet.Worker,
+    report: _reports.WorkerReport,
+    sent_ms: int,
+    now_ms: int,
+) -> bool:
+    """Return whether a report has the start time and clock of a process."""
+    start_ms = report.process_start_ms
+    return (
+        not start_ms or start_ms == worker.info.process_start_ms
+    ) and not _unconfirmed_runs.is_clock_of_other(
+        worker, report.clock_ms, sent_ms, now_ms
+    )
+
+
 def _may_describe(worker: _fleet.Worker, entry: _fleet.WorkerInfo) -> bool:
     """Return whether an entry may be that of the present incarnation."""
     return (
--- a/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_scheduler.py
@@ -386,8 +386,11 @@
     def are_leases_held(self, worker_id: str) -> bool:
         """Return whether no leases of a worker may be requested."""
         worker = self._cell.workers.get(worker_id)
-        is_lapsing = worker is not None and worker.is_lapsing
-        return is_lapsing or worker_id in self._cell.held_worker_ids
+        if worker is not None and (
+            worker.is_lapsing or worker.claimed_ms >= 0
+        ):
+            return True
+        return worker_id in self._cell.held_worker_ids
 
     def generation_of(self, worker_id: str) -> int:
         """Return how many incarnations under an id have ended or are lost."""
