Keep every start of a task that may be carried out late

Cause: a task whose start was given up starts on the same worker again. The note of it named one run only. If both starts may be late, a report that lists one of them ended the wait for the other, which the next incarnation of the worker may carry out beside a third run.

Change: the note holds all such runs of the task, each with a row in the record, and ends with the last of them.

--- a/packages/policy/src/oriolestand_policy/scheduling/_cell.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_cell.py
@@ -294,8 +294,10 @@
         task = job.find(run.key) if job is not None else None
         if task is None:
             return
+        if task.late_worker != worker_id:
+            task.late_runs.clear()
         task.late_worker = worker_id
-        task.late_run = run.number
+        task.late_runs.add(run.number)
         task.late_until_ms = run.doubt_ms + _unconfirmed_runs.late_ms(
             self.lease_max_ms
         )
@@ -319,7 +321,10 @@
         """Note that the start of a run cannot be carried out late any more."""
         job = self.jobs.get(key.job)
         task = job.find(key) if job is not None else None
-        if task is not None and task.late_run == number:
+        if task is None or number not in task.late_runs:
+            return
+        task.late_runs.discard(number)
+        if not task.late_runs:
             task.late_worker = ''
             self.late_tasks.pop(task.key, None)
 
@@ -328,6 +333,7 @@
         for key, task in list(self.late_tasks.items()):
             if now_ms > task.late_until_ms:
                 task.late_worker = ''
+                task.late_runs.clear()
                 del self.late_tasks[key]
 
     def release_all(self, worker: _fleet.Worker, now_ms: int) -> None:
--- a/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_jobs.py
@@ -126,9 +126,9 @@
     end of a newer run. ``avoid`` holds the workers on which the task failed.
     ``former_worker`` and ``former_run`` are where a former owner placed the
     task; the worker is empty once that run has ended or was adopted.
-    ``late_worker`` is where the next incarnation may carry out the start of
-    ``late_run``, which lasts until ``late_until_ms`` at most, empty if there
-    is none.
+    ``late_worker`` is where the next incarnation may carry out the starts of
+    ``late_runs``, which last until ``late_until_ms`` at most. It is empty if
+    there are none.
     ``is_overdue`` is whether it is a filling task that has waited too long,
     ``may_be_slowed`` whether it may start at a lower pace therefore, and
     ``turn_after_ms`` the time until which it does not go before others.
@@ -153,7 +153,7 @@
     former_worker: str = ''
     former_run: int = 0
     late_worker: str = ''
-    late_run: int = 0
+    late_runs: set[int] = dataclasses.field(default_factory=set)
     late_until_ms: int = -1
     is_overdue: bool = False
     may_be_slowed: bool = False
--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -181,12 +181,13 @@
     """Yield the rows of the starts that may be carried out late."""
     for task in tasks:
         if task.late_worker and not task.is_done:
-            yield [
-                *task.key[1:],
-                task.late_worker,
-                task.late_run,
-                task.late_until_ms,
-            ]
+            for run in sorted(task.late_runs):
+                yield [
+                    *task.key[1:],
+                    task.late_worker,
+                    run,
+                    task.late_until_ms,
+                ]
 
 
 def _ready_rows(job: _jobs.Job) -> list[list[int]]:
@@ -304,7 +305,7 @@
         task = job.find(_jobs.TaskKey(job.spec.id, number, step, index))
         if task is not None and not task.is_done:
             task.late_worker = worker
-            task.late_run = run
+            task.late_runs.add(run)
             task.late_until_ms = until_ms
     return _restore_crashes(job, progress)
 
--- a/packages/policy/tests/scheduling/test_late_starts.py
+++ b/packages/policy/tests/scheduling/test_late_starts.py
@@ -189,4 +189,28 @@
     harness.add('j', scheduling.StepSpec(count=500, cpu=1))
     for task in harness.scheduler.jobs['j'].occurrence(0)[0]:
         task.late_worker = 'w0'
+        task.late_runs.add(1)
     assert len(record_of(harness)['late']) == 100
+
+
+def test_listed_start_leaves_the_note_of_an_older_one(harness):
+    # Guards against a second run: a start that was given up is forgotten as
+    # the next one of the task on the same worker has been listed.
+    first, _ = give_up_start(harness)
+    harness.scheduler.on_stop_reply('w0', first.key, first.run, True, 5_000)
+    second = None
+    for _ in range(4):
+        harness.now += 1_000
+        harness.poll('w0')
+        harness.poll('w1')
+        starts, _ = harness.decide()
+        second = starts[0] if starts else second
+    assert second is not None
+    assert second.worker == 'w0'
+    harness.now += 1_200
+    harness.answer(second, IN_DOUBT)
+    listed = scheduling.RunReport(
+        key=second.key, number=second.run, checkpoint='', percent=1
+    )
+    harness.poll('w0', running=[listed])
+    assert [row[4] for row in record_of(harness)['late']] == [first.run]
