--- a/packages/policy/src/oriolestand_policy/scheduling/_record.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_record.py
@@ -219,7 +219,8 @@
     found = [
         task
         for task in job.all_tasks()
-        if not task.is_done and (task.all_crashes or task.watch)
+        if not task.is_done
+        and (task.crashes or task.doubtful_crashes or task.watch)
     ]
     fitting: list[_jobs.Task] = []
     size = 0
