Do not take a report that was on its way for a claim of an id

Cause: the report of a process that has ended may arrive after that of the next one. `Id claimed twice` was logged then, and the worker got neither leases nor tasks for 6.7 s. Found by reading the change before the merge.

Change: only a report to a poll that was sent after the last report counts.

--- a/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
+++ b/packages/policy/src/oriolestand_policy/scheduling/_incarnations.py
@@ -159,6 +159,8 @@
         if (
             is_own
             or former is None
+            # A report that was on its way during a restart.
+            or sent_ms < worker.last_report_ms
             or not _is_from(former, report, sent_ms, now_ms)
         ):
             if worker.claimed_ms < 0:
